State the interfaces of keys, links and membership

Cause: the parts that build on links and membership need their types now. Change: keys are written; link and membership hold types and doc comments, with bodies to follow. Result: they build; nothing of link and membership runs yet.

--- /dev/null
+++ b/coord/link/options.go
@@ -0,0 +1,105 @@
+package link
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/gullhaven/gullhaven/coord/keys"
+)
+
+// Defaults of Options.
+const (
+	DefaultPath         = "/link"
+	DefaultRingSize     = 256
+	DefaultMaxMessage   = 4 << 20
+	DefaultMaxAge       = 3 * time.Second
+	DefaultPingAfter    = time.Second
+	DefaultPingTimeout  = 2 * time.Second
+	DefaultIdlePing     = 30 * time.Second
+	DefaultDialTimeout  = 3 * time.Second
+	DefaultBackoffFloor = 50 * time.Millisecond
+	DefaultBackoffCeil  = 2 * time.Second
+)
+
+// Options are the settings of a Hub. Zero values mean the defaults above.
+type Options struct {
+	// Key proves who this instance is; its Identity.Instance is the id by
+	// which peers know it. Required.
+	Key *keys.Key
+	// Address returns where an instance listens (IP:port); false means that it
+	// is not known. Required. It is called from several goroutines.
+	Address func(id string) (addr string, ok bool)
+	// Path is where Handler is mounted on each instance's TLS listener.
+	Path string
+	// Urgent names the channels whose messages overtake all others. Messages
+	// of an urgent channel that are longer than one chunk (16 KiB) go with the
+	// bulk ones, so that order within a channel holds only below that length.
+	Urgent []string
+	// RingSize bounds each of the two rings per peer and the ring per channel,
+	// in messages.
+	RingSize int
+	// MaxMessage bounds one payload in bytes. A longer one is refused by Send
+	// and Call; a peer that sends one loses its connection.
+	MaxMessage int
+	// MaxAge is how long a message may wait for its connection; older ones are
+	// dropped and counted, so that a reconnect does not deliver stale ones.
+	MaxAge time.Duration
+	// PingAfter is how long a sent message may stay without any sign of the
+	// peer before a ping asks for one; PingTimeout is how long the pong may
+	// take before the connection is given up. Together they bound how long a
+	// silent cut goes unnoticed by a sender.
+	PingAfter, PingTimeout time.Duration
+	// IdlePing is the time between pings on a connection without messages;
+	// negative means none.
+	IdlePing time.Duration
+	// IdleClose closes connections that carried no message for so long; zero
+	// means never.
+	IdleClose time.Duration
+	// DialTimeout bounds one attempt to connect, with its handshakes.
+	DialTimeout time.Duration
+	// BackoffFloor and BackoffCeil bound the time between attempts. It doubles
+	// from floor to ceiling, and each wait is drawn from its upper half.
+	BackoffFloor, BackoffCeil time.Duration
+	// Rand draws back-off jitter and the first call id; the hub guards it by a
+	// lock of its own. Required.
+	Rand *rand.Rand
+	// Allow, if set, cuts the pairs for which it returns false: no dial, no
+	// accept, and messages of open connections vanish in both directions as
+	// in a network partition. It must be safe for several goroutines.
+	Allow func(peer string) bool
+	// OnLink, if set, is told of each change between connected and not
+	// connected. It must not block.
+	OnLink func(peer string, up bool)
+}
+
+func (o Options) withDefaults() (Options, error) {
+	if o.Key == nil || o.Address == nil || o.Rand == nil {
+		return o, errors.NotValidf("link options without Key, Address or Rand")
+	}
+	set(&o.Path, DefaultPath)
+	set(&o.RingSize, DefaultRingSize)
+	set(&o.MaxMessage, DefaultMaxMessage)
+	set(&o.MaxAge, DefaultMaxAge)
+	set(&o.PingAfter, DefaultPingAfter)
+	set(&o.PingTimeout, DefaultPingTimeout)
+	set(&o.IdlePing, DefaultIdlePing)
+	set(&o.DialTimeout, DefaultDialTimeout)
+	set(&o.BackoffFloor, DefaultBackoffFloor)
+	set(&o.BackoffCeil, DefaultBackoffCeil)
+	if o.Allow == nil {
+		o.Allow = func(string) bool { return true }
+	}
+	if o.OnLink == nil {
+		o.OnLink = func(string, bool) {}
+	}
+	return o, nil
+}
+
+func set[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
