--- /dev/null
+++ b/bundle/history.go
@@ -0,0 +1,68 @@
+package bundle
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+)
+
+// HistoryLimit is how many accepted versions are remembered: forty days at
+// 2,500 changes a day, in 3.2 MB. A resend of an older one is answered with
+// OutcomeTooOld, never with a new acceptance.
+const HistoryLimit = 100_000
+
+// History keeps the digests of accepted versions, which follow each other
+// without gaps.
+type History struct {
+	// First is the version of the first sum; 0 while empty.
+	First uint64 `json:"first"`
+	// Sums are 32 bytes for each version.
+	Sums []byte `json:"sums"`
+}
+
+// Append records the next version and forgets the oldest beyond the limit.
+func (h *History) Append(version uint64, digest Digest) error {
+	sum, err := hex.DecodeString(string(digest))
+	if err != nil || len(sum) != sha256.Size {
+		return fmt.Errorf("%q is not a digest", digest)
+	}
+	if last, _ := h.Last(); len(h.Sums) > 0 && version != last+1 {
+		return fmt.Errorf("version %d doesn't follow %d", version, last)
+	}
+	if len(h.Sums) == 0 {
+		h.First = version
+	}
+	h.Sums = append(h.Sums, sum...)
+	if surplus := len(h.Sums)/sha256.Size - HistoryLimit; surplus > 0 {
+		h.Sums = h.Sums[surplus*sha256.Size:]
+		h.First += uint64(surplus)
+	}
+	return nil
+}
+
+// Last is the newest version; 0 while empty.
+func (h *History) Last() (uint64, Digest) {
+	if len(h.Sums) == 0 {
+		return 0, ""
+	}
+	version := h.First + uint64(len(h.Sums)/sha256.Size) - 1
+	digest, _ := h.Digest(version)
+	return version, digest
+}
+
+// Digest of a version, while it is kept.
+func (h *History) Digest(version uint64) (Digest, bool) {
+	if version < h.First || version >= h.First+uint64(len(h.Sums)/sha256.Size) {
+		return "", false
+	}
+	at := (version - h.First) * sha256.Size
+	return Digest(hex.EncodeToString(h.Sums[at : at+sha256.Size])), true
+}
+
+// check refuses a history that Append can't have made.
+func (h *History) check() error {
+	if len(h.Sums)%sha256.Size != 0 || (len(h.Sums) == 0) != (h.First == 0) {
+		return fmt.Errorf("history from version %d has %d bytes", h.First, len(h.Sums))
+	}
+	return nil
+}
--- /dev/null
+++ b/bundle/sign.go
@@ -0,0 +1,137 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+)
+
+// Signed is a bundle with the sign-offs of operators.
+type Signed struct {
+	Bundle     Bundle      `json:"bundle"`
+	Signatures []Signature `json:"signatures"`
+}
+
+// Signature is one operator's sign-off over version, parent and digest.
+type Signature struct {
+	// Operator is the id of the signer.
+	Operator string `json:"operator"`
+	// Value is an Ed25519 signature, standard base64 (64 bytes decoded).
+	Value string `json:"value"`
+}
+
+// ErrSignOffs marks a bundle without enough valid sign-offs.
+var ErrSignOffs = errors.New("not enough valid sign-offs")
+
+// signedPurpose keeps a signature from being valid for anything else.
+const signedPurpose = "gullhaven bundle sign-off 1"
+
+// Trust says whose sign-offs a bundle needs, and how many of them.
+type Trust struct {
+	Operators []Operator
+	// SignOffs is how many distinct operators must sign; at least 1.
+	SignOffs int
+}
+
+// Next is the trust that the bundle in force puts in operators for the next one.
+func (b *Bundle) Next() Trust {
+	return Trust{Operators: b.Operators, SignOffs: b.SignOffs}
+}
+
+// Identity is what names a bundle: it is what operators sign and what
+// acceptance compares.
+type Identity struct {
+	Version uint64 `json:"version"`
+	Parent  Digest `json:"parent,omitempty"`
+	Digest  Digest `json:"digest"`
+}
+
+// Identity of the bundle.
+func (b *Bundle) Identity() (Identity, error) {
+	digest, err := b.Digest()
+	if err != nil {
+		return Identity{}, err
+	}
+	return Identity{Version: b.Version, Parent: b.Parent, Digest: digest}, nil
+}
+
+// message is the signed text.
+func (id Identity) message() []byte {
+	return fmt.Appendf(nil, "%s\nversion %d\nparent %q\ndigest %q\n", signedPurpose, id.Version, id.Parent, id.Digest)
+}
+
+// Sign makes one operator's sign-off.
+func Sign(id Identity, operator string, key ed25519.PrivateKey) Signature {
+	return Signature{
+		Operator: operator,
+		Value:    base64.StdEncoding.EncodeToString(ed25519.Sign(key, id.message())),
+	}
+}
+
+// Verify counts the distinct operators with a valid sign-off. The error wraps
+// ErrSignOffs and tells why each other signature doesn't count. One key counts
+// once, even under two ids: else one person could sign for two.
+func Verify(id Identity, signatures []Signature, trust Trust) error {
+	counted := map[string]bool{}
+	var reasons []error
+	for _, signature := range signatures {
+		key, err := trust.check(id, signature)
+		switch {
+		case err != nil:
+			reasons = append(reasons, fmt.Errorf("operator %q: %w", signature.Operator, err))
+		case counted[key]:
+			reasons = append(reasons, fmt.Errorf("operator %q: counted already", signature.Operator))
+		default:
+			counted[key] = true
+		}
+	}
+	needed := max(trust.SignOffs, 1)
+	if len(counted) >= needed {
+		return nil
+	}
+	short := fmt.Errorf("%w: %d of %d", ErrSignOffs, len(counted), needed)
+	return errors.Join(append([]error{short}, reasons...)...)
+}
+
+// check verifies one signature and returns the key that made it.
+func (t Trust) check(id Identity, signature Signature) (string, error) {
+	operator, known := t.operator(signature.Operator)
+	if !known {
+		return "", errors.New("is not among the operators who may sign this version")
+	}
+	key, err := ParsePublicKey(operator.PublicKey)
+	if err != nil {
+		return "", err
+	}
+	value, err := base64.StdEncoding.DecodeString(signature.Value)
+	if err != nil {
+		return "", fmt.Errorf("signature: %w", err)
+	}
+	if !ed25519.Verify(key, id.message(), value) {
+		return "", errors.New("the signature is not that of this bundle by this operator's key")
+	}
+	return string(key), nil
+}
+
+// operator finds an operator by id.
+func (t Trust) operator(id string) (Operator, bool) {
+	for _, operator := range t.Operators {
+		if operator.ID == id {
+			return operator, true
+		}
+	}
+	return Operator{}, false
+}
+
+// ParsePublicKey reads an Ed25519 public key in standard base64.
+func ParsePublicKey(text string) (ed25519.PublicKey, error) {
+	key, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, fmt.Errorf("public key: %w", err)
+	}
+	if len(key) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("public key: has %d bytes, but must have %d", len(key), ed25519.PublicKeySize)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/bundle/strict/check.go
@@ -0,0 +1,59 @@
+package strict
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+)
+
+// MaxIDLength bounds ids, in bytes.
+const MaxIDLength = 63
+
+// idForm keeps ids fit for paths, headers, file names and metric names.
+var idForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// CheckID refuses what is no id: 1 to 63 letters, digits, "-", ".", "_", the
+// first a letter or digit.
+func CheckID(id string) error {
+	switch {
+	case id == "":
+		return errors.New("is missing")
+	case len(id) > MaxIDLength:
+		return fmt.Errorf("is %d bytes long, but at most %d are allowed", len(id), MaxIDLength)
+	case !idForm.MatchString(id):
+		return fmt.Errorf("%q is no id; use letters, digits, \"-\", \".\", \"_\", the first a letter or digit", id)
+	}
+	return nil
+}
+
+// CheckAddress refuses what is not IP:port with a port above 0. Names are
+// refused, as processes talk by IP numbers and must start without a name
+// service.
+func CheckAddress(address string) error {
+	if address == "" {
+		return errors.New("is missing; give IP:port")
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return describeAddress(address)
+	}
+	if parsed.Port() == 0 {
+		return fmt.Errorf("%q has port 0; name the port", address)
+	}
+	return nil
+}
+
+// describeAddress says what is wrong with an address that can't be parsed.
+func describeAddress(address string) error {
+	colon := strings.LastIndexByte(address, ':')
+	if colon < 0 {
+		return fmt.Errorf("%q has no port; give IP:port", address)
+	}
+	host := strings.Trim(address[:colon], "[]")
+	if _, err := netip.ParseAddr(host); err != nil && host != "" {
+		return fmt.Errorf("%q names the host %q; give an IP number, names are not looked up", address, host)
+	}
+	return fmt.Errorf("%q is not IP:port", address)
+}
--- /dev/null
+++ b/bundle/strict/decode.go
@@ -0,0 +1,258 @@
+package strict
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"unicode/utf8"
+)
+
+// MaxDepth bounds the nesting of a document, far above that of our types.
+const MaxDepth = 64
+
+// MaxProblems bounds the list for a document that is wrong throughout.
+const MaxProblems = 1000
+
+// Decode reads one JSON document over the struct that into points to; fields
+// that the document leaves out keep their values. The error is of type
+// Problems. On an error *into is unchanged.
+func Decode(data []byte, into any) error {
+	if !utf8.Valid(data) {
+		return Problems{{Message: "not valid UTF-8"}}
+	}
+	w := walker{decoder: json.NewDecoder(bytes.NewReader(data)), data: data}
+	w.decoder.UseNumber()
+	target := reflect.TypeOf(into).Elem()
+	err := w.value("", target, 0)
+	if err == nil {
+		err = w.end()
+	}
+	if err != nil {
+		w.problems.Add("", "%s", w.syntax(err))
+	}
+	if len(w.problems) > 0 {
+		return w.problems
+	}
+	fresh := reflect.New(target)
+	fresh.Elem().Set(reflect.ValueOf(into).Elem())
+	if err := json.Unmarshal(data, fresh.Interface()); err != nil {
+		return Problems{{Message: err.Error()}}
+	}
+	reflect.ValueOf(into).Elem().Set(fresh.Elem())
+	return nil
+}
+
+// errTooMany ends the walk of a document that is wrong throughout.
+var errTooMany = fmt.Errorf("more than %d faults, the rest is not listed", MaxProblems)
+
+// walker compares the tokens of a document with a type.
+type walker struct {
+	decoder  *json.Decoder
+	data     []byte
+	problems Problems
+}
+
+// add records a fault.
+func (w *walker) add(path, format string, args ...any) error {
+	if len(w.problems) >= MaxProblems {
+		return errTooMany
+	}
+	w.problems.Add(path, format, args...)
+	return nil
+}
+
+// value consumes one value; t is nil for a value that is skipped. Errors are
+// faults of syntax, which end the walk.
+func (w *walker) value(path string, t reflect.Type, depth int) error {
+	if depth > MaxDepth {
+		return fmt.Errorf("nested deeper than %d", MaxDepth)
+	}
+	for t != nil && t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	token, err := w.decoder.Token()
+	if err != nil {
+		return err
+	}
+	switch token := token.(type) {
+	case json.Delim:
+		if token == '{' {
+			return w.object(path, t, depth)
+		}
+		return w.list(path, t, depth)
+	default:
+		return w.scalar(path, t, token)
+	}
+}
+
+// object consumes the fields and the closing brace.
+func (w *walker) object(path string, t reflect.Type, depth int) error {
+	if t != nil && t.Kind() != reflect.Struct {
+		if err := w.add(path, "is an object, but must be %s", describe(t)); err != nil {
+			return err
+		}
+		t = nil
+	}
+	seen := map[string]bool{}
+	for w.decoder.More() {
+		token, err := w.decoder.Token()
+		if err != nil {
+			return err
+		}
+		name := token.(string)
+		fieldType, err := w.field(path, t, name, seen[name])
+		if err != nil {
+			return err
+		}
+		seen[name] = true
+		if err := w.value(Field(path, name), fieldType, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := w.decoder.Token()
+	return err
+}
+
+// field is the type of the named field, or nil where its value is skipped.
+func (w *walker) field(path string, t reflect.Type, name string, repeated bool) (reflect.Type, error) {
+	if t == nil {
+		return nil, nil
+	}
+	if repeated {
+		return nil, w.add(Field(path, name), "stands twice")
+	}
+	if fieldType, known := fieldNamed(t, name); known {
+		return fieldType, nil
+	}
+	return nil, w.add(Field(path, name), "unknown field; known are %s", strings.Join(names(t), ", "))
+}
+
+// list consumes the elements and the closing bracket.
+func (w *walker) list(path string, t reflect.Type, depth int) error {
+	var element reflect.Type
+	switch {
+	case t == nil:
+	case t.Kind() == reflect.Slice:
+		element = t.Elem()
+	default:
+		if err := w.add(path, "is a list, but must be %s", describe(t)); err != nil {
+			return err
+		}
+	}
+	for i := 0; w.decoder.More(); i++ {
+		if err := w.value(Index(path, i), element, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := w.decoder.Token()
+	return err
+}
+
+// scalar compares a string, number, truth value or null with the type.
+func (w *walker) scalar(path string, t reflect.Type, token json.Token) error {
+	if t == nil {
+		return nil
+	}
+	if token == nil {
+		return w.add(path, "is null, but must be %s; leave the field out instead", describe(t))
+	}
+	encoded, err := json.Marshal(token)
+	if err != nil {
+		return err
+	}
+	if json.Unmarshal(encoded, reflect.New(t).Interface()) != nil {
+		return w.add(path, "is %s, but must be %s", shorten(string(encoded)), describe(t))
+	}
+	return nil
+}
+
+// end refuses bytes after the document.
+func (w *walker) end() error {
+	_, err := w.decoder.Token()
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if err == nil {
+		return errors.New("something follows the document")
+	}
+	return err
+}
+
+// syntax adds line and column to a fault of syntax.
+func (w *walker) syntax(err error) string {
+	offset := int(w.decoder.InputOffset())
+	var fault *json.SyntaxError
+	if errors.As(err, &fault) {
+		offset = int(fault.Offset)
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	before := w.data[:min(offset, len(w.data))]
+	line := bytes.Count(before, []byte{'\n'}) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Sprintf("line %d, column %d: %v", line, column, err)
+}
+
+// fieldNamed finds the field with exactly this JSON name.
+func fieldNamed(t reflect.Type, name string) (reflect.Type, bool) {
+	for i := range t.NumField() {
+		if jsonName(t.Field(i)) == name {
+			return t.Field(i).Type, true
+		}
+	}
+	return nil, false
+}
+
+// names of all fields.
+func names(t reflect.Type) []string {
+	all := make([]string, t.NumField())
+	for i := range all {
+		all[i] = jsonName(t.Field(i))
+	}
+	return all
+}
+
+// jsonName is the name in the field's tag.
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	if name == "" {
+		return f.Name
+	}
+	return name
+}
+
+// maxShown bounds the part of a wrong value that a message repeats, in bytes.
+const maxShown = 60
+
+// shorten cuts a long value.
+func shorten(s string) string {
+	if len(s) <= maxShown {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxShown], "") + "..."
+}
+
+// describe names the JSON form of a type.
+func describe(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return "a whole number of 0 or more"
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		return "a whole number"
+	case reflect.Slice:
+		return "a list"
+	default:
+		return "an object"
+	}
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,200 @@
+package settings
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/bundle/strict"
+)
+
+// maxStandins bounds the stand-ins of a development process.
+const maxStandins = 64
+
+// logLevels are the levels that Log.Level may name.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Check reports all faults with the path of each wrong field.
+func (s *Settings) Check() []Problem {
+	c := checker{s: s}
+	c.id("instance", s.Instance)
+	c.id("region", s.Region)
+	c.id("zone", s.Zone)
+	c.listen()
+	c.voters()
+	c.peers("seeds", s.Seeds)
+	c.keys()
+	c.bootstrap()
+	c.platform()
+	c.require(slices.Contains(logLevels, s.Log.Level), "log.level", "%q is none of %q", s.Log.Level, logLevels)
+	c.development()
+	return c.problems
+}
+
+// checker collects problems.
+type checker struct {
+	s        *Settings
+	problems Problems
+}
+
+// require adds a fault at path unless ok.
+func (c *checker) require(ok bool, path, format string, args ...any) {
+	if !ok {
+		c.problems.Add(path, format, args...)
+	}
+}
+
+// id requires a well-formed id.
+func (c *checker) id(path, id string) {
+	if err := strict.CheckID(id); err != nil {
+		c.problems.Add(path, "%v", err)
+	}
+}
+
+// address requires IP:port.
+func (c *checker) address(path, address string) bool {
+	err := strict.CheckAddress(address)
+	if err != nil {
+		c.problems.Add(path, "%v", err)
+	}
+	return err == nil
+}
+
+// listen checks the three interfaces. An unspecified IP can be listened at,
+// but nobody can reach it.
+func (c *checker) listen() {
+	seen := map[string]string{}
+	names := []string{"callers", "instances", "operators"}
+	advertised := c.s.Advertise.list()
+	for i, address := range c.s.Listen.list() {
+		path := "listen." + names[i]
+		if !c.address(path, address) {
+			continue
+		}
+		other, taken := seen[address]
+		c.require(!taken, path, "%s is %s too", address, other)
+		seen[address] = path
+		c.reachable("advertise."+names[i], path, advertised[i])
+	}
+}
+
+// reachable requires an address that others can use.
+func (c *checker) reachable(path, listen, address string) {
+	if !c.address(path, address) {
+		return
+	}
+	ip := netip.MustParseAddrPort(address).Addr()
+	c.require(!ip.IsUnspecified(), path, "%s can't be reached by others; give the IP that %s has for them", address, listen)
+}
+
+// list in the order callers, instances, operators.
+func (a Addresses) list() []string {
+	return []string{a.Callers, a.Instances, a.Operators}
+}
+
+// voters checks the global group. A voter without a disk forgets what it voted
+// and acknowledged, so that accepted bundles could be lost.
+func (c *checker) voters() {
+	c.require(len(c.s.Voters) > 0, "voters", "is empty; name the group that accepts bundles")
+	c.require(len(c.s.Voters)%2 == 1 || len(c.s.Voters) == 0, "voters",
+		"has %d members; an even number survives no more losses than one less", len(c.s.Voters))
+	c.peers("voters", c.s.Voters)
+	at := slices.IndexFunc(c.s.Voters, func(p Peer) bool { return p.ID == c.s.Instance })
+	c.require(!c.s.Voter || c.s.DataDir != "", "data_dir", "is missing; a voter needs a disk")
+	c.require(!c.s.Voter || at >= 0, "voter", "is true, but %q is not among voters", c.s.Instance)
+	c.require(c.s.Voter || at < 0, "voter", "is false, but %q is among voters", c.s.Instance)
+	if at >= 0 {
+		c.require(c.s.Voters[at].Region == c.s.Region, strict.Index("voters", at)+".region",
+			"is %q, but this instance is in %q", c.s.Voters[at].Region, c.s.Region)
+	}
+}
+
+// peers checks a list of other instances.
+func (c *checker) peers(path string, peers []Peer) {
+	ids := map[string]bool{}
+	owners := map[string]string{}
+	for i, peer := range peers {
+		at := strict.Index(path, i)
+		c.id(at+".id", peer.ID)
+		c.require(!ids[peer.ID], at+".id", "%q stands twice", peer.ID)
+		ids[peer.ID] = true
+		c.id(at+".region", peer.Region)
+		if peer.Zone != "" {
+			c.id(at+".zone", peer.Zone)
+		}
+		if !c.address(at+".address", peer.Address) {
+			continue
+		}
+		owner, taken := owners[peer.Address]
+		c.require(!taken, at+".address", "%s is the address of %q too", peer.Address, owner)
+		owners[peer.Address] = peer.ID
+	}
+}
+
+// keys are all there or none, and none only with plain links.
+func (c *checker) keys() {
+	k := c.s.Keys
+	if k == (Keys{}) && c.s.Development != nil && c.s.Development.PlainLinks {
+		return
+	}
+	c.require(k.Authority != "", "keys.authority", "is missing; make a set with `gullhaven keygen`")
+	c.require(k.Certificate != "", "keys.certificate", "is missing; make a set with `gullhaven keygen`")
+	c.require(k.Key != "", "keys.key", "is missing; make a set with `gullhaven keygen`")
+}
+
+// bootstrap checks who may sign the first bundle.
+func (c *checker) bootstrap() {
+	b := c.s.Bootstrap
+	unsigned := c.s.Development != nil && c.s.Development.Unsigned
+	if unsigned && len(b.Operators) == 0 {
+		return
+	}
+	c.require(len(b.Operators) > 0, "bootstrap.operators", "is empty; nobody could sign the first bundle")
+	c.require(b.SignOffs >= 1 && b.SignOffs <= max(len(b.Operators), 1), "bootstrap.sign_offs",
+		"is %d, but must be from 1 to the number of operators, %d", b.SignOffs, len(b.Operators))
+	ids := map[string]bool{}
+	owners := map[string]string{}
+	for i, operator := range b.Operators {
+		at := strict.Index("bootstrap.operators", i)
+		c.id(at+".id", operator.ID)
+		c.require(!ids[operator.ID], at+".id", "%q stands twice", operator.ID)
+		ids[operator.ID] = true
+		key, err := bundle.ParsePublicKey(operator.PublicKey)
+		if err != nil {
+			c.problems.Add(at+".public_key", "%v", err)
+			continue
+		}
+		owner, taken := owners[string(key)]
+		c.require(!taken, at+".public_key", "is the key of %q too", owner)
+		owners[string(key)] = operator.ID
+	}
+}
+
+// platform checks the addresses that are given.
+func (c *checker) platform() {
+	for _, place := range []struct{ path, address string }{
+		{"platform.weight_store", c.s.Platform.WeightStore},
+		{"platform.directory", c.s.Platform.Directory},
+		{"platform.instance_list", c.s.Platform.InstanceList},
+	} {
+		if place.address != "" {
+			c.address(place.path, place.address)
+		}
+	}
+}
+
+// development refuses relaxed rules where others could reach the instance.
+func (c *checker) development() {
+	d := c.s.Development
+	if d == nil {
+		return
+	}
+	c.require(d.Engines >= 0 && d.Engines <= maxStandins, "development.engines", "is %d, but must be from 0 to %d", d.Engines, maxStandins)
+	c.require(d.Plain >= 0 && d.Plain <= maxStandins, "development.plain", "is %d, but must be from 0 to %d", d.Plain, maxStandins)
+	for _, address := range c.s.Listen.list() {
+		parsed, err := netip.ParseAddrPort(address)
+		if err == nil && !parsed.Addr().IsLoopback() {
+			c.problems.Add("development", "is for loopback only, but the instance listens at %s", address)
+		}
+	}
+}
