--- /dev/null
+++ b/coord/wal/wal_test.go
@@ -0,0 +1,352 @@
+package wal_test
+
+import (
+	"encoding/binary"
+	"errors"
+	"maps"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/coord/wal"
+	"github.com/gullhaven/gullhaven/coord/wal/faultfs"
+)
+
+const dir = "/data/wal"
+
+var errDisk = errors.New("planted fault of the disk")
+
+// model is what a log must be found to hold.
+type model struct {
+	t        *rapid.T
+	fs       *faultfs.FS
+	log      *wal.Log
+	lives    byte // incarnations handed to Open
+	created  bool
+	next     uint64   // id of the next record
+	acked    []uint64 // ids, oldest first
+	inFlight []uint64 // ids appended since the last acknowledged sync
+	rotated  map[uint64]int
+	base     uint64 // segment of the newest acknowledged snapshot, 0 if none
+	trying   uint64 // segment of a snapshot that was begun, 0 if none
+}
+
+func record(id uint64) wal.Record {
+	data := binary.LittleEndian.AppendUint64(nil, id)
+	return wal.Record{Type: uint8(id%5) + 1, Data: append(data, make([]byte, id%37)...)}
+}
+
+func idOf(r wal.Record) uint64 { return binary.LittleEndian.Uint64(r.Data) }
+
+func (m *model) open() {
+	m.lives++
+	l, rec, err := wal.Open(m.fs, dir, wal.Options{Incarnation: wal.Incarnation{m.lives}, SegmentBytes: 700})
+	if err != nil {
+		m.t.Fatalf("open after a crash: %v", err)
+	}
+	if rec.New && m.created {
+		m.t.Fatalf("a folder in use was taken for a new one")
+	}
+	if rec.New && rec.Incarnation != (wal.Incarnation{m.lives}) {
+		m.t.Fatalf("created under %v", rec.Incarnation)
+	}
+	m.created = true
+	m.log = l
+	m.compare(rec)
+}
+
+// compare checks a recovery: everything acknowledged, in order, then at most
+// the records in flight, whole or not at all.
+func (m *model) compare(rec wal.Recovered) {
+	base := m.base
+	if rec.Snapshot == nil && base != 0 {
+		m.t.Fatalf("the snapshot of segment %d is gone", base)
+	}
+	if rec.Snapshot != nil {
+		got := binary.LittleEndian.Uint64(rec.Snapshot.Data)
+		if got != m.base && (got != m.trying || got == 0) {
+			m.t.Fatalf("found the snapshot of segment %d; acknowledged %d, begun %d", got, m.base, m.trying)
+		}
+		base = got
+	}
+	from := m.rotated[base]
+	var got []uint64
+	for _, r := range rec.Records {
+		if !reflect.DeepEqual(r, record(idOf(r))) {
+			m.t.Fatalf("a record was found changed: %v", r)
+		}
+		got = append(got, idOf(r))
+	}
+	all := append(slices.Clone(m.acked), m.inFlight...)
+	switch {
+	case slices.Equal(got, m.acked[from:]):
+	case slices.Equal(got, all[from:]):
+		m.acked = all
+	default:
+		m.t.Fatalf("found %v; acknowledged %v, in flight %v", got, m.acked[from:], m.inFlight)
+	}
+	m.base, m.trying, m.inFlight = base, 0, nil
+}
+
+func (m *model) appendSome() {
+	for range rapid.IntRange(1, 4).Draw(m.t, "records") {
+		if m.log.Append(record(m.next)) == nil {
+			m.inFlight = append(m.inFlight, m.next)
+			m.next++
+		}
+	}
+}
+
+func (m *model) sync() {
+	if m.log.Sync() == nil {
+		m.acked = append(m.acked, m.inFlight...)
+		m.inFlight = nil
+	}
+}
+
+func (m *model) rotate() {
+	m.sync()
+	if num, err := m.log.Rotate(); err == nil {
+		m.rotated[num] = len(m.acked)
+	}
+}
+
+func (m *model) snapshot() {
+	m.sync()
+	num, err := m.log.Rotate()
+	if err != nil {
+		return
+	}
+	m.rotated[num] = len(m.acked)
+	m.trying = num
+	data := binary.LittleEndian.AppendUint64(nil, num)
+	if m.log.SaveSnapshot(num, wal.Snapshot{Index: num, Data: data}) == nil {
+		m.base, m.trying = num, 0
+	}
+}
+
+func (m *model) crash() {
+	if rapid.Bool().Draw(m.t, "power loss") {
+		m.fs.PowerLoss(func(n int) int { return rapid.IntRange(0, n-1).Draw(m.t, "kept") })
+	} else {
+		m.fs.Kill()
+	}
+}
+
+func (m *model) plant() {
+	switch rapid.IntRange(0, 3).Draw(m.t, "fault") {
+	case 0:
+		m.fs.CrashAfter(rapid.IntRange(0, 900).Draw(m.t, "budget"))
+	case 1:
+		m.fs.SetCapacity(rapid.IntRange(0, 3000).Draw(m.t, "capacity"))
+	case 2:
+		ops := []faultfs.Op{faultfs.OpWrite, faultfs.OpSync, faultfs.OpSyncDir, faultfs.OpRename, faultfs.OpRemove}
+		m.fs.Fail(rapid.SampledFrom(ops).Draw(m.t, "op"), rapid.IntRange(0, 3).Draw(m.t, "after"), errDisk)
+	default:
+	}
+}
+
+// Symptom: a voter forgets a vote or an entry that it acknowledged, or comes
+// back with one that nobody gave it.
+// Events: any interleaving of append, sync, rotate, snapshot and compact, a
+// crash at any byte, a failing or full disk, restart; again and again.
+// Cause: a file or folder not synced before the answer, a sync tried again, a
+// torn batch taken for whole, a segment removed too early.
+func TestCrashAtAnyByteKeepsWhatWasAcknowledged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, fs: faultfs.New(), rotated: map[uint64]int{}}
+		for range rapid.IntRange(1, 6).Draw(t, "lives") {
+			if rapid.Bool().Draw(t, "fault while opening") {
+				m.plant()
+				if l, _, err := wal.Open(m.fs, dir, wal.Options{Incarnation: wal.Incarnation{99}}); err == nil {
+					m.created = true
+					_ = l.Close()
+				}
+				m.crash()
+			}
+			m.open()
+			m.plant()
+			for range rapid.IntRange(0, 25).Draw(t, "steps") {
+				switch rapid.IntRange(0, 9).Draw(t, "step") {
+				case 0:
+					m.rotate()
+				case 1:
+					m.snapshot()
+				case 2:
+					_ = m.log.Compact()
+				case 3, 4, 5:
+					m.appendSome()
+				default:
+					m.appendSome()
+					m.sync()
+				}
+			}
+			m.crash()
+		}
+		m.open()
+	})
+}
+
+// build makes a log of several segments with a snapshot, all acknowledged, and
+// returns its records from the snapshot on.
+func build(t *rapid.T, fs *faultfs.FS) []uint64 {
+	m := &model{t: t, fs: fs, rotated: map[uint64]int{}}
+	m.open()
+	for range rapid.IntRange(1, 12).Draw(t, "batches") {
+		m.appendSome()
+		m.sync()
+		if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
+			m.snapshot()
+		}
+	}
+	m.appendSome()
+	m.sync()
+	if m.log.Err() != nil {
+		t.Fatal(m.log.Err())
+	}
+	return m.acked[m.rotated[m.base]:]
+}
+
+// Symptom: a voter comes back with other data than it acknowledged.
+// Events: one bit of one file flips while the voter is down.
+// Cause: damage taken for a torn tail, or not seen.
+func TestFlippedBitStopsOrLosesAtMostTheUnmarkedLastBatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := faultfs.New()
+		want := build(t, fs)
+		unmarked := rapid.Bool().Draw(t, "lose the mark")
+		if unmarked {
+			fs.PowerLoss(func(int) int { return 0 })
+		} else {
+			fs.Kill()
+		}
+		before := fs.Dump()
+		path := rapid.SampledFrom(slices.Sorted(maps.Keys(before))).Draw(t, "file")
+		if len(before[path]) == 0 {
+			t.Skip("nothing to flip in an empty file")
+		}
+		fs.FlipBit(path, rapid.IntRange(0, 8*len(before[path])-1).Draw(t, "bit"))
+		flipped := fs.Dump()
+		_, rec, err := wal.Open(fs, dir, wal.Options{Incarnation: wal.Incarnation{7}})
+		var corrupt *wal.CorruptError
+		if errors.As(err, &corrupt) {
+			if corrupt.File == "" || !reflect.DeepEqual(flipped, fs.Dump()) {
+				t.Fatalf("%v, with files changed or unnamed", err)
+			}
+			return
+		}
+		if err != nil || rec.New {
+			t.Fatalf("%v, new: %v", err, rec.New)
+		}
+		checkFlipped(t, rec, want, unmarked)
+	})
+}
+
+func checkFlipped(t *rapid.T, rec wal.Recovered, want []uint64, unmarked bool) {
+	for i, r := range rec.Records {
+		if i >= len(want) || !reflect.DeepEqual(r, record(want[i])) {
+			t.Fatalf("record %d was found changed: %v", i, r)
+		}
+	}
+	lost := len(want) - len(rec.Records)
+	if lost == 0 {
+		return
+	}
+	if !unmarked || rec.Torn == nil || lost > 4 {
+		t.Fatalf("%d acknowledged records lost, unmarked %v, torn %v", lost, unmarked, rec.Torn)
+	}
+}
+
+// Symptom: a voter acknowledges what is not on its disk.
+// Events: an operation of the disk fails once, then works again.
+// Cause: the log goes on after a failure, or tries a sync again.
+func TestFailedDiskPoisonsTheLog(t *testing.T) {
+	faults := map[string]func(*faultfs.FS){
+		"write":     func(f *faultfs.FS) { f.Fail(faultfs.OpWrite, 0, errDisk) },
+		"sync":      func(f *faultfs.FS) { f.Fail(faultfs.OpSync, 0, errDisk) },
+		"full disk": func(f *faultfs.FS) { f.SetCapacity(150) },
+	}
+	for name, plant := range faults {
+		fs := faultfs.New()
+		l, _, err := wal.Open(fs, dir, wal.Options{Incarnation: wal.Incarnation{1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		plant(fs)
+		_ = l.Append(record(36))
+		first := l.Sync()
+		fs.Fail(faultfs.OpWrite, 0, nil)
+		fs.Fail(faultfs.OpSync, 0, nil)
+		fs.SetCapacity(-1)
+		_, rotated := l.Rotate()
+		for _, err := range []error{first, l.Sync(), l.Append(record(1)), rotated, l.SaveSnapshot(1, wal.Snapshot{}), l.Compact(), l.Err()} {
+			var p *wal.PoisonedError
+			if !errors.As(err, &p) || !(errors.Is(err, errDisk) || errors.Is(err, syscall.ENOSPC)) {
+				t.Fatalf("%s: a call after the failure returned %v", name, err)
+			}
+		}
+	}
+}
+
+// Symptom: a voter starts with half of its memory.
+// Events: a file of the folder disappears while the voter is down.
+// Cause: recovery takes what it finds without asking what must be there.
+func TestMissingFileIsCorruptAndEmptyFolderIsNew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := faultfs.New()
+		build(t, fs)
+		fs.Kill()
+		var files []string
+		for path := range fs.Dump() {
+			if !strings.HasSuffix(path, ".tmp") {
+				files = append(files, path)
+			}
+		}
+		slices.Sort(files)
+		segments := slices.DeleteFunc(slices.Clone(files), func(p string) bool { return !strings.HasSuffix(p, ".wal") })
+		gone := rapid.SampledFrom(files).Draw(t, "file")
+		snapshots := len(files) - len(segments) - 1
+		last := gone == segments[len(segments)-1] && len(segments) > 1
+		if last || strings.HasSuffix(gone, ".snap") || (snapshots > 0 && strings.HasSuffix(gone, ".wal")) {
+			t.Skip("documented as not told apart, or not needed")
+		}
+		if err := fs.Remove(gone); err != nil {
+			t.Fatal(err)
+		}
+		_, _, err := wal.Open(fs, dir, wal.Options{Incarnation: wal.Incarnation{7}})
+		var corrupt *wal.CorruptError
+		if !errors.As(err, &corrupt) || filepath.Dir(corrupt.File) != dir {
+			t.Fatalf("without %s: %v", gone, err)
+		}
+		fs.Wipe()
+		_, rec, err := wal.Open(fs, dir, wal.Options{Incarnation: wal.Incarnation{8}})
+		if err != nil || !rec.New || rec.Incarnation != (wal.Incarnation{8}) {
+			t.Fatalf("after a wipe: %+v, %v", rec, err)
+		}
+	})
+}
+
+func TestSecondHolderIsTurnedAwayOnARealDisk(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "a", "b")
+	opt := wal.Options{Incarnation: wal.Incarnation{3}}
+	l, rec, err := wal.Open(wal.OS{}, folder, opt)
+	if err != nil || !rec.New {
+		t.Fatal(rec, err)
+	}
+	var locked *wal.LockedError
+	if _, _, err := wal.Open(wal.OS{}, folder, opt); !errors.As(err, &locked) {
+		t.Fatalf("a second holder got %v", err)
+	}
+	if err := errors.Join(l.Append(record(1), record(2)), l.Sync(), l.Close()); err != nil {
+		t.Fatal(err)
+	}
+	_, rec, err = wal.Open(wal.OS{}, folder, wal.Options{})
+	if err != nil || rec.New || rec.Incarnation != opt.Incarnation || len(rec.Records) != 2 || rec.Torn != nil {
+		t.Fatal(rec, err)
+	}
+}
