Measure routing decisions in virtual time, with five baselines

Cause: the policy must beat plain balancing on tail, cost and share sent away; that needs all deciders on the same traces, faults and retries. Conclusion: ready for route.Router to be measured beside them.

--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,224 @@
+// Package experiment measures routing decisions in virtual time.
+//
+// Each trial feeds a seeded trace of arrivals to several deciders per region,
+// which send to models of engines. It is no cluster simulator: of the network
+// and of the instances there is only a delay and a lag for each report. All
+// deciders of a run see the same traces, faults, retry policy and budget.
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// Maker makes the decider of one instance.
+type Maker func(region string, instances int, seed uint64) route.Decider
+
+func baselineMaker(pick rule) Maker {
+	return func(region string, _ int, seed uint64) route.Decider {
+		return newBaseline(region, seed, pick)
+	}
+}
+
+// Names of the deciders.
+const (
+	// RouterName is route.Router with its defaults.
+	RouterName = "router"
+	// LeastName is the baseline that the aims are stated against.
+	LeastName = "least_outstanding"
+)
+
+// makers lists the deciders in the order of the table.
+var makers = []struct {
+	name string
+	make Maker
+}{
+	{"random", baselineMaker(pickRandom)},
+	{"round_robin", baselineMaker(pickRoundRobin)},
+	{LeastName, baselineMaker(pickLeast)},
+	{"power_of_two", baselineMaker(pickTwo)},
+	{"least_reported", baselineMaker(pickLeastReported)},
+}
+
+// Deciders lists the names of all deciders.
+func Deciders() []string {
+	var out []string
+	for _, m := range makers {
+		out = append(out, m.name)
+	}
+	return out
+}
+
+func maker(name string) (Maker, error) {
+	for _, m := range makers {
+		if m.name == name {
+			return m.make, nil
+		}
+	}
+	return nil, fmt.Errorf("unknown decider %q; known: %v", name, Deciders())
+}
+
+// Options say what to run. Empty lists stand for all.
+type Options struct {
+	Workloads, Deciders []string
+	Loads               []float64
+	Faults              []Fault
+	// Seeds is the number of seeds, at least 1; they are 1, 2, 3 and so on.
+	Seeds int
+	// Day is the length of the compressed day, in virtual time.
+	Day time.Duration
+	// Workers is how many trials run at once.
+	Workers int
+}
+
+// DefaultOptions is one whole run.
+func DefaultOptions() Options {
+	return Options{Loads: []float64{0.5, 0.8, 0.95}, Seeds: 5, Day: 400 * time.Second, Workers: 4}
+}
+
+// Row is the result of one decider under one setting, over all seeds.
+type Row struct {
+	Workload string
+	Load     float64
+	Fault    Fault
+	Decider  string
+	// Seeds are the figures of each seed, in order.
+	Seeds []Figures
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Day time.Duration
+	// Capacity is the measured capacity of a model target by workload, in
+	// model requests per second.
+	Capacity map[string]float64
+	Rows     []Row
+}
+
+// Run runs all trials. The same options give the same result.
+func Run(o Options) (*Result, error) {
+	if o.Seeds < 1 || o.Workers < 1 || o.Day < time.Minute {
+		return nil, fmt.Errorf("seeds %d and workers %d must be at least 1, day %v at least a minute", o.Seeds, o.Workers, o.Day)
+	}
+	workloads, err := o.workloads()
+	if err != nil {
+		return nil, err
+	}
+	if err := o.fill(); err != nil {
+		return nil, err
+	}
+	res := &Result{Day: o.Day, Capacity: make(map[string]float64)}
+	var jobs []job
+	for _, wl := range workloads {
+		res.Capacity[wl.Name] = wl.capacity()
+		for _, load := range o.Loads {
+			for _, f := range o.Faults {
+				for _, d := range o.Deciders {
+					res.Rows = append(res.Rows, Row{wl.Name, load, f, d, make([]Figures, o.Seeds)})
+				}
+				jobs = append(jobs, o.jobs(wl, load, f, res)...)
+			}
+		}
+	}
+	runJobs(jobs, res, o.Workers)
+	return res, nil
+}
+
+// job is the trials of one setting and seed: they share a trace.
+type job struct {
+	trial Trial
+	// row is the first of the setting's rows, seed the index into them.
+	row, seed int
+	deciders  []string
+}
+
+func (o *Options) jobs(wl Workload, load float64, f Fault, res *Result) []job {
+	var out []job
+	for s := range o.Seeds {
+		tr := Trial{
+			Workload: wl, Load: load, Fault: f, Seed: uint64(s + 1), Day: o.Day,
+			PerTarget: res.Capacity[wl.Name],
+		}
+		out = append(out, job{tr, len(res.Rows) - len(o.Deciders), s, o.Deciders})
+	}
+	return out
+}
+
+func runJobs(jobs []job, res *Result, workers int) {
+	next := make(chan job)
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for j := range next {
+				j.run(res)
+			}
+		})
+	}
+	for _, j := range jobs {
+		next <- j
+	}
+	close(next)
+	wg.Wait()
+}
+
+func (j job) run(res *Result) {
+	tr := j.trial
+	tr.arrivals = tr.Workload.trace(tr.Seed, tr.Load, tr.PerTarget, tr.Day)
+	for i, name := range j.deciders {
+		one := tr
+		one.Decider = name
+		one.make, _ = maker(name) // the names were checked by fill
+		w := newWorld(&one)
+		w.run()
+		res.Rows[j.row+i].Seeds[j.seed] = w.figures()
+	}
+}
+
+func (o *Options) workloads() ([]Workload, error) {
+	all := Workloads()
+	if len(o.Workloads) == 0 {
+		return all, nil
+	}
+	var out []Workload
+	for _, name := range o.Workloads {
+		i := slices.IndexFunc(all, func(w Workload) bool { return w.Name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("unknown workload %q", name)
+		}
+		out = append(out, all[i])
+	}
+	return out, nil
+}
+
+// fill puts all in for empty lists and checks the rest.
+func (o *Options) fill() error {
+	if len(o.Deciders) == 0 {
+		o.Deciders = Deciders()
+	}
+	for _, d := range o.Deciders {
+		if _, err := maker(d); err != nil {
+			return err
+		}
+	}
+	if len(o.Loads) == 0 {
+		o.Loads = DefaultOptions().Loads
+	}
+	for _, l := range o.Loads {
+		if l <= 0 || l > 2 {
+			return fmt.Errorf("load %v is not a share of the capacity between 0 and 2", l)
+		}
+	}
+	if len(o.Faults) == 0 {
+		o.Faults = Faults()
+	}
+	for _, f := range o.Faults {
+		if !slices.Contains(Faults(), f) {
+			return fmt.Errorf("unknown fault %q; known: %v", f, Faults())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/report.go
@@ -0,0 +1,191 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Spread is the mean, least and greatest value over the seeds.
+type Spread struct{ Mean, Min, Max float64 }
+
+// Over makes the spread of one figure over a row's seeds.
+func (r *Row) Over(figure func(*Figures) float64) Spread {
+	s := Spread{Min: math.Inf(1), Max: math.Inf(-1)}
+	for i := range r.Seeds {
+		v := figure(&r.Seeds[i])
+		s.Mean += v / float64(len(r.Seeds))
+		s.Min = min(s.Min, v)
+		s.Max = max(s.Max, v)
+	}
+	return s
+}
+
+// total adds up a count over the seeds.
+func (r *Row) total(count func(*Figures) int) int {
+	sum := 0
+	for i := range r.Seeds {
+		sum += count(&r.Seeds[i])
+	}
+	return sum
+}
+
+func p99(f *Figures) float64    { return float64(f.P99) }
+func inTime(f *Figures) float64 { return f.InTime }
+
+// seconds prints a time given in milliseconds.
+func seconds(ms float64) string {
+	if math.IsInf(ms, 0) {
+		return "inf"
+	}
+	return fmt.Sprintf("%.2f", ms/1000)
+}
+
+func (s Spread) seconds() string {
+	return fmt.Sprintf("%s (%s-%s)", seconds(s.Mean), seconds(s.Min), seconds(s.Max))
+}
+
+func percent(v float64) string { return fmt.Sprintf("%.1f", 100*v) }
+
+func (s Spread) percent() string {
+	return fmt.Sprintf("%s (%s-%s)", percent(s.Mean), percent(s.Min), percent(s.Max))
+}
+
+const legend = `Times in seconds to the first token of answered model requests; shares in % of
+all requests after the warm-up; mean over the seeds, with (min-max).
+p99all counts refused, failed and lost as infinite. plain is the p99 of plain
+services in ms. forced is the least share that lost capacity sends away. cost
+is busy target-seconds per answered request. doubled, lost and crashes are sums.
+Baselines never refuse for a deadline; what they answer late is not in time.
+`
+
+const header = "decider\tp50\tp95\tp99\tp99.9\tp99all\tplain\tin time\trefused\tfailed\taway\tforced\tcost\thits\tdoubled\tlost\tcrashes\t"
+
+// WriteTable prints the result, one block for each setting.
+func (res *Result) WriteTable(out io.Writer) error {
+	fmt.Fprint(out, legend)
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for i := range res.Rows {
+		r := &res.Rows[i]
+		if i == 0 || !r.sameSetting(&res.Rows[i-1]) {
+			if err := tw.Flush(); err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "\n%s, load %s%%, fault %s (%d seeds)\n", r.Workload, percent(r.Load), r.Fault, len(r.Seeds))
+			fmt.Fprintln(tw, header)
+		}
+		r.write(tw)
+	}
+	return tw.Flush()
+}
+
+func (r *Row) sameSetting(o *Row) bool {
+	return r.Workload == o.Workload && r.Load == o.Load && r.Fault == o.Fault
+}
+
+func (r *Row) write(out io.Writer) {
+	mean := func(figure func(*Figures) float64) float64 { return r.Over(figure).Mean }
+	cells := []string{
+		r.Decider,
+		seconds(mean(func(f *Figures) float64 { return float64(f.P50) })),
+		seconds(mean(func(f *Figures) float64 { return float64(f.P95) })),
+		r.Over(p99).seconds(),
+		seconds(mean(func(f *Figures) float64 { return float64(f.P999) })),
+		seconds(mean(func(f *Figures) float64 { return float64(f.P99All) })),
+		fmt.Sprintf("%.0f", mean(func(f *Figures) float64 { return float64(f.PlainP99) })),
+		r.Over(inTime).percent(),
+		percent(mean(func(f *Figures) float64 { return f.RefusedShare })),
+		percent(mean(func(f *Figures) float64 { return f.FailedShare })),
+		percent(mean(func(f *Figures) float64 { return f.Away })),
+		percent(mean(func(f *Figures) float64 { return f.Forced })),
+		fmt.Sprintf("%.3f", mean(func(f *Figures) float64 { return f.Cost })),
+		percent(mean(func(f *Figures) float64 { return f.CacheHits })),
+		fmt.Sprint(r.total(func(f *Figures) int { return f.Doubled + f.Violations })),
+		fmt.Sprint(r.total(func(f *Figures) int { return f.Lost })),
+		fmt.Sprint(r.total(func(f *Figures) int { return f.Crashes })),
+	}
+	for _, c := range cells {
+		fmt.Fprint(out, c, "\t")
+	}
+	fmt.Fprintln(out)
+}
+
+// WriteJSON writes all figures of all seeds.
+func (res *Result) WriteJSON(out io.Writer) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	return enc.Encode(res)
+}
+
+// Size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	barWidth   = 9
+)
+
+// Plot draws the share in time under each fault, one group of bars for each
+// fault, for one workload and load.
+func (res *Result) Plot(workload string, load float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s at %s%% load: answered in time", workload, percent(load))
+	p.Y.Label.Text = "% of requests"
+	p.Legend.Top = true
+	var faults, deciders []string
+	values := make(map[string]plotter.Values)
+	for i := range res.Rows {
+		r := &res.Rows[i]
+		if r.Workload != workload || r.Load != load {
+			continue
+		}
+		if len(values) == 0 || r.Fault != Fault(faults[len(faults)-1]) {
+			faults = append(faults, string(r.Fault))
+		}
+		if values[r.Decider] == nil {
+			deciders = append(deciders, r.Decider)
+		}
+		values[r.Decider] = append(values[r.Decider], 100*r.Over(inTime).Mean)
+	}
+	for i, d := range deciders {
+		bars, err := plotter.NewBarChart(values[d], vg.Points(barWidth))
+		if err != nil {
+			return nil, err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = vg.Points(barWidth * (float64(i) - float64(len(deciders)-1)/2))
+		p.Add(bars)
+		p.Legend.Add(d, bars)
+	}
+	p.NominalX(faults...)
+	p.Y.Max = 130 // room for the legend above the bars
+	return p, nil
+}
+
+// SavePlots writes one plot for each workload and load to prefix-WORKLOAD-LOAD.svg
+// and returns the names.
+func (res *Result) SavePlots(prefix string) ([]string, error) {
+	var names []string
+	for i := range res.Rows {
+		r := &res.Rows[i]
+		if i > 0 && r.Workload == res.Rows[i-1].Workload && r.Load == res.Rows[i-1].Load {
+			continue
+		}
+		p, err := res.Plot(r.Workload, r.Load)
+		if err != nil {
+			return names, err
+		}
+		name := fmt.Sprintf("%s-%s-%.0f.svg", prefix, r.Workload, 100*r.Load)
+		if err := p.Save(plotWidth, plotHeight, name); err != nil {
+			return names, err
+		}
+		names = append(names, name)
+	}
+	return names, nil
+}
