route: keep learned factors and bounds out of the inner loop

Cause: time arithmetic and logarithms for each of 690 targets. Change: factors are kept and faded by the tick, bounds computed once.

--- a/route/admission.go
+++ b/route/admission.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// unknownRetry is when to come back for a service that nobody serves.
@@ -18,8 +21,8 @@
 // spills it, or refuses it at once: a request that can't make its deadline only
 // takes the place of ones that can.
 func (r *Router) admit(now time.Time, s *service, q *Request, cands []Candidate) Decision {
-	wait, late := shortest(now, q, cands)
-	inTime := keep(cands, func(c *Candidate) bool { return lateness(now, q, c) <= 0 })
+	wait, late := r.snapshot.shortest(cands)
+	inTime := keep(cands, func(c *Candidate) bool { return r.snapshot.lateness(c) <= 0 })
 	if len(inTime) == 0 {
 		if d, ok := r.trySpill(now, s, q, localWait{never: true}); ok {
 			return d
@@ -62,26 +65,13 @@
 	return at
 }
 
-// lateness is by how many seconds a candidate misses the request's bounds; 0 or
-// less means that it makes them.
-func lateness(now time.Time, q *Request, c *Candidate) float64 {
-	late := 0.0
-	if !q.FirstTokenBy.IsZero() {
-		late = c.FirstToken - q.FirstTokenBy.Sub(now).Seconds()
-	}
-	if !q.Deadline.IsZero() {
-		late = max(late, c.Finish-q.Deadline.Sub(now).Seconds())
-	}
-	return late
-}
-
 // shortest returns the shortest predicted time to first token and the least
 // lateness.
-func shortest(now time.Time, q *Request, cands []Candidate) (first, late float64) {
-	first, late = cands[0].FirstToken, lateness(now, q, &cands[0])
+func (s *Snapshot) shortest(cands []Candidate) (first, late float64) {
+	first, late = math.Inf(1), math.Inf(1)
 	for i := range cands {
 		first = min(first, cands[i].FirstToken)
-		late = min(late, lateness(now, q, &cands[i]))
+		late = min(late, s.lateness(&cands[i]))
 	}
 	return first, late
 }
--- a/route/events.go
+++ b/route/events.go
@@ -109,7 +109,7 @@
 	if t.load.reported && at <= t.load.reportedAt {
 		return
 	}
-	t.load.report(seen, at, rep, t.prefillRate(seen), t.svc.peers(&r.cfg))
+	t.load.report(seen, at, rep, t.prefillRate(), t.svc.peers(&r.cfg))
 	t.waiting = rep.Waiting > 0
 	t.running = rep.Running
 	t.svc.sawReport(float64(rep.Running+rep.Waiting), t.load.own)
@@ -147,7 +147,7 @@
 	uncached := float64(max(1, q.PromptTokens-d.CachedTokens))
 	a := attempt{t: t, sentAt: at, cached: d.CachedTokens}
 	a.predicted = max(0, d.Start.Sub(now).Seconds())
-	a.expected = a.predicted / t.speed.first.factor(at)
+	a.expected = a.predicted / t.speed.first.factor()
 	r.attempts[id] = a
 	t.unanswered = append(t.unanswered, id)
 	if !t.model() {
@@ -157,7 +157,7 @@
 	hold := uncached/t.spec.PrefillRate + float64(q.OutputTokens)*t.ratedTokenTime()
 	t.svc.sawSending(q, uncached, hold)
 	t.svc.tokens.add(at, uncached)
-	t.load.send(at, uncached, t.prefillRate(at), t.svc.peers(&r.cfg))
+	t.load.send(at, uncached, t.prefillRate(), t.svc.peers(&r.cfg))
 	t.cache.touch(q.Prefix)
 }
 
--- a/route/guard.go
+++ b/route/guard.go
@@ -66,6 +66,7 @@
 	r.slow = r.slow[:0]
 	barred := 0
 	for _, t := range s.list {
+		t.speed.fade(now)
 		if t.guard.state(now) != Healthy {
 			barred++
 		}
@@ -111,7 +112,7 @@
 func (r *Router) slowness(t *target, now float64) float64 {
 	f := 1.0
 	if t.speed.seen() >= speedEnough {
-		f = t.speed.slow(now)
+		f = t.speed.slow()
 	}
 	if a, ok := r.oldestUnanswered(t); ok {
 		age := now - a.sentAt
--- a/route/router.go
+++ b/route/router.go
@@ -87,7 +87,7 @@
 		s = &service{}
 	}
 	s.count(at, q)
-	cands := r.candidatesFor(s, at, q)
+	cands := r.candidatesFor(now, s, q)
 	if len(cands) == 0 {
 		return r.withoutTarget(now, s, q)
 	}
@@ -98,13 +98,15 @@
 }
 
 // candidatesFor takes the snapshot of a service and filters it.
-func (r *Router) candidatesFor(s *service, at float64, q *Request) []Candidate {
+func (r *Router) candidatesFor(now time.Time, s *service, q *Request) []Candidate {
+	at := r.seconds(now)
 	r.lookForGrey(s, at)
 	known := 0
 	if s.model {
 		known = s.index.lookup(q.Prefix)
 	}
 	r.snapshot = Snapshot{Request: q, Config: &r.cfg, HoldTime: s.hold, Model: s.model}
+	r.snapshot.setBounds(now, q)
 	if known < len(q.Prefix) {
 		r.snapshot.NewPrefix = q.Prefix[known]
 		r.snapshot.NewTokens = float64((len(q.Prefix) - known) * PrefixBlockTokens)
@@ -114,12 +116,9 @@
 	stale := r.cfg.ReportStale.Seconds()
 	cands := r.candidates[:0]
 	for _, t := range s.list {
-		if t.spec.State != Warm {
-			continue
-		}
 		cands = append(cands, Candidate{hash: t.hash})
 		c := &cands[len(cands)-1]
-		rate := t.prefillRate(at)
+		rate := t.prefillRate()
 		t.load.advance(at, rate, p)
 		c.Spec = &t.spec
 		c.Pending = t.load.pending * ahead
@@ -129,8 +128,8 @@
 		c.Own = t.load.own
 		c.KVUsed = t.load.kv
 		c.PrefillRate = rate
-		c.TokenTime = t.ratedTokenTime() * t.speed.decode.factor(at)
-		c.PlainTime = s.plain * t.speed.first.factor(at)
+		c.TokenTime = t.ratedTokenTime() * t.speed.decode.factor()
+		c.PlainTime = s.plain * t.speed.first.factor()
 		c.Health = t.guard.state(at)
 		c.WarmFor = at - t.warmAt
 		if s.model {
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -1,5 +1,10 @@
 package route
 
+import (
+	"math"
+	"time"
+)
+
 // Snapshot is what the plugins of one decision see. All of them see the same
 // one, so that a score and the filter before it cannot disagree.
 type Snapshot struct {
@@ -12,12 +17,32 @@
 	HoldTime float64
 	// Model says that the service is a model engine; else a plain service.
 	Model bool
+	// MaxFirst and MaxFinish are the request's bounds on first token and whole
+	// answer in seconds from now, infinite where it has none.
+	MaxFirst, MaxFinish float64
 	// NewPrefix is the outermost digest of the request's prefix that no target
 	// is known to hold, 0 if there is none. NewTokens is what stands from there on.
 	NewPrefix uint64
 	NewTokens float64
 }
 
+// setBounds takes the bounds of a request.
+func (s *Snapshot) setBounds(now time.Time, q *Request) {
+	s.MaxFirst, s.MaxFinish = math.Inf(1), math.Inf(1)
+	if !q.FirstTokenBy.IsZero() {
+		s.MaxFirst = q.FirstTokenBy.Sub(now).Seconds()
+	}
+	if !q.Deadline.IsZero() {
+		s.MaxFinish = q.Deadline.Sub(now).Seconds()
+	}
+}
+
+// lateness is by how many seconds a candidate misses the request's bounds; 0 or
+// less means that it makes them.
+func (s *Snapshot) lateness(c *Candidate) float64 {
+	return max(c.FirstToken-s.MaxFirst, c.Finish-s.MaxFinish)
+}
+
 // Candidate is one target as it is believed to be at the time of the decision.
 type Candidate struct {
 	// Spec is the target's description.
--- a/route/speed.go
+++ b/route/speed.go
@@ -24,30 +24,36 @@
 	log  float64
 	at   float64
 	seen int
+	// value is the ratio as of at, 0 until something was learned. It is kept
+	// because a decision reads it for each target.
+	value float64
 }
 
 // observe takes one pair of times in seconds.
 func (r *ratio) observe(now, observed, expected float64) {
 	q := (observed + speedFloor) / (expected + speedFloor)
 	q = min(max(q, 1/speedClamp), speedClamp)
-	r.log = r.faded(now) + speedWeight*(math.Log(q)-r.faded(now))
-	r.at = now
+	r.fade(now)
+	r.log += speedWeight * (math.Log(q) - r.log)
+	r.value = math.Exp(r.log)
 	r.seen++
 }
 
-func (r *ratio) faded(now float64) float64 {
-	if r.log == 0 || now <= r.at {
-		return r.log
+// fade forgets a part of what was learned, by the time since.
+func (r *ratio) fade(now float64) {
+	if r.log != 0 && now > r.at {
+		r.log *= math.Exp2(-(now - r.at) / speedHalfLife)
+		r.value = math.Exp(r.log)
 	}
-	return r.log * math.Exp2(-(now-r.at)/speedHalfLife)
+	r.at = now
 }
 
 // factor returns the ratio, 1 if nothing was learned.
-func (r *ratio) factor(now float64) float64 {
-	if r.log == 0 {
+func (r *ratio) factor() float64 {
+	if r.value == 0 {
 		return 1
 	}
-	return math.Exp(r.faded(now))
+	return r.value
 }
 
 // speed is what is learned of one target's speed.
@@ -58,8 +64,13 @@
 }
 
 // slow is the greater of both, for comparison between targets.
-func (s *speed) slow(now float64) float64 {
-	return max(s.first.factor(now), s.decode.factor(now))
+func (s *speed) slow() float64 {
+	return max(s.first.factor(), s.decode.factor())
+}
+
+func (s *speed) fade(now float64) {
+	s.first.fade(now)
+	s.decode.fade(now)
 }
 
 func (s *speed) seen() int {
--- a/route/summary.go
+++ b/route/summary.go
@@ -78,11 +78,11 @@
 		}
 		sum.Targets++
 		capacity += s.capacityOf(t, at)
-		t.load.advance(at, t.prefillRate(at), p)
+		t.load.advance(at, t.prefillRate(), p)
 		c := Candidate{InFlight: t.load.inFlight(at, r.cfg.ReportStale.Seconds(), p), Slots: t.slots(), Ahead: 1}
 		wait := slotWait(&c, max(s.hold, s.plain))
 		if s.model {
-			wait = max(wait, t.load.pending/t.prefillRate(at))
+			wait = max(wait, t.load.pending/t.prefillRate())
 		}
 		waits = append(waits, wait)
 	}
@@ -96,12 +96,12 @@
 // capacityOf is the rate of average requests that a target bears, per second.
 func (s *service) capacityOf(t *target, at float64) float64 {
 	if !s.model {
-		return float64(max(1, t.spec.Slots)) / (s.plain * t.speed.first.factor(at))
+		return float64(max(1, t.spec.Slots)) / (s.plain * t.speed.first.factor())
 	}
 	if s.sent == 0 || t.spec.PrefillRate <= 0 {
 		return 0
 	}
 	bySlots := t.slots() / max(s.hold, speedFloor)
-	byPrefill := t.prefillRate(at) / max(1, s.uncached)
+	byPrefill := t.prefillRate() / max(1, s.uncached)
 	return min(bySlots, byPrefill)
 }
--- a/route/target.go
+++ b/route/target.go
@@ -62,8 +62,8 @@
 	return float64(max(1, t.spec.Slots)) / t.spec.DecodeRate
 }
 
-func (t *target) prefillRate(now float64) float64 {
-	return t.spec.PrefillRate / t.speed.first.factor(now)
+func (t *target) prefillRate() float64 {
+	return t.spec.PrefillRate / t.speed.first.factor()
 }
 
 // sawHit takes the prefix hit that the engine told of against the predicted one.
