--- /dev/null
+++ b/bundle/acceptance/machine_test.go
@@ -0,0 +1,293 @@
+package acceptance_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/bundle/acceptance"
+	"github.com/gullhaven/gullhaven/bundle/bundletest"
+)
+
+// Symptom: two regions run different bundles under one version, or an operator
+// is told "accepted" and later finds other content. Events: operators race with
+// equal versions, base on old parents, resend after lost answers, skip versions
+// or sign too little, while replicas restart from snapshots and read parts of
+// the log again. Cause, where it happens: acceptance that isn't one
+// compare-and-set over a history that all replicas share.
+func TestRacesAndResends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"roll":    w.roll,
+			"resend":  w.resend,
+			"garbage": w.garbage,
+			"restart": w.restart,
+			"":        w.check,
+		})
+	})
+}
+
+const replicas = 3
+
+// rolled is a command in the log and what was answered.
+type rolled struct {
+	signed  *bundle.Signed
+	id      bundle.Identity
+	command []byte
+	result  bundle.Result
+}
+
+// world is a log, its replicas and an independent record of winners.
+type world struct {
+	log      [][]byte
+	machines [replicas]*acceptance.Machine
+	sent     []rolled
+	winners  map[uint64]bundle.Digest
+	last     uint64
+}
+
+func newWorld() *world {
+	w := &world{winners: map[uint64]bundle.Digest{}}
+	for i := range w.machines {
+		w.machines[i] = acceptance.New()
+	}
+	return w
+}
+
+// parent is any accepted bundle, mostly the last one.
+func (w *world) parent(t *rapid.T) (uint64, bundle.Digest) {
+	if w.last == 0 {
+		return 0, ""
+	}
+	back := rapid.SampledFrom([]uint64{0, 0, 0, 1, 2}).Draw(t, "back")
+	version := w.last - min(back, w.last-1)
+	return version, w.winners[version]
+}
+
+// roll proposes some bundle at one of the replicas.
+func (w *world) roll(t *rapid.T) {
+	version, parent := w.parent(t)
+	b := bundletest.Sample()
+	b.Version = version + rapid.SampledFrom([]uint64{1, 1, 1, 1, 2}).Draw(t, "step")
+	b.Parent = parent
+	b.Note = fmt.Sprint("note ", rapid.IntRange(0, 3).Draw(t, "note"))
+	b.Targets[0].Slots = rapid.IntRange(1, 4).Draw(t, "slots")
+	b.SignOffs = rapid.IntRange(1, 3).Draw(t, "sign-offs")
+	signers := rapid.Permutation(bundletest.Operators).Draw(t, "signers")[:rapid.IntRange(1, 3).Draw(t, "signed")]
+	signed := bundletest.Sign(b, signers...)
+	id, err := b.Identity()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command, err := w.machines[rapid.IntRange(0, replicas-1).Draw(t, "proposer")].Command(signed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.propose(t, rolled{signed: signed, id: id, command: command})
+}
+
+// resend puts an earlier bundle into the log again, encoded as then or anew.
+func (w *world) resend(t *rapid.T) {
+	if len(w.sent) == 0 {
+		t.Skip("nothing sent yet")
+	}
+	again := rapid.SampledFrom(w.sent).Draw(t, "again")
+	if rapid.Bool().Draw(t, "anew") {
+		command, err := w.machines[0].Command(again.signed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again.command = command
+	}
+	w.propose(t, again)
+}
+
+// garbage is what a faulty proposer may put into the log.
+func (w *world) garbage(t *rapid.T) {
+	command := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "bytes")
+	if len(w.sent) > 0 && rapid.Bool().Draw(t, "cut") {
+		whole := rapid.SampledFrom(w.sent).Draw(t, "sent").command
+		command = bytes.Clone(whole)
+		command[rapid.IntRange(0, len(command)-1).Draw(t, "at")] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+	}
+	before := w.machines[0].Identity()
+	result := w.apply(t, command)
+	after := w.machines[0].Identity()
+	if after != before && (!result.Accepted() || after.Digest != result.Digest) {
+		t.Fatalf("garbage moved %v to %v", before, after)
+	}
+	if after != before { // The damage left version, parent, digest and enough sign-offs whole.
+		w.winners[after.Version], w.last = after.Digest, after.Version
+	}
+}
+
+// apply appends to the log; all replicas must answer alike.
+func (w *world) apply(t *rapid.T, command []byte) bundle.Result {
+	w.log = append(w.log, command)
+	index := uint64(len(w.log))
+	var first bundle.Result
+	for i, machine := range w.machines {
+		result, err := machine.Apply(index, command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			first = result
+		}
+		if fmt.Sprint(result) != fmt.Sprint(first) {
+			t.Fatalf("replica %d answers %v, the first %v", i, result, first)
+		}
+	}
+	return first
+}
+
+// propose applies and compares with what must come out.
+func (w *world) propose(t *rapid.T, r rolled) {
+	winner, decided := w.winners[r.id.Version]
+	r.result = w.apply(t, r.command)
+	switch {
+	case decided && winner == r.id.Digest:
+		if !r.result.Accepted() || r.result.Version != r.id.Version {
+			t.Fatalf("resend of version %d: %v", r.id.Version, r.result)
+		}
+	case decided:
+		if r.result.Outcome != bundle.OutcomeConflict || r.result.Winner != winner {
+			t.Fatalf("loser of version %d: %v, but %s won", r.id.Version, r.result, winner)
+		}
+	case r.result.Accepted():
+		if r.id.Version != w.last+1 || r.id.Parent != w.winners[w.last] {
+			t.Fatalf("version %d on %s accepted after %d", r.id.Version, r.id.Parent, w.last)
+		}
+		w.mustBeSigned(t, r)
+		w.winners[r.id.Version], w.last = r.id.Digest, r.id.Version
+	}
+	w.sent = append(w.sent, r)
+}
+
+// mustBeSigned counts sign-offs against the bundle before.
+func (w *world) mustBeSigned(t *rapid.T, r rolled) {
+	needed := r.signed.Bundle.SignOffs
+	for _, earlier := range w.sent {
+		if w.last > 0 && earlier.id.Digest == w.winners[w.last] {
+			needed = earlier.signed.Bundle.SignOffs
+		}
+	}
+	if len(r.signed.Signatures) < needed {
+		t.Fatalf("version %d accepted with %d of %d sign-offs", r.id.Version, len(r.signed.Signatures), needed)
+	}
+}
+
+// restart takes a replica from its snapshot, or from an empty disk through the
+// whole log, and reads some of the log twice.
+func (w *world) restart(t *rapid.T) {
+	i := rapid.IntRange(0, replicas-1).Draw(t, "replica")
+	fresh := acceptance.New()
+	if rapid.Bool().Draw(t, "snapshot") {
+		data, err := w.machines[i].Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fresh, err = acceptance.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for at, command := range w.log {
+		index := uint64(at + 1)
+		known := index <= fresh.Applied()
+		if _, err := fresh.Apply(index, command); known != errors.Is(err, acceptance.ErrApplied) {
+			t.Fatalf("index %d of %d: %v", index, fresh.Applied(), err)
+		}
+	}
+	w.machines[i] = fresh
+}
+
+// check wants one bundle in force everywhere, the last winner.
+func (w *world) check(t *rapid.T) {
+	for i, machine := range w.machines {
+		id := machine.Identity()
+		if id.Version != w.last || id.Digest != w.winners[w.last] {
+			t.Fatalf("replica %d is on %v, the last winner is %d %s", i, id, w.last, w.winners[w.last])
+		}
+		if w.last == 0 {
+			continue
+		}
+		if digest, err := machine.InForce().Bundle.Digest(); err != nil || digest != id.Digest {
+			t.Fatalf("replica %d holds %s under %v: %v", i, digest, id, err)
+		}
+	}
+}
+
+// Symptom: somebody who is no operator forms the cluster's first bundle.
+func TestFirstBundleNeedsSettings(t *testing.T) {
+	b := bundletest.Sample()
+	b.Operators, b.SignOffs = []bundle.Operator{bundletest.Operator("mallory")}, 1
+	stranger := bundletest.Sign(b, "mallory")
+	settings := bundle.Trust{Operators: []bundle.Operator{bundletest.Operator("ayu")}, SignOffs: 1}
+	result, decided, err := acceptance.New().Precheck(stranger, settings)
+	if err != nil || !decided || result.Outcome != bundle.OutcomeUnsigned {
+		t.Fatalf("stranger: %v, %v, %v", result, decided, err)
+	}
+	own := bundletest.Sign(bundletest.Sample(), "ayu", "budi")
+	if result, decided, err := acceptance.New().Precheck(own, settings); err != nil || decided {
+		t.Fatalf("operator: %v, %v, %v", result, decided, err)
+	}
+	own.Bundle.Rules.MaxAttempts = 0
+	if result, _, err := acceptance.New().Precheck(own, settings); err != nil || result.Outcome != bundle.OutcomeInvalid {
+		t.Fatalf("invalid: %v, %v", result, err)
+	}
+}
+
+// Symptom: after a restart an instance runs a bundle that nobody accepted.
+// Cause: a snapshot that was damaged on the disk and taken all the same.
+func TestDamagedSnapshot(t *testing.T) {
+	machine := acceptance.New()
+	command, err := machine.Command(bundletest.Sign(bundletest.Sample(), "ayu", "budi"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result, err := machine.Apply(1, command); err != nil || !result.Accepted() {
+		t.Fatal(result, err)
+	}
+	data, err := machine.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range data {
+		damaged := bytes.Clone(data)
+		damaged[at] ^= 1
+		if _, err := acceptance.Restore(damaged); !errors.Is(err, acceptance.ErrSnapshot) {
+			t.Fatalf("byte %d: %v", at, err)
+		}
+		if _, err := acceptance.Restore(data[:at]); !errors.Is(err, acceptance.ErrSnapshot) {
+			t.Fatalf("cut at byte %d: %v", at, err)
+		}
+	}
+}
+
+// Symptom: a resend from long ago is accepted as new, or history grows without
+// bound.
+func TestHistoryIsBounded(t *testing.T) {
+	var history bundle.History
+	const surplus = 3
+	digest := func(version uint64) bundle.Digest { return bundle.SumOf(fmt.Append(nil, version)) }
+	for version := uint64(1); version <= bundle.HistoryLimit+surplus; version++ {
+		if err := history.Append(version, digest(version)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	accepted := &bundle.Accepted{History: history}
+	for version, want := range map[uint64]bundle.Outcome{
+		1: bundle.OutcomeTooOld, surplus: bundle.OutcomeTooOld, surplus + 1: bundle.OutcomeAccepted,
+		bundle.HistoryLimit + surplus: bundle.OutcomeAccepted, bundle.HistoryLimit + surplus + 2: bundle.OutcomeGap,
+	} {
+		result, _ := accepted.Compare(bundle.Identity{Version: version, Digest: digest(version)})
+		if result.Outcome != want {
+			t.Errorf("version %d: %v, want %s", version, result, want)
+		}
+	}
+}
--- /dev/null
+++ b/bundle/acceptance/snapshot.go
@@ -0,0 +1,85 @@
+package acceptance
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/gullhaven/gullhaven/bundle"
+)
+
+// snapshot is all state of a machine.
+type snapshot struct {
+	Applied uint64         `json:"applied"`
+	History bundle.History `json:"history"`
+	// Bundle in force and its sign-offs; empty before the first.
+	Bundle     []byte             `json:"bundle,omitempty"`
+	Signatures []bundle.Signature `json:"signatures,omitempty"`
+}
+
+// Snapshot encodes the whole state, after a SHA-256 sum of it.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := snapshot{Applied: m.applied}
+	if m.accepted != nil {
+		whole, err := m.current.Bundle.MarshalBinary()
+		if err != nil {
+			return nil, err
+		}
+		s.History = m.accepted.History
+		s.Bundle = whole
+		s.Signatures = m.current.Signatures
+	}
+	data, err := codec.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(data)
+	return append(sum[:], data...), nil
+}
+
+// unseal verifies the sum before the content.
+func unseal(data []byte) ([]byte, error) {
+	if len(data) < sha256.Size {
+		return nil, fmt.Errorf("%w: only %d bytes", ErrSnapshot, len(data))
+	}
+	content := data[sha256.Size:]
+	if sum := sha256.Sum256(content); !bytes.Equal(sum[:], data[:sha256.Size]) {
+		return nil, fmt.Errorf("%w: its sum differs", ErrSnapshot)
+	}
+	return content, nil
+}
+
+// Restore makes the machine of a snapshot. Damage is an error that wraps
+// ErrSnapshot and never another bundle in force.
+func Restore(data []byte) (*Machine, error) {
+	content, err := unseal(data)
+	if err != nil {
+		return nil, err
+	}
+	var s snapshot
+	if err := reader.Unmarshal(content, &s); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	m := &Machine{applied: s.Applied}
+	if err := s.History.Check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	if len(s.History.Sums) == 0 {
+		return m, nil
+	}
+	current := &bundle.Signed{Signatures: s.Signatures}
+	if err := current.Bundle.UnmarshalBinary(s.Bundle); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	id, err := current.Bundle.Identity()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	version, digest := s.History.Last()
+	if id.Version != version || id.Digest != digest {
+		return nil, fmt.Errorf("%w: it holds version %d, but its history ends with %d", ErrSnapshot, id.Version, version)
+	}
+	m.accepted = &bundle.Accepted{Trust: current.Bundle.Next(), History: s.History}
+	m.current = current
+	return m, nil
+}
--- /dev/null
+++ b/bundle/binary.go
@@ -0,0 +1,25 @@
+package bundle
+
+import "fmt"
+
+// MarshalBinary is the canonical CBOR form of the whole bundle, for the
+// replicated log and for snapshots.
+func (b *Bundle) MarshalBinary() ([]byte, error) {
+	return canonical.Marshal((*plainBundle)(b))
+}
+
+// UnmarshalBinary reads what MarshalBinary wrote.
+func (b *Bundle) UnmarshalBinary(data []byte) error {
+	if len(data) > MaxBytes {
+		return fmt.Errorf("%w: %d bytes", ErrDamaged, len(data))
+	}
+	var fresh plainBundle
+	if err := sectionReader.Unmarshal(data, &fresh); err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	*b = Bundle(fresh)
+	return nil
+}
+
+// plainBundle has no methods, so that the codec doesn't call them again.
+type plainBundle Bundle
--- a/bundle/decode.go
+++ b/bundle/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/gullhaven/gullhaven/bundle/strict"
 )
@@ -44,12 +45,50 @@
 	return strict.Decode(data, into)
 }
 
-// Encode writes a bundle or a signed bundle as indented JSON, for files and
-// for the operators' interface.
-func Encode[T Bundle | Signed](document *T) ([]byte, error) {
+// Encode writes a bundle as indented JSON that Decode reads.
+func Encode(b *Bundle) ([]byte, error) {
+	return encode(withLists(*b))
+}
+
+// EncodeSigned writes a signed bundle as indented JSON that DecodeSigned reads.
+func EncodeSigned(s *Signed) ([]byte, error) {
+	return encode(Signed{Bundle: withLists(s.Bundle), Signatures: orEmpty(s.Signatures)})
+}
+
+// encode ends the document with a line feed, as files do.
+func encode(document any) ([]byte, error) {
 	data, err := json.MarshalIndent(document, "", "  ")
 	if err != nil {
 		return nil, err
 	}
 	return append(data, '\n'), nil
 }
+
+// withLists replaces absent lists by empty ones. The encoder would write null
+// for them, which Decode refuses.
+func withLists(b Bundle) Bundle {
+	b.Operators = orEmpty(b.Operators)
+	b.Regions = orEmpty(slices.Clone(b.Regions))
+	for i := range b.Regions {
+		b.Regions[i].Zones = orEmpty(b.Regions[i].Zones)
+	}
+	b.Models = orEmpty(slices.Clone(b.Models))
+	for i := range b.Models {
+		b.Models[i].Versions = orEmpty(b.Models[i].Versions)
+	}
+	b.Services = orEmpty(b.Services)
+	b.Targets = orEmpty(b.Targets)
+	b.Workspaces = orEmpty(slices.Clone(b.Workspaces))
+	for i := range b.Workspaces {
+		b.Workspaces[i].KeyHashes = orEmpty(b.Workspaces[i].KeyHashes)
+	}
+	return b
+}
+
+// orEmpty is the list, or an empty one where there is none.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- a/bundle/history.go
+++ b/bundle/history.go
@@ -59,8 +59,8 @@
 	return Digest(hex.EncodeToString(h.Sums[at : at+sha256.Size])), true
 }
 
-// check refuses a history that Append can't have made.
-func (h *History) check() error {
+// Check refuses a history that Append can't have made.
+func (h *History) Check() error {
 	if len(h.Sums)%sha256.Size != 0 || (len(h.Sums) == 0) != (h.First == 0) {
 		return fmt.Errorf("history from version %d has %d bytes", h.First, len(h.Sums))
 	}
--- a/bundle/join.go
+++ b/bundle/join.go
@@ -69,8 +69,7 @@
 	if err := sectionReader.Unmarshal(data, &h); err != nil {
 		return err
 	}
-	b := j.bundle
-	b.Version, b.Parent, b.Note, b.SignOffs, b.Rules = h.Version, h.Parent, h.Note, h.SignOffs, h.Rules
+	h.into(j.bundle)
 	return nil
 }
 
--- a/bundle/sections.go
+++ b/bundle/sections.go
@@ -46,6 +46,16 @@
 	Rules    Rules  `json:"rules"`
 }
 
+// headOf takes the head of a bundle.
+func headOf(b *Bundle) head {
+	return head{Version: b.Version, Parent: b.Parent, Note: b.Note, SignOffs: b.SignOffs, Rules: b.Rules}
+}
+
+// into sets the head of a bundle.
+func (h head) into(b *Bundle) {
+	b.Version, b.Parent, b.Note, b.SignOffs, b.Rules = h.Version, h.Parent, h.Note, h.SignOffs, h.Rules
+}
+
 // canonical is deterministic CBOR (RFC 8949, section 4.2); an absent and an
 // empty list encode alike.
 var canonical = newCanonical()
@@ -106,7 +116,7 @@
 // that two instances exchange only those that differ.
 func Split(b *Bundle) (Manifest, map[Digest][]byte, error) {
 	s := splitter{sections: map[Digest][]byte{}}
-	s.put(sectionHead, head{b.Version, b.Parent, b.Note, b.SignOffs, b.Rules})
+	s.put(sectionHead, headOf(b))
 	s.put(sectionOperators, sorted(b.Operators, operatorID))
 	s.put(sectionRegions, sorted(b.Regions, regionID))
 	s.put(sectionModels, sorted(b.Models, modelID))
--- a/bundle/strict/check.go
+++ b/bundle/strict/check.go
@@ -9,12 +9,12 @@
 )
 
 // MaxIDLength bounds ids, in bytes.
-const MaxIDLength = 63
+const MaxIDLength = 48
 
 // idForm keeps ids fit for paths, headers, file names and metric names.
 var idForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 
-// CheckID refuses what is no id: 1 to 63 letters, digits, "-", ".", "_", the
+// CheckID refuses what is no id: 1 to 48 letters, digits, "-", ".", "_", the
 // first a letter or digit.
 func CheckID(id string) error {
 	switch {
--- a/settings/check.go
+++ b/settings/check.go
@@ -6,6 +6,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle"
 	"github.com/gullhaven/gullhaven/bundle/strict"
+	"github.com/gullhaven/gullhaven/coord/keys"
 )
 
 // maxStandins bounds the stand-ins of a development process.
@@ -17,8 +18,7 @@
 // Check reports all faults with the path of each wrong field.
 func (s *Settings) Check() []Problem {
 	c := checker{s: s}
-	c.id("instance", s.Instance)
-	c.id("region", s.Region)
+	c.identity()
 	c.id("zone", s.Zone)
 	c.listen()
 	c.voters()
@@ -51,6 +51,17 @@
 	}
 }
 
+// identity requires names that the keys of the links can carry.
+func (c *checker) identity() {
+	const anyName = "any"
+	if err := (keys.Identity{Instance: c.s.Instance, Region: anyName}).Check(); err != nil {
+		c.problems.Add("instance", "%v", err)
+	}
+	if err := (keys.Identity{Instance: anyName, Region: c.s.Region}).Check(); err != nil {
+		c.problems.Add("region", "%v", err)
+	}
+}
+
 // address requires IP:port.
 func (c *checker) address(path, address string) bool {
 	err := strict.CheckAddress(address)
@@ -145,10 +156,6 @@
 // bootstrap checks who may sign the first bundle.
 func (c *checker) bootstrap() {
 	b := c.s.Bootstrap
-	unsigned := c.s.Development != nil && c.s.Development.Unsigned
-	if unsigned && len(b.Operators) == 0 {
-		return
-	}
 	c.require(len(b.Operators) > 0, "bootstrap.operators", "is empty; nobody could sign the first bundle")
 	c.require(b.SignOffs >= 1 && b.SignOffs <= max(len(b.Operators), 1), "bootstrap.sign_offs",
 		"is %d, but must be from 1 to the number of operators, %d", b.SignOffs, len(b.Operators))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,8 +9,8 @@
 
 // Settings of one instance, one JSON file.
 type Settings struct {
-	// Instance is its id, unique over all regions: 1 to 63 of a-z, 0-9, "-",
-	// ".", "_". No default.
+	// Instance is its id, unique over all regions: 1 to 48 letters, digits, "-"
+	// or "_", as in its key. No default.
 	Instance string `json:"instance"`
 	// Region is the id of its region, as in the bundle. No default.
 	Region string `json:"region"`
@@ -123,8 +123,6 @@
 	Engines int `json:"engines,omitempty"`
 	// Plain is how many plain stand-in services run inside. Default 0.
 	Plain int `json:"plain,omitempty"`
-	// Unsigned takes a first bundle without a sign-off. Default false.
-	Unsigned bool `json:"unsigned,omitempty"`
 }
 
 // Default are the settings before a file is read.
