replog: the core of the replicated log

HardState no longer holds the commit index: after a stop between two writes it could name entries that were about to replace those on disk.

--- a/coord/replog/api.go
+++ b/coord/replog/api.go
@@ -56,7 +56,9 @@
 	Learners []string
 }
 
-// HardState is what must be synced before the messages of a Ready are sent.
+// HardState is what must be synced before the messages of a Ready are sent. The
+// commit index is not in it: after a stop between two writes it could speak of
+// entries that were about to replace the ones on disk.
 type HardState struct {
 	// Group is the founder's incarnation at the forming of the group; zero on
 	// a node that belongs to none yet. Messages of other groups are dropped.
@@ -64,9 +66,6 @@
 	Term  uint64 `cbor:"2,keyasint"`
 	// Vote is the candidate voted for in Term; zero for none.
 	Vote Member `cbor:"3,keyasint"`
-	// Commit is the highest index known to be committed. It may be lost: it
-	// only saves time at a restart.
-	Commit uint64 `cbor:"4,keyasint"`
 }
 
 // EntryKind tells proposals of the host from entries of the log's own.
@@ -181,9 +180,9 @@
 // Ready is what a Node wants done. The host
 //
 //  1. may send Immediate at once, in parallel to the rest;
-//  2. writes Snapshot (dropping its log up to it, and all of it if the log does
-//     not reach further), then Entries (dropping any entries at or after the
-//     first one's index), then HardState, and syncs if MustSync;
+//  2. writes HardState, then Snapshot and drops its whole log, then Entries
+//     (dropping any at or after the first one's index), and syncs if MustSync;
+//     a stop after any part of it is safe;
 //  3. sends Messages;
 //  4. restores its state machine from Snapshot, then applies Committed in order;
 //  5. serves ReadStates whose Index is applied;
@@ -198,8 +197,7 @@
 	HardState *HardState
 	Snapshot  *Snapshot
 	Entries   []Entry
-	// MustSync is false if only HardState.Commit changed or nothing is to be
-	// written.
+	// MustSync is false if nothing is to be written.
 	MustSync   bool
 	Messages   []Message
 	Committed  []Entry
@@ -299,10 +297,16 @@
 	// zero time if it is not the leader, has not yet committed an entry of
 	// its term, or the lease has ended at now.
 	LeaseUntil(now time.Time) time.Time
-	// TransferLeader hands leadership to a voter once it has all entries.
+	// TransferLeader hands leadership to a voter once it has all entries, or
+	// gives up after an election timeout. The host first stops to act on its
+	// lease: ends that LeaseUntil returned before are void from this call on.
+	// Errors: ErrNotLeader, ErrTransferring, and NotFound for an id that is no
+	// other voter.
 	TransferLeader(now time.Time, id string) error
 	// Ready and Advance: see Ready.
 	Ready() Ready
+	// HasReady reports whether Ready would return something to do.
+	HasReady() bool
 	Advance()
 	// MakeSnapshot wraps the host's state at an applied index. The host syncs
 	// the result before it calls Compact.
--- /dev/null
+++ b/coord/replog/forming.go
@@ -0,0 +1,148 @@
+package replog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/gullhaven/gullhaven/coord/replog/confchange"
+)
+
+// firstTerm and firstIndex are the place of the configuration that forms a
+// group. Only its founder ever writes there, before any election.
+const (
+	firstTerm  = 1
+	firstIndex = 1
+)
+
+// forming is the state of a blank node.
+type forming struct {
+	digest  uint64
+	others  []string
+	blank   map[string]Member
+	probeAt time.Time
+}
+
+func (b *Bootstrap) check() error {
+	if b == nil {
+		return nil
+	}
+	ids := b.ids()
+	slices.Sort(ids)
+	if len(b.Voters) == 0 || ids[0] == "" || len(slices.Compact(ids)) != len(ids) {
+		return errors.NotValidf("bootstrap of voters %q and learners %q", b.Voters, b.Learners)
+	}
+	return nil
+}
+
+func (b *Bootstrap) ids() []string { return slices.Concat(b.Voters, b.Learners) }
+
+func (b *Bootstrap) digest() uint64 {
+	if b == nil {
+		return 0
+	}
+	d := xxhash.New()
+	for _, list := range [][]string{b.Voters, b.Learners} {
+		for _, id := range slices.Sorted(slices.Values(list)) {
+			_, _ = d.WriteString(id)
+			_, _ = d.Write([]byte{0})
+		}
+		_, _ = d.Write([]byte{1})
+	}
+	return d.Sum64()
+}
+
+// founds reports whether this node is the one that may form the group.
+func (n *Node) founds() bool {
+	b := n.opts.Bootstrap
+	return b != nil && slices.Min(b.Voters) == n.opts.Self.ID
+}
+
+func (n *Node) startForming() {
+	n.role = Blank
+	n.forming = forming{digest: n.opts.Bootstrap.digest(), blank: make(map[string]Member), probeAt: n.now}
+	if !n.founds() {
+		return
+	}
+	for _, id := range n.opts.Bootstrap.ids() {
+		if id != n.opts.Self.ID {
+			n.forming.others = append(n.forming.others, id)
+		}
+	}
+	n.tickForming()
+}
+
+// tickForming asks all others whether they are blank, again and again: they may
+// not run yet.
+func (n *Node) tickForming() {
+	if n.now.Before(n.forming.probeAt) {
+		return
+	}
+	n.forming.probeAt = n.now.Add(n.opts.HeartbeatInterval)
+	if !n.founds() {
+		return
+	}
+	if len(n.forming.others) == 0 {
+		n.form()
+		return
+	}
+	for _, id := range n.forming.others {
+		n.out.messages = append(n.out.messages, Message{
+			Kind: MsgProbe, From: n.opts.Self, To: Member{ID: id}, Bootstrap: n.forming.digest,
+		})
+	}
+}
+
+// stepOutside handles the messages that belong to no group.
+func (n *Node) stepOutside(m Message) {
+	switch m.Kind {
+	case MsgProbe:
+		n.noteStranger(m.From)
+		agrees := n.opts.Bootstrap == nil || m.Bootstrap == n.forming.digest
+		n.out.messages = append(n.out.messages, Message{
+			Kind: MsgProbeResp, From: n.opts.Self, To: m.From, Reject: n.role != Blank || !agrees,
+		})
+	case MsgProbeResp:
+		n.handleProbeResp(m)
+	case MsgStranger:
+		n.noteStranger(m.From)
+	}
+}
+
+// handleProbeResp forms the group once all others were seen to be blank. The
+// answers go to this incarnation, so they were given after its folder was made.
+func (n *Node) handleProbeResp(m Message) {
+	if n.role != Blank || !n.founds() || m.To != n.opts.Self || !slices.Contains(n.forming.others, m.From.ID) {
+		return
+	}
+	if m.Reject {
+		delete(n.forming.blank, m.From.ID)
+		return
+	}
+	n.forming.blank[m.From.ID] = m.From
+	if len(n.forming.blank) == len(n.forming.others) {
+		n.form()
+	}
+}
+
+// form writes the first configuration as the first entry of the log.
+func (n *Node) form() {
+	n.forming.blank[n.opts.Self.ID] = n.opts.Self
+	members := func(ids []string) []Member {
+		out := make([]Member, 0, len(ids))
+		for _, id := range ids {
+			out = append(out, n.forming.blank[id])
+		}
+		return out
+	}
+	conf, err := confchange.New(members(n.opts.Bootstrap.Voters), members(n.opts.Bootstrap.Learners))
+	if err != nil {
+		panic(err) // Bootstrap was checked and incarnations are not zero.
+	}
+	n.hs = HardState{Group: n.opts.Self.Incarnation, Term: firstTerm, Vote: n.opts.Self}
+	n.log.append(Entry{Term: firstTerm, Index: firstIndex, Kind: EntryConfig, Config: &conf})
+	n.role = Follower
+	n.electionAt = n.now
+}
--- /dev/null
+++ b/coord/replog/members.go
@@ -0,0 +1,129 @@
+package replog
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/gullhaven/gullhaven/coord/replog/confchange"
+	"github.com/gullhaven/gullhaven/coord/replog/tracker"
+)
+
+// ProposeConfChange implements Log.
+//
+// The new configuration counts from its append on. The one before is applied,
+// hence committed, and this leader has committed in its term, so that no other
+// configuration of an earlier term can still come up beside it (the flaw that
+// was found in single-server changes after the Raft thesis). Neighbouring
+// configurations differ by one voter at most, so their majorities overlap, and
+// so do a majority that promised a lease and one that elects.
+func (n *Node) ProposeConfChange(now time.Time, ch ConfChange) (Place, error) {
+	n.clock(now)
+	if err := n.mayPropose(); err != nil {
+		return Place{}, err
+	}
+	if !n.settled() {
+		return Place{}, ErrConfPending
+	}
+	if ch.Member.ID == n.opts.Self.ID {
+		return Place{}, ErrLeaderChange
+	}
+	next, err := n.log.config().config.Apply(ch)
+	if err != nil {
+		return Place{}, errors.Trace(err)
+	}
+	if ch.Kind == confchange.Promote && !n.caughtUp(n.lead.peers[ch.Member]) {
+		return Place{}, errors.Annotatef(ErrNotCaughtUp, "%v", ch.Member)
+	}
+	n.lead.leaseBefore = n.leaseGiven
+	return n.appendEntry(Entry{Kind: EntryConfig, Config: &next}), nil
+}
+
+// settled reports whether the configuration may change.
+func (n *Node) settled() bool {
+	covered := !n.lead.leaseBefore.After(n.now) || !n.leaseEnd().Before(n.lead.leaseBefore)
+	return n.leads() && n.log.config().index <= n.log.applied && covered
+}
+
+// caughtUp reports whether a peer answers and holds all that was committed when
+// the newest heartbeat round began.
+func (n *Node) caughtUp(p *tracker.Progress) bool {
+	return p != nil && p.Match > 0 && p.Match >= n.lead.commitAtRound && n.isActive(p)
+}
+
+// NextRepair implements Log.
+func (n *Node) NextRepair(now time.Time, promote func(Member) bool) (ConfChange, bool) {
+	n.clock(now)
+	if n.mayPropose() != nil || !n.settled() {
+		return ConfChange{}, false
+	}
+	for _, m := range n.strangers() {
+		ch := ConfChange{Kind: confchange.Readmit, Member: m}
+		if _, err := n.log.config().config.Apply(ch); err == nil {
+			return ch, true
+		}
+	}
+	for _, m := range n.log.config().config.Learners {
+		if promote != nil && promote(m) && n.caughtUp(n.lead.peers[m]) {
+			return ConfChange{Kind: confchange.Promote, Member: m}, true
+		}
+	}
+	return ConfChange{}, false
+}
+
+// noteStranger remembers that another incarnation answers in place of a member.
+// Late messages of incarnations that are gone arrive too; so it counts only
+// while the member itself is silent.
+func (n *Node) noteStranger(m Member) {
+	if n.role != Leader || m.ID == n.opts.Self.ID {
+		return
+	}
+	held, ok := n.log.config().config.Lookup(m.ID)
+	if ok && held != m && !n.isActive(n.lead.peers[held]) {
+		n.lead.strangers[m.ID] = m
+	}
+}
+
+// strangers returns those that still stand for a silent member.
+func (n *Node) strangers() []Member {
+	var out []Member
+	conf := n.log.config().config
+	for _, id := range slices.Sorted(maps.Keys(n.lead.strangers)) {
+		m := n.lead.strangers[id]
+		if held, ok := conf.Lookup(id); ok && held != m && !n.isActive(n.lead.peers[held]) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// answerStranger tells the sender of a request that the incarnation it writes
+// to is not here. Nothing else of the message is taken in.
+func (n *Node) answerStranger(m Message) {
+	if m.Kind.fromLeader() || m.Kind == MsgVote || m.Kind == MsgPreVote {
+		n.out.messages = append(n.out.messages, Message{Kind: MsgStranger, From: n.opts.Self, To: m.From})
+	}
+}
+
+func (n *Node) peerStatus() []Peer {
+	if n.role != Leader {
+		return nil
+	}
+	var out []Peer
+	conf := n.log.config().config
+	n.eachPeer(func(m Member, p *tracker.Progress) {
+		s := Peer{
+			Member: m, Voter: conf.IsVoter(m), Match: p.Match,
+			CaughtUp: n.caughtUp(p), Snapshotting: p.State == tracker.Snapshot,
+		}
+		if p.Match > 0 || p.Round > 0 {
+			s.Active = p.Active
+		}
+		out = append(out, s)
+	})
+	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(a.Member.ID, b.Member.ID) })
+	return out
+}
--- a/coord/replog/node.go
+++ b/coord/replog/node.go
@@ -1,6 +1,320 @@
 package replog
 
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/gullhaven/gullhaven/coord/replog/tracker"
+)
+
+// Defaults of Options.
+const (
+	DefaultHeartbeatInterval   = 100 * time.Millisecond
+	DefaultElectionHeartbeats  = 10
+	DefaultMaxDrift            = 0.01
+	DefaultMaxAppendBytes      = 256 << 10
+	DefaultMaxInflight         = 32
+	DefaultMaxUncommittedBytes = 16 << 20
+)
+
 // Node is the replicated log of one member. It is not safe for concurrent use.
 type Node struct {
 	opts Options
+	rng  *rand.Rand
+	// now is the latest time that was passed in.
+	now time.Time
+
+	role   Role
+	hs     HardState
+	leader Member
+	log    *entryLog
+
+	// refuseUntil: no vote without Force before it; see lease.go.
+	refuseUntil time.Time
+	// electionAt is when a node that is no leader campaigns.
+	electionAt time.Time
+	votes      map[Member]bool
+
+	forming forming
+	lead    leadership
+	// leaseGiven is the latest lease end ever returned to the host.
+	leaseGiven time.Time
+
+	// readsSent holds when reads went to a leader, by id.
+	readsSent map[uint64]time.Time
+	out       outbox
+}
+
+// leadership is the state of a leader, new at each election.
+type leadership struct {
+	peers map[Member]*tracker.Progress
+	// round is the newest heartbeat round; sent holds the times of the newest
+	// rounds, the last one being round's.
+	round       uint64
+	sent        []time.Time
+	roundDue    bool
+	heartbeatAt time.Time
+	// commitAtRound is the commit index when the newest round began.
+	commitAtRound uint64
+	uncommitted   int
+	reads         []pendingRead
+	// leaseBefore is the latest lease end given under earlier configurations.
+	leaseBefore time.Time
+	strangers   map[string]Member
+	transferee  Member
+	transferEnd time.Time
+}
+
+var _ Log = (*Node)(nil)
+
+// New makes a node from what the host read from its disk. The error says which
+// option, or which part of the state, does not fit.
+func New(now time.Time, o Options, s State) (*Node, error) {
+	if err := o.complete(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if s.HardState.Group == 0 && (s.Snapshot != nil || len(s.Entries) > 0 || s.HardState.Term > 0) {
+		return nil, errors.NotValidf("state on disk without a group")
+	}
+	l, err := newLog(s)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	n := &Node{
+		opts: o, now: now, hs: s.HardState, log: l,
+		rng: rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
+	}
+	if n.hs.Group == o.Self.Incarnation && l.last() == 0 {
+		// A founder that stopped while it wrote the first entry: it has told
+		// nobody of the group, and asks again.
+		n.hs = HardState{}
+	}
+	n.out.saved, n.out.emitted = n.hs, n.hs
+	n.readsSent = make(map[uint64]time.Time)
+	n.start()
+	return n, nil
+}
+
+// start sets the first timers. A node that was started again does not know
+// whether it answered a heartbeat just before; it refuses votes for as long as
+// such an answer can bind it. A blank one has never answered any.
+func (n *Node) start() {
+	if n.hs.Group == 0 {
+		n.startForming()
+		return
+	}
+	n.role = Follower
+	n.refuseUntil = n.now.Add(n.stretched())
+	n.resetElection()
+	if c := n.log.config().config; len(c.Voters) == 1 && n.promotable() {
+		n.electionAt = n.now
+	}
+}
+
+func (o *Options) complete() error {
+	if o.Self.ID == "" || o.Self.Incarnation == 0 {
+		return errors.NotValidf("own member %v", o.Self)
+	}
+	setDefault(&o.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&o.ElectionTimeout, DefaultElectionHeartbeats*o.HeartbeatInterval)
+	setDefault(&o.MaxDrift, DefaultMaxDrift)
+	setDefault(&o.MaxAppendBytes, DefaultMaxAppendBytes)
+	setDefault(&o.MaxInflight, DefaultMaxInflight)
+	setDefault(&o.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	if o.HeartbeatInterval < 0 || o.ElectionTimeout < 2*o.HeartbeatInterval {
+		return errors.NotValidf("election timeout %v with heartbeats each %v", o.ElectionTimeout, o.HeartbeatInterval)
+	}
+	if o.MaxDrift < 0 || o.MaxDrift > 0.5 {
+		return errors.NotValidf("drift bound %v", o.MaxDrift)
+	}
+	if o.MaxAppendBytes < 0 || o.MaxInflight < 0 || o.MaxUncommittedBytes < 0 {
+		return errors.NotValidf("negative bound")
+	}
+	return o.Bootstrap.check()
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// clock takes in the time; it never runs backwards.
+func (n *Node) clock(now time.Time) {
+	if now.After(n.now) {
+		n.now = now
+	}
+}
+
+// Tick implements Log.
+func (n *Node) Tick(now time.Time) {
+	n.clock(now)
+	n.forgetReads()
+	switch {
+	case n.role == Blank:
+		n.tickForming()
+	case n.role == Leader:
+		n.tickLeader()
+	case !n.now.Before(n.electionAt):
+		n.leader = Member{}
+		n.resetElection()
+		if n.promotable() {
+			n.campaign(PreCandidate, false)
+		}
+	}
+}
+
+// NextTick implements Log.
+func (n *Node) NextTick() time.Time {
+	switch n.role {
+	case Leader:
+		return n.lead.heartbeatAt
+	case Blank:
+		return n.forming.probeAt
+	}
+	return n.electionAt
+}
+
+// Step implements Log.
+func (n *Node) Step(now time.Time, m Message) error {
+	if err := m.check(); err != nil {
+		return err
+	}
+	if m.To.ID != n.opts.Self.ID {
+		return errors.Annotatef(ErrWrongNode, "%v", m.To)
+	}
+	n.clock(now)
+	switch {
+	case m.Kind <= MsgStranger:
+		n.stepOutside(m)
+	case m.To != n.opts.Self:
+		n.answerStranger(m)
+	case !n.sameGroup(m):
+	case n.stepTerm(m):
+		n.stepKind(m)
+	}
+	return nil
+}
+
+func (m *Message) check() error {
+	if m.Kind == 0 || m.Kind > MsgReadIndexResp || m.From.ID == "" || m.From.Incarnation == 0 {
+		return errors.Annotatef(ErrMalformed, "kind %d from %v", m.Kind, m.From)
+	}
+	if m.Kind == MsgSnapshot && m.Snapshot == nil {
+		return errors.Annotatef(ErrMalformed, "no snapshot from %v", m.From)
+	}
+	for i, e := range m.Entries {
+		if e.Index != m.Index+uint64(i)+1 || (e.Kind == EntryConfig) != (e.Config != nil) {
+			return errors.Annotatef(ErrMalformed, "entry %d from %v", e.Index, m.From)
+		}
+	}
+	return nil
+}
+
+// sameGroup reports whether the message is of this node's group. A blank node
+// joins the group of the first message that is addressed to its incarnation:
+// only a configuration that holds this incarnation makes anyone write to it.
+func (n *Node) sameGroup(m Message) bool {
+	if n.role != Blank {
+		return m.Group == n.hs.Group
+	}
+	if m.Group == 0 || !(m.Kind.fromLeader() || m.Kind == MsgVote || m.Kind == MsgPreVote) {
+		return false
+	}
+	n.hs.Group = m.Group
+	n.role = Follower
+	n.resetElection()
+	return true
+}
+
+func (k MessageKind) response() bool {
+	switch k {
+	case MsgPreVoteResp, MsgVoteResp, MsgAppendResp, MsgHeartbeatResp, MsgReadIndexResp:
+		return true
+	}
+	return false
+}
+
+// fromLeader reports whether only the leader of a term sends such messages.
+func (k MessageKind) fromLeader() bool {
+	return k == MsgAppend || k == MsgHeartbeat || k == MsgSnapshot
+}
+
+// stepTerm compares terms and reports whether the message is to be handled.
+func (n *Node) stepTerm(m Message) bool {
+	if m.Kind == MsgReadIndex || m.Kind == MsgReadIndexResp || m.Kind == MsgPreVote {
+		return true
+	}
+	if m.Term < n.hs.Term {
+		// A leader of an old term, perhaps one that woke up, has to learn
+		// that its term is over.
+		if m.Kind.fromLeader() {
+			n.send(Message{Kind: MsgAppendResp, To: m.From, Index: m.Index, Reject: true})
+		}
+		return false
+	}
+	if m.Term > n.hs.Term {
+		return n.stepHigherTerm(m)
+	}
+	return true
+}
+
+// stepHigherTerm reports whether the message is to be handled.
+func (n *Node) stepHigherTerm(m Message) bool {
+	switch {
+	case m.Kind.fromLeader():
+		n.becomeFollower(m.Term, m.From)
+		return true
+	case m.Kind == MsgVote:
+		if n.refusesVote(m) {
+			return false
+		}
+		n.becomeFollower(m.Term, Member{})
+		return true
+	case m.Kind == MsgPreVoteResp && !m.Reject:
+		return m.Term == n.hs.Term+1
+	case m.Kind.response() && n.log.config().config.IsMember(m.From):
+		n.becomeFollower(m.Term, Member{})
+	}
+	return false
+}
+
+func (n *Node) stepKind(m Message) {
+	if m.Kind.fromLeader() {
+		n.hearLeader(m.From)
+	}
+	switch m.Kind {
+	case MsgPreVote, MsgVote:
+		n.handleVote(m)
+	case MsgPreVoteResp, MsgVoteResp:
+		n.handleVoteResp(m)
+	case MsgAppend:
+		n.handleAppend(m)
+	case MsgHeartbeat:
+		n.handleHeartbeat(m)
+	case MsgSnapshot:
+		n.handleSnapshot(m)
+	case MsgAppendResp, MsgHeartbeatResp:
+		n.handleAnswer(m)
+	case MsgTimeoutNow:
+		n.handleTimeoutNow()
+	case MsgReadIndex:
+		n.handleReadIndex(m)
+	case MsgReadIndexResp:
+		n.handleReadIndexResp(m)
+	}
+}
+
+// Status implements Log.
+func (n *Node) Status() Status {
+	conf := n.log.config()
+	return Status{
+		Self: n.opts.Self, Role: n.role, Group: n.hs.Group, Term: n.hs.Term, Leader: n.leader,
+		Config: conf.config, ConfigIndex: conf.index,
+		First: n.log.prev.Index + 1, Last: n.log.last(), Commit: n.log.commit, Applied: n.log.applied,
+		Peers: n.peerStatus(), Strangers: n.strangers(),
+	}
 }
--- /dev/null
+++ b/coord/replog/reads.go
@@ -0,0 +1,121 @@
+package replog
+
+import (
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/replog/quorum"
+)
+
+// pendingRead waits for a majority to answer a round that began after it came
+// in, or, with round zero, for the first commit of the term.
+type pendingRead struct {
+	from         Member
+	id           uint64
+	index, round uint64
+}
+
+// ReadIndex implements Log.
+//
+// A read is linearizable at the commit index if this node was the leader at
+// some time after the read came in, and has committed in its term. A lease that
+// holds now says so; else a majority has to answer a round of heartbeats that
+// begins after now. A round that began before would not do: the answers may
+// have been given before a successor committed more.
+func (n *Node) ReadIndex(now time.Time, id uint64) error {
+	n.clock(now)
+	if n.role == Leader {
+		n.beginRead(pendingRead{from: n.opts.Self, id: id})
+		return nil
+	}
+	if n.leader == (Member{}) {
+		return ErrNotLeader
+	}
+	n.readsSent[id] = n.now
+	n.send(Message{Kind: MsgReadIndex, To: n.leader, ReadID: id})
+	return nil
+}
+
+func (n *Node) beginRead(r pendingRead) {
+	switch {
+	case !n.leads():
+		n.lead.reads = append(n.lead.reads, r)
+	case n.lead.transferee == (Member{}) && n.now.Before(n.leaseEnd()):
+		r.index = n.log.commit
+		n.answerRead(r)
+	default:
+		r.index, r.round = n.log.commit, n.lead.round+1
+		n.lead.roundDue = true
+		n.lead.reads = append(n.lead.reads, r)
+	}
+}
+
+// startReads begins the reads that waited for the first commit of the term.
+func (n *Node) startReads() {
+	reads := n.lead.reads
+	n.lead.reads = nil
+	for _, r := range reads {
+		if r.round > 0 {
+			n.lead.reads = append(n.lead.reads, r)
+		} else {
+			n.beginRead(r)
+		}
+	}
+}
+
+// confirmReads answers the reads whose round a majority has answered.
+func (n *Node) confirmReads() {
+	if len(n.lead.reads) == 0 {
+		return
+	}
+	voters := n.log.config().config.Voters
+	rounds := make([]uint64, 0, len(voters))
+	for _, v := range voters {
+		if v == n.opts.Self {
+			rounds = append(rounds, n.lead.round)
+		} else {
+			rounds = append(rounds, n.lead.peers[v].Round)
+		}
+	}
+	done := quorum.Index(rounds)
+	reads := n.lead.reads
+	n.lead.reads = nil
+	for _, r := range reads {
+		if r.round > 0 && r.round <= done {
+			n.answerRead(r)
+		} else {
+			n.lead.reads = append(n.lead.reads, r)
+		}
+	}
+}
+
+// forgetReads drops reads that a leader did not answer in time.
+func (n *Node) forgetReads() {
+	for id, at := range n.readsSent {
+		if n.now.Sub(at) > n.opts.ElectionTimeout {
+			delete(n.readsSent, id)
+		}
+	}
+}
+
+func (n *Node) answerRead(r pendingRead) {
+	if r.from == n.opts.Self {
+		n.out.reads = append(n.out.reads, ReadState{ID: r.id, Index: r.index})
+		return
+	}
+	n.send(Message{Kind: MsgReadIndexResp, To: r.from, ReadID: r.id, Index: r.index})
+}
+
+// handleReadIndex serves a read of another member. Reads that reach a node
+// that does not lead are dropped; their hosts ask again.
+func (n *Node) handleReadIndex(m Message) {
+	if n.role == Leader && n.lead.peers[m.From] != nil {
+		n.beginRead(pendingRead{from: m.From, id: m.ReadID})
+	}
+}
+
+func (n *Node) handleReadIndexResp(m Message) {
+	if _, ok := n.readsSent[m.ReadID]; ok {
+		delete(n.readsSent, m.ReadID)
+		n.out.reads = append(n.out.reads, ReadState{ID: m.ReadID, Index: m.Index})
+	}
+}
