Measure route.Router, a region cut off with half its targets, and add the command

Cause: a cut alone changes nothing for deciders that stay at home; together with lost targets it asks whether a region serves its own with what it has. Change: the router beside the baselines, the fault cut_half_lost, the command's flags, and arrivals that are queued one at a time.

--- /dev/null
+++ b/experiment/command.go
@@ -0,0 +1,71 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+)
+
+// Command is the command line of the experiment, in the form of go-flags.
+// Repeat a flag to give several values; none stands for all.
+type Command struct {
+	Workloads []string      `long:"workload" description:"workload to run: sukmajaya or asociacion; all if not given"`
+	Loads     []float64     `long:"load" description:"arrivals as a share of the measured capacity, for example 0.8; 0.5, 0.8 and 0.95 if not given"`
+	Faults    []Fault       `long:"fault" description:"fault to run; all if not given"`
+	Deciders  []string      `long:"decider" description:"decider to run; all if not given"`
+	Seeds     int           `long:"seeds" default:"5" description:"number of seeds"`
+	Day       time.Duration `long:"day" default:"400s" description:"length of the compressed day, in virtual time"`
+	Workers   int           `long:"workers" default:"5" description:"trials that run at once; the result does not depend on it"`
+	JSON      string        `long:"json" description:"file to write all figures to"`
+	Plot      string        `long:"plot" description:"prefix of the names of the SVG plots, one for each workload and load"`
+
+	// Out takes the table; standard output if nil.
+	Out io.Writer `no-flag:"true"`
+}
+
+// Execute runs the experiment, prints the table and writes the files asked for.
+func (c *Command) Execute(args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("unexpected argument %q", args[0])
+	}
+	out := c.Out
+	if out == nil {
+		out = os.Stdout
+	}
+	res, err := Run(Options{
+		Workloads: c.Workloads, Deciders: c.Deciders, Loads: c.Loads, Faults: c.Faults,
+		Seeds: c.Seeds, Day: c.Day, Workers: c.Workers,
+	})
+	if err != nil {
+		return err
+	}
+	if err := res.WriteTable(out); err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := res.saveJSON(c.JSON); err != nil {
+			return err
+		}
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	names, err := res.SavePlots(c.Plot)
+	for _, n := range names {
+		fmt.Fprintln(out, "wrote", n)
+	}
+	return err
+}
+
+func (res *Result) saveJSON(name string) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	err = res.WriteJSON(f)
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,12 +16,23 @@
 	"github.com/gullhaven/gullhaven/route"
 )
 
+// Place is where an instance runs; Instances counts those of its region.
+type Place struct {
+	Region, Zone string
+	Instances    int
+}
+
 // Maker makes the decider of one instance.
-type Maker func(region string, instances int, seed uint64) route.Decider
+type Maker func(p Place, seed uint64) route.Decider
+
+func makeRouter(p Place, seed uint64) route.Decider {
+	cfg := route.Config{Region: p.Region, Zone: p.Zone, Instances: p.Instances}
+	return route.New(cfg, rand.New(rand.NewPCG(seed, 4)))
+}
 
 func baselineMaker(pick rule) Maker {
-	return func(region string, _ int, seed uint64) route.Decider {
-		return newBaseline(region, seed, pick)
+	return func(p Place, seed uint64) route.Decider {
+		return newBaseline(p.Region, seed, pick)
 	}
 }
 
@@ -42,6 +54,7 @@
 	{LeastName, baselineMaker(pickLeast)},
 	{"power_of_two", baselineMaker(pickTwo)},
 	{"least_reported", baselineMaker(pickLeastReported)},
+	{RouterName, makeRouter},
 }
 
 // Deciders lists the names of all deciders.
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -20,6 +20,8 @@
 	AllLost Fault = "all_lost"
 	// CutOff: the region can't reach its neighbours, nor they it.
 	CutOff Fault = "cut_off"
+	// CutHalf: the region is cut off and half of its model targets are lost.
+	CutHalf Fault = "cut_half_lost"
 	// Grey: one model target runs at a quarter of its speed.
 	Grey Fault = "grey"
 	// Killer: requests that crash each target that runs them; their callers resend.
@@ -30,7 +32,7 @@
 
 // Faults lists all faults.
 func Faults() []Fault {
-	return []Fault{NoFault, HalfLost, AllLost, CutOff, Grey, Killer, Rolling}
+	return []Fault{NoFault, HalfLost, AllLost, CutOff, CutHalf, Grey, Killer, Rolling}
 }
 
 const (
@@ -61,17 +63,18 @@
 	start := time.Duration(faultStart * float64(w.trial.Day))
 	end := time.Duration(faultEnd * float64(w.trial.Day))
 	hit := w.regions[0]
+	models := hit.models(w.trial.Workload.Model)
+	if f := w.trial.Fault; f == CutOff || f == CutHalf {
+		w.at(start, func() { w.cut(hit, true) })
+		w.at(end, func() { w.cut(hit, false) })
+	}
 	switch w.trial.Fault {
-	case HalfLost:
-		models := hit.models(w.trial.Workload.Model)
+	case HalfLost, CutHalf:
 		w.lose(models[:len(models)/2], start, end)
 	case AllLost:
 		w.lose(hit.targets, start, end)
-	case CutOff:
-		w.at(start, func() { w.cut(hit, true) })
-		w.at(end, func() { w.cut(hit, false) })
 	case Grey:
-		grey := hit.models(w.trial.Workload.Model)[0]
+		grey := models[0]
 		w.at(start, func() { grey.engine.SetSpeed(w.now, greySpeed) })
 		w.at(end, func() { grey.engine.SetSpeed(w.now, 1) })
 	case Killer:
--- a/experiment/figures.go
+++ b/experiment/figures.go
@@ -214,9 +214,9 @@
 			rate := mean * wl.rate(r, at, tr.Day)
 			total += rate / wl.modelShare()
 			have := float64(wl.ModelTargets-tr.missing(r, at)) * tr.PerTarget
-			cut := tr.Fault == CutOff && tr.faulty(at) && r == 0
+			cut := (tr.Fault == CutOff || tr.Fault == CutHalf) && tr.faulty(at) && r == 0
 			switch {
-			case cut:
+			case cut: // nothing can leave or come
 			case rate > have:
 				over += min(rate-have, rate*(1-boundShare))
 			default:
@@ -241,7 +241,7 @@
 	switch {
 	case region != 0 || !tr.faulty(at):
 		return 0
-	case tr.Fault == HalfLost:
+	case tr.Fault == HalfLost || tr.Fault == CutHalf:
 		return tr.Workload.ModelTargets / 2
 	case tr.Fault == AllLost:
 		return tr.Workload.ModelTargets
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -164,7 +164,7 @@
 		w.addTargets(r, trial.Workload.Plain, trial.Workload.PlainTargets, plainEngine())
 		for j := range instancesPerRegion {
 			seed := trial.Seed*1000 + uint64(i*instancesPerRegion+j)
-			d := trial.make(name, instancesPerRegion, seed)
+			d := trial.make(Place{name, zone(name, j), instancesPerRegion}, seed)
 			d.SetTargets(w.now, r.specs())
 			r.instances = append(r.instances, &instance{region: r, decider: d, tokens: retryBurst})
 		}
@@ -180,7 +180,7 @@
 		t := &target{region: r, engine: enginemodel.New(cfg), plain: cfg.PrefillRate == 0}
 		t.spec = route.TargetSpec{
 			ID:      route.TargetID(fmt.Sprintf("%s-%s-%d", r.name, service, i)),
-			Service: service, Region: r.name, Zone: fmt.Sprintf("%s-%c", r.name, 'a'+i%2),
+			Service: service, Region: r.name, Zone: zone(r.name, i),
 			Slots: cfg.Slots, PrefillRate: cfg.PrefillRate, CostPerSecond: 1,
 		}
 		if !t.plain {
@@ -192,6 +192,9 @@
 	}
 }
 
+// zone spreads targets and instances over two availability zones.
+func zone(region string, i int) string { return fmt.Sprintf("%s-%c", region, 'a'+i%2) }
+
 // at puts an event at a time of the day.
 func (w *world) at(t time.Duration, do func()) { w.push(epoch.Add(t), do) }
 
@@ -207,10 +210,7 @@
 func (w *world) run() {
 	const drainLimit = 10 * time.Minute
 	w.plan()
-	for i := range w.trial.arrivals {
-		a := &w.trial.arrivals[i]
-		w.at(a.at, func() { w.arrive(a) })
-	}
+	w.feed(w.trial.arrivals)
 	w.tick()
 	w.summaries()
 	limit := epoch.Add(w.trial.Day + drainLimit)
@@ -224,6 +224,18 @@
 	}
 }
 
+// feed brings the arrivals of the trace, one after the other.
+func (w *world) feed(rest []arrival) {
+	if len(rest) == 0 {
+		return
+	}
+	a := &rest[0]
+	w.at(a.at, func() {
+		w.feed(rest[1:])
+		w.arrive(a)
+	})
+}
+
 // done tells whether the day is over and nothing is open.
 func (w *world) done() bool { return w.open == 0 && w.now.Sub(epoch) > w.trial.Day }
 
