route: weigh speed observations by their size

Cause: short requests that overtook others taught a target to look ten times faster than rated; long prompts were predicted far too early. Change: an observation weighs by its expected time; faster than 0.8 of the rated prefill time is not believed.

--- a/route/speed.go
+++ b/route/speed.go
@@ -14,6 +14,14 @@
 	// speedFloor is added to both sides of a comparison, in seconds, so that
 	// noise in very short times does not look like a change of speed.
 	speedFloor = 0.02
+	// speedFull is the expected time in seconds from which an observation has its
+	// full weight, speedLeast the least part of it. Short times are mostly
+	// overhead and tell little of a rate.
+	speedFull  = 0.5
+	speedLeast = 0.1
+	// fastest bounds how much faster than rated a target is believed to
+	// prefill. A request that overtook others looks like a fast target.
+	fastest = 0.8
 	// speedEnough is the number of observations from which they are believed.
 	speedEnough = 3
 )
@@ -34,7 +42,8 @@
 	q := (observed + speedFloor) / (expected + speedFloor)
 	q = min(max(q, 1/speedClamp), speedClamp)
 	r.fade(now)
-	r.log += speedWeight * (math.Log(q) - r.log)
+	w := speedWeight * min(max(expected/speedFull, speedLeast), 1)
+	r.log += w * (math.Log(q) - r.log)
 	r.value = math.Exp(r.log)
 	r.seen++
 }
--- a/route/target.go
+++ b/route/target.go
@@ -63,7 +63,7 @@
 }
 
 func (t *target) prefillRate() float64 {
-	return t.spec.PrefillRate / t.speed.first.factor()
+	return t.spec.PrefillRate / max(fastest, t.speed.first.factor())
 }
 
 // sawHit takes the prefix hit that the engine told of against the predicted one.
