route: predict the wait for KV memory

Cause: long prompts reserve a tenth of a target's memory each; a fifth of the reports showed memory over 0.9, and everything behind a blocked head waits. Change: the size of the memory and the time it is held are learned, and a request that does not fit is charged the time until it does; a prefix hit weighs three times its own saving, since the saved work delays others too.

--- a/route/admission.go
+++ b/route/admission.go
@@ -84,9 +84,9 @@
 	if priority(q) == priorities-1 {
 		return 0
 	}
-	least := queueing(&cands[0])
+	least := cands[0].Wait
 	for i := range cands {
-		least = min(least, queueing(&cands[i]))
+		least = min(least, cands[i].Wait)
 	}
 	over := least - r.cfg.ShedWait.Seconds()*float64(priority(q)+1)
 	if over <= 0 {
@@ -100,14 +100,6 @@
 	return over
 }
 
-// queueing is the predicted wait before the own prefill, in seconds.
-func queueing(c *Candidate) float64 {
-	if c.PrefillRate <= 0 {
-		return c.FirstToken - c.PlainTime
-	}
-	return c.Pending / c.PrefillRate
-}
-
 // withoutTarget answers where no target here can take the request now.
 func (r *Router) withoutTarget(now time.Time, s *service, q *Request) Decision {
 	if d, ok := r.trySpill(now, s, q, localWait{never: true}); ok {
--- a/route/config.go
+++ b/route/config.go
@@ -31,7 +31,7 @@
 	// adapter serve it. Default 0.
 	AdapterLoad time.Duration
 	// KVHigh is the share of KV cache memory from which a target is expected
-	// to make requests wait or to preempt. Default 0.9.
+	// to make requests wait or to preempt. Default 1.
 	KVHigh float64
 
 	// CacheBlocks bounds the prefix blocks remembered for each target. Default 4096.
@@ -46,7 +46,7 @@
 
 	// HitWeight is how much a second of prefill saved by a prefix hit weighs
 	// against a second of waiting. Above 1 it counts that the saved work delays
-	// others as well. Default 1.5.
+	// others as well. Default 3.
 	HitWeight float64
 
 	// PickSpread is the temperature of the picker as a part of the best
@@ -115,11 +115,11 @@
 	orDefault(&c.PeerShare, 0.5)
 	orDefault(&c.PlainTime, 20*time.Millisecond)
 	orDefault(&c.ZoneDelay, 500*time.Microsecond)
-	orDefault(&c.KVHigh, 0.9)
+	orDefault(&c.KVHigh, 1)
 	orDefault(&c.CacheBlocks, 4096)
 	orDefault(&c.AffinityTargets, 2)
 	orDefault(&c.AffinityGain, 0.3)
-	orDefault(&c.HitWeight, 1.5)
+	orDefault(&c.HitWeight, 3)
 	orDefault(&c.PickSpread, 0.08)
 	orDefault(&c.PickFloor, 4*time.Millisecond)
 	orDefault(&c.EjectFactor, 2.5)
--- a/route/events.go
+++ b/route/events.go
@@ -110,9 +110,10 @@
 		return
 	}
 	t.load.report(seen, at, rep, t.prefillRate(), t.svc.peers(&r.cfg))
-	t.waiting = rep.Waiting > 0
+	t.waiting = rep.Waiting
 	t.running = rep.Running
-	t.svc.sawReport(float64(rep.Running+rep.Waiting), t.load.own)
+	t.svc.sawReport(&rep, t.load.own)
+	t.svc.memory.sawReport(&rep, t.load.own, t.load.ownTokens)
 }
 
 // CacheEvent implements Decider. A gap in the numbers means that stored and
@@ -146,18 +147,22 @@
 	at := r.seconds(now)
 	uncached := float64(max(1, q.PromptTokens-d.CachedTokens))
 	a := attempt{t: t, sentAt: at, cached: d.CachedTokens}
+	a.uncached, a.memory = uncached, float64(q.PromptTokens+q.OutputTokens)
 	a.predicted = max(0, d.Start.Sub(now).Seconds())
 	a.expected = a.predicted / t.speed.first.factor()
+	if !t.model() {
+		a.memory = 0
+	}
 	r.attempts[id] = a
 	t.unanswered = append(t.unanswered, id)
 	if !t.model() {
-		t.load.send(at, 0, 0, t.svc.peers(&r.cfg))
+		t.load.send(at, sending{}, 0, t.svc.peers(&r.cfg))
 		return
 	}
 	hold := uncached/t.spec.PrefillRate + float64(q.OutputTokens)*t.ratedTokenTime()
 	t.svc.sawSending(q, uncached, hold)
 	t.svc.tokens.add(at, uncached)
-	t.load.send(at, uncached, t.prefillRate(), t.svc.peers(&r.cfg))
+	t.load.send(at, sending{tokens: uncached, memory: a.memory}, t.prefillRate(), t.svc.peers(&r.cfg))
 	t.cache.touch(q.Prefix)
 }
 
@@ -183,7 +188,7 @@
 	delete(r.attempts, e.Attempt)
 	at := r.seconds(now)
 	t := a.t
-	t.load.end(at, a.sentAt)
+	t.load.end(at, a.sentAt, a.memory)
 	r.oldestUnanswered(t)
 	switch e.Outcome {
 	case Succeeded:
@@ -206,7 +211,11 @@
 		}
 		return
 	}
-	if a.answered && e.OutputTokens > 1 {
+	if !a.answered {
+		return
+	}
+	t.svc.memory.sawHold(a.memory, at-a.firstAt+a.uncached/t.prefillRate())
+	if e.OutputTokens > 1 {
 		t.speed.decode.observe(at, at-a.firstAt, float64(e.OutputTokens-1)*t.ratedTokenTime())
 	}
 }
--- a/route/load.go
+++ b/route/load.go
@@ -6,8 +6,9 @@
 
 // sending is one own sending that a later report may not count yet.
 type sending struct {
-	at     float64
-	tokens float64
+	at float64
+	// tokens are the prompt tokens to prefill, memory prompt and answer tokens.
+	tokens, memory float64
 	// ended says that the attempt is over.
 	ended bool
 }
@@ -39,8 +40,10 @@
 	own        int
 	sentSince  int
 	endedSince int
-	sends      []sending
-	ends       []ending
+	// ownTokens are the prompt and answer tokens of own attempts in flight.
+	ownTokens float64
+	sends     []sending
+	ends      []ending
 }
 
 // peers is what is assumed of the other instances.
@@ -63,20 +66,23 @@
 }
 
 // send adds one own sending.
-func (l *load) send(now, tokens, rate float64, p peers) {
+func (l *load) send(now float64, s sending, rate float64, p peers) {
 	l.advance(now, rate, p)
-	l.pending += tokens * (1 + p.follow)
+	l.pending += s.tokens * (1 + p.follow)
+	l.ownTokens += s.memory
 	l.own++
 	l.sentSince++
 	if len(l.sends) >= recentMax {
 		l.sends = append(l.sends[:0], l.sends[recentMax/2:]...)
 	}
-	l.sends = append(l.sends, sending{at: now, tokens: tokens})
+	s.at = now
+	l.sends = append(l.sends, s)
 }
 
-// end takes off one own attempt that was sent at sentAt.
-func (l *load) end(now, sentAt float64) {
+// end takes off one own attempt of so many tokens that was sent at sentAt.
+func (l *load) end(now, sentAt, memory float64) {
 	l.own--
+	l.ownTokens -= memory
 	if l.reported && sentAt <= l.reportedAt {
 		l.endedSince++
 	} else {
@@ -135,6 +141,18 @@
 	l.ends = append(l.ends[:0], l.ends[n:]...)
 }
 
+// memorySince estimates the tokens sent since the last report that need memory,
+// of all instances.
+func (l *load) memorySince(p peers) float64 {
+	sum := 0.0
+	for _, s := range l.sends {
+		if !s.ended {
+			sum += s.memory
+		}
+	}
+	return sum * (1 + p.follow)
+}
+
 // inFlight estimates the requests at the target, of all instances.
 func (l *load) inFlight(now, stale float64, p peers) float64 {
 	if !l.reported || now-l.reportedAt > stale {
--- a/route/router.go
+++ b/route/router.go
@@ -40,8 +40,11 @@
 	// same at rated speed.
 	predicted, expected float64
 	cached              int
-	firstAt             float64
-	answered            bool
+	// uncached are the prompt tokens without a hit, memory prompt and answer
+	// tokens; 0 for plain services.
+	uncached, memory float64
+	firstAt          float64
+	answered         bool
 }
 
 var _ Decider = (*Router)(nil)
@@ -106,6 +109,9 @@
 		known = s.index.lookup(q.Prefix)
 	}
 	r.snapshot = Snapshot{Request: q, Config: &r.cfg, HoldTime: s.hold, Model: s.model}
+	r.snapshot.MemoryHold = s.memory.holdTime()
+	perToken, perRequest := s.memory.perToken(), s.memory.perRequest()
+	r.snapshot.Memory = perToken * float64(q.PromptTokens+q.OutputTokens)
 	r.snapshot.setBounds(now, q)
 	if known < len(q.Prefix) {
 		r.snapshot.NewPrefix = q.Prefix[known]
@@ -126,7 +132,7 @@
 		c.InFlight = t.load.inFlight(at, stale, p)
 		c.Slots = t.slots()
 		c.Own = t.load.own
-		c.KVUsed = t.load.kv
+		c.KVUsed = t.load.kv + t.load.memorySince(p)*perToken + float64(t.waiting)*perRequest*ahead
 		c.PrefillRate = rate
 		c.TokenTime = t.ratedTokenTime() * t.speed.decode.factor()
 		c.PlainTime = s.plain * t.speed.first.factor()
--- a/route/scorer_kv.go
+++ b/route/scorer_kv.go
@@ -1,8 +1,8 @@
 package route
 
-// kvScorer adds the expected wait for KV cache memory: nothing up to KVHigh,
-// rising to the mean time of a request in a slot when memory is full. Range 0
-// to HoldTime, in seconds; lower is better.
+// kvScorer adds the expected wait for KV cache memory: what the request lacks is
+// freed at the pace at which memory in use turns over. Nothing where it fits
+// under KVHigh; else up to several MemoryHold. In seconds; lower is better.
 type kvScorer struct{}
 
 func (kvScorer) Name() string { return "kvcache" }
@@ -11,12 +11,16 @@
 	if !s.Model {
 		return
 	}
-	high := s.Config.KVHigh
 	for i := range in {
 		c := &in[i]
-		if c.KVUsed <= high {
+		lack := c.KVUsed + s.Memory - s.Config.KVHigh
+		if lack <= 0 {
 			continue
 		}
-		c.Score += s.HoldTime / c.Slots * min(1, (c.KVUsed-high)/(1-high))
+		wait := lack * s.MemoryHold
+		c.Wait += wait
+		c.Score += wait
+		c.FirstToken += wait
+		c.Finish += wait
 	}
 }
--- a/route/scorer_queue.go
+++ b/route/scorer_queue.go
@@ -13,13 +13,14 @@
 	for i := range in {
 		c := &in[i]
 		if !s.Model || c.PrefillRate <= 0 {
-			c.FirstToken = slotWait(c, c.PlainTime) + c.PlainTime
+			c.Wait = slotWait(c, c.PlainTime)
+			c.FirstToken = c.Wait + c.PlainTime
 			c.Finish = c.FirstToken
 			c.Score += c.FirstToken
 			continue
 		}
-		wait := max(c.Pending/c.PrefillRate, slotWait(c, s.HoldTime))
-		c.FirstToken = wait + float64(q.PromptTokens)/c.PrefillRate
+		c.Wait = max(c.Pending/c.PrefillRate, slotWait(c, s.HoldTime))
+		c.FirstToken = c.Wait + float64(q.PromptTokens)/c.PrefillRate
 		c.Finish = c.FirstToken + float64(q.OutputTokens)*c.TokenTime
 		c.Score += c.FirstToken
 	}
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -17,6 +17,9 @@
 	HoldTime float64
 	// Model says that the service is a model engine; else a plain service.
 	Model bool
+	// Memory is the share of a target's KV cache memory that the request takes,
+	// MemoryHold the mean time in seconds that memory is held.
+	Memory, MemoryHold float64
 	// MaxFirst and MaxFinish are the request's bounds on first token and whole
 	// answer in seconds from now, infinite where it has none.
 	MaxFirst, MaxFinish float64
@@ -58,7 +61,8 @@
 	Slots float64
 	// Own is how many of them this instance sent.
 	Own int
-	// KVUsed is the share of KV cache memory in use, 0 to 1.
+	// KVUsed is the share of KV cache memory in use or waited for; over 1 if
+	// requests wait for it.
 	KVUsed float64
 	// PrefillRate is the learned speed in prompt tokens per second.
 	PrefillRate float64
@@ -72,6 +76,8 @@
 	Health Health
 	// WarmFor is how long it has been warm, in seconds.
 	WarmFor float64
+	// Wait is the predicted wait in seconds before the own prefill.
+	Wait float64
 	// FirstToken and Finish are predicted seconds from now, set by the queue scorer.
 	FirstToken, Finish float64
 	// Score is the sum of the scorers in seconds; lower is better.
--- a/route/target.go
+++ b/route/target.go
@@ -33,10 +33,9 @@
 	// warmAt is when it became warm, in seconds; minus infinity if it was warm
 	// when first seen.
 	warmAt float64
-	// waiting says that the last report told of requests without a slot, and
-	// running how many had one.
-	waiting bool
-	running int
+	// waiting and running are the requests without and with a slot in the last
+	// report.
+	waiting, running int
 	// unanswered are own attempts without a first token, oldest first.
 	unanswered []AttemptID
 }
@@ -47,7 +46,7 @@
 // slots is the number of requests it really runs at once: memory may end
 // before the rated slots do.
 func (t *target) slots() float64 {
-	if t.waiting && t.running > 0 {
+	if t.waiting > 0 && t.running > 0 {
 		return float64(min(t.running, max(1, t.spec.Slots)))
 	}
 	return float64(max(1, t.spec.Slots))
@@ -91,6 +90,7 @@
 	// reportedIn and ownIn are means over reports of a target's requests in
 	// flight and of this instance's among them.
 	reportedIn, ownIn float64
+	memory            memory
 	// arrivals is the rate of own decided requests, crossed the part that came
 	// from other regions, tokens the rate of own uncached prompt tokens sent;
 	// all per second.
@@ -156,8 +156,8 @@
 	s.byPriority[priority(r)] += uncached
 }
 
-func (s *service) sawReport(inFlight float64, own int) {
-	s.reportedIn += meanWeight * (inFlight - s.reportedIn)
+func (s *service) sawReport(rep *Report, own int) {
+	s.reportedIn += meanWeight * (float64(rep.Running+rep.Waiting) - s.reportedIn)
 	s.ownIn += meanWeight * (float64(own) - s.ownIn)
 }
 
