--- a/bundle/sections.go
+++ b/bundle/sections.go
@@ -92,9 +92,28 @@
 	return Digest(hex.EncodeToString(sum[:]))
 }
 
+// MarshalBinary is the manifest in canonical CBOR, as it is exchanged and
+// summed.
+func (m Manifest) MarshalBinary() ([]byte, error) {
+	return canonical.Marshal(plainManifest(m))
+}
+
+// UnmarshalBinary reads what MarshalBinary wrote; Join verifies the content.
+func (m *Manifest) UnmarshalBinary(data []byte) error {
+	var fresh plainManifest
+	if err := sectionReader.Unmarshal(data, &fresh); err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	*m = Manifest(fresh)
+	return nil
+}
+
+// plainManifest has no methods, so that the codec doesn't call them again.
+type plainManifest Manifest
+
 // Digest is the digest of the manifest.
 func (m Manifest) Digest() (Digest, error) {
-	data, err := canonical.Marshal(m)
+	data, err := m.MarshalBinary()
 	if err != nil {
 		return "", err
 	}
--- a/bundle/strict/decode.go
+++ b/bundle/strict/decode.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strconv"
 	"strings"
 	"unicode/utf8"
 )
@@ -160,16 +161,40 @@
 	if token == nil {
 		return w.add(path, "is null, but must be %s; leave the field out instead", describe(t))
 	}
-	encoded, err := json.Marshal(token)
-	if err != nil {
-		return err
-	}
-	if json.Unmarshal(encoded, reflect.New(t).Interface()) != nil {
-		return w.add(path, "is %s, but must be %s", shorten(string(encoded)), describe(t))
+	if !fits(t, token) {
+		shown, err := json.Marshal(token)
+		if err != nil {
+			return err
+		}
+		return w.add(path, "is %s, but must be %s", shorten(string(shown)), describe(t))
 	}
 	return nil
 }
 
+// fits is true where a field of type t can hold the token as it is written.
+func fits(t reflect.Type, token json.Token) bool {
+	number, isNumber := token.(json.Number)
+	switch t.Kind() {
+	case reflect.String:
+		_, isString := token.(string)
+		return isString
+	case reflect.Bool:
+		_, isBool := token.(bool)
+		return isBool
+	case reflect.Float32, reflect.Float64:
+		_, err := strconv.ParseFloat(string(number), t.Bits())
+		return isNumber && err == nil
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		_, err := strconv.ParseUint(string(number), 10, t.Bits())
+		return isNumber && err == nil
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		_, err := strconv.ParseInt(string(number), 10, t.Bits())
+		return isNumber && err == nil
+	default:
+		return false
+	}
+}
+
 // end refuses bytes after the document.
 func (w *walker) end() error {
 	_, err := w.decoder.Token()
