--- /dev/null
+++ b/metrics/page.go
@@ -0,0 +1,75 @@
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// contentType is the text exposition format, version 0.0.4.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// WritePage writes all metrics, sorted by name.
+func (s *Set) WritePage(w io.Writer) error {
+	s.mu.Lock()
+	names := make([]string, 0, len(s.known))
+	for n := range s.known {
+		names = append(names, n)
+	}
+	s.mu.Unlock()
+	slices.Sort(names)
+	for _, n := range names {
+		if err := s.write(w, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Set) write(w io.Writer, name string) error {
+	s.mu.Lock()
+	m, times := s.known[name], s.times[name]
+	s.mu.Unlock()
+	if _, err := fmt.Fprintf(w, "# HELP %s %s Unit: %s.\n# TYPE %s %s\n", name, m.Meaning, m.Unit, name, m.Kind); err != nil {
+		return err
+	}
+	if times != nil {
+		return times.write(w, name)
+	}
+	var value int64
+	switch v := s.registry.Get(name).(type) {
+	case gometrics.Counter:
+		value = v.Count()
+	case gometrics.Gauge:
+		value = v.Value()
+	}
+	_, err := fmt.Fprintf(w, "%s %d\n", name, value)
+	return err
+}
+
+func (t *Times) write(w io.Writer, name string) error {
+	var sum int64
+	for i := range t.buckets {
+		sum += t.buckets[i].Load()
+		le := "+Inf"
+		if i < len(bounds) {
+			le = strconv.FormatFloat(bounds[i].Seconds(), 'g', -1, 64)
+		}
+		if _, err := fmt.Fprintf(w, "%s_bucket{le=\"%s\"} %d\n", name, le, sum); err != nil {
+			return err
+		}
+	}
+	seconds := float64(t.nanos.Load()) / 1e9
+	_, err := fmt.Fprintf(w, "%s_sum %g\n%s_count %d\n", name, seconds, name, sum)
+	return err
+}
+
+// ServeHTTP writes the page.
+func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", contentType)
+	_ = s.WritePage(w)
+}
--- /dev/null
+++ b/metrics/set.go
@@ -0,0 +1,83 @@
+package metrics
+
+import (
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Set is a registry with the metrics of the request path.
+type Set struct {
+	registry gometrics.Registry
+	mu       sync.Mutex
+	known    map[string]Metric
+	times    map[string]*Times
+
+	Requests, Answered, Refused, FailedMayHaveRun, FailedRan     gometrics.Counter
+	CutAnswers, CallersGone                                      gometrics.Counter
+	Attempts, Retries, Hedges, Resumes, LateAnswers              gometrics.Counter
+	Duplicates, Reordered, Foreign, WrongAnswers, Chunks         gometrics.Counter
+	BodyBytes, Spilled, Replayed, ClaimsRecorded, ClaimsUnrecord gometrics.Counter
+	FirstByteTime, AnswerTime                                    *Times
+}
+
+// NewSet makes a registry with all metrics of the request path at zero.
+func NewSet() *Set {
+	s := &Set{registry: gometrics.NewRegistry(), known: map[string]Metric{}, times: map[string]*Times{}}
+	s.Requests = s.Counter(Requests)
+	s.Answered = s.Counter(Answered)
+	s.Refused = s.Counter(Refused)
+	s.FailedMayHaveRun = s.Counter(FailedMayHaveRun)
+	s.FailedRan = s.Counter(FailedRan)
+	s.CutAnswers = s.Counter(CutAnswers)
+	s.CallersGone = s.Counter(CallersGone)
+	s.Attempts = s.Counter(Attempts)
+	s.Retries = s.Counter(Retries)
+	s.Hedges = s.Counter(Hedges)
+	s.Resumes = s.Counter(Resumes)
+	s.LateAnswers = s.Counter(LateAnswers)
+	s.Duplicates = s.Counter(Duplicates)
+	s.Reordered = s.Counter(Reordered)
+	s.Foreign = s.Counter(Foreign)
+	s.WrongAnswers = s.Counter(WrongAnswers)
+	s.Chunks = s.Counter(Chunks)
+	s.BodyBytes = s.Counter(BodyBytes)
+	s.Spilled = s.Counter(Spilled)
+	s.Replayed = s.Counter(Replayed)
+	s.ClaimsRecorded = s.Counter(ClaimsRecorded)
+	s.ClaimsUnrecord = s.Counter(ClaimsUnrecorded)
+	s.FirstByteTime = s.Times(FirstByteTime)
+	s.AnswerTime = s.Times(AnswerTime)
+	return s
+}
+
+// Counter registers a counter, or returns the one registered by this name.
+func (s *Set) Counter(m Metric) gometrics.Counter {
+	s.describe(m)
+	return gometrics.GetOrRegisterCounter(m.Name, s.registry)
+}
+
+// Gauge registers a gauge that is read when the page is.
+func (s *Set) Gauge(m Metric, read func() int64) {
+	s.describe(m)
+	_ = s.registry.Register(m.Name, gometrics.NewFunctionalGauge(read))
+}
+
+// Times registers a histogram of times.
+func (s *Set) Times(m Metric) *Times {
+	s.describe(m)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, ok := s.times[m.Name]; ok {
+		return t
+	}
+	t := newTimes()
+	s.times[m.Name] = t
+	return t
+}
+
+func (s *Set) describe(m Metric) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known[m.Name] = m
+}
--- /dev/null
+++ b/pipeline/attempts.go
@@ -0,0 +1,243 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// retryLater is when to come back where a target refused and gave no time.
+const retryLater = time.Second
+
+// Attempts sends a request until an answer was passed on, or no further attempt
+// may or can be made.
+type Attempts struct {
+	deps    *Deps
+	view    func() *View
+	routing *Routing
+	ids     *ids
+	forward *Forward
+}
+
+// attempt is one sending.
+type attempt struct {
+	route    route.AttemptID
+	id       ports.AttemptID
+	decision route.Decision
+	target   *bundle.Target
+	query    *route.Request
+	tokens   int
+}
+
+// send makes one attempt and passes its answer on. It ends the attempt.
+type send func(x *Exchange, a *attempt) error
+
+// Model is the end of the path of model requests.
+func (f *Attempts) Model(x *Exchange) error { return f.run(x, f.sendModel) }
+
+// Plain is the end of the path of plain requests.
+func (f *Attempts) Plain(x *Exchange) error { return f.run(x, f.sendPlain) }
+
+func (f *Attempts) run(x *Exchange, s send) error {
+	ctx, cancel := context.WithDeadline(x.Ctx, x.Deadline)
+	defer cancel()
+	x.Ctx = ctx
+	if f.deps.Budget != nil {
+		f.deps.Budget.Deposit(f.deps.Now())
+	}
+	q := x.routeRequest()
+	q.Crossed = q.Crossed || f.deps.Forwarder == nil
+	for {
+		err, again := f.step(x, q, s)
+		if !again {
+			return f.explain(x, err)
+		}
+	}
+}
+
+// step follows one decision; again says that another one is to be made.
+func (f *Attempts) step(x *Exchange, q *route.Request, s send) (err error, again bool) {
+	if x.Ctx.Err() != nil {
+		return x.Ctx.Err(), false
+	}
+	a := &attempt{query: q}
+	a.route, a.id = f.ids.attempt()
+	a.decision = f.routing.Decide(a.route, q)
+	switch a.decision.Action {
+	case route.Send:
+		err = f.attempt(x, a, s)
+	case route.Spill:
+		err = f.forward.send(x, a.decision.Region)
+		q.Crossed = true
+	case route.Hold:
+		if !f.routing.Hold(x.Ctx, a.decision.DecideAgain) {
+			return &verdict.Error{Code: CodeOverloaded, Message: "too many requests wait here", RetryAfter: retryLater}, false
+		}
+		return nil, true
+	default:
+		return refusalBy(a.decision), false
+	}
+	return err, err != nil && f.again(x, q, asError(err))
+}
+
+// attempt follows a Send decision.
+func (f *Attempts) attempt(x *Exchange, a *attempt, s send) error {
+	q := a.query
+	q.Tried = append(q.Tried, a.decision.Target)
+	if err := f.mayStart(x, a); err != nil {
+		f.routing.Ended(route.End{Attempt: a.route, Outcome: route.Unreached, CachedTokens: -1})
+		return err
+	}
+	f.start(x, a)
+	err := s(x, a)
+	x.raise(verdictOf(err))
+	if x.claim != nil && x.Verdict.Safe() {
+		x.claim.unsent()
+	}
+	return err
+}
+
+// mayStart checks a decision against the bundle in force now, which may have
+// changed since the request came: a target that is leaving by then, or was
+// given another region, gets nothing new, whatever routing still believes.
+func (f *Attempts) mayStart(x *Exchange, a *attempt) error {
+	view := f.view()
+	t := view.Target(a.decision.Target)
+	if t == nil || t.State == bundle.TargetLeaving || t.Region != view.Region {
+		return refuse(CodeNoTarget, "the target takes no new work")
+	}
+	if x.claim != nil && !x.claim.sending() {
+		return &verdict.Error{Code: CodeNoTarget, Message: "the claim came too late for sending", RetryAfter: retryLater}
+	}
+	a.target = t
+	return nil
+}
+
+func (f *Attempts) start(x *Exchange, a *attempt) {
+	f.deps.Metrics.Attempts.Inc(1)
+	if f.deps.Suspects != nil {
+		f.deps.Suspects.Started(f.deps.Now(), a.id, a.target.ID, x.Digest)
+	}
+}
+
+// end records the end of an attempt.
+func (f *Attempts) end(x *Exchange, a *attempt, err error) {
+	f.routing.Ended(route.End{Attempt: a.route, Outcome: outcomeOf(x, err), OutputTokens: a.tokens, CachedTokens: -1})
+	if f.deps.Suspects != nil {
+		f.deps.Suspects.Ended(f.deps.Now(), a.id, crashed(x, err))
+	}
+}
+
+// crashed reports whether the target broke off by itself.
+func crashed(x *Exchange, err error) bool {
+	return err != nil && x.Ctx.Err() == nil && asError(err).Code == ports.CodeCut
+}
+
+func verdictOf(err error) verdict.Verdict {
+	if err == nil {
+		return verdict.Ran
+	}
+	return asError(err).Verdict
+}
+
+func outcomeOf(x *Exchange, err error) route.Outcome {
+	if err == nil {
+		return route.Succeeded
+	}
+	if x.Ctx.Err() != nil {
+		return route.Cancelled
+	}
+	switch asError(err).Code {
+	case CodeCallerGone:
+		return route.Cancelled
+	case ports.CodeUnreached:
+		return route.Unreached
+	case ports.CodeRejected:
+		return route.Rejected
+	case ports.CodeInvalid:
+		return route.Succeeded
+	}
+	return route.Failed
+}
+
+// again reports whether the request may be sent once more.
+func (f *Attempts) again(x *Exchange, q *route.Request, e *verdict.Error) bool {
+	x.raise(e.Verdict)
+	if x.headWritten || x.Ctx.Err() != nil || x.bodyUsed() {
+		return false
+	}
+	if !retryable(e.Code) || (x.Once && !x.Verdict.Safe()) {
+		return false
+	}
+	q.Attempt++
+	if q.Attempt >= max(1, x.View.Bundle.Rules.MaxAttempts) {
+		return false
+	}
+	if f.deps.Budget != nil && !f.deps.Budget.Withdraw(f.deps.Now()) {
+		return false
+	}
+	f.deps.Metrics.Retries.Inc(1)
+	return true
+}
+
+// retryable reports whether another target could do better.
+func retryable(c verdict.Code) bool {
+	switch c {
+	case ports.CodeInvalid, CodeCallerGone, CodeDeadline, CodeInternal:
+		return false
+	}
+	return true
+}
+
+// explain names the cause of an end that came by the context.
+func (f *Attempts) explain(x *Exchange, err error) error {
+	if err == nil {
+		return nil
+	}
+	ctxErr := x.Ctx.Err()
+	if ctxErr == nil {
+		return withRetryAfter(asError(err))
+	}
+	v := x.Verdict
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		v = v.Join(e.Verdict)
+	}
+	if errors.Is(ctxErr, context.DeadlineExceeded) {
+		return verdict.New(v, CodeDeadline, "the deadline passed before the answer's end")
+	}
+	return verdict.New(v, CodeCallerGone, "the caller left")
+}
+
+func withRetryAfter(e *verdict.Error) *verdict.Error {
+	if e.RetryAfter == 0 && StatusOf(e.Code) == statusUnavailable {
+		c := *e
+		c.RetryAfter = retryLater
+		return &c
+	}
+	return e
+}
+
+const statusUnavailable = 503
+
+var refusals = map[route.Reason]string{
+	route.ReasonUnknownService: "no target of an allowed region serves this",
+	route.ReasonNoTarget:       "no target can take work now",
+	route.ReasonDeadline:       "no target is predicted to finish in time",
+	route.ReasonOverload:       "shed in favour of other requests",
+	route.ReasonResidency:      "the allowed regions hold no target that serves this",
+}
+
+// refusalBy is the refusal that a decision gives.
+func refusalBy(d route.Decision) *verdict.Error {
+	code := verdict.Code(d.Reason)
+	if d.Reason == route.ReasonNone {
+		code = CodeOverloaded
+	}
+	return &verdict.Error{Code: code, Message: refusals[d.Reason], RetryAfter: d.RetryAfter}
+}
--- /dev/null
+++ b/pipeline/body.go
@@ -0,0 +1,122 @@
+package pipeline
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"os"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/metrics"
+)
+
+// firstRead is the room made for a body of unknown length.
+const firstRead = 4 << 10
+
+// ReadBody reads the whole body within a bound of size and time.
+type ReadBody struct {
+	bounds  Bounds
+	metrics *metrics.Set
+}
+
+// Serve fills x.Body.
+func (f *ReadBody) Serve(x *Exchange, next Handler) error {
+	if err := checkContentType(x.R); err != nil {
+		return err
+	}
+	if err := f.read(x); err != nil {
+		return err
+	}
+	return next(x)
+}
+
+// checkContentType takes JSON and nothing said.
+func checkContentType(r *http.Request) error {
+	given := r.Header.Get("Content-Type")
+	if given == "" || given == "application/json" {
+		return nil
+	}
+	kind, _, err := mime.ParseMediaType(given)
+	if err != nil || kind != "application/json" {
+		return refuse(CodeContentType, "the body must be application/json")
+	}
+	return nil
+}
+
+func (f *ReadBody) read(x *Exchange) error {
+	limit := f.bounds.BodyBytes
+	if x.R.ContentLength > limit {
+		x.W.Header().Set("Connection", "close")
+		return f.tooLarge()
+	}
+	c := http.NewResponseController(x.W)
+	if c.SetReadDeadline(x.Arrival.Add(f.bounds.BodyTime)) == nil {
+		defer func() { _ = c.SetReadDeadline(noDeadline) }()
+	}
+	body, err := readBounded(x.R.Body, x.R.ContentLength, limit)
+	if err != nil {
+		x.W.Header().Set("Connection", "close")
+		return f.readError(err)
+	}
+	x.Body = body
+	f.metrics.BodyBytes.Inc(int64(len(body)))
+	return nil
+}
+
+var errTooLarge = errors.New("body too large")
+
+func readBounded(r io.Reader, length, limit int64) ([]byte, error) {
+	room := int64(firstRead)
+	if length >= 0 {
+		room = length + 1
+	}
+	body := make([]byte, 0, room)
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if int64(len(body)) > limit {
+			return nil, errTooLarge
+		}
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (f *ReadBody) tooLarge() *verdict.Error {
+	return refuse(CodeBodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", f.bounds.BodyBytes))
+}
+
+func (f *ReadBody) readError(err error) *verdict.Error {
+	switch {
+	case errors.Is(err, errTooLarge):
+		return f.tooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(CodeBodyTruncated, fmt.Sprintf("the body did not come within %s", f.bounds.BodyTime))
+	}
+	return &verdict.Error{Code: CodeBodyTruncated, Message: "the body ended early", Err: err}
+}
+
+// ReadOnceBody reads the body of a plain request that runs at most once, so
+// that its resends can be told from other requests under the same key. Other
+// plain bodies are streamed.
+type ReadOnceBody struct{ body ReadBody }
+
+// Serve fills x.Body where the request runs at most once.
+func (f *ReadOnceBody) Serve(x *Exchange, next Handler) error {
+	if x.Once {
+		if err := f.body.read(x); err != nil {
+			return err
+		}
+	}
+	x.Digest = plainDigest(x)
+	return next(x)
+}
--- /dev/null
+++ b/pipeline/codes.go
@@ -0,0 +1,97 @@
+package pipeline
+
+import (
+	"net/http"
+
+	"github.com/gullhaven/gullhaven/coord/claim"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// Codes of refusals and failures on the request path.
+const (
+	CodeOverloaded                   = verdict.Code(route.ReasonOverload)
+	CodeHop             verdict.Code = "hop_not_allowed"
+	CodeLoop            verdict.Code = "loop"
+	CodeKey             verdict.Code = "wrong_key"
+	CodeHeader          verdict.Code = "wrong_header"
+	CodePriority        verdict.Code = "priority_not_allowed"
+	CodeResidency       verdict.Code = "wrong_region"
+	CodeServiceHeader   verdict.Code = "service_header_required"
+	CodeLimit           verdict.Code = "workspace_limit"
+	CodeBodyTooLarge    verdict.Code = "body_too_large"
+	CodeBodyTruncated   verdict.Code = "body_truncated"
+	CodeBodyMalformed   verdict.Code = "body_malformed"
+	CodeContentType     verdict.Code = "wrong_content_type"
+	CodeUnknownModel    verdict.Code = "unknown_model"
+	CodeUnknownService               = verdict.Code(route.ReasonUnknownService)
+	CodeSuspect         verdict.Code = "request_suspected"
+	CodeKeyRequired     verdict.Code = "idempotency_key_required"
+	CodeDeadline        verdict.Code = "deadline_exceeded"
+	CodeCallerGone      verdict.Code = "caller_gone"
+	CodeRunning         verdict.Code = "already_running"
+	CodeAlreadyRan      verdict.Code = "already_ran"
+	CodeNoTarget                     = verdict.Code(route.ReasonNoTarget)
+	CodeNotInForce      verdict.Code = "no_bundle"
+	CodeRegionUnreached verdict.Code = "region_unreached"
+	CodeInternal        verdict.Code = "internal"
+)
+
+// statuses maps codes to HTTP statuses; a code that is missing is a 502.
+var statuses = map[verdict.Code]int{
+	CodeHop:             http.StatusBadRequest,
+	CodeLoop:            http.StatusLoopDetected,
+	CodeKey:             http.StatusUnauthorized,
+	CodeHeader:          http.StatusBadRequest,
+	CodePriority:        http.StatusForbidden,
+	CodeResidency:       http.StatusMisdirectedRequest,
+	CodeServiceHeader:   http.StatusPreconditionRequired,
+	CodeLimit:           http.StatusTooManyRequests,
+	CodeBodyTooLarge:    http.StatusRequestEntityTooLarge,
+	CodeBodyTruncated:   http.StatusBadRequest,
+	CodeBodyMalformed:   http.StatusBadRequest,
+	CodeContentType:     http.StatusUnsupportedMediaType,
+	CodeUnknownModel:    http.StatusNotFound,
+	CodeSuspect:         http.StatusForbidden,
+	CodeKeyRequired:     http.StatusBadRequest,
+	CodeDeadline:        http.StatusGatewayTimeout,
+	CodeCallerGone:      statusCallerGone,
+	CodeRunning:         http.StatusConflict,
+	CodeAlreadyRan:      http.StatusConflict,
+	CodeNotInForce:      http.StatusServiceUnavailable,
+	CodeRegionUnreached: http.StatusBadGateway,
+	CodeInternal:        http.StatusInternalServerError,
+
+	claim.CodeUnavailable: http.StatusServiceUnavailable,
+	claim.CodeConflict:    http.StatusUnprocessableEntity,
+	claim.CodeMayHaveRun:  http.StatusConflict,
+	claim.CodeHeld:        http.StatusServiceUnavailable,
+	claim.CodeGivenUp:     http.StatusServiceUnavailable,
+
+	ports.CodeUnreached: http.StatusServiceUnavailable,
+	ports.CodeRejected:  http.StatusServiceUnavailable,
+	ports.CodeInvalid:   http.StatusBadRequest,
+
+	verdict.Code(route.ReasonUnknownService): http.StatusNotFound,
+	verdict.Code(route.ReasonNoTarget):       http.StatusServiceUnavailable,
+	verdict.Code(route.ReasonDeadline):       http.StatusServiceUnavailable,
+	verdict.Code(route.ReasonOverload):       http.StatusServiceUnavailable,
+	verdict.Code(route.ReasonResidency):      http.StatusMisdirectedRequest,
+}
+
+// statusCallerGone is never seen by its caller; it stands in counters.
+const statusCallerGone = 499
+
+// StatusOf returns the HTTP status that goes with a code.
+func StatusOf(c verdict.Code) int {
+	if s, ok := statuses[c]; ok {
+		return s
+	}
+	return http.StatusBadGateway
+}
+
+// refuse makes a refusal of a request that was not run.
+func refuse(c verdict.Code, message string) *verdict.Error {
+	return verdict.New(verdict.NotRun, c, message)
+}
--- /dev/null
+++ b/pipeline/finish.go
@@ -0,0 +1,135 @@
+package pipeline
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// Outcome is what an Observer is told of a request.
+type Outcome struct {
+	ID        string
+	Workspace string
+	// Service is empty if it was not found out.
+	Service string
+	Arrival time.Time
+	// FirstByte is the time from arrival to the first byte of the answer; 0 if
+	// there was none. Took is the time to the end.
+	FirstByte, Took time.Duration
+	// Chunks passed on.
+	Chunks  int
+	Verdict verdict.Verdict
+	// Code is empty for a whole answer.
+	Code verdict.Code
+	// Target is empty if nothing was sent; Region is where it was spilled to.
+	Target route.TargetID
+	Region string
+	// Kept says that the answer was whole and in time.
+	Kept bool
+}
+
+// Observer is told of each request's end. It must not block.
+type Observer interface {
+	Observe(o Outcome)
+}
+
+// Finish tells the caller a refusal, and counts each request's end.
+type Finish struct{ deps *Deps }
+
+// Serve runs the request and ends it.
+func (f *Finish) Serve(x *Exchange, next Handler) error {
+	f.deps.Metrics.Requests.Inc(1)
+	err := next(x)
+	if err == nil {
+		f.whole(x)
+		return nil
+	}
+	e := x.final(asError(err))
+	f.count(e)
+	f.observe(x, e)
+	f.tell(x, e)
+	return nil
+}
+
+// asError takes any error as one with a verdict. One without is a fault of
+// ours, and says nothing of what ran.
+func asError(err error) *verdict.Error {
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeInternal, Message: "internal error", Err: err}
+}
+
+func (f *Finish) tell(x *Exchange, e *verdict.Error) {
+	if !x.headWritten {
+		WriteRefusal(x.W, e)
+		return
+	}
+	f.deps.Metrics.CutAnswers.Inc(1)
+	if x.streamed() {
+		_, _ = x.W.Write(errorEvent(e))
+		_ = http.NewResponseController(x.W).Flush()
+		return
+	}
+	// An answer of known form that broke off can only be told from a whole one
+	// by a broken connection.
+	panic(http.ErrAbortHandler)
+}
+
+func (f *Finish) whole(x *Exchange) {
+	f.deps.Metrics.Answered.Inc(1)
+	if x.replayed {
+		f.deps.Metrics.Replayed.Inc(1)
+	}
+	f.observe(x, nil)
+}
+
+func (f *Finish) count(e *verdict.Error) {
+	m := f.deps.Metrics
+	switch {
+	case e.Code == CodeCallerGone:
+		m.CallersGone.Inc(1)
+	case e.Verdict == verdict.NotRun:
+		m.Refused.Inc(1)
+	case e.Verdict == verdict.MayHaveRun:
+		m.FailedMayHaveRun.Inc(1)
+	default:
+		m.FailedRan.Inc(1)
+	}
+}
+
+func (f *Finish) observe(x *Exchange, e *verdict.Error) {
+	now := f.deps.Now()
+	o := Outcome{
+		ID:      x.ID,
+		Arrival: x.Arrival,
+		Took:    now.Sub(x.Arrival),
+		Chunks:  x.chunks,
+		Verdict: verdict.Ran,
+		Target:  x.target,
+		Region:  x.region,
+	}
+	if !x.firstByte.IsZero() {
+		o.FirstByte = x.firstByte.Sub(x.Arrival)
+		f.deps.Metrics.FirstByteTime.Update(o.FirstByte)
+	}
+	if e != nil {
+		o.Verdict, o.Code = e.Verdict, e.Code
+	} else {
+		f.deps.Metrics.AnswerTime.Update(o.Took)
+	}
+	if x.Workspace != nil {
+		o.Workspace = x.Workspace.ID
+	}
+	if x.Service != nil {
+		o.Service = x.Service.ID
+	}
+	o.Kept = e == nil && !now.After(x.Deadline) && (x.FirstTokenBy.IsZero() || !x.firstByte.After(x.FirstTokenBy))
+	if f.deps.Observer != nil {
+		f.deps.Observer.Observe(o)
+	}
+}
--- /dev/null
+++ b/pipeline/identify.go
@@ -0,0 +1,21 @@
+package pipeline
+
+import "strings"
+
+const bearer = "Bearer "
+
+// Identify finds the workspace by its key.
+type Identify struct{}
+
+// Serve refuses a key that is missing or not known.
+func (*Identify) Serve(x *Exchange, next Handler) error {
+	given := x.R.Header.Get(HeaderAuthorization)
+	if len(given) <= len(bearer) || !strings.EqualFold(given[:len(bearer)], bearer) {
+		return refuse(CodeKey, "a workspace key is required: "+HeaderAuthorization+": Bearer KEY")
+	}
+	x.Workspace = x.View.Workspace(given[len(bearer):])
+	if x.Workspace == nil {
+		return refuse(CodeKey, "the workspace key is not known")
+	}
+	return next(x)
+}
--- /dev/null
+++ b/pipeline/limits.go
@@ -0,0 +1,49 @@
+package pipeline
+
+import (
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+// WorkspaceLimit takes one request of the workspace's share, before its body is
+// read. A request that another instance passed on was counted there.
+type WorkspaceLimit struct {
+	limits ports.Limits
+	now    func() time.Time
+}
+
+// Serve refuses a request beyond the share.
+func (f *WorkspaceLimit) Serve(x *Exchange, next Handler) error {
+	if err := take(f.limits, f.now, x, 1, 0); err != nil {
+		return err
+	}
+	return next(x)
+}
+
+// TokenLimit takes the tokens of prompt and answer, once they are known.
+type TokenLimit struct {
+	limits ports.Limits
+	now    func() time.Time
+}
+
+// Serve refuses a request beyond the share.
+func (f *TokenLimit) Serve(x *Exchange, next Handler) error {
+	tokens := x.Request.PromptTokens() + x.Request.OutputTokens()
+	if err := take(f.limits, f.now, x, 0, float64(tokens)); err != nil {
+		return err
+	}
+	return next(x)
+}
+
+func take(l ports.Limits, now func() time.Time, x *Exchange, requests, tokens float64) error {
+	if l == nil || x.Peer != "" {
+		return nil
+	}
+	a := l.Take(now(), x.Workspace.ID, requests, tokens)
+	if a.OK {
+		return nil
+	}
+	return &verdict.Error{Code: CodeLimit, Message: "the workspace's limit is used up", RetryAfter: a.RetryAfter}
+}
--- /dev/null
+++ b/pipeline/openai/messages.go
@@ -0,0 +1,78 @@
+package openai
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+type message struct {
+	Role    *string         `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type part struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+func (p *parser) messages(raw []byte) error {
+	p.hasPrompt = true
+	var list []message
+	if isNull(raw) || json.Unmarshal(raw, &list) != nil {
+		return wrong("messages", "is not an array of messages")
+	}
+	if len(list) == 0 {
+		return wrong("messages", "is empty")
+	}
+	if len(list) > MaxMessages {
+		return wrong("messages", "has more than %d entries", MaxMessages)
+	}
+	p.req.Prompt = make([]byte, 0, len(raw))
+	for i := range list {
+		if err := p.message(fmt.Sprintf("messages[%d]", i), &list[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *parser) message(field string, m *message) error {
+	if m.Role == nil || *m.Role == "" {
+		return wrong(field+".role", "is missing")
+	}
+	p.append(*m.Role)
+	return p.content(field+".content", m.Content)
+}
+
+func (p *parser) append(text string) {
+	p.req.Prompt = append(p.req.Prompt, text...)
+	p.req.Prompt = append(p.req.Prompt, 0)
+}
+
+// content takes a string, an array of parts, or null (a message that only
+// calls tools).
+func (p *parser) content(field string, raw []byte) error {
+	if len(raw) == 0 || isNull(raw) {
+		p.append("")
+		return nil
+	}
+	if raw[0] == '"' {
+		var text string
+		if json.Unmarshal(raw, &text) != nil {
+			return wrong(field, "is not a string")
+		}
+		p.append(text)
+		return nil
+	}
+	var parts []part
+	if json.Unmarshal(raw, &parts) != nil {
+		return wrong(field, "is not a string or an array of parts")
+	}
+	for i, x := range parts {
+		if x.Type == "" {
+			return wrong(fmt.Sprintf("%s[%d].type", field, i), "is missing")
+		}
+		p.append(x.Text)
+	}
+	return nil
+}
--- /dev/null
+++ b/pipeline/openai/parse.go
@@ -0,0 +1,224 @@
+// Package openai reads the parts of an OpenAI-form completion request that the
+// gateway decides on. The body itself goes to the engine unchanged.
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"unicode/utf8"
+)
+
+const (
+	// MaxMessages bounds the messages of one chat request.
+	MaxMessages = 4096
+	// DefaultMaxTokens is assumed where a request bounds its answer by nothing.
+	DefaultMaxTokens = 256
+	// BytesPerToken is the assumed mean length of a token.
+	BytesPerToken = 4
+)
+
+// Form is the form of a completion request.
+type Form uint8
+
+// Forms of requests.
+const (
+	Chat Form = iota
+	Text
+)
+
+// Request is what was read of a request.
+type Request struct {
+	// Model is the service and optionally an adapter, "service" or "service:adapter".
+	Model string
+	// Stream asks for server-sent events.
+	Stream bool
+	// MaxTokens bounds the answer; 0 if the request does not say.
+	MaxTokens int
+	// Prompt is the prompt's text; of a chat, roles and contents in order, each
+	// ended by a NUL so that different chats differ.
+	Prompt []byte
+}
+
+// PromptTokens estimates the prompt's length; at least 1.
+func (r *Request) PromptTokens() int { return max(1, len(r.Prompt)/BytesPerToken) }
+
+// OutputTokens estimates the answer's length.
+func (r *Request) OutputTokens() int {
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
+	}
+	return DefaultMaxTokens
+}
+
+// Error says which part of a request is wrong.
+type Error struct {
+	// Field is a JSON path; empty for the whole body.
+	Field string
+	// Problem is for people.
+	Problem string
+}
+
+// Error returns the field and the problem.
+func (e *Error) Error() string {
+	if e.Field == "" {
+		return e.Problem
+	}
+	return e.Field + ": " + e.Problem
+}
+
+func wrong(field, format string, args ...any) error {
+	return &Error{Field: field, Problem: fmt.Sprintf(format, args...)}
+}
+
+// Parse reads a request. Its error is an *Error.
+//
+// Keys are matched exactly and none may stand twice. Otherwise the gateway and
+// the engine could read different models or prompts out of the same body: a
+// request would be admitted as one thing and run as another. Fields that the
+// gateway does not decide on are left to the engine.
+func Parse(form Form, body []byte) (*Request, error) {
+	if !utf8.Valid(body) {
+		return nil, wrong("", "the body is not UTF-8")
+	}
+	p := parser{form: form, seen: make(map[string]struct{}, 8)}
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := p.object(d); err != nil {
+		return nil, err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return nil, wrong("", "more follows the JSON object")
+	}
+	return p.finish()
+}
+
+type parser struct {
+	form      Form
+	seen      map[string]struct{}
+	req       Request
+	hasPrompt bool
+	legacyMax int
+}
+
+func (p *parser) object(d *json.Decoder) error {
+	t, err := d.Token()
+	if err != nil {
+		return wrong("", "malformed JSON")
+	}
+	if t != json.Delim('{') {
+		return wrong("", "the body is not a JSON object")
+	}
+	for d.More() {
+		if err := p.member(d); err != nil {
+			return err
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		return wrong("", "malformed JSON")
+	}
+	return nil
+}
+
+func (p *parser) member(d *json.Decoder) error {
+	t, err := d.Token()
+	key, ok := t.(string)
+	if err != nil || !ok {
+		return wrong("", "malformed JSON")
+	}
+	if _, twice := p.seen[key]; twice {
+		return wrong(key, "stands twice")
+	}
+	p.seen[key] = struct{}{}
+	var raw json.RawMessage
+	if err := d.Decode(&raw); err != nil {
+		return wrong("", "malformed JSON")
+	}
+	return p.value(key, raw)
+}
+
+func (p *parser) value(key string, raw []byte) error {
+	switch key {
+	case "model":
+		return p.model(raw)
+	case "stream":
+		return decode(key, raw, &p.req.Stream, "a boolean")
+	case "max_tokens":
+		return tokens(key, raw, &p.legacyMax)
+	case "max_completion_tokens":
+		return tokens(key, raw, &p.req.MaxTokens)
+	case "messages":
+		if p.form == Chat {
+			return p.messages(raw)
+		}
+	case "prompt":
+		if p.form == Text {
+			return p.prompt(raw)
+		}
+	}
+	return nil
+}
+
+func (p *parser) model(raw []byte) error {
+	if err := decode("model", raw, &p.req.Model, "a string"); err != nil {
+		return err
+	}
+	if p.req.Model == "" {
+		return wrong("model", "is empty")
+	}
+	return nil
+}
+
+func (p *parser) prompt(raw []byte) error {
+	p.hasPrompt = true
+	var one string
+	if json.Unmarshal(raw, &one) == nil && raw[0] == '"' {
+		p.req.Prompt = []byte(one)
+		return nil
+	}
+	var many []string
+	if json.Unmarshal(raw, &many) != nil || len(many) != 1 {
+		return wrong("prompt", "is not a string or an array of one string")
+	}
+	p.req.Prompt = []byte(many[0])
+	return nil
+}
+
+func (p *parser) finish() (*Request, error) {
+	if p.req.Model == "" {
+		return nil, wrong("model", "is missing")
+	}
+	if !p.hasPrompt && p.form == Chat {
+		return nil, wrong("messages", "is missing")
+	}
+	if !p.hasPrompt {
+		return nil, wrong("prompt", "is missing")
+	}
+	if p.req.MaxTokens == 0 {
+		p.req.MaxTokens = p.legacyMax
+	}
+	return &p.req, nil
+}
+
+// decode reads a value whose null counts as wrong.
+func decode(field string, raw []byte, out any, want string) error {
+	if isNull(raw) || json.Unmarshal(raw, out) != nil {
+		return wrong(field, "is not %s", want)
+	}
+	return nil
+}
+
+func isNull(raw []byte) bool { return string(raw) == "null" }
+
+func tokens(field string, raw []byte, out *int) error {
+	if isNull(raw) {
+		return nil
+	}
+	var n int64
+	if json.Unmarshal(raw, &n) != nil || n < 1 || n > math.MaxInt32 {
+		return wrong(field, "is not a whole number from 1 on")
+	}
+	*out = int(n)
+	return nil
+}
--- /dev/null
+++ b/pipeline/relay.go
@@ -0,0 +1,135 @@
+package pipeline
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+// writeGrace is how long after the deadline a slow caller may still take the
+// end of its answer in. Without a bound such a caller would hold its target's
+// slot for as long as it likes.
+const writeGrace = time.Second
+
+// maxKeptEvent bounds the buffer kept for building events.
+const maxKeptEvent = 64 << 10
+
+// relay passes one answer on to the caller.
+type relay struct {
+	x       *Exchange
+	attempt *attempt
+	flush   func() error
+	// last is the number of the last chunk passed on.
+	last uint64
+	buf  []byte
+}
+
+func newRelay(x *Exchange, a *attempt) *relay {
+	return &relay{x: x, attempt: a, flush: http.NewResponseController(x.W).Flush}
+}
+
+// pass passes a stream on from its chunk first to its end mark.
+func (r *relay) pass(s ports.Stream, first ports.Chunk) error {
+	if !r.x.streamed() {
+		return r.passWhole(s, first)
+	}
+	for c := first; ; {
+		if err := r.chunk(c, !s.Buffered()); err != nil {
+			return err
+		}
+		next, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return r.end()
+		}
+		if err != nil {
+			return err
+		}
+		c = next
+	}
+}
+
+// passWhole writes nothing before the answer is known to be whole.
+func (r *relay) passWhole(s ports.Stream, c ports.Chunk) error {
+	if _, err := s.Next(); !errors.Is(err, io.EOF) {
+		return verdict.New(verdict.Ran, ports.CodeTarget, "more follows a whole answer")
+	}
+	h := r.x.W.Header()
+	h.Set("Content-Type", ports.ContentTypeJSON)
+	h.Set("Content-Length", strconv.Itoa(len(c.Data)))
+	r.head(http.StatusOK)
+	r.attempt.tokens = r.x.Request.OutputTokens()
+	return r.write(c.Data)
+}
+
+// head starts the answer to the caller.
+func (r *relay) head(status int) {
+	x := r.x
+	x.W.Header().Set(HeaderVerdict, verdict.Ran.String())
+	_ = http.NewResponseController(x.W).SetWriteDeadline(x.Deadline.Add(writeGrace))
+	x.headWritten = true
+	x.firstByte = time.Now()
+	x.W.WriteHeader(status)
+}
+
+func (r *relay) chunk(c ports.Chunk, flush bool) error {
+	if !r.x.headWritten {
+		h := r.x.W.Header()
+		h.Set("Content-Type", ports.ContentTypeEvents)
+		h.Set("Cache-Control", "no-cache")
+		r.head(http.StatusOK)
+	}
+	if err := r.event(c.Data); err != nil {
+		return err
+	}
+	r.last = c.Seq
+	r.x.chunks++
+	r.attempt.tokens++
+	if !flush {
+		return nil
+	}
+	return r.gone(r.flush())
+}
+
+// end writes the end mark.
+func (r *relay) end() error {
+	if err := r.event([]byte(ports.EndMark)); err != nil {
+		return err
+	}
+	return r.gone(r.flush())
+}
+
+// event writes data as one event; each of its lines is a field of its own.
+func (r *relay) event(data []byte) error {
+	b := r.buf[:0]
+	for len(data) > 0 {
+		line, rest, _ := bytes.Cut(data, []byte{'\n'})
+		b = append(b, "data: "...)
+		b = append(b, line...)
+		b = append(b, '\n')
+		data = rest
+	}
+	b = append(b, '\n')
+	if cap(b) <= maxKeptEvent {
+		r.buf = b
+	}
+	return r.write(b)
+}
+
+func (r *relay) write(b []byte) error {
+	_, err := r.x.W.Write(b)
+	return r.gone(err)
+}
+
+// gone takes a failed write as the caller having left.
+func (r *relay) gone(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &verdict.Error{Verdict: verdict.Ran, Code: CodeCallerGone, Message: "the caller left", Err: err}
+}
--- /dev/null
+++ b/pipeline/requestid.go
@@ -0,0 +1,53 @@
+package pipeline
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/gullhaven/gullhaven/coord/claim"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// maxIDBytes bounds a request id taken over from another instance.
+const maxIDBytes = 64
+
+// ids makes names that are unique over instances and restarts: each process
+// draws a random start.
+type ids struct {
+	start    string
+	requests atomic.Uint64
+	attempts atomic.Uint64
+}
+
+func newIDs(i claim.Instance) *ids {
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	return &ids{start: i.ID + "-" + hex.EncodeToString(b[:]) + "-"}
+}
+
+func (n *ids) request() (uint64, string) {
+	k := n.requests.Add(1)
+	return k, n.start + strconv.FormatUint(k, 36)
+}
+
+func (n *ids) attempt() (route.AttemptID, ports.AttemptID) {
+	k := n.attempts.Add(1)
+	return route.AttemptID(k), ports.AttemptID(n.start + "a" + strconv.FormatUint(k, 36))
+}
+
+// RequestID names the request. The name of another instance is kept, so that
+// one request has one name wherever it runs.
+type RequestID struct{ ids *ids }
+
+// Serve sets the id and tells it to the caller.
+func (f *RequestID) Serve(x *Exchange, next Handler) error {
+	x.Number, x.ID = f.ids.request()
+	if given := x.R.Header.Get(HeaderRequestID); x.Peer != "" && given != "" && len(given) <= maxIDBytes {
+		x.ID = given
+	}
+	x.W.Header().Set(HeaderRequestID, x.ID)
+	return next(x)
+}
--- /dev/null
+++ b/pipeline/residency.go
@@ -0,0 +1,124 @@
+package pipeline
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+// servicePath is where plain services stand: /services/{service}/{path...}.
+const servicePath = "/services/"
+
+// NameService finds the service that headers or path name.
+//
+// A model request names its service in the body. Where some model service may
+// not be touched in this region, the body can't be read to find out whether it
+// is that one, so the header is required there.
+type NameService struct{}
+
+// Serve sets x.Service where it is known before the body.
+func (*NameService) Serve(x *Exchange, next Handler) error {
+	if x.Kind == KindPlain {
+		return namePlain(x, next)
+	}
+	name := x.R.Header.Get(HeaderService)
+	if name == "" {
+		if x.View.boundModels {
+			return refuse(CodeServiceHeader, HeaderService+" is required in this region, since it may not read every service's requests")
+		}
+		return next(x)
+	}
+	s, _ := x.View.Model(name)
+	if s == nil || s.ID != name {
+		return refuse(CodeUnknownService, "no model service of this name: "+quoted(name))
+	}
+	x.Terms.Service = name
+	if err := x.setService(s); err != nil {
+		return err
+	}
+	return next(x)
+}
+
+func namePlain(x *Exchange, next Handler) error {
+	name, _, _ := strings.Cut(strings.TrimPrefix(x.R.URL.Path, servicePath), "/")
+	s := x.View.Service(name)
+	if s == nil || s.Kind != bundle.KindPlain {
+		return refuse(CodeUnknownService, "no plain service of this name: "+quoted(name))
+	}
+	x.Terms.Service = name
+	if err := x.setService(s); err != nil {
+		return err
+	}
+	return next(x)
+}
+
+// quoted bounds a caller's text that stands in a message.
+func quoted(s string) string { return `"` + s[:min(len(s), 64)] + `"` }
+
+// Residency refuses a request that this region may not touch, before its body
+// is read, and says where to go.
+type Residency struct{ directory ports.Directory }
+
+// Serve decides x.Regions from headers, workspace and, where known, service.
+func (f *Residency) Serve(x *Exchange, next Handler) error {
+	if err := bindRegions(x, f.directory); err != nil {
+		return err
+	}
+	return next(x)
+}
+
+func bindRegions(x *Exchange, directory ports.Directory) error {
+	lists := [][]string{x.Workspace.Residency, x.Terms.Residency}
+	if x.Service != nil {
+		lists = append(lists, x.Service.Residency)
+	}
+	regions, ok := intersect(lists)
+	if !ok {
+		return refuse(CodeHeader, "no region is allowed by the workspace, the service and "+HeaderResidency+" together")
+	}
+	x.Regions = regions
+	if mayTouch(regions, x.View.Region) {
+		return nil
+	}
+	return wrongRegion(x, directory)
+}
+
+// intersect returns the regions in all lists; an empty list allows any. It
+// reports false if none is left.
+func intersect(lists [][]string) ([]string, bool) {
+	var out []string
+	bound := false
+	for _, l := range lists {
+		switch {
+		case len(l) == 0:
+		case !bound:
+			out, bound = slices.Clone(l), true
+		default:
+			out = slices.DeleteFunc(out, func(r string) bool { return !slices.Contains(l, r) })
+		}
+	}
+	return out, !bound || len(out) > 0
+}
+
+// wrongRegion closes the connection after the refusal: net/http would else read
+// the rest of the body, which must not come in here.
+func wrongRegion(x *Exchange, directory ports.Directory) *verdict.Error {
+	h := x.W.Header()
+	h.Set("Connection", "close")
+	h.Set(HeaderRegions, strings.Join(x.Regions, ","))
+	message := "this region may not touch the request; send it to an instance of " + strings.Join(x.Regions, ", ")
+	if directory == nil {
+		return refuse(CodeResidency, message)
+	}
+	answer := directory.Lookup(ports.DirectoryQuery{Region: x.Regions[0], Caller: x.Workspace.ID})
+	for _, e := range answer.Entries {
+		if slices.Contains(x.Regions, e.Region) {
+			h.Set("Location", e.URL+x.R.URL.RequestURI())
+			break
+		}
+	}
+	return refuse(CodeResidency, message)
+}
--- /dev/null
+++ b/pipeline/rig_test.go
@@ -0,0 +1,292 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/claim"
+	"github.com/gullhaven/gullhaven/metrics"
+	"github.com/gullhaven/gullhaven/pipeline/openai"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/enginehttp"
+	"github.com/gullhaven/gullhaven/ports/plainhttp"
+	"github.com/gullhaven/gullhaven/ports/sending"
+	"github.com/gullhaven/gullhaven/route"
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+const (
+	testKey = "key-of-agents"
+	// boundKey belongs to a workspace that only the region bali may touch.
+	boundKey = "key-of-bound"
+)
+
+// rig is one instance of region jatim with stand-in targets on loopback.
+type rig struct {
+	t       testing.TB
+	deps    Deps
+	p       *Pipeline
+	url     string
+	engines []*standin.Engine
+	plain   *standin.Plain
+	claims  *memClaims
+	b       *bundle.Bundle
+}
+
+type rigOption func(*rig)
+
+func withEngines(n int, cfg standin.EngineConfig) rigOption {
+	return func(r *rig) {
+		r.engines = nil
+		for range n {
+			r.engines = append(r.engines, standin.NewEngine(cfg))
+		}
+	}
+}
+
+func withDeps(f func(*Deps)) rigOption { return func(r *rig) { f(&r.deps) } }
+
+func withBundle(f func(*bundle.Bundle)) rigOption { return func(r *rig) { f(r.b) } }
+
+func newRig(t testing.TB, options ...rigOption) *rig {
+	t.Helper()
+	transports := sending.NewTransports(sending.Options{})
+	t.Cleanup(transports.Close)
+	r := &rig{t: t, claims: newMemClaims(), b: testBundle()}
+	r.engines = []*standin.Engine{standin.NewEngine(standin.EngineConfig{ID: "e0"})}
+	r.plain = standin.NewPlain("booking-desk")
+	r.deps = Deps{
+		Instance: claim.Instance{ID: "malang-1", Incarnation: 1},
+		Region:   "jatim",
+		Zone:     "a",
+		Decider:  route.New(route.Config{Region: "jatim", Zone: "a", Instances: 1}, rand.New(rand.NewPCG(1, 2))),
+		Engines:  enginehttp.NewSet(transports),
+		Plains:   plainhttp.NewSet(transports),
+		Claims:   r.claims,
+		Metrics:  metrics.NewSet(),
+	}
+	for _, o := range options {
+		o(r)
+	}
+	r.serveTargets()
+	r.p = New(r.deps)
+	r.p.SetView(NewView(r.b, "", r.deps.Region))
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); r.p.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-stopped })
+	r.url = r.listen(r.handler())
+	return r
+}
+
+// serveTargets puts the stand-ins behind listeners and into the bundle.
+func (r *rig) serveTargets() {
+	for i, e := range r.engines {
+		r.addTarget("briefing-llm", fmt.Sprintf("runner-%d", i), r.listen(e))
+	}
+	r.addTarget("booking-desk", "desk-0", r.listen(r.plain))
+	r.addTarget("lookups", "lookup-0", r.listen(r.plain))
+}
+
+func (r *rig) listen(h http.Handler) string {
+	s := httptest.NewServer(h)
+	r.t.Cleanup(s.Close)
+	return s.URL
+}
+
+func (r *rig) addTarget(service, id, url string) {
+	r.b.Targets = append(r.b.Targets, bundle.Target{
+		ID: id, Service: service, Region: "jatim", Zone: "a",
+		State: bundle.TargetActive, Address: strings.TrimPrefix(url, "http://"), Slots: 64,
+		PrefillTokensPerSecond: 1e6, DecodeTokensPerSecond: 1e6, CostPerSecond: 1,
+	})
+}
+
+func (r *rig) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/chat/completions", r.p.Handler(KindChat))
+	mux.Handle("POST /v1/completions", r.p.Handler(KindText))
+	mux.Handle("/services/", r.p.Handler(KindPlain))
+	return mux
+}
+
+func testBundle() *bundle.Bundle {
+	return &bundle.Bundle{
+		Version: 1,
+		Regions: []bundle.Region{
+			{ID: "jatim", Zones: []string{"a"}, Neighbours: []bundle.Neighbour{{Region: "bali", OneWayMillis: 80, MaxShare: 1}}},
+			{ID: "bali", Zones: []string{"a"}},
+		},
+		Services: []bundle.Service{
+			{ID: "briefing-llm", Kind: bundle.KindModel, Adapters: []string{"pilots"}, DefaultDeadlineMillis: 30000},
+			{ID: "booking-desk", Kind: bundle.KindPlain, NonIdempotent: true, DefaultDeadlineMillis: 30000},
+			{ID: "lookups", Kind: bundle.KindPlain, DefaultDeadlineMillis: 30000},
+		},
+		Workspaces: []bundle.Workspace{
+			{ID: "agents", KeyHashes: []string{keyHash(testKey)}, Home: "jatim", MaxPriority: 7, Weight: 1},
+			{ID: "bound", KeyHashes: []string{keyHash(boundKey)}, Home: "bali", Residency: []string{"bali"}, Weight: 1},
+		},
+		Rules: bundle.Rules{MaxAttempts: 3, RetryBudget: 0.2, ClaimLifetimeSeconds: 3600},
+	}
+}
+
+func keyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// call is one request of a test.
+type call struct {
+	method, path, key, body string
+	header                  map[string]string
+}
+
+func (r *rig) do(c call) *http.Response {
+	r.t.Helper()
+	if c.method == "" {
+		c.method = http.MethodPost
+	}
+	if c.path == "" {
+		c.path = "/v1/chat/completions"
+	}
+	if c.key == "" {
+		c.key = testKey
+	}
+	req, err := http.NewRequest(c.method, r.url+c.path, strings.NewReader(c.body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	for k, v := range c.header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+// chat is the body of a chat request.
+func chat(prompt string, stream bool, tokens int) string {
+	body, _ := json.Marshal(map[string]any{
+		"model":      "briefing-llm",
+		"stream":     stream,
+		"max_tokens": tokens,
+		"messages":   []map[string]string{{"role": "user", "content": prompt}},
+	})
+	return string(body)
+}
+
+// answerTo is the whole answer that the stand-in gives to chat.
+func answerTo(prompt string, tokens int) string {
+	req, err := openai.Parse(openai.Chat, []byte(chat(prompt, true, tokens)))
+	if err != nil {
+		panic(err)
+	}
+	return standin.Answer(req.Prompt, tokens)
+}
+
+// streamed is what came of a streamed answer.
+type streamed struct {
+	text  string
+	ended bool
+	err   *RefusalDetail
+}
+
+func readStream(t testing.TB, body io.Reader) streamed {
+	t.Helper()
+	var out streamed
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	failed := false
+	for lines.Scan() {
+		line := lines.Text()
+		if line == "event: error" {
+			failed = true
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		switch {
+		case data == ports.EndMark:
+			out.ended = true
+		case failed:
+			var r Refusal
+			if err := json.Unmarshal([]byte(data), &r); err != nil {
+				t.Fatalf("error event %q: %v", data, err)
+			}
+			out.err = &r.Error
+		default:
+			text.WriteString(deltaOf(t, data))
+		}
+	}
+	out.text = text.String()
+	return out
+}
+
+func deltaOf(t testing.TB, data string) string {
+	var c struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) != 1 {
+		t.Fatalf("chunk %q: %v", data, err)
+	}
+	return c.Choices[0].Delta.Content
+}
+
+func readRefusal(t testing.TB, resp *http.Response) RefusalDetail {
+	t.Helper()
+	var r Refusal
+	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+		t.Fatalf("status %d: %v", resp.StatusCode, err)
+	}
+	if got := resp.Header.Get(HeaderVerdict); got != r.Error.Verdict.String() {
+		t.Fatalf("header says %q, body %q", got, r.Error.Verdict)
+	}
+	return r.Error
+}
+
+// memClaims is the table of claims without a log.
+type memClaims struct {
+	mu    sync.Mutex
+	table *claim.Table
+	err   error
+	// hook is called before each command.
+	hook func(home string, c claim.Command)
+}
+
+func newMemClaims() *memClaims { return &memClaims{table: claim.NewTable()} }
+
+// Propose applies a command at once.
+func (m *memClaims) Propose(_ context.Context, home string, c claim.Command) (claim.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hook != nil {
+		m.hook(home, c)
+	}
+	if m.err != nil {
+		return claim.Result{}, m.err
+	}
+	return m.table.Step(c), nil
+}
--- /dev/null
+++ b/pipeline/routing.go
@@ -0,0 +1,134 @@
+package pipeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// wakePerEnd is how many held requests decide again when an attempt ends.
+const wakePerEnd = 2
+
+// Routing steps a Decider under a lock, for the request path and for the host's
+// reports. A decision and the record of its sending are one step, so that two
+// requests can't both be sent on the same idle slot.
+type Routing struct {
+	mu      sync.Mutex
+	d       route.Decider
+	now     func() time.Time
+	maxHeld int
+	held    []chan struct{}
+}
+
+func newRouting(d route.Decider, now func() time.Time, maxHeld int) *Routing {
+	return &Routing{d: d, now: now, maxHeld: maxHeld}
+}
+
+// Decide asks for a decision; a Send is recorded under attempt a.
+func (r *Routing) Decide(a route.AttemptID, q *route.Request) route.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	d := r.d.Decide(now, q)
+	if d.Action == route.Send {
+		r.d.Sent(now, a, q, d)
+	}
+	return d
+}
+
+// FirstToken records an attempt's first token.
+func (r *Routing) FirstToken(a route.AttemptID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.FirstToken(r.now(), a)
+}
+
+// Ended records an attempt's end and lets held requests decide again.
+func (r *Routing) Ended(e route.End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.Ended(r.now(), e)
+	n := min(wakePerEnd, len(r.held))
+	for _, c := range r.held[:n] {
+		close(c)
+	}
+	r.held = r.held[n:]
+}
+
+// Hold waits until the time given, an attempt's end, or ctx's. It reports false
+// at once if too many are held.
+func (r *Routing) Hold(ctx context.Context, until time.Time) bool {
+	c := make(chan struct{})
+	r.mu.Lock()
+	if len(r.held) >= r.maxHeld {
+		r.mu.Unlock()
+		return false
+	}
+	r.held = append(r.held, c)
+	r.mu.Unlock()
+	t := time.NewTimer(until.Sub(r.now()))
+	defer t.Stop()
+	select {
+	case <-c:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	r.unhold(c)
+	return true
+}
+
+func (r *Routing) unhold(c chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.held {
+		if r.held[i] == c {
+			r.held = append(r.held[:i:i], r.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// SetTargets replaces the targets known.
+func (r *Routing) SetTargets(specs []route.TargetSpec) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.SetTargets(r.now(), specs)
+}
+
+// SetLinks replaces the neighbours known.
+func (r *Routing) SetLinks(links []route.Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.SetLinks(r.now(), links)
+}
+
+// Report takes a load report.
+func (r *Routing) Report(l route.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.Report(r.now(), l)
+}
+
+// CacheEvent takes a prefix cache event.
+func (r *Routing) CacheEvent(e route.CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.CacheEvent(r.now(), e)
+}
+
+// RegionSummary takes a neighbour's summary.
+func (r *Routing) RegionSummary(s route.RegionSummary) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.RegionSummary(r.now(), s)
+}
+
+// Summarise makes the summary of this region.
+func (r *Routing) Summarise() []route.RegionSummary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.d.Summarise(r.now())
+}
--- /dev/null
+++ b/pipeline/suspectcheck.go
@@ -0,0 +1,24 @@
+package pipeline
+
+import (
+	"time"
+
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+// SuspectCheck refuses requests that are known to take targets down.
+type SuspectCheck struct {
+	suspects ports.Suspects
+	now      func() time.Time
+}
+
+// Serve asks by digest, so that a resend under another id is recognised.
+func (f *SuspectCheck) Serve(x *Exchange, next Handler) error {
+	if f.suspects != nil {
+		x.Suspicion = f.suspects.Check(f.now(), x.Digest)
+	}
+	if x.Suspicion == ports.SuspectRefused {
+		return refuse(CodeSuspect, "this request was running at targets that broke down")
+	}
+	return next(x)
+}
--- /dev/null
+++ b/ports/enginehttp/client.go
@@ -0,0 +1,266 @@
+// Package enginehttp is the HTTP client of a model engine: completions in the
+// OpenAI form, and the engine's own paths for cancel, resume, load, cache
+// events, orders and KV cache.
+package enginehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/answer"
+	"github.com/gullhaven/gullhaven/ports/sending"
+)
+
+// Paths of an engine.
+const (
+	PathChat       = "/v1/chat/completions"
+	PathCompletion = "/v1/completions"
+	PathLoad       = "/load"
+	PathCache      = "/cache/events"
+	PathOrders     = "/orders"
+	PathKV         = "/kv/"
+)
+
+const (
+	// maxReportBytes bounds answers of the engine's own paths.
+	maxReportBytes = 4 << 20
+	// maxErrorBytes is how much of an error's body is kept for the message.
+	maxErrorBytes = 512
+)
+
+// Client talks to one engine. It is safe for concurrent use.
+type Client struct {
+	base       string
+	transports *sending.Transports
+	now        func() time.Time
+}
+
+// New makes a client for the engine at address (IP:port).
+func New(address string, t *sending.Transports) *Client {
+	return &Client{base: "http://" + address, transports: t, now: time.Now}
+}
+
+// Set makes and keeps one client for each address.
+type Set struct {
+	transports *sending.Transports
+	clients    sync.Map
+}
+
+// NewSet makes an empty set over the transports.
+func NewSet(t *sending.Transports) *Set { return &Set{transports: t} }
+
+// Engine returns the client for an address.
+func (s *Set) Engine(address string) ports.Engine {
+	if c, ok := s.clients.Load(address); ok {
+		return c.(*Client)
+	}
+	c, _ := s.clients.LoadOrStore(address, New(address, s.transports))
+	return c.(*Client)
+}
+
+// Complete sends a completion.
+func (c *Client) Complete(ctx context.Context, m ports.Completion) (ports.Stream, error) {
+	path := PathCompletion
+	if m.Chat {
+		path = PathChat
+	}
+	return c.open(ctx, m, path, fromStart)
+}
+
+// Resume takes up an answer after chunk after.
+func (c *Client) Resume(ctx context.Context, m ports.Completion, after uint64) (ports.Stream, error) {
+	return c.open(ctx, m, attemptPath(m.Attempt, "resume"), int64(after))
+}
+
+// fromStart stands for an answer that is not resumed.
+const fromStart = -1
+
+func attemptPath(a ports.AttemptID, verb string) string {
+	return PathCompletion + "/" + url.PathEscape(string(a)) + "/" + verb
+}
+
+func (c *Client) open(ctx context.Context, m ports.Completion, path string, after int64) (ports.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	req, err := c.completionRequest(ctx, m, path, after)
+	if err != nil {
+		cancel()
+		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "request not made", Err: err}
+	}
+	resp, err := c.transports.Do(req, m.Once)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		return nil, statusError(resp)
+	}
+	if got := resp.Header.Get(ports.HeaderAttempt); got != "" && got != string(m.Attempt) {
+		cancel()
+		resp.Body.Close()
+		return nil, verdict.New(verdict.MayHaveRun, ports.CodeWrongAnswer, "answer of another attempt")
+	}
+	if m.Stream {
+		return answer.NewStream(m.Attempt, uint64(max(0, after)), resp.Body, cancel), nil
+	}
+	return answer.NewWhole(resp.Body, cancel), nil
+}
+
+func (c *Client) completionRequest(ctx context.Context, m ports.Completion, path string, after int64) (*http.Request, error) {
+	body := m.Body
+	if after != fromStart {
+		body = nil
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	h := req.Header
+	h.Set("Content-Type", ports.ContentTypeJSON)
+	h.Set(ports.HeaderAttempt, string(m.Attempt))
+	h.Set(ports.HeaderPriority, strconv.Itoa(m.Priority))
+	if !m.Deadline.IsZero() {
+		left := max(1, m.Deadline.Sub(c.now()).Milliseconds())
+		h.Set(ports.HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	if after != fromStart {
+		h.Set(ports.HeaderLastEvent, string(m.Attempt)+":"+strconv.FormatInt(after, 10))
+	}
+	return req, nil
+}
+
+// statusError turns an answer other than 200 into an error. Only 429 and 4xx
+// say that the engine did not start; a 5xx can come from a run that broke.
+func statusError(resp *http.Response) error {
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	e := &verdict.Error{
+		Verdict: verdict.MayHaveRun,
+		Code:    ports.CodeTarget,
+		Message: fmt.Sprintf("target answered %d", resp.StatusCode),
+		Err:     errors.New(string(text)),
+	}
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests:
+		e.Verdict, e.Code = verdict.NotRun, ports.CodeRejected
+		e.RetryAfter = retryAfter(resp.Header)
+	case resp.StatusCode == http.StatusNotFound:
+		e.Verdict, e.Code = verdict.NotRun, ports.CodeUnknown
+	case resp.StatusCode >= 400 && resp.StatusCode < 500:
+		e.Verdict, e.Code = verdict.NotRun, ports.CodeInvalid
+	case resp.Header.Get(ports.HeaderVerdict) == verdict.NotRun.String():
+		e.Verdict, e.Code = verdict.NotRun, ports.CodeRejected
+	}
+	return e
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+// Cancel ends an attempt.
+func (c *Client) Cancel(ctx context.Context, a ports.AttemptID) error {
+	err := c.call(ctx, http.MethodPost, attemptPath(a, "cancel"), nil, nil)
+	var e *verdict.Error
+	if errors.As(err, &e) && e.Code == ports.CodeUnknown {
+		return nil
+	}
+	return err
+}
+
+// Load returns the load report.
+func (c *Client) Load(ctx context.Context) (ports.LoadReport, error) {
+	var r ports.LoadReport
+	return r, c.call(ctx, http.MethodGet, PathLoad, nil, &r)
+}
+
+// CacheEvents returns the events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]ports.CacheEvent, error) {
+	var events []ports.CacheEvent
+	path := PathCache + "?after=" + strconv.FormatUint(after, 10)
+	return events, c.call(ctx, http.MethodGet, path, nil, &events)
+}
+
+// Order gives an order, unless it has expired.
+func (c *Client) Order(ctx context.Context, o ports.Order) (ports.OrderResult, error) {
+	var r ports.OrderResult
+	if !o.Expires.IsZero() {
+		if !c.now().Before(o.Expires) {
+			return r, verdict.New(verdict.NotRun, ports.CodeExpired, "order expired before it was sent")
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, o.Expires)
+		defer cancel()
+	}
+	body, err := json.Marshal(o)
+	if err != nil {
+		return r, err
+	}
+	return r, c.call(ctx, http.MethodPost, PathOrders, bytes.NewReader(body), &r)
+}
+
+// ExportKV returns the KV cache of an attempt.
+func (c *Client) ExportKV(ctx context.Context, a ports.AttemptID) (io.ReadCloser, error) {
+	resp, err := c.send(ctx, http.MethodGet, PathKV+url.PathEscape(string(a)), nil)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Body, nil
+}
+
+// ImportKV takes a KV cache in.
+func (c *Client) ImportKV(ctx context.Context, a ports.AttemptID, kv io.Reader) error {
+	return c.call(ctx, http.MethodPut, PathKV+url.PathEscape(string(a)), kv, nil)
+}
+
+// call sends a request and reads the JSON answer into out, if out is not nil.
+func (c *Client) call(ctx context.Context, method, path string, body io.Reader, out any) error {
+	resp, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	limited := io.LimitReader(resp.Body, maxReportBytes)
+	if out == nil {
+		_, err = io.Copy(io.Discard, limited)
+		return err
+	}
+	if err := json.NewDecoder(limited).Decode(out); err != nil {
+		return &verdict.Error{Verdict: verdict.Ran, Code: ports.CodeTarget, Message: "malformed answer of " + path, Err: err}
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.transports.Do(req, method != http.MethodGet)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusPreconditionFailed {
+		resp.Body.Close()
+		return nil, verdict.New(verdict.NotRun, ports.CodeOldFence, "order with an old fencing number")
+	}
+	if resp.StatusCode >= 300 {
+		return nil, statusError(resp)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/ports/plainhttp/client.go
@@ -0,0 +1,67 @@
+// Package plainhttp is the HTTP client of a plain service's target.
+package plainhttp
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/sending"
+)
+
+// Client talks to one target. It is safe for concurrent use.
+type Client struct {
+	address    string
+	transports *sending.Transports
+}
+
+// New makes a client for the target at address (IP:port).
+func New(address string, t *sending.Transports) *Client {
+	return &Client{address: address, transports: t}
+}
+
+// Do sends a request.
+func (c *Client) Do(ctx context.Context, r ports.PlainRequest) (*ports.PlainAnswer, error) {
+	u, err := url.Parse("http://" + c.address + r.Path)
+	if err != nil {
+		return nil, &verdict.Error{Code: ports.CodeInvalid, Message: "malformed path", Err: err}
+	}
+	u.RawQuery = r.RawQuery
+	req, err := http.NewRequestWithContext(ctx, r.Method, u.String(), r.Body)
+	if err != nil {
+		return nil, &verdict.Error{Code: ports.CodeInvalid, Message: "malformed request", Err: err}
+	}
+	if r.Header != nil {
+		req.Header = r.Header
+	}
+	req.Header.Set(ports.HeaderAttempt, string(r.Attempt))
+	if r.Body != nil {
+		req.ContentLength = r.Length
+	}
+	resp, err := c.transports.Do(req, r.Once)
+	if err != nil {
+		return nil, err
+	}
+	return &ports.PlainAnswer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+}
+
+// Set makes and keeps one client for each address.
+type Set struct {
+	transports *sending.Transports
+	clients    sync.Map
+}
+
+// NewSet makes an empty set over the transports.
+func NewSet(t *sending.Transports) *Set { return &Set{transports: t} }
+
+// Plain returns the client for an address.
+func (s *Set) Plain(address string) ports.Plain {
+	if c, ok := s.clients.Load(address); ok {
+		return c.(*Client)
+	}
+	c, _ := s.clients.LoadOrStore(address, New(address, s.transports))
+	return c.(*Client)
+}
--- /dev/null
+++ b/ports/sequence.go
@@ -0,0 +1,115 @@
+package ports
+
+import (
+	"fmt"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+)
+
+// reorderWindow bounds how many chunks ahead of the next one are kept.
+const reorderWindow = 16
+
+// SequenceCounts tells what a Sequencer saw besides chunks in order.
+type SequenceCounts struct {
+	// Duplicates are chunks that were delivered before; dropped.
+	Duplicates uint64
+	// Reordered are chunks that came early and were kept until their turn.
+	Reordered uint64
+	// Foreign are chunks of another attempt; dropped.
+	Foreign uint64
+}
+
+// Add sums two counts.
+func (c SequenceCounts) Add(o SequenceCounts) SequenceCounts {
+	c.Duplicates += o.Duplicates
+	c.Reordered += o.Reordered
+	c.Foreign += o.Foreign
+	return c
+}
+
+// Sequencer puts the chunks of one attempt in order.
+//
+// An engine behind a retrying or multiplexing layer can give a chunk twice,
+// early, or to the wrong attempt. Passed on as they come, the caller would read
+// a garbled answer that looks whole. The Sequencer delivers each chunk of its
+// own attempt once and in order, or reports a gap.
+type Sequencer struct {
+	attempt AttemptID
+	next    uint64
+	held    map[uint64][]byte
+	counts  SequenceCounts
+}
+
+// NewSequencer makes a Sequencer that expects chunk after+1 of attempt a next.
+func NewSequencer(a AttemptID, after uint64) *Sequencer {
+	return &Sequencer{attempt: a, next: after + 1}
+}
+
+// Next is the number of the chunk to deliver next.
+func (s *Sequencer) Next() uint64 { return s.next }
+
+// Counts returns what was dropped or kept so far.
+func (s *Sequencer) Counts() SequenceCounts { return s.counts }
+
+// Take reports whether data is the chunk to deliver now. Data that came early
+// is copied and kept for Held. An error means a gap that was not filled in time.
+func (s *Sequencer) Take(attempt []byte, seq uint64, data []byte) (bool, error) {
+	if string(attempt) != string(s.attempt) {
+		s.counts.Foreign++
+		return false, nil
+	}
+	if seq < s.next {
+		s.counts.Duplicates++
+		return false, nil
+	}
+	if seq == s.next {
+		s.next++
+		return true, nil
+	}
+	return false, s.hold(seq, data)
+}
+
+// TakeNext takes an unnumbered chunk as the next one.
+func (s *Sequencer) TakeNext() bool {
+	s.next++
+	return true
+}
+
+func (s *Sequencer) hold(seq uint64, data []byte) error {
+	if _, ok := s.held[seq]; ok {
+		s.counts.Duplicates++
+		return nil
+	}
+	if len(s.held) >= reorderWindow {
+		return s.Gap()
+	}
+	if s.held == nil {
+		s.held = make(map[uint64][]byte)
+	}
+	s.held[seq] = append([]byte(nil), data...)
+	s.counts.Reordered++
+	return nil
+}
+
+// Held returns the next chunk if it came early.
+func (s *Sequencer) Held() ([]byte, bool) {
+	data, ok := s.held[s.next]
+	if !ok {
+		return nil, false
+	}
+	delete(s.held, s.next)
+	s.next++
+	return data, true
+}
+
+// Complete reports whether nothing is kept that was not delivered.
+func (s *Sequencer) Complete() bool { return len(s.held) == 0 }
+
+// Gap is the error for a missing chunk.
+func (s *Sequencer) Gap() *verdict.Error {
+	v := verdict.MayHaveRun
+	if s.next > 1 || len(s.held) > 0 {
+		v = verdict.Ran
+	}
+	return verdict.New(v, CodeGap, fmt.Sprintf("chunk %d of the answer is missing", s.next))
+}
--- /dev/null
+++ b/standin/orders.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+// orders is what orders made of an engine.
+type orders struct {
+	cfg      EngineConfig
+	mu       sync.Mutex
+	fence    uint64
+	taken    []ports.Order
+	until    time.Time
+	drain    bool
+	model    string
+	version  string
+	role     string
+	adapters []string
+}
+
+func newOrders(cfg EngineConfig) *orders { return &orders{cfg: cfg} }
+
+// Orders returns the orders taken, oldest first.
+func (e *Engine) Orders() []ports.Order {
+	e.orders.mu.Lock()
+	defer e.orders.mu.Unlock()
+	return slices.Clone(e.orders.taken)
+}
+
+func (o *orders) draining() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.drain
+}
+
+func (o *orders) fill(l *ports.LoadReport) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l.Model, l.Version, l.Role = o.model, o.version, o.role
+	l.Adapters = slices.Clone(o.adapters)
+	l.Draining = o.drain
+	l.Loading = l.At.Before(o.until)
+}
+
+func (o *orders) serve(w http.ResponseWriter, r *http.Request) {
+	var order ports.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	result, status := o.take(time.Now(), order)
+	if status != http.StatusOK {
+		http.Error(w, "order refused", status)
+		return
+	}
+	writeJSON(w, result)
+}
+
+// take obeys an order. An order sent again is answered by how far it is.
+func (o *orders) take(now time.Time, order ports.Order) (ports.OrderResult, int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.cfg.IgnoresFence && order.Fence < o.fence {
+		return ports.OrderResult{}, http.StatusPreconditionFailed
+	}
+	o.fence = max(o.fence, order.Fence)
+	again := slices.ContainsFunc(o.taken, func(t ports.Order) bool { return t.ID == order.ID })
+	if !again {
+		if !o.apply(now, order) {
+			return ports.OrderResult{}, http.StatusBadRequest
+		}
+		o.taken = append(o.taken, order)
+	}
+	return ports.OrderResult{Done: !now.Before(o.until), Fence: o.fence}, http.StatusOK
+}
+
+func (o *orders) apply(now time.Time, order ports.Order) bool {
+	switch order.Kind {
+	case ports.OrderLoadVersion:
+		o.model, o.version, o.adapters = order.Model, order.Version, nil
+		o.until = now.Add(o.cfg.LoadTime)
+	case ports.OrderLoadAdapter:
+		o.adapters = append(o.adapters, order.Adapter)
+		o.until = now.Add(o.cfg.LoadTime)
+	case ports.OrderRole:
+		o.role = order.Role
+	case ports.OrderDrain:
+		o.drain = true
+	case ports.OrderResume:
+		o.drain = false
+	default:
+		return false
+	}
+	return true
+}
