route: lose less trust at a gap, and count who overtakes

Cause: predicted hits were too low after gaps in the cache events; a low priority was promised a start while higher ones kept taking the targets. Change: a gap leaves 0.9 of the trust; waits grow by the part of the capacity that higher priorities take.

--- a/route/guard.go
+++ b/route/guard.go
@@ -65,8 +65,12 @@
 	s.greyAt = now
 	r.slow = r.slow[:0]
 	barred := 0
+	s.prefill = 0
 	for _, t := range s.list {
 		t.speed.fade(now)
+		if t.spec.State == Warm {
+			s.prefill += t.prefillRate()
+		}
 		if t.guard.state(now) != Healthy {
 			barred++
 		}
--- a/route/router.go
+++ b/route/router.go
@@ -118,7 +118,8 @@
 		r.snapshot.NewTokens = float64((len(q.Prefix) - known) * PrefixBlockTokens)
 	}
 	p := s.peers(&r.cfg)
-	ahead := s.ahead(priority(q))
+	ahead, above := s.shares(priority(q))
+	r.snapshot.Overtaken = s.overtaken(at, above, s.others(&r.cfg))
 	stale := r.cfg.ReportStale.Seconds()
 	cands := r.candidates[:0]
 	for _, t := range s.list {
--- a/route/scorer_queue.go
+++ b/route/scorer_queue.go
@@ -19,7 +19,7 @@
 			c.Score += c.FirstToken
 			continue
 		}
-		c.Wait = max(c.Pending/c.PrefillRate, slotWait(c, s.HoldTime))
+		c.Wait = max(c.Pending/c.PrefillRate, slotWait(c, s.HoldTime)) / (1 - s.Overtaken)
 		c.FirstToken = c.Wait + float64(q.PromptTokens)/c.PrefillRate
 		c.Finish = c.FirstToken + float64(q.OutputTokens)*c.TokenTime
 		c.Score += c.FirstToken
--- a/route/target.go
+++ b/route/target.go
@@ -11,7 +11,7 @@
 	// trustWeight is the weight of one observed hit in the trust in the prefix
 	// index, gapTrust what a gap in the cache events leaves of it.
 	trustWeight = 0.1
-	gapTrust    = 0.7
+	gapTrust    = 0.9
 	// priorities is the number of priorities, 0 to priorities-1.
 	priorities = 10
 )
@@ -97,6 +97,8 @@
 	arrivals, crossed, tokens rate
 	// byPriority are the tokens sent by priority, fading.
 	byPriority [priorities]float64
+	// prefill is the prefill rate of all targets that take work.
+	prefill float64
 	// greyAt is when grey targets were last looked for, in seconds.
 	greyAt float64
 	// floor is the credit of low priorities.
@@ -105,11 +107,16 @@
 	grant grant
 }
 
+// others is the estimated number of peer sendings for each own one.
+func (s *service) others(c *Config) float64 {
+	prior := float64(c.Instances - 1)
+	n := (s.reportedIn + peerPrior*float64(c.Instances)) / (s.ownIn + peerPrior)
+	return min(max(n-1, 0), 2*prior+1)
+}
+
 // peers estimates what the other instances do.
 func (s *service) peers(c *Config) peers {
-	prior := float64(c.Instances - 1)
-	others := (s.reportedIn + peerPrior*float64(c.Instances)) / (s.ownIn + peerPrior)
-	others = min(max(others-1, 0), 2*prior+1)
+	others := s.others(c)
 	even := others * (1 - c.PeerShare) * s.tokens.perSecond()
 	return peers{
 		follow: others * c.PeerShare,
@@ -117,20 +124,39 @@
 	}
 }
 
-// ahead is the part of queued tokens that an engine runs before or with a
-// request of priority p, judged by what was sent.
-func (s *service) ahead(p int) float64 {
-	var total, before float64
+// maxOvertaken bounds the part of the capacity that higher priorities are
+// believed to take.
+const maxOvertaken = 0.9
+
+// shares are the parts of the tokens sent that are of at least priority p, and
+// of more than p.
+func (s *service) shares(p int) (atLeast, above float64) {
+	var total float64
 	for i, v := range s.byPriority {
 		total += v
 		if i >= p {
-			before += v
+			atLeast += v
+		}
+		if i > p {
+			above += v
 		}
 	}
 	if total == 0 {
-		return 1
+		return 1, 0
+	}
+	return atLeast / total, above / total
+}
+
+// overtaken is the part of the service's prefill capacity that requests of more
+// priority take. They arrive while a request waits and go first, so that its
+// wait grows; without this a low priority is promised a start that it never
+// gets while the higher ones keep the targets busy.
+func (s *service) overtaken(at float64, above, others float64) float64 {
+	if s.prefill <= 0 {
+		return 0
 	}
-	return before / total
+	s.tokens.fade(at)
+	return min(maxOvertaken, s.tokens.perSecond()*(1+others)*above/s.prefill)
 }
 
 // count takes one decided request into the rates; retries do not count again.
