operate, cmd/gullhaven: the operators' command line

Cause: operators drive the system only by rolling bundles and by watching. Change: keygen, bundle check, sign, next, diff, digest, roll, settings check, status; a client that goes on to the next instance and sends the same bytes again; the form of the status.

--- /dev/null
+++ b/operate/cli/bundle_roll.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/operate"
+)
+
+var _ = Register(Command{
+	Path:  "bundle roll",
+	Short: "Roll a signed bundle and wait until it is in force everywhere",
+	Long: `Sends a signed bundle to an instance, to the next one after a failure, and then
+prints progress until it is in force in every region. The same bundle can be
+sent again at any time, to any instance, and gets the same answer.
+
+Exit code 0: accepted, and in force everywhere unless --no-wait. 1: refused, or
+accepted and not in force everywhere in time; the output says which. 3: no
+instance answered; send it again.
+
+Example: gullhaven bundle roll signed.json --to 127.0.0.1:7112 --to 127.0.0.1:7122`,
+	New: func(env *Env) flags.Commander { return &bundleRoll{env: env} },
+})
+
+const (
+	// rollRounds is how often all addresses are tried.
+	rollRounds = 5
+	// pollInterval is the time between two looks at the status.
+	pollInterval = 200 * time.Millisecond
+)
+
+// bundleRoll is the command `bundle roll`.
+type bundleRoll struct {
+	env *Env
+	connection
+	NoWait bool    `long:"no-wait" description:"end as soon as the bundle is accepted"`
+	Within float64 `long:"within" default:"60" value-name:"SECONDS" description:"how long to wait until it is in force everywhere"`
+	Args   struct {
+		File string `positional-arg-name:"FILE" description:"signed bundle"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute rolls one bundle.
+func (c *bundleRoll) Execute([]string) error {
+	signed, err := readChecked(c.Args.File)
+	if err != nil {
+		return err
+	}
+	data, err := bundle.EncodeSigned(signed)
+	if err != nil {
+		return err
+	}
+	client, err := c.client(c.env, rollRounds)
+	if err != nil {
+		return err
+	}
+	result, err := client.Roll(c.env.Context, data)
+	if err != nil {
+		return err
+	}
+	c.env.Printf("%s\n", result)
+	if !result.Accepted() {
+		return ErrRefused
+	}
+	if c.NoWait {
+		return nil
+	}
+	return c.wait(client, result.Version)
+}
+
+// wait prints which regions lag until none does. A region that is cut off can't
+// learn a bundle, so the wait is bounded.
+func (c *bundleRoll) wait(client *operate.Client, version uint64) error {
+	start := c.env.Now()
+	end := start.Add(time.Duration(c.Within * float64(time.Second)))
+	shown := ""
+	for {
+		status, err := client.Status(c.env.Context)
+		if err != nil {
+			return fmt.Errorf("version %d is accepted, but its progress is unknown: %w", version, err)
+		}
+		lagging := status.Lagging(version)
+		seconds := c.env.Now().Sub(start).Seconds()
+		if len(lagging) == 0 && len(status.Regions) > 0 {
+			c.env.Printf("in force in all %d regions after %.1f s\n", len(status.Regions), seconds)
+			return nil
+		}
+		if line := strings.Join(lagging, ", "); line != shown {
+			c.env.Progress("%.1f s: not yet in force in %s", seconds, line)
+			shown = line
+		}
+		if !c.env.Now().Before(end) {
+			c.env.Printf("accepted, but after %.1f s not in force in %s\n", seconds, shown)
+			return ErrRefused
+		}
+		if err := c.env.Sleep(c.env.Context, pollInterval); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/operate/cli/cli.go
@@ -0,0 +1,163 @@
+// Package cli is the operators' command line. Each command has a file of its
+// own that registers it, so that commands are added without touching others.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/gullhaven/gullhaven/operate"
+)
+
+// Exit codes.
+const (
+	// ExitOK is success.
+	ExitOK = 0
+	// ExitRefused is a refused bundle, a failed check or any other failure.
+	ExitRefused = 1
+	// ExitUsage is a wrong command line.
+	ExitUsage = 2
+	// ExitUnreachable means that no instance answered; whether it acted is unknown.
+	ExitUnreachable = 3
+)
+
+// ErrRefused ends a command that has told on standard output why it failed.
+var ErrRefused = errors.New("refused")
+
+// about is the end of the main help.
+const about = `Operators' command line of gullhaven.
+
+Exit codes: 0 success; 1 refused or failed; 2 wrong command line; 3 no instance
+answered, so that nothing is known about the outcome (sending the same bundle
+again is safe).`
+
+// Env is what commands use of the world.
+type Env struct {
+	Context context.Context
+	Out     io.Writer
+	Err     io.Writer
+	Now     func() time.Time
+	// Sleep waits, or ends early with the context's error.
+	Sleep func(context.Context, time.Duration) error
+}
+
+// Printf writes to standard output. A failed write is seen by whoever reads it.
+func (e *Env) Printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.Out, format, args...)
+}
+
+// Progress writes a line to standard error.
+func (e *Env) Progress(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.Err, format+"\n", args...)
+}
+
+// Command is one command.
+type Command struct {
+	// Path is the words that name it, such as "bundle check".
+	Path string
+	// Short is a line for lists; Long has an example.
+	Short, Long string
+	// New makes the options, whose Execute runs the command.
+	New func(*Env) flags.Commander
+}
+
+// groups are the first words of commands with two.
+var groups = map[string]string{
+	"bundle":   "Check, sign, compare and roll bundles",
+	"keygen":   "Make keys of operators and instances",
+	"settings": "Check settings of instances",
+	"report":   "Reports on the service",
+}
+
+// commands are all that were registered.
+var commands []Command
+
+// Register adds a command; each command's file calls it in a declaration
+// `var _ = Register(...)`.
+func Register(c Command) bool {
+	commands = append(commands, c)
+	return true
+}
+
+// Run runs a command line without the program's name and returns the exit code.
+func Run(env *Env, args []string) int {
+	parser, err := newParser(env)
+	if err != nil {
+		env.Progress("%v", err)
+		return ExitRefused
+	}
+	_, err = parser.ParseArgs(args)
+	return env.exit(err)
+}
+
+// newParser knows all commands, in the order of their names.
+func newParser(env *Env) (*flags.Parser, error) {
+	parser := flags.NewNamedParser("gullhaven", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = about
+	all := slices.Clone(commands)
+	slices.SortFunc(all, func(x, y Command) int { return strings.Compare(x.Path, y.Path) })
+	for _, c := range all {
+		if err := add(parser.Command, c, env); err != nil {
+			return nil, fmt.Errorf("command %q: %w", c.Path, err)
+		}
+	}
+	return parser, nil
+}
+
+// add puts a command under its group.
+func add(parent *flags.Command, c Command, env *Env) error {
+	name := c.Path
+	if group, rest, two := strings.Cut(c.Path, " "); two {
+		name = rest
+		found := parent.Find(group)
+		if found == nil {
+			var err error
+			if found, err = parent.AddCommand(group, groups[group], groups[group], &struct{}{}); err != nil {
+				return err
+			}
+		}
+		parent = found
+	}
+	_, err := parent.AddCommand(name, c.Short, c.Long, c.New(env))
+	return err
+}
+
+// exit tells people what went wrong and gives the code.
+func (e *Env) exit(err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		e.Printf("%s\n", usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		e.Progress("%s\nTry --help.", usage.Message)
+		return ExitUsage
+	case errors.Is(err, operate.ErrUnreachable):
+		e.Progress("%v", err)
+		return ExitUnreachable
+	case errors.Is(err, ErrRefused):
+		return ExitRefused
+	default:
+		e.Progress("%v", err)
+		return ExitRefused
+	}
+}
+
+// Paths of all commands, in the order of their names.
+func Paths() []string {
+	paths := make([]string, len(commands))
+	for i, c := range commands {
+		paths[i] = c.Path
+	}
+	slices.Sort(paths)
+	return paths
+}
--- /dev/null
+++ b/operate/cli/files.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/gullhaven/gullhaven/bundle"
+)
+
+// Modes of files.
+const (
+	publicMode  = 0o644
+	privateMode = 0o600
+	folderMode  = 0o755
+)
+
+// readBundle reads a bundle, signed or not; an unsigned one has no signatures.
+func readBundle(path string) (*bundle.Signed, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var form struct {
+		Bundle *json.RawMessage `json:"bundle"`
+	}
+	// A document that isn't an object is told about by Decode below.
+	_ = json.Unmarshal(data, &form)
+	if form.Bundle != nil {
+		signed, err := bundle.DecodeSigned(data)
+		return signed, inFile(path, err)
+	}
+	b, err := bundle.Decode(data)
+	if err != nil {
+		return nil, inFile(path, err)
+	}
+	return &bundle.Signed{Bundle: *b}, nil
+}
+
+// inFile names the file in an error.
+func inFile(path string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s:\n%w", path, err)
+}
+
+// writeFile replaces a file as a whole, so that a reader or a kill in between
+// never leaves half of it.
+func writeFile(path string, data []byte, mode os.FileMode) error {
+	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
+		return err
+	}
+	temporary, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+"-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(temporary.Name())
+	if err := fill(temporary, data, mode); err != nil {
+		return err
+	}
+	return os.Rename(temporary.Name(), path)
+}
+
+// fill writes, syncs and closes.
+func fill(file *os.File, data []byte, mode os.FileMode) error {
+	_, err := file.Write(data)
+	if err == nil {
+		err = file.Chmod(mode)
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	return err
+}
+
+// writeNew writes a file that must not exist: keys are never replaced.
+func writeNew(path string, data []byte, mode os.FileMode) error {
+	if _, err := os.Lstat(path); err == nil {
+		return fmt.Errorf("%s exists already; keys are not replaced", path)
+	}
+	return writeFile(path, data, mode)
+}
--- /dev/null
+++ b/operate/cli/status.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/gullhaven/gullhaven/operate"
+)
+
+var _ = Register(Command{
+	Path:  "status",
+	Short: "Show what is in force, who leads and how it is served",
+	Long: `Shows the bundle in force in each region and who is behind, leaders and leases,
+voters and their disks, instances, targets, cost, tail latency and the share
+sent away, as one instance knows them.
+
+Example: gullhaven status --to 127.0.0.1:7112 --watch`,
+	New: func(env *Env) flags.Commander { return &status{env: env} },
+})
+
+// clearScreen moves to the top of a terminal and clears it.
+const clearScreen = "\x1b[H\x1b[2J"
+
+// status is the command `status`.
+type status struct {
+	env *Env
+	connection
+	JSON  bool    `long:"json" description:"print JSON, one document a line"`
+	Watch bool    `long:"watch" description:"show again until interrupted"`
+	Every float64 `long:"every" default:"2" value-name:"SECONDS" description:"time between two looks with --watch"`
+}
+
+// Execute shows the status once or until interrupted. An instance that doesn't
+// answer for a while doesn't end the watch.
+func (c *status) Execute([]string) error {
+	client, err := c.client(c.env, 1)
+	if err != nil {
+		return err
+	}
+	for {
+		err := c.show(client)
+		if !c.Watch {
+			return err
+		}
+		if err != nil {
+			c.env.Progress("%v", err)
+		}
+		if c.env.Sleep(c.env.Context, time.Duration(c.Every*float64(time.Second))) != nil {
+			return nil
+		}
+	}
+}
+
+// show reads and prints once.
+func (c *status) show(client *operate.Client) error {
+	status, err := client.Status(c.env.Context)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(c.env.Out).Encode(status)
+	}
+	if c.Watch {
+		c.env.Printf(clearScreen)
+	}
+	printStatus(c.env.Out, status, c.env.Now())
+	return nil
+}
--- /dev/null
+++ b/operate/client.go
@@ -0,0 +1,149 @@
+package operate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gullhaven/gullhaven/bundle"
+)
+
+// ErrUnreachable marks that no address gave an answer. Whether a bundle was
+// accepted is unknown then; sending the same bytes again is safe.
+var ErrUnreachable = errors.New("no instance answered")
+
+// maxAnswer bounds an answer, in bytes.
+const maxAnswer = 64 << 20
+
+// Client talks to the operators' interface of any of several instances.
+type Client struct {
+	// Addresses are IP:port, tried in turn.
+	Addresses []string
+	// HTTP sends the requests; its timeout bounds each attempt.
+	HTTP *http.Client
+	// Rounds over all addresses before giving up; at least 1.
+	Rounds int
+	// Pause is the time between rounds.
+	Pause time.Duration
+	// Sleep waits, or ends early with the context's error.
+	Sleep func(context.Context, time.Duration) error
+	// Report learns of each failed attempt; nil reports nothing.
+	Report func(address string, err error)
+}
+
+// Sleep is the wall clock's Client.Sleep.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Roll sends a signed bundle. After a lost answer it sends the same bytes to
+// the next address; acceptance gives them the same answer as the first time.
+func (c *Client) Roll(ctx context.Context, signed []byte) (bundle.Result, error) {
+	var result bundle.Result
+	err := c.try(ctx, func(address string) error {
+		result = bundle.Result{}
+		err := c.call(ctx, http.MethodPost, address, BundlesPath, signed, &result)
+		if err == nil && result.Outcome == "" {
+			return fmt.Errorf("%s: the answer has no outcome", address)
+		}
+		return err
+	})
+	return result, err
+}
+
+// Status reads what one instance knows.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	status := new(Status)
+	err := c.try(ctx, func(address string) error {
+		*status = Status{}
+		return c.call(ctx, http.MethodGet, address, StatusPath, nil, status)
+	})
+	return status, err
+}
+
+// finalError is an answer that another instance would give as well.
+type finalError struct{ error }
+
+// try runs one call at each address in turn until one answers.
+func (c *Client) try(ctx context.Context, call func(address string) error) error {
+	var failures []error
+	for round := range max(c.Rounds, 1) {
+		if round > 0 {
+			if err := c.Sleep(ctx, c.Pause); err != nil {
+				return errors.Join(ErrUnreachable, err)
+			}
+			failures = nil
+		}
+		for _, address := range c.Addresses {
+			err := call(address)
+			var final finalError
+			if err == nil || errors.As(err, &final) {
+				return err
+			}
+			failures = append(failures, err)
+			if c.Report != nil {
+				c.Report(address, err)
+			}
+		}
+	}
+	return errors.Join(append([]error{ErrUnreachable}, failures...)...)
+}
+
+// call sends one request and decodes its answer.
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return finalError{err}
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%s: %w", address, err)
+	}
+	return answer(address, response.StatusCode, data, into)
+}
+
+// answer tells an answer from a failure that another instance may not have. A
+// refused bundle comes as 409 with its result.
+func answer(address string, status int, data []byte, into any) error {
+	switch {
+	case status == http.StatusOK || status == http.StatusConflict:
+		if err := json.Unmarshal(data, into); err != nil {
+			return fmt.Errorf("%s: answer: %w", address, err)
+		}
+		return nil
+	case status >= http.StatusInternalServerError || status == http.StatusTooManyRequests:
+		return fmt.Errorf("%s: status %d: %s", address, status, short(data))
+	default:
+		return finalError{fmt.Errorf("%s: status %d: %s", address, status, short(data))}
+	}
+}
+
+// short is the start of an answer, on one line.
+func short(data []byte) string {
+	const most = 300
+	if len(data) > most {
+		data = data[:most]
+	}
+	return strings.Join(strings.Fields(string(data)), " ")
+}
