--- /dev/null
+++ b/node/group/group.go
@@ -0,0 +1,235 @@
+// Package group gives every instance access to a replicated group that runs on
+// a few of them.
+//
+// A member hosts a replhost.Node; any instance proposes through a Client, which
+// finds the leader among the members. Proposals that may have been committed
+// are never sent to a second member: the error says so, and the caller's
+// command must be one that can be proposed again (see coord/claim and
+// bundle/acceptance, whose commands are).
+package group
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+)
+
+// CodeNoLeader: no member of the group was reached that leads it.
+const CodeNoLeader verdict.Code = "no_leader"
+
+const (
+	// servers is how many proposals of others a member takes in at once.
+	servers = 64
+	// maxHops bounds how often a proposal follows hints to the leader.
+	maxHops = 4
+)
+
+// MessageChannel is the link channel of a group's messages between members. It
+// belongs among the Urgent ones of the link.
+func MessageChannel(name string) string { return "group/" + name }
+
+func proposeChannel(name string) string { return "propose/" + name }
+
+// answer is the reply to a remote proposal.
+type answer struct {
+	Data    []byte          `cbor:"1,keyasint,omitempty"`
+	Verdict verdict.Verdict `cbor:"2,keyasint,omitempty"`
+	Code    verdict.Code    `cbor:"3,keyasint,omitempty"`
+	Message string          `cbor:"4,keyasint,omitempty"`
+	// Leader is who leads, as far as the member knows.
+	Leader string `cbor:"5,keyasint,omitempty"`
+}
+
+// transport sends a group's messages over the link.
+type transport struct {
+	hub     *link.Hub
+	channel string
+}
+
+// Send queues a message; a full queue loses it, which the log tolerates.
+func (t transport) Send(to string, payload []byte) { t.hub.Send(to, t.channel, payload) }
+
+// Options of a member.
+type Options struct {
+	// Name of the group, the same at all members, for example "global".
+	Name string
+	// Self is this instance's id; Members are the ids of the first voters.
+	Self    string
+	Members []string
+	// Dir is the folder of the log, used by this group alone.
+	Dir          string
+	Hub          *link.Hub
+	StateMachine replhost.StateMachine
+	// Prepare, if set, turns what a proposer sent into the log entry, at the
+	// leader. decided true means that data is the answer already.
+	Prepare func(ctx context.Context, node *replhost.Node, data []byte) (result []byte, decided bool, err error)
+	// HeartbeatInterval of the log; the default of replog if zero. Groups over
+	// several regions need one well above their round trip.
+	HeartbeatInterval, ElectionTimeout time.Duration
+}
+
+// Member is this instance's part in a group.
+type Member struct {
+	o    Options
+	Node *replhost.Node
+}
+
+// Open starts the member: it recovers its log and takes messages from the link.
+func Open(o Options) (*Member, error) {
+	node, err := replhost.Open(replhost.Options{
+		Core: replog.Options{
+			Self:              replog.Member{ID: o.Self},
+			Bootstrap:         &replog.Bootstrap{Voters: o.Members},
+			HeartbeatInterval: o.HeartbeatInterval,
+			ElectionTimeout:   o.ElectionTimeout,
+		},
+		Dir:          o.Dir,
+		Transport:    transport{hub: o.Hub, channel: MessageChannel(o.Name)},
+		StateMachine: o.StateMachine,
+		Repair:       true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	m := &Member{o: o, Node: node}
+	o.Hub.Handle(MessageChannel(o.Name), node.Receive)
+	o.Hub.Serve(proposeChannel(o.Name), servers, m.serve)
+	return m, nil
+}
+
+// Stop ends the member.
+func (m *Member) Stop() error { return m.Node.Stop() }
+
+// serve answers a remote proposal.
+func (m *Member) serve(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	data, err := m.propose(ctx, payload)
+	a := answer{Data: data}
+	if err != nil {
+		a = failure(err)
+	}
+	return cbor.Marshal(a)
+}
+
+// failure describes an error on the wire.
+func failure(err error) answer {
+	a := answer{Verdict: verdict.MayHaveRun, Code: "internal", Message: err.Error()}
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		a.Verdict, a.Code, a.Message = e.Verdict, e.Code, e.Message
+	}
+	var notLeader *replhost.NotLeaderError
+	if errors.As(err, &notLeader) {
+		a.Leader = notLeader.Leader
+	}
+	return a
+}
+
+// propose takes a proposal at this member, which must lead.
+func (m *Member) propose(ctx context.Context, data []byte) ([]byte, error) {
+	if m.o.Prepare == nil {
+		return m.Node.Propose(ctx, data)
+	}
+	entry, decided, err := m.o.Prepare(ctx, m.Node, data)
+	if err != nil || decided {
+		return entry, err
+	}
+	return m.Node.Propose(ctx, entry)
+}
+
+// Client proposes to a group from any instance.
+type Client struct {
+	name    string
+	members []string
+	hub     *link.Hub
+	local   *Member
+	last    atomic.Pointer[string]
+}
+
+// NewClient makes a client. local is nil at an instance that is no member.
+func NewClient(name string, members []string, hub *link.Hub, local *Member) *Client {
+	return &Client{name: name, members: members, hub: hub, local: local}
+}
+
+// Local returns this instance's member, or nil.
+func (c *Client) Local() *Member { return c.local }
+
+// Propose has data committed and returns the state machine's result. The error
+// is a *verdict.Error: NotRun if the proposal can't take effect.
+func (c *Client) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	asked := map[string]bool{}
+	next := c.first()
+	err := verdict.New(verdict.NotRun, CodeNoLeader, "no member of group "+c.name+" is known")
+	for range maxHops + len(c.members) {
+		if next == "" {
+			next = c.unasked(asked)
+		}
+		if next == "" || ctx.Err() != nil {
+			break
+		}
+		asked[next] = true
+		a := c.ask(ctx, next, data)
+		if a.Code == "" {
+			c.last.Store(&next)
+			return a.Data, nil
+		}
+		err = verdict.New(a.Verdict, a.Code, a.Message)
+		if a.Verdict != verdict.NotRun {
+			return nil, err
+		}
+		next = ""
+		if a.Leader != "" && !asked[a.Leader] {
+			next = a.Leader
+		}
+	}
+	c.last.Store(nil)
+	return nil, err
+}
+
+// first is the member that led last, else this instance.
+func (c *Client) first() string {
+	if last := c.last.Load(); last != nil {
+		return *last
+	}
+	if c.local != nil {
+		return c.local.o.Self
+	}
+	return ""
+}
+
+// unasked is the next member to try.
+func (c *Client) unasked(asked map[string]bool) string {
+	for _, id := range c.members {
+		if !asked[id] {
+			return id
+		}
+	}
+	return ""
+}
+
+// ask proposes at one member.
+func (c *Client) ask(ctx context.Context, id string, data []byte) answer {
+	if c.local != nil && id == c.local.o.Self {
+		result, err := c.local.propose(ctx, data)
+		if err != nil {
+			return failure(err)
+		}
+		return answer{Data: result}
+	}
+	reply, err := c.hub.Call(ctx, id, proposeChannel(c.name), data)
+	if err != nil {
+		return failure(err)
+	}
+	var a answer
+	if err := cbor.Unmarshal(reply, &a); err != nil {
+		return answer{Verdict: verdict.MayHaveRun, Code: "malformed_answer", Message: err.Error()}
+	}
+	return a
+}
