replog: test groups under faults

Cause: the core had no test. Change: a network in true time with loss, delay, repetition, reordering, stops that lose what was not synced (any leading part of a write may survive), lost disks, freezes with a clock read before them, cuts, drift up to the bound, transfers and configuration changes. God's-eye checks: one leader in a term, log matching, equal states, votes and commits counted by what each incarnation has synced, no overlap of leases in true time, no stale read, and that all acknowledged entries are there when the faults end.

--- /dev/null
+++ b/coord/replog/replog_test.go
@@ -0,0 +1,161 @@
+package replog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/coord/replog/confchange"
+)
+
+// disturb does one random thing to the group.
+func (s *sim) disturb(t *rapid.T) {
+	id := rapid.SampledFrom(s.ids).Draw(t, "host")
+	h := s.hosts[id]
+	switch rapid.SampledFrom([]string{
+		"crash", "crash leader", "freeze", "freeze leader", "cut", "cut one way", "heal", "wipe", "wipe leader", "transfer", "change", "quiet",
+	}).Draw(t, "fault") {
+	case "crash leader":
+		if l := s.leading(); l != nil {
+			s.crash(l.disk.self.ID)
+		}
+	case "crash":
+		s.crash(id)
+	case "freeze leader":
+		if l := s.leading(); l != nil {
+			s.freeze(l)
+		}
+	case "freeze":
+		s.freeze(h)
+	case "cut":
+		for _, o := range s.ids {
+			s.cut[[2]string{id, o}], s.cut[[2]string{o, id}] = true, true
+		}
+	case "cut one way":
+		for _, o := range s.ids {
+			s.cut[[2]string{id, o}] = true
+		}
+	case "heal":
+		clear(s.cut)
+	case "wipe leader":
+		if l := s.leading(); l != nil {
+			s.lose(l.disk.self.ID)
+		}
+	case "wipe":
+		s.lose(id)
+	case "transfer":
+		if l := s.leading(); l != nil {
+			l.leaseEnd = 0
+			_ = l.node.TransferLeader(s.local(l), id)
+		}
+	case "change":
+		s.change(rapid.SampledFrom([]confchange.Kind{confchange.AddLearner, confchange.Promote, confchange.Remove}).Draw(t, "kind"), id)
+	}
+}
+
+func (s *sim) freeze(h *host) {
+	if h.node != nil && h.thaw == 0 {
+		h.frozenAt = s.local(h)
+		h.thaw = s.now + time.Duration(s.rng.Int64N(int64(4*simElection)))
+	}
+}
+
+// lose wipes a disk where the group can bear it: all voters of the newest
+// committed configuration still have theirs, and there are three or more.
+func (s *sim) lose(id string) {
+	for _, v := range s.config.Voters {
+		if s.hosts[v.ID].disk.self != v {
+			return
+		}
+	}
+	if len(s.config.Voters) < 3 {
+		return
+	}
+	s.crash(id)
+	s.wipe(id)
+	s.start(id)
+	s.wiped++
+}
+
+func (s *sim) change(kind confchange.Kind, id string) {
+	l := s.leading()
+	if l == nil || (kind == confchange.Remove && len(s.config.Voters) < 4) {
+		return
+	}
+	_, _ = l.node.ProposeConfChange(s.local(l), ConfChange{Kind: kind, Member: s.hosts[id].disk.self})
+}
+
+// work proposes and reads at random nodes, and starts stopped hosts.
+func (s *sim) work() {
+	for _, id := range s.ids {
+		h := s.hosts[id]
+		switch {
+		case h.node == nil:
+			if s.rng.IntN(60) == 0 {
+				s.start(id)
+			}
+		case s.now < h.thaw:
+		case s.rng.IntN(6) == 0:
+			s.proposed++
+			_, _ = h.node.Propose(s.local(h), fmt.Appendf(nil, "%s-%d", id, s.proposed))
+		case s.rng.IntN(6) == 0:
+			read := s.rng.Uint64()
+			h.reads[read] = uint64(len(s.committed))
+			_ = h.node.ReadIndex(s.local(h), read)
+		}
+	}
+}
+
+// converge ends all faults and expects the group to serve again with all that
+// was acknowledged.
+func (s *sim) converge() {
+	clear(s.cut)
+	s.lossy = false
+	for _, id := range s.ids {
+		if s.hosts[id].node == nil {
+			s.start(id)
+		}
+	}
+	s.run(40*simElection, nil)
+	before := len(s.committed)
+	s.run(10*simElection, s.work)
+	s.run(5*simElection, nil)
+	if len(s.committed) <= before {
+		s.fail("nothing is committed after all faults ended: config %v", s.config)
+		return
+	}
+	for _, m := range s.config.Members() {
+		if h := s.hosts[m.ID]; h.disk.self != m || h.applied != uint64(len(s.committed)) {
+			s.fail("%v holds %d of %d entries as %v", m, h.applied, len(s.committed), h.disk.self)
+		}
+	}
+}
+
+// Symptom: two leaders, differing logs, a lost acknowledged entry, overlapping
+// leases, a stale read, an emptied voter that counts.
+// Events: loss, delay, repetition and reordering of messages, stops that lose
+// what was not synced, lost disks, frozen processes, cuts, clocks that drift
+// within the bound, transfers and changes of the configuration, in any order.
+// Cause: any rule of the log that is left out.
+func TestGroupUnderFaults(t *testing.T) {
+	var wiped, served, leases, changes, committed int
+	rapid.Check(t, func(t *rapid.T) {
+		voters := rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "voters")
+		learners := rapid.IntRange(0, 1).Draw(t, "learners")
+		s := newSim(rapid.Uint64().Draw(t, "seed"), voters, learners, t.Fatalf)
+		s.run(5*simElection, s.work)
+		for range rapid.IntRange(5, 40).Draw(t, "faults") {
+			s.disturb(t)
+			s.run(simElection*time.Duration(rapid.IntRange(0, 6).Draw(t, "pause"))/2, s.work)
+		}
+		s.converge()
+		wiped, served, leases = wiped+s.wiped, served+s.served, leases+s.leases
+		changes, committed = changes+s.changes, committed+len(s.committed)
+	})
+	t.Logf("%d entries, %d configurations, %d lost disks, %d reads, %d times a lease", committed, changes, wiped, served, leases)
+	if wiped == 0 || served == 0 || leases == 0 || changes == 0 {
+		t.Fatal("the runs did not reach what they are to check")
+	}
+}
--- /dev/null
+++ b/coord/replog/sim_test.go
@@ -0,0 +1,439 @@
+package replog
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gullhaven/gullhaven/coord/replog/quorum"
+)
+
+const (
+	simStep     = 5 * time.Millisecond
+	simElection = 200 * time.Millisecond
+	simDrift    = 0.1
+)
+
+// disk is what a node has synced. A lost disk is a new one.
+type disk struct {
+	self     Member
+	hs       HardState
+	snapshot *Snapshot
+	entries  []Entry
+}
+
+// holds reports whether the place is synced here.
+func (d *disk) holds(p Place) bool {
+	if d.snapshot != nil && p.Index <= d.snapshot.Index {
+		return true
+	}
+	i, ok := slices.BinarySearchFunc(d.entries, p.Index, func(e Entry, x uint64) int { return int(e.Index) - int(x) })
+	return ok && d.entries[i].Term == p.Term
+}
+
+func (d *disk) write(r Ready, parts int) {
+	if parts > 0 && r.HardState != nil {
+		d.hs = *r.HardState
+	}
+	if parts > 1 && r.Snapshot != nil {
+		d.snapshot, d.entries = r.Snapshot, nil
+	}
+	if parts > 2 && len(r.Entries) > 0 {
+		i, _ := slices.BinarySearchFunc(d.entries, r.Entries[0].Index, func(e Entry, x uint64) int { return int(e.Index) - int(x) })
+		d.entries = append(slices.Clip(d.entries[:i]), r.Entries...)
+	}
+}
+
+// host is one machine: its disk, its clock, and the node while it runs.
+type host struct {
+	disk     *disk
+	node     *Node
+	rate     float64
+	thaw     time.Duration
+	frozenAt time.Time
+	inbox    []Message
+	ready    *Ready
+	syncAt   time.Duration
+	applied  uint64
+	chain    uint64
+	reads    map[uint64]uint64
+	lastTerm uint64
+	leaseEnd time.Duration
+}
+
+type flight struct {
+	at  time.Duration
+	seq int
+	m   Message
+}
+
+type flights []flight
+
+func (f flights) Len() int { return len(f) }
+func (f flights) Less(i, j int) bool {
+	return f[i].at < f[j].at || (f[i].at == f[j].at && f[i].seq < f[j].seq)
+}
+func (f flights) Swap(i, j int) { f[i], f[j] = f[j], f[i] }
+func (f *flights) Push(x any)   { *f = append(*f, x.(flight)) }
+func (f *flights) Pop() any {
+	old := *f
+	x := old[len(old)-1]
+	*f = old[:len(old)-1]
+	return x
+}
+
+// groupTerm and groupPlace tell the groups apart that lost disks can leave
+// behind while a group forms. Committed entries are not told apart.
+type groupTerm struct{ group, term uint64 }
+
+type groupPlace struct {
+	group uint64
+	place Place
+}
+
+// sim runs hosts over a network in true time and sees all that they do.
+type sim struct {
+	fail  func(format string, args ...any)
+	rng   *rand.Rand
+	ids   []string
+	hosts map[string]*host
+	boot  Bootstrap
+	opts  Options
+	net   flights
+	seq   int
+	now   time.Duration
+	cut   map[[2]string]bool
+	lossy bool
+	sent  map[MessageKind]int
+
+	// What was ever seen, for the invariants.
+	disks     map[Member]*disk
+	leaders   map[groupTerm]Member
+	votes     map[Member]map[uint64]Member
+	entries   map[groupPlace]uint64
+	committed []Entry
+	chains    []uint64
+	config    Config
+	commit    uint64
+	proposed  int
+	served    int
+	wiped     int
+	leases    int
+	changes   int
+}
+
+func newSim(seed uint64, voters, learners int, fail func(string, ...any)) *sim {
+	s := &sim{
+		fail: fail, rng: rand.New(rand.NewPCG(seed, 7)), hosts: map[string]*host{}, cut: map[[2]string]bool{},
+		disks: map[Member]*disk{}, leaders: map[groupTerm]Member{}, votes: map[Member]map[uint64]Member{},
+		entries: map[groupPlace]uint64{}, chains: []uint64{0}, lossy: true, sent: map[MessageKind]int{},
+		opts: Options{HeartbeatInterval: simElection / 10, ElectionTimeout: simElection, MaxDrift: simDrift, MaxInflight: 4, MaxAppendBytes: 64},
+	}
+	for i := range voters + learners {
+		s.ids = append(s.ids, string(rune('a'+i)))
+	}
+	s.boot = Bootstrap{Voters: s.ids[:voters], Learners: s.ids[voters:]}
+	for _, id := range s.ids {
+		s.hosts[id] = &host{rate: 1 + simDrift*(2*s.rng.Float64()-1)}
+		s.wipe(id)
+		s.start(id)
+	}
+	return s
+}
+
+// wipe gives a stopped host an empty disk.
+func (s *sim) wipe(id string) {
+	d := &disk{self: Member{ID: id, Incarnation: s.rng.Uint64() | 1}}
+	s.disks[d.self] = d
+	s.hosts[id].disk = d
+}
+
+// local is the host's monotonic clock.
+func (s *sim) local(h *host) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(float64(s.now) * h.rate))
+}
+
+func (s *sim) start(id string) {
+	h := s.hosts[id]
+	o := s.opts
+	o.Self, o.Bootstrap, o.Seed = h.disk.self, &s.boot, s.rng.Uint64()
+	n, err := New(s.local(h), o, State{HardState: h.disk.hs, Snapshot: h.disk.snapshot, Entries: h.disk.entries})
+	if err != nil {
+		s.fail("start of %v: %v", h.disk.self, err)
+		return
+	}
+	h.node, h.inbox, h.ready, h.reads = n, nil, nil, map[uint64]uint64{}
+	h.applied, h.chain, h.thaw, h.lastTerm = 0, 0, 0, 0
+	if h.disk.snapshot != nil {
+		s.restore(h, h.disk.snapshot)
+	}
+}
+
+// crash stops a host; of an unsynced Ready any leading part reaches the disk.
+// Its lease ends with it.
+func (s *sim) crash(id string) {
+	h := s.hosts[id]
+	if h.ready != nil {
+		h.disk.write(*h.ready, s.rng.IntN(4))
+		s.checkDisk(h, *h.ready)
+	}
+	h.node, h.ready, h.leaseEnd = nil, nil, 0
+}
+
+func (s *sim) send(ms []Message) {
+	for _, m := range ms {
+		s.sent[m.Kind]++
+		copies := 1
+		if s.lossy && s.rng.IntN(20) == 0 {
+			copies = s.rng.IntN(3)
+		}
+		for range copies {
+			delay := time.Millisecond * time.Duration(1+s.rng.IntN(8))
+			if s.lossy && s.rng.IntN(30) == 0 {
+				delay = time.Duration(s.rng.Int64N(int64(5 * simElection)))
+			}
+			s.seq++
+			heap.Push(&s.net, flight{s.now + delay, s.seq, m})
+		}
+	}
+}
+
+// run lets true time pass; between is called at each step.
+func (s *sim) run(d time.Duration, between func()) {
+	for end := s.now + d; s.now < end; {
+		s.now += simStep
+		for len(s.net) > 0 && s.net[0].at <= s.now {
+			m := heap.Pop(&s.net).(flight).m
+			if h := s.hosts[m.To.ID]; h.node != nil && !s.cut[[2]string{m.From.ID, m.To.ID}] {
+				h.inbox = append(h.inbox, m)
+			}
+		}
+		for _, id := range s.ids {
+			s.drive(s.hosts[id])
+		}
+		if between != nil {
+			between()
+		}
+	}
+}
+
+// drive is one turn of a host's loop. A host that was frozen had read its clock
+// before it stopped and goes on with that.
+func (s *sim) drive(h *host) {
+	if h.node == nil || s.now < h.thaw {
+		return
+	}
+	now := s.local(h)
+	if h.thaw > 0 {
+		now, h.thaw = h.frozenAt, 0
+	}
+	for _, m := range h.inbox {
+		if err := h.node.Step(now, m); err != nil {
+			s.fail("step of %v: %v", m.Kind, err)
+		}
+		s.checkCommit(h)
+		now = s.local(h)
+	}
+	h.inbox = h.inbox[:0]
+	h.node.Tick(now)
+	if ch, ok := h.node.NextRepair(now, func(m Member) bool { return slices.Contains(s.boot.Voters, m.ID) }); ok {
+		if _, err := h.node.ProposeConfChange(now, ch); err != nil {
+			s.fail("repair %v: %v", ch, err)
+		}
+	}
+	s.checkLeader(h)
+	for range 4 {
+		if h.ready == nil {
+			s.take(h)
+		}
+		if h.ready == nil || s.now < h.syncAt {
+			return
+		}
+		s.finish(h)
+	}
+}
+
+// take begins a Ready: what may go at once goes, the sync takes a while.
+func (s *sim) take(h *host) {
+	if !h.node.HasReady() {
+		return
+	}
+	r := h.node.Ready()
+	if r.Empty() {
+		return
+	}
+	s.send(r.Immediate)
+	h.ready, h.syncAt = &r, s.now
+	if r.MustSync && s.lossy {
+		h.syncAt += time.Duration(s.rng.Int64N(int64(4 * simStep)))
+	}
+}
+
+func (s *sim) finish(h *host) {
+	r := *h.ready
+	h.ready = nil
+	h.disk.write(r, 3)
+	s.checkDisk(h, r)
+	s.send(r.Messages)
+	if r.Snapshot != nil {
+		s.restore(h, r.Snapshot)
+	}
+	for _, e := range r.Committed {
+		s.apply(h, e)
+	}
+	for _, rs := range r.ReadStates {
+		if want, ok := h.reads[rs.ID]; ok && rs.Index < want {
+			s.fail("stale read at %v: index %d, but %d was acknowledged before it began", h.disk.self, rs.Index, want)
+		}
+		delete(h.reads, rs.ID)
+		s.served++
+	}
+	h.node.Advance()
+	s.checkCommit(h)
+	if len(h.disk.entries) > 30 && h.node.Status().Applied == h.applied && h.applied > 0 {
+		s.compact(h)
+	}
+}
+
+func (s *sim) compact(h *host) {
+	snap, err := h.node.MakeSnapshot(h.applied, fmt.Appendf(nil, "%d", h.chain))
+	if err != nil {
+		return // The newest snapshot is this one already.
+	}
+	h.disk.snapshot = &snap
+	h.disk.entries = slices.DeleteFunc(slices.Clone(h.disk.entries), func(e Entry) bool { return e.Index+5 <= snap.Index })
+	if err := h.node.Compact(snap, 5); err != nil {
+		s.fail("compaction at %d: %v", snap.Index, err)
+	}
+}
+
+func (s *sim) restore(h *host, snap *Snapshot) {
+	h.applied, h.chain = snap.Index, 0
+	if _, err := fmt.Sscan(string(snap.Data), &h.chain); err != nil || s.chains[snap.Index] != h.chain {
+		s.fail("%v restored another state at %d (%v)", h.disk.self, snap.Index, err)
+	}
+}
+
+// apply checks that all state machines run through the same states.
+func (s *sim) apply(h *host, e Entry) {
+	if e.Index != h.applied+1 {
+		s.fail("%v applies %d after %d", h.disk.self, e.Index, h.applied)
+		return
+	}
+	h.applied = e.Index
+	h.chain = xxhash.Sum64(fmt.Appendf(nil, "%d %d %s %v", h.chain, e.Term, e.Data, e.Config))
+	if int(e.Index) < len(s.chains) {
+		if s.chains[e.Index] != h.chain {
+			s.fail("%v applied %q of term %d at %d, another node %q of term %d: an acknowledged entry is lost", h.disk.self,
+				e.Data, e.Term, e.Index, s.committed[e.Index-1].Data, s.committed[e.Index-1].Term)
+		}
+		return
+	}
+	s.chains = append(s.chains, h.chain)
+	s.committed = append(s.committed, e)
+	if e.Kind == EntryConfig {
+		s.config = *e.Config
+		s.changes++
+	}
+}
+
+// checkCommit checks, after each event, that what a leader has newly committed
+// is synced by a majority of members.
+func (s *sim) checkCommit(h *host) {
+	l := h.node.log
+	if h.node.role != Leader || l.commit <= s.commit {
+		return
+	}
+	s.commit = l.commit
+	term, _ := l.term(l.commit)
+	p := Place{term, l.commit}
+	s.checkMajority(l.config().config, h, fmt.Sprintf("commit of %+v", p), func(m Member) bool { return s.disks[m].holds(p) })
+}
+
+// checkMajority asks the disks, not the nodes: a member counts only by what
+// this very incarnation has synced.
+func (s *sim) checkMajority(conf Config, h *host, what string, has func(Member) bool) {
+	n := 0
+	for _, m := range conf.Voters {
+		if has(m) {
+			n++
+		}
+	}
+	if n < quorum.Size(len(conf.Voters)) {
+		s.fail("%s at %v without a majority of members of %v", what, h.disk.self, conf)
+	}
+}
+
+// checkDisk runs after each write: votes are never changed, and an entry of one
+// place is the same, behind the same entry, in all logs.
+func (s *sim) checkDisk(h *host, r Ready) {
+	if hs := h.disk.hs; hs.Vote != (Member{}) {
+		votes := s.votes[h.disk.self]
+		if votes == nil {
+			votes = map[uint64]Member{}
+			s.votes[h.disk.self] = votes
+		}
+		if old, ok := votes[hs.Term]; ok && old != hs.Vote {
+			s.fail("%v voted for %v and %v in term %d", h.disk.self, old, hs.Vote, hs.Term)
+		}
+		votes[hs.Term] = hs.Vote
+	}
+	for _, e := range r.Entries {
+		var prev Entry
+		if i, ok := slices.BinarySearchFunc(h.disk.entries, e.Index-1, func(e Entry, x uint64) int { return int(e.Index) - int(x) }); ok {
+			prev = h.disk.entries[i]
+		} else if e.Index > 1 {
+			continue
+		}
+		sum := xxhash.Sum64(fmt.Appendf(nil, "%d %d %s %v", prev.Term, e.Kind, e.Data, e.Config))
+		p := groupPlace{h.disk.hs.Group, Place{e.Term, e.Index}}
+		if old, ok := s.entries[p]; ok && old != sum {
+			s.fail("logs differ at or before %+v, seen at %v", p, h.disk.self)
+		}
+		s.entries[p] = sum
+	}
+}
+
+// checkLeader checks elections and leases.
+func (s *sim) checkLeader(h *host) {
+	st := h.node.Status()
+	if st.Role != Leader {
+		return
+	}
+	term := groupTerm{st.Group, st.Term}
+	if old, ok := s.leaders[term]; ok && old != st.Self {
+		s.fail("%v and %v lead in term %d", old, st.Self, st.Term)
+	}
+	s.leaders[term] = st.Self
+	if h.lastTerm != st.Term {
+		h.lastTerm = st.Term
+		s.checkMajority(st.Config, h, "election", func(m Member) bool { return m == st.Self || s.votes[m][st.Term] == st.Self })
+	}
+	until := h.node.LeaseUntil(s.local(h))
+	if until.IsZero() {
+		return
+	}
+	s.leases++
+	h.leaseEnd = time.Duration(float64(until.Sub(time.Unix(1000, 0))) / h.rate)
+	for id, o := range s.hosts {
+		if o != h && o.leaseEnd > s.now {
+			s.fail("%v has a lease of term %d at %v while %s holds one until %v", st.Self, st.Term, s.now, id, o.leaseEnd)
+		}
+	}
+}
+
+// leading returns a node that believes to lead, the newest term first.
+func (s *sim) leading() *host {
+	var best *host
+	for _, id := range s.ids {
+		h := s.hosts[id]
+		if h.node != nil && s.now >= h.thaw && h.node.role == Leader && (best == nil || h.node.hs.Term > best.node.hs.Term) {
+			best = h
+		}
+	}
+	return best
+}
