operate: take the operators' interface as api/design has it

Cause: the client had a form of its own for answers and status. Change: roll answers and refusals as in api/design; the status adds lease, voters, lagging instances and services as optional parts.

--- a/operate/cli/bundle_roll.go
+++ b/operate/cli/bundle_roll.go
@@ -62,10 +62,7 @@
 	if err != nil {
 		return err
 	}
-	c.env.Printf("%s\n", result)
-	if !result.Accepted() {
-		return ErrRefused
-	}
+	c.env.Printf("accepted as version %d, digest %s\n", result.Version, result.Digest)
 	if c.NoWait {
 		return nil
 	}
@@ -83,13 +80,13 @@
 		if err != nil {
 			return fmt.Errorf("version %d is accepted, but its progress is unknown: %w", version, err)
 		}
-		lagging := status.Lagging(version)
+		lacking := status.Lacking(version)
 		seconds := c.env.Now().Sub(start).Seconds()
-		if len(lagging) == 0 && len(status.Regions) > 0 {
+		if len(lacking) == 0 && len(status.Regions) > 0 {
 			c.env.Printf("in force in all %d regions after %.1f s\n", len(status.Regions), seconds)
 			return nil
 		}
-		if line := strings.Join(lagging, ", "); line != shown {
+		if line := strings.Join(lacking, ", "); line != shown {
 			c.env.Progress("%.1f s: not yet in force in %s", seconds, line)
 			shown = line
 		}
--- a/operate/cli/status.go
+++ b/operate/cli/status.go
@@ -65,6 +65,6 @@
 	if c.Watch {
 		c.env.Printf(clearScreen)
 	}
-	printStatus(c.env.Out, status, c.env.Now())
+	printStatus(c.env.Out, status)
 	return nil
 }
--- a/operate/cli/status_table.go
+++ b/operate/cli/status_table.go
@@ -34,40 +34,58 @@
 // end writes the table.
 func (t *table) end() { _ = t.writer.Flush() }
 
-// printStatus writes the tables of a status.
-func printStatus(out io.Writer, s *operate.Status, now time.Time) {
-	_, _ = fmt.Fprintf(out, "%s in %s at %s: bundle version %d, digest %s\n",
-		s.Instance, s.Region, s.Time.Format(time.RFC3339), s.Bundle.Version, s.Bundle.Digest)
-	_, _ = fmt.Fprintf(out, "leader: %s\n", leader(s.Leader))
-	printRegions(out, s, now)
-	printVoters(out, s)
+// printStatus writes the tables of a status; a part that the instance doesn't
+// report has no table.
+func printStatus(out io.Writer, s *operate.Status) {
+	_, _ = fmt.Fprintf(out, "%s in %s, %s (%s), up %s, %d requests under way\n", s.Instance, s.Region, s.Zone,
+		strings.Join(s.Roles, ", "), millisText(s.UptimeMillis), s.InFlight)
+	_, _ = fmt.Fprintf(out, "bundle: version %d, digest %s\n", s.Version, s.Digest)
+	_, _ = fmt.Fprintf(out, "leader: %s%s\n", orNone(s.Leader), lease(s.Lease))
+	printRegions(out, s)
+	if len(s.Voters) > 0 {
+		printVoters(out, s)
+	}
 	printInstances(out, s)
 	printTargets(out, s)
-	printServices(out, s)
+	if len(s.Services) > 0 {
+		printServices(out, s)
+	}
 }
 
-// leader is one line.
-func leader(l *operate.LeaderStatus) string {
+// lease is what is left of a leader's lease.
+func lease(l *operate.LeaseStatus) string {
 	if l == nil {
-		return "none known"
+		return ""
 	}
-	return fmt.Sprintf("%s, term %d, lease %d ms", l.Instance, l.Term, l.LeaseMillis)
+	return fmt.Sprintf(" (%s, term %d, lease %d ms)", l.Instance, l.Term, l.LeftMillis)
 }
 
-// printRegions says who is behind, and since when.
-func printRegions(out io.Writer, s *operate.Status, now time.Time) {
-	t := newTable(out, "REGIONS", "region", "version", "reachable", "leader", "behind")
+// printRegions says who is behind, and for how long.
+func printRegions(out io.Writer, s *operate.Status) {
+	t := newTable(out, "REGIONS", "region", "version", "state", "heard", "leader", "lagging")
 	for _, region := range s.Regions {
-		var behind []string
-		for _, b := range region.Behind {
-			age := now.Sub(b.Since).Truncate(time.Second)
-			behind = append(behind, fmt.Sprintf("%s on %d for %s", b.Instance, b.Version, age))
+		var lagging []string
+		for _, i := range region.Lagging {
+			lagging = append(lagging, fmt.Sprintf("%s on %d for %s", i.Instance, i.Version, millisText(i.ForMillis)))
 		}
-		t.row(region.Region, fmt.Sprint(region.Version), yes(region.Reachable), leader(region.Leader), list(behind))
+		t.row(region.Region, fmt.Sprint(region.Version), regionState(region), millisText(region.AgeMillis)+" ago",
+			orNone(lease(region.Lease)), orNone(strings.Join(lagging, "; ")))
 	}
 	t.end()
 }
 
+// regionState is one word or two.
+func regionState(r operate.RegionStatus) string {
+	switch {
+	case !r.Reachable:
+		return "cut off"
+	case r.Behind:
+		return "behind"
+	default:
+		return "in force"
+	}
+}
+
 func printVoters(out io.Writer, s *operate.Status) {
 	t := newTable(out, "VOTERS", "instance", "region", "state", "disk", "index")
 	for _, v := range s.Voters {
@@ -77,17 +95,17 @@
 }
 
 func printInstances(out io.Writer, s *operate.Status) {
-	t := newTable(out, "INSTANCES", "instance", "region", "zone", "state", "version")
+	t := newTable(out, "INSTANCES", "instance", "region", "zone", "state")
 	for _, i := range s.Instances {
-		t.row(i.Instance, i.Region, i.Zone, i.State, fmt.Sprint(i.Version))
+		t.row(i.ID, i.Region, i.Zone, i.State)
 	}
 	t.end()
 }
 
 func printTargets(out io.Writer, s *operate.Status) {
-	t := newTable(out, "TARGETS", "target", "service", "region", "zone", "state", "running", "waiting")
+	t := newTable(out, "TARGETS", "target", "service", "state", "running", "waiting", "heard")
 	for _, x := range s.Targets {
-		t.row(x.Target, x.Service, x.Region, x.Zone, x.State, fmt.Sprint(x.Running), fmt.Sprint(x.Waiting))
+		t.row(x.ID, x.Service, x.State, fmt.Sprint(x.Running), fmt.Sprint(x.Waiting), millisText(x.AgeMillis)+" ago")
 	}
 	t.end()
 }
@@ -106,16 +124,19 @@
 
 func millis(v float64) string { return fmt.Sprintf("%.1f", v) }
 
-func yes(v bool) string {
-	if v {
-		return "yes"
+// millisText is a time for people.
+func millisText(millis int64) string {
+	d := time.Duration(millis) * time.Millisecond
+	if d >= time.Minute {
+		d = d.Truncate(time.Second)
 	}
-	return "no"
+	return d.String()
 }
 
-func list(items []string) string {
-	if len(items) == 0 {
+// orNone stands for an empty cell.
+func orNone(text string) string {
+	if text == "" {
 		return "-"
 	}
-	return strings.Join(items, "; ")
+	return strings.TrimSpace(text)
 }
--- a/operate/status.go
+++ b/operate/status.go
@@ -4,66 +4,81 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/gullhaven/gullhaven/bundle"
 )
 
 // Paths of the operators' interface.
 const (
-	// BundlesPath takes a signed bundle by POST and answers with bundle.Result.
+	// BundlesPath takes a signed bundle by POST and answers with RollAnswer.
 	BundlesPath = "/operator/v1/bundles"
 	// StatusPath answers GET with Status.
 	StatusPath = "/operator/v1/status"
 )
 
-// Status is what one instance knows about the whole system.
+// Status is what one instance knows about the whole system, as api/design
+// describes it. Parts that an instance doesn't report are absent.
 type Status struct {
-	// Instance and Region that answer.
-	Instance string    `json:"instance"`
-	Region   string    `json:"region"`
-	Time     time.Time `json:"time"`
-	// Bundle in force at the instance that answers.
-	Bundle bundle.Identity `json:"bundle"`
+	// Instance, Region and Zone that answer, and the roles of that instance.
+	Instance string   `json:"instance"`
+	Region   string   `json:"region"`
+	Zone     string   `json:"zone"`
+	Roles    []string `json:"roles"`
+	// Version and Digest are in force at the instance that answers.
+	Version uint64        `json:"version"`
+	Digest  bundle.Digest `json:"digest"`
+	// Leader of the log, as far as is known; empty if not.
+	Leader string `json:"leader"`
+	// InFlight counts requests under way at the instance that answers.
+	InFlight int64 `json:"in_flight"`
+	// UptimeMillis is the time since its start.
+	UptimeMillis int64 `json:"uptime_ms"`
 	// Regions of the bundle, with what is in force in each.
-	Regions []RegionStatus `json:"regions"`
-	// Leader of the global group; absent while none is known.
-	Leader    *LeaderStatus    `json:"leader,omitempty"`
-	Voters    []VoterStatus    `json:"voters"`
-	Instances []InstanceStatus `json:"instances"`
+	Regions   []RegionStatus   `json:"regions"`
 	Targets   []TargetStatus   `json:"targets"`
-	Services  []ServiceStatus  `json:"services"`
+	Instances []InstanceStatus `json:"instances"`
+	// Lease of the leader of the log.
+	Lease    *LeaseStatus    `json:"lease,omitempty"`
+	Voters   []VoterStatus   `json:"voters,omitempty"`
+	Services []ServiceStatus `json:"services,omitempty"`
 }
 
 // RegionStatus is what is in force in a region.
 type RegionStatus struct {
 	Region string `json:"region"`
-	// Version that all reachable instances of the region have at least.
-	Version uint64 `json:"version"`
+	// Version that all its reachable instances have at least.
+	Version uint64        `json:"version"`
+	Digest  bundle.Digest `json:"digest"`
 	// Reachable is false while the region is cut off from the one that answers;
 	// Version is then the last that was heard.
 	Reachable bool `json:"reachable"`
-	// Behind lists instances that lack the bundle in force.
-	Behind []BehindStatus `json:"behind,omitempty"`
-	// Leader gives the orders to the region's targets; absent while there is none.
-	Leader *LeaderStatus `json:"leader,omitempty"`
+	// Behind is true where the region lacks the accepted version, or where
+	// nobody knows.
+	Behind bool `json:"behind"`
+	// AgeMillis is the age of what is told of the region.
+	AgeMillis int64 `json:"age_ms"`
+	// Lagging lists instances that lack the accepted version.
+	Lagging []LaggingInstance `json:"lagging,omitempty"`
+	// Lease of the leader that gives the orders to the region's targets.
+	Lease *LeaseStatus `json:"lease,omitempty"`
 }
 
-// BehindStatus is an instance that lacks the bundle in force.
-type BehindStatus struct {
-	Instance string    `json:"instance"`
-	Version  uint64    `json:"version"`
-	Since    time.Time `json:"since"`
+// LaggingInstance lacks the accepted version.
+type LaggingInstance struct {
+	Instance string `json:"instance"`
+	Version  uint64 `json:"version"`
+	// ForMillis is how long it has been behind.
+	ForMillis int64 `json:"for_ms"`
 }
 
-// LeaderStatus is a leader with its lease.
-type LeaderStatus struct {
+// LeaseStatus is a leader with its lease.
+type LeaseStatus struct {
 	Instance string `json:"instance"`
 	// Term of the global leader, or the fencing number of a region's.
 	Term uint64 `json:"term"`
-	// LeaseMillis is what is left of the lease, on the clock of the instance
+	// LeftMillis is what is left of the lease, on the clock of the instance
 	// that answers.
-	LeaseMillis int64 `json:"lease_ms"`
+	LeftMillis int64 `json:"left_ms"`
 }
 
 // VoterStatus is a voter of the global group.
@@ -80,25 +95,24 @@
 
 // InstanceStatus is one instance.
 type InstanceStatus struct {
-	Instance string `json:"instance"`
-	Region   string `json:"region"`
-	Zone     string `json:"zone"`
+	ID     string `json:"id"`
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
 	// State is alive, suspect, leaving or dead.
-	State   string `json:"state"`
-	Version uint64 `json:"version"`
+	State string `json:"state"`
 }
 
 // TargetStatus is one target.
 type TargetStatus struct {
-	Target  string `json:"target"`
+	ID      string `json:"id"`
 	Service string `json:"service"`
-	Region  string `json:"region"`
-	Zone    string `json:"zone"`
-	// State is loading, warm, leaving, suspect or lost.
+	// State is warm, loading, leaving, suspect or down.
 	State string `json:"state"`
 	// Running and Waiting count requests, by the target's last report.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// AgeMillis is the age of that report.
+	AgeMillis int64 `json:"age_ms"`
 }
 
 // ServiceStatus is how one service is served for one home region.
@@ -125,15 +139,15 @@
 	P999 float64 `json:"p99_9"`
 }
 
-// Lagging lists the regions in which a version is not in force yet. A region
+// Lacking lists the regions in which a version is not in force yet. A region
 // that is cut off counts: nobody knows what it runs.
-func (s *Status) Lagging(version uint64) []string {
-	var lagging []string
+func (s *Status) Lacking(version uint64) []string {
+	var lacking []string
 	for _, region := range s.Regions {
-		behind := func(b BehindStatus) bool { return b.Version < version }
-		if !region.Reachable || region.Version < version || slices.ContainsFunc(region.Behind, behind) {
-			lagging = append(lagging, region.Region)
+		behind := func(i LaggingInstance) bool { return i.Version < version }
+		if !region.Reachable || region.Version < version || slices.ContainsFunc(region.Lagging, behind) {
+			lacking = append(lacking, region.Region)
 		}
 	}
-	return lagging
+	return lacking
 }
