Describe the interface with goa and serve it

Cause: callers and operators need one described interface. Change: api/design and its committed output; package api mounts goa's server, with the request path as the handler of the two completion methods, plain services beside goa's mux, and every refusal, goa's own included, in one form. Conclusion: the operators' side waits for its implementation behind api.Operator.

--- /dev/null
+++ b/api/callers.go
@@ -0,0 +1,102 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/gullhaven/gullhaven/api/gen/callers"
+	"github.com/gullhaven/gullhaven/api/gen/health"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+// errMounted is returned by methods whose handler is the request path.
+var errMounted = errors.New("served by the request path")
+
+// callersService answers callers.
+type callersService struct{ d Deps }
+
+// ChatCompletions is never called, see New.
+func (s *callersService) ChatCompletions(context.Context, *callers.ChatCompletionsPayload, io.ReadCloser) (*callers.CompletionAnswer, io.ReadCloser, error) {
+	return nil, nil, errMounted
+}
+
+// Completions is never called, see New.
+func (s *callersService) Completions(context.Context, *callers.CompletionsPayload, io.ReadCloser) (*callers.CompletionAnswer, io.ReadCloser, error) {
+	return nil, nil, errMounted
+}
+
+// Models lists what a request may name as its model.
+func (s *callersService) Models(context.Context) (*callers.ModelList, error) {
+	list := &callers.ModelList{Object: "list", Data: []*callers.Model{}}
+	v := s.d.Pipeline.View()
+	if v == nil {
+		return list, nil
+	}
+	for _, name := range v.Models() {
+		list.Data = append(list.Data, &callers.Model{ID: name, Object: "model", OwnedBy: "gullhaven"})
+	}
+	return list, nil
+}
+
+// Directory tells which instances to use.
+func (s *callersService) Directory(_ context.Context, p *callers.DirectoryPayload) (*callers.DirectoryAnswer, error) {
+	q := ports.DirectoryQuery{Zone: orEmpty(p.Zone), Region: orEmpty(p.Region), Caller: orEmpty(p.Caller)}
+	a := s.d.Directory.Lookup(q)
+	out := &callers.DirectoryAnswer{
+		Instances:    []*callers.DirectoryEntry{},
+		TTLMs:        a.TTL.Milliseconds(),
+		CacheControl: fmt.Sprintf("max-age=%d", int(a.TTL.Seconds())),
+	}
+	for _, e := range a.Entries {
+		out.Instances = append(out.Instances, &callers.DirectoryEntry{
+			Instance: e.Instance,
+			URL:      e.URL,
+			Region:   e.Region,
+			Zone:     e.Zone,
+			Weight:   e.Weight,
+		})
+	}
+	return out, nil
+}
+
+func orEmpty(s *string) string {
+	if s == nil {
+		return ""
+	}
+	return *s
+}
+
+// healthService answers supervisors and scrapers.
+type healthService struct{ d Deps }
+
+// Live says that the process runs.
+func (s *healthService) Live(context.Context) error { return nil }
+
+// Ready says whether the instance takes requests.
+func (s *healthService) Ready(context.Context) error {
+	if s.d.Ready == nil {
+		return nil
+	}
+	err := s.d.Ready()
+	if err == nil {
+		return nil
+	}
+	return &health.Refusal{
+		Name:    "unavailable",
+		Verdict: verdict.NotRun.String(),
+		Detail:  &health.RefusalDetail{Code: string(CodeNotReady), Verdict: verdict.NotRun.String(), Message: err.Error()},
+	}
+}
+
+// Metrics writes the counters.
+func (s *healthService) Metrics(context.Context) (*health.MetricsResult, io.ReadCloser, error) {
+	var page bytes.Buffer
+	if err := s.d.Metrics.WritePage(&page); err != nil {
+		return nil, nil, err
+	}
+	return &health.MetricsResult{ContentType: "text/plain; version=0.0.4; charset=utf-8"}, io.NopCloser(&page), nil
+}
