--- a/api/callers.go
+++ b/api/callers.go
@@ -77,15 +77,15 @@
 func (s *healthService) Live(context.Context) error { return nil }
 
 // Ready says whether the instance takes requests.
-func (s *healthService) Ready(context.Context) error {
+func (s *healthService) Ready(context.Context) (*health.Readiness, error) {
 	if s.d.Ready == nil {
-		return nil
+		return &health.Readiness{Ready: true}, nil
 	}
 	err := s.d.Ready()
 	if err == nil {
-		return nil
+		return &health.Readiness{Ready: true}, nil
 	}
-	return &health.Refusal{
+	return nil, &health.Refusal{
 		Name:    "unavailable",
 		Verdict: verdict.NotRun.String(),
 		Detail:  &health.RefusalDetail{Code: string(CodeNotReady), Verdict: verdict.NotRun.String(), Message: err.Error()},
--- a/api/design/operators.go
+++ b/api/design/operators.go
@@ -116,6 +116,11 @@
 	})
 })
 
+var readiness = Type("Readiness", func() {
+	Attribute("ready", Boolean, "Always true; otherwise the answer is a refusal")
+	Required("ready")
+})
+
 var _ = Service("health", func() {
 	Description("What supervisors and scrapers ask.")
 	Method("live", func() {
@@ -127,10 +132,11 @@
 	})
 	Method("ready", func() {
 		Description("The instance takes requests.")
+		Result(readiness)
 		refusalErrors()
 		HTTP(func() {
 			GET("/readyz")
-			Response(StatusNoContent)
+			Response(StatusOK)
 			refusalResponses()
 		})
 	})
--- a/api/gen/health/client.go
+++ b/api/gen/health/client.go
@@ -38,11 +38,21 @@
 
 // Ready calls the "ready" endpoint of the "health" service.
 // Ready may return the following errors:
-//   - "not_ready" (type NotReady)
+//   - "bad_request" (type *Refusal)
+//   - "unauthorized" (type *Refusal)
+//   - "not_found" (type *Refusal)
+//   - "conflict" (type *Refusal)
+//   - "too_large" (type *Refusal)
+//   - "invalid" (type *Refusal)
+//   - "unavailable" (type *Refusal)
 //   - error: internal error
-func (c *Client) Ready(ctx context.Context) (err error) {
-	_, err = c.ReadyEndpoint(ctx, nil)
-	return
+func (c *Client) Ready(ctx context.Context) (res *Readiness, err error) {
+	var ires any
+	ires, err = c.ReadyEndpoint(ctx, nil)
+	if err != nil {
+		return
+	}
+	return ires.(*Readiness), nil
 }
 
 // Metrics calls the "metrics" endpoint of the "health" service.
--- a/api/gen/health/endpoints.go
+++ b/api/gen/health/endpoints.go
@@ -58,7 +58,7 @@
 // of service "health".
 func NewReadyEndpoint(s Service) goa.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
-		return nil, s.Ready(ctx)
+		return s.Ready(ctx)
 	}
 }
 
--- a/api/gen/health/service.go
+++ b/api/gen/health/service.go
@@ -17,7 +17,7 @@
 	// The process runs.
 	Live(context.Context) (err error)
 	// The instance takes requests.
-	Ready(context.Context) (err error)
+	Ready(context.Context) (res *Readiness, err error)
 	// Counters in the text exposition format.
 
 	// If body implements [io.WriterTo], that implementation will be used instead.
@@ -47,22 +47,65 @@
 	ContentType string
 }
 
-// Why not
-type NotReady string
+// Readiness is the result type of the health service ready method.
+type Readiness struct {
+	// Always true; otherwise the answer is a refusal
+	Ready bool
+}
+
+// A refusal or failure.
+type Refusal struct {
+	// Which of the method's errors this is
+	Name   string `json:"-"`
+	Detail *RefusalDetail
+	// Verdict of the refusal
+	Verdict string
+	// Seconds until coming back helps
+	RetryAfter *int
+}
+
+// What happened, and whether to come back.
+type RefusalDetail struct {
+	// Cause, stable across releases
+	Code string
+	// Whether the request may have run
+	Verdict string
+	// Text for people
+	Message string
+	// When to come back, in milliseconds
+	RetryAfterMs *int64
+}
+
+// Error returns an error description.
+func (e *Refusal) Error() string {
+	return "A refusal or failure."
+}
+
+// ErrorName returns "Refusal".
+//
+// Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
+func (e *Refusal) ErrorName() string {
+	return e.GoaErrorName()
+}
+
+// GoaErrorName returns "Refusal".
+func (e *Refusal) GoaErrorName() string {
+	return e.Name
+}
 
 // Error returns an error description.
-func (e NotReady) Error() string {
-	return "Why not"
+func (e *RefusalDetail) Error() string {
+	return "What happened, and whether to come back."
 }
 
-// ErrorName returns "not_ready".
+// ErrorName returns "RefusalDetail".
 //
 // Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
-func (e NotReady) ErrorName() string {
+func (e *RefusalDetail) ErrorName() string {
 	return e.GoaErrorName()
 }
 
-// GoaErrorName returns "not_ready".
-func (e NotReady) GoaErrorName() string {
-	return "not_ready"
+// GoaErrorName returns "RefusalDetail".
+func (e *RefusalDetail) GoaErrorName() string {
+	return "RefusalDetail"
 }
--- a/api/gen/http/health/client/encode_decode.go
+++ b/api/gen/http/health/client/encode_decode.go
@@ -13,7 +13,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 
+	health "github.com/gullhaven/gullhaven/api/gen/health"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 )
@@ -79,7 +81,13 @@
 // ready endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodeReadyResponse may return the following errors:
-//   - "not_ready" (type health.NotReady): http.StatusServiceUnavailable
+//   - "bad_request" (type *health.Refusal): http.StatusBadRequest
+//   - "unauthorized" (type *health.Refusal): http.StatusUnauthorized
+//   - "not_found" (type *health.Refusal): http.StatusNotFound
+//   - "conflict" (type *health.Refusal): http.StatusConflict
+//   - "too_large" (type *health.Refusal): http.StatusRequestEntityTooLarge
+//   - "invalid" (type *health.Refusal): http.StatusUnprocessableEntity
+//   - "unavailable" (type *health.Refusal): http.StatusServiceUnavailable
 //   - error: internal error
 func DecodeReadyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -96,18 +104,280 @@
 			defer resp.Body.Close()
 		}
 		switch resp.StatusCode {
-		case http.StatusNoContent:
-			return nil, nil
+		case http.StatusOK:
+			var (
+				body ReadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("health", "ready", err)
+			}
+			err = ValidateReadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			res := NewReadyReadinessOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body HealthreadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("health", "ready", err)
+			}
+			err = ValidateHealthreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			var (
+				verdict    string
+				retryAfter *int
+			)
+			verdictRaw := resp.Header.Get("Gullhaven-Verdict")
+			if verdictRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "header"))
+			}
+			verdict = verdictRaw
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyBadRequest(&body, verdict, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body HealthreadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("health", "ready", err)
+			}
+			err = ValidateHealthreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			var (
+				verdict    string
+				retryAfter *int
+			)
+			verdictRaw := resp.Header.Get("Gullhaven-Verdict")
+			if verdictRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "header"))
+			}
+			verdict = verdictRaw
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyUnauthorized(&body, verdict, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body HealthreadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("health", "ready", err)
+			}
+			err = ValidateHealthreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			var (
+				verdict    string
+				retryAfter *int
+			)
+			verdictRaw := resp.Header.Get("Gullhaven-Verdict")
+			if verdictRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "header"))
+			}
+			verdict = verdictRaw
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyNotFound(&body, verdict, retryAfter)
+		case http.StatusConflict:
+			var (
+				body HealthreadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("health", "ready", err)
+			}
+			err = ValidateHealthreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			var (
+				verdict    string
+				retryAfter *int
+			)
+			verdictRaw := resp.Header.Get("Gullhaven-Verdict")
+			if verdictRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "header"))
+			}
+			verdict = verdictRaw
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyConflict(&body, verdict, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body HealthreadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("health", "ready", err)
+			}
+			err = ValidateHealthreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			var (
+				verdict    string
+				retryAfter *int
+			)
+			verdictRaw := resp.Header.Get("Gullhaven-Verdict")
+			if verdictRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "header"))
+			}
+			verdict = verdictRaw
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyTooLarge(&body, verdict, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body HealthreadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("health", "ready", err)
+			}
+			err = ValidateHealthreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			var (
+				verdict    string
+				retryAfter *int
+			)
+			verdictRaw := resp.Header.Get("Gullhaven-Verdict")
+			if verdictRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "header"))
+			}
+			verdict = verdictRaw
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyInvalid(&body, verdict, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
-				body string
+				body HealthreadyResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("health", "ready", err)
 			}
-			return nil, NewReadyNotReady(body)
+			err = ValidateHealthreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			var (
+				verdict    string
+				retryAfter *int
+			)
+			verdictRaw := resp.Header.Get("Gullhaven-Verdict")
+			if verdictRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "header"))
+			}
+			verdict = verdictRaw
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyUnavailable(&body, verdict, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("health", "ready", resp.StatusCode, string(body))
@@ -167,3 +437,16 @@
 		}
 	}
 }
+
+// unmarshalRefusalDetailToHealthRefusalDetail builds a value of type
+// *health.RefusalDetail from a value of type *RefusalDetail.
+func unmarshalRefusalDetailToHealthRefusalDetail(v *RefusalDetail) *health.RefusalDetail {
+	res := &health.RefusalDetail{
+		Code:         *v.Code,
+		Verdict:      *v.Verdict,
+		Message:      *v.Message,
+		RetryAfterMs: v.RetryAfterMs,
+	}
+
+	return res
+}
--- a/api/gen/http/health/client/types.go
+++ b/api/gen/http/health/client/types.go
@@ -9,11 +9,111 @@
 
 import (
 	health "github.com/gullhaven/gullhaven/api/gen/health"
+	goa "goa.design/goa/v3/pkg"
 )
 
-// NewReadyNotReady builds a health service ready endpoint not_ready error.
-func NewReadyNotReady(body string) health.NotReady {
-	v := health.NotReady(body)
+// ReadyResponseBody is the type of the "health" service "ready" endpoint HTTP
+// response body.
+type ReadyResponseBody struct {
+	// Always true; otherwise the answer is a refusal
+	Ready *bool `form:"ready,omitempty" json:"ready,omitempty" xml:"ready,omitempty"`
+}
+
+// HealthreadyResponseBody is the type of the "health" service "ready" endpoint
+// HTTP response body for the "bad_request" error.
+type HealthreadyResponseBody struct {
+	Detail *RefusalDetail `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RefusalDetail is used to define fields on response body types.
+type RefusalDetail struct {
+	// Cause, stable across releases
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Whether the request may have run
+	Verdict *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	// Text for people
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// When to come back, in milliseconds
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// NewReadyReadinessOK builds a "health" service "ready" endpoint result from a
+// HTTP "OK" response.
+func NewReadyReadinessOK(body *ReadyResponseBody) *health.Readiness {
+	v := &health.Readiness{
+		Ready: *body.Ready,
+	}
+
+	return v
+}
+
+// NewReadyBadRequest builds a health service ready endpoint bad_request error.
+func NewReadyBadRequest(body *HealthreadyResponseBody, verdict string, retryAfter *int) *health.Refusal {
+	v := &health.Refusal{}
+	v.Detail = unmarshalRefusalDetailToHealthRefusalDetail(body.Detail)
+	v.Verdict = verdict
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReadyUnauthorized builds a health service ready endpoint unauthorized
+// error.
+func NewReadyUnauthorized(body *HealthreadyResponseBody, verdict string, retryAfter *int) *health.Refusal {
+	v := &health.Refusal{}
+	v.Detail = unmarshalRefusalDetailToHealthRefusalDetail(body.Detail)
+	v.Verdict = verdict
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReadyNotFound builds a health service ready endpoint not_found error.
+func NewReadyNotFound(body *HealthreadyResponseBody, verdict string, retryAfter *int) *health.Refusal {
+	v := &health.Refusal{}
+	v.Detail = unmarshalRefusalDetailToHealthRefusalDetail(body.Detail)
+	v.Verdict = verdict
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReadyConflict builds a health service ready endpoint conflict error.
+func NewReadyConflict(body *HealthreadyResponseBody, verdict string, retryAfter *int) *health.Refusal {
+	v := &health.Refusal{}
+	v.Detail = unmarshalRefusalDetailToHealthRefusalDetail(body.Detail)
+	v.Verdict = verdict
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReadyTooLarge builds a health service ready endpoint too_large error.
+func NewReadyTooLarge(body *HealthreadyResponseBody, verdict string, retryAfter *int) *health.Refusal {
+	v := &health.Refusal{}
+	v.Detail = unmarshalRefusalDetailToHealthRefusalDetail(body.Detail)
+	v.Verdict = verdict
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReadyInvalid builds a health service ready endpoint invalid error.
+func NewReadyInvalid(body *HealthreadyResponseBody, verdict string, retryAfter *int) *health.Refusal {
+	v := &health.Refusal{}
+	v.Detail = unmarshalRefusalDetailToHealthRefusalDetail(body.Detail)
+	v.Verdict = verdict
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReadyUnavailable builds a health service ready endpoint unavailable error.
+func NewReadyUnavailable(body *HealthreadyResponseBody, verdict string, retryAfter *int) *health.Refusal {
+	v := &health.Refusal{}
+	v.Detail = unmarshalRefusalDetailToHealthRefusalDetail(body.Detail)
+	v.Verdict = verdict
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -26,3 +126,44 @@
 
 	return v
 }
+
+// ValidateReadyResponseBody runs the validations defined on ReadyResponseBody
+func ValidateReadyResponseBody(body *ReadyResponseBody) (err error) {
+	if body.Ready == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ready", "body"))
+	}
+	return
+}
+
+// ValidateHealthreadyResponseBody runs the validations defined on
+// healthreadyResponseBody
+func ValidateHealthreadyResponseBody(body *HealthreadyResponseBody) (err error) {
+	if body.Detail == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Detail != nil {
+		if err2 := ValidateRefusalDetail(body.Detail); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRefusalDetail runs the validations defined on RefusalDetail
+func ValidateRefusalDetail(body *RefusalDetail) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict != nil {
+		if !(*body.Verdict == "not_run" || *body.Verdict == "may_have_run" || *body.Verdict == "ran") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.verdict", *body.Verdict, []any{"not_run", "may_have_run", "ran"}))
+		}
+	}
+	return
+}
--- a/api/gen/http/health/server/encode_decode.go
+++ b/api/gen/http/health/server/encode_decode.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 
 	health "github.com/gullhaven/gullhaven/api/gen/health"
 	goahttp "goa.design/goa/v3/http"
@@ -30,8 +31,11 @@
 // ready endpoint.
 func EncodeReadyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		w.WriteHeader(http.StatusNoContent)
-		return nil
+		res, _ := v.(*health.Readiness)
+		enc := encoder(ctx, w)
+		body := NewReadyResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
 	}
 }
 
@@ -45,12 +49,143 @@
 			return encodeError(ctx, w, v)
 		}
 		switch en.GoaErrorName() {
-		case "not_ready":
-			var res health.NotReady
+		case "bad_request":
+			var res *health.Refusal
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHealthreadyResponseBody(res)
+			}
+			w.Header().Set("Gullhaven-Verdict", res.Verdict)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *health.Refusal
 			errors.As(v, &res)
 			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/json")
 			enc := encoder(ctx, w)
-			body := res
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHealthreadyResponseBody(res)
+			}
+			w.Header().Set("Gullhaven-Verdict", res.Verdict)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *health.Refusal
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHealthreadyResponseBody(res)
+			}
+			w.Header().Set("Gullhaven-Verdict", res.Verdict)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *health.Refusal
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHealthreadyResponseBody(res)
+			}
+			w.Header().Set("Gullhaven-Verdict", res.Verdict)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "too_large":
+			var res *health.Refusal
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHealthreadyResponseBody(res)
+			}
+			w.Header().Set("Gullhaven-Verdict", res.Verdict)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "invalid":
+			var res *health.Refusal
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHealthreadyResponseBody(res)
+			}
+			w.Header().Set("Gullhaven-Verdict", res.Verdict)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *health.Refusal
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHealthreadyResponseBody(res)
+			}
+			w.Header().Set("Gullhaven-Verdict", res.Verdict)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -70,3 +205,16 @@
 		return nil
 	}
 }
+
+// marshalHealthRefusalDetailToRefusalDetail builds a value of type
+// *RefusalDetail from a value of type *health.RefusalDetail.
+func marshalHealthRefusalDetailToRefusalDetail(v *health.RefusalDetail) *RefusalDetail {
+	res := &RefusalDetail{
+		Code:         v.Code,
+		Verdict:      v.Verdict,
+		Message:      v.Message,
+		RetryAfterMs: v.RetryAfterMs,
+	}
+
+	return res
+}
--- a/api/gen/http/health/server/types.go
+++ b/api/gen/http/health/server/types.go
@@ -6,3 +6,51 @@
 // $ goa gen github.com/gullhaven/gullhaven/api/design -o api
 
 package server
+
+import (
+	health "github.com/gullhaven/gullhaven/api/gen/health"
+)
+
+// ReadyResponseBody is the type of the "health" service "ready" endpoint HTTP
+// response body.
+type ReadyResponseBody struct {
+	// Always true; otherwise the answer is a refusal
+	Ready bool `form:"ready" json:"ready" xml:"ready"`
+}
+
+// HealthreadyResponseBody is the type of the "health" service "ready" endpoint
+// HTTP response body for the "bad_request" error.
+type HealthreadyResponseBody struct {
+	Detail *RefusalDetail `form:"error" json:"error" xml:"error"`
+}
+
+// RefusalDetail is used to define fields on response body types.
+type RefusalDetail struct {
+	// Cause, stable across releases
+	Code string `form:"code" json:"code" xml:"code"`
+	// Whether the request may have run
+	Verdict string `form:"verdict" json:"verdict" xml:"verdict"`
+	// Text for people
+	Message string `form:"message" json:"message" xml:"message"`
+	// When to come back, in milliseconds
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// NewReadyResponseBody builds the HTTP response body from the result of the
+// "ready" endpoint of the "health" service.
+func NewReadyResponseBody(res *health.Readiness) *ReadyResponseBody {
+	body := &ReadyResponseBody{
+		Ready: res.Ready,
+	}
+	return body
+}
+
+// NewHealthreadyResponseBody builds the HTTP response body from the result of
+// the "ready" endpoint of the "health" service.
+func NewHealthreadyResponseBody(res *health.Refusal) *HealthreadyResponseBody {
+	body := &HealthreadyResponseBody{}
+	if res.Detail != nil {
+		body.Detail = marshalHealthRefusalDetailToRefusalDetail(res.Detail)
+	}
+	return body
+}
