replhost: run the replicated log's core on disk and transport

Cause: coord/replog does no input or output; something has to sync before it sends, and say honestly how each proposal ended. Limits: the cluster tests run in a synctest bubble with real goroutines, so their schedule isn't the same at each run; what they check holds for each.

--- /dev/null
+++ b/coord/replhost/cluster_test.go
@@ -0,0 +1,302 @@
+package replhost_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/coord/wal/faultfs"
+)
+
+var ids = []string{"a", "b", "c"}
+
+// list is a state machine that keeps what it was given.
+type list struct {
+	mu    sync.Mutex
+	items []string
+}
+
+func (l *list) Apply(_ uint64, data []byte) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items = append(l.items, string(data))
+	return data
+}
+
+func (l *list) Snapshot() ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return json.Marshal(l.items)
+}
+
+func (l *list) Restore(data []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items = nil
+	return json.Unmarshal(data, &l.items)
+}
+
+func (l *list) get() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.items)
+}
+
+// cluster is three nodes over a network in memory and disks that fail. It runs
+// in a synctest bubble, whose time passes only while all goroutines wait.
+type cluster struct {
+	mu       sync.Mutex
+	nodes    map[string]*replhost.Node
+	lists    map[string]*list
+	disks    map[string]*faultfs.FS
+	cut      map[string]bool
+	rng      *rand.Rand
+	loss     int // messages in a hundred
+	next     int
+	acked    []string
+	notRun   map[string]bool
+	failures []string
+}
+
+func newCluster(seed uint64) *cluster {
+	c := &cluster{
+		nodes: map[string]*replhost.Node{}, lists: map[string]*list{}, disks: map[string]*faultfs.FS{},
+		cut: map[string]bool{}, notRun: map[string]bool{}, rng: rand.New(rand.NewPCG(seed, 1)),
+	}
+	for _, id := range ids {
+		c.disks[id] = faultfs.New()
+	}
+	return c
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures = append(c.failures, fmt.Sprintf(format, args...))
+}
+
+func (c *cluster) random() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.Uint64()
+}
+
+func (c *cluster) choose(n int) int { return int(c.random() % uint64(n)) }
+
+// port is one node's transport.
+type port struct {
+	c    *cluster
+	self string
+}
+
+func (p port) Send(to string, payload []byte) {
+	c := p.c
+	roll := c.choose(100)
+	c.mu.Lock()
+	node := c.nodes[to]
+	lost := roll < c.loss || c.cut[to] || c.cut[p.self]
+	c.mu.Unlock()
+	if node != nil && !lost {
+		node.Receive(p.self, payload)
+	}
+}
+
+func (c *cluster) up(id string) {
+	if c.node(id) != nil {
+		return
+	}
+	l := &list{}
+	n, err := replhost.Open(replhost.Options{
+		Core: replog.Options{
+			Self:      replog.Member{ID: id},
+			Bootstrap: &replog.Bootstrap{Voters: ids},
+		},
+		FS: c.disks[id], Dir: "/data", SegmentBytes: 4096,
+		Transport: port{c: c, self: id}, StateMachine: l, Random: c.random,
+		SnapshotEntries: 20, KeepEntries: 5, Repair: true,
+	})
+	if errors.Is(err, errDisk) || errors.Is(err, faultfs.ErrCrashed) {
+		c.disks[id].Kill()
+		return
+	}
+	if err != nil {
+		c.fail("open %s: %v", id, err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[id], c.lists[id] = n, l
+}
+
+// down ends a node as kill -9 or a power loss does.
+func (c *cluster) down(id string, power bool) {
+	n := c.node(id)
+	if n == nil {
+		return
+	}
+	c.mu.Lock()
+	delete(c.nodes, id)
+	c.mu.Unlock()
+	c.disks[id].CrashAfter(0)
+	_ = n.Stop()
+	if power {
+		c.disks[id].PowerLoss(c.choose)
+	} else {
+		c.disks[id].Kill()
+	}
+}
+
+func (c *cluster) setLoss(loss int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loss = loss
+}
+
+func (c *cluster) node(id string) *replhost.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[id]
+}
+
+// leader returns a node that holds a lease, waiting for one for some time.
+func (c *cluster) leader(wait time.Duration) *replhost.Node {
+	for range int(wait / (50 * time.Millisecond)) {
+		for _, id := range ids {
+			if n := c.node(id); n != nil && !n.LeaseUntil().IsZero() {
+				return n
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+// whole reports whether all nodes run and vote under their present disks.
+func (c *cluster) whole() bool {
+	n := c.leader(50 * time.Millisecond)
+	if n == nil {
+		return false
+	}
+	s := n.Status().Core
+	for _, id := range ids {
+		n := c.node(id)
+		if n == nil || !s.Config.IsVoter(n.Member()) || n.Status().State != replhost.Running {
+			return false
+		}
+	}
+	return s.Applied >= s.ConfigIndex
+}
+
+func (c *cluster) waitWhole() bool {
+	for range 400 {
+		if c.whole() {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// propose sends one proposal to a node and notes the verdict.
+func (c *cluster) propose(n *replhost.Node) error {
+	c.mu.Lock()
+	c.next++
+	data := fmt.Sprintf("item %d", c.next)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	result, err := n.Propose(ctx, []byte(data))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var v *verdict.Error
+	switch {
+	case err == nil && string(result) == data:
+		c.acked = append(c.acked, data)
+	case err == nil:
+		c.failures = append(c.failures, fmt.Sprintf("%s got the result %q", data, result))
+	case !errors.As(err, &v):
+		c.failures = append(c.failures, fmt.Sprintf("%s got no verdict: %v", data, err))
+	case v.Verdict == verdict.NotRun:
+		c.notRun[data] = true
+	}
+	return err
+}
+
+// burst proposes at all nodes at once.
+func (c *cluster) burst(size int) {
+	var wait sync.WaitGroup
+	for _, id := range ids {
+		if n := c.node(id); n != nil {
+			for range size {
+				wait.Go(func() { _ = c.propose(n) })
+			}
+		}
+	}
+	wait.Wait()
+}
+
+func (c *cluster) read(n *replhost.Node) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return n.Read(ctx)
+}
+
+// check compares the state machines with what callers were told, after a read
+// barrier at each node.
+func (c *cluster) check() {
+	var first []string
+	for _, id := range ids {
+		n := c.node(id)
+		err := c.read(n)
+		for range 50 {
+			if err == nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+			err = c.read(n)
+		}
+		if err != nil {
+			c.fail("read at %s: %v, %+v", id, err, n.Status())
+			return
+		}
+		items := c.lists[id].get()
+		if first == nil {
+			first = items
+			c.checkItems(items)
+		}
+		if !slices.Equal(first, items) {
+			c.fail("a and %s differ: %v, %v", id, first, items)
+		}
+	}
+}
+
+func (c *cluster) checkItems(items []string) {
+	seen := map[string]bool{}
+	for _, item := range items {
+		if seen[item] || c.notRun[item] {
+			c.fail("%s: twice %v, told not run %v", item, seen[item], c.notRun[item])
+		}
+		seen[item] = true
+	}
+	for _, item := range c.acked {
+		if !seen[item] {
+			c.fail("%s was acknowledged and is lost", item)
+		}
+	}
+}
+
+func (c *cluster) close() {
+	for _, id := range ids {
+		if n := c.node(id); n != nil {
+			_ = n.Stop()
+		}
+	}
+}
--- /dev/null
+++ b/coord/replhost/disk.go
@@ -0,0 +1,49 @@
+package replhost
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/gullhaven/gullhaven/coord/replog"
+)
+
+// diskJob is one task of the disk goroutine: a Ready or a snapshot of this
+// node's own state machine.
+type diskJob struct {
+	ready    *replog.Ready
+	snapshot *replog.Snapshot
+}
+
+// runDisk carries out jobs until the first failure.
+func runDisk(ctx context.Context, n *Node, st *store) {
+	for {
+		job, err := n.disk.Pop(ctx)
+		if err != nil {
+			return
+		}
+		if err := n.carryOut(st, job); err != nil {
+			_ = n.events.Push(ctx, event{failed: errors.Annotate(err, "disk")})
+			return
+		}
+		if n.events.Push(ctx, event{synced: job.ready, saved: job.snapshot}) != nil {
+			return
+		}
+	}
+}
+
+func (n *Node) carryOut(st *store, job diskJob) error {
+	if job.snapshot != nil {
+		if err := st.save(*job.snapshot); err != nil {
+			return err
+		}
+		n.counters.snapshots.Add(1)
+		return nil
+	}
+	if err := st.write(job.ready); err != nil {
+		return err
+	}
+	n.counters.syncs.Add(1)
+	n.counters.syncedEntries.Add(uint64(len(job.ready.Entries)))
+	return nil
+}
--- /dev/null
+++ b/coord/replhost/options.go
@@ -0,0 +1,159 @@
+package replhost
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/coord/wal"
+)
+
+// Defaults of Options.
+const (
+	DefaultSnapshotEntries  = 10_000
+	DefaultKeepEntries      = 1_000
+	DefaultMaxProposalBytes = 1 << 20
+	DefaultQueue            = 1024
+
+	eventQueue = 64
+	diskQueue  = 4
+	applyQueue = 16
+)
+
+// StateMachine is what the log drives. The apply goroutine alone calls it.
+type StateMachine interface {
+	// Apply carries out the entry at index and returns the result for its
+	// proposer. Same entries in the same order must give same states.
+	Apply(index uint64, data []byte) []byte
+	// Snapshot returns the whole state. It must not share memory with it.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by that of a Snapshot.
+	Restore(data []byte) error
+}
+
+// Transport carries payloads to other nodes. It may lose, delay, repeat and
+// reorder them.
+type Transport interface {
+	// Send must not block for long and must not keep payload's memory changed.
+	Send(to string, payload []byte)
+}
+
+// Clock is the node's monotonic clock.
+type Clock interface {
+	// Now returns the time; see the package text on stopped processes.
+	Now() time.Time
+	// Tick sends at each interval, and drops what isn't taken. stop ends it.
+	Tick(interval time.Duration) (c <-chan time.Time, stop func())
+}
+
+// SystemClock is the clock of the process.
+type SystemClock struct{}
+
+// Now returns time.Now, which carries the monotonic time.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// Tick starts a time.Ticker.
+func (SystemClock) Tick(interval time.Duration) (<-chan time.Time, func()) {
+	t := time.NewTicker(interval)
+	return t.C, t.Stop
+}
+
+// Options are the settings of a Node. Zero values take the defaults, but for
+// Core.Self.ID, Dir, Transport and StateMachine.
+type Options struct {
+	// Core is passed to the core. Self.Incarnation is that of the folder; a
+	// zero Seed is drawn from Random.
+	Core replog.Options
+	// FS and Dir say where the log lies; FS is wal.OS by default.
+	FS  wal.FS
+	Dir string
+	// SegmentBytes is passed to the log.
+	SegmentBytes int64
+
+	Transport    Transport
+	StateMachine StateMachine
+	// Clock is SystemClock by default.
+	Clock Clock
+	// Random returns random numbers for the incarnation of a new folder and for
+	// reads; crypto/rand by default. A folder that gets an incarnation a second
+	// time defeats the detection of lost disks.
+	Random func() uint64
+
+	// SnapshotEntries is the number of applied entries between snapshots,
+	// default 10000; KeepEntries of those before a snapshot that stay in memory
+	// for peers that lag, default 1000.
+	SnapshotEntries, KeepEntries uint64
+	// MaxProposalBytes bounds the data of one proposal; default 1 MiB.
+	MaxProposalBytes int
+	// Queue bounds the messages and the calls that wait for the core; default
+	// 1024 each.
+	Queue int
+	// Repair lets a leader readmit lost disks and promote learners by itself.
+	Repair bool
+	// Promote says which learners Repair makes voters; by default the voters of
+	// Core.Bootstrap.
+	Promote func(replog.Member) bool
+}
+
+func (o *Options) complete() error {
+	if o.Core.Self.ID == "" || o.Dir == "" || o.Transport == nil || o.StateMachine == nil {
+		return errors.NotValidf("options without node id, folder, transport or state machine")
+	}
+	if o.FS == nil {
+		o.FS = wal.OS{}
+	}
+	if o.Clock == nil {
+		o.Clock = SystemClock{}
+	}
+	if o.Random == nil {
+		o.Random = systemRandom
+	}
+	if o.Core.HeartbeatInterval == 0 {
+		o.Core.HeartbeatInterval = replog.DefaultHeartbeatInterval
+	}
+	if o.Core.Seed == 0 {
+		o.Core.Seed = o.Random()
+	}
+	if o.Promote == nil {
+		o.Promote = o.bootstrapVoter
+	}
+	o.SnapshotEntries = orDefault(o.SnapshotEntries, DefaultSnapshotEntries)
+	o.KeepEntries = orDefault(o.KeepEntries, DefaultKeepEntries)
+	o.MaxProposalBytes = orDefault(o.MaxProposalBytes, DefaultMaxProposalBytes)
+	o.Queue = orDefault(o.Queue, DefaultQueue)
+	return nil
+}
+
+func orDefault[T uint64 | int](v, def T) T {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+func (o *Options) bootstrapVoter(m replog.Member) bool {
+	return o.Core.Bootstrap != nil && slices.Contains(o.Core.Bootstrap.Voters, m.ID)
+}
+
+func systemRandom() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // never fails; it ends the process instead
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// drawIncarnation returns an incarnation whose number for the core isn't zero.
+func drawIncarnation(random func() uint64) wal.Incarnation {
+	var id wal.Incarnation
+	for memberNumber(id) == 0 {
+		binary.LittleEndian.PutUint64(id[:], random())
+	}
+	binary.LittleEndian.PutUint64(id[8:], random())
+	return id
+}
+
+// memberNumber is the part of an incarnation by which the core tells members.
+func memberNumber(id wal.Incarnation) uint64 { return binary.LittleEndian.Uint64(id[:]) }
--- a/coord/wal/faultfs/faultfs.go
+++ b/coord/wal/faultfs/faultfs.go
@@ -114,6 +114,18 @@
 	f.capacity = bytes
 }
 
+// Mend removes the planted faults that have not come to pass.
+func (f *FS) Mend() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mend()
+}
+
+func (f *FS) mend() {
+	f.faults = map[Op]*fault{}
+	f.budget, f.capacity = -1, -1
+}
+
 // Kill ends the process: locks and open files are gone, written bytes stay.
 func (f *FS) Kill() {
 	f.mu.Lock()
@@ -149,8 +161,8 @@
 }
 
 func (f *FS) restart() {
-	f.locks, f.faults = map[string]*lock{}, map[Op]*fault{}
-	f.budget, f.capacity = -1, -1
+	f.mend()
+	f.locks = map[string]*lock{}
 	f.life++
 }
 
