route: grant by work, shrink grants with the queue

Cause: with all targets of a region lost, cheap requests were refused for want of grant while neighbours had room; a grant counted a dossier of 16,000 tokens and a rewrite of 300 alike, and ended at once at half a second of queue. Change: a request takes its share of work from the grant; grants shrink in proportion to the queue up to 1.5 s, rise by 0.2 of capacity a second, up to 0.9 of it.

--- a/route/config.go
+++ b/route/config.go
@@ -86,13 +86,13 @@
 	// any more. Default 5s.
 	SummaryStale time.Duration
 	// GrantLoad is the utilisation up to which capacity is granted away.
-	// Default 0.75.
+	// Default 0.9.
 	GrantLoad float64
-	// GrantWait is the predicted queueing time at which nothing is granted.
-	// Default 500ms.
+	// GrantWait is the predicted queueing time at which nothing is granted; up
+	// to it grants shrink in proportion. Default 1.5s.
 	GrantWait time.Duration
 	// GrantRamp is the part of the capacity by which grants may rise each
-	// second. Default 0.05.
+	// second. Default 0.2.
 	GrantRamp float64
 
 	// HedgeFactor is the multiple of the predicted time to first token after
@@ -131,9 +131,9 @@
 	orDefault(&c.FloorShare, 0.1)
 	orDefault(&c.SpillMargin, 4*time.Second)
 	orDefault(&c.SummaryStale, 5*time.Second)
-	orDefault(&c.GrantLoad, 0.75)
-	orDefault(&c.GrantWait, 500*time.Millisecond)
-	orDefault(&c.GrantRamp, 0.05)
+	orDefault(&c.GrantLoad, 0.9)
+	orDefault(&c.GrantWait, 1500*time.Millisecond)
+	orDefault(&c.GrantRamp, 0.2)
 	orDefault(&c.HedgeFactor, 4)
 	orDefault(&c.HedgeMin, time.Second)
 	return c
--- a/route/spill.go
+++ b/route/spill.go
@@ -4,7 +4,9 @@
 
 const (
 	// grantBurst is how many seconds of a grant may be spent at once.
-	grantBurst = 0.5
+	grantBurst = 1.0
+	// leastBurst is the least that may be spent at once, in average requests.
+	leastBurst = 2.0
 )
 
 // spill is the account of what one service sends to neighbours.
@@ -17,7 +19,7 @@
 // neighbour is what is known of one service in one other region.
 type neighbour struct {
 	summary RegionSummary
-	// credit are requests that may be spilled now, as of at.
+	// credit are average requests that may be spilled now, as of at.
 	credit, at float64
 	// spilled counts requests sent there.
 	spilled rate
@@ -66,12 +68,25 @@
 func (n *neighbour) refill(at float64, instances int) {
 	rate := n.summary.FreeRate / float64(instances)
 	if rate <= 0 {
-		n.credit = 0
+		n.credit = min(n.credit, 0)
 	}
-	n.credit = min(n.credit+rate*(at-n.at), max(1, rate*grantBurst))
+	n.credit = min(n.credit+rate*(at-n.at), n.burst(instances))
 	n.at = at
 }
 
+// burst is the greatest credit.
+func (n *neighbour) burst(instances int) float64 {
+	return max(leastBurst, n.summary.FreeRate/float64(instances)*grantBurst)
+}
+
+// work is what the request takes of a grant, in average requests.
+func (s *service) work(q *Request) float64 {
+	if !s.model || s.prompt <= 0 {
+		return 1
+	}
+	return float64(q.PromptTokens) / s.prompt
+}
+
 // trySpill answers with a Spill if a neighbour serves the request at a lower
 // marginal cost: two wide-area trips, its wait, and the prefill that a warm
 // cache here would have saved. A request that can be served in time here goes
@@ -88,7 +103,7 @@
 		return Decision{}, false
 	}
 	at := r.seconds(now)
-	best.credit--
+	best.credit -= s.work(q)
 	best.spilled.add(at, 1)
 	return Decision{Action: Spill, Region: best.summary.Region}, true
 }
@@ -105,7 +120,6 @@
 // cheapest returns the neighbour with the least predicted first token that may
 // take the request, and that time in seconds; nil if none may.
 func (r *Router) cheapest(now time.Time, s *service, q *Request) (*neighbour, float64) {
-	at := r.seconds(now)
 	var best *neighbour
 	var least float64
 	for i := range r.links {
@@ -114,7 +128,7 @@
 			continue
 		}
 		n := s.spill.neighbour(l.Region)
-		if n == nil || !r.grants(now, at, s, n, l) {
+		if n == nil || !r.grants(now, s, q, n, l) {
 			continue
 		}
 		cost := (2*l.OneWay + n.summary.Wait).Seconds() + r.extraPrefill(s, q)
@@ -126,13 +140,17 @@
 	return best, least
 }
 
-// grants says whether the neighbour's grant and the link's share leave room.
-func (r *Router) grants(now time.Time, at float64, s *service, n *neighbour, l *Link) bool {
+// grants says whether the neighbour's grant and the link's share leave room. A
+// request with more work than may be spent at once needs the whole credit and
+// leaves a debt.
+func (r *Router) grants(now time.Time, s *service, q *Request, n *neighbour, l *Link) bool {
+	at := r.seconds(now)
 	if n.summary.Targets == 0 || now.Sub(n.summary.At) > r.cfg.SummaryStale {
 		return false
 	}
 	n.refill(at, r.cfg.Instances)
-	if n.credit < 1 || n.summary.FreeRate <= 0 {
+	need := min(s.work(q), n.burst(r.cfg.Instances))
+	if n.credit < need || n.summary.FreeRate <= 0 {
 		return false
 	}
 	n.spilled.fade(at)
--- a/route/summary.go
+++ b/route/summary.go
@@ -28,8 +28,8 @@
 	sum := RegionSummary{Region: r.cfg.Region, Service: s.name, At: now}
 	queue, capacity := r.queueAndCapacity(s, at, &sum)
 	spare := 0.0
-	if sum.Targets > 0 && queue < r.cfg.GrantWait.Seconds() {
-		spare = max(0, capacity*r.cfg.GrantLoad-s.demand(at, &r.cfg))
+	if free := 1 - queue/r.cfg.GrantWait.Seconds(); sum.Targets > 0 && free > 0 {
+		spare = free * max(0, capacity*r.cfg.GrantLoad-s.demand(at, &r.cfg))
 	}
 	s.grant.follow(at, spare, capacity*r.cfg.GrantRamp)
 	sum.FreeRate = s.grant.rate / float64(max(1, len(r.links)))
