--- a/experiment/call.go
+++ b/experiment/call.go
@@ -31,7 +31,7 @@
 	answered
 	// refused: told that it was not run.
 	refused
-	// failed: told that it broke off and may have run.
+	// failed: told that it broke off and may have run, or given up by the caller.
 	failed
 )
 
@@ -69,9 +69,29 @@
 	c.req.Deadline = w.now.Add(a.class.Deadline)
 	w.calls = append(w.calls, c)
 	w.open++
+	if w.trial.GiveUp {
+		w.push(c.req.Deadline, func() { w.giveUp(c) })
+	}
 	w.decide(c)
 }
 
+// giveUp ends a call whose caller has gone. Its attempts are cancelled.
+func (w *world) giveUp(c *call) {
+	if c.outcome != pending {
+		return
+	}
+	w.abandon(c)
+	w.final(c, failed)
+}
+
+// abandon cancels what is under way of a call and holds it no longer.
+func (w *world) abandon(c *call) {
+	for _, a := range slices.Clone(c.open) {
+		w.cancel(a)
+	}
+	c.in.held = slices.DeleteFunc(c.in.held, func(x *call) bool { return x == c })
+}
+
 // decide asks the instance's decider and follows it.
 func (w *world) decide(c *call) {
 	if c.outcome != pending {
@@ -275,10 +295,7 @@
 		if c.outcome != pending || c.in.region == home || home != r && c.in.region != r {
 			continue
 		}
-		for _, a := range slices.Clone(c.open) {
-			w.cancel(a)
-		}
-		c.in.held = slices.DeleteFunc(c.in.held, func(x *call) bool { return x == c })
+		w.abandon(c)
 		c.in = home.instances[0]
 		w.retry(c, c.in, route.Failed)
 	}
--- a/experiment/command.go
+++ b/experiment/command.go
@@ -18,7 +18,9 @@
 	Day       time.Duration `long:"day" default:"400s" description:"length of the compressed day, in virtual time"`
 	Workers   int           `long:"workers" default:"5" description:"trials that run at once; the result does not depend on it"`
 	JSON      string        `long:"json" description:"file to write all figures to"`
-	Plot      string        `long:"plot" description:"prefix of the names of the SVG plots, one for each workload and load"`
+	Plot      string        `long:"plot" description:"prefix of the names of the plots, two for each workload and load"`
+	Format    string        `long:"plot-format" default:"svg" description:"format of the plots: svg or png"`
+	GiveUp    bool          `long:"give-up" description:"let callers give up at their deadline"`
 
 	// Out takes the table; standard output if nil.
 	Out io.Writer `no-flag:"true"`
@@ -35,7 +37,7 @@
 	}
 	res, err := Run(Options{
 		Workloads: c.Workloads, Deciders: c.Deciders, Loads: c.Loads, Faults: c.Faults,
-		Seeds: c.Seeds, Day: c.Day, Workers: c.Workers,
+		Seeds: c.Seeds, Day: c.Day, Workers: c.Workers, GiveUp: c.GiveUp,
 	})
 	if err != nil {
 		return err
@@ -51,7 +53,7 @@
 	if c.Plot == "" {
 		return nil
 	}
-	names, err := res.SavePlots(c.Plot)
+	names, err := res.SavePlots(c.Plot, c.Format)
 	for _, n := range names {
 		fmt.Fprintln(out, "wrote", n)
 	}
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -64,6 +64,7 @@
 services in ms. forced is the least share that lost capacity sends away. cost
 is busy target-seconds per answered request. doubled, lost and crashes are sums.
 Baselines never refuse for a deadline; what they answer late is not in time.
+Callers wait for late answers, unless told to give up: then they count as failed.
 `
 
 const header = "decider\tp50\tp95\tp99\tp99.9\tp99all\tplain\tin time\trefused\tfailed\taway\tforced\tcost\thits\tdoubled\tlost\tcrashes\t"
@@ -131,12 +132,25 @@
 	barWidth   = 9
 )
 
-// Plot draws the share in time under each fault, one group of bars for each
-// fault, for one workload and load.
-func (res *Result) Plot(workload string, load float64) (*plot.Plot, error) {
+// panel is one plot: a figure under each fault.
+type panel struct {
+	name, label string
+	figure      func(*Figures) float64
+}
+
+var panels = []panel{
+	{"in-time", "answered in time, % of requests", func(f *Figures) float64 { return 100 * f.InTime }},
+	{"p99", "p99 to first token of answered, seconds", func(f *Figures) float64 { return float64(f.P99) / 1000 }},
+}
+
+// legendRoom is the height of a plot over its highest bar, for the legend.
+const legendRoom = 1.35
+
+// plot draws one panel for one workload and load, a group of bars for each fault.
+func (res *Result) plot(pn panel, workload string, load float64) (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text = fmt.Sprintf("%s at %s%% load: answered in time", workload, percent(load))
-	p.Y.Label.Text = "% of requests"
+	p.Title.Text = fmt.Sprintf("%s at %s%% load", workload, percent(load))
+	p.Y.Label.Text = pn.label
 	p.Legend.Top = true
 	var faults, deciders []string
 	values := make(map[string]plotter.Values)
@@ -145,13 +159,13 @@
 		if r.Workload != workload || r.Load != load {
 			continue
 		}
-		if len(values) == 0 || r.Fault != Fault(faults[len(faults)-1]) {
+		if len(faults) == 0 || r.Fault != Fault(faults[len(faults)-1]) {
 			faults = append(faults, string(r.Fault))
 		}
 		if values[r.Decider] == nil {
 			deciders = append(deciders, r.Decider)
 		}
-		values[r.Decider] = append(values[r.Decider], 100*r.Over(inTime).Mean)
+		values[r.Decider] = append(values[r.Decider], r.Over(pn.figure).Mean)
 	}
 	for i, d := range deciders {
 		bars, err := plotter.NewBarChart(values[d], vg.Points(barWidth))
@@ -164,28 +178,30 @@
 		p.Legend.Add(d, bars)
 	}
 	p.NominalX(faults...)
-	p.Y.Max = 130 // room for the legend above the bars
+	p.Y.Max *= legendRoom
 	return p, nil
 }
 
-// SavePlots writes one plot for each workload and load to prefix-WORKLOAD-LOAD.svg
-// and returns the names.
-func (res *Result) SavePlots(prefix string) ([]string, error) {
+// SavePlots writes two plots for each workload and load, of the share in time
+// and of the p99, to prefix-WORKLOAD-LOAD-NAME.format, and returns their names.
+func (res *Result) SavePlots(prefix, format string) ([]string, error) {
 	var names []string
 	for i := range res.Rows {
 		r := &res.Rows[i]
 		if i > 0 && r.Workload == res.Rows[i-1].Workload && r.Load == res.Rows[i-1].Load {
 			continue
 		}
-		p, err := res.Plot(r.Workload, r.Load)
-		if err != nil {
-			return names, err
-		}
-		name := fmt.Sprintf("%s-%s-%.0f.svg", prefix, r.Workload, 100*r.Load)
-		if err := p.Save(plotWidth, plotHeight, name); err != nil {
-			return names, err
+		for _, pn := range panels {
+			p, err := res.plot(pn, r.Workload, r.Load)
+			if err != nil {
+				return names, err
+			}
+			name := fmt.Sprintf("%s-%s-%.0f-%s.%s", prefix, r.Workload, 100*r.Load, pn.name, format)
+			if err := p.Save(plotWidth, plotHeight, name); err != nil {
+				return names, err
+			}
+			names = append(names, name)
 		}
-		names = append(names, name)
 	}
 	return names, nil
 }
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -41,8 +41,10 @@
 	Day time.Duration
 	// PerTarget is the capacity of a model target in requests per second.
 	PerTarget float64
-	arrivals  []arrival
-	make      Maker
+	// GiveUp lets callers give up at their deadline; what runs is cancelled.
+	GiveUp   bool
+	arrivals []arrival
+	make     Maker
 }
 
 // event is a thing to do at a time; equal times go in order of making.
