route: spill for speed by work

Cause: with half of a region lost, 3.2% went away where 2.6% was forced, most of it cheap requests that free little room at home. Change: the gain that spilling must bring is weighed by the request's work.

--- a/route/spill.go
+++ b/route/spill.go
@@ -99,7 +99,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	if !local.never && !s.spill.worth(local.seconds-cost, r.cfg.SpillMargin.Seconds()) {
+	if !local.never && !s.spill.worth((local.seconds-cost)*min(1, s.work(q)), r.cfg.SpillMargin.Seconds()) {
 		return Decision{}, false
 	}
 	at := r.seconds(now)
