roster: find a region again after both sides replaced their relays

Cause: a property test found regions that did not hear of each other 7 s after a heal. Two faults: an instance that became a relay was known to the other side's second relay only, which did not tell the first; and when all relays of both regions had been replaced, seeds were asked only after 15 s of silence. Ruled out: loss (none in the test), message numbers (restarting senders grow). Change: a relay hands what came directly to the other relay too; seeds are asked as soon as a region counts as unreachable. Conclusion: the exchange does not depend on which relays knew each other.

--- a/bundle/spread/spread_test.go
+++ b/bundle/spread/spread_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle"
 	"github.com/gullhaven/gullhaven/bundle/bundletest"
+	_ "github.com/gullhaven/gullhaven/coord/fixedseed"
 )
 
 // Symptom: an instance goes back to an older bundle, has one that nobody
--- a/coord/roster/table.go
+++ b/coord/roster/table.go
@@ -86,7 +86,7 @@
 		if m.Roster == nil && m.Summary == nil {
 			continue
 		}
-		for _, c := range t.contacts(region) {
+		for _, c := range t.contacts(now, region) {
 			out = append(out, Out{To: c.ID, Message: m})
 		}
 	}
@@ -118,13 +118,13 @@
 // contacts are the instances to send to in a region: its relays, and the seeds
 // as well while the region is silent, since its relays may have been replaced
 // while the two regions were apart.
-func (t *Table) contacts(region string) []Contact {
+func (t *Table) contacts(now time.Time, region string) []Contact {
 	h := t.regions[region]
 	if h == nil || len(h.roster.Relays) == 0 {
 		return t.seeds[region]
 	}
 	contacts := slices.Clone(h.roster.Relays)
-	if t.sentAt.Sub(h.at) < farReachableFor {
+	if t.Reachable(now, region) {
 		return contacts
 	}
 	for _, s := range t.seeds[region] {
@@ -162,9 +162,6 @@
 	if m.Summary != nil {
 		t.fresh = append(t.fresh, h.summary)
 	}
-	if m.Passed {
-		return nil
-	}
 	return t.passOn(now, h, m, rosterChanged)
 }
 
@@ -197,17 +194,17 @@
 }
 
 // passOn hands a message from another region to the members of this one. Each
-// relay serves one half. An instance that is no relay was reached as a seed and
-// hands it to the relays.
+// relay serves one half, and tells the other relay as well: the sender may know
+// only one of them, or only one that has taken the place of another. A message
+// is passed on once at most, as a second one of its number is not admitted. An
+// instance that is no relay was reached as a seed and hands it to the relays.
 func (t *Table) passOn(now time.Time, h *heard, m Message, rosterChanged bool) []Out {
 	place := slices.IndexFunc(t.own.Relays, func(c Contact) bool { return c.ID == t.self.ID })
+	direct := !m.Passed
 	if place < 0 {
-		var out []Out
-		for _, c := range t.own.Relays {
-			out = append(out, Out{To: c.ID, Message: m})
-		}
-		return out
+		return t.toRelays(m, direct)
 	}
+	out := t.toRelays(Message{Roster: m.Roster, Region: m.Region, Seq: m.Seq, Summary: m.Summary, Passed: true}, direct)
 	m.Passed = true
 	if rosterChanged || now.Sub(h.passedAt) >= rosterInterval {
 		m.Roster, h.passedAt = &h.roster, now
@@ -215,18 +212,36 @@
 		m.Roster = nil
 	}
 	if m.Roster == nil && m.Summary == nil {
-		return nil
+		return out
 	}
-	var out []Out
 	for i, c := range t.own.Members {
 		mine := i%len(t.own.Relays) == place
-		if mine && c.ID != t.self.ID {
+		if mine && !t.isRelay(c.ID) {
 			out = append(out, Out{To: c.ID, Message: m})
 		}
 	}
 	return out
 }
 
+// toRelays hands a message that came directly from another region to the other
+// relays of this one.
+func (t *Table) toRelays(m Message, direct bool) []Out {
+	if !direct {
+		return nil
+	}
+	var out []Out
+	for _, c := range t.own.Relays {
+		if c.ID != t.self.ID {
+			out = append(out, Out{To: c.ID, Message: m})
+		}
+	}
+	return out
+}
+
+func (t *Table) isRelay(id string) bool {
+	return slices.ContainsFunc(t.own.Relays, func(c Contact) bool { return c.ID == id })
+}
+
 // Summaries returns what was received since the last call.
 func (t *Table) Summaries() []Summary {
 	fresh := t.fresh
