Contract tests for each port, and stand-ins for weights and instances

Cause: clients and stand-ins could drift apart, and a transport that sends again by itself shows in no counter. Change: weight store and instance list with clients; one contract test for each interface with its faults in tables; property tests of sequences and hops; fuzz targets of the request and hop parsers; tables of bad input, hedges, budget, limits and suspects on the path.

--- /dev/null
+++ b/pipeline/input_test.go
@@ -0,0 +1,249 @@
+package pipeline
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+// Symptom: a request that nobody can read reaches a target, or hangs.
+// Events: in a table.
+// Cause: a parser that guesses, or defaults for what was not understood.
+func TestBadInputIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t, withDeps(func(d *Deps) { d.Bounds.BodyBytes = 2048 }))
+	good := chat("p", false, 2)
+	for _, c := range []struct {
+		name   string
+		call   call
+		status int
+		code   verdict.Code
+	}{
+		{"no JSON", call{body: "{"}, 400, CodeBodyMalformed},
+		{"empty", call{body: ""}, 400, CodeBodyMalformed},
+		{"array", call{body: "[]"}, 400, CodeBodyMalformed},
+		{"two objects", call{body: good + good}, 400, CodeBodyMalformed},
+		{"no model", call{body: `{"messages":[{"role":"user","content":"x"}]}`}, 400, CodeBodyMalformed},
+		{"model twice", call{body: `{"model":"briefing-llm",` + good[1:]}, 400, CodeBodyMalformed},
+		{"model a number", call{body: `{"model":7,"messages":[]}`}, 400, CodeBodyMalformed},
+		{"stream a string", call{body: `{"stream":"yes",` + strings.Replace(good[1:], `"stream":false,`, "", 1)}, 400, CodeBodyMalformed},
+		{"no messages", call{body: `{"model":"briefing-llm","messages":[]}`}, 400, CodeBodyMalformed},
+		{"role missing", call{body: `{"model":"briefing-llm","messages":[{"content":"x"}]}`}, 400, CodeBodyMalformed},
+		{"tokens negative", call{body: strings.Replace(good, `"max_tokens":2`, `"max_tokens":-2`, 1)}, 400, CodeBodyMalformed},
+		{"not UTF-8", call{body: strings.Replace(good, `"p"`, "\"\xff\"", 1)}, 400, CodeBodyMalformed},
+		{"unknown model", call{body: strings.Replace(good, "briefing-llm", "other", 1)}, 404, CodeUnknownModel},
+		{"unknown adapter", call{body: strings.Replace(good, "briefing-llm", "briefing-llm:x", 1)}, 404, CodeUnknownModel},
+		{"plain service as model", call{body: strings.Replace(good, "briefing-llm", "lookups", 1)}, 404, CodeUnknownModel},
+		{"model as plain service", call{path: "/services/briefing-llm/x"}, 404, CodeUnknownService},
+		{"too large", call{body: chat(strings.Repeat("x", 4096), false, 2)}, 413, CodeBodyTooLarge},
+		{"wrong type", call{body: good, header: map[string]string{"Content-Type": "text/csv"}}, 415, CodeContentType},
+		{"wrong key", call{body: good, key: "nobody's"}, 401, CodeKey},
+		{"deadline no number", call{body: good, header: map[string]string{HeaderDeadline: "soon"}}, 400, CodeHeader},
+		{"deadline zero", call{body: good, header: map[string]string{HeaderDeadline: "0"}}, 400, CodeHeader},
+		{"deadline too far", call{body: good, header: map[string]string{HeaderDeadline: "99999999999999999"}}, 400, CodeHeader},
+		{"priority above the workspace's", call{body: good, header: map[string]string{HeaderPriority: "9"}}, 403, CodePriority},
+		{"priority no number", call{body: good, header: map[string]string{HeaderPriority: "high"}}, 400, CodeHeader},
+		{"unknown region", call{body: good, header: map[string]string{HeaderResidency: "atlantis"}}, 400, CodeHeader},
+		{"mark not understood", call{body: good, header: map[string]string{HeaderIdempotent: "no"}}, 400, CodeHeader},
+		{"marked, no key", call{body: good, header: map[string]string{HeaderIdempotent: "false"}}, 400, CodeKeyRequired},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			resp := r.do(c.call)
+			if got := readRefusal(t, resp); resp.StatusCode != c.status || got.Code != c.code || got.Verdict != verdict.NotRun {
+				t.Fatalf("%d %+v", resp.StatusCode, got)
+			}
+		})
+	}
+	if n := r.engines[0].Counts().Runs; n != 0 {
+		t.Fatalf("%d requests reached the target", n)
+	}
+}
+
+// Symptom: a body that stops half way is run as far as it came, or is waited for
+// without end.
+// Events: the caller announces more than it sends, then closes its side.
+// Cause: reading up to what came.
+func TestTruncatedBody(t *testing.T) {
+	r := newRig(t)
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+
+		"\r\nContent-Length: 4000\r\n\r\n"+chat("p", false, 2))
+	_ = c.(*net.TCPConn).CloseWrite()
+	answer, _ := io.ReadAll(c)
+	if !strings.Contains(string(answer), string(CodeBodyTruncated)) || r.engines[0].Counts().Runs != 0 {
+		t.Fatalf("answered %q", answer)
+	}
+}
+
+// hedger sends to the targets in order and hedges at once.
+type hedger struct {
+	route.Decider
+	targets []route.TargetID
+}
+
+func (h hedger) Decide(now time.Time, q *route.Request) route.Decision {
+	if len(q.Tried) >= len(h.targets) {
+		return route.Decision{Action: route.Refuse, Reason: route.ReasonNoTarget}
+	}
+	return route.Decision{Action: route.Send, Target: h.targets[len(q.Tried)], HedgeAt: now}
+}
+
+// Symptom: a slow target decides the time to the first token, or a caller gets
+// parts of two answers.
+// Events: the first target hangs, breaks or answers late; the hedge answers.
+// Cause: no second attempt; or both relayed.
+func TestHedge(t *testing.T) {
+	for _, kind := range []standin.FaultKind{standin.FaultHang, standin.FaultCrash, standin.FaultLate} {
+		t.Run(string(kind), func(t *testing.T) {
+			r := newRig(t, withEngines(2, standin.EngineConfig{}), withDeps(func(d *Deps) {
+				d.Decider = hedger{d.Decider, []route.TargetID{"runner-0", "runner-1"}}
+			}))
+			r.engines[0].SetFaults(standin.Fault{Kind: kind, DelayMillis: 20})
+			got := readStream(t, r.do(call{body: chat("p", true, 6)}).Body)
+			if !got.ended || got.text != answerTo("p", 6) {
+				t.Fatalf("%+v", got)
+			}
+		})
+	}
+	t.Run("never for what runs once", func(t *testing.T) {
+		r := newRig(t, withEngines(2, standin.EngineConfig{}), withDeps(func(d *Deps) {
+			d.Decider = hedger{d.Decider, []route.TargetID{"runner-0", "runner-1"}}
+		}))
+		r.engines[0].SetFaults(standin.Fault{Kind: standin.FaultLate, DelayMillis: 20})
+		got := readStream(t, r.do(call{body: chat("p", true, 6), header: map[string]string{
+			HeaderIdempotent: "false", HeaderIdempotencyK: "k"}}).Body)
+		if !got.ended || r.engines[1].Counts().Runs != 0 {
+			t.Fatalf("%+v, %d runs of the hedge", got, r.engines[1].Counts().Runs)
+		}
+	})
+}
+
+// Symptom: retries multiply the load of a region that lost targets.
+// Events: every target fails; each request is sent as often as the rules allow.
+// Cause: no budget over the requests of an instance.
+func TestRetriesKeepTheBudget(t *testing.T) {
+	budget := &fixedBudget{left: 5}
+	r := newRig(t, withEngines(3, standin.EngineConfig{}), withDeps(func(d *Deps) { d.Budget = budget }))
+	for _, e := range r.engines {
+		e.SetFaults(standin.Fault{Kind: standin.FaultReject})
+	}
+	for range 20 {
+		readRefusal(t, r.do(call{body: chat("p", true, 4)}))
+	}
+	if got := r.deps.Metrics.Retries.Count(); got != 5 {
+		t.Fatalf("%d retries", got)
+	}
+}
+
+type fixedBudget struct{ left int }
+
+func (b *fixedBudget) Deposit(time.Time) {}
+
+func (b *fixedBudget) Withdraw(time.Time) bool {
+	b.left--
+	return b.left >= 0
+}
+
+// Symptom: a request is held until its deadline and then fails.
+// Events: its target hangs; the deadline passes; or its caller leaves.
+// Cause: no answer before the target's.
+func TestDeadlineEndsTheRequest(t *testing.T) {
+	r := newRig(t)
+	r.engines[0].SetFaults(standin.Fault{Kind: standin.FaultHang})
+	got := readRefusal(t, r.do(call{body: chat("p", true, 4), header: map[string]string{HeaderDeadline: "30"}}))
+	if got.Code != CodeDeadline || got.Verdict != verdict.MayHaveRun {
+		t.Fatalf("%+v", got)
+	}
+}
+
+type fixedLimits struct{ requests, tokens float64 }
+
+func (l *fixedLimits) Take(_ time.Time, _ string, requests, tokens float64) ports.LimitAnswer {
+	if requests > l.requests || tokens > l.tokens {
+		return ports.LimitAnswer{RetryAfter: 1200 * time.Millisecond}
+	}
+	l.requests -= requests
+	l.tokens -= tokens
+	return ports.LimitAnswer{OK: true}
+}
+
+func TestLimitsSayWhenToComeBack(t *testing.T) {
+	r := newRig(t, withDeps(func(d *Deps) { d.Limits = &fixedLimits{requests: 2, tokens: 100} }))
+	for i, want := range []int{200, 429, 429} {
+		tokens := []int{2, 2000, 2}[i]
+		resp := r.do(call{body: chat("p", false, tokens)})
+		if resp.StatusCode != want {
+			t.Fatalf("request %d: %d", i, resp.StatusCode)
+		}
+		if want == 429 && resp.Header.Get("Retry-After") != "2" {
+			t.Fatalf("come back in %q", resp.Header.Get("Retry-After"))
+		}
+	}
+}
+
+type fixedSuspects struct{ digests map[ports.Digest]int }
+
+func (s *fixedSuspects) Check(_ time.Time, d ports.Digest) ports.Suspicion {
+	if s.digests[d] >= 2 {
+		return ports.SuspectRefused
+	}
+	return ports.SuspectNone
+}
+func (s *fixedSuspects) Started(_ time.Time, _ ports.AttemptID, _ string, d ports.Digest) {
+	s.digests[d]++
+}
+func (s *fixedSuspects) Ended(time.Time, ports.AttemptID, bool) {}
+
+// Symptom: one request takes down target after target.
+// Events: its caller sends it again under another id, streamed or not.
+// Cause: the request recognised by its id or its bytes.
+func TestSuspectIsRecognisedInAnotherForm(t *testing.T) {
+	r := newRig(t, withDeps(func(d *Deps) {
+		d.Suspects = &fixedSuspects{digests: map[ports.Digest]int{}}
+	}), withBundle(func(b *bundle.Bundle) { b.Rules.MaxAttempts = 1 }))
+	r.engines[0].SetFaults(standin.Fault{Kind: standin.FaultCrash})
+	for i := range 3 {
+		resp := r.do(call{body: chat("killer", i%2 == 0, 2+i), header: map[string]string{HeaderIdempotencyK: string(rune('a' + i)), HeaderResend: "false"}})
+		got := readRefusal(t, resp)
+		if i == 2 && (got.Code != CodeSuspect || got.Verdict != verdict.NotRun) {
+			t.Fatalf("%+v", got)
+		}
+	}
+}
+
+// Symptom: memory grows with the requests that wait.
+// Events: more requests are told to wait than the bound.
+// Cause: a queue without one.
+func TestHoldIsBounded(t *testing.T) {
+	r := newRouting(nil, time.Now, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	first := make(chan bool)
+	go func() { first <- r.Hold(ctx, time.Now().Add(time.Hour)) }()
+	for {
+		r.mu.Lock()
+		n := len(r.held)
+		r.mu.Unlock()
+		if n == 1 {
+			break
+		}
+	}
+	if r.Hold(ctx, time.Now().Add(time.Hour)) {
+		t.Fatal("held more than its bound")
+	}
+	cancel()
+	if !<-first || len(r.held) != 0 {
+		t.Fatalf("%d still held", len(r.held))
+	}
+}
--- /dev/null
+++ b/ports/platformhttp/client.go
@@ -0,0 +1,149 @@
+// Package platformhttp holds the HTTP clients of the platform: the weight store
+// and the list of instances.
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/sending"
+)
+
+// Paths of the platform.
+const (
+	PathWeights   = "/weights/"
+	PathInstances = "/instances"
+)
+
+// maxListBytes bounds a list of instances.
+const maxListBytes = 8 << 20
+
+// ErrNoObject: the weight store has nothing under the key.
+var ErrNoObject = errors.New("no such object in the weight store")
+
+// ErrShort: an object ended before its size.
+var ErrShort = errors.New("the object ended early")
+
+// WeightStore is the client of the weight store.
+type WeightStore struct {
+	base       string
+	transports *sending.Transports
+}
+
+// NewWeightStore makes a client for the store at address (IP:port).
+func NewWeightStore(address string, t *sending.Transports) *WeightStore {
+	return &WeightStore{base: "http://" + address, transports: t}
+}
+
+// Size returns the size of an object in bytes.
+func (s *WeightStore) Size(ctx context.Context, key string) (int64, error) {
+	resp, err := s.send(ctx, http.MethodHead, key, 0)
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	return resp.ContentLength, nil
+}
+
+// Read returns an object from offset on. A body that ends before the announced
+// size ends with ErrShort.
+func (s *WeightStore) Read(ctx context.Context, key string, offset int64) (io.ReadCloser, error) {
+	resp, err := s.send(ctx, http.MethodGet, key, offset)
+	if err != nil {
+		return nil, err
+	}
+	if offset > 0 && resp.StatusCode != http.StatusPartialContent {
+		resp.Body.Close()
+		return nil, verdict.New(verdict.Ran, ports.CodeTarget, "the weight store gave the whole object instead of a part")
+	}
+	return &exact{ReadCloser: resp.Body, left: resp.ContentLength}, nil
+}
+
+func (s *WeightStore) send(ctx context.Context, method, key string, offset int64) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, s.base+PathWeights+url.PathEscape(key), nil)
+	if err != nil {
+		return nil, err
+	}
+	if offset > 0 {
+		req.Header.Set("Range", "bytes="+strconv.FormatInt(offset, 10)+"-")
+	}
+	resp, err := s.transports.Do(req, false)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode < 300 {
+		return resp, nil
+	}
+	resp.Body.Close()
+	return nil, storeError(resp)
+}
+
+func storeError(resp *http.Response) error {
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return ErrNoObject
+	case http.StatusTooManyRequests:
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		e := verdict.New(verdict.NotRun, ports.CodeRejected, "the weight store is at its rate")
+		e.RetryAfter = time.Duration(seconds) * time.Second
+		return e
+	}
+	return verdict.New(verdict.Ran, ports.CodeTarget, fmt.Sprintf("the weight store answered %d", resp.StatusCode))
+}
+
+// exact ends with ErrShort if fewer bytes than announced came.
+type exact struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read counts what came.
+func (e *exact) Read(p []byte) (int, error) {
+	n, err := e.ReadCloser.Read(p)
+	e.left -= int64(n)
+	if err != nil && e.left > 0 {
+		return n, ErrShort
+	}
+	return n, err
+}
+
+// InstanceList is the client of the list of instances.
+type InstanceList struct {
+	url        string
+	transports *sending.Transports
+}
+
+// NewInstanceList makes a client for the list at address (IP:port).
+func NewInstanceList(address string, t *sending.Transports) *InstanceList {
+	return &InstanceList{url: "http://" + address + PathInstances, transports: t}
+}
+
+// Instances returns the list, which lags.
+func (l *InstanceList) Instances(ctx context.Context) (ports.InstanceSnapshot, error) {
+	var out ports.InstanceSnapshot
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
+	if err != nil {
+		return out, err
+	}
+	resp, err := l.transports.Do(req, false)
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return out, verdict.New(verdict.Ran, ports.CodeTarget, fmt.Sprintf("the list of instances answered %d", resp.StatusCode))
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&out); err != nil {
+		return out, &verdict.Error{Verdict: verdict.Ran, Code: ports.CodeTarget, Message: "malformed list of instances", Err: err}
+	}
+	return out, nil
+}
--- a/ports/sending/transport.go
+++ b/ports/sending/transport.go
@@ -3,6 +3,8 @@
 package sending
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -81,6 +83,10 @@
 	if err == nil {
 		return resp, nil
 	}
+	if errors.Is(err, io.EOF) {
+		// Nobody may find io.EOF under it and take it for the end of an answer.
+		err = io.ErrUnexpectedEOF
+	}
 	if !connected.Load() {
 		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "no connection to the target", Err: err}
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -252,11 +252,8 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// ServeEngine serves an engine on l until ctx ends.
-func ServeEngine(ctx context.Context, l net.Listener, e *Engine) error { return serve(ctx, l, e) }
-
-// serve serves h until ctx ends, then closes after a bounded grace.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+// Serve serves a stand-in on l until ctx ends, then closes after a bounded grace.
+func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	stop := context.AfterFunc(ctx, func() {
 		grace, cancel := context.WithTimeout(context.Background(), shutdownGrace)
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -1,12 +1,10 @@
 package standin
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -108,6 +106,3 @@
 	}
 	_, _ = w.Write(out)
 }
-
-// ServePlain serves a plain service on l until ctx ends.
-func ServePlain(ctx context.Context, l net.Listener, p *Plain) error { return serve(ctx, l, p) }
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -63,7 +63,8 @@
 	case seq == s.fault.Chunk+1 && s.fault.Kind == FaultReorder && seq > 1:
 		return true
 	case here && s.fault.Kind == FaultDuplicate:
-		return s.token(seq, tokens) && s.token(seq, tokens)
+		s.token(seq, tokens)
+		return s.token(seq, tokens)
 	case here && s.fault.Kind == FaultForeign:
 		return s.event("other-"+s.attempt, seq, s.before+"foreign"+s.behind) && s.token(seq, tokens)
 	}
