Show broken promises of a decider in the experiment

Cause: nothing proved that the driver would notice a loop, a sending outside the allowed regions or a request held for ever. Result: each broken promise is counted. Conclusion: zeros in the table are measured, not assumed.

--- a/experiment/call.go
+++ b/experiment/call.go
@@ -111,8 +111,7 @@
 
 func (w *world) send(c *call, d route.Decision) {
 	t := w.targets[d.Target]
-	allowed := len(c.req.Regions) == 0 || t != nil && slices.Contains(c.req.Regions, t.spec.Region)
-	if t == nil || t.region != c.in.region || !allowed {
+	if t == nil || t.region != c.in.region || !c.mayRunIn(t.spec.Region) {
 		w.stray++
 		w.final(c, refused)
 		return
@@ -128,6 +127,10 @@
 	}
 }
 
+func (c *call) mayRunIn(region string) bool {
+	return len(c.req.Regions) == 0 || slices.Contains(c.req.Regions, region)
+}
+
 func (w *world) enqueue(a *attempt) {
 	if w.attempts[a.id] == nil {
 		return
@@ -149,7 +152,7 @@
 // it comes back to its home, which may not spill it again.
 func (w *world) spill(c *call, d route.Decision) {
 	i := slices.IndexFunc(w.regions, func(r *region) bool { return r.name == d.Region })
-	if c.req.Crossed || i < 0 {
+	if c.req.Crossed || i < 0 || !c.mayRunIn(d.Region) {
 		w.loops++
 		w.final(c, refused)
 		return
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"testing"
 	"time"
+
+	"github.com/gullhaven/gullhaven/route"
 )
 
 func quick() Options {
@@ -45,7 +47,12 @@
 // Symptom: figures look good because requests went missing. Events: every
 // fault. Cause: a path of a call that ends without an answer, or with two.
 func TestEveryArrivalEndsOnce(t *testing.T) {
-	_, res := table(t, quick())
+	o := quick()
+	_, res := table(t, o)
+	o.GiveUp = true
+	o.Faults, o.Deciders = []Fault{CutHalf, Killer}, []string{LeastName, RouterName}
+	_, gaveUp := table(t, o)
+	res.Rows = append(res.Rows, gaveUp.Rows...)
 	for i := range res.Rows {
 		r := &res.Rows[i]
 		f := r.Seeds[0]
@@ -59,6 +66,63 @@
 	}
 }
 
+// odd is a baseline whose decisions are changed.
+type odd struct {
+	*baseline
+	change func(b *baseline, now time.Time, r *route.Request, d route.Decision) route.Decision
+}
+
+func (o odd) Decide(now time.Time, r *route.Request) route.Decision {
+	return o.change(o.baseline, now, r, o.baseline.Decide(now, r))
+}
+
+// Symptom: a decider breaks a promise and the table does not show it. Events:
+// deciders that send requests in a loop, out of the allowed region, or hold
+// them for ever. Cause: a driver that trusts decisions.
+func TestBrokenPromisesAreCounted(t *testing.T) {
+	wl := Workloads()[0]
+	run := func(change func(*baseline, time.Time, *route.Request, route.Decision) route.Decision) Figures {
+		tr := Trial{Workload: wl, Load: 0.5, Fault: NoFault, Seed: 1, Day: time.Minute, PerTarget: 2}
+		tr.arrivals = wl.trace(tr.Seed, tr.Load, tr.PerTarget, tr.Day)
+		tr.make = func(p Place, seed uint64) route.Decider {
+			return odd{newBaseline(p.Region, seed, pickLeast), change}
+		}
+		w := newWorld(&tr)
+		w.run()
+		return w.figures()
+	}
+	f := run(func(_ *baseline, _ time.Time, r *route.Request, _ route.Decision) route.Decision {
+		return route.Decision{Action: route.Spill, Region: wl.Regions[len(r.Tried)]}
+	})
+	if f.Violations != f.Arrivals || f.Refused != f.Arrivals {
+		t.Errorf("loops: %d violations, %d refused of %d", f.Violations, f.Refused, f.Arrivals)
+	}
+	f = run(func(b *baseline, _ time.Time, r *route.Request, d route.Decision) route.Decision {
+		if d.Action == route.Send && b.region == wl.Regions[0] {
+			d.Target = route.TargetID(wl.Regions[1] + "-" + r.Service + "-0")
+		}
+		return d
+	})
+	if f.Violations == 0 || f.Violations != f.Refused {
+		t.Errorf("strays: %d violations, %d refused", f.Violations, f.Refused)
+	}
+	f = run(func(_ *baseline, now time.Time, _ *route.Request, _ route.Decision) route.Decision {
+		return route.Decision{Action: route.Hold, DecideAgain: now.Add(time.Minute)}
+	})
+	if f.Lost == 0 || f.Lost+f.Refused != f.Arrivals {
+		t.Errorf("held for ever: %d lost, %d refused of %d", f.Lost, f.Refused, f.Arrivals)
+	}
+	f = run(func(_ *baseline, now time.Time, r *route.Request, d route.Decision) route.Decision {
+		if now.Sub(r.Arrival) < time.Second {
+			return route.Decision{Action: route.Hold, DecideAgain: now.Add(time.Second)}
+		}
+		return d
+	})
+	if f.Answered != f.Arrivals || f.P50 < 1000 {
+		t.Errorf("held a second: %d answered of %d, median %v ms", f.Answered, f.Arrivals, f.P50)
+	}
+}
+
 func TestBadOptionsAreRefused(t *testing.T) {
 	for name, spoil := range map[string]func(*Options){
 		"workload": func(o *Options) { o.Workloads = []string{"nobody"} },
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -149,8 +149,8 @@
 	crashes  int
 	hedges   int
 	retries  int
-	// loops counts spills of requests that had crossed already, and sendings
-	// to targets that are unknown or outside the allowed regions.
+	// loops counts spills of requests that had crossed already or may not leave;
+	// stray counts sendings to targets that are unknown or not allowed.
 	loops, stray int
 }
 
