node, daemon: assemble an instance and its command line

Cause: the parts had no process to run in. Not run yet: membership is not written, so the daemon stops at its start.

--- /dev/null
+++ b/daemon/dev.go
@@ -0,0 +1,177 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	_ "embed"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/keys"
+	"github.com/gullhaven/gullhaven/node"
+	"github.com/gullhaven/gullhaven/settings"
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+// Embedded defaults of --dev.
+const (
+	devInstance  = "dev-1"
+	devRegion    = "dev"
+	devZone      = "dev-a"
+	devCallers   = "127.0.0.1:8080"
+	devInstances = "127.0.0.1:8081"
+	devOperators = "127.0.0.1:8082"
+	devEngine    = "127.0.0.1:8091"
+	devPlain     = "127.0.0.1:8092"
+	devKey       = "dev-key"
+	devOperator  = "dev"
+	devValidity  = 30 * 24 * time.Hour
+	devRollTime  = 20 * time.Second
+)
+
+// devBundle is what --dev rolls; the operator's and the workspace's keys are
+// filled in.
+//
+//go:embed dev.json
+var devBundle []byte
+
+// runDev runs one instance with a stand-in engine and a plain service in this
+// process. Its disk is a folder that is removed at the end.
+func runDev(ctx context.Context, out, errOut io.Writer) error {
+	log, err := newLogger(errOut, "warn")
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "gullhaven-dev-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	targets, cancel := context.WithCancel(context.Background())
+	var s serving
+	defer s.wg.Wait()
+	defer cancel()
+	if err := s.engine(targets, devEngine, standin.EngineConfig{ID: "engine-1", PerToken: 5 * time.Millisecond}); err != nil {
+		return err
+	}
+	if err := s.plain(targets, devPlain); err != nil {
+		return err
+	}
+	return runDevInstance(ctx, dir, log, out)
+}
+
+func runDevInstance(ctx context.Context, dir string, log *zap.Logger, out io.Writer) error {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return err
+	}
+	key, err := devInstanceKey()
+	if err != nil {
+		return err
+	}
+	operator := bundle.Operator{ID: devOperator, PublicKey: base64.StdEncoding.EncodeToString(public)}
+	n, err := node.New(node.Options{Settings: devSettings(dir, operator), Key: key, Log: log})
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	signed, err := devSigned(operator, private)
+	if err == nil {
+		err = rollDev(ctx, n, signed)
+	}
+	if err != nil {
+		n.Stop()
+		return err
+	}
+	printReady(out)
+	<-ctx.Done()
+	return stop(n, log)
+}
+
+// devInstanceKey makes an authority for this run and issues the one key.
+func devInstanceKey() (*keys.Key, error) {
+	authority, err := keys.NewAuthority("dev", time.Now(), devValidity)
+	if err != nil {
+		return nil, err
+	}
+	host, _, err := net.SplitHostPort(devInstances)
+	if err != nil {
+		return nil, err
+	}
+	id := keys.Identity{Instance: devInstance, Region: devRegion}
+	return authority.Issue(id, []string{host}, time.Now(), devValidity)
+}
+
+func devSettings(dir string, operator bundle.Operator) *settings.Settings {
+	s := settings.Default()
+	s.Instance, s.Region, s.Zone = devInstance, devRegion, devZone
+	s.Listen = settings.Addresses{Callers: devCallers, Instances: devInstances, Operators: devOperators}
+	s.Advertise = s.Listen
+	s.DataDir, s.Voter = dir, true
+	s.Voters = []settings.Peer{{ID: devInstance, Region: devRegion, Zone: devZone, Address: devInstances}}
+	s.Bootstrap = settings.Bootstrap{Operators: []bundle.Operator{operator}, SignOffs: 1}
+	return s
+}
+
+// devSigned completes and signs the embedded bundle.
+func devSigned(operator bundle.Operator, key ed25519.PrivateKey) ([]byte, error) {
+	b, err := bundle.Decode(devBundle)
+	if err != nil {
+		return nil, err
+	}
+	b.Operators = []bundle.Operator{operator}
+	sum := sha256.Sum256([]byte(devKey))
+	for i := range b.Workspaces {
+		b.Workspaces[i].KeyHashes = []string{hex.EncodeToString(sum[:])}
+	}
+	if problems := bundle.Check(b); len(problems) > 0 {
+		return nil, problems
+	}
+	id, err := b.Identity()
+	if err != nil {
+		return nil, err
+	}
+	return bundle.EncodeSigned(&bundle.Signed{
+		Bundle:     *b,
+		Signatures: []bundle.Signature{bundle.Sign(id, operator.ID, key)},
+	})
+}
+
+// rollDev rolls the bundle and waits until it is in force.
+func rollDev(ctx context.Context, n *node.Node, signed []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, devRollTime)
+	defer cancel()
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	var err error
+	for n.Ready() != nil {
+		// The group has no leader at first; sending the same bytes again is safe.
+		_, err = n.Roll(ctx, signed)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("the embedded bundle is not in force after %v: %w", devRollTime, err)
+		}
+	}
+	return nil
+}
+
+func printReady(out io.Writer) {
+	_, _ = fmt.Fprintf(out, `ready: callers http://%s, operators http://%s
+Try:
+  curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"dev-llm","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"hello"}]}'
+  curl -s http://%s/services/echo/hello -H 'Authorization: Bearer %s'
+`, devCallers, devOperators, devCallers, devKey, devCallers, devKey)
+}
--- /dev/null
+++ b/node/claims.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/coord/claim"
+	"github.com/gullhaven/gullhaven/coord/membership"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/node/group"
+	"github.com/gullhaven/gullhaven/node/members"
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+// proposeTimeout bounds a proposal that the region's leader makes by itself.
+const proposeTimeout = time.Second
+
+// claims proposes to the region groups that keep claims.
+type claims struct {
+	groups map[string]*group.Client
+}
+
+// Propose has a command committed in the home region's log.
+func (c *claims) Propose(ctx context.Context, home string, cmd claim.Command) (claim.Result, error) {
+	client := c.groups[home]
+	if client == nil {
+		return claim.Result{}, ports.ErrClaimNotSent
+	}
+	data, err := claim.Encode(cmd)
+	if err != nil {
+		return claim.Result{}, errors.Join(ports.ErrClaimNotSent, err)
+	}
+	result, err := client.Propose(ctx, data)
+	var e *verdict.Error
+	if errors.As(err, &e) && e.Verdict == verdict.NotRun {
+		return claim.Result{}, errors.Join(ports.ErrClaimNotSent, err)
+	}
+	if err != nil {
+		return claim.Result{}, err
+	}
+	return claim.DecodeResult(result)
+}
+
+// keeper runs the duties of the region group's leader for its claim table: it
+// moves the table's clock, and tells it which lives of instances have ended.
+type keeper struct {
+	local *group.Member
+	log   *zap.Logger
+
+	mu sync.Mutex
+	// starts are the newest lives seen, by instance; lost are the lives before
+	// them, not told yet.
+	starts map[string]uint64
+	lost   map[string]uint64
+}
+
+func newKeeper(local *group.Member, log *zap.Logger) *keeper {
+	return &keeper{local: local, log: log, starts: map[string]uint64{}, lost: map[string]uint64{}}
+}
+
+// observe notes a member's life. An earlier one has ended once a later one is
+// seen. A member that only seems dead is left alone: if it was cut off it still
+// runs what it claimed, and would be refused every claim afterwards.
+func (k *keeper) observe(m membership.Member) {
+	start := members.DecodeMeta(m).Start
+	if start == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if start <= k.starts[m.ID] {
+		return
+	}
+	k.starts[m.ID] = start
+	k.lost[m.ID] = start - 1
+}
+
+// run does the duties while this instance leads, until ctx ends.
+func (k *keeper) run(ctx context.Context) {
+	tick := time.NewTicker(claim.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if k.local.Node.LeaseUntil().IsZero() {
+			continue
+		}
+		k.propose(ctx, claim.Command{Expire: &claim.Expire{}})
+		k.tellLost(ctx)
+	}
+}
+
+// tellLost proposes the ended lives; one that fails is told again next time.
+func (k *keeper) tellLost(ctx context.Context) {
+	k.mu.Lock()
+	lost := maps.Clone(k.lost)
+	k.mu.Unlock()
+	for id, incarnation := range lost {
+		life := claim.Instance{ID: id, Incarnation: incarnation}
+		if !k.propose(ctx, claim.Command{InstanceLost: &claim.InstanceLost{Instance: life}}) {
+			return
+		}
+		k.mu.Lock()
+		if k.lost[id] == incarnation {
+			delete(k.lost, id)
+		}
+		k.mu.Unlock()
+	}
+}
+
+// propose commits a command of the leader's own and reports success.
+func (k *keeper) propose(ctx context.Context, c claim.Command) bool {
+	c.Now = time.Now().UnixMilli()
+	data, err := claim.Encode(c)
+	if err != nil {
+		k.log.Error("claim command can't be encoded", zap.Error(err))
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err = k.local.Node.Propose(ctx, data)
+	return err == nil
+}
--- /dev/null
+++ b/node/forwarder.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/keys"
+	"github.com/gullhaven/gullhaven/coord/roster"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/pipeline"
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+const (
+	forwardDialTimeout = time.Second
+	forwardIdle        = 32
+	// forwardTries bounds the instances tried while none was reached.
+	forwardTries = 2
+)
+
+// forwarder passes requests on to instances of other regions, over mutual TLS.
+type forwarder struct {
+	key     *keys.Key
+	entries func(region string) []roster.Contact
+
+	mu         sync.Mutex
+	transports map[string]*http.Transport
+}
+
+func newForwarder(key *keys.Key, entries func(string) []roster.Contact) *forwarder {
+	return &forwarder{key: key, entries: entries, transports: map[string]*http.Transport{}}
+}
+
+// Forward sends the request to a live instance of the region. A second instance
+// is tried only where the first saw nothing of it and the body is unread.
+func (f *forwarder) Forward(ctx context.Context, r ports.ForwardRequest) (*ports.PlainAnswer, error) {
+	contacts := f.entries(r.Region)
+	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	err := verdict.New(verdict.NotRun, pipeline.CodeRegionUnreached, "no instance of region "+r.Region+" is known")
+	for _, c := range contacts[:min(forwardTries, len(contacts))] {
+		var answer *ports.PlainAnswer
+		answer, err = f.send(ctx, c, r)
+		if err == nil {
+			return answer, nil
+		}
+		if err.Verdict != verdict.NotRun || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+// send tries one instance. Its error is NotRun only if no connection was made.
+func (f *forwarder) send(ctx context.Context, c roster.Contact, r ports.ForwardRequest) (*ports.PlainAnswer, *verdict.Error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, r.Method, "https://"+c.Address+r.Target, r.Body)
+	if err != nil {
+		return nil, &verdict.Error{Code: pipeline.CodeInternal, Message: "the request can't be passed on", Err: err}
+	}
+	req.Header = r.Header
+	req.ContentLength = r.Length
+	resp, err := f.transport(c.ID).RoundTrip(req)
+	if err == nil {
+		return &ports.PlainAnswer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	}
+	e := &verdict.Error{Code: pipeline.CodeRegionUnreached, Message: "region " + c.Region + " was not reached", Err: err}
+	if connected.Load() {
+		e.Verdict = verdict.MayHaveRun
+	}
+	return nil, e
+}
+
+// transport keeps the connections to one instance, whose identity is checked in
+// each handshake.
+func (f *forwarder) transport(id string) *http.Transport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.transports[id]
+	if t == nil {
+		t = &http.Transport{
+			DialTLSContext:      dialer(f.key.ClientConfig(id)),
+			MaxIdleConnsPerHost: forwardIdle,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}
+		f.transports[id] = t
+	}
+	return t
+}
+
+func dialer(config *tls.Config) func(context.Context, string, string) (net.Conn, error) {
+	d := &tls.Dialer{NetDialer: &net.Dialer{Timeout: forwardDialTimeout}, Config: config}
+	return d.DialContext
+}
+
+// Close drops idle connections.
+func (f *forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.transports {
+		t.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/node/listen.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/api"
+	"github.com/gullhaven/gullhaven/coord/keys"
+	"github.com/gullhaven/gullhaven/coord/link"
+)
+
+// headerTimeout bounds how long a connection may take to send its headers, so
+// that slow connections hold nothing.
+const headerTimeout = 10 * time.Second
+
+// server is one listening interface.
+type server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+}
+
+// shutdown takes no new connections and waits for those in use.
+func (s *server) shutdown(ctx context.Context) { _ = s.http.Shutdown(ctx) }
+
+// listen opens the three interfaces: for callers, for operators and, with
+// mutual TLS, for instances.
+func (n *Node) listen() error {
+	deps := api.Deps{Pipeline: n.pipeline, Directory: n.directory, Ready: n.Ready, Metrics: n.metrics}
+	operators := deps
+	operators.Operator = &operator{node: n}
+	peers := http.NewServeMux()
+	peers.Handle(link.DefaultPath, n.hub.Handler())
+	peers.Handle("/", api.NewPeer(n.pipeline, peerID))
+	for _, i := range []struct {
+		name, address string
+		handler       http.Handler
+		tls           *tls.Config
+	}{
+		{"callers", n.s.Listen.Callers, api.New(deps), nil},
+		{"operators", n.s.Listen.Operators, api.New(operators), nil},
+		{"instances", n.s.Listen.Instances, peers, n.o.Key.ServerConfig()},
+	} {
+		if err := n.serve(i.name, i.address, i.handler, i.tls); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// peerID names the instance at the other end of a connection.
+func peerID(r *http.Request) string {
+	id, err := keys.PeerIdentity(r.TLS)
+	if err != nil {
+		return ""
+	}
+	return id.Instance
+}
+
+// serve opens one interface and serves it until its server is closed.
+func (n *Node) serve(name, address string, h http.Handler, config *tls.Config) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
+	s := &server{name: name, listener: l, http: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          zap.NewStdLog(n.log.Named(name).WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}}
+	if config != nil {
+		s.http.ConnState = link.TuneConn
+	}
+	n.servers = append(n.servers, s)
+	n.wg.Go(func() { _ = s.http.Serve(l) })
+	return nil
+}
--- /dev/null
+++ b/node/loads/book.go
@@ -0,0 +1,239 @@
+// Package loads polls the region's engines and shares what they report.
+//
+// Each engine is polled by one owner among the region's live instances, chosen
+// by rendezvous hashing, and by a deputy where the owner's reports stay out.
+// Polling by all would load the engines with the number of instances.
+package loads
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// Times of polling.
+const (
+	// PollInterval is the time between two polls of an engine by its owner.
+	PollInterval = 200 * time.Millisecond
+	// deputyAfter is how long reports stay out before the deputy polls.
+	deputyAfter = 600 * time.Millisecond
+	// downAfter is how many polls in a row fail before a target counts as down.
+	downAfter = 3
+	// forgetDownAfter lets a target that was reported down be tried again when
+	// nobody has said anything of it for so long: the instance that said so may
+	// be the one that was cut off.
+	forgetDownAfter = 5 * time.Second
+)
+
+// Target is an engine to poll.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Observation is what one poll found.
+type Observation struct {
+	Target string `cbor:"1,keyasint"`
+	// Age of the report when it was sent, in milliseconds: clocks of instances
+	// differ, so no time of day is sent.
+	AgeMillis     int64   `cbor:"2,keyasint"`
+	Running       int     `cbor:"3,keyasint,omitempty"`
+	Waiting       int     `cbor:"4,keyasint,omitempty"`
+	WaitingTokens int     `cbor:"5,keyasint,omitempty"`
+	KVUsed        float32 `cbor:"6,keyasint,omitempty"`
+	// State is Warm, Loading, Leaving or Down.
+	State route.State `cbor:"7,keyasint,omitempty"`
+	// Version and Adapters are what the engine has loaded.
+	Version  string   `cbor:"8,keyasint,omitempty"`
+	Adapters []string `cbor:"9,keyasint,omitempty"`
+}
+
+// entry is what is known of one engine.
+type entry struct {
+	target   Target
+	owner    bool
+	deputy   bool
+	polledAt time.Time
+	failures int
+	seen     Observation
+	// seenAt is when seen was received or made here; zero for never.
+	seenAt time.Time
+}
+
+// Book is the knowledge of one instance. It has no input or output and is not
+// safe for several goroutines.
+type Book struct {
+	self    string
+	targets []Target
+	members []string
+	entries map[string]*entry
+}
+
+// NewBook makes the Book of an instance.
+func NewBook(self string) *Book {
+	return &Book{self: self, entries: map[string]*entry{}}
+}
+
+// SetTargets replaces the engines of the region.
+func (b *Book) SetTargets(targets []Target) {
+	kept := map[string]*entry{}
+	for _, t := range targets {
+		e := b.entries[t.ID]
+		if e == nil || e.target.Address != t.Address {
+			e = &entry{}
+		}
+		e.target = t
+		kept[t.ID] = e
+	}
+	b.targets, b.entries = slices.Clone(targets), kept
+	b.assign()
+}
+
+// SetMembers replaces the live instances of the region.
+func (b *Book) SetMembers(members []string) {
+	b.members = members
+	b.assign()
+}
+
+// assign computes owner and deputy of each engine. During a change of members
+// two instances may both poll; that costs a little and harms nothing.
+func (b *Book) assign() {
+	for _, e := range b.entries {
+		first, second := topTwo(e.target.ID, b.members)
+		e.owner = first == b.self || first == ""
+		e.deputy = second == b.self
+	}
+}
+
+// topTwo are the members with the highest rendezvous weights.
+func topTwo(target string, members []string) (first, second string) {
+	var w1, w2 uint64
+	for _, m := range members {
+		w := xxhash.Sum64String(target + "\x00" + m)
+		switch {
+		case first == "" || w > w1:
+			first, second, w1, w2 = m, first, w, w1
+		case second == "" || w > w2:
+			second, w2 = m, w
+		}
+	}
+	return first, second
+}
+
+// Due returns the engines to poll now and marks them as polled.
+func (b *Book) Due(now time.Time) []Target {
+	var due []Target
+	for _, t := range b.targets {
+		e := b.entries[t.ID]
+		silent := now.Sub(e.seenAt) > deputyAfter
+		mine := e.owner || e.deputy && silent
+		if !mine || now.Sub(e.polledAt) < PollInterval {
+			continue
+		}
+		e.polledAt = now
+		due = append(due, e.target)
+	}
+	return due
+}
+
+// Polled takes the end of a poll and returns what to tell the others. A single
+// failure is told to nobody: the poll itself may have been what was slow.
+func (b *Book) Polled(now time.Time, target string, r ports.LoadReport, err error) (Observation, bool) {
+	e := b.entries[target]
+	if e == nil {
+		return Observation{}, false
+	}
+	if err != nil {
+		e.failures++
+		if e.failures < downAfter {
+			return Observation{}, false
+		}
+		return b.note(now, e, Observation{Target: target, State: route.Down}), true
+	}
+	e.failures = 0
+	return b.note(now, e, observe(target, now, r)), true
+}
+
+// observe turns an engine's report into what is shared.
+func observe(target string, now time.Time, r ports.LoadReport) Observation {
+	o := Observation{
+		Target:        target,
+		AgeMillis:     max(0, now.Sub(r.At).Milliseconds()),
+		Running:       r.Running,
+		Waiting:       r.Waiting,
+		WaitingTokens: r.WaitingTokens,
+		KVUsed:        float32(r.KVUsed),
+		Version:       r.Version,
+		Adapters:      r.Adapters,
+	}
+	switch {
+	case r.Draining:
+		o.State = route.Leaving
+	case r.Loading:
+		o.State = route.Loading
+	}
+	return o
+}
+
+func (b *Book) note(now time.Time, e *entry, o Observation) Observation {
+	e.seen, e.seenAt = o, now
+	return o
+}
+
+// Received takes an observation of another instance.
+func (b *Book) Received(now time.Time, o Observation) {
+	if e := b.entries[o.Target]; e != nil {
+		b.note(now, e, o)
+	}
+}
+
+// State is what was observed of an engine, for requests: Down is forgotten when
+// nobody repeats it.
+func (b *Book) State(now time.Time, target string) (route.State, bool) {
+	e := b.entries[target]
+	if e == nil || e.seenAt.IsZero() {
+		return route.Warm, false
+	}
+	if e.seen.State == route.Down && now.Sub(e.seenAt) > forgetDownAfter {
+		return route.Warm, false
+	}
+	return e.seen.State, true
+}
+
+// Seen returns the last observation of an engine and when it was received.
+func (b *Book) Seen(target string) (Observation, time.Time) {
+	e := b.entries[target]
+	if e == nil {
+		return Observation{}, time.Time{}
+	}
+	return e.seen, e.seenAt
+}
+
+// Overlay sets the observed states on what the bundle says. What the bundle
+// says of leaving stands; an engine that loads or is down takes no work.
+func (b *Book) Overlay(now time.Time, specs []route.TargetSpec) []route.TargetSpec {
+	out := slices.Clone(specs)
+	for i := range out {
+		state, known := b.State(now, string(out[i].ID))
+		if known && (out[i].State == route.Warm || state == route.Down) {
+			out[i].State = state
+		}
+	}
+	return out
+}
+
+// ReportOf is an observation in the form that routing takes.
+func ReportOf(now time.Time, o Observation) route.Report {
+	return route.Report{
+		Target:        route.TargetID(o.Target),
+		At:            now.Add(-time.Duration(o.AgeMillis) * time.Millisecond),
+		Running:       o.Running,
+		Waiting:       o.Waiting,
+		WaitingTokens: o.WaitingTokens,
+		KVUsed:        float64(o.KVUsed),
+	}
+}
--- /dev/null
+++ b/node/loads/loads.go
@@ -0,0 +1,291 @@
+package loads
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/ring"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// Channel is the link channel of observations.
+const Channel = "loads"
+
+const (
+	// ringSize bounds what waits for the loop; lost observations are replaced
+	// by the next.
+	ringSize = 1024
+	// pollTimeout bounds one poll.
+	pollTimeout = 500 * time.Millisecond
+	// shareInterval is the time between two batches to the other members.
+	shareInterval = 100 * time.Millisecond
+	// eventInterval is the time between two reads of an engine's cache events.
+	eventInterval = time.Second
+)
+
+// batch is what the owner tells the other members.
+type batch struct {
+	Observations []Observation `cbor:"1,keyasint,omitempty"`
+	Events       []cacheEvents `cbor:"2,keyasint,omitempty"`
+}
+
+// cacheEvents are events of one engine, in order.
+type cacheEvents struct {
+	Target string             `cbor:"1,keyasint"`
+	Events []ports.CacheEvent `cbor:"2,keyasint"`
+}
+
+// Sink takes what was learned; *pipeline.Routing is one.
+type Sink interface {
+	Report(route.Report)
+	CacheEvent(route.CacheEvent)
+	SetTargets([]route.TargetSpec)
+}
+
+// Options of a Service.
+type Options struct {
+	Self    string
+	Hub     *link.Hub
+	Engines ports.Engines
+	Sink    Sink
+	Log     *zap.Logger
+}
+
+// polled is the end of a poll.
+type polled struct {
+	target string
+	report ports.LoadReport
+	events []ports.CacheEvent
+	err    error
+}
+
+// Service runs a Book: one loop, and one goroutine for each poll under way.
+type Service struct {
+	o      Options
+	inbox  *ring.Ring[batch]
+	polled *ring.Ring[polled]
+
+	mu      sync.Mutex
+	book    *Book
+	specs   []route.TargetSpec
+	members []string
+	states  map[route.TargetID]route.State
+	events  map[string]eventCursor
+}
+
+// eventCursor is how far the events of an engine were read.
+type eventCursor struct {
+	seq  uint64
+	read time.Time
+}
+
+// New makes a Service and registers it at the link.
+func New(o Options) *Service {
+	s := &Service{
+		o:      o,
+		inbox:  ring.New[batch](ringSize),
+		polled: ring.New[polled](ringSize),
+		book:   NewBook(o.Self),
+		states: map[route.TargetID]route.State{},
+		events: map[string]eventCursor{},
+	}
+	o.Hub.Handle(Channel, s.receive)
+	return s
+}
+
+// SetTargets replaces the targets of the region: specs of all, and the engines
+// among them that are polled.
+func (s *Service) SetTargets(specs []route.TargetSpec, engines []Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.specs = specs
+	s.book.SetTargets(engines)
+	s.overlay(time.Now(), true)
+}
+
+// SetMembers replaces the live instances of the region, this one included.
+func (s *Service) SetMembers(members []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = members
+	s.book.SetMembers(members)
+}
+
+// Seen returns the last observation of an engine and when it was received.
+func (s *Service) Seen(target string) (Observation, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Seen(target)
+}
+
+// States returns the targets of the region with their states in force.
+func (s *Service) States() []route.TargetSpec {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Overlay(time.Now(), s.specs)
+}
+
+func (s *Service) receive(_ string, data []byte) {
+	var b batch
+	if err := cbor.Unmarshal(data, &b); err != nil {
+		s.o.Log.Debug("malformed load observations", zap.Error(err))
+		return
+	}
+	s.inbox.TryPush(b)
+}
+
+// Run polls and shares until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	poll := time.NewTicker(PollInterval / 4)
+	defer poll.Stop()
+	share := time.NewTicker(shareInterval)
+	defer share.Stop()
+	var out batch
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+			s.pollDue(ctx)
+		case <-share.C:
+			s.share(out)
+			out = batch{}
+		case b := <-s.inbox.C():
+			s.take(b)
+		case p := <-s.polled.C():
+			s.end(p, &out)
+		}
+	}
+}
+
+func (s *Service) pollDue(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, t := range s.book.Due(now) {
+		cursor := s.events[t.ID]
+		withEvents := now.Sub(cursor.read) >= eventInterval
+		if withEvents {
+			cursor.read = now
+			s.events[t.ID] = cursor
+		}
+		go s.poll(ctx, t, cursor.seq, withEvents)
+	}
+	s.overlay(now, false)
+}
+
+// poll asks one engine.
+func (s *Service) poll(ctx context.Context, t Target, after uint64, withEvents bool) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	engine := s.o.Engines.Engine(t.Address)
+	p := polled{target: t.ID}
+	p.report, p.err = engine.Load(ctx)
+	if p.err == nil && withEvents {
+		// Events are hints: without them affinity rests on own sendings.
+		p.events, _ = engine.CacheEvents(ctx, after)
+	}
+	s.polled.TryPush(p)
+}
+
+// end notes a poll and adds it to the next batch.
+func (s *Service) end(p polled, out *batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if o, tell := s.book.Polled(now, p.target, p.report, p.err); tell {
+		out.Observations = append(out.Observations, o)
+		s.learn(now, o)
+	}
+	if len(p.events) == 0 {
+		return
+	}
+	cursor := s.events[p.target]
+	cursor.seq = max(cursor.seq, p.events[len(p.events)-1].Seq)
+	s.events[p.target] = cursor
+	c := cacheEvents{Target: p.target, Events: p.events}
+	out.Events = append(out.Events, c)
+	s.learnEvents(c)
+}
+
+// share sends a batch to the other members.
+func (s *Service) share(b batch) {
+	if len(b.Observations) == 0 && len(b.Events) == 0 {
+		return
+	}
+	data, err := cbor.Marshal(b)
+	if err != nil {
+		s.o.Log.Error("load observations can't be encoded", zap.Error(err))
+		return
+	}
+	s.mu.Lock()
+	members := slices.Clone(s.members)
+	s.mu.Unlock()
+	for _, m := range members {
+		if m != s.o.Self {
+			s.o.Hub.Send(m, Channel, data)
+		}
+	}
+}
+
+// take notes a batch of another member.
+func (s *Service) take(b batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, o := range b.Observations {
+		s.book.Received(now, o)
+		s.learn(now, o)
+	}
+	for _, c := range b.Events {
+		if n := len(c.Events); n > 0 {
+			cursor := s.events[c.Target]
+			cursor.seq = max(cursor.seq, c.Events[n-1].Seq)
+			s.events[c.Target] = cursor
+		}
+		s.learnEvents(c)
+	}
+}
+
+func (s *Service) learn(now time.Time, o Observation) {
+	if o.State != route.Down {
+		s.o.Sink.Report(ReportOf(now, o))
+	}
+	s.overlay(now, false)
+}
+
+func (s *Service) learnEvents(c cacheEvents) {
+	for _, e := range c.Events {
+		s.o.Sink.CacheEvent(route.CacheEvent{
+			Target:  route.TargetID(c.Target),
+			Seq:     e.Seq,
+			Stored:  e.Stored,
+			Evicted: e.Evicted,
+		})
+	}
+}
+
+// overlay hands the targets to routing where a state changed.
+func (s *Service) overlay(now time.Time, force bool) {
+	specs := s.book.Overlay(now, s.specs)
+	changed := force
+	for _, spec := range specs {
+		if old, known := s.states[spec.ID]; !known || old != spec.State {
+			s.states[spec.ID] = spec.State
+			changed = true
+			if known {
+				s.o.Log.Info("target changed state", zap.String("target", string(spec.ID)), zap.Uint8("state", uint8(spec.State)))
+			}
+		}
+	}
+	if changed {
+		s.o.Sink.SetTargets(specs)
+	}
+}
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -31,8 +31,14 @@
 type Meta struct {
 	// Callers is IP:port of its interface for callers.
 	Callers string `cbor:"1,keyasint"`
+	// Start is when its process started, in Unix milliseconds: it names the
+	// life of the instance, which stays the same over refutations.
+	Start uint64 `cbor:"2,keyasint"`
 }
 
+// Encode returns the form that DecodeMeta reads.
+func (m Meta) Encode() ([]byte, error) { return cbor.Marshal(m) }
+
 // DecodeMeta reads a member's Meta; a malformed one is the zero Meta.
 func DecodeMeta(m membership.Member) Meta {
 	var meta Meta
