--- a/route/admission.go
+++ b/route/admission.go
@@ -21,18 +21,21 @@
 // spills it, or refuses it at once: a request that can't make its deadline only
 // takes the place of ones that can.
 func (r *Router) admit(now time.Time, s *service, q *Request, cands []Candidate) Decision {
-	wait, late := r.snapshot.shortest(cands)
-	inTime := keep(cands, func(c *Candidate) bool { return r.snapshot.lateness(c) <= 0 })
+	o := r.snapshot.outlook(cands)
+	inTime := cands
+	if o.latest > 0 {
+		inTime = keep(cands, func(c *Candidate) bool { return r.snapshot.lateness(c) <= 0 })
+	}
 	if len(inTime) == 0 {
 		if d, ok := r.trySpill(now, s, q, localWait{never: true}); ok {
 			return d
 		}
-		return refuse(ReasonDeadline, late)
+		return refuse(ReasonDeadline, o.late)
 	}
-	if d, ok := r.trySpill(now, s, q, localWait{seconds: wait}); ok {
+	if d, ok := r.trySpill(now, s, q, localWait{seconds: o.first}); ok {
 		return d
 	}
-	if over := r.shedBy(s, q, inTime); over > 0 {
+	if over := r.shedBy(s, q, o.wait); over > 0 {
 		return refuse(ReasonOverload, over)
 	}
 	c := &inTime[r.picker.Pick(&r.snapshot, inTime)]
@@ -65,30 +68,35 @@
 	return at
 }
 
-// shortest returns the shortest predicted time to first token and the least
-// lateness.
-func (s *Snapshot) shortest(cands []Candidate) (first, late float64) {
-	first, late = math.Inf(1), math.Inf(1)
+// outlook sums up the candidates, in seconds: the least predicted time to first
+// token, wait and lateness, and the greatest lateness.
+type outlook struct {
+	first, wait, late, latest float64
+}
+
+func (s *Snapshot) outlook(cands []Candidate) outlook {
+	inf := math.Inf(1)
+	o := outlook{first: inf, wait: inf, late: inf, latest: -inf}
 	for i := range cands {
-		first = min(first, cands[i].FirstToken)
-		late = min(late, s.lateness(&cands[i]))
-	}
-	return first, late
+		c := &cands[i]
+		late := s.lateness(c)
+		o.first = min(o.first, c.FirstToken)
+		o.wait = min(o.wait, c.Wait)
+		o.late = min(o.late, late)
+		o.latest = max(o.latest, late)
+	}
+	return o
 }
 
-// shedBy is by how many seconds the least queue exceeds what the request's
+// shedBy is by how many seconds the least wait exceeds what the request's
 // priority bears; 0 means that it is admitted. Of the ones that would be shed a
 // part is admitted all the same, so that a low priority does not starve behind
 // a steady load of higher ones.
-func (r *Router) shedBy(s *service, q *Request, cands []Candidate) float64 {
+func (r *Router) shedBy(s *service, q *Request, wait float64) float64 {
 	if priority(q) == priorities-1 {
 		return 0
 	}
-	least := cands[0].Wait
-	for i := range cands {
-		least = min(least, cands[i].Wait)
-	}
-	over := least - r.cfg.ShedWait.Seconds()*float64(priority(q)+1)
+	over := wait - r.cfg.ShedWait.Seconds()*float64(priority(q)+1)
 	if over <= 0 {
 		return 0
 	}
--- a/route/events.go
+++ b/route/events.go
@@ -60,6 +60,7 @@
 		t.restart()
 	}
 	t.spec = spec
+	t.learned()
 	t.svc.model = t.svc.model || t.model()
 	return t
 }
@@ -177,6 +178,7 @@
 	a.firstAt = at
 	r.attempts[id] = a
 	a.t.speed.first.observe(at, at-a.sentAt, a.expected)
+	a.t.learned()
 }
 
 // Ended implements Decider.
@@ -217,5 +219,6 @@
 	t.svc.memory.sawHold(a.memory, at-a.firstAt+a.uncached/t.prefillRate())
 	if e.OutputTokens > 1 {
 		t.speed.decode.observe(at, at-a.firstAt, float64(e.OutputTokens-1)*t.ratedTokenTime())
+		t.learned()
 	}
 }
--- a/route/guard.go
+++ b/route/guard.go
@@ -68,6 +68,7 @@
 	s.prefill = 0
 	for _, t := range s.list {
 		t.speed.fade(now)
+		t.learned()
 		if t.spec.State == Warm {
 			s.prefill += t.prefillRate()
 		}
--- a/route/plugins_test.go
+++ b/route/plugins_test.go
@@ -19,7 +19,7 @@
 		id := TargetID("t" + string(rune('0'+i)))
 		out[i] = Candidate{
 			Spec:        &TargetSpec{ID: id, Region: "here", Zone: "a", Slots: 4},
-			PrefillRate: 1000, TokenTime: 0.01, Slots: 4, Ahead: 1, WarmFor: 1e6, hash: mix(uint64(i)),
+			PrefillTime: 0.001, TokenTime: 0.01, Slots: 4, Ahead: 1, WarmFor: 1e6, hash: mix(uint64(i)),
 		}
 	}
 	return out
--- a/route/router.go
+++ b/route/router.go
@@ -121,35 +121,43 @@
 	ahead, above := s.shares(priority(q))
 	r.snapshot.Overtaken = s.overtaken(at, above, s.others(&r.cfg))
 	stale := r.cfg.ReportStale.Seconds()
-	cands := r.candidates[:0]
-	for _, t := range s.list {
-		cands = append(cands, Candidate{hash: t.hash})
-		c := &cands[len(cands)-1]
-		rate := t.prefillRate()
-		t.load.advance(at, rate, p)
-		c.Spec = &t.spec
+	for len(r.candidates) < len(s.list) {
+		r.candidates = append(r.candidates, Candidate{})
+	}
+	cands := r.candidates[:len(s.list)]
+	for i, t := range s.list {
+		c := &cands[i]
+		c.describe(t, at)
+		t.load.advance(at, t.prefillRate(), p)
 		c.Pending = t.load.pending * ahead
 		c.Ahead = ahead
 		c.InFlight = t.load.inFlight(at, stale, p)
-		c.Slots = t.slots()
-		c.Own = t.load.own
 		c.KVUsed = t.load.kv + t.load.memorySince(p)*perToken + float64(t.waiting)*perRequest*ahead
-		c.PrefillRate = rate
-		c.TokenTime = t.ratedTokenTime() * t.speed.decode.factor()
 		c.PlainTime = s.plain * t.speed.first.factor()
-		c.Health = t.guard.state(at)
-		c.WarmFor = at - t.warmAt
+		c.Cached = 0
 		if s.model {
-			c.Cached = t.trust * float64(min(int(s.index.held(t.index))*PrefixBlockTokens, q.PromptTokens-1))
+			held := int(s.index.held(t.index)) * PrefixBlockTokens
+			c.Cached = t.trust * float64(min(held, q.PromptTokens-1))
 		}
 	}
-	r.candidates = cands
 	for _, f := range r.filters {
 		cands = f.Apply(&r.snapshot, cands)
 	}
 	return cands
 }
 
+// describe sets what depends on the target alone, and clears the scores.
+func (c *Candidate) describe(t *target, at float64) {
+	c.Spec = &t.spec
+	c.hash = t.hash
+	c.Slots = t.slots()
+	c.PrefillTime = t.prefillTime
+	c.TokenTime = t.tokenTime
+	c.Health = t.guard.state(at)
+	c.WarmFor = at - t.warmAt
+	c.Wait, c.FirstToken, c.Finish, c.Score = 0, 0, 0, 0
+}
+
 // allowed says whether the request may be served in region.
 func allowed(q *Request, region string) bool {
 	return len(q.Regions) == 0 || slices.Contains(q.Regions, region)
--- a/route/scorer_prefix.go
+++ b/route/scorer_prefix.go
@@ -17,10 +17,7 @@
 	}
 	for i := range in {
 		c := &in[i]
-		if c.Cached <= 0 || c.PrefillRate <= 0 {
-			continue
-		}
-		saved := c.Cached / c.PrefillRate
+		saved := c.Cached * c.PrefillTime
 		c.FirstToken -= saved
 		c.Finish -= saved
 		c.Score -= saved * s.Config.HitWeight
@@ -50,9 +47,7 @@
 	}
 	for k := range n {
 		c := &in[best[k]]
-		if c.PrefillRate > 0 {
-			c.Score -= s.Config.AffinityGain * s.NewTokens / c.PrefillRate
-		}
+		c.Score -= s.Config.AffinityGain * s.NewTokens * c.PrefillTime
 	}
 }
 
--- a/route/scorer_queue.go
+++ b/route/scorer_queue.go
@@ -12,15 +12,15 @@
 	q := s.Request
 	for i := range in {
 		c := &in[i]
-		if !s.Model || c.PrefillRate <= 0 {
+		if !s.Model || c.PrefillTime == 0 {
 			c.Wait = slotWait(c, c.PlainTime)
 			c.FirstToken = c.Wait + c.PlainTime
 			c.Finish = c.FirstToken
 			c.Score += c.FirstToken
 			continue
 		}
-		c.Wait = max(c.Pending/c.PrefillRate, slotWait(c, s.HoldTime)) / (1 - s.Overtaken)
-		c.FirstToken = c.Wait + float64(q.PromptTokens)/c.PrefillRate
+		c.Wait = max(c.Pending*c.PrefillTime, slotWait(c, s.HoldTime)) / (1 - s.Overtaken)
+		c.FirstToken = c.Wait + float64(q.PromptTokens)*c.PrefillTime
 		c.Finish = c.FirstToken + float64(q.OutputTokens)*c.TokenTime
 		c.Score += c.FirstToken
 	}
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -62,13 +62,12 @@
 	InFlight float64
 	// Slots is the number of requests it runs at once, as far as memory allows.
 	Slots float64
-	// Own is how many of them this instance sent.
-	Own int
 	// KVUsed is the share of KV cache memory in use or waited for; over 1 if
 	// requests wait for it.
 	KVUsed float64
-	// PrefillRate is the learned speed in prompt tokens per second.
-	PrefillRate float64
+	// PrefillTime is the learned time of one prompt token in seconds, 0 for a
+	// plain service.
+	PrefillTime float64
 	// TokenTime is the learned time of one output token in seconds.
 	TokenTime float64
 	// PlainTime is the learned time of a plain call in seconds.
--- a/route/target.go
+++ b/route/target.go
@@ -24,8 +24,11 @@
 	hash  uint64
 	load  load
 	speed speed
-	guard guard
-	cache *blockLRU
+	// prefillTime and tokenTime are the learned times of one prompt token and
+	// one output token in seconds, 0 for a plain service.
+	prefillTime, tokenTime float64
+	guard                  guard
+	cache                  *blockLRU
 	// trust is the part of predicted prefix hits that comes true, 0 to 1.
 	trust float64
 	// eventSeq is the last cache event's number.
@@ -61,8 +64,21 @@
 	return float64(max(1, t.spec.Slots)) / t.spec.DecodeRate
 }
 
+// prefillRate is the learned speed in prompt tokens per second.
 func (t *target) prefillRate() float64 {
-	return t.spec.PrefillRate / max(fastest, t.speed.first.factor())
+	if t.prefillTime == 0 {
+		return 0
+	}
+	return 1 / t.prefillTime
+}
+
+// learned puts what was learned of the speed in force.
+func (t *target) learned() {
+	if !t.model() {
+		return
+	}
+	t.prefillTime = max(fastest, t.speed.first.factor()) / t.spec.PrefillRate
+	t.tokenTime = t.ratedTokenTime() * t.speed.decode.factor()
 }
 
 // sawHit takes the prefix hit that the engine told of against the predicted one.
