Measure the request path's cost, and keep smaller buffers

Cause: the path's cost was not known; an open stream took more than 64 KB. Change: benchmarks with instance and engine as processes of their own on loopback, the same client straight to the engine in the same run; connection buffers of 2 and 1 KiB and an event buffer of 2 KiB in place of 4 KiB each. Half of an open stream is the stacks of its four goroutines.

--- /dev/null
+++ b/pipeline/bench_test.go
@@ -0,0 +1,300 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+// The benchmarks run instance and engine as processes of their own, on
+// loopback, and measure the same client straight to the engine in the same run.
+// The instance has benchCores cores.
+const (
+	benchRole  = "GULLHAVEN_BENCH_ROLE"
+	benchCores = 4
+	// longStream keeps streams open: its tokens come each minute.
+	longStream = "engine-slow"
+)
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(benchRole); role != "" {
+		runRole(role)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// runRole serves until its standard input ends.
+func runRole(role string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	var h http.Handler
+	switch role {
+	case "engine":
+		h = standin.NewEngine(standin.EngineConfig{Slots: 1 << 16})
+	case longStream:
+		h = standin.NewEngine(standin.EngineConfig{Slots: 1 << 16, PerToken: time.Minute})
+	default:
+		runtime.GOMAXPROCS(benchCores)
+		h = benchInstance(role)
+	}
+	fmt.Println(l.Addr())
+	ctx, stop := context.WithCancel(context.Background())
+	go func() { _, _ = io.Copy(io.Discard, os.Stdin); stop() }()
+	_ = standin.Serve(ctx, l, h)
+}
+
+// benchInstance is an instance whose only target is the engine at an address.
+func benchInstance(engine string) http.Handler {
+	t := &testing.B{}
+	r := newRig(t, withEngines(0, standin.EngineConfig{}))
+	r.addTarget("briefing-llm", "runner", "http://"+engine)
+	r.b.Targets[len(r.b.Targets)-1].Slots = 1 << 16
+	r.b.Targets[len(r.b.Targets)-1].PrefillTokensPerSecond = 1e12
+	r.b.Targets[len(r.b.Targets)-1].DecodeTokensPerSecond = 1e12
+	r.p.SetView(NewView(r.b, "", "jatim"))
+	mux := http.NewServeMux()
+	mux.Handle("/", r.handler())
+	mux.HandleFunc("/usage", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(usageNow()) })
+	return mux
+}
+
+// usage is what a process has used.
+type usage struct {
+	CPU time.Duration
+	// Bytes of heap and stacks in use, after a collection.
+	Bytes uint64
+	// Resident bytes.
+	Resident uint64
+}
+
+func usageNow() usage {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	statm, _ := os.ReadFile("/proc/self/statm")
+	var size, pages uint64
+	_, _ = fmt.Sscan(string(statm), &size, &pages)
+	return usage{
+		CPU:      time.Duration(u.Utime.Nano() + u.Stime.Nano()),
+		Bytes:    m.HeapInuse + m.StackInuse,
+		Resident: pages * uint64(os.Getpagesize()),
+	}
+}
+
+// start runs a role and returns its URL.
+func start(b *testing.B, role string) string {
+	b.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), benchRole+"="+role)
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { in.Close(); _ = cmd.Wait() })
+	address, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		b.Fatal(err)
+	}
+	return "http://" + strings.TrimSpace(address)
+}
+
+func startBoth(b *testing.B, engineRole string) (engine, instance string) {
+	engine = start(b, engineRole)
+	return engine, start(b, strings.TrimPrefix(engine, "http://"))
+}
+
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+
+// ask sends a streamed request, reads it to its end and returns the time to the
+// first byte of the body and to the end.
+func ask(b *testing.B, url, body string) (first, whole time.Duration) {
+	begin := time.Now()
+	resp := open(b, url, body)
+	defer resp.Body.Close()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := resp.Body.Read(buf)
+		if first == 0 && n > 0 {
+			first = time.Since(begin)
+		}
+		if err == io.EOF {
+			return first, time.Since(begin)
+		}
+		if err != nil {
+			b.Error(err)
+			return first, time.Since(begin)
+		}
+	}
+}
+
+func open(b *testing.B, url, body string) *http.Response {
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := benchClient.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		b.Fatalf("%d %s", resp.StatusCode, text)
+	}
+	return resp
+}
+
+// prompt of about a thousand tokens.
+var benchPrompt = strings.Repeat("wind at the ridge ", 220)
+
+// BenchmarkAddedFirstToken: one request at a time, straight and through the
+// instance in turn.
+func BenchmarkAddedFirstToken(b *testing.B) {
+	engine, instance := startBoth(b, "engine")
+	body := chat(benchPrompt, true, 4)
+	for range 200 {
+		ask(b, engine, body)
+		ask(b, instance, body)
+	}
+	straight, through := hdrhistogram.New(1, 1e10, 3), hdrhistogram.New(1, 1e10, 3)
+	for b.Loop() {
+		t, _ := ask(b, engine, body)
+		_ = straight.RecordValue(int64(t))
+		t, _ = ask(b, instance, body)
+		_ = through.RecordValue(int64(t))
+	}
+	for _, q := range []float64{50, 99} {
+		s, t := straight.ValueAtQuantile(q), through.ValueAtQuantile(q)
+		b.ReportMetric(float64(s)/1e3, fmt.Sprintf("straight-p%g-us", q))
+		b.ReportMetric(float64(t-s)/1e3, fmt.Sprintf("added-p%g-us", q))
+	}
+}
+
+// BenchmarkThroughput: 64 callers at once, answers of one token.
+func BenchmarkThroughput(b *testing.B) { measureLoad(b, chat(benchPrompt, true, 1), 1) }
+
+// BenchmarkTokens: 64 callers at once, answers of 200 tokens.
+func BenchmarkTokens(b *testing.B) { measureLoad(b, chat("p", true, 200), 200) }
+
+func measureLoad(b *testing.B, body string, tokens int) {
+	const callers = 64
+	engine, instance := startBoth(b, "engine")
+	for _, c := range []struct{ name, url string }{{"straight", engine}, {"through", instance}} {
+		b.Run(c.name, func(b *testing.B) {
+			runCallers(b, c.url, body, callers, 500)
+			before := readUsage(b, instance)
+			begin := time.Now()
+			runCallers(b, c.url, body, callers, b.N)
+			took := time.Since(begin)
+			cpu := readUsage(b, instance).CPU - before.CPU
+			b.ReportMetric(float64(b.N)/took.Seconds(), "requests/s")
+			b.ReportMetric(float64(b.N*tokens)/took.Seconds(), "tokens/s")
+			if c.url == instance {
+				b.ReportMetric(float64(b.N)/cpu.Seconds(), "requests/s/core")
+				b.ReportMetric(float64(b.N*tokens)/cpu.Seconds(), "tokens/s/core")
+				b.ReportMetric(cpu.Seconds()/took.Seconds(), "cores")
+			}
+		})
+	}
+}
+
+func runCallers(b *testing.B, url, body string, callers, n int) {
+	var wait sync.WaitGroup
+	left := make(chan struct{}, n)
+	for range n {
+		left <- struct{}{}
+	}
+	close(left)
+	for range callers {
+		wait.Go(func() {
+			for range left {
+				ask(b, url, body)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// BenchmarkAddedPerToken: one stream, straight and through.
+func BenchmarkAddedPerToken(b *testing.B) {
+	engine, instance := startBoth(b, "engine")
+	const tokens = 20000
+	body := chat("p", true, tokens)
+	var straight, through time.Duration
+	for b.Loop() {
+		first, whole := ask(b, engine, body)
+		straight += whole - first
+		first, whole = ask(b, instance, body)
+		through += whole - first
+	}
+	n := float64(b.N * tokens)
+	b.ReportMetric(float64(straight)/n, "straight-ns/token")
+	b.ReportMetric(float64(through-straight)/n, "added-ns/token")
+}
+
+// BenchmarkOpenStreams: memory of the instance for each stream that is open and
+// idle after its first token.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 2000
+	_, instance := startBoth(b, longStream)
+	body := chat("p", true, 100)
+	for b.Loop() {
+		before := readUsage(b, instance)
+		var open64 []*http.Response
+		for range streams {
+			resp := open(b, instance, body)
+			_, _ = resp.Body.Read(make([]byte, 1))
+			open64 = append(open64, resp)
+		}
+		after := readUsage(b, instance)
+		for _, r := range open64 {
+			r.Body.Close()
+		}
+		b.ReportMetric(float64(after.Bytes-before.Bytes)/streams, "bytes/stream")
+		b.ReportMetric((float64(after.Resident)-float64(before.Resident))/streams, "resident-bytes/stream")
+	}
+}
+
+func readUsage(b *testing.B, instance string) usage {
+	resp, err := benchClient.Get(instance + "/usage")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var u usage
+	if err := json.NewDecoder(resp.Body).Decode(&u); err != nil {
+		b.Fatal(err)
+	}
+	return u
+}
--- a/ports/events.go
+++ b/ports/events.go
@@ -10,7 +10,7 @@
 
 // eventBufferBytes is the read buffer of one open stream; longer lines are
 // gathered in a buffer that grows.
-const eventBufferBytes = 4 << 10
+const eventBufferBytes = 2 << 10
 
 // MaxEventBytes bounds one line of a stream.
 const MaxEventBytes = 1 << 20
--- a/ports/sending/transport.go
+++ b/ports/sending/transport.go
@@ -19,6 +19,11 @@
 	defaultDialTimeout = time.Second
 	defaultIdlePerHost = 256
 	idleTimeout        = 60 * time.Second
+	// Buffers of one connection. They stay for as long as a stream is open, and
+	// its reader has a buffer of its own; the defaults of 4 KiB each would be a
+	// tenth of an open stream's memory.
+	readBufferBytes  = 2 << 10
+	writeBufferBytes = 1 << 10
 )
 
 // Transports sends requests to targets, over kept connections or fresh ones.
@@ -50,6 +55,8 @@
 		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		ReadBufferSize:      readBufferBytes,
+		WriteBufferSize:     writeBufferBytes,
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
