route: hold on to spilling until the gain itself is gone

Cause: requests of little work switched the hysteresis off for the next ones. Change: spilling ends when the unweighed gain falls under half of the margin.

--- a/route/spill.go
+++ b/route/spill.go
@@ -99,7 +99,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	if !local.never && !s.spill.worth((local.seconds-cost)*min(1, s.work(q)), r.cfg.SpillMargin.Seconds()) {
+	if !local.never && !s.spill.worth(local.seconds-cost, s.work(q), r.cfg.SpillMargin.Seconds()) {
 		return Decision{}, false
 	}
 	at := r.seconds(now)
@@ -108,13 +108,16 @@
 	return Decision{Action: Spill, Region: best.summary.Region}, true
 }
 
-// worth decides with hysteresis whether a gain in seconds is worth crossing.
-func (s *spill) worth(gain, margin float64) bool {
+// worth decides with hysteresis whether a gain in seconds is worth crossing. A
+// request with less than average work must gain more: it frees little here.
+func (s *spill) worth(gain, work, margin float64) bool {
+	weighed := gain * min(1, work)
 	if s.active {
-		margin /= 2
+		s.active = gain > margin/2
+	} else {
+		s.active = weighed > margin
 	}
-	s.active = gain > margin
-	return s.active
+	return s.active && weighed > margin/2
 }
 
 // cheapest returns the neighbour with the least predicted first token that may
