bundle: test that a command's content is that of its digest

Cause: with the comparison of the claimed digest taken out on a scratch copy, no test failed. Change: a forged command with genuine identity and sign-offs. Result: refused as invalid; with the comparison taken out the test fails.

--- a/bundle/acceptance/machine_test.go
+++ b/bundle/acceptance/machine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"github.com/gullhaven/gullhaven/bundle"
@@ -291,3 +292,35 @@
 		}
 	}
 }
+
+// Symptom: the bundle in force is not the one that operators signed. Events: a
+// faulty voter proposes other content under an identity and sign-offs that are
+// genuine. Cause: a command whose claimed digest is believed.
+func TestContentMustMatchDigest(t *testing.T) {
+	signed := bundletest.Sign(bundletest.Sample(), "ayu", "budi")
+	machine := acceptance.New()
+	command, err := machine.Command(signed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	signed.Bundle.Rules.MaxAttempts++
+	other, err := signed.Bundle.MarshalBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var parts map[string]any
+	if err := cbor.Unmarshal(command, &parts); err != nil {
+		t.Fatal(err)
+	}
+	parts["whole"] = other
+	forged, err := cbor.Marshal(parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result, err := machine.Apply(1, forged); err != nil || result.Outcome != bundle.OutcomeInvalid {
+		t.Fatalf("forged: %v, %v", result, err)
+	}
+	if result, err := machine.Apply(2, command); err != nil || !result.Accepted() {
+		t.Fatalf("genuine: %v, %v", result, err)
+	}
+}
