--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -264,6 +264,7 @@
 		{"targets[1].address", func(b *bundle.Bundle) { b.Targets[1].Address = b.Targets[0].Address }},
 		{"targets[0].decode_tokens_per_second", func(b *bundle.Bundle) { b.Targets[0].DecodeTokensPerSecond = 0 }},
 		{"targets[1].role", func(b *bundle.Bundle) { b.Targets[1].Role = bundle.RoleBoth }},
+		{"services[1]", func(b *bundle.Bundle) { b.Targets[0].Role = bundle.RolePrefill }},
 		{"workspaces[0].key_hashes[0]", func(b *bundle.Bundle) { b.Workspaces[0].KeyHashes[0] = "pilots-key" }},
 		{"workspaces[0].residency", func(b *bundle.Bundle) { b.Workspaces[0].Residency = []string{"bali"} }},
 		{"workspaces[0].weight", func(b *bundle.Bundle) { b.Workspaces[0].Weight = 0.5 }},
--- a/bundle/check_service.go
+++ b/bundle/check_service.go
@@ -83,6 +83,31 @@
 		c.number(path+".order_expiry_ms", float64(target.OrderExpiryMillis), 1, dayMillis)
 		c.targetService(path, target)
 	}
+	c.roles()
+}
+
+// roles requires both halves of a split service. Prompts that are prefilled
+// where nobody can decode them would all miss their deadlines.
+func (c *checker) roles() {
+	type halves struct{ prefill, decode, both bool }
+	found := map[string]*halves{}
+	for _, target := range c.Targets {
+		if found[target.Service] == nil {
+			found[target.Service] = new(halves)
+		}
+		h := found[target.Service]
+		h.prefill = h.prefill || target.Role == RolePrefill
+		h.decode = h.decode || target.Role == RoleDecode
+		h.both = h.both || target.Role == RoleBoth || target.Role == ""
+	}
+	for i, service := range c.Services {
+		h := found[service.ID]
+		if service.Kind != KindModel || h == nil || h.both {
+			continue
+		}
+		c.require(h.prefill && h.decode, strict.Index("services", i),
+			"all targets of %q have the same half of the work; it needs both prefill and decode", service.ID)
+	}
 }
 
 // place checks region and zone.
