--- /dev/null
+++ b/coord/limit/allocator.go
@@ -0,0 +1,259 @@
+package limit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// headroom is asked for above the measured demand, so that a growing one
+	// is not held down by its own share.
+	headroom = 1.25
+	// hysteresis is the relative change of a share that is not worth making.
+	hysteresis = 0.05
+)
+
+// Allocator divides a region's limits over its instances. It holds only limits
+// that somebody asks for. It has a single owner, at one instance of the region
+// at a time; see the package comment for the start of a new one.
+type Allocator struct {
+	lookup Lookup
+	lease  time.Duration
+	// quietUntil is when every share of a predecessor has ended.
+	quietUntil time.Time
+	instances  map[string]*reporter
+	limits     map[ID]*division
+	seq        uint64
+}
+
+// reporter is what is known of one instance.
+type reporter struct {
+	heardAt time.Time
+	report  uint64
+}
+
+// division is one limit and who has what of it.
+type division struct {
+	holdings map[string]*holding
+}
+
+// holding is what one instance asks for and may be using.
+type holding struct {
+	demand float64
+	heard  time.Time
+	// held is the share that the instance last said it uses.
+	held uint64
+	// unheld counts reports in a row without a share that is good for a while.
+	unheld int
+	// out are shares that may be in use, oldest first.
+	out []granted
+}
+
+type granted struct {
+	seq   uint64
+	limit Limit
+	until time.Time
+}
+
+// NewAllocator makes the Allocator of an instance that came to own the limits
+// of its region at now. For one lease it grants shares of nothing.
+func NewAllocator(now time.Time, lookup Lookup, lease time.Duration, instances []string) *Allocator {
+	a := &Allocator{
+		lookup: lookup, lease: lease, quietUntil: now.Add(lease),
+		instances: make(map[string]*reporter), limits: make(map[ID]*division),
+	}
+	a.SetInstances(now, instances)
+	return a
+}
+
+// SetInstances tells the lives of instances in the region, as membership has
+// them: a restarted instance has another name here. The shares of one that is
+// gone stay counted until their leases end.
+func (a *Allocator) SetInstances(now time.Time, names []string) {
+	for name := range a.instances {
+		if !slices.Contains(names, name) {
+			delete(a.instances, name)
+		}
+	}
+	for _, name := range names {
+		if a.instances[name] == nil {
+			a.instances[name] = &reporter{heardAt: now}
+		}
+	}
+}
+
+// Len is the number of limits held.
+func (a *Allocator) Len() int { return len(a.limits) }
+
+// Report takes the demands of an instance and returns one share for each that
+// has a limit. A report of an unknown instance, or one that comes after a later
+// one, is answered with nothing.
+func (a *Allocator) Report(now time.Time, instance string, number uint64, demands []Demand) []Share {
+	r := a.instances[instance]
+	if r == nil || number <= r.report {
+		return nil
+	}
+	r.report, r.heardAt = number, now
+	shares := make([]Share, 0, len(demands))
+	for _, d := range demands {
+		if s, ok := a.answer(now, instance, d); ok {
+			shares = append(shares, s)
+		}
+	}
+	return shares
+}
+
+// Sweep forgets limits that nobody asks for and holds. It is called about once
+// in a lease.
+func (a *Allocator) Sweep(now time.Time) {
+	for id, d := range a.limits {
+		d.prune(now, a.lease)
+		if len(d.holdings) == 0 {
+			delete(a.limits, id)
+		}
+	}
+}
+
+func (a *Allocator) answer(now time.Time, instance string, dem Demand) (Share, bool) {
+	lim, ok := a.lookup(dem.ID)
+	if !ok || lim.Rate <= 0 {
+		return Share{}, false
+	}
+	d := a.limits[dem.ID]
+	if d == nil {
+		d = &division{holdings: make(map[string]*holding)}
+		a.limits[dem.ID] = d
+	}
+	d.prune(now, a.lease)
+	h := d.heard(now, instance, dem, a.lease)
+	if dem.Rate <= 0 {
+		return Share{}, false
+	}
+	part := 0.0
+	if !now.Before(a.quietUntil) {
+		part = a.part(now, d, instance, lim)
+	}
+	a.seq++
+	g := granted{seq: a.seq, limit: lim.Scaled(part), until: now.Add(a.lease)}
+	h.out = append(h.out, g)
+	return Share{ID: dem.ID, Seq: g.seq, Limit: g.limit, Lease: a.lease}, true
+}
+
+// part is the part of the limit for an instance, from 0 to 1: its target, but
+// never more than is not in use by others.
+func (a *Allocator) part(now time.Time, d *division, instance string, lim Limit) float64 {
+	floor := 1 / float64(max(1, len(a.instances)))
+	free := 1.0
+	for name, h := range d.holdings {
+		if name != instance {
+			free -= h.inUse(now, lim, floor, a.silent(now, name))
+		}
+	}
+	for name := range a.instances {
+		if d.holdings[name] == nil && a.silent(now, name) {
+			free -= floor
+		}
+	}
+	free = max(0, free)
+	target := d.target(instance, lim)
+	if last := d.holdings[instance].last(); last != nil {
+		old := last.limit.Rate / lim.Rate
+		if diff := target - old; old > 0 && max(diff, -diff) < hysteresis*old {
+			target = old
+		}
+	}
+	return min(target, free)
+}
+
+// silent says that an instance may be cut off and on its floor before the
+// shares granted now have ended.
+func (a *Allocator) silent(now time.Time, name string) bool {
+	r := a.instances[name]
+	return r != nil && now.Sub(r.heardAt) > a.lease/2
+}
+
+// inUse is the part of the limit that an instance may be using: the largest
+// share that may be in force, and its floor if it may have fallen back to it.
+func (h *holding) inUse(now time.Time, lim Limit, floor float64, silent bool) float64 {
+	use := 0.0
+	for _, g := range h.out {
+		if now.Before(g.until) {
+			use = max(use, g.limit.Rate/lim.Rate)
+		}
+	}
+	if silent || h.unheld >= 2 {
+		use = max(use, floor)
+	}
+	return use
+}
+
+func (h *holding) last() *granted {
+	if len(h.out) == 0 {
+		return nil
+	}
+	return &h.out[len(h.out)-1]
+}
+
+// heard takes a demand. Shares older than the one held are never used again;
+// newer ones may still arrive at the instance, so they stay counted.
+func (d *division) heard(now time.Time, instance string, dem Demand, lease time.Duration) *holding {
+	h := d.holdings[instance]
+	if h == nil {
+		h = &holding{}
+		d.holdings[instance] = h
+	}
+	h.demand, h.heard, h.held = dem.Rate, now, dem.Held
+	good := false
+	h.out = slices.DeleteFunc(h.out, func(g granted) bool {
+		good = good || g.seq == dem.Held && now.Add(lease/3).Before(g.until)
+		return g.seq < dem.Held || g.seq == dem.Held && dem.Rate <= 0
+	})
+	h.unheld++
+	if good {
+		h.unheld = 0
+	}
+	return h
+}
+
+// prune drops what has ended.
+func (d *division) prune(now time.Time, lease time.Duration) {
+	for name, h := range d.holdings {
+		h.out = slices.DeleteFunc(h.out, func(g granted) bool { return !now.Before(g.until) })
+		if now.Sub(h.heard) > lease {
+			h.demand = 0
+		}
+		if len(h.out) == 0 && h.demand <= 0 {
+			delete(d.holdings, name)
+		}
+	}
+}
+
+// target is the max-min fair part of an instance: who asks for less than an
+// equal part gets what it asks for with headroom, the others divide the rest
+// equally, and what nobody asks for is divided equally among all that ask.
+func (d *division) target(instance string, lim Limit) float64 {
+	wants := make([]want, 0, len(d.holdings))
+	for name, h := range d.holdings {
+		if h.demand > 0 {
+			wants = append(wants, want{name, min(1, headroom*h.demand/lim.Rate)})
+		}
+	}
+	slices.SortFunc(wants, func(a, b want) int {
+		return cmp.Or(cmp.Compare(a.part, b.part), cmp.Compare(a.instance, b.instance))
+	})
+	left, mine := 1.0, 0.0
+	for i, w := range wants {
+		got := min(w.part, left/float64(len(wants)-i))
+		left -= got
+		if w.instance == instance {
+			mine = got
+		}
+	}
+	return mine + max(0, left)/float64(len(wants))
+}
+
+type want struct {
+	instance string
+	part     float64
+}
