bundle, operate: errors by juju/errors as in the rest

Cause: the house style names the library; these packages had the standard one. Change: annotations and typed constants; the standard one stays where errors are joined and where a message has lines of its own.

--- a/bundle/acceptance/command.go
+++ b/bundle/acceptance/command.go
@@ -1,10 +1,8 @@
 package acceptance
 
 import (
-	"errors"
-	"fmt"
-
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"github.com/gullhaven/gullhaven/bundle"
 )
@@ -79,7 +77,7 @@
 func decodeCommand(data []byte) (*command, error) {
 	c := new(command)
 	if err := reader.Unmarshal(data, c); err != nil {
-		return nil, fmt.Errorf("command: %w", err)
+		return nil, errors.Annotate(err, "command")
 	}
 	return c, nil
 }
--- a/bundle/acceptance/machine.go
+++ b/bundle/acceptance/machine.go
@@ -7,18 +7,17 @@
 package acceptance
 
 import (
-	"errors"
-	"fmt"
+	"github.com/juju/errors"
 
 	"github.com/gullhaven/gullhaven/bundle"
 )
 
 // ErrApplied marks a command whose index was applied before. The answer it
 // gave then can be had again by proposing the same bundle.
-var ErrApplied = errors.New("log index is applied already")
+const ErrApplied = errors.ConstError("log index is applied already")
 
 // ErrSnapshot marks a snapshot that Snapshot can't have written.
-var ErrSnapshot = errors.New("snapshot of accepted bundles is damaged")
+const ErrSnapshot = errors.ConstError("snapshot of accepted bundles is damaged")
 
 // Machine keeps the digests of accepted versions and the latest signed bundle.
 // It is not safe for concurrent use.
@@ -61,7 +60,7 @@
 // the proposal.
 func (m *Machine) Apply(index uint64, command []byte) (bundle.Result, error) {
 	if index <= m.applied {
-		return bundle.Result{}, fmt.Errorf("%w: %d of %d", ErrApplied, index, m.applied)
+		return bundle.Result{}, errors.Annotatef(ErrApplied, "index %d of %d", index, m.applied)
 	}
 	m.applied = index
 	c, err := decodeCommand(command)
--- a/bundle/acceptance/snapshot.go
+++ b/bundle/acceptance/snapshot.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"fmt"
+
+	"github.com/juju/errors"
 
 	"github.com/gullhaven/gullhaven/bundle"
 )
@@ -40,15 +41,20 @@
 // unseal verifies the sum before the content.
 func unseal(data []byte) ([]byte, error) {
 	if len(data) < sha256.Size {
-		return nil, fmt.Errorf("%w: only %d bytes", ErrSnapshot, len(data))
+		return nil, errors.Annotatef(ErrSnapshot, "only %d bytes", len(data))
 	}
 	content := data[sha256.Size:]
 	if sum := sha256.Sum256(content); !bytes.Equal(sum[:], data[:sha256.Size]) {
-		return nil, fmt.Errorf("%w: its sum differs", ErrSnapshot)
+		return nil, errors.Annotate(ErrSnapshot, "the sum differs")
 	}
 	return content, nil
 }
 
+// damaged makes an error one of ErrSnapshot.
+func damaged(err error) error {
+	return errors.Annotate(errors.WithType(err, ErrSnapshot), string(ErrSnapshot))
+}
+
 // Restore makes the machine of a snapshot. Damage is an error that wraps
 // ErrSnapshot and never another bundle in force.
 func Restore(data []byte) (*Machine, error) {
@@ -58,26 +64,26 @@
 	}
 	var s snapshot
 	if err := reader.Unmarshal(content, &s); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+		return nil, damaged(err)
 	}
 	m := &Machine{applied: s.Applied}
 	if err := s.History.Check(); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+		return nil, damaged(err)
 	}
 	if len(s.History.Sums) == 0 {
 		return m, nil
 	}
 	current := &bundle.Signed{Signatures: s.Signatures}
 	if err := current.Bundle.UnmarshalBinary(s.Bundle); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+		return nil, damaged(err)
 	}
 	id, err := current.Bundle.Identity()
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
+		return nil, damaged(err)
 	}
 	version, digest := s.History.Last()
 	if id.Version != version || id.Digest != digest {
-		return nil, fmt.Errorf("%w: it holds version %d, but its history ends with %d", ErrSnapshot, id.Version, version)
+		return nil, errors.Annotatef(ErrSnapshot, "it holds version %d, but its history ends with %d", id.Version, version)
 	}
 	m.accepted = &bundle.Accepted{Trust: current.Bundle.Next(), History: s.History}
 	m.current = current
--- a/bundle/binary.go
+++ b/bundle/binary.go
@@ -1,6 +1,8 @@
 package bundle
 
-import "fmt"
+import (
+	"github.com/juju/errors"
+)
 
 // MarshalBinary is the canonical CBOR form of the whole bundle, for the
 // replicated log and for snapshots.
@@ -11,11 +13,11 @@
 // UnmarshalBinary reads what MarshalBinary wrote.
 func (b *Bundle) UnmarshalBinary(data []byte) error {
 	if len(data) > MaxBytes {
-		return fmt.Errorf("%w: %d bytes", ErrDamaged, len(data))
+		return damaged(errors.Errorf("%d bytes are too many", len(data)))
 	}
 	var fresh plainBundle
 	if err := sectionReader.Unmarshal(data, &fresh); err != nil {
-		return fmt.Errorf("%w: %w", ErrDamaged, err)
+		return damaged(err)
 	}
 	*b = Bundle(fresh)
 	return nil
--- a/bundle/delta.go
+++ b/bundle/delta.go
@@ -2,7 +2,8 @@
 
 import (
 	"bytes"
-	"fmt"
+
+	"github.com/juju/errors"
 )
 
 // Delta is what turns one bundle into another, item by item. For a change of
@@ -69,10 +70,10 @@
 	d.Head.into(b)
 	got, err := b.Digest()
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+		return nil, damaged(err)
 	}
 	if got != d.To {
-		return nil, fmt.Errorf("%w: the delta leads to %s, not %s", ErrDamaged, got, d.To)
+		return nil, damaged(errors.Errorf("the delta leads to %s, not %s", got, d.To))
 	}
 	return b, nil
 }
@@ -86,7 +87,7 @@
 func (d *Delta) UnmarshalBinary(data []byte) error {
 	var fresh plainDelta
 	if err := sectionReader.Unmarshal(data, &fresh); err != nil {
-		return fmt.Errorf("%w: %w", ErrDamaged, err)
+		return damaged(err)
 	}
 	*d = Delta(fresh)
 	return nil
--- a/bundle/history.go
+++ b/bundle/history.go
@@ -3,7 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"fmt"
+
+	"github.com/juju/errors"
 )
 
 // HistoryLimit is how many accepted versions are remembered: forty days at
@@ -24,10 +25,10 @@
 func (h *History) Append(version uint64, digest Digest) error {
 	sum, err := hex.DecodeString(string(digest))
 	if err != nil || len(sum) != sha256.Size {
-		return fmt.Errorf("%q is not a digest", digest)
+		return errors.Errorf("%q is not a digest", digest)
 	}
 	if last, _ := h.Last(); len(h.Sums) > 0 && version != last+1 {
-		return fmt.Errorf("version %d doesn't follow %d", version, last)
+		return errors.Errorf("version %d doesn't follow %d", version, last)
 	}
 	if len(h.Sums) == 0 {
 		h.First = version
@@ -62,7 +63,7 @@
 // Check refuses a history that Append can't have made.
 func (h *History) Check() error {
 	if len(h.Sums)%sha256.Size != 0 || (len(h.Sums) == 0) != (h.First == 0) {
-		return fmt.Errorf("history from version %d has %d bytes", h.First, len(h.Sums))
+		return errors.Errorf("history from version %d has %d bytes", h.First, len(h.Sums))
 	}
 	return nil
 }
--- a/bundle/join.go
+++ b/bundle/join.go
@@ -1,14 +1,19 @@
 package bundle
 
 import (
-	"errors"
-	"fmt"
 	"strings"
+
+	"github.com/juju/errors"
 )
 
 // ErrDamaged marks sections that don't make up the manifest's bundle: one is
 // absent, its bytes have another digest, or it holds what belongs elsewhere.
-var ErrDamaged = errors.New("bundle sections are damaged")
+const ErrDamaged = errors.ConstError("bundle sections are damaged")
+
+// damaged makes an error one of ErrDamaged.
+func damaged(err error) error {
+	return errors.Annotate(errors.WithType(err, ErrDamaged), string(ErrDamaged))
+}
 
 // Join puts a bundle together and verifies each section by its digest. The
 // caller compares the manifest's own digest with the one it asked for. The
@@ -17,12 +22,12 @@
 	j := joiner{bundle: new(Bundle), sections: sections}
 	for _, ref := range m.Sections {
 		if err := j.take(ref); err != nil {
-			return nil, fmt.Errorf("%w: section %q: %w", ErrDamaged, ref.Name, err)
+			return nil, damaged(errors.Annotatef(err, "section %q", ref.Name))
 		}
 	}
 	j.bundle.Workspaces = sorted(j.bundle.Workspaces, workspaceID)
 	if err := sameManifest(m, j.bundle); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+		return nil, damaged(err)
 	}
 	return j.bundle, nil
 }
@@ -37,10 +42,10 @@
 func (j *joiner) take(ref SectionRef) error {
 	data, here := j.sections[ref.Digest]
 	if !here {
-		return fmt.Errorf("%s is absent", ref.Digest)
+		return errors.Errorf("%s is absent", ref.Digest)
 	}
 	if SumOf(data) != ref.Digest {
-		return fmt.Errorf("the bytes are not those of %s", ref.Digest)
+		return errors.Errorf("the bytes are not those of %s", ref.Digest)
 	}
 	b := j.bundle
 	switch {
@@ -100,7 +105,7 @@
 		return err
 	}
 	if got != want {
-		return fmt.Errorf("the sections make up %s, not %s", got, want)
+		return errors.Errorf("the sections make up %s, not %s", got, want)
 	}
 	return nil
 }
--- a/bundle/sections.go
+++ b/bundle/sections.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 )
 
 // WorkspaceBuckets is how many sections the workspaces are spread over, by a
@@ -102,7 +103,7 @@
 func (m *Manifest) UnmarshalBinary(data []byte) error {
 	var fresh plainManifest
 	if err := sectionReader.Unmarshal(data, &fresh); err != nil {
-		return fmt.Errorf("%w: %w", ErrDamaged, err)
+		return damaged(err)
 	}
 	*m = Manifest(fresh)
 	return nil
@@ -172,7 +173,7 @@
 func (s *splitter) put(name string, content any) {
 	data, err := canonical.Marshal(content)
 	if err != nil {
-		s.err = fmt.Errorf("section %s: %w", name, err)
+		s.err = errors.Annotatef(err, "section %s", name)
 		return
 	}
 	digest := SumOf(data)
--- a/bundle/sign.go
+++ b/bundle/sign.go
@@ -3,8 +3,10 @@
 import (
 	"crypto/ed25519"
 	"encoding/base64"
-	"errors"
+	stderrors "errors"
 	"fmt"
+
+	"github.com/juju/errors"
 )
 
 // Signed is a bundle with the sign-offs of operators.
@@ -22,7 +24,7 @@
 }
 
 // ErrSignOffs marks a bundle without enough valid sign-offs.
-var ErrSignOffs = errors.New("not enough valid sign-offs")
+const ErrSignOffs = errors.ConstError("not enough valid sign-offs")
 
 // signedPurpose keeps a signature from being valid for anything else.
 const signedPurpose = "gullhaven bundle sign-off 1"
@@ -79,9 +81,9 @@
 		key, err := trust.check(id, signature)
 		switch {
 		case err != nil:
-			reasons = append(reasons, fmt.Errorf("operator %q: %w", signature.Operator, err))
+			reasons = append(reasons, errors.Annotatef(err, "operator %q", signature.Operator))
 		case counted[key]:
-			reasons = append(reasons, fmt.Errorf("operator %q: counted already", signature.Operator))
+			reasons = append(reasons, errors.Errorf("operator %q: counted already", signature.Operator))
 		default:
 			counted[key] = true
 		}
@@ -90,8 +92,8 @@
 	if len(counted) >= needed {
 		return nil
 	}
-	short := fmt.Errorf("%w: %d of %d", ErrSignOffs, len(counted), needed)
-	return errors.Join(append([]error{short}, reasons...)...)
+	short := errors.Annotatef(ErrSignOffs, "%d of %d", len(counted), needed)
+	return stderrors.Join(append([]error{short}, reasons...)...)
 }
 
 // check verifies one signature and returns the key that made it.
@@ -106,7 +108,7 @@
 	}
 	value, err := base64.StdEncoding.DecodeString(signature.Value)
 	if err != nil {
-		return "", fmt.Errorf("signature: %w", err)
+		return "", errors.Annotate(err, "signature")
 	}
 	if !ed25519.Verify(key, id.message(), value) {
 		return "", errors.New("the signature is not that of this bundle by this operator's key")
@@ -128,10 +130,10 @@
 func ParsePublicKey(text string) (ed25519.PublicKey, error) {
 	key, err := base64.StdEncoding.DecodeString(text)
 	if err != nil {
-		return nil, fmt.Errorf("public key: %w", err)
+		return nil, errors.Annotate(err, "public key")
 	}
 	if len(key) != ed25519.PublicKeySize {
-		return nil, fmt.Errorf("public key: has %d bytes, but must have %d", len(key), ed25519.PublicKeySize)
+		return nil, errors.Errorf("public key: has %d bytes, but must have %d", len(key), ed25519.PublicKeySize)
 	}
 	return key, nil
 }
--- a/bundle/strict/check.go
+++ b/bundle/strict/check.go
@@ -1,11 +1,11 @@
 package strict
 
 import (
-	"errors"
-	"fmt"
 	"net/netip"
 	"regexp"
 	"strings"
+
+	"github.com/juju/errors"
 )
 
 // MaxIDLength bounds ids, in bytes.
@@ -21,9 +21,9 @@
 	case id == "":
 		return errors.New("is missing")
 	case len(id) > MaxIDLength:
-		return fmt.Errorf("is %d bytes long, but at most %d are allowed", len(id), MaxIDLength)
+		return errors.Errorf("is %d bytes long, but at most %d are allowed", len(id), MaxIDLength)
 	case !idForm.MatchString(id):
-		return fmt.Errorf("%q is no id; use letters, digits, \"-\", \".\", \"_\", the first a letter or digit", id)
+		return errors.Errorf("%q is no id; use letters, digits, \"-\", \".\", \"_\", the first a letter or digit", id)
 	}
 	return nil
 }
@@ -40,7 +40,7 @@
 		return describeAddress(address)
 	}
 	if parsed.Port() == 0 {
-		return fmt.Errorf("%q has port 0; name the port", address)
+		return errors.Errorf("%q has port 0; name the port", address)
 	}
 	return nil
 }
@@ -49,11 +49,11 @@
 func describeAddress(address string) error {
 	colon := strings.LastIndexByte(address, ':')
 	if colon < 0 {
-		return fmt.Errorf("%q has no port; give IP:port", address)
+		return errors.Errorf("%q has no port; give IP:port", address)
 	}
 	host := strings.Trim(address[:colon], "[]")
 	if _, err := netip.ParseAddr(host); err != nil && host != "" {
-		return fmt.Errorf("%q names the host %q; give an IP number, names are not looked up", address, host)
+		return errors.Errorf("%q names the host %q; give an IP number, names are not looked up", address, host)
 	}
-	return fmt.Errorf("%q is not IP:port", address)
+	return errors.Errorf("%q is not IP:port", address)
 }
--- a/bundle/strict/decode.go
+++ b/bundle/strict/decode.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"reflect"
 	"strconv"
 	"strings"
 	"unicode/utf8"
+
+	"github.com/juju/errors"
 )
 
 // MaxDepth bounds the nesting of a document, far above that of our types.
@@ -48,7 +49,7 @@
 }
 
 // errTooMany ends the walk of a document that is wrong throughout.
-var errTooMany = fmt.Errorf("more than %d faults, the rest is not listed", MaxProblems)
+var errTooMany = errors.Errorf("more than %d faults, the rest is not listed", MaxProblems)
 
 // walker compares the tokens of a document with a type.
 type walker struct {
@@ -70,7 +71,7 @@
 // faults of syntax, which end the walk.
 func (w *walker) value(path string, t reflect.Type, depth int) error {
 	if depth > MaxDepth {
-		return fmt.Errorf("nested deeper than %d", MaxDepth)
+		return errors.Errorf("nested deeper than %d", MaxDepth)
 	}
 	for t != nil && t.Kind() == reflect.Pointer {
 		t = t.Elem()
--- a/operate/cli/bundle_roll.go
+++ b/operate/cli/bundle_roll.go
@@ -1,11 +1,11 @@
 package cli
 
 import (
-	"fmt"
 	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
 
 	"github.com/gullhaven/gullhaven/bundle"
 	"github.com/gullhaven/gullhaven/operate"
@@ -78,7 +78,7 @@
 	for {
 		status, err := client.Status(c.env.Context)
 		if err != nil {
-			return fmt.Errorf("version %d is accepted, but its progress is unknown: %w", version, err)
+			return errors.Annotatef(err, "version %d is accepted, but its progress is unknown", version)
 		}
 		lacking := status.Lacking(version)
 		seconds := c.env.Now().Sub(start).Seconds()
--- a/operate/cli/bundle_sign.go
+++ b/operate/cli/bundle_sign.go
@@ -4,11 +4,11 @@
 	"crypto/ed25519"
 	"crypto/x509"
 	"encoding/pem"
-	"fmt"
 	"os"
 	"slices"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
 
 	"github.com/gullhaven/gullhaven/bundle"
 )
@@ -69,7 +69,7 @@
 	}
 	block, _ := pem.Decode(data)
 	if block == nil || block.Type != operatorKeyBlock {
-		return nil, fmt.Errorf("%s has no private key in PEM form", path)
+		return nil, errors.Errorf("%s has no private key in PEM form", path)
 	}
 	key, err := x509.ParsePKCS8PrivateKey(block.Bytes)
 	if err != nil {
@@ -77,7 +77,7 @@
 	}
 	private, ok := key.(ed25519.PrivateKey)
 	if !ok {
-		return nil, fmt.Errorf("%s has a key of type %T, not Ed25519", path, key)
+		return nil, errors.Errorf("%s has a key of type %T, not Ed25519", path, key)
 	}
 	return private, nil
 }
--- a/operate/cli/cli.go
+++ b/operate/cli/cli.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
 
 	"github.com/gullhaven/gullhaven/operate"
 )
@@ -29,7 +29,7 @@
 )
 
 // ErrRefused ends a command that has told on standard output why it failed.
-var ErrRefused = errors.New("refused")
+const ErrRefused = errors.ConstError("refused")
 
 // about is the end of the main help.
 const about = `Operators' command line of gullhaven.
@@ -105,7 +105,7 @@
 	slices.SortFunc(all, func(x, y Command) int { return strings.Compare(x.Path, y.Path) })
 	for _, c := range all {
 		if err := add(parser.Command, c, env); err != nil {
-			return nil, fmt.Errorf("command %q: %w", c.Path, err)
+			return nil, errors.Annotatef(err, "command %q", c.Path)
 		}
 	}
 	return parser, nil
--- a/operate/cli/files.go
+++ b/operate/cli/files.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 
+	"github.com/juju/errors"
+
 	"github.com/gullhaven/gullhaven/bundle"
 )
 
@@ -81,7 +83,7 @@
 // writeNew writes a file that must not exist: keys are never replaced.
 func writeNew(path string, data []byte, mode os.FileMode) error {
 	if _, err := os.Lstat(path); err == nil {
-		return fmt.Errorf("%s exists already; keys are not replaced", path)
+		return errors.Errorf("%s exists already; keys are not replaced", path)
 	}
 	return writeFile(path, data, mode)
 }
--- a/operate/client.go
+++ b/operate/client.go
@@ -4,19 +4,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
+	stderrors "errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/gullhaven/gullhaven/bundle"
 )
 
 // ErrUnreachable marks that no address gave an answer. Whether a bundle was
 // accepted is unknown then; sending the same bytes again is safe.
-var ErrUnreachable = errors.New("no instance answered")
+const ErrUnreachable = errors.ConstError("no instance answered")
 
 // maxAnswer bounds an answer, in bytes.
 const maxAnswer = 64 << 20
@@ -79,7 +81,7 @@
 		result = RollAnswer{}
 		err := c.call(ctx, http.MethodPost, address, BundlesPath, signed, &result)
 		if err == nil && !result.Accepted {
-			return fmt.Errorf("%s: doesn't say that the bundle is accepted", address)
+			return errors.Errorf("%s: doesn't say that the bundle is accepted", address)
 		}
 		return err
 	})
@@ -102,7 +104,7 @@
 	for round := range max(c.Rounds, 1) {
 		if round > 0 {
 			if err := c.Sleep(ctx, c.Pause); err != nil {
-				return errors.Join(ErrUnreachable, err)
+				return stderrors.Join(ErrUnreachable, err)
 			}
 			failures = nil
 		}
@@ -118,7 +120,7 @@
 			}
 		}
 	}
-	return errors.Join(append([]error{ErrUnreachable}, failures...)...)
+	return stderrors.Join(append([]error{ErrUnreachable}, failures...)...)
 }
 
 // call sends one request and decodes its answer.
@@ -137,7 +139,7 @@
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
-		return fmt.Errorf("%s: %w", address, err)
+		return errors.Annotate(err, address)
 	}
 	return answer(address, response.StatusCode, data, into)
 }
@@ -147,11 +149,11 @@
 	switch {
 	case status == http.StatusOK:
 		if err := json.Unmarshal(data, into); err != nil {
-			return fmt.Errorf("%s: answer: %w", address, err)
+			return errors.Annotatef(err, "%s: answer", address)
 		}
 		return nil
 	case status >= http.StatusInternalServerError || status == http.StatusTooManyRequests:
-		return fmt.Errorf("%s: status %d: %s", address, status, short(data))
+		return errors.Errorf("%s: status %d: %s", address, status, short(data))
 	default:
 		return refusal(status, data)
 	}
