--- a/pipeline/view.go
+++ b/pipeline/view.go
@@ -22,6 +22,7 @@
 	Region string
 
 	keys     map[[sha256.Size]byte]*bundle.Workspace
+	byID     map[string]*bundle.Workspace
 	services map[string]*bundle.Service
 	targets  map[route.TargetID]*bundle.Target
 	regions  map[string]*bundle.Region
@@ -36,12 +37,14 @@
 		Digest:   d,
 		Region:   region,
 		keys:     make(map[[sha256.Size]byte]*bundle.Workspace, len(b.Workspaces)),
+		byID:     make(map[string]*bundle.Workspace, len(b.Workspaces)),
 		services: make(map[string]*bundle.Service, len(b.Services)),
 		targets:  make(map[route.TargetID]*bundle.Target, len(b.Targets)),
 		regions:  make(map[string]*bundle.Region, len(b.Regions)),
 	}
 	for i := range b.Workspaces {
 		v.addKeys(&b.Workspaces[i])
+		v.byID[b.Workspaces[i].ID] = &b.Workspaces[i]
 	}
 	for i := range b.Services {
 		s := &b.Services[i]
@@ -76,6 +79,9 @@
 // Workspace finds the workspace of a key; nil if there is none.
 func (v *View) Workspace(key string) *bundle.Workspace { return v.keys[sha256.Sum256([]byte(key))] }
 
+// WorkspaceByID finds a workspace; nil if there is none.
+func (v *View) WorkspaceByID(id string) *bundle.Workspace { return v.byID[id] }
+
 // Service finds a service; nil if there is none.
 func (v *View) Service(id string) *bundle.Service { return v.services[id] }
 
