--- a/coord/limit/allocator.go
+++ b/coord/limit/allocator.go
@@ -1,15 +1,15 @@
 package limit
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// headroom is asked for above the measured demand, so that a growing one
-	// is not held down by its own share.
-	headroom = 1.25
+	// headroom is given above the measured demand, which wavers. It is small
+	// because under contention others could use it; what the bucket refused is
+	// part of the demand, so growth is seen without it.
+	headroom = 1.05
 	// hysteresis is the relative change of a share that is not worth making.
 	hysteresis = 0.05
 )
@@ -36,8 +36,16 @@
 // division is one limit and who has what of it.
 type division struct {
 	holdings map[string]*holding
+	// level and spare are the max-min fair level and what nobody asks for, for
+	// each that asks, as parts of the limit at levelAt.
+	level, spare float64
+	levelAt      time.Time
 }
 
+// levelAge is how long a level is used: one for a round of all instances'
+// reports. A level that is behind costs fairness for a moment, never the bound.
+const levelAge = 500 * time.Millisecond
+
 // holding is what one instance asks for and may be using.
 type holding struct {
 	demand float64
@@ -125,7 +133,6 @@
 		d = &division{holdings: make(map[string]*holding)}
 		a.limits[dem.ID] = d
 	}
-	d.prune(now, a.lease)
 	h := d.heard(now, instance, dem, a.lease)
 	if dem.Rate <= 0 {
 		return Share{}, false
@@ -156,7 +163,7 @@
 		}
 	}
 	free = max(0, free)
-	target := d.target(instance, lim)
+	target := d.target(now, instance, lim)
 	if last := d.holdings[instance].last(); last != nil {
 		old := last.limit.Rate / lim.Rate
 		if diff := target - old; old > 0 && max(diff, -diff) < hysteresis*old {
@@ -232,28 +239,36 @@
 // target is the max-min fair part of an instance: who asks for less than an
 // equal part gets what it asks for with headroom, the others divide the rest
 // equally, and what nobody asks for is divided equally among all that ask.
-func (d *division) target(instance string, lim Limit) float64 {
-	wants := make([]want, 0, len(d.holdings))
-	for name, h := range d.holdings {
+func (d *division) target(now time.Time, instance string, lim Limit) float64 {
+	if d.levelAt.IsZero() || now.Sub(d.levelAt) >= levelAge {
+		d.levelAt = now
+		d.setLevel(lim)
+	}
+	return min(d.holdings[instance].want(lim), d.level) + d.spare
+}
+
+// want is the part of the limit that an instance asks for.
+func (h *holding) want(lim Limit) float64 { return min(1, headroom*h.demand/lim.Rate) }
+
+// setLevel fills the smallest wants first; the level is where the rest divides
+// equally.
+func (d *division) setLevel(lim Limit) {
+	wants := make([]float64, 0, len(d.holdings))
+	for _, h := range d.holdings {
 		if h.demand > 0 {
-			wants = append(wants, want{name, min(1, headroom*h.demand/lim.Rate)})
+			wants = append(wants, h.want(lim))
 		}
 	}
-	slices.SortFunc(wants, func(a, b want) int {
-		return cmp.Or(cmp.Compare(a.part, b.part), cmp.Compare(a.instance, b.instance))
-	})
-	left, mine := 1.0, 0.0
+	slices.Sort(wants)
+	left := 1.0
+	d.level, d.spare = 1, 0
 	for i, w := range wants {
-		got := min(w.part, left/float64(len(wants)-i))
-		left -= got
-		if w.instance == instance {
-			mine = got
+		equal := left / float64(len(wants)-i)
+		if w > equal {
+			d.level = equal
+			return
 		}
+		left -= w
 	}
-	return mine + max(0, left)/float64(len(wants))
-}
-
-type want struct {
-	instance string
-	part     float64
+	d.spare = left / float64(max(1, len(wants)))
 }
--- a/coord/limit/limit.go
+++ b/coord/limit/limit.go
@@ -10,20 +10,25 @@
 //
 // The Allocator counts a share as outstanding until its lease ended on the
 // owner's clock, or its holder reported a newer one. It grants only what is not
-// outstanding, so the sum of rates in force never exceeds the limit, over
-// overlapping leases too. Over a window of T seconds all instances together
-// pass at most rate*T plus burst, where the burst is divided with the shares.
-// A bucket keeps what it saved while its share moves elsewhere; at most one
-// burst more can be spent then.
+// outstanding, so the sum of shares in force never exceeds the limit, over
+// overlapping leases, lost and doubled messages too. Over any window of T
+// seconds all instances together pass at most rate*T + 2*burst: one burst saved
+// under shares, one lent to buckets that are new. A request that costs more
+// than a whole burst is let through on a full bucket and leaves a debt, so add
+// one request for each instance.
 //
 // # Cut off from the owner
 //
 // When the lease ends without renewal an instance falls back to its floor: the
 // limit divided by the number of instances, so that it keeps serving. The
-// Allocator sets the floors of instances that it has not heard of for a lease
-// aside, so both sides of a cut together stay within the limit; all instances
-// on their floors pass exactly the limit. A new Allocator grants nothing for
-// one lease, since it does not know what its predecessor granted.
+// Allocator sets the floors of instances that it has not heard of for half a
+// lease aside, so both sides of a cut together stay within the limit; all
+// instances on their floors pass exactly the limit. Where single messages are
+// lost in both directions for most of a lease, an instance may be on its floor
+// while a share granted to another just before is still good: the excess is at
+// most the floors of such instances, for at most a lease. A new Allocator
+// grants nothing for one lease, since it does not know what its predecessor
+// granted.
 //
 // A workspace that is new at an instance starts with its floor of the burst
 // and no rate. If no share comes within a lease it falls back to the floor.
--- a/coord/limit/limiter.go
+++ b/coord/limit/limiter.go
@@ -14,7 +14,11 @@
 	share  Limit
 	seq    uint64
 	tokens float64
-	at     time.Time
+	// loan is the burst that a new bucket starts with before any share came. It
+	// is taken off with the first one: a workspace that comes and goes would
+	// else be given a burst each time.
+	loan float64
+	at   time.Time
 	// until is the end of the share's lease, or when the floor sets in where no
 	// share came yet.
 	until time.Time
@@ -26,7 +30,10 @@
 
 // newBucket starts with the floor's burst and no rate until wait has passed.
 func newBucket(now time.Time, floor Limit, wait time.Duration) *Bucket {
-	return &Bucket{floor: floor, tokens: floor.Burst, at: now, until: now.Add(wait), askedAt: now}
+	return &Bucket{
+		floor: floor, tokens: floor.Burst, loan: floor.Burst,
+		at: now, until: now.Add(wait), askedAt: now,
+	}
 }
 
 // fill adds what the share gave until its lease ended and the floor since.
@@ -71,10 +78,11 @@
 		return
 	}
 	b.share, b.seq, b.until = s.Limit, s.Seq, until
-	b.tokens = min(b.tokens, s.Limit.Burst)
+	b.tokens = min(b.tokens-b.loan, s.Limit.Burst)
+	b.loan = 0
 }
 
-// Take spends n units and reports whether it could; if not, wait is when to
+// take spends n units and reports whether it could; if not, wait is when to
 // come back at the present rate, and nothing is spent. More than the burst at
 // once is let through on a full bucket and leaves a debt, so that one long
 // request isn't refused for ever.
@@ -221,9 +229,11 @@
 			rate = 0
 		}
 		demands = append(demands, Demand{ID: id, Rate: rate, Held: b.seq})
-		if rate == 0 && b.tokens >= b.floor.Burst {
+		if rate == 0 && b.tokens >= b.burst(now) {
 			delete(l.buckets, id)
 		} else if rate == 0 {
+			// Keep the share until the bucket is full: a new one would start
+			// with more.
 			demands[len(demands)-1].Rate = idle * b.floor.Rate
 		}
 	}
--- /dev/null
+++ b/coord/limit/tokens.go
@@ -0,0 +1,10 @@
+package limit
+
+import "time"
+
+// TakeTokens spends tokens of a request whose own unit Take has spent before
+// its size was known. If not ok, wait says when to come back; the request's
+// unit stays spent, as it has been worked on.
+func (l *Limiter) TakeTokens(now time.Time, workspace string, tokens float64) (ok bool, wait time.Duration) {
+	return takeFrom(l.bucket(now, ID{workspace, Tokens}), now, tokens)
+}
--- a/coord/retry/breaker.go
+++ b/coord/retry/breaker.go
@@ -248,6 +248,9 @@
 
 func (b *Breaker) open(now time.Time, t *target) {
 	b.openings++
+	if t.state == Closed && now.Sub(t.weightFrom) > b.cfg.MaxPause {
+		t.openings = 0
+	}
 	pause := float64(b.cfg.Pause) * math.Pow(2, float64(min(t.openings, 16)))
 	t.state = Open
 	t.until = now.Add(time.Duration(min(pause, float64(b.cfg.MaxPause))))
