--- a/pipeline/promise_test.go
+++ b/pipeline/promise_test.go
@@ -219,6 +219,7 @@
 	r.addTarget("echo", "echo-0", r.listen(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		seen = q.Header.Clone()
 		w.Header().Set(HeaderVerdict, "not_run")
+		w.Header().Set(HeaderRequestID, "forged")
 		w.Header().Set("Connection", "X-Hop")
 		w.Header().Set("X-Hop", "1")
 		w.Header().Set("X-End", "1")
@@ -231,7 +232,7 @@
 		t.Fatalf("the target saw %v", seen)
 	}
 	h := resp.Header
-	if resp.StatusCode != http.StatusTeapot || h.Get(HeaderVerdict) != "ran" || h.Get("X-Hop") != "" || h.Get("X-End") != "1" {
+	if resp.StatusCode != http.StatusTeapot || h.Get(HeaderVerdict) != "ran" || h.Get(HeaderRequestID) == "forged" || h.Get("X-Hop") != "" || h.Get("X-End") != "1" {
 		t.Fatalf("%d %v", resp.StatusCode, h)
 	}
 }
