--- /dev/null
+++ b/node/placing/placing.go
@@ -0,0 +1,295 @@
+// Package placing runs a region's placement.Planner: it polls the engines,
+// sends the orders and warm-ups, and tells the planner how they ended.
+//
+// The service runs at each voter of the region's group; only the one that leads
+// polls and orders. One loop owns the planner. Each poll, order and warm-up
+// under way has a goroutine, whose end comes back through a bounded ring. A ring
+// that is full refuses ends; the planner then counts the order as unanswered,
+// which is safe.
+package placing
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/coord/ring"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/placement"
+	"github.com/gullhaven/gullhaven/ports"
+)
+
+const (
+	// ringSize bounds the ends that wait for the loop.
+	ringSize = 4096
+	// defaultTick is the time between two looks at the lease.
+	defaultTick = 100 * time.Millisecond
+	// pollTimeout bounds one poll.
+	pollTimeout = time.Second
+)
+
+// Leadership tells whether this instance leads its region.
+type Leadership interface {
+	// Term returns the fencing number under which this instance led at a moment
+	// after the call, so that no newer leader existed before it. ok is false if
+	// it does not lead.
+	Term() (fence uint64, ok bool)
+}
+
+// GroupLeadership is the leadership of a region's replicated group.
+type GroupLeadership struct{ Node *replhost.Node }
+
+// Term returns the term of the group's log while its lease is held. The term is
+// read before and after the lease: were it read once, the lease could be one of
+// another term, between which others have led. A leader has committed in its
+// term before it has a lease.
+func (g GroupLeadership) Term() (uint64, bool) {
+	before, ok := g.leads()
+	if !ok || g.Node.LeaseUntil().IsZero() {
+		return 0, false
+	}
+	after, ok := g.leads()
+	return after, ok && before == after
+}
+
+func (g GroupLeadership) leads() (uint64, bool) {
+	s := g.Node.Status()
+	return s.Core.Term, s.State == replhost.Running && s.Core.Role == replog.Leader
+}
+
+// Options of a Service.
+type Options struct {
+	Region     string
+	Engines    ports.Engines
+	Leadership Leadership
+	Log        *zap.Logger
+	// Planner may change the planner's times; Region is taken from above.
+	Planner placement.Options
+	// Tick is the time between two looks at the lease; default 100 ms.
+	Tick time.Duration
+}
+
+// Service runs a Planner.
+type Service struct {
+	o    Options
+	ends *ring.Ring[placement.Event]
+	// wanted waits for the loop; a later bundle replaces it.
+	wanted atomic.Pointer[placement.Wanted]
+
+	mu      sync.Mutex
+	planner *placement.Planner
+	logged  logged
+}
+
+// logged is what the last lines of the log told.
+type logged struct {
+	leading bool
+	targets map[string]placement.TargetStatus
+}
+
+// New makes a Service.
+func New(o Options) *Service {
+	if o.Tick <= 0 {
+		o.Tick = defaultTick
+	}
+	o.Planner.Region = o.Region
+	return &Service{
+		o:       o,
+		ends:    ring.New[placement.Event](ringSize),
+		planner: placement.New(o.Planner),
+		logged:  logged{targets: map[string]placement.TargetStatus{}},
+	}
+}
+
+// SetBundle replaces the bundle in force. It may be called from any goroutine.
+func (s *Service) SetBundle(b *bundle.Bundle) {
+	w := placement.WantedOf(b, s.o.Region)
+	s.wanted.Store(&w)
+}
+
+// Status returns the planner's state.
+func (s *Service) Status() placement.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.planner.Status()
+}
+
+// Ends returns the counters of the ring between the sendings and the loop.
+func (s *Service) Ends() ring.Stats { return s.ends.Stats() }
+
+// Run acts while this instance leads, until ctx ends, and returns once all that
+// it sent has ended.
+func (s *Service) Run(ctx context.Context) {
+	var under sync.WaitGroup
+	defer under.Wait()
+	tick := time.NewTicker(s.o.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if w := s.wanted.Swap(nil); w != nil {
+				s.step(ctx, &under, placement.SetWanted{Wanted: *w})
+			}
+			s.step(ctx, &under, s.lease())
+			s.report()
+		case e := <-s.ends.C():
+			s.step(ctx, &under, e)
+		}
+	}
+}
+
+// lease turns the leadership into an event.
+func (s *Service) lease() placement.Event {
+	at := time.Now()
+	if fence, ok := s.o.Leadership.Term(); ok {
+		return placement.LeaseHeld{Fence: fence, At: at}
+	}
+	return placement.LeaseLost{}
+}
+
+// step steps the planner and starts what it asks for. The clock is read before
+// the planner decides and again right before each order is written: between the
+// two the process may have been stopped for any time.
+func (s *Service) step(ctx context.Context, under *sync.WaitGroup, e placement.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, effect := range s.planner.Step(time.Now(), e) {
+		under.Go(func() { s.ends.TryPush(s.carryOut(ctx, effect)) })
+	}
+}
+
+// carryOut does one effect and returns how it ended.
+func (s *Service) carryOut(ctx context.Context, effect placement.Effect) placement.Event {
+	switch e := effect.(type) {
+	case placement.Send:
+		return s.send(ctx, e)
+	case placement.WarmUp:
+		return s.warmUp(ctx, e)
+	case placement.Poll:
+		return s.poll(ctx, e)
+	}
+	return placement.Tick{}
+}
+
+func (s *Service) poll(ctx context.Context, p placement.Poll) placement.Event {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	r, err := s.o.Engines.Engine(p.Address).Load(ctx)
+	if err != nil {
+		return placement.Observed{Target: p.Target}
+	}
+	return placement.Observed{Target: p.Target, Report: &r}
+}
+
+// send gives an order. The engine's client refuses one that has expired right
+// before it writes and gives up at the expiry.
+func (s *Service) send(ctx context.Context, e placement.Send) placement.Event {
+	_, err := s.o.Engines.Engine(e.Address).Order(ctx, e.Order)
+	return placement.OrderEnded{Target: e.Target, ID: e.Order.ID, Outcome: outcomeOf(err)}
+}
+
+// outcomeOf reads the end of a sending. What is not known to have missed the
+// engine may have reached it.
+func outcomeOf(err error) placement.Outcome {
+	var e *verdict.Error
+	switch {
+	case err == nil:
+		return placement.OrderTaken
+	case !errors.As(err, &e):
+		return placement.OrderUnanswered
+	case e.Code == ports.CodeOldFence:
+		return placement.OrderOldFence
+	case e.Code == ports.CodeExpired:
+		return placement.OrderExpired
+	case e.Verdict != verdict.NotRun:
+		return placement.OrderUnanswered
+	case e.Code == ports.CodeInvalid:
+		return placement.OrderInvalid
+	default:
+		return placement.OrderNotSent
+	}
+}
+
+// warmUpRequest is the shortest request of the OpenAI form.
+type warmUpRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// warmUp has an engine answer one short request to its end.
+func (s *Service) warmUp(ctx context.Context, e placement.WarmUp) placement.Event {
+	ctx, cancel := context.WithTimeout(ctx, s.planner.Options().WarmUpTime)
+	defer cancel()
+	end := placement.WarmUpEnded{Target: e.Target, Number: e.Number, Outcome: placement.WarmUpFailed}
+	body, err := json.Marshal(warmUpRequest{Model: e.Service, Prompt: "warm-up", MaxTokens: 1, Stream: true})
+	if err != nil {
+		return end
+	}
+	stream, err := s.o.Engines.Engine(e.Address).Complete(ctx, ports.Completion{
+		Attempt: ports.AttemptID("warm-up-" + e.Target + "-" + strconv.FormatUint(e.Number, 10) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)),
+		Stream:  true,
+		Body:    body,
+	})
+	if err == nil {
+		err = readAll(stream)
+	}
+	end.Outcome = warmUpOutcomeOf(err)
+	return end
+}
+
+// readAll reads an answer to its end; nil means that it was whole.
+func readAll(stream ports.Stream) error {
+	defer stream.Close()
+	for {
+		if _, err := stream.Next(); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
+func warmUpOutcomeOf(err error) placement.WarmUpOutcome {
+	var e *verdict.Error
+	switch {
+	case err == nil:
+		return placement.WarmUpAnswered
+	case errors.As(err, &e) && e.Code == ports.CodeRejected:
+		return placement.WarmUpRefused
+	default:
+		return placement.WarmUpFailed
+	}
+}
+
+// report logs changes of state.
+func (s *Service) report() {
+	status := s.Status()
+	if status.Leading != s.logged.leading {
+		s.logged.leading = status.Leading
+		s.o.Log.Info("placement leadership", zap.Bool("leading", status.Leading), zap.Uint64("fence", status.Fence))
+	}
+	for _, t := range status.Targets {
+		old := s.logged.targets[t.Target]
+		if old.Phase == t.Phase && (old.Blocked == t.Blocked || t.Blocked != placement.BlockedDrainOverdue) {
+			continue
+		}
+		s.logged.targets[t.Target] = t
+		s.o.Log.Info("placement of a target", zap.String("target", t.Target),
+			zap.String("phase", string(t.Phase)), zap.String("blocked", string(t.Blocked)))
+	}
+}
