Spend retries from coord/retry's budgets, and run suspects alone

Cause: the budget was an interface that nobody had; a request suspected of a crash ran in a batch like any other, and an innocent one could not be cleared. Change: one coord/retry budget and hedge gate for each service; suspects run once, at a target that the host keeps free (ports.LoneRuns), and are refused where none is; Suspects learns how each sending ended. ports.RetryBudget is gone. Conclusion: the host has to publish suspects before Ended returns, and to give lone runs.

--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gullhaven/gullhaven/bundle"
@@ -20,6 +21,7 @@
 	deps    *Deps
 	view    func() *View
 	routing *Routing
+	budgets *budgets
 	ids     *ids
 	forward *Forward
 }
@@ -30,6 +32,7 @@
 	id       ports.AttemptID
 	decision route.Decision
 	target   *bundle.Target
+	alone    bool
 	query    *route.Request
 	tokens   int
 }
@@ -47,11 +50,13 @@
 	ctx, cancel := context.WithDeadline(x.Ctx, x.Deadline)
 	defer cancel()
 	x.Ctx = ctx
-	if f.deps.Budget != nil {
-		f.deps.Budget.Deposit(f.deps.Now())
-	}
 	q := x.routeRequest()
+	if x.Suspicion == ports.SuspectAlone {
+		return f.explain(x, f.runAlone(x, q, s))
+	}
 	q.Crossed = q.Crossed || f.deps.Forwarder == nil
+	q.Tried = f.routing.Reserved()
+	f.budgets.request(x.Service.ID)
 	for {
 		err, again := f.step(x, q, s)
 		if !again {
@@ -108,6 +113,9 @@
 func (f *Attempts) mayStart(x *Exchange, a *attempt) error {
 	view := f.view()
 	t := view.Target(a.decision.Target)
+	if !a.alone && slices.Contains(f.routing.Reserved(), a.decision.Target) {
+		return refuse(CodeNoTarget, "the target is reserved")
+	}
 	if t == nil || t.State == bundle.TargetLeaving || t.Region != view.Region {
 		return refuse(CodeNoTarget, "the target takes no new work")
 	}
@@ -121,21 +129,29 @@
 func (f *Attempts) start(x *Exchange, a *attempt) {
 	f.deps.Metrics.Attempts.Inc(1)
 	if f.deps.Suspects != nil {
-		f.deps.Suspects.Started(f.deps.Now(), a.id, a.target.ID, x.Digest)
+		f.deps.Suspects.Started(f.deps.Now(), a.id, a.target.ID, x.Digest, a.alone)
 	}
 }
 
 // end records the end of an attempt.
 func (f *Attempts) end(x *Exchange, a *attempt, err error) {
-	f.routing.Ended(route.End{Attempt: a.route, Outcome: outcomeOf(x, err), OutputTokens: a.tokens, CachedTokens: -1})
+	outcome := outcomeOf(x, err)
+	f.routing.Ended(route.End{Attempt: a.route, Outcome: outcome, OutputTokens: a.tokens, CachedTokens: -1})
+	f.budgets.ended(x.Service.ID, outcome)
 	if f.deps.Suspects != nil {
-		f.deps.Suspects.Ended(f.deps.Now(), a.id, crashed(x, err))
+		f.deps.Suspects.Ended(f.deps.Now(), a.id, suspectEnd(x, err))
 	}
 }
 
-// crashed reports whether the target broke off by itself.
-func crashed(x *Exchange, err error) bool {
-	return err != nil && x.Ctx.Err() == nil && asError(err).Code == ports.CodeCut
+// suspectEnd tells a target that broke off by itself from every other failure.
+func suspectEnd(x *Exchange, err error) ports.AttemptEnd {
+	switch {
+	case err == nil:
+		return ports.AttemptFinished
+	case x.Ctx.Err() == nil && asError(err).Code == ports.CodeCut:
+		return ports.AttemptCrashed
+	}
+	return ports.AttemptOther
 }
 
 func verdictOf(err error) verdict.Verdict {
@@ -178,7 +194,7 @@
 	if q.Attempt >= max(1, x.View.Bundle.Rules.MaxAttempts) {
 		return false
 	}
-	if f.deps.Budget != nil && !f.deps.Budget.Withdraw(f.deps.Now()) {
+	if !f.budgets.retry(x.Service.ID) {
 		return false
 	}
 	f.deps.Metrics.Retries.Inc(1)
--- a/pipeline/hedge.go
+++ b/pipeline/hedge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/route"
 )
 
@@ -46,16 +47,13 @@
 // second starts the hedge, if budget and routing allow it.
 func (h *hedging) second(a *attempt) {
 	f := h.f
-	if f.deps.Budget != nil && !f.deps.Budget.Withdraw(f.deps.Now()) {
-		return
-	}
 	b := &attempt{query: a.query}
 	b.route, b.id = f.ids.attempt()
 	b.decision = f.routing.Decide(b.route, a.query)
 	if b.decision.Action != route.Send {
 		return
 	}
-	if f.mayStart(h.x, b) != nil {
+	if f.mayStart(h.x, b) != nil || !f.budgets.hedge(h.x, b.decision.Finish) {
 		f.routing.Ended(route.End{Attempt: b.route, Outcome: route.Unreached, CachedTokens: -1})
 		return
 	}
@@ -92,7 +90,7 @@
 		cancel()
 		f.routing.Ended(route.End{Attempt: loser.route, Outcome: route.Cancelled, CachedTokens: -1})
 		if f.deps.Suspects != nil {
-			f.deps.Suspects.Ended(f.deps.Now(), loser.id, false)
+			f.deps.Suspects.Ended(f.deps.Now(), loser.id, ports.AttemptOther)
 		}
 		go h.discard()
 	}
--- a/pipeline/input_test.go
+++ b/pipeline/input_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/retry"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/route"
@@ -120,6 +123,9 @@
 				d.Decider = hedger{ordered{d.Decider, []route.TargetID{"runner-0", "runner-1"}}}
 			}))
 			r.engines[0].SetFaults(standin.Fault{Kind: kind, DelayMillis: 20})
+			for range int(1 / hedgeShare) {
+				r.p.budgets.request("briefing-llm")
+			}
 			got := readStream(t, r.do(call{body: chat("p", true, 6)}).Body)
 			if !got.ended || got.text != answerTo("p", 6) {
 				t.Fatalf("%+v", got)
@@ -143,28 +149,22 @@
 // Events: every target fails; each request is sent as often as the rules allow.
 // Cause: no budget over the requests of an instance.
 func TestRetriesKeepTheBudget(t *testing.T) {
-	budget := &fixedBudget{left: 5}
-	r := newRig(t, withEngines(3, standin.EngineConfig{}), withDeps(func(d *Deps) { d.Budget = budget }))
+	begin := time.Now()
+	r := newRig(t, withEngines(3, standin.EngineConfig{}), withDeps(func(d *Deps) {
+		d.Now = func() time.Time { return begin }
+	}))
 	for _, e := range r.engines {
 		e.SetFaults(standin.Fault{Kind: standin.FaultReject})
 	}
-	for range 20 {
+	want := int64(retry.NewBudget(begin, budgetConfig(r.b.Rules.RetryBudget)).Tokens())
+	for range 30 {
 		readRefusal(t, r.do(call{body: chat("p", true, 4)}))
 	}
-	if got := r.deps.Metrics.Retries.Count(); got != 5 {
-		t.Fatalf("%d retries", got)
+	if got := r.deps.Metrics.Retries.Count(); got != want || want == 0 {
+		t.Fatalf("%d retries, want %d", got, want)
 	}
 }
 
-type fixedBudget struct{ left int }
-
-func (b *fixedBudget) Deposit(time.Time) {}
-
-func (b *fixedBudget) Withdraw(time.Time) bool {
-	b.left--
-	return b.left >= 0
-}
-
 // Symptom: a request is held until its deadline and then fails.
 // Events: its target hangs; the deadline passes; or its caller leaves.
 // Cause: no answer before the target's.
@@ -203,33 +203,86 @@
 	}
 }
 
-type fixedSuspects struct{ digests map[ports.Digest]int }
+// suspects holds a digest for a suspect after one crash, and refuses it after a
+// second.
+type suspects struct {
+	mu      sync.Mutex
+	digests map[ports.AttemptID]ports.Digest
+	crashes map[ports.Digest]int
+	alone   int
+}
 
-func (s *fixedSuspects) Check(_ time.Time, d ports.Digest) ports.Suspicion {
-	if s.digests[d] >= 2 {
-		return ports.SuspectRefused
+func newSuspects() *suspects {
+	return &suspects{digests: map[ports.AttemptID]ports.Digest{}, crashes: map[ports.Digest]int{}}
+}
+
+func (s *suspects) Check(_ time.Time, d ports.Digest) ports.Suspicion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ports.Suspicion(min(s.crashes[d], int(ports.SuspectRefused)))
+}
+
+func (s *suspects) Started(_ time.Time, a ports.AttemptID, _ string, d ports.Digest, alone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.digests[a] = d
+	if alone {
+		s.alone++
 	}
-	return ports.SuspectNone
 }
-func (s *fixedSuspects) Started(_ time.Time, _ ports.AttemptID, _ string, d ports.Digest) {
-	s.digests[d]++
+
+func (s *suspects) Ended(_ time.Time, a ports.AttemptID, e ports.AttemptEnd) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e == ports.AttemptCrashed {
+		s.crashes[s.digests[a]]++
+	}
+	if e == ports.AttemptFinished {
+		delete(s.crashes, s.digests[a])
+	}
+}
+
+// fixedLone gives one target, and counts its releases.
+type fixedLone struct {
+	target   string
+	released int
+}
+
+func (l *fixedLone) Begin(context.Context, string, ports.Digest) (ports.LoneRun, error) {
+	return ports.LoneRun{Target: l.target, Release: func() { l.released++ }}, nil
 }
-func (s *fixedSuspects) Ended(time.Time, ports.AttemptID, bool) {}
 
 // Symptom: one request takes down target after target.
-// Events: its caller sends it again under another id, streamed or not.
-// Cause: the request recognised by its id or its bytes.
-func TestSuspectIsRecognisedInAnotherForm(t *testing.T) {
-	r := newRig(t, withDeps(func(d *Deps) {
-		d.Suspects = &fixedSuspects{digests: map[ports.Digest]int{}}
-	}), withBundle(func(b *bundle.Bundle) { b.Rules.MaxAttempts = 1 }))
-	r.engines[0].SetFaults(standin.Fault{Kind: standin.FaultCrash})
-	for i := range 3 {
-		resp := r.do(call{body: chat("killer", i%2 == 0, 2+i), header: map[string]string{HeaderIdempotencyK: string(rune('a' + i)), HeaderResend: "false"}})
-		got := readRefusal(t, resp)
-		if i == 2 && (got.Code != CodeSuspect || got.Verdict != verdict.NotRun) {
-			t.Fatalf("%+v", got)
-		}
+// Events: its caller sends it again under another id, streamed or not; what ran
+// beside it at the first crash comes again as well.
+// Cause: the request recognised by its id or its bytes; suspects run in a batch,
+// or are never cleared.
+func TestSuspectsRunAloneAndAreRecognisedInAnotherForm(t *testing.T) {
+	known, lone := newSuspects(), &fixedLone{target: "runner-1"}
+	r := newRig(t, withEngines(2, standin.EngineConfig{}), withDeps(func(d *Deps) { d.Suspects, d.Lone = known, lone }),
+		withBundle(func(b *bundle.Bundle) { b.Rules.MaxAttempts = 1 }))
+	r.p.Routing().SetReserved([]route.TargetID{"runner-1"})
+	for _, e := range r.engines {
+		e.SetFaults(standin.Fault{Kind: standin.FaultCrash, Match: "killer"}, standin.Fault{Kind: standin.FaultCrash, Match: "innocent", Count: 1})
+	}
+	ask := func(prompt string, i int) *http.Response {
+		return r.do(call{body: chat(prompt, i%2 == 0, 2+i), header: map[string]string{HeaderIdempotencyK: prompt + string(rune('a'+i)), HeaderResend: "false"}})
+	}
+	readRefusal(t, ask("killer", 0))
+	readRefusal(t, ask("innocent", 0))
+	if n := r.engines[1].Counts().Runs; n != 0 {
+		t.Fatalf("the reserved target ran %d requests", n)
+	}
+	r.engines[1].SetFaults(standin.Fault{Kind: standin.FaultCrash, Match: "killer"})
+	readRefusal(t, ask("killer", 1))
+	if got := readStream(t, ask("innocent", 2).Body); !got.ended || known.alone != 2 || lone.released != 2 {
+		t.Fatalf("%+v, %d alone, %d released", got, known.alone, lone.released)
+	}
+	if got := readRefusal(t, ask("killer", 2)); got.Code != CodeSuspect || got.Verdict != verdict.NotRun {
+		t.Fatalf("%+v", got)
+	}
+	if n := r.engines[1].Counts().Runs + r.engines[0].Counts().Runs; n != 4 {
+		t.Fatalf("%d runs", n)
 	}
 }
 
--- /dev/null
+++ b/pipeline/lone.go
@@ -0,0 +1,32 @@
+package pipeline
+
+import (
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+// loneRetry is when to come back with a request that must run alone.
+const loneRetry = 5 * time.Second
+
+// runAlone sends a suspect to a target that runs nothing else, once. If it takes
+// that target down as well, it is known for the cause, and no other request was
+// lost with it.
+func (f *Attempts) runAlone(x *Exchange, q *route.Request, s send) error {
+	refused := &verdict.Error{Code: CodeSuspect, Message: "the request was running when a target broke down; no target is free to run it alone", RetryAfter: loneRetry}
+	if f.deps.Lone == nil {
+		return refused
+	}
+	lone, err := f.deps.Lone.Begin(x.Ctx, x.Service.ID, x.Digest)
+	if err != nil {
+		refused.Err = err
+		return refused
+	}
+	defer lone.Release()
+	a := &attempt{query: q, alone: true}
+	a.route, a.id = f.ids.attempt()
+	a.decision = route.Decision{Action: route.Send, Target: route.TargetID(lone.Target)}
+	f.routing.SentTo(a.route, q, a.decision)
+	return f.attempt(x, a, s)
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -35,10 +35,11 @@
 	Forwarder ports.Forwarder
 	// Claims may be nil: work that runs at most once is refused then.
 	Claims ports.Claims
-	// Suspects, Limits and Budget may be nil: none are kept then.
+	// Suspects and Limits may be nil: none are kept then.
 	Suspects ports.Suspects
 	Limits   ports.Limits
-	Budget   ports.RetryBudget
+	// Lone may be nil: requests that must run alone are refused then.
+	Lone ports.LoneRuns
 	// Directory may be nil; it tells callers in a wrong region where to go.
 	Directory ports.Directory
 	// Observer may be nil; it is told of each request's end.
@@ -90,6 +91,7 @@
 	deps    Deps
 	view    atomic.Pointer[View]
 	routing *Routing
+	budgets *budgets
 	ids     *ids
 	flight  *inFlight
 	claims  *Claiming
@@ -112,6 +114,7 @@
 	p := &Pipeline{
 		deps:    d,
 		routing: newRouting(d.Decider, d.Now, d.Bounds.Held),
+		budgets: newBudgets(d.Now),
 		ids:     newIDs(d.Instance),
 		flight:  &inFlight{max: int64(d.Bounds.InFlight)},
 	}
@@ -140,6 +143,7 @@
 		deps:    d,
 		view:    p.view.Load,
 		routing: p.routing,
+		budgets: p.budgets,
 		ids:     p.ids,
 		forward: &Forward{deps: d, at: at},
 	}
@@ -163,6 +167,7 @@
 // SetView puts a bundle in force and tells routing its targets.
 func (p *Pipeline) SetView(v *View) {
 	p.view.Store(v)
+	p.budgets.setRatio(v.Bundle.Rules.RetryBudget)
 	p.routing.SetTargets(v.TargetSpecs())
 }
 
--- a/pipeline/routing.go
+++ b/pipeline/routing.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gullhaven/gullhaven/route"
@@ -20,6 +22,8 @@
 	now     func() time.Time
 	maxHeld int
 	held    []chan struct{}
+
+	reserved atomic.Pointer[[]route.TargetID]
 }
 
 func newRouting(d route.Decider, now func() time.Time, maxHeld int) *Routing {
@@ -38,6 +42,29 @@
 	return d
 }
 
+// SentTo records a sending that was decided elsewhere.
+func (r *Routing) SentTo(a route.AttemptID, q *route.Request, d route.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.d.Sent(r.now(), a, q, d)
+}
+
+// SetReserved replaces the targets kept free for lone runs, of any instance of
+// the region. They get nothing else.
+func (r *Routing) SetReserved(targets []route.TargetID) {
+	list := slices.Clone(targets)
+	r.reserved.Store(&list)
+}
+
+// Reserved returns a copy of the targets kept free.
+func (r *Routing) Reserved() []route.TargetID {
+	list := r.reserved.Load()
+	if list == nil || len(*list) == 0 {
+		return nil
+	}
+	return slices.Clone(*list)
+}
+
 // FirstToken records an attempt's first token.
 func (r *Routing) FirstToken(a route.AttemptID) {
 	r.mu.Lock()
--- a/ports/peers.go
+++ b/ports/peers.go
@@ -37,14 +37,42 @@
 	SuspectRefused
 )
 
-// Suspects recognises requests that take targets down.
+// AttemptEnd is how a sending ended, as far as suspicion goes.
+type AttemptEnd uint8
+
+const (
+	// AttemptOther: cancelled, refused, or an error that the target told.
+	AttemptOther AttemptEnd = iota
+	// AttemptFinished: the whole answer came.
+	AttemptFinished
+	// AttemptCrashed: the target broke off by itself.
+	AttemptCrashed
+)
+
+// Suspects recognises requests that take targets down (package coord/suspect).
 type Suspects interface {
 	// Check tells how a request with this digest may run.
 	Check(now time.Time, d Digest) Suspicion
-	// Started records a sending; Ended its end. Crashed is set when the target
-	// broke off, as opposed to answering with an error.
-	Started(now time.Time, a AttemptID, target string, d Digest)
-	Ended(now time.Time, a AttemptID, crashed bool)
+	// Started records a sending; alone says that the target runs nothing else.
+	Started(now time.Time, a AttemptID, target string, d Digest, alone bool)
+	// Ended records its end. After a crash it returns once the suspects are
+	// published in the region, within a bound of time: the request is retried
+	// or answered only then, so that a resend finds them wherever it arrives.
+	Ended(now time.Time, a AttemptID, e AttemptEnd)
+}
+
+// LoneRun is a target that runs nothing else and gets nothing else.
+type LoneRun struct {
+	Target string
+	// Release ends the run; it must be called.
+	Release func()
+}
+
+// LoneRuns gives suspects a target of their own, one in a region at a time for
+// each digest.
+type LoneRuns interface {
+	// Begin waits for an idle target of the service until ctx ends at the latest.
+	Begin(ctx context.Context, service string, d Digest) (LoneRun, error)
 }
 
 // LimitAnswer is the answer to a request for tokens of a limit.
@@ -77,11 +105,3 @@
 	// Forward sends it; an answer of any status is no error.
 	Forward(ctx context.Context, r ForwardRequest) (*PlainAnswer, error)
 }
-
-// RetryBudget bounds retries by successes; one for each instance.
-type RetryBudget interface {
-	// Deposit records a first sending.
-	Deposit(now time.Time)
-	// Withdraw reports whether a retry or hedge may be sent.
-	Withdraw(now time.Time) bool
-}
