--- /dev/null
+++ b/e2e/request_test.go
@@ -0,0 +1,285 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+// ask sends a request with the key of a region's workspace.
+func (c *cluster) ask(i *instance, method, path, region, body string, headers map[string]string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+i.settings.Listen.Callers+path, strings.NewReader(body))
+	must(c.t, err)
+	req.Header.Set("Authorization", "Bearer "+keyOf(region))
+	req.Header.Set("Content-Type", "application/json")
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	return c.client.Do(req)
+}
+
+// briefing asks for a streamed completion and returns its text. The error says
+// how the stream ended other than whole.
+func (c *cluster) briefing(i *instance, region, prompt string, tokens int) (string, error) {
+	body := fmt.Sprintf(`{"model":"briefing","stream":true,"max_tokens":%d,"prompt":%q}`, tokens, prompt)
+	resp, err := c.ask(i, http.MethodPost, "/v1/completions", region, body, nil)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(resp.Body)
+		return "", fmt.Errorf("status %d: %s", resp.StatusCode, data)
+	}
+	return readStream(resp.Body)
+}
+
+// readStream joins the text of a stream up to its end mark.
+func readStream(r io.Reader) (string, error) {
+	var text strings.Builder
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !isData {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return text.String(), nil
+		}
+		var chunk struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+			Error json.RawMessage `json:"error"`
+		}
+		if err := json.Unmarshal(data, &chunk); err != nil {
+			return text.String(), err
+		}
+		if chunk.Error != nil {
+			return text.String(), fmt.Errorf("error event: %s", chunk.Error)
+		}
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Text)
+		}
+	}
+	return text.String(), errors.New("the stream ended without its end mark")
+}
+
+// desk sends a booking and returns the answer's status, text and execution
+// number at the desk.
+func (c *cluster) desk(i *instance, region, key, body string, headers map[string]string) (int, string, error) {
+	all := map[string]string{"Idempotency-Key": key}
+	for name, value := range headers {
+		all[name] = value
+	}
+	resp, err := c.ask(i, http.MethodPost, "/services/desk/bookings", region, body, all)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// A request is served through separate processes: caller, instance, engine. The
+// answer is whole and the one to this prompt.
+func TestRequestFromEndToEnd(t *testing.T) {
+	c := startCluster(t, 2)
+	for _, i := range c.instances {
+		region := i.settings.Region
+		prompt := "weather and route for " + i.id()
+		text, err := c.briefing(i, region, prompt, 12)
+		must(t, err)
+		if want := standin.Answer([]byte(prompt), 12); text != want {
+			t.Errorf("%s: answer %q, want %q", i.id(), text, want)
+		}
+		status, body, err := c.desk(i, region, "booking-"+i.id(), `{"seats":2}`, nil)
+		must(t, err)
+		if status != http.StatusOK || !strings.Contains(body, `"execution":1`) {
+			t.Errorf("%s: desk answered %d: %s", i.id(), status, body)
+		}
+	}
+}
+
+// Symptom: families pay twice. Events: a booking is sent; the caller sends it
+// again to the same instance, to others of the region and to another region;
+// the first instance is killed and started again; it is sent once more.
+// Cause: an instance that knows only its own sendings.
+func TestBookingRunsOnce(t *testing.T) {
+	c := startCluster(t, 2)
+	body := `{"flight":"BR-7","seats":4}`
+	status, first, err := c.desk(c.instances[1], "jatim", "b-1", body, nil)
+	must(t, err)
+	if status != http.StatusOK {
+		t.Fatalf("first sending: %d %s", status, first)
+	}
+	resend := map[string]string{"Gullhaven-Resend": "true"}
+	for _, i := range c.instances {
+		c.expectNoSecondRun(i, body, resend)
+	}
+	c.instances[1].kill()
+	c.instances[1].start()
+	c.voter("jatim").kill()
+	c.voter("jatim").start()
+	for _, i := range c.instances {
+		c.eventually("a resend is answered by "+i.id(), func() error {
+			status, answer, err := c.desk(i, "jatim", "b-1", body, resend)
+			if err != nil {
+				return err
+			}
+			if status == http.StatusServiceUnavailable {
+				return errors.New(answer)
+			}
+			return nil
+		})
+		c.expectNoSecondRun(i, body, resend)
+	}
+}
+
+// expectNoSecondRun sends a booking that ran again and checks that the answer
+// is the first one or says that it ran.
+func (c *cluster) expectNoSecondRun(i *instance, body string, headers map[string]string) {
+	c.t.Helper()
+	status, answer, err := c.desk(i, "jatim", "b-1", body, headers)
+	must(c.t, err)
+	if strings.Contains(answer, `"execution":2`) {
+		c.t.Errorf("%s ran it again: %s", i.id(), answer)
+	}
+	replayed := status == http.StatusOK && strings.Contains(answer, `"execution":1`)
+	ran := strings.Contains(answer, `"verdict":"ran"`)
+	if !replayed && !ran {
+		c.t.Errorf("%s: resend answered %d: %s", i.id(), status, answer)
+	}
+}
+
+// Symptom: a region refuses its own callers although all it needs is there.
+// Events: every instance of the other regions stops answering, the leader of
+// the global group among them.
+// Cause: a request path that asks another region.
+func TestRegionAloneServesItsCallers(t *testing.T) {
+	c := startCluster(t, 2)
+	for _, i := range c.instances {
+		if i.settings.Region != "bali" {
+			i.signal(syscall.SIGSTOP)
+		}
+	}
+	for n := range 20 {
+		for _, i := range c.running() {
+			prompt := fmt.Sprintf("briefing %d at %s", n, i.id())
+			text, err := c.briefing(i, "bali", prompt, 8)
+			must(t, err)
+			if want := standin.Answer([]byte(prompt), 8); text != want {
+				t.Errorf("%s: answer %q, want %q", i.id(), text, want)
+			}
+			status, answer, err := c.desk(i, "bali", fmt.Sprintf("alone-%s-%d", i.id(), n), "{}", nil)
+			must(t, err)
+			if status != http.StatusOK {
+				t.Errorf("%s: booking answered %d: %s", i.id(), status, answer)
+			}
+		}
+	}
+	for _, i := range c.instances {
+		i.signal(syscall.SIGCONT)
+	}
+	c.mustRoll(c.next(c.bundle, "after the cut"))
+}
+
+// Symptom: a planned stop of an instance cuts off answers.
+// Events: SIGTERM comes while answers are streamed.
+// Cause: closing connections that are in use.
+func TestGracefulStopCutsOffNothing(t *testing.T) {
+	c := startCluster(t, 2)
+	i := c.instances[1]
+	const streams = 8
+	results := make(chan error, streams)
+	started := make(chan struct{}, streams)
+	for n := range streams {
+		go func() { results <- c.slowBriefing(i, n, started) }()
+	}
+	for range streams {
+		<-started
+	}
+	i.signal(syscall.SIGTERM)
+	for range streams {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	<-i.exited
+	if code := i.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	text, err := c.briefing(c.instances[0], "jatim", "still served", 4)
+	if err != nil || text != standin.Answer([]byte("still served"), 4) {
+		t.Errorf("the other instance: %q, %v", text, err)
+	}
+}
+
+// slowBriefing reads a stream of a second and checks that it is whole.
+func (c *cluster) slowBriefing(i *instance, n int, started chan<- struct{}) error {
+	prompt := fmt.Sprint("long briefing ", n)
+	const tokens = 400
+	body := fmt.Sprintf(`{"model":"briefing","stream":true,"max_tokens":%d,"prompt":%q}`, tokens, prompt)
+	resp, err := c.ask(i, http.MethodPost, "/v1/completions", i.settings.Region, body, nil)
+	started <- struct{}{}
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := readStream(resp.Body)
+	if err != nil {
+		return fmt.Errorf("stream %d: %w", n, err)
+	}
+	if text != standin.Answer([]byte(prompt), tokens) {
+		return fmt.Errorf("stream %d: the answer is another", n)
+	}
+	return nil
+}
+
+// Symptom: callers are sent to an instance that has gone.
+// Events: an instance is killed; callers ask the directory.
+// Cause: a directory that keeps what it once knew.
+func TestDirectoryFollowsTheMembers(t *testing.T) {
+	c := startCluster(t, 3)
+	gone := c.instances[2]
+	gone.kill()
+	c.eventually("the directory leaves it out", func() error {
+		list, err := c.lookup(c.instances[1])
+		if err != nil {
+			return err
+		}
+		if strings.Contains(list, gone.settings.Listen.Callers) {
+			return errors.New(list)
+		}
+		return nil
+	})
+	gone.start()
+	c.eventually("the directory takes it up again", func() error {
+		list, err := c.lookup(c.instances[1])
+		if err == nil && !strings.Contains(list, gone.settings.Listen.Callers) {
+			err = errors.New(list)
+		}
+		return err
+	})
+}
+
+func (c *cluster) lookup(i *instance) (string, error) {
+	client := &http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + i.settings.Listen.Callers + "/v1/directory")
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
@@ -26,6 +27,7 @@
 	"github.com/gullhaven/gullhaven/coord/roster"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/node/group"
+	"github.com/gullhaven/gullhaven/node/limits"
 	"github.com/gullhaven/gullhaven/node/loads"
 	"github.com/gullhaven/gullhaven/node/members"
 	"github.com/gullhaven/gullhaven/node/regions"
@@ -78,6 +80,7 @@
 	spreader  *rollout.Spreader
 	regions   *regions.Service
 	loads     *loads.Service
+	limits    *limits.Service
 	pipeline  *pipeline.Pipeline
 	forward   *forwarder
 	keeper    *keeper
@@ -136,6 +139,9 @@
 	engines := enginehttp.NewSet(transports)
 	n.forward = newForwarder(n.o.Key, n.entriesOf)
 	n.directory = &directory{region: n.s.Region, view: n.view, others: n.otherEntries}
+	n.limits = limits.New(limits.Options{
+		Self: n.s.Instance, Life: n.lifeOf, Hub: n.hub, View: n.bundleView, Log: n.log,
+	})
 	n.pipeline = pipeline.New(n.pathDeps(engines, plainhttp.NewSet(transports)))
 	n.loads = loads.New(loads.Options{
 		Self: n.s.Instance, Hub: n.hub, Engines: engines, Sink: n.pipeline.Routing(), Log: n.log,
@@ -161,6 +167,7 @@
 		Plains:    plains,
 		Forwarder: n.forward,
 		Claims:    n.claims,
+		Limits:    n.limits,
 		Directory: n.directory,
 		Metrics:   n.metrics,
 		Log:       n.log,
@@ -170,6 +177,18 @@
 // life names this start of the instance.
 func (n *Node) life() uint64 { return uint64(n.started.UnixMilli()) }
 
+// lifeOf names the start of any instance of the region.
+func (n *Node) lifeOf(id string) string {
+	if id == n.s.Instance {
+		return fmt.Sprint(id, "/", n.life())
+	}
+	m, _ := n.view().Find(id)
+	return fmt.Sprint(id, "/", members.DecodeMeta(m.Member).Start)
+}
+
+// bundleView is the bundle in force; nil before the first.
+func (n *Node) bundleView() *pipeline.View { return n.pipeline.View() }
+
 func regionGroup(region string) string { return "region-" + region }
 
 // openGroups opens the groups that this instance is a voter of and makes
@@ -377,6 +396,7 @@
 	}
 	n.regions.SetOwn(own)
 	n.loads.SetMembers(ids)
+	n.limits.SetMembers(ids, v.Relays[0])
 }
 
 func contactOf(m membership.View) roster.Contact {
@@ -471,7 +491,7 @@
 		return err
 	}
 	duties := []func(context.Context){
-		n.members.Run, n.spreader.Run, n.regions.Run, n.loads.Run, n.pipeline.Run, n.tellPeers,
+		n.members.Run, n.spreader.Run, n.regions.Run, n.loads.Run, n.limits.Run, n.pipeline.Run, n.tellPeers,
 	}
 	if n.keeper != nil {
 		duties = append(duties, n.keeper.run)
