replog: lose up to a minority of disks in tests, check configurations

Cause: the random runs lost one disk at a time only, and a configuration that came in a message was not checked.

--- a/coord/replog/doc.go
+++ b/coord/replog/doc.go
@@ -27,8 +27,8 @@
 // the three again; what was committed before is on both of the two that stayed.
 // Hence the loss of either of these right after the repair loses nothing that
 // was committed: the other one holds it, and a majority of the three now needs
-// it. A group of two voters that loses a disk cannot commit the repair; there is
-// no majority that knows of all commits, and it stops rather than guess.
+// it. A group of two voters that loses a disk stops: its leader hears from no
+// majority and steps down, and nobody can be elected to commit the repair.
 //
 // # Forming a group
 //
--- a/coord/replog/node.go
+++ b/coord/replog/node.go
@@ -203,11 +203,12 @@
 	if m.Kind == 0 || m.Kind > MsgReadIndexResp || m.From.ID == "" || m.From.Incarnation == 0 {
 		return errors.Annotatef(ErrMalformed, "kind %d from %v", m.Kind, m.From)
 	}
-	if m.Kind == MsgSnapshot && m.Snapshot == nil {
-		return errors.Annotatef(ErrMalformed, "no snapshot from %v", m.From)
+	if m.Kind == MsgSnapshot && (m.Snapshot == nil || m.Snapshot.Config.Check() != nil) {
+		return errors.Annotatef(ErrMalformed, "no whole snapshot from %v", m.From)
 	}
 	for i, e := range m.Entries {
-		if e.Index != m.Index+uint64(i)+1 || (e.Kind == EntryConfig) != (e.Config != nil) {
+		badConfig := (e.Kind == EntryConfig) != (e.Config != nil) || (e.Config != nil && e.Config.Check() != nil)
+		if e.Index != m.Index+uint64(i)+1 || badConfig {
 			return errors.Annotatef(ErrMalformed, "entry %d from %v", e.Index, m.From)
 		}
 	}
--- a/coord/replog/replog_test.go
+++ b/coord/replog/replog_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/gullhaven/gullhaven/coord/replog/confchange"
+	"github.com/gullhaven/gullhaven/coord/replog/quorum"
 )
 
 // disturb does one random thing to the group.
@@ -65,17 +66,29 @@
 	}
 }
 
-// lose wipes a disk where the group can bear it: all voters of the newest
-// committed configuration still have theirs, and there are three or more.
-func (s *sim) lose(id string) {
-	for _, v := range s.config.Voters {
+// bears reports whether the configuration can bear the loss of one more disk: a
+// majority of its voters still has theirs after it.
+func (s *sim) bears(c Config) bool {
+	lost := 1
+	for _, v := range c.Voters {
 		if s.hosts[v.ID].disk.self != v {
-			return
+			lost++
 		}
 	}
-	if len(s.config.Voters) < 3 {
+	return len(c.Voters)-lost >= quorum.Size(len(c.Voters))
+}
+
+// lose wipes a disk where the group can bear it, by the newest committed
+// configuration and by those that nodes already count by.
+func (s *sim) lose(id string) {
+	if !s.bears(s.config) {
 		return
 	}
+	for _, h := range s.hosts {
+		if h.node != nil && h.node.log.config().index >= s.configIndex && !s.bears(h.node.log.config().config) {
+			return
+		}
+	}
 	s.crash(id)
 	s.wipe(id)
 	s.start(id)
@@ -84,7 +97,7 @@
 
 func (s *sim) change(kind confchange.Kind, id string) {
 	l := s.leading()
-	if l == nil || (kind == confchange.Remove && len(s.config.Voters) < 4) {
+	if l == nil || (kind == confchange.Remove && (len(s.config.Voters) < 4 || !s.bears(s.config))) {
 		return
 	}
 	_, _ = l.node.ProposeConfChange(s.local(l), ConfChange{Kind: kind, Member: s.hosts[id].disk.self})
