--- /dev/null
+++ b/route/load_test.go
@@ -0,0 +1,84 @@
+package route
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// past is one own attempt with its times in seconds.
+type past struct {
+	sent, ended, tokens float64
+}
+
+// Symptom: a target looks idle, or loaded, long after it was.
+// Events: reports that lag, between sendings and ends in any order.
+// Cause: a sending counted twice (by itself and by a report that shows it) or
+// not at all. The estimate must be what a replay of all events gives.
+func TestLoadCountsWhatTheReportDoesNotShow(t *testing.T) {
+	const rate, never = 1000.0, math.MaxFloat64
+	rapid.Check(t, func(t *rapid.T) {
+		var l load
+		var all []past
+		now, reportedAt := 0.0, -1.0
+		var last Report
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += float64(rapid.IntRange(1, 1000).Draw(t, "ms")) / 1000
+			open := rapid.IntRange(0, max(0, len(all)-1)).Draw(t, "which")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				p := past{sent: now, ended: never, tokens: float64(rapid.IntRange(1, 3000).Draw(t, "tokens"))}
+				all = append(all, p)
+				l.send(now, sending{tokens: p.tokens, memory: p.tokens}, rate, peers{})
+			case 1:
+				if len(all) > 0 && all[open].ended == never {
+					all[open].ended = now
+					l.end(now, all[open].sent, all[open].tokens)
+				}
+			case 2:
+				at := now - float64(rapid.IntRange(0, 1500).Draw(t, "lag"))/1000
+				if at <= reportedAt || at < 0 {
+					continue
+				}
+				reportedAt = at
+				last = Report{Running: 50, WaitingTokens: rapid.IntRange(0, 5000).Draw(t, "queue")}
+				l.report(now, at, last, rate, peers{})
+			}
+			check(t, &l, all, last, now, reportedAt, rate)
+		}
+	})
+}
+
+func check(t *rapid.T, l *load, all []past, last Report, now, reportedAt, rate float64) {
+	own, memory := 0, 0.0
+	in, pending, asOf := float64(last.Running), float64(last.WaitingTokens), max(0, reportedAt)
+	for _, p := range all {
+		open := p.ended > now
+		if open {
+			own++
+			memory += p.tokens
+		}
+		switch {
+		case p.sent > reportedAt:
+			pending = max(0, pending-rate*(p.sent-asOf)) + p.tokens
+			asOf = p.sent
+			if open {
+				in++
+			}
+		case p.ended > reportedAt && !open:
+			in--
+		}
+	}
+	pending = max(0, pending-rate*(now-asOf))
+	l.advance(now, rate, peers{})
+	if l.own != own || math.Abs(l.ownTokens-memory) > 1e-6 {
+		t.Fatalf("%d own attempts of %v tokens, want %d of %v", l.own, l.ownTokens, own, memory)
+	}
+	if math.Abs(l.pending-pending) > 1e-6 {
+		t.Fatalf("%v tokens in front, want %v", l.pending, pending)
+	}
+	if got := l.inFlight(now, math.Inf(1), peers{}); reportedAt >= 0 && got != max(in, float64(own)) {
+		t.Fatalf("%v in flight, want %v", got, in)
+	}
+}
