Keep service-level burn and report it

Cause: nothing kept how a service's objective was kept. A request that failed by its caller's own doing is not counted. Tests for planted mistakes that survived: a finished lone run clears its request, a body without a length is bounded, a conflict is not_run. Conclusion: burn is as one instance has seen it, and lost with its process.

--- a/api/server_test.go
+++ b/api/server_test.go
@@ -55,8 +55,13 @@
 	return &operators.InstanceReport{Instance: "malang-1", Region: "jatim"}, nil
 }
 
+// burn has one request of two that kept its objective.
 func (fixedOperator) Burn(context.Context) (*operators.BurnReport, error) {
-	return &operators.BurnReport{Instance: "malang-1"}, nil
+	b, now := metrics.NewBurn(), time.Now()
+	b.Observe(now, "s", true)
+	b.Observe(now, "s", false)
+	services := []bundle.Service{{ID: "s", Objective: bundle.Objective{FirstTokenMillis: 300, Share: 0.9}}}
+	return BurnReport("malang-1", services, b, now), nil
 }
 
 func notReady() error { return errors.New("no bundle") }
@@ -109,7 +114,7 @@
 		{"POST", "/operator/v1/bundles", "other", 409, `"code":"bundle_conflict"`, "Gullhaven-Verdict: not_run"},
 		{"POST", "/operator/v1/bundles", "late", 503, `"retry_after_ms":1500`, "Retry-After: 2"},
 		{"GET", "/operator/v1/status", "", 200, `"instance":"malang-1"`, ""},
-		{"GET", "/operator/v1/burn", "", 200, `"instance":"malang-1"`, ""},
+		{"GET", "/operator/v1/burn", "", 200, `{"window_ms":300000,"requests":2,"missed":1,"rate":5`, ""},
 		{"GET", "/healthz", "", 204, "", ""},
 		{"GET", "/readyz", "", 503, `"code":"not_ready"`, "Gullhaven-Verdict: not_run"},
 		{"GET", "/metrics", "", 200, "gullhaven_requests_total 3", "Content-Type: text/plain; version=0.0.4; charset=utf-8"},
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -26,6 +26,7 @@
 // Metrics of the request path.
 var (
 	Requests         = Metric{"gullhaven_requests_total", Counter, "requests", "Requests that came in."}
+	InFlight         = Metric{"gullhaven_in_flight", Gauge, "requests", "Requests under way."}
 	Answered         = Metric{"gullhaven_answered_total", Counter, "requests", "Requests that got a whole answer."}
 	Refused          = Metric{"gullhaven_refused_total", Counter, "requests", "Requests refused or failed with the verdict not_run."}
 	FailedMayHaveRun = Metric{"gullhaven_failed_may_have_run_total", Counter, "requests", "Requests failed with the verdict may_have_run."}
--- a/pipeline/finish.go
+++ b/pipeline/finish.go
@@ -27,10 +27,21 @@
 	// Target is empty if nothing was sent; Region is where it was spilled to.
 	Target route.TargetID
 	Region string
-	// Kept says that the answer was whole and in time.
+	// Kept says that the answer was whole, in time, and within the objective of
+	// its service.
 	Kept bool
 }
 
+// Counted reports whether the request says something of the service: one that
+// failed by its caller's own doing does not.
+func (o Outcome) Counted() bool {
+	if o.Code == "" {
+		return true
+	}
+	status := StatusOf(o.Code)
+	return status < http.StatusBadRequest || status >= http.StatusInternalServerError
+}
+
 // Observer is told of each request's end. It must not block.
 type Observer interface {
 	Observe(o Outcome)
@@ -128,8 +139,35 @@
 	if x.Service != nil {
 		o.Service = x.Service.ID
 	}
-	o.Kept = e == nil && !now.After(x.Deadline) && (x.FirstTokenBy.IsZero() || !x.firstByte.After(x.FirstTokenBy))
+	o.Kept = e == nil && x.inTime(now) && x.keptObjective(o)
+	f.report(now, o)
+}
+
+func (f *Finish) report(now time.Time, o Outcome) {
+	if f.deps.Burn != nil && o.Counted() {
+		f.deps.Burn.Observe(now, o.Service, o.Kept)
+	}
 	if f.deps.Observer != nil {
 		f.deps.Observer.Observe(o)
 	}
 }
+
+// inTime reports whether an answer that ended now kept what its request asked.
+func (x *Exchange) inTime(now time.Time) bool {
+	return !now.After(x.Deadline) && (x.FirstTokenBy.IsZero() || !x.firstByte.After(x.FirstTokenBy))
+}
+
+// keptObjective compares an answer with its service's objective: the first byte
+// by itself, the time between chunks by its mean.
+func (x *Exchange) keptObjective(o Outcome) bool {
+	objective := x.Service.Objective
+	if first := objective.FirstTokenMillis; first > 0 && o.FirstByte > millis(first) {
+		return false
+	}
+	if between := objective.BetweenTokensMillis; between > 0 && x.streamed() && o.Chunks > 1 {
+		return (o.Took-o.FirstByte)/time.Duration(o.Chunks-1) <= millis(between)
+	}
+	return true
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/pipeline/input_test.go
+++ b/pipeline/input_test.go
@@ -103,6 +103,16 @@
 	return route.Decision{Action: route.Send, Target: o.targets[len(q.Tried)]}
 }
 
+// Symptom: memory grows with a body that announces no length.
+// Cause: the bound checked by the announced length alone.
+func TestUnannouncedBodyIsBounded(t *testing.T) {
+	r := newRig(t, withDeps(func(d *Deps) { d.Bounds.BodyBytes = 2048 }))
+	body := io.MultiReader(strings.NewReader(chat(strings.Repeat("x", 4096), false, 2)))
+	if got := readRefusal(t, r.serveBody("", testKey, nil, body)); got.Code != CodeBodyTooLarge {
+		t.Fatalf("%+v", got)
+	}
+}
+
 // hedger is ordered and hedges at once.
 type hedger struct{ ordered }
 
@@ -278,10 +288,13 @@
 	if got := readStream(t, ask("innocent", 2).Body); !got.ended || known.alone != 2 || lone.released != 2 {
 		t.Fatalf("%+v, %d alone, %d released", got, known.alone, lone.released)
 	}
+	if got := readStream(t, ask("innocent", 4).Body); !got.ended || known.alone != 2 {
+		t.Fatalf("not cleared by its whole answer: %+v, %d alone", got, known.alone)
+	}
 	if got := readRefusal(t, ask("killer", 2)); got.Code != CodeSuspect || got.Verdict != verdict.NotRun {
 		t.Fatalf("%+v", got)
 	}
-	if n := r.engines[1].Counts().Runs + r.engines[0].Counts().Runs; n != 4 {
+	if n := r.engines[1].Counts().Runs + r.engines[0].Counts().Runs; n != 5 {
 		t.Fatalf("%d runs", n)
 	}
 }
--- a/pipeline/once_test.go
+++ b/pipeline/once_test.go
@@ -215,7 +215,7 @@
 	other := confirm("k", "")
 	other.body = "seat 4"
 	resp := r.do(other)
-	if got := readRefusal(t, resp); got.Code != claim.CodeConflict || r.plain.Runs("k") != 1 {
+	if got := readRefusal(t, resp); got.Code != claim.CodeConflict || got.Verdict != verdict.NotRun || r.plain.Runs("k") != 1 {
 		t.Fatalf("%+v after %d runs", got, r.plain.Runs("k"))
 	}
 }
