Join a running attempt from another instance of the region

Cause: a resend at another instance was told that the request runs, and had to come back for its answer. Change: it is passed on to the owner, one step, and relays the running attempt. Where the owner has nothing to join, or isn't reached, the answer is as before. Conclusion: hops allow one step in a region, so this never goes further.

--- a/pipeline/claiming.go
+++ b/pipeline/claiming.go
@@ -22,14 +22,16 @@
 type Claiming struct {
 	deps     *Deps
 	flight   *inFlight
+	forward  *Forward
 	journals *journals
 	recorder *recorder
 }
 
-func newClaiming(d *Deps, flight *inFlight) *Claiming {
+func newClaiming(d *Deps, flight *inFlight, forward *Forward) *Claiming {
 	return &Claiming{
 		deps:     d,
 		flight:   flight,
+		forward:  forward,
 		journals: newJournals(d.Bounds),
 		recorder: newRecorder(d.Claims, d.Metrics),
 	}
@@ -158,14 +160,17 @@
 	return c.gate.Failed(now, claim.ReplyLost)
 }
 
-// joinOwner joins an attempt that is running at this instance. One elsewhere is
-// told to the caller; it is not run here.
+// joinOwner joins the running attempt, at this instance or at its owner in the
+// region. If that fails the caller is told that it runs; it is not run here.
 func (f *Claiming) joinOwner(x *Exchange, step claim.Step, print claim.Digest) error {
 	if step.Owner == f.deps.Instance {
 		if j := f.journals.find(x.keyOf()); j != nil {
 			return f.join(x, j, print)
 		}
 	}
+	if err, joined := f.forward.join(x, step.Owner.ID); joined {
+		return err
+	}
 	e := *step.Err
 	e.Code, e.RetryAfter = CodeRunning, joinRetry
 	e.Message = "the request is running at instance " + step.Owner.ID
--- a/pipeline/forward.go
+++ b/pipeline/forward.go
@@ -32,15 +32,7 @@
 	}
 	f.deps.Metrics.Spilled.Inc(1)
 	x.region = region
-	body, length := x.plainBody()
-	got, err := f.deps.Forwarder.Forward(x.Ctx, ports.ForwardRequest{
-		Region: region,
-		Method: x.R.Method,
-		Target: x.R.URL.RequestURI(),
-		Header: f.header(x),
-		Body:   body,
-		Length: length,
-	})
+	got, err := f.deps.Forwarder.Forward(x.Ctx, f.request(x, region, ""))
 	if err != nil {
 		e := *asError(err)
 		e.Code = CodeRegionUnreached
@@ -53,6 +45,40 @@
 	return err
 }
 
+// join passes a resend on to the instance of this region that runs the request,
+// and relays the running attempt's answer. It reports false if that can't be
+// had; the claim that the other instance finds keeps it from running again.
+func (f *Forward) join(x *Exchange, owner string) (error, bool) {
+	if f.deps.Forwarder == nil || x.Hops.Stepped(f.at.Region) || owner == f.at.Instance {
+		return nil, false
+	}
+	got, err := f.deps.Forwarder.Forward(x.Ctx, f.request(x, f.at.Region, owner))
+	if err != nil {
+		return nil, false
+	}
+	defer got.Body.Close()
+	if got.Header.Get(HeaderReplayed) != "true" {
+		return nil, false
+	}
+	x.replayed = true
+	x.W.Header().Set(HeaderReplayed, "true")
+	return f.pass(x, got), true
+}
+
+func (f *Forward) request(x *Exchange, region, instance string) ports.ForwardRequest {
+	body, length := x.plainBody()
+	return ports.ForwardRequest{
+		Region:   region,
+		Instance: instance,
+		Method:   x.R.Method,
+		Target:   x.R.URL.RequestURI(),
+		Header:   f.header(x),
+		Body:     body,
+		Length:   length,
+		Once:     x.Once,
+	}
+}
+
 func (f *Forward) header(x *Exchange) http.Header {
 	h := endToEnd(x.R.Header)
 	h.Set(HeaderHop, x.Hops.Add(f.at).String())
--- a/pipeline/hop_test.go
+++ b/pipeline/hop_test.go
@@ -37,7 +37,11 @@
 	req.Header = f.Header
 	req.Header.Set("Test-Peer", p.name)
 	w := httptest.NewRecorder()
-	p.handlers[f.Region].ServeHTTP(w, req)
+	to := f.Region
+	if f.Instance != "" {
+		to = f.Instance
+	}
+	p.handlers[to].ServeHTTP(w, req)
 	resp := w.Result()
 	return &ports.PlainAnswer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 }
--- a/pipeline/once_test.go
+++ b/pipeline/once_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -86,6 +87,45 @@
 	}
 }
 
+// Symptom: a resend at another instance runs again, or its caller is left without
+// the answer that is on its way.
+// Events: the first sending runs at one instance; the caller sends it again to
+// another of the region, which asks the claims' home.
+// Cause: running attempts known to their own instance only.
+func TestResendAtAnotherInstanceJoins(t *testing.T) {
+	first := newRig(t)
+	out := &peers{name: "malang-2", handlers: map[string]http.Handler{}}
+	second := newRig(t, withDeps(func(d *Deps) {
+		d.Instance, d.Claims, d.Forwarder = claim.Instance{ID: "malang-2"}, first.claims, out
+	}))
+	out.handlers["malang-1"] = first.p.PeerHandler(KindPlain, peerName)
+	runs, goOn := make(chan struct{}), make(chan struct{})
+	first.onPlain = func() { close(runs); <-goOn }
+	answered := make(chan string)
+	ask := func(r *rig) {
+		body, _ := io.ReadAll(r.do(confirm("k", "")).Body)
+		answered <- string(body)
+	}
+	go ask(first)
+	<-runs
+	go ask(second)
+	for first.p.InFlight() < 3 { // the first caller, the run, and the joined resend
+		runtime.Gosched()
+	}
+	close(goOn)
+	if a, b := <-answered, <-answered; a != b || second.plain.Runs("k") != 0 {
+		t.Fatalf("%s, and %s", a, b)
+	}
+	// Until its end is recorded the kept answer comes from the first instance.
+	resp := second.do(confirm("k", "true"))
+	if resp.StatusCode == http.StatusOK && resp.Header.Get(HeaderReplayed) == "true" {
+		return
+	}
+	if got := readRefusal(t, resp); got.Code != CodeAlreadyRan || got.Verdict != verdict.Ran {
+		t.Fatalf("after its end: %+v", got)
+	}
+}
+
 // Symptom: a booking is lost or doubled although the caller was told its state.
 // Events: in a table; each is followed by a resend.
 // Cause: a send without a claim, a second send under an old claim, or a verdict
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -120,22 +120,22 @@
 		ids:     newIDs(d.Instance),
 		flight:  &inFlight{max: int64(d.Bounds.InFlight)},
 	}
-	p.claims = newClaiming(&p.deps, p.flight)
-	p.build()
+	forward := &Forward{deps: &p.deps, at: hop.Station{Instance: d.Instance.ID, Region: d.Region}}
+	p.claims = newClaiming(&p.deps, p.flight, forward)
+	p.build(forward)
 	d.Metrics.Gauge(metrics.InFlight, p.InFlight)
 	return p
 }
 
 // build joins the filters in the order of the path.
-func (p *Pipeline) build() {
+func (p *Pipeline) build(forward *Forward) {
 	d := &p.deps
-	at := hop.Station{Instance: d.Instance.ID, Region: d.Region}
 	head := []Filter{
 		&RequestID{ids: p.ids},
 		&Finish{deps: d},
 		&Floor{},
 		&Admission{flight: p.flight},
-		&HopCheck{at: at},
+		&HopCheck{at: forward.at},
 		&Identify{},
 		&ReadTerms{bounds: d.Bounds},
 		&NameService{},
@@ -148,7 +148,7 @@
 		routing: p.routing,
 		budgets: p.budgets,
 		ids:     p.ids,
-		forward: &Forward{deps: d, at: at},
+		forward: forward,
 	}
 	model := []Filter{
 		&ReadBody{bounds: d.Bounds, metrics: d.Metrics},
--- a/ports/peers.go
+++ b/ports/peers.go
@@ -88,9 +88,11 @@
 	Take(now time.Time, workspace string, requests, tokens float64) LimitAnswer
 }
 
-// ForwardRequest is a request passed on to another region.
+// ForwardRequest is a request passed on to another instance.
 type ForwardRequest struct {
 	Region string
+	// Instance to pass it on to; empty means any of the region.
+	Instance string
 	Method string
 	// Target is path and query.
 	Target string
@@ -100,8 +102,9 @@
 	Once   bool
 }
 
-// Forwarder passes a request on to an instance of another region.
+// Forwarder passes requests on to other instances.
 type Forwarder interface {
-	// Forward sends it; an answer of any status is no error.
+	// Forward sends it; an answer of any status is no error. It is never sent to
+	// this instance itself.
 	Forward(ctx context.Context, r ForwardRequest) (*PlainAnswer, error)
 }
