node/suspects: share suspects in the region and give them a target of their own

Cause: the table of suspects had no host. Change: entries of a crash are published before its requests end; the region's first relay grants lone runs, and keeps a target free at every instance first. LoadReport.Started numbers an engine's lives. Conclusion: to be proved with a killer request on running instances.

--- a/node/loads/book.go
+++ b/node/loads/book.go
@@ -50,6 +50,10 @@
 	// Version and Adapters are what the engine has loaded.
 	Version  string   `cbor:"8,keyasint,omitempty"`
 	Adapters []string `cbor:"9,keyasint,omitempty"`
+	// Life numbers the lives of the engine, alike at all instances: when it
+	// started, in Unix milliseconds, where it tells so; else it counts on each
+	// time that the engine comes back.
+	Life uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // entry is what is known of one engine.
@@ -152,10 +156,25 @@
 		if e.failures < downAfter {
 			return Observation{}, false
 		}
-		return b.note(now, e, Observation{Target: target, State: route.Down}), true
+		return b.note(now, e, Observation{Target: target, State: route.Down, Life: e.seen.Life}), true
 	}
 	e.failures = 0
-	return b.note(now, e, observe(target, now, r)), true
+	o := observe(target, now, r)
+	o.Life = e.life(r)
+	return b.note(now, e, o), true
+}
+
+// life is the number of the engine's life that a report belongs to. Where the
+// engine doesn't tell its start, a crash between two polls is not noticed, and
+// two lives share a number.
+func (e *entry) life(r ports.LoadReport) uint64 {
+	if !r.Started.IsZero() {
+		return uint64(r.Started.UnixMilli())
+	}
+	if e.seen.State == route.Down {
+		return e.seen.Life + 1
+	}
+	return e.seen.Life
 }
 
 // observe turns an engine's report into what is shared.
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,6 +33,7 @@
 	"github.com/gullhaven/gullhaven/node/members"
 	"github.com/gullhaven/gullhaven/node/regions"
 	"github.com/gullhaven/gullhaven/node/rollout"
+	"github.com/gullhaven/gullhaven/node/suspects"
 	"github.com/gullhaven/gullhaven/pipeline"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/ports/enginehttp"
@@ -81,6 +83,8 @@
 	regions   *regions.Service
 	loads     *loads.Service
 	limits    *limits.Service
+	suspects  *suspects.Service
+	engines   ports.Engines
 	pipeline  *pipeline.Pipeline
 	forward   *forwarder
 	keeper    *keeper
@@ -136,15 +140,20 @@
 		return err
 	}
 	transports := sending.NewTransports(sending.Options{})
-	engines := enginehttp.NewSet(transports)
+	n.engines = enginehttp.NewSet(transports)
 	n.forward = newForwarder(n.o.Key, n.entriesOf)
 	n.directory = &directory{region: n.s.Region, view: n.view, others: n.otherEntries}
 	n.limits = limits.New(limits.Options{
 		Self: n.s.Instance, Life: n.lifeOf, Hub: n.hub, View: n.bundleView, Log: n.log,
 	})
-	n.pipeline = pipeline.New(n.pathDeps(engines, plainhttp.NewSet(transports)))
+	holder := &lateHolder{}
+	n.suspects = suspects.New(suspects.Options{
+		Self: n.s.Instance, Hub: n.hub, Region: regionView{n}, Holder: holder, Log: n.log,
+	})
+	n.pipeline = pipeline.New(n.pathDeps(plainhttp.NewSet(transports)))
+	holder.routing = n.pipeline.Routing()
 	n.loads = loads.New(loads.Options{
-		Self: n.s.Instance, Hub: n.hub, Engines: engines, Sink: n.pipeline.Routing(), Log: n.log,
+		Self: n.s.Instance, Hub: n.hub, Engines: n.engines, Sink: n.pipeline.Routing(), Log: n.log,
 	})
 	self := roster.Contact{
 		ID: n.s.Instance, Region: n.s.Region, Zone: n.s.Zone,
@@ -156,18 +165,26 @@
 	return n.openMembers()
 }
 
-func (n *Node) pathDeps(engines ports.Engines, plains ports.Plains) pipeline.Deps {
+// lateHolder passes on to the routing that is made after it.
+type lateHolder struct{ routing *pipeline.Routing }
+
+// SetReserved replaces the targets kept free for lone runs.
+func (h *lateHolder) SetReserved(targets []route.TargetID) { h.routing.SetReserved(targets) }
+
+func (n *Node) pathDeps(plains ports.Plains) pipeline.Deps {
 	cfg := route.Config{Region: n.s.Region, Zone: n.s.Zone}
 	return pipeline.Deps{
 		Instance:  claim.Instance{ID: n.s.Instance, Incarnation: n.life()},
 		Region:    n.s.Region,
 		Zone:      n.s.Zone,
 		Decider:   route.New(cfg, newRand()),
-		Engines:   engines,
+		Engines:   n.engines,
 		Plains:    plains,
 		Forwarder: n.forward,
 		Claims:    n.claims,
 		Limits:    n.limits,
+		Suspects:  n.suspects,
+		Lone:      n.suspects,
 		Directory: n.directory,
 		Metrics:   n.metrics,
 		Log:       n.log,
@@ -375,6 +392,9 @@
 	if n.keeper != nil && e.State == membership.Alive {
 		n.keeper.observe(e.Member)
 	}
+	if e.State == membership.Alive {
+		n.suspects.Joined(e.Member.ID)
+	}
 }
 
 // onView hands a new view of the region to those who act on it.
@@ -491,7 +511,7 @@
 		return err
 	}
 	duties := []func(context.Context){
-		n.members.Run, n.spreader.Run, n.regions.Run, n.loads.Run, n.limits.Run, n.pipeline.Run, n.tellPeers,
+		n.members.Run, n.spreader.Run, n.regions.Run, n.loads.Run, n.limits.Run, n.suspects.Run, n.pipeline.Run, n.tellPeers,
 	}
 	if n.keeper != nil {
 		duties = append(duties, n.keeper.run)
@@ -553,3 +573,57 @@
 		n.log.Error("replicated log ended with an error", zap.Error(err))
 	}
 }
+
+// regionView is the region as lone runs see it.
+type regionView struct{ n *Node }
+
+// Others are the live instances of the region but this one.
+func (r regionView) Others() []string {
+	var ids []string
+	for _, m := range r.n.view().Alive() {
+		if m.ID != r.n.s.Instance {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// Owner owns the lone runs of the region.
+func (r regionView) Owner() string { return r.n.view().Relays[0] }
+
+// Life numbers the lives of a target.
+func (r regionView) Life(target string) uint64 {
+	seen, _ := r.n.loads.Seen(target)
+	return seen.Life
+}
+
+// Candidates are the warm targets of a service, least loaded first.
+func (r regionView) Candidates(service string) []string {
+	var ids []string
+	load := map[string]int{}
+	for _, spec := range r.n.loads.States() {
+		if spec.Service != service || spec.State != route.Warm {
+			continue
+		}
+		seen, _ := r.n.loads.Seen(string(spec.ID))
+		ids = append(ids, string(spec.ID))
+		load[string(spec.ID)] = seen.Running + seen.Waiting
+	}
+	slices.SortStableFunc(ids, func(x, y string) int { return cmp.Compare(load[x], load[y]) })
+	return ids
+}
+
+// Idle asks an engine whether it runs nothing. A plain service can't tell; it
+// counts as idle, so that a suspect runs there with what came before it.
+func (r regionView) Idle(ctx context.Context, target string) bool {
+	v := r.n.bundleView()
+	t := v.Target(route.TargetID(target))
+	if t == nil {
+		return false
+	}
+	if s := v.Service(t.Service); s == nil || s.Kind != bundle.KindModel {
+		return true
+	}
+	report, err := r.n.engines.Engine(t.Address).Load(ctx)
+	return err == nil && report.Running == 0 && report.Waiting == 0
+}
--- a/node/placing/placing.go
+++ b/node/placing/placing.go
@@ -188,9 +188,9 @@
 	defer cancel()
 	r, err := s.o.Engines.Engine(p.Address).Load(ctx)
 	if err != nil {
-		return placement.Observed{Target: p.Target}
+		return placement.Observed{Target: p.Target, Asked: p.Asked}
 	}
-	return placement.Observed{Target: p.Target, Report: &r}
+	return placement.Observed{Target: p.Target, Asked: p.Asked, Report: &r}
 }
 
 // send gives an order. The engine's client refuses one that has expired right
--- a/ports/engine.go
+++ b/ports/engine.go
@@ -83,7 +83,9 @@
 
 // LoadReport is what an engine tells of itself, true at its At.
 type LoadReport struct {
-	At            time.Time `json:"at"`
+	At time.Time `json:"at"`
+	// Started is when the engine's process started; zero if it doesn't tell.
+	Started       time.Time `json:"started,omitzero"`
 	Running       int       `json:"running"`
 	Waiting       int       `json:"waiting"`
 	WaitingTokens int       `json:"waiting_tokens"`
