standin: a crash takes all that an engine runs

Cause: the stand-in's crash broke one connection, so nothing shared a batch with a killer. Change: a crash ends the engine's life: every run breaks off, cache and runs are forgotten, and the load report tells the new start. Result: go test -race -count=2 ./standin ./pipeline passes. Conclusion: suspects can be tested with their batch.

--- a/standin/answer.go
+++ b/standin/answer.go
@@ -23,10 +23,14 @@
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request, x *run, a answering) {
 	switch a.fault.Kind {
 	case FaultCrash:
-		e.runs.remove(x.Attempt)
+		e.crash()
 		drop()
 	case FaultHang:
-		<-r.Context().Done()
+		select {
+		case <-r.Context().Done():
+		case <-x.life.over:
+			drop()
+		}
 		e.gone(x)
 		return
 	case FaultError:
@@ -55,7 +59,8 @@
 	s.toEnd()
 }
 
-// sleep waits d and reports whether the run goes on.
+// sleep waits d and reports whether the run goes on. It breaks off with the
+// engine's life.
 func (e *Engine) sleep(r *http.Request, x *run, d time.Duration) bool {
 	if d > 0 {
 		t := time.NewTimer(d)
@@ -63,8 +68,12 @@
 		select {
 		case <-t.C:
 		case <-r.Context().Done():
+		case <-x.life.over:
 		}
 	}
+	if x.life.ended() {
+		drop()
+	}
 	return r.Context().Err() == nil && !x.cancelled.Load()
 }
 
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// clear forgets all blocks, without an event.
+func (c *cache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.blocks)
+	c.order = nil
+}
+
 func (c *cache) publish(e ports.CacheEvent) {
 	c.seq++
 	e.Seq = c.seq
--- a/standin/contract_test.go
+++ b/standin/contract_test.go
@@ -180,6 +180,32 @@
 	}
 }
 
+// Symptom: what shared a batch with a killer is lost, and nobody knows why.
+// Events: one request ends the engine's life while another runs.
+func TestCrashTakesTheBatchAndStartsANewLife(t *testing.T) {
+	e := standin.NewEngine(standin.EngineConfig{PerToken: time.Hour})
+	e.SetFaults(standin.Fault{Kind: standin.FaultCrash, Match: "killer"})
+	address, tr := listen(t, e)
+	c := enginehttp.New(address, tr)
+	before, _ := c.Load(t.Context())
+	other, err := c.Complete(t.Context(), completion("a-1", true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Next(); err != nil {
+		t.Fatal(err)
+	}
+	killer := completion("a-2", true)
+	killer.Body = []byte(strings.Replace(body, "hello", "killer", 1))
+	_, _, end := read(c.Complete(t.Context(), killer))
+	checkEnd(t, end, ports.CodeCut, verdict.MayHaveRun)
+	_, end = other.Next()
+	checkEnd(t, end, ports.CodeCut, verdict.Ran)
+	if after, err := c.Load(t.Context()); err != nil || !after.Started.After(before.Started) || after.Running > 1 {
+		t.Fatalf("%+v, then %+v, %v", before, after, err)
+	}
+}
+
 // Symptom: a leader that was replaced drains targets.
 // Events: it sends an order with its old fencing number, or one whose time is over.
 func TestOrders(t *testing.T) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -83,6 +83,7 @@
 	cache  *cache
 	orders *orders
 	load   loadReport
+	life   atomic.Pointer[life]
 
 	began, finished, cancelled, resumed, rejected atomic.Int64
 }
@@ -98,6 +99,7 @@
 		cache:  newCache(cfg),
 		orders: newOrders(cfg),
 	}
+	e.life.Store(newLife())
 	e.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, openai.Chat) })
 	e.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, openai.Text) })
 	e.mux.HandleFunc("POST /v1/completions/{attempt}/resume", e.resume)
@@ -111,6 +113,36 @@
 	return e
 }
 
+// life is the time between two crashes of an engine.
+type life struct {
+	started time.Time
+	over    chan struct{}
+}
+
+func newLife() *life { return &life{started: time.Now(), over: make(chan struct{})} }
+
+func (l *life) ended() bool {
+	select {
+	case <-l.over:
+		return true
+	default:
+		return false
+	}
+}
+
+// crash ends the engine's life: all that runs breaks off, and it starts anew
+// with nothing running and an empty cache.
+func (e *Engine) crash() {
+	old := e.life.Swap(newLife())
+	select {
+	case <-old.over:
+	default:
+		close(old.over)
+	}
+	e.runs.clear()
+	e.cache.clear()
+}
+
 // SetFaults replaces the faults to make.
 func (e *Engine) SetFaults(list ...Fault) { e.faults.set(list) }
 
@@ -165,7 +197,7 @@
 	if attempt == "" {
 		attempt = "run-" + strconv.FormatInt(e.began.Load(), 10)
 	}
-	x := &run{Attempt: attempt, Chat: form == openai.Chat, Model: req.Model, Prompt: string(req.Prompt), Tokens: n}
+	x := &run{Attempt: attempt, Chat: form == openai.Chat, Model: req.Model, Prompt: string(req.Prompt), Tokens: n, life: e.life.Load()}
 	e.runs.add(x)
 	e.cache.prefill(req.Model, req.Prompt)
 	return x
@@ -189,6 +221,7 @@
 	}
 	defer e.slots.release()
 	e.resumed.Add(1)
+	run = run.in(e.life.Load())
 	e.answer(w, r, run, answering{fault: e.faults.take([]byte("resume:" + run.Prompt)), after: after})
 }
 
@@ -240,7 +273,7 @@
 }
 
 func (e *Engine) report(now time.Time) ports.LoadReport {
-	l := ports.LoadReport{At: now}
+	l := ports.LoadReport{At: now, Started: e.life.Load().started}
 	l.Running, l.Waiting = e.slots.load()
 	l.KVUsed = e.cache.used()
 	e.orders.fill(&l)
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -38,7 +38,8 @@
 	FaultReject FaultKind = "reject"
 	// FaultError runs, then answers 500.
 	FaultError FaultKind = "error"
-	// FaultCrash breaks the connection before any answer, after it began to run.
+	// FaultCrash ends the engine's life when it runs the request: all that runs
+	// there breaks off. A plain service breaks this connection only.
 	FaultCrash FaultKind = "crash"
 	// FaultHang runs and never answers.
 	FaultHang FaultKind = "hang"
--- a/standin/run.go
+++ b/standin/run.go
@@ -16,6 +16,12 @@
 	Tokens  int    `json:"tokens"`
 
 	cancelled atomic.Bool
+	life      *life
+}
+
+// in is the run taken up in a life of an engine.
+func (x *run) in(l *life) *run {
+	return &run{Attempt: x.Attempt, Chat: x.Chat, Model: x.Model, Prompt: x.Prompt, Tokens: x.Tokens, life: l}
 }
 
 // runs are the requests that run, or broke off a short while ago.
@@ -57,6 +63,13 @@
 	return x, ok
 }
 
+// clear forgets what runs.
+func (r *runs) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.live)
+}
+
 // brokenOff keeps a run for resuming, for a while.
 func (r *runs) brokenOff(x *run) { time.AfterFunc(r.keep, func() { r.remove(x.Attempt) }) }
 
