route: count who overtakes in memory as well

Cause: with half of a region lost, low priorities were promised starts in ten seconds and got them after ninety. The bottleneck was memory: 24 of 32 slots in use, memory full, held by higher priorities; only prefill was counted. Change: the part of the capacity that higher priorities take is the greater of their prefill and their memory over time, up to 0.97.

--- a/route/events.go
+++ b/route/events.go
@@ -163,6 +163,7 @@
 	hold := uncached/t.spec.PrefillRate + float64(q.OutputTokens)*t.ratedTokenTime()
 	t.svc.sawSending(q, uncached, hold)
 	t.svc.tokens.add(at, uncached)
+	t.svc.held.add(at, a.memory)
 	t.load.send(at, sending{tokens: uncached, memory: a.memory}, t.prefillRate(), t.svc.peers(&r.cfg))
 	t.cache.touch(q.Prefix)
 }
--- a/route/guard.go
+++ b/route/guard.go
@@ -65,12 +65,13 @@
 	s.greyAt = now
 	r.slow = r.slow[:0]
 	barred := 0
-	s.prefill = 0
+	s.prefill, s.warm = 0, 0
 	for _, t := range s.list {
 		t.speed.fade(now)
 		t.learned()
 		if t.spec.State == Warm {
 			s.prefill += t.prefillRate()
+			s.warm++
 		}
 		if t.guard.state(now) != Healthy {
 			barred++
--- a/route/router.go
+++ b/route/router.go
@@ -118,8 +118,8 @@
 		r.snapshot.NewTokens = float64((len(q.Prefix) - known) * PrefixBlockTokens)
 	}
 	p := s.peers(&r.cfg)
-	ahead, above := s.shares(priority(q))
-	r.snapshot.Overtaken = s.overtaken(at, above, s.others(&r.cfg))
+	ahead, _ := s.byPriority.of(priority(q))
+	r.snapshot.Overtaken = s.overtaken(at, priority(q), s.others(&r.cfg))
 	stale := r.cfg.ReportStale.Seconds()
 	for len(r.candidates) < len(s.list) {
 		r.candidates = append(r.candidates, Candidate{})
--- a/route/target.go
+++ b/route/target.go
@@ -114,10 +114,14 @@
 	// from other regions, tokens the rate of own uncached prompt tokens sent;
 	// all per second.
 	arrivals, crossed, tokens rate
-	// byPriority are the tokens sent by priority, fading.
-	byPriority [priorities]float64
-	// prefill is the prefill rate of all targets that take work.
+	// byPriority are the uncached prompt tokens sent by priority, fading, and
+	// heldBy the tokens that need memory.
+	byPriority, heldBy shares
+	// held is the rate of own tokens sent that need memory, per second.
+	held rate
+	// prefill is the prefill rate of all targets that take work, warm their number.
 	prefill float64
+	warm    int
 	// greyAt is when grey targets were last looked for, in seconds.
 	greyAt float64
 	// floor is the credit of low priorities.
@@ -145,13 +149,23 @@
 
 // maxOvertaken bounds the part of the capacity that higher priorities are
 // believed to take.
-const maxOvertaken = 0.9
+const maxOvertaken = 0.97
 
-// shares are the parts of the tokens sent that are of at least priority p, and
-// of more than p.
-func (s *service) shares(p int) (atLeast, above float64) {
+// shares are amounts by priority.
+type shares [priorities]float64
+
+// add adds to one priority and lets all fade.
+func (a *shares) add(p int, amount float64) {
+	for i := range a {
+		a[i] *= 1 - meanWeight
+	}
+	a[p] += amount
+}
+
+// of returns the parts that are of at least priority p, and of more than p.
+func (a *shares) of(p int) (atLeast, above float64) {
 	var total float64
-	for i, v := range s.byPriority {
+	for i, v := range a {
 		total += v
 		if i >= p {
 			atLeast += v
@@ -166,16 +180,21 @@
 	return atLeast / total, above / total
 }
 
-// overtaken is the part of the service's prefill capacity that requests of more
-// priority take. They arrive while a request waits and go first, so that its
-// wait grows; without this a low priority is promised a start that it never
-// gets while the higher ones keep the targets busy.
-func (s *service) overtaken(at float64, above, others float64) float64 {
+// overtaken is the part of the service's capacity, in prefill or in memory, that
+// requests of more priority than p take. They arrive while a request waits and
+// go first, so that its wait grows; without this a low priority is promised a
+// start that it never gets while the higher ones keep the targets busy.
+func (s *service) overtaken(at float64, p int, others float64) float64 {
 	if s.prefill <= 0 {
 		return 0
 	}
 	s.tokens.fade(at)
-	return min(maxOvertaken, s.tokens.perSecond()*(1+others)*above/s.prefill)
+	s.held.fade(at)
+	_, above := s.byPriority.of(p)
+	_, heldAbove := s.heldBy.of(p)
+	prefill := s.tokens.perSecond() * above / s.prefill
+	memory := s.held.perSecond() * heldAbove * s.memory.perToken() * s.memory.holdTime() / float64(max(1, s.warm))
+	return min(maxOvertaken, max(prefill, memory)*(1+others))
 }
 
 // count takes one decided request into the rates; retries do not count again.
@@ -195,10 +214,8 @@
 	s.hold += w * (hold - s.hold)
 	s.prompt += w * (float64(r.PromptTokens) - s.prompt)
 	s.uncached += w * (uncached - s.uncached)
-	for i := range s.byPriority {
-		s.byPriority[i] *= 1 - meanWeight
-	}
-	s.byPriority[priority(r)] += uncached
+	s.byPriority.add(priority(r), uncached)
+	s.heldBy.add(priority(r), float64(r.PromptTokens+r.OutputTokens))
 }
 
 func (s *service) sawReport(rep *Report, own int) {
