--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -32,14 +32,17 @@
 	return next(x)
 }
 
-// checkContentType takes JSON and nothing said.
+// formType is what curl says of every body it is not told the type of.
+const formType = "application/x-www-form-urlencoded"
+
+// checkContentType takes JSON, nothing said, and what curl says by default.
 func checkContentType(r *http.Request) error {
 	given := r.Header.Get("Content-Type")
 	if given == "" || given == "application/json" {
 		return nil
 	}
 	kind, _, err := mime.ParseMediaType(given)
-	if err != nil || kind != "application/json" {
+	if err != nil || (kind != "application/json" && kind != formType) {
 		return refuse(CodeContentType, "the body must be application/json")
 	}
 	return nil
--- a/pipeline/input_test.go
+++ b/pipeline/input_test.go
@@ -48,6 +48,7 @@
 		{"model as plain service", call{path: "/services/briefing-llm/x"}, 404, CodeUnknownService},
 		{"too large", call{body: chat(strings.Repeat("x", 4096), false, 2)}, 413, CodeBodyTooLarge},
 		{"wrong type", call{body: good, header: map[string]string{"Content-Type": "text/csv"}}, 415, CodeContentType},
+		{"type of curl", call{body: "{", header: map[string]string{"Content-Type": formType}}, 400, CodeBodyMalformed},
 		{"wrong key", call{body: good, key: "nobody's"}, 401, CodeKey},
 		{"deadline no number", call{body: good, header: map[string]string{HeaderDeadline: "soon"}}, 400, CodeHeader},
 		{"deadline zero", call{body: good, header: map[string]string{HeaderDeadline: "0"}}, 400, CodeHeader},
