--- a/standin/enginemodel/engine_test.go
+++ b/standin/enginemodel/engine_test.go
@@ -67,6 +67,39 @@
 	}
 }
 
+// act does one thing to the engine: a crash, a change of speed, cancels or an arrival.
+func (a *account) act(t *rapid.T, e *Engine, now time.Time, id uint64) {
+	switch rapid.IntRange(0, 9).Draw(t, "action") {
+	case 0:
+		for _, lost := range e.Crash(now) {
+			if _, ok := a.open[lost]; !ok {
+				t.Fatalf("crash lost %d, which was not open", lost)
+			}
+			delete(a.open, lost)
+		}
+		if len(a.open) != 0 {
+			t.Fatalf("crash left %d open", len(a.open))
+		}
+		e.Restart(now)
+	case 1:
+		e.SetSpeed(now, rapid.SampledFrom([]float64{0.25, 1}).Draw(t, "speed"))
+	case 2:
+		for id := range a.open {
+			if !e.Cancel(now, id) || e.Cancel(now, id) {
+				t.Fatalf("cancel of %d", id)
+			}
+			delete(a.open, id)
+		}
+	default:
+		r := drawRequest(t, id)
+		if err := e.Enqueue(now, r); err == nil {
+			a.open[id] = r
+		} else if !errors.Is(err, ErrFull) {
+			t.Fatal(err)
+		}
+	}
+}
+
 // Symptom: a request never ends, ends twice, or the memory bounds are passed.
 // Events: any interleaving of arrivals, cancels, crashes and speed changes.
 // Cause: runs of equal steps that are cut short are accounted wrongly.
@@ -80,35 +113,7 @@
 		for id := range uint64(rapid.IntRange(1, 30).Draw(t, "steps")) {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
 			a.take(t, e.Advance(now), now)
-			switch rapid.IntRange(0, 9).Draw(t, "action") {
-			case 0:
-				for _, lost := range e.Crash(now) {
-					if _, ok := a.open[lost]; !ok {
-						t.Fatalf("crash lost %d, which was not open", lost)
-					}
-					delete(a.open, lost)
-				}
-				if len(a.open) != 0 {
-					t.Fatalf("crash left %d open", len(a.open))
-				}
-				e.Restart(now)
-			case 1:
-				e.SetSpeed(now, rapid.SampledFrom([]float64{0.25, 1}).Draw(t, "speed"))
-			case 2:
-				for id := range a.open {
-					if !e.Cancel(now, id) || e.Cancel(now, id) {
-						t.Fatalf("cancel of %d", id)
-					}
-					delete(a.open, id)
-				}
-			default:
-				r := drawRequest(t, id)
-				if err := e.Enqueue(now, r); err == nil {
-					a.open[id] = r
-				} else if !errors.Is(err, ErrFull) {
-					t.Fatal(err)
-				}
-			}
+			a.act(t, e, now, id)
 			l := e.Load(now)
 			if l.KVUsed > 1 || l.KVUsed < 0 || l.Running > cfg.Slots || e.CachedTokens() > cfg.CacheTokens {
 				t.Fatalf("load %+v, cache %d", l, e.CachedTokens())
