--- a/coord/claim/gate_test.go
+++ b/coord/claim/gate_test.go
@@ -77,3 +77,27 @@
 		}
 	}
 }
+
+// Symptom: "not run" was told, by a later sending that released the key, of a
+// request that an earlier one then runs; or a finished key runs again.
+// Events: a grant comes after ClaimWait; a grant comes a second time, after
+// the end, while Finish is under way.
+// Cause: a late grant that is used; a release by a Gate that has sent.
+func TestLateAndDoubledGrants(t *testing.T) {
+	g, _ := Open(start, Request{Lifetime: time.Hour})
+	s := g.Replied(start.Add(ClaimWait), Result{Reply: Granted})
+	if s.Action != Refuse || s.Err.Verdict != verdict.NotRun || s.Command.Abandon == nil || g.Sending() {
+		t.Errorf("a late grant: %+v", s)
+	}
+	g, _ = Open(start, Request{Lifetime: time.Hour})
+	g.Replied(start, Result{Reply: Granted})
+	if !g.Sending() || g.Sending() {
+		t.Error("one grant allows one send")
+	}
+	if s = g.Finished(start, verdict.Ran, 200, Digest{}); s.Command.Finish == nil {
+		t.Errorf("the end: %+v", s)
+	}
+	if s = g.Replied(start, Result{Reply: Granted}); s.Command != nil || g.Sending() {
+		t.Errorf("a doubled grant: %+v", s)
+	}
+}
--- a/coord/limit/limit_test.go
+++ b/coord/limit/limit_test.go
@@ -149,6 +149,54 @@
 	})
 }
 
+// Symptom: a cut-off region passes more than a workspace's limit, second after
+// second; so does one whose workspaces come and go.
+// Events: all ask for more than the limit; some instances are cut off, or ask
+// for a moment only and fall silent until their bucket is forgotten.
+// Cause: floors that are not set aside, a burst given anew with each bucket.
+func TestCutsAndComingsAndGoingsStayInTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPool(t)
+		p.cut = rapid.IntRange(0, len(p.names)).Draw(t, "cut")
+		p.cutAt = start.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "cut at")) * time.Second)
+		comes := rapid.IntRange(p.cut, len(p.names)).Draw(t, "come and go")
+		asked := make([]int, len(p.names))
+		for i := range 1600 {
+			for j := range asked {
+				asked[j] = 40
+				if j >= comes && j > 0 && i%160 > 2 {
+					asked[j] = 0
+				}
+			}
+			if i%4 == 0 {
+				p.round()
+				p.alloc.Sweep(p.now)
+			}
+			p.pass(asked)
+			p.now = p.now.Add(step)
+		}
+	})
+}
+
+// Symptom: a share that was given on comes back to life.
+// Events: an answer is overtaken by a later one; the bucket is forgotten and
+// made anew; the old answer arrives.
+// Cause: answers taken in any order.
+func TestOvertakenAnswerIsIgnored(t *testing.T) {
+	l := NewLimiter(lookup, 2, lease)
+	now := start
+	l.Take(now, "w", 0)
+	first, _ := l.Report(now)
+	second, _ := l.Report(now)
+	l.Granted(now, second, []Share{{ID: id, Seq: 2, Limit: whole, Lease: lease}})
+	delete(l.buckets, id) // as Report does after a while without demand
+	l.Take(now, "w", 0)
+	l.Granted(now, first, []Share{{ID: id, Seq: 1, Limit: whole, Lease: lease}})
+	if got := l.buckets[id].seq; got != 0 {
+		t.Fatalf("share %d came back", got)
+	}
+}
+
 // Symptom: a workspace is held below its limit although it asks for more.
 // Events: demand is uneven and moves to another instance.
 // Cause: equal shares, or shares that stay where demand has gone.
@@ -177,6 +225,9 @@
 				}
 			}
 			want := 0.9 * min(whole.Rate*step.Seconds(), float64(total)) * 60
+			if shares := p.inForce(); total > 0 && shares < 0.9*whole.Rate {
+				t.Fatalf("shares of only %v are in force", shares)
+			}
 			if float64(got) < want {
 				t.Fatalf("%d passed of %v wanted, asked %v", got, want, asked)
 			}
