--- a/ports/peers.go
+++ b/ports/peers.go
@@ -93,7 +93,7 @@
 	Region string
 	// Instance to pass it on to; empty means any of the region.
 	Instance string
-	Method string
+	Method   string
 	// Target is path and query.
 	Target string
 	Header http.Header
