--- a/placement/advance.go
+++ b/placement/advance.go
@@ -18,7 +18,7 @@
 		return BlockedOrder
 	}
 	if t.order != nil { // Failed, still called for: the same order again.
-		return p.send(t, t.order.order, t.order.bytes)
+		return p.send(t, t.order.order, bytes)
 	}
 	switch order.Kind {
 	case "":
@@ -169,7 +169,7 @@
 		order.ID = p.nextID()
 	}
 	order.Fence, order.Expires = issued.Fence, issued.Expiry
-	t.order = &pending{order: order, bytes: bytes, since: p.now}
+	t.order = &pending{order: order}
 	t.trustFrom = latest(t.trustFrom, p.now.Add(p.o.ReportLag))
 	p.count(again)
 	if t.order.loads() {
@@ -280,7 +280,7 @@
 	}
 	switch e.Outcome {
 	case OrderTaken:
-		t.order.stage, t.order.since = stageTaken, p.now
+		t.order.stage = stageTaken
 		t.trustFrom = latest(t.trustFrom, p.now.Add(p.o.ReportLag))
 		return
 	case OrderUnanswered:
@@ -301,7 +301,7 @@
 	}
 	t.failed(p.now, &p.o)
 	if e.Outcome != OrderInvalid && p.now.Before(t.clearAt) {
-		t.order.stage, t.order.since = stageFailed, p.now // An earlier sending may still arrive.
+		t.order.stage = stageFailed // An earlier sending may still arrive.
 		return
 	}
 	t.order = nil
@@ -311,7 +311,7 @@
 // recognises by the id.
 func (p *Planner) unanswered(t *target) {
 	p.counts.Unanswered++
-	t.order.stage, t.order.since = stageFailed, p.now
+	t.order.stage = stageFailed
 	t.clearAt = latest(t.clearAt, t.order.order.Expires.Add(t.goal.OrderExpiry))
 	t.trustFrom = latest(t.trustFrom, t.clearAt.Add(p.o.ReportLag))
 	t.failed(p.now, &p.o)
--- a/placement/events.go
+++ b/placement/events.go
@@ -16,6 +16,8 @@
 // Observed is the end of a Poll.
 type Observed struct {
 	Target string
+	// Asked is that of the Poll.
+	Asked time.Time
 	// Report is nil if the target was not reached.
 	Report *ports.LoadReport
 }
@@ -109,8 +111,14 @@
 }
 
 // Poll asks an engine for its report; its end is told as Observed. The host has
-// at most one under way for each target.
-type Poll struct{ Target, Address string }
+// at most one under way for each target, unless that takes longer than
+// Options.StaleAfter.
+type Poll struct {
+	Target, Address string
+	// Asked is the time of the Step. The report counts as no younger: an answer
+	// can lie in the buffers of a process that was stopped for any time.
+	Asked time.Time
+}
 
 func (Send) effect()   {}
 func (WarmUp) effect() {}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -17,7 +17,7 @@
 	Lease lease.Config
 	// MaxOutShare of a service's slots may be out at once; default 0.25.
 	MaxOutShare float64
-	// ReportLag bounds how old a report is when it arrives; default 2 s.
+	// ReportLag bounds how old a report is when an engine gives it; default 2 s.
 	ReportLag time.Duration
 	// SpreadTime is how long instances may take to learn that a target takes
 	// nothing new; default 2 s.
@@ -216,7 +216,7 @@
 	}
 	t.polling = false
 	if e.Report != nil {
-		t.take(p.now, *e.Report)
+		t.take(e.Asked, *e.Report)
 	}
 }
 
@@ -226,7 +226,7 @@
 			continue
 		}
 		t.polling, t.pollAt = true, p.now
-		p.effects = append(p.effects, Poll{Target: t.goal.Target, Address: t.goal.Address})
+		p.effects = append(p.effects, Poll{Target: t.goal.Target, Address: t.goal.Address, Asked: p.now})
 	}
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -23,10 +23,7 @@
 // pending is the last order to a target, until its effect is reported.
 type pending struct {
 	order ports.Order
-	bytes int64
 	stage stage
-	// since is when the stage began.
-	since time.Time
 }
 
 // loads reports whether the order reads from the weight store.
@@ -63,7 +60,8 @@
 type target struct {
 	goal   Goal
 	report ports.LoadReport
-	// seenAt is when a report with a new time came last; zero for never.
+	// seenAt is when the last report with a new time was asked for; zero for
+	// never.
 	seenAt  time.Time
 	polling bool
 	pollAt  time.Time
@@ -93,17 +91,17 @@
 	done    bool
 }
 
-// take notes a report. One with the same time as the last is an old one told
-// again and proves nothing of the present.
-func (t *target) take(now time.Time, r ports.LoadReport) {
-	if !t.seenAt.IsZero() && r.At.Equal(t.report.At) {
+// take notes a report that was asked for at a time. One with the same time as
+// the last is an old one told again and proves nothing of the present.
+func (t *target) take(asked time.Time, r ports.LoadReport) {
+	if !t.seenAt.IsZero() && (r.At.Equal(t.report.At) || !asked.After(t.seenAt)) {
 		return
 	}
-	t.report, t.seenAt = r, now
+	t.report, t.seenAt = r, asked
 	if !r.Draining {
 		t.drainSeen, t.warm.done = time.Time{}, false
 	} else if t.drainSeen.IsZero() {
-		t.drainSeen = now
+		t.drainSeen = asked
 	}
 }
 
@@ -128,7 +126,7 @@
 	if t.report.Loading || t.order != nil && (t.order.loads() || t.order.order.Kind == ports.OrderDrain && !t.goal.Leaving) {
 		return true
 	}
-	return t.fresh(p.now, &p.o) && t.report.Draining && !t.goal.Leaving && t.goal.needsDrain(&t.report)
+	return t.report.Draining && !t.goal.Leaving && t.goal.needsDrain(&t.report)
 }
 
 // loading reports whether the target may be reading from the weight store.
