route: weigh near-best targets without an exponential

Cause: where hundreds of idle targets are equally good, the picker's exponentials were a fifth of the decision. Change: the series of exp to the fourth order.

--- a/route/picker_softmin.go
+++ b/route/picker_softmin.go
@@ -1,16 +1,13 @@
 package route
 
-import (
-	"math"
-	"math/rand/v2"
-)
+import "math/rand/v2"
 
 // softminCut is the distance from the best score, in temperatures, beyond which
 // a candidate has no chance.
 const softminCut = 5.0
 
 // softminPicker picks by weighted chance among the near best: the weight falls
-// by e with each temperature of distance from the best score. The temperature is
+// about by e with each temperature of distance from the best score. The temperature is
 // a part of the best predicted first token, at least PickFloor. Ties have equal
 // chances.
 //
@@ -37,7 +34,9 @@
 		if d > softminCut {
 			continue
 		}
-		w := math.Exp(-d)
+		// The series of exp(d); the function itself costs more than the rest of
+		// the decision where hundreds of idle targets are equally good.
+		w := 1 / (1 + d*(1+d*(1.0/2+d*(1.0/6+d/24))))
 		sum += w
 		if p.rng.Float64()*sum < w {
 			picked = i
