node: report burn, join a resend at its owner, wait for detached work at a stop

Cause: burn said 'not kept'; a resend was never passed on to the owner of the running attempt; Shutdown does not see work that goes on without its caller. Change: Burn from the request path's counts; Forward honours the instance named, also inside the region; Stop waits until nothing is in flight.

--- a/node/forwarder.go
+++ b/node/forwarder.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,10 +39,15 @@
 	return &forwarder{key: key, entries: entries, transports: map[string]*http.Transport{}}
 }
 
-// Forward sends the request to a live instance of the region. A second instance
+// Forward sends the request to the instance named, or to any live one of the
+// region. A second instance
 // is tried only where the first saw nothing of it and the body is unread.
 func (f *forwarder) Forward(ctx context.Context, r ports.ForwardRequest) (*ports.PlainAnswer, error) {
 	contacts := f.entries(r.Region)
+	if r.Instance != "" {
+		other := func(c roster.Contact) bool { return c.ID != r.Instance }
+		contacts = slices.DeleteFunc(contacts, other)
+	}
 	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
 	err := verdict.New(verdict.NotRun, pipeline.CodeRegionUnreached, "no instance of region "+r.Region+" is known")
 	for _, c := range contacts[:min(forwardTries, len(contacts))] {
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,8 @@
 	maxLinkMessage = 8 << 20
 	// peersInterval is how often the view of peers is handed to the spreader.
 	peersInterval = time.Second
+	// drainInterval is the time between two looks at the work in progress.
+	drainInterval = 20 * time.Millisecond
 	// leaveTime bounds the farewell to the other members.
 	leaveTime = 200 * time.Millisecond
 )
@@ -76,6 +78,7 @@
 	log     *zap.Logger
 	started time.Time
 	metrics *metrics.Set
+	burn    *metrics.Burn
 
 	hub       *link.Hub
 	members   *members.Service
@@ -106,7 +109,7 @@
 	}
 	n := &Node{
 		o: o, s: o.Settings, log: o.Log, started: time.Now(),
-		metrics: metrics.NewSet(), draining: make(chan struct{}),
+		metrics: metrics.NewSet(), burn: metrics.NewBurn(), draining: make(chan struct{}),
 	}
 	hub, err := link.New(link.Options{
 		Key:        o.Key,
@@ -185,6 +188,7 @@
 		Limits:    n.limits,
 		Suspects:  n.suspects,
 		Lone:      n.suspects,
+		Burn:      n.burn,
 		Directory: n.directory,
 		Metrics:   n.metrics,
 		Log:       n.log,
@@ -460,8 +464,17 @@
 	return peers
 }
 
-// entriesOf are the instances of a region that requests can be passed on to.
+// entriesOf are the other instances of a region that requests can be passed on to.
 func (n *Node) entriesOf(region string) []roster.Contact {
+	if region == n.s.Region {
+		var contacts []roster.Contact
+		for _, m := range n.view().Alive() {
+			if m.ID != n.s.Instance {
+				contacts = append(contacts, contactOf(m))
+			}
+		}
+		return contacts
+	}
 	for _, r := range n.regions.Rosters() {
 		if r.Region == region {
 			return slices.Clone(r.Entries)
@@ -545,6 +558,22 @@
 	for _, s := range n.servers {
 		s.shutdown(ctx)
 	}
+	n.drainDetached(ctx)
+}
+
+// drainDetached waits for work that goes on without its caller: what runs at
+// most once is not cancelled when the caller leaves, and its end must be
+// recorded.
+func (n *Node) drainDetached(ctx context.Context) {
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	for n.pipeline.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
 }
 
 // close ends what New opened.
--- a/node/operator.go
+++ b/node/operator.go
@@ -13,6 +13,7 @@
 	"github.com/gullhaven/gullhaven/coord/membership"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/node/rollout"
+	"github.com/gullhaven/gullhaven/pipeline"
 	"github.com/gullhaven/gullhaven/route"
 )
 
@@ -68,9 +69,13 @@
 	return &c
 }
 
-// Burn reports service-level burn.
+// Burn reports service-level burn as this instance has seen it.
 func (o *operator) Burn(context.Context) (*operators.BurnReport, error) {
-	return nil, verdict.New(verdict.NotRun, "not_kept", "this instance keeps no history of burn")
+	v := o.node.bundleView()
+	if v == nil {
+		return nil, verdict.New(verdict.NotRun, pipeline.CodeNotInForce, "no bundle is in force yet")
+	}
+	return api.BurnReport(o.node.s.Instance, v.Bundle.Services, o.node.burn, time.Now()), nil
 }
 
 // Status reports what this instance knows.
