--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -32,7 +32,8 @@
 	devInstances = "127.0.0.1:8081"
 	devOperators = "127.0.0.1:8082"
 	devEngine    = "127.0.0.1:8091"
-	devPlain     = "127.0.0.1:8092"
+	devEcho      = "127.0.0.1:8092"
+	devOrders    = "127.0.0.1:8093"
 	devKey       = "dev-key"
 	devOperator  = "dev"
 	devValidity  = 30 * 24 * time.Hour
@@ -64,8 +65,10 @@
 	if err := s.engine(targets, devEngine, standin.EngineConfig{ID: "engine-1", PerToken: 5 * time.Millisecond}); err != nil {
 		return err
 	}
-	if err := s.plain(targets, devPlain); err != nil {
-		return err
+	for _, address := range []string{devEcho, devOrders} {
+		if err := s.plain(targets, address); err != nil {
+			return err
+		}
 	}
 	return runDevInstance(ctx, dir, log, out)
 }
