replog: a rule test for the match and the back-off

Change: a test of one append behind a place of another term. Planted: without the match, and with a back-off of one entry, the test shows the wrong answer.

--- a/coord/replog/rules_test.go
+++ b/coord/replog/rules_test.go
@@ -244,6 +244,35 @@
 	}
 }
 
+// Symptom: logs differ before a place at which they agree; or a log that
+// differs in a thousand entries needs a thousand answers to be mended.
+// Events: a node that holds entries of a term that won no majority gets an
+// append behind a place where the new leader has another entry.
+// Cause: entries taken in without the match; or a back-off of one entry a time.
+func TestAppendNeedsTheMatchAndSkipsTerms(t *testing.T) {
+	conf, _ := confchange.New([]Member{ma, mb, mc}, nil)
+	n := ruleNode(t, epoch, conf)
+	const more = 1000
+	lost := make([]Entry, more)
+	for i := range lost {
+		lost[i] = Entry{Term: ruleTerm, Index: uint64(3 + i), Data: []byte("lost")}
+	}
+	step(t, n, epoch, Message{Kind: MsgAppend, From: mb, Term: ruleTerm, Index: 2, LogTerm: ruleTerm, Entries: lost})
+	settle(n)
+	last := uint64(2 + more)
+	step(t, n, epoch, Message{
+		Kind: MsgAppend, From: mc, Term: 9, Index: last, LogTerm: ruleTerm - 1,
+		Entries: []Entry{{Term: 9, Index: last + 1, Data: []byte("x")}},
+	})
+	out, _ := settle(n)
+	if len(out) != 1 || !out[0].Reject || out[0].Hint != 1 || out[0].HintTerm != 1 {
+		t.Fatalf("answers %+v", out)
+	}
+	if got := n.Status().Last; got != last {
+		t.Fatalf("the log reaches to %d", got)
+	}
+}
+
 // Symptom: an acknowledged entry is not on the disk that acknowledged it.
 // Events: while a host writes entries, a new leader replaces them.
 // Cause: Advance, which is about the old entries, counts for the new ones of the
