--- a/route/picker_softmin.go
+++ b/route/picker_softmin.go
@@ -28,19 +28,27 @@
 	}
 	low := in[best].Score
 	heat := max(s.Config.PickFloor.Seconds(), s.Config.PickSpread*in[best].FirstToken)
-	picked, sum := best, 0.0
+	sum := 0.0
 	for i := range in {
-		d := (in[i].Score - low) / heat
-		if d > softminCut {
-			continue
-		}
-		// The series of exp(d); the function itself costs more than the rest of
-		// the decision where hundreds of idle targets are equally good.
-		w := 1 / (1 + d*(1+d*(1.0/2+d*(1.0/6+d/24))))
-		sum += w
-		if p.rng.Float64()*sum < w {
-			picked = i
+		in[i].weight = nearness((in[i].Score - low) / heat)
+		sum += in[i].weight
+	}
+	left := p.rng.Float64() * sum
+	for i := range in {
+		left -= in[i].weight
+		if left < 0 {
+			return i
 		}
 	}
-	return picked
+	return best
+}
+
+// nearness is the weight of a candidate d temperatures from the best. It is the
+// inverse of the series of exp(d): the function itself costs more than the rest
+// of the decision where hundreds of idle targets are equally good.
+func nearness(d float64) float64 {
+	if d > softminCut {
+		return 0
+	}
+	return 1 / (1 + d*(1+d*(1.0/2+d*(1.0/6+d/24))))
 }
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -90,6 +90,8 @@
 
 	// hash is a hash of the target's name.
 	hash uint64
+	// weight is its weight in the choice.
+	weight float64
 }
 
 // Health is what the breaker and the grey signal say of a target.
