replhost: end the node at once when the log fails behind a durable batch

Cause: a write of the mark behind a synced batch can fail. The log is poisoned then, but the batch is durable, so its Sync answers nil; the node led on until its next write. Seen as a node that failed after the cluster test had ended all planted faults, twice in runs with another line broken on a trial copy. Change: the disk goroutine asks the log after each job and reports the failure. Result: TestFailureBehindADurableBatchEndsTheNode; with the question taken out on a trial copy it says "running, <nil>". All tests pass with -rapid.checks=8000, and with -race and 200.

--- a/coord/replhost/disk.go
+++ b/coord/replhost/disk.go
@@ -15,7 +15,9 @@
 	snapshot *replog.Snapshot
 }
 
-// runDisk carries out jobs until the first failure.
+// runDisk carries out jobs until the first failure. A job can be durable and
+// the log have failed right behind it, at the mark of the batch: the job counts
+// then, but the node ends at once, and not only when it has more to write.
 func runDisk(ctx context.Context, n *Node, st *store) {
 	for {
 		job, err := n.disk.Pop(ctx)
@@ -29,6 +31,10 @@
 		if n.events.Push(ctx, event{synced: job.ready, saved: job.snapshot}) != nil {
 			return
 		}
+		if err := st.log.Err(); err != nil {
+			_ = n.events.Push(ctx, event{failed: errors.Annotate(err, "disk")})
+			return
+		}
 	}
 }
 
--- a/coord/replhost/replhost_test.go
+++ b/coord/replhost/replhost_test.go
@@ -218,3 +218,35 @@
 		}
 	})
 }
+
+// Symptom: a node whose disk has failed leads on until the next proposal.
+// Events: the batch is synced, the write of the mark behind it fails.
+// Cause: a failure that is kept by the log and not asked for.
+func TestFailureBehindADurableBatchEndsTheNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		defer c.close()
+		for _, id := range ids {
+			c.up(id)
+		}
+		if !c.waitWhole() {
+			t.Fatal("the group didn't form")
+		}
+		old := c.leader(time.Second)
+		c.disks[old.Member().ID].Fail(faultfs.OpWrite, 1, errDisk)
+		// The leader may end before the group's answer is there.
+		var v *verdict.Error
+		if err := c.propose(old); err != nil && (!errors.As(err, &v) || v.Verdict != verdict.MayHaveRun) {
+			t.Fatalf("the proposal ended with %v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+		if s := old.Status(); s.State != replhost.Failed || !errors.Is(s.Err, errDisk) {
+			t.Fatalf("%v, %v", s.State, s.Err)
+		}
+		c.mend()
+		c.check()
+		if len(c.failures) > 0 {
+			t.Fatal(c.failures)
+		}
+	})
+}
