--- a/route/plugins_test.go
+++ b/route/plugins_test.go
@@ -9,7 +9,7 @@
 
 func snapshotOf(q Request) *Snapshot {
 	cfg := Config{Region: "here", Zone: "a", AdapterLoad: 0}.withDefaults()
-	return &Snapshot{Request: &q, Config: &cfg, HoldTime: 1, Model: true}
+	return &Snapshot{Request: &q, Config: &cfg, HoldTime: 1, Model: true, Stretch: 1}
 }
 
 // idle returns candidates t0, t1, ... that differ in nothing but their names.
--- a/route/router.go
+++ b/route/router.go
@@ -119,7 +119,7 @@
 	}
 	p := s.peers(&r.cfg)
 	ahead, _ := s.byPriority.of(priority(q))
-	r.snapshot.Overtaken = s.overtaken(at, priority(q), s.others(&r.cfg))
+	r.snapshot.Stretch = 1 / (1 - s.overtaken(at, priority(q), s.others(&r.cfg)))
 	stale := r.cfg.ReportStale.Seconds()
 	for len(r.candidates) < len(s.list) {
 		r.candidates = append(r.candidates, Candidate{})
--- a/route/scorer_kv.go
+++ b/route/scorer_kv.go
@@ -17,7 +17,7 @@
 		if lack <= 0 {
 			continue
 		}
-		wait := lack * s.MemoryHold / (1 - s.Overtaken)
+		wait := lack * s.MemoryHold * s.Stretch
 		c.Wait += wait
 		c.Score += wait
 		c.FirstToken += wait
--- a/route/scorer_queue.go
+++ b/route/scorer_queue.go
@@ -20,7 +20,7 @@
 			c.Score += c.FirstToken
 			continue
 		}
-		c.Wait = max(c.Pending*c.PrefillTime, slotWait(c, s.HoldTime)) / (1 - s.Overtaken)
+		c.Wait = max(c.Pending*c.PrefillTime, slotWait(c, s.HoldTime)) * s.Stretch
 		c.Wait += c.Stalled
 		c.FirstToken = c.Wait + float64(q.PromptTokens)*c.PrefillTime
 		c.Finish = c.FirstToken + float64(q.OutputTokens)*c.TokenTime
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -20,9 +20,9 @@
 	// Memory is the share of a target's KV cache memory that the request takes,
 	// MemoryHold the mean time in seconds that memory is held.
 	Memory, MemoryHold float64
-	// Overtaken is the part of the capacity that requests of more priority
-	// take, 0 to below 1: waits grow by it.
-	Overtaken float64
+	// Stretch is by how much waits grow because requests of more priority come
+	// and go first, 1 or more.
+	Stretch float64
 	// MaxFirst and MaxFinish are the request's bounds on first token and whole
 	// answer in seconds from now, infinite where it has none.
 	MaxFirst, MaxFinish float64
--- a/route/target.go
+++ b/route/target.go
@@ -27,8 +27,10 @@
 	// prefillTime and tokenTime are the learned times of one prompt token and
 	// one output token in seconds, 0 for a plain service.
 	prefillTime, tokenTime float64
-	guard                  guard
-	cache                  *blockLRU
+	// rate is the inverse of prefillTime, kept because divisions add up.
+	rate  float64
+	guard guard
+	cache *blockLRU
 	// trust is the part of predicted prefix hits that comes true, 0 to 1.
 	trust float64
 	// eventSeq is the last cache event's number.
@@ -67,13 +69,9 @@
 	return float64(max(1, t.spec.Slots)) / t.spec.DecodeRate
 }
 
-// prefillRate is the learned speed in prompt tokens per second.
-func (t *target) prefillRate() float64 {
-	if t.prefillTime == 0 {
-		return 0
-	}
-	return 1 / t.prefillTime
-}
+// prefillRate is the learned speed in prompt tokens per second, 0 for a plain
+// service.
+func (t *target) prefillRate() float64 { return t.rate }
 
 // learned puts what was learned of the speed in force.
 func (t *target) learned() {
@@ -81,6 +79,7 @@
 		return
 	}
 	t.prefillTime = max(fastest, t.speed.first.factor()) / t.spec.PrefillRate
+	t.rate = 1 / t.prefillTime
 	t.tokenTime = t.ratedTokenTime() * t.speed.decode.factor()
 }
 
