metrics/served: cost, tail latency and share sent away of each service

Cause: the status had no figures of services, and burn no causes. Conclusion: the host has to set it as pipeline.Deps.Observer. A request passed on by another instance is counted at both; Outcome does not tell it yet.

--- /dev/null
+++ b/metrics/served/served_test.go
@@ -0,0 +1,122 @@
+package served
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/operate/burn"
+	"github.com/gullhaven/gullhaven/pipeline"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+func TestCauses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		out    pipeline.Outcome
+		cause  burn.Cause
+		counts bool
+	}{
+		{"kept", pipeline.Outcome{Kept: true}, burn.Kept, true},
+		{"kept elsewhere", pipeline.Outcome{Kept: true, Region: "bali"}, burn.Kept, true},
+		{"late", pipeline.Outcome{Verdict: verdict.Ran}, burn.Late, true},
+		{"late elsewhere", pipeline.Outcome{Verdict: verdict.Ran, Region: "bali"}, burn.SentAway, true},
+		{"no room", pipeline.Outcome{Code: pipeline.CodeOverloaded}, burn.Refused, true},
+		{"out of time, not sent", pipeline.Outcome{Code: pipeline.CodeDeadline}, burn.Refused, true},
+		{"out of time, sent", pipeline.Outcome{Code: pipeline.CodeDeadline, Verdict: verdict.MayHaveRun}, burn.Late, true},
+		{"target died", pipeline.Outcome{Code: ports.CodeCut, Verdict: verdict.MayHaveRun}, burn.TargetLost, true},
+		{"region unreached", pipeline.Outcome{Code: pipeline.CodeRegionUnreached}, burn.SentAway, true},
+		{"limit", pipeline.Outcome{Code: pipeline.CodeLimit}, burn.Limit, true},
+		{"wrong body", pipeline.Outcome{Code: pipeline.CodeBodyMalformed}, burn.Kept, false},
+		{"caller left", pipeline.Outcome{Code: pipeline.CodeCallerGone, Verdict: verdict.MayHaveRun}, burn.Kept, false},
+	} {
+		if cause, counts := CauseOf(c.out); cause != c.cause || counts != c.counts {
+			t.Errorf("%s: %v %v", c.name, cause, counts)
+		}
+	}
+}
+
+// Symptom: figures of an hour ago stand in the status, or a request is missing.
+// Cause: a slot that is not emptied, or emptied too soon.
+func TestFiguresAreThoseOfTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_800_000_000, 0)
+		history := burn.NewHistory("i", "r", 1)
+		o := &Observer{Table: NewTable(now), Burn: history, Now: func() time.Time { return now }}
+		o.Price = func(route.TargetID) Price { return Price{Share: 0.25, PerSecond: 2} }
+		type request struct {
+			at  time.Time
+			out pipeline.Outcome
+		}
+		var all []request
+		for range rapid.IntRange(1, 60).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second)
+			out := pipeline.Outcome{Service: "s", Target: "r1", Took: time.Second, Kept: true}
+			out.FirstByte = time.Duration(rapid.IntRange(1, 100_000).Draw(t, "first")) * unit
+			switch rapid.IntRange(0, 3).Draw(t, "end") {
+			case 0:
+				out = pipeline.Outcome{Service: "s", Code: pipeline.CodeOverloaded}
+			case 1:
+				out.Region = "bali"
+			}
+			o.Observe(out)
+			all = append(all, request{now, out})
+		}
+		var want Figures
+		var times []time.Duration
+		for _, r := range all {
+			if slotNumber(now)-slotNumber(r.at) >= slotCount {
+				continue
+			}
+			want.Requests++
+			want.Refused += count(r.out.Code != "")
+			want.SentAway += float64(count(r.out.Region != ""))
+			if r.out.Target != "" {
+				want.TargetSeconds += 0.25
+				times = append(times, r.out.FirstByte)
+			}
+		}
+		got := o.Table.Figures(now)[0]
+		if got.Requests != want.Requests || got.Refused != want.Refused || got.TargetSeconds != want.TargetSeconds ||
+			got.Cost != 2*want.TargetSeconds || math.Abs(got.SentAway*float64(got.Requests)-want.SentAway) > 1e-9 {
+			t.Fatalf("%+v, want %+v", got, want)
+		}
+		slices.Sort(times)
+		if n := len(times); n > 0 {
+			last := float64(times[n-1])
+			if math.Abs(float64(got.P999)-last) > 0.01*last+float64(unit) {
+				t.Fatalf("p99.9 %v, want %v", got.P999, times[n-1])
+			}
+		}
+	})
+}
+
+func TestTableIsBounded(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	table := NewTable(now)
+	for i := range 10 * maxServices {
+		table.Observe(now, Request{Service: fmt.Sprint(i)})
+	}
+	if n := len(table.services); n > maxServices+1 {
+		t.Fatalf("%d services", n)
+	}
+}
+
+// BenchmarkObserve is the cost of one request; B/service is the memory that a
+// service takes with a full window.
+func BenchmarkObserve(b *testing.B) {
+	now := time.Unix(1_800_000_000, 0)
+	o := &Observer{Table: NewTable(now), Burn: burn.NewHistory("i", "r", 1), Now: func() time.Time { return now }}
+	o.Price = func(route.TargetID) Price { return Price{Share: 0.1, PerSecond: 1} }
+	out := pipeline.Outcome{Service: "s", Workspace: "w", Target: "t", FirstByte: 300 * time.Millisecond, Took: time.Second, Kept: true}
+	for b.Loop() {
+		o.Observe(out)
+	}
+	b.ReportMetric(float64(slotCount*newHistogram().ByteSize()), "B/service")
+}
