experiment: number cache events of a restarted target from the start

Cause: engines that restart count their events anew; the experiment went on counting, which hid how a decider takes a new life of a target. The legend did not say what the share forced away leaves out. Change: both.

--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -118,9 +118,11 @@
 	w.after(restartTime, func() { w.load(t) })
 }
 
-// load restarts a target cold and lets it take work after loadTime.
+// load restarts a target cold and lets it take work after loadTime. Its cache
+// events are numbered from the start again.
 func (w *world) load(t *target) {
 	t.engine.Restart(w.now)
+	t.seq = 0
 	t.state = route.Loading
 	w.announce(t.region, planLag)
 	w.after(loadTime, func() {
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -61,8 +61,10 @@
 const legend = `Times in seconds to the first token of answered model requests; shares in % of
 all requests after the warm-up; mean over the seeds, with (min-max).
 p99all counts refused, failed and lost as infinite. plain is the p99 of plain
-services in ms. forced is the least share that lost capacity sends away. cost
-is busy target-seconds per answered request. doubled, lost and crashes are sums.
+services in ms. forced is the least share that lost regions and peaks send away;
+it does not count targets that killers and rolling changes take. cost is busy
+target-seconds per answered request. doubled, lost and crashes are sums; doubled
+holds requests sent in a loop or out of their regions as well.
 Baselines never refuse for a deadline; what they answer late is not in time.
 Callers wait for late answers, unless told to give up: then they count as failed.
 `
