Carry messages between instances over WebSocket with CBOR

Cause: instances need one way to talk that no stranger enters, that a slow handler or a long message does not hold up, and that notices a silent cut. Change: a Hub with one connection per peer used both ways, two bounded rings per peer (urgent, bulk in 16 KiB chunks), a ring and goroutines per channel, calls with verdicts, pings when a write stays without a sign, jittered back-off, an Allow filter that cuts pairs, counters.

--- /dev/null
+++ b/coord/link/link_test.go
@@ -0,0 +1,325 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/keys"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+)
+
+func TestMessagesArriveWholeAndInOrderBothWays(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.node("a", nil), c.node("b", nil)
+	got := make(chan []byte, 600)
+	a.Handle("bulk", func(_ string, p []byte) { got <- p })
+	b.Handle("bulk", func(from string, p []byte) {
+		if !a.Stats().Peers["b"].Connected || from != "a" {
+			t.Errorf("message from %q", from)
+		}
+		b.Send("a", "bulk", p)
+	})
+	big := make([]byte, DefaultMaxMessage)
+	for i := range big {
+		big[i] = byte(i * i >> 8)
+	}
+	sizes := []int{0, 1, chunkBytes - 1, chunkBytes, chunkBytes + 1, 3 * chunkBytes, len(big)}
+	for _, n := range sizes {
+		if !a.Send("b", "bulk", big[:n]) {
+			t.Fatalf("%d bytes refused", n)
+		}
+	}
+	for _, n := range sizes {
+		if p := recv(t, got, "echo"); !bytes.Equal(p, big[:n]) {
+			t.Fatalf("%d bytes came back as %d others", n, len(p))
+		}
+	}
+	if a.Send("b", "bulk", append(big, 1)) {
+		t.Fatal("a message over the bound was taken")
+	}
+	if s := a.Stats(); s.Connections != 1 || b.Stats().Connections != 1 || s.Channels["bulk"].Received != uint64(len(sizes)) {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// Symptom: a leader is deposed while it sends a snapshot.
+// Events: heartbeats are queued after a long message.
+// Cause: one queue for both, or long messages written in one piece.
+func TestUrgentMessagesOvertakeLongOnes(t *testing.T) {
+	c := newCluster(t)
+	h, _, _ := c.hub("a", nil)
+	p := newPeer(h, "b")
+	on := &conn{p: p}
+	long := make([]byte, 20*chunkBytes)
+	for range 3 {
+		p.push(h.newItem(frameMessage, "bulk", long))
+	}
+	in := assembler{maxMessage: len(long)}
+	whole, batches := 0, 0
+	for whole < 3 {
+		p.push(h.newItem(frameMessage, "urgent", []byte{byte(batches)}))
+		var batch bytes.Buffer
+		p.fill(&batch, on, nil)
+		if batch.Len() > maxBatch {
+			t.Fatalf("batch of %d bytes", batch.Len())
+		}
+		urgent := 0
+		err := in.read(batch.Bytes(), func(f *frame) {
+			if f.Channel == "urgent" && f.Payload[0] == byte(batches) {
+				urgent++
+			} else if len(f.Payload) == len(long) {
+				whole++
+			}
+		})
+		if err != nil || urgent != 1 {
+			t.Fatalf("batch %d: %d urgent messages, %v", batches, urgent, err)
+		}
+		batches++
+	}
+	if batches < 20 {
+		t.Fatalf("long messages went in %d batches", batches)
+	}
+}
+
+// Symptom: after an outage a follower acts on heartbeats of minutes ago.
+// Events: messages wait for a connection, which comes back.
+// Cause: the rings are written out whatever their age.
+func TestStaleMessagesAreNotWritten(t *testing.T) {
+	h, _, _ := newCluster(t).hub("a", nil)
+	p := newPeer(h, "b")
+	it := h.newItem(frameMessage, "urgent", []byte("old"))
+	it.queuedAt = it.queuedAt.Add(-bound - time.Second)
+	p.push(it)
+	var batch bytes.Buffer
+	p.fill(&batch, &conn{p: p}, nil)
+	if batch.Len() != 0 || h.Stats().Channels["urgent"].Dropped != 1 {
+		t.Fatalf("wrote %d bytes of an old message", batch.Len())
+	}
+}
+
+func TestACallEndsWithTheRightVerdict(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.node("a", nil), c.node("b", func(o *Options) { o.RingSize = 1 })
+	c.setAddress("nobody", "127.0.0.1:1")
+	started, hold := make(chan struct{}, 8), make(chan struct{})
+	b.Serve("ok", 1, func(_ context.Context, from string, p []byte) ([]byte, error) { return append(p, from...), nil })
+	b.Serve("verdict", 1, func(context.Context, string, []byte) ([]byte, error) {
+		return nil, &verdict.Error{Verdict: verdict.Ran, Code: "done_before", RetryAfter: time.Second}
+	})
+	b.Serve("error", 1, func(context.Context, string, []byte) ([]byte, error) { return nil, errors.New("x") })
+	b.Serve("text", 1, func(context.Context, string, []byte) ([]byte, error) { return nil, errors.New("\xff") })
+	b.Serve("slow", 1, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		started <- struct{}{}
+		<-hold
+		return nil, nil
+	})
+	defer close(hold)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	if p, err := a.Call(ctx, "b", "ok", []byte("hi ")); err != nil || string(p) != "hi a" {
+		t.Fatalf("%q, %v", p, err)
+	}
+	ended, end := context.WithCancel(ctx)
+	end()
+	for _, x := range []struct {
+		name, to, channel string
+		payload           []byte
+		verdict           verdict.Verdict
+		code              verdict.Code
+	}{
+		{"handler's verdict", "b", "verdict", nil, verdict.Ran, "done_before"},
+		{"handler's error", "b", "error", nil, verdict.MayHaveRun, CodeFailed},
+		{"handler's bad text", "b", "text", nil, verdict.MayHaveRun, CodeFailed},
+		{"no handler", "b", "none", nil, verdict.NotRun, CodeNoHandler},
+		{"nobody listens", "nobody", "ok", nil, verdict.NotRun, CodeUnreachable},
+		{"back-off after that", "nobody", "ok", nil, verdict.NotRun, CodeUnreachable},
+		{"no address", "unknown", "ok", nil, verdict.NotRun, CodeUnreachable},
+		{"itself", "a", "ok", nil, verdict.NotRun, CodeUnreachable},
+		{"too long", "b", "ok", make([]byte, DefaultMaxMessage+1), verdict.NotRun, CodeTooLong},
+	} {
+		_, err := a.Call(ctx, x.to, x.channel, x.payload)
+		var e *verdict.Error
+		if !errors.As(err, &e) || e.Verdict != x.verdict || e.Code != x.code {
+			t.Errorf("%s: %v", x.name, err)
+		}
+	}
+	go a.Call(ctx, "b", "slow", nil)
+	recv(t, started, "start of the handler")
+	// One of the two fills the ring and waits; the other finds it full.
+	refused := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := a.Call(ctx, "b", "slow", nil)
+			refused <- err
+		}()
+	}
+	var e *verdict.Error
+	if err := recv(t, refused, "refusal"); !errors.As(err, &e) || e.Verdict != verdict.NotRun || e.Code != CodeOverloaded {
+		t.Errorf("overloaded handler: %v", err)
+	}
+	if _, err := a.Call(ended, "b", "slow", nil); !errors.As(err, &e) || e.Code == "" || e.Verdict == verdict.Ran {
+		t.Errorf("ended context: %v", err)
+	}
+	// A slow handler does not hold up the other channels of the connection.
+	if _, err := a.Call(ctx, "b", "ok", nil); err != nil {
+		t.Errorf("behind a slow channel: %v", err)
+	}
+}
+
+// Symptom: a request is run a second time, or its caller waits for ever.
+// Events: the peer ends, or is frozen, while a request is with it.
+// Cause: a lost connection is taken for "not run", or its calls are forgotten.
+func TestALostConnectionMayHaveRunItsCalls(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.node("a", nil), c.node("b", nil)
+	started := make(chan struct{})
+	b.Serve("slow", 1, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	failed := make(chan error)
+	go func() {
+		_, err := a.Call(context.Background(), "b", "slow", nil)
+		failed <- err
+	}()
+	recv(t, started, "start of the handler")
+	b.mu.RLock()
+	b.peers["a"].closeAll()
+	b.mu.RUnlock()
+	var e *verdict.Error
+	if err := recv(t, failed, "end of the call"); !errors.As(err, &e) || e.Verdict != verdict.MayHaveRun || e.Code != CodeLost {
+		t.Fatalf("%v", err)
+	}
+}
+
+// Symptom: messages vanish for minutes although both instances run.
+// Events: the network swallows all packets without closing connections, and a
+// new connection would get through.
+// Cause: nobody checks that written messages reach the peer.
+func TestASilentCutIsNoticedAndLeft(t *testing.T) {
+	c := newCluster(t)
+	quick := func(o *Options) {
+		o.PingAfter, o.PingTimeout = 20*time.Millisecond, 100*time.Millisecond
+		o.BackoffFloor, o.BackoffCeil = time.Millisecond, 10*time.Millisecond
+	}
+	a, b := c.node("a", quick), c.node("b", nil)
+	direct, _ := c.address("b")
+	wire := newCable(t, direct)
+	c.setAddress("b", wire.Addr().String())
+	got := make(chan []byte, 1024)
+	b.Handle("urgent", func(_ string, p []byte) { got <- p })
+	a.Send("b", "urgent", []byte("before"))
+	recv(t, got, "message")
+	if !recv(t, a.links, "link up") {
+		t.Fatal("link down first")
+	}
+	wire.cut.Store(true)
+	a.Send("b", "urgent", []byte("lost"))
+	if recv(t, a.links, "link down") {
+		t.Fatal("the cut was not noticed")
+	}
+	c.setAddress("b", direct)
+	a.Send("b", "urgent", []byte("after"))
+	if p := recv(t, got, "message after the cut"); string(p) != "after" {
+		t.Fatalf("got %q", p)
+	}
+	if s := a.Stats(); s.PingTimeouts == 0 || s.Peers["b"].Reconnects != 1 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// Symptom: a stranger's process feeds messages to instances.
+// Events: it connects without a key, or listens where an instance was.
+// Cause: the link does not use the keys on both sides.
+func TestStrangersGetNoLink(t *testing.T) {
+	c, others := newCluster(t), newCluster(t)
+	a, b := c.node("a", nil), c.node("b", nil)
+	stranger := others.node("b", nil)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	for name, addr := range map[string]string{"other authority": stranger.server.Listener.Addr().String(), "other instance": a.server.Listener.Addr().String()} {
+		c.setAddress("c", addr)
+		var e *verdict.Error
+		if _, err := b.Call(ctx, "c", "x", nil); !errors.As(err, &e) || e.Verdict != verdict.NotRun {
+			t.Errorf("%s: %v", name, err)
+		}
+		b.Forget("c")
+	}
+	bare := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	if r, err := bare.Get(a.server.URL + DefaultPath); err == nil {
+		t.Errorf("without a key: %s", r.Status)
+	}
+	own, _ := c.authority.Issue(keys.Identity{Instance: "a", Region: "r"}, nil, time.Now(), time.Hour)
+	echo := &http.Client{Transport: &http.Transport{TLSClientConfig: own.ClientConfig("a")}}
+	r, err := echo.Get(a.server.URL + DefaultPath)
+	if err != nil || r.StatusCode != http.StatusForbidden {
+		t.Errorf("under the instance's own id: %v, %v", r, err)
+	}
+	if s := a.Stats(); s.Accepts != 0 || s.Connections != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Symptom: a test's partition lets messages through.
+// Events: a pair with an open connection is cut, and healed later.
+// Cause: the filter is asked only when connecting.
+func TestAnAllowFilterCutsAnOpenPair(t *testing.T) {
+	c := newCluster(t)
+	var isCut atomic.Bool
+	asked := make(chan struct{}, 64)
+	allow := func(string) bool {
+		if isCut.Load() {
+			asked <- struct{}{}
+			return false
+		}
+		return true
+	}
+	a, b := c.node("a", func(o *Options) { o.Allow = allow }), c.node("b", nil)
+	got := make(chan string, 16)
+	a.Handle("m", func(_ string, p []byte) { got <- "a" + string(p) })
+	b.Handle("m", func(_ string, p []byte) { got <- "b" + string(p) })
+	a.Send("b", "m", []byte("1"))
+	recv(t, got, "message")
+	isCut.Store(true)
+	a.Send("b", "m", []byte("2"))
+	b.Send("a", "m", []byte("3"))
+	recv(t, asked, "question on writing")
+	recv(t, asked, "question on reading")
+	isCut.Store(false)
+	a.Send("b", "m", []byte("4"))
+	if m := recv(t, got, "message after the cut"); m != "b4" {
+		t.Fatalf("%q passed", m)
+	}
+	b.Send("a", "m", []byte("5"))
+	if m := recv(t, got, "message after the cut"); m != "a5" {
+		t.Fatalf("%q passed", m)
+	}
+	if s := a.Stats(); s.CutIn != 1 || s.Channels["m"].Dropped != 1 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+func TestWaitsBetweenAttemptsGrowWithJitterToTheirCeiling(t *testing.T) {
+	o := Options{BackoffFloor: time.Millisecond, BackoffCeil: 50 * time.Millisecond}
+	r := rand.New(rand.NewPCG(1, 2))
+	seen := map[time.Duration]bool{}
+	for n := range 100 {
+		full := min(o.BackoffCeil, o.BackoffFloor<<min(n, 10))
+		w := o.backoff(n, r)
+		if w < full/2 || w > full {
+			t.Fatalf("wait %v after %d failures", w, n)
+		}
+		seen[w] = true
+	}
+	if len(seen) < 50 {
+		t.Fatalf("%d different waits", len(seen))
+	}
+}
--- a/coord/link/options.go
+++ b/coord/link/options.go
@@ -103,3 +103,16 @@
 		*v = def
 	}
 }
+
+// backoff draws the wait after so many failures in a row. Without the jitter
+// all peers of an instance that comes back would dial it at the same moment.
+func (o *Options) backoff(failures int, r *rand.Rand) time.Duration {
+	wait := o.BackoffFloor
+	for range failures {
+		if wait *= 2; wait >= o.BackoffCeil {
+			break
+		}
+	}
+	wait = min(wait, o.BackoffCeil)
+	return wait/2 + time.Duration(r.Int64N(int64(wait/2)+1))
+}
