--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/gullhaven/gullhaven/coord/fixedseed"
 	"github.com/gullhaven/gullhaven/operate/burn"
 )
 
--- a/metrics/served/served_test.go
+++ b/metrics/served/served_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/gullhaven/gullhaven/coord/fixedseed"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/operate/burn"
 	"github.com/gullhaven/gullhaven/pipeline"
--- a/operate/burn/burn_test.go
+++ b/operate/burn/burn_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
+
+	_ "github.com/gullhaven/gullhaven/coord/fixedseed"
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/operate/burn/history.go
+++ b/operate/burn/history.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	earlier  []Part
+	taken    uint64
 }
 
 // service is the history of one service.
@@ -158,7 +159,8 @@
 func (h *History) Snapshot(now time.Time) Snapshot {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	own := Part{Instance: h.instance, Region: h.region, Life: h.life, TakenMillis: now.UnixMilli()}
+	h.taken++
+	own := Part{Instance: h.instance, Region: h.region, Life: h.life, Sequence: h.taken, TakenMillis: now.UnixMilli()}
 	for id, s := range h.services {
 		own.Services = append(own.Services, s.part(id, now))
 	}
--- a/operate/burn/snapshot.go
+++ b/operate/burn/snapshot.go
@@ -29,13 +29,16 @@
 }
 
 // Part is what one life of an instance has seen. Of two parts of one life the
-// one that was taken later holds all of the earlier one.
+// one with the higher Sequence holds all that the other one does, but for what
+// fell out of the windows. A time could not order them: clocks are set back,
+// and two parts can be taken within a millisecond.
 type Part struct {
 	Instance    string        `cbor:"1,keyasint"`
 	Region      string        `cbor:"2,keyasint"`
 	Life        uint64        `cbor:"3,keyasint"`
 	TakenMillis int64         `cbor:"4,keyasint"`
 	Services    []ServicePart `cbor:"5,keyasint,omitempty"`
+	Sequence    uint64        `cbor:"6,keyasint"`
 }
 
 // ServicePart is what concerns one service, in slots of half a minute over an
@@ -54,7 +57,7 @@
 	Slots     Slots  `cbor:"2,keyasint"`
 }
 
-// Merge joins two snapshots: of each life of each instance the part taken last,
+// Merge joins two snapshots: of each life of each instance the last part,
 // and of each instance the last lives. It is commutative, associative and
 // idempotent, so that snapshots may travel any way, late and twice.
 func Merge(a, b Snapshot) Snapshot {
@@ -63,7 +66,7 @@
 		return cmp.Or(
 			cmp.Compare(x.Instance, y.Instance),
 			cmp.Compare(y.Life, x.Life),
-			cmp.Compare(y.TakenMillis, x.TakenMillis),
+			cmp.Compare(y.Sequence, x.Sequence),
 		)
 	})
 	var kept []Part
