metrics: the control plane, and docs/METRICS.md checked against the code

Cause: only the request path had metrics, and no page told their meaning. Conclusion: the host has to call RegisterControl.

--- /dev/null
+++ b/metrics/names_test.go
@@ -0,0 +1,85 @@
+package metrics
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// row is a line of the tables in docs/METRICS.md.
+var row = regexp.MustCompile("(?m)^\\| `(gullhaven_[a-z_]+)` \\| (\\w+) \\| (\\w+) \\| (.+) \\|$")
+
+// Symptom: a reader looks up a metric that no instance has, or finds none of one
+// that it has. Cause: the page and the code changed apart.
+func TestThePageNamesAllMetricsAndNoOther(t *testing.T) {
+	page, err := os.ReadFile("../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []Metric
+	for _, m := range row.FindAllStringSubmatch(string(page), -1) {
+		told = append(told, Metric{m[1], Kind(m[2]), m[3], m[4]})
+	}
+	for _, m := range All {
+		if !slices.Contains(told, m) {
+			t.Errorf("not on the page as it is in the code: %+v", m)
+		}
+	}
+	for _, m := range told {
+		if !slices.Contains(All, m) {
+			t.Errorf("on the page only: %+v", m)
+		}
+	}
+	if len(told) != len(All) {
+		t.Errorf("%d rows for %d metrics", len(told), len(All))
+	}
+	for _, name := range regexp.MustCompile("gullhaven_[a-z_]+").FindAllString(string(page), -1) {
+		known := func(m Metric) bool { return strings.HasPrefix(m.Name, name) }
+		if !slices.ContainsFunc(All, known) {
+			t.Errorf("the text speaks of %s", name)
+		}
+	}
+}
+
+// Symptom: a metric has a name and a page but stays out of what is scraped, or
+// shows another one's value. Cause: a list that was not extended.
+func TestAllMetricsAreWritten(t *testing.T) {
+	source, err := os.ReadFile("names.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(source), "= Metric{"); n != len(All) {
+		t.Errorf("names.go has %d metrics, All %d", n, len(All))
+	}
+	if n := reflect.TypeFor[Control]().NumField(); n != len(controlMetrics) {
+		t.Errorf("Control has %d fields, controlMetrics %d", n, len(controlMetrics))
+	}
+	s := NewSet()
+	s.Gauge(InFlight, func() int64 { return 0 })
+	s.RegisterControl(func() Control {
+		var c Control
+		v := reflect.ValueOf(&c).Elem()
+		for i := range v.NumField() {
+			v.Field(i).SetInt(int64(1000 + i))
+		}
+		return c
+	})
+	var page strings.Builder
+	if err := s.WritePage(&page); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range All {
+		if !strings.Contains(page.String(), fmt.Sprintf("# TYPE %s %s\n", m.Name, m.Kind)) {
+			t.Errorf("%s is not written", m.Name)
+		}
+	}
+	for i, m := range controlMetrics {
+		if !strings.Contains(page.String(), fmt.Sprintf("\n%s %d\n", m.metric.Name, 1000+i)) {
+			t.Errorf("%s does not show field %d of Control", m.metric.Name, i)
+		}
+	}
+}
--- a/metrics/page.go
+++ b/metrics/page.go
@@ -15,6 +15,7 @@
 
 // WritePage writes all metrics, sorted by name.
 func (s *Set) WritePage(w io.Writer) error {
+	s.refresh()
 	s.mu.Lock()
 	names := make([]string, 0, len(s.known))
 	for n := range s.known {
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -2,16 +2,20 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
-// Set is a registry with the metrics of the request path.
+// Set is a registry with the metrics of an instance.
 type Set struct {
 	registry gometrics.Registry
 	mu       sync.Mutex
 	known    map[string]Metric
 	times    map[string]*Times
+	// control is what readControl gave for the page that is being written.
+	readControl func() Control
+	control     atomic.Pointer[Control]
 
 	Requests, Answered, Refused, FailedMayHaveRun, FailedRan     gometrics.Counter
 	CutAnswers, CallersGone                                      gometrics.Counter
@@ -57,7 +61,7 @@
 	return gometrics.GetOrRegisterCounter(m.Name, s.registry)
 }
 
-// Gauge registers a gauge that is read when the page is.
+// Gauge registers a metric that is read when the page is.
 func (s *Set) Gauge(m Metric, read func() int64) {
 	s.describe(m)
 	_ = s.registry.Register(m.Name, gometrics.NewFunctionalGauge(read))
