--- /dev/null
+++ b/api/form_test.go
@@ -0,0 +1,66 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"github.com/gullhaven/gullhaven/api/gen/http/operators/server"
+	"github.com/gullhaven/gullhaven/api/gen/operators"
+	"github.com/gullhaven/gullhaven/operate"
+)
+
+func fullReport() *operators.InstanceReport {
+	lease := &operators.LeaseStatus{Instance: "malang-1", Term: 4, LeftMs: 900}
+	return &operators.InstanceReport{
+		Instance: "malang-1", Region: "jatim", Zone: "malang-hall", Roles: []string{"entry"}, Version: 3, Digest: "d",
+		Leader: "malang-1", InFlight: 1, UptimeMs: 5, Lease: lease,
+		Regions: []*operators.RegionStatus{{
+			Region: "jatim", Version: 3, Digest: "d", Reachable: true, Behind: true, AgeMs: 7, Lease: lease,
+			Lagging: []*operators.LaggingInstance{{Instance: "malang-2", Version: 2, ForMs: 60}},
+		}},
+		Targets:   []*operators.TargetStatus{{ID: "r1", Service: "s", State: "warm", Running: 2, Waiting: 1, AgeMs: 200}},
+		Instances: []*operators.InstanceStatus{{ID: "malang-1", Region: "jatim", Zone: "malang-hall", State: "alive"}},
+		Voters:    []*operators.VoterStatus{{Instance: "malang-1", Region: "jatim", State: "leader", Disk: "ok", Index: 9}},
+		Services: []*operators.ServiceStatus{{
+			Service: "s", Region: "jatim", WindowS: 300, Requests: 10, Refused: 1, Failed: 2, SentAway: 0.25, TargetSeconds: 3, Cost: 4,
+			FirstByteMs: &operators.Quantiles{P50: 1, P90: 2, P99: 3, P999: 4},
+		}},
+	}
+}
+
+// Symptom: a column of `gullhaven status` stays empty though the instance tells
+// it. Cause: the field has another name in the design than in package operate.
+func TestStatusHasTheFormThatOperatorsRead(t *testing.T) {
+	w := httptest.NewRecorder()
+	if err := server.EncodeStatusResponse(goahttp.ResponseEncoder)(context.Background(), w, fullReport()); err != nil {
+		t.Fatal(err)
+	}
+	sent := w.Body.Bytes()
+	decoder := json.NewDecoder(bytes.NewReader(sent))
+	decoder.DisallowUnknownFields()
+	var read operate.Status
+	if err := decoder.Decode(&read); err != nil {
+		t.Fatal(err)
+	}
+	again, err := json.Marshal(read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x, y any
+	if err := json.Unmarshal(sent, &x); err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(again, &y); err != nil {
+		t.Fatal(err)
+	}
+	a, _ := json.Marshal(x)
+	b, _ := json.Marshal(y)
+	if !bytes.Equal(a, b) {
+		t.Fatalf("sent %s\nread %s", a, b)
+	}
+}
--- a/operate/cli/status_table.go
+++ b/operate/cli/status_table.go
@@ -41,6 +41,7 @@
 		strings.Join(s.Roles, ", "), millisText(s.UptimeMillis), s.InFlight)
 	_, _ = fmt.Fprintf(out, "bundle: version %d, digest %s\n", s.Version, s.Digest)
 	_, _ = fmt.Fprintf(out, "leader: %s%s\n", orNone(s.Leader), lease(s.Lease))
+	printTrouble(out, s.Trouble())
 	printRegions(out, s)
 	if len(s.Voters) > 0 {
 		printVoters(out, s)
@@ -60,6 +61,13 @@
 	return fmt.Sprintf(" (%s, term %d, lease %d ms)", l.Instance, l.Term, l.LeftMillis)
 }
 
+// printTrouble tells what to look at first.
+func printTrouble(out io.Writer, trouble []string) {
+	for _, line := range trouble {
+		_, _ = fmt.Fprintf(out, "! %s\n", line)
+	}
+}
+
 // printRegions says who is behind, and for how long.
 func printRegions(out io.Writer, s *operate.Status) {
 	t := newTable(out, "REGIONS", "region", "version", "state", "heard", "leader", "lagging")
@@ -112,11 +120,11 @@
 
 func printServices(out io.Writer, s *operate.Status) {
 	t := newTable(out, "SERVICES (first byte in ms)", "service", "region", "window", "requests", "refused",
-		"sent away", "cost", "p50", "p90", "p99", "p99.9")
+		"failed", "sent away", "target s", "cost", "p50", "p90", "p99", "p99.9")
 	for _, x := range s.Services {
 		q := x.FirstByte
 		t.row(x.Service, x.Region, fmt.Sprintf("%.0f s", x.WindowSeconds), fmt.Sprint(x.Requests), fmt.Sprint(x.Refused),
-			fmt.Sprintf("%.2f%%", x.SentAway*100), fmt.Sprintf("%.1f", x.Cost),
+			fmt.Sprint(x.Failed), fmt.Sprintf("%.2f%%", x.SentAway*100), fmt.Sprintf("%.1f", x.TargetSeconds), fmt.Sprintf("%.1f", x.Cost),
 			millis(q.P50), millis(q.P90), millis(q.P99), millis(q.P999))
 	}
 	t.end()
--- a/operate/status.go
+++ b/operate/status.go
@@ -3,6 +3,7 @@
 package operate
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/gullhaven/gullhaven/bundle"
@@ -122,9 +123,14 @@
 	// WindowSeconds is the time that the figures cover.
 	WindowSeconds float64 `json:"window_s"`
 	Requests      uint64  `json:"requests"`
-	Refused       uint64  `json:"refused"`
+	// Refused requests were not run; Failed ones may have run.
+	Refused uint64 `json:"refused"`
+	Failed  uint64 `json:"failed"`
 	// SentAway is the share of requests served outside of the home region, 0 to 1.
 	SentAway float64 `json:"sent_away"`
+	// TargetSeconds is the time that requests held slots, by the slots of their
+	// targets.
+	TargetSeconds float64 `json:"target_seconds"`
 	// Cost of serving, in the unit of the targets' cost_per_second.
 	Cost float64 `json:"cost"`
 	// FirstByte is the time to the first byte of an answer.
@@ -151,3 +157,37 @@
 	}
 	return lacking
 }
+
+// Trouble lists in a line each what an operator should look at first; empty if
+// nothing is known to be wrong.
+func (s *Status) Trouble() []string {
+	var list []string
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	if s.Leader == "" && s.Lease == nil && slices.Contains(s.Roles, "voter") {
+		add("the global log has no leader that this instance knows of: no bundle can be accepted")
+	}
+	for _, r := range s.Regions {
+		switch {
+		case !r.Reachable:
+			add("region %s is cut off from %s; it serves on under the bundle that it has", r.Region, s.Region)
+		case r.Behind:
+			add("region %s is behind at version %d", r.Region, r.Version)
+		}
+	}
+	for _, v := range s.Voters {
+		if v.Disk != "ok" || v.State == "unreachable" {
+			add("voter %s is %s, its disk %s", v.Instance, v.State, v.Disk)
+		}
+	}
+	for _, i := range s.Instances {
+		if i.State == "suspect" || i.State == "dead" {
+			add("instance %s is %s", i.ID, i.State)
+		}
+	}
+	for _, t := range s.Targets {
+		if t.State == "down" || t.State == "suspect" {
+			add("target %s of %s is %s", t.ID, t.Service, t.State)
+		}
+	}
+	return list
+}
--- a/operate/status_test.go
+++ b/operate/status_test.go
@@ -22,3 +22,34 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// Symptom: a status that looks fine while something is down. Cause: a state that
+// no line is told of.
+func TestTrouble(t *testing.T) {
+	healthy := operate.Status{
+		Roles: []string{"entry", "voter"}, Leader: "a",
+		Regions:   []operate.RegionStatus{{Region: "jatim", Version: 7, Reachable: true}},
+		Voters:    []operate.VoterStatus{{Instance: "a", State: "leader", Disk: "ok"}},
+		Instances: []operate.InstanceStatus{{ID: "a", State: "alive"}, {ID: "b", State: "leaving"}},
+		Targets:   []operate.TargetStatus{{ID: "r1", State: "warm"}, {ID: "r2", State: "loading"}},
+	}
+	if got := healthy.Trouble(); len(got) > 0 {
+		t.Errorf("healthy, but %q", got)
+	}
+	for name, fault := range map[string]func(*operate.Status){
+		"no leader":    func(s *operate.Status) { s.Leader = "" },
+		"cut off":      func(s *operate.Status) { s.Regions = []operate.RegionStatus{{Region: "jatim"}} },
+		"behind":       func(s *operate.Status) { s.Regions = []operate.RegionStatus{{Reachable: true, Behind: true}} },
+		"empty disk":   func(s *operate.Status) { s.Voters = []operate.VoterStatus{{State: "follower", Disk: "empty"}} },
+		"lost voter":   func(s *operate.Status) { s.Voters = []operate.VoterStatus{{State: "unreachable", Disk: "ok"}} },
+		"dead":         func(s *operate.Status) { s.Instances = []operate.InstanceStatus{{State: "dead"}} },
+		"target down":  func(s *operate.Status) { s.Targets = []operate.TargetStatus{{State: "down"}} },
+		"suspect work": func(s *operate.Status) { s.Targets = []operate.TargetStatus{{State: "suspect"}} },
+	} {
+		s := healthy
+		fault(&s)
+		if got := s.Trouble(); len(got) != 1 {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
