Tell who is alive in a region at a constant cost per instance

Cause: links, leases and relays need to know who answers, without a message from each to each. Change: a sans-I/O group after SWIM and Lifeguard: round-robin probes, probes through others, suspicion before death, refutation by incarnation, updates on probes and bounded gossip, bucket digests compared with one random member, probes of dead members so that two sides find each other again, leaving, the platform's list as a hint, and a new start of all timers after a freeze.

--- a/coord/link/rig_test.go
+++ b/coord/link/rig_test.go
@@ -74,7 +74,7 @@
 			default:
 			}
 		},
-		MaxAge:  bound,
+		MaxAge: bound,
 	}
 	if change != nil {
 		change(&o)
--- /dev/null
+++ b/coord/membership/merge.go
@@ -0,0 +1,158 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// updateSource says how an update came.
+type updateSource uint8
+
+const (
+	fromGossip updateSource = iota
+	fromSync
+)
+
+// compareBelief orders beliefs of one member: a higher incarnation first, then
+// the state. Taking the higher one is a join, so the order in which updates
+// arrive, and how often, makes no difference in the end.
+func compareBelief(inc uint64, s State, inc2 uint64, s2 State) int {
+	if c := cmp.Compare(inc, inc2); c != 0 {
+		return c
+	}
+	return cmp.Compare(s, s2)
+}
+
+// apply takes in an update and reports whether it is older than what is held.
+func (g *Group) apply(now time.Time, u *Update, source updateSource) (outdated bool) {
+	if u.ID == g.self.ID {
+		g.refute(now, u)
+		return false
+	}
+	m := g.members[u.ID]
+	if m == nil {
+		g.meet(now, u)
+		return false
+	}
+	c := compareBelief(u.Incarnation, u.State, m.Incarnation, m.state)
+	switch {
+	case c < 0:
+		return true
+	case c == 0:
+		g.confirm(m, u)
+	case u.State == Dead && source == fromSync && (m.state == Alive || m.state == Suspect):
+		// After a partition each side holds the other for dead. Taking that
+		// over would let a comparison of views kill everybody who answers
+		// here. A suspicion gives them the time to refute.
+		g.suspect(now, m, u.Incarnation, "")
+	case u.State == Suspect:
+		g.suspect(now, m, u.Incarnation, u.By)
+	default:
+		g.adopt(now, m, u)
+	}
+	return false
+}
+
+// meet adds a member that was unknown. A suspicion tells too little of it; that
+// somebody is dead or has left is remembered against late news of its life.
+func (g *Group) meet(now time.Time, u *Update) {
+	if u.State == Suspect {
+		return
+	}
+	m := &member{Member: Member{ID: u.ID}, state: Left}
+	g.members[u.ID] = m
+	g.candidates = slices.DeleteFunc(g.candidates, func(id string) bool { return id == u.ID })
+	if u.State == Alive {
+		g.syncer.soon(now)
+	}
+	g.adopt(now, m, u)
+}
+
+// adopt takes over an Alive, Dead or Left update.
+func (g *Group) adopt(now time.Time, m *member, u *Update) {
+	wasDead := m.state == Dead
+	m.Incarnation = u.Incarnation
+	if u.Info != nil {
+		m.Region, m.Zone, m.Address = u.Info.Region, u.Info.Zone, u.Info.Address
+		m.Roles, m.Meta = u.Info.Roles, u.Info.Meta
+	}
+	g.setState(now, m, u.State)
+	if wasDead && u.State == Alive {
+		// Whoever comes back may be the other side of a healed partition.
+		g.syncer.with = m.ID
+		g.syncer.soon(now)
+	}
+	g.enqueue(g.update(m))
+}
+
+// refute answers a wrong belief of this instance by a higher incarnation.
+func (g *Group) refute(now time.Time, u *Update) {
+	c := compareBelief(u.Incarnation, u.State, g.self.Incarnation, g.self.state)
+	same := c == 0 && (u.State != Alive || u.Info.equal(infoOf(&g.self.Member)))
+	// The last incarnation can't be refuted; no honest instance gets there.
+	if c < 0 || same || u.Incarnation == math.MaxUint64 {
+		return
+	}
+	g.self.Incarnation = u.Incarnation + 1
+	g.enqueue(g.update(g.self))
+	if u.State == Suspect {
+		g.worsen()
+	}
+}
+
+// setState changes the state and what depends on it.
+func (g *Group) setState(now time.Time, m *member, s State) {
+	m.state = s
+	m.since = now
+	if s != Suspect {
+		m.suspicion = nil
+	}
+	g.events = append(g.events, Event{At: now, State: s, Member: m.Member})
+	if len(g.events) > maxEvents {
+		g.events = g.events[len(g.events)-maxEvents:]
+	}
+	if m != g.self {
+		g.peers = file(g.peers, m.ID, s == Alive || s == Suspect)
+		g.suspected = file(g.suspected, m.ID, s == Suspect)
+		g.dead = file(g.dead, m.ID, s == Dead)
+	}
+}
+
+// file puts an id into a list or out of it.
+func file(list []string, id string, in bool) []string {
+	i := slices.Index(list, id)
+	switch {
+	case in && i < 0:
+		return append(list, id)
+	case !in && i >= 0:
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+// update is what to tell of a member.
+func (g *Group) update(m *member) Update {
+	switch m.state {
+	case Alive:
+		return aliveUpdate(&m.Member)
+	case Suspect:
+		return Update{State: Suspect, Incarnation: m.Incarnation, ID: m.ID, By: g.self.ID}
+	default:
+		return Update{State: m.state, Incarnation: m.Incarnation, ID: m.ID}
+	}
+}
+
+func aliveUpdate(m *Member) Update {
+	return Update{State: Alive, Incarnation: m.Incarnation, ID: m.ID, Info: infoOf(m)}
+}
+
+func infoOf(m *Member) *Info {
+	return &Info{Region: m.Region, Zone: m.Zone, Address: m.Address, Roles: m.Roles, Meta: m.Meta}
+}
+
+func (i *Info) equal(o *Info) bool {
+	return i.Region == o.Region && i.Zone == o.Zone && i.Address == o.Address &&
+		slices.Equal(i.Roles, o.Roles) && slices.Equal(i.Meta, o.Meta)
+}
--- /dev/null
+++ b/coord/membership/sync.go
@@ -0,0 +1,175 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// buckets is how many digests a view is cut into; Message.Want has a bit
+	// for each.
+	buckets = 64
+	// maxPages bounds the messages that one comparison sends each way; the
+	// rest follows in the next one.
+	maxPages = 4
+)
+
+// syncer is the state of the periodic comparison of views.
+type syncer struct {
+	nextAt time.Time
+	// with, if set, is compared with next.
+	with string
+	// seq is of the last Sync sent since a freeze, which its answer repeats.
+	seq uint64
+	// behind is set while the last comparison found a difference.
+	behind bool
+}
+
+// soon brings the next comparison forward.
+func (s *syncer) soon(now time.Time) {
+	if !s.behind {
+		s.behind = true
+		s.nextAt = now
+	}
+}
+
+func (g *Group) tickSync(now time.Time, out []Out) []Out {
+	s := &g.syncer
+	interval := g.cfg.SyncInterval
+	if s.behind {
+		interval = g.cfg.ProbeInterval
+	}
+	if !g.due(now, &s.nextAt, interval) {
+		return out
+	}
+	g.prune(now)
+	to := s.with
+	s.with = ""
+	if to == "" {
+		picked := g.randomPeers(1, "")
+		if len(picked) == 0 {
+			return out
+		}
+		to = picked[0]
+	}
+	g.prober.seq++
+	s.seq = g.prober.seq
+	m := Message{Kind: Sync, Seq: s.seq, Updates: []Update{g.update(g.self)}, Digests: g.digests()}
+	return append(out, Out{To: to, Message: m})
+}
+
+// digests sums up who is alive, at which incarnation. Suspicions come and go
+// and are left out, and so are dead and left members, which instances forget at
+// different times.
+func (g *Group) digests() []uint32 {
+	d := make([]uint32, buckets)
+	for id, m := range g.members {
+		if m.state == Alive || m.state == Suspect {
+			h := xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(id), m.Incarnation))
+			d[bucket(id)] ^= uint32(h)
+		}
+	}
+	return d
+}
+
+func bucket(id string) int { return int(xxhash.Sum64String(id) % buckets) }
+
+// stepSync answers with the entries of the buckets that differ.
+func (g *Group) stepSync(from string, m Message) []Out {
+	var want uint64
+	for i, d := range g.digests() {
+		if len(m.Digests) == buckets && m.Digests[i] != d {
+			want |= 1 << i
+		}
+	}
+	pages := g.pages(want)
+	out := []Out{{To: from, Message: Message{Kind: SyncReply, Seq: m.Seq, Want: want}}}
+	if len(pages) > 0 {
+		out[0].Message.Updates = pages[0]
+		out = append(out, pushes(from, pages[1:])...)
+	}
+	return append(out, g.contradict(from, false)...)
+}
+
+// stepSyncReply sends what the other one lacks.
+func (g *Group) stepSyncReply(now time.Time, from string, m Message) []Out {
+	s := &g.syncer
+	if s.seq == 0 || m.Seq != s.seq {
+		// An answer to a comparison before a freeze says nothing of now.
+		return g.contradict(from, false)
+	}
+	g.freeze.synced = true
+	if m.Want == 0 {
+		s.behind = false
+		return g.contradict(from, false)
+	}
+	s.soon(now.Add(g.cfg.ProbeInterval))
+	return pushes(from, g.pages(m.Want))
+}
+
+func pushes(to string, pages [][]Update) []Out {
+	var out []Out
+	for _, p := range pages {
+		out = append(out, Out{To: to, Message: Message{Kind: SyncPush, Updates: p}})
+	}
+	return out
+}
+
+// pages returns the entries of some buckets, dead and left ones too, in up to
+// maxPages messages, beginning at a random bucket so that each gets its turn.
+func (g *Group) pages(want uint64) [][]Update {
+	if want == 0 {
+		return nil
+	}
+	start := g.rng.IntN(buckets)
+	var ids []string
+	for id := range g.members {
+		if want&(1<<bucket(id)) != 0 {
+			ids = append(ids, id)
+		}
+	}
+	turn := func(id string) int { return (bucket(id) + buckets - start) % buckets }
+	slices.SortFunc(ids, func(a, b string) int {
+		if c := turn(a) - turn(b); c != 0 {
+			return c
+		}
+		if a < b {
+			return -1
+		}
+		return 1
+	})
+	return g.fillPages(ids)
+}
+
+func (g *Group) fillPages(ids []string) [][]Update {
+	var pages [][]Update
+	room := 0
+	for _, id := range ids {
+		u := g.update(g.members[id])
+		size := updateSize(&u)
+		if size > room {
+			if len(pages) == maxPages {
+				break
+			}
+			pages = append(pages, nil)
+			room = g.cfg.MaxBytes - headerBytes
+		}
+		room -= size
+		last := len(pages) - 1
+		pages[last] = append(pages[last], u)
+	}
+	return pages
+}
+
+// prune forgets members that are dead or have left for long.
+func (g *Group) prune(now time.Time) {
+	for id, m := range g.members {
+		if (m.state == Dead || m.state == Left) && m != g.self && now.Sub(m.since) > g.cfg.Retain {
+			delete(g.members, id)
+			g.dead = file(g.dead, id, false)
+		}
+	}
+}
