node/placing: test a rolling change over HTTP

Cause: the shell had no test. Change: three stand-in engines behind HTTP, of which one ignores fencing numbers, change their version while four callers stream. A guard before each engine checks orders against what is true when they arrive.

--- /dev/null
+++ b/node/placing/placing_test.go
@@ -0,0 +1,223 @@
+package placing_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/node/placing"
+	"github.com/gullhaven/gullhaven/placement"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/enginehttp"
+	"github.com/gullhaven/gullhaven/ports/sending"
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+// leads is a leadership that is never lost.
+type leads struct{}
+
+func (leads) Term() (uint64, bool) { return 1, true }
+
+const engines = 3
+
+// fleet is a region of stand-in engines behind their HTTP interface.
+type fleet struct {
+	stand     []*standin.Engine
+	addresses []string
+	set       *enginehttp.Set
+}
+
+func newFleet(t *testing.T) *fleet {
+	tr := sending.NewTransports(sending.Options{})
+	t.Cleanup(tr.Close)
+	f := &fleet{set: enginehttp.NewSet(tr)}
+	for i := range engines {
+		e := standin.NewEngine(standin.EngineConfig{
+			ID: fmt.Sprintf("e%d", i), PerToken: time.Millisecond, LoadTime: 50 * time.Millisecond, IgnoresFence: i == 0,
+		})
+		s := httptest.NewServer(f.guard(t, e))
+		t.Cleanup(s.Close)
+		f.stand = append(f.stand, e)
+		f.addresses = append(f.addresses, strings.TrimPrefix(s.URL, "http://"))
+	}
+	return f
+}
+
+// guard stands before an engine and checks orders against what is true then: the
+// stand-in itself loads beside requests without harm.
+func (f *fleet) guard(t *testing.T, e *standin.Engine) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == enginehttp.PathOrders {
+			body, err := io.ReadAll(r.Body)
+			var o ports.Order
+			if err != nil || json.Unmarshal(body, &o) != nil {
+				t.Errorf("malformed order %q", body)
+			}
+			f.check(t, e, o.Kind)
+			r.Body = io.NopCloser(bytes.NewReader(body))
+		}
+		e.ServeHTTP(w, r)
+	})
+}
+
+func (f *fleet) check(t *testing.T, e *standin.Engine, kind ports.OrderKind) {
+	own := report(t, e)
+	if kind == ports.OrderLoadVersion && own.Running+own.Waiting > 0 {
+		t.Errorf("load of a version beside %d requests in progress", own.Running+own.Waiting)
+	}
+	if kind != ports.OrderDrain || own.Version == "" {
+		return
+	}
+	for _, o := range f.stand {
+		if o != e && report(t, o).Draining {
+			t.Error("a second engine of three drained")
+		}
+	}
+}
+
+// report asks a stand-in past its server.
+func report(t *testing.T, e *standin.Engine) (l ports.LoadReport) {
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, enginehttp.PathLoad, nil))
+	if err := json.Unmarshal(w.Body.Bytes(), &l); err != nil {
+		t.Errorf("load report: %v", err)
+	}
+	return l
+}
+
+// bundle wants a version of all engines of the fleet.
+func (f *fleet) bundle(version string) *bundle.Bundle {
+	b := &bundle.Bundle{
+		Models: []bundle.Model{{
+			ID:       "m",
+			Versions: []bundle.ModelVersion{{ID: "v1", Weights: "w1", SizeBytes: 1}, {ID: "v2", Weights: "w2", SizeBytes: 1}},
+			Adapters: []bundle.Adapter{{ID: "a", Weights: "wa", SizeBytes: 1}},
+		}},
+		Services: []bundle.Service{{ID: "s", Kind: bundle.KindModel, Model: "m", Version: version, Adapters: []string{"a"}}},
+		Rules:    bundle.Rules{DrainSeconds: 30, WeightStoreBytesPerSecond: 1000, MaxConcurrentLoads: 2},
+	}
+	for i, a := range f.addresses {
+		b.Targets = append(b.Targets, bundle.Target{
+			ID: fmt.Sprintf("e%d", i), Service: "s", Region: "r", State: bundle.TargetActive, Address: a, Slots: 8,
+			ChecksFence: i != 0, OrderExpiryMillis: 200,
+		})
+	}
+	return b
+}
+
+// service runs the placement with short times in place of those of a region.
+func (f *fleet) service(t *testing.T) *placing.Service {
+	ms := time.Millisecond
+	o := placement.Options{ReportLag: 20 * ms, SpreadTime: 20 * ms, PollInterval: 10 * ms, RetryBase: 50 * ms}
+	o.Lease.Duration, o.Lease.Drift = 500*ms, 0.005
+	s := placing.New(placing.Options{
+		Region: "r", Engines: f.set, Leadership: leads{}, Log: zap.NewNop(), Planner: o, Tick: 10 * ms,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { s.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return s
+}
+
+// await waits until all engines have a version and take work; the time is
+// bounded by the test's own.
+func (f *fleet) await(t *testing.T, s *placing.Service, version string) {
+	for t.Context().Err() == nil {
+		done := len(s.Status().Targets) == engines
+		for _, target := range s.Status().Targets {
+			done = done && target.Reached
+		}
+		for _, a := range f.addresses {
+			r, err := f.set.Engine(a).Load(t.Context())
+			done = done && err == nil && r.Version == version && !r.Draining
+		}
+		if done {
+			return
+		}
+		time.Sleep(5 * time.Millisecond) // Paces the questions; nothing rests on it.
+	}
+}
+
+// caller streams requests until stop, going on to the next engine where one
+// takes no more, as the request path does.
+func (f *fleet) caller(ctx context.Context, n int, stop *atomic.Bool, whole *atomic.Int64) error {
+	body := []byte(`{"model":"s","stream":true,"max_tokens":20,"prompt":"hello"}`)
+	for i := n; !stop.Load(); i++ {
+		c := ports.Completion{Attempt: ports.AttemptID(fmt.Sprintf("%d-%d", n, i)), Stream: true, Body: body}
+		stream, err := f.set.Engine(f.addresses[i%engines]).Complete(ctx, c)
+		if err != nil {
+			if !strings.Contains(err.Error(), string(ports.CodeRejected)) {
+				return err
+			}
+			continue
+		}
+		for err == nil {
+			_, err = stream.Next()
+		}
+		stream.Close()
+		if err != io.EOF {
+			return err
+		}
+		whole.Add(1)
+	}
+	return nil
+}
+
+// Symptom: a roll of a new version cuts off answers under way, or leaves an
+// engine with the old one.
+// Events: a bundle with a new version arrives while requests stream from all
+// three engines.
+// Cause: loading before the requests in progress have ended.
+func TestRollOfVersionCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	s := f.service(t)
+	s.SetBundle(f.bundle("v1"))
+	f.await(t, s, "v1")
+	before := make([]int, engines)
+	for i, e := range f.stand {
+		before[i] = len(e.Orders())
+	}
+	var stop atomic.Bool
+	var whole atomic.Int64
+	errs := make(chan error, 4)
+	for n := range cap(errs) {
+		go func() { errs <- f.caller(t.Context(), n*1000, &stop, &whole) }()
+	}
+	s.SetBundle(f.bundle("v2"))
+	f.await(t, s, "v2")
+	stop.Store(true)
+	for range cap(errs) {
+		if err := <-errs; err != nil {
+			t.Errorf("an answer ended with %v", err)
+		}
+	}
+	if whole.Load() == 0 {
+		t.Error("no request was answered during the roll")
+	}
+	want := []ports.OrderKind{ports.OrderDrain, ports.OrderLoadVersion, ports.OrderLoadAdapter, ports.OrderResume}
+	for i, e := range f.stand {
+		var kinds []ports.OrderKind
+		for _, o := range e.Orders()[before[i]:] {
+			kinds = append(kinds, o.Kind)
+		}
+		if fmt.Sprint(kinds) != fmt.Sprint(want) {
+			t.Errorf("engine %d got %v, want %v", i, kinds, want)
+		}
+		if e.Counts().Cancelled != 0 {
+			t.Errorf("engine %d: %+v", i, e.Counts())
+		}
+	}
+}
