--- a/route/filter_adapter.go
+++ b/route/filter_adapter.go
@@ -6,8 +6,6 @@
 // load adapters on demand.
 type adapterFilter struct{}
 
-func (adapterFilter) Name() string { return "adapter" }
-
 func (adapterFilter) Apply(s *Snapshot, in []Candidate) []Candidate {
 	if s.Request.Adapter == "" || s.Config.AdapterLoad > 0 {
 		return in
--- a/route/filter_health.go
+++ b/route/filter_health.go
@@ -5,8 +5,6 @@
 // than a certain refusal.
 type healthFilter struct{}
 
-func (healthFilter) Name() string { return "health" }
-
 func (healthFilter) Apply(_ *Snapshot, in []Candidate) []Candidate {
 	return keepSome(in, func(c *Candidate) bool { return c.Health == Healthy })
 }
--- a/route/filter_residency.go
+++ b/route/filter_residency.go
@@ -5,8 +5,6 @@
 // residencyFilter drops targets outside the regions that the request allows.
 type residencyFilter struct{}
 
-func (residencyFilter) Name() string { return "residency" }
-
 func (residencyFilter) Apply(s *Snapshot, in []Candidate) []Candidate {
 	q := s.Request
 	if len(q.Regions) == 0 {
--- a/route/filter_slowstart.go
+++ b/route/filter_slowstart.go
@@ -6,8 +6,6 @@
 // drop all, it drops none.
 type slowStartFilter struct{}
 
-func (slowStartFilter) Name() string { return "slow-start" }
-
 func (slowStartFilter) Apply(s *Snapshot, in []Candidate) []Candidate {
 	ramp := s.Config.SlowStart.Seconds()
 	return keepSome(in, func(c *Candidate) bool {
--- a/route/filter_tried.go
+++ b/route/filter_tried.go
@@ -5,8 +5,6 @@
 // triedFilter drops targets that an earlier attempt was sent to.
 type triedFilter struct{}
 
-func (triedFilter) Name() string { return "tried" }
-
 func (triedFilter) Apply(s *Snapshot, in []Candidate) []Candidate {
 	tried := s.Request.Tried
 	if len(tried) == 0 {
--- a/route/guard.go
+++ b/route/guard.go
@@ -1,6 +1,9 @@
 package route
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 const (
 	// greyEvery is how often, in seconds, grey targets are looked for.
@@ -56,16 +59,16 @@
 	}
 }
 
-// lookForGrey ejects the targets that are slower than EjectFactor times the
-// median, the slowest first, never more than EjectShare of the service.
+// lookForGrey is the regular look at a service: what was learned fades, and the
+// targets that are slower than EjectFactor times the median are ejected.
 func (r *Router) lookForGrey(s *service, now float64) {
 	if now-s.greyAt < greyEvery {
 		return
 	}
 	s.greyAt = now
+	s.prefill, s.warm = 0, 0
 	r.slow = r.slow[:0]
 	barred := 0
-	s.prefill, s.warm = 0, 0
 	for _, t := range s.list {
 		t.speed.fade(now)
 		t.learned()
@@ -78,32 +81,25 @@
 		}
 		r.slow = append(r.slow, slowTarget{t, r.slowness(t, now)})
 	}
+	slices.SortStableFunc(r.slow, slowestFirst)
+	r.ejectSlow(now, int(r.cfg.EjectShare*float64(len(s.list)))-barred)
+}
+
+// ejectSlow ejects the slowest first, at most so many.
+func (r *Router) ejectSlow(now float64, most int) {
 	if len(r.slow) < 2 {
 		return
 	}
-	slices.SortStableFunc(r.slow, func(a, b slowTarget) int {
-		switch {
-		case a.factor > b.factor:
-			return -1
-		case a.factor < b.factor:
-			return 1
-		}
-		return 0
-	})
 	median := max(1, r.slow[len(r.slow)/2].factor)
-	bound := int(r.cfg.EjectShare * float64(len(s.list)))
 	for _, v := range r.slow {
-		if v.factor < r.cfg.EjectFactor*median {
-			break
+		if most <= 0 || v.factor < r.cfg.EjectFactor*median {
+			return
 		}
 		if v.t.guard.state(now) != Healthy {
 			continue
 		}
-		if barred >= bound {
-			break
-		}
 		v.t.guard.bar(now, Ejected, r.cfg.EjectFor.Seconds())
-		barred++
+		most--
 	}
 }
 
@@ -113,6 +109,8 @@
 	factor float64
 }
 
+func slowestFirst(a, b slowTarget) int { return cmp.Compare(b.factor, a.factor) }
+
 // slowness is the learned factor, or more if the target has stalled: one that
 // has stopped gives no observations.
 func (r *Router) slowness(t *target, now float64) float64 {
--- a/route/picker_softmin.go
+++ b/route/picker_softmin.go
@@ -17,8 +17,6 @@
 	rng *rand.Rand
 }
 
-func (softminPicker) Name() string { return "softmin" }
-
 func (p softminPicker) Pick(s *Snapshot, in []Candidate) int {
 	best := 0
 	for i := range in {
--- a/route/plugins_test.go
+++ b/route/plugins_test.go
@@ -150,3 +150,23 @@
 		t.Fatalf("%d blocks left", len(x.holders))
 	}
 }
+
+// Symptom: a block that all targets hold makes the index grow and every lookup
+// slow. Cause: no bound on the holders remembered.
+func TestPrefixIndexBoundsHolders(t *testing.T) {
+	x := newPrefixIndex()
+	var all []*blockLRU
+	for i := range int32(2 * maxHolders) {
+		all = append(all, newBlockLRU(x, i, 8))
+		all[i].store(7)
+	}
+	if n := len(x.holders[7]); n != maxHolders {
+		t.Fatalf("%d holders", n)
+	}
+	for _, c := range all {
+		c.clear()
+	}
+	if len(x.holders) != 0 {
+		t.Fatalf("%d blocks left", len(x.holders))
+	}
+}
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -349,3 +349,25 @@
 		}
 	}
 }
+
+// Symptom: long queues at targets whose caches were lost.
+// Events: the engine tells smaller hits than predicted.
+// Cause: predictions that never look at what came of them.
+func TestTrustFollowsTheHitsTold(t *testing.T) {
+	v := &target{trust: 1}
+	for range 30 {
+		v.sawHit(1000, 0)
+	}
+	low := v.trust
+	v.sawHit(1000, -1)
+	v.sawHit(0, 50)
+	if low > 0.1 || v.trust != low {
+		t.Fatalf("trust %v, then %v without an observation", low, v.trust)
+	}
+	for range 30 {
+		v.sawHit(500, 2000)
+	}
+	if v.trust < 0.9 || v.trust > 1 {
+		t.Fatalf("trust %v after good hits", v.trust)
+	}
+}
--- a/route/router.go
+++ b/route/router.go
@@ -100,26 +100,32 @@
 	return r.admit(now, s, q, cands)
 }
 
-// candidatesFor takes the snapshot of a service and filters it.
+// takeSnapshot sets the snapshot of a request, without its candidates.
+func (r *Router) takeSnapshot(now time.Time, s *service, q *Request) {
+	r.snapshot = Snapshot{Request: q, Config: &r.cfg, HoldTime: s.hold, Model: s.model}
+	v := &r.snapshot
+	v.MemoryHold = s.memory.holdTime()
+	v.Memory = s.memory.perToken() * float64(q.PromptTokens+q.OutputTokens)
+	v.Stretch = 1 / (1 - s.overtaken(r.seconds(now), priority(q), s.others(&r.cfg)))
+	v.setBounds(now, q)
+	if !s.model {
+		return
+	}
+	known := s.index.lookup(q.Prefix)
+	if known < len(q.Prefix) {
+		v.NewPrefix = q.Prefix[known]
+		v.NewTokens = float64((len(q.Prefix) - known) * PrefixBlockTokens)
+	}
+}
+
+// candidatesFor takes the snapshot of a service and filters its targets.
 func (r *Router) candidatesFor(now time.Time, s *service, q *Request) []Candidate {
 	at := r.seconds(now)
 	r.lookForGrey(s, at)
-	known := 0
-	if s.model {
-		known = s.index.lookup(q.Prefix)
-	}
-	r.snapshot = Snapshot{Request: q, Config: &r.cfg, HoldTime: s.hold, Model: s.model}
-	r.snapshot.MemoryHold = s.memory.holdTime()
+	r.takeSnapshot(now, s, q)
 	perToken, perRequest := s.memory.perToken(), s.memory.perRequest()
-	r.snapshot.Memory = perToken * float64(q.PromptTokens+q.OutputTokens)
-	r.snapshot.setBounds(now, q)
-	if known < len(q.Prefix) {
-		r.snapshot.NewPrefix = q.Prefix[known]
-		r.snapshot.NewTokens = float64((len(q.Prefix) - known) * PrefixBlockTokens)
-	}
 	p := s.peers(&r.cfg)
 	ahead, _ := s.byPriority.of(priority(q))
-	r.snapshot.Stretch = 1 / (1 - s.overtaken(at, priority(q), s.others(&r.cfg)))
 	stale := r.cfg.ReportStale.Seconds()
 	for len(r.candidates) < len(s.list) {
 		r.candidates = append(r.candidates, Candidate{})
--- a/route/scorer_adapter.go
+++ b/route/scorer_adapter.go
@@ -6,8 +6,6 @@
 // seconds; 0 where it is, or where none is asked for.
 type adapterScorer struct{}
 
-func (adapterScorer) Name() string { return "adapter" }
-
 func (adapterScorer) Score(s *Snapshot, in []Candidate) {
 	wait := s.Config.AdapterLoad.Seconds()
 	if s.Request.Adapter == "" || wait == 0 {
--- a/route/scorer_kv.go
+++ b/route/scorer_kv.go
@@ -5,8 +5,6 @@
 // under KVHigh; else up to several MemoryHold. In seconds; lower is better.
 type kvScorer struct{}
 
-func (kvScorer) Name() string { return "kvcache" }
-
 func (kvScorer) Score(s *Snapshot, in []Candidate) {
 	if !s.Model {
 		return
--- a/route/scorer_prefix.go
+++ b/route/scorer_prefix.go
@@ -9,8 +9,6 @@
 // ones, so that a new prefix does not go cold to every target in turn.
 type prefixScorer struct{}
 
-func (prefixScorer) Name() string { return "prefix" }
-
 func (prefixScorer) Score(s *Snapshot, in []Candidate) {
 	if !s.Model {
 		return
--- a/route/scorer_queue.go
+++ b/route/scorer_queue.go
@@ -7,8 +7,6 @@
 // better. It also sets the predicted first token and finish.
 type queueScorer struct{}
 
-func (queueScorer) Name() string { return "queue" }
-
 func (queueScorer) Score(s *Snapshot, in []Candidate) {
 	q := s.Request
 	for i := range in {
--- a/route/scorer_zone.go
+++ b/route/scorer_zone.go
@@ -4,8 +4,6 @@
 // target of the own zone gets 0.
 type zoneScorer struct{}
 
-func (zoneScorer) Name() string { return "zone" }
-
 func (zoneScorer) Score(s *Snapshot, in []Candidate) {
 	trip := 2 * s.Config.ZoneDelay.Seconds()
 	for i := range in {
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -109,20 +109,17 @@
 // Filter drops candidates that must not be used. It works in place and returns
 // what is left, in the same order.
 type Filter interface {
-	Name() string
 	Apply(s *Snapshot, in []Candidate) []Candidate
 }
 
 // Scorer adds to the score of each candidate, in seconds. All speak of the same
 // unit, so that no weights between them are needed.
 type Scorer interface {
-	Name() string
 	Score(s *Snapshot, in []Candidate)
 }
 
 // Picker chooses one of at least one scored candidates.
 type Picker interface {
-	Name() string
 	Pick(s *Snapshot, in []Candidate) int
 }
 
