route: look at a part of a large service

Cause: 690 targets in one service took 48 to 72 us a decision on a busy machine. Change: of more than 192 targets a decision looks at a random window of 192, the holders of the prefix and the preferred ones for a new prefix; at all of them where none of those is left after the filters. Not measured: what the window costs in tail latency at 690 targets; a request may be refused though a target outside the window had room.

--- a/route/config.go
+++ b/route/config.go
@@ -49,6 +49,9 @@
 	// others as well. Default 3.
 	HitWeight float64
 
+	// MaxScored is how many targets of a service are looked at for a decision,
+	// besides those that hold its prefix. Default 192.
+	MaxScored int
 	// PickSpread is the temperature of the picker as a part of the best
 	// score, and PickFloor its least value. Defaults 0.08 and 4ms.
 	PickSpread float64
@@ -120,6 +123,7 @@
 	orDefault(&c.AffinityTargets, 2)
 	orDefault(&c.AffinityGain, 0.3)
 	orDefault(&c.HitWeight, 3)
+	orDefault(&c.MaxScored, 192)
 	orDefault(&c.PickSpread, 0.08)
 	orDefault(&c.PickFloor, 4*time.Millisecond)
 	orDefault(&c.EjectFactor, 2.5)
--- a/route/events.go
+++ b/route/events.go
@@ -28,6 +28,7 @@
 		}
 		seen[spec.ID] = true
 		t := r.setTarget(at, spec, first)
+		t.place = len(t.svc.list)
 		t.svc.list = append(t.svc.list, t)
 	}
 	for id, t := range r.targets {
--- a/route/prefixindex.go
+++ b/route/prefixindex.go
@@ -14,6 +14,8 @@
 	blocks []int32
 	mark   []uint32
 	stamp  uint32
+	// found are the targets that hold some of it.
+	found []int32
 }
 
 func newPrefixIndex() *prefixIndex {
@@ -36,8 +38,9 @@
 		clear(x.mark)
 		x.stamp = 1
 	}
-	found := 0
-	for i := len(prefix) - 1; i >= 0 && found < min(maxHolders, len(x.blocks)); i-- {
+	x.found = x.found[:0]
+	most := min(maxHolders, len(x.blocks))
+	for i := len(prefix) - 1; i >= 0 && len(x.found) < most; i-- {
 		for _, n := range x.holders[prefix[i]] {
 			if x.mark[n] == x.stamp {
 				continue
@@ -45,7 +48,7 @@
 			x.mark[n] = x.stamp
 			x.blocks[n] = int32(i + 1)
 			known = max(known, i+1)
-			found++
+			x.found = append(x.found, n)
 		}
 	}
 	return known
--- a/route/router.go
+++ b/route/router.go
@@ -26,7 +26,8 @@
 	filters []Filter
 	scorers []Scorer
 	picker  Picker
-	// candidates, slow and snapshot are reused by each decision.
+	// scoped, candidates, slow and snapshot are reused by each decision.
+	scoped     []*target
 	candidates []Candidate
 	slow       []slowTarget
 	snapshot   Snapshot
@@ -118,20 +119,31 @@
 	}
 }
 
-// candidatesFor takes the snapshot of a service and filters its targets.
+// candidatesFor takes the snapshot of a service and filters its targets: the ones
+// in scope, or all if none of those is left.
 func (r *Router) candidatesFor(now time.Time, s *service, q *Request) []Candidate {
 	at := r.seconds(now)
 	r.lookForGrey(s, at)
 	r.takeSnapshot(now, s, q)
+	targets := r.scope(s, &r.snapshot)
+	cands := r.filtered(s, at, q, targets)
+	if len(cands) == 0 && len(targets) < len(s.list) {
+		return r.filtered(s, at, q, s.list)
+	}
+	return cands
+}
+
+// filtered describes targets as they are believed to be and filters them.
+func (r *Router) filtered(s *service, at float64, q *Request, targets []*target) []Candidate {
 	perToken, perRequest := s.memory.perToken(), s.memory.perRequest()
 	p := s.peers(&r.cfg)
 	ahead, _ := s.byPriority.of(priority(q))
 	stale := r.cfg.ReportStale.Seconds()
-	for len(r.candidates) < len(s.list) {
+	for len(r.candidates) < len(targets) {
 		r.candidates = append(r.candidates, Candidate{})
 	}
-	cands := r.candidates[:len(s.list)]
-	for i, t := range s.list {
+	cands := r.candidates[:len(targets)]
+	for i, t := range targets {
 		c := &cands[i]
 		c.describe(t, at)
 		t.load.advance(at, t.prefillRate(), p)
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -169,6 +169,7 @@
 func TestDecisionsKeepTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		j := journal{t: t, r: newRouter(1), now: epoch}
+		j.r.cfg.MaxScored = rapid.SampledFrom([]int{1, 2, 192}).Draw(t, "scored")
 		j.run(rapid.IntRange(1, 80).Draw(t, "steps"))
 	})
 }
@@ -219,3 +220,53 @@
 		t.Fatal("the seed does not decide alone")
 	}
 }
+
+// Symptom: a large service refuses though a target could run the request, sends
+// it to a cold one though another holds its prefix, or a new prefix everywhere.
+// Events: more targets than are looked at for one decision.
+// Cause: a window that leaves out the one target that matters.
+func TestScopeOfALargeServiceHasWhatMatters(t *testing.T) {
+	const n, only = 50, 37
+	r := newRouter(1)
+	r.cfg.MaxScored = 5
+	var specs []TargetSpec
+	for i := range n {
+		s := modelTarget(i, "here")
+		if i == only {
+			s.Adapters = []string{"x"}
+		}
+		specs = append(specs, s)
+	}
+	r.SetTargets(epoch, specs)
+	r.CacheEvent(epoch, CacheEvent{Target: specs[only].ID, Stored: []uint64{1, 2, 3}})
+	q := Request{Service: "llm", PromptTokens: 5000, OutputTokens: 10, Prefix: []uint64{1, 2, 3, 4}}
+	preferred := map[TargetID]int{}
+	for range 40 {
+		r.takeSnapshot(epoch, r.services["llm"], &q)
+		seen := map[TargetID]bool{}
+		for _, v := range r.scope(r.services["llm"], &r.snapshot) {
+			if seen[v.spec.ID] {
+				t.Fatalf("%s twice in scope", v.spec.ID)
+			}
+			seen[v.spec.ID] = true
+			preferred[v.spec.ID]++
+		}
+		if !seen[specs[only].ID] {
+			t.Fatal("the holder of the prefix is not in scope")
+		}
+	}
+	always := 0
+	for _, times := range preferred {
+		if times == 40 {
+			always++
+		}
+	}
+	if want := 1 + r.cfg.AffinityTargets; always != want {
+		t.Fatalf("%d targets always in scope, want %d", always, want)
+	}
+	for range 20 {
+		if d := r.Decide(epoch, &Request{Service: "llm", Adapter: "x", PromptTokens: 10, OutputTokens: 1}); d.Target != specs[only].ID {
+			t.Fatalf("%+v, though one target has the adapter", d)
+		}
+	}
+}
--- a/route/scorer_prefix.go
+++ b/route/scorer_prefix.go
@@ -25,34 +25,14 @@
 	}
 }
 
-// maxAffinity bounds Config.AffinityTargets.
-const maxAffinity = 4
-
 // creditNew credits the first few candidates in rendezvous order.
 func creditNew(s *Snapshot, in []Candidate) {
-	var best [maxAffinity]int
-	var weight [maxAffinity]uint64
+	var best preferred
 	n := min(s.Config.AffinityTargets, maxAffinity, len(in))
 	for i := range in {
-		w := mix(s.NewPrefix ^ in[i].hash)
-		at := i
-		for k := range n {
-			if w > weight[k] {
-				weight[k], w = w, weight[k]
-				best[k], at = at, best[k]
-			}
-		}
+		best.offer(i, mix(s.NewPrefix^in[i].hash), n)
 	}
-	for k := range n {
-		c := &in[best[k]]
-		c.Score -= s.Config.AffinityGain * s.NewTokens * c.PrefillTime
+	for _, i := range best.at[:n] {
+		in[i].Score -= s.Config.AffinityGain * s.NewTokens * in[i].PrefillTime
 	}
 }
-
-// mix is the finaliser of splitmix64 (Steele, Lea, Flood 2014).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/route/target.go
+++ b/route/target.go
@@ -21,6 +21,8 @@
 	spec  TargetSpec
 	svc   *service
 	index int32
+	// place is its place in the service's list, hash a hash of its name.
+	place int
 	hash  uint64
 	load  load
 	speed speed
