docs/OPERATIONS.md: what operators do, checked against commands and log lines

Cause: no page told what to do at a cut, a lost disk, a frozen leader or a killer request, nor what a log line means. Conclusion: the walk-throughs of cuts and lost disks are not run as a whole.

--- a/api/burn.go
+++ b/api/burn.go
@@ -24,9 +24,12 @@
 	Snapshot burn.Snapshot
 }
 
+// hereOnly stands for the region of an instance that doesn't tell it.
+const hereOnly = "(here)"
+
 // BurnReport reports what a request path that tells no causes has seen.
 func BurnReport(instance string, services []bundle.Service, b *metrics.Burn, now time.Time) *operators.BurnReport {
-	source := BurnSource{Instance: instance, Services: services, Snapshot: b.Snapshot(now, instance, "")}
+	source := BurnSource{Instance: instance, Services: services, Snapshot: b.Snapshot(now, instance, hereOnly)}
 	report, err := BurnReportOf(source, now)
 	if err != nil {
 		return &operators.BurnReport{Instance: instance, AtMs: now.UnixMilli(), Services: []*operators.ServiceBurn{}}
--- a/operate/burn/burn_test.go
+++ b/operate/burn/burn_test.go
@@ -211,6 +211,13 @@
 	if _, err := Decode(data[:len(data)-1]); !errors.Is(err, ErrMalformed) {
 		t.Fatal(err)
 	}
+	nowhere := Snapshot{Parts: []Part{{Instance: "i"}}}
+	if data, err = nowhere.Encode(1000); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Decode(data); !errors.Is(err, ErrMalformed) {
+		t.Fatal("a part without a region: ", err)
+	}
 	s.Parts[0].Services[0].Fine[0].Count.Missed[0] = 1 << 30
 	if data, err = s.Encode(1 << 20); err != nil {
 		t.Fatal(err)
--- a/operate/burn/snapshot.go
+++ b/operate/burn/snapshot.go
@@ -178,7 +178,8 @@
 // check refuses parts that no History makes: counts from a damaged file would
 // else stand in reports for six hours.
 func (p Part) check() error {
-	if p.Instance == "" || len(p.Services) > maxServices+1 {
+	// A region without a name would stand in reports as all regions.
+	if p.Instance == "" || p.Region == "" || len(p.Services) > maxServices+1 {
 		return errors.Annotatef(ErrMalformed, "part of %q with %d services", p.Instance, len(p.Services))
 	}
 	for _, s := range p.Services {
--- a/operate/capacity/duties.go
+++ b/operate/capacity/duties.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "github.com/gullhaven/gullhaven/coord/replhost"
+
 // Numbers of the code that the duties follow.
 const (
 	// pollsPerSecond of an engine, and eventsPerSecond of its cache events.
@@ -18,6 +20,9 @@
 	commitsPerClaim = 2
 	// globalHeartbeatScale: the global group beats at 200 ms and not at 100 ms.
 	globalHeartbeatScale = 0.5
+	// logEntries that a group holds in memory: until a snapshot, and those kept
+	// before it.
+	logEntries = replhost.DefaultSnapshotEntries + replhost.DefaultKeepEntries
 	// measuredInterval is the time between changes when spreading was measured.
 	measuredInterval = 60.0
 )
@@ -280,7 +285,7 @@
 	n := rate * w.slopes.of("commit5_messages")
 	others := float64(w.size.Voters - 1)
 	c := w.leader(max(n, 1e-9), rate*others*w.slopes.of("accept_log"))
-	c.Memory = w.slopes.of("bundle_encoded") * w.size.bundleScale()
+	c.Memory = w.slopes.of("bundle_encoded")*w.size.bundleScale() + logEntries*w.slopes.of("accept_log")
 	return Duty{
 		Name: "log of bundles", State: "entries since the last snapshot, and that", Cost: c, Mark: Derived,
 		Mechanism: "coord/replog, coord/wal: an entry of 1 KB a change, one sync for a batch",
--- /dev/null
+++ b/operate/cli/operations_test.go
@@ -0,0 +1,132 @@
+package cli_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/gullhaven/gullhaven/operate/cli"
+)
+
+const root = "../.."
+
+func readPage(t *testing.T, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(root, "docs", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// logCall is a call of a logger with a constant message; logRow is a row of the
+// page's list.
+var (
+	logCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger)\.(Debug|Info|Warn|Error)\(\s*"([^"]+)"`)
+	anyCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger)\.(?:Debug|Info|Warn|Error|DPanic|Panic|Fatal)\(`)
+	logRow  = regexp.MustCompile("(?m)^\\| (debug|info|warn|error) \\| `([^`]+)` \\| .+ \\| .+ \\|$")
+)
+
+// logLines are the level and message of each call in the daemon's packages.
+func logLines(t *testing.T) []string {
+	t.Helper()
+	var lines []string
+	for _, folder := range []string{"node", "daemon", "pipeline", "coord", "bundle", "placement", "route", "ports"} {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			found := logCall.FindAllStringSubmatch(string(data), -1)
+			if n := len(anyCall.FindAll(data, -1)); n != len(found) {
+				t.Errorf("%s has %d log calls, %d of them with a constant message of a known level", path, n, len(found))
+			}
+			for _, m := range found {
+				lines = append(lines, strings.ToLower(m[1])+" "+m[2])
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return lines
+}
+
+// Symptom: an operator finds a line that no page explains. Cause: a line that
+// was added, changed or dropped without the page.
+func TestThePageListsAllLogLines(t *testing.T) {
+	lines := logLines(t)
+	var told []string
+	for _, m := range logRow.FindAllStringSubmatch(readPage(t, "OPERATIONS.md"), -1) {
+		told = append(told, m[1]+" "+m[2])
+	}
+	if len(lines) == 0 {
+		t.Fatal("no log line found in the code")
+	}
+	for _, line := range lines {
+		if !slices.Contains(told, line) {
+			t.Errorf("docs/OPERATIONS.md lacks: %s", line)
+		}
+	}
+	for _, line := range told {
+		if !slices.Contains(lines, line) {
+			t.Errorf("docs/OPERATIONS.md tells of a line that is nowhere: %s", line)
+		}
+	}
+}
+
+// mentioned is a command in code marks or in an indented block.
+var mentioned = regexp.MustCompile("(?m)(?:^ {4,}|`)(?:bin/)?gullhaven ([a-z]+(?: [a-z]+)?)")
+
+// Symptom: a page tells a command that does not exist. Cause: it was renamed.
+func TestThePagesTellCommandsThatExist(t *testing.T) {
+	for _, name := range []string{"OPERATIONS.md", "CAPACITY.md", "METRICS.md"} {
+		page := readPage(t, name)
+		found := mentioned.FindAllStringSubmatch(page, -1)
+		if len(found) == 0 {
+			t.Errorf("%s names no command", name)
+		}
+		for _, m := range found {
+			one, _, _ := strings.Cut(m[1], " ")
+			if !slices.Contains(cli.Paths(), m[1]) && !slices.Contains(cli.Paths(), one) {
+				t.Errorf("%s tells of gullhaven %s", name, m[1])
+			}
+		}
+		for _, script := range regexp.MustCompile(`scripts/[a-z-]+`).FindAllString(page, -1) {
+			if _, err := os.Stat(filepath.Join(root, script)); err != nil {
+				t.Error(err)
+			}
+		}
+		checkLinks(t, name, page)
+	}
+}
+
+var link = regexp.MustCompile(`\]\(([^)#]*)(?:#([a-z0-9-]+))?\)`)
+
+// checkLinks follows the links of a page to files and headings.
+func checkLinks(t *testing.T, name, page string) {
+	t.Helper()
+	for _, m := range link.FindAllStringSubmatch(page, -1) {
+		target := page
+		if m[1] != "" {
+			target = readPage(t, m[1])
+		}
+		if m[2] != "" && !slices.Contains(anchors(target), m[2]) {
+			t.Errorf("%s: no heading %s", name, m[0])
+		}
+	}
+}
+
+// anchors of the headings of a page.
+func anchors(page string) []string {
+	var list []string
+	for _, m := range regexp.MustCompile(`(?m)^#+ (.+)$`).FindAllStringSubmatch(page, -1) {
+		list = append(list, strings.ReplaceAll(regexp.MustCompile(`[^a-z0-9 -]`).ReplaceAllString(strings.ToLower(m[1]), ""), " ", "-"))
+	}
+	return list
+}
