--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/gullhaven/gullhaven/bundle"
 	"github.com/gullhaven/gullhaven/bundle/spread"
 	"github.com/gullhaven/gullhaven/coord/claim"
 	"github.com/gullhaven/gullhaven/coord/keys"
