--- a/node/loads/book.go
+++ b/node/loads/book.go
@@ -75,6 +75,8 @@
 	targets []Target
 	members []string
 	entries map[string]*entry
+	// leaving are the targets that the platform's list says are leaving.
+	leaving map[string]bool
 }
 
 // NewBook makes the Book of an instance.
@@ -103,6 +105,16 @@
 	b.assign()
 }
 
+// SetLeaving replaces the targets that the platform says are leaving. It lags
+// and may be wrong; a target that it names takes no new work, and takes it up
+// again when it is no longer named.
+func (b *Book) SetLeaving(ids []string) {
+	b.leaving = map[string]bool{}
+	for _, id := range ids {
+		b.leaving[id] = true
+	}
+}
+
 // assign computes owner and deputy of each engine. During a change of members
 // two instances may both poll; that costs a little and harms nothing.
 func (b *Book) assign() {
@@ -241,6 +253,9 @@
 		if known && (out[i].State == route.Warm || state == route.Down) {
 			out[i].State = state
 		}
+		if out[i].State == route.Warm && b.leaving[string(out[i].ID)] {
+			out[i].State = route.Leaving
+		}
 	}
 	return out
 }
--- a/node/loads/loads.go
+++ b/node/loads/loads.go
@@ -118,6 +118,14 @@
 	s.book.SetMembers(members)
 }
 
+// SetLeaving replaces the targets that the platform says are leaving.
+func (s *Service) SetLeaving(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.SetLeaving(ids)
+	s.overlay(time.Now(), false)
+}
+
 // Seen returns the last observation of an engine and when it was received.
 func (s *Service) Seen(target string) (Observation, time.Time) {
 	s.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/ports/enginehttp"
 	"github.com/gullhaven/gullhaven/ports/plainhttp"
+	"github.com/gullhaven/gullhaven/ports/platformhttp"
 	"github.com/gullhaven/gullhaven/ports/sending"
 	"github.com/gullhaven/gullhaven/route"
 	"github.com/gullhaven/gullhaven/settings"
@@ -89,6 +90,7 @@
 	global    *group.Client
 	claims    *claims
 	directory *directory
+	platform  *platform
 
 	servers  []*server
 	draining chan struct{}
@@ -139,6 +141,9 @@
 	}
 	transports := sending.NewTransports(sending.Options{})
 	n.engines = enginehttp.NewSet(transports)
+	if a := n.s.Platform.InstanceList; a != "" {
+		n.platform = &platform{node: n, list: platformhttp.NewInstanceList(a, transports)}
+	}
 	n.forward = newForwarder(n.o.Key, n.entriesOf)
 	n.directory = &directory{region: n.s.Region, view: n.view, others: n.otherEntries}
 	n.limits = limits.New(limits.Options{
@@ -231,6 +236,9 @@
 	if n.keeper != nil {
 		duties = append(duties, n.keeper.run)
 	}
+	if n.platform != nil {
+		duties = append(duties, n.platform.run)
+	}
 	for _, duty := range duties {
 		n.wg.Go(func() { duty(ctx) })
 	}
