coord/registry: remember which replicated groups were formed

Cause: a group whose every disk was wiped forms again by itself, as at a first start, and its empty claim table grants keys that have run.

Change: a state machine for the log of another group. The first number of a name is granted at once, the same number gets the same answer, another number means that the state was lost and is granted with a wait of the longest lifetime of records ever in force; a number that was replaced is never granted. Time comes in by commands and moves forward only.

--- /dev/null
+++ b/coord/registry/table.go
@@ -0,0 +1,140 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// Entry is what is remembered of a name.
+type Entry struct {
+	Name string `cbor:"1,keyasint"`
+	// Answer is the answer to the group that holds the name.
+	Answer Result `cbor:"2,keyasint"`
+	// Replaced are the numbers that held the name before, oldest first.
+	Replaced []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Table is the state machine. It is not safe for concurrent use.
+type Table struct {
+	// clock in Unix milliseconds.
+	clock   int64
+	applied uint64
+	// longest lifetime ever in force, in seconds.
+	longest uint32
+	groups  map[string]Entry
+}
+
+// New makes an empty table.
+func New() *Table { return &Table{groups: make(map[string]Entry)} }
+
+// Entries returns what is remembered, sorted by name.
+func (t *Table) Entries() []Entry {
+	out := make([]Entry, 0, len(t.groups))
+	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
+		e := t.groups[name]
+		e.Replaced = slices.Clone(e.Replaced)
+		out = append(out, e)
+	}
+	return out
+}
+
+// Observe notes a lifetime that comes in force. All replicas must call it at
+// the same place of the log. It is bounded by MaxLifetime.
+func (t *Table) Observe(lifetime time.Duration) {
+	lifetime = min(max(lifetime, 0), MaxLifetime)
+	t.longest = max(t.longest, uint32((lifetime+time.Second-1)/time.Second))
+}
+
+// Apply takes the committed entry at index and returns its Result in CBOR. An
+// index at or below the last one is not applied again: registered twice with
+// another one in between, a group would seem to have been lost.
+func (t *Table) Apply(index uint64, entry []byte) []byte {
+	res := t.apply(index, entry)
+	b, err := cbor.Marshal(res)
+	if err != nil {
+		panic(err) // A Result holds only plain values.
+	}
+	return b
+}
+
+func (t *Table) apply(index uint64, entry []byte) Result {
+	if index <= t.applied {
+		return Result{Reply: Invalid, Message: "the entry was applied before"}
+	}
+	t.applied = index
+	r, err := Decode(entry)
+	if err != nil {
+		return Result{Reply: Invalid, Message: err.Error()}
+	}
+	t.clock = max(t.clock, r.Now)
+	t.longest = max(t.longest, r.LifetimeSeconds)
+	return t.register(r)
+}
+
+func (t *Table) register(r Register) Result {
+	e, known := t.groups[r.Name]
+	switch {
+	case known && e.Answer.Group == r.Group:
+		return e.Answer
+	case known && slices.Contains(e.Replaced, r.Group):
+		// A question of the lost group that was long under way. Granted, it
+		// would count its successor, which may serve, as lost.
+		return Result{Reply: Replaced, Group: e.Answer.Group, Losses: e.Answer.Losses}
+	case known:
+		e = t.replace(e, r.Group)
+	case len(t.groups) >= MaxGroups:
+		return Result{Reply: Full}
+	default:
+		e = Entry{Name: r.Name, Answer: Result{Reply: Granted, Group: r.Group}}
+	}
+	t.groups[r.Name] = e
+	return e.Answer
+}
+
+// replace hands a name to a new group after the longest lifetime.
+func (t *Table) replace(e Entry, group uint64) Entry {
+	lost := e.Answer.Group
+	replaced := append(slices.Clone(e.Replaced), lost)
+	e.Replaced = replaced[max(0, len(replaced)-MaxReplaced):]
+	e.Answer = Result{
+		Reply: Granted, Group: group, Lost: lost, WaitSeconds: t.longest,
+		BlockedUntil: t.clock + int64(t.longest)*time.Second.Milliseconds(),
+		Losses:       e.Answer.Losses + 1,
+	}
+	return e
+}
+
+// image is a snapshot.
+type image struct {
+	Clock   int64   `cbor:"1,keyasint"`
+	Applied uint64  `cbor:"2,keyasint"`
+	Longest uint32  `cbor:"3,keyasint"`
+	Entries []Entry `cbor:"4,keyasint"`
+}
+
+// Snapshot returns the whole state; equal states give equal bytes.
+func (t *Table) Snapshot() ([]byte, error) {
+	b, err := cbor.Marshal(image{t.clock, t.applied, t.longest, t.Entries()})
+	return b, errors.Annotate(err, "snapshot of the registry")
+}
+
+// Restore makes the table of a snapshot.
+func Restore(snapshot []byte) (*Table, error) {
+	var im image
+	if err := cbor.Unmarshal(snapshot, &im); err != nil {
+		return nil, errors.Annotate(err, "snapshot of the registry")
+	}
+	t := New()
+	t.clock, t.applied, t.longest = im.Clock, im.Applied, im.Longest
+	for _, e := range im.Entries {
+		if _, twice := t.groups[e.Name]; twice || e.Answer.Group == 0 {
+			return nil, errors.NotValidf("snapshot of the registry: group %q", e.Name)
+		}
+		t.groups[e.Name] = e
+	}
+	return t, nil
+}
