settings: voters of the regions' groups; drop settings that did nothing

Cause: a region's group has the region's global voters, so a region could have three disks for its claims only by giving the global group more voters. And development, platform.directory were checked but read by nobody. Change: region_voters, by default voters; the unread settings are gone. Conclusion: one disk a region stays the default of today.

--- a/node/peers.go
+++ b/node/peers.go
@@ -47,7 +47,7 @@
 // peers are the other instances named in the settings, each once.
 func (n *Node) peers() []settings.Peer {
 	var peers []settings.Peer
-	for _, p := range slices.Concat(n.s.Seeds, n.s.Voters) {
+	for _, p := range slices.Concat(n.s.Seeds, n.s.Voters, n.s.RegionVoters) {
 		known := func(o settings.Peer) bool { return o.ID == p.ID }
 		if p.ID != n.s.Instance && !slices.ContainsFunc(peers, known) {
 			peers = append(peers, p)
--- a/settings/check.go
+++ b/settings/check.go
@@ -9,9 +9,6 @@
 	"github.com/gullhaven/gullhaven/coord/keys"
 )
 
-// maxStandins bounds the stand-ins of a development process.
-const maxStandins = 64
-
 // logLevels are the levels that Log.Level may name.
 var logLevels = []string{"debug", "info", "warn", "error"}
 
@@ -22,12 +19,12 @@
 	c.id("zone", s.Zone)
 	c.listen()
 	c.voters()
+	c.regionVoters()
 	c.peers("seeds", s.Seeds)
 	c.keys()
 	c.bootstrap()
 	c.platform()
 	c.require(slices.Contains(logLevels, s.Log.Level), "log.level", "%q is none of %q", s.Log.Level, logLevels)
-	c.development()
 	return c.problems
 }
 
@@ -120,6 +117,24 @@
 	}
 }
 
+// regionVoters checks the groups of the regions: like voters, but of each region.
+func (c *checker) regionVoters() {
+	c.peers("region_voters", c.s.RegionVoters)
+	for _, region := range c.s.VoterRegions() {
+		n := len(c.s.VotersOf(region))
+		c.require(n%2 == 1 || len(c.s.RegionVoters) == 0, "region_voters",
+			"names %d voters of region %q; an even number survives no more losses than one less", n, region)
+	}
+	for i, p := range c.s.RegionVoters {
+		if p.ID != c.s.Instance {
+			continue
+		}
+		at := strict.Index("region_voters", i)
+		c.require(p.Region == c.s.Region, at+".region", "is %q, but this instance is in %q", p.Region, c.s.Region)
+		c.require(c.s.DataDir != "", "data_dir", "is missing; a voter needs a disk")
+	}
+}
+
 // peers checks a list of other instances.
 func (c *checker) peers(path string, peers []Peer) {
 	ids := map[string]bool{}
@@ -142,12 +157,9 @@
 	}
 }
 
-// keys are all there or none, and none only with plain links.
+// keys must all be there.
 func (c *checker) keys() {
 	k := c.s.Keys
-	if k == (Keys{}) && c.s.Development != nil && c.s.Development.PlainLinks {
-		return
-	}
 	c.require(k.Authority != "", "keys.authority", "is missing; make a set with `gullhaven keygen`")
 	c.require(k.Certificate != "", "keys.certificate", "is missing; make a set with `gullhaven keygen`")
 	c.require(k.Key != "", "keys.key", "is missing; make a set with `gullhaven keygen`")
@@ -181,7 +193,6 @@
 func (c *checker) platform() {
 	for _, place := range []struct{ path, address string }{
 		{"platform.weight_store", c.s.Platform.WeightStore},
-		{"platform.directory", c.s.Platform.Directory},
 		{"platform.instance_list", c.s.Platform.InstanceList},
 	} {
 		if place.address != "" {
@@ -189,19 +200,3 @@
 		}
 	}
 }
-
-// development refuses relaxed rules where others could reach the instance.
-func (c *checker) development() {
-	d := c.s.Development
-	if d == nil {
-		return
-	}
-	c.require(d.Engines >= 0 && d.Engines <= maxStandins, "development.engines", "is %d, but must be from 0 to %d", d.Engines, maxStandins)
-	c.require(d.Plain >= 0 && d.Plain <= maxStandins, "development.plain", "is %d, but must be from 0 to %d", d.Plain, maxStandins)
-	for _, address := range c.s.Listen.list() {
-		parsed, err := netip.ParseAddrPort(address)
-		if err == nil && !parsed.Addr().IsLoopback() {
-			c.problems.Add("development", "is for loopback only, but the instance listens at %s", address)
-		}
-	}
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,8 @@
 package settings
 
 import (
+	"slices"
+
 	"github.com/gullhaven/gullhaven/bundle"
 )
 
@@ -30,11 +32,17 @@
 	// list in the same order on every instance. An odd number, in different
 	// regions where possible. No default.
 	Voters []Peer `json:"voters"`
+	// RegionVoters are the voters of the regions' own groups, of all regions: the
+	// same list in the same order on every instance. The voters of a region
+	// keep its claims and elect the one that gives orders to its targets; each
+	// needs a DataDir. A region without any has its claims kept by the region
+	// that the bundle names as claims_home. Default: Voters.
+	RegionVoters []Peer `json:"region_voters,omitempty"`
 	// Seeds are instances to join through; the own id is skipped. At least one
 	// other instance of the own region helps a region that is cut off to find
 	// itself. Default none: the instance waits to be found.
 	Seeds []Peer `json:"seeds,omitempty"`
-	// Keys for the links between instances. Needed without Development.
+	// Keys for the links between instances. No default.
 	Keys Keys `json:"keys"`
 	// Bootstrap says who may sign version 1 of the bundle. No default.
 	Bootstrap Bootstrap `json:"bootstrap"`
@@ -42,9 +50,31 @@
 	Platform Platform `json:"platform"`
 	// Log says what is written to standard error.
 	Log Log `json:"log"`
-	// Development relaxes rules for trying out on one machine; absent, the
-	// default, relaxes nothing.
-	Development *Development `json:"development,omitempty"`
+}
+
+// VotersOf are the voters of a region's own group, in the order of the list.
+func (s *Settings) VotersOf(region string) []Peer {
+	list := s.RegionVoters
+	if len(list) == 0 {
+		list = s.Voters
+	}
+	elsewhere := func(p Peer) bool { return p.Region != region }
+	return slices.DeleteFunc(slices.Clone(list), elsewhere)
+}
+
+// VoterRegions are the regions with a group of their own, in the order of the list.
+func (s *Settings) VoterRegions() []string {
+	list := s.RegionVoters
+	if len(list) == 0 {
+		list = s.Voters
+	}
+	var regions []string
+	for _, p := range list {
+		if !slices.Contains(regions, p.Region) {
+			regions = append(regions, p.Region)
+		}
+	}
+	return regions
 }
 
 // Addresses of the interfaces, each IP:port. Names are refused: an instance
@@ -101,9 +131,6 @@
 	// WeightStore is IP:port of the store that targets load from, asked for
 	// its rate. Default none: the bundle's rate holds.
 	WeightStore string `json:"weight_store,omitempty"`
-	// Directory is IP:port of the directory for clients that learns which
-	// instances to use. Default none.
-	Directory string `json:"directory,omitempty"`
 	// InstanceList is IP:port of the platform's lagging list of live and
 	// leaving instances, taken as a hint only. Default none.
 	InstanceList string `json:"instance_list,omitempty"`
@@ -115,16 +142,6 @@
 	Level string `json:"level"`
 }
 
-// Development relaxes rules; it is refused unless all addresses are loopback.
-type Development struct {
-	// PlainLinks runs the links between instances without TLS. Default false.
-	PlainLinks bool `json:"plain_links,omitempty"`
-	// Engines is how many stand-in engines run inside. Default 0.
-	Engines int `json:"engines,omitempty"`
-	// Plain is how many plain stand-in services run inside. Default 0.
-	Plain int `json:"plain,omitempty"`
-}
-
 // Default are the settings before a file is read.
 func Default() *Settings {
 	return &Settings{
