operate/load: gullhaven load, a bounded load that checks every answer

Cause: no run with separate processes told whether each answer was whole and its caller's own, and what the gateway costs under load. Loopback only.

--- /dev/null
+++ b/operate/load/report.go
@@ -0,0 +1,199 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// CodeCount counts a code with its verdict.
+type CodeCount struct {
+	Name  string `json:"name"`
+	Count int64  `json:"count"`
+}
+
+// Side's figures, of one side of a run. Counts are of sendings, resends
+// included; times are of answers that were whole, time to first token also of
+// streams that ended with an error event.
+type SideReport struct {
+	Sent         int64       `json:"sent"`
+	Answered     int64       `json:"answered"`
+	InTime       int64       `json:"in_time"`
+	Refused      int64       `json:"refused"`
+	CutWithEvent int64       `json:"cut_with_event"`
+	Broken       int64       `json:"broken"`
+	Unreached    int64       `json:"unreached"`
+	Unsent       int64       `json:"unsent"`
+	Unfinished   int64       `json:"unfinished"`
+	Unmarked     int64       `json:"ended_without_mark"`
+	Wrong        int64       `json:"wrong_answer"`
+	BadRefusal   int64       `json:"bad_refusal"`
+	Codes        []CodeCount `json:"codes"`
+	Resends      int64       `json:"resends"`
+	Moved        int64       `json:"moved"`
+	Redirected   int64       `json:"redirected"`
+
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	TokensPerSecond   float64 `json:"tokens_per_second"`
+
+	Wait    Quantiles `json:"wait"`
+	First   Quantiles `json:"first"`
+	Between Quantiles `json:"between"`
+	Whole   Quantiles `json:"whole"`
+}
+
+// KeysReport counts requests that run at most once, by key over all sendings.
+type KeysReport struct {
+	Keys int64 `json:"keys"`
+	// Answered by at least one sending; NotRun: all sendings were told so;
+	// Ran: told that it ran, without the answer; Unknown: the rest.
+	Answered int64 `json:"answered"`
+	NotRun   int64 `json:"not_run"`
+	Ran      int64 `json:"ran"`
+	Unknown  int64 `json:"unknown"`
+	// Doubled and Lied must be 0.
+	Doubled int64 `json:"doubled"`
+	Lied    int64 `json:"verdict_wrong"`
+	// Audited: the targets were asked after the run.
+	Audited bool `json:"audited"`
+}
+
+// Added is what the gateway adds to the baseline, in milliseconds: differences
+// of quantiles.
+type Added struct {
+	FirstP50 float64 `json:"first_p50_ms"`
+	FirstP99 float64 `json:"first_p99_ms"`
+	// PerToken is the difference of the mean time between tokens.
+	PerToken float64 `json:"per_token_ms"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed            uint64      `json:"seed"`
+	Seconds         float64     `json:"seconds"`
+	Through         SideReport  `json:"through"`
+	Baseline        *SideReport `json:"baseline,omitempty"`
+	Added           *Added      `json:"added,omitempty"`
+	Once            *KeysReport `json:"once,omitempty"`
+	DirectoryFaults int64       `json:"directory_faults"`
+	Notes           []string    `json:"notes"`
+}
+
+// Faults counts what must never happen.
+func (r *Report) Faults() int64 {
+	n := r.Through.faults()
+	if r.Baseline != nil {
+		n += r.Baseline.faults()
+	}
+	if r.Once != nil {
+		n += r.Once.Doubled + r.Once.Lied
+	}
+	return n
+}
+
+func (s *SideReport) faults() int64 { return s.Unmarked + s.Wrong + s.BadRefusal }
+
+// report makes the figures of a side over the time that the run took.
+func (s *sideTally) report(took time.Duration) SideReport {
+	sent := int64(0)
+	for _, n := range s.kinds {
+		sent += n
+	}
+	return SideReport{
+		Sent: sent - s.kinds[Unsent], Answered: s.kinds[Answered], InTime: s.kinds[Answered] - s.late,
+		Refused: s.kinds[Refused], CutWithEvent: s.kinds[CutWithEvent], Broken: s.kinds[Broken],
+		Unreached: s.kinds[Unreached], Unsent: s.kinds[Unsent], Unfinished: s.kinds[Unfinished],
+		Unmarked: s.kinds[Unmarked], Wrong: s.kinds[Wrong], BadRefusal: s.kinds[BadRefusal],
+		Codes: s.sortedCodes(), Resends: s.resends, Moved: s.moved, Redirected: s.redirects,
+		RequestsPerSecond: float64(s.kinds[Answered]) / took.Seconds(),
+		TokensPerSecond:   float64(s.tokens) / took.Seconds(),
+		Wait:              s.wait.quantiles(), First: s.first.quantiles(),
+		Between: s.between.quantiles(), Whole: s.whole.quantiles(),
+	}
+}
+
+// keysReport counts keys and adds examples of faults.
+func (t *tally) keysReport(audited bool) *KeysReport {
+	k := &KeysReport{Keys: int64(len(t.keys)), Audited: audited}
+	for _, h := range t.keys {
+		switch {
+		case h.answered != nil:
+			k.Answered++
+		case h.ran:
+			k.Ran++
+		case h.allNotRun:
+			k.NotRun++
+		default:
+			k.Unknown++
+		}
+		if h.doubled != "" {
+			k.Doubled++
+			t.note("doubled: " + h.doubled)
+		}
+		if h.lied != "" {
+			k.Lied++
+			t.note("wrong verdict: " + h.lied)
+		}
+	}
+	return k
+}
+
+// report makes the whole report.
+func (t *tally) report(c *Config, took time.Duration, audited bool) *Report {
+	r := &Report{Seed: c.Seed, Seconds: took.Seconds(), Through: t.sides[Through].report(took)}
+	if c.Baseline != "" {
+		b := t.sides[Straight].report(took)
+		r.Baseline = &b
+		r.Added = &Added{
+			FirstP50: r.Through.First.P50 - b.First.P50,
+			FirstP99: r.Through.First.P99 - b.First.P99,
+			PerToken: r.Through.Between.Mean - b.Between.Mean,
+		}
+	}
+	if c.Plain != "" {
+		r.Once = t.keysReport(audited)
+	}
+	r.Notes = append([]string{}, t.notes...)
+	return r
+}
+
+// Write prints the report for people.
+func (r *Report) Write(out io.Writer) {
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
+	p("seed %d, %.1f s", r.Seed, r.Seconds)
+	r.Through.write(p, "through the gateway")
+	if r.Baseline != nil {
+		r.Baseline.write(p, "straight to the engine")
+		p("added by the gateway: first token p50 %.3f ms, p99 %.3f ms; between tokens %.4f ms on average",
+			r.Added.FirstP50, r.Added.FirstP99, r.Added.PerToken)
+	}
+	if k := r.Once; k != nil {
+		p("keys: %d; answered %d, told that they ran %d, not run %d, unknown %d; doubled %d, wrong verdicts %d; targets asked: %t",
+			k.Keys, k.Answered, k.Ran, k.NotRun, k.Unknown, k.Doubled, k.Lied, k.Audited)
+	}
+	if r.DirectoryFaults > 0 {
+		p("directory: %d readings failed", r.DirectoryFaults)
+	}
+	for _, note := range r.Notes {
+		p("  %s", note)
+	}
+}
+
+func (s *SideReport) write(p func(string, ...any), name string) {
+	p("%s: %d sendings, %d of them resends, %d arrivals unsent", name, s.Sent, s.Resends, s.Unsent)
+	p("  answered %d (in time %d), refused %d, cut with an error event %d, broken %d, unreached %d, unfinished %d",
+		s.Answered, s.InTime, s.Refused, s.CutWithEvent, s.Broken, s.Unreached, s.Unfinished)
+	p("  ended without a mark %d, wrong answer %d, bad refusal %d", s.Unmarked, s.Wrong, s.BadRefusal)
+	for _, c := range s.Codes {
+		p("  %d x %s", c.Count, c.Name)
+	}
+	p("  moved on from an instance %d times, sent to another region by a refusal %d times", s.Moved, s.Redirected)
+	p("  %.1f requests/s, %.1f tokens/s", s.RequestsPerSecond, s.TokensPerSecond)
+	p("  ms             p50       p95       p99     p99.9       max")
+	for _, row := range []struct {
+		name string
+		q    Quantiles
+	}{{"start delay", s.Wait}, {"first token", s.First}, {"between", s.Between}, {"whole", s.Whole}} {
+		p("  %-11s %9.3f %9.3f %9.3f %9.3f %9.3f", row.name, row.q.P50, row.q.P95, row.q.P99, row.q.P999, row.q.Max)
+	}
+}
--- a/operate/load/stream.go
+++ b/operate/load/stream.go
@@ -126,8 +126,6 @@
 		return Wrong, "the text is not the answer to this prompt"
 	case s.failed != nil:
 		return CutWithEvent, ""
-	case s.marked && err != nil:
-		return Broken, "broke after the end mark: " + err.Error()
 	case s.marked && want != "" && len(want) != s.text.Len():
 		return Wrong, fmt.Sprintf("marked whole with %d of %d bytes", s.text.Len(), len(want))
 	case s.marked:
