operate/burn: keep the histories of neighbours

Cause: most instances have no disk, so their burn history was lost with them. Change: Shelf keeps what others hand over, bounded in parts and time, and gives an instance its own back after a restart; the capacity table uses its numbers.

--- a/operate/burn/burn_test.go
+++ b/operate/burn/burn_test.go
@@ -262,3 +262,34 @@
 		h.Observe(start.Add(time.Duration(i)*time.Millisecond), Event{"s", "w", Cause(i & 1)})
 	}
 }
+
+// Symptom: burn begins at zero after an instance without a disk restarted, or a
+// neighbour's memory grows with the restarts of others. Events: an instance hands
+// over, restarts, takes back; others restart all the time.
+// Cause: parts kept for the wrong instance, or without a bound.
+func TestANeighbourGivesBackWhatWasHandedOver(t *testing.T) {
+	var shelf Shelf
+	first := NewHistory("i", "r", 1)
+	first.Observe(start, Event{"s", "w", Late})
+	shelf.Keep(start, first.Snapshot(start))
+	for n := range uint64(3 * maxShelf) {
+		other := NewHistory(fmt.Sprint("other-", n%40), "r", n+1)
+		other.Observe(start, Event{"s", "w", Kept})
+		shelf.Keep(start, other.Snapshot(start.Add(-time.Second)))
+	}
+	if n := len(shelf.All().Parts); n != maxShelf {
+		t.Fatalf("%d parts", n)
+	}
+	again := NewHistory("i", "r", 2)
+	again.Restore(shelf.Of("i"))
+	again.Restore(shelf.All())
+	now := start.Add(time.Minute)
+	again.Observe(now, Event{"s", "w", Kept})
+	row := NewReport(again.Snapshot(now), []Objective{{Service: "s", Share: 0.9}}, now).Rows[0]
+	if w := row.Windows[fiveMinutes]; w.Requests != 2 || w.Missed != 1 {
+		t.Fatalf("%+v", w)
+	}
+	if shelf.Keep(start.Add(Longest+time.Minute), Snapshot{}); len(shelf.All().Parts) > 0 {
+		t.Fatal("parts are kept beyond the longest window")
+	}
+}
--- a/operate/capacity/duties.go
+++ b/operate/capacity/duties.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "github.com/gullhaven/gullhaven/coord/replhost"
+import (
+	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/operate/burn"
+)
 
 // Numbers of the code that the duties follow.
 const (
@@ -31,11 +34,8 @@
 const (
 	// summaryBytes of a region's roster and summary, and how often relays send
 	// them to each other region in a second.
-	summaryBytes      = 1000
-	summariesPerSec   = 0.4
-	handoverBytes     = 64_000
-	handoverInterval  = 300
-	handoverNeighbour = 2
+	summaryBytes    = 1000
+	summariesPerSec = 0.4
 )
 
 func (w worker) links() Duty {
@@ -173,7 +173,7 @@
 
 func (w worker) burn() Duty {
 	perSecond := w.region.requests / w.region.members
-	handover := handoverNeighbour * float64(handoverBytes) / handoverInterval
+	handover := burn.HandoverPeers * burn.HandoverBytes / burn.HandoverInterval.Seconds()
 	return Duty{
 		Name: "burn and figures of services", State: "six hours of counts, histograms of some minutes", Mark: Assumed,
 		Cost: Cost{
