node: a region whose claims were lost refuses new ones for a lifetime

Cause: when every disk of a region's group is wiped (most regions have one), the instance comes back blank, coord/replog forms a new group by itself, and the empty claim table grants a key that has run to its resend. The same for the global group: wiped as a whole, it would accept version 1 again and know no region.

The admission lies in the region's log, so a restart while cut off goes on; a first start while cut off refuses claims. node/group hands RetryAfter on, and a Client stops at a refusal that has one.

--- a/node/claims.go
+++ b/node/claims.go
@@ -14,6 +14,7 @@
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/node/group"
 	"github.com/gullhaven/gullhaven/node/members"
+	"github.com/gullhaven/gullhaven/node/registered"
 	"github.com/gullhaven/gullhaven/ports"
 )
 
@@ -36,6 +37,10 @@
 		return claim.Result{}, errors.Join(ports.ErrClaimNotSent, err)
 	}
 	result, err := client.Propose(ctx, data)
+	if after, blocked := registered.Blocked(err); blocked {
+		// An answer and no failure: asking again within the request is no use.
+		return claim.Result{Reply: claim.Full, RetryAfterMillis: after.Milliseconds()}, nil
+	}
 	var e *verdict.Error
 	if errors.As(err, &e) && e.Verdict == verdict.NotRun {
 		return claim.Result{}, errors.Join(ports.ErrClaimNotSent, err)
@@ -47,10 +52,12 @@
 }
 
 // keeper runs the duties of the region group's leader for its claim table: it
-// moves the table's clock, and tells it which lives of instances have ended.
+// registers the group, moves the table's clock, and tells it which lives of
+// instances have ended.
 type keeper struct {
-	local *group.Member
-	log   *zap.Logger
+	local     *group.Member
+	registrar *registered.Registrar
+	log       *zap.Logger
 
 	mu sync.Mutex
 	// starts are the newest lives seen, by instance; lost are the lives before
@@ -59,8 +66,11 @@
 	lost   map[string]uint64
 }
 
-func newKeeper(local *group.Member, log *zap.Logger) *keeper {
-	return &keeper{local: local, log: log, starts: map[string]uint64{}, lost: map[string]uint64{}}
+func newKeeper(local *group.Member, registrar *registered.Registrar, log *zap.Logger) *keeper {
+	return &keeper{
+		local: local, registrar: registrar, log: log,
+		starts: map[string]uint64{}, lost: map[string]uint64{},
+	}
 }
 
 // observe notes a member's life. An earlier one has ended once a later one is
@@ -93,6 +103,7 @@
 		if k.local.Node.LeaseUntil().IsZero() {
 			continue
 		}
+		k.registrar.Step(ctx)
 		k.propose(ctx, claim.Command{Expire: &claim.Expire{}})
 		k.tellLost(ctx)
 	}
--- a/node/group/group.go
+++ b/node/group/group.go
@@ -20,6 +20,7 @@
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/replog"
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/coord/wal"
 )
 
 // CodeNoLeader: no member of the group was reached that leads it.
@@ -46,6 +47,16 @@
 	Message string          `cbor:"4,keyasint,omitempty"`
 	// Leader is who leads, as far as the member knows.
 	Leader string `cbor:"5,keyasint,omitempty"`
+	// RetryAfterMillis says when to come back. Only a refusal by the leader's
+	// Prepare sets it; no other member is asked then.
+	RetryAfterMillis int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// err is the answer's failure.
+func (a *answer) err() *verdict.Error {
+	e := verdict.New(a.Verdict, a.Code, a.Message)
+	e.RetryAfter = time.Duration(a.RetryAfterMillis) * time.Millisecond
+	return e
 }
 
 // transport sends a group's messages over the link.
@@ -65,7 +76,9 @@
 	Self    string
 	Members []string
 	// Dir is the folder of the log, used by this group alone.
-	Dir          string
+	Dir string
+	// FS is the file system of Dir; wal.OS by default.
+	FS           wal.FS
 	Hub          *link.Hub
 	StateMachine replhost.StateMachine
 	// Prepare, if set, turns what a proposer sent into the log entry, at the
@@ -91,6 +104,7 @@
 			HeartbeatInterval: o.HeartbeatInterval,
 			ElectionTimeout:   o.ElectionTimeout,
 		},
+		FS:           o.FS,
 		Dir:          o.Dir,
 		Transport:    transport{hub: o.Hub, channel: MessageChannel(o.Name)},
 		StateMachine: o.StateMachine,
@@ -124,6 +138,7 @@
 	var e *verdict.Error
 	if errors.As(err, &e) {
 		a.Verdict, a.Code, a.Message = e.Verdict, e.Code, e.Message
+		a.RetryAfterMillis = e.RetryAfter.Milliseconds()
 	}
 	var notLeader *replhost.NotLeaderError
 	if errors.As(err, &notLeader) {
@@ -180,8 +195,8 @@
 			c.last.Store(&next)
 			return a.Data, nil
 		}
-		err = verdict.New(a.Verdict, a.Code, a.Message)
-		if a.Verdict != verdict.NotRun {
+		err = a.err()
+		if a.Verdict != verdict.NotRun || a.RetryAfterMillis > 0 {
 			return nil, err
 		}
 		next = ""
--- a/node/groups.go
+++ b/node/groups.go
@@ -3,12 +3,14 @@
 import (
 	"path/filepath"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/gullhaven/gullhaven/coord/claim"
 	"github.com/gullhaven/gullhaven/node/group"
+	"github.com/gullhaven/gullhaven/node/registered"
 	"github.com/gullhaven/gullhaven/node/rollout"
+	"github.com/gullhaven/gullhaven/settings"
 )
 
 func regionGroup(region string) string { return "region-" + region }
@@ -16,8 +18,8 @@
 // openGroups opens the groups that this instance is a voter of and makes
 // clients of all.
 func (n *Node) openGroups() error {
-	machine := rollout.NewMachine(n.s.Bootstrap.Trust(), n.spreader.Accepted)
-	voters := n.votersOf("")
+	machine := rollout.NewMachine(n.s.Bootstrap.Trust(), n.spreader.Head, n.spreader.Accepted)
+	voters := idsOf(n.s.Voters)
 	local, err := n.openGroup(voters, group.Options{
 		Name: globalGroup, StateMachine: machine, Prepare: machine.Prepare,
 		HeartbeatInterval: globalHeartbeat, ElectionTimeout: globalElection,
@@ -27,7 +29,7 @@
 	}
 	n.global = group.NewClient(globalGroup, voters, n.hub, local)
 	n.claims = &claims{groups: map[string]*group.Client{}}
-	for _, region := range n.votersRegions() {
+	for _, region := range n.s.VoterRegions() {
 		if err := n.openRegionGroup(region); err != nil {
 			return err
 		}
@@ -36,22 +38,35 @@
 }
 
 func (n *Node) openRegionGroup(region string) error {
-	voters := n.votersOf(region)
+	voters := idsOf(n.s.VotersOf(region))
 	name := regionGroup(region)
-	local, err := n.openGroup(voters, group.Options{Name: name, StateMachine: claim.NewTable()})
+	table := registered.NewTable()
+	local, err := n.openGroup(voters, group.Options{Name: name, StateMachine: table, Prepare: table.Prepare})
 	if err != nil {
 		return err
 	}
 	n.claims.groups[region] = group.NewClient(name, voters, n.hub, local)
 	if local != nil {
-		n.keeper = newKeeper(local, n.log)
+		registrar := registered.NewRegistrar(registered.Options{
+			Name: name, Node: local.Node, Table: table, Global: n.global, Lifetime: n.claimLifetime, Log: n.log,
+		})
+		n.keeper = newKeeper(local, registrar, n.log)
 	}
 	return nil
 }
 
+// claimLifetime is that of the bundle in force; 0 before the first.
+func (n *Node) claimLifetime() time.Duration {
+	v := n.bundleView()
+	if v == nil {
+		return 0
+	}
+	return time.Duration(v.Bundle.Rules.ClaimLifetimeSeconds) * time.Second
+}
+
 // openGroup opens this instance's member of a group; nil if it is none.
 func (n *Node) openGroup(voters []string, o group.Options) (*group.Member, error) {
-	if !n.s.Voter || !slices.Contains(voters, n.s.Instance) {
+	if !slices.Contains(voters, n.s.Instance) {
 		return nil, nil
 	}
 	o.Self, o.Members, o.Hub = n.s.Instance, voters, n.hub
@@ -59,28 +74,16 @@
 	return group.Open(o)
 }
 
-// votersOf are the ids of the voters of a region; of all if it is empty.
-func (n *Node) votersOf(region string) []string {
-	var ids []string
-	for _, v := range n.s.Voters {
-		if region == "" || v.Region == region {
-			ids = append(ids, v.ID)
-		}
-	}
-	return ids
-}
-
-func (n *Node) votersRegions() []string {
+// idsOf lists the ids of peers.
+func idsOf(peers []settings.Peer) []string {
 	var ids []string
-	for _, v := range n.s.Voters {
-		if !slices.Contains(ids, v.Region) {
-			ids = append(ids, v.Region)
-		}
+	for _, p := range peers {
+		ids = append(ids, p.ID)
 	}
 	return ids
 }
 
-func (n *Node) isVoter(id string) bool { return slices.Contains(n.votersOf(""), id) }
+func (n *Node) isVoter(id string) bool { return slices.Contains(idsOf(n.s.Voters), id) }
 
 func (n *Node) stopMember(m *group.Member) {
 	if err := m.Stop(); err != nil {
--- /dev/null
+++ b/node/registered/status.go
@@ -0,0 +1,75 @@
+package registered
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+)
+
+// State says whether a region's group takes claims.
+type State uint8
+
+const (
+	// Unregistered: it has no answer of the global group yet.
+	Unregistered State = iota
+	// Waiting: an earlier group was lost; claims are refused for Left.
+	Waiting
+	// Open: claims are taken.
+	Open
+)
+
+// Status is what this replica knows.
+type Status struct {
+	State State
+	// Left is how long claims are refused in state Waiting, if the region has
+	// a leader all the time.
+	Left time.Duration
+	// Group is the registered number; 0 in state Unregistered.
+	Group uint64
+	// Losses counts how often the region's claims were lost; Lost is the
+	// number of the last lost group.
+	Losses uint32
+	Lost   uint64
+}
+
+// Status returns the state for reports.
+func (t *Table) Status() Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.gate.Admission
+	s := Status{State: Open, Group: a.Group, Losses: a.Losses, Lost: a.Lost}
+	switch {
+	case a.Group == 0:
+		s.State = Unregistered
+	case !t.gate.open():
+		s.State = Waiting
+		s.Left = time.Duration(t.gate.LeftSeconds) * time.Second
+	}
+	return s
+}
+
+// String is one line for operators.
+func (s Status) String() string {
+	switch s.State {
+	case Unregistered:
+		return "claims are refused: the region's group is not registered at the global group yet"
+	case Waiting:
+		return fmt.Sprintf("claims are refused for %v: the claims of group %016x were lost", s.Left, s.Lost)
+	}
+	return "claims are taken"
+}
+
+// refusal is the answer to a claim; nil if it is taken.
+func (s Status) refusal() error {
+	e := verdict.New(verdict.NotRun, CodeUnregistered, s.String())
+	switch s.State {
+	case Open:
+		return nil
+	case Waiting:
+		e.Code, e.RetryAfter = CodeBlocked, s.Left
+	default:
+		e.RetryAfter = retryUnregistered
+	}
+	return e
+}
