--- a/operate/load/load_test.go
+++ b/operate/load/load_test.go
@@ -103,15 +103,28 @@
 	}
 }
 
+// keptVerdict writes an answer whose header says "ran".
+type keptVerdict struct{ http.ResponseWriter }
+
+func (k *keptVerdict) WriteHeader(status int) {
+	k.Header().Set(headerVerdict, verdict.Ran.String())
+	k.ResponseWriter.WriteHeader(status)
+}
+
+const streamCut = "event: error\ndata: {\"error\":{\"code\":\"stream_cut\",\"verdict\":\"ran\",\"message\":\"m\"}}\n\n"
+
 // cutWithEvent passes two chunks of the engine on, then an error event.
-func cutWithEvent(e http.Handler) http.HandlerFunc {
+func cutWithEvent(e http.Handler) http.HandlerFunc { return twoChunks(e, streamCut) }
+
+// twoChunks passes two chunks of the engine on, then a last event.
+func twoChunks(e http.Handler, last string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		rec := httptest.NewRecorder()
 		e.ServeHTTP(rec, r)
 		for _, event := range bytes.SplitAfter(rec.Body.Bytes(), []byte("\n\n"))[:2] {
 			_, _ = w.Write(event)
 		}
-		_, _ = w.Write([]byte("event: error\ndata: {\"error\":{\"code\":\"stream_cut\",\"verdict\":\"ran\",\"message\":\"m\"}}\n\n"))
+		_, _ = w.Write([]byte(last))
 	}
 }
 
@@ -150,9 +163,15 @@
 		{"refused", refusal(503, "no_target", verdict.NotRun, "1", 500), func(s *SideReport) int64 { return s.Refused }, "no_target not_run", false},
 		{"another's answer", anothers(engine()), func(s *SideReport) int64 { return s.Wrong }, "", true},
 		{"another's answer, cut", cutWithEvent(anothers(engine())), func(s *SideReport) int64 { return s.Wrong }, "stream_cut ran", true},
+		{"marked whole too early", twoChunks(engine(), "data: [DONE]\n\n"), func(s *SideReport) int64 { return s.Wrong }, "", true},
+		{"goes on after its end", twoChunks(engine(), "data: [DONE]\n\ndata: [DONE]\n\n"), func(s *SideReport) int64 { return s.Wrong }, "", true},
+		{"error event, then the mark", twoChunks(engine(), streamCut+"data: [DONE]\n\n"), func(s *SideReport) int64 { return s.Wrong }, "stream_cut ran", true},
 		{"without header", refusal(503, "no_target", verdict.NotRun, "", 500), func(s *SideReport) int64 { return s.BadRefusal }, "no_target not_run", true},
 		{"come back at once", refusal(429, "no_target", verdict.NotRun, "0", 500), func(s *SideReport) int64 { return s.BadRefusal }, "no_target not_run", true},
 		{"without retry_after_ms", refusal(503, "no_target", verdict.NotRun, "1", 0), func(s *SideReport) int64 { return s.BadRefusal }, "no_target not_run", true},
+		{"two verdicts", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			refusal(503, "no_target", verdict.NotRun, "1", 500)(&keptVerdict{w}, r)
+		}), func(s *SideReport) int64 { return s.BadRefusal }, "no_target not_run", true},
 		{"untyped", http.NotFoundHandler(), func(s *SideReport) int64 { return s.BadRefusal }, "", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
