--- a/coord/membership/group.go
+++ b/coord/membership/group.go
@@ -14,6 +14,10 @@
 	maxCandidates = 1024
 	// maxEvents bounds the events that wait for the host; the oldest go first.
 	maxEvents = 8192
+	// maxContradictions bounds the answers to wrong or outdated news between
+	// two ticks. Two members that doubt each other and can't refute would
+	// answer each other without end.
+	maxContradictions = 8
 	// leaveFanout is how many members are told of leaving at once.
 	leaveFanout = 8
 )
@@ -40,6 +44,8 @@
 	peers, suspected, dead []string
 	// candidates are ids of the platform's list that never answered.
 	candidates []string
+	// contradictions counts those sent since the last Tick.
+	contradictions int
 	// left is set once this instance has said that it leaves.
 	left bool
 
@@ -96,6 +102,7 @@
 // Tick lets time pass; the host calls it every Config.TickInterval.
 func (g *Group) Tick(now time.Time) []Out {
 	g.observe(now)
+	g.contradictions = 0
 	g.expireSuspicions(now)
 	var out []Out
 	if !g.left {
@@ -131,7 +138,7 @@
 	case PingReq:
 		return g.stepPingReq(now, from, m)
 	case Sync:
-		return g.stepSync(from, m)
+		return g.stepSync(from, m, outdated)
 	case SyncReply:
 		return g.stepSyncReply(now, from, m)
 	default:
@@ -142,9 +149,10 @@
 // contradict tells a member that it is held for suspect or dead, or that what
 // it says of itself is outdated, so that it can refute.
 func (g *Group) contradict(from string, outdated bool) []Out {
-	if !outdated && !g.doubts(from) {
+	if !outdated && !g.doubts(from) || g.contradictions == maxContradictions {
 		return nil
 	}
+	g.contradictions++
 	return []Out{g.message(from, Message{Kind: Gossip}, g.belief(from))}
 }
 
--- a/coord/membership/merge.go
+++ b/coord/membership/merge.go
@@ -25,7 +25,8 @@
 	return cmp.Compare(s, s2)
 }
 
-// apply takes in an update and reports whether it is older than what is held.
+// apply takes in an update and reports whether it is older than what is held,
+// or says something else at the same incarnation.
 func (g *Group) apply(now time.Time, u *Update, source updateSource) (outdated bool) {
 	if u.ID == g.self.ID {
 		g.refute(now, u)
@@ -42,6 +43,8 @@
 		return true
 	case c == 0:
 		g.confirm(m, u)
+		// Another life of the instance began at the same incarnation.
+		return u.State == Alive && !u.Info.equal(infoOf(&m.Member))
 	case u.State == Dead && source == fromSync && (m.state == Alive || m.state == Suspect):
 		// After a partition each side holds the other for dead. Taking that
 		// over would let a comparison of views kill everybody who answers
--- a/coord/membership/sync.go
+++ b/coord/membership/sync.go
@@ -78,7 +78,7 @@
 func bucket(id string) int { return int(xxhash.Sum64String(id) % buckets) }
 
 // stepSync answers with the entries of the buckets that differ.
-func (g *Group) stepSync(from string, m Message) []Out {
+func (g *Group) stepSync(from string, m Message, outdated bool) []Out {
 	var want uint64
 	for i, d := range g.digests() {
 		if len(m.Digests) == buckets && m.Digests[i] != d {
@@ -91,7 +91,7 @@
 		out[0].Message.Updates = pages[0]
 		out = append(out, pushes(from, pages[1:])...)
 	}
-	return append(out, g.contradict(from, false)...)
+	return append(out, g.contradict(from, outdated)...)
 }
 
 // stepSyncReply sends what the other one lacks.
