node: orders to targets, figures, burn over a restart, voters and leases in status

Cause: the planner of orders, the figures, the history of burn and the control metrics had no host; status knew other regions only at relays and voters, and a replicated log that failed while running was told only at the stop. Change: node hosts them all. Histories lie on the disk and with two neighbours. An instance that is no relay asks one. Requests that another instance passed on are counted there, only their cost here. Conclusion: what operators see now comes from running instances.

--- a/api/burn.go
+++ b/api/burn.go
@@ -5,7 +5,6 @@
 
 	"github.com/gullhaven/gullhaven/api/gen/operators"
 	"github.com/gullhaven/gullhaven/bundle"
-	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/operate/burn"
 )
 
@@ -24,19 +23,6 @@
 	Snapshot burn.Snapshot
 }
 
-// hereOnly stands for the region of an instance that doesn't tell it.
-const hereOnly = "(here)"
-
-// BurnReport reports what a request path that tells no causes has seen.
-func BurnReport(instance string, services []bundle.Service, b *metrics.Burn, now time.Time) *operators.BurnReport {
-	source := BurnSource{Instance: instance, Services: services, Snapshot: b.Snapshot(now, instance, hereOnly)}
-	report, err := BurnReportOf(source, now)
-	if err != nil {
-		return &operators.BurnReport{Instance: instance, AtMs: now.UnixMilli(), Services: []*operators.ServiceBurn{}}
-	}
-	return report
-}
-
 // BurnReportOf reports the burn of each service. A service without an objective
 // is left out. The error is burn.ErrTooLarge.
 func BurnReportOf(s BurnSource, now time.Time) (*operators.BurnReport, error) {
--- a/metrics/served/observer.go
+++ b/metrics/served/observer.go
@@ -35,7 +35,9 @@
 func (o *Observer) Observe(out pipeline.Outcome) {
 	now := o.Now()
 	o.Table.Observe(now, requestOf(out, o.Price(out.Target)))
-	if cause, counts := CauseOf(out); counts {
+	// A request passed on by another instance is counted there; only what it
+	// cost is known here.
+	if cause, counts := CauseOf(out); counts && out.Peer == "" {
 		o.Burn.Observe(now, burn.Event{Service: out.Service, Workspace: out.Workspace, Cause: cause})
 	}
 }
@@ -50,6 +52,7 @@
 		Refused:   out.Code != "" && out.Verdict == verdict.NotRun,
 		Failed:    out.Code != "" && out.Verdict != verdict.NotRun,
 		SentAway:  out.Region != "",
+		Passed:    out.Peer != "",
 	}
 	if out.Target != "" {
 		r.TargetSeconds = out.Took.Seconds() * p.Share
--- a/metrics/served/table.go
+++ b/metrics/served/table.go
@@ -35,6 +35,9 @@
 	FirstByte time.Duration
 	// Refused requests were not run; Failed ones may have run.
 	Refused, Failed, SentAway bool
+	// Passed requests came from another instance, which counts them; only their
+	// cost is added here.
+	Passed bool
 	// TargetSeconds is the time that it held a share of a target; Cost weighs it.
 	TargetSeconds, Cost float64
 }
@@ -80,12 +83,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.slotOf(r.Service, now)
+	s.targetSeconds += r.TargetSeconds
+	s.cost += r.Cost
+	if r.Passed {
+		return
+	}
 	s.requests++
 	s.refused += count(r.Refused)
 	s.failed += count(r.Failed)
 	s.sentAway += count(r.SentAway)
-	s.targetSeconds += r.TargetSeconds
-	s.cost += r.Cost
 	if r.FirstByte > 0 {
 		_ = s.firstByte.RecordValue(int64(min(r.FirstByte, longest) / unit)) // within the bounds
 	}
--- a/node/directory.go
+++ b/node/directory.go
@@ -80,5 +80,12 @@
 	}
 }
 
+// nearest are the n ids with the lowest ranks for a key.
+func nearest(key string, ids []string, n int) []string {
+	sorted := slices.Clone(ids)
+	slices.SortFunc(sorted, func(x, y string) int { return cmp.Compare(rank(key, x), rank(key, y)) })
+	return sorted[:min(n, len(sorted))]
+}
+
 // rank orders instances differently for each caller.
 func rank(caller, instance string) uint64 { return xxhash.Sum64String(caller + "\x00" + instance) }
--- a/node/groups.go
+++ b/node/groups.go
@@ -7,7 +7,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/node/group"
+	"github.com/gullhaven/gullhaven/node/placing"
 	"github.com/gullhaven/gullhaven/node/registered"
 	"github.com/gullhaven/gullhaven/node/rollout"
 	"github.com/gullhaven/gullhaven/settings"
@@ -51,10 +53,34 @@
 			Name: name, Node: local.Node, Table: table, Global: n.global, Lifetime: n.claimLifetime, Log: n.log,
 		})
 		n.keeper = newKeeper(local, registrar, n.log)
+		n.claimTable = table
 	}
 	return nil
 }
 
+// openPlacing makes the giver of orders at a voter of the region's group; it
+// acts while that one leads.
+func (n *Node) openPlacing() {
+	if n.keeper == nil {
+		return
+	}
+	n.placing = placing.New(placing.Options{
+		Region:     n.s.Region,
+		Engines:    n.engines,
+		Leadership: placing.GroupLeadership{Node: n.keeper.local.Node},
+		Log:        n.log,
+	})
+}
+
+// watchGroup tells when a replicated log of this instance fails: the instance
+// serves on without it, and only its log says so.
+func (n *Node) watchGroup(m *group.Member, name string) {
+	<-m.Node.Ended()
+	if s := m.Node.Status(); s.State == replhost.Failed {
+		n.log.Error("replicated log failed", zap.String("group", name), zap.Error(s.Err))
+	}
+}
+
 // claimLifetime is that of the bundle in force; 0 before the first.
 func (n *Node) claimLifetime() time.Duration {
 	v := n.bundleView()
@@ -71,7 +97,11 @@
 	}
 	o.Self, o.Members, o.Hub = n.s.Instance, voters, n.hub
 	o.Dir = filepath.Join(n.s.DataDir, o.Name)
-	return group.Open(o)
+	m, err := group.Open(o)
+	if err == nil {
+		go n.watchGroup(m, o.Name)
+	}
+	return m, err
 }
 
 // idsOf lists the ids of peers.
--- a/node/install.go
+++ b/node/install.go
@@ -14,6 +14,9 @@
 	v := pipeline.NewView(&s.Bundle, id.Digest, n.s.Region)
 	n.pipeline.SetView(v)
 	n.loads.SetTargets(v.TargetSpecs(), enginesOf(v))
+	if n.placing != nil {
+		n.placing.SetBundle(&s.Bundle)
+	}
 	n.setLinks()
 }
 
--- a/node/limits/limits.go
+++ b/node/limits/limits.go
@@ -137,6 +137,13 @@
 	return ports.LimitAnswer{OK: ok, RetryAfter: wait}
 }
 
+// Len is the number of limits in use here.
+func (s *Service) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.Len()
+}
+
 // Run reports until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	tick := time.NewTicker(reportInterval)
--- a/node/node.go
+++ b/node/node.go
@@ -22,11 +22,14 @@
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/coord/roster"
 	"github.com/gullhaven/gullhaven/metrics"
+	"github.com/gullhaven/gullhaven/metrics/served"
 	"github.com/gullhaven/gullhaven/node/group"
 	"github.com/gullhaven/gullhaven/node/limits"
 	"github.com/gullhaven/gullhaven/node/loads"
 	"github.com/gullhaven/gullhaven/node/members"
+	"github.com/gullhaven/gullhaven/node/placing"
 	"github.com/gullhaven/gullhaven/node/regions"
+	"github.com/gullhaven/gullhaven/node/registered"
 	"github.com/gullhaven/gullhaven/node/rollout"
 	"github.com/gullhaven/gullhaven/node/suspects"
 	"github.com/gullhaven/gullhaven/pipeline"
@@ -74,23 +77,28 @@
 	log     *zap.Logger
 	started time.Time
 	metrics *metrics.Set
-	burn    *metrics.Burn
+	served  *served.Table
+	history *history
 
-	hub       *link.Hub
-	members   *members.Service
-	spreader  *rollout.Spreader
-	regions   *regions.Service
-	loads     *loads.Service
-	limits    *limits.Service
-	suspects  *suspects.Service
-	engines   ports.Engines
-	pipeline  *pipeline.Pipeline
-	forward   *forwarder
-	keeper    *keeper
-	global    *group.Client
-	claims    *claims
-	directory *directory
-	platform  *platform
+	hub      *link.Hub
+	members  *members.Service
+	spreader *rollout.Spreader
+	regions  *regions.Service
+	loads    *loads.Service
+	limits   *limits.Service
+	suspects *suspects.Service
+	engines  ports.Engines
+	pipeline *pipeline.Pipeline
+	forward  *forwarder
+	keeper   *keeper
+	placing  *placing.Service
+	// claimTable is the region group's state machine; nil at instances that are
+	// none of its voters.
+	claimTable *registered.Table
+	global     *group.Client
+	claims     *claims
+	directory  *directory
+	platform   *platform
 
 	servers  []*server
 	draining chan struct{}
@@ -106,7 +114,7 @@
 	}
 	n := &Node{
 		o: o, s: o.Settings, log: o.Log, started: time.Now(),
-		metrics: metrics.NewSet(), burn: metrics.NewBurn(), draining: make(chan struct{}),
+		metrics: metrics.NewSet(), served: served.NewTable(time.Now()), draining: make(chan struct{}),
 	}
 	hub, err := link.New(link.Options{
 		Key:        o.Key,
@@ -149,6 +157,7 @@
 	n.limits = limits.New(limits.Options{
 		Self: n.s.Instance, Life: n.lifeOf, Hub: n.hub, View: n.bundleView, Log: n.log,
 	})
+	n.history = newHistory(n)
 	holder := &lateHolder{}
 	n.suspects = suspects.New(suspects.Options{
 		Self: n.s.Instance, Hub: n.hub, Region: regionView{n}, Holder: holder, Log: n.log,
@@ -165,6 +174,9 @@
 	n.regions = regions.New(regions.Options{
 		Self: self, Seeds: n.contacts(), Hub: n.hub, Routing: n.pipeline.Routing(), Log: n.log, OnChange: n.setLinks,
 	})
+	n.openPlacing()
+	n.hub.Serve(channelRegions, regionServers, n.serveRegions)
+	n.metrics.RegisterControl(n.control)
 	return n.openMembers()
 }
 
@@ -182,7 +194,7 @@
 		Limits:    n.limits,
 		Suspects:  n.suspects,
 		Lone:      n.suspects,
-		Burn:      n.burn,
+		Observer:  n.history.observer(n.served),
 		Directory: n.directory,
 		Metrics:   n.metrics,
 		Log:       n.log,
@@ -231,11 +243,14 @@
 		return err
 	}
 	duties := []func(context.Context){
-		n.members.Run, n.spreader.Run, n.regions.Run, n.loads.Run, n.limits.Run, n.suspects.Run, n.pipeline.Run, n.tellPeers,
+		n.members.Run, n.spreader.Run, n.regions.Run, n.loads.Run, n.limits.Run, n.suspects.Run, n.history.run, n.pipeline.Run, n.tellPeers,
 	}
 	if n.keeper != nil {
 		duties = append(duties, n.keeper.run)
 	}
+	if n.placing != nil {
+		duties = append(duties, n.placing.Run)
+	}
 	if n.platform != nil {
 		duties = append(duties, n.platform.run)
 	}
--- a/node/registered/status.go
+++ b/node/registered/status.go
@@ -31,6 +31,8 @@
 	// number of the last lost group.
 	Losses uint32
 	Lost   uint64
+	// Records is the number of claims held.
+	Records int
 }
 
 // Status returns the state for reports.
@@ -38,7 +40,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.gate.Admission
-	s := Status{State: Open, Group: a.Group, Losses: a.Losses, Lost: a.Lost}
+	s := Status{State: Open, Group: a.Group, Losses: a.Losses, Lost: a.Lost, Records: t.records}
 	switch {
 	case a.Group == 0:
 		s.State = Unregistered
--- a/node/registered/table.go
+++ b/node/registered/table.go
@@ -59,6 +59,8 @@
 
 	mu   sync.Mutex
 	gate gate
+	// records is the number of claims held, for reports.
+	records int
 }
 
 var _ replhost.StateMachine = (*Table)(nil)
@@ -73,9 +75,18 @@
 	}
 	result := t.claims.Apply(index, entry)
 	t.passTime(entry, result)
+	t.count()
 	return result
 }
 
+// count publishes the number of claims; the table itself belongs to the apply
+// goroutine.
+func (t *Table) count() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records = t.claims.Len()
+}
+
 // admit opens the gate, or starts the wait. The first admission stands.
 func (t *Table) admit(data []byte) []byte {
 	res := claim.Result{Reply: claim.Accepted}
@@ -178,7 +189,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gate = s.Gate
+	t.gate, t.records = s.Gate, t.claims.Len()
 	return nil
 }
 
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,285 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gullhaven/gullhaven/api"
+	"github.com/gullhaven/gullhaven/api/gen/operators"
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/bundle/spread"
+	"github.com/gullhaven/gullhaven/coord/membership"
+	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/node/group"
+	"github.com/gullhaven/gullhaven/route"
+)
+
+const (
+	// channelRegions is the link channel on which relays tell what they know of
+	// all regions.
+	channelRegions = "status-regions"
+	// regionServers is how many of them are answered at once.
+	regionServers = 2
+	// relayTimeout bounds the wait for a relay.
+	relayTimeout = 500 * time.Millisecond
+	// voterSilence is how long a voter may be silent before it counts as
+	// unreachable.
+	voterSilence = 3 * time.Second
+)
+
+// Status reports what this instance knows.
+func (o *operator) Status(context.Context) (*operators.InstanceReport, error) {
+	n := o.node
+	head := n.spreader.Head()
+	return &operators.InstanceReport{
+		Instance:  n.s.Instance,
+		Region:    n.s.Region,
+		Zone:      n.s.Zone,
+		Roles:     n.roles(),
+		Version:   head.Version,
+		Digest:    string(head.Digest),
+		Leader:    n.globalLeader(),
+		InFlight:  n.pipeline.InFlight(),
+		UptimeMs:  time.Since(n.started).Milliseconds(),
+		Regions:   n.regionStatus(head),
+		Targets:   n.targetStatus(),
+		Instances: n.instanceStatus(),
+		Lease:     n.globalLease(),
+		Voters:    n.voterStatus(),
+		Services:  api.ServiceStatuses(n.s.Region, n.served.Figures(time.Now())),
+	}, nil
+}
+
+// roles are what the instance does besides taking requests.
+func (n *Node) roles() []string {
+	roles := []string{"entry"}
+	if local := n.global.Local(); local != nil {
+		roles = append(roles, voterRole(local))
+	}
+	if n.view().IsRelay(n.s.Instance) {
+		roles = append(roles, "relay")
+	}
+	if n.keeper != nil && !n.keeper.local.Node.LeaseUntil().IsZero() {
+		roles = append(roles, "region_leader")
+	}
+	return roles
+}
+
+// voterRole tells whether a member of the global group counts in it: one that
+// lost its disk does not until the log has readmitted it.
+func voterRole(m *group.Member) string {
+	if m.Node.Status().Core.Config.IsVoter(m.Node.Member()) {
+		return "voter"
+	}
+	return "readmitting"
+}
+
+// leads reports whether a member leads its group.
+func leads(s replhost.Status) bool {
+	return s.State == replhost.Running && s.Core.Role == replog.Leader
+}
+
+// leaseOf is the lease of a group whose leader this instance is; nil otherwise.
+func (n *Node) leaseOf(m *group.Member) *operators.LeaseStatus {
+	if m == nil || !leads(m.Node.Status()) {
+		return nil
+	}
+	until := m.Node.LeaseUntil()
+	return &operators.LeaseStatus{
+		Instance: n.s.Instance,
+		Term:     m.Node.Status().Core.Term,
+		LeftMs:   max(0, time.Until(until).Milliseconds()),
+	}
+}
+
+func (n *Node) globalLease() *operators.LeaseStatus { return n.leaseOf(n.global.Local()) }
+
+func (n *Node) regionLease() *operators.LeaseStatus {
+	if n.keeper == nil {
+		return nil
+	}
+	return n.leaseOf(n.keeper.local)
+}
+
+// voterStatus lists the voters of the global group as this one knows them;
+// empty at an instance that is none.
+func (n *Node) voterStatus() []*operators.VoterStatus {
+	local := n.global.Local()
+	list := []*operators.VoterStatus{}
+	if local == nil {
+		return list
+	}
+	s := local.Node.Status()
+	for _, peer := range n.s.Voters {
+		v := &operators.VoterStatus{Instance: peer.ID, Region: peer.Region, State: "follower", Disk: "unknown"}
+		n.describeVoter(v, s)
+		list = append(list, v)
+	}
+	return list
+}
+
+// describeVoter fills in what the log tells: all of itself, and at the leader
+// what the others have synced.
+func (n *Node) describeVoter(v *operators.VoterStatus, s replhost.Status) {
+	if v.Instance == s.Core.Leader.ID {
+		v.State = "leader"
+	}
+	if v.Instance == n.s.Instance {
+		v.State, v.Disk, v.Index = s.Core.Role.String(), ownDisk(s), s.Core.Last
+		return
+	}
+	for _, p := range s.Core.Peers {
+		if p.Member.ID != v.Instance {
+			continue
+		}
+		v.Index, v.Disk = p.Match, "ok"
+		if !p.Voter {
+			v.State, v.Disk = "learner", "readmitting"
+		}
+		if time.Since(p.Active) > voterSilence {
+			v.State, v.Disk = "unreachable", "unknown"
+		}
+	}
+	for _, stranger := range s.Core.Strangers {
+		if stranger.ID == v.Instance {
+			v.Disk = "empty"
+		}
+	}
+}
+
+func ownDisk(s replhost.Status) string {
+	switch {
+	case s.State == replhost.Failed:
+		return "failed"
+	case s.Core.Role == replog.Blank:
+		return "empty"
+	case !s.Core.Config.IsVoter(s.Core.Self):
+		return "readmitting"
+	default:
+		return "ok"
+	}
+}
+
+func (n *Node) globalLeader() string {
+	if local := n.global.Local(); local != nil {
+		return local.Node.Status().Core.Leader.ID
+	}
+	return ""
+}
+
+// regionStatus lists the regions of the bundle with what is in force there.
+// Instances that are no relays know only their own.
+func (n *Node) regionStatus(head bundle.Identity) []*operators.RegionStatus {
+	known := map[string]*operators.RegionStatus{}
+	for _, s := range n.knownRegions() {
+		known[s.Region] = n.regionOf(s, head)
+	}
+	list := []*operators.RegionStatus{}
+	for _, id := range n.regionIDs() {
+		s := known[id]
+		if s == nil {
+			s = &operators.RegionStatus{Region: id, Behind: true, Reachable: id == n.s.Region || n.regions.Reachable(id)}
+		}
+		if id == n.s.Region {
+			s.Lease = n.regionLease()
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// regionOf compares what a region's relay told with the version in force here.
+func (n *Node) regionOf(s spread.RegionState, head bundle.Identity) *operators.RegionStatus {
+	status := &operators.RegionStatus{
+		Region:    s.Region,
+		Version:   s.Newest.Version,
+		Digest:    string(s.Newest.Digest),
+		Reachable: s.Region == n.s.Region || n.regions.Reachable(s.Region),
+		Behind:    s.Newest.Version < head.Version || len(s.Behind) > 0,
+		AgeMs:     time.Since(s.At).Milliseconds(),
+	}
+	for _, b := range s.Behind {
+		status.Lagging = append(status.Lagging, &operators.LaggingInstance{
+			Instance: b.Instance, Version: b.Version, ForMs: time.Since(b.Since).Milliseconds(),
+		})
+	}
+	return status
+}
+
+// knownRegions are the states of all regions. Relays and voters know them;
+// another instance asks a relay of its region, and knows none if that does not
+// answer.
+func (n *Node) knownRegions() []spread.RegionState {
+	if own := n.spreader.Regions(); len(own) > 0 {
+		return own
+	}
+	relay := n.view().Relays[0]
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	data, err := n.hub.Call(ctx, relay, channelRegions, nil)
+	var states []spread.RegionState
+	if err == nil {
+		err = cbor.Unmarshal(data, &states)
+	}
+	if err != nil {
+		return nil
+	}
+	return states
+}
+
+// serveRegions answers instances that know only their own region.
+func (n *Node) serveRegions(context.Context, string, []byte) ([]byte, error) {
+	return cbor.Marshal(n.spreader.Regions())
+}
+
+func (n *Node) regionIDs() []string {
+	v := n.pipeline.View()
+	if v == nil {
+		return []string{n.s.Region}
+	}
+	var ids []string
+	for _, r := range v.Bundle.Regions {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+// stateNames are the words of the interface for a target's state.
+var stateNames = map[route.State]string{
+	route.Warm: "warm", route.Loading: "loading", route.Leaving: "leaving", route.Down: "down",
+}
+
+func (n *Node) targetStatus() []*operators.TargetStatus {
+	list := []*operators.TargetStatus{}
+	for _, spec := range n.loads.States() {
+		seen, at := n.loads.Seen(string(spec.ID))
+		t := &operators.TargetStatus{
+			ID:      string(spec.ID),
+			Service: spec.Service,
+			State:   stateNames[spec.State],
+			Running: seen.Running,
+			Waiting: seen.Waiting,
+		}
+		if !at.IsZero() {
+			t.AgeMs = time.Since(at).Milliseconds()
+		}
+		list = append(list, t)
+	}
+	return list
+}
+
+func (n *Node) instanceStatus() []*operators.InstanceStatus {
+	list := []*operators.InstanceStatus{}
+	for _, m := range n.view().Members {
+		state := m.State.String()
+		if m.Leaving || m.State == membership.Left {
+			state = "leaving"
+		}
+		list = append(list, &operators.InstanceStatus{ID: m.ID, Region: m.Region, Zone: m.Zone, State: strings.ToLower(state)})
+	}
+	return list
+}
--- a/node/suspects/lone.go
+++ b/node/suspects/lone.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,7 @@
 	r.Target = target
 	var once sync.Once
 	release := func() { once.Do(func() { s.release(owner, r) }) }
-	if err := s.awaitIdle(ctx, target); err != nil {
+	if err := s.awaitIdle(ctx, service, target); err != nil {
 		release()
 		return ports.LoneRun{}, err
 	}
@@ -81,11 +82,16 @@
 }
 
 // awaitIdle waits until the target itself says that it runs nothing: what was
-// sent there before it was kept free may take long.
-func (s *Service) awaitIdle(ctx context.Context, target string) error {
+// sent there before it was kept free may take long. A target that has gone never
+// says so, and would hold the request up to its deadline: the wait ends once it
+// is no candidate any more, so that the caller is told at once to come back.
+func (s *Service) awaitIdle(ctx context.Context, service, target string) error {
 	tick := time.NewTicker(idleInterval)
 	defer tick.Stop()
 	for !s.o.Region.Idle(ctx, target) {
+		if !slices.Contains(s.o.Region.Candidates(service), target) {
+			return errNoTarget
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/node/suspects/suspects.go
+++ b/node/suspects/suspects.go
@@ -188,6 +188,13 @@
 	go s.tell(id, channelEntries, entries, publishTimeout)
 }
 
+// Len is the number of entries held.
+func (s *Service) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Len()
+}
+
 // publish tells the others, and returns when they know or after a bounded time.
 func (s *Service) publish(entries []suspect.Entry) {
 	if len(entries) == 0 {
--- a/pipeline/finish.go
+++ b/pipeline/finish.go
@@ -27,6 +27,8 @@
 	// Target is empty if nothing was sent; Region is where it was spilled to.
 	Target route.TargetID
 	Region string
+	// Peer is the instance that passed the request on; empty for a caller's own.
+	Peer string
 	// Kept says that the answer was whole, in time, and within the objective of
 	// its service.
 	Kept bool
@@ -123,6 +125,7 @@
 		Verdict: verdict.Ran,
 		Target:  x.target,
 		Region:  x.region,
+		Peer:    x.Peer,
 	}
 	if !x.firstByte.IsZero() {
 		o.FirstByte = x.firstByte.Sub(x.Arrival)
@@ -140,13 +143,6 @@
 		o.Service = x.Service.ID
 	}
 	o.Kept = e == nil && x.inTime(now) && x.keptObjective(o)
-	f.report(now, o)
-}
-
-func (f *Finish) report(now time.Time, o Outcome) {
-	if f.deps.Burn != nil && o.Counted() {
-		f.deps.Burn.Observe(now, o.Service, o.Kept)
-	}
 	if f.deps.Observer != nil {
 		f.deps.Observer.Observe(o)
 	}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -42,8 +42,6 @@
 	Lone ports.LoneRuns
 	// Directory may be nil; it tells callers in a wrong region where to go.
 	Directory ports.Directory
-	// Burn may be nil; it keeps how services' objectives were kept.
-	Burn *metrics.Burn
 	// Observer may be nil; it is told of each request's end.
 	Observer Observer
 	Metrics  *metrics.Set
