route: split grants among those who use them, let small requests go on in debt

Half of each grant was told to a neighbour that used none of it, and a dossier left a debt of six average requests, during which rewrites of a fifth of one were refused. Change: a grant is split among the regions whose requests crossed in the last 5 s. Requests of less than average work may go on down to a debt of 10 average requests; the rate in the long run stays the granted one (a property).

--- a/route/spill.go
+++ b/route/spill.go
@@ -7,6 +7,10 @@
 	grantBurst = 1.0
 	// leastBurst is the least that may be spent at once, in average requests.
 	leastBurst = 2.0
+	// smallDebt is the debt up to which requests of less than average work may
+	// still be spilled, in average requests. It is what a long prompt leaves:
+	// without it one dossier has twenty rewrites refused.
+	smallDebt = 10.0
 )
 
 // spill is the account of what one service sends to neighbours.
@@ -145,15 +149,14 @@
 
 // grants says whether the neighbour's grant and the link's share leave room. A
 // request with more work than may be spent at once needs the whole credit and
-// leaves a debt.
+// leaves a debt, in which small ones go on.
 func (r *Router) grants(now time.Time, s *service, q *Request, n *neighbour, l *Link) bool {
 	at := r.seconds(now)
 	if n.summary.Targets == 0 || now.Sub(n.summary.At) > r.cfg.SummaryStale {
 		return false
 	}
 	n.refill(at, r.cfg.Instances)
-	need := min(s.work(q), n.burst(r.cfg.Instances))
-	if n.credit < need || n.summary.FreeRate <= 0 {
+	if n.credit < s.need(q, n.burst(r.cfg.Instances)) || n.summary.FreeRate <= 0 {
 		return false
 	}
 	n.spilled.fade(at)
@@ -161,6 +164,15 @@
 	return n.spilled.sum+1 <= max(1, l.MaxShare*s.arrivals.sum)
 }
 
+// need is the credit that a request must find.
+func (s *service) need(q *Request, burst float64) float64 {
+	work := s.work(q)
+	if work < 1 {
+		return work - smallDebt
+	}
+	return min(work, burst)
+}
+
 // extraPrefill is how much longer than an average prompt the request's takes to
 // prefill with a cold cache, in seconds; negative for a short one.
 func (r *Router) extraPrefill(s *service, q *Request) float64 {
--- a/route/summary.go
+++ b/route/summary.go
@@ -13,7 +13,7 @@
 }
 
 // Summarise implements Decider. What is spare under GrantLoad is split among
-// the neighbours; a grant rises slowly and falls at once, so that a neighbour's
+// the neighbours that use it; a grant rises slowly and falls at once, so that a neighbour's
 // traffic does not pull this region down after its own.
 func (r *Router) Summarise(now time.Time) []RegionSummary {
 	at := r.seconds(now)
@@ -32,7 +32,7 @@
 		spare = free * max(0, capacity*r.cfg.GrantLoad-s.demand(at, &r.cfg))
 	}
 	s.grant.follow(at, spare, capacity*r.cfg.GrantRamp)
-	sum.FreeRate = s.grant.rate / float64(max(1, len(r.links)))
+	sum.FreeRate = s.grant.rate / float64(max(1, s.users(at)))
 	sum.Wait = duration(queue + s.coldTime())
 	return sum
 }
@@ -46,6 +46,39 @@
 	return max(0, own) * float64(c.Instances)
 }
 
+// useTime is the time in seconds for which a crossing counts its region as a
+// user of the grant.
+const useTime = 5.0
+
+// user is a region whose requests crossed into this one, at last at the time at.
+type user struct {
+	home string
+	at   float64
+}
+
+// crossedFrom notes that a request of a region crossed into this one.
+func (s *service) crossedFrom(home string, at float64) {
+	for i := range s.usedBy {
+		if s.usedBy[i].home == home {
+			s.usedBy[i].at = at
+			return
+		}
+	}
+	s.usedBy = append(s.usedBy, user{home, at})
+}
+
+// users is the number of regions that use the grant. Two that begin at once are
+// each told the whole of it until the first crossings have been seen.
+func (s *service) users(at float64) int {
+	n := 0
+	for _, u := range s.usedBy {
+		if at-u.at < useTime {
+			n++
+		}
+	}
+	return n
+}
+
 // follow moves the grant towards spare: down at once, up by ramp per second.
 func (g *grant) follow(at, spare, ramp float64) {
 	up := g.rate + ramp*max(0, at-g.at)
--- a/route/target.go
+++ b/route/target.go
@@ -129,6 +129,8 @@
 	floor float64
 	spill spill
 	grant grant
+	// usedBy are the regions that use the grant.
+	usedBy []user
 }
 
 // others is the estimated number of peer sendings for each own one.
@@ -206,6 +208,7 @@
 	s.arrivals.add(at, 1)
 	if q.Crossed {
 		s.crossed.add(at, 1)
+		s.crossedFrom(q.Home, at)
 	}
 }
 
