Roll bundles of full size; name a blocked claim; one bound of claim lifetimes

Cause: a log entry was bounded at 1 MiB, while the first bundle with 10,000 workspaces takes 2.27 MB; such a roll was refused. A region whose claims were lost answered 'full'. The bundle's check allowed a claim lifetime of 30 days, while claims refuse more than 7: every claim would have been refused. Change: entries of the global group up to 8 MiB, link messages up to 16; the reply Blocked; the check takes claim.MaxLifetime.

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -4,8 +4,10 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/gullhaven/gullhaven/bundle/strict"
+	"github.com/gullhaven/gullhaven/coord/claim"
 )
 
 // Bounds of the check.
@@ -14,7 +16,7 @@
 	maxPriority      = 9
 	maxAttempts      = 10
 	dayMillis        = 24 * 60 * 60 * 1000
-	maxClaimSeconds  = 30 * 24 * 60 * 60
+	maxClaimSeconds  = float64(claim.MaxLifetime / time.Second)
 	maxDrainSeconds  = 24 * 60 * 60
 	maxRate          = 1e12
 	maxOneWayMillis  = 10_000
--- a/coord/claim/doc.go
+++ b/coord/claim/doc.go
@@ -28,8 +28,9 @@
 //	                   reachable, non-idempotent requests are refused here
 //
 // A table that is lost for good (every disk wiped) must not start empty: an
-// empty table would grant keys that have run. The host starts the new log only
-// by an operator's act, and refuses claims until the longest lifetime passed.
+// empty table would grant keys that have run. The host finds out that it
+// replaces a lost one (coord/registry), and refuses claims, with the reply
+// Blocked, until the longest lifetime has passed.
 //
 // # Lifetimes
 //
@@ -61,7 +62,7 @@
 //	may have run          may_have_run     may_have_run       refused
 //	other body (conflict) not_run          not_run            refused
 //	held                  not_run          may_have_run       refused, come back
-//	full, stale, lost     not_run          may_have_run       refused, come back
+//	full, stale, blocked  not_run          may_have_run       refused, come back
 //	never reached         not_run          may_have_run       refused, come back
 //	reply lost            not_run          may_have_run       refused, come back
 //
--- a/coord/claim/types.go
+++ b/coord/claim/types.go
@@ -159,11 +159,14 @@
 	NotOwner
 	// Forgotten: there is no record of the key. Nothing changed.
 	Forgotten
+	// Blocked: claims of the home were lost, and new ones are refused for
+	// RetryAfterMillis. The host makes this reply; a Table never does.
+	Blocked
 )
 
 var replyNames = [...]string{
 	"invalid", "accepted", "granted", "running", "done", "may_have_run", "conflict",
-	"held", "released", "full", "stale", "owner_lost", "not_owner", "forgotten",
+	"held", "released", "full", "stale", "owner_lost", "not_owner", "forgotten", "blocked",
 }
 
 // String returns the name of a reply in lower case.
@@ -184,7 +187,7 @@
 	Verdict verdict.Verdict `cbor:"4,keyasint,omitempty"`
 	Status  uint16          `cbor:"5,keyasint,omitempty"`
 	Answer  Digest          `cbor:"6,keyasint"`
-	// RetryAfterMillis goes with Held and Full.
+	// RetryAfterMillis goes with Held, Full and Blocked.
 	RetryAfterMillis int64 `cbor:"7,keyasint,omitempty"`
 	// Message goes with Invalid.
 	Message string `cbor:"8,keyasint,omitempty"`
--- a/node/claims.go
+++ b/node/claims.go
@@ -39,7 +39,7 @@
 	result, err := client.Propose(ctx, data)
 	if after, blocked := registered.Blocked(err); blocked {
 		// An answer and no failure: asking again within the request is no use.
-		return claim.Result{Reply: claim.Full, RetryAfterMillis: after.Milliseconds()}, nil
+		return claim.Result{Reply: claim.Blocked, RetryAfterMillis: after.Milliseconds()}, nil
 	}
 	var e *verdict.Error
 	if errors.As(err, &e) && e.Verdict == verdict.NotRun {
--- a/node/group/group.go
+++ b/node/group/group.go
@@ -87,6 +87,8 @@
 	// HeartbeatInterval of the log; the default of replog if zero. Groups over
 	// several regions need one well above their round trip.
 	HeartbeatInterval, ElectionTimeout time.Duration
+	// MaxProposalBytes bounds one entry; the default of replhost if zero.
+	MaxProposalBytes int
 }
 
 // Member is this instance's part in a group.
@@ -104,11 +106,12 @@
 			HeartbeatInterval: o.HeartbeatInterval,
 			ElectionTimeout:   o.ElectionTimeout,
 		},
-		FS:           o.FS,
-		Dir:          o.Dir,
-		Transport:    transport{hub: o.Hub, channel: MessageChannel(o.Name)},
-		StateMachine: o.StateMachine,
-		Repair:       true,
+		FS:               o.FS,
+		Dir:              o.Dir,
+		Transport:        transport{hub: o.Hub, channel: MessageChannel(o.Name)},
+		StateMachine:     o.StateMachine,
+		MaxProposalBytes: o.MaxProposalBytes,
+		Repair:           true,
 	})
 	if err != nil {
 		return nil, err
--- a/node/groups.go
+++ b/node/groups.go
@@ -25,6 +25,7 @@
 	local, err := n.openGroup(voters, group.Options{
 		Name: globalGroup, StateMachine: machine, Prepare: machine.Prepare,
 		HeartbeatInterval: globalHeartbeat, ElectionTimeout: globalElection,
+		MaxProposalBytes: maxBundleEntry,
 	})
 	if err != nil {
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -49,8 +49,12 @@
 	// trip between two of them is about 160 ms.
 	globalHeartbeat = 200 * time.Millisecond
 	globalElection  = 1500 * time.Millisecond
-	// maxLinkMessage bounds a message: a whole bundle of 10,000 workspaces.
-	maxLinkMessage = 8 << 20
+	// maxBundleEntry bounds a bundle in the log: the first one is whole, 2.3 MB
+	// with 10,000 workspaces.
+	maxBundleEntry = 8 << 20
+	// maxLinkMessage bounds a message. The longest are a rolled bundle in JSON
+	// on its way to the leader, and a snapshot of the log.
+	maxLinkMessage = 16 << 20
 	// peersInterval is how often the view of peers is handed to the spreader.
 	peersInterval = time.Second
 	// drainInterval is the time between two looks at the work in progress.
--- a/node/status.go
+++ b/node/status.go
@@ -63,13 +63,17 @@
 	if n.view().IsRelay(n.s.Instance) {
 		roles = append(roles, "relay")
 	}
-	if n.keeper != nil && !n.keeper.local.Node.LeaseUntil().IsZero() {
+	if n.keeper == nil {
+		return roles
+	}
+	roles = append(roles, "region_"+voterRole(n.keeper.local))
+	if !n.keeper.local.Node.LeaseUntil().IsZero() {
 		roles = append(roles, "region_leader")
 	}
 	return roles
 }
 
-// voterRole tells whether a member of the global group counts in it: one that
+// voterRole tells whether a member of a group counts in it: one that
 // lost its disk does not until the log has readmitted it.
 func voterRole(m *group.Member) string {
 	if m.Node.Status().Core.Config.IsVoter(m.Node.Member()) {
