standin: run the targets of a bundle with its models loaded

Cause: stand-in engines told no model at their start, so the giver of orders drained and loaded each of them as soon as a bundle came in force.

--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -40,6 +40,11 @@
 	devRollTime  = 20 * time.Second
 )
 
+// devEngineConfig is the engine with what the embedded bundle wants loaded.
+var devEngineConfig = standin.EngineConfig{
+	ID: "engine-1", PerToken: 5 * time.Millisecond, Slots: 16, Model: "dev-model", Version: "v1", Role: string(bundle.RoleBoth),
+}
+
 // devBundle is what --dev rolls; the operator's and the workspace's keys are
 // filled in.
 //
@@ -62,7 +67,7 @@
 	var s serving
 	defer s.wg.Wait()
 	defer cancel()
-	if err := s.engine(targets, devEngine, standin.EngineConfig{ID: "engine-1", PerToken: 5 * time.Millisecond}); err != nil {
+	if err := s.engine(targets, devEngine, devEngineConfig); err != nil {
 		return err
 	}
 	for _, address := range []string{devEcho, devOrders} {
--- a/daemon/standin.go
+++ b/daemon/standin.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/gullhaven/gullhaven/bundle"
 	"github.com/gullhaven/gullhaven/standin"
 )
 
@@ -17,6 +19,8 @@
 type standinOptions struct {
 	Engines  string        `long:"engines" value-name:"IP:PORT,..." description:"Addresses of stand-in engines"`
 	Plain    string        `long:"plain" value-name:"IP:PORT,..." description:"Addresses of stand-in plain services"`
+	Bundle   string        `long:"bundle" value-name:"FILE" description:"Run the targets of a bundle, with its models loaded"`
+	Region   string        `long:"region" value-name:"ID" description:"With --bundle: only the targets of this region"`
 	PerToken time.Duration `long:"per-token" default:"2ms" description:"Time that an engine takes for a token"`
 }
 
@@ -29,16 +33,18 @@
 
 // run serves the stand-ins until ctx ends.
 func (o *standinOptions) run(ctx context.Context, out io.Writer) error {
-	engines, plain := split(o.Engines), split(o.Plain)
+	engines, plain, err := o.targets()
+	if err != nil {
+		return err
+	}
 	if len(engines)+len(plain) == 0 {
-		return fmt.Errorf("%w: standin needs --engines or --plain", errUsage)
+		return fmt.Errorf("%w: standin needs --bundle, --engines or --plain", errUsage)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var s serving
-	for _, address := range engines {
-		cfg := standin.EngineConfig{ID: address, PerToken: o.PerToken}
-		if err := s.engine(ctx, address, cfg); err != nil {
+	for _, cfg := range engines {
+		if err := s.engine(ctx, cfg.ID, cfg); err != nil {
 			return err
 		}
 	}
@@ -52,6 +58,51 @@
 	return errors.Join(s.errs...)
 }
 
+// targets are the engines, whose ids are their addresses, and the addresses of
+// plain services.
+func (o *standinOptions) targets() ([]standin.EngineConfig, []string, error) {
+	var engines []standin.EngineConfig
+	for _, address := range split(o.Engines) {
+		engines = append(engines, standin.EngineConfig{ID: address, PerToken: o.PerToken})
+	}
+	plain := split(o.Plain)
+	if o.Bundle == "" {
+		return engines, plain, nil
+	}
+	data, err := os.ReadFile(o.Bundle)
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := bundle.Decode(data)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", o.Bundle, err)
+	}
+	more, morePlain := o.targetsOf(b)
+	return append(engines, more...), append(plain, morePlain...), nil
+}
+
+// targetsOf are the targets of a bundle, with what their services need loaded.
+func (o *standinOptions) targetsOf(b *bundle.Bundle) (engines []standin.EngineConfig, plain []string) {
+	services := map[string]bundle.Service{}
+	for _, s := range b.Services {
+		services[s.ID] = s
+	}
+	for _, t := range b.Targets {
+		service := services[t.Service]
+		switch {
+		case o.Region != "" && t.Region != o.Region:
+		case service.Kind == bundle.KindPlain:
+			plain = append(plain, t.Address)
+		default:
+			engines = append(engines, standin.EngineConfig{
+				ID: t.Address, PerToken: o.PerToken, Slots: t.Slots, IgnoresFence: !t.ChecksFence,
+				Model: service.Model, Version: service.Version, Role: string(t.Role), Adapters: service.Adapters,
+			})
+		}
+	}
+	return engines, plain
+}
+
 func split(list string) []string {
 	return strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -46,6 +46,10 @@
 	IgnoresFence bool
 	// LoadTime is how long an order to load is under way.
 	LoadTime time.Duration
+	// Model, Version, Role and Adapters are what it has loaded at its start;
+	// empty is an engine that must be told.
+	Model, Version, Role string
+	Adapters             []string
 	// KeepRuns is how long a broken-off run can be resumed; default 30 s.
 	KeepRuns time.Duration
 }
@@ -221,7 +225,7 @@
 	}
 	defer e.slots.release()
 	e.resumed.Add(1)
-	run = run.in(e.life.Load())
+	run = e.runs.takeUp(run.in(e.life.Load()))
 	e.answer(w, r, run, answering{fault: e.faults.take([]byte("resume:" + run.Prompt)), after: after})
 }
 
@@ -241,7 +245,17 @@
 		http.Error(w, "unknown attempt", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, run)
+	f := e.faults.take([]byte("export:" + run.Prompt))
+	switch f.Kind {
+	case FaultError:
+		http.Error(w, "internal error", http.StatusInternalServerError)
+	case FaultCut:
+		_, _ = w.Write([]byte(`{"attempt":`))
+		_ = http.NewResponseController(w).Flush()
+		drop()
+	default:
+		writeJSON(w, run)
+	}
 }
 
 func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
@@ -251,7 +265,15 @@
 		http.Error(w, "malformed KV cache", http.StatusBadRequest)
 		return
 	}
-	e.runs.add(x)
+	switch e.faults.take([]byte("import:" + x.Prompt)).Kind {
+	case FaultError:
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	case FaultCrash:
+		drop()
+	}
+	// A cache that nobody takes up is dropped.
+	e.runs.brokenOff(e.runs.takeUp(x))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -24,7 +24,15 @@
 	adapters []string
 }
 
-func newOrders(cfg EngineConfig) *orders { return &orders{cfg: cfg} }
+func newOrders(cfg EngineConfig) *orders {
+	return &orders{
+		cfg:      cfg,
+		model:    cfg.Model,
+		version:  cfg.Version,
+		role:     cfg.Role,
+		adapters: slices.Clone(cfg.Adapters),
+	}
+}
 
 // Orders returns the orders taken, oldest first.
 func (e *Engine) Orders() []ports.Order {
