route: tighten the bound on the wait while a queue stands

The same queue would answer as many if it were short. Where a burst is worked off, a long bound answers more. Change: a bound on the wait is a quarter of the usual one once the queue, as the priority sees it, has not been short for 20 s (after CoDel, Nichols and Jacobson 2012).

--- a/route/admission.go
+++ b/route/admission.go
@@ -19,6 +19,10 @@
 	retrySlack  = 10 * time.Millisecond
 	// floorBurst bounds the credit of low priorities, in requests.
 	floorBurst = 5.0
+	// standingTime is the time in seconds after which a queue that was never
+	// short stands; its bound on the wait is divided by standingPart.
+	standingTime = 20.0
+	standingPart = 4.0
 )
 
 // admit sends the request to one of the scored candidates that make it in time,
@@ -39,7 +43,7 @@
 	if d, ok := r.trySpill(now, s, q, localWait{seconds: o.first}); ok {
 		return d
 	}
-	if over := r.shedBy(s, q, o.wait); over > 0 {
+	if over := r.shedBy(r.seconds(now), s, q, o.wait); over > 0 {
 		return refuse(ReasonOverload, over)
 	}
 	c := &inTime[r.picker.Pick(&r.snapshot, inTime)]
@@ -96,11 +100,12 @@
 // priority bears; 0 means that it is admitted. Of the ones that would be shed a
 // part is admitted all the same, so that a low priority does not starve behind
 // a steady load of higher ones.
-func (r *Router) shedBy(s *service, q *Request, wait float64) float64 {
+func (r *Router) shedBy(at float64, s *service, q *Request, wait float64) float64 {
 	if priority(q) == priorities-1 {
 		return 0
 	}
-	over := wait - r.cfg.ShedWait.Seconds()*float64(priority(q)+1)
+	bound := r.cfg.ShedWait.Seconds() * float64(priority(q)+1)
+	over := wait - s.stood[priority(q)].tighten(at, wait, bound)
 	if over <= 0 {
 		return 0
 	}
@@ -112,6 +117,30 @@
 	return over
 }
 
+// standing sees a queue that does not drain, of one priority. Where more comes
+// than can be done, a long queue answers no more requests than a short one, only
+// later; where a burst is being worked off it answers more. What tells the two
+// apart is whether the queue was ever short of late (CoDel: Nichols, Jacobson 2012).
+type standing struct {
+	seen bool
+	// since is when the wait was last short, in seconds.
+	since float64
+}
+
+// tighten returns the bound on the wait, which is a part of the usual one while
+// the queue stands. All in seconds.
+func (s *standing) tighten(at, wait, bound float64) float64 {
+	tight := bound / standingPart
+	if !s.seen || wait < tight/2 {
+		s.seen = true
+		s.since = at
+	}
+	if at-s.since > standingTime {
+		return tight
+	}
+	return bound
+}
+
 // withoutTarget answers where no target here can take the request now.
 func (r *Router) withoutTarget(now time.Time, s *service, q *Request) Decision {
 	if d, ok := r.trySpill(now, s, q, localWait{never: true}); ok {
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -368,6 +368,53 @@
 	}
 }
 
+// Symptom: low priorities are answered shortly before their deadline for as long
+// as half of the region is lost; or a burst has requests refused that would have
+// been in time. Cause: one bound on the wait for queues that stand and that drain.
+func TestOnlyAStandingQueueTightensTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s standing
+		const bound = 20.0
+		short := 0.0
+		at := rapid.Float64Range(0, 1000).Draw(t, "start")
+		for i := range 200 {
+			at += rapid.Float64Range(0, 2).Draw(t, "pause")
+			wait := rapid.SampledFrom([]float64{2.4, 2.6, 4, 8, 19, 40}).Draw(t, "wait")
+			if i == 0 || wait < bound/8 {
+				short = at
+			}
+			want := bound
+			if at-short > 20 {
+				want = bound / 4
+			}
+			if got := s.tighten(at, wait, bound); got != want {
+				t.Fatalf("bound %v after %v s without a short wait, want %v", got, at-short, want)
+			}
+		}
+	})
+	r := region(2)
+	refused := func(at, span time.Duration, tokens int) (n int) {
+		for end := at + span; at < end; at += 500 * time.Millisecond {
+			queue(r, epoch.Add(at), tokens)
+			q := prompt(100)
+			q.Priority = 0
+			if r.Decide(epoch.Add(at), q).Action == Refuse {
+				n++
+			}
+		}
+		return n
+	}
+	if n := refused(0, 15*time.Second, 20_000); n != 0 {
+		t.Fatalf("%d refused in a burst of 15 s", n)
+	}
+	if n := refused(25*time.Second, 10*time.Second, 20_000); n < 15 || n == 20 {
+		t.Fatalf("%d of 20 refused while the queue stands", n)
+	}
+	if n := refused(40*time.Second, 15*time.Second, 100) + refused(60*time.Second, 15*time.Second, 20_000); n != 0 {
+		t.Fatalf("%d refused after the queue had drained", n)
+	}
+}
+
 // Symptom: a target's load stays as it was for an hour.
 // Events: its clock is ahead, then right again; reports come late.
 // Cause: the time of a report compared as if all had one clock.
--- a/route/target.go
+++ b/route/target.go
@@ -127,6 +127,8 @@
 	greyAt float64
 	// floor is the credit of low priorities.
 	floor float64
+	// stood are the queues as requests of each priority saw them.
+	stood [priorities]standing
 	spill spill
 	grant grant
 	// usedBy are the regions that use the grant.
