pipeline: move streams off leaving targets; cost by the time at the target

Cause: a planned change of a target waits for the requests in progress; one very long answer held it up for as long as it ran. The cost of a request was its whole time, waiting here included, and a resend of what runs at most once was priced again.

Change: routing notes since when a target has been leaving. After each chunk the relay asks whether the bundle's drain_s has passed since then; if so an idempotent stream goes on at another target of the region: ExportKV, ImportKV, Resume after the last chunk passed on. Work that runs at most once, suspects that run alone and whole answers stay. Two counters: moved streams and failed moves.

Outcome.AtTarget is the time from sending to end over all sendings of this instance, hedges and moves included; a replay has none. metrics/served prices it in place of Took; its test sets both and expects AtTarget.

Result: streams that move after chunk 1, 2, 7, 11 and 12 of 12 (then cut and resumed at the new engine) equal the stand-in's answer; the old engine runs nothing while the new one goes on; seven failures of a move and four reasons against one leave the answer whole.

--- a/metrics/names.go
+++ b/metrics/names.go
@@ -37,6 +37,8 @@
 	Retries          = Metric{"gullhaven_retries_total", Counter, "attempts", "Sendings after a failed one."}
 	Hedges           = Metric{"gullhaven_hedges_total", Counter, "attempts", "Second sendings before the first token."}
 	Resumes          = Metric{"gullhaven_resumes_total", Counter, "streams", "Cut streams taken up again."}
+	MovedStreams     = Metric{"gullhaven_moved_streams_total", Counter, "streams", "Streams moved from a leaving target to another one."}
+	FailedMoves      = Metric{"gullhaven_failed_moves_total", Counter, "streams", "Tries to move a stream that failed; it went on where it was."}
 	LateAnswers      = Metric{"gullhaven_late_answers_total", Counter, "answers", "Answers of abandoned attempts, dropped."}
 	Duplicates       = Metric{"gullhaven_chunks_duplicate_total", Counter, "chunks", "Chunks given twice, dropped."}
 	Reordered        = Metric{"gullhaven_chunks_reordered_total", Counter, "chunks", "Chunks that came early and were put in order."}
@@ -104,7 +106,7 @@
 // All are the metrics of an instance, each once.
 var All = []Metric{
 	Requests, InFlight, Answered, Refused, FailedMayHaveRun, FailedRan, CutAnswers,
-	CallersGone, Attempts, Retries, Hedges, Resumes, LateAnswers, Duplicates, Reordered,
+	CallersGone, Attempts, Retries, Hedges, Resumes, MovedStreams, FailedMoves, LateAnswers, Duplicates, Reordered,
 	Foreign, WrongAnswers, Chunks, BodyBytes, Spilled, Replayed, ClaimsRecorded,
 	ClaimsUnrecorded, FirstByteTime, AnswerTime, LinkConnections, LinkMessagesSent,
 	LinkBytesSent, LinkMessagesReceived, LinkBytesReceived, LinkRefused, LinkDropped,
--- a/metrics/served/observer.go
+++ b/metrics/served/observer.go
@@ -42,9 +42,8 @@
 	}
 }
 
-// requestOf is an outcome as the Table counts it. The time at the target is
-// taken as the whole time of the request: what it waited here is in it, so the
-// cost is an upper bound.
+// requestOf is an outcome as the Table counts it. The time at all targets that
+// it was sent to is priced as that of the last one.
 func requestOf(out pipeline.Outcome, p Price) Request {
 	r := Request{
 		Service:   out.Service,
@@ -55,7 +54,7 @@
 		Passed:    out.Peer != "",
 	}
 	if out.Target != "" {
-		r.TargetSeconds = out.Took.Seconds() * p.Share
+		r.TargetSeconds = out.AtTarget.Seconds() * p.Share
 		r.Cost = r.TargetSeconds * p.PerSecond
 	}
 	return r
--- a/metrics/served/served_test.go
+++ b/metrics/served/served_test.go
@@ -58,7 +58,7 @@
 		var all []request
 		for range rapid.IntRange(1, 60).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second)
-			out := pipeline.Outcome{Service: "s", Target: "r1", Took: time.Second, Kept: true}
+			out := pipeline.Outcome{Service: "s", Target: "r1", Took: 3 * time.Second, AtTarget: time.Second, Kept: true}
 			out.FirstByte = time.Duration(rapid.IntRange(1, 100_000).Draw(t, "first")) * unit
 			switch rapid.IntRange(0, 3).Draw(t, "end") {
 			case 0:
@@ -115,7 +115,7 @@
 	now := time.Unix(1_800_000_000, 0)
 	o := &Observer{Table: NewTable(now), Burn: burn.NewHistory("i", "r", 1), Now: func() time.Time { return now }}
 	o.Price = func(route.TargetID) Price { return Price{Share: 0.1, PerSecond: 1} }
-	out := pipeline.Outcome{Service: "s", Workspace: "w", Target: "t", FirstByte: 300 * time.Millisecond, Took: time.Second, Kept: true}
+	out := pipeline.Outcome{Service: "s", Workspace: "w", Target: "t", FirstByte: 300 * time.Millisecond, Took: 3 * time.Second, AtTarget: time.Second, Kept: true}
 	for b.Loop() {
 		o.Observe(out)
 	}
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -20,6 +20,7 @@
 	Requests, Answered, Refused, FailedMayHaveRun, FailedRan     gometrics.Counter
 	CutAnswers, CallersGone                                      gometrics.Counter
 	Attempts, Retries, Hedges, Resumes, LateAnswers              gometrics.Counter
+	MovedStreams, FailedMoves                                    gometrics.Counter
 	Duplicates, Reordered, Foreign, WrongAnswers, Chunks         gometrics.Counter
 	BodyBytes, Spilled, Replayed, ClaimsRecorded, ClaimsUnrecord gometrics.Counter
 	FirstByteTime, AnswerTime                                    *Times
@@ -39,6 +40,8 @@
 	s.Retries = s.Counter(Retries)
 	s.Hedges = s.Counter(Hedges)
 	s.Resumes = s.Counter(Resumes)
+	s.MovedStreams = s.Counter(MovedStreams)
+	s.FailedMoves = s.Counter(FailedMoves)
 	s.LateAnswers = s.Counter(LateAnswers)
 	s.Duplicates = s.Counter(Duplicates)
 	s.Reordered = s.Counter(Reordered)
--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -24,17 +24,31 @@
 	budgets *budgets
 	ids     *ids
 	forward *Forward
+	// moves bounds the streams that are being moved.
+	moves chan struct{}
 }
 
 // attempt is one sending.
 type attempt struct {
-	route    route.AttemptID
-	id       ports.AttemptID
+	route route.AttemptID
+	// id names this sending; sent is the name under which engines know it, which
+	// a moved stream keeps.
+	id, sent ports.AttemptID
 	decision route.Decision
 	target   *bundle.Target
 	alone    bool
 	query    *route.Request
 	tokens   int
+	// begun is when it was sent.
+	begun time.Time
+}
+
+// newAttempt names a sending of a request.
+func (f *Attempts) newAttempt(q *route.Request) *attempt {
+	a := &attempt{query: q}
+	a.route, a.id = f.ids.attempt()
+	a.sent = a.id
+	return a
 }
 
 // send makes one attempt and passes its answer on. It ends the attempt.
@@ -70,8 +84,7 @@
 	if x.Ctx.Err() != nil {
 		return x.Ctx.Err(), false
 	}
-	a := &attempt{query: q}
-	a.route, a.id = f.ids.attempt()
+	a := f.newAttempt(q)
 	a.decision = f.routing.Decide(a.route, q)
 	switch a.decision.Action {
 	case route.Send:
@@ -128,6 +141,7 @@
 
 func (f *Attempts) start(x *Exchange, a *attempt) {
 	f.deps.Metrics.Attempts.Inc(1)
+	a.begun = f.deps.Now()
 	if f.deps.Suspects != nil {
 		f.deps.Suspects.Started(f.deps.Now(), a.id, a.target.ID, x.Digest, a.alone)
 	}
@@ -138,8 +152,15 @@
 	outcome := outcomeOf(x, err)
 	f.routing.Ended(route.End{Attempt: a.route, Outcome: outcome, OutputTokens: a.tokens, CachedTokens: -1})
 	f.budgets.ended(x.Service.ID, outcome)
+	f.left(x, a, suspectEnd(x, err))
+}
+
+// left records that a sending is no longer at its target.
+func (f *Attempts) left(x *Exchange, a *attempt, e ports.AttemptEnd) {
+	now := f.deps.Now()
+	x.atTarget += now.Sub(a.begun)
 	if f.deps.Suspects != nil {
-		f.deps.Suspects.Ended(f.deps.Now(), a.id, suspectEnd(x, err))
+		f.deps.Suspects.Ended(now, a.id, e)
 	}
 }
 
--- a/pipeline/claiming.go
+++ b/pipeline/claiming.go
@@ -222,5 +222,5 @@
 		step = y.claim.gate.Finished(now, y.Verdict, status, digest)
 	}
 	f.recorder.push(y.claim.home, step.Command)
-	f.journals.end(j, err, y.target)
+	f.journals.end(j, err, sentTo{target: y.target, took: y.atTarget})
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -77,10 +77,12 @@
 	// Passed on to the caller so far.
 	headWritten bool
 	firstByte   time.Time
-	chunks      int
-	region      string
-	target      route.TargetID
-	replayed    bool
+	// atTarget is the time of this instance's own sendings, summed.
+	atTarget time.Duration
+	chunks   int
+	region   string
+	target   route.TargetID
+	replayed bool
 }
 
 // raise joins the verdict of an attempt.
--- a/pipeline/finish.go
+++ b/pipeline/finish.go
@@ -19,6 +19,9 @@
 	// FirstByte is the time from arrival to the first byte of the answer; 0 if
 	// there was none. Took is the time to the end.
 	FirstByte, Took time.Duration
+	// AtTarget is the time from sending to end, summed over all sendings of this
+	// instance, hedges and moves included; 0 if nothing was sent.
+	AtTarget time.Duration
 	// Chunks passed on.
 	Chunks  int
 	Verdict verdict.Verdict
@@ -118,14 +121,15 @@
 func (f *Finish) observe(x *Exchange, e *verdict.Error) {
 	now := f.deps.Now()
 	o := Outcome{
-		ID:      x.ID,
-		Arrival: x.Arrival,
-		Took:    now.Sub(x.Arrival),
-		Chunks:  x.chunks,
-		Verdict: verdict.Ran,
-		Target:  x.target,
-		Region:  x.region,
-		Peer:    x.Peer,
+		ID:       x.ID,
+		Arrival:  x.Arrival,
+		Took:     now.Sub(x.Arrival),
+		Chunks:   x.chunks,
+		AtTarget: x.atTarget,
+		Verdict:  verdict.Ran,
+		Target:   x.target,
+		Region:   x.region,
+		Peer:     x.Peer,
 	}
 	if !x.firstByte.IsZero() {
 		o.FirstByte = x.firstByte.Sub(x.Arrival)
--- a/pipeline/forward.go
+++ b/pipeline/forward.go
@@ -131,5 +131,7 @@
 	if err != nil {
 		return err
 	}
-	return newRelay(x, &attempt{}).pass(s, first)
+	r := newRelay(x, &attempt{})
+	r.stream = s
+	return r.pass(first)
 }
--- a/pipeline/hedge.go
+++ b/pipeline/hedge.go
@@ -47,8 +47,7 @@
 // second starts the hedge, if budget and routing allow it.
 func (h *hedging) second(a *attempt) {
 	f := h.f
-	b := &attempt{query: a.query}
-	b.route, b.id = f.ids.attempt()
+	b := f.newAttempt(a.query)
 	b.decision = f.routing.Decide(b.route, a.query)
 	if b.decision.Action != route.Send {
 		return
@@ -89,9 +88,7 @@
 		}
 		cancel()
 		f.routing.Ended(route.End{Attempt: loser.route, Outcome: route.Cancelled, CachedTokens: -1})
-		if f.deps.Suspects != nil {
-			f.deps.Suspects.Ended(f.deps.Now(), loser.id, ports.AttemptOther)
-		}
+		f.left(h.x, loser, ports.AttemptOther)
 		go h.discard()
 	}
 }
--- a/pipeline/journal.go
+++ b/pipeline/journal.go
@@ -16,6 +16,12 @@
 
 var errJournalFull = errors.New("the answer is larger than what is kept")
 
+// sentTo is where the request of a journal ran, and for how long.
+type sentTo struct {
+	target route.TargetID
+	took   time.Duration
+}
+
 // journal takes in the answer of one attempt, as its http.ResponseWriter, for
 // any number of callers that follow it.
 type journal struct {
@@ -28,7 +34,7 @@
 	body   []byte
 	done   bool
 	err    error
-	target route.TargetID
+	sent   sentTo
 	wake   chan struct{}
 }
 
@@ -104,7 +110,10 @@
 			continue
 		}
 		if p.done {
-			x.target = j.target
+			x.target = j.sent.target
+			if !x.replayed {
+				x.atTarget = j.sent.took
+			}
 			return p.err
 		}
 		select {
@@ -162,7 +171,7 @@
 
 // end closes a journal. Only a whole answer is kept: after a failure the claim's
 // owner is asked anew, whose word may have changed.
-func (s *journals) end(j *journal, err error, target route.TargetID) {
+func (s *journals) end(j *journal, err error, sent sentTo) {
 	s.mu.Lock()
 	if err != nil {
 		delete(s.byKey, j.key)
@@ -172,7 +181,7 @@
 	s.mu.Unlock()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.done, j.err, j.target = true, err, target
+	j.done, j.err, j.sent = true, err, sent
 	j.wakeAll()
 }
 
--- a/pipeline/lone.go
+++ b/pipeline/lone.go
@@ -24,8 +24,8 @@
 		return refused
 	}
 	defer lone.Release()
-	a := &attempt{query: q, alone: true}
-	a.route, a.id = f.ids.attempt()
+	a := f.newAttempt(q)
+	a.alone = true
 	a.decision = route.Decision{Action: route.Send, Target: route.TargetID(lone.Target)}
 	f.routing.SentTo(a.route, q, a.decision)
 	return f.attempt(x, a, s)
--- /dev/null
+++ b/pipeline/move_test.go
@@ -0,0 +1,235 @@
+package pipeline
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/route"
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+// watched are engines that tell a test of the chunks that they give, in the
+// goroutine that reads them.
+type watched struct {
+	ports.Engines
+	onChunk func(seq uint64)
+}
+
+type watchedEngine struct {
+	ports.Engine
+	onChunk func(uint64)
+}
+
+type watchedStream struct {
+	ports.Stream
+	onChunk func(uint64)
+}
+
+func (w *watched) Engine(address string) ports.Engine {
+	return watchedEngine{w.Engines.Engine(address), w.onChunk}
+}
+
+func (e watchedEngine) Complete(ctx context.Context, c ports.Completion) (ports.Stream, error) {
+	s, err := e.Engine.Complete(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return watchedStream{s, e.onChunk}, nil
+}
+
+func (e watchedEngine) Resume(ctx context.Context, c ports.Completion, after uint64) (ports.Stream, error) {
+	s, err := e.Engine.Resume(ctx, c, after)
+	if err != nil {
+		return nil, err
+	}
+	return watchedStream{s, e.onChunk}, nil
+}
+
+func (s watchedStream) Next() (ports.Chunk, error) {
+	c, err := s.Stream.Next()
+	if err == nil {
+		s.onChunk(c.Seq)
+	}
+	return c, err
+}
+
+// moveRig has two engines; runner-0 gets the request and is leaving from the
+// time on when chunk number at has come. Its drain time has passed then.
+func moveRig(t *testing.T, at uint64) *rig {
+	var r *rig
+	var drained atomic.Int64
+	leave := func(seq uint64) {
+		if seq == at+2 && r.deps.Metrics.MovedStreams.Count() > 0 {
+			// The new engine gives the answer: the old one must be rid of it now,
+			// not only when the caller has it all.
+			idle(r.t, r.engines[0])
+		}
+		if seq != at {
+			return
+		}
+		left := *r.b
+		left.Targets = append([]bundle.Target(nil), r.b.Targets...)
+		for i := range left.Targets {
+			if left.Targets[i].ID == "runner-0" {
+				left.Targets[i].State = bundle.TargetLeaving
+			}
+		}
+		r.p.SetView(NewView(&left, "", "jatim"))
+		drained.Store(int64(time.Duration(left.Rules.DrainSeconds) * time.Second))
+	}
+	r = newRig(t, withEngines(2, standin.EngineConfig{}),
+		withBundle(func(b *bundle.Bundle) { b.Rules.DrainSeconds = 5 }),
+		withDeps(func(d *Deps) {
+			d.Now = func() time.Time { return time.Now().Add(time.Duration(drained.Load())) }
+			d.Engines = &watched{d.Engines, leave}
+			d.Decider = ordered{d.Decider, []route.TargetID{"runner-0", "runner-1"}}
+		}))
+	return r
+}
+
+// idle waits until an engine runs nothing.
+func idle(t testing.TB, e *standin.Engine) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if n := e.Counts(); n.Finished+n.Cancelled >= n.Runs+n.Resumed {
+			return
+		}
+	}
+	t.Errorf("it still runs: %+v", e.Counts())
+}
+
+// Symptom: a change of a target waits for hours; or a caller reads tokens twice,
+// or not at all, where its stream changed targets.
+// Events: a target leaves while it gives a long answer that stands still after
+// any chunk, the first and the last included.
+// Cause: no move; a move by a count that is one off; the old attempt left running.
+func TestStreamsMoveOffALeavingTarget(t *testing.T) {
+	const tokens = 12
+	for _, at := range []int{1, 2, 7, tokens - 1, tokens} {
+		t.Run(strconv.Itoa(at), func(t *testing.T) {
+			r := moveRig(t, uint64(at))
+			r.engines[0].SetFaults(standin.Fault{Kind: standin.FaultStall, Chunk: at})
+			// What is moved is a stream like any other: it can be cut and resumed.
+			r.engines[1].SetFaults(standin.Fault{Kind: standin.FaultCut, Match: "resume:", Chunk: at + 2, Count: 1})
+			prompt := fmt.Sprint("long dossier ", at)
+			got := readStream(t, r.do(call{body: chat(prompt, true, tokens)}).Body)
+			if !got.ended || got.text != answerTo(prompt, tokens) {
+				t.Fatalf("%+v; want %q", got, answerTo(prompt, tokens))
+			}
+			m := r.deps.Metrics
+			if m.MovedStreams.Count() != 1 || m.FailedMoves.Count() != 0 {
+				t.Fatalf("%d moved, %d failed", m.MovedStreams.Count(), m.FailedMoves.Count())
+			}
+			idle(t, r.engines[0])
+			if n := r.engines[0].Counts(); n.Runs != 1 || n.Finished != 0 || n.Cancelled != 1 {
+				t.Fatalf("the old engine: %+v", n)
+			}
+			if n := r.engines[1].Counts(); n.Runs != 0 || n.Finished != 1 {
+				t.Fatalf("the new engine: %+v", n)
+			}
+		})
+	}
+}
+
+// Symptom: an answer is lost or garbled by a move that did not succeed.
+// Events: the export, the import or the taking up fails or breaks off; there is
+// no other target; the drain time has not passed; the request runs at most once.
+// Cause: the old stream given up before the new one gave its first chunk.
+func TestStreamsThatCannotMoveStayWhole(t *testing.T) {
+	const tokens, at = 12, 5
+	fault := func(engine int, kind standin.FaultKind, step string) func(*rig) {
+		return func(r *rig) {
+			r.engines[engine].SetFaults(standin.Fault{Kind: kind, Match: step + ":"}, stalled(at))
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		set    func(*rig)
+		failed int64
+		once   bool
+	}{
+		{"export refused", fault(0, standin.FaultError, "export"), 1, false},
+		{"export cut", fault(0, standin.FaultCut, "export"), 1, false},
+		{"import refused", fault(1, standin.FaultError, "import"), 1, false},
+		{"import cut", fault(1, standin.FaultCrash, "import"), 1, false},
+		{"resume refused", fault(1, standin.FaultError, "resume"), 1, false},
+		{"resume crashes", fault(1, standin.FaultCrash, "resume"), 1, false},
+		{"resume of another", fault(1, standin.FaultWrongAnswer, "resume"), 1, false},
+		{"no other target", decides("runner-0"), 0, false},
+		{"only leaving ones", decides("runner-0", "runner-0"), 0, false},
+		{"drain time not over", func(r *rig) { r.p.deps.Now = time.Now; r.p.routing.now = time.Now }, 0, false},
+		{"at most once", func(*rig) {}, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := moveRig(t, at)
+			r.engines[0].SetFaults(stalled(at))
+			c.set(r)
+			header := map[string]string{}
+			if c.once {
+				header = map[string]string{HeaderIdempotent: "false", HeaderIdempotencyK: "k", HeaderResend: "false"}
+			}
+			got := readStream(t, r.do(call{body: chat(c.name, true, tokens), header: header}).Body)
+			if !got.ended || got.text != answerTo(c.name, tokens) {
+				t.Fatalf("%+v; want %q", got, answerTo(c.name, tokens))
+			}
+			m := r.deps.Metrics
+			if m.MovedStreams.Count() != 0 || m.FailedMoves.Count() != c.failed {
+				t.Fatalf("%d moved, %d failed", m.MovedStreams.Count(), m.FailedMoves.Count())
+			}
+			if n := r.engines[0].Counts(); n.Runs != 1 || n.Finished != 1 {
+				t.Fatalf("the engine it stays at: %+v", n)
+			}
+		})
+	}
+}
+
+// decides makes routing give these targets in their order.
+func decides(targets ...route.TargetID) func(*rig) {
+	return func(r *rig) { r.p.routing.d = ordered{r.p.routing.d, targets} }
+}
+
+// stalled keeps a run from its end while a move is tried.
+func stalled(at int) standin.Fault {
+	return standin.Fault{Kind: standin.FaultStall, Chunk: at, DelayMillis: 200}
+}
+
+const waitHere = 100 * time.Millisecond
+
+// waits are limits that take a while of a clock to answer.
+type waits struct{ clock *atomic.Int64 }
+
+func (w waits) Take(time.Time, string, float64, float64) ports.LimitAnswer {
+	w.clock.Add(int64(waitHere))
+	return ports.LimitAnswer{OK: true}
+}
+
+// outcomes keep what they are told.
+type outcomes chan Outcome
+
+func (o outcomes) Observe(out Outcome) { o <- out }
+
+// Symptom: an hour of waiting is billed as an hour of a target.
+// Events: a request waits here before it is sent; it runs freely or at most once.
+// Cause: the time from arrival taken for the time at the target.
+func TestTimeAtTargetLeavesWaitingOut(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		var clock atomic.Int64
+		told := make(outcomes, 1)
+		r := newRig(t, withDeps(func(d *Deps) {
+			d.Now = func() time.Time { return time.Now().Add(time.Duration(clock.Load())) }
+			d.Limits, d.Observer = waits{&clock}, told
+		}))
+		header := map[string]string{HeaderIdempotent: strconv.FormatBool(!once), HeaderIdempotencyK: "k", HeaderResend: "false"}
+		readStream(t, r.do(call{body: chat("p", true, 4), header: header}).Body)
+		out := <-told
+		if out.Code != "" || out.AtTarget <= 0 || out.AtTarget > out.Took-waitHere {
+			t.Fatalf("once %v: %v at the target of %v, %q", once, out.AtTarget, out.Took, out.Code)
+		}
+	}
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -147,6 +147,7 @@
 		budgets: p.budgets,
 		ids:     p.ids,
 		forward: forward,
+		moves:   make(chan struct{}, maxMoves),
 	}
 	model := []Filter{
 		&ReadBody{bounds: d.Bounds, metrics: d.Metrics},
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -25,8 +25,10 @@
 	attempt *attempt
 	flush   func() error
 	// last is the number of the last chunk passed on.
-	last uint64
-	buf  []byte
+	last   uint64
+	buf    []byte
+	stream ports.Stream
+	moving moving
 }
 
 func newRelay(x *Exchange, a *attempt) *relay {
@@ -34,15 +36,15 @@
 }
 
 // pass passes a stream on from its chunk first to its end mark.
-func (r *relay) pass(s ports.Stream, first ports.Chunk) error {
+func (r *relay) pass(first ports.Chunk) error {
 	if !r.x.streamed() {
-		return r.passWhole(s, first)
+		return r.passWhole(r.stream, first)
 	}
 	for c := first; ; {
-		if err := r.chunk(c, !s.Buffered()); err != nil {
+		if err := r.chunk(c, !r.stream.Buffered()); err != nil {
 			return err
 		}
-		next, err := s.Next()
+		next, err := r.next()
 		if err == io.EOF {
 			return r.end()
 		}
@@ -53,6 +55,29 @@
 	}
 }
 
+// next is the next chunk, from another target if the stream is to be moved.
+func (r *relay) next() (ports.Chunk, error) {
+	if !r.moving.due(r.attempt) {
+		return r.stream.Next()
+	}
+	// Nothing that is passed on may wait for the move.
+	if err := r.gone(r.flush()); err != nil {
+		return ports.Chunk{}, err
+	}
+	m, ok := r.moving.try(r.attempt, r.last)
+	if !ok {
+		return r.stream.Next()
+	}
+	old := *r.attempt
+	r.moving.leave(&old, r.stream)
+	*r.attempt, r.stream = *m.attempt, m.stream
+	r.x.target = r.attempt.decision.Target
+	if m.ended {
+		return ports.Chunk{}, io.EOF
+	}
+	return m.first, nil
+}
+
 // passWhole writes nothing before the answer is known to be whole.
 func (r *relay) passWhole(s ports.Stream, c ports.Chunk) error {
 	if _, err := s.Next(); err != io.EOF {
--- a/pipeline/routing.go
+++ b/pipeline/routing.go
@@ -24,6 +24,9 @@
 	held    []chan struct{}
 
 	reserved atomic.Pointer[[]route.TargetID]
+	// leaving holds since when targets have been leaving; it is replaced, never
+	// changed.
+	leaving atomic.Pointer[leavingTimes]
 }
 
 func newRouting(d route.Decider, now func() time.Time, maxHeld int) *Routing {
@@ -122,7 +125,43 @@
 func (r *Routing) SetTargets(specs []route.TargetSpec) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.d.SetTargets(r.now(), specs)
+	now := r.now()
+	r.d.SetTargets(now, specs)
+	r.leaving.Store(r.leaving.Load().update(now, specs))
+}
+
+// leavingSince tells since when a target has been leaving, if it is.
+func (r *Routing) leavingSince(id route.TargetID) (time.Time, bool) {
+	t := r.leaving.Load()
+	if t == nil {
+		return time.Time{}, false
+	}
+	since, ok := t.since[id]
+	return since, ok
+}
+
+// leavingTimes holds since when targets have been leaving.
+type leavingTimes struct{ since map[route.TargetID]time.Time }
+
+// update is t after a change of targets; nil if none is leaving.
+func (t *leavingTimes) update(now time.Time, specs []route.TargetSpec) *leavingTimes {
+	var next *leavingTimes
+	for i := range specs {
+		if specs[i].State != route.Leaving {
+			continue
+		}
+		if next == nil {
+			next = &leavingTimes{since: map[route.TargetID]time.Time{}}
+		}
+		since := now
+		if t != nil {
+			if before, ok := t.since[specs[i].ID]; ok {
+				since = before
+			}
+		}
+		next.since[specs[i].ID] = since
+	}
+	return next
 }
 
 // SetLinks replaces the neighbours known.
--- a/pipeline/sendmodel.go
+++ b/pipeline/sendmodel.go
@@ -44,7 +44,7 @@
 
 func completionOf(x *Exchange, a *attempt) ports.Completion {
 	return ports.Completion{
-		Attempt:  a.id,
+		Attempt:  a.sent,
 		Chat:     x.Kind == KindChat,
 		Stream:   x.Request.Stream,
 		Body:     x.Body,
@@ -85,10 +85,12 @@
 // relay passes an answer on and takes it up again when its stream is cut.
 func (f *Attempts) relay(x *Exchange, o opened) error {
 	r := newRelay(x, o.attempt)
+	r.moving = moving{f: f, x: x}
 	err := o.err
 	if err == nil {
-		err = r.pass(o.stream, o.first)
-		f.closeStream(o.stream)
+		r.stream = o.stream
+		err = r.pass(o.first)
+		f.closeStream(r.stream)
 	}
 	for n := 0; n < maxResumes && x.streamed() && resumable(err) && x.Ctx.Err() == nil; n++ {
 		resumed, ok := f.resume(x, o.attempt, r)
@@ -108,7 +110,8 @@
 	if err != nil {
 		return nil, false
 	}
-	defer f.closeStream(stream)
+	r.stream = stream
+	defer func() { f.closeStream(r.stream) }()
 	f.deps.Metrics.Resumes.Inc(1)
 	first, err := stream.Next()
 	if err == io.EOF {
@@ -117,7 +120,7 @@
 	if err != nil {
 		return err, true
 	}
-	return r.pass(stream, first), true
+	return r.pass(first), true
 }
 
 // resumable reports whether the rest of an answer may still be had.
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -79,12 +79,12 @@
 
 func (e *Engine) gone(x *run) {
 	e.cancelled.Add(1)
-	e.runs.remove(x.Attempt)
+	e.runs.ended(x)
 }
 
 func (e *Engine) done(x *run) {
 	e.finished.Add(1)
-	e.runs.remove(x.Attempt)
+	e.runs.ended(x)
 }
 
 func (e *Engine) wholeAnswer(w http.ResponseWriter, r *http.Request, x *run, a answering) {
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -43,6 +43,9 @@
 	FaultCrash FaultKind = "crash"
 	// FaultHang runs and never answers.
 	FaultHang FaultKind = "hang"
+	// FaultStall stops after Chunk until the other side goes away, or for
+	// Delay if that is set.
+	FaultStall FaultKind = "stall"
 )
 
 // Fault is one fault to make.
--- a/standin/run.go
+++ b/standin/run.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// takeUp keeps a run that began before, here or elsewhere.
+func (r *runs) takeUp(x *run) *run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.live[x.Attempt] = x
+	return x
+}
+
 func (r *runs) get(attempt string) (*run, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -71,7 +79,18 @@
 }
 
 // brokenOff keeps a run for resuming, for a while.
-func (r *runs) brokenOff(x *run) { time.AfterFunc(r.keep, func() { r.remove(x.Attempt) }) }
+func (r *runs) brokenOff(x *run) {
+	time.AfterFunc(r.keep, func() { r.ended(x) })
+}
+
+// ended forgets a run, unless it was taken up meanwhile.
+func (r *runs) ended(x *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.live[x.Attempt] == x {
+		delete(r.live, x.Attempt)
+	}
+}
 
 func (r *runs) count(prompt string) int {
 	r.mu.Lock()
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -3,10 +3,14 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gullhaven/gullhaven/ports"
 )
 
+// stallForever outlasts any request.
+const stallForever = 24 * time.Hour
+
 // streaming gives one streamed answer.
 type streaming struct {
 	answering
@@ -77,6 +81,15 @@
 		return false
 	}
 	switch s.fault.Kind {
+	case FaultStall:
+		wait := s.fault.delay()
+		if wait == 0 {
+			wait = stallForever
+		}
+		if !s.engine.sleep(s.r, s.run, wait) {
+			s.engine.gone(s.run)
+			return true
+		}
 	case FaultCut:
 		s.engine.runs.brokenOff(s.run)
 		drop()
