route: idle targets with full caches take work again

Cause: live load found small requests refused as deadline_unmeetable at idle engines. While nothing runs, the mean number of running requests sinks towards nothing, but an engine that counts cached prefixes as used keeps reporting full memory; so the memory that one request seems to take rises without bound, and with it the predicted wait. Refused work reaches no engine, so it went on. Ruled out: queue estimates (none was waiting), speeds (unchanged). Also found there: a lateness beyond what a duration holds wrapped around to 'come back in 110 ms'. Change: reports of idle targets teach nothing of memory; what is used while a target is idle is its cache and is left out afterwards; lateness is bounded before the conversion. Conclusion: memory is judged by what requests hold.

--- a/route/admission.go
+++ b/route/admission.go
@@ -178,6 +178,9 @@
 }
 
 func refuse(why Reason, seconds float64) Decision {
+	// Bounded before the conversion: a longer time than a duration holds would
+	// wrap around to a short one.
+	seconds = min(max(seconds, 0), maxRetry.Seconds())
 	after := min(max(duration(seconds*retryMargin), minRetry)+retrySlack, maxRetry)
 	return Decision{Action: Refuse, Reason: why, RetryAfter: after}
 }
--- a/route/events.go
+++ b/route/events.go
@@ -115,6 +115,7 @@
 	if t.load.reported && at <= t.load.reportedAt {
 		return
 	}
+	rep.KVUsed = t.heldMemory(&rep)
 	t.load.report(seen, at, rep, t.prefillRate(), t.svc.peers(&r.cfg))
 	t.waiting = rep.Waiting
 	t.running = rep.Running
@@ -122,6 +123,16 @@
 	t.svc.memory.sawReport(&rep, t.load.own, t.load.ownTokens)
 }
 
+// heldMemory is the share of memory that requests hold. Some engines count
+// cached prefixes as used, which they give up when a request needs the room;
+// what is used while nothing runs is such a cache.
+func (t *target) heldMemory(rep *Report) float64 {
+	if rep.Running == 0 && rep.Waiting == 0 {
+		t.cachedMemory = rep.KVUsed
+	}
+	return max(0, rep.KVUsed-t.cachedMemory)
+}
+
 // firstEvent is the number of the first cache event of a target's life.
 const firstEvent = 1
 
--- /dev/null
+++ b/route/idle_test.go
@@ -0,0 +1,63 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Symptom: after a quiet time, idle targets are refused small requests as
+// deadline_unmeetable, and go on being refused, since nothing refused reaches a
+// target. Events: targets serve for a while, then report no request in progress
+// and memory full of cached prefixes.
+// Cause: memory that a cache fills, and would give up, taken for memory that
+// requests hold; their number sinks towards nothing, and what one seems to hold
+// rises without bound.
+func TestIdleTargetsWithFullCachesTakeWork(t *testing.T) {
+	r := New(Config{Region: "jatim"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	r.SetTargets(now, []TargetSpec{
+		{ID: "a", Service: "s", Region: "jatim", Slots: 8, PrefillRate: 8000, DecodeRate: 800},
+		{ID: "b", Service: "s", Region: "jatim", Slots: 8, PrefillRate: 8000, DecodeRate: 800},
+	})
+	request := func() *Request {
+		return &Request{Service: "s", Arrival: now, Deadline: now.Add(10 * time.Second), PromptTokens: 50, OutputTokens: 20, Idempotent: true}
+	}
+	for n := range 200 {
+		q := request()
+		d := r.Decide(now, q)
+		if d.Action != Send {
+			t.Fatalf("request %d: %+v", n, d)
+		}
+		a := AttemptID(n + 1)
+		r.Sent(now, a, q, d)
+		r.Report(now.Add(time.Millisecond), Report{Target: d.Target, At: now.Add(time.Millisecond), Running: 1, KVUsed: 0.9})
+		now = now.Add(100 * time.Millisecond)
+		r.FirstToken(now, a)
+		now = now.Add(20 * time.Millisecond)
+		r.Ended(now, End{Attempt: a, OutputTokens: 20, CachedTokens: -1})
+	}
+	for range 600 {
+		now = now.Add(200 * time.Millisecond)
+		for _, id := range []TargetID{"a", "b"} {
+			r.Report(now, Report{Target: id, At: now, KVUsed: 1})
+		}
+		if d := r.Decide(now, request()); d.Action != Send {
+			t.Fatalf("%v after the last work: %+v", now.Sub(time.Unix(1024, 0)), d)
+		}
+	}
+}
+
+// Symptom: a caller is told to come back at once by a target that is hopelessly
+// late. Events: the predicted lateness is beyond what a duration holds.
+// Cause: a conversion that wraps around.
+func TestLatenessBeyondAllTimesIsBounded(t *testing.T) {
+	for _, seconds := range []float64{1e3, 1e11, 1e300} {
+		if d := refuse(ReasonDeadline, seconds); d.RetryAfter != maxRetry {
+			t.Errorf("%g s: come back after %v", seconds, d.RetryAfter)
+		}
+	}
+	if d := refuse(ReasonDeadline, -5); d.RetryAfter < minRetry || d.RetryAfter > time.Second {
+		t.Errorf("late by less than nothing: come back after %v", d.RetryAfter)
+	}
+}
--- a/route/memory.go
+++ b/route/memory.go
@@ -17,8 +17,12 @@
 }
 
 // sawReport takes a report of a target at which this instance has own attempts
-// of ownTokens tokens in flight.
+// of ownTokens tokens in flight. A report of an idle target says nothing of
+// what a request takes, and would only drag the mean number of requests down.
 func (m *memory) sawReport(rep *Report, own int, ownTokens float64) {
+	if rep.Running == 0 {
+		return
+	}
 	m.used += meanWeight * (rep.KVUsed - m.used)
 	m.running += meanWeight * (float64(rep.Running) - m.running)
 	m.own += meanWeight * (float64(own) - m.own)
--- a/route/target.go
+++ b/route/target.go
@@ -48,6 +48,9 @@
 	answeredAt, stalled float64
 	// unanswered are own attempts without a first token, oldest first.
 	unanswered []AttemptID
+	// cachedMemory is the share of memory in use when the target last reported
+	// that it was idle.
+	cachedMemory float64
 }
 
 // model says that it is a model engine; else it is a plain service.
