node: voters as the leader knows them; other regions last in the directory

Cause: status at a voter that follows said 'disk unknown' of healthy voters. Change: status asks the leader; instances of other regions have weight 0 and come last. Conclusion: a caller goes elsewhere only when its region does not answer.

--- a/node/directory.go
+++ b/node/directory.go
@@ -18,9 +18,12 @@
 	// an instance that left is still asked.
 	directoryTTL = 5 * time.Second
 	// Weights of instances by distance from the caller.
-	weightSameZone    = 1.0
-	weightSameRegion  = 0.5
-	weightOtherRegion = 0.05
+	weightSameZone   = 1.0
+	weightSameRegion = 0.5
+	// Instances of other regions are for callers that reach none of their own
+	// region: work that is sent there goes to cold caches, and what is bound to
+	// its region is only refused.
+	weightOtherRegion = 0
 )
 
 // directory tells callers which instances to use, from what this instance
--- a/node/node.go
+++ b/node/node.go
@@ -180,6 +180,7 @@
 	})
 	n.openPlacing()
 	n.hub.Serve(channelRegions, regionServers, n.serveRegions)
+	n.hub.Serve(channelVoters, regionServers, n.serveVoters)
 	n.metrics.RegisterControl(n.control)
 	return n.openMembers()
 }
--- a/node/status.go
+++ b/node/status.go
@@ -22,6 +22,8 @@
 	// channelRegions is the link channel on which relays tell what they know of
 	// all regions.
 	channelRegions = "status-regions"
+	// channelVoters is that of the voters of the global group.
+	channelVoters = "status-voters"
 	// regionServers is how many of them are answered at once.
 	regionServers = 2
 	// relayTimeout bounds the wait for a relay.
@@ -109,15 +111,49 @@
 	return n.leaseOf(n.keeper.local)
 }
 
-// voterStatus lists the voters of the global group as this one knows them;
-// empty at an instance that is none.
+// voterStatus lists the voters of the global group as the leader knows them, or
+// as this one does if it is not reached.
 func (n *Node) voterStatus() []*operators.VoterStatus {
 	local := n.global.Local()
-	list := []*operators.VoterStatus{}
 	if local == nil {
-		return list
+		return n.leadersVoters(n.view().Relays[0])
 	}
 	s := local.Node.Status()
+	if !leads(s) && s.Core.Leader.ID != n.s.Instance {
+		if list := n.leadersVoters(s.Core.Leader.ID); len(list) > 0 {
+			return list
+		}
+	}
+	return n.ownVoters(s)
+}
+
+// leadersVoters asks another instance for its list; empty if it does not answer.
+func (n *Node) leadersVoters(id string) []*operators.VoterStatus {
+	list := []*operators.VoterStatus{}
+	if id == "" || id == n.s.Instance {
+		return list
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	data, err := n.hub.Call(ctx, id, channelVoters, nil)
+	if err != nil || cbor.Unmarshal(data, &list) != nil {
+		return []*operators.VoterStatus{}
+	}
+	return list
+}
+
+// serveVoters answers with what this instance knows itself, so that two that
+// take each other for the leader do not ask in turns.
+func (n *Node) serveVoters(context.Context, string, []byte) ([]byte, error) {
+	if local := n.global.Local(); local != nil {
+		return cbor.Marshal(n.ownVoters(local.Node.Status()))
+	}
+	return cbor.Marshal([]*operators.VoterStatus{})
+}
+
+// ownVoters is what this voter knows of all.
+func (n *Node) ownVoters(s replhost.Status) []*operators.VoterStatus {
+	list := []*operators.VoterStatus{}
 	for _, peer := range n.s.Voters {
 		v := &operators.VoterStatus{Instance: peer.ID, Region: peer.Region, State: "follower", Disk: "unknown"}
 		n.describeVoter(v, s)
