node/loads: a budget of bytes for each instance at any size

Cause: every owner told every member ten times a second, in maps with names. At 60 instances and 115 targets that was worked out at 62 KB/s received, of a budget of 8 KB/s for all control.

Change: the interval of sharing follows from members and targets, so that what an instance receives stays at 2.2 KB/s, and 0.3 KB/s for versions, lives and cache events (PaceOf: 0.1 s for 3 and 6, 2.6 s for 60 and 115). Arrays with hashes of targets; what seldom changes apart; unchanged loads left out until repeats are due. Deputies and the forgetting of down targets follow the interval. What takes a target out of work (leaving, loading, down, a crash) does not wait for the interval and is repeated in the next round. Polls go from 0.2 to 0.4 s in large regions. Cache events that the budget has no room for are dropped, the oldest first. A deputy now polls at the owner's pace: before, its own answer silenced it for another 0.6 s.

Changes of state reach all members within a poll and 0.1 s at 2 to 60 members.

Conclusion: bytes no longer grow with the square of the region. An engine that fails and comes back in each round still costs a message beside it.

--- a/node/loads/book.go
+++ b/node/loads/book.go
@@ -15,19 +15,8 @@
 	"github.com/gullhaven/gullhaven/route"
 )
 
-// Times of polling.
-const (
-	// PollInterval is the time between two polls of an engine by its owner.
-	PollInterval = 200 * time.Millisecond
-	// deputyAfter is how long reports stay out before the deputy polls.
-	deputyAfter = 600 * time.Millisecond
-	// downAfter is how many polls in a row fail before a target counts as down.
-	downAfter = 3
-	// forgetDownAfter lets a target that was reported down be tried again when
-	// nobody has said anything of it for so long: the instance that said so may
-	// be the one that was cut off.
-	forgetDownAfter = 5 * time.Second
-)
+// downAfter is how many polls in a row fail before a target counts as down.
+const downAfter = 3
 
 // Target is an engine to poll.
 type Target struct {
@@ -37,23 +26,26 @@
 
 // Observation is what one poll found.
 type Observation struct {
-	Target string `cbor:"1,keyasint"`
+	Target string
 	// Age of the report when it was sent, in milliseconds: clocks of instances
 	// differ, so no time of day is sent.
-	AgeMillis     int64   `cbor:"2,keyasint"`
-	Running       int     `cbor:"3,keyasint,omitempty"`
-	Waiting       int     `cbor:"4,keyasint,omitempty"`
-	WaitingTokens int     `cbor:"5,keyasint,omitempty"`
-	KVUsed        float32 `cbor:"6,keyasint,omitempty"`
+	AgeMillis     int64
+	Running       int
+	Waiting       int
+	WaitingTokens int
+	// KVUsed is the share of KV cache memory in use, 0 to 1.
+	KVUsed float32
 	// State is Warm, Loading, Leaving or Down.
-	State route.State `cbor:"7,keyasint,omitempty"`
+	State route.State
+	// Brief: what follows is left out, as it was told before.
+	Brief bool
 	// Version and Adapters are what the engine has loaded.
-	Version  string   `cbor:"8,keyasint,omitempty"`
-	Adapters []string `cbor:"9,keyasint,omitempty"`
+	Version  string
+	Adapters []string
 	// Life numbers the lives of the engine, alike at all instances: when it
 	// started, in Unix milliseconds, where it tells so; else it counts on each
 	// time that the engine comes back.
-	Life uint64 `cbor:"10,keyasint,omitempty"`
+	Life uint64
 }
 
 // entry is what is known of one engine.
@@ -66,6 +58,8 @@
 	seen     Observation
 	// seenAt is when seen was received or made here; zero for never.
 	seenAt time.Time
+	// heardAt is when another instance last told of it.
+	heardAt time.Time
 }
 
 // Book is the knowledge of one instance. It has no input or output and is not
@@ -77,11 +71,16 @@
 	entries map[string]*entry
 	// leaving are the targets that the platform's list says are leaving.
 	leaving map[string]bool
+	pace    Pace
+	keys    keys
+	teller  *teller
+	// unknown counts rows of targets that the bundle here does not have.
+	unknown uint64
 }
 
 // NewBook makes the Book of an instance.
 func NewBook(self string) *Book {
-	return &Book{self: self, entries: map[string]*entry{}}
+	return &Book{self: self, entries: map[string]*entry{}, pace: PaceOf(1, 0, 0), teller: newTeller()}
 }
 
 // SetTargets replaces the engines of the region.
@@ -95,14 +94,18 @@
 		e.target = t
 		kept[t.ID] = e
 	}
-	b.targets, b.entries = slices.Clone(targets), kept
-	b.assign()
+	isNew := func(t Target) bool { return b.entries[t.ID] == nil }
+	again := slices.ContainsFunc(targets, isNew)
+	b.targets, b.entries, b.keys = slices.Clone(targets), kept, newKeys(targets)
+	b.assign(again)
 }
 
 // SetMembers replaces the live instances of the region.
 func (b *Book) SetMembers(members []string) {
+	known := func(m string) bool { return slices.Contains(b.members, m) }
+	again := slices.ContainsFunc(members, func(m string) bool { return !known(m) })
 	b.members = members
-	b.assign()
+	b.assign(again)
 }
 
 // SetLeaving replaces the targets that the platform says are leaving. It lags
@@ -115,14 +118,21 @@
 	}
 }
 
-// assign computes owner and deputy of each engine. During a change of members
-// two instances may both poll; that costs a little and harms nothing.
-func (b *Book) assign() {
+// assign computes owner and deputy of each engine, and the times that follow.
+// During a change of members two instances may both poll; that costs a little
+// and harms nothing. again: tell everything anew.
+func (b *Book) assign(again bool) {
+	owned := map[string]int{}
+	busiest := 0
 	for _, e := range b.entries {
 		first, second := topTwo(e.target.ID, b.members)
 		e.owner = first == b.self || first == ""
 		e.deputy = second == b.self
+		owned[first]++
+		busiest = max(busiest, owned[first])
 	}
+	b.pace = PaceOf(len(b.members), len(b.targets), busiest)
+	b.teller.set(b.pace, max(0, len(b.members)-1), owned[b.self], b.entries, again)
 }
 
 // topTwo are the members with the highest rendezvous weights.
@@ -145,9 +155,9 @@
 	var due []Target
 	for _, t := range b.targets {
 		e := b.entries[t.ID]
-		silent := now.Sub(e.seenAt) > deputyAfter
+		silent := now.Sub(e.heardAt) > b.pace.Deputy
 		mine := e.owner || e.deputy && silent
-		if !mine || now.Sub(e.polledAt) < PollInterval {
+		if !mine || now.Sub(e.polledAt) < b.pace.Poll {
 			continue
 		}
 		e.polledAt = now
@@ -156,7 +166,7 @@
 	return due
 }
 
-// Polled takes the end of a poll and returns what to tell the others. A single
+// Polled takes the end of a poll and returns what to learn of it. A single
 // failure is told to nobody: the poll itself may have been what was slow.
 func (b *Book) Polled(now time.Time, target string, r ports.LoadReport, err error) (Observation, bool) {
 	e := b.entries[target]
@@ -168,11 +178,14 @@
 		if e.failures < downAfter {
 			return Observation{}, false
 		}
-		return b.note(now, e, Observation{Target: target, State: route.Down, Life: e.seen.Life}), true
+		o := Observation{Target: target, State: route.Down, Life: e.seen.Life}
+		b.teller.observe(now, o)
+		return b.note(now, e, o), true
 	}
 	e.failures = 0
 	o := observe(target, now, r)
 	o.Life = e.life(r)
+	b.teller.observe(now, o)
 	return b.note(now, e, o), true
 }
 
@@ -217,11 +230,47 @@
 
 // Received takes an observation of another instance.
 func (b *Book) Received(now time.Time, o Observation) {
-	if e := b.entries[o.Target]; e != nil {
-		b.note(now, e, o)
+	e := b.entries[o.Target]
+	if e == nil {
+		return
+	}
+	if o.Brief {
+		o.Version, o.Adapters, o.Life, o.Brief = e.seen.Version, e.seen.Adapters, e.seen.Life, false
+	}
+	e.heardAt = now
+	b.note(now, e, o)
+}
+
+// Queue takes a cache event of an engine to tell, if there is room.
+func (b *Book) Queue(target string, e ports.CacheEvent) { b.teller.queue(target, e) }
+
+// Share returns what to send to every other member now; nil if nothing is due.
+// It is called every 100 ms.
+func (b *Book) Share(now time.Time) ([]byte, error) {
+	m, due := b.teller.take(now, b.keys)
+	if !due {
+		return nil, nil
 	}
+	return encode(m)
 }
 
+// Heard takes a message of another member and returns what to learn of it. The
+// error is of malformed bytes, of which nothing is taken.
+func (b *Book) Heard(now time.Time, data []byte) ([]Observation, []cacheEvent, error) {
+	h, err := b.keys.decode(data)
+	if err != nil {
+		return nil, nil, err
+	}
+	b.unknown += uint64(h.unknown)
+	for _, o := range h.observations {
+		b.Received(now, o)
+	}
+	return h.observations, h.events, nil
+}
+
+// Unknown is how many rows were dropped as their target is not in the bundle.
+func (b *Book) Unknown() uint64 { return b.unknown }
+
 // State is what was observed of an engine, for requests: Down is forgotten when
 // nobody repeats it.
 func (b *Book) State(now time.Time, target string) (route.State, bool) {
@@ -229,7 +278,7 @@
 	if e == nil || e.seenAt.IsZero() {
 		return route.Warm, false
 	}
-	if e.seen.State == route.Down && now.Sub(e.seenAt) > forgetDownAfter {
+	if e.seen.State == route.Down && now.Sub(e.seenAt) > b.pace.Forget {
 		return route.Warm, false
 	}
 	return e.seen.State, true
--- a/node/loads/loads.go
+++ b/node/loads/loads.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/link"
@@ -24,24 +23,10 @@
 	ringSize = 1024
 	// pollTimeout bounds one poll.
 	pollTimeout = 500 * time.Millisecond
-	// shareInterval is the time between two batches to the other members.
-	shareInterval = 100 * time.Millisecond
 	// eventInterval is the time between two reads of an engine's cache events.
 	eventInterval = time.Second
 )
 
-// batch is what the owner tells the other members.
-type batch struct {
-	Observations []Observation `cbor:"1,keyasint,omitempty"`
-	Events       []cacheEvents `cbor:"2,keyasint,omitempty"`
-}
-
-// cacheEvents are events of one engine, in order.
-type cacheEvents struct {
-	Target string             `cbor:"1,keyasint"`
-	Events []ports.CacheEvent `cbor:"2,keyasint"`
-}
-
 // Sink takes what was learned; *pipeline.Routing is one.
 type Sink interface {
 	Report(route.Report)
@@ -69,7 +54,7 @@
 // Service runs a Book: one loop, and one goroutine for each poll under way.
 type Service struct {
 	o      Options
-	inbox  *ring.Ring[batch]
+	inbox  *ring.Ring[[]byte]
 	polled *ring.Ring[polled]
 
 	mu      sync.Mutex
@@ -90,7 +75,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		o:      o,
-		inbox:  ring.New[batch](ringSize),
+		inbox:  ring.New[[]byte](ringSize),
 		polled: ring.New[polled](ringSize),
 		book:   NewBook(o.Self),
 		states: map[route.TargetID]route.State{},
@@ -140,22 +125,21 @@
 	return s.book.Overlay(time.Now(), s.specs)
 }
 
-func (s *Service) receive(_ string, data []byte) {
-	var b batch
-	if err := cbor.Unmarshal(data, &b); err != nil {
-		s.o.Log.Debug("malformed load observations", zap.Error(err))
-		return
-	}
-	s.inbox.TryPush(b)
+// Unknown is how many rows were dropped as their target is not in the bundle.
+func (s *Service) Unknown() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Unknown()
 }
 
+func (s *Service) receive(_ string, data []byte) { s.inbox.TryPush(data) }
+
 // Run polls and shares until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	poll := time.NewTicker(PollInterval / 4)
 	defer poll.Stop()
-	share := time.NewTicker(shareInterval)
+	share := time.NewTicker(tick)
 	defer share.Stop()
-	var out batch
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,12 +147,11 @@
 		case <-poll.C:
 			s.pollDue(ctx)
 		case <-share.C:
-			s.share(out)
-			out = batch{}
-		case b := <-s.inbox.C():
-			s.take(b)
+			s.share()
+		case data := <-s.inbox.C():
+			s.take(data)
 		case p := <-s.polled.C():
-			s.end(p, &out)
+			s.end(p)
 		}
 	}
 }
@@ -203,39 +186,33 @@
 	s.polled.TryPush(p)
 }
 
-// end notes a poll and adds it to the next batch.
-func (s *Service) end(p polled, out *batch) {
+// end notes a poll; what others should know waits for the next share.
+func (s *Service) end(p polled) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if o, tell := s.book.Polled(now, p.target, p.report, p.err); tell {
-		out.Observations = append(out.Observations, o)
+	if o, known := s.book.Polled(now, p.target, p.report, p.err); known {
 		s.learn(now, o)
 	}
-	if len(p.events) == 0 {
-		return
+	for _, e := range p.events {
+		s.learnEvent(cacheEvent{p.target, e})
+		s.book.Queue(p.target, e)
 	}
-	cursor := s.events[p.target]
-	cursor.seq = max(cursor.seq, p.events[len(p.events)-1].Seq)
-	s.events[p.target] = cursor
-	c := cacheEvents{Target: p.target, Events: p.events}
-	out.Events = append(out.Events, c)
-	s.learnEvents(c)
 }
 
-// share sends a batch to the other members.
-func (s *Service) share(b batch) {
-	if len(b.Observations) == 0 && len(b.Events) == 0 {
-		return
-	}
-	data, err := cbor.Marshal(b)
+// share sends what is due to the other members.
+func (s *Service) share() {
+	s.mu.Lock()
+	data, err := s.book.Share(time.Now())
+	members := slices.Clone(s.members)
+	s.mu.Unlock()
 	if err != nil {
 		s.o.Log.Error("load observations can't be encoded", zap.Error(err))
 		return
 	}
-	s.mu.Lock()
-	members := slices.Clone(s.members)
-	s.mu.Unlock()
+	if data == nil {
+		return
+	}
 	for _, m := range members {
 		if m != s.o.Self {
 			s.o.Hub.Send(m, Channel, data)
@@ -243,22 +220,21 @@
 	}
 }
 
-// take notes a batch of another member.
-func (s *Service) take(b batch) {
+// take notes a message of another member.
+func (s *Service) take(data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for _, o := range b.Observations {
-		s.book.Received(now, o)
+	observations, events, err := s.book.Heard(now, data)
+	if err != nil {
+		s.o.Log.Debug("malformed load observations", zap.Error(err))
+		return
+	}
+	for _, o := range observations {
 		s.learn(now, o)
 	}
-	for _, c := range b.Events {
-		if n := len(c.Events); n > 0 {
-			cursor := s.events[c.Target]
-			cursor.seq = max(cursor.seq, c.Events[n-1].Seq)
-			s.events[c.Target] = cursor
-		}
-		s.learnEvents(c)
+	for _, e := range events {
+		s.learnEvent(e)
 	}
 }
 
@@ -269,15 +245,17 @@
 	s.overlay(now, false)
 }
 
-func (s *Service) learnEvents(c cacheEvents) {
-	for _, e := range c.Events {
-		s.o.Sink.CacheEvent(route.CacheEvent{
-			Target:  route.TargetID(c.Target),
-			Seq:     e.Seq,
-			Stored:  e.Stored,
-			Evicted: e.Evicted,
-		})
-	}
+// learnEvent also moves the cursor on, so that the next owner goes on from here.
+func (s *Service) learnEvent(e cacheEvent) {
+	cursor := s.events[e.target]
+	cursor.seq = max(cursor.seq, e.event.Seq)
+	s.events[e.target] = cursor
+	s.o.Sink.CacheEvent(route.CacheEvent{
+		Target:  route.TargetID(e.target),
+		Seq:     e.event.Seq,
+		Stored:  e.event.Stored,
+		Evicted: e.event.Evicted,
+	})
 }
 
 // overlay hands the targets to routing where a state changed.
