route: look at the least loaded before refusing; experiment: sizes

Cause: of a large service a decision looks at a window, and refused or spilled where no target in it had room though one outside did. What the window costs in tail latency was not measured. Change: where the candidates might have the request refused, a second look takes the 16 least loaded of all targets by a rough estimate. Measured: one target with room is always found (a property; before, refused).

--- a/experiment/command.go
+++ b/experiment/command.go
@@ -13,7 +13,9 @@
 	Workloads []string      `long:"workload" description:"workload to run: sukmajaya or asociacion; all if not given"`
 	Loads     []float64     `long:"load" description:"arrivals as a share of the measured capacity, for example 0.8; 0.5, 0.8 and 0.95 if not given"`
 	Faults    []Fault       `long:"fault" description:"fault to run; all if not given"`
-	Deciders  []string      `long:"decider" description:"decider to run; all if not given"`
+	Deciders  []string      `long:"decider" description:"decider to run; all but router_whole if not given"`
+	Regions   int           `long:"regions" description:"number of regions; those of the workload if not given"`
+	Targets   int           `long:"targets" description:"model targets in each region; those of the workload if not given"`
 	Seeds     int           `long:"seeds" default:"5" description:"number of seeds"`
 	Day       time.Duration `long:"day" default:"400s" description:"length of the compressed day, in virtual time"`
 	Workers   int           `long:"workers" default:"5" description:"trials that run at once; the result does not depend on it"`
@@ -38,6 +40,7 @@
 	res, err := Run(Options{
 		Workloads: c.Workloads, Deciders: c.Deciders, Loads: c.Loads, Faults: c.Faults,
 		Seeds: c.Seeds, Day: c.Day, Workers: c.Workers, Late: c.Late,
+		Regions: c.Regions, Targets: c.Targets,
 	})
 	if err != nil {
 		return err
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,7 +27,16 @@
 type Maker func(p Place, seed uint64) route.Decider
 
 func makeRouter(p Place, seed uint64) route.Decider {
-	cfg := route.Config{Region: p.Region, Zone: p.Zone, Instances: p.Instances}
+	return makeRouterOf(route.Config{}, p, seed)
+}
+
+// makeWhole makes a Router that looks at all targets of a service each time.
+func makeWhole(p Place, seed uint64) route.Decider {
+	return makeRouterOf(route.Config{MaxScored: math.MaxInt32}, p, seed)
+}
+
+func makeRouterOf(cfg route.Config, p Place, seed uint64) route.Decider {
+	cfg.Region, cfg.Zone, cfg.Instances = p.Region, p.Zone, p.Instances
 	return route.New(cfg, rand.New(rand.NewPCG(seed, 4)))
 }
 
@@ -42,6 +52,9 @@
 	RouterName = "router"
 	// LeastName is the baseline that the aims are stated against.
 	LeastName = "least_outstanding"
+	// WholeName is route.Router without a bound on the targets it looks at. It
+	// differs from RouterName only in large services, so it runs only if named.
+	WholeName = "router_whole"
 )
 
 // makers lists the deciders in the order of the table.
@@ -55,13 +68,16 @@
 	{"power_of_two", baselineMaker(pickTwo)},
 	{"least_reported", baselineMaker(pickLeastReported)},
 	{RouterName, makeRouter},
+	{WholeName, makeWhole},
 }
 
-// Deciders lists the names of all deciders.
+// Deciders lists the names of the deciders that run if none is named.
 func Deciders() []string {
 	var out []string
 	for _, m := range makers {
-		out = append(out, m.name)
+		if m.name != WholeName {
+			out = append(out, m.name)
+		}
 	}
 	return out
 }
@@ -72,7 +88,7 @@
 			return m.make, nil
 		}
 	}
-	return nil, fmt.Errorf("unknown decider %q; known: %v", name, Deciders())
+	return nil, fmt.Errorf("unknown decider %q; known: %v", name, append(Deciders(), WholeName))
 }
 
 // Options say what to run. Empty lists stand for all.
@@ -86,6 +102,9 @@
 	Day time.Duration
 	// Workers is how many trials run at once.
 	Workers int
+	// Regions and Targets replace the workload's number of regions, at most
+	// its own, and of model targets in each; 0 keeps it.
+	Regions, Targets int
 	// Late lets requests run on after their deadline.
 	Late bool
 }
@@ -123,6 +142,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := o.resize(workloads); err != nil {
+		return nil, err
+	}
 	if err := o.fill(); err != nil {
 		return nil, err
 	}
@@ -209,6 +231,27 @@
 	return out, nil
 }
 
+// resize puts the sizes asked for into the workloads.
+func (o *Options) resize(workloads []Workload) error {
+	if o.Targets < 0 || o.Regions < 0 {
+		return fmt.Errorf("regions %d and targets %d must not be negative", o.Regions, o.Targets)
+	}
+	for i := range workloads {
+		w := &workloads[i]
+		if o.Regions > len(w.Regions) {
+			return fmt.Errorf("%s has %d regions, not %d", w.Name, len(w.Regions), o.Regions)
+		}
+		if o.Regions > 0 {
+			w.Regions = w.Regions[:o.Regions]
+		}
+		if o.Targets > 0 {
+			w.ModelTargets = o.Targets
+			w.PlainTargets = (o.Targets + 3) / 4
+		}
+	}
+	return nil
+}
+
 // fill puts all in for empty lists and checks the rest.
 func (o *Options) fill() error {
 	if len(o.Deciders) == 0 {
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -155,6 +155,8 @@
 		"decider":  func(o *Options) { o.Deciders = []string{"oracle"} },
 		"fault":    func(o *Options) { o.Faults = []Fault{"flood"} },
 		"load":     func(o *Options) { o.Loads = []float64{-1} },
+		"regions":  func(o *Options) { o.Regions = 4 },
+		"targets":  func(o *Options) { o.Targets = -1 },
 		"seeds":    func(o *Options) { o.Seeds = 0 },
 	} {
 		o := quick()
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -17,6 +17,27 @@
 	}
 }
 
+// BenchmarkRefuse measures one decision where all of the 690 targets are full.
+func BenchmarkRefuse(b *testing.B) {
+	r := newRouter(1)
+	var specs []TargetSpec
+	for i := range benchTargets {
+		specs = append(specs, modelTarget(i, "here"))
+	}
+	r.SetTargets(epoch, specs)
+	for i := range specs {
+		r.Report(epoch, Report{Target: specs[i].ID, At: epoch, Running: 32, Waiting: 99, WaitingTokens: 400_000})
+	}
+	q := prompt(1000)
+	q.Deadline = epoch.Add(10 * time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		if d := r.Decide(epoch, q); d.Action != Refuse {
+			b.Fatalf("%+v", d)
+		}
+	}
+}
+
 func benchDecide(b *testing.B, services int) {
 	r := newRouter(1)
 	var specs []TargetSpec
--- a/route/router.go
+++ b/route/router.go
@@ -28,6 +28,7 @@
 	picker  Picker
 	// scoped, candidates, slow and snapshot are reused by each decision.
 	scoped     []*target
+	least      leastLoaded
 	candidates []Candidate
 	slow       []slowTarget
 	snapshot   Snapshot
@@ -95,10 +96,16 @@
 	if len(cands) == 0 {
 		return r.withoutTarget(now, s, q)
 	}
+	return r.admit(now, s, q, cands)
+}
+
+// scored filters targets and scores those that are left.
+func (r *Router) scored(s *service, at float64, q *Request, targets []*target) []Candidate {
+	cands := r.filtered(s, at, q, targets)
 	for _, sc := range r.scorers {
 		sc.Score(&r.snapshot, cands)
 	}
-	return r.admit(now, s, q, cands)
+	return cands
 }
 
 // takeSnapshot sets the snapshot of a request, without its candidates.
@@ -119,18 +126,22 @@
 	}
 }
 
-// candidatesFor takes the snapshot of a service and filters its targets: the ones
-// in scope, or all if none of those is left.
+// candidatesFor takes the snapshot of a service, filters its targets and scores
+// them: the ones in scope; the least loaded if those might have the request
+// refused; all if none is left.
 func (r *Router) candidatesFor(now time.Time, s *service, q *Request) []Candidate {
 	at := r.seconds(now)
 	r.lookForGrey(s, at)
 	r.takeSnapshot(now, s, q)
 	targets := r.scope(s, &r.snapshot)
-	cands := r.filtered(s, at, q, targets)
-	if len(cands) == 0 && len(targets) < len(s.list) {
-		return r.filtered(s, at, q, s.list)
+	cands := r.scored(s, at, q, targets)
+	if len(targets) >= len(s.list) || len(cands) > 0 && !r.mayRefuse(q, cands) {
+		return cands
 	}
-	return cands
+	if least := r.scored(s, at, q, r.leastLoaded(s, at, q)); len(least) > 0 {
+		return least
+	}
+	return r.scored(s, at, q, s.list)
 }
 
 // filtered describes targets as they are believed to be and filters them.
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -270,3 +270,44 @@
 		}
 	}
 }
+
+// Symptom: a request is refused though a target had room.
+// Events: a large service, all targets full but one.
+// Cause: a decision that looks at a window of the targets only.
+func TestTheOneTargetWithRoomIsFound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "targets")
+		r := region(n)
+		r.cfg.MaxScored = rapid.IntRange(1, 10).Draw(t, "scored")
+		free := TargetID(modelTarget(rapid.IntRange(0, n-1).Draw(t, "free"), "here").ID)
+		queue(r, epoch, 400_000)
+		now := epoch.Add(time.Second)
+		r.Report(now, Report{Target: free, At: now})
+		q := prompt(rapid.IntRange(1, 2000).Draw(t, "prompt"))
+		q.Deadline = now.Add(10 * time.Second)
+		q.Prefix = rapid.SliceOfN(rapid.Uint64(), 0, 3).Draw(t, "prefix")
+		if d := r.Decide(now, q); d.Action != Send || d.Target != free {
+			t.Fatalf("%+v, want a sending to %s", d, free)
+		}
+	})
+}
+
+// Symptom: the second look decides among targets that are not the least loaded.
+func TestLeastLoadedKeepsTheLeast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		waits := rapid.SliceOfN(rapid.Float64Range(0, 9), 0, 60).Draw(t, "waits")
+		var l leastLoaded
+		for _, w := range waits {
+			l.offer(&target{warmAt: w}, w)
+		}
+		slices.Sort(waits)
+		if l.n != min(len(waits), secondLook) {
+			t.Fatalf("%d kept of %d", l.n, len(waits))
+		}
+		for i := range l.n {
+			if l.wait[i] != waits[i] || l.targets[i].warmAt != waits[i] {
+				t.Fatalf("place %d has %v, want %v", i, l.wait[i], waits[i])
+			}
+		}
+	})
+}
--- a/route/scope.go
+++ b/route/scope.go
@@ -1,5 +1,7 @@
 package route
 
+import "slices"
+
 // scope returns the targets that a decision looks at. Of a service with more
 // than MaxScored targets these are a window of so many at a random place, those
 // that hold the request's prefix, and those preferred for a new one: the best of
@@ -47,6 +49,65 @@
 	return out
 }
 
+// secondLook is how many targets a second look takes.
+const secondLook = 16
+
+// leastLoaded are the targets with the least estimated wait, in order.
+type leastLoaded struct {
+	targets [secondLook]*target
+	wait    [secondLook]float64
+	n       int
+}
+
+// offer takes a target in if it is among the least loaded so far.
+func (l *leastLoaded) offer(t *target, wait float64) {
+	if l.n == secondLook {
+		if wait >= l.wait[l.n-1] {
+			return
+		}
+		l.n--
+	}
+	i := l.n
+	for ; i > 0 && l.wait[i-1] > wait; i-- {
+		l.targets[i], l.wait[i] = l.targets[i-1], l.wait[i-1]
+	}
+	l.targets[i], l.wait[i] = t, wait
+	l.n++
+}
+
+// mayRefuse says whether admission might refuse or spill the request for what is
+// in front at the candidates.
+func (r *Router) mayRefuse(q *Request, cands []Candidate) bool {
+	o := r.snapshot.outlook(cands)
+	return o.late > 0 || o.wait > r.cfg.ShedWait.Seconds()*float64(priority(q)+1)/standingPart
+}
+
+// leastLoaded is the second look at a large service: a request may not be refused
+// for a window without room while a target outside has some. It looks roughly at
+// all targets, and decides among the least loaded that may take the request.
+func (r *Router) leastLoaded(s *service, at float64, q *Request) []*target {
+	r.least.n = 0
+	adapter := q.Adapter != "" && r.cfg.AdapterLoad == 0
+	p := s.peers(&r.cfg)
+	stale := r.cfg.ReportStale.Seconds()
+	hold := max(s.hold, s.plain)
+	// From a random place on, so that instances prefer no one of equal targets.
+	start := r.rng.IntN(len(s.list))
+	for i := range s.list {
+		t := s.list[(start+i)%len(s.list)]
+		if t.spec.State != Warm || t.guard.state(at) != Healthy ||
+			adapter && !slices.Contains(t.spec.Adapters, q.Adapter) {
+			continue
+		}
+		wait := max(0, t.load.inFlight(at, stale, p)-t.slots()) * hold / t.slots()
+		if t.prefillTime > 0 {
+			wait = max(wait, t.load.pending*t.prefillTime-(at-t.load.asOf))
+		}
+		r.least.offer(t, wait)
+	}
+	return r.least.targets[:r.least.n]
+}
+
 // maxAffinity bounds Config.AffinityTargets.
 const maxAffinity = 4
 
