pipeline/openai: read a body in fewer passes

The Decoder copied the body, read each value once to find its end and again to decode it; messages were read once as raw text and their contents once more.

Change: json.Valid checks the body, a walk over the valid text gives the members in order (so that a key that stands twice is still seen), and messages whose contents are strings are decoded at once; all else goes the old way. The benchmark reports the cores of client and engine as well, and can write the instance's CPU profile.

--- a/pipeline/bench_test.go
+++ b/pipeline/bench_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +32,8 @@
 	benchCores = 4
 	// longStream keeps streams open: its tokens come each minute.
 	longStream = "engine-slow"
+	// benchProfile names a file that the instance writes its CPU profile to.
+	benchProfile = "GULLHAVEN_BENCH_CPUPROFILE"
 )
 
 func TestMain(m *testing.M) {
@@ -56,11 +59,31 @@
 	default:
 		runtime.GOMAXPROCS(benchCores)
 		h = benchInstance(role)
+		defer profile()()
 	}
+	mux := http.NewServeMux()
+	mux.Handle("/", h)
+	mux.HandleFunc("/usage", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(usageNow()) })
 	fmt.Println(l.Addr())
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { _, _ = io.Copy(io.Discard, os.Stdin); stop() }()
-	_ = standin.Serve(ctx, l, h)
+	_ = standin.Serve(ctx, l, mux)
+}
+
+// profile starts a CPU profile, if one is asked for, and returns its end.
+func profile() func() {
+	name := os.Getenv(benchProfile)
+	if name == "" {
+		return func() {}
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		panic(err)
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		panic(err)
+	}
+	return func() { pprof.StopCPUProfile(); f.Close() }
 }
 
 // benchInstance is an instance whose only target is the engine at an address.
@@ -72,10 +95,7 @@
 	r.b.Targets[len(r.b.Targets)-1].PrefillTokensPerSecond = 1e12
 	r.b.Targets[len(r.b.Targets)-1].DecodeTokensPerSecond = 1e12
 	r.p.SetView(NewView(r.b, "", "jatim"))
-	mux := http.NewServeMux()
-	mux.Handle("/", r.handler())
-	mux.HandleFunc("/usage", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(usageNow()) })
-	return mux
+	return r.handler()
 }
 
 // usage is what a process has used.
@@ -213,13 +233,15 @@
 	for _, c := range []struct{ name, url string }{{"straight", engine}, {"through", instance}} {
 		b.Run(c.name, func(b *testing.B) {
 			runCallers(b, c.url, body, callers, 500)
-			before := readUsage(b, instance)
+			before, engineBefore, own := readUsage(b, instance), readUsage(b, engine), usageNow()
 			begin := time.Now()
 			runCallers(b, c.url, body, callers, b.N)
 			took := time.Since(begin)
 			cpu := readUsage(b, instance).CPU - before.CPU
 			b.ReportMetric(float64(b.N)/took.Seconds(), "requests/s")
 			b.ReportMetric(float64(b.N*tokens)/took.Seconds(), "tokens/s")
+			b.ReportMetric((readUsage(b, engine).CPU-engineBefore.CPU).Seconds()/took.Seconds(), "engine-cores")
+			b.ReportMetric((usageNow().CPU-own.CPU).Seconds()/took.Seconds(), "client-cores")
 			if c.url == instance {
 				b.ReportMetric(float64(b.N)/cpu.Seconds(), "requests/s/core")
 				b.ReportMetric(float64(b.N*tokens)/cpu.Seconds(), "tokens/s/core")
--- a/pipeline/openai/messages.go
+++ b/pipeline/openai/messages.go
@@ -17,6 +17,9 @@
 
 func (p *parser) messages(raw []byte) error {
 	p.hasPrompt = true
+	if p.texts(raw) {
+		return nil
+	}
 	var list []message
 	if isNull(raw) || json.Unmarshal(raw, &list) != nil {
 		return wrong("messages", "is not an array of messages")
@@ -36,6 +39,36 @@
 	return nil
 }
 
+// textMessage is a message whose content is a string or null.
+type textMessage struct {
+	Role    *string `json:"role"`
+	Content *string `json:"content"`
+}
+
+// texts reads messages of the usual form, in one pass fewer than messages. It
+// reports false, and leaves all to messages, where anything is unusual or wrong.
+func (p *parser) texts(raw []byte) bool {
+	var list []textMessage
+	if json.Unmarshal(raw, &list) != nil || len(list) == 0 || len(list) > MaxMessages {
+		return false
+	}
+	for i := range list {
+		if r := list[i].Role; r == nil || *r == "" {
+			return false
+		}
+	}
+	p.req.Prompt = make([]byte, 0, len(raw))
+	for i := range list {
+		p.append(*list[i].Role)
+		content := ""
+		if c := list[i].Content; c != nil {
+			content = *c
+		}
+		p.append(content)
+	}
+	return true
+}
+
 func (p *parser) message(field string, m *message) error {
 	if m.Role == nil || *m.Role == "" {
 		return wrong(field+".role", "is missing")
--- a/pipeline/openai/parse.go
+++ b/pipeline/openai/parse.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"unicode/utf8"
 )
@@ -84,16 +83,32 @@
 		return nil, wrong("", "the body is not UTF-8")
 	}
 	p := parser{form: form, seen: make(map[string]struct{}, 8)}
-	d := json.NewDecoder(bytes.NewReader(body))
-	if err := p.object(d); err != nil {
+	if !json.Valid(body) {
+		return nil, malformed(body)
+	}
+	object, err := members(body, p.member)
+	if err != nil {
 		return nil, err
 	}
-	if _, err := d.Token(); err != io.EOF {
-		return nil, wrong("", "more follows the JSON object")
+	if !object {
+		return nil, wrong("", "the body is not a JSON object")
 	}
 	return p.finish()
 }
 
+// malformed says what is wrong with a body that is not valid JSON.
+func malformed(body []byte) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	var first json.RawMessage
+	if d.Decode(&first) != nil {
+		return wrong("", "malformed JSON")
+	}
+	if first[0] != '{' {
+		return wrong("", "the body is not a JSON object")
+	}
+	return wrong("", "more follows the JSON object")
+}
+
 type parser struct {
 	form      Form
 	seen      map[string]struct{}
@@ -102,39 +117,11 @@
 	legacyMax int
 }
 
-func (p *parser) object(d *json.Decoder) error {
-	t, err := d.Token()
-	if err != nil {
-		return wrong("", "malformed JSON")
-	}
-	if t != json.Delim('{') {
-		return wrong("", "the body is not a JSON object")
-	}
-	for d.More() {
-		if err := p.member(d); err != nil {
-			return err
-		}
-	}
-	if _, err := d.Token(); err != nil {
-		return wrong("", "malformed JSON")
-	}
-	return nil
-}
-
-func (p *parser) member(d *json.Decoder) error {
-	t, err := d.Token()
-	key, ok := t.(string)
-	if err != nil || !ok {
-		return wrong("", "malformed JSON")
-	}
+func (p *parser) member(key string, raw []byte) error {
 	if _, twice := p.seen[key]; twice {
 		return wrong(key, "stands twice")
 	}
 	p.seen[key] = struct{}{}
-	var raw json.RawMessage
-	if err := d.Decode(&raw); err != nil {
-		return wrong("", "malformed JSON")
-	}
 	return p.value(key, raw)
 }
 
--- a/pipeline/openai/parse_test.go
+++ b/pipeline/openai/parse_test.go
@@ -20,6 +20,10 @@
 	`{"model":"m","messages":[{"role":"assistant","content":null,"tool_calls":[]}]}`,
 	`{"model":"m","prompt":"p","max_tokens":1e99}`,
 	`{"model":"m","prompt":"\ud800"}`,
+	`{"model":"m","messages":[{"role":"a","content":"x","content":null},{"role":"u","Content":["y"]}]}`,
+	`{"model":"m","messages":[{"role":"a","content":"x","content":[{"type":"t","text":"q"}]}]}`,
+	`{"mo\u0064el":"m","model":"x","prompt":"p"}`, "\n [1]", `{"model":"m","prompt":"p"}{}`,
+	` { "model" : "a:b" , "x":{"a":["}\"]"]}, "y":-1e5 ,"prompt" : [ "p\"" ] } `,
 	`[`, `null`, ``, `{"model":`, "{\"model\":\"\xff\"}",
 }
 
@@ -50,6 +54,13 @@
 		if other["model"] != req.Model || req.Model == "" || req.PromptTokens() < 1 || req.OutputTokens() < 1 {
 			t.Fatalf("%q read as %+v", body, req)
 		}
+		prompt := other["prompt"]
+		if list, ok := prompt.([]any); ok && len(list) == 1 {
+			prompt = list[0]
+		}
+		if !chat && prompt != string(req.Prompt) {
+			t.Fatalf("%q: prompt read as %q", body, req.Prompt)
+		}
 	})
 }
 
@@ -67,3 +78,16 @@
 		t.Fatalf("%q, %q", one, two)
 	}
 }
+
+// BenchmarkParse: a chat request of about a thousand tokens.
+func BenchmarkParse(b *testing.B) {
+	content, _ := json.Marshal(strings.Repeat("wind at the ridge ", 220))
+	body := []byte(`{"max_tokens":1,"messages":[{"content":` + string(content) + `,"role":"user"}],"model":"m","stream":true}`)
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Parse(Chat, body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
