pipeline, ports/enginehttp: let go of prompts of open streams

Cause: the memory of an open stream was measured with a prompt of one byte. With prompts of about four thousand tokens (16 KB) each stream held its prompt twice to its end: the body (by our request, and by net/http's for sending it again) and the text read of it.

Change: once the answer to the caller has begun, the exchange drops body and text; the client's request drops the body when it was sent whole and the answer has begun. An engine that answers early still gets the rest. A second benchmark measures streams with long prompts.

--- a/pipeline/bench_test.go
+++ b/pipeline/bench_test.go
@@ -287,10 +287,16 @@
 
 // BenchmarkOpenStreams: memory of the instance for each stream that is open and
 // idle after its first token.
-func BenchmarkOpenStreams(b *testing.B) {
+func BenchmarkOpenStreams(b *testing.B) { measureOpen(b, chat("p", true, 100)) }
+
+// BenchmarkOpenLongPrompts: the same with prompts of about four thousand tokens.
+func BenchmarkOpenLongPrompts(b *testing.B) {
+	measureOpen(b, chat(strings.Repeat(benchPrompt, 4), true, 100))
+}
+
+func measureOpen(b *testing.B, body string) {
 	const streams = 2000
 	_, instance := startBoth(b, longStream)
-	body := chat("p", true, 100)
 	for b.Loop() {
 		before := readUsage(b, instance)
 		var open64 []*http.Response
--- a/pipeline/claiming.go
+++ b/pipeline/claiming.go
@@ -197,6 +197,7 @@
 	y := *x
 	y.W, y.claim = j, c
 	y.Ctx = context.WithoutCancel(x.Ctx)
+	x.Body = nil // y sends it
 	f.flight.n.Add(1)
 	go func() {
 		defer f.flight.n.Add(-1)
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -93,6 +93,15 @@
 	return e.Raise(x.Verdict.Join(x.Floor))
 }
 
+// letGo drops what only another sending would need. It is called when the answer
+// to the caller has begun, for a stream may be open for long after that.
+func (x *Exchange) letGo() {
+	x.Body = nil
+	if x.Request != nil {
+		x.Request.Prompt = nil
+	}
+}
+
 // streamed reports whether the answer goes out as events.
 func (x *Exchange) streamed() bool { return x.Request != nil && x.Request.Stream }
 
--- a/pipeline/hedge.go
+++ b/pipeline/hedge.go
@@ -41,7 +41,8 @@
 func (h *hedging) launch(a *attempt) {
 	ctx, cancel := context.WithCancel(h.x.Ctx)
 	h.cancels[a] = cancel
-	go func() { h.results <- h.f.open(ctx, h.x, a) }()
+	m := completionOf(h.x, a)
+	go func() { h.results <- h.f.open(ctx, m, a) }()
 }
 
 // second starts the hedge, if budget and routing allow it.
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -107,6 +107,7 @@
 		h.Set("Content-Type", ports.ContentTypeEvents)
 		h.Set("Cache-Control", "no-cache")
 		r.head(http.StatusOK)
+		r.x.letGo()
 	}
 	if err := r.event(c.Data); err != nil {
 		return err
--- a/pipeline/sendmodel.go
+++ b/pipeline/sendmodel.go
@@ -24,7 +24,7 @@
 func (f *Attempts) sendModel(x *Exchange, a *attempt) error {
 	var o opened
 	if x.Once || a.decision.HedgeAt.IsZero() {
-		o = f.open(x.Ctx, x, a)
+		o = f.open(x.Ctx, completionOf(x, a), a)
 	} else {
 		o = f.openHedged(x, a)
 	}
@@ -55,9 +55,9 @@
 }
 
 // open sends and waits for the first chunk.
-func (f *Attempts) open(ctx context.Context, x *Exchange, a *attempt) opened {
+func (f *Attempts) open(ctx context.Context, m ports.Completion, a *attempt) opened {
 	o := opened{attempt: a}
-	o.stream, o.err = f.deps.Engines.Engine(a.target.Address).Complete(ctx, completionOf(x, a))
+	o.stream, o.err = f.deps.Engines.Engine(a.target.Address).Complete(ctx, m)
 	if o.err != nil {
 		f.countWrong(o.err)
 		return o
--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -92,7 +92,7 @@
 
 func (c *Client) open(ctx context.Context, m ports.Completion, path string, after int64) (ports.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	req, err := c.completionRequest(ctx, m, path, after)
+	req, sent, err := c.completionRequest(ctx, m, path, after)
 	if err != nil {
 		cancel()
 		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "request not made", Err: err}
@@ -102,6 +102,7 @@
 		cancel()
 		return nil, err
 	}
+	sent.letGo()
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
 		return nil, statusError(resp)
@@ -117,15 +118,16 @@
 	return answer.NewWhole(resp.Body, cancel), nil
 }
 
-func (c *Client) completionRequest(ctx context.Context, m ports.Completion, path string, after int64) (*http.Request, error) {
+func (c *Client) completionRequest(ctx context.Context, m ports.Completion, path string, after int64) (*http.Request, *sentBody, error) {
 	body := m.Body
 	if after != fromStart {
 		body = nil
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, http.NoBody)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	sent := setBody(req, body)
 	h := req.Header
 	h.Set("Content-Type", ports.ContentTypeJSON)
 	h.Set(ports.HeaderAttempt, string(m.Attempt))
@@ -137,7 +139,7 @@
 	if after != fromStart {
 		h.Set(ports.HeaderLastEvent, string(m.Attempt)+":"+strconv.FormatInt(after, 10))
 	}
-	return req, nil
+	return req, sent, nil
 }
 
 // statusError turns an answer other than 200 into an error. Only 429 and 4xx
