node: tell the claims that this instance's earlier life has ended

Cause: the keeper of a region's claims learns of ended lives from events of the members, and none tells of the own instance. A region's only voter that was killed while it ran bookings came back and left them "running" at its earlier life: each resend was told already_running, to come back in a second, for the claims' lifetime. Nothing ran twice. Change: the keeper observes its own life at the start.

--- a/node/peers.go
+++ b/node/peers.go
@@ -18,11 +18,18 @@
 	if err != nil {
 		return err
 	}
+	self := membership.Member{
+		ID: n.s.Instance, Region: n.s.Region, Zone: n.s.Zone, Address: n.s.Advertise.Instances,
+		Incarnation: n.life(), Meta: meta,
+	}
+	if n.keeper != nil {
+		// No event tells of this instance itself. Without it, what its earlier
+		// life claimed would count as running here for the claims' lifetime, at
+		// least in a region with one voter, and each resend be told to come back.
+		n.keeper.observe(self)
+	}
 	n.members, err = members.New(members.Options{
-		Self: membership.Member{
-			ID: n.s.Instance, Region: n.s.Region, Zone: n.s.Zone, Address: n.s.Advertise.Instances,
-			Incarnation: n.life(), Meta: meta,
-		},
+		Self:    self,
 		Seeds:   n.regionSeeds(),
 		Hub:     n.hub,
 		Rand:    newRand(),
