--- a/pipeline/finish.go
+++ b/pipeline/finish.go
@@ -135,6 +135,7 @@
 		o.FirstByte = x.firstByte.Sub(x.Arrival)
 		f.deps.Metrics.FirstByteTime.Update(o.FirstByte)
 	}
+	f.deps.Metrics.Chunks.Inc(int64(x.chunks))
 	if e != nil {
 		o.Verdict, o.Code = e.Verdict, e.Code
 	} else {
--- a/pipeline/move_test.go
+++ b/pipeline/move_test.go
@@ -231,5 +231,8 @@
 		if out.Code != "" || out.AtTarget <= 0 || out.AtTarget > out.Took-waitHere {
 			t.Fatalf("once %v: %v at the target of %v, %q", once, out.AtTarget, out.Took, out.Code)
 		}
+		if n := r.deps.Metrics.Chunks.Count(); n != int64(out.Chunks) || n == 0 || (!once && n != 4) {
+			t.Fatalf("once %v: %d chunks counted of %d", once, n, out.Chunks)
+		}
 	}
 }
