experiment: suspects for all deciders; route: sendings without a prediction

A lone run is sent without a prediction, which the Router read as one of no time: the target looked slow, and stalled after 2 s. Change: the driver runs coord/suspect for all deciders: what was in flight at a crash is published in the region before it ends or is sent again; a suspect runs alone at a target that is kept free, or is refused; each attempt is checked, retries too. One target of a region is kept free at once (--lone, 0 leaves suspects out). Callers of killers resend after a refusal as well. A request beside a lone one is a violation. Without a prediction the Router takes the time of the prompt at learned speed. Conclusion: at most two targets are lost in each region (a test); a killer that crosses can take two more in the next, as entries don't cross regions.

--- a/experiment/call.go
+++ b/experiment/call.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/suspect"
 	"github.com/gullhaven/gullhaven/route"
 	"github.com/gullhaven/gullhaven/standin/enginemodel"
 )
@@ -59,6 +60,8 @@
 	in      *instance
 	target  *target
 	running bool
+	// alone says that the target was kept free for it.
+	alone bool
 }
 
 func (w *world) arrive(a *arrival) {
@@ -98,9 +101,17 @@
 	if c.outcome != pending {
 		return
 	}
+	switch c.suspicion() {
+	case suspect.Refuse:
+		w.giveBack(c)
+		return
+	case suspect.RunAlone:
+		w.runAlone(c)
+		return
+	}
 	switch d := c.in.decider.Decide(w.now, &c.req); d.Action {
 	case route.Send:
-		w.send(c, d)
+		w.send(c, d, false)
 	case route.Spill:
 		w.spill(c, d)
 	case route.Hold:
@@ -110,7 +121,7 @@
 	}
 }
 
-func (w *world) send(c *call, d route.Decision) {
+func (w *world) send(c *call, d route.Decision, alone bool) {
 	t := w.targets[d.Target]
 	if t == nil || t.region != c.in.region || !c.mayRunIn(t.spec.Region) {
 		w.stray++
@@ -118,10 +129,13 @@
 		return
 	}
 	w.nextID++
-	a := &attempt{id: w.nextID, call: c, in: c.in, target: t}
+	a := &attempt{id: w.nextID, call: c, in: c.in, target: t, alone: alone}
 	w.attempts[a.id] = a
 	c.open = append(c.open, a)
 	c.in.decider.Sent(w.now, route.AttemptID(a.id), &c.req, d)
+	if c.in.table != nil {
+		c.in.table.Sent(suspect.Attempt(a.id), c.digest, string(t.spec.ID), alone)
+	}
 	w.after(targetDelay, func() { w.enqueue(a) })
 	if !d.HedgeAt.IsZero() && c.req.Idempotent && !c.hedged {
 		w.push(d.HedgeAt, func() { w.hedge(a) })
@@ -136,6 +150,10 @@
 	if w.attempts[a.id] == nil {
 		return
 	}
+	if a.alone && !a.target.engine.Idle() || a.target.alone {
+		w.beside++
+	}
+	a.target.alone = a.target.alone || a.alone
 	err := a.target.engine.Enqueue(w.now, a.call.engineRequest(a.id, a.call.req.Priority))
 	w.wake(a.target)
 	switch {
@@ -198,7 +216,7 @@
 // hedge starts a second attempt if the first has brought nothing yet.
 func (w *world) hedge(a *attempt) {
 	c := a.call
-	if c.outcome != pending || c.passedOn || len(c.open) != 1 || c.open[0] != a || a.in.tokens < 1 {
+	if c.outcome != pending || c.passedOn || c.suspicion() != suspect.Run || len(c.open) != 1 || c.open[0] != a || a.in.tokens < 1 {
 		return
 	}
 	second := c.req
@@ -212,12 +230,13 @@
 	c.req = second
 	a.in.tokens--
 	w.hedges++
-	w.send(c, d)
+	w.send(c, d, false)
 }
 
 func (w *world) firstToken(a *attempt, ev enginemodel.Event) {
 	c := a.call
 	if c.killer {
+		w.killed[killing{c.digest, a.target.region.name}]++
 		w.crashKiller(a.target)
 		return
 	}
@@ -248,6 +267,13 @@
 	a.in.decider.Ended(w.now, route.End{
 		Attempt: route.AttemptID(a.id), Outcome: o, OutputTokens: tokens, CachedTokens: cached,
 	})
+	if a.in.table == nil {
+		return
+	}
+	a.in.region.publish(w.now, a.in.table.Ended(w.now, suspect.Attempt(a.id), o == route.Succeeded))
+	if a.alone {
+		w.endLone(a.call, a.target)
+	}
 }
 
 func (w *world) cancel(a *attempt) {
@@ -284,6 +310,11 @@
 		w.after(backoff, func() { w.decide(c) })
 		return
 	}
+	w.giveBack(c)
+}
+
+// giveBack ends a call that is not answered, by what may have run of it.
+func (w *world) giveBack(c *call) {
 	if c.started > 0 {
 		w.final(c, failed)
 		return
@@ -314,7 +345,7 @@
 	c.outcome = o
 	c.total = w.seen(c)
 	w.open--
-	if c.killer && o == failed {
+	if c.killer && o != answered {
 		w.resendKiller(c.arrival)
 	}
 }
--- a/experiment/command.go
+++ b/experiment/command.go
@@ -24,6 +24,8 @@
 	Format    string        `long:"plot-format" default:"svg" description:"format of the plots: svg or png"`
 	Late      bool          `long:"late" description:"let requests run on after their deadline; otherwise they are cancelled then"`
 
+	Lone int `long:"lone" default:"1" description:"targets of a region that may be kept free at once for requests that may have killed one; 0 does not look for such requests"`
+
 	// Out takes the table; standard output if nil.
 	Out io.Writer `no-flag:"true"`
 }
@@ -39,7 +41,7 @@
 	}
 	res, err := Run(Options{
 		Workloads: c.Workloads, Deciders: c.Deciders, Loads: c.Loads, Faults: c.Faults,
-		Seeds: c.Seeds, Day: c.Day, Workers: c.Workers, Late: c.Late,
+		Seeds: c.Seeds, Day: c.Day, Workers: c.Workers, Late: c.Late, Lone: c.Lone,
 		Regions: c.Regions, Targets: c.Targets,
 	})
 	if err != nil {
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -107,6 +107,9 @@
 	Regions, Targets int
 	// Late lets requests run on after their deadline.
 	Late bool
+	// Lone is how many targets of a region may be kept free for suspects at
+	// once; 0 leaves suspects out.
+	Lone int
 }
 
 // DefaultOptions is one whole run.
@@ -178,7 +181,7 @@
 	for s := range o.Seeds {
 		tr := Trial{
 			Workload: wl, Load: load, Fault: f, Seed: uint64(s + 1), Day: o.Day,
-			PerTarget: res.Capacity[wl.Name], Late: o.Late,
+			PerTarget: res.Capacity[wl.Name], Late: o.Late, Lone: o.Lone,
 		}
 		out = append(out, job{tr, len(res.Rows) - len(o.Deciders), s, o.Deciders})
 	}
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -123,6 +123,41 @@
 	}
 }
 
+// Symptom: one request takes target after target.
+// Events: killers whose callers send them again, retried by the deciders; regions
+// that don't tell each other of suspects. Cause: a suspect that runs beside
+// others, twice at once, or again after it was alone in a crash; or one whose
+// target is kept for ever.
+func TestAKillerTakesTwoTargetsOfARegion(t *testing.T) {
+	run := func(lone int, seed uint64) *world {
+		wl := Workloads()[0]
+		tr := Trial{Workload: wl, Load: 0.5, Fault: Killer, Seed: seed, Day: 200 * time.Second, PerTarget: 2, Lone: lone, make: makeRouter}
+		tr.arrivals = wl.trace(tr.Seed, tr.Load, tr.PerTarget, tr.Day)
+		w := newWorld(&tr)
+		w.run()
+		return w
+	}
+	if f := run(0, 1); f.figures().MostKilled <= 2 {
+		t.Fatal("a killer takes no more than two without suspects: the test shows nothing")
+	}
+	for i, lone := range []int{1, 4, 1, 4, 1, 4} {
+		w := run(lone, uint64(i/2+1))
+		for k, n := range w.killed {
+			if n > 2 {
+				t.Errorf("lone %d: killer %x took %d targets in %s", lone, k.killer, n, k.region)
+			}
+		}
+		if f := w.figures(); f.Answered+f.Refused+f.Failed != f.Arrivals || f.Doubled+f.Violations != 0 {
+			t.Errorf("lone %d: %+v", lone, f)
+		}
+		for _, x := range w.targets {
+			if x.held {
+				t.Errorf("lone %d: %s is held after the day", lone, x.spec.ID)
+			}
+		}
+	}
+}
+
 // Symptom: more is sent away than the table says is forced, or the other way
 // round. Cause: a share forced away that leaves out what the fault takes.
 func TestForcedCountsWhatTheFaultTakes(t *testing.T) {
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -106,7 +106,9 @@
 	}
 	t.state = route.Down
 	w.crashes++
-	for _, id := range t.engine.Crash(w.now) {
+	lost := t.engine.Crash(w.now)
+	w.suspectAll(t)
+	for _, id := range lost {
 		w.attemptEnded(w.attempts[id], route.Failed, 0, -1)
 	}
 	w.announce(t.region, crashLag)
--- a/experiment/figures.go
+++ b/experiment/figures.go
@@ -29,8 +29,8 @@
 	// Doubled counts non-idempotent requests that started at engines more than
 	// once, and requests with more than one final answer.
 	Doubled int
-	// Violations count spills of requests that had crossed and sendings
-	// outside the allowed regions.
+	// Violations count spills of requests that had crossed, sendings outside
+	// the allowed regions, and requests beside one that was to run alone.
 	Violations int
 	// P50 to P999 are of the time to first token of answered model requests.
 	P50, P95, P99, P999 Millis
@@ -48,6 +48,8 @@
 	Cost float64
 	// CacheHits is the share of the answered prompts' tokens that were cached.
 	CacheHits float64
+	// MostKilled is the most targets that one killer took.
+	MostKilled int
 	// Crashes of targets; Retries and Hedges of all instances.
 	Crashes, Retries, Hedges int
 	// InTimeByClass is InTime of each class, in the workload's order.
@@ -94,8 +96,9 @@
 		}
 	}
 	f := t.f
-	f.Violations = w.loops + w.stray
+	f.Violations = w.loops + w.stray + w.beside
 	f.Crashes, f.Retries, f.Hedges = w.crashes, w.retries, w.hedges
+	f.MostKilled = w.mostKilled()
 	f.Forced, f.Fits = w.forced()
 	f.Cost = w.busy().Seconds() / float64(max(f.Answered, 1))
 	t.quantiles(&f)
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -65,13 +65,13 @@
 loading and crashed targets and peaks counted by rate; fits is the part of it that the
 spare capacity elsewhere carries at average work. cost is busy target-seconds per
 answered request. doubled, lost and crashes are sums; doubled holds requests sent in
-a loop or out of their regions as well.
+a loop or out of their regions as well. killed is the most targets that one killer took.
 Requests are cancelled at their deadline and count as failed then, unless told to
 run on: then what is answered late is not in time. Baselines never refuse for a
 deadline.
 `
 
-const header = "decider\tp50\tp95\tp99\tp99.9\tp99all\tplain\tin time\trefused\tfailed\taway\tforced\tfits\tcost\thits\tdoubled\tlost\tcrashes\t"
+const header = "decider\tp50\tp95\tp99\tp99.9\tp99all\tplain\tin time\trefused\tfailed\taway\tforced\tfits\tcost\thits\tdoubled\tlost\tcrashes\tkilled\t"
 
 // WriteTable prints the result, one block for each setting.
 func (res *Result) WriteTable(out io.Writer) error {
@@ -116,6 +116,7 @@
 		fmt.Sprint(r.total(func(f *Figures) int { return f.Doubled + f.Violations })),
 		fmt.Sprint(r.total(func(f *Figures) int { return f.Lost })),
 		fmt.Sprint(r.total(func(f *Figures) int { return f.Crashes })),
+		fmt.Sprint(r.Over(func(f *Figures) float64 { return float64(f.MostKilled) }).Max),
 	}
 	for _, c := range cells {
 		fmt.Fprint(out, c, "\t")
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gullhaven/gullhaven/coord/suspect"
 	"github.com/gullhaven/gullhaven/route"
 	"github.com/gullhaven/gullhaven/standin/enginemodel"
 )
@@ -111,7 +112,9 @@
 	resend int
 	// prompt and output are the true lengths; the decision sees estimates.
 	prompt, output int
-	req            route.Request
+	// digest names the content; a resend has the same.
+	digest suspect.Digest
+	req    route.Request
 }
 
 // zipf draws 0..n-1 with weights 1, 1/2, 1/3 and so on.
@@ -149,7 +152,7 @@
 
 // draw makes one request of a class.
 func (w *Workload) draw(rng *rand.Rand, c *Class, region int, id uint64) arrival {
-	a := arrival{region: region, class: c, output: c.Output.draw(rng)}
+	a := arrival{region: region, class: c, output: c.Output.draw(rng), digest: digest(id)}
 	home := w.Regions[region]
 	a.req = route.Request{
 		Service: c.Service, Workspace: home + "-" + c.Name, Priority: c.Priority,
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/suspect"
 	"github.com/gullhaven/gullhaven/route"
 	"github.com/gullhaven/gullhaven/standin/enginemodel"
 )
@@ -44,7 +45,10 @@
 	// PerTarget is the capacity of a model target in requests per second.
 	PerTarget float64
 	// Late lets requests run on after their deadline, and be answered late.
-	Late     bool
+	Late bool
+	// Lone is how many targets of a region may be kept free for suspects at
+	// once; 0 leaves suspects out.
+	Lone     int
 	arrivals []arrival
 	make     Maker
 }
@@ -85,9 +89,14 @@
 	reports enginemodel.Feed[route.Report]
 	caches  enginemodel.Feed[route.CacheEvent]
 	seq     uint64
+	// life counts crashes; held says that it is kept free for a suspect.
+	life uint64
+	held bool
+	// alone says that a suspect runs there.
+	alone bool
 }
 
-// takesWork says that the target takes new requests.
+// takesWork says that the target takes new requests, or would if it were not held.
 func (t *target) takesWork() bool { return t.state == route.Warm }
 
 // instance is one decider with the requests that it holds.
@@ -96,6 +105,8 @@
 	decider route.Decider
 	held    []*call
 	tokens  float64 // of the retry budget
+	// table is nil if suspects are left out.
+	table *suspect.Table
 }
 
 type region struct {
@@ -134,6 +145,9 @@
 	for i, t := range r.targets {
 		out[i] = t.spec
 		out[i].State = t.state
+		if t.held && t.state == route.Warm {
+			out[i].State = route.Leaving
+		}
 	}
 	return out
 }
@@ -157,6 +171,10 @@
 	// loops counts spills of requests that had crossed already or may not leave;
 	// stray counts sendings to targets that are unknown or not allowed.
 	loops, stray int
+	// beside counts requests that ran beside one that was to run alone.
+	beside int
+	// killed counts the targets that each killer took in each region.
+	killed map[killing]int
 	// samples are of the capacity, by region.
 	samples [][]sample
 }
@@ -165,6 +183,7 @@
 	w := &world{
 		trial: trial, now: epoch, rng: rand.New(rand.NewPCG(trial.Seed, 2)),
 		targets: make(map[route.TargetID]*target), attempts: make(map[uint64]*attempt),
+		killed: make(map[killing]int),
 	}
 	for i, name := range trial.Workload.Regions {
 		r := &region{name: name}
@@ -175,7 +194,11 @@
 			seed := trial.Seed*1000 + uint64(i*instancesPerRegion+j)
 			d := trial.make(Place{name, zone(name, j), instancesPerRegion}, seed)
 			d.SetTargets(w.now, r.specs())
-			r.instances = append(r.instances, &instance{region: r, decider: d, tokens: retryBurst})
+			in := &instance{region: r, decider: d, tokens: retryBurst}
+			if trial.Lone > 0 {
+				in.table = suspect.New(suspect.DefaultConfig())
+			}
+			r.instances = append(r.instances, in)
 		}
 	}
 	for _, r := range w.regions {
--- a/route/events.go
+++ b/route/events.go
@@ -176,7 +176,7 @@
 	uncached := float64(max(1, q.PromptTokens-d.CachedTokens))
 	a := attempt{t: t, sentAt: at, cached: d.CachedTokens}
 	a.uncached, a.memory = uncached, float64(q.PromptTokens+q.OutputTokens)
-	a.predicted = max(0, d.Start.Sub(now).Seconds())
+	a.predicted = t.predict(now, d, uncached)
 	a.expected = a.predicted / t.speed.first.factor()
 	if !t.model() {
 		a.memory = 0
@@ -195,6 +195,19 @@
 	t.cache.touch(q.Prefix)
 }
 
+// predict is the predicted time to first token of a sending in seconds. A host
+// that chose the target itself, for a request that must run alone, has none:
+// taken for zero, each such answer would look late and the target slow.
+func (t *target) predict(now time.Time, d Decision, uncached float64) float64 {
+	switch {
+	case !d.Start.IsZero():
+		return max(0, d.Start.Sub(now).Seconds())
+	case t.model():
+		return uncached * t.prefillTime
+	}
+	return t.svc.plain * t.speed.first.factor()
+}
+
 // FirstToken implements Decider.
 func (r *Router) FirstToken(now time.Time, id AttemptID) {
 	a, ok := r.attempts[id]
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -236,6 +236,28 @@
 	}
 }
 
+// Symptom: a healthy target is taken for slow or stalled.
+// Events: the host chooses it itself for requests that must run alone.
+// Cause: no prediction with such a sending, read as one of no time at all.
+func TestSendingsOfTheHostTeachNoWrongSpeed(t *testing.T) {
+	r := region(2)
+	q := prompt(20_000)
+	took := duration(20_000 / modelTarget(0, "here").PrefillRate)
+	for i := range 10 {
+		now := epoch.Add(time.Duration(i) * time.Minute)
+		r.Sent(now, AttemptID(i), q, Decision{Action: Send, Target: "here-0"})
+		r.Decide(now.Add(took-time.Millisecond), prompt(1))
+		if s := r.targets["here-0"].stalled; s != 0 {
+			t.Fatalf("stalled for %v s", s)
+		}
+		r.FirstToken(now.Add(took), AttemptID(i))
+		r.Ended(now.Add(took), End{Attempt: AttemptID(i), Outcome: Succeeded, OutputTokens: 1, CachedTokens: -1})
+	}
+	if f := r.targets["here-0"].speed.first.factor(); f < 0.9 || f > 1.1 {
+		t.Fatalf("learned a factor of %v", f)
+	}
+}
+
 // Symptom: one target answers, but slowly, and spoils the slowest answers.
 // Events: first tokens of half of the targets take four times as long, or those
 // of two thirds stop.
