e2e: residency, loops, spill, faults of engines, "not run", restarts, frozen leaders, leaving targets

Change: the targets of a region run in a process of their own, or in the test's, where their counters outlive a loss of their servers. Clusters run three at a time, on ports below the range of local ports that a run holds for itself. The client keeps no connections: over a kept one net/http repeats a request that has an idempotency key. Found and not mended: a region that has served nothing since its start grants its neighbours nothing, so that an idle neighbour doesn't help; the tests of spilling send each region a request first. Partial: not each test was seen to fail for a planted mistake yet.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -33,10 +34,17 @@
 	patience = 60 * time.Second
 	// pollInterval is the time between two looks.
 	pollInterval = 50 * time.Millisecond
-	// callerKey is the key of the one workspace.
+	// callerKey begins the keys of the workspaces.
 	callerKey = "caller-key"
+	// boundWorkspace is a workspace that is bound to boundRegion.
+	boundWorkspace, boundRegion = "bound", "bali"
+	// clustersAtOnce bounds the clusters that run at the same time.
+	clustersAtOnce = 3
 )
 
+// turns bounds the clusters that run at the same time.
+var turns = make(chan struct{}, clustersAtOnce)
+
 // binary is the daemon under test, built once.
 var binary string
 
@@ -51,7 +59,12 @@
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
 		os.Exit(1)
 	}
+	ports, err := holdPorts()
+	if err != nil {
+		panic(err)
+	}
 	code := m.Run()
+	_ = ports.Close()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
@@ -66,35 +79,70 @@
 	stopped  bool
 }
 
-// cluster is a system of instances in separate processes, with stand-ins of
-// its targets in one more.
+// shape says how large a cluster is and what stands in for its targets.
+type shape struct {
+	// perRegion is how many instances each region has.
+	perRegion int
+	// voters of a region, where there are more than one.
+	voters map[string]int
+	// neighbours says that every region may spill all it has to every other.
+	neighbours bool
+	// engines of a region; default 1.
+	engines int
+	// sites runs the targets in the test's process, where each has a server of
+	// its own: their counters outlive a loss of their servers. Else those of
+	// each region run in one more process.
+	sites bool
+}
+
+// cluster is a system of instances in separate processes, and its targets.
 type cluster struct {
 	t         *testing.T
+	shape     shape
 	dir       string
 	operator  ed25519.PrivateKey
+	authority *keys.Authority
 	instances []*instance
 	bundle    *bundle.Bundle
-	standins  *exec.Cmd
+	standins  []*exec.Cmd
+	sites     map[string]*site
 	client    *http.Client
 }
 
 // regionNames of clusters; the first instance of each is a voter with a disk.
 var regionNames = []string{"jatim", "bali", "jabar"}
 
-// startCluster runs perRegion instances in each of three regions and puts a
-// first bundle in force.
+// startCluster runs perRegion instances in each of three regions, with stand-ins
+// of each region's targets in one more, and puts a first bundle in force.
 func startCluster(t *testing.T, perRegion int) *cluster {
 	t.Helper()
+	return startShape(t, shape{perRegion: perRegion})
+}
+
+// startShape waits for its turn, runs a cluster and puts a first bundle in force.
+func startShape(t *testing.T, s shape) *cluster {
+	t.Helper()
+	t.Parallel()
+	turns <- struct{}{}
+	t.Cleanup(func() { <-turns })
 	_, operator, err := ed25519.GenerateKey(nil)
 	must(t, err)
-	c := &cluster{t: t, dir: t.TempDir(), operator: operator, client: &http.Client{Timeout: patience}}
-	c.makeInstances(perRegion)
+	s.engines = max(1, s.engines)
+	// Over a connection that it kept, the client would send a request with an
+	// idempotency key again by itself, unseen by the test.
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := &cluster{t: t, shape: s, dir: t.TempDir(), operator: operator, client: client}
+	t.Cleanup(c.end)
+	c.makeInstances(s.perRegion)
 	c.makeBundle()
-	c.startStandins()
+	if s.sites {
+		c.startSites()
+	} else {
+		c.startStandins()
+	}
 	for _, i := range c.instances {
 		i.start()
 	}
-	t.Cleanup(c.end)
 	c.mustRoll(c.bundle)
 	return c
 }
@@ -106,17 +154,54 @@
 	}
 }
 
-// freeAddress finds a port of loopback that nothing listens on.
+// Ports are handed out below the range that the system takes the local ports of
+// connections from: a port found free up there can be taken by any connection
+// before the process that it is meant for, or that starts again, listens. Each
+// run of the tests has a block of its own, which it holds by its first port.
+const (
+	firstPort = 15000
+	blockSize = 2000
+	blocks    = 8
+)
+
+// nextPort was handed out last.
+var nextPort atomic.Int64
+
+// holdPorts takes a block of ports until the listener is closed.
+func holdPorts() (net.Listener, error) {
+	var err error
+	for n := range blocks {
+		first := firstPort + (os.Getpid()+n)%blocks*blockSize
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			nextPort.Store(int64(first))
+			return l, nil
+		}
+	}
+	return nil, fmt.Errorf("every block of ports is held by another run: %w", err)
+}
+
+// freeAddress finds a port of loopback that nothing listens on. None is handed
+// out twice.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	t.Helper()
+	for {
+		port := nextPort.Add(1)
+		if port%blockSize == firstPort%blockSize {
+			t.Fatal("the block of ports is used up")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			must(t, l.Close())
+			return address
+		}
+	}
 }
 
 func (c *cluster) makeInstances(perRegion int) {
 	authority, err := keys.NewAuthority("e2e", time.Now(), time.Hour)
 	must(c.t, err)
+	c.authority = authority
 	for _, region := range regionNames {
 		for n := range perRegion {
 			c.instances = append(c.instances, c.newInstance(region, n))
@@ -147,7 +232,7 @@
 	s.Advertise = s.Listen
 	s.Bootstrap = settings.Bootstrap{Operators: []bundle.Operator{c.operatorEntry()}, SignOffs: 1}
 	s.Keys = settings.Keys{Authority: "authority.pem", Certificate: "instance.pem", Key: "instance.key"}
-	if n == 0 {
+	if n < max(1, c.shape.voters[region]) {
 		s.Voter, s.DataDir = true, "data"
 	}
 	return &instance{c: c, settings: s, dir: dir}
@@ -161,9 +246,18 @@
 func (i *instance) id() string { return i.settings.Instance }
 
 func (i *instance) writeKeys(authority *keys.Authority) {
+	i.writeKey(i.c.issue(authority, keys.Identity{Instance: i.id(), Region: i.settings.Region}))
+}
+
+// issue makes a key of an instance.
+func (c *cluster) issue(authority *keys.Authority, id keys.Identity) *keys.Key {
+	key, err := authority.Issue(id, []string{"127.0.0.1"}, time.Now(), time.Hour)
+	must(c.t, err)
+	return key
+}
+
+func (i *instance) writeKey(key *keys.Key) {
 	t := i.c.t
-	key, err := authority.Issue(keys.Identity{Instance: i.id(), Region: i.settings.Region}, []string{"127.0.0.1"}, time.Now(), time.Hour)
-	must(t, err)
 	certificate, private, root, err := key.PEM()
 	must(t, err)
 	for name, data := range map[string][]byte{"authority.pem": root, "instance.pem": certificate, "instance.key": private} {
@@ -212,14 +306,22 @@
 // end kills all that still runs.
 func (c *cluster) end() {
 	for _, i := range c.instances {
+		if i.exited == nil {
+			continue
+		}
 		select {
 		case <-i.exited:
 		default:
 			i.kill()
 		}
 	}
-	_ = c.standins.Process.Kill()
-	_ = c.standins.Wait()
+	for _, s := range c.sites {
+		s.end()
+	}
+	for _, s := range c.standins {
+		_ = s.Process.Kill()
+		_ = s.Wait()
+	}
 	if c.t.Failed() {
 		c.dumpLogs()
 	}
@@ -234,7 +336,8 @@
 	}
 }
 
-// makeBundle describes one engine and one booking desk in each region.
+// makeBundle describes engines, a booking desk and a title catalogue in each
+// region.
 func (c *cluster) makeBundle() {
 	b := &bundle.Bundle{
 		Version: 1, Operators: []bundle.Operator{c.operatorEntry()}, SignOffs: 1,
@@ -242,21 +345,38 @@
 		Services: []bundle.Service{
 			{ID: "briefing", Kind: bundle.KindModel, Model: "scribe", Version: "v1", DefaultDeadlineMillis: 60000, Objective: bundle.Objective{FirstTokenMillis: 1400, BetweenTokensMillis: 76, Share: 0.95}},
 			{ID: "desk", Kind: bundle.KindPlain, NonIdempotent: true, DefaultDeadlineMillis: 10000, Objective: bundle.Objective{FirstTokenMillis: 500, Share: 0.99}},
+			{ID: "titles", Kind: bundle.KindPlain, DefaultDeadlineMillis: 10000, Objective: bundle.Objective{FirstTokenMillis: 500, Share: 0.99}},
 		},
 		Rules: bundle.Rules{MaxAttempts: 3, RetryBudget: 0.2, ClaimLifetimeSeconds: 3600, DrainSeconds: 30, WeightStoreBytesPerSecond: 1e9, MaxConcurrentLoads: 1},
 	}
 	for _, region := range regionNames {
-		b.Regions = append(b.Regions, bundle.Region{ID: region, Zones: []string{region + "-hall"}})
-		b.Targets = append(b.Targets,
-			bundle.Target{ID: "engine-" + region, Service: "briefing", Region: region, Zone: region + "-hall", State: bundle.TargetActive, Role: bundle.RoleBoth, Address: freeAddress(c.t), Slots: 8, PrefillTokensPerSecond: 20000, DecodeTokensPerSecond: 4000, CostPerSecond: 1, OrderExpiryMillis: 1000},
-			bundle.Target{ID: "desk-" + region, Service: "desk", Region: region, Zone: region + "-hall", State: bundle.TargetActive, Address: freeAddress(c.t), Slots: 64, CostPerSecond: 0.1, OrderExpiryMillis: 1000},
-		)
+		b.Regions = append(b.Regions, bundle.Region{ID: region, Zones: []string{region + "-hall"}, Neighbours: c.neighboursOf(region)})
+		for n := range c.shape.engines {
+			b.Targets = append(b.Targets, bundle.Target{ID: engineID(region, n), Service: "briefing", Region: region, Zone: region + "-hall", State: bundle.TargetActive, Role: bundle.RoleBoth, Address: freeAddress(c.t), Slots: 8, PrefillTokensPerSecond: 20000, DecodeTokensPerSecond: 4000, CostPerSecond: 1, OrderExpiryMillis: 1000})
+		}
+		for _, service := range []string{"desk", "titles"} {
+			b.Targets = append(b.Targets, bundle.Target{ID: service + "-" + region, Service: service, Region: region, Zone: region + "-hall", State: bundle.TargetActive, Address: freeAddress(c.t), Slots: 64, CostPerSecond: 0.1, OrderExpiryMillis: 1000})
+		}
 		b.Workspaces = append(b.Workspaces, bundle.Workspace{ID: "agency-" + region, Home: region, MaxPriority: 9, Weight: 1, KeyHashes: []string{keyHash(region)}})
 	}
+	b.Workspaces = append(b.Workspaces, bundle.Workspace{ID: boundWorkspace, Home: boundRegion, Residency: []string{boundRegion}, MaxPriority: 9, Weight: 1, KeyHashes: []string{keyHash(boundWorkspace)}})
 	c.bundle = b
 }
 
-// keyOf is the key of the workspace that is at home in a region.
+func engineID(region string, n int) string { return fmt.Sprintf("engine-%s-%d", region, n) }
+
+// neighboursOf are all other regions, if the cluster's regions may spill.
+func (c *cluster) neighboursOf(region string) []bundle.Neighbour {
+	var list []bundle.Neighbour
+	for _, other := range regionNames {
+		if c.shape.neighbours && other != region {
+			list = append(list, bundle.Neighbour{Region: other, OneWayMillis: 1, MaxShare: 1})
+		}
+	}
+	return list
+}
+
+// keyOf is the key of the workspace that is at home in a region, or of boundWorkspace.
 func keyOf(region string) string { return callerKey + "-" + region }
 
 func keyHash(region string) string {
@@ -264,22 +384,21 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// startStandins runs all targets in one process.
+// startStandins runs the targets of each region in a process.
 func (c *cluster) startStandins() {
-	var engines, plain string
-	for _, target := range c.bundle.Targets {
-		if target.Service == "briefing" {
-			engines += target.Address + ","
-		} else {
-			plain += target.Address + ","
-		}
-	}
-	c.standins = exec.Command(binary, "standin", "--engines", engines, "--plain", plain)
-	out, err := c.standins.StdoutPipe()
-	must(c.t, err)
-	must(c.t, c.standins.Start())
-	_, err = io.ReadFull(out, make([]byte, len("ready")))
+	data, err := json.Marshal(c.bundle)
 	must(c.t, err)
+	file := filepath.Join(c.dir, "bundle.json")
+	must(c.t, os.WriteFile(file, data, 0o600))
+	for _, region := range regionNames {
+		cmd := exec.Command(binary, "standin", "--bundle", file, "--region", region)
+		out, err := cmd.StdoutPipe()
+		must(c.t, err)
+		must(c.t, cmd.Start())
+		c.standins = append(c.standins, cmd)
+		_, err = io.ReadFull(out, make([]byte, len("ready")))
+		must(c.t, err)
+	}
 }
 
 // sign makes the operator's signed form of a bundle.
