--- /dev/null
+++ b/e2e/killer_test.go
@@ -0,0 +1,104 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/pipeline"
+	"github.com/gullhaven/gullhaven/standin"
+)
+
+// Symptom: one request takes down target after target, and with each all that
+// ran there.
+// Events: a prompt crashes every engine that runs it, while others are asked for
+// by many callers; its caller sends it again through every instance, each time
+// as a new request.
+// Cause: retries and resends of a request that nobody knows for the cause.
+func TestKillerTakesTwoEnginesAtMost(t *testing.T) {
+	c := startShape(t, shape{perRegion: 3, engines: 4, sites: true})
+	const killer = "this prompt kills engines"
+	site, region := c.sites["jatim"], c.in("jatim")
+	site.setFaults(standin.Fault{Kind: standin.FaultCrash, Match: killer})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	answered := make([]int, 6)
+	for n := range answered {
+		wg.Go(func() { answered[n] = c.innocent(region[n%len(region)], n, stop) })
+	}
+	var last *reply
+	const resends = 12
+	for n := range resends {
+		r, err := c.request(region[n%len(region)], http.MethodPost, "/v1/completions", "jatim", briefingBody(killer, 20), headers{pipeline.HeaderIdempotencyK: fmt.Sprint("new-id-", n), pipeline.HeaderResend: "false"})
+		must(t, err)
+		if r.refusal.Code == "" && r.status == http.StatusOK && len(r.body) > 0 && !isErrorStream(r.body) {
+			t.Errorf("sending %d was answered: %s", n, r.body)
+		}
+		last = r
+	}
+	close(stop)
+	wg.Wait()
+	if n := site.runsOf(killer); n < 1 || n > 2 {
+		t.Errorf("it took %d engine lives", n)
+	}
+	last.refused(t, "at last", pipeline.CodeSuspect, verdict.NotRun)
+	for n, count := range answered {
+		if count == 0 {
+			t.Errorf("innocent caller %d got no answer", n)
+		}
+	}
+	// Whoever shared an engine with it is answered afterwards.
+	for n := range answered {
+		for k := range answered[n] {
+			c.eventually("an innocent is answered", func() error {
+				prompt := innocentPrompt(n, k)
+				text, err := c.briefing(region[k%len(region)], "jatim", prompt, 30)
+				if err == nil && text != standin.Answer([]byte(prompt), 30) {
+					t.Errorf("%s: %q", prompt, text)
+				}
+				return err
+			})
+			if k == 3 {
+				break
+			}
+		}
+	}
+}
+
+// isErrorStream reports whether a stream ended with an error event.
+func isErrorStream(body string) bool {
+	_, err := readStream(strings.NewReader(body))
+	return err != nil
+}
+
+func innocentPrompt(caller, n int) string { return fmt.Sprintf("innocent %d of caller %d", n, caller) }
+
+// innocent asks for one briefing after another, each until its answer is whole,
+// and counts them.
+func (c *cluster) innocent(i *instance, caller int, stop <-chan struct{}) int {
+	for n := 0; ; n++ {
+		prompt := innocentPrompt(caller, n)
+		for {
+			text, err := c.briefing(i, "jatim", prompt, 30)
+			if err == nil {
+				if text != standin.Answer([]byte(prompt), 30) {
+					c.t.Errorf("%s: %q", prompt, text)
+				}
+				break
+			}
+			select {
+			case <-stop:
+				return n
+			default:
+			}
+		}
+		select {
+		case <-stop:
+			return n + 1
+		default:
+		}
+	}
+}
--- a/e2e/roll_test.go
+++ b/e2e/roll_test.go
@@ -169,3 +169,62 @@
 	c.inForce(b)
 	c.mustRoll(c.next(b, "after the restart"))
 }
+
+// Symptom: after a change of leader the loser of a race is accepted, or the same
+// bytes get another answer.
+// Events: two operators roll different bundles of equal version everywhere while
+// the leader is killed again and again; their answers are lost, and they send
+// again; at last all instances are killed and started.
+// Cause: an outcome that only the leader of the time knew.
+func TestRaceHasOneWinnerWhileLeadersDie(t *testing.T) {
+	c := startCluster(t, 2)
+	b := c.bundle
+	for round := range 3 {
+		left, right := c.next(b, fmt.Sprint("left ", round)), c.next(b, fmt.Sprint("right ", round))
+		rivals := [][]byte{c.sign(left), c.sign(right)}
+		leader := c.leader()
+		var wg sync.WaitGroup
+		for n := range 6 {
+			// What these are answered is lost.
+			wg.Go(func() { _, _ = c.roll(c.instances[n], rivals[n%2]) })
+		}
+		leader.kill()
+		wg.Wait()
+		first := []rollAnswer{c.rollUntilAnswered(c.running()[0], rivals[0]), c.rollUntilAnswered(c.running()[1], rivals[1])}
+		leader.start()
+		winner := left
+		if first[1].status == http.StatusOK {
+			winner = right
+		}
+		if (first[0].status == http.StatusOK) == (first[1].status == http.StatusOK) {
+			t.Fatalf("round %d: answers %+v", round, first)
+		}
+		c.inForce(winner)
+		c.sameAnswers(rivals, first)
+		b = winner
+		if round == 1 {
+			for _, i := range c.instances {
+				i.signal(syscall.SIGKILL)
+			}
+			for _, i := range c.instances {
+				<-i.exited
+				i.start()
+			}
+			c.inForce(winner)
+			c.sameAnswers(rivals, first)
+		}
+	}
+}
+
+// sameAnswers sends rivals again to every instance and compares the answers.
+func (c *cluster) sameAnswers(rivals [][]byte, first []rollAnswer) {
+	c.t.Helper()
+	for _, i := range c.instances {
+		for r := range rivals {
+			a := c.rollUntilAnswered(i, rivals[r])
+			if a.status != first[r].status || a.digest != first[r].digest {
+				c.t.Errorf("%s answered %+v; the first answer was %+v", i.id(), a, first[r])
+			}
+		}
+	}
+}
