pipeline: a drain time outlasts the coming into force of a bundle

Cause: a bundle shows its targets by its own word until the host adds what platform and engines say. For that moment a target that leaves by their word seems to stay, and the time after which its streams are moved began anew with each bundle.

--- a/pipeline/move_test.go
+++ b/pipeline/move_test.go
@@ -201,6 +201,44 @@
 
 const waitHere = 100 * time.Millisecond
 
+// Symptom: a stream is never moved although its target has been leaving for
+// long; or is moved off a target that stays.
+// Events: bundles come into force, each showing the target as staying for a
+// moment; it stays for good and leaves anew later.
+// Cause: a drain time that starts again at each bundle, or that never ends.
+func TestDrainTimeOutlastsABundle(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRouting(ordered{Decider: noDecider{}}, func() time.Time { return now }, 1)
+	set := func(s route.State) { r.SetTargets([]route.TargetSpec{{ID: "a", State: s}, {ID: "b"}}) }
+	first := now
+	for range 5 {
+		set(route.Leaving)
+		if since, ok := r.leavingSince("a"); !ok || !since.Equal(first) {
+			t.Fatalf("leaving %v since %v, want %v", ok, since, first)
+		}
+		now = now.Add(time.Minute)
+		set(route.Warm)
+		if _, ok := r.leavingSince("a"); ok {
+			t.Fatal("it stays by the newest word")
+		}
+		now = now.Add(leavingGrace / 2)
+		set(route.Warm)
+	}
+	now = now.Add(leavingGrace)
+	set(route.Leaving)
+	if since, ok := r.leavingSince("a"); !ok || !since.Equal(now) {
+		t.Fatalf("it left anew at %v: %v, %v", now, since, ok)
+	}
+	if _, ok := r.leavingSince("b"); ok {
+		t.Fatal("b never left")
+	}
+}
+
+// noDecider takes the targets only.
+type noDecider struct{ route.Decider }
+
+func (noDecider) SetTargets(time.Time, []route.TargetSpec) {}
+
 // waits are limits that take a while of a clock to answer.
 type waits struct{ clock *atomic.Int64 }
 
--- a/pipeline/routing.go
+++ b/pipeline/routing.go
@@ -130,40 +130,6 @@
 	r.leaving.Store(r.leaving.Load().update(now, specs))
 }
 
-// leavingSince tells since when a target has been leaving, if it is.
-func (r *Routing) leavingSince(id route.TargetID) (time.Time, bool) {
-	t := r.leaving.Load()
-	if t == nil {
-		return time.Time{}, false
-	}
-	since, ok := t.since[id]
-	return since, ok
-}
-
-// leavingTimes holds since when targets have been leaving.
-type leavingTimes struct{ since map[route.TargetID]time.Time }
-
-// update is t after a change of targets; nil if none is leaving.
-func (t *leavingTimes) update(now time.Time, specs []route.TargetSpec) *leavingTimes {
-	var next *leavingTimes
-	for i := range specs {
-		if specs[i].State != route.Leaving {
-			continue
-		}
-		if next == nil {
-			next = &leavingTimes{since: map[route.TargetID]time.Time{}}
-		}
-		since := now
-		if t != nil {
-			if before, ok := t.since[specs[i].ID]; ok {
-				since = before
-			}
-		}
-		next.since[specs[i].ID] = since
-	}
-	return next
-}
-
 // SetLinks replaces the neighbours known.
 func (r *Routing) SetLinks(links []route.Link) {
 	r.mu.Lock()
