--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -236,6 +236,27 @@
 	}
 }
 
+// Symptom: idle targets refuse long prompts as overload, or spill them.
+// Events: little load; the size of the memory is learned too small.
+// Cause: a wait for more memory than is in use.
+func TestIdleTargetsHaveNoWaitForMemory(t *testing.T) {
+	r := region(2)
+	grantFrom(r, epoch, 30)
+	s := r.services["llm"]
+	s.memory = memory{used: 0.5, running: 1, ownTokens: 1000, own: 1, weighted: 60, tokens: 1}
+	queue(r, epoch, 0)
+	q := prompt(10_000)
+	q.Deadline = epoch.Add(10 * time.Second)
+	if d := r.Decide(epoch, q); d.Action != Send {
+		t.Fatalf("%+v with nothing in use", d)
+	}
+	r.Report(epoch.Add(1), Report{Target: "here-0", At: epoch.Add(1), Running: 1, KVUsed: 0.1})
+	r.Report(epoch.Add(1), Report{Target: "here-1", At: epoch.Add(1), Running: 1, KVUsed: 0.9})
+	if d := r.Decide(epoch.Add(1), q); d.Action != Send || d.Target != "here-0" {
+		t.Fatalf("%+v, want the target that frees its memory sooner", d)
+	}
+}
+
 // Symptom: a healthy target is taken for slow or stalled.
 // Events: the host chooses it itself for requests that must run alone.
 // Cause: no prediction with such a sending, read as one of no time at all.
--- a/route/scorer_kv.go
+++ b/route/scorer_kv.go
@@ -3,6 +3,10 @@
 // kvScorer adds the expected wait for KV cache memory: what the request lacks is
 // freed at the pace at which memory in use turns over. Nothing where it fits
 // under KVHigh; else up to several MemoryHold. In seconds; lower is better.
+//
+// No more can be waited for than is in use: the size of the memory is learned from
+// sparse reports at low load, and a long prompt that seems larger than all of it
+// would be refused by idle targets.
 type kvScorer struct{}
 
 func (kvScorer) Score(s *Snapshot, in []Candidate) {
@@ -11,7 +15,7 @@
 	}
 	for i := range in {
 		c := &in[i]
-		lack := c.KVUsed + s.Memory - s.Config.KVHigh
+		lack := min(c.KVUsed, c.KVUsed+s.Memory-s.Config.KVHigh)
 		if lack <= 0 {
 			continue
 		}
