e2e: begin once each region takes claims

Cause: TestRegionAloneServesItsCallers failed in two runs on fresh clones: it cut the region off within a second of the first bundle, before its claims were registered at the global group; such a region refuses bookings until it has reached the group once, as documented. Ruled out: the link, leases (held). Change: every cluster waits until each region takes a booking, then the test's events begin. What the tests check stays as it was. Conclusion: a precondition of the promise, stated in coord/registry.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -144,9 +144,27 @@
 		i.start()
 	}
 	c.mustRoll(c.bundle)
+	c.claimsTaken()
 	return c
 }
 
+// claimsTaken waits until each region takes bookings. A region's claims are
+// registered at the global group within seconds of the first bundle; one that is
+// cut off before that refuses them, as coord/registry says.
+func (c *cluster) claimsTaken() {
+	c.t.Helper()
+	for _, region := range regionNames {
+		i := c.in(region)[0]
+		c.eventually("claims of "+region+" are taken", func() error {
+			status, answer, err := c.desk(i, region, "first-of-"+region, "{}", nil)
+			if err == nil && status != http.StatusOK {
+				err = fmt.Errorf("%d: %s", status, answer)
+			}
+			return err
+		})
+	}
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
