coord/limit: pass what is offered below the limit, bound needless refusals

Symptom: workspaces that ask for well below their limit were refused, at the start, after moves of load and, with large requests, throughout.

Change: the lent burst, which the bound counted already, stays with each bucket above its share's, and a bucket is forgotten only when it has it again. A request passes while tokens are left; the debt of one request for each instance was in the bound already. Needs count what a bucket lacks. Nothing beyond needs is granted in the first round, and a twentieth is kept for newcomers. The end of a lease resets the share's number; a new Allocator does not answer for a lease. Floors follow changes of instances and limits. The floor of an instance is set aside also where only its reports of this limit stay away. Limiter.Urgent, new and optional, gives a report of the limits that refuse or whose share shrank.

--- a/coord/limit/allocator.go
+++ b/coord/limit/allocator.go
@@ -5,14 +5,8 @@
 	"time"
 )
 
-const (
-	// headroom is given above the measured demand, which wavers. It is small
-	// because under contention others could use it; what the bucket refused is
-	// part of the demand, so growth is seen without it.
-	headroom = 1.05
-	// hysteresis is the relative change of a share that is not worth making.
-	hysteresis = 0.05
-)
+// hysteresis is the relative change of a share that is not worth making.
+const hysteresis = 0.05
 
 // Allocator divides a region's limits over its instances. It holds only limits
 // that somebody asks for. It has a single owner, at one instance of the region
@@ -36,16 +30,11 @@
 // division is one limit and who has what of it.
 type division struct {
 	holdings map[string]*holding
-	// level and spare are the max-min fair level and what nobody asks for, for
-	// each that asks, as parts of the limit at levelAt.
-	level, spare float64
-	levelAt      time.Time
+	born     time.Time
+	fill     filling
+	filledAt time.Time
 }
 
-// levelAge is how long a level is used: one for a round of all instances'
-// reports. A level that is behind costs fairness for a moment, never the bound.
-const levelAge = 500 * time.Millisecond
-
 // holding is what one instance asks for and may be using.
 type holding struct {
 	demand float64
@@ -65,7 +54,8 @@
 }
 
 // NewAllocator makes the Allocator of an instance that came to own the limits
-// of its region at now. For one lease it grants shares of nothing.
+// of its region at now. For one lease it grants nothing, so that shares of its
+// predecessor last until their end. A share of nothing would end them early.
 func NewAllocator(now time.Time, lookup Lookup, lease time.Duration, instances []string) *Allocator {
 	a := &Allocator{
 		lookup: lookup, lease: lease, quietUntil: now.Add(lease),
@@ -130,19 +120,15 @@
 	}
 	d := a.limits[dem.ID]
 	if d == nil {
-		d = &division{holdings: make(map[string]*holding)}
+		d = &division{holdings: make(map[string]*holding), born: now}
 		a.limits[dem.ID] = d
 	}
 	h := d.heard(now, instance, dem, a.lease)
-	if dem.Rate <= 0 {
+	if dem.Rate <= 0 || now.Before(a.quietUntil) {
 		return Share{}, false
 	}
-	part := 0.0
-	if !now.Before(a.quietUntil) {
-		part = a.part(now, d, instance, lim)
-	}
 	a.seq++
-	g := granted{seq: a.seq, limit: lim.Scaled(part), until: now.Add(a.lease)}
+	g := granted{seq: a.seq, limit: lim.Scaled(a.part(now, d, instance, lim)), until: now.Add(a.lease)}
 	h.out = append(h.out, g)
 	return Share{ID: dem.ID, Seq: g.seq, Limit: g.limit, Lease: a.lease}, true
 }
@@ -154,7 +140,8 @@
 	free := 1.0
 	for name, h := range d.holdings {
 		if name != instance {
-			free -= h.inUse(now, lim, floor, a.silent(now, name))
+			silent := a.silent(now, name) || h.demand > 0 && now.Sub(h.heard) > a.lease/2
+			free -= h.inUse(now, lim, floor, silent)
 		}
 	}
 	for name := range a.instances {
@@ -163,7 +150,7 @@
 		}
 	}
 	free = max(0, free)
-	target := d.target(now, instance, lim)
+	target := d.target(now, instance, lim, len(a.instances))
 	if last := d.holdings[instance].last(); last != nil {
 		old := last.limit.Rate / lim.Rate
 		if diff := target - old; old > 0 && max(diff, -diff) < hysteresis*old {
@@ -210,6 +197,9 @@
 		h = &holding{}
 		d.holdings[instance] = h
 	}
+	if diff := dem.Rate - h.demand; max(diff, -diff) > swing*h.demand {
+		d.filledAt = time.Time{}
+	}
 	h.demand, h.heard, h.held = dem.Rate, now, dem.Held
 	good := false
 	h.out = slices.DeleteFunc(h.out, func(g granted) bool {
@@ -235,40 +225,3 @@
 		}
 	}
 }
-
-// target is the max-min fair part of an instance: who asks for less than an
-// equal part gets what it asks for with headroom, the others divide the rest
-// equally, and what nobody asks for is divided equally among all that ask.
-func (d *division) target(now time.Time, instance string, lim Limit) float64 {
-	if d.levelAt.IsZero() || now.Sub(d.levelAt) >= levelAge {
-		d.levelAt = now
-		d.setLevel(lim)
-	}
-	return min(d.holdings[instance].want(lim), d.level) + d.spare
-}
-
-// want is the part of the limit that an instance asks for.
-func (h *holding) want(lim Limit) float64 { return min(1, headroom*h.demand/lim.Rate) }
-
-// setLevel fills the smallest wants first; the level is where the rest divides
-// equally.
-func (d *division) setLevel(lim Limit) {
-	wants := make([]float64, 0, len(d.holdings))
-	for _, h := range d.holdings {
-		if h.demand > 0 {
-			wants = append(wants, h.want(lim))
-		}
-	}
-	slices.Sort(wants)
-	left := 1.0
-	d.level, d.spare = 1, 0
-	for i, w := range wants {
-		equal := left / float64(len(wants)-i)
-		if w > equal {
-			d.level = equal
-			return
-		}
-		left -= w
-	}
-	d.spare = left / float64(max(1, len(wants)))
-}
--- a/coord/limit/limit_test.go
+++ b/coord/limit/limit_test.go
@@ -66,9 +66,21 @@
 	late := p.answers
 	p.answers = nil
 	for i, l := range p.limiters {
-		number, demands := l.Report(p.now)
+		p.send(i)(l.Report(p.now))
+		if number, demands := l.Urgent(p.now); len(demands) > 0 {
+			p.send(i)(number, demands)
+		}
+	}
+	for _, a := range late {
+		p.limiters[a.to].Granted(p.now, a.number, a.shares)
+	}
+}
+
+// send takes a report of an instance to the owner and the answer back.
+func (p *pool) send(i int) func(number uint64, demands []Demand) {
+	return func(number uint64, demands []Demand) {
 		if p.isCut(i) || p.chance("report lost", 4) {
-			continue
+			return
 		}
 		shares := p.alloc.Report(p.now, p.names[i], number, demands)
 		if p.chance("report doubled", 4) && p.alloc.Report(p.now, p.names[i], number, demands) != nil {
@@ -78,12 +90,9 @@
 		if p.chance("answer late", 4) {
 			p.answers = append(p.answers, a)
 		} else if !p.chance("answer lost", 4) {
-			l.Granted(p.now, number, shares)
+			p.limiters[i].Granted(p.now, number, shares)
 		}
 	}
-	for _, a := range late {
-		p.limiters[a.to].Granted(p.now, a.number, a.shares)
-	}
 }
 
 // pass asks each instance for some units and checks the bound on any window.
--- a/coord/limit/limiter.go
+++ b/coord/limit/limiter.go
@@ -10,29 +10,27 @@
 // Bucket is a token bucket filled by a share until its lease ends, and by the
 // floor afterwards. Times never go back; an earlier time counts as no time.
 type Bucket struct {
-	floor  Limit
-	share  Limit
-	seq    uint64
+	floor Limit
+	share Limit
+	seq   uint64
+	// tokens are up to the floor's burst, which each bucket is lent for good,
+	// and the burst of the share. A new bucket starts with what is lent, and one
+	// is forgotten only when it has that again: a workspace that comes and goes
+	// would else be given a burst each time.
 	tokens float64
-	// loan is the burst that a new bucket starts with before any share came. It
-	// is taken off with the first one: a workspace that comes and goes would
-	// else be given a burst each time.
-	loan float64
-	at   time.Time
+	at     time.Time
 	// until is the end of the share's lease, or when the floor sets in where no
 	// share came yet.
-	until time.Time
-	// demand is an average of the units asked for in a second.
-	demand  float64
-	asked   float64
-	askedAt time.Time
+	until  time.Time
+	demand demand
+	hurry  hurry
 }
 
 // newBucket starts with the floor's burst and no rate until wait has passed.
 func newBucket(now time.Time, floor Limit, wait time.Duration) *Bucket {
 	return &Bucket{
-		floor: floor, tokens: floor.Burst, loan: floor.Burst,
-		at: now, until: now.Add(wait), askedAt: now,
+		floor: floor, tokens: floor.Burst, at: now,
+		until: now.Add(wait), demand: demand{at: now},
 	}
 }
 
@@ -46,21 +44,22 @@
 		if b.until.Before(now) {
 			end = b.until
 		}
-		b.add(end.Sub(b.at), b.share)
+		b.add(end.Sub(b.at), b.share.Rate, b.floor.Burst+b.share.Burst)
 		b.at = end
 		if end == b.until {
 			// What was saved under the share goes on to its next holder.
 			b.tokens = min(b.tokens, b.floor.Burst)
+			b.share, b.seq = Limit{}, 0
 		}
 	}
 	if now.After(b.at) {
-		b.add(now.Sub(b.at), b.floor)
+		b.add(now.Sub(b.at), b.floor.Rate, b.floor.Burst)
 		b.at = now
 	}
 }
 
-func (b *Bucket) add(d time.Duration, l Limit) {
-	b.tokens = max(b.tokens, min(l.Burst, b.tokens+d.Seconds()*l.Rate))
+func (b *Bucket) add(d time.Duration, rate, most float64) {
+	b.tokens = max(b.tokens, min(most, b.tokens+d.Seconds()*rate))
 }
 
 // rate in force at a time.
@@ -77,32 +76,41 @@
 	if s.Seq <= b.seq || !now.Before(until) {
 		return
 	}
+	if s.Limit.Rate < b.share.Rate*(1-hysteresis) {
+		b.hurry.shrunk = true
+	}
 	b.share, b.seq, b.until = s.Limit, s.Seq, until
-	b.tokens = min(b.tokens-b.loan, s.Limit.Burst)
-	b.loan = 0
+	b.tokens = min(b.tokens, b.floor.Burst+s.Limit.Burst)
 }
 
 // take spends n units and reports whether it could; if not, wait is when to
-// come back at the present rate, and nothing is spent. More than the burst at
-// once is let through on a full bucket and leaves a debt, so that one long
-// request isn't refused for ever.
+// come back at the present rate, and nothing is spent. Any request is let
+// through while tokens are left, and what it costs above them is a debt: the
+// shares of a limit are small, and one request may well cost more than a whole
+// burst of a share. The bound counts the debt, one request for each instance.
 func (b *Bucket) take(now time.Time, n float64) (ok bool, wait time.Duration) {
 	if n <= 0 {
 		return true, 0
 	}
 	b.fill(now)
-	b.asked += n
-	need := min(n, b.burst(now))
-	if b.tokens >= need && b.tokens > 0 {
+	b.demand.asked += n
+	if b.tokens > 0 {
 		b.tokens -= n
 		return true, 0
 	}
-	return false, waitFor(need-b.tokens, b.rate(now))
+	b.hurry.refused = true
+	return false, waitFor(-b.tokens, b.rate(now))
+}
+
+// ask is the rate to ask the owner for, above 0.
+func (b *Bucket) ask() float64 {
+	return max(b.demand.need(b.tokens), leastPart*b.floor.Rate)
 }
 
+// burst is the most that may be saved.
 func (b *Bucket) burst(now time.Time) float64 {
 	if now.Before(b.until) && b.seq > 0 {
-		return b.share.Burst
+		return b.floor.Burst + b.share.Burst
 	}
 	return b.floor.Burst
 }
@@ -121,21 +129,6 @@
 	return max(time.Millisecond, time.Duration(math.Ceil(s*1e3))*time.Millisecond)
 }
 
-// demandMemory is the time constant of the average of demand.
-const demandMemory = 3 * time.Second
-
-// measure moves the average on and returns it.
-func (b *Bucket) measure(now time.Time) float64 {
-	d := now.Sub(b.askedAt)
-	if d <= 0 {
-		return b.demand
-	}
-	k := 1 - math.Exp(-d.Seconds()/demandMemory.Seconds())
-	b.demand += k * (b.asked/d.Seconds() - b.demand)
-	b.asked, b.askedAt = 0, now
-	return b.demand
-}
-
 // Limiter holds the buckets of one instance, for workspaces with demand only.
 // It has a single owner.
 type Limiter struct {
@@ -149,6 +142,8 @@
 	// answered is the highest report whose answer was taken. An older answer
 	// would bring back a share that the owner gave on.
 	answered uint64
+	// hurried are the buckets that may have something urgent to report.
+	hurried map[ID]bool
 }
 
 // maxUnanswered bounds the reports whose answer is still taken.
@@ -160,11 +155,12 @@
 	return &Limiter{
 		lookup: lookup, instances: max(1, instances), lease: lease,
 		buckets: make(map[ID]*Bucket), sentAt: make(map[uint64]time.Time),
+		hurried: make(map[ID]bool),
 	}
 }
 
 // SetInstances tells the number of instances in the region; floors of buckets
-// made before keep their size until they are idle.
+// made before follow with the next Report.
 func (l *Limiter) SetInstances(n int) { l.instances = max(1, n) }
 
 // Len is the number of buckets held.
@@ -173,14 +169,13 @@
 // Take spends a request and its tokens from a workspace's limits, both or
 // neither. If not ok, wait says when to come back.
 func (l *Limiter) Take(now time.Time, workspace string, tokens float64) (ok bool, wait time.Duration) {
-	requests := l.bucket(now, ID{workspace, Requests})
-	ok, wait = takeFrom(requests, now, 1)
+	ok, wait = l.take(now, ID{workspace, Requests}, 1)
 	if !ok {
 		return false, wait
 	}
-	ok, wait = takeFrom(l.bucket(now, ID{workspace, Tokens}), now, tokens)
-	if !ok && requests != nil {
-		requests.tokens++
+	ok, wait = l.take(now, ID{workspace, Tokens}, tokens)
+	if b := l.buckets[ID{workspace, Requests}]; !ok && b != nil {
+		b.tokens++
 	}
 	return ok, wait
 }
@@ -194,11 +189,16 @@
 	}
 }
 
-func takeFrom(b *Bucket, now time.Time, n float64) (bool, time.Duration) {
+func (l *Limiter) take(now time.Time, id ID, n float64) (ok bool, wait time.Duration) {
+	b := l.bucket(now, id)
 	if b == nil {
 		return true, 0
 	}
-	return b.take(now, n)
+	ok, wait = b.take(now, n)
+	if !ok {
+		l.hurried[id] = true
+	}
+	return ok, wait
 }
 
 // bucket returns nil where there is no limit.
@@ -215,35 +215,65 @@
 	return b
 }
 
-// idle is the demand, as a part of the floor's rate, under which a full bucket
-// is forgotten and its share returned.
-const idle = 0.001
+const (
+	// idle is the demand, as a part of the floor's rate, under which a full
+	// bucket is forgotten and its share returned.
+	idle = 0.001
+	// leastPart of the floor's rate is asked for at least. An idle bucket fills
+	// up with it, so that it is forgotten at some time also where others want
+	// all. To ask for 0 would return a share that is still in use.
+	leastPart = 0.02
+)
 
 // Report returns the demands to send to the owner, and the number under which
-// Granted takes the answer. It is called about once a second.
+// Granted takes the answer. It is called about once a second, and sent also where
+// it has no demands: the owner sets floors aside for instances that are silent.
 func (l *Limiter) Report(now time.Time) (number uint64, demands []Demand) {
-	l.report++
-	l.sentAt[l.report] = now
-	delete(l.sentAt, l.report-maxUnanswered)
+	clear(l.hurried)
 	for id, b := range l.buckets {
+		b.hurry.reported()
 		b.fill(now)
-		rate := b.measure(now)
-		if rate < idle*b.floor.Rate {
-			rate = 0
+		if !l.refloor(now, id, b) {
+			delete(l.buckets, id)
+			demands = append(demands, Demand{ID: id, Held: b.seq})
+			continue
 		}
-		demands = append(demands, Demand{ID: id, Rate: rate, Held: b.seq})
-		if rate == 0 && b.tokens >= b.burst(now) {
+		b.demand.measure(now)
+		rate := b.ask()
+		if b.demand.rate() < idle*b.floor.Rate && b.tokens >= b.floor.Burst {
+			rate = 0
 			delete(l.buckets, id)
-		} else if rate == 0 {
-			// Keep the share until the bucket is full: a new one would start
-			// with more.
-			demands[len(demands)-1].Rate = idle * b.floor.Rate
 		}
+		demands = append(demands, Demand{ID: id, Rate: rate, Held: b.seq})
+	}
+	return l.number(now), sorted(demands)
+}
+
+// refloor follows a change of the limit or of the number of instances; it
+// returns false if there is no limit any more.
+func (l *Limiter) refloor(now time.Time, id ID, b *Bucket) bool {
+	lim, ok := l.lookup(id)
+	if !ok || lim.Rate <= 0 {
+		return false
 	}
+	b.floor = lim.Scaled(1 / float64(l.instances))
+	b.tokens = min(b.tokens, b.burst(now))
+	return true
+}
+
+// number starts a report.
+func (l *Limiter) number(now time.Time) uint64 {
+	l.report++
+	l.sentAt[l.report] = now
+	delete(l.sentAt, l.report-maxUnanswered)
+	return l.report
+}
+
+func sorted(demands []Demand) []Demand {
 	slices.SortFunc(demands, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(a.ID.Workspace, b.ID.Workspace), cmp.Compare(a.ID.Resource, b.ID.Resource))
 	})
-	return l.report, demands
+	return demands
 }
 
 // Granted takes the owner's answer to the report of that number. An answer to
@@ -258,6 +288,9 @@
 	for _, s := range shares {
 		if b := l.buckets[s.ID]; b != nil {
 			b.grant(now, s, sent.Add(s.Lease))
+			if b.hurry.shrunk {
+				l.hurried[s.ID] = true
+			}
 		}
 	}
 }
--- a/coord/limit/tokens.go
+++ b/coord/limit/tokens.go
@@ -6,5 +6,5 @@
 // its size was known. If not ok, wait says when to come back; the request's
 // unit stays spent, as it has been worked on.
 func (l *Limiter) TakeTokens(now time.Time, workspace string, tokens float64) (ok bool, wait time.Duration) {
-	return takeFrom(l.bucket(now, ID{workspace, Tokens}), now, tokens)
+	return l.take(now, ID{workspace, Tokens}, tokens)
 }
