pipeline: say when to come back where no instance of the chosen region was reached

Cause: a request spilled to a region whose summary was known, but none of whose instances yet, ended as region_unreached, not_run, without retry_after_ms (TestSpillCrossesOnce in e2e, one of 30 requests in a run, right after the start). It was refused unrun for a want that passes. Change: region_unreached that is not_run carries the same time as the refusals with 503. Partial: shown by the run with real processes only, in which the case is chance.

--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -251,8 +251,11 @@
 	return verdict.New(v, CodeCallerGone, "the caller left")
 }
 
+// withRetryAfter says when to come back with what was refused unrun for want of
+// a target or of a region, neither of which lasts.
 func withRetryAfter(e *verdict.Error) *verdict.Error {
-	if e.RetryAfter == 0 && StatusOf(e.Code) == statusUnavailable {
+	passing := StatusOf(e.Code) == statusUnavailable || (e.Code == CodeRegionUnreached && e.Verdict.Safe())
+	if e.RetryAfter == 0 && passing {
 		c := *e
 		c.RetryAfter = retryLater
 		return &c
