coord/limit: test that a new owner grants nothing for a lease

Cause: taking the quiet lease of a new Allocator away was not noticed by any test. Change: a test of the answers just before and at the end of the lease. Result: it passes, and fails when the condition is taken out; so does no other.

--- a/coord/limit/offered_test.go
+++ b/coord/limit/offered_test.go
@@ -278,6 +278,22 @@
 	}
 }
 
+// TestNewOwnerGrantsNothingForALease:
+// Symptom: a workspace passes twice its limit after a change of the owner.
+// Events: the new owner answers while shares of the old one are in use; a share
+// of nothing would end those early and keep floors away.
+// Cause: grants before the predecessor's leases have ended.
+func TestNewOwnerGrantsNothingForALease(t *testing.T) {
+	a := NewAllocator(start, lookup, lease, []string{"0", "1"})
+	demands := []Demand{{ID: id, Rate: 1, Held: 1000}}
+	if shares := a.Report(start.Add(lease-1), "0", 1, demands); len(shares) != 0 {
+		t.Fatalf("granted %v", shares)
+	}
+	if shares := a.Report(start.Add(lease), "0", 2, demands); len(shares) != 1 || shares[0].Limit.Rate <= 0 {
+		t.Fatalf("granted %v", shares)
+	}
+}
+
 // TestLargeAndUrgentStayInTheLimit:
 // Symptom: a workspace passes more than its limit, region-wide.
 // Events: instances ask for three times the limit in requests of any size, load
