coord/replog: one loop over the voters in place of three

Cause: the commit index, confirmed reads and the end of the lease each gathered a value per voter by a loop of their own; fields of a leader and of a blank node stood without a word. Change: perVoter gathers them; AddLearner clones the learners instead of cutting them out of Members; fields say what they hold. Behaviour unchanged.

--- a/coord/replog/confchange/confchange.go
+++ b/coord/replog/confchange/confchange.go
@@ -161,7 +161,7 @@
 	case ch.Kind == AddLearner && known:
 		return Config{}, errors.AlreadyExistsf("member %v", held)
 	case ch.Kind == AddLearner:
-		return Config{Voters: c.Voters, Learners: sorted(append(c.Members()[len(c.Voters):], m))}, nil
+		return Config{Voters: c.Voters, Learners: sorted(append(slices.Clone(c.Learners), m))}, nil
 	case !known:
 		return Config{}, errors.NotFoundf("member %q", m.ID)
 	case ch.Kind == Readmit && held == m:
--- a/coord/replog/forming.go
+++ b/coord/replog/forming.go
@@ -19,7 +19,10 @@
 
 // forming is the state of a blank node.
 type forming struct {
-	digest  uint64
+	// digest is of Bootstrap: nodes whose lists differ must not form a group.
+	digest uint64
+	// others are the ids that the founder asks, and blank those that answered
+	// that they are blank. Both stay empty at any other node.
 	others  []string
 	blank   map[string]Member
 	probeAt time.Time
--- a/coord/replog/lease.go
+++ b/coord/replog/lease.go
@@ -65,15 +65,7 @@
 	if n.role != Leader {
 		return time.Time{}
 	}
-	voters := n.log.config().config.Voters
-	from := make([]time.Time, 0, len(voters))
-	for _, v := range voters {
-		if v == n.opts.Self {
-			from = append(from, n.now)
-		} else {
-			from = append(from, n.lead.peers[v].LeaseFrom)
-		}
-	}
+	from := perVoter(n, n.now, func(p *tracker.Progress) time.Time { return p.LeaseFrom })
 	slices.SortFunc(from, time.Time.Compare)
 	start := from[len(from)-quorum.Size(len(from))]
 	if start.IsZero() {
--- a/coord/replog/node.go
+++ b/coord/replog/node.go
@@ -31,7 +31,7 @@
 	leader Member
 	log    *entryLog
 
-	// refuseUntil: no vote without Force before it; see lease.go.
+	// refuseUntil: before it, no vote but one with Force is granted; see lease.go.
 	refuseUntil time.Time
 	// electionAt is when a node that is no leader campaigns.
 	electionAt time.Time
@@ -51,18 +51,23 @@
 type leadership struct {
 	peers map[Member]*tracker.Progress
 	// round is the newest heartbeat round; sent holds the times of the newest
-	// rounds, the last one being round's.
+	// rounds, the last one being round's. roundDue asks for another one with the
+	// next Ready, for reads that wait.
 	round       uint64
 	sent        []time.Time
 	roundDue    bool
 	heartbeatAt time.Time
 	// commitAtRound is the commit index when the newest round began.
 	commitAtRound uint64
-	uncommitted   int
-	reads         []pendingRead
+	// uncommitted is the data of the proposals that wait for a majority, in bytes.
+	uncommitted int
+	reads       []pendingRead
 	// leaseBefore is the latest lease end given under earlier configurations.
 	leaseBefore time.Time
-	strangers   map[string]Member
+	// strangers holds the newest other incarnation heard under a member's id.
+	strangers map[string]Member
+	// transferee is who is to lead next, zero without a transfer; at transferEnd
+	// it is given up.
 	transferee  Member
 	transferEnd time.Time
 }
--- a/coord/replog/reads.go
+++ b/coord/replog/reads.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/replog/quorum"
+	"github.com/gullhaven/gullhaven/coord/replog/tracker"
 )
 
 // pendingRead waits for a majority to answer a round that began after it came
@@ -67,15 +68,7 @@
 	if len(n.lead.reads) == 0 {
 		return
 	}
-	voters := n.log.config().config.Voters
-	rounds := make([]uint64, 0, len(voters))
-	for _, v := range voters {
-		if v == n.opts.Self {
-			rounds = append(rounds, n.lead.round)
-		} else {
-			rounds = append(rounds, n.lead.peers[v].Round)
-		}
-	}
+	rounds := perVoter(n, n.lead.round, func(p *tracker.Progress) uint64 { return p.Round })
 	done := quorum.Index(rounds)
 	reads := n.lead.reads
 	n.lead.reads = nil
--- a/coord/replog/replicate.go
+++ b/coord/replog/replicate.go
@@ -1,6 +1,7 @@
 package replog
 
 import (
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -75,6 +76,21 @@
 	}
 }
 
+// perVoter returns a value for each voter of the configuration in force: own for
+// this node, which must lead, and of's for the others.
+func perVoter[T any](n *Node, own T, of func(*tracker.Progress) T) []T {
+	voters := n.log.config().config.Voters
+	values := make([]T, 0, len(voters))
+	for _, v := range voters {
+		if v == n.opts.Self {
+			values = append(values, own)
+		} else {
+			values = append(values, of(n.lead.peers[v]))
+		}
+	}
+	return values
+}
+
 // sendAppends fills the windows of all peers.
 func (n *Node) sendAppends() {
 	n.eachPeer(func(m Member, p *tracker.Progress) {
@@ -228,15 +244,7 @@
 	if n.role != Leader {
 		return
 	}
-	voters := n.log.config().config.Voters
-	synced := make([]uint64, 0, len(voters))
-	for _, v := range voters {
-		if v == n.opts.Self {
-			synced = append(synced, n.log.persisted)
-		} else {
-			synced = append(synced, n.lead.peers[v].Match)
-		}
-	}
+	synced := perVoter(n, n.log.persisted, func(p *tracker.Progress) uint64 { return p.Match })
 	index := quorum.Index(synced)
 	if index > n.log.commit && n.log.matches(index, n.hs.Term) {
 		n.commitTo(index)
@@ -251,7 +259,7 @@
 		return
 	}
 	if n.role == Leader {
-		for _, e := range n.log.between(n.log.commit+1, index, int(^uint(0)>>1)) {
+		for _, e := range n.log.between(n.log.commit+1, index, math.MaxInt) {
 			n.lead.uncommitted -= len(e.Data)
 		}
 		n.lead.uncommitted = max(0, n.lead.uncommitted)
