coord: comments that say what the code does, names without a gloss

Cause: read as a newcomer, some comments were wrong (roster: a summary goes with each Tick, not the next; retry: weightFrom is not cleared when the weight is 1; link: MaxAge bounds the wait to be written, CodeTooLong also stands for a bad channel name; replhost: what Transport.Send must not do), struct fields stood without a word, 'machine' stood for the operating system, names of replies hung on the order of their constants, and two orders were written out by hand. Change: those mended. Renamed, within their packages: claim bury, standing and Command.set to addTombstone, replyTaken and count; membership file and meet to include and addMember. roster.DefaultReachableFor, which nobody could set and no other package used, is no longer exported. Result: go test of coord passes, vet and staticcheck are clean; vet of node, pipeline and bundle is clean.

--- a/coord/claim/snapshot.go
+++ b/coord/claim/snapshot.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -58,16 +58,7 @@
 }
 
 func compareLives(a, b Instance) int {
-	if c := strings.Compare(a.ID, b.ID); c != 0 {
-		return c
-	}
-	if a.Incarnation != b.Incarnation {
-		if a.Incarnation < b.Incarnation {
-			return -1
-		}
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
 func (t *Table) packRecords(number map[Instance]uint32) []byte {
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -116,8 +116,8 @@
 // Step applies a decoded command.
 func (t *Table) Step(c Command) Result {
 	switch {
-	case c.set() != 1:
-		return invalid("%d commands in one entry", c.set())
+	case c.count() != 1:
+		return invalid("%d commands in one entry", c.count())
 	case c.Claim != nil:
 		return t.claim(c.Now, c.Claim)
 	case c.Finish != nil:
@@ -131,7 +131,8 @@
 	}
 }
 
-func (c *Command) set() int {
+// count is how many commands the entry holds; exactly one is valid.
+func (c *Command) count() int {
 	n := 0
 	for _, set := range []bool{c.Claim != nil, c.Finish != nil, c.Abandon != nil, c.Expire != nil, c.InstanceLost != nil} {
 		if set {
@@ -150,7 +151,7 @@
 	}
 	slot, known := t.byKey[c.Key]
 	if known && t.records[slot].state != stateFree {
-		return t.standing(&t.records[slot], c)
+		return t.replyTaken(&t.records[slot], c)
 	}
 	if now+int64(c.LifetimeSeconds)*1000 <= t.clock {
 		return Result{Reply: Stale}
@@ -176,8 +177,8 @@
 	return t.grant(r, c)
 }
 
-// standing answers a claim of a key that is not free.
-func (t *Table) standing(r *record, c *Claim) Result {
+// replyTaken answers a claim of a key that is not free.
+func (t *Table) replyTaken(r *record, c *Claim) Result {
 	if r.body != c.Body && r.body != (Digest{}) {
 		return Result{Reply: Conflict}
 	}
@@ -234,7 +235,7 @@
 	}
 	slot, known := t.byKey[a.Key]
 	if !known {
-		return t.bury(a)
+		return t.addTombstone(a)
 	}
 	r := &t.records[slot]
 	if r.attempt != a.Attempt {
@@ -254,9 +255,10 @@
 	return Result{Reply: Accepted}
 }
 
-// bury records an attempt that was given up before its claim was applied.
-// Without it the claim, when it arrives, would be granted to nobody.
-func (t *Table) bury(a *Abandon) Result {
+// addTombstone records an attempt that was given up before its claim was
+// applied. Without it the claim, when it arrives, would be granted although its
+// sender has gone, and resends would be told that the key is running.
+func (t *Table) addTombstone(a *Abandon) Result {
 	if len(t.byKey) >= MaxRecords {
 		return Result{Reply: Full, RetryAfterMillis: time.Second.Milliseconds()}
 	}
--- a/coord/claim/types.go
+++ b/coord/claim/types.go
@@ -165,8 +165,10 @@
 )
 
 var replyNames = [...]string{
-	"invalid", "accepted", "granted", "running", "done", "may_have_run", "conflict",
-	"held", "released", "full", "stale", "owner_lost", "not_owner", "forgotten", "blocked",
+	Invalid: "invalid", Accepted: "accepted", Granted: "granted", Running: "running",
+	Done: "done", MayHaveRun: "may_have_run", Conflict: "conflict", Held: "held",
+	Released: "released", Full: "full", Stale: "stale", OwnerLost: "owner_lost",
+	NotOwner: "not_owner", Forgotten: "forgotten", Blocked: "blocked",
 }
 
 // String returns the name of a reply in lower case.
--- a/coord/link/item.go
+++ b/coord/link/item.go
@@ -13,7 +13,8 @@
 	CodeUnreachable verdict.Code = "link_unreachable"
 	// CodeRingFull: the ring to the peer is full.
 	CodeRingFull verdict.Code = "link_ring_full"
-	// CodeTooLong: the payload is over Options.MaxMessage.
+	// CodeTooLong: the payload is over Options.MaxMessage, or the channel's name
+	// is no UTF-8 text of at most 64 bytes.
 	CodeTooLong verdict.Code = "link_too_long"
 	// CodeStale: the request waited longer than Options.MaxAge to be sent.
 	CodeStale verdict.Code = "link_stale"
--- a/coord/link/options.go
+++ b/coord/link/options.go
@@ -23,7 +23,8 @@
 	DefaultBackoffCeil  = 2 * time.Second
 )
 
-// Options are the settings of a Hub. Zero values mean the defaults above.
+// Options are the settings of a Hub. Zero values mean the defaults above, where
+// there is one.
 type Options struct {
 	// Key proves who this instance is; its Identity.Instance is the id by
 	// which peers know it. Required.
@@ -43,7 +44,7 @@
 	// MaxMessage bounds one payload in bytes. A longer one is refused by Send
 	// and Call; a peer that sends one loses its connection.
 	MaxMessage int
-	// MaxAge is how long a message may wait for its connection; older ones are
+	// MaxAge is how long a message may wait to be written; older ones are
 	// dropped and counted, so that a reconnect does not deliver stale ones.
 	MaxAge time.Duration
 	// PingAfter is how long a sent message may stay without any sign of the
--- a/coord/membership/group.go
+++ b/coord/membership/group.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// contradict tells a member that it is held for suspect or dead, or that what
+// contradict tells a member that it is held to be suspect or dead, or that what
 // it says of itself is outdated, so that it can refute.
 func (g *Group) contradict(from string, outdated bool) []Out {
 	if !outdated && !g.doubts(from) || g.contradictions == maxContradictions {
@@ -156,7 +156,7 @@
 	return []Out{g.message(from, Message{Kind: Gossip}, g.belief(from))}
 }
 
-// doubts reports whether a member that may be there is held for absent.
+// doubts reports whether a member is held to be suspect or dead.
 func (g *Group) doubts(id string) bool {
 	m := g.members[id]
 	return m != nil && (m.state == Suspect || m.state == Dead)
--- a/coord/membership/merge.go
+++ b/coord/membership/merge.go
@@ -34,7 +34,7 @@
 	}
 	m := g.members[u.ID]
 	if m == nil {
-		g.meet(now, u)
+		g.addMember(now, u)
 		return false
 	}
 	c := compareBelief(u.Incarnation, u.State, m.Incarnation, m.state)
@@ -58,9 +58,10 @@
 	return false
 }
 
-// meet adds a member that was unknown. A suspicion tells too little of it; that
-// somebody is dead or has left is remembered against late news of its life.
-func (g *Group) meet(now time.Time, u *Update) {
+// addMember adds a member that was unknown. A suspicion tells too little of it;
+// that a member is dead or has left is remembered, so that a late Alive update
+// of the same incarnation doesn't bring it back.
+func (g *Group) addMember(now time.Time, u *Update) {
 	if u.State == Suspect {
 		return
 	}
@@ -117,14 +118,14 @@
 		g.events = g.events[len(g.events)-maxEvents:]
 	}
 	if m != g.self {
-		g.peers = file(g.peers, m.ID, s == Alive || s == Suspect)
-		g.suspected = file(g.suspected, m.ID, s == Suspect)
-		g.dead = file(g.dead, m.ID, s == Dead)
+		g.peers = include(g.peers, m.ID, s == Alive || s == Suspect)
+		g.suspected = include(g.suspected, m.ID, s == Suspect)
+		g.dead = include(g.dead, m.ID, s == Dead)
 	}
 }
 
-// file puts an id into a list or out of it.
-func file(list []string, id string, in bool) []string {
+// include returns the list with the id, or without it if in is false.
+func include(list []string, id string, in bool) []string {
 	i := slices.Index(list, id)
 	switch {
 	case in && i < 0:
--- a/coord/membership/probe.go
+++ b/coord/membership/probe.go
@@ -72,7 +72,7 @@
 	return append(out, g.ping(target, p.seq))
 }
 
-// ping makes a Ping; a member that is held for absent is told so.
+// ping makes a Ping; a member that is held to be suspect or dead is told so.
 func (g *Group) ping(target string, seq uint64) Out {
 	var first []Update
 	if g.doubts(target) {
--- a/coord/membership/sync.go
+++ b/coord/membership/sync.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -133,13 +134,7 @@
 	}
 	turn := func(id string) int { return (bucket(id) + buckets - start) % buckets }
 	slices.SortFunc(ids, func(a, b string) int {
-		if c := turn(a) - turn(b); c != 0 {
-			return c
-		}
-		if a < b {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(turn(a), turn(b)), cmp.Compare(a, b))
 	})
 	return g.fillPages(ids)
 }
@@ -169,7 +164,7 @@
 	for id, m := range g.members {
 		if (m.state == Dead || m.state == Left) && m != g.self && now.Sub(m.since) > g.cfg.Retain {
 			delete(g.members, id)
-			g.dead = file(g.dead, id, false)
+			g.dead = include(g.dead, id, false)
 		}
 	}
 }
--- a/coord/registry/doc.go
+++ b/coord/registry/doc.go
@@ -32,9 +32,10 @@
 //
 // The table's clock moves forward only, by the times in commands. BlockedUntil
 // is on it, for reports. Who has to wait should count Wait by elapsed time from
-// when it got the answer: a new machine may come up with a wrong clock, and by
-// a clock that is a day ahead a wait of a day were over at once. The answer is
-// never there before the command was committed, so counting from then is safe.
+// when it got the answer: a new instance may come up with a wrong clock, and by
+// a clock that is a day ahead a wait of a day would be over at once. The answer
+// is never there before the command was committed, so counting from then is
+// safe.
 //
 // # What is left
 //
--- a/coord/registry/types.go
+++ b/coord/registry/types.go
@@ -50,7 +50,7 @@
 	Full
 )
 
-var replyNames = [...]string{"invalid", "granted", "replaced", "full"}
+var replyNames = [...]string{Invalid: "invalid", Granted: "granted", Replaced: "replaced", Full: "full"}
 
 // String returns the name of a reply in lower case.
 func (r Reply) String() string {
@@ -73,7 +73,8 @@
 	// milliseconds, for reports; 0 without a wait.
 	BlockedUntil int64 `cbor:"5,keyasint,omitempty"`
 	// Losses counts how often the state under the name was lost.
-	Losses  uint32 `cbor:"6,keyasint,omitempty"`
+	Losses uint32 `cbor:"6,keyasint,omitempty"`
+	// Message says what was malformed, for Invalid.
 	Message string `cbor:"7,keyasint,omitempty"`
 }
 
--- a/coord/replhost/doc.go
+++ b/coord/replhost/doc.go
@@ -24,6 +24,6 @@
 // # Clock
 //
 // The lease holds only if Clock goes on while the process is stopped. SystemClock
-// does so for a stopped process, but not for a machine that is suspended as a
-// whole.
+// does so for a stopped process, but not while the operating system as a whole is
+// suspended.
 package replhost
--- a/coord/replhost/node.go
+++ b/coord/replhost/node.go
@@ -165,7 +165,7 @@
 	return n.closed
 }
 
-// Ended is closed when the node is no longer Running.
+// Ended returns a channel that is closed when the node is no longer Running.
 func (n *Node) Ended() <-chan struct{} { return n.ended }
 
 // count returns the counters now.
--- a/coord/replhost/options.go
+++ b/coord/replhost/options.go
@@ -18,7 +18,10 @@
 	DefaultKeepEntries      = 1_000
 	DefaultMaxProposalBytes = 1 << 20
 	DefaultQueue            = 1024
+)
 
+// Bounds of the rings between the goroutines, in items.
+const (
 	eventQueue = 64
 	diskQueue  = 4
 	applyQueue = 16
@@ -38,7 +41,8 @@
 // Transport carries payloads to other nodes. It may lose, delay, repeat and
 // reorder them.
 type Transport interface {
-	// Send must not block for long and must not keep payload's memory changed.
+	// Send must not block for long, as the core goroutine calls it, and must not
+	// change payload.
 	Send(to string, payload []byte)
 }
 
@@ -62,8 +66,8 @@
 	return t.C, t.Stop
 }
 
-// Options are the settings of a Node. Zero values take the defaults, but for
-// Core.Self.ID, Dir, Transport and StateMachine.
+// Options are the settings of a Node. Zero values take the defaults, but
+// Core.Self.ID, Dir, Transport and StateMachine are required.
 type Options struct {
 	// Core is passed to the core. Self.Incarnation is that of the folder; a
 	// zero Seed is drawn from Random.
--- a/coord/replhost/requests.go
+++ b/coord/replhost/requests.go
@@ -51,7 +51,9 @@
 }
 
 // Read returns nil once the state machine holds everything that was answered to
-// any proposer of the group before the call. The error is a *verdict.Error.
+// any proposer of the group before the call. A leader that is
+// known but doesn't answer makes it wait until ctx ends. The error is a
+// *verdict.Error.
 func (n *Node) Read(ctx context.Context) error {
 	c := newCall()
 	_, err := n.await(ctx, c, barrier{call: c})
--- a/coord/retry/breaker.go
+++ b/coord/retry/breaker.go
@@ -18,7 +18,7 @@
 	HalfOpen
 )
 
-var stateNames = [...]string{"closed", "open", "half_open"}
+var stateNames = [...]string{Closed: "closed", Open: "open", HalfOpen: "half_open"}
 
 // String returns closed, open or half_open.
 func (s State) String() string { return stateNames[s] }
@@ -82,18 +82,21 @@
 }
 
 type target struct {
-	state    State
-	good     float64
-	all      float64
+	state State
+	// good, all and timed count attempts that succeeded, that ended, and whose
+	// slowness is known; they fade with Window, the last time at.
+	good, all, timed float64
+	at               time.Time
+	// slowness is the mean over the timed attempts.
 	slowness float64
-	timed    float64
-	at       time.Time
 	// openings in a row since it was last closed for a while.
-	openings  int
-	until     time.Time
-	underway  int
+	openings int
+	// until is when the pause of an open target ends.
+	until    time.Time
+	underway int
+	// succeeded counts the trials that went well since it opened.
 	succeeded int
-	// weightFrom is when slow start began; zero if the weight is 1.
+	// weightFrom is when slow start began; zero if it never did.
 	weightFrom time.Time
 }
 
--- a/coord/roster/table.go
+++ b/coord/roster/table.go
@@ -27,16 +27,21 @@
 
 // Table is the knowledge of one instance. It is not safe for several goroutines.
 type Table struct {
-	self       Contact
-	seeds      map[string][]Contact
+	self Contact
+	// seeds are the contacts from settings, by region.
+	seeds map[string][]Contact
+	// neighbours are the regions that are told the summary.
 	neighbours []string
 	own        Own
 	summary    []byte
-	seq        uint64
-	changed    bool
-	sentAt     time.Time
-	regions    map[string]*heard
-	fresh      []Summary
+	// seq numbers the rosters and summaries of this instance.
+	seq uint64
+	// changed says that own changed since the roster was sent, at sentAt.
+	changed bool
+	sentAt  time.Time
+	regions map[string]*heard
+	// fresh are the summaries that Summaries has not returned yet.
+	fresh []Summary
 }
 
 // New makes the Table of an instance. Seeds are instances of any region, known
@@ -62,8 +67,8 @@
 // SetNeighbours replaces the regions that are told the summary.
 func (t *Table) SetNeighbours(regions []string) { t.neighbours = regions }
 
-// SetSummary replaces the summary of the own region; it is sent with the next
-// Tick.
+// SetSummary replaces the summary of the own region. Each Tick sends it to the
+// neighbours, also if it did not change.
 func (t *Table) SetSummary(data []byte) { t.summary = data }
 
 // Tick lets time pass; the host calls it every TickInterval. Only the first
@@ -173,7 +178,7 @@
 	if sameSource && m.Seq <= h.seq {
 		return false
 	}
-	if !sameSource && m.Seq <= h.seq && now.Sub(h.at) < DefaultReachableFor {
+	if !sameSource && m.Seq <= h.seq && now.Sub(h.at) < reachableFor {
 		return false
 	}
 	h.from, h.seq, h.at = from, m.Seq, now
@@ -257,12 +262,12 @@
 	}
 	limit := farReachableFor
 	if now.Sub(h.summary.At) < farReachableFor {
-		limit = DefaultReachableFor
+		limit = reachableFor
 	}
 	return now.Sub(h.at) < limit
 }
 
-// Rosters returns what is known of other regions, by id.
+// Rosters returns what is known of other regions, sorted by region.
 func (t *Table) Rosters() []Roster {
 	var rosters []Roster
 	for _, region := range t.others() {
--- a/coord/roster/types.go
+++ b/coord/roster/types.go
@@ -78,9 +78,9 @@
 	TickInterval = time.Second
 	// rosterInterval is the time between repeated rosters that did not change.
 	rosterInterval = 5 * time.Second
-	// DefaultReachableFor is how long a region counts as reachable after it was
+	// reachableFor is how long a region counts as reachable after it was
 	// heard: three missed summaries.
-	DefaultReachableFor = 3500 * time.Millisecond
+	reachableFor = 3500 * time.Millisecond
 	// farReachableFor is the same for regions that send rosters alone.
 	farReachableFor = 3 * rosterInterval
 )
--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -98,7 +98,8 @@
 type Config struct {
 	// Lifetime of an entry, and so of a quarantine.
 	Lifetime time.Duration
-	// MaxEntries held; beyond that cleared ones go first, then the oldest.
+	// MaxEntries held; beyond that cleared ones go first, and of equals the one
+	// that expires first.
 	MaxEntries int
 }
 
@@ -111,10 +112,13 @@
 	cfg      Config
 	inFlight map[Attempt]sent
 	digests  map[Digest]map[Crash]*entry
-	crashes  map[Crash][]Digest
+	// crashes lists the digests that have an entry of a crash.
+	crashes map[Crash][]Digest
+	// reserved is until when the lone run of a digest is taken.
 	reserved map[Digest]time.Time
-	count    int
-	evicted  uint64
+	// count is the number of entries in digests.
+	count   int
+	evicted uint64
 }
 
 type sent struct {
--- a/coord/wal/doc.go
+++ b/coord/wal/doc.go
@@ -58,8 +58,9 @@
 // last entries it accepted). Torn is set as well after harmless crashes, so a
 // host can't refuse all of them; a host that doesn't trust its disks can treat
 // Torn like a wiped disk and have the voter readmitted under a new incarnation.
-// After a kill of the process alone, with the machine still up, the mark is
-// there and nothing is ambiguous, but for a kill between sync and mark.
+// After a kill of the process alone, with the operating system still running,
+// the mark is there and nothing is ambiguous, but for a kill between sync and
+// mark.
 //
 // A folder without INCARNATION and without other files is new, and
 // Recovered.New says so: the host must treat the voter as one that remembers
--- a/coord/wal/faultfs/faultfs.go
+++ b/coord/wal/faultfs/faultfs.go
@@ -22,7 +22,8 @@
 // ErrCrashed is returned by each operation after a planted crash.
 var ErrCrashed = errors.New("faultfs: crashed")
 
-// Choose returns a number from 0 to n-1. It decides what a power loss keeps.
+// Choose returns a number from 0 to n-1. It decides what a power loss keeps, so
+// a test draws it from its own source of randomness.
 type Choose func(n int) int
 
 // Op is a kind of operation.
@@ -133,7 +134,8 @@
 	f.restart()
 }
 
-// PowerLoss ends the machine: of what was not synced, choose decides.
+// PowerLoss ends the process and the operating system: choose decides what is
+// left of the bytes and folder entries that were not synced.
 func (f *FS) PowerLoss(choose Choose) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -43,7 +43,7 @@
 	id       Incarnation
 	limit    int64
 	lock     io.Closer
-	file     File
+	file     File // the segment in hand, whose number and checksum seed follow
 	segment  uint64
 	seed     uint64
 	size     int64  // where the next frame goes
