settings, bundle, node: drop a setting that did nothing, count proposals and full rings

Cause: platform.weight_store was checked and read nowhere. POST of {} was told bundle_conflict (409, "version 0 is older than the history"). Three metrics (log_proposals, log_proposal_failures, ring_refused) were registered and always 0; log_applied_index added up the indexes of the global and the region's group. Refusals read "refused (code, status 401): refused: ...".

Change: the setting is gone, an unknown field is refused; its row in the settings' test is now that of instance_list, the address that is left. Accept answers version 0 with bundle_invalid and all faults. A group's Client counts proposals; the services of node tell what their rings refused; log_applied_index is the global group's alone.

--- a/bundle/accept.go
+++ b/bundle/accept.go
@@ -44,21 +44,21 @@
 // Accepted is true for a bundle that is, or once was, in force.
 func (r Result) Accepted() bool { return r.Outcome == OutcomeAccepted }
 
-// String is a line for people.
+// String is a line for people: of a refusal, the reason.
 func (r Result) String() string {
 	switch r.Outcome {
 	case OutcomeAccepted:
 		return fmt.Sprintf("accepted as version %d", r.Version)
 	case OutcomeConflict:
-		return fmt.Sprintf("refused: version %d was won by other content, digest %s", r.Version, r.Winner)
+		return fmt.Sprintf("version %d was won by other content, digest %s", r.Version, r.Winner)
 	case OutcomeGap:
-		return fmt.Sprintf("refused: version %d doesn't follow version %d, which is in force", r.Version, r.InForceVersion)
+		return fmt.Sprintf("version %d doesn't follow version %d, which is in force", r.Version, r.InForceVersion)
 	case OutcomeWrongParent:
-		return fmt.Sprintf("refused: the parent is not version %d, digest %s, which is in force", r.InForceVersion, r.InForceDigest)
+		return fmt.Sprintf("the parent is not version %d, digest %s, which is in force", r.InForceVersion, r.InForceDigest)
 	case OutcomeTooOld:
-		return fmt.Sprintf("refused: version %d is older than the history that is kept", r.Version)
+		return fmt.Sprintf("version %d is older than the history that is kept", r.Version)
 	default:
-		return fmt.Sprintf("refused: %s: %s", r.Outcome, r.Problems.Error())
+		return fmt.Sprintf("%s: %s", r.Outcome, r.Problems.Error())
 	}
 }
 
@@ -80,7 +80,8 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if result, decided := inForce.Compare(id); decided {
+	// Version 0 was never accepted, so that Compare would call it too old.
+	if result, decided := inForce.Compare(id); decided && id.Version != 0 {
 		return result, nil
 	}
 	if problems := Check(&s.Bundle); len(problems) > 0 {
--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -323,3 +323,19 @@
 		}
 	})
 }
+
+// Symptom: an operator who rolls "{}" is told that its version is too old, and
+// looks for a newer bundle. Cause: version 0 was compared with the history
+// before the bundle was checked.
+func TestVersionZeroIsInvalid(t *testing.T) {
+	convey.Convey("A bundle without a version is invalid, whatever is in force", t, func() {
+		var history bundle.History
+		convey.So(history.Append(1, bundle.SumOf(nil)), convey.ShouldBeNil)
+		for _, inForce := range []*bundle.Accepted{nil, {History: history}} {
+			result, err := bundle.Accept(inForce, &bundle.Signed{})
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(result.Outcome, convey.ShouldEqual, bundle.OutcomeInvalid)
+			convey.So(result.String(), convey.ShouldContainSubstring, "version: is 0")
+		}
+	})
+}
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -70,7 +70,7 @@
 	LinkPingTimeouts     = Metric{"gullhaven_link_ping_timeouts_total", Counter, "connections", "Connections given up because no pong came in time."}
 	LinkLateAnswers      = Metric{"gullhaven_link_late_answers_total", Counter, "answers", "Answers of other instances that came late, twice or unasked, dropped."}
 	LinkBadBatches       = Metric{"gullhaven_link_bad_batches_total", Counter, "batches", "Batches that could not be decoded; each ended its connection."}
-	RingRefused          = Metric{"gullhaven_ring_refused_total", Counter, "items", "Items turned away by full rings between the duties of this instance."}
+	RingRefused          = Metric{"gullhaven_ring_refused_total", Counter, "items", "Messages of other instances, and polls of targets, that full rings of this instance turned away."}
 	BundleVersion        = Metric{"gullhaven_bundle_version", Gauge, "versions", "Version of the bundle in force here; 0 before the first."}
 	BundleInstalls       = Metric{"gullhaven_bundle_installs_total", Counter, "versions", "Versions put in force here since the start."}
 	BundleWholeCopies    = Metric{"gullhaven_bundle_whole_copies_total", Counter, "versions", "Those of them that were taken as whole copies and not as changes."}
@@ -81,7 +81,7 @@
 	LogSyncs             = Metric{"gullhaven_log_syncs_total", Counter, "syncs", "Syncs of the replicated logs on the disk of this instance."}
 	LogSyncedEntries     = Metric{"gullhaven_log_synced_entries_total", Counter, "entries", "Entries in those syncs."}
 	LogProposals         = Metric{"gullhaven_log_proposals_total", Counter, "commands", "Commands that this instance proposed to a replicated log."}
-	LogProposalFailures  = Metric{"gullhaven_log_proposal_failures_total", Counter, "commands", "Those of them that ended without a commit that is known of."}
+	LogProposalFailures  = Metric{"gullhaven_log_proposal_failures_total", Counter, "commands", "Those of them that ended with an error; each may be proposed again."}
 	LogApplied           = Metric{"gullhaven_log_applied_index", Gauge, "entries", "Index up to which the global log is applied here; 0 at instances that are no voters."}
 	LogLeading           = Metric{"gullhaven_log_leading", Gauge, "logs", "Replicated logs that this instance leads under a valid lease."}
 	LogSnapshots         = Metric{"gullhaven_log_snapshots_total", Counter, "snapshots", "Snapshots of replicated logs saved."}
--- a/node/control.go
+++ b/node/control.go
@@ -13,9 +13,8 @@
 	var c metrics.Control
 	n.linkControl(&c)
 	n.bundleControl(&c)
-	for _, m := range n.localGroups() {
-		logControl(&c, m.Node.Status())
-	}
+	n.logControl(&c)
+	n.ringControl(&c)
 	n.memberControl(&c)
 	n.targetControl(&c)
 	c.Suspects = int64(n.suspects.Len())
@@ -64,24 +63,40 @@
 	}
 }
 
-// localGroups are the replicated groups that this instance is a member of.
-func (n *Node) localGroups() []*group.Member {
-	var local []*group.Member
+// logControl reads the clients of all groups, and the members that run here.
+func (n *Node) logControl(c *metrics.Control) {
 	if m := n.global.Local(); m != nil {
-		local = append(local, m)
+		c.LogApplied = int64(m.Node.Status().Applied)
 	}
+	groupControl(c, n.global)
 	for _, client := range n.claims.groups {
-		if m := client.Local(); m != nil {
-			local = append(local, m)
-		}
+		groupControl(c, client)
+	}
+}
+
+// groupControl adds what one group counts.
+func groupControl(c *metrics.Control, client *group.Client) {
+	counters := client.Counters()
+	c.LogProposals += int64(counters.Proposals)
+	c.LogProposalFailures += int64(counters.Failures)
+	if m := client.Local(); m != nil {
+		memberLogControl(c, m.Node.Status())
+	}
+}
+
+// ringControl adds what full rings turned away. Each of these items is sent
+// again in a later round, so that nobody else would notice their loss.
+func (n *Node) ringControl(c *metrics.Control) {
+	for _, refused := range []uint64{
+		n.members.Refused(), n.spreader.Refused(), n.regions.Refused(), n.loads.Refused(), n.history.refused(),
+	} {
+		c.RingRefused += int64(refused)
 	}
-	return local
 }
 
-func logControl(c *metrics.Control, s replhost.Status) {
+func memberLogControl(c *metrics.Control, s replhost.Status) {
 	c.LogSyncs += int64(s.Counters.Syncs)
 	c.LogSyncedEntries += int64(s.Counters.SyncedEntries)
-	c.LogApplied += int64(s.Applied)
 	c.LogSnapshots += int64(s.Counters.Snapshots)
 	c.LogSnapshotErrors += int64(s.Counters.SnapshotErrors)
 	c.LogMalformed += int64(s.Counters.Malformed)
--- a/node/group/group.go
+++ b/node/group/group.go
@@ -169,6 +169,15 @@
 	hub     *link.Hub
 	local   *Member
 	last    atomic.Pointer[string]
+
+	proposals, failures atomic.Uint64
+}
+
+// Counters of a client since its start.
+type Counters struct {
+	// Proposals is how many commands were proposed, Failures how many of them
+	// ended with an error.
+	Proposals, Failures uint64
 }
 
 // NewClient makes a client. local is nil at an instance that is no member.
@@ -179,9 +188,24 @@
 // Local returns this instance's member, or nil.
 func (c *Client) Local() *Member { return c.local }
 
+// Counters returns what was counted so far.
+func (c *Client) Counters() Counters {
+	return Counters{Proposals: c.proposals.Load(), Failures: c.failures.Load()}
+}
+
 // Propose has data committed and returns the state machine's result. The error
 // is a *verdict.Error: NotRun if the proposal can't take effect.
 func (c *Client) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	c.proposals.Add(1)
+	result, err := c.propose(ctx, data)
+	if err != nil {
+		c.failures.Add(1)
+	}
+	return result, err
+}
+
+// propose asks members until one answers for the leader.
+func (c *Client) propose(ctx context.Context, data []byte) ([]byte, error) {
 	asked := map[string]bool{}
 	next := c.first()
 	err := verdict.New(verdict.NotRun, CodeNoLeader, "no member of group "+c.name+" is known")
--- a/node/history.go
+++ b/node/history.go
@@ -54,6 +54,9 @@
 	return h
 }
 
+// refused is how many snapshots found the inbox full.
+func (h *history) refused() uint64 { return h.inbox.Stats().Refused }
+
 // observer feeds figures and history from the request path.
 func (h *history) observer(t *served.Table) pipeline.Observer {
 	return &served.Observer{Table: t, Burn: h.own, Price: h.node.price, Now: time.Now}
--- a/node/loads/loads.go
+++ b/node/loads/loads.go
@@ -132,6 +132,9 @@
 	return s.book.Unknown()
 }
 
+// Refused is how many messages and polls found their ring full.
+func (s *Service) Refused() uint64 { return s.inbox.Stats().Refused + s.polled.Stats().Refused }
+
 func (s *Service) receive(_ string, data []byte) { s.inbox.TryPush(data) }
 
 // Run polls and shares until ctx ends.
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -133,6 +133,9 @@
 // View returns the newest view; it must not be changed.
 func (s *Service) View() *View { return s.view.Load() }
 
+// Refused is how many messages found the inbox full.
+func (s *Service) Refused() uint64 { return s.inbox.Stats().Refused }
+
 // Hint passes on the platform's list of instances.
 func (s *Service) Hint(list []membership.Hint) { s.hints.TryPush(list) }
 
--- a/node/regions/regions.go
+++ b/node/regions/regions.go
@@ -67,6 +67,9 @@
 	return s
 }
 
+// Refused is how many messages found the inbox full.
+func (s *Service) Refused() uint64 { return s.inbox.Stats().Refused }
+
 // SetOwn replaces the view of the own region.
 func (s *Service) SetOwn(own roster.Own) {
 	s.mu.Lock()
--- a/node/rollout/spreader.go
+++ b/node/rollout/spreader.go
@@ -93,6 +93,9 @@
 // relays and voters.
 func (s *Spreader) Regions() []spread.RegionState { return s.state.Load().regions }
 
+// Refused is how many messages found the inbox full.
+func (s *Spreader) Refused() uint64 { return s.inbox.Stats().Refused }
+
 // Run steps the core until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
 	tick := time.NewTicker(spread.TickInterval)
--- a/settings/check.go
+++ b/settings/check.go
@@ -189,14 +189,9 @@
 	}
 }
 
-// platform checks the addresses that are given.
+// platform checks the address that may be given.
 func (c *checker) platform() {
-	for _, place := range []struct{ path, address string }{
-		{"platform.weight_store", c.s.Platform.WeightStore},
-		{"platform.instance_list", c.s.Platform.InstanceList},
-	} {
-		if place.address != "" {
-			c.address(place.path, place.address)
-		}
+	if list := c.s.Platform.InstanceList; list != "" {
+		c.address("platform.instance_list", list)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -126,11 +126,8 @@
 	return bundle.Trust{Operators: b.Operators, SignOffs: b.SignOffs}
 }
 
-// Platform names interfaces of the surroundings; each is optional.
+// Platform names interfaces of the surroundings.
 type Platform struct {
-	// WeightStore is IP:port of the store that targets load from, asked for
-	// its rate. Default none: the bundle's rate holds.
-	WeightStore string `json:"weight_store,omitempty"`
 	// InstanceList is IP:port of the platform's lagging list of live and
 	// leaving instances, taken as a hint only. Default none.
 	InstanceList string `json:"instance_list,omitempty"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -53,7 +53,7 @@
 		{"keys.key", "is missing", func(s *settings.Settings) { s.Keys.Key = "" }},
 		{"bootstrap.operators[0].public_key", "", func(s *settings.Settings) { s.Bootstrap.Operators[0].PublicKey = "x" }},
 		{"bootstrap.sign_offs", "", func(s *settings.Settings) { s.Bootstrap.SignOffs = 2 }},
-		{"platform.weight_store", "names the host", func(s *settings.Settings) { s.Platform.WeightStore = "store:1" }},
+		{"platform.instance_list", "names the host", func(s *settings.Settings) { s.Platform.InstanceList = "list:1" }},
 		{"region_voters", "even", func(s *settings.Settings) { s.RegionVoters = append(s.Voters[:1:1], s.Seeds[0]) }},
 		{"region_voters[0].region", "", func(s *settings.Settings) {
 			s.RegionVoters = []settings.Peer{{ID: "malang-1", Region: "bali", Address: "127.0.0.1:2"}}
