--- a/coord/keys/keys_test.go
+++ b/coord/keys/keys_test.go
@@ -107,6 +107,7 @@
 
 // Symptom: one instance passes for another that shares its DNS name in letters
 // of another case, or holds the names of two.
+// Events: MALANG-2 answers where malang-2 was dialled.
 // Cause: the handshake's check of host names ignores case and takes any name.
 func TestIdentityIsCheckedBesideTheHostName(t *testing.T) {
 	ours := authority(t)
@@ -117,6 +118,10 @@
 	}
 }
 
+// Symptom: an instance does not start with its saved key, or starts with one by
+// which peers refuse it.
+// Events: keys are saved and loaded; files are swapped or of another authority.
+// Cause: parts loaded without a check that they belong together.
 func TestKeysSurviveSavingAndLoading(t *testing.T) {
 	ours := authority(t)
 	cert, key, err := ours.PEM()
@@ -156,6 +161,9 @@
 	}
 }
 
+// Symptom: an instance passes for one of another region.
+// Events: a key is asked for under a name that changes the identity's URI.
+// Cause: names written into a certificate unchecked.
 func TestUnfitNamesAreRefused(t *testing.T) {
 	ours := authority(t)
 	for _, id := range []Identity{
--- a/coord/link/call_test.go
+++ b/coord/link/call_test.go
@@ -80,6 +80,7 @@
 
 // Symptom: garbage of a broken peer stops an instance or fills its memory.
 // Events: chunks without a beginning, too many of them, unknown kinds, noise.
+// Cause: frames taken in before their order and length are checked.
 func TestBadBatchesAreRefused(t *testing.T) {
 	for name, frames := range map[string][]frame{
 		"chunk first":     {{Kind: frameChunk}},
--- a/coord/link/cost_test.go
+++ b/coord/link/cost_test.go
@@ -27,7 +27,7 @@
 	for _, size := range []int{32, 256, 4096, 65536} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			c := newCluster(b)
-			a, z := c.node("a", nil), c.node("z", nil)
+			a, z := c.instance("a", nil), c.instance("z", nil)
 			window := make(chan struct{}, DefaultRingSize/2)
 			var got sync.WaitGroup
 			z.Handle("m", func(string, []byte) { <-window; got.Done() })
@@ -56,7 +56,7 @@
 // BenchmarkPaced measures what a message costs that travels alone, as pings do.
 func BenchmarkPaced(b *testing.B) {
 	c := newCluster(b)
-	a, z := c.node("a", nil), c.node("z", nil)
+	a, z := c.instance("a", nil), c.instance("z", nil)
 	got := make(chan struct{})
 	z.Handle("m", func(string, []byte) { got <- struct{}{} })
 	a.Send("z", "m", make([]byte, 64))
@@ -76,12 +76,12 @@
 	t.Logf("%6s %12s %12s %14s %14s", "links", "heap B/end", "stack B/end", "cpu us/link", "handshake B")
 	for _, n := range []int{8, 32, 128} {
 		c := newCluster(t)
-		a := c.node("a", nil)
+		a := c.instance("a", nil)
 		var got atomic.Int64
 		all := make(chan struct{})
-		peers := make([]*node, n)
+		peers := make([]*instance, n)
 		for i := range n {
-			peers[i] = c.node(fmt.Sprintf("p%d", i), nil)
+			peers[i] = c.instance(fmt.Sprintf("p%d", i), nil)
 			peers[i].Handle("m", func(string, []byte) {
 				if got.Add(1) == int64(n) {
 					close(all)
--- a/coord/link/link_test.go
+++ b/coord/link/link_test.go
@@ -15,9 +15,13 @@
 	"github.com/gullhaven/gullhaven/coord/verdict"
 )
 
+// Symptom: a long message comes in mixed up, or two connections are kept.
+// Events: messages of all lengths around a chunk go to a peer and come back.
+// Cause: chunks that are cut or joined wrongly, a peer that dials although it
+// is connected.
 func TestMessagesArriveWholeAndInOrderBothWays(t *testing.T) {
 	c := newCluster(t)
-	a, b := c.node("a", nil), c.node("b", nil)
+	a, b := c.instance("a", nil), c.instance("b", nil)
 	got := make(chan []byte, 600)
 	a.Handle("bulk", func(_ string, p []byte) { got <- p })
 	b.Handle("bulk", func(from string, p []byte) {
@@ -104,9 +108,14 @@
 	}
 }
 
+// Symptom: a caller is told "not run" of a request that ran, or can't send one
+// again that did not.
+// Events: the handler fails, is missing or is busy; the peer is not there; the
+// caller's context has ended.
+// Cause: a verdict that does not say how far the request came.
 func TestACallEndsWithTheRightVerdict(t *testing.T) {
 	c := newCluster(t)
-	a, b := c.node("a", nil), c.node("b", func(o *Options) { o.RingSize = 1 })
+	a, b := c.instance("a", nil), c.instance("b", func(o *Options) { o.RingSize = 1 })
 	c.setAddress("nobody", "127.0.0.1:1")
 	started, hold := make(chan struct{}, 8), make(chan struct{})
 	b.Serve("ok", 1, func(_ context.Context, from string, p []byte) ([]byte, error) { return append(p, from...), nil })
@@ -178,7 +187,7 @@
 // Cause: a lost connection is taken for "not run", or its calls are forgotten.
 func TestALostConnectionMayHaveRunItsCalls(t *testing.T) {
 	c := newCluster(t)
-	a, b := c.node("a", nil), c.node("b", nil)
+	a, b := c.instance("a", nil), c.instance("b", nil)
 	started := make(chan struct{})
 	b.Serve("slow", 1, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
 		close(started)
@@ -210,7 +219,7 @@
 		o.PingAfter, o.PingTimeout = 20*time.Millisecond, 100*time.Millisecond
 		o.BackoffFloor, o.BackoffCeil = time.Millisecond, 10*time.Millisecond
 	}
-	a, b := c.node("a", quick), c.node("b", nil)
+	a, b := c.instance("a", quick), c.instance("b", nil)
 	direct, _ := c.address("b")
 	wire := newCable(t, direct)
 	c.setAddress("b", wire.Addr().String())
@@ -241,8 +250,8 @@
 // Cause: the link does not use the keys on both sides.
 func TestStrangersGetNoLink(t *testing.T) {
 	c, others := newCluster(t), newCluster(t)
-	a, b := c.node("a", nil), c.node("b", nil)
-	stranger := others.node("b", nil)
+	a, b := c.instance("a", nil), c.instance("b", nil)
+	stranger := others.instance("b", nil)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	for name, addr := range map[string]string{"other authority": stranger.server.Listener.Addr().String(), "other instance": a.server.Listener.Addr().String()} {
@@ -282,7 +291,7 @@
 		}
 		return true
 	}
-	a, b := c.node("a", func(o *Options) { o.Allow = allow }), c.node("b", nil)
+	a, b := c.instance("a", func(o *Options) { o.Allow = allow }), c.instance("b", nil)
 	got := make(chan string, 16)
 	a.Handle("m", func(_ string, p []byte) { got <- "a" + string(p) })
 	b.Handle("m", func(_ string, p []byte) { got <- "b" + string(p) })
@@ -307,6 +316,9 @@
 	}
 }
 
+// Symptom: all peers of an instance that comes back dial it at one moment.
+// Events: any number of failed attempts in a row.
+// Cause: waits without jitter or growth, or one that grows without a ceiling.
 func TestWaitsBetweenAttemptsGrowWithJitterToTheirCeiling(t *testing.T) {
 	o := Options{BackoffFloor: time.Millisecond, BackoffCeil: 50 * time.Millisecond}
 	r := rand.New(rand.NewPCG(1, 2))
--- a/coord/link/rig_test.go
+++ b/coord/link/rig_test.go
@@ -27,7 +27,7 @@
 	wire      atomic.Uint64
 }
 
-type node struct {
+type instance struct {
 	*Hub
 	server *httptest.Server
 	// links gets each change reported by OnLink.
@@ -87,7 +87,7 @@
 	return h, key, links
 }
 
-func (c *cluster) node(id string, change func(*Options)) *node {
+func (c *cluster) instance(id string, change func(*Options)) *instance {
 	c.t.Helper()
 	h, key, links := c.hub(id, change)
 	mux := http.NewServeMux()
@@ -101,7 +101,7 @@
 	// Closing the hubs first ends the hijacked connections.
 	c.t.Cleanup(func() { h.Close(); s.Close() })
 	c.setAddress(id, s.Listener.Addr().String())
-	return &node{h, s, links}
+	return &instance{h, s, links}
 }
 
 // countingListener counts the bytes of its connections in both directions.
--- a/coord/membership/group_test.go
+++ b/coord/membership/group_test.go
@@ -77,6 +77,7 @@
 }
 
 // Symptom: requests go to a crashed instance for long.
+// Events: one instance ends without a word, in groups of several sizes.
 // Cause: a suspicion that does not end, or news that does not reach all.
 func TestACrashIsFoundByAllInTime(t *testing.T) {
 	cfg := DefaultConfig()
@@ -192,6 +193,9 @@
 	}
 }
 
+// Symptom: the last instance of a region serves nothing after a short stop.
+// Events: the other one crashes while this one is frozen, so nobody answers.
+// Cause: a view that becomes fresh by the answer of another instance only.
 func TestTheOnlyInstanceLeftIsFreshAgainAfterAFreeze(t *testing.T) {
 	w := newWorld(t, 2, 3)
 	w.run(10 * time.Second)
@@ -202,6 +206,8 @@
 }
 
 // Symptom: live instances are shut out by a list that lags.
+// Events: the list says that one leaves, lacks two others, and names one that
+// does not exist.
 // Cause: the platform's list is taken for the truth.
 func TestThePlatformsListOnlyHints(t *testing.T) {
 	w := newWorld(t, 4, 7)
@@ -272,6 +278,9 @@
 	})
 }
 
+// Symptom: a message is cut off on its way or stops its receiver.
+// Events: any update is counted, sent and read; malformed ones and noise come in.
+// Cause: a size that is counted wrongly, a bound that is not checked on reading.
 func TestMessagesKeepTheirWireForm(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		u := anyUpdate(t)
@@ -317,6 +326,8 @@
 }
 
 // Symptom: relays change all the time, or both fall with one zone.
+// Events: members in several zones, states and views; one of them goes.
+// Cause: a choice that rests on the order or number of members, or not on zones.
 func TestRelaysAreStableAndInTwoZones(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var view []View
--- a/coord/membership/world_test.go
+++ b/coord/membership/world_test.go
@@ -13,7 +13,7 @@
 	Fatalf(format string, args ...any)
 }
 
-// delivery is something that happens at a time: a tick of a node (from is
+// delivery is something that happens at a time: a tick of an instance (from is
 // empty) or a message.
 type delivery struct {
 	at       time.Time
--- a/coord/registry/table_test.go
+++ b/coord/registry/table_test.go
@@ -148,10 +148,12 @@
 }
 
 // Symptom: a booking runs a second time after the disks of its region were
-// wiped. Events: groups form, register, serve, are lost and form anew, several
-// times; lifetimes change; clocks are off; questions are repeated late; the
-// registry restarts. Cause, where it happens: a successor that serves before
-// its predecessor would have forgotten everything.
+// wiped.
+// Events: groups form, register, serve, are lost and form anew, several times;
+// lifetimes change; clocks are off; questions are repeated late; the registry
+// restarts.
+// Cause: a successor that serves before its predecessor would have forgotten
+// everything.
 func TestSuccessorServesNothingThatIsStillKnown(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
@@ -166,6 +168,8 @@
 }
 
 // Symptom: the registry forgets or grants by what it can't read.
+// Events: entries that are empty, cut off or out of bounds are applied.
+// Cause: a command that takes effect before it is checked.
 func TestMalformedCommandsChangeNothing(t *testing.T) {
 	table := registry.New()
 	bad := [][]byte{nil, {registry.Tag}, {0xa0}, {registry.Tag, 0xff}}
--- a/coord/replog/rules_test.go
+++ b/coord/replog/rules_test.go
@@ -295,6 +295,9 @@
 
 // Symptom: a node takes in what it cannot place, or starts from a log that
 // has a gap.
+// Events: malformed messages come in; a state with a gap, a falling term or a
+// term above the one on disk is read at the start.
+// Cause: messages and states used before they are checked.
 func TestBadInputIsRefused(t *testing.T) {
 	conf, _ := confchange.New([]Member{ma, mb, mc}, nil)
 	n := ruleNode(t, epoch, conf)
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -50,6 +50,9 @@
 	})
 }
 
+// Symptom: callers that failed together come back together, or never.
+// Events: any number of failures in a row.
+// Cause: a pause without jitter, without a ceiling, or one that overflows.
 func TestBackoffStaysInItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := BackoffConfig{Base: 100 * time.Millisecond, Max: 5 * time.Second}
@@ -158,6 +161,9 @@
 	})
 }
 
+// Symptom: a target that has just loaded its model is overrun at once.
+// Events: it loads, and is chosen by weight from then on.
+// Cause: a weight that doesn't begin low, or never gets back to 1.
 func TestSlowStartAfterALoad(t *testing.T) {
 	b := NewBreaker(DefaultBreakerConfig())
 	b.SetTargets(start, []string{"a"})
--- a/coord/ring/ring_test.go
+++ b/coord/ring/ring_test.go
@@ -43,6 +43,9 @@
 	})
 }
 
+// Symptom: a goroutine stays behind when its instance is stopped.
+// Events: the context ends while a consumer waits for an item, a producer for room.
+// Cause: a wait that doesn't look at its context.
 func TestWaitingEndsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/coord/suspect/table_test.go
+++ b/coord/suspect/table_test.go
@@ -229,6 +229,11 @@
 	}
 }
 
+// Symptom: memory grows with the crashes, or a suspect is forgotten while
+// entries that say nothing any more are kept.
+// Events: more requests than the bound are in flight at a crash; one is cleared;
+// another target crashes.
+// Cause: no bound, or entries given up whatever their standing.
 func TestEntriesAreBoundedClearedOnesFirst(t *testing.T) {
 	table := New(Config{Lifetime: time.Hour, MaxEntries: 10})
 	for i := range 30 {
--- a/coord/verdict/verdict_test.go
+++ b/coord/verdict/verdict_test.go
@@ -29,6 +29,9 @@
 	})
 }
 
+// Symptom: a caller reads another verdict than was meant, or one from nowhere.
+// Events: each verdict is written and read; unknown ones and texts come in.
+// Cause: names out of step with the constants, an unknown name read as NotRun.
 func TestTextRoundTrip(t *testing.T) {
 	for _, v := range []Verdict{NotRun, MayHaveRun, Ran} {
 		b, err := v.MarshalText()
@@ -49,6 +52,9 @@
 	}
 }
 
+// Symptom: the verdict of one sending changes with that of another.
+// Events: one error is raised for a second use.
+// Cause: Raise changes the error that it was called on.
 func TestRaiseKeepsTheOriginal(t *testing.T) {
 	cause := errors.New("refused")
 	e := &Error{Verdict: NotRun, Code: "overloaded", Err: cause}
--- a/coord/wal/wal_test.go
+++ b/coord/wal/wal_test.go
@@ -220,6 +220,10 @@
 	}
 }
 
+// Symptom: two processes write one folder, and each overwrites what the other
+// one acknowledged.
+// Events: a second process is started on the folder while the first one runs.
+// Cause: a folder that is opened without a lock, or a lock that is not released.
 func TestSecondHolderIsTurnedAwayOnARealDisk(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "a", "b")
 	opt := wal.Options{Incarnation: wal.Incarnation{3}}
