pipeline, node/suspects: ask for suspicion before each attempt; bound what is kept free

And lone runs of resent innocents could hold every target of a region. Change: each attempt asks anew and runs alone or not at all; at most a quarter of a service's targets, and always one, are kept free at once. Tests of pipeline and node pass.

--- a/node/suspects/lone.go
+++ b/node/suspects/lone.go
@@ -22,6 +22,11 @@
 	errNotAllHold = errors.New("not every instance keeps the target free")
 )
 
+// maxHeldShare bounds the targets of a service kept free at once, but for one
+// that always may be: resends of the innocent would else hold every target of
+// the region after a crash.
+const maxHeldShare = 0.25
+
 // reservation asks the owner for a lone run.
 type reservation struct {
 	Digest  suspect.Digest `cbor:"1,keyasint"`
@@ -122,7 +127,15 @@
 // keepFree holds the least loaded target that is not held yet. An instance that
 // doesn't answer might go on sending there, so all must.
 func (s *Service) keepFree(service string) (string, error) {
-	for _, target := range s.o.Region.Candidates(service) {
+	candidates := s.o.Region.Candidates(service)
+	held := 0
+	for _, target := range candidates {
+		held += truth(s.held(target))
+	}
+	if held > 0 && float64(held+1) > maxHeldShare*float64(len(candidates)) {
+		return "", errNoTarget
+	}
+	for _, target := range candidates {
 		if s.held(target) {
 			continue
 		}
@@ -137,6 +150,13 @@
 	return "", errNoTarget
 }
 
+func truth(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (s *Service) held(target string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -65,13 +65,16 @@
 	defer cancel()
 	x.Ctx = ctx
 	q := x.routeRequest()
-	if x.Suspicion == ports.SuspectAlone {
-		return f.explain(x, f.runAlone(x, q, s))
-	}
 	q.Crossed = q.Crossed || f.deps.Forwarder == nil
 	q.Tried = f.routing.Reserved()
 	f.budgets.request(x.Service.ID)
 	for {
+		switch f.suspicion(x) {
+		case ports.SuspectAlone:
+			return f.explain(x, f.runAlone(x, q, s))
+		case ports.SuspectRefused:
+			return f.explain(x, refuseSuspect())
+		}
 		err, again := f.step(x, q, s)
 		if !again {
 			return f.explain(x, err)
@@ -79,6 +82,16 @@
 	}
 }
 
+// suspicion asks anew before each attempt: the one before may have taken its
+// target down, or a copy elsewhere may have. Asked at arrival only, a retry
+// would run beside others and take down their target as well.
+func (f *Attempts) suspicion(x *Exchange) ports.Suspicion {
+	if f.deps.Suspects == nil {
+		return ports.SuspectNone
+	}
+	return f.deps.Suspects.Check(f.deps.Now(), x.Digest)
+}
+
 // step follows one decision; again says that another one is to be made.
 func (f *Attempts) step(x *Exchange, q *route.Request, s send) (err error, again bool) {
 	if x.Ctx.Err() != nil {
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -57,8 +57,7 @@
 	Request *openai.Request
 	Prefix  []uint64
 	// Digest recognises the same work under other ids.
-	Digest    ports.Digest
-	Suspicion ports.Suspicion
+	Digest ports.Digest
 	// Once marks work that may run at most once.
 	Once bool
 
--- a/pipeline/input_test.go
+++ b/pipeline/input_test.go
@@ -300,6 +300,28 @@
 	}
 }
 
+// Symptom: one sending of a killer request takes down as many targets as it has
+// attempts. Events: the first attempt crashes its target; the request may be
+// tried again. Cause: suspicion asked for at arrival only, so that the retry
+// runs beside others.
+func TestRetryOfASuspectRunsAlone(t *testing.T) {
+	known, lone := newSuspects(), &fixedLone{target: "runner-1"}
+	r := newRig(t, withEngines(3, standin.EngineConfig{}), withDeps(func(d *Deps) { d.Suspects, d.Lone = known, lone }),
+		withBundle(func(b *bundle.Bundle) { b.Rules.MaxAttempts = 3 }))
+	r.p.Routing().SetReserved([]route.TargetID{"runner-1"})
+	for _, e := range r.engines {
+		e.SetFaults(standin.Fault{Kind: standin.FaultCrash, Match: "killer"})
+	}
+	readRefusal(t, r.do(call{body: chat("killer", false, 2)}))
+	var runs int64
+	for _, e := range r.engines {
+		runs += e.Counts().Runs
+	}
+	if runs != 2 || known.alone != 1 || r.engines[1].Counts().Runs != 1 {
+		t.Fatalf("%d runs, %d alone, %d at the reserved target", runs, known.alone, r.engines[1].Counts().Runs)
+	}
+}
+
 // Symptom: memory grows with the requests that wait.
 // Events: more requests are told to wait than the bound.
 // Cause: a queue without one.
--- a/pipeline/suspectcheck.go
+++ b/pipeline/suspectcheck.go
@@ -14,11 +14,12 @@
 
 // Serve asks by digest, so that a resend under another id is recognised.
 func (f *SuspectCheck) Serve(x *Exchange, next Handler) error {
-	if f.suspects != nil {
-		x.Suspicion = f.suspects.Check(f.now(), x.Digest)
-	}
-	if x.Suspicion == ports.SuspectRefused {
-		return refuse(CodeSuspect, "this request was running at targets that broke down")
+	if f.suspects != nil && f.suspects.Check(f.now(), x.Digest) == ports.SuspectRefused {
+		return refuseSuspect()
 	}
 	return next(x)
 }
+
+func refuseSuspect() error {
+	return refuse(CodeSuspect, "this request was running at targets that broke down")
+}
