--- a/coord/replhost/cluster_test.go
+++ b/coord/replhost/cluster_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/replhost"
@@ -78,6 +79,20 @@
 	return c
 }
 
+// formed returns a cluster whose nodes are all up and vote. It ends with t.
+func formed(t *testing.T, seed uint64) *cluster {
+	t.Helper()
+	c := newCluster(seed)
+	t.Cleanup(c.close)
+	for _, id := range ids {
+		c.up(id)
+	}
+	if !c.waitWhole() {
+		t.Fatal("the group didn't form")
+	}
+	return c
+}
+
 func (c *cluster) fail(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coord/replhost/replhost_test.go
+++ b/coord/replhost/replhost_test.go
@@ -145,14 +145,7 @@
 // Cause: an emptied voter that counts before it was readmitted and caught up.
 func TestWipedDiskCountsOnlyOnceReadmitted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(1)
-		defer c.close()
-		for _, id := range ids {
-			c.up(id)
-		}
-		if !c.waitWhole() {
-			t.Fatal("the group didn't form")
-		}
+		c := formed(t, 1)
 		c.burst(30)
 		c.down("b", true)
 		c.down("c", true)
@@ -186,14 +179,7 @@
 // Cause: a host that tries again, or sends messages after the failure.
 func TestFailedDiskEndsTheLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(2)
-		defer c.close()
-		for _, id := range ids {
-			c.up(id)
-		}
-		if !c.waitWhole() {
-			t.Fatal("the group didn't form")
-		}
+		c := formed(t, 2)
 		old := c.leader(time.Second)
 		c.disks[old.Member().ID].Fail(faultfs.OpSync, 0, errDisk)
 		var v *verdict.Error
@@ -224,14 +210,7 @@
 // Cause: a failure that is kept by the log and not asked for.
 func TestFailureBehindADurableBatchEndsTheNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(3)
-		defer c.close()
-		for _, id := range ids {
-			c.up(id)
-		}
-		if !c.waitWhole() {
-			t.Fatal("the group didn't form")
-		}
+		c := formed(t, 3)
 		old := c.leader(time.Second)
 		c.disks[old.Member().ID].Fail(faultfs.OpWrite, 1, errDisk)
 		// The leader may end before the group's answer is there.
