ports, bundle, operate: one set of clients, one check of operators; what a newcomer met

Cause: the sets of clients of engines and of plain services, and the checks of operators in bundles and settings, stood twice. A bundle sent again after it was replaced was told as "in force in all regions".

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -93,8 +93,9 @@
 
 // head checks version, parent, note and sign-offs.
 func (c *checker) head() {
-	c.require(c.Version >= 1, "version", "is 0, but the first version is 1")
 	switch {
+	case c.Version == 0:
+		c.problems.Add("version", "is 0, but the first version is 1")
 	case c.Version == 1:
 		c.require(c.Parent == "", "parent", "version 1 has no parent")
 	case c.Parent == "":
@@ -117,20 +118,27 @@
 	c.require(len(c.Operators) > 0, "operators", "is empty; nobody could sign the next bundle")
 	c.require(c.SignOffs >= 1 && c.SignOffs <= len(c.Operators), "sign_offs",
 		"is %d, but must be from 1 to the number of operators, %d", c.SignOffs, len(c.Operators))
+	c.problems = append(c.problems, CheckOperators("operators", c.Operators)...)
+}
+
+// CheckOperators reports all faults of a list of operators that stands at path.
+func CheckOperators(path string, operators []Operator) Problems {
+	c := &checker{}
 	seen := map[string]bool{}
 	owners := map[string]string{}
-	for i, operator := range c.Operators {
-		path := strict.Index("operators", i)
-		c.id(path+".id", operator.ID, seen)
+	for i, operator := range operators {
+		at := strict.Index(path, i)
+		c.id(at+".id", operator.ID, seen)
 		key, err := ParsePublicKey(operator.PublicKey)
 		if err != nil {
-			c.problems.Add(path+".public_key", "%v", err)
+			c.problems.Add(at+".public_key", "%v", err)
 			continue
 		}
 		owner, taken := owners[string(key)]
-		c.require(!taken, path+".public_key", "is the key of %q too; one person can't sign for two", owner)
+		c.require(!taken, at+".public_key", "is the key of %q too; one person can't sign for two", owner)
 		owners[string(key)] = operator.ID
 	}
+	return c.problems
 }
 
 // regions checks zones and links.
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -39,7 +39,7 @@
   gullhavend --dev
   gullhavend --settings instance.json --check
   gullhavend --settings instance.json
-  gullhavend standin --engines 127.0.0.1:7201,127.0.0.1:7202 --plain 127.0.0.1:7251
+  gullhavend standin --engines 127.0.0.1:7201 --plain 127.0.0.1:7251
 
 SIGTERM and SIGINT end it gracefully: other instances stop naming it to
 callers, and requests in progress are finished first.
--- a/operate/cli/bundle_roll.go
+++ b/operate/cli/bundle_roll.go
@@ -83,7 +83,7 @@
 		lacking := status.Lacking(version)
 		seconds := c.env.Now().Sub(start).Seconds()
 		if len(lacking) == 0 && len(status.Regions) > 0 {
-			c.env.Printf("in force in all %d regions after %.1f s\n", len(status.Regions), seconds)
+			c.done(status, version, seconds)
 			return nil
 		}
 		if line := strings.Join(lacking, ", "); line != shown {
@@ -99,3 +99,13 @@
 		}
 	}
 }
+
+// done tells that no region lacks the version. One that was accepted long ago
+// and is sent again may have been replaced since.
+func (c *bundleRoll) done(status *operate.Status, version uint64, seconds float64) {
+	if status.Version > version {
+		c.env.Printf("version %d has replaced it since\n", status.Version)
+		return
+	}
+	c.env.Printf("in force in all %d regions after %.1f s\n", len(status.Regions), seconds)
+}
--- a/operate/cli/cli_test.go
+++ b/operate/cli/cli_test.go
@@ -170,6 +170,18 @@
 			convey.So(b.run("bundle", "roll", loser, "--to", to), convey.ShouldEqual, cli.ExitRefused)
 			convey.So(b.err.String(), convey.ShouldContainSubstring, string(i.machine.Identity().Digest))
 		})
+		// Symptom: an operator believes that an old bundle is in force again.
+		// Events: a replaced bundle is sent again, and accepted as it once was.
+		convey.Convey("a bundle that was replaced is not called in force", func() {
+			convey.So(b.run("bundle", "roll", file, "--to", to), convey.ShouldEqual, cli.ExitOK)
+			next := bundletest.Sample()
+			next.Version, next.Parent = 2, i.machine.Identity().Digest
+			i.accept(bundletest.Sign(next, "ayu", "budi"))
+			convey.So(i.machine.Identity().Version, convey.ShouldEqual, 2)
+			convey.So(b.run("bundle", "roll", file, "--to", to), convey.ShouldEqual, cli.ExitOK)
+			convey.So(b.out.String(), convey.ShouldContainSubstring, "version 2 has replaced it")
+			convey.So(b.out.String(), convey.ShouldNotContainSubstring, "in force in all")
+		})
 		convey.Convey("no answer has a code of its own", func() {
 			convey.So(b.run("bundle", "roll", file, "--to", gone), convey.ShouldEqual, cli.ExitUnreachable)
 			convey.So(b.run("status", "--to", gone), convey.ShouldEqual, cli.ExitUnreachable)
--- a/operate/cli/load.go
+++ b/operate/cli/load.go
@@ -18,14 +18,16 @@
 	Short: "Send a bounded load to instances on loopback and check every answer",
 	Long: `Sends requests at a mean rate, whether or not earlier ones have ended, to the
 instances that the directory names, and checks each answer: whole streams, the
-answer to the own prompt, the form of refusals. It refuses addresses that are not
-on loopback.
+answer to the own prompt, the form of refusals. It refuses addresses that are
+not on loopback.
 
-With --plain the requests run at most once, each with an Idempotency-Key; a share
-is sent again to another instance, and whatever ended unknown as well. --audit
-asks the service's stand-in targets at the end how often they ran each key.
+With --plain the requests run at most once, each with an Idempotency-Key; a
+share is sent again to another instance, and whatever ended unknown as well.
+--audit asks the service's stand-in targets at the end how often they ran each
+key.
 
-With --baseline the same load goes straight to a stand-in engine in the same run.
+With --baseline the same load goes straight to a stand-in engine in the same
+run.
 
 Exit code 1 if a stream ended without a mark, an answer or refusal was wrong, a
 key ran twice or a verdict was wrong. Refusals, and connections that broke, are
--- a/operate/cli/status.go
+++ b/operate/cli/status.go
@@ -15,8 +15,8 @@
 	Short: "Show what is in force, who leads and how it is served",
 	Long: `Shows the bundle in force in each region and who is behind, leaders and leases,
 voters and their disks, instances, targets, cost, tail latency and the share
-sent away, as one instance knows them. Lines that begin with "!" tell what to look at
-first; with --check the exit code is 1 if there are any.
+sent away, as one instance knows them. Lines that begin with "!" tell what to
+look at first; with --check the exit code is 1 if there are any.
 
 Example: gullhaven status --to 127.0.0.1:7112 --watch`,
 	New: func(env *Env) flags.Commander { return &status{env: env} },
--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
@@ -52,22 +51,13 @@
 }
 
 // Set makes and keeps one client for each address.
-type Set struct {
-	transports *sending.Transports
-	clients    sync.Map
-}
+type Set struct{ clients *sending.Clients[*Client] }
 
 // NewSet makes an empty set over the transports.
-func NewSet(t *sending.Transports) *Set { return &Set{transports: t} }
+func NewSet(t *sending.Transports) *Set { return &Set{clients: sending.NewClients(t, New)} }
 
 // Engine returns the client for an address.
-func (s *Set) Engine(address string) ports.Engine {
-	if c, ok := s.clients.Load(address); ok {
-		return c.(*Client)
-	}
-	c, _ := s.clients.LoadOrStore(address, New(address, s.transports))
-	return c.(*Client)
-}
+func (s *Set) Engine(address string) ports.Engine { return s.clients.At(address) }
 
 // Complete sends a completion.
 func (c *Client) Complete(ctx context.Context, m ports.Completion) (ports.Stream, error) {
--- a/ports/plainhttp/client.go
+++ b/ports/plainhttp/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 	"net/url"
-	"sync"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
@@ -49,19 +48,10 @@
 }
 
 // Set makes and keeps one client for each address.
-type Set struct {
-	transports *sending.Transports
-	clients    sync.Map
-}
+type Set struct{ clients *sending.Clients[*Client] }
 
 // NewSet makes an empty set over the transports.
-func NewSet(t *sending.Transports) *Set { return &Set{transports: t} }
+func NewSet(t *sending.Transports) *Set { return &Set{clients: sending.NewClients(t, New)} }
 
 // Plain returns the client for an address.
-func (s *Set) Plain(address string) ports.Plain {
-	if c, ok := s.clients.Load(address); ok {
-		return c.(*Client)
-	}
-	c, _ := s.clients.LoadOrStore(address, New(address, s.transports))
-	return c.(*Client)
-}
+func (s *Set) Plain(address string) ports.Plain { return s.clients.At(address) }
--- a/settings/check.go
+++ b/settings/check.go
@@ -171,22 +171,7 @@
 	c.require(len(b.Operators) > 0, "bootstrap.operators", "is empty; nobody could sign the first bundle")
 	c.require(b.SignOffs >= 1 && b.SignOffs <= max(len(b.Operators), 1), "bootstrap.sign_offs",
 		"is %d, but must be from 1 to the number of operators, %d", b.SignOffs, len(b.Operators))
-	ids := map[string]bool{}
-	owners := map[string]string{}
-	for i, operator := range b.Operators {
-		at := strict.Index("bootstrap.operators", i)
-		c.id(at+".id", operator.ID)
-		c.require(!ids[operator.ID], at+".id", "%q stands twice", operator.ID)
-		ids[operator.ID] = true
-		key, err := bundle.ParsePublicKey(operator.PublicKey)
-		if err != nil {
-			c.problems.Add(at+".public_key", "%v", err)
-			continue
-		}
-		owner, taken := owners[string(key)]
-		c.require(!taken, at+".public_key", "is the key of %q too", owner)
-		owners[string(key)] = operator.ID
-	}
+	c.problems = append(c.problems, bundle.CheckOperators("bootstrap.operators", b.Operators)...)
 }
 
 // platform checks the address that may be given.
