coord: say what a transport must carry, what Serve notices, how large Drift may be

Tried in memory with a transport that drops payloads over 100 KiB and a state of 240 KB: a node with a wiped disk was not back after 20 s of simulated time, and was without the bound. Nothing told an embedder. Nor did Serve say that a caller who gives up is not noticed, or lease.Config that Drift is not checked. Change: the comments and the README say so. Behaviour unchanged.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -51,7 +51,8 @@
 type Config struct {
 	// Duration of a lease, on its holder's clock.
 	Duration time.Duration
-	// Drift bounds how wrong the rate of any clock is, for example 0.001.
+	// Drift bounds how wrong the rate of any clock is, as a share from 0 to
+	// below 1, for example 0.001. It is not checked.
 	Drift float64
 }
 
--- a/coord/link/channel.go
+++ b/coord/link/channel.go
@@ -41,7 +41,8 @@
 }
 
 // Serve sets who answers Calls of a channel, in up to workers goroutines. The
-// context ends with the caller's deadline. An error that is a *verdict.Error
+// context ends with the caller's deadline or the Hub; a caller that gives up
+// before its deadline is not noticed. An error that is a *verdict.Error
 // reaches the caller with its verdict, code and message; any other as
 // MayHaveRun.
 func (h *Hub) Serve(name string, workers int, fn func(ctx context.Context, from string, payload []byte) ([]byte, error)) {
--- a/coord/replhost/options.go
+++ b/coord/replhost/options.go
@@ -40,6 +40,12 @@
 
 // Transport carries payloads to other nodes. It may lose, delay, repeat and
 // reorder them.
+//
+// A node that lags behind what others keep, or whose disk was lost, gets the
+// state machine's whole Snapshot in one payload. Where the transport refuses
+// payloads of that length such a node never catches up: its applied index stays
+// behind in Status, and a lost disk stays a learner. So the transport's bound
+// must lie above the longest Snapshot.
 type Transport interface {
 	// Send must not block for long, as the core goroutine calls it, and must not
 	// change payload.
