route: follow the number of instances in the region

Cause: routing took three instances for granted at every size; grants of neighbours are divided by that number, so a region of sixty would have used twenty times what it was granted. Change: SetInstances, told by the host with each view of the members. Result: route and pipeline tests pass; e2e EndToEnd, RegionAlone and Spill pass. Conclusion: at three instances nothing changes.

--- a/node/peers.go
+++ b/node/peers.go
@@ -121,6 +121,7 @@
 		}
 	}
 	n.regions.SetOwn(own)
+	n.pipeline.Routing().SetInstances(len(ids))
 	n.loads.SetMembers(ids)
 	n.limits.SetMembers(ids)
 }
--- a/pipeline/routing.go
+++ b/pipeline/routing.go
@@ -137,6 +137,19 @@
 	r.d.SetLinks(r.now(), links)
 }
 
+// instanceCounter is a Decider that cares how many instances decide alike.
+type instanceCounter interface{ SetInstances(n int) }
+
+// SetInstances tells how many instances of the region decide alike; Deciders
+// that don't care are not told.
+func (r *Routing) SetInstances(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c, ok := r.d.(instanceCounter); ok {
+		c.SetInstances(n)
+	}
+}
+
 // Report takes a load report.
 func (r *Routing) Report(l route.Report) {
 	r.mu.Lock()
--- a/route/events.go
+++ b/route/events.go
@@ -102,6 +102,10 @@
 	r.links = slices.Clone(links)
 }
 
+// SetInstances tells how many instances of the region decide alike, this one
+// included. It replaces Config.Instances; less than 1 counts as 1.
+func (r *Router) SetInstances(n int) { r.cfg.Instances = max(1, n) }
+
 // Report implements Decider. Reports of unknown targets are ignored, as are ones
 // older than the last. A time in the future is taken for now: believed, it would
 // hide what was sent since, and every report until then.
