--- a/api/server.go
+++ b/api/server.go
@@ -1,7 +1,7 @@
 // Package api serves the interface that api/design describes.
 //
 // goa's server decodes, validates and encodes what callers and operators ask,
-// and owns every route but one. Two things are mounted beside its generated
+// and owns every other route. Two things are mounted beside its generated
 // handlers, for the same reason: an answer's status and headers come from a
 // target, each chunk must be flushed, and refusals must be given before the
 // body is read. So the two completion methods have the request path as their
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -51,7 +51,7 @@
 //go:embed dev.json
 var devBundle []byte
 
-// runDev runs one instance with a stand-in engine and a plain service in this
+// runDev runs one instance with a stand-in engine and two plain services in this
 // process. Its disk is a folder that is removed at the end.
 func runDev(ctx context.Context, out, errOut io.Writer) error {
 	log, err := newLogger(errOut, "warn")
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -30,7 +30,7 @@
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"JSON settings of the instance"`
 	Check    bool   `long:"check" description:"Check the settings, print all faults and exit"`
-	Dev      bool   `long:"dev" description:"Run one instance with embedded defaults, a stand-in engine and a plain service inside, on 127.0.0.1:8080"`
+	Dev      bool   `long:"dev" description:"Run one instance with embedded defaults, a stand-in engine and plain services inside, on 127.0.0.1:8080"`
 }
 
 const usage = `Runs one instance of gullhaven.
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -17,13 +17,13 @@
 	readControl func() Control
 	control     atomic.Pointer[Control]
 
-	Requests, Answered, Refused, FailedMayHaveRun, FailedRan     gometrics.Counter
-	CutAnswers, CallersGone                                      gometrics.Counter
-	Attempts, Retries, Hedges, Resumes, LateAnswers              gometrics.Counter
-	MovedStreams, FailedMoves                                    gometrics.Counter
-	Duplicates, Reordered, Foreign, WrongAnswers, Chunks         gometrics.Counter
-	BodyBytes, Spilled, Replayed, ClaimsRecorded, ClaimsUnrecord gometrics.Counter
-	FirstByteTime, AnswerTime                                    *Times
+	Requests, Answered, Refused, FailedMayHaveRun, FailedRan       gometrics.Counter
+	CutAnswers, CallersGone                                        gometrics.Counter
+	Attempts, Retries, Hedges, Resumes, LateAnswers                gometrics.Counter
+	MovedStreams, FailedMoves                                      gometrics.Counter
+	Duplicates, Reordered, Foreign, WrongAnswers, Chunks           gometrics.Counter
+	BodyBytes, Spilled, Replayed, ClaimsRecorded, ClaimsUnrecorded gometrics.Counter
+	FirstByteTime, AnswerTime                                      *Times
 }
 
 // NewSet makes a registry with all metrics of the request path at zero.
@@ -52,7 +52,7 @@
 	s.Spilled = s.Counter(Spilled)
 	s.Replayed = s.Counter(Replayed)
 	s.ClaimsRecorded = s.Counter(ClaimsRecorded)
-	s.ClaimsUnrecord = s.Counter(ClaimsUnrecorded)
+	s.ClaimsUnrecorded = s.Counter(ClaimsUnrecorded)
 	s.FirstByteTime = s.Times(FirstByteTime)
 	s.AnswerTime = s.Times(AnswerTime)
 	return s
--- a/operate/cli/status_table.go
+++ b/operate/cli/status_table.go
@@ -40,7 +40,7 @@
 	_, _ = fmt.Fprintf(out, "%s in %s, %s (%s), up %s, %d requests under way\n", s.Instance, s.Region, s.Zone,
 		strings.Join(s.Roles, ", "), millisText(s.UptimeMillis), s.InFlight)
 	_, _ = fmt.Fprintf(out, "bundle: version %d, digest %s\n", s.Version, s.Digest)
-	_, _ = fmt.Fprintf(out, "leader: %s%s\n", orNone(s.Leader), lease(s.Lease))
+	_, _ = fmt.Fprintf(out, "leader: %s\n", leader(s.Leader, s.Lease))
 	printTrouble(out, s.Trouble())
 	printRegions(out, s)
 	if len(s.Voters) > 0 {
@@ -53,12 +53,12 @@
 	}
 }
 
-// lease is what is left of a leader's lease.
-func lease(l *operate.LeaseStatus) string {
+// leader names a leader, with what is left of its lease where that is known.
+func leader(name string, l *operate.LeaseStatus) string {
 	if l == nil {
-		return ""
+		return orNone(name)
 	}
-	return fmt.Sprintf(" (%s, term %d, lease %d ms)", l.Instance, l.Term, l.LeftMillis)
+	return fmt.Sprintf("%s (term %d, lease %d ms)", l.Instance, l.Term, l.LeftMillis)
 }
 
 // printTrouble tells what to look at first.
@@ -77,7 +77,7 @@
 			lagging = append(lagging, fmt.Sprintf("%s on %d for %s", i.Instance, i.Version, millisText(i.ForMillis)))
 		}
 		t.row(region.Region, fmt.Sprint(region.Version), regionState(region), millisText(region.AgeMillis)+" ago",
-			orNone(lease(region.Lease)), orNone(strings.Join(lagging, "; ")))
+			leader("", region.Lease), orNone(strings.Join(lagging, "; ")))
 	}
 	t.end()
 }
--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -75,7 +76,7 @@
 		case ports.SuspectRefused:
 			return f.explain(x, refuseSuspect())
 		}
-		err, again := f.step(x, q, s)
+		again, err := f.step(x, q, s)
 		if !again {
 			return f.explain(x, err)
 		}
@@ -93,9 +94,9 @@
 }
 
 // step follows one decision; again says that another one is to be made.
-func (f *Attempts) step(x *Exchange, q *route.Request, s send) (err error, again bool) {
+func (f *Attempts) step(x *Exchange, q *route.Request, s send) (again bool, err error) {
 	if x.Ctx.Err() != nil {
-		return x.Ctx.Err(), false
+		return false, x.Ctx.Err()
 	}
 	a := f.newAttempt(q)
 	a.decision = f.routing.Decide(a.route, q)
@@ -107,13 +108,13 @@
 		q.Crossed = true
 	case route.Hold:
 		if !f.routing.Hold(x.Ctx, a.decision.DecideAgain) {
-			return &verdict.Error{Code: CodeOverloaded, Message: "too many requests wait here", RetryAfter: retryLater}, false
+			return false, &verdict.Error{Code: CodeOverloaded, Message: "too many requests wait here", RetryAfter: retryLater}
 		}
-		return nil, true
+		return true, nil
 	default:
-		return refusalBy(a.decision), false
+		return false, refusalBy(a.decision)
 	}
-	return err, err != nil && f.again(x, q, asError(err))
+	return err != nil && f.again(x, q, asError(err)), err
 }
 
 // attempt follows a Send decision.
@@ -267,7 +268,7 @@
 // withRetryAfter says when to come back with what was refused unrun for want of
 // a target or of a region, neither of which lasts.
 func withRetryAfter(e *verdict.Error) *verdict.Error {
-	passing := StatusOf(e.Code) == statusUnavailable || (e.Code == CodeRegionUnreached && e.Verdict.Safe())
+	passing := StatusOf(e.Code) == http.StatusServiceUnavailable || (e.Code == CodeRegionUnreached && e.Verdict.Safe())
 	if e.RetryAfter == 0 && passing {
 		c := *e
 		c.RetryAfter = retryLater
@@ -276,8 +277,6 @@
 	return e
 }
 
-const statusUnavailable = 503
-
 var refusals = map[route.Reason]string{
 	route.ReasonUnknownService: "no target of an allowed region serves this",
 	route.ReasonNoTarget:       "no target can take work now",
--- a/pipeline/claiming.go
+++ b/pipeline/claiming.go
@@ -168,7 +168,7 @@
 			return f.join(x, j, print)
 		}
 	}
-	if err, joined := f.forward.join(x, step.Owner.ID); joined {
+	if joined, err := f.forward.join(x, step.Owner.ID); joined {
 		return err
 	}
 	e := *step.Err
--- a/pipeline/forward.go
+++ b/pipeline/forward.go
@@ -1,7 +1,6 @@
 package pipeline
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -48,21 +47,21 @@
 // join passes a resend on to the instance of this region that runs the request,
 // and relays the running attempt's answer. It reports false if that can't be
 // had; the claim that the other instance finds keeps it from running again.
-func (f *Forward) join(x *Exchange, owner string) (error, bool) {
+func (f *Forward) join(x *Exchange, owner string) (joined bool, err error) {
 	if f.deps.Forwarder == nil || x.Hops.Stepped(f.at.Region) || owner == f.at.Instance {
-		return nil, false
+		return false, nil
 	}
 	got, err := f.deps.Forwarder.Forward(x.Ctx, f.request(x, f.at.Region, owner))
 	if err != nil {
-		return nil, false
+		return false, nil
 	}
 	defer got.Body.Close()
 	if got.Header.Get(HeaderReplayed) != "true" {
-		return nil, false
+		return false, nil
 	}
 	x.replayed = true
 	x.W.Header().Set(HeaderReplayed, "true")
-	return f.pass(x, got), true
+	return true, f.pass(x, got)
 }
 
 func (f *Forward) request(x *Exchange, region, instance string) ports.ForwardRequest {
@@ -121,8 +120,8 @@
 
 // passEvents relays a streamed answer, whose end mark must come.
 func passEvents(x *Exchange, got *ports.PlainAnswer) error {
-	_, cancel := context.WithCancel(x.Ctx)
-	s := answer.NewStream("", 0, io.NopCloser(got.Body), cancel)
+	closed := func() {} // whoever gave the answer closes its body
+	s := answer.NewStream("", 0, io.NopCloser(got.Body), closed)
 	defer s.Close()
 	first, err := s.Next()
 	if err == io.EOF {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -70,17 +70,17 @@
 }
 
 func (b Bounds) withDefaults() Bounds {
-	orInt(&b.InFlight, 8192)
-	orInt(&b.Held, 256)
-	orInt(&b.BodyBytes, 4<<20)
-	orInt(&b.BodyTime, 10*time.Second)
-	orInt(&b.MaxDeadline, time.Hour)
-	orInt(&b.JournalBytes, 64<<20)
-	orInt(&b.JournalTime, time.Minute)
+	orDefault(&b.InFlight, 8192)
+	orDefault(&b.Held, 256)
+	orDefault(&b.BodyBytes, 4<<20)
+	orDefault(&b.BodyTime, 10*time.Second)
+	orDefault(&b.MaxDeadline, time.Hour)
+	orDefault(&b.JournalBytes, 64<<20)
+	orDefault(&b.JournalTime, time.Minute)
 	return b
 }
 
-func orInt[T int | int64 | time.Duration](v *T, def T) {
+func orDefault[T int | int64 | time.Duration](v *T, def T) {
 	if *v <= 0 {
 		*v = def
 	}
--- a/pipeline/recorder.go
+++ b/pipeline/recorder.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if !r.ring(home).TryPush(*c) {
-		r.metrics.ClaimsUnrecord.Inc(1)
+		r.metrics.ClaimsUnrecorded.Inc(1)
 	}
 }
 
@@ -91,7 +91,7 @@
 		if r.record(ctx, home, c) {
 			r.metrics.ClaimsRecorded.Inc(1)
 		} else {
-			r.metrics.ClaimsUnrecord.Inc(1)
+			r.metrics.ClaimsUnrecorded.Inc(1)
 		}
 	}
 }
