--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -306,10 +306,33 @@
 	}(i.cmd, i.exited)
 }
 
-// signal sends a signal to the process.
+// signal sends a signal to the process. A stop takes hold of one thread after
+// another, and what a test does next must find all of them stopped.
 func (i *instance) signal(s syscall.Signal) {
 	_ = i.cmd.Process.Signal(s)
 	i.stopped = s == syscall.SIGSTOP
+	if i.stopped {
+		i.c.eventually(i.id()+" is stopped", i.threadsStopped)
+	}
+}
+
+// threadsStopped checks the state of each thread of the process, the field
+// behind its name in parentheses.
+func (i *instance) threadsStopped() error {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", i.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return fmt.Errorf("no threads found: %v", err)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if _, state, _ := bytes.Cut(stat, []byte(") ")); !bytes.HasPrefix(state, []byte("T")) {
+			return fmt.Errorf("%s: %s", file, stat)
+		}
+	}
+	return nil
 }
 
 // kill ends the process at once and waits for it to be gone.
--- a/e2e/key_test.go
+++ b/e2e/key_test.go
@@ -118,7 +118,14 @@
 	i.kill()
 	i.writeKey(c.issue(c.authority, keys.Identity{Instance: "bali-0", Region: "bali"}))
 	i.start()
-	<-i.exited
+	c.eventually("it ends", func() error {
+		select {
+		case <-i.exited:
+			return nil
+		default:
+			return errorString("it runs")
+		}
+	})
 	log, err := os.ReadFile(filepath.Join(i.dir, "log"))
 	must(t, err)
 	if code := i.cmd.ProcessState.ExitCode(); code != 1 || !strings.Contains(string(log), `the key is that of instance "bali-0"`) {
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -155,7 +155,11 @@
 	c := startShape(t, shape{perRegion: 2, sites: true})
 	l, i, other := newLedger(c), c.in("jatim")[1], c.in("jatim")[0]
 	desk := c.sites["jatim"].desk
-	desk.SetFaults(standin.Fault{Kind: standin.FaultLate, DelayMillis: 3000})
+	// The one whose caller has left runs on after the last connection has ended.
+	desk.SetFaults(
+		standin.Fault{Kind: standin.FaultLate, Match: "waits", DelayMillis: 1500},
+		standin.Fault{Kind: standin.FaultLate, Match: "leaves", DelayMillis: 5000},
+	)
 	waits := make(chan *reply, 1)
 	go func() { waits <- c.mayBook(i, "waits") }()
 	leaves, leave := context.WithCancel(t.Context())
--- a/e2e/loop_test.go
+++ b/e2e/loop_test.go
@@ -16,31 +16,40 @@
 )
 
 // Symptom: a request travels between regions until its deadline.
-// Events: all regions may spill all they have; jatim and bali lose their
-// targets at the same moment, while each still holds the other for well.
+// Events: all regions may spill all they have; every engine seems well and
+// refuses each request, so that each region holds the others for better.
 // Cause: a hop that is not written, or not checked by the next instance.
 func TestSpillCrossesOnce(t *testing.T) {
 	c := startShape(t, shape{perRegion: 2, neighbours: true, sites: true})
 	c.awaitSpill("jatim")
-	before := c.requestsTaken()
-	c.sites["jatim"].engines[0].down()
-	c.sites["bali"].engines[0].down()
-	c.sites["jabar"].engines[0].down()
-	const requests = 24
+	c.sites["jatim"].engines[0].up()
+	c.awaitHome("jatim")
+	for _, s := range c.sites {
+		s.setFaults(standin.Fault{Kind: standin.FaultReject})
+	}
+	// Each is taken where its caller sent it, and once more if it was passed on.
+	const requests, most = 30, 2
+	passedOn := 0
 	for n := range requests {
-		i := c.in([]string{"jatim", "bali"}[n%2])[n/2%2]
-		r, err := c.request(i, http.MethodPost, "/v1/completions", i.settings.Region, briefingBody("nowhere", 4), nil)
+		before := c.requestsTaken()
+		i := c.in(regionNames[n%3])[n/3%2]
+		r, err := c.request(i, http.MethodPost, "/v1/completions", i.settings.Region, briefingBody("nowhere "+strconv.Itoa(n), 4), nil)
 		must(t, err)
 		if r.refusal.Verdict != verdict.NotRun || r.refusal.RetryAfterMillis == 0 {
 			t.Errorf("%s answered %d %s; want a refusal with when to come back", i.id(), r.status, r.body)
 		}
+		taken := c.requestsTaken() - before
+		if taken > most {
+			t.Errorf("request %d was taken %d times", n, taken)
+		}
+		passedOn += taken - 1
+		// Grants grow with time, and summaries come each second.
+		time.Sleep(pollInterval)
 	}
-	// A request is taken once where its caller sent it, and for each attempt of
-	// the bundle's rules at most once in one other region.
-	taken := c.requestsTaken() - before
-	if most := requests * (1 + c.bundle.Rules.MaxAttempts); taken < requests || taken > most {
-		t.Errorf("%d requests were taken in %d times; at most %d can be", requests, taken, most)
+	if passedOn == 0 {
+		t.Error("no request was passed on, so that none could loop")
 	}
+	t.Logf("%d of %d requests were passed on", passedOn, requests)
 }
 
 // requestsTaken counts the requests that all instances took in, those of other
@@ -286,3 +295,18 @@
 		r.refused(t, i.id(), pipeline.CodeSuspect, verdict.NotRun)
 	}
 }
+
+// Symptom: a region that lost its targets refuses although its neighbours idle.
+// Events: a region loses its engine before its neighbours have served anything
+// since their start.
+// Cause: a neighbour that knows no speed of its own yet, and so grants nothing.
+func TestIdleNeighboursTakeSpill(t *testing.T) {
+	c := startShape(t, shape{perRegion: 2, neighbours: true, sites: true})
+	c.sites["jatim"].engines[0].down()
+	n := 0
+	c.eventually("an idle neighbour answers", func() error {
+		n++
+		_, err := c.briefing(c.in("jatim")[0], "jatim", "spilled "+strconv.Itoa(n), 4)
+		return err
+	})
+}
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -106,7 +106,9 @@
 		f.run(l, through, f.name+"-again")
 		l.resend(c.in("jatim")[2], f.name+"-again")
 	}
-	l.elsewhere(through, c.in("bali")[1])
+	for _, there := range c.in("bali") {
+		l.elsewhere(through, there)
+	}
 	l.settle()
 }
 
@@ -146,15 +148,16 @@
 	c := l.c
 	c.t.Helper()
 	desk := c.sites[here.settings.Region].desk
+	moves, stays := "moves-"+there.id(), "stays-"+there.id()
 	desk.down()
-	l.book("refused at home", here, "moves", firstSending)
-	l.resend(there, "moves")
+	l.book("refused at home", here, moves, firstSending)
+	l.resend(there, moves)
 	desk.up()
-	l.resend(here, "moves")
-	l.book("ran at home", here, "stays", firstSending)
-	l.resend(there, "stays")
+	l.resend(here, moves)
+	l.book("ran at home", here, stays, firstSending)
+	l.resend(there, stays)
 	for n := range 10 {
-		key := fmt.Sprint("race-", n)
+		key := fmt.Sprint("race-", there.id(), "-", n)
 		var wg sync.WaitGroup
 		for _, i := range []*instance{here, there, c.in("jatim")[2]} {
 			wg.Go(func() {
