ports: bound the data of one event over all its lines

Cause: a line of a stream was bounded by 1 MiB, an event was not: an engine that sends data lines and never the blank line would take an instance's memory.

Change: the data of one event is bounded by the same 1 MiB; the answer ends with stream_cut, as it did for a long line.

Result: the new test reads to the end of its 16 MiB without the bound, and passes with it; tests of ports, pipeline and standin pass, vet and staticcheck report nothing.

--- a/ports/events.go
+++ b/ports/events.go
@@ -12,10 +12,11 @@
 // gathered in a buffer that grows.
 const eventBufferBytes = 2 << 10
 
-// MaxEventBytes bounds one line of a stream.
+// MaxEventBytes bounds one line of a stream, and the data of one event over all
+// its lines. An engine that never ends an event would else take all memory.
 const MaxEventBytes = 1 << 20
 
-// ErrEventTooLong is returned for a line above MaxEventBytes.
+// ErrEventTooLong is returned for a line or an event above MaxEventBytes.
 var ErrEventTooLong = errors.New("event too long")
 
 var eventReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, eventBufferBytes) }}
@@ -84,6 +85,9 @@
 			continue
 		}
 		fields += e.field(line)
+		if len(e.data) > MaxEventBytes {
+			return Event{}, ErrEventTooLong
+		}
 	}
 }
 
