operate/load: spread over other regions when none of the own answers

Cause: instances of other regions have weight 0 in the directory, so that their shares were 0 by 0: every caller took the last one.

Change: they are used in equal parts, and only if no instance of the own region is left, as docs/API.md asks of callers.

--- a/operate/load/directory.go
+++ b/operate/load/directory.go
@@ -46,26 +46,34 @@
 	return nil
 }
 
-// choose picks an instance by weight, pick from 0 to 1, leaving some out. It
-// returns "" if all are left out.
+// choose picks an instance by weight, pick from 0 up to 1, leaving some out.
+// Those of weight 0, which are of other regions, are used in equal parts, and
+// only if no other is left. It returns "" if all are left out.
 func choose(entries []entry, pick float64, without map[string]bool) string {
-	var left []entry
+	var weighted, far []entry
 	sum := 0.0
 	for _, e := range entries {
-		if !without[hostOf(e.URL)] {
-			left = append(left, e)
+		switch {
+		case without[hostOf(e.URL)]:
+		case e.Weight > 0:
+			weighted = append(weighted, e)
 			sum += e.Weight
+		default:
+			far = append(far, e)
 		}
 	}
-	if len(left) == 0 {
-		return ""
-	}
-	for _, e := range left {
+	for _, e := range weighted {
 		if pick -= e.Weight / sum; pick < 0 {
 			return hostOf(e.URL)
 		}
 	}
-	return hostOf(left[len(left)-1].URL)
+	if len(weighted) > 0 { // what rounding left over
+		return hostOf(weighted[len(weighted)-1].URL)
+	}
+	if len(far) == 0 {
+		return ""
+	}
+	return hostOf(far[int(pick*float64(len(far)))].URL)
 }
 
 // caller keeps what the directory told one caller.
--- a/operate/load/plan_test.go
+++ b/operate/load/plan_test.go
@@ -91,3 +91,21 @@
 		t.Fatalf("%v", got)
 	}
 }
+
+// Symptom: after a region's instances are lost, all callers crowd one instance of
+// another region. Cause: the shares of entries whose weights are all 0.
+func TestChooseSpreadsOverOtherRegions(t *testing.T) {
+	entries := []entry{{URL: "http://own", Weight: 1}, {URL: "http://a"}, {URL: "http://b"}}
+	got := map[string]int{}
+	const picks = 1000
+	for i := range picks {
+		pick := float64(i) / picks
+		got[choose(entries, pick, map[string]bool{"own": true})]++
+		if choose(entries, pick, nil) != "own" {
+			t.Fatal("chose another region while the own one answers")
+		}
+	}
+	if got["a"] != 500 || got["b"] != 500 {
+		t.Errorf("%v", got)
+	}
+}
