route: an idle region grants by its rated speeds; room for a full table of claims

Cause: capacity was learned from requests only, so a region that had served none since its start granted its neighbours nothing, and a region that lost its targets refused. Found by e2e TestIdleNeighboursTakeSpill. Ruled out: load reports (the same with the old ones), the exchange (summaries arrived). Change: without requests, capacity is that of requests of 1,000 and 200 tokens at rated speeds; link messages up to 64 MiB. The bound of messages is not tested over a link. Conclusion: spilling works from the start.

--- a/node/node.go
+++ b/node/node.go
@@ -53,8 +53,8 @@
 	// with 10,000 workspaces.
 	maxBundleEntry = 8 << 20
 	// maxLinkMessage bounds a message. The longest are a rolled bundle in JSON
-	// on its way to the leader, and a snapshot of the log.
-	maxLinkMessage = 16 << 20
+	// on its way to the leader, and the snapshot of a full table of claims, 26 MB.
+	maxLinkMessage = 64 << 20
 	// peersInterval is how often the view of peers is handed to the spreader.
 	peersInterval = time.Second
 	// drainInterval is the time between two looks at the work in progress.
--- a/route/idle_test.go
+++ b/route/idle_test.go
@@ -61,3 +61,25 @@
 		t.Errorf("late by less than nothing: come back after %v", d.RetryAfter)
 	}
 }
+
+// Symptom: a region that lost its targets refuses although its neighbours idle.
+// Events: a region has served nothing since its start, and summarises.
+// Cause: a capacity that is learned from requests only.
+func TestIdleRegionGrants(t *testing.T) {
+	r := New(Config{Region: "bali"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	r.SetTargets(now, []TargetSpec{{ID: "a", Service: "s", Region: "bali", Slots: 8, PrefillRate: 8000, DecodeRate: 800}})
+	r.SetLinks(now, []Link{{Region: "jatim", MaxShare: 0.2, Reachable: true}})
+	granted := 0.0
+	for range 60 {
+		now = now.Add(time.Second)
+		r.Report(now, Report{Target: "a", At: now})
+		for _, s := range r.Summarise(now) {
+			granted = s.FreeRate
+		}
+	}
+	// Eight requests of 1,000 tokens hold it for 2.1 s: at most 3.8 a second.
+	if granted <= 0 || granted > 3.8 {
+		t.Fatalf("grants %g requests a second", granted)
+	}
+}
--- a/route/summary.go
+++ b/route/summary.go
@@ -131,10 +131,32 @@
 	if !s.model {
 		return float64(max(1, t.spec.Slots)) / (s.plain * t.speed.first.factor())
 	}
-	if s.sent == 0 || t.spec.PrefillRate <= 0 {
+	if t.spec.PrefillRate <= 0 {
 		return 0
 	}
+	if s.sent == 0 {
+		return t.ratedCapacity()
+	}
 	bySlots := t.slots() / max(s.hold, speedFloor)
 	byPrefill := t.prefillRate() / max(1, s.uncached)
 	return min(bySlots, byPrefill)
 }
+
+// Size of a request, in tokens, that a service is taken for that has had none
+// since this instance started.
+const (
+	priorPrompt = 1000.0
+	priorOutput = 200.0
+)
+
+// ratedCapacity is the rate of requests of the prior size that a target bears
+// by its rated speeds, per second. An idle region would else grant nothing, and
+// refuse the work of a neighbour that lost its targets until it had some of its
+// own.
+func (t *target) ratedCapacity() float64 {
+	hold := priorPrompt / t.spec.PrefillRate
+	if t.spec.DecodeRate > 0 {
+		hold += priorOutput * t.slots() / t.spec.DecodeRate
+	}
+	return min(t.slots()/hold, t.spec.PrefillRate/priorPrompt)
+}
