--- a/node/loads/loads.go
+++ b/node/loads/loads.go
@@ -270,7 +270,7 @@
 			s.states[spec.ID] = spec.State
 			changed = true
 			if known {
-				s.o.Log.Info("target changed state", zap.String("target", string(spec.ID)), zap.Uint8("state", uint8(spec.State)))
+				s.o.Log.Info("target changed state", zap.String("target", string(spec.ID)), zap.Stringer("state", spec.State))
 			}
 		}
 	}
--- a/node/status.go
+++ b/node/status.go
@@ -15,7 +15,6 @@
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/replog"
 	"github.com/gullhaven/gullhaven/node/group"
-	"github.com/gullhaven/gullhaven/route"
 )
 
 const (
@@ -288,11 +287,6 @@
 	return ids
 }
 
-// stateNames are the words of the interface for a target's state.
-var stateNames = map[route.State]string{
-	route.Warm: "warm", route.Loading: "loading", route.Leaving: "leaving", route.Down: "down",
-}
-
 func (n *Node) targetStatus() []*operators.TargetStatus {
 	list := []*operators.TargetStatus{}
 	for _, spec := range n.loads.States() {
@@ -300,7 +294,7 @@
 		t := &operators.TargetStatus{
 			ID:      string(spec.ID),
 			Service: spec.Service,
-			State:   stateNames[spec.State],
+			State:   spec.State.String(),
 			Running: seen.Running,
 			Waiting: seen.Waiting,
 		}
--- a/route/types.go
+++ b/route/types.go
@@ -26,6 +26,20 @@
 	Down
 )
 
+// String is the word for a state in logs and in the operators' interface.
+func (s State) String() string {
+	switch s {
+	case Warm:
+		return "warm"
+	case Loading:
+		return "loading"
+	case Leaving:
+		return "leaving"
+	default:
+		return "down"
+	}
+}
+
 // TargetSpec is what the bundle and the platform say of a target.
 type TargetSpec struct {
 	ID       TargetID
