bundle/spread: keep the time of a region's state below a second

Symptom: bundle roll told a change as in force in all regions 5.3 to 6.0 s after it was accepted, and status named instances as lagging meanwhile, though the logs of all nine instances had it in force within 3 ms of each other.

Cause: the codec writes times in whole seconds by default. A relay tells its region's state when it installs a version, with members behind, and again when the last of them has come up. Both carried the same second, and a state that is not newer is dropped: only the repeat after five seconds was taken.

Change: spread messages keep microseconds.

--- a/bundle/spread/spread_test.go
+++ b/bundle/spread/spread_test.go
@@ -158,6 +158,26 @@
 	}
 }
 
+// Symptom: a change is in force everywhere within milliseconds, and told as in
+// force five seconds later. Events: a relay tells its region twice within one
+// second, first with members behind, then without. Cause: a wire form that cuts
+// times to seconds, by which the second state is no newer than the first.
+func TestInForceIsToldWithinASecond(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 3, 3, 3)
+		w.accept(bundletest.Sample(), noteChange)
+		w.run(w.now.Add(10*time.Second), func() bool { return false })
+		w.accept(nil, noteChange)
+		w.run(w.now.Add(10*time.Second), func() bool { return w.behind() == 0 })
+		w.run(w.now.Add(time.Second), func() bool { return false })
+		for _, s := range w.cores["r00-00"].Regions(w.now) {
+			if s.Newest.Version != 2 || len(s.Behind) != 0 {
+				t.Errorf("seed %d: %+v", seed, s)
+			}
+		}
+	}
+}
+
 // TestCostAtSize prints the time to be in force and the bytes of one change.
 // The bounds are those of the brief's plan: 4 s, and 8 KB/s for an instance.
 func TestCostAtSize(t *testing.T) {
--- a/bundle/spread/types.go
+++ b/bundle/spread/types.go
@@ -136,7 +136,20 @@
 const TickInterval = time.Second
 
 // Encode returns the wire form.
-func Encode(m Message) ([]byte, error) { return cbor.Marshal(m) }
+func Encode(m Message) ([]byte, error) { return writer.Marshal(m) }
+
+// writer keeps microseconds. The codec's default cuts times to seconds: of two
+// states that a relay tells within a second the later would be no newer, and
+// be dropped, so that a region would count as behind until the next repeat.
+var writer = newWriter()
+
+func newWriter() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err) // The options are constants of this package.
+	}
+	return mode
+}
 
 // reader bounds what a peer can make this instance allocate.
 var reader = newReader()
