e2e: no shared field read while it is written; long answers until both engines run

Cause: go test -race work found one race, in a test: a goroutine asked which processes run while the test stopped one; the race detector then failed all tests under way. Change: the instance is chosen before the goroutine starts; long answers are begun until both engines run two, at most 64. What is checked stays.

--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -67,21 +67,26 @@
 	must(c.t, err)
 }
 
+// maxLong bounds the long answers of one test.
+const maxLong = 64
+
 // long are answers of some seconds that run.
-type long struct{ results chan error }
+type long struct {
+	results chan error
+	started int
+}
 
-// startLong begins long answers until both engines of a site run some.
+// startLong begins long answers until both engines of a site run some. Which
+// engine takes one is drawn, so their number is not known before.
 func (c *cluster) startLong(name string, s *site) *long {
 	c.t.Helper()
-	l := &long{results: make(chan error, 64)}
+	l := &long{results: make(chan error, maxLong)}
 	before := []int64{s.engines[0].Counts().Runs, s.engines[1].Counts().Runs}
-	for n := range cap(l.results) / 8 {
-		go func() { l.results <- c.longBriefing(c.in("jatim")[n%3], fmt.Sprint(name, " ", n)) }()
-	}
 	c.eventually("both engines run long answers", func() error {
 		for k, e := range s.engines {
 			if e.Counts().Runs-before[k] < 2 {
-				return errorString("one idles")
+				l.another(c, name)
+				return errorString(fmt.Sprintf("one idles, %d begun", l.started))
 			}
 		}
 		return nil
@@ -89,6 +94,17 @@
 	return l
 }
 
+// another begins one more long answer, within the bound.
+func (l *long) another(c *cluster, name string) {
+	if l.started == maxLong {
+		return
+	}
+	n := l.started
+	l.started++
+	i := c.in("jatim")[n%3]
+	go func() { l.results <- c.longBriefing(i, fmt.Sprint(name, " ", n)) }()
+}
+
 // longBriefing checks an answer of about five seconds.
 func (c *cluster) longBriefing(i *instance, prompt string) error {
 	const tokens = 2500
@@ -102,7 +118,7 @@
 // finish waits for all answers, which must be whole.
 func (l *long) finish(t *testing.T) {
 	t.Helper()
-	for range cap(l.results) / 8 {
+	for range l.started {
 		if err := <-l.results; err != nil {
 			t.Error(err)
 		}
--- a/e2e/roll_test.go
+++ b/e2e/roll_test.go
@@ -81,10 +81,11 @@
 		b = c.next(b, "while the leader dies")
 		leader := c.leader()
 		signed := c.sign(b)
+		to := c.running()[0]
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_, _ = c.roll(c.running()[0], signed)
+			_, _ = c.roll(to, signed)
 		}()
 		leader.kill()
 		<-done
