pipeline: a spill that failed is not counted as sent away

Cause: the region of a spill stayed with the request when the other region refused it unrun and it was then served at home; share sent away and the cause of burn counted it. Found by reading. Change: the region is taken back before the next decision.

--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -114,7 +114,12 @@
 	default:
 		return false, refusalBy(a.decision)
 	}
-	return err != nil && f.again(x, q, asError(err)), err
+	again = err != nil && f.again(x, q, asError(err))
+	if again {
+		// A request that comes home after a failed spill was not sent away.
+		x.region = ""
+	}
+	return again, err
 }
 
 // attempt follows a Send decision.
--- a/pipeline/hop_test.go
+++ b/pipeline/hop_test.go
@@ -168,3 +168,39 @@
 	p.SetView(r.p.View())
 	return p.PeerHandler(KindChat, peerName).ServeHTTP
 }
+
+// spillsFirst spills what has not crossed, and then decides like another.
+type spillsFirst struct{ spiller }
+
+func (s spillsFirst) Decide(now time.Time, q *route.Request) route.Decision {
+	if q.Crossed {
+		return s.Decider.Decide(now, q)
+	}
+	return s.spiller.Decide(now, q)
+}
+
+// lastOutcome keeps what the observer was told last.
+type lastOutcome struct{ outcomes chan Outcome }
+
+func (l lastOutcome) Observe(o Outcome) { l.outcomes <- o }
+
+// Symptom: the share sent away counts requests that were served at home.
+// Events: the other region refuses a spilled request unrun; it is then answered
+// at home. Cause: the region of a failed spill is never taken back.
+func TestFailedSpillIsNotSentAway(t *testing.T) {
+	out := &peers{name: "malang-1", handlers: map[string]http.Handler{}}
+	told := lastOutcome{outcomes: make(chan Outcome, 1)}
+	jatim := newRig(t, withDeps(func(d *Deps) {
+		d.Decider, d.Forwarder, d.Observer = spillsFirst{spiller{d.Decider, "bali"}}, out, told
+	}))
+	out.handlers["bali"] = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		WriteRefusal(w, verdict.New(verdict.NotRun, CodeOverloaded, "full"))
+	})
+	resp := jatim.do(call{body: chat("p", false, 4)})
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	if o := <-told.outcomes; o.Region != "" || o.Target == "" || o.Code != "" {
+		t.Fatalf("%+v", o)
+	}
+}
