node: a caller that names an unknown region is sent to this one

Cause: the directory's line of docs/API.md, run against an example whose regions have other names, listed an instance of another region first: no instance was of the region asked for, so all had weight 0. Change: a region that is not known counts as the one that was asked.

--- a/node/directory.go
+++ b/node/directory.go
@@ -41,6 +41,11 @@
 	if q.Region == "" {
 		q.Region = d.region
 	}
+	known := func(e ports.DirectoryEntry) bool { return e.Region == q.Region }
+	if !slices.ContainsFunc(entries, known) {
+		// Not known here: the caller reached this region.
+		q.Region, q.Zone = d.region, ""
+	}
 	if q.Caller == "" {
 		q.Caller = strconv.FormatUint(rand.Uint64(), 36)
 	}
