e2e: run again when the product changes

Cause: the binary under test is built by TestMain, which the test cache does not see; a run after a change of node was answered from the cache. Change: the tests import the daemon for its effect on the cache.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -25,6 +25,9 @@
 	"github.com/gullhaven/gullhaven/api/gen/operators"
 	"github.com/gullhaven/gullhaven/bundle"
 	"github.com/gullhaven/gullhaven/coord/keys"
+	// The binary is built by TestMain, which the test cache does not see: with
+	// the import a change of the product runs the tests again.
+	_ "github.com/gullhaven/gullhaven/daemon"
 	"github.com/gullhaven/gullhaven/settings"
 )
 
