--- a/node/listen.go
+++ b/node/listen.go
@@ -19,11 +19,7 @@
 const headerTimeout = 10 * time.Second
 
 // server is one listening interface.
-type server struct {
-	name     string
-	http     *http.Server
-	listener net.Listener
-}
+type server struct{ http *http.Server }
 
 // shutdown takes no new connections and waits for those in use.
 func (s *server) shutdown(ctx context.Context) { _ = s.http.Shutdown(ctx) }
@@ -71,7 +67,7 @@
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	s := &server{name: name, listener: l, http: &http.Server{
+	s := &server{http: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          zap.NewStdLog(n.log.Named(name).WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
--- a/node/suspects/lone.go
+++ b/node/suspects/lone.go
@@ -130,7 +130,9 @@
 	candidates := s.o.Region.Candidates(service)
 	held := 0
 	for _, target := range candidates {
-		held += truth(s.held(target))
+		if s.held(target) {
+			held++
+		}
 	}
 	if held > 0 && float64(held+1) > maxHeldShare*float64(len(candidates)) {
 		return "", errNoTarget
@@ -150,13 +152,6 @@
 	return "", errNoTarget
 }
 
-func truth(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func (s *Service) held(target string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
