--- /dev/null
+++ b/bundle/routes/check.go
@@ -0,0 +1,65 @@
+package routes
+
+import (
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Check returns an error that names the first rule that the table breaks: a
+// route to an unknown service, two routes of the same host and prefix, weights
+// that add up to nothing, a timeout of nothing, or a prefix without its slashes.
+func (t *Table) Check() error {
+	services := map[string]bool{}
+	for _, s := range t.Services {
+		if s.Name == "" {
+			return errors.NotValidf("service without a name")
+		}
+		if services[s.Name] {
+			return errors.NotValidf("service %q that stands twice", s.Name)
+		}
+		services[s.Name] = true
+	}
+	places := map[[2]string]string{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.check(services); err != nil {
+			return err
+		}
+		place := [2]string{r.Host, r.Prefix}
+		if other, taken := places[place]; taken {
+			return errors.NotValidf("route %q: host %q and prefix %q are those of route %q too;", r.Name, r.Host, r.Prefix, other)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) check(services map[string]bool) error {
+	if r.Host == "" {
+		return errors.NotValidf("route %q without a host", r.Name)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.NotValidf("route %q: prefix %q without a slash at both ends", r.Name, r.Prefix)
+	}
+	if r.Timeout <= 0 {
+		return errors.NotValidf("route %q: timeout of %v", r.Name, r.Timeout)
+	}
+	if len(r.Split) == 0 {
+		return errors.NotValidf("route %q without a service", r.Name)
+	}
+	total := 0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return errors.NotValidf("route %q: unknown service %q", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return errors.NotValidf("route %q: weight %d of service %q", r.Name, s.Weight, s.Service)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return errors.NotValidf("route %q: weights that add up to 0", r.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/bundle/routes/match.go
@@ -0,0 +1,63 @@
+package routes
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Index finds routes and services of one table. It is read-only.
+type Index struct {
+	Table    *Table
+	byHost   map[string][]*Route // longest prefix first
+	services map[string]*Service
+}
+
+// NewIndex prepares a table for lookups. The table must not change afterwards.
+func NewIndex(t *Table) *Index {
+	x := &Index{Table: t, byHost: map[string][]*Route{}, services: map[string]*Service{}}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+	}
+	for _, list := range x.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range t.Services {
+		x.services[t.Services[i].Name] = &t.Services[i]
+	}
+	return x
+}
+
+// Match returns the route of the longest prefix, or nil.
+func (x *Index) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range x.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Pick chooses a service of the route by weight. u is uniform over all values,
+// for example a hash of the request's id, which keeps repeats at one service.
+func (r *Route) Pick(u uint64) string {
+	total := uint64(0)
+	for _, s := range r.Split {
+		total += uint64(s.Weight)
+	}
+	at := u % total
+	for _, s := range r.Split {
+		if at < uint64(s.Weight) {
+			return s.Service
+		}
+		at -= uint64(s.Weight)
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- a/coord/link/hub.go
+++ b/coord/link/hub.go
@@ -23,6 +23,7 @@
 	"unicode/utf8"
 
 	"github.com/coder/websocket"
+	"github.com/juju/errors"
 
 	"github.com/gullhaven/gullhaven/coord/keys"
 )
@@ -64,7 +65,7 @@
 	}
 	h := &Hub{
 		o:        o,
-		self:     o.Key.Identity.Instance,
+		self:     o.self(),
 		urgent:   map[string]bool{},
 		peers:    map[string]*peer{},
 		channels: map[handlerKey]*channel{},
@@ -181,13 +182,13 @@
 
 // accept turns a request of a peer into a connection and reads it to its end.
 func (h *Hub) accept(w http.ResponseWriter, r *http.Request) {
-	id, err := keys.PeerIdentity(r.TLS)
-	if err != nil || id.Instance == h.self || !h.o.Allow(id.Instance) {
+	id, err := h.peerOf(r)
+	if err != nil || id == h.self || !h.o.Allow(id) {
 		h.counters.acceptRefusals.Add(1)
 		http.Error(w, "no link for this peer", http.StatusForbidden)
 		return
 	}
-	p := h.peer(id.Instance)
+	p := h.peer(id)
 	if p == nil || !h.enter() {
 		http.Error(w, "closing", http.StatusServiceUnavailable)
 		return
@@ -205,6 +206,20 @@
 	}
 }
 
+// peerOf is the id of the peer that dialled, as its certificate proves it or, on
+// a link without TLS, as it states it.
+func (h *Hub) peerOf(r *http.Request) (string, error) {
+	if h.o.Plain != "" {
+		id := r.Header.Get(plainHeader)
+		if id == "" {
+			return "", errors.NotValidf("link without the id of its peer")
+		}
+		return id, nil
+	}
+	id, err := keys.PeerIdentity(r.TLS)
+	return id.Instance, err
+}
+
 // enter counts a goroutine in, unless the Hub is closing.
 func (h *Hub) enter() bool {
 	h.mu.RLock()
--- a/coord/link/options.go
+++ b/coord/link/options.go
@@ -26,8 +26,12 @@
 // Options are the settings of a Hub. Zero values mean the defaults above, where
 // there is one.
 type Options struct {
+	// Plain, if set, is the id of this instance on links without TLS: each end
+	// believes the id that the other one states. It is for private networks
+	// whose every host is trusted, never a default; Key is not used then.
+	Plain string
 	// Key proves who this instance is; its Identity.Instance is the id by
-	// which peers know it. Required.
+	// which peers know it. Required unless Plain is set.
 	Key *keys.Key
 	// Address returns where an instance listens (IP:port); false means that it
 	// is not known. Required. It is called from several goroutines.
@@ -75,9 +79,20 @@
 	OnLink func(peer string, up bool)
 }
 
+// plainHeader carries the id of the dialling instance on links without TLS.
+const plainHeader = "Link-Instance"
+
+// self is the id by which peers know this instance.
+func (o *Options) self() string {
+	if o.Plain != "" {
+		return o.Plain
+	}
+	return o.Key.Identity.Instance
+}
+
 func (o Options) withDefaults() (Options, error) {
-	if o.Key == nil || o.Address == nil || o.Rand == nil {
-		return o, errors.NotValidf("link options without Key, Address or Rand")
+	if (o.Key == nil) == (o.Plain == "") || o.Address == nil || o.Rand == nil {
+		return o, errors.NotValidf("link options without one of Key and Plain, Address or Rand")
 	}
 	set(&o.Path, DefaultPath)
 	set(&o.RingSize, DefaultRingSize)
--- a/coord/link/writer.go
+++ b/coord/link/writer.go
@@ -272,13 +272,16 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, o.DialTimeout)
 	defer cancel()
-	transport := &http.Transport{
-		TLSClientConfig: o.Key.ClientConfig(p.id),
-		DialContext:     dialTuned,
+	transport := &http.Transport{DialContext: dialTuned}
+	scheme, header := "ws", http.Header{plainHeader: {o.Plain}}
+	if o.Plain == "" {
+		transport.TLSClientConfig = o.Key.ClientConfig(p.id)
+		scheme, header = "wss", nil
 	}
 	// Without this a refused upgrade would leave its connection open.
 	defer transport.CloseIdleConnections()
-	ws, _, err := websocket.Dial(ctx, "wss://"+addr+o.Path, &websocket.DialOptions{
+	ws, _, err := websocket.Dial(ctx, scheme+"://"+addr+o.Path, &websocket.DialOptions{
+		HTTPHeader: header,
 		HTTPClient: &http.Client{Transport: transport},
 	})
 	return ws, errors.Annotatef(err, "link to %s", p.id)
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -39,6 +39,7 @@
   gullhavend --dev
   gullhavend --settings instance.json --check
   gullhavend --settings instance.json
+  gullhavend site --settings site.json
   gullhavend standin --engines 127.0.0.1:7201 --plain 127.0.0.1:7251
 
 SIGTERM and SIGINT end it gracefully: other instances stop naming it to
@@ -85,6 +86,11 @@
 	if err != nil {
 		return err
 	}
+	site := &siteOptions{}
+	siteCommand, err := parser.AddCommand("site", "Run an instance of a site", "Runs one instance that routes by host and path, on a platform that lists its targets, until it is ended.", site)
+	if err != nil {
+		return err
+	}
 	rest, err := parser.ParseArgs(args)
 	if err != nil {
 		return err
@@ -95,6 +101,8 @@
 	switch {
 	case parser.Active == command:
 		return standins.run(ctx, out)
+	case parser.Active == siteCommand:
+		return site.run(ctx, out)
 	case o.Dev && o.Settings == "":
 		return runDev(ctx, out, errOut)
 	case o.Settings != "" && !o.Dev:
--- /dev/null
+++ b/node/control/instance.go
@@ -0,0 +1,321 @@
+// Package control runs a core instance: a member of the group that accepts
+// configurations, with the board of who is there.
+//
+// Duties, each a goroutine: the member itself (coord/replhost), joining and
+// changing the group, reading the platform's list of targets, and gossip with the
+// other core instances. Entry instances and operators are answered on top.
+package control
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/admit"
+	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/node/feed"
+)
+
+// Times of the group, whose members are regions apart: the round trip between two
+// of them is 160 ms, and an election must not begin by one late heartbeat.
+const (
+	heartbeat = 200 * time.Millisecond
+	election  = 1500 * time.Millisecond
+)
+
+const (
+	// snapshotEntries is the number of changes between snapshots, keepEntries of
+	// those kept for members that lag: configurations of 100 KB make 26 MB of log.
+	snapshotEntries = 256
+	keepEntries     = 64
+	// maxDocument bounds a configuration in bytes, as the limit on a body does.
+	maxDocument = 4 << 20
+	// maxMessage bounds a message between instances: a snapshot with one document.
+	maxMessage = maxDocument + 1<<20
+	// callTime bounds one operation on the group. Operators give a call a second.
+	callTime = 900 * time.Millisecond
+	// serveWorkers bounds the calls of one channel that are answered at once:
+	// each entry instance waits in one.
+	serveWorkers = 256
+)
+
+// Channels of the link.
+const (
+	channelGroup   = "group"
+	channelPropose = "propose"
+	channelJoin    = "join"
+	channelGossip  = "gossip"
+	channelList    = "list"
+	// ChannelReport is where entry instances report.
+	ChannelReport = "report"
+)
+
+// Options of an Instance.
+type Options struct {
+	Self feed.Core
+	// Seeds are core instances by id.
+	Seeds []string
+	// FirstStart says that the whole system starts for the first time; the seeds
+	// then form the group.
+	FirstStart bool
+	// Dir is the folder on the disk.
+	Dir string
+	// Parse reads and checks a configuration.
+	Parse func(document []byte) (*routes.Table, error)
+	// ReadList reads the platform's list of targets.
+	ReadList func(ctx context.Context) ([]feed.Target, error)
+	Log      *zap.Logger
+}
+
+// Instance is a core instance.
+type Instance struct {
+	o       Options
+	log     *zap.Logger
+	hub     *link.Hub
+	node    *replhost.Node
+	machine *newest.Machine
+	board   *feed.Board
+	members *admit.Group
+	// membersMu guards members, which the joining duty and calls of others use.
+	membersMu sync.Mutex
+	// newcomer says that this instance stands for a voter that is gone.
+	newcomer bool
+	// gossipNow wakes the gossip before its time.
+	gossipNow chan struct{}
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// transport sends the group's messages over the link.
+type transport struct{ hub *link.Hub }
+
+// Send queues a message; a full queue loses it, which the log tolerates.
+func (t transport) Send(to string, payload []byte) { t.hub.Send(to, channelGroup, payload) }
+
+// New recovers the log and registers what the instance answers. Start begins its
+// duties.
+func New(o Options) (*Instance, error) {
+	i := &Instance{
+		o: o, log: o.Log, board: feed.NewBoard(o.Self), members: admit.New(admit.Rules{}),
+		gossipNow: make(chan struct{}, 1),
+	}
+	i.machine = newest.NewMachine(i.changed)
+	hub, err := link.New(LinkOptions(o.Self.ID))
+	if err != nil {
+		return nil, err
+	}
+	i.hub = hub
+	core := replog.Options{
+		Self:              replog.Member{ID: o.Self.ID},
+		HeartbeatInterval: heartbeat,
+		ElectionTimeout:   election,
+	}
+	if o.FirstStart && contains(o.Seeds, o.Self.ID) {
+		core.Bootstrap = &replog.Bootstrap{Voters: o.Seeds}
+	}
+	i.node, err = replhost.Open(replhost.Options{
+		Core: core, Dir: o.Dir, Transport: transport{hub}, StateMachine: i.machine, Clock: replhost.BootClock{},
+		SnapshotEntries: snapshotEntries, KeepEntries: keepEntries, MaxProposalBytes: maxDocument + 1<<10,
+		Repair: true, Promote: func(replog.Member) bool { return true },
+	})
+	if err != nil {
+		hub.Close()
+		return nil, err
+	}
+	i.newcomer = i.node.Status().New && !o.FirstStart
+	hub.Handle(channelGroup, i.node.Receive)
+	hub.Handle(channelGossip, i.gossiped)
+	hub.Serve(channelPropose, serveWorkers, i.servePropose)
+	hub.Serve(channelJoin, serveWorkers, i.serveJoin)
+	hub.Serve(channelList, serveWorkers, i.serveList)
+	hub.Serve(ChannelReport, serveWorkers, i.serveReport)
+	return i, nil
+}
+
+// LinkOptions are those of the links between core and entry instances: ids are
+// addresses, and the network between the instances is private.
+func LinkOptions(self string) link.Options {
+	return link.Options{
+		Plain:       self,
+		Address:     func(id string) (string, bool) { return id, true },
+		Urgent:      []string{channelGroup},
+		MaxMessage:  maxMessage,
+		DialTimeout: time.Second,
+		PingAfter:   700 * time.Millisecond,
+		PingTimeout: 700 * time.Millisecond,
+		BackoffCeil: 500 * time.Millisecond,
+		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Links answers the links of other instances; mount it at link.DefaultPath.
+func (i *Instance) Links() http.Handler { return i.hub.Handler() }
+
+// Board is the soft state.
+func (i *Instance) Board() *feed.Board { return i.board }
+
+// Start begins the duties.
+func (i *Instance) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	for _, duty := range []func(context.Context){i.runJoining, i.runList, i.runGossip, i.watchNode} {
+		i.wg.Go(func() { duty(ctx) })
+	}
+}
+
+// Stop hands leadership on, ends the duties and closes the log.
+func (i *Instance) Stop() error {
+	i.handOver()
+	i.cancel()
+	err := i.node.Stop()
+	i.hub.Close()
+	i.wg.Wait()
+	return err
+}
+
+// handOver gives leadership to a voter that answers, so that no election timeout
+// passes without a leader.
+func (i *Instance) handOver() {
+	s := i.node.Status().Core
+	if s.Role != replog.Leader {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	for _, p := range s.Peers {
+		if !p.Voter || !p.CaughtUp {
+			continue
+		}
+		if err := i.node.Transfer(ctx, p.Member.ID); err != nil {
+			i.log.Warn("leadership was not handed over", zap.String("to", p.Member.ID), zap.Error(err))
+			continue
+		}
+		i.awaitSuccessor(ctx)
+		return
+	}
+}
+
+func (i *Instance) awaitSuccessor(ctx context.Context) {
+	tick := time.NewTicker(heartbeat / 4)
+	defer tick.Stop()
+	for i.node.Status().Core.Role == replog.Leader {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ended is closed when the log has failed; the process should end then, so that
+// it is started anew on its disk.
+func (i *Instance) Ended() <-chan struct{} { return i.node.Ended() }
+
+// watchNode logs changes of the leader and the failure of the log.
+func (i *Instance) watchNode(ctx context.Context) {
+	tick := time.NewTicker(heartbeat)
+	defer tick.Stop()
+	var leader string
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.node.Ended():
+			i.log.Error("the log has ended", zap.Error(i.node.Status().Err))
+			return
+		case <-tick.C:
+		}
+		s := i.node.Status().Core
+		if s.Leader.ID == leader {
+			continue
+		}
+		leader = s.Leader.ID
+		i.log.Info("leader", zap.String("leader", leader), zap.Uint64("term", s.Term),
+			zap.Stringer("config", s.Config), zap.Uint64("applied", s.Applied))
+	}
+}
+
+// changed is called after each change of the accepted state.
+func (i *Instance) changed(s *newest.State) {
+	i.log.Info("accepted", zap.Uint64("version", s.Version), zap.Uint64("index", s.Index),
+		zap.Strings("evacuated", s.Zones()))
+	i.board.Wake()
+}
+
+// led reports whether this instance hears from a leader.
+func (i *Instance) led() bool {
+	s := i.node.Status()
+	if s.State != replhost.Running || s.Core.Leader.ID == "" {
+		return false
+	}
+	return s.Core.Leader.ID != i.o.Self.ID || !i.node.LeaseUntil().IsZero()
+}
+
+// serveReport answers an entry instance, at once if there is news and else after
+// the time that it allows.
+func (i *Instance) serveReport(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var r feed.Report
+	if err := cbor.Unmarshal(payload, &r); err != nil {
+		return nil, err
+	}
+	i.board.Reported(time.Now(), r.Self)
+	if r.First {
+		// An instance that has just started must not serve a version that is older
+		// than one acknowledged before its start: this member may lag.
+		if err := i.confirm(ctx); err != nil {
+			return nil, err
+		}
+	}
+	wait := time.NewTimer(time.Duration(r.WaitMillis) * time.Millisecond)
+	defer wait.Stop()
+	changed := i.board.Changed()
+	if i.machine.State().Index <= r.Index && i.board.List().Digest == r.Digest {
+		select {
+		case <-changed:
+		case <-wait.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return cbor.Marshal(i.update(r))
+}
+
+func (i *Instance) update(r feed.Report) feed.Update {
+	u := feed.Update{Led: i.led()}
+	if s := i.machine.State(); s.Index > r.Index {
+		u.State = s
+	}
+	i.board.Fill(time.Now(), r, &u)
+	return u
+}
+
+// confirm returns nil once this member holds everything that was acknowledged
+// before the call.
+func (i *Instance) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return i.node.Read(ctx)
+}
+
+// errNoDocument: no configuration was accepted yet.
+var errNoDocument = errors.New("no configuration was accepted yet")
--- /dev/null
+++ b/node/entry/follow.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/node/control"
+	"github.com/gullhaven/gullhaven/node/feed"
+)
+
+const (
+	// reportWait is how long the followed core instance may hold a report back where
+	// there is no news: the loads of the others are that old at most, and a few
+	// reports a second cost an instance under 1% of a core.
+	reportWait = 200 * time.Millisecond
+	// reportTime bounds a report beyond its wait: a wide-area trip and a busy core
+	// instance.
+	reportTime = 700 * time.Millisecond
+	// compareInterval is the time between two reports to a second core instance: the
+	// followed one may be cut off from the others without knowing it yet.
+	compareInterval = 1500 * time.Millisecond
+	// failPause is the time after a report that failed.
+	failPause = 100 * time.Millisecond
+)
+
+// knowledge is what the core instances have told.
+type knowledge struct {
+	state *newest.State
+	list  feed.List
+	cores []feed.Core
+	// entries are the other entry instances.
+	entries []feed.Entry
+	regions []feed.Summary
+	// parsed is the version that the view was made of.
+	parsed uint64
+}
+
+// follow reports to one core instance again and again, the next one after a failure
+// or when it hears from no leader.
+func (i *Instance) follow(ctx context.Context) {
+	at := 0
+	for ctx.Err() == nil {
+		cores := i.candidates()
+		to := cores[at%len(cores)]
+		u, err := i.report(ctx, to, reportWait)
+		if err != nil {
+			at++
+			i.log.Debug("report failed", zap.String("to", to), zap.Error(err))
+			pause(ctx, failPause)
+			continue
+		}
+		i.learn(u)
+		if !u.Led {
+			at++
+			pause(ctx, failPause)
+		}
+	}
+}
+
+// compare asks one core instance after the other for news that the followed one may
+// lack.
+func (i *Instance) compare(ctx context.Context) {
+	for at := 1; ctx.Err() == nil; at++ {
+		pause(ctx, compareInterval)
+		cores := i.candidates()
+		u, err := i.report(ctx, cores[at%len(cores)], 0)
+		if err == nil {
+			i.learn(u)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// candidates are the core instances, those of the own zone and region first, in an
+// order that differs from instance to instance; before any is known, the seeds.
+func (i *Instance) candidates() []string {
+	i.mu.Lock()
+	cores := slices.Clone(i.known.cores)
+	i.mu.Unlock()
+	if len(cores) == 0 {
+		return i.o.Seeds
+	}
+	distance := func(c feed.Core) int {
+		switch {
+		case c.Zone == i.o.Self.Zone:
+			return 0
+		case c.Region == i.o.Self.Region:
+			return 1
+		}
+		return 2
+	}
+	order := func(c feed.Core) uint64 { return xxhash.Sum64String(i.o.Self.ID + c.ID) }
+	slices.SortFunc(cores, func(a, b feed.Core) int {
+		if d := distance(a) - distance(b); d != 0 {
+			return d
+		}
+		if order(a) < order(b) {
+			return -1
+		}
+		return 1
+	})
+	out := make([]string, 0, len(cores)+len(i.o.Seeds))
+	for _, c := range cores {
+		out = append(out, c.ID)
+	}
+	for _, id := range i.o.Seeds {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// report tells a core instance of this one and returns its news.
+func (i *Instance) report(ctx context.Context, to string, wait time.Duration) (*feed.Update, error) {
+	payload, err := cbor.Marshal(i.makeReport(wait))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+reportTime)
+	defer cancel()
+	answer, err := i.hub.Call(ctx, to, control.ChannelReport, payload)
+	if err != nil {
+		return nil, err
+	}
+	u := &feed.Update{}
+	return u, cbor.Unmarshal(answer, u)
+}
+
+func (i *Instance) makeReport(wait time.Duration) feed.Report {
+	self := i.o.Self
+	self.Ready = i.Ready()
+	for id, l := range i.pool.Loads() {
+		self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread})
+	}
+	r := feed.Report{Self: self, WaitMillis: wait.Milliseconds()}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	r.First = i.known.state == nil
+	if i.known.state != nil {
+		r.Index = i.known.state.Index
+	}
+	r.Digest = i.known.list.Digest
+	return r
+}
--- /dev/null
+++ b/node/entry/instance.go
@@ -0,0 +1,143 @@
+// Package entry runs an entry instance: it takes the requests of callers and keeps
+// its view of the surroundings by reporting to core instances.
+//
+// Duties, each a goroutine: following one core instance, comparing with a second one,
+// and closing idle connections. It has no disk and is no member of the group.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/node/control"
+	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// Options of an Instance.
+type Options struct {
+	// Self is what it tells of itself; Ready and Loads are filled in.
+	Self feed.Entry
+	// Seeds are core instances by id.
+	Seeds []string
+	// Parse reads a configuration.
+	Parse   func(document []byte) (*routes.Table, error)
+	Dialect exchange.Dialect
+	Retries exchange.RetryLimits
+	Log     *zap.Logger
+}
+
+// Instance is an entry instance.
+type Instance struct {
+	o       Options
+	log     *zap.Logger
+	hub     *link.Hub
+	pool    *pick.Pool
+	gateway *exchange.Gateway
+	targets *rawhttp.Client
+	peers   *rawhttp.Client
+
+	draining atomic.Bool
+	// mu guards known.
+	mu    sync.Mutex
+	known knowledge
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// Times of passing on: another region is 80 ms away.
+const (
+	peerDialTime = time.Second
+	peerIdleTime = 20 * time.Second
+	// peerSilence is how long bytes to another region may stay unacknowledged: a cut
+	// shows within it, and lost packets are sent again in it.
+	peerSilence = 2 * time.Second
+)
+
+// New assembles an instance. Start begins its duties.
+func New(o Options) (*Instance, error) {
+	hub, err := link.New(control.LinkOptions(o.Self.ID))
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{
+		o: o, log: o.Log, hub: hub,
+		pool:    pick.New(o.Self.ID),
+		targets: rawhttp.NewClient(rawhttp.Options{}),
+		peers:   rawhttp.NewClient(rawhttp.Options{DialTime: peerDialTime, IdleTime: peerIdleTime, Silence: peerSilence}),
+	}
+	i.gateway = exchange.New(exchange.Options{
+		Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Targets: i.targets, Peers: i.peers,
+		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
+	})
+	return i, nil
+}
+
+// Callers serves callers.
+func (i *Instance) Callers() http.Handler { return i.gateway }
+
+// Peers serves the links and the requests of other instances.
+func (i *Instance) Peers() http.Handler {
+	links, passed := i.hub.Handler(), i.gateway.PassedOn()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == link.DefaultPath {
+			links.ServeHTTP(w, r)
+			return
+		}
+		passed.ServeHTTP(w, r)
+	})
+}
+
+// Ready reports whether it takes requests.
+func (i *Instance) Ready() bool { return !i.draining.Load() && i.gateway.View() != nil }
+
+// Gateway is the request path.
+func (i *Instance) Gateway() *exchange.Gateway { return i.gateway }
+
+// Start begins the duties.
+func (i *Instance) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	for _, duty := range []func(context.Context){i.follow, i.compare, i.targets.Run, i.peers.Run} {
+		i.wg.Go(func() { duty(ctx) })
+	}
+}
+
+// Drain stops being ready and being named to callers; requests are still served, and
+// each answer closes its connection.
+func (i *Instance) Drain() {
+	i.draining.Store(true)
+	i.gateway.Drain()
+}
+
+// Stop ends the duties.
+func (i *Instance) Stop() {
+	i.cancel()
+	i.hub.Close()
+	i.wg.Wait()
+}
+
+// Callers' addresses for a region: those of ready entry instances of the region, or
+// of all regions where it has none.
+func (i *Instance) Addresses(region string) []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	list := i.known.entries
+	if i.Ready() {
+		self := i.o.Self
+		self.Ready = true
+		list = append([]feed.Entry{self}, list...)
+	}
+	return feed.CallerAddresses(list, region)
+}
--- /dev/null
+++ b/node/entry/learn.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// learn takes in what a core instance tells. Neither the state of the log nor the list
+// goes back: the core instance may lag.
+func (i *Instance) learn(u *feed.Update) {
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	k := &i.known
+	if u.State != nil && (k.state == nil || u.State.Index > k.state.Index) {
+		k.state = u.State
+	}
+	if readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond); u.ListAgeMillis >= 0 && readAt.After(k.list.ReadAt) {
+		if u.Digest == k.list.Digest {
+			k.list.ReadAt = readAt
+		} else if u.Targets != nil {
+			k.list = feed.List{Targets: u.Targets, Digest: u.Digest, ReadAt: readAt}
+		}
+	}
+	if u.Led || len(k.cores) == 0 {
+		k.cores = u.Cores
+	}
+	k.entries, k.regions = u.Entries, u.Regions
+	i.show(now)
+}
+
+// show makes the view of what is known.
+func (i *Instance) show(now time.Time) {
+	k := &i.known
+	if k.state == nil || k.state.Version == 0 {
+		return
+	}
+	view := i.gateway.View()
+	next := &exchange.View{Regions: map[exchange.RegionService]exchange.RegionLoad{}, Entries: len(k.entries) + 1}
+	if view != nil {
+		next.Index = view.Index
+	}
+	if k.parsed != k.state.Version {
+		index, err := i.parse(k.state.Document)
+		if err != nil {
+			i.log.Error("an accepted configuration cannot be read", zap.Uint64("version", k.state.Version), zap.Error(err))
+			return
+		}
+		next.Index, k.parsed = index, k.state.Version
+		i.log.Info("in force", zap.Uint64("version", k.state.Version), zap.Int("routes", len(index.Table.Routes)))
+	}
+	evacuated := map[string]bool{}
+	for _, zone := range k.state.Zones() {
+		evacuated[zone] = true
+	}
+	i.showRegions(next, evacuated)
+	i.pool.Update(now, i.snapshot(next.Index, evacuated))
+	i.gateway.SetView(next)
+}
+
+func (i *Instance) parse(document []byte) (*routes.Index, error) {
+	table, err := i.o.Parse(document)
+	if err != nil {
+		return nil, err
+	}
+	return routes.NewIndex(table), nil
+}
+
+// showRegions sums up the other regions.
+func (i *Instance) showRegions(v *exchange.View, evacuated map[string]bool) {
+	for _, e := range i.known.entries {
+		if e.Ready && e.Region != i.o.Self.Region {
+			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region})
+		}
+	}
+	for _, t := range i.known.list.Targets {
+		if t.Region == i.o.Self.Region || t.Draining || evacuated[t.Zone] || t.ColdMillis > 0 {
+			continue
+		}
+		key := exchange.RegionService{Region: t.Region, Service: t.Service}
+		load := v.Regions[key]
+		load.Targets++
+		load.Slots += t.Slots
+		v.Regions[key] = load
+	}
+	for _, s := range i.known.regions {
+		key := exchange.RegionService{Region: s.Region, Service: s.Service}
+		if load, ok := v.Regions[key]; ok {
+			load.Running, load.Unread = load.Running+s.Running, load.Unread+s.Unread
+			v.Regions[key] = load
+		}
+	}
+}
+
+// snapshot is what the pool needs to know.
+func (i *Instance) snapshot(index *routes.Index, evacuated map[string]bool) pick.Snapshot {
+	k := &i.known
+	s := pick.Snapshot{Evacuated: evacuated, Loads: map[string]pick.Load{}, Rules: map[string]pick.ServiceRules{}}
+	for _, t := range k.list.Targets {
+		if t.Region != i.o.Self.Region {
+			continue
+		}
+		target := pick.Target{
+			ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Slots: t.Slots, Draining: t.Draining,
+		}
+		if t.ColdMillis > 0 {
+			target.ColdUntil = k.list.ReadAt.Add(time.Duration(t.ColdMillis) * time.Millisecond)
+		}
+		s.Targets = append(s.Targets, target)
+	}
+	if i.Ready() || i.gateway.View() == nil {
+		s.Entries = append(s.Entries, i.o.Self.ID)
+	}
+	for _, e := range k.entries {
+		if e.Region != i.o.Self.Region {
+			continue
+		}
+		if e.Ready {
+			s.Entries = append(s.Entries, e.ID)
+		}
+		for _, l := range e.Loads {
+			sum := s.Loads[l.Target]
+			s.Loads[l.Target] = pick.Load{Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread}
+		}
+	}
+	for _, service := range index.Table.Services {
+		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond}
+		if service.Engine != nil {
+			rules.Engine, rules.MemoryTokens = true, service.Engine.MemoryTokens
+		}
+		s.Rules[service.Name] = rules
+	}
+	return s
+}
--- /dev/null
+++ b/node/feed/types.go
@@ -0,0 +1,123 @@
+// Package feed keeps instances informed of each other: entry instances tell core
+// instances that they are there and what they have sent to targets, and get back
+// the configuration, the evacuated zones, the list of targets and who else is
+// there. Core instances exchange the same among themselves.
+//
+// All of this is soft state: each piece has one author, an age, and is replaced by
+// the next. Only the configuration and the evacuations come from the replicated
+// log.
+package feed
+
+import (
+	"time"
+
+	"github.com/gullhaven/gullhaven/bundle/newest"
+)
+
+// Entry is what an entry instance tells of itself.
+type Entry struct {
+	// ID is its address for other instances, IP:port.
+	ID     string `cbor:"1,keyasint"`
+	Region string `cbor:"2,keyasint"`
+	Zone   string `cbor:"3,keyasint"`
+	// Callers is its address for callers.
+	Callers string `cbor:"4,keyasint"`
+	// Ready says that it takes requests; a leaving instance does not.
+	Ready bool `cbor:"5,keyasint,omitempty"`
+	// Loads are what it has sent and what has not ended yet.
+	Loads []Load `cbor:"6,keyasint,omitempty"`
+	// AgeMillis is how old the report is where it is handed on.
+	AgeMillis int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Load is what one instance has under way at one target.
+type Load struct {
+	Target string `cbor:"1,keyasint"`
+	// Running counts requests, Unread the prompt tokens of those among them that
+	// have not answered yet.
+	Running int `cbor:"2,keyasint"`
+	Unread  int `cbor:"3,keyasint,omitempty"`
+}
+
+// Core is an instance that keeps the replicated log.
+type Core struct {
+	// ID is its address for other instances, IP:port.
+	ID     string `cbor:"1,keyasint"`
+	Region string `cbor:"2,keyasint"`
+	Zone   string `cbor:"3,keyasint"`
+}
+
+// Target is one back end as the platform lists it.
+type Target struct {
+	// ID is new at each start of the target.
+	ID      string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	Region  string `cbor:"5,keyasint"`
+	// Slots is how many requests it runs at once.
+	Slots int `cbor:"6,keyasint,omitempty"`
+	// Draining targets get nothing new.
+	Draining bool `cbor:"7,keyasint,omitempty"`
+	// ColdMillis is how long it stays cold, counted from the reading of the list.
+	ColdMillis int64 `cbor:"8,keyasint,omitempty"`
+}
+
+// List is one reading of the platform's list.
+type List struct {
+	Targets []Target
+	// Digest is of the targets; equal lists have equal digests.
+	Digest uint64
+	// ReadAt is when it was read, by the clock of this instance.
+	ReadAt time.Time
+}
+
+// Report is what an entry instance asks a core instance with.
+type Report struct {
+	Self Entry `cbor:"1,keyasint"`
+	// Index and Digest are what it holds of the log's state and the list.
+	Index  uint64 `cbor:"2,keyasint,omitempty"`
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// First asks for a state that is confirmed by a majority: the asker has
+	// started and holds none.
+	First bool `cbor:"4,keyasint,omitempty"`
+	// WaitMillis is how long the answer may wait for a change.
+	WaitMillis int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Update answers a Report.
+type Update struct {
+	// State is set if it is newer than Report.Index.
+	State *newest.State `cbor:"1,keyasint,omitempty"`
+	// Led says that the core instance hears from the leader of the log.
+	Led bool `cbor:"2,keyasint,omitempty"`
+	// Targets are set if their digest is another than Report.Digest.
+	Targets []Target `cbor:"3,keyasint,omitempty"`
+	Digest  uint64   `cbor:"4,keyasint,omitempty"`
+	// ListAgeMillis is how long ago the list was read; negative if never.
+	ListAgeMillis int64   `cbor:"5,keyasint"`
+	Cores         []Core  `cbor:"6,keyasint,omitempty"`
+	Entries       []Entry `cbor:"7,keyasint,omitempty"`
+	// Regions sums up the load of the other regions.
+	Regions []Summary `cbor:"8,keyasint,omitempty"`
+}
+
+// Summary is the load of one service in one region.
+type Summary struct {
+	Region  string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	// Running and Unread are summed over its targets, as in Load.
+	Running int `cbor:"3,keyasint"`
+	Unread  int `cbor:"4,keyasint"`
+}
+
+// Gossip is what a core instance tells another one.
+type Gossip struct {
+	From    Core      `cbor:"1,keyasint"`
+	Entries []Entry   `cbor:"2,keyasint,omitempty"`
+	Regions []Summary `cbor:"3,keyasint,omitempty"`
+	// Digest and ListAgeMillis are of the newest list that the sender has read
+	// itself; Digest is 0 if it has not read.
+	Digest        uint64 `cbor:"4,keyasint,omitempty"`
+	ListAgeMillis int64  `cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/pipeline/exchange/choose.go
@@ -0,0 +1,149 @@
+package exchange
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+const (
+	// wideCost is what passing a request to another region costs it, in
+	// milliseconds: two trips of 80 ms and a few more in between.
+	wideCost = 170.0
+	// spillMargin is how much cheaper another region must look, in milliseconds:
+	// what is known of it is up to a second old, and the traffic between regions is
+	// paid for.
+	spillMargin = 150.0
+	// readRate is that of package pick, in prompt tokens a millisecond.
+	readRate = 38.0
+	// overSlot is the cost of each request beyond a region's slots, in milliseconds.
+	overSlot = 60.0
+	// mostSends bounds how often one request is sent or tried to be sent.
+	mostSends = 4
+)
+
+// place is where one attempt goes: a target of the own region or a peer of another.
+type place struct {
+	choice *pick.Choice
+	peer   Peer
+}
+
+// pickCall is what the pool needs to know.
+func (q *request) pickCall() pick.Call {
+	return pick.Call{
+		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens, Tried: q.tried,
+	}
+}
+
+// choose finds the next place, or says why there is none.
+func (q *request) choose(now time.Time) (*place, verdict.Code) {
+	c := q.pickCall()
+	if !q.route.Allows(q.g.o.Region) {
+		if peer, ok := q.choosePeer(c, math.Inf(1)); ok {
+			return &place{peer: peer}, ""
+		}
+		return nil, CodeNoTarget
+	}
+	local := q.g.o.Pool.Estimate(now, c)
+	if peer, ok := q.choosePeer(c, local); ok {
+		return &place{peer: peer}, ""
+	}
+	choice, _ := q.g.o.Pool.Pick(now, c)
+	if choice == nil {
+		return nil, CodeNoTarget
+	}
+	return &place{choice: choice}, ""
+}
+
+// choosePeer finds an instance of another region where the request costs less. A
+// request crosses regions once, and a stream that has begun stays.
+func (q *request) choosePeer(c pick.Call, local float64) (Peer, bool) {
+	if q.from != nil {
+		return Peer{}, false
+	}
+	best, bestCost := "", local-spillMargin
+	if math.IsInf(local, 1) {
+		bestCost = local
+	}
+	for key, load := range q.view.Regions {
+		if key.Service != q.service || load.Targets == 0 || !q.route.Allows(key.Region) || q.triedRegions[key.Region] {
+			continue
+		}
+		if cost := regionCost(load, c); cost < bestCost || cost == bestCost && key.Region < best {
+			best, bestCost = key.Region, cost
+		}
+	}
+	if best == "" {
+		return Peer{}, false
+	}
+	return q.peerOf(best)
+}
+
+// regionCost estimates the milliseconds until the first event from another region.
+func regionCost(load RegionLoad, c pick.Call) float64 {
+	targets := float64(load.Targets)
+	cost := wideCost + (float64(load.Unread)/targets+float64(c.PromptTokens))/readRate
+	if over := load.Running + 1 - load.Slots; load.Slots > 0 && over > 0 {
+		cost += overSlot * float64(over) / targets
+	}
+	return cost + float64(load.Running)/targets
+}
+
+// peerOf draws an entry instance of a region.
+func (q *request) peerOf(region string) (Peer, bool) {
+	var of []Peer
+	for _, p := range q.view.Peers {
+		if p.Region == region {
+			of = append(of, p)
+		}
+	}
+	if len(of) == 0 {
+		return Peer{}, false
+	}
+	return of[q.g.uniform()%uint64(len(of))], true
+}
+
+// toTarget is the request as a target gets it.
+func (q *request) toTarget(choice *pick.Choice, now time.Time) *rawhttp.Request {
+	raw := q.raw
+	raw.Header = forwardable(q.r.Header)
+	q.g.o.Dialect.Prepare(raw.Header, Sending{
+		Left: q.until.Sub(now), Target: choice.ID, Rank: q.route.Priority, Streaming: len(q.call.Parts) > 0,
+		After: q.last, HasAfter: q.has,
+	})
+	return &raw
+}
+
+// toPeer is the request as an instance of another region gets it.
+func (q *request) toPeer(now time.Time) *rawhttp.Request {
+	raw := q.raw
+	raw.Header = forwardable(q.r.Header)
+	p := passed{
+		From: q.g.o.Region, Version: q.view.Index.Table.Version, Left: q.until.Sub(now) - wideTrip,
+		Attempts: max(1, q.attempts-q.runs),
+	}
+	p.write(raw.Header)
+	if q.has {
+		raw.Header.Set(headerAfter, strconv.FormatInt(q.last, 10))
+	}
+	return &raw
+}
+
+// wideTrip is how long an answer takes from another region.
+const wideTrip = 80 * time.Millisecond
+
+// takeAfter reads from which event on another instance wants a stream.
+func takeAfter(h http.Header) (after int64, ok bool, err error) {
+	text := h.Get(headerAfter)
+	if text == "" {
+		return 0, false, nil
+	}
+	h.Del(headerAfter)
+	after, err = strconv.ParseInt(text, 10, 64)
+	return after, err == nil, err
+}
--- /dev/null
+++ b/pipeline/exchange/finish.go
@@ -0,0 +1,91 @@
+package exchange
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+)
+
+// Times after which a refused caller should come back, at most a third of what it has
+// left.
+const (
+	// retryNoView: an instance that starts has a view within half a second.
+	retryNoView = 500 * time.Millisecond
+	// retrySoon: targets come and go within seconds; another instance may know more.
+	retrySoon = 250 * time.Millisecond
+)
+
+// refusal ends a request without a target's answer.
+type refusal struct {
+	status int
+	code   verdict.Code
+	// retry says when to come back; only where the request has not run.
+	retry time.Duration
+	// close has the connection closed: what follows on it cannot be trusted.
+	close bool
+}
+
+// refuse writes a final answer of the system's own. 429 and 503 promise that the
+// request has not run and never will.
+func (q *request) refuse(f *refusal) {
+	h := q.w.Header()
+	if q.from != nil && f.status == http.StatusServiceUnavailable {
+		h.Set(headerRefused, string(f.code))
+	}
+	if f.close {
+		h.Set("Connection", "close")
+	}
+	if f.retry > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.retry.Seconds(), 'f', 2, 64))
+	}
+	if q.call.ID != "" {
+		h.Set("X-Request-Id", q.call.ID)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	body := string(f.code) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.w.WriteHeader(f.status)
+	// The caller may have left; there is nothing more to tell it.
+	_, _ = q.w.Write([]byte(body))
+	q.g.count(f.status)
+	q.g.o.Log.Info("refused", zap.String("id", q.call.ID), zap.Int("status", f.status), zap.String("code", string(f.code)),
+		zap.Stringer("verdict", q.verdict), zap.Int("sends", q.sends), zap.Duration("after", time.Since(q.began)),
+		zap.String("service", q.service), zap.Bool("passed", q.from != nil))
+}
+
+func (g *Gateway) count(status int) {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		g.Counters.Refused.Add(1)
+		return
+	}
+	g.Counters.Failed.Add(1)
+}
+
+// giveUp gives the final answer when no attempt has ended in one.
+func (q *request) giveUp(code verdict.Code) {
+	switch {
+	case q.begun:
+		// The answer must not look complete.
+		q.g.Counters.Failed.Add(1)
+		q.g.o.Log.Info("broke off", zap.String("id", q.call.ID), zap.String("code", string(code)),
+			zap.Duration("after", time.Since(q.began)), zap.Int("sends", q.sends))
+		panic(http.ErrAbortHandler)
+	case q.r.Context().Err() != nil:
+		q.g.Counters.Left.Add(1)
+		q.g.o.Log.Debug("caller left", zap.String("id", q.call.ID), zap.Duration("after", time.Since(q.began)))
+		panic(http.ErrAbortHandler)
+	case q.held != nil:
+		q.deliver(q.held)
+	case q.verdict == verdict.NotRun:
+		left := time.Until(q.until)
+		q.refuse(&refusal{status: http.StatusServiceUnavailable, code: code, retry: max(50*time.Millisecond, min(retrySoon, left/3))})
+	case time.Now().Before(q.until):
+		q.refuse(&refusal{status: http.StatusBadGateway, code: code})
+	default:
+		q.refuse(&refusal{status: http.StatusGatewayTimeout, code: code})
+	}
+}
--- /dev/null
+++ b/pipeline/exchange/gateway.go
@@ -0,0 +1,132 @@
+package exchange
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/coord/retry"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// Limits of the common retry budget, which each instance keeps by a static share.
+type RetryLimits struct {
+	// Span, Share and Allowance are those of retry.Window for all instances
+	// together.
+	Span             time.Duration
+	Share, Allowance float64
+}
+
+// Options of a Gateway.
+type Options struct {
+	Region  string
+	Dialect Dialect
+	Pool    *pick.Pool
+	// Targets and Peers send to targets and to instances of other regions.
+	Targets, Peers *rawhttp.Client
+	Retries        RetryLimits
+	Rand           *rand.Rand
+	Log            *zap.Logger
+}
+
+// Gateway serves requests.
+type Gateway struct {
+	o        Options
+	view     atomic.Pointer[View]
+	draining atomic.Bool
+	inFlight atomic.Int64
+	Counters Counters
+
+	mu      sync.Mutex
+	windows map[string]*retry.Window
+}
+
+// New makes a Gateway that refuses all until it has a view.
+func New(o Options) *Gateway {
+	return &Gateway{o: o, windows: map[string]*retry.Window{}}
+}
+
+// SetView replaces the view.
+func (g *Gateway) SetView(v *View) { g.view.Store(v) }
+
+// View returns the view; nil before the first.
+func (g *Gateway) View() *View { return g.view.Load() }
+
+// Drain has each further answer close its connection.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// InFlight is the number of requests in progress.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Counters count since the start.
+type Counters struct {
+	Requests, PassedOn, Served, Refused, Failed, Left atomic.Uint64
+	Sent, Retried, Resumed, Spilled                   atomic.Uint64
+}
+
+// shares of the common retry budget.
+const (
+	// budgetMargin is the part of the common bound that is used: the senders'
+	// windows and the judge's do not begin at the same moment.
+	budgetMargin = 0.75
+	// fewestEntries is the least number of senders that the allowance is shared
+	// among: an instance that knows of no others may only be cut off from them.
+	fewestEntries = 6
+)
+
+// window is the budget of a service.
+func (g *Gateway) window(now time.Time, service string, entries int) *retry.Window {
+	w := g.windows[service]
+	allowance := budgetMargin * g.o.Retries.Allowance / float64(max(entries, fewestEntries))
+	if w == nil {
+		w = retry.NewWindow(now, g.o.Retries.Span, budgetMargin*g.o.Retries.Share, allowance)
+		g.windows[service] = w
+	}
+	w.SetAllowance(allowance)
+	return w
+}
+
+// countFirst counts the first sending of a request.
+func (g *Gateway) countFirst(now time.Time, service string, entries int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.window(now, service, entries).First(now)
+}
+
+// mayRepeat reports whether the budget allows one more sending, and counts it.
+func (g *Gateway) mayRepeat(now time.Time, service string, entries int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.window(now, service, entries).TryExtra(now)
+}
+
+// uniform draws a number.
+func (g *Gateway) uniform() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.o.Rand.Uint64()
+}
+
+// ServeHTTP serves a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.Counters.Requests.Add(1)
+	g.serve(w, r, nil)
+}
+
+// PassedOn serves requests of entry instances of other regions.
+func (g *Gateway) PassedOn() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.Counters.PassedOn.Add(1)
+		p, err := readPassed(r.Header)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		g.serve(w, r, p)
+	})
+}
--- /dev/null
+++ b/pipeline/exchange/send.go
@@ -0,0 +1,223 @@
+package exchange
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// run sends the request until an attempt ends in a final answer or none may follow.
+func (q *request) run() {
+	q.g.countFirst(q.began, q.service, q.view.Entries)
+	for {
+		now := time.Now()
+		place, code := q.choose(now)
+		if place == nil {
+			q.giveUp(code)
+			return
+		}
+		if q.attempt(place, now) {
+			q.g.Counters.Served.Add(1)
+			return
+		}
+		if code, ok := q.mayGoOn(); !ok {
+			q.giveUp(code)
+			return
+		}
+	}
+}
+
+// mayGoOn reports whether one more attempt may follow a failed one.
+func (q *request) mayGoOn() (verdict.Code, bool) {
+	now := time.Now()
+	switch {
+	case q.ctx.Err() != nil || !now.Before(q.until):
+		return CodeTimeout, false
+	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.attempts):
+		return CodeTargetLost, false
+	case q.sends >= mostSends:
+		return CodeNoTarget, false
+	case q.arrived() && !q.g.mayRepeat(now, q.service, q.view.Entries):
+		return CodeNoTarget, false
+	}
+	q.g.Counters.Retried.Add(1)
+	return "", true
+}
+
+// arrived reports whether an attempt has reached a target, be it turned away.
+func (q *request) arrived() bool { return q.turnedAway || q.runs > 0 }
+
+// attempt sends the request to one place and reports whether the caller has its final
+// answer.
+func (q *request) attempt(p *place, now time.Time) bool {
+	q.sends++
+	q.g.Counters.Sent.Add(1)
+	if p.choice == nil {
+		return q.attemptPeer(p.peer, now)
+	}
+	q.tried = append(q.tried, p.choice.ID)
+	a, err := q.g.o.Targets.Do(q.ctx, p.choice.Address, q.toTarget(p.choice, now))
+	if err != nil {
+		p.choice.Done(time.Now(), q.lost(p.choice.ID, err))
+		return false
+	}
+	done, result := q.take(a, p.choice)
+	p.choice.Done(time.Now(), result)
+	if !done {
+		q.logAttempt(p.choice.ID, a, result)
+	}
+	return done
+}
+
+func (q *request) logAttempt(target string, a *rawhttp.Answer, result pick.Result) {
+	q.g.o.Log.Info("attempt failed", zap.String("id", q.call.ID), zap.String("target", target), zap.Int("status", a.StatusCode),
+		zap.Uint8("result", uint8(result)), zap.Stringer("verdict", q.verdict), zap.Duration("after", time.Since(q.began)))
+}
+
+// attemptPeer passes the request on to another region.
+func (q *request) attemptPeer(peer Peer, now time.Time) bool {
+	if q.triedRegions == nil {
+		q.triedRegions = map[string]bool{}
+	}
+	q.triedRegions[peer.Region] = true
+	q.g.Counters.Spilled.Add(1)
+	a, err := q.g.o.Peers.Do(q.ctx, peer.Address, q.toPeer(now))
+	if err != nil {
+		q.lost(peer.Address, err)
+		return false
+	}
+	if a.Header.Get(headerRefused) != "" {
+		_, complete := readWhole(a)
+		a.Close(complete)
+		return false
+	}
+	done, _ := q.take(a, nil)
+	return done
+}
+
+// lost takes in an attempt without an answer and says what it tells of the target.
+func (q *request) lost(target string, err error) pick.Result {
+	var f *rawhttp.Failure
+	if !errors.As(err, &f) {
+		f = &rawhttp.Failure{Verdict: verdict.MayHaveRun, Err: err}
+	}
+	q.verdict = q.verdict.Join(f.Verdict)
+	if f.Verdict != verdict.NotRun {
+		q.runs++
+	}
+	q.g.o.Log.Info("attempt lost", zap.String("id", q.call.ID), zap.String("target", target), zap.Bool("dial", f.Dial),
+		zap.Bool("reused", f.Reused), zap.Error(f.Err), zap.Duration("after", time.Since(q.began)))
+	if q.ctx.Err() != nil || f.Reused {
+		return pick.Neutral
+	}
+	return pick.Lost
+}
+
+// take reads an answer and relays it, or finds that another attempt is needed. choice
+// is nil for an answer of another instance.
+func (q *request) take(a *rawhttp.Answer, choice *pick.Choice) (done bool, result pick.Result) {
+	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
+	switch {
+	case reply.Gone:
+		q.turnedAway = true
+		_, complete := readWhole(a)
+		a.Close(complete)
+		return false, pick.Gone
+	case reply.NotRun:
+		q.turnedAway = true
+		_, complete := readWhole(a)
+		a.Close(complete)
+		return false, pick.Full
+	case !reply.Signed || reply.ID != q.call.ID || a.Header.Get("Content-Encoding") != "":
+		// Bytes that belong to another request or to none.
+		a.Close(false)
+		q.ran(verdict.MayHaveRun)
+		return false, pick.Failed
+	case q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK:
+		return q.takeStream(a, choice)
+	}
+	return q.takeWhole(a)
+}
+
+// ran counts a target that ran the request or may have.
+func (q *request) ran(v verdict.Verdict) {
+	q.runs++
+	q.verdict = q.verdict.Join(v)
+}
+
+// wholeAnswer is an answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// maxWhole bounds an answer that is read whole, in bytes.
+const maxWhole = 16 << 20
+
+// readWhole reads a body to its end and reports whether that was its true end.
+func readWhole(a *rawhttp.Answer) ([]byte, bool) {
+	if a.ContentLength == 0 {
+		return nil, true
+	}
+	if n := a.ContentLength; n > 0 && n <= maxWhole && a.Request == nil {
+		body := make([]byte, n)
+		_, err := io.ReadFull(a.Body, body)
+		return body, err == nil
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+	return body, err == nil && len(body) <= maxWhole
+}
+
+// takeWhole relays an answer that is no stream of events. It is read whole first: one
+// that breaks off can be asked for again, and never looks complete.
+func (q *request) takeWhole(a *rawhttp.Answer) (bool, pick.Result) {
+	body, complete := readWhole(a)
+	a.Close(complete)
+	if !complete {
+		q.ran(verdict.MayHaveRun)
+		if q.ctx.Err() != nil {
+			return false, pick.Neutral
+		}
+		return false, pick.Failed
+	}
+	q.ran(verdict.Ran)
+	answer := &wholeAnswer{status: a.StatusCode, header: a.Header, body: body}
+	if a.StatusCode < http.StatusInternalServerError {
+		q.deliver(answer)
+		return true, pick.Good
+	}
+	if q.begun {
+		return false, pick.Failed
+	}
+	if q.route.Repeatable() && q.runs < q.attempts {
+		q.held = answer
+		return false, pick.Failed
+	}
+	q.deliver(answer)
+	return true, pick.Failed
+}
+
+// deliver writes a target's answer as it came.
+func (q *request) deliver(answer *wholeAnswer) {
+	h := q.w.Header()
+	copyAnswerHeaders(h, answer.header)
+	if q.r.Method == http.MethodHead {
+		if v := answer.header.Get("Content-Length"); v != "" {
+			h.Set("Content-Length", v)
+		}
+	} else {
+		setLength(h, len(answer.body))
+	}
+	q.w.WriteHeader(answer.status)
+	// The caller may have left; its context tells.
+	_, _ = q.w.Write(answer.body)
+}
--- /dev/null
+++ b/pipeline/exchange/types.go
@@ -0,0 +1,123 @@
+// Package exchange serves requests by host and path: it finds the route, chooses
+// targets, sends the request as it came and relays the answer unchanged.
+//
+// The steps, a file each: accept (read the request whole, find the route), choose
+// (own region or a neighbour), send (one attempt and its verdict), relay (whole
+// answers and event streams), finish (the final answer). What surrounds the product
+// is met through a Dialect, which knows the header names.
+package exchange
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// Call is what the headers of a request say.
+type Call struct {
+	// ID names one attempt of a caller; targets echo it.
+	ID string
+	// Deadline is how long the caller waits; 0 if it does not say.
+	Deadline time.Duration
+	// Model, Parts and PromptTokens describe a prompt; empty for other requests.
+	Model        string
+	Parts        []pick.Part
+	PromptTokens int
+	// OutputTokens is the most that the answer may have.
+	OutputTokens int
+	// After is the id of the last event that the caller has; HasAfter says that it
+	// gave one.
+	After    int64
+	HasAfter bool
+}
+
+// Sending is what the headers towards a target carry.
+type Sending struct {
+	// Left is how long the target may take.
+	Left time.Duration
+	// Target is the id of the one that is meant; another one must not run it.
+	Target string
+	// Rank is the route's priority.
+	Rank int
+	// Streaming says that Rank orders the engine's queue.
+	Streaming bool
+	// After and HasAfter ask for the events after an id.
+	After    int64
+	HasAfter bool
+}
+
+// Reply is what the headers of a target's answer say.
+type Reply struct {
+	// ID is the echoed id; empty if there is none.
+	ID string
+	// Signed says that the answer is a target's own.
+	Signed bool
+	// NotRun says that the target did not run the request; Gone that another target
+	// has its address.
+	NotRun, Gone bool
+}
+
+// Dialect translates between headers and these types. It decides nothing.
+type Dialect interface {
+	// Call reads a caller's headers. The error says what is malformed.
+	Call(h http.Header) (Call, error)
+	// Prepare sets the headers of a sending on a copy of the caller's, without those
+	// that only the system may set.
+	Prepare(h http.Header, s Sending)
+	// Reply reads the headers of a target's answer.
+	Reply(status int, h http.Header) Reply
+}
+
+// View is what is known of the surroundings. It is replaced, never changed.
+type View struct {
+	Index *routes.Index
+	// Peers are entry instances of other regions that take requests.
+	Peers []Peer
+	// Regions sums up the load of other regions by region and service.
+	Regions map[RegionService]RegionLoad
+	// Entries is the number of entry instances in all regions.
+	Entries int
+}
+
+// Peer is an entry instance of another region.
+type Peer struct {
+	// Address is where it takes requests of other instances.
+	Address, Region string
+}
+
+// RegionService names a service in a region.
+type RegionService struct{ Region, Service string }
+
+// RegionLoad is the load of a service in a region.
+type RegionLoad struct {
+	// Targets may get work; Running and Unread are summed over all.
+	Targets, Running, Unread int
+	// Slots is the sum of their slots.
+	Slots int
+}
+
+// Codes of the refusals.
+const (
+	CodeNoView     verdict.Code = "no_configuration"
+	CodeNoRoute    verdict.Code = "no_route"
+	CodeMalformed  verdict.Code = "malformed_request"
+	CodeTooLarge   verdict.Code = "body_too_large"
+	CodeNoTarget   verdict.Code = "no_target"
+	CodeNoTime     verdict.Code = "no_time_left"
+	CodeTimeout    verdict.Code = "timeout"
+	CodeTargetLost verdict.Code = "target_lost"
+	CodeBehind     verdict.Code = "configuration_behind"
+)
+
+// Headers between instances. They never leave the system.
+const (
+	headerFrom     = "Gullhaven-From"
+	headerVersion  = "Gullhaven-Version"
+	headerLeft     = "Gullhaven-Left-Millis"
+	headerAttempts = "Gullhaven-Attempts"
+	headerRefused  = "Gullhaven-Refused"
+	headerAfter    = "Gullhaven-After"
+)
--- /dev/null
+++ b/route/pick/filter.go
@@ -0,0 +1,44 @@
+package pick
+
+import (
+	"slices"
+	"time"
+)
+
+// eligible is the filter: what may get this request now.
+func (p *Pool) eligible(now time.Time, t *target, c Call) bool {
+	switch {
+	case t.Draining, p.snapshot.Evacuated[t.Zone], slices.Contains(c.Tried, t.ID):
+		return false
+	case now.Before(t.downUntil), t.probing:
+		return false
+	case p.cold(now, t):
+		return p.mayWarm(now, t)
+	}
+	return true
+}
+
+// cold reports whether a target bears only a few requests a second.
+func (p *Pool) cold(now time.Time, t *target) bool {
+	if p.snapshot.Rules[t.Service].ColdPerSecond <= 0 {
+		return false
+	}
+	return now.Before(t.ColdUntil) || now.Before(t.coldBy)
+}
+
+// mayWarm shares a cold target's few requests out: one entry instance, chosen by all
+// alike, sends at the rate that it bears, and the others none. What goes wrong
+// without it: each instance keeps the rate by itself, their sum crashes the target,
+// and it comes back cold again.
+func (p *Pool) mayWarm(now time.Time, t *target) bool {
+	if now.Before(t.coldNext) {
+		return false
+	}
+	owner, most := "", uint64(0)
+	for _, id := range p.snapshot.Entries {
+		if w := weight(0, t.ID+id); owner == "" || w > most {
+			owner, most = id, w
+		}
+	}
+	return owner == p.self
+}
--- /dev/null
+++ b/route/pick/pool.go
@@ -0,0 +1,338 @@
+package pick
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Pool holds the targets of the own region.
+type Pool struct {
+	self string
+
+	mu      sync.Mutex
+	targets map[string]*target
+	// byService is in the order of ids.
+	byService map[string][]*target
+	snapshot  Snapshot
+	// evacuatedAt is when each zone was last seen evacuated.
+	evacuatedAt map[string]time.Time
+}
+
+// target is what this instance knows of one.
+type target struct {
+	Target
+	running, unread int
+	others          Load
+	// failures in a row that took it out, until downUntil; probing says that one
+	// request is on its way to see whether it is back.
+	failures  int
+	downUntil time.Time
+	probing   bool
+	// failShare is the share of failed answers, newer ones weighing more.
+	failShare float64
+	// coldAt is when it last was given a request while cold, and coldBy when a
+	// zone's return from evacuation ends to count as cold.
+	coldNext time.Time
+	coldBy   time.Time
+	// kept holds the prompt parts sent there, with the time of the last use.
+	kept map[uint64]time.Time
+}
+
+// New makes an empty pool. self is the id of this instance among the entries.
+func New(self string) *Pool {
+	return &Pool{
+		self: self, targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedAt: map[string]time.Time{},
+	}
+}
+
+// Update takes in a new view. A target that was draining stays so under its id: an
+// older list, read elsewhere, must not bring it back.
+func (p *Pool) Update(now time.Time, s Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.targets
+	p.targets = make(map[string]*target, len(s.Targets))
+	p.byService = map[string][]*target{}
+	p.noteEvacuations(now, s)
+	for _, listed := range s.Targets {
+		t := old[listed.ID]
+		if t == nil {
+			t = &target{kept: map[uint64]time.Time{}}
+		}
+		listed.Draining = listed.Draining || t.Draining
+		t.Target, t.others = listed, s.Loads[listed.ID]
+		if at, ok := p.evacuatedAt[listed.Zone]; ok && !s.Evacuated[listed.Zone] {
+			t.coldBy = at.Add(s.Rules[listed.Service].ColdFor + coldMargin)
+		}
+		p.targets[listed.ID] = t
+		p.byService[listed.Service] = append(p.byService[listed.Service], t)
+	}
+	for _, list := range p.byService {
+		slices.SortFunc(list, func(a, b *target) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	p.snapshot = s
+}
+
+func (p *Pool) noteEvacuations(now time.Time, s Snapshot) {
+	for zone, on := range s.Evacuated {
+		if on {
+			p.evacuatedAt[zone] = now
+		}
+	}
+}
+
+// Choice is a target that was chosen, with the request counted in. Exactly one of
+// its ends must be called: Done.
+type Choice struct {
+	ID, Address string
+	// Cost is the estimate in milliseconds until the first event.
+	Cost float64
+	// Cold says that the target was cold.
+	Cold bool
+
+	pool   *Pool
+	t      *target
+	unread int
+	probe  bool
+}
+
+// Why a choice was not made.
+const (
+	// ReasonNone: the service has no target in the region.
+	ReasonNone = "no_target"
+	// ReasonLeft: all targets are draining, evacuated, cold or out of reach.
+	ReasonLeft = "none_available"
+)
+
+// Pick chooses a target and counts the request in. Without a choice the reason says
+// why.
+func (p *Pool) Pick(now time.Time, c Call) (*Choice, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.byService[c.Service]
+	if len(list) == 0 {
+		return nil, ReasonNone
+	}
+	chain := c.chain()
+	var best *target
+	bestCost := math.Inf(1)
+	home := p.home(list, chain)
+	for _, t := range list {
+		if !p.eligible(now, t, c) {
+			continue
+		}
+		if cost := p.cost(now, t, c, chain, t == home); cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	if best == nil {
+		return nil, ReasonLeft
+	}
+	return p.take(now, best, c, chain, bestCost), ""
+}
+
+// Estimate is the least cost of a call without choosing; infinite where no target is
+// available.
+func (p *Pool) Estimate(now time.Time, c Call) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	chain := c.chain()
+	list := p.byService[c.Service]
+	home := p.home(list, chain)
+	best := math.Inf(1)
+	for _, t := range list {
+		if p.eligible(now, t, c) {
+			best = min(best, p.cost(now, t, c, chain, t == home))
+		}
+	}
+	return best
+}
+
+// Full reports whether each target of the service that may get work is out of slots.
+func (p *Pool) Full(now time.Time, service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.byService[service] {
+		if p.eligible(now, t, Call{Service: service}) && t.running+t.others.Running < t.Slots {
+			return false
+		}
+	}
+	return true
+}
+
+// take counts the request in.
+func (p *Pool) take(now time.Time, t *target, c Call, chain []link, cost float64) *Choice {
+	ch := &Choice{ID: t.ID, Address: t.Address, Cost: cost, pool: p, t: t}
+	if t.failures > 0 {
+		t.probing, ch.probe = true, true
+	}
+	if p.cold(now, t) {
+		ch.Cold = true
+		t.coldNext = now.Add(time.Duration(float64(time.Second) / p.snapshot.Rules[t.Service].ColdPerSecond))
+	}
+	ch.unread = c.PromptTokens - t.keptTokens(now, chain)
+	t.running++
+	t.unread += ch.unread
+	for _, l := range chain {
+		t.kept[l.key] = now
+	}
+	return ch
+}
+
+// First says that the target has begun to answer: the prompt is read.
+func (c *Choice) First() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.first()
+}
+
+func (c *Choice) first() {
+	c.t.unread -= c.unread
+	c.unread = 0
+}
+
+// Result is how a request at a target ended, as far as it tells of the target.
+type Result uint8
+
+const (
+	// Good: it answered as it should.
+	Good Result = iota
+	// Neutral: the end tells nothing of the target, as when the caller left.
+	Neutral
+	// Failed: it answered with a failure.
+	Failed
+	// Lost: it could not be reached, or broke off.
+	Lost
+	// Gone: another target answers at its address.
+	Gone
+	// Full: it turned the request away.
+	Full
+)
+
+// Done takes the request out again.
+func (c *Choice) Done(now time.Time, r Result) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	t := c.t
+	c.first()
+	t.running--
+	if c.probe {
+		t.probing = false
+	}
+	switch r {
+	case Good:
+		t.failures, t.downUntil = 0, time.Time{}
+		t.failShare *= failKeep
+	case Failed, Full:
+		t.failures, t.downUntil = 0, time.Time{}
+		t.failShare = t.failShare*failKeep + (1 - failKeep)
+	case Lost:
+		t.failShare = t.failShare*failKeep + (1 - failKeep)
+		t.lost(now)
+	case Gone:
+		t.Draining = true
+	case Neutral:
+	}
+}
+
+// lost leaves the target out for a while. Requests that fail together count once.
+func (t *target) lost(now time.Time) {
+	if now.Before(t.downUntil) {
+		return
+	}
+	t.downUntil = now.Add(min(downMost, downFirst<<min(t.failures, 8)))
+	t.failures++
+	clear(t.kept)
+}
+
+// Loads lists what this instance has under way.
+func (p *Pool) Loads() map[string]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]Load{}
+	for id, t := range p.targets {
+		if t.running > 0 {
+			out[id] = Load{Running: t.running, Unread: t.unread}
+		}
+	}
+	return out
+}
+
+// Addresses of the targets now.
+func (p *Pool) Addresses() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]bool, len(p.targets))
+	for _, t := range p.targets {
+		out[t.Address] = true
+	}
+	return out
+}
+
+// home is the target that all instances prefer for the shared parts of a prompt.
+func (p *Pool) home(list []*target, chain []link) *target {
+	if len(chain) < 2 {
+		return nil
+	}
+	// The last part is the request's own.
+	key := chain[len(chain)-2].key
+	var best *target
+	var most uint64
+	for _, t := range list {
+		if t.Draining || p.snapshot.Evacuated[t.Zone] {
+			continue
+		}
+		if w := weight(key, t.ID); best == nil || w > most {
+			best, most = t, w
+		}
+	}
+	return best
+}
+
+// weight is the rendezvous weight of a name for a key, equal at all instances.
+func weight(key uint64, name string) uint64 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(key >> (8 * i))
+	}
+	d := xxhash.New()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// link is one part of a prompt with all before it.
+type link struct {
+	key uint64
+	// tokens of the prompt up to the end of the part.
+	tokens int
+}
+
+// chain names each beginning of the prompt: a part is kept for a request only if all
+// before it are the same.
+func (c *Call) chain() []link {
+	out := make([]link, 0, len(c.Parts))
+	key, tokens := xxhash.Sum64String(c.Model), 0
+	for _, part := range c.Parts {
+		key = mix(key, part.ID)
+		tokens += part.Tokens
+		out = append(out, link{key, tokens})
+	}
+	return out
+}
+
+func mix(a, b uint64) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	a ^= b + odd + a<<6 + a>>2
+	a *= odd
+	return a ^ a>>29
+}
--- /dev/null
+++ b/route/pick/score.go
@@ -0,0 +1,55 @@
+package pick
+
+import "time"
+
+// cost estimates the milliseconds until the first event, or until the answer of a
+// plain target. home says that all instances prefer the target for the prompt.
+func (p *Pool) cost(now time.Time, t *target, c Call, chain []link, home bool) float64 {
+	running := t.running + t.others.Running
+	cost := failCost * t.failShare
+	if t.Slots > 0 {
+		if over := running + 1 - t.Slots; over > 0 {
+			cost += queueCost * float64(over)
+		}
+	}
+	if !p.snapshot.Rules[t.Service].Engine {
+		return cost + slotCost*float64(running)/float64(max(1, t.Slots))
+	}
+	unread := t.unread + t.others.Unread
+	own := float64(c.PromptTokens - t.keptTokens(now, chain))
+	if home && len(chain) > 1 {
+		shared := float64(chain[len(chain)-2].tokens)
+		own = min(own, float64(c.PromptTokens)-guess*shared)
+	}
+	// Engines slow down with the requests that they run.
+	return cost + (float64(unread)+own)/readRate + float64(running)*runningCost
+}
+
+// runningCost is what one running request adds to the time to the first event, in
+// milliseconds: it takes its share of each step.
+const runningCost = 1.0
+
+// keptTokens is the length of the longest beginning of the prompt that this instance
+// has sent to the target lately.
+func (t *target) keptTokens(now time.Time, chain []link) int {
+	for i := len(chain) - 1; i >= 0; i-- {
+		at, ok := t.kept[chain[i].key]
+		if ok && now.Sub(at) < keepTime {
+			return chain[i].tokens
+		}
+	}
+	return 0
+}
+
+// Sweep forgets prompt parts that were not used lately. Call it now and then.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		for key, at := range t.kept {
+			if now.Sub(at) >= keepTime {
+				delete(t.kept, key)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/route/pick/types.go
@@ -0,0 +1,109 @@
+// Package pick chooses the target of one request among those of a service in the
+// own region, as filter, scorer and picker over what is known now.
+//
+// What is known: the platform's list, the evacuated zones, what this instance has
+// under way at each target, what the other entry instances told of theirs, which
+// prompt parts this instance has sent where, and how each target has answered. Costs
+// are estimates in milliseconds until the first event. There is no input or output:
+// the time is passed in, and a Pool is safe for several goroutines.
+package pick
+
+import "time"
+
+// Target is one back end, as listed.
+type Target struct {
+	// ID is new at each start of the target.
+	ID, Service, Address, Zone string
+	// Slots is how many requests it runs at once; 0 if unknown.
+	Slots int
+	// Draining targets get nothing new.
+	Draining bool
+	// ColdUntil is when it has warmed up; zero if it is warm.
+	ColdUntil time.Time
+}
+
+// Part is one part of a prompt, from its beginning on.
+type Part struct {
+	// ID names the content.
+	ID uint64
+	// Tokens is its length.
+	Tokens int
+}
+
+// Call is what the choice rests on.
+type Call struct {
+	Service string
+	// Model whose weights read the prompt.
+	Model string
+	// Parts of the prompt in order. The last one belongs to the request alone.
+	Parts []Part
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
+	// Tried targets are not chosen again.
+	Tried []string
+}
+
+// Load is what others have under way at a target.
+type Load struct {
+	// Running counts requests, Unread the prompt tokens of those not yet answered.
+	Running, Unread int
+}
+
+// ServiceRules are what a service says of its targets.
+type ServiceRules struct {
+	// ColdFor is how long a target is cold after it has come back, ColdPerSecond
+	// how many requests a second it bears meanwhile from all instances together.
+	ColdFor       time.Duration
+	ColdPerSecond float64
+	// Engine says that the targets are model engines.
+	Engine bool
+	// MemoryTokens bounds what an engine keeps.
+	MemoryTokens int
+}
+
+// Snapshot is a new view of the surroundings.
+type Snapshot struct {
+	// Targets are those of the own region.
+	Targets []Target
+	// Evacuated zones get nothing.
+	Evacuated map[string]bool
+	// Loads are what the other entry instances of the region have under way.
+	Loads map[string]Load
+	// Entries are the ids of the region's entry instances that take requests, this
+	// one included, in order. They share out the cold targets.
+	Entries []string
+	// Rules by service.
+	Rules map[string]ServiceRules
+}
+
+// Constants of the estimates.
+const (
+	// readRate is how many prompt tokens an engine reads in a millisecond: measured
+	// speeds of 70-billion-parameter engines lie between 30 and 45. It only weighs
+	// reading against waiting, so a wrong value shifts the balance a little.
+	readRate = 38.0
+	// slotCost is what a request at a plain target costs the next one, in
+	// milliseconds for a full set of slots: a few tens of milliseconds of work.
+	slotCost = 40.0
+	// queueCost is the cost of each request beyond the slots, in milliseconds.
+	queueCost = 60.0
+	// guess is the share of the shared parts that is taken as kept at the target
+	// that all instances prefer for them, where this instance has not sent them.
+	guess = 0.6
+	// failCost is the cost of a target of which each answer failed lately, in
+	// milliseconds: about what a failed request costs its caller.
+	failCost = 1500.0
+	// failKeep is how much of the old share of failures stays with each answer.
+	failKeep = 0.8
+	// downFirst and downMost bound how long a target that could not be reached, or
+	// broke off, is left out. It doubles with each failure in a row. Then it gets one
+	// request at a time until one succeeds: a target that is well again has work
+	// within seconds, also under low traffic.
+	downFirst = 300 * time.Millisecond
+	downMost  = 3 * time.Second
+	// keepTime is how long a part counts as kept after its last use: parts yield to
+	// newer ones, and the list of targets does not tell.
+	keepTime = 40 * time.Second
+	// coldMargin is added to a cold time: the list's own age and lag.
+	coldMargin = 300 * time.Millisecond
+)
--- /dev/null
+++ b/settings/site.go
@@ -0,0 +1,146 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/gullhaven/gullhaven/bundle/strict"
+)
+
+// Site is what one instance of a site must know: a deployment that routes by host and
+// path, whose core instances form their group from seeds and whose targets come from
+// the platform's list. Unknown fields are ignored, as the platform's template may hold
+// more than this version knows.
+type Site struct {
+	// Instance is its id, for logs. No default.
+	Instance string `json:"instance"`
+	// Region and Zone that it stands in. No default.
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+	// Regions gives the region of each availability zone. No default.
+	Regions map[string]string `json:"regions"`
+	Listen  SiteAddresses     `json:"listen"`
+	// Seeds are addresses of core instances for operators, IP:port. Their addresses
+	// for instances have the port of Listen.Instances. No default.
+	Seeds []string `json:"seeds"`
+	// FirstStart says that the whole system starts for the first time: only then do
+	// the seeds form the group. Default false.
+	FirstStart bool `json:"first_start"`
+	// DataDir is the folder of a core instance on its disk. No default.
+	DataDir string `json:"data_dir"`
+	// InstanceList is the address of the platform's list of targets, IP:port.
+	InstanceList string `json:"instance_list"`
+	// Retries is the budget of sendings beyond the first ones for one service, of all
+	// instances together.
+	Retries SiteRetries `json:"retries"`
+	// GraceSeconds is the time between SIGTERM and the end by force; default 8.
+	GraceSeconds float64 `json:"grace_seconds"`
+	// MemoryMB bounds the process; the collector works harder near it. Default none.
+	MemoryMB int `json:"memory_mb"`
+	// LogLevel is debug, info, warn or error; default info.
+	LogLevel string `json:"log_level"`
+}
+
+// SiteAddresses are IP:port. An entry instance has Callers, a core instance Operators.
+type SiteAddresses struct {
+	Callers   string `json:"callers"`
+	Ready     string `json:"ready"`
+	Operators string `json:"operators"`
+	Directory string `json:"directory"`
+	// Instances is where other instances reach this one, without TLS: the network
+	// between the instances of a site is private.
+	Instances string `json:"instances"`
+	// Metrics serves counters as text; default none.
+	Metrics string `json:"metrics"`
+}
+
+// SiteRetries is a budget.
+type SiteRetries struct {
+	// Share of the first sendings in a span, and Allowance beside it.
+	Share     float64 `json:"share"`
+	Allowance float64 `json:"allowance"`
+	// SpanSeconds is the length of the span; default 10.
+	SpanSeconds float64 `json:"span_seconds"`
+}
+
+// Span of the budget.
+func (r SiteRetries) Span() time.Duration { return seconds(r.SpanSeconds) }
+
+// Grace between SIGTERM and the end by force.
+func (s *Site) Grace() time.Duration { return seconds(s.GraceSeconds) }
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+// Defaults of a Site.
+const (
+	defaultGraceSeconds = 8
+	defaultSpanSeconds  = 10
+)
+
+// LoadSite reads and checks the settings of a site's instance.
+func LoadSite(path string) (*Site, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{GraceSeconds: defaultGraceSeconds, LogLevel: "info", Retries: SiteRetries{SpanSeconds: defaultSpanSeconds}}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("settings cannot be read: %w", err)
+	}
+	if problems := s.check(); len(problems) > 0 {
+		return nil, problems
+	}
+	return s, nil
+}
+
+func (s *Site) check() Problems {
+	var p Problems
+	require := func(ok bool, path, format string, args ...any) {
+		if !ok {
+			p.Add(path, format, args...)
+		}
+	}
+	address := func(path, value string, needed bool) {
+		if value == "" {
+			require(!needed, path, "is missing")
+			return
+		}
+		if err := strict.CheckAddress(value); err != nil {
+			p.Add(path, "%v", err)
+		}
+	}
+	require(s.Instance != "", "instance", "is missing")
+	require(s.Region != "", "region", "is missing")
+	require(s.Zone != "", "zone", "is missing")
+	address("listen.callers", s.Listen.Callers, false)
+	address("listen.ready", s.Listen.Ready, false)
+	address("listen.operators", s.Listen.Operators, false)
+	address("listen.directory", s.Listen.Directory, false)
+	address("listen.instances", s.Listen.Instances, true)
+	address("listen.metrics", s.Listen.Metrics, false)
+	require((s.Listen.Callers == "") != (s.Listen.Operators == ""), "listen",
+		"needs either callers, for an entry instance, or operators, for a core instance")
+	require(s.Listen.Operators == "" || s.DataDir != "", "data_dir", "is missing; a core instance needs a disk")
+	require(len(s.Seeds) > 0, "seeds", "is empty")
+	for i, seed := range s.Seeds {
+		address(strict.Index("seeds", i), seed, true)
+	}
+	address("instance_list", s.InstanceList, s.Listen.Operators != "")
+	require(s.Retries.Share >= 0 && s.Retries.Allowance >= 0, "retries", "must not be negative")
+	require(s.GraceSeconds > 0, "grace_seconds", "is %v, but must be above 0", s.GraceSeconds)
+	return p
+}
+
+// SeedIDs are the seeds' addresses for instances.
+func (s *Site) SeedIDs() []string {
+	_, port, _ := net.SplitHostPort(s.Listen.Instances)
+	out := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		host, _, _ := net.SplitHostPort(seed)
+		out = append(out, net.JoinHostPort(host, port))
+	}
+	return out
+}
