--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -41,38 +41,57 @@
 	parsed uint64
 }
 
-// follow reports to one core instance again and again, the next one after a failure
-// or when it hears from no leader.
+// follow reports to one core instance again and again.
 func (i *Instance) follow(ctx context.Context) {
-	at := 0
 	for ctx.Err() == nil {
-		cores := i.candidates()
-		to := cores[at%len(cores)]
+		to := i.followed()
 		u, err := i.report(ctx, to, reportWait)
+		i.note(to, u, err)
 		if err != nil {
-			at++
 			i.log.Debug("report failed", zap.String("to", to), zap.Error(err))
 			pause(ctx, failPause)
 			continue
 		}
-		i.learn(u)
 		if !u.Led {
-			at++
 			pause(ctx, failPause)
 		}
 	}
 }
 
 // compare asks one core instance after the other for news that the followed one may
-// lack.
+// lack, and finds one that hears from a leader again.
 func (i *Instance) compare(ctx context.Context) {
-	for at := 1; ctx.Err() == nil; at++ {
+	for turn := 0; ctx.Err() == nil; turn++ {
 		pause(ctx, compareInterval)
-		cores := i.candidates()
-		u, err := i.report(ctx, cores[at%len(cores)], 0)
-		if err == nil {
-			i.learn(u)
+		followed, candidates := i.followed(), i.candidates()
+		to := i.chooser.Compare(turn, followed, candidates)
+		if to == "" {
+			continue
 		}
+		u, err := i.report(ctx, to, 0)
+		i.note(to, u, err)
+	}
+}
+
+// followed is the core instance to report to.
+func (i *Instance) followed() string {
+	candidates := i.candidates()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.chooser.Follow(time.Now(), candidates)
+}
+
+// note takes in an answer or its lack.
+func (i *Instance) note(to string, u *feed.Update, err error) {
+	i.mu.Lock()
+	if err != nil {
+		i.chooser.Failed(time.Now(), to)
+	} else {
+		i.chooser.Answered(to, u.Led)
+	}
+	i.mu.Unlock()
+	if err == nil {
+		i.learn(u)
 	}
 }
 
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -48,9 +48,10 @@
 	peers   *rawhttp.Client
 
 	draining atomic.Bool
-	// mu guards known.
-	mu    sync.Mutex
-	known knowledge
+	// mu guards known and chooser.
+	mu      sync.Mutex
+	known   knowledge
+	chooser *feed.Chooser
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -72,7 +73,7 @@
 		return nil, err
 	}
 	i := &Instance{
-		o: o, log: o.Log, hub: hub,
+		o: o, log: o.Log, hub: hub, chooser: feed.NewChooser(),
 		pool:    pick.New(o.Self.ID),
 		targets: rawhttp.NewClient(rawhttp.Options{}),
 		peers:   rawhttp.NewClient(rawhttp.Options{DialTime: peerDialTime, IdleTime: peerIdleTime, Silence: peerSilence}),
@@ -119,6 +120,15 @@
 func (i *Instance) Drain() {
 	i.draining.Store(true)
 	i.gateway.Drain()
+	i.wg.Go(func() {
+		// The directory must stop naming it before the followed core instance's
+		// answer to the last report is due.
+		ctx, cancel := context.WithTimeout(context.Background(), reportTime)
+		defer cancel()
+		if _, err := i.report(ctx, i.followed(), 0); err != nil {
+			i.log.Warn("leaving was not told, the next report tells", zap.Error(err))
+		}
+	})
 }
 
 // Stop ends the duties.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -125,7 +125,8 @@
 	raw.Header = forwardable(q.r.Header)
 	p := passed{
 		From: q.g.o.Region, Version: q.view.Index.Table.Version, Left: q.until.Sub(now) - wideTrip,
-		Attempts: max(1, q.attempts-q.runs),
+		// One: what the other instance repeats, this one cannot count.
+		Attempts: 1,
 	}
 	p.write(raw.Header)
 	if q.has {
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -23,7 +23,7 @@
 	if p.snapshot.Rules[t.Service].ColdPerSecond <= 0 {
 		return false
 	}
-	return now.Before(t.ColdUntil) || now.Before(t.coldBy)
+	return now.Before(t.ColdUntil.Add(coldMargin)) || now.Before(t.coldBy)
 }
 
 // mayWarm shares a cold target's few requests out: one entry instance, chosen by all
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -104,6 +104,7 @@
 	// keepTime is how long a part counts as kept after its last use: parts yield to
 	// newer ones, and the list of targets does not tell.
 	keepTime = 40 * time.Second
-	// coldMargin is added to a cold time: the list's own age and lag.
-	coldMargin = 300 * time.Millisecond
+	// coldMargin is added to a cold time: a target that was listed as cold until some
+	// moment still crashed at a full rate 40 ms after it.
+	coldMargin = 400 * time.Millisecond
 )
