--- /dev/null
+++ b/bundle/routes/routes_test.go
@@ -0,0 +1,130 @@
+package routes_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/bundle/routes"
+)
+
+func table() *routes.Table {
+	route := func(name, host, prefix string, split ...routes.Share) routes.Route {
+		return routes.Route{Name: name, Host: host, Prefix: prefix, Timeout: time.Second, Attempts: 1, Split: split}
+	}
+	return &routes.Table{
+		Version:  1,
+		Services: []routes.Service{{Name: "s1"}, {Name: "s2"}},
+		Routes: []routes.Route{
+			route("short", "h.example", "/a/", routes.Share{Service: "s1", Weight: 1}),
+			route("long", "h.example", "/a/b/", routes.Share{Service: "s1", Weight: 90}, routes.Share{Service: "s2", Weight: 10}),
+			route("other", "o.example", "/a/", routes.Share{Service: "s2", Weight: 1}),
+		},
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	x := routes.NewIndex(table())
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/a/x", "short"},
+		{"h.example", "/a/b/x", "long"},
+		{"h.example", "/a/b/", "long"},
+		{"h.example", "/a/bx", "short"},
+		{"H.Example", "/a/x", "short"},
+		{"h.example:8144", "/a/x", "short"},
+		{"o.example", "/a/b/x", "other"},
+		{"h.example", "/a", ""},
+		{"h.example", "/b/", ""},
+		{"x.example", "/a/", ""},
+	} {
+		got := ""
+		if r := x.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestInvalidTablesAreRefusedWithTheRule(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*routes.Table)
+		says   string
+	}{
+		{"unknown service", func(t *routes.Table) { t.Routes[0].Split[0].Service = "none" }, `unknown service "none"`},
+		{"same place", func(t *routes.Table) { t.Routes[1].Prefix = "/a/" }, `are those of route "short" too`},
+		{"no weight", func(t *routes.Table) { t.Routes[0].Split[0].Weight = 0 }, "weights that add up to 0"},
+		{"negative weight", func(t *routes.Table) { t.Routes[1].Split[1].Weight = -1 }, "weight -1"},
+		{"no timeout", func(t *routes.Table) { t.Routes[2].Timeout = 0 }, "timeout of 0s"},
+		{"no service", func(t *routes.Table) { t.Routes[2].Split = nil }, "without a service"},
+		{"open prefix", func(t *routes.Table) { t.Routes[2].Prefix = "/a" }, "without a slash"},
+		{"no host", func(t *routes.Table) { t.Routes[2].Host = "" }, "without a host"},
+		{"service twice", func(t *routes.Table) { t.Services[1].Name = "s1" }, "stands twice"},
+	} {
+		tab := table()
+		c.change(tab)
+		err := tab.Check()
+		if err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+	if err := table().Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestPickFollowsWeightsAndNeverAServiceOfWeightZero(t *testing.T) {
+	Convey("90 to 10", t, func() {
+		r := &table().Routes[1]
+		count := map[string]int{}
+		for u := range uint64(1000) {
+			count[r.Pick(u)]++
+		}
+		So(count, ShouldResemble, map[string]int{"s1": 900, "s2": 100})
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		var split []routes.Share
+		total := 0
+		for k := range rapid.IntRange(1, 5).Draw(t, "services") {
+			w := rapid.IntRange(0, 3).Draw(t, "weight")
+			total += w
+			split = append(split, routes.Share{Service: string(rune('a' + k)), Weight: w})
+		}
+		if total == 0 {
+			return
+		}
+		r := routes.Route{Split: split}
+		got := r.Pick(rapid.Uint64().Draw(t, "u"))
+		for _, s := range split {
+			if s.Service == got && s.Weight == 0 {
+				t.Fatalf("picked %q of weight 0", got)
+			}
+		}
+	})
+}
+
+func TestRepeatableAndHomes(t *testing.T) {
+	for _, c := range []struct {
+		r    routes.Route
+		want bool
+	}{
+		{routes.Route{Kind: routes.Unsafe}, false},
+		{routes.Route{Kind: routes.Unsafe, Resumable: true}, false},
+		{routes.Route{Kind: routes.Safe}, true},
+		{routes.Route{Kind: routes.Stream}, false},
+		{routes.Route{Kind: routes.Stream, Resumable: true}, true},
+	} {
+		if got := c.r.Repeatable(); got != c.want {
+			t.Errorf("%+v: %v", c.r, got)
+		}
+	}
+	r := routes.Route{Homes: []string{"x", "y"}}
+	if !r.Allows("y") || r.Allows("z") || !(&routes.Route{}).Allows("z") {
+		t.Error("homes")
+	}
+}
--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -7,7 +7,8 @@
 const windowParts = 10
 
 // Window bounds what is sent beyond first sendings in any span of its length by a
-// share of the first sendings in it and a fixed allowance. Unlike a Budget it does
+// share of the first sendings in the span that ended when the last of them was sent,
+// and a fixed allowance. Unlike a Budget it does
 // not depend on successes: it serves where several senders keep a common bound by
 // static shares, each with its part of the allowance. It is not safe for several
 // goroutines.
--- /dev/null
+++ b/node/feed/feed_test.go
@@ -0,0 +1,147 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/node/feed"
+)
+
+var (
+	t0 = time.Unix(1000, 0)
+	me = feed.Core{ID: "1", Region: "r", Zone: "z"}
+)
+
+// Symptom: while the regions are cut from each other an entry instance hears nothing
+// of its own region for seconds, and sends at the full rate to a cold target.
+// Events: no core instance hears from a leader; those of other regions do not answer.
+// Cause: it went on to the next core instance in search of a leader.
+func TestFollowsOneThatAnswersWhileNoneIsLed(t *testing.T) {
+	Convey("two near core instances without a leader, three out of reach", t, func() {
+		c, all := feed.NewChooser(), []string{"near1", "near2", "far1", "far2", "far3"}
+		c.Answered("near1", false)
+		c.Answered("near2", false)
+		for _, id := range []string{"far1", "far2", "far3"} {
+			c.Failed(t0, id)
+		}
+		So(c.Follow(t0.Add(time.Second), all), ShouldEqual, "near1")
+
+		Convey("a led one is preferred, be it farther", func() {
+			c.Answered("far2", true)
+			So(c.Follow(t0.Add(time.Second), all), ShouldEqual, "far2")
+		})
+		Convey("without any answer the one that failed longest ago is tried", func() {
+			c.Failed(t0.Add(time.Second), "near1")
+			c.Failed(t0.Add(time.Second), "near2")
+			So(c.Follow(t0.Add(1500*time.Millisecond), all), ShouldEqual, "far1")
+		})
+		Convey("one that failed is tried again after a while", func() {
+			c.Answered("near1", true)
+			c.Failed(t0.Add(time.Second), "near1")
+			So(c.Follow(t0.Add(2*time.Second), all), ShouldNotEqual, "near1")
+			c.Answered("near2", false)
+			So(c.Follow(t0.Add(5*time.Second), all), ShouldEqual, "near1")
+		})
+	})
+	Convey("comparing asks another one", t, func() {
+		c := feed.NewChooser()
+		So(c.Compare(0, "a", []string{"a", "b"}), ShouldEqual, "b")
+		So(c.Compare(1, "a", []string{"a", "b"}), ShouldEqual, "b")
+		So(c.Compare(5, "a", []string{"a"}), ShouldEqual, "")
+	})
+}
+
+// Symptom: a drained target comes back into the list.
+// Events: lists of several readings arrive in any order.
+// Cause: the list that came last was taken for the newest.
+func TestListNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := feed.NewBoard(me)
+		var newest time.Time
+		for range rapid.IntRange(1, 30).Draw(t, "lists") {
+			at := t0.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "at")) * time.Second)
+			digest := uint64(at.Unix())
+			b.Listed(feed.List{Digest: digest, ReadAt: at}, false)
+			if at.After(newest) {
+				newest = at
+			}
+			if got := b.List(); got.Digest != uint64(newest.Unix()) {
+				t.Fatalf("list of %v while one of %v is known", got.ReadAt, newest)
+			}
+		}
+	})
+}
+
+func TestBoardForgetsWhoIsSilent(t *testing.T) {
+	Convey("an entry instance and a core instance were heard", t, func() {
+		b := feed.NewBoard(me)
+		b.Reported(t0, feed.Entry{ID: "e1", Region: "r", Callers: "c1", Ready: true})
+		b.Gossiped(t0, feed.Gossip{
+			From:    feed.Core{ID: "0", Region: "q"},
+			Entries: []feed.Entry{{ID: "e2", Region: "q", Callers: "c2", Ready: true, AgeMillis: 1000}},
+		})
+		So(len(b.Entries(t0)), ShouldEqual, 2)
+		So(b.Rank(t0), ShouldEqual, 1)
+		So(feed.CallerAddresses(b.Entries(t0), "r"), ShouldResemble, []string{"c1"})
+		So(feed.CallerAddresses(b.Entries(t0), "nowhere"), ShouldResemble, []string{"c1", "c2"})
+
+		Convey("an age that was handed on counts", func() {
+			So(len(b.Entries(t0.Add(feed.EntryLife-time.Second/2))), ShouldEqual, 1)
+		})
+		Convey("after their lives both are gone", func() {
+			So(b.Entries(t0.Add(feed.EntryLife)), ShouldBeEmpty)
+			So(b.Rank(t0.Add(feed.CoreLife)), ShouldEqual, 0)
+		})
+		Convey("one that leaves is not named and wakes who waits", func() {
+			changed := b.Changed()
+			b.Reported(t0, feed.Entry{ID: "e1", Region: "r", Callers: "c1"})
+			woken := false
+			select {
+			case <-changed:
+				woken = true
+			default:
+			}
+			So(woken, ShouldBeTrue)
+			So(feed.CallerAddresses(b.Entries(t0), "r"), ShouldResemble, []string{"c2"})
+		})
+	})
+}
+
+func TestGossipCarriesOwnReadingsAndSums(t *testing.T) {
+	Convey("a core instance that has read the list", t, func() {
+		b := feed.NewBoard(me)
+		b.Listed(feed.List{
+			Digest: 9, ReadAt: t0,
+			Targets: []feed.Target{{ID: "x", Service: "s", Region: "r"}, {ID: "y", Service: "s", Region: "q"}},
+		}, true)
+		b.Reported(t0, feed.Entry{ID: "e1", Region: "r", Ready: true, Loads: []feed.Load{{Target: "x", Running: 2, Unread: 50}}})
+		b.Reported(t0, feed.Entry{ID: "e2", Region: "r", Ready: true, Loads: []feed.Load{{Target: "x", Running: 1, Unread: 5}}})
+		near := b.Gossip(t0.Add(time.Second), feed.Core{ID: "2", Region: "r"})
+		far := b.Gossip(t0.Add(time.Second), feed.Core{ID: "3", Region: "q"})
+		So(near.Digest, ShouldEqual, 9)
+		So(near.ListAgeMillis, ShouldEqual, 1000)
+		So(len(near.Entries[0].Loads), ShouldEqual, 1)
+		So(far.Entries[0].Loads, ShouldBeEmpty)
+		So(far.Regions, ShouldResemble, []feed.Summary{{Region: "r", Service: "s", Running: 3, Unread: 55}})
+
+		Convey("another one learns that it has to fetch", func() {
+			other := feed.NewBoard(feed.Core{ID: "3", Region: "q"})
+			So(other.Gossiped(t0, far), ShouldBeTrue)
+			var u feed.Update
+			other.Fill(t0, feed.Report{Self: feed.Entry{Region: "q"}}, &u)
+			So(u.Regions, ShouldResemble, far.Regions)
+			So(u.ListAgeMillis, ShouldEqual, -1)
+		})
+		Convey("and sends targets only where the digest differs", func() {
+			var known, unknown feed.Update
+			b.Fill(t0, feed.Report{Digest: 9, Self: feed.Entry{ID: "e1", Region: "r"}}, &known)
+			b.Fill(t0, feed.Report{Self: feed.Entry{ID: "e1", Region: "r"}}, &unknown)
+			So(known.Targets, ShouldBeEmpty)
+			So(len(unknown.Targets), ShouldEqual, 2)
+			So(len(known.Entries), ShouldEqual, 1)
+		})
+	})
+}
