--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -141,7 +141,8 @@
 }
 
 // Estimate is the least cost of a call without choosing; infinite where no target is
-// available.
+// available. The failures of targets do not count: another region's are not known, and
+// a request of which each answer fails would drive all others away.
 func (p *Pool) Estimate(now time.Time, c Call) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -151,7 +152,7 @@
 	best := math.Inf(1)
 	for _, t := range list {
 		if p.eligible(now, t, c) {
-			best = min(best, p.cost(now, t, c, chain, t == home))
+			best = min(best, p.wait(now, t, c, chain, t == home))
 		}
 	}
 	return best
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -290,3 +290,21 @@
 		t.Fatal(why)
 	}
 }
+
+// Symptom: half of the bookings are sent to another region, 160 ms away, while the own
+// target is idle.
+// Events: some requests fail at each target that runs them; the others succeed.
+// Cause: the failures count in the comparison with other regions, whose failures are
+// not known.
+func TestFailuresDoNotRaiseTheEstimate(t *testing.T) {
+	p := pick.New("e")
+	p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}})
+	before := p.Estimate(t0, pick.Call{Service: "s"})
+	for range 5 {
+		c, _ := p.Pick(t0, pick.Call{Service: "s"})
+		c.Done(t0, pick.Failed)
+	}
+	if after := p.Estimate(t0, pick.Call{Service: "s"}); after != before {
+		t.Fatalf("estimate of %v ms, before the failures %v ms", after, before)
+	}
+}
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -2,11 +2,16 @@
 
 import "time"
 
-// cost estimates the milliseconds until the first event, or until the answer of a
-// plain target. home says that all instances prefer the target for the prompt.
+// cost is the wait with what failures cost.
 func (p *Pool) cost(now time.Time, t *target, c Call, chain []link, home bool) float64 {
+	return p.wait(now, t, c, chain, home) + failCost*t.failShare
+}
+
+// wait estimates the milliseconds until the first event, or until the answer of a
+// plain target. home says that all instances prefer the target for the prompt.
+func (p *Pool) wait(now time.Time, t *target, c Call, chain []link, home bool) float64 {
 	running := t.running + t.others.Running
-	cost := failCost * t.failShare
+	cost := 0.0
 	if t.Slots > 0 {
 		if over := running + 1 - t.Slots; over > 0 {
 			cost += queueCost * float64(over)
