entry: the directory prefers homes where a region has no instance; leaving takes 3 s at least

Change: regions that all routes of the host allow go before others; 3 s at least; streams are refused after that.

--- a/bundle/routes/match.go
+++ b/bundle/routes/match.go
@@ -42,6 +42,16 @@
 	return nil
 }
 
+// HomeOf reports whether a region may serve all routes of a host.
+func (x *Index) HomeOf(host, region string) bool {
+	for _, r := range x.byHost[strings.ToLower(host)] {
+		if !r.Allows(region) {
+			return false
+		}
+	}
+	return true
+}
+
 // Service returns a service by name, or nil.
 func (x *Index) Service(name string) *Service { return x.services[name] }
 
--- a/bundle/routes/routes_test.go
+++ b/bundle/routes/routes_test.go
@@ -127,4 +127,10 @@
 	if !r.Allows("y") || r.Allows("z") || !(&routes.Route{}).Allows("z") {
 		t.Error("homes")
 	}
+	tab := table()
+	tab.Routes[0].Homes = []string{"x"}
+	x := routes.NewIndex(tab)
+	if !x.HomeOf("h.example", "x") || x.HomeOf("h.example", "y") || !x.HomeOf("o.example", "y") {
+		t.Error("homes of a host")
+	}
 }
--- a/daemon/site.go
+++ b/daemon/site.go
@@ -42,9 +42,9 @@
 	collectPercent = 50
 	// leaveMargin is taken off the grace time for the last closing.
 	leaveMargin = 900 * time.Millisecond
-	// leastLeaving is how long a leaving entry instance serves at least: callers keep
-	// a directory's answer for 2 s, some three times as long.
-	leastLeaving = 5 * time.Second
+	// leastLeaving is how long a leaving entry instance serves at least: all callers
+	// have forgotten it by then, see platform.DirectoryCall.
+	leastLeaving = 3 * time.Second
 	// leaveTick is the time between two looks at the requests in progress.
 	leaveTick = 100 * time.Millisecond
 	// headerTime and callerIdle bound a caller's connection: above what any
@@ -164,6 +164,9 @@
 	last := r.s.Grace() - leaveMargin
 	for range tick.C {
 		spent := time.Since(began)
+		if spent >= leastLeaving {
+			g.RefuseStreams()
+		}
 		if spent >= last || spent >= min(leastLeaving, last) && g.InFlight() == 0 {
 			return
 		}
@@ -185,13 +188,9 @@
 	if err != nil {
 		return err
 	}
-	addresses := func(region string) []string {
-		return feed.CallerAddresses(i.Board().Entries(time.Now()), region)
-	}
 	if err := r.listen(map[string]http.Handler{
 		s.Listen.Instances: i.Links(),
 		s.Listen.Operators: platform.OperatorCalls(i),
-		s.Listen.Directory: platform.DirectoryCall(addresses),
 	}); err != nil {
 		return err
 	}
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -138,9 +138,12 @@
 	i.wg.Wait()
 }
 
-// Callers' addresses for a region: those of ready entry instances of the region, or
-// of all regions where it has none.
-func (i *Instance) Addresses(region string) []string {
+// Addresses names the entry instances for a caller of a host in a region.
+func (i *Instance) Addresses(host, region string) []string {
+	allowed := func(string) bool { return true }
+	if view := i.gateway.View(); view != nil {
+		allowed = func(region string) bool { return view.Index.HomeOf(host, region) }
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	list := i.known.entries
@@ -149,5 +152,5 @@
 		self.Ready = true
 		list = append([]feed.Entry{self}, list...)
 	}
-	return feed.CallerAddresses(list, region)
+	return feed.CallerAddresses(list, region, allowed)
 }
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -284,10 +284,12 @@
 // maxAddresses bounds the addresses named to one caller.
 const maxAddresses = 64
 
-// CallerAddresses are those of the ready entries of a region, or of all regions where
-// it has none: a region serves its own callers.
-func CallerAddresses(entries []Entry, region string) []string {
-	var own, all []string
+// CallerAddresses are those of the ready entries of a region, as a region serves its
+// own callers. Where it has none they are those of the regions that allowed accepts,
+// and else of all: the requests of a caller may be bound to a few regions, and what
+// crosses to another one crosses for nothing.
+func CallerAddresses(entries []Entry, region string, allowed func(region string) bool) []string {
+	var own, home, all []string
 	for _, e := range entries {
 		if !e.Ready {
 			continue
@@ -296,9 +298,14 @@
 		if e.Region == region {
 			own = append(own, e.Callers)
 		}
+		if allowed(e.Region) {
+			home = append(home, e.Callers)
+		}
 	}
-	if len(own) == 0 {
-		own = all
+	for _, list := range [][]string{own, home, all} {
+		if len(list) > 0 {
+			return list[:min(len(list), maxAddresses)]
+		}
 	}
-	return own[:min(len(own), maxAddresses)]
+	return nil
 }
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -90,6 +90,9 @@
 	if q.route == nil {
 		return &refusal{status: http.StatusNotFound, code: CodeNoRoute}
 	}
+	if q.g.ending.Load() && q.route.Kind == routes.Stream {
+		return &refusal{status: http.StatusServiceUnavailable, code: CodeLeaving, retry: retryElsewhere}
+	}
 	call, err := q.g.o.Dialect.Call(q.r.Header)
 	if err != nil {
 		q.g.o.Log.Info("malformed request", zap.Error(err))
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -289,6 +289,16 @@
 		defer func() { _ = res.Body.Close() }()
 		So(res.StatusCode, ShouldEqual, 200)
 		So(res.Close, ShouldBeTrue)
+
+		// Symptom: streams are cut off by the end of an instance that was told to
+		// leave seconds before they came. Cause: it took them in.
+		Convey("refuses streams at last, and takes what is short", func() {
+			r.gateway.RefuseStreams()
+			got := r.call("/stream/x", "b")
+			So(got.status, ShouldEqual, 503)
+			So(got.header.Get("Retry-After"), ShouldNotEqual, "")
+			So(r.call("/safe/x", "").status, ShouldEqual, 200)
+		})
 	})
 }
 
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -17,6 +17,8 @@
 	retryNoView = 500 * time.Millisecond
 	// retrySoon: targets come and go within seconds; another instance may know more.
 	retrySoon = 250 * time.Millisecond
+	// retryElsewhere: another instance takes it now.
+	retryElsewhere = 20 * time.Millisecond
 )
 
 // refusal ends a request without a target's answer.
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -39,6 +39,8 @@
 	o        Options
 	view     atomic.Pointer[View]
 	draining atomic.Bool
+	// ending says that what takes long would be cut off by the end.
+	ending   atomic.Bool
 	inFlight atomic.Int64
 	Counters Counters
 
@@ -60,6 +62,10 @@
 // Drain has each further answer close its connection.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// RefuseStreams has each further stream refused: it would not end in time. Callers
+// are told to come back at once, to another instance.
+func (g *Gateway) RefuseStreams() { g.ending.Store(true) }
+
 // InFlight is the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -109,6 +109,7 @@
 	CodeNoTime     verdict.Code = "no_time_left"
 	CodeTimeout    verdict.Code = "timeout"
 	CodeTargetLost verdict.Code = "target_lost"
+	CodeLeaving    verdict.Code = "instance_leaving"
 	CodeBehind     verdict.Code = "configuration_behind"
 )
 
