control: the accepted state beside the log; exchange: regions without instances are no place

Change: the newest accepted state is kept in a file of its own and given to entry instances that start; only regions with an instance are compared.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"runtime/debug"
 	"sync"
 	"syscall"
@@ -180,7 +179,7 @@
 		Self:       feed.Core{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone},
 		Seeds:      s.SeedIDs(),
 		FirstStart: s.FirstStart,
-		Dir:        filepath.Join(s.DataDir, "log"),
+		Dir:        s.DataDir,
 		Parse:      platform.ParseConfiguration,
 		ReadList:   list.Read,
 		Log:        r.log,
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -11,6 +11,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/coord/wal"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -64,6 +66,9 @@
 	ChannelReport = "report"
 )
 
+// logFolder holds the replicated log.
+const logFolder = "log"
+
 // Options of an Instance.
 type Options struct {
 	Self feed.Core
@@ -72,7 +77,7 @@
 	// FirstStart says that the whole system starts for the first time; the seeds
 	// then form the group.
 	FirstStart bool
-	// Dir is the folder on the disk.
+	// Dir is the folder on the disk, used by this instance alone.
 	Dir string
 	// Parse reads and checks a configuration.
 	Parse func(document []byte) (*routes.Table, error)
@@ -89,6 +94,9 @@
 	node    *replhost.Node
 	machine *newest.Machine
 	board   *feed.Board
+	kept    *kept
+	// first is the state that was accepted before the start; nil if unknown.
+	first   *newest.State
 	members *admit.Group
 	// membersMu guards members, which the joining duty and calls of others use.
 	membersMu sync.Mutex
@@ -114,6 +122,7 @@
 		o: o, log: o.Log, board: feed.NewBoard(o.Self), members: admit.New(admit.Rules{}),
 		gossipNow: make(chan struct{}, 1),
 	}
+	i.kept = newKept(wal.OS{}, o.Dir, o.Log)
 	i.machine = newest.NewMachine(i.changed)
 	hub, err := link.New(LinkOptions(o.Self.ID))
 	if err != nil {
@@ -129,7 +138,7 @@
 		core.Bootstrap = &replog.Bootstrap{Voters: o.Seeds}
 	}
 	i.node, err = replhost.Open(replhost.Options{
-		Core: core, Dir: o.Dir, Transport: transport{hub}, StateMachine: i.machine, Clock: replhost.BootClock{},
+		Core: core, Dir: filepath.Join(o.Dir, logFolder), Transport: transport{hub}, StateMachine: i.machine, Clock: replhost.BootClock{},
 		SnapshotEntries: snapshotEntries, KeepEntries: keepEntries, MaxProposalBytes: maxDocument + 1<<10,
 		Repair: true, Promote: func(replog.Member) bool { return true },
 	})
@@ -137,6 +146,10 @@
 		hub.Close()
 		return nil, err
 	}
+	if i.first, err = i.kept.read(); err != nil {
+		// The log tells it as soon as there is a leader.
+		i.log.Warn("accepted state beside the log cannot be read", zap.Error(err))
+	}
 	i.newcomer = i.node.Status().New && !o.FirstStart
 	hub.Handle(channelGroup, i.node.Receive)
 	hub.Handle(channelGossip, i.gossiped)
@@ -182,7 +195,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, duty := range []func(context.Context){i.runJoining, i.runList, i.runGossip, i.watchNode} {
+	for _, duty := range []func(context.Context){i.runJoining, i.runList, i.runGossip, i.watchNode, i.kept.run} {
 		i.wg.Go(func() { duty(ctx) })
 	}
 }
@@ -263,9 +276,20 @@
 func (i *Instance) changed(s *newest.State) {
 	i.log.Info("accepted", zap.Uint64("version", s.Version), zap.Uint64("index", s.Index),
 		zap.Strings("evacuated", s.Zones()))
+	i.kept.put(s)
 	i.board.Wake()
 }
 
+// accepted is the newest state that is known to be accepted. The log's own may be
+// behind the one kept beside it until a leader tells how far it is committed.
+func (i *Instance) accepted() *newest.State {
+	s := i.machine.State()
+	if i.first != nil && i.first.Index > s.Index {
+		return i.first
+	}
+	return s
+}
+
 // led reports whether this instance hears from a leader.
 func (i *Instance) led() bool {
 	s := i.node.Status()
@@ -289,7 +313,7 @@
 	wait := time.NewTimer(time.Duration(r.WaitMillis) * time.Millisecond)
 	defer wait.Stop()
 	changed := i.board.Changed()
-	if i.machine.State().Index <= r.Index && i.board.List().Digest == r.Digest {
+	if i.accepted().Index <= r.Index && i.board.List().Digest == r.Digest {
 		select {
 		case <-changed:
 		case <-wait.C:
@@ -315,7 +339,7 @@
 
 func (i *Instance) update(r feed.Report) feed.Update {
 	u := feed.Update{Led: i.led()}
-	if s := i.machine.State(); s.Index > r.Index {
+	if s := i.accepted(); s.Index > r.Index {
 		u.State = s
 	}
 	i.board.Fill(time.Now(), r, &u)
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -66,7 +66,7 @@
 	if q.from != nil {
 		return Peer{}, false
 	}
-	best, bestCost := "", local-spillMargin
+	best, bestCost := Peer{}, local-spillMargin
 	if math.IsInf(local, 1) {
 		bestCost = local
 	}
@@ -74,14 +74,16 @@
 		if key.Service != q.service || load.Targets == 0 || !q.route.Allows(key.Region) || q.triedRegions[key.Region] {
 			continue
 		}
-		if cost := regionCost(load, c); cost < bestCost || cost == bestCost && key.Region < best {
-			best, bestCost = key.Region, cost
+		cost := regionCost(load, c)
+		if cost > bestCost || cost == bestCost && key.Region > best.Region {
+			continue
+		}
+		// A region whose targets are idle and whose instances all leave is no place.
+		if peer, ok := q.peerOf(key.Region); ok {
+			best, bestCost = peer, cost
 		}
 	}
-	if best == "" {
-		return Peer{}, false
-	}
-	return q.peerOf(best)
+	return best, best.Region != ""
 }
 
 // regionCost estimates the milliseconds until the first event from another region.
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -343,6 +343,19 @@
 		a, _ := pair(t, nil, []*target{y})
 		So(a.call("/unsafe/x", "b").status, ShouldEqual, 502)
 	})
+	// Symptom: requests are refused while a region could serve them.
+	// Events: the region that looks best has targets and no entry instance that takes
+	// requests; another one has both.
+	// Cause: the region was chosen before its instances were looked at.
+	Convey("a region without instances is no place", t, func() {
+		y := newTarget(t, "far", whole(200, "far"))
+		a, _ := pair(t, nil, []*target{y})
+		view := *a.gateway.View()
+		view.Regions[exchange.RegionService{Region: "empty", Service: "s"}] = exchange.RegionLoad{Targets: 9, Slots: 90}
+		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = exchange.RegionLoad{Targets: 1, Slots: 4, Running: 9}
+		a.gateway.SetView(&view)
+		So(a.call("/unsafe/x", "b").status, ShouldEqual, 200)
+	})
 	Convey("a request crosses once only", t, func() {
 		a, b := pair(t, nil, nil)
 		view := *b.view
