entry: one that starts asks all core instances it knows at once

Cause: after a loss of power of all machines each entry instance dialled one seed, found it not listening yet and waited out its back-off, 0.6 s of refusals. Change: all known ones are asked at once until one gives a state; back-offs of links end at 200 ms.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -150,6 +150,9 @@
 		// The log tells it as soon as there is a leader.
 		i.log.Warn("accepted state beside the log cannot be read", zap.Error(err))
 	}
+	if i.first != nil {
+		o.Log.Info("accepted before the start", zap.Uint64("version", i.first.Version), zap.Uint64("index", i.first.Index))
+	}
 	i.newcomer = i.node.Status().New && !o.FirstStart
 	hub.Handle(channelGroup, i.node.Receive)
 	hub.Handle(channelGossip, i.gossiped)
@@ -171,7 +174,9 @@
 		DialTimeout: time.Second,
 		PingAfter:   700 * time.Millisecond,
 		PingTimeout: 700 * time.Millisecond,
-		BackoffCeil: 500 * time.Millisecond,
+		// All processes may start at the same moment after a loss of power: whoever
+		// finds the other end not listening yet asks again soon.
+		BackoffCeil: 200 * time.Millisecond,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -333,7 +338,7 @@
 	ctx, cancel := context.WithTimeout(ctx, firstTime)
 	defer cancel()
 	if err := i.node.Read(ctx); err != nil {
-		i.log.Info("first state not confirmed", zap.Error(err), zap.Uint64("version", i.machine.State().Version))
+		i.log.Info("first state not confirmed", zap.Error(err), zap.Uint64("version", i.accepted().Version))
 	}
 }
 
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,8 +42,39 @@
 	parsed uint64
 }
 
+// begin asks all core instances that are known until one gives a state.
+func (i *Instance) begin(ctx context.Context) {
+	for ctx.Err() == nil && !i.hasState() {
+		round, cancel := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		for _, to := range i.candidates() {
+			wg.Go(func() {
+				u, err := i.report(round, to, 0)
+				if round.Err() != nil {
+					return
+				}
+				if i.note(to, u, err); i.hasState() {
+					cancel()
+				}
+			})
+		}
+		wg.Wait()
+		cancel()
+		if !i.hasState() {
+			pause(ctx, failPause)
+		}
+	}
+}
+
+func (i *Instance) hasState() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.known.state != nil
+}
+
 // follow reports to one core instance again and again.
 func (i *Instance) follow(ctx context.Context) {
+	i.begin(ctx)
 	for ctx.Err() == nil {
 		to := i.followed()
 		u, err := i.report(ctx, to, reportWait)
