route/pick: targets fetch kept prompt parts from others of the region

Change: a request that goes to another target than the one that keeps its parts names that one, to fetch them from.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -116,7 +116,7 @@
 	raw.Header = forwardable(q.r.Header)
 	q.g.o.Dialect.Prepare(raw.Header, Sending{
 		Left: q.until.Sub(now), Target: choice.ID, Rank: q.route.Priority, Streaming: len(q.call.Parts) > 0,
-		After: q.last, HasAfter: q.has,
+		After: q.last, HasAfter: q.has, Source: choice.Source,
 	})
 	return &raw
 }
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -47,6 +47,9 @@
 	// After and HasAfter ask for the events after an id.
 	After    int64
 	HasAfter bool
+	// Source is the address of a target that keeps more of the prompt, from where this
+	// one is to fetch it; empty for none.
+	Source string
 }
 
 // Reply is what the headers of a target's answer say.
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -98,6 +98,9 @@
 	Cost float64
 	// Cold says that the target was cold.
 	Cold bool
+	// Source is the address of another target that keeps more of the prompt, from
+	// where this one may fetch it; empty for none.
+	Source string
 
 	pool   *Pool
 	t      *target
@@ -137,7 +140,7 @@
 	if best == nil {
 		return nil, ReasonLeft
 	}
-	return p.take(now, best, c, chain, bestCost), ""
+	return p.take(now, best, c, chain, bestCost, home), ""
 }
 
 // Estimate is the least cost of a call without choosing; infinite where no target is
@@ -171,7 +174,7 @@
 }
 
 // take counts the request in.
-func (p *Pool) take(now time.Time, t *target, c Call, chain []link, cost float64) *Choice {
+func (p *Pool) take(now time.Time, t *target, c Call, chain []link, cost float64, home *target) *Choice {
 	ch := &Choice{ID: t.ID, Address: t.Address, Cost: cost, pool: p, t: t}
 	if t.failures > 0 {
 		t.probing, ch.probe = true, true
@@ -181,6 +184,7 @@
 		t.coldNext = now.Add(time.Duration(float64(time.Second) / p.snapshot.Rules[t.Service].ColdPerSecond))
 	}
 	ch.unread = c.PromptTokens - t.keptTokens(now, chain)
+	ch.Source = p.source(now, t, chain, home)
 	t.running++
 	t.unread += ch.unread
 	for _, l := range chain {
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -308,3 +308,50 @@
 		t.Fatalf("estimate of %v ms, before the failures %v ms", after, before)
 	}
 }
+
+// Symptom: engines read prompt parts that another engine of the region keeps.
+// Events: the load takes requests of a subject from the target that keeps its parts to
+// others.
+// Cause: nobody told the other target where to fetch them.
+func TestOverflowFetchesFromWhereThePartsAreKept(t *testing.T) {
+	Convey("thirty requests of one subject at once", t, func() {
+		p := pick.New("e")
+		p.Update(t0, pick.Snapshot{Targets: targets(5), Entries: []string{"e"}, Rules: engines()})
+		first, _ := p.Pick(t0, call(1))
+		So(first.Source, ShouldEqual, "")
+		sources := 0
+		for range 30 {
+			c, _ := p.Pick(t0, call(1))
+			if c.ID == first.ID {
+				So(c.Source, ShouldEqual, "")
+				continue
+			}
+			if c.Source != "" {
+				So(c.Source, ShouldEqual, first.Address)
+				sources++
+			}
+		}
+		// One fetch for each other target at least; then it keeps the parts itself.
+		So(sources, ShouldBeGreaterThanOrEqualTo, 2)
+	})
+	Convey("another instance fetches from the target that all prefer", t, func() {
+		one, other := pick.New("e1"), pick.New("e2")
+		s := pick.Snapshot{Targets: targets(5), Entries: []string{"e1", "e2"}, Rules: engines()}
+		one.Update(t0, s)
+		home, _ := one.Pick(t0, call(1))
+		s.Loads = map[string]pick.Load{home.ID: {Unread: 90000}}
+		other.Update(t0, s)
+		c, _ := other.Pick(t0, call(1))
+		So(c.ID, ShouldNotEqual, home.ID)
+		So(c.Source, ShouldEqual, home.Address)
+	})
+	Convey("short prompts are read", t, func() {
+		p := pick.New("e")
+		p.Update(t0, pick.Snapshot{Targets: targets(5), Entries: []string{"e"}, Rules: engines()})
+		short := pick.Call{Service: "s", PromptTokens: 300, Parts: []pick.Part{{ID: 1, Tokens: 200}, {ID: 2, Tokens: 100}}}
+		for range 30 {
+			c, _ := p.Pick(t0, short)
+			So(c.Source, ShouldEqual, "")
+		}
+	})
+}
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -46,6 +46,33 @@
 	return 0
 }
 
+// leastFetch is the length in tokens from which on fetching kept parts is worth its
+// set-up of a few milliseconds: reading as many takes 13 ms.
+const leastFetch = 500
+
+// source finds a target that keeps more of the prompt than t does: one that this
+// instance has sent it to, or the one that all prefer for it. Fetching a part costs a
+// third of the time of reading it, and spares the engine the reading.
+func (p *Pool) source(now time.Time, t *target, chain []link, home *target) string {
+	if len(chain) < 2 {
+		return ""
+	}
+	own := t.keptTokens(now, chain)
+	best, most := "", own+leastFetch
+	for _, other := range p.byService[t.Service] {
+		if other == t || now.Before(other.downUntil) {
+			continue
+		}
+		if n := other.keptTokens(now, chain[:len(chain)-1]); n > most {
+			best, most = other.Address, n
+		}
+	}
+	if shared := chain[len(chain)-2].tokens; best == "" && home != nil && home != t && shared > most {
+		best = home.Address
+	}
+	return best
+}
+
 // Sweep forgets prompt parts that were not used lately. Call it now and then.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
