--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -249,6 +249,18 @@
 	}
 }
 
+// Members are the ids of the group's voters and of those that learn.
+func (i *Instance) Members() (voters, learners []string) {
+	c := i.node.Status().Core.Config
+	for _, m := range c.Voters {
+		voters = append(voters, m.ID)
+	}
+	for _, m := range c.Learners {
+		learners = append(learners, m.ID)
+	}
+	return voters, learners
+}
+
 // Ended is closed when the log has failed; the process should end then, so that
 // it is started anew on its disk.
 func (i *Instance) Ended() <-chan struct{} { return i.node.Ended() }
