route/pick: few candidates for a prompt

Change: three targets by rendezvous are the candidates for a prompt, all only where the best of them is crowded.

--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -126,21 +126,57 @@
 		return nil, ReasonNone
 	}
 	chain := c.chain()
-	var best *target
-	bestCost := math.Inf(1)
 	home := p.home(list, chain)
+	best, bestCost := p.best(now, p.few(list, c, chain), c, chain, home)
+	if best == nil || bestCost > crowded {
+		best, bestCost = p.best(now, list, c, chain, home)
+	}
+	if best == nil {
+		return nil, ReasonLeft
+	}
+	return p.take(now, best, c, chain, bestCost, home), ""
+}
+
+// best is the eligible target of the least cost.
+func (p *Pool) best(now time.Time, list []*target, c Call, chain []link, home *target) (best *target, cost float64) {
+	cost = math.Inf(1)
 	for _, t := range list {
 		if !p.eligible(now, t, c) {
 			continue
 		}
-		if cost := p.cost(now, t, c, chain, t == home); cost < bestCost {
-			best, bestCost = t, cost
+		if x := p.cost(now, t, c, chain, t == home); x < cost {
+			best, cost = t, x
 		}
 	}
-	if best == nil {
-		return nil, ReasonLeft
+	return best, cost
+}
+
+// few are the targets that all instances prefer for the shared parts of a prompt.
+//
+// What goes wrong with all targets as candidates: the loads of the others are some
+// hundred milliseconds old, so many instances see the same target idle and all send
+// there. With few candidates that differ from prompt to prompt they spread, and the
+// parts stay at few targets.
+func (p *Pool) few(list []*target, c Call, chain []link) []*target {
+	if len(chain) < 2 || len(list) <= fewTargets {
+		return list
 	}
-	return p.take(now, best, c, chain, bestCost, home), ""
+	key := chain[len(chain)-2].key
+	few := make([]*target, 0, fewTargets+1)
+	for _, t := range list {
+		if t.Draining || p.snapshot.Evacuated[t.Zone] {
+			continue
+		}
+		at := len(few)
+		for at > 0 && weight(key, few[at-1].ID) < weight(key, t.ID) {
+			at--
+		}
+		if at < fewTargets {
+			few = slices.Insert(few, at, t)
+			few = few[:min(len(few), fewTargets)]
+		}
+	}
+	return few
 }
 
 // Estimate is the least cost of a call without choosing; infinite where no target is
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -90,6 +90,10 @@
 	// guess is the share of the shared parts that is taken as kept at the target
 	// that all instances prefer for them, where this instance has not sent them.
 	guess = 0.6
+	// fewTargets is how many targets are candidates for a prompt, and crowded the cost
+	// in milliseconds at the best of them beyond which all are.
+	fewTargets = 3
+	crowded    = 400.0
 	// failCost is the cost of a target of which each answer failed lately, in
 	// milliseconds: about what a failed request costs its caller.
 	failCost = 1500.0
