deciding: one entry instance decides for a group of targets; slowness learned

Cause: the loads of the others are as old as an engine takes to read a prompt. Change: targets are divided into groups of about six, alike at all instances; one instance decides for a group and knows what it has sent. How much longer than estimated first events take is learned for each target.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -165,11 +165,11 @@
 
 // LinkOptions are those of the links between core and entry instances: ids are
 // addresses, and the network between the instances is private.
-func LinkOptions(self string) link.Options {
+func LinkOptions(self string, urgent ...string) link.Options {
 	return link.Options{
 		Plain:       self,
 		Address:     func(id string) (string, bool) { return id, true },
-		Urgent:      []string{channelGroup},
+		Urgent:      append(urgent, channelGroup),
 		MaxMessage:  maxMessage,
 		DialTimeout: time.Second,
 		PingAfter:   700 * time.Millisecond,
--- /dev/null
+++ b/node/deciding/service_test.go
@@ -0,0 +1,151 @@
+package deciding_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/node/deciding"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// instance is one entry instance with its pool.
+type instance struct {
+	id   string
+	pool *pick.Pool
+	s    *deciding.Service
+	hub  *link.Hub
+}
+
+// start starts n instances that know each other and the targets.
+func start(t *testing.T, n int) []*instance {
+	t.Helper()
+	var all []*instance
+	var ids []string
+	for k := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		i := &instance{id: l.Addr().String()}
+		i.hub, err = link.New(link.Options{
+			Plain: i.id, Address: func(id string) (string, bool) { return id, true }, Urgent: deciding.Channels(),
+			Rand: rand.New(rand.NewPCG(1, uint64(k))),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		i.pool = pick.New(i.id)
+		i.s = deciding.New(i.id, i.hub, i.pool, zap.NewNop())
+		server := &http.Server{Handler: i.hub.Handler(), ReadHeaderTimeout: time.Minute}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { i.hub.Close(); _ = server.Close() })
+		all, ids = append(all, i), append(ids, i.id)
+	}
+	for _, i := range all {
+		i.pool.Update(time.Now(), snapshot(ids))
+	}
+	return all
+}
+
+func snapshot(entries []string) pick.Snapshot {
+	s := pick.Snapshot{Entries: entries, Rules: map[string]pick.ServiceRules{"s": {Engine: true}}}
+	for k := range 5 {
+		s.Targets = append(s.Targets, pick.Target{ID: fmt.Sprint("t", k), Service: "s", Address: fmt.Sprint("a", k), Zone: "z", Slots: 4})
+	}
+	return s
+}
+
+func call(subject uint64) pick.Call {
+	return pick.Call{Service: "s", Model: "m", PromptTokens: 9000, Parts: []pick.Part{
+		{ID: 1, Tokens: 2500}, {ID: subject, Tokens: 3800}, {ID: subject*1000 + 7, Tokens: 2700},
+	}}
+}
+
+// split finds the decider and another instance.
+func split(all []*instance) (decider, other *instance) {
+	id := all[0].pool.Decider(call(1))
+	for _, i := range all {
+		if i.id == id {
+			decider = i
+		} else {
+			other = i
+		}
+	}
+	return decider, other
+}
+
+// decide asks until the link is up.
+func (i *instance) decide(t *testing.T, c pick.Call) (target string, end func()) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if d, ok := i.s.Decide(context.Background(), c, "id", time.Minute); ok {
+			return d.Target, func() { i.s.Ended(d, pick.Good) }
+		}
+	}
+	t.Fatal("no decision")
+	return "", nil
+}
+
+// Symptom: long prompts wait behind each other at some engines while others are idle.
+// Events: several instances send prompts at the same moment.
+// Cause: none knows yet what the others have just sent.
+func TestInstancesDoNotMeetAtOneTarget(t *testing.T) {
+	Convey("three instances and five idle targets", t, func() {
+		all := start(t, 3)
+		decider, _ := split(all)
+		used := map[string]int{}
+		// Five prompts of five subjects at the same moment, from the others.
+		for n := range uint64(5) {
+			for _, i := range all {
+				if i != decider {
+					target, _ := i.decide(t, call(n))
+					used[target]++
+					break
+				}
+			}
+		}
+		So(len(used), ShouldEqual, 5)
+		So(len(decider.pool.Loads()), ShouldEqual, 5)
+	})
+}
+
+func TestEndsReachTheDecider(t *testing.T) {
+	Convey("a decided request ends", t, func() {
+		decider, other := split(start(t, 2))
+		_, end := other.decide(t, call(1))
+		So(len(decider.pool.Loads()), ShouldEqual, 1)
+		end()
+		for deadline := time.Now().Add(20 * time.Second); len(decider.pool.Loads()) > 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		So(decider.pool.Loads(), ShouldBeEmpty)
+	})
+}
+
+// Symptom: requests wait at an instance whose decider is gone.
+// Events: the decider does not answer.
+// Cause: each request asks it again.
+func TestLostDeciderIsDoneWithout(t *testing.T) {
+	Convey("the decider is gone", t, func() {
+		decider, other := split(start(t, 2))
+		decider.hub.Close()
+		for range 3 {
+			_, ok := other.s.Decide(context.Background(), call(1), "id", time.Minute)
+			So(ok, ShouldBeFalse)
+		}
+	})
+	Convey("an instance does not ask itself", t, func() {
+		decider, _ := split(start(t, 2))
+		_, ok := decider.s.Decide(context.Background(), call(1), "id", time.Minute)
+		So(ok, ShouldBeFalse)
+	})
+}
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -18,6 +18,7 @@
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/node/control"
+	"github.com/gullhaven/gullhaven/node/deciding"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
@@ -46,6 +47,8 @@
 	gateway *exchange.Gateway
 	targets *rawhttp.Client
 	peers   *rawhttp.Client
+	// deciding has others choose targets, and chooses for others.
+	deciding *deciding.Service
 
 	draining atomic.Bool
 	// mu guards known and chooser.
@@ -68,7 +71,7 @@
 
 // New assembles an instance. Start begins its duties.
 func New(o Options) (*Instance, error) {
-	hub, err := link.New(control.LinkOptions(o.Self.ID))
+	hub, err := link.New(control.LinkOptions(o.Self.ID, deciding.Channels()...))
 	if err != nil {
 		return nil, err
 	}
@@ -78,8 +81,9 @@
 		targets: rawhttp.NewClient(rawhttp.Options{}),
 		peers:   rawhttp.NewClient(rawhttp.Options{DialTime: peerDialTime, IdleTime: peerIdleTime, Silence: peerSilence}),
 	}
+	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
 	i.gateway = exchange.New(exchange.Options{
-		Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Targets: i.targets, Peers: i.peers,
+		Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Decider: i.deciding, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
 	})
 	return i, nil
@@ -110,7 +114,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, duty := range []func(context.Context){i.follow, i.compare, i.targets.Run, i.peers.Run} {
+	for _, duty := range []func(context.Context){i.follow, i.compare, i.targets.Run, i.peers.Run, i.deciding.Run} {
 		i.wg.Go(func() { duty(ctx) })
 	}
 }
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -45,6 +45,12 @@
 	runs  int
 	sends int
 	tried []string
+	// place is the last one tried, and cost what it was estimated to take until the
+	// first event, in milliseconds.
+	place, source string
+	cost          float64
+	// first is when the answer began.
+	first time.Time
 	// turnedAway says that a target has refused it without running it.
 	turnedAway bool
 	// triedRegions were asked and turned it away.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -31,6 +31,25 @@
 type place struct {
 	choice *pick.Choice
 	peer   Peer
+	// decided is set where another instance chose, which is told of the request.
+	decided Decision
+	by      Decider
+}
+
+// began notes that the target has begun to answer.
+func (p *place) began(now time.Time) {
+	p.choice.First(now)
+	if p.by != nil {
+		p.by.Began(p.decided)
+	}
+}
+
+// done notes the end of the request at the target.
+func (p *place) done(now time.Time, r pick.Result) {
+	p.choice.Done(now, r)
+	if p.by != nil {
+		p.by.Ended(p.decided, r)
+	}
 }
 
 // pickCall is what the pool needs to know.
@@ -49,15 +68,39 @@
 		}
 		return nil, CodeNoTarget
 	}
-	local := q.g.o.Pool.Estimate(now, c)
+	p := q.chooseTarget(now, c)
+	local := math.Inf(1)
+	if p != nil {
+		local = p.choice.Wait
+	}
 	if peer, ok := q.choosePeer(c, local); ok {
+		if p != nil {
+			p.done(now, pick.Neutral)
+		}
 		return &place{peer: peer}, ""
 	}
-	choice, _ := q.g.o.Pool.Pick(now, c)
-	if choice == nil {
+	if p == nil {
 		return nil, CodeNoTarget
 	}
-	return &place{choice: choice}, ""
+	return p, ""
+}
+
+// chooseTarget chooses among the targets of the own region, or has the instance that
+// decides for them choose.
+func (q *request) chooseTarget(now time.Time, c pick.Call) *place {
+	if q.g.o.Decider != nil {
+		if d, ok := q.g.o.Decider.Decide(q.ctx, c, q.call.ID, q.until.Sub(now)); ok {
+			if choice := q.g.o.Pool.PickAt(now, c, d.Target); choice != nil {
+				choice.Source, choice.Cost, choice.Wait = d.Source, d.Cost, d.Cost
+				return &place{choice: choice, decided: d, by: q.g.o.Decider}
+			}
+			q.g.o.Decider.Ended(d, pick.Neutral)
+		}
+	}
+	if choice, _ := q.g.o.Pool.Pick(now, c); choice != nil {
+		return &place{choice: choice}
+	}
+	return nil
 }
 
 // choosePeer finds an instance of another region where the request costs less. A
@@ -66,6 +109,8 @@
 	if q.from != nil {
 		return Peer{}, false
 	}
+	// Engines elsewhere are taken to be as slow as here.
+	slowness := q.g.o.Pool.Slowness(c.Service)
 	best, bestCost := Peer{}, local-spillMargin
 	if math.IsInf(local, 1) {
 		bestCost = local
@@ -74,7 +119,7 @@
 		if key.Service != q.service || load.Targets == 0 || !q.route.Allows(key.Region) || q.triedRegions[key.Region] {
 			continue
 		}
-		cost := regionCost(load, c)
+		cost := regionCost(load, c, slowness)
 		if cost > bestCost || cost == bestCost && key.Region > best.Region {
 			continue
 		}
@@ -87,9 +132,9 @@
 }
 
 // regionCost estimates the milliseconds until the first event from another region.
-func regionCost(load RegionLoad, c pick.Call) float64 {
+func regionCost(load RegionLoad, c pick.Call, slowness float64) float64 {
 	targets := float64(load.Targets)
-	cost := wideCost + (float64(load.Unread)/targets+float64(c.PromptTokens))/readRate
+	cost := wideCost + slowness*(float64(load.Unread)/targets+float64(c.PromptTokens))/readRate
 	if over := load.Running + 1 - load.Slots; load.Slots > 0 && over > 0 {
 		cost += overSlot * float64(over) / targets
 	}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -27,6 +27,8 @@
 	Region  string
 	Dialect Dialect
 	Pool    *pick.Pool
+	// Decider, if set, is asked before Pool.
+	Decider Decider
 	// Targets and Peers send to targets and to instances of other regions.
 	Targets, Peers *rawhttp.Client
 	Retries        RetryLimits
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -86,7 +86,7 @@
 }
 
 // takeStream relays the events of an answer.
-func (q *request) takeStream(a *rawhttp.Answer, choice *pick.Choice) (bool, pick.Result) {
+func (q *request) takeStream(a *rawhttp.Answer, p *place) (bool, pick.Result) {
 	e := eventReaders.Get().(*events)
 	e.r.Reset(a.Body)
 	defer func() {
@@ -111,8 +111,8 @@
 		if err != nil {
 			return false, q.broken(a, err)
 		}
-		if first && choice != nil {
-			choice.First()
+		if first && p != nil {
+			p.began(time.Now())
 		}
 		first = false
 		if !q.relay(a, e, event) {
@@ -164,7 +164,7 @@
 func (q *request) beginStream(a *rawhttp.Answer) {
 	copyAnswerHeaders(q.w.Header(), a.Header)
 	q.w.WriteHeader(a.StatusCode)
-	q.begun = true
+	q.begun, q.first = true, time.Now()
 }
 
 func copyAnswerHeaders(to, from http.Header) {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -25,7 +25,7 @@
 			return
 		}
 		if q.attempt(place, now) {
-			q.g.Counters.Served.Add(1)
+			q.served()
 			return
 		}
 		if code, ok := q.mayGoOn(); !ok {
@@ -35,6 +35,14 @@
 	}
 }
 
+// served counts and tells of an answer.
+func (q *request) served() {
+	q.g.Counters.Served.Add(1)
+	q.g.o.Log.Info("served", zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
+		zap.Int("sends", q.sends), zap.Float64("estimate_ms", q.cost), zap.Duration("first", q.first.Sub(q.began)),
+		zap.Duration("after", time.Since(q.began)), zap.Int("prompt_tokens", q.call.PromptTokens), zap.String("source", q.source), zap.Bool("passed", q.from != nil))
+}
+
 // mayGoOn reports whether one more attempt may follow a failed one.
 func (q *request) mayGoOn() (verdict.Code, bool) {
 	now := time.Now()
@@ -64,13 +72,14 @@
 		return q.attemptPeer(p.peer, now)
 	}
 	q.tried = append(q.tried, p.choice.ID)
+	q.place, q.cost, q.source = p.choice.ID, p.choice.Cost, p.choice.Source
 	a, err := q.g.o.Targets.Do(q.ctx, p.choice.Address, q.toTarget(p.choice, now))
 	if err != nil {
-		p.choice.Done(time.Now(), q.lost(p.choice.ID, err))
+		p.done(time.Now(), q.lost(p.choice.ID, err))
 		return false
 	}
-	done, result := q.take(a, p.choice)
-	p.choice.Done(time.Now(), result)
+	done, result := q.take(a, p)
+	p.done(time.Now(), result)
 	if !done {
 		q.logAttempt(p.choice.ID, a, result)
 	}
@@ -88,6 +97,7 @@
 		q.triedRegions = map[string]bool{}
 	}
 	q.triedRegions[peer.Region] = true
+	q.place = peer.Address
 	q.g.Counters.Spilled.Add(1)
 	a, err := q.g.o.Peers.Do(q.ctx, peer.Address, q.toPeer(now))
 	if err != nil {
@@ -121,9 +131,8 @@
 	return pick.Lost
 }
 
-// take reads an answer and relays it, or finds that another attempt is needed. choice
-// is nil for an answer of another instance.
-func (q *request) take(a *rawhttp.Answer, choice *pick.Choice) (done bool, result pick.Result) {
+// take reads an answer and relays it, or finds that another attempt is needed. p is nil for an answer of another instance.
+func (q *request) take(a *rawhttp.Answer, p *place) (done bool, result pick.Result) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
 	switch {
 	case reply.Gone:
@@ -142,7 +151,7 @@
 		q.ran(verdict.MayHaveRun)
 		return false, pick.Failed
 	case q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK:
-		return q.takeStream(a, choice)
+		return q.takeStream(a, p)
 	}
 	return q.takeWhole(a)
 }
@@ -208,6 +217,7 @@
 
 // deliver writes a target's answer as it came.
 func (q *request) deliver(answer *wholeAnswer) {
+	q.first = time.Now()
 	h := q.w.Header()
 	copyAnswerHeaders(h, answer.header)
 	if q.r.Method == http.MethodHead {
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -8,6 +8,7 @@
 package exchange
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -74,6 +75,25 @@
 	Reply(status int, h http.Header) Reply
 }
 
+// Decider has another instance of the region choose the target of a request.
+type Decider interface {
+	// Decide asks for a target within left; false where this instance is to choose.
+	Decide(ctx context.Context, c pick.Call, id string, left time.Duration) (Decision, bool)
+	// Began tells that the target has begun to answer, Ended how the request ended.
+	Began(d Decision)
+	Ended(d Decision, r pick.Result)
+}
+
+// Decision is a target chosen by another instance.
+type Decision struct {
+	Target string
+	// Source and Cost are those of pick.Choice.
+	Source string
+	Cost   float64
+	// Ticket names the request at the instance By.
+	Ticket, By string
+}
+
 // View is what is known of the surroundings. It is replaced, never changed.
 type View struct {
 	Index *routes.Index
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -26,19 +26,13 @@
 	return now.Before(t.ColdUntil.Add(coldMargin)) || now.Before(t.coldBy)
 }
 
-// mayWarm shares a cold target's few requests out: one entry instance, chosen by all
-// alike, sends at the rate that it bears, and the others none. What goes wrong
+// mayWarm shares a cold target's few requests out: the entry instance that decides for
+// its group gives them at the rate that it bears, and the others none. What goes wrong
 // without it: each instance keeps the rate by itself, their sum crashes the target,
 // and it comes back cold again.
 func (p *Pool) mayWarm(now time.Time, t *target) bool {
 	if now.Before(t.coldNext) {
 		return false
 	}
-	owner, most := "", uint64(0)
-	for _, id := range p.snapshot.Entries {
-		if w := weight(0, t.ID+id); owner == "" || w > most {
-			owner, most = id, w
-		}
-	}
-	return owner == p.self
+	return p.owner(t.Service, t.group) == p.self
 }
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -26,7 +26,9 @@
 type target struct {
 	Target
 	running, unread int
-	others          Load
+	// advised and advisedUnread are the part of these that others have decided.
+	advised, advisedUnread int
+	others                 Load
 	// failures in a row that took it out, until downUntil; probing says that one
 	// request is on its way to see whether it is back.
 	failures  int
@@ -34,10 +36,14 @@
 	probing   bool
 	// failShare is the share of failed answers, newer ones weighing more.
 	failShare float64
+	// slowness is how many times longer first events took than the plain estimate.
+	slowness float64
 	// coldAt is when it last was given a request while cold, and coldBy when a
 	// zone's return from evacuation ends to count as cold.
 	coldNext time.Time
 	coldBy   time.Time
+	// group is the part of the service's targets that it belongs to.
+	group int
 	// kept holds the prompt parts sent there, with the time of the last use.
 	kept map[uint64]time.Time
 }
@@ -61,7 +67,7 @@
 	for _, listed := range s.Targets {
 		t := old[listed.ID]
 		if t == nil {
-			t = &target{kept: map[uint64]time.Time{}}
+			t = &target{kept: map[uint64]time.Time{}, slowness: usualSlowness}
 		}
 		listed.Draining = listed.Draining || t.Draining
 		t.Target, t.others = listed, s.Loads[listed.ID]
@@ -72,12 +78,7 @@
 		p.byService[listed.Service] = append(p.byService[listed.Service], t)
 	}
 	for _, list := range p.byService {
-		slices.SortFunc(list, func(a, b *target) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		divide(list)
 	}
 	p.snapshot = s
 }
@@ -96,14 +97,21 @@
 	ID, Address string
 	// Cost is the estimate in milliseconds until the first event.
 	Cost float64
+	// Wait is Cost without what failures cost, for a comparison with other regions.
+	Wait float64
 	// Cold says that the target was cold.
 	Cold bool
 	// Source is the address of another target that keeps more of the prompt, from
 	// where this one may fetch it; empty for none.
 	Source string
 
-	pool   *Pool
-	t      *target
+	pool *Pool
+	t    *target
+	// advised says that another instance decided and counts it.
+	advised bool
+	// plain is the estimate without the target's slowness, made at.
+	plain  float64
+	at     time.Time
 	unread int
 	probe  bool
 }
@@ -127,7 +135,7 @@
 	}
 	chain := c.chain()
 	home := p.home(list, chain)
-	best, bestCost := p.best(now, p.few(list, c, chain), c, chain, home)
+	best, bestCost := p.best(now, p.group(list, chain), c, chain, home)
 	if best == nil || bestCost > crowded {
 		best, bestCost = p.best(now, list, c, chain, home)
 	}
@@ -151,34 +159,6 @@
 	return best, cost
 }
 
-// few are the targets that all instances prefer for the shared parts of a prompt.
-//
-// What goes wrong with all targets as candidates: the loads of the others are some
-// hundred milliseconds old, so many instances see the same target idle and all send
-// there. With few candidates that differ from prompt to prompt they spread, and the
-// parts stay at few targets.
-func (p *Pool) few(list []*target, c Call, chain []link) []*target {
-	if len(chain) < 2 || len(list) <= fewTargets {
-		return list
-	}
-	key := chain[len(chain)-2].key
-	few := make([]*target, 0, fewTargets+1)
-	for _, t := range list {
-		if t.Draining || p.snapshot.Evacuated[t.Zone] {
-			continue
-		}
-		at := len(few)
-		for at > 0 && weight(key, few[at-1].ID) < weight(key, t.ID) {
-			at--
-		}
-		if at < fewTargets {
-			few = slices.Insert(few, at, t)
-			few = few[:min(len(few), fewTargets)]
-		}
-	}
-	return few
-}
-
 // Estimate is the least cost of a call without choosing; infinite where no target is
 // available. The failures of targets do not count: another region's are not known, and
 // a request of which each answer fails would drive all others away.
@@ -219,6 +199,8 @@
 		ch.Cold = true
 		t.coldNext = now.Add(time.Duration(float64(time.Second) / p.snapshot.Rules[t.Service].ColdPerSecond))
 	}
+	ch.Wait = p.wait(now, t, c, chain, t == home)
+	ch.plain, ch.at = p.reading(now, t, c, chain, t == home), now
 	ch.unread = c.PromptTokens - t.keptTokens(now, chain)
 	ch.Source = p.source(now, t, chain, home)
 	t.running++
@@ -229,15 +211,38 @@
 	return ch
 }
 
+// PickAt counts in a request for which another instance has decided; nil if the target
+// may not get it as far as is known here.
+func (p *Pool) PickAt(now time.Time, c Call, id string) *Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[id]
+	if t == nil || t.Draining || p.snapshot.Evacuated[t.Zone] || slices.Contains(c.Tried, id) || now.Before(t.downUntil) {
+		return nil
+	}
+	ch := p.take(now, t, c, c.chain(), 0, nil)
+	ch.advised = true
+	t.advised++
+	t.advisedUnread += ch.unread
+	return ch
+}
+
 // First says that the target has begun to answer: the prompt is read.
-func (c *Choice) First() {
+func (c *Choice) First(now time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	if c.plain >= leastLearned {
+		ratio := float64(now.Sub(c.at).Milliseconds()) / c.plain
+		c.t.slowness += learning * (min(mostSlowness, max(leastSlowness, ratio)) - c.t.slowness)
+	}
 	c.first()
 }
 
 func (c *Choice) first() {
 	c.t.unread -= c.unread
+	if c.advised {
+		c.t.advisedUnread -= c.unread
+	}
 	c.unread = 0
 }
 
@@ -266,6 +271,9 @@
 	t := c.t
 	c.first()
 	t.running--
+	if c.advised {
+		t.advised--
+	}
 	if c.probe {
 		t.probing = false
 	}
@@ -295,14 +303,15 @@
 	clear(t.kept)
 }
 
-// Loads lists what this instance has under way.
+// Loads lists what this instance has under way or has decided for others; what others
+// have decided they list.
 func (p *Pool) Loads() map[string]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := map[string]Load{}
 	for id, t := range p.targets {
-		if t.running > 0 {
-			out[id] = Load{Running: t.running, Unread: t.unread}
+		if n := t.running - t.advised; n > 0 {
+			out[id] = Load{Running: n, Unread: t.unread - t.advisedUnread}
 		}
 	}
 	return out
@@ -319,38 +328,6 @@
 	return out
 }
 
-// home is the target that all instances prefer for the shared parts of a prompt.
-func (p *Pool) home(list []*target, chain []link) *target {
-	if len(chain) < 2 {
-		return nil
-	}
-	// The last part is the request's own.
-	key := chain[len(chain)-2].key
-	var best *target
-	var most uint64
-	for _, t := range list {
-		if t.Draining || p.snapshot.Evacuated[t.Zone] {
-			continue
-		}
-		if w := weight(key, t.ID); best == nil || w > most {
-			best, most = t, w
-		}
-	}
-	return best
-}
-
-// weight is the rendezvous weight of a name for a key, equal at all instances.
-func weight(key uint64, name string) uint64 {
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(key >> (8 * i))
-	}
-	d := xxhash.New()
-	_, _ = d.Write(b[:])
-	_, _ = d.WriteString(name)
-	return d.Sum64()
-}
-
 // link is one part of a prompt with all before it.
 type link struct {
 	key uint64
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -193,7 +193,7 @@
 			if c.ID != home[subject] {
 				t.Fatalf("subject %d goes to %s and to %s", subject, home[subject], c.ID)
 			}
-			c.First()
+			c.First(t0)
 			c.Done(t0, pick.Good)
 		}
 	}
@@ -251,7 +251,7 @@
 			switch c, _ := p.Pick(now, call(rapid.Uint64Range(0, 5).Draw(t, "subject"))); {
 			case c == nil:
 			case rapid.Bool().Draw(t, "first"):
-				c.First()
+				c.First(now)
 				open = append(open, c)
 			default:
 				open = append(open, c)
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -20,14 +20,20 @@
 	if !p.snapshot.Rules[t.Service].Engine {
 		return cost + slotCost*float64(running)/float64(max(1, t.Slots))
 	}
+	// Engines slow down with the requests that they run.
+	return cost + t.slowness*p.reading(now, t, c, chain, home) + float64(running)*runningCost
+}
+
+// reading is the time that the prompts in front and the call's own take at the plain
+// rate, in milliseconds.
+func (p *Pool) reading(now time.Time, t *target, c Call, chain []link, home bool) float64 {
 	unread := t.unread + t.others.Unread
 	own := float64(c.PromptTokens - t.keptTokens(now, chain))
 	if home && len(chain) > 1 {
 		shared := float64(chain[len(chain)-2].tokens)
 		own = min(own, float64(c.PromptTokens)-guess*shared)
 	}
-	// Engines slow down with the requests that they run.
-	return cost + (float64(unread)+own)/readRate + float64(running)*runningCost
+	return (float64(unread) + own) / readRate
 }
 
 // runningCost is what one running request adds to the time to the first event, in
@@ -73,6 +79,21 @@
 	return best
 }
 
+// Slowness is the mean over the targets of a service.
+func (p *Pool) Slowness(service string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.byService[service]
+	if len(list) == 0 {
+		return usualSlowness
+	}
+	sum := 0.0
+	for _, t := range list {
+		sum += t.slowness
+	}
+	return sum / float64(len(list))
+}
+
 // Sweep forgets prompt parts that were not used lately. Call it now and then.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -70,7 +70,7 @@
 	// Loads are what the other entry instances of the region have under way.
 	Loads map[string]Load
 	// Entries are the ids of the region's entry instances that take requests, this
-	// one included, in order. They share out the cold targets.
+	// one included, in order. They share out the groups of targets.
 	Entries []string
 	// Rules by service.
 	Rules map[string]ServiceRules
@@ -82,6 +82,15 @@
 	// speeds of 70-billion-parameter engines lie between 30 and 45. It only weighs
 	// reading against waiting, so a wrong value shifts the balance a little.
 	readRate = 38.0
+	// usualSlowness is what first events take of the plain estimate at first: prompts
+	// are read between the tokens of other requests. learning is the weight of each
+	// newer one, and the bounds keep one odd answer from deciding. Estimates below
+	// leastLearned milliseconds tell too little.
+	usualSlowness = 1.5
+	learning      = 0.1
+	leastSlowness = 0.7
+	mostSlowness  = 8.0
+	leastLearned  = 20.0
 	// slotCost is what a request at a plain target costs the next one, in
 	// milliseconds for a full set of slots: a few tens of milliseconds of work.
 	slotCost = 40.0
@@ -90,10 +99,9 @@
 	// guess is the share of the shared parts that is taken as kept at the target
 	// that all instances prefer for them, where this instance has not sent them.
 	guess = 0.6
-	// fewTargets is how many targets are candidates for a prompt, and crowded the cost
-	// in milliseconds at the best of them beyond which all are.
-	fewTargets = 3
-	crowded    = 400.0
+	// crowded is the cost in milliseconds at the best target of a prompt's group beyond
+	// which all targets are candidates.
+	crowded = 400.0
 	// failCost is the cost of a target of which each answer failed lately, in
 	// milliseconds: about what a failed request costs its caller.
 	failCost = 1500.0
