entry: requests that crash their targets are known everywhere; loads handed on as sums

Cause: (1) a request that crashes each target that runs it could be sent again at any instance without end. (2) Each report brought the loads and the addresses of all entry instances: at 300 of them 18 KB five times a second for each. Change: suspect.Table at each entry instance, its entries told with reports and gossip; a core instance hands on sums of loads, and the list of instances only when it differs.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -324,6 +324,7 @@
 		return nil, err
 	}
 	i.board.Reported(time.Now(), r.Self)
+	i.board.Suspected(time.Now(), r.Suspects, true)
 	if r.First {
 		i.confirmFirst(ctx)
 	}
--- a/node/control/soft.go
+++ b/node/control/soft.go
@@ -133,6 +133,7 @@
 		return
 	}
 	now := time.Now()
+	i.board.Suspected(now, g.Suspects, false)
 	if !i.board.Gossiped(now, g) {
 		return
 	}
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -36,7 +36,10 @@
 	list  feed.List
 	cores []feed.Core
 	// entries are the other entry instances.
-	entries []feed.Entry
+	entries       []feed.Entry
+	entriesDigest uint64
+	// loads sums up what the others of the region have under way.
+	loads   []feed.Load
 	regions []feed.Summary
 	// parsed is the version that the view was made of.
 	parsed uint64
@@ -178,7 +181,8 @@
 
 // report tells a core instance of this one and returns its news.
 func (i *Instance) report(ctx context.Context, to string, wait time.Duration) (*feed.Update, error) {
-	payload, err := cbor.Marshal(i.makeReport(wait))
+	r := i.makeReport(wait)
+	payload, err := cbor.Marshal(r)
 	if err != nil {
 		return nil, err
 	}
@@ -186,25 +190,30 @@
 	defer cancel()
 	answer, err := i.hub.Call(ctx, to, control.ChannelReport, payload)
 	if err != nil {
+		i.killers.putBack(r.Suspects)
 		return nil, err
 	}
 	u := &feed.Update{}
 	return u, cbor.Unmarshal(answer, u)
 }
 
+// makeReport leaves loads out where there is no wait: they are told to the followed core
+// instance only, or they would count twice.
 func (i *Instance) makeReport(wait time.Duration) feed.Report {
 	self := i.o.Self
 	self.Ready = i.Ready()
-	for id, l := range i.pool.Loads() {
-		self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread})
+	if wait > 0 {
+		for id, l := range i.pool.Loads() {
+			self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread})
+		}
 	}
-	r := feed.Report{Self: self, WaitMillis: wait.Milliseconds()}
+	r := feed.Report{Self: self, WaitMillis: wait.Milliseconds(), Suspects: i.killers.takeNews()}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r.First = i.known.state == nil
 	if i.known.state != nil {
 		r.Index = i.known.state.Index
 	}
-	r.Digest = i.known.list.Digest
+	r.Digest, r.Entries = i.known.list.Digest, i.known.entriesDigest
 	return r
 }
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -49,6 +49,7 @@
 	peers   *rawhttp.Client
 	// deciding has others choose targets, and chooses for others.
 	deciding *deciding.Service
+	killers  *killers
 
 	draining atomic.Bool
 	// mu guards known and chooser.
@@ -81,9 +82,10 @@
 		targets: rawhttp.NewClient(rawhttp.Options{}),
 		peers:   rawhttp.NewClient(rawhttp.Options{DialTime: peerDialTime, IdleTime: peerIdleTime, Silence: peerSilence}),
 	}
+	i.killers = newKillers(o.Log)
 	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
 	i.gateway = exchange.New(exchange.Options{
-		Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Decider: i.deciding, Targets: i.targets, Peers: i.peers,
+		Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Decider: i.deciding, Killers: i.killers, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
 	})
 	return i, nil
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -15,6 +15,7 @@
 // goes back: the core instance may lag.
 func (i *Instance) learn(u *feed.Update) {
 	now := time.Now()
+	i.killers.learn(u.Suspects)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	k := &i.known
@@ -31,7 +32,13 @@
 	if u.Led || len(k.cores) == 0 {
 		k.cores = u.Cores
 	}
-	k.entries, k.regions = u.Entries, u.Regions
+	if u.EntriesDigest != 0 {
+		k.entries, k.entriesDigest = u.Entries, u.EntriesDigest
+	}
+	if u.Near {
+		k.loads = u.Loads
+	}
+	k.regions = u.Regions
 	i.show(now)
 }
 
@@ -124,10 +131,9 @@
 		if e.Ready {
 			s.Entries = append(s.Entries, e.ID)
 		}
-		for _, l := range e.Loads {
-			sum := s.Loads[l.Target]
-			s.Loads[l.Target] = pick.Load{Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread}
-		}
+	}
+	for _, l := range k.loads {
+		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: l.Unread}
 	}
 	for _, service := range index.Table.Services {
 		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond}
--- /dev/null
+++ b/node/entry/learn_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/node/feed"
+)
+
+func newInstance(t *testing.T) *Instance {
+	t.Helper()
+	i, err := New(Options{
+		Self: feed.Entry{ID: "127.0.0.1:1", Region: "r", Zone: "z", Callers: "127.0.0.1:2"}, Seeds: []string{"127.0.0.1:3"},
+		Parse: func(document []byte) (*routes.Table, error) { return &routes.Table{Version: uint64(document[0])}, nil },
+		Log:   zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(i.hub.Close)
+	return i
+}
+
+func state(index uint64, version byte) *newest.State {
+	return &newest.State{Index: index, Version: uint64(version), Document: []byte{version}}
+}
+
+// Symptom: a region refuses all requests that another one has to serve.
+// Events: two reports are under way; one brings another list of instances, the other one,
+// which was asked with the older list, brings none.
+// Cause: the lack of a list was taken for an empty one.
+func TestAnUpdateWithoutAListLeavesTheList(t *testing.T) {
+	Convey("two updates cross", t, func() {
+		i := newInstance(t)
+		i.learn(&feed.Update{State: state(1, 1), Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}, EntriesDigest: 5, ListAgeMillis: -1})
+		So(len(i.gateway.View().Peers), ShouldEqual, 1)
+		i.learn(&feed.Update{ListAgeMillis: -1})
+		So(len(i.gateway.View().Peers), ShouldEqual, 1)
+		i.learn(&feed.Update{EntriesDigest: 6, ListAgeMillis: -1})
+		So(i.gateway.View().Peers, ShouldBeEmpty)
+	})
+}
+
+// Symptom: routes go back to an older version for a moment.
+// Events: updates of core instances of which one lags arrive in any order.
+// Cause: the newest message was taken for the newest state.
+func TestStateAndListNeverGoBack(t *testing.T) {
+	Convey("a lagging core instance answers after another one", t, func() {
+		i := newInstance(t)
+		fresh := []feed.Target{{ID: "new", Service: "s", Region: "q"}}
+		stale := []feed.Target{{ID: "old", Service: "s", Region: "q"}}
+		i.learn(&feed.Update{State: state(4, 9), Targets: fresh, Digest: 1, ListAgeMillis: 100})
+		i.learn(&feed.Update{State: state(3, 7), Targets: stale, Digest: 2, ListAgeMillis: 60000})
+		So(i.gateway.View().Index.Table.Version, ShouldEqual, 9)
+		So(i.known.list.Targets, ShouldResemble, fresh)
+	})
+}
+
+func TestLoadsOfTheOwnRegionAreKeptWhileAnotherOneAnswers(t *testing.T) {
+	Convey("a core instance of another region knows no loads", t, func() {
+		i := newInstance(t)
+		i.learn(&feed.Update{State: state(1, 1), Near: true, Loads: []feed.Load{{Target: "x", Running: 2}}, ListAgeMillis: -1})
+		i.learn(&feed.Update{ListAgeMillis: -1})
+		So(len(i.known.loads), ShouldEqual, 1)
+		i.learn(&feed.Update{Near: true, ListAgeMillis: -1})
+		So(i.known.loads, ShouldBeEmpty)
+	})
+}
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -2,9 +2,14 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gullhaven/gullhaven/coord/suspect"
 )
 
 // Times after which soft state is void.
@@ -16,6 +21,11 @@
 	EntryLife = 2500 * time.Millisecond
 	// CoreLife is the same for core instances.
 	CoreLife = 3 * time.Second
+	// suspectLife is how long suspects are told again: several reports and gossips, so
+	// that a lost message matters to nobody.
+	suspectLife = 3 * time.Second
+	// maxSuspects bounds them, 60 bytes each.
+	maxSuspects = 512
 )
 
 // Board is the soft state that a core instance holds. It is safe for several
@@ -23,11 +33,12 @@
 type Board struct {
 	self Core
 
-	mu      sync.Mutex
-	cores   map[string]heardCore
-	entries map[string]heardEntry
-	sums    map[string]heardSums
-	list    List
+	mu       sync.Mutex
+	cores    map[string]heardCore
+	entries  map[string]heardEntry
+	sums     map[string]heardSums
+	list     List
+	suspects []heardSuspect
 	// own says that list was read by this instance.
 	own     bool
 	changed chan struct{}
@@ -36,6 +47,8 @@
 type heardCore struct {
 	core Core
 	at   time.Time
+	// loads are those of the entry instances that report there; of the own region only.
+	loads []Load
 }
 
 type heardEntry struct {
@@ -45,6 +58,42 @@
 	direct bool
 }
 
+// heardSuspect is told again for suspectLife; those that were told by entry instances
+// here go to other core instances too.
+type heardSuspect struct {
+	entry  suspect.Entry
+	at     time.Time
+	direct bool
+}
+
+// Suspected takes in requests that may crash their targets.
+func (b *Board) Suspected(now time.Time, entries []suspect.Entry, direct bool) {
+	if len(entries) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range entries {
+		known := slices.ContainsFunc(b.suspects, func(h heardSuspect) bool { return h.entry == e })
+		if !known && len(b.suspects) < maxSuspects {
+			b.suspects = append(b.suspects, heardSuspect{entry: e, at: now, direct: direct})
+		}
+	}
+	b.wake()
+}
+
+// lateSuspects are those that were heard within suspectLife.
+func (b *Board) lateSuspects(now time.Time, directOnly bool) []suspect.Entry {
+	b.suspects = slices.DeleteFunc(b.suspects, func(h heardSuspect) bool { return now.Sub(h.at) > suspectLife })
+	var out []suspect.Entry
+	for _, h := range b.suspects {
+		if h.direct || !directOnly {
+			out = append(out, h.entry)
+		}
+	}
+	return out
+}
+
 type heardSums struct {
 	sums []Summary
 	at   time.Time
@@ -94,16 +143,13 @@
 func (b *Board) Gossiped(now time.Time, g Gossip) (fetch bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cores[g.From.ID] = heardCore{core: g.From, at: now}
+	b.cores[g.From.ID] = heardCore{core: g.From, at: now, loads: g.Loads}
 	for _, e := range g.Entries {
 		at := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
 		old, known := b.entries[e.ID]
 		if known && !at.After(old.at) {
 			continue
 		}
-		if e.Region != b.self.Region {
-			e.Loads = nil
-		}
 		b.entries[e.ID] = heardEntry{entry: e, at: at}
 		if !known || old.entry.Ready != e.Ready {
 			b.wake()
@@ -185,11 +231,13 @@
 			u.Targets = b.list.Targets
 		}
 	}
+	u.Suspects = b.lateSuspects(now, false)
 	u.Cores = b.liveCores(now)
-	for _, e := range b.liveEntries(now) {
-		if e.entry.ID != r.Self.ID {
-			u.Entries = append(u.Entries, e.entry)
-		}
+	if entries, digest := b.others(now, r.Self.ID); digest != r.Entries {
+		u.Entries, u.EntriesDigest = entries, digest
+	}
+	if r.Self.Region == b.self.Region {
+		u.Near, u.Loads = true, b.sumLoads(now, r.Self.ID, true)
 	}
 	for region, h := range b.sums {
 		if now.Sub(h.at) < CoreLife && region != r.Self.Region {
@@ -225,7 +273,55 @@
 	return out
 }
 
-// summarize sums up the loads of the entry instances of the own region.
+// others are the entry instances but one, without loads, and their digest.
+func (b *Board) others(now time.Time, but string) ([]Entry, uint64) {
+	var out []Entry
+	d := xxhash.New()
+	for _, h := range b.liveEntries(now) {
+		e := h.entry
+		if e.ID == but {
+			continue
+		}
+		e.Loads, e.AgeMillis = nil, 0
+		out = append(out, e)
+		for _, part := range []string{e.ID, e.Region, e.Zone, e.Callers, strconv.FormatBool(e.Ready)} {
+			_, _ = d.WriteString(part)
+			_, _ = d.Write([]byte{0})
+		}
+	}
+	// 0 means that the asker knows none.
+	return out, max(1, d.Sum64())
+}
+
+// sumLoads sums up what the entry instances of the own region have under way, but one:
+// of those that report here, and with all of those that report to others too.
+func (b *Board) sumLoads(now time.Time, but string, all bool) []Load {
+	sums := map[string]Load{}
+	add := func(loads []Load) {
+		for _, l := range loads {
+			sum := sums[l.Target]
+			sums[l.Target] = Load{Target: l.Target, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread}
+		}
+	}
+	for _, h := range b.liveEntries(now) {
+		if h.direct && h.entry.Region == b.self.Region && h.entry.ID != but {
+			add(h.entry.Loads)
+		}
+	}
+	for _, h := range b.cores {
+		if all && now.Sub(h.at) < CoreLife {
+			add(h.loads)
+		}
+	}
+	out := make([]Load, 0, len(sums))
+	for _, l := range sums {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(x, y Load) int { return strings.Compare(x.Target, y.Target) })
+	return out
+}
+
+// summarize sums up the loads of the own region by service.
 func (b *Board) summarize(now time.Time) []Summary {
 	services := map[string]string{}
 	for _, t := range b.list.Targets {
@@ -233,48 +329,40 @@
 			services[t.ID] = t.Service
 		}
 	}
-	sums := map[string]*Summary{}
-	for _, e := range b.liveEntries(now) {
-		if e.entry.Region != b.self.Region {
-			continue
-		}
-		for _, l := range e.entry.Loads {
-			name := services[l.Target]
-			if name == "" {
-				continue
+	sums := map[string]Summary{}
+	for _, l := range b.sumLoads(now, "", true) {
+		if name := services[l.Target]; name != "" {
+			sum := sums[name]
+			sums[name] = Summary{
+				Region: b.self.Region, Service: name, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread,
 			}
-			if sums[name] == nil {
-				sums[name] = &Summary{Region: b.self.Region, Service: name}
-			}
-			sums[name].Running += l.Running
-			sums[name].Unread += l.Unread
 		}
 	}
 	var out []Summary
 	for _, s := range sums {
-		out = append(out, *s)
+		out = append(out, s)
 	}
 	slices.SortFunc(out, func(x, y Summary) int { return strings.Compare(x.Service, y.Service) })
 	return out
 }
 
 // Gossip is what this instance tells another one: the entry instances that report
-// here, with their loads only inside the region, and its own reading of the list.
+// here, inside the region their loads, and its own reading of the list.
 func (b *Board) Gossip(now time.Time, to Core) Gossip {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	g := Gossip{From: b.self, Regions: b.summarize(now)}
+	g := Gossip{From: b.self, Regions: b.summarize(now), Suspects: b.lateSuspects(now, true)}
 	for _, h := range b.liveEntries(now) {
 		if !h.direct {
 			continue
 		}
 		e := h.entry
-		e.AgeMillis = now.Sub(h.at).Milliseconds()
-		if to.Region != b.self.Region {
-			e.Loads = nil
-		}
+		e.Loads, e.AgeMillis = nil, now.Sub(h.at).Milliseconds()
 		g.Entries = append(g.Entries, e)
 	}
+	if to.Region == b.self.Region {
+		g.Loads = b.sumLoads(now, "", false)
+	}
 	if b.own {
 		g.Digest, g.ListAgeMillis = b.list.Digest, now.Sub(b.list.ReadAt).Milliseconds()
 	}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/coord/suspect"
 )
 
 // Entry is what an entry instance tells of itself.
@@ -24,7 +25,8 @@
 	Callers string `cbor:"4,keyasint"`
 	// Ready says that it takes requests; a leaving instance does not.
 	Ready bool `cbor:"5,keyasint,omitempty"`
-	// Loads are what it has sent and what has not ended yet.
+	// Loads are what it has sent and what has not ended yet. They stay at the core
+	// instance, which hands on sums.
 	Loads []Load `cbor:"6,keyasint,omitempty"`
 	// AgeMillis is how old the report is where it is handed on.
 	AgeMillis int64 `cbor:"7,keyasint,omitempty"`
@@ -83,6 +85,11 @@
 	First bool `cbor:"4,keyasint,omitempty"`
 	// WaitMillis is how long the answer may wait for a change.
 	WaitMillis int64 `cbor:"5,keyasint,omitempty"`
+	// Suspects are requests that may crash their targets, as the asker found since its
+	// last report.
+	Suspects []suspect.Entry `cbor:"6,keyasint,omitempty"`
+	// Entries is the digest of the entry instances that it knows.
+	Entries uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Update answers a Report.
@@ -95,11 +102,20 @@
 	Targets []Target `cbor:"3,keyasint,omitempty"`
 	Digest  uint64   `cbor:"4,keyasint,omitempty"`
 	// ListAgeMillis is how long ago the list was read; negative if never.
-	ListAgeMillis int64   `cbor:"5,keyasint"`
-	Cores         []Core  `cbor:"6,keyasint,omitempty"`
+	ListAgeMillis int64  `cbor:"5,keyasint"`
+	Cores         []Core `cbor:"6,keyasint,omitempty"`
+	// Entries, without the asker and without loads, stand for all that are there if
+	// EntriesDigest is set: their digest is another than Report.Entries.
 	Entries       []Entry `cbor:"7,keyasint,omitempty"`
+	EntriesDigest uint64  `cbor:"10,keyasint,omitempty"`
+	// Loads sums up what the others of the asker's region have under way; Near says that
+	// the core instance is of that region and knows.
+	Loads []Load `cbor:"11,keyasint,omitempty"`
+	Near  bool   `cbor:"12,keyasint,omitempty"`
 	// Regions sums up the load of the other regions.
 	Regions []Summary `cbor:"8,keyasint,omitempty"`
+	// Suspects were told by any entry instance lately.
+	Suspects []suspect.Entry `cbor:"9,keyasint,omitempty"`
 }
 
 // Summary is the load of one service in one region.
@@ -120,4 +136,9 @@
 	// itself; Digest is 0 if it has not read.
 	Digest        uint64 `cbor:"4,keyasint,omitempty"`
 	ListAgeMillis int64  `cbor:"5,keyasint,omitempty"`
+	// Loads sums up what the entry instances that report to the sender have under way;
+	// only inside a region.
+	Loads []Load `cbor:"7,keyasint,omitempty"`
+	// Suspects were told to the sender by entry instances lately.
+	Suspects []suspect.Entry `cbor:"6,keyasint,omitempty"`
 }
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -78,6 +78,10 @@
 		q.refuse(refusal)
 		return
 	}
+	if g.o.Killers != nil && g.o.Killers.Refused(&q.raw) {
+		q.refuse(&refusal{status: http.StatusServiceUnavailable, code: CodeKiller, retry: retryKiller})
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.until)
 	defer cancel()
 	q.ctx = ctx
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 )
 
 // sent is how often the targets were sent a request.
@@ -386,3 +387,50 @@
 		So(do(req).status, ShouldEqual, 400)
 	})
 }
+
+// crashes notes what the gateway tells.
+type crashes struct {
+	crashed, answered []string
+	refuse            bool
+}
+
+func (c *crashes) Refused(*rawhttp.Request) bool { return c.refuse }
+
+func (c *crashes) Crashed(_ *rawhttp.Request, target string) { c.crashed = append(c.crashed, target) }
+
+func (c *crashes) Answered(_ *rawhttp.Request, place string) { c.answered = append(c.answered, place) }
+
+// Symptom: a request that crashes its targets is sent on and on, or an innocent one is
+// taken for such.
+// Events: a target ends the connection; one fails; one is not there.
+// Cause: all of these were taken alike.
+func TestCrashesAreTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		first script
+		want  int
+	}{
+		"ends the connection": {closes, 1},
+		"fails":               {whole(500, "failed"), 0},
+		"turns away":          {notRun, 0},
+		"breaks off midway":   {raw("HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\nContent-Length: 9\r\n\r\nx", false), 0},
+	} {
+		Convey("a target that "+name, t, func() {
+			k := &crashes{}
+			r := newRigWith(t, "r", k, newTarget(t, "t1", c.first))
+			r.call("/unsafe/x", "b")
+			So(len(k.crashed), ShouldEqual, c.want)
+		})
+	}
+	Convey("an answer clears, a refused one is not sent", t, func() {
+		k := &crashes{}
+		x := newTarget(t, "t1", whole(200, "done"))
+		r := newRigWith(t, "r", k, x)
+		So(r.call("/unsafe/x", "b").status, ShouldEqual, 200)
+		So(k.answered, ShouldResemble, []string{"t1"})
+		k.refuse = true
+		got := r.call("/unsafe/x", "b")
+		So(got.status, ShouldEqual, 503)
+		So(got.header.Get("Retry-After"), ShouldNotEqual, "")
+		So(sent(x), ShouldEqual, 1)
+	})
+}
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -17,6 +17,8 @@
 	retryNoView = 500 * time.Millisecond
 	// retrySoon: targets come and go within seconds; another instance may know more.
 	retrySoon = 250 * time.Millisecond
+	// retryKiller: it is refused for long.
+	retryKiller = time.Second
 	// retryElsewhere: another instance takes it now.
 	retryElsewhere = 20 * time.Millisecond
 )
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -29,6 +29,8 @@
 	Pool    *pick.Pool
 	// Decider, if set, is asked before Pool.
 	Decider Decider
+	// Killers, if set, has requests refused that crash their targets.
+	Killers Killers
 	// Targets and Peers send to targets and to instances of other regions.
 	Targets, Peers *rawhttp.Client
 	Retries        RetryLimits
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +39,9 @@
 // served counts and tells of an answer.
 func (q *request) served() {
 	q.g.Counters.Served.Add(1)
+	if q.g.o.Killers != nil {
+		q.g.o.Killers.Answered(&q.raw, q.place)
+	}
 	q.g.o.Log.Info("served", zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
 		zap.Int("sends", q.sends), zap.Float64("estimate_ms", q.cost), zap.Duration("first", q.first.Sub(q.began)),
 		zap.Duration("after", time.Since(q.began)), zap.Int("prompt_tokens", q.call.PromptTokens), zap.String("source", q.source), zap.Bool("passed", q.from != nil))
@@ -75,6 +79,7 @@
 	q.place, q.cost, q.source = p.choice.ID, p.choice.Cost, p.choice.Source
 	a, err := q.g.o.Targets.Do(q.ctx, p.choice.Address, q.toTarget(p.choice, now))
 	if err != nil {
+		q.noteCrash(p.choice.ID, err)
 		p.done(time.Now(), q.lost(p.choice.ID, err))
 		return false
 	}
@@ -131,6 +136,14 @@
 	return pick.Lost
 }
 
+// noteCrash tells of a target that ended the connection in place of an answer.
+func (q *request) noteCrash(target string, err error) {
+	ended := errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	if ended && q.g.o.Killers != nil && q.ctx.Err() == nil {
+		q.g.o.Killers.Crashed(&q.raw, target)
+	}
+}
+
 // take reads an answer and relays it, or finds that another attempt is needed. p is nil for an answer of another instance.
 func (q *request) take(a *rawhttp.Answer, p *place) (done bool, result pick.Result) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -14,6 +14,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
@@ -84,6 +85,16 @@
 	Ended(d Decision, r pick.Result)
 }
 
+// Killers knows the requests that crash each target that runs them.
+type Killers interface {
+	// Refused reports whether a request must not be sent any more.
+	Refused(r *rawhttp.Request) bool
+	// Crashed notes that a target broke off before it answered a request, Answered that
+	// one answered it.
+	Crashed(r *rawhttp.Request, target string)
+	Answered(r *rawhttp.Request, target string)
+}
+
 // Decision is a target chosen by another instance.
 type Decision struct {
 	Target string
@@ -132,6 +143,7 @@
 	CodeNoTime     verdict.Code = "no_time_left"
 	CodeTimeout    verdict.Code = "timeout"
 	CodeTargetLost verdict.Code = "target_lost"
+	CodeKiller     verdict.Code = "request_crashes_targets"
 	CodeLeaving    verdict.Code = "instance_leaving"
 	CodeBehind     verdict.Code = "configuration_behind"
 )
