site: logs through a bounded ring with a budget, metrics of each stage

Cause: log lines were written by who logs, so a reader that stalls would delay requests, and ordinary outcomes had no bound; nothing counted stages or refusals.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -114,11 +114,19 @@
 
 // newLogger writes JSON lines to w from a level on.
 func newLogger(w io.Writer, level string) (*zap.Logger, error) {
+	core, err := newLogCore(w, level)
+	if err != nil {
+		return nil, err
+	}
+	return zap.New(core), nil
+}
+
+func newLogCore(w io.Writer, level string) (zapcore.Core, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), parsed)), nil
+	return zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), parsed), nil
 }
--- a/daemon/site.go
+++ b/daemon/site.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/metrics/lines"
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/entry"
 	"github.com/gullhaven/gullhaven/node/feed"
@@ -52,16 +53,23 @@
 	callerIdle = 75 * time.Second
 	// peerIdle is how long other instances may keep a connection; they close first.
 	peerIdle = 60 * time.Second
+	// ordinaryLines is how many lines a second tell of answered requests; each costs
+	// about 5 microseconds of a core.
+	ordinaryLines = 20
 	// platformTime bounds one call to the platform.
 	platformTime = 2 * time.Second
 )
 
 // site runs one instance of a site.
 type site struct {
-	s       *settings.Site
-	log     *zap.Logger
-	servers []*http.Server
-	failed  chan error
+	s   *settings.Site
+	log *zap.Logger
+	// ordinary takes lines of requests that were answered, within a budget.
+	ordinary *zap.Logger
+	sink     *lines.Sink
+	budget   *lines.Budget
+	servers  []*http.Server
+	failed   chan error
 }
 
 func (o *siteOptions) run(ctx context.Context, out io.Writer) error {
@@ -80,7 +88,8 @@
 		_, err := fmt.Fprintf(out, "%s: settings of instance %s are in order\n", path, s.Instance)
 		return err
 	}
-	log, err := newLogger(out, s.LogLevel)
+	sink := lines.NewSink(out)
+	core, err := newLogCore(sink, s.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -88,7 +97,18 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	}
-	r := &site{s: s, log: log.With(zap.String("instance", s.Instance)), failed: make(chan error, 1)}
+	named := zap.String("instance", s.Instance)
+	budget := lines.NewBudget(core, ordinaryLines)
+	r := &site{
+		s: s, log: zap.New(core).With(named), ordinary: zap.New(budget).With(named), sink: sink, budget: budget,
+		failed: make(chan error, 1),
+	}
+	logging, end := context.WithCancel(context.Background())
+	defer end()
+	// The last lines are waited for, but not for long.
+	defer func() { _ = sink.Sync() }()
+	go sink.Run(logging)
+	go lines.Tell(logging, r.log, sink, budget)
 	go r.watchSettings(ctx, path)
 	if s.Listen.Callers != "" {
 		return r.runEntry(ctx)
@@ -96,6 +116,9 @@
 	return r.runCore(ctx)
 }
 
+// Missing implements entry.Lines and control.Lines.
+func (r *site) Missing() (dropped, leftOut uint64) { return r.sink.Dropped(), r.budget.LeftOut() }
+
 // watchSettings reads the settings anew when the platform says that they changed. What
 // changes at run time are log lines only: addresses and seeds serve the start, and the
 // group itself tells of its members.
@@ -124,12 +147,13 @@
 		Parse:   platform.ParseConfiguration,
 		Dialect: platform.Dialect{},
 		Retries: exchange.RetryLimits{Span: s.Retries.Span(), Share: s.Retries.Share, Allowance: s.Retries.Allowance},
-		Log:     r.log,
+		Log:     r.log, Ordinary: r.ordinary, Lines: r,
 	})
 	if err != nil {
 		return err
 	}
 	if err := r.listen(map[string]http.Handler{
+		s.Listen.Metrics:   i.Metrics(),
 		s.Listen.Instances: i.Peers(),
 		s.Listen.Callers:   i.Callers(),
 		s.Listen.Ready:     platform.ReadyCall(i.Ready),
@@ -183,11 +207,13 @@
 		Parse:      platform.ParseConfiguration,
 		ReadList:   list.Read,
 		Log:        r.log,
+		Lines:      r,
 	})
 	if err != nil {
 		return err
 	}
 	if err := r.listen(map[string]http.Handler{
+		s.Listen.Metrics:   i.Metrics(),
 		s.Listen.Instances: i.Links(),
 		s.Listen.Operators: platform.OperatorCalls(i),
 	}); err != nil {
--- a/metrics/control.go
+++ b/metrics/control.go
@@ -129,4 +129,7 @@
 		c := read()
 		s.control.Store(&c)
 	}
+	if s.onPage != nil {
+		s.onPage()
+	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -2,6 +2,8 @@
 // and meaning in one place, and writes them in the text form that scrapers read.
 package metrics
 
+import "slices"
+
 // Kind tells how a metric moves.
 type Kind string
 
@@ -103,8 +105,11 @@
 	OrdersFailed         = Metric{"gullhaven_orders_failed_total", Counter, "orders", "Orders that were refused, expired, or ended without an answer."}
 )
 
-// All are the metrics of an instance, each once.
-var All = []Metric{
+// All are all metrics, each once.
+var All = slices.Concat(Instance, Site)
+
+// Instance are the metrics of an instance of the product's own interface, each once.
+var Instance = []Metric{
 	Requests, InFlight, Answered, Refused, FailedMayHaveRun, FailedRan, CutAnswers,
 	CallersGone, Attempts, Retries, Hedges, Resumes, MovedStreams, FailedMoves, LateAnswers, Duplicates, Reordered,
 	Foreign, WrongAnswers, Chunks, BodyBytes, Spilled, Replayed, ClaimsRecorded,
--- a/metrics/names_test.go
+++ b/metrics/names_test.go
@@ -52,8 +52,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := strings.Count(string(source), "= Metric{"); n != len(All) {
-		t.Errorf("names.go has %d metrics, All %d", n, len(All))
+	if n := strings.Count(string(source), "= Metric{"); n != len(Instance) {
+		t.Errorf("names.go has %d metrics, Instance %d", n, len(Instance))
 	}
 	if n := reflect.TypeFor[Control]().NumField(); n != len(controlMetrics) {
 		t.Errorf("Control has %d fields, controlMetrics %d", n, len(controlMetrics))
@@ -72,7 +72,7 @@
 	if err := s.WritePage(&page); err != nil {
 		t.Fatal(err)
 	}
-	for _, m := range All {
+	for _, m := range Instance {
 		if !strings.Contains(page.String(), fmt.Sprintf("# TYPE %s %s\n", m.Name, m.Kind)) {
 			t.Errorf("%s is not written", m.Name)
 		}
@@ -83,3 +83,25 @@
 		}
 	}
 }
+
+func TestAllMetricsOfASiteAreWritten(t *testing.T) {
+	source, err := os.ReadFile("site.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(source), "= Metric{"); n != len(Site) {
+		t.Errorf("site.go has %d metrics, Site %d", n, len(Site))
+	}
+	var page strings.Builder
+	entry, core := NewSiteEntry(func() EntryState { return EntryState{} }), NewSiteCore(func() CoreState { return CoreState{} })
+	for _, s := range []*Set{entry.Set, core} {
+		if err := s.WritePage(&page); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range Site {
+		if !strings.Contains(page.String(), fmt.Sprintf("# TYPE %s %s\n", m.Name, m.Kind)) {
+			t.Errorf("%s is not written", m.Name)
+		}
+	}
+}
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -16,6 +16,8 @@
 	// control is what readControl gave for the page that is being written.
 	readControl func() Control
 	control     atomic.Pointer[Control]
+	// onPage, if set, is called before each page.
+	onPage func()
 
 	Requests, Answered, Refused, FailedMayHaveRun, FailedRan       gometrics.Counter
 	CutAnswers, CallersGone                                        gometrics.Counter
@@ -28,7 +30,7 @@
 
 // NewSet makes a registry with all metrics of the request path at zero.
 func NewSet() *Set {
-	s := &Set{registry: gometrics.NewRegistry(), known: map[string]Metric{}, times: map[string]*Times{}}
+	s := newEmptySet()
 	s.Requests = s.Counter(Requests)
 	s.Answered = s.Counter(Answered)
 	s.Refused = s.Counter(Refused)
@@ -58,6 +60,10 @@
 	return s
 }
 
+func newEmptySet() *Set {
+	return &Set{registry: gometrics.NewRegistry(), known: map[string]Metric{}, times: map[string]*Times{}}
+}
+
 // Counter registers a counter, or returns the one registered by this name.
 func (s *Set) Counter(m Metric) gometrics.Counter {
 	s.describe(m)
--- /dev/null
+++ b/metrics/site.go
@@ -0,0 +1,144 @@
+package metrics
+
+import (
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Metrics of the instances of a site, beside those of the request path.
+var (
+	SitePassedOn       = Metric{"gullhaven_site_passed_on_total", Counter, "requests", "Requests that came from another region."}
+	SiteRefusals       = Metric{"gullhaven_site_refused_no_target_total", Counter, "requests", "Requests refused as no target was available."}
+	SiteNoView         = Metric{"gullhaven_site_refused_no_configuration_total", Counter, "requests", "Requests refused before a configuration was known."}
+	SiteLeaving        = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
+	SiteKillers        = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
+	SiteOtherRefusals  = Metric{"gullhaven_site_refused_other_total", Counter, "requests", "Requests refused for other reasons: no route, malformed, too large, a peer that is behind."}
+	SiteRetriesDenied  = Metric{"gullhaven_site_retries_denied_total", Counter, "attempts", "Further sendings that the budget did not allow."}
+	SiteDecided        = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
+	SiteChooseTime     = Metric{"gullhaven_site_choose_seconds", Histogram, "seconds", "Time to choose where to send, with asking another instance."}
+	SiteSendTime       = Metric{"gullhaven_site_send_seconds", Histogram, "seconds", "Time from sending to the head of the answer or the loss of it."}
+	SiteGapTime        = Metric{"gullhaven_site_event_gap_seconds", Histogram, "seconds", "Time between two events of a stream."}
+	SiteWholeTime      = Metric{"gullhaven_site_whole_seconds", Histogram, "seconds", "Time from the acceptance of a request to its end."}
+	SiteDials          = Metric{"gullhaven_site_connections_total", Counter, "connections", "New connections to targets."}
+	SiteTargets        = Metric{"gullhaven_site_targets", Gauge, "targets", "Targets of the region on the list."}
+	SiteTargetsOut     = Metric{"gullhaven_site_targets_out", Gauge, "targets", "Targets left out for a while as they were lost."}
+	SiteTargetsCold    = Metric{"gullhaven_site_targets_cold", Gauge, "targets", "Targets that bear only a few requests a second."}
+	SiteTargetsLeaving = Metric{"gullhaven_site_targets_draining", Gauge, "targets", "Targets that drain, or whose zone is evacuated."}
+	SiteVersion        = Metric{"gullhaven_site_version", Gauge, "version", "Version of the configuration in force, or accepted at a core instance; 0 for none."}
+	SiteListAge        = Metric{"gullhaven_site_list_age_milliseconds", Gauge, "milliseconds", "Age of the list of targets; negative if there is none."}
+	SiteEntries        = Metric{"gullhaven_site_entries", Gauge, "instances", "Entry instances known."}
+	SiteCores          = Metric{"gullhaven_site_cores", Gauge, "instances", "Core instances known."}
+	SiteLogRole        = Metric{"gullhaven_site_log_leads", Gauge, "bool", "1 at the leader of the log, else 0."}
+	SiteLogTerm        = Metric{"gullhaven_site_log_term", Gauge, "term", "Term of the log."}
+	SiteLogApplied     = Metric{"gullhaven_site_log_applied", Gauge, "entries", "Entries of the log applied."}
+	SiteLogBehind      = Metric{"gullhaven_site_log_behind", Gauge, "entries", "Entries committed and not applied."}
+	SiteLogVoters      = Metric{"gullhaven_site_log_voters", Gauge, "instances", "Voters of the group."}
+	SiteLinesDropped   = Metric{"gullhaven_site_log_lines_dropped_total", Counter, "lines", "Log lines dropped as their reader was too slow."}
+	SiteLinesLeftOut   = Metric{"gullhaven_site_log_lines_left_out_total", Counter, "lines", "Log lines of ordinary outcomes beyond their budget."}
+)
+
+// Site are the metrics that only instances of a site have, each once.
+var Site = []Metric{
+	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOtherRefusals, SiteRetriesDenied, SiteDecided,
+	SiteChooseTime, SiteSendTime, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
+	SiteTargetsLeaving, SiteVersion, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
+	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
+}
+
+// SiteEntry are the metrics of an entry instance.
+type SiteEntry struct {
+	*Set
+	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOther gometrics.Counter
+	RetriesDenied, Decided                                                                gometrics.Counter
+	ChooseTime, SendTime, GapTime, WholeTime                                              *Times
+}
+
+// EntryState is what an entry instance shows of itself when its page is read.
+type EntryState struct {
+	InFlight, Dials, Targets, Out, Cold, Draining, Version, ListAge, Entries, Cores int64
+	LinesDropped, LinesLeftOut                                                      int64
+}
+
+// NewSiteEntry makes the metrics of an entry instance; read gives its state.
+func NewSiteEntry(read func() EntryState) *SiteEntry {
+	s := NewSet()
+	page := newPageState(s, read)
+	page.show(InFlight, func(e *EntryState) int64 { return e.InFlight })
+	page.show(SiteDials, func(e *EntryState) int64 { return e.Dials })
+	page.show(SiteTargets, func(e *EntryState) int64 { return e.Targets })
+	page.show(SiteTargetsOut, func(e *EntryState) int64 { return e.Out })
+	page.show(SiteTargetsCold, func(e *EntryState) int64 { return e.Cold })
+	page.show(SiteTargetsLeaving, func(e *EntryState) int64 { return e.Draining })
+	page.show(SiteVersion, func(e *EntryState) int64 { return e.Version })
+	page.show(SiteListAge, func(e *EntryState) int64 { return e.ListAge })
+	page.show(SiteEntries, func(e *EntryState) int64 { return e.Entries })
+	page.show(SiteCores, func(e *EntryState) int64 { return e.Cores })
+	page.show(SiteLinesDropped, func(e *EntryState) int64 { return e.LinesDropped })
+	page.show(SiteLinesLeftOut, func(e *EntryState) int64 { return e.LinesLeftOut })
+	return &SiteEntry{
+		Set: s, PassedOn: s.Counter(SitePassedOn), RefusedNoTarget: s.Counter(SiteRefusals), RefusedNoView: s.Counter(SiteNoView),
+		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers), RefusedOther: s.Counter(SiteOtherRefusals),
+		RetriesDenied: s.Counter(SiteRetriesDenied), Decided: s.Counter(SiteDecided),
+		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WholeTime: s.Times(SiteWholeTime),
+	}
+}
+
+// CoreState is what a core instance shows of itself when its page is read.
+type CoreState struct {
+	Leads                                                         bool
+	Term, Applied, Behind, Voters, Version, ListAge, Targets      int64
+	Entries, Cores, Syncs, SyncedEntries, LinesDropped, LinesLeft int64
+}
+
+// NewSiteCore makes the metrics of a core instance; read gives its state.
+func NewSiteCore(read func() CoreState) *Set {
+	s := newEmptySet()
+	page := newPageState(s, read)
+	page.show(SiteLogRole, func(c *CoreState) int64 {
+		if c.Leads {
+			return 1
+		}
+		return 0
+	})
+	page.show(SiteLogTerm, func(c *CoreState) int64 { return c.Term })
+	page.show(SiteLogApplied, func(c *CoreState) int64 { return c.Applied })
+	page.show(SiteLogBehind, func(c *CoreState) int64 { return c.Behind })
+	page.show(SiteLogVoters, func(c *CoreState) int64 { return c.Voters })
+	page.show(SiteVersion, func(c *CoreState) int64 { return c.Version })
+	page.show(SiteListAge, func(c *CoreState) int64 { return c.ListAge })
+	page.show(SiteTargets, func(c *CoreState) int64 { return c.Targets })
+	page.show(SiteEntries, func(c *CoreState) int64 { return c.Entries })
+	page.show(SiteCores, func(c *CoreState) int64 { return c.Cores })
+	page.show(LogSyncs, func(c *CoreState) int64 { return c.Syncs })
+	page.show(LogSyncedEntries, func(c *CoreState) int64 { return c.SyncedEntries })
+	page.show(SiteLinesDropped, func(c *CoreState) int64 { return c.LinesDropped })
+	page.show(SiteLinesLeftOut, func(c *CoreState) int64 { return c.LinesLeft })
+	return s
+}
+
+// pageState shows parts of one state that is read once for each page.
+type pageState[T any] struct {
+	set  *Set
+	mu   sync.Mutex
+	last T
+}
+
+func newPageState[T any](s *Set, read func() T) *pageState[T] {
+	p := &pageState[T]{set: s}
+	s.onPage = func() {
+		state := read()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.last = state
+	}
+	return p
+}
+
+func (p *pageState[T]) show(m Metric, part func(*T) int64) {
+	p.set.Gauge(m, func() int64 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return part(&p.last)
+	})
+}
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -25,6 +25,7 @@
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/replog"
 	"github.com/gullhaven/gullhaven/coord/wal"
+	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -84,6 +85,14 @@
 	// ReadList reads the platform's list of targets.
 	ReadList func(ctx context.Context) ([]feed.Target, error)
 	Log      *zap.Logger
+	// Lines tells of missing log lines; nil where none are counted.
+	Lines Lines
+}
+
+// Lines counts log lines.
+type Lines interface {
+	// Missing is how many were dropped and left out.
+	Missing() (dropped, leftOut uint64)
 }
 
 // Instance is a core instance.
@@ -100,6 +109,7 @@
 	members *admit.Group
 	// membersMu guards members, which the joining duty and calls of others use.
 	membersMu sync.Mutex
+	metrics   *metrics.Set
 	// newcomer says that this instance stands for a voter that is gone.
 	newcomer bool
 	// gossipNow wakes the gossip before its time.
@@ -122,6 +132,7 @@
 		o: o, log: o.Log, board: feed.NewBoard(o.Self), members: admit.New(admit.Rules{}),
 		gossipNow: make(chan struct{}, 1),
 	}
+	i.metrics = metrics.NewSiteCore(i.shown)
 	i.kept = newKept(wal.OS{}, o.Dir, o.Log)
 	i.machine = newest.NewMachine(i.changed)
 	hub, err := link.New(LinkOptions(o.Self.ID))
@@ -193,6 +204,28 @@
 // Links answers the links of other instances; mount it at link.DefaultPath.
 func (i *Instance) Links() http.Handler { return i.hub.Handler() }
 
+// Metrics serves the metrics as text.
+func (i *Instance) Metrics() http.Handler { return i.metrics }
+
+// shown is the state that the metrics show.
+func (i *Instance) shown() metrics.CoreState {
+	now, s := time.Now(), i.node.Status()
+	c := metrics.CoreState{
+		Leads: s.Core.Role == replog.Leader, Term: int64(s.Core.Term), Applied: int64(s.Applied),
+		Behind: int64(s.Core.Commit) - int64(s.Applied), Voters: int64(len(s.Core.Config.Voters)),
+		Version: int64(i.accepted().Version), ListAge: -1, Entries: int64(len(i.board.Entries(now))),
+		Cores: int64(len(i.board.Cores(now))), Syncs: int64(s.Counters.Syncs), SyncedEntries: int64(s.Counters.SyncedEntries),
+	}
+	if l := i.board.List(); !l.ReadAt.IsZero() {
+		c.ListAge, c.Targets = now.Sub(l.ReadAt).Milliseconds(), int64(len(l.Targets))
+	}
+	if i.o.Lines != nil {
+		dropped, leftOut := i.o.Lines.Missing()
+		c.LinesDropped, c.LinesLeft = int64(dropped), int64(leftOut)
+	}
+	return c
+}
+
 // Board is the soft state.
 func (i *Instance) Board() *feed.Board { return i.board }
 
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -17,6 +17,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/deciding"
 	"github.com/gullhaven/gullhaven/node/feed"
@@ -35,7 +36,16 @@
 	Parse   func(document []byte) (*routes.Table, error)
 	Dialect exchange.Dialect
 	Retries exchange.RetryLimits
-	Log     *zap.Logger
+	// Log tells of failures and changes, Ordinary of each request that was answered.
+	Log, Ordinary *zap.Logger
+	// Lines tells of missing log lines; nil where none are counted.
+	Lines Lines
+}
+
+// Lines counts log lines.
+type Lines interface {
+	// Missing is how many were dropped and left out.
+	Missing() (dropped, leftOut uint64)
 }
 
 // Instance is an entry instance.
@@ -50,6 +60,7 @@
 	// deciding has others choose targets, and chooses for others.
 	deciding *deciding.Service
 	killers  *killers
+	metrics  *metrics.SiteEntry
 
 	draining atomic.Bool
 	// mu guards known and chooser.
@@ -82,11 +93,13 @@
 		targets: rawhttp.NewClient(rawhttp.Options{}),
 		peers:   rawhttp.NewClient(rawhttp.Options{DialTime: peerDialTime, IdleTime: peerIdleTime, Silence: peerSilence}),
 	}
+	i.metrics = metrics.NewSiteEntry(i.shown)
 	i.killers = newKillers(o.Log)
 	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
 	i.gateway = exchange.New(exchange.Options{
 		Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Decider: i.deciding, Killers: i.killers, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
+		Ordinary: o.Ordinary, Metrics: i.metrics,
 	})
 	return i, nil
 }
@@ -106,6 +119,31 @@
 	})
 }
 
+// Metrics serves the metrics as text.
+func (i *Instance) Metrics() http.Handler { return i.metrics }
+
+// shown is the state that the metrics show.
+func (i *Instance) shown() metrics.EntryState {
+	now := time.Now()
+	s := metrics.EntryState{InFlight: i.gateway.InFlight(), Dials: int64(i.targets.Dials()), ListAge: -1}
+	c := i.pool.Count(now)
+	s.Targets, s.Out, s.Cold, s.Draining = int64(c.Targets), int64(c.Out), int64(c.Cold), int64(c.Draining)
+	if i.o.Lines != nil {
+		dropped, leftOut := i.o.Lines.Missing()
+		s.LinesDropped, s.LinesLeftOut = int64(dropped), int64(leftOut)
+	}
+	if v := i.gateway.View(); v != nil {
+		s.Version = int64(v.Index.Table.Version)
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.known.list.ReadAt.IsZero() {
+		s.ListAge = now.Sub(i.known.list.ReadAt).Milliseconds()
+	}
+	s.Entries, s.Cores = int64(len(i.known.entries)+1), int64(len(i.known.cores))
+	return s
+}
+
 // Ready reports whether it takes requests.
 func (i *Instance) Ready() bool { return !i.draining.Load() && i.gateway.View() != nil }
 
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -49,7 +49,7 @@
 		return
 	}
 	view := i.gateway.View()
-	next := &exchange.View{Regions: map[exchange.RegionService]exchange.RegionLoad{}, Entries: len(k.entries) + 1}
+	next := &exchange.View{Regions: map[exchange.RegionService]exchange.RegionLoad{}, Entries: len(k.entries) + 1, ListAt: k.list.ReadAt}
 	if view != nil {
 		next.Index = view.Index
 	}
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -16,7 +16,7 @@
 	i, err := New(Options{
 		Self: feed.Entry{ID: "127.0.0.1:1", Region: "r", Zone: "z", Callers: "127.0.0.1:2"}, Seeds: []string{"127.0.0.1:3"},
 		Parse: func(document []byte) (*routes.Table, error) { return &routes.Table{Version: uint64(document[0])}, nil },
-		Log:   zap.NewNop(),
+		Log:   zap.NewNop(), Ordinary: zap.NewNop(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/operate/cli/operations_test.go
+++ b/operate/cli/operations_test.go
@@ -26,8 +26,8 @@
 // logCall is a call of a logger with a constant message; logRow is a row of the
 // page's list.
 var (
-	logCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger)\.(Debug|Info|Warn|Error)\(\s*"([^"]+)"`)
-	anyCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger)\.(?:Debug|Info|Warn|Error|DPanic|Panic|Fatal)\(`)
+	logCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger|\bOrdinary)\.(Debug|Info|Warn|Error)\(\s*"([^"]+)"`)
+	anyCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger|\bOrdinary)\.(?:Debug|Info|Warn|Error|DPanic|Panic|Fatal)\(`)
 	logRow  = regexp.MustCompile("(?m)^\\| (debug|info|warn|error) \\| `([^`]+)` \\| .+ \\| .+ \\|$")
 )
 
@@ -35,7 +35,7 @@
 func logLines(t *testing.T) []string {
 	t.Helper()
 	var lines []string
-	for _, folder := range []string{"node", "daemon", "pipeline", "coord", "bundle", "placement", "route", "ports"} {
+	for _, folder := range []string{"node", "daemon", "pipeline", "coord", "bundle", "placement", "route", "ports", "platform", "metrics"} {
 		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, entry fs.DirEntry, err error) error {
 			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -47,8 +47,8 @@
 	tried []string
 	// place is the last one tried, and cost what it was estimated to take until the
 	// first event, in milliseconds.
-	place, source string
-	cost          float64
+	place, source, decidedBy string
+	cost                     float64
 	// first is when the answer began.
 	first time.Time
 	// turnedAway says that a target has refused it without running it.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -91,6 +91,7 @@
 	if q.g.o.Decider != nil {
 		if d, ok := q.g.o.Decider.Decide(q.ctx, c, q.call.ID, q.until.Sub(now)); ok {
 			if choice := q.g.o.Pool.PickAt(now, c, d.Target); choice != nil {
+				q.g.o.Metrics.Decided.Inc(1)
 				choice.Source, choice.Cost, choice.Wait = d.Source, d.Cost, d.Cost
 				return &place{choice: choice, decided: d, by: q.g.o.Decider}
 			}
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -364,8 +364,8 @@
 		view.Regions = map[exchange.RegionService]exchange.RegionLoad{{Region: "r", Service: "s"}: {Targets: 1, Slots: 4}}
 		b.gateway.SetView(&view)
 		So(a.call("/safe/x", "").status, ShouldEqual, 503)
-		So(a.gateway.Counters.PassedOn.Load(), ShouldEqual, 0)
-		So(b.gateway.Counters.PassedOn.Load(), ShouldEqual, 1)
+		So(a.metrics.PassedOn.Count(), ShouldEqual, 0)
+		So(b.metrics.PassedOn.Count(), ShouldEqual, 1)
 	})
 	Convey("an instance with an older configuration does not decide", t, func() {
 		y := newTarget(t, "far", whole(200, "far"))
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
@@ -55,18 +56,40 @@
 	q.w.WriteHeader(f.status)
 	// The caller may have left; there is nothing more to tell it.
 	_, _ = q.w.Write([]byte(body))
-	q.g.count(f.status)
+	q.count(f)
 	q.g.o.Log.Info("refused", zap.String("id", q.call.ID), zap.Int("status", f.status), zap.String("code", string(f.code)),
 		zap.Stringer("verdict", q.verdict), zap.Int("sends", q.sends), zap.Duration("after", time.Since(q.began)),
 		zap.String("service", q.service), zap.Bool("passed", q.from != nil))
 }
 
-func (g *Gateway) count(status int) {
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		g.Counters.Refused.Add(1)
-		return
+// count counts a final answer of the system's own.
+func (q *request) count(f *refusal) {
+	m := q.g.o.Metrics
+	switch {
+	case q.verdict == verdict.Ran:
+		m.FailedRan.Inc(1)
+	case q.verdict == verdict.MayHaveRun:
+		m.FailedMayHaveRun.Inc(1)
+	default:
+		m.Refused.Inc(1)
+		q.reason(f.code).Inc(1)
+	}
+}
+
+// reason is the counter of a refusal.
+func (q *request) reason(code verdict.Code) gometrics.Counter {
+	m := q.g.o.Metrics
+	switch code {
+	case CodeNoTarget:
+		return m.RefusedNoTarget
+	case CodeNoView:
+		return m.RefusedNoView
+	case CodeLeaving:
+		return m.RefusedLeaving
+	case CodeKiller:
+		return m.RefusedKiller
 	}
-	g.Counters.Failed.Add(1)
+	return m.RefusedOther
 }
 
 // giveUp gives the final answer when no attempt has ended in one.
@@ -74,12 +97,12 @@
 	switch {
 	case q.begun:
 		// The answer must not look complete.
-		q.g.Counters.Failed.Add(1)
+		q.g.o.Metrics.CutAnswers.Inc(1)
 		q.g.o.Log.Info("broke off", zap.String("id", q.call.ID), zap.String("code", string(code)),
 			zap.Duration("after", time.Since(q.began)), zap.Int("sends", q.sends))
 		panic(http.ErrAbortHandler)
 	case q.r.Context().Err() != nil:
-		q.g.Counters.Left.Add(1)
+		q.g.o.Metrics.CallersGone.Inc(1)
 		q.g.o.Log.Debug("caller left", zap.String("id", q.call.ID), zap.Duration("after", time.Since(q.began)))
 		panic(http.ErrAbortHandler)
 	case q.held != nil:
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/retry"
+	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
@@ -35,7 +36,9 @@
 	Targets, Peers *rawhttp.Client
 	Retries        RetryLimits
 	Rand           *rand.Rand
-	Log            *zap.Logger
+	Metrics        *metrics.SiteEntry
+	// Log tells of failures and changes, Ordinary of each request that was answered.
+	Log, Ordinary *zap.Logger
 }
 
 // Gateway serves requests.
@@ -46,7 +49,6 @@
 	// ending says that what takes long would be cut off by the end.
 	ending   atomic.Bool
 	inFlight atomic.Int64
-	Counters Counters
 
 	mu      sync.Mutex
 	windows map[string]*retry.Window
@@ -73,12 +75,6 @@
 // InFlight is the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// Counters count since the start.
-type Counters struct {
-	Requests, PassedOn, Served, Refused, Failed, Left atomic.Uint64
-	Sent, Retried, Resumed, Spilled                   atomic.Uint64
-}
-
 // shares of the common retry budget.
 const (
 	// budgetMargin is the part of the common bound that is used: the senders'
@@ -112,7 +108,11 @@
 func (g *Gateway) mayRepeat(now time.Time, service string, entries int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.window(now, service, entries).TryExtra(now)
+	if !g.window(now, service, entries).TryExtra(now) {
+		g.o.Metrics.RetriesDenied.Inc(1)
+		return false
+	}
+	return true
 }
 
 // uniform draws a number.
@@ -124,14 +124,14 @@
 
 // ServeHTTP serves a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.Counters.Requests.Add(1)
+	g.o.Metrics.Requests.Inc(1)
 	g.serve(w, r, nil)
 }
 
 // PassedOn serves requests of entry instances of other regions.
 func (g *Gateway) PassedOn() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.Counters.PassedOn.Add(1)
+		g.o.Metrics.PassedOn.Inc(1)
 		p, err := readPassed(r.Header)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -94,11 +94,17 @@
 		eventReaders.Put(e)
 	}()
 	first := true
+	began := time.Now()
 	for {
 		if q.route.Resumable && !first {
 			a.Within(silentStream)
 		}
 		event, err := e.next()
+		now := time.Now()
+		if !first {
+			q.g.o.Metrics.GapTime.Update(now.Sub(began))
+		}
+		began = now
 		if err == io.EOF && first && !q.begun {
 			// A stream without events: the header is all there is to relay.
 			q.beginStream(a)
@@ -131,7 +137,7 @@
 		return pick.Neutral
 	}
 	if q.begun {
-		q.g.Counters.Resumed.Add(1)
+		q.g.o.Metrics.Resumes.Inc(1)
 	}
 	q.g.o.Log.Info("stream broken", zap.String("id", q.call.ID), zap.Int64("last", q.last), zap.Error(err),
 		zap.Bool("resumable", q.route.Resumable), zap.Duration("after", time.Since(q.began)))
--- a/pipeline/exchange/rig_test.go
+++ b/pipeline/exchange/rig_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
@@ -198,6 +199,7 @@
 // rig is a gateway of region "r" before targets, with a server for callers.
 type rig struct {
 	gateway *exchange.Gateway
+	metrics *metrics.SiteEntry
 	pool    *pick.Pool
 	table   *routes.Table
 	view    *exchange.View
@@ -237,11 +239,13 @@
 		list = append(list, pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 4})
 	}
 	r.pool.Update(time.Now(), pick.Snapshot{Targets: list, Entries: []string{"self"}})
+	r.metrics = metrics.NewSiteEntry(func() metrics.EntryState { return metrics.EntryState{} })
 	r.gateway = exchange.New(exchange.Options{
 		Region: region, Dialect: plain{}, Pool: r.pool, Killers: killers, Targets: rawhttp.NewClient(rawhttp.Options{}),
 		Peers:   rawhttp.NewClient(rawhttp.Options{}),
 		Retries: exchange.RetryLimits{Span: 10 * time.Second, Share: 0.2, Allowance: 100},
 		Rand:    rand.New(rand.NewPCG(1, 2)), Log: zap.NewNop(),
+		Ordinary: zap.NewNop(), Metrics: r.metrics,
 	})
 	r.view = &exchange.View{Index: routes.NewIndex(r.table), Entries: 1}
 	r.gateway.SetView(r.view)
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -21,6 +21,7 @@
 	for {
 		now := time.Now()
 		place, code := q.choose(now)
+		q.g.o.Metrics.ChooseTime.Update(time.Since(now))
 		if place == nil {
 			q.giveUp(code)
 			return
@@ -38,13 +39,18 @@
 
 // served counts and tells of an answer.
 func (q *request) served() {
-	q.g.Counters.Served.Add(1)
+	m, now := q.g.o.Metrics, time.Now()
+	m.Answered.Inc(1)
+	m.FirstByteTime.Update(q.first.Sub(q.began))
+	m.WholeTime.Update(now.Sub(q.began))
 	if q.g.o.Killers != nil {
 		q.g.o.Killers.Answered(&q.raw, q.place)
 	}
-	q.g.o.Log.Info("served", zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
-		zap.Int("sends", q.sends), zap.Float64("estimate_ms", q.cost), zap.Duration("first", q.first.Sub(q.began)),
-		zap.Duration("after", time.Since(q.began)), zap.Int("prompt_tokens", q.call.PromptTokens), zap.String("source", q.source), zap.Bool("passed", q.from != nil))
+	q.g.o.Ordinary.Info("served", zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
+		zap.Int("sends", q.sends), zap.Float64("estimate_ms", q.cost), zap.String("decided_by", q.decidedBy),
+		zap.Uint64("version", q.view.Index.Table.Version), zap.Duration("list_age", now.Sub(q.view.ListAt)),
+		zap.Duration("first", q.first.Sub(q.began)), zap.Duration("after", now.Sub(q.began)),
+		zap.Int("prompt_tokens", q.call.PromptTokens), zap.String("source", q.source), zap.Bool("passed", q.from != nil))
 }
 
 // mayGoOn reports whether one more attempt may follow a failed one.
@@ -60,7 +66,7 @@
 	case q.arrived() && !q.g.mayRepeat(now, q.service, q.view.Entries):
 		return CodeNoTarget, false
 	}
-	q.g.Counters.Retried.Add(1)
+	q.g.o.Metrics.Retries.Inc(1)
 	return "", true
 }
 
@@ -71,13 +77,14 @@
 // answer.
 func (q *request) attempt(p *place, now time.Time) bool {
 	q.sends++
-	q.g.Counters.Sent.Add(1)
+	q.g.o.Metrics.Attempts.Inc(1)
 	if p.choice == nil {
 		return q.attemptPeer(p.peer, now)
 	}
 	q.tried = append(q.tried, p.choice.ID)
-	q.place, q.cost, q.source = p.choice.ID, p.choice.Cost, p.choice.Source
+	q.place, q.cost, q.source, q.decidedBy = p.choice.ID, p.choice.Cost, p.choice.Source, p.decided.By
 	a, err := q.g.o.Targets.Do(q.ctx, p.choice.Address, q.toTarget(p.choice, now))
+	q.g.o.Metrics.SendTime.Update(time.Since(now))
 	if err != nil {
 		q.noteCrash(p.choice.ID, err)
 		p.done(time.Now(), q.lost(p.choice.ID, err))
@@ -103,7 +110,7 @@
 	}
 	q.triedRegions[peer.Region] = true
 	q.place = peer.Address
-	q.g.Counters.Spilled.Add(1)
+	q.g.o.Metrics.Spilled.Inc(1)
 	a, err := q.g.o.Peers.Do(q.ctx, peer.Address, q.toPeer(now))
 	if err != nil {
 		q.lost(peer.Address, err)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -112,6 +112,8 @@
 	Peers []Peer
 	// Regions sums up the load of other regions by region and service.
 	Regions map[RegionService]RegionLoad
+	// ListAt is when the list of targets was read.
+	ListAt time.Time
 	// Entries is the number of entry instances in all regions.
 	Entries int
 }
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -317,6 +317,27 @@
 	return out
 }
 
+// Counts of targets by what they may get.
+type Counts struct{ Targets, Out, Cold, Draining int }
+
+// Count counts the targets of the region.
+func (p *Pool) Count(now time.Time) Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := Counts{Targets: len(p.targets)}
+	for _, t := range p.targets {
+		switch {
+		case t.Draining || p.snapshot.Evacuated[t.Zone]:
+			c.Draining++
+		case now.Before(t.downUntil):
+			c.Out++
+		case p.cold(now, t):
+			c.Cold++
+		}
+	}
+	return c
+}
+
 // Addresses of the targets now.
 func (p *Pool) Addresses() map[string]bool {
 	p.mu.Lock()
