exchange: repeatable requests leave a target that is out of reach

Change: a target to which no connection can be made ends the attempts there that another target may take over; silent connections end after 1.5 s.

--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 // sent is how often the targets were sent a request.
@@ -434,3 +436,41 @@
 		So(sent(x), ShouldEqual, 1)
 	})
 }
+
+// Symptom: requests that could run elsewhere wait seconds for a target that fell silent.
+// Events: a target has requests under way and falls silent; a new connection to it fails.
+// Cause: only the kernel's timeout ends the open connections.
+func TestRequestsLeaveATargetThatIsOutOfReach(t *testing.T) {
+	for path, again := range map[string]bool{"/safe/x": true, "/resume/x": true, "/unsafe/x": false} {
+		Convey(path, t, func() {
+			began, hold := make(chan string, 2), make(chan struct{})
+			silent := func(id string) script {
+				return func(net.Conn, seen) bool { began <- id; <-hold; return false }
+			}
+			answers := whole(200, "done")
+			if path == "/resume/x" {
+				answers = events(3, true)
+			}
+			x, y := newTarget(t, "t1", silent("t1"), answers), newTarget(t, "t2", silent("t2"), answers)
+			r := newRig(t, "r", x, y)
+			ended := make(chan reply, 1)
+			go func() { ended <- r.call(path, "b") }()
+			first := <-began
+			// The other one answers the next request.
+			other := x
+			if first == "t1" {
+				other = y
+			}
+			other.next(seen{})
+			r.pool.PickAt(time.Now(), pick.Call{Service: "s"}, first).Done(time.Now(), pick.Unreachable)
+			if !again {
+				close(hold)
+			}
+			got := <-ended
+			if again {
+				close(hold)
+			}
+			So(got.status == 200, ShouldEqual, again)
+		})
+	}
+}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -73,6 +74,9 @@
 // arrived reports whether an attempt has reached a target, be it turned away.
 func (q *request) arrived() bool { return q.turnedAway || q.runs > 0 }
 
+// errUnreachable ends an attempt at a target that others cannot reach any more.
+var errUnreachable = errors.New("the target is out of reach")
+
 // attempt sends the request to one place and reports whether the caller has its final
 // answer.
 func (q *request) attempt(p *place, now time.Time) bool {
@@ -83,7 +87,12 @@
 	}
 	q.tried = append(q.tried, p.choice.ID)
 	q.place, q.cost, q.source, q.decidedBy = p.choice.ID, p.choice.Cost, p.choice.Source, p.decided.By
-	a, err := q.g.o.Targets.Do(q.ctx, p.choice.Address, q.toTarget(p.choice, now))
+	ctx, cancel := context.WithCancelCause(q.ctx)
+	defer cancel(nil)
+	if q.route.Repeatable() {
+		p.choice.Watch(func() { cancel(errUnreachable) })
+	}
+	a, err := q.g.o.Targets.Do(ctx, p.choice.Address, q.toTarget(p.choice, now))
 	q.g.o.Metrics.SendTime.Update(time.Since(now))
 	if err != nil {
 		q.noteCrash(p.choice.ID, err)
@@ -137,7 +146,12 @@
 	}
 	q.g.o.Log.Info("attempt lost", zap.String("id", q.call.ID), zap.String("target", target), zap.Bool("dial", f.Dial),
 		zap.Bool("reused", f.Reused), zap.Error(f.Err), zap.Duration("after", time.Since(q.began)))
-	if q.ctx.Err() != nil || f.Reused {
+	switch {
+	case q.ctx.Err() != nil:
+		return pick.Neutral
+	case f.Dial:
+		return pick.Unreachable
+	case f.Reused:
 		return pick.Neutral
 	}
 	return pick.Lost
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -30,8 +30,8 @@
 	// does not say; it is below the idle timeouts of common servers.
 	DefaultIdleTime = 4 * time.Second
 	// DefaultSilence is how long sent bytes may stay unacknowledged before the
-	// connection is given up by the kernel.
-	DefaultSilence = 2 * time.Second
+	// connection is given up by the kernel: three repeats inside a region.
+	DefaultSilence = 1500 * time.Millisecond
 )
 
 const (
--- a/ports/rawhttp/socket_linux.go
+++ b/ports/rawhttp/socket_linux.go
@@ -8,12 +8,16 @@
 	"golang.org/x/sys/unix"
 )
 
+// keepaliveUnit is the time without bytes after which the kernel probes, and that
+// between two probes; it counts in whole seconds.
+const keepaliveUnit = time.Second
+
 // Watch has the kernel give up a connection whose other end is silent: one whose
 // bytes stay unacknowledged, or that does not answer probes while idle. Without it a
 // connection that a partition or a lost machine has cut hangs for many minutes.
 func Watch(c *net.TCPConn, silence time.Duration) error {
 	err := c.SetKeepAliveConfig(net.KeepAliveConfig{
-		Enable: true, Idle: silence, Interval: max(time.Second, silence/2), Count: 2,
+		Enable: true, Idle: keepaliveUnit, Interval: keepaliveUnit, Count: 2,
 	})
 	if err != nil {
 		return err
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -44,6 +44,8 @@
 	coldBy   time.Time
 	// group is the part of the service's targets that it belongs to.
 	group int
+	// watches are called when the target turns out to be out of reach.
+	watches map[*Choice]func()
 	// kept holds the prompt parts sent there, with the time of the last use.
 	kept map[uint64]time.Time
 }
@@ -67,7 +69,7 @@
 	for _, listed := range s.Targets {
 		t := old[listed.ID]
 		if t == nil {
-			t = &target{kept: map[uint64]time.Time{}, slowness: usualSlowness}
+			t = &target{kept: map[uint64]time.Time{}, watches: map[*Choice]func(){}, slowness: usualSlowness}
 		}
 		listed.Draining = listed.Draining || t.Draining
 		t.Target, t.others = listed, s.Loads[listed.ID]
@@ -258,17 +260,39 @@
 	Failed
 	// Lost: it could not be reached, or broke off.
 	Lost
+	// Unreachable: no connection to it could be made.
+	Unreachable
 	// Gone: another target answers at its address.
 	Gone
 	// Full: it turned the request away.
 	Full
 )
 
+// Watch has f called, by the goroutine that finds it, when the target turns out to be
+// out of reach before Done.
+//
+// What goes wrong without it: a target falls silent with requests under way. Their
+// connections look open for seconds, until the kernel gives them up, while new
+// connections fail at once.
+func (c *Choice) Watch(f func()) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.t.watches[c] = f
+}
+
 // Done takes the request out again.
 func (c *Choice) Done(now time.Time, r Result) {
+	for _, watch := range c.done(now, r) {
+		watch()
+	}
+}
+
+// done returns the watches that are to be called.
+func (c *Choice) done(now time.Time, r Result) (watches []func()) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	t := c.t
+	delete(t.watches, c)
 	c.first()
 	t.running--
 	if c.advised {
@@ -284,6 +308,12 @@
 	case Failed, Full:
 		t.failures, t.downUntil = 0, time.Time{}
 		t.failShare = t.failShare*failKeep + (1 - failKeep)
+	case Unreachable:
+		for _, watch := range t.watches {
+			watches = append(watches, watch)
+		}
+		clear(t.watches)
+		fallthrough
 	case Lost:
 		t.failShare = t.failShare*failKeep + (1 - failKeep)
 		t.lost(now)
@@ -291,6 +321,7 @@
 		t.Draining = true
 	case Neutral:
 	}
+	return watches
 }
 
 // lost leaves the target out for a while. Requests that fail together count once.
