--- a/bundle/routes/match.go
+++ b/bundle/routes/match.go
@@ -42,14 +42,16 @@
 	return nil
 }
 
-// HomeOf reports whether a region may serve all routes of a host.
-func (x *Index) HomeOf(host, region string) bool {
+// HomeWeight is how much of a host's requests a region may serve: the sum of the weights
+// of its routes that allow the region.
+func (x *Index) HomeWeight(host, region string, weight func(route string) int) int {
+	sum := 0
 	for _, r := range x.byHost[strings.ToLower(host)] {
-		if !r.Allows(region) {
-			return false
+		if r.Allows(region) {
+			sum += weight(r.Name)
 		}
 	}
-	return true
+	return sum
 }
 
 // Service returns a service by name, or nil.
--- a/bundle/routes/routes_test.go
+++ b/bundle/routes/routes_test.go
@@ -129,8 +129,13 @@
 	}
 	tab := table()
 	tab.Routes[0].Homes = []string{"x"}
+	tab.Routes[1].Homes = []string{"y"}
 	x := routes.NewIndex(tab)
-	if !x.HomeOf("h.example", "x") || x.HomeOf("h.example", "y") || !x.HomeOf("o.example", "y") {
-		t.Error("homes of a host")
+	uses := map[string]int{"short": 7, "long": 1, "other": 3}
+	weight := func(route string) int { return uses[route] }
+	for region, want := range map[string]int{"x": 7, "y": 1, "z": 0} {
+		if got := x.HomeWeight("H.example", region, weight); got != want {
+			t.Errorf("region %s weighs %d, want %d", region, got, want)
+		}
 	}
 }
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -184,9 +184,9 @@
 
 // Addresses names the entry instances for a caller of a host in a region.
 func (i *Instance) Addresses(host, region string) []string {
-	allowed := func(string) bool { return true }
+	weight := func(string) int { return 0 }
 	if view := i.gateway.View(); view != nil {
-		allowed = func(region string) bool { return view.Index.HomeOf(host, region) }
+		weight = func(region string) int { return view.Index.HomeWeight(host, region, i.gateway.RouteWeight) }
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -196,5 +196,5 @@
 		self.Ready = true
 		list = append([]feed.Entry{self}, list...)
 	}
-	return feed.CallerAddresses(list, region, allowed)
+	return feed.CallerAddresses(list, region, weight)
 }
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -373,27 +373,30 @@
 const maxAddresses = 64
 
 // CallerAddresses are those of the ready entries of a region, as a region serves its
-// own callers. Where it has none they are those of the regions that allowed accepts,
-// and else of all: the requests of a caller may be bound to a few regions, and what
-// crosses to another one crosses for nothing.
-func CallerAddresses(entries []Entry, region string, allowed func(region string) bool) []string {
-	var own, home, all []string
+// own callers. Where it has none they are those of the region of the largest weight, or
+// of several of the same: a caller's requests may be bound to a few regions, and what
+// comes to another one crosses for nothing.
+func CallerAddresses(entries []Entry, region string, weight func(region string) int) []string {
+	var own, others []string
+	most := -1
 	for _, e := range entries {
 		if !e.Ready {
 			continue
 		}
-		all = append(all, e.Callers)
 		if e.Region == region {
 			own = append(own, e.Callers)
+			continue
 		}
-		if allowed(e.Region) {
-			home = append(home, e.Callers)
+		w := weight(e.Region)
+		if w > most {
+			most, others = w, nil
 		}
-	}
-	for _, list := range [][]string{own, home, all} {
-		if len(list) > 0 {
-			return list[:min(len(list), maxAddresses)]
+		if w == most {
+			others = append(others, e.Callers)
 		}
 	}
-	return nil
+	if len(own) > 0 {
+		others = own
+	}
+	return others[:min(len(others), maxAddresses)]
 }
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -75,23 +75,25 @@
 	})
 }
 
-func any(string) bool { return true }
+func alike(string) int { return 0 }
 
 // Symptom: requests that are bound to two regions are sent to the third one, which
 // has to pass all of them on.
 // Events: all entry instances of a region are leaving at once; its callers ask the
-// directory.
-// Cause: the directory named all other regions alike.
+// directory, for a host of which some route that nobody uses is bound elsewhere.
+// Cause: the directory named all other regions alike, or only one that all routes allow.
 func TestDirectoryPrefersHomesWhereTheRegionHasNone(t *testing.T) {
 	entries := []feed.Entry{
 		{Region: "a", Callers: "a1"}, {Region: "b", Callers: "b1", Ready: true}, {Region: "c", Callers: "c1", Ready: true},
+		{Region: "d", Callers: "d1", Ready: true},
 	}
-	home := func(region string) bool { return region != "b" }
-	Convey("homes first, then any, the own region before all", t, func() {
-		So(feed.CallerAddresses(entries, "a", home), ShouldResemble, []string{"c1"})
-		So(feed.CallerAddresses(entries, "b", home), ShouldResemble, []string{"b1"})
-		So(feed.CallerAddresses(entries, "a", func(string) bool { return false }), ShouldResemble, []string{"b1", "c1"})
-		So(feed.CallerAddresses(nil, "a", home), ShouldBeEmpty)
+	weights := map[string]int{"b": 1, "c": 40, "d": 40}
+	weight := func(region string) int { return weights[region] }
+	Convey("the largest weights, the own region before all", t, func() {
+		So(feed.CallerAddresses(entries, "a", weight), ShouldResemble, []string{"c1", "d1"})
+		So(feed.CallerAddresses(entries, "b", weight), ShouldResemble, []string{"b1"})
+		So(feed.CallerAddresses(entries, "a", alike), ShouldResemble, []string{"b1", "c1", "d1"})
+		So(feed.CallerAddresses(nil, "a", weight), ShouldBeEmpty)
 	})
 }
 
@@ -105,8 +107,8 @@
 		})
 		So(len(b.Entries(t0)), ShouldEqual, 2)
 		So(b.Rank(t0), ShouldEqual, 1)
-		So(feed.CallerAddresses(b.Entries(t0), "r", any), ShouldResemble, []string{"c1"})
-		So(feed.CallerAddresses(b.Entries(t0), "nowhere", any), ShouldResemble, []string{"c1", "c2"})
+		So(feed.CallerAddresses(b.Entries(t0), "r", alike), ShouldResemble, []string{"c1"})
+		So(feed.CallerAddresses(b.Entries(t0), "nowhere", alike), ShouldResemble, []string{"c1", "c2"})
 
 		Convey("an age that was handed on counts", func() {
 			So(len(b.Entries(t0.Add(feed.EntryLife-time.Second/2))), ShouldEqual, 1)
@@ -125,7 +127,7 @@
 			default:
 			}
 			So(woken, ShouldBeTrue)
-			So(feed.CallerAddresses(b.Entries(t0), "r", any), ShouldResemble, []string{"c2"})
+			So(feed.CallerAddresses(b.Entries(t0), "r", alike), ShouldResemble, []string{"c2"})
 		})
 	})
 }
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -50,6 +50,9 @@
 	ending   atomic.Bool
 	inFlight atomic.Int64
 
+	// asked counts the requests of each route by name.
+	asked sync.Map
+
 	mu      sync.Mutex
 	windows map[string]*retry.Window
 }
@@ -104,6 +107,23 @@
 	g.window(now, service, entries).First(now)
 }
 
+// RouteWeight is how much a route is used: 1 and the number of its requests here. Routes
+// that only stand in the configuration weigh little.
+func (g *Gateway) RouteWeight(route string) int {
+	if n, ok := g.asked.Load(route); ok {
+		return 1 + int(n.(*atomic.Int64).Load())
+	}
+	return 1
+}
+
+func (g *Gateway) countRoute(route string) {
+	n, ok := g.asked.Load(route)
+	if !ok {
+		n, _ = g.asked.LoadOrStore(route, &atomic.Int64{})
+	}
+	n.(*atomic.Int64).Add(1)
+}
+
 // mayRepeat reports whether the budget allows one more sending, and counts it.
 func (g *Gateway) mayRepeat(now time.Time, service string, entries int) bool {
 	g.mu.Lock()
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -19,6 +19,7 @@
 // run sends the request until an attempt ends in a final answer or none may follow.
 func (q *request) run() {
 	q.g.countFirst(q.began, q.service, q.view.Entries)
+	q.g.countRoute(q.route.Name)
 	for {
 		now := time.Now()
 		place, code := q.choose(now)
