route/pick: long prompts and long answers at different targets; groups of twelve

Change: a choice weighs what its prompt takes from those that run at a target, and what the target's reading takes from its own answer; groups have twelve targets.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -55,7 +55,8 @@
 // pickCall is what the pool needs to know.
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
-		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens, Tried: q.tried,
+		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
+		OutputTokens: q.call.OutputTokens, Tried: q.tried,
 	}
 }
 
--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -19,7 +19,7 @@
 
 // groupSize is how many targets a group has about: enough for one of them to be idle,
 // and few enough for the parts of a prompt to stay at few.
-const groupSize = 6
+const groupSize = 12
 
 // divide puts the targets of a service in order and gives each its group.
 func divide(list []*target) {
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -36,6 +36,10 @@
 	probing   bool
 	// failShare is the share of failed answers, newer ones weighing more.
 	failShare float64
+	// read is the time that reading prompts takes there, in milliseconds, as it was given
+	// out lately: it fades over readingSpan, as of readAt.
+	read   float64
+	readAt time.Time
 	// slowness is how many times longer first events took than the plain estimate.
 	slowness float64
 	// coldAt is when it last was given a request while cold, and coldBy when a
@@ -207,6 +211,8 @@
 	ch.Source = p.source(now, t, chain, home)
 	t.running++
 	t.unread += ch.unread
+	t.read = t.lateReading(now) + float64(ch.unread)/readRate
+	t.readAt = now
 	for _, l := range chain {
 		t.kept[l.key] = now
 	}
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -351,3 +351,39 @@
 		}
 	})
 }
+
+// Symptom: long answers miss their deadline at engines that read long prompts all the
+// time, while others read none.
+// Events: long prompts and long answers come mixed.
+// Cause: only the time to the first event was estimated.
+func TestLongPromptsAndLongAnswersPart(t *testing.T) {
+	p := pick.New("e")
+	p.Update(t0, pick.Snapshot{Targets: targets(4), Entries: []string{"e"}, Rules: engines()})
+	prompts, answers := map[string]int{}, map[string]int{}
+	now := t0
+	for n := range uint64(400) {
+		now = now.Add(25 * time.Millisecond)
+		long := pick.Call{Service: "s", PromptTokens: 9000, OutputTokens: 50, Parts: []pick.Part{{ID: n, Tokens: 9000}}}
+		if n%5 != 0 {
+			long = pick.Call{Service: "s", PromptTokens: 300, OutputTokens: 900, Parts: []pick.Part{{ID: n, Tokens: 300}}}
+		}
+		c, _ := p.Pick(now, long)
+		c.First(now.Add(50 * time.Millisecond))
+		if n%5 == 0 {
+			prompts[c.ID]++
+			c.Done(now.Add(400*time.Millisecond), pick.Good)
+		} else {
+			answers[c.ID]++
+		}
+	}
+	// The target that reads most gets less than its share of the answers.
+	busiest := ""
+	for id, n := range prompts {
+		if busiest == "" || n > prompts[busiest] {
+			busiest = id
+		}
+	}
+	if answers[busiest]*4 >= 320 {
+		t.Fatalf("prompts %v, answers %v", prompts, answers)
+	}
+}
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -1,10 +1,13 @@
 package pick
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// cost is the wait with what failures cost.
+// cost is the wait with what failures and others cost.
 func (p *Pool) cost(now time.Time, t *target, c Call, chain []link, home bool) float64 {
-	return p.wait(now, t, c, chain, home) + failCost*t.failShare
+	return p.wait(now, t, c, chain, home) + p.social(now, t, c, chain) + failCost*t.failShare
 }
 
 // wait estimates the milliseconds until the first event, or until the answer of a
@@ -21,7 +24,28 @@
 		return cost + slotCost*float64(running)/float64(max(1, t.Slots))
 	}
 	// Engines slow down with the requests that they run.
-	return cost + t.slowness*p.reading(now, t, c, chain, home) + float64(running)*runningCost
+	cost += t.slowness*p.reading(now, t, c, chain, home) + float64(running)*runningCost
+	return cost
+}
+
+// social is what a call costs the requests that run at the target, and its own answer
+// beyond the first event, in milliseconds of waiting.
+func (p *Pool) social(now time.Time, t *target, c Call, chain []link) float64 {
+	if !p.snapshot.Rules[t.Service].Engine {
+		return 0
+	}
+	own := float64(c.PromptTokens-t.keptTokens(now, chain)) / readRate
+	running := float64(t.running + t.others.Running)
+	share := min(1, t.lateReading(now)/float64(readingSpan.Milliseconds()))
+	return disturb*own*running + slowed*float64(c.OutputTokens)*chunkTime*share
+}
+
+// lateReading is the reading given out over the last span, in milliseconds.
+func (t *target) lateReading(now time.Time) float64 {
+	if t.readAt.IsZero() {
+		return 0
+	}
+	return t.read * math.Exp(-float64(now.Sub(t.readAt))/float64(readingSpan))
 }
 
 // reading is the time that the prompts in front and the call's own take at the plain
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -39,6 +39,8 @@
 	Parts []Part
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
+	// OutputTokens is the most that the answer may have.
+	OutputTokens int
 	// Tried targets are not chosen again.
 	Tried []string
 }
@@ -82,6 +84,16 @@
 	// speeds of 70-billion-parameter engines lie between 30 and 45. It only weighs
 	// reading against waiting, so a wrong value shifts the balance a little.
 	readRate = 38.0
+	// disturb is the weight of the time that the reading of a prompt takes from each
+	// request that runs at the target, against waiting of its own; chunkTime is how much
+	// longer a step takes in which a part of a prompt is read, in milliseconds; slowed is
+	// the weight of the time that an answer takes longer at a target that reads much.
+	// Together they keep long prompts and long answers at different targets.
+	disturb   = 0.03
+	chunkTime = 26.0
+	slowed    = 0.1
+	// readingSpan is the time over which the share of reading is measured.
+	readingSpan = 4 * time.Second
 	// usualSlowness is what first events take of the plain estimate at first: prompts
 	// are read between the tokens of other requests. learning is the weight of each
 	// newer one, and the bounds keep one odd answer from deciding. Estimates below
