--- a/operate/cli/cli_test.go
+++ b/operate/cli/cli_test.go
@@ -284,3 +284,19 @@
 		convey.So(b.run("status", "--loud"), convey.ShouldEqual, cli.ExitUsage)
 	})
 }
+
+func TestExplain(t *testing.T) {
+	convey.Convey("logs of two instances, one of them torn", t, func() {
+		b := newBench(t)
+		one := b.write("one.log", []byte(`{"ts":"2026-03-01T10:00:02Z","msg":"attempt lost","instance":"e1","id":"abc"}
+{"ts":"2026-03-01T10:00:03Z","msg":"refused","instance":"e1","id":"abc","status":502}
+{"ts":"2026-03-01T10:0`), nil)
+		convey.So(b.run("explain", "abc", one), convey.ShouldEqual, cli.ExitOK)
+		convey.So(b.out.String(), convey.ShouldContainSubstring, "+1.000 s  e1  refused  status=502")
+		convey.So(b.err.String(), convey.ShouldContainSubstring, "one.log:3: left out")
+		convey.So(b.run("explain", "nowhere", one), convey.ShouldEqual, cli.ExitRefused)
+		convey.So(b.out.String(), convey.ShouldContainSubstring, `no line of these files names the request "nowhere"`)
+		convey.So(b.run("explain", "abc", b.path("missing.log")), convey.ShouldEqual, cli.ExitRefused)
+		convey.So(b.run("explain", "abc"), convey.ShouldEqual, cli.ExitUsage)
+	})
+}
