exchange: instances of other regions that cannot be reached are left out for a while

Change: a connection to another region has 0.4 s; an instance that cannot be reached is left out for 2.5 s, and another one of its region is asked.

--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -74,7 +74,9 @@
 
 // Times of passing on: another region is 80 ms away.
 const (
-	peerDialTime = time.Second
+	// peerDialTime is two round trips and some: a packet that is lost costs a second, and
+	// another instance is asked before that.
+	peerDialTime = 400 * time.Millisecond
 	peerIdleTime = 20 * time.Second
 	// peerSilence is how long bytes to another region may stay unacknowledged: a cut
 	// shows within it, and lost packets are sent again in it.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -146,8 +146,9 @@
 // peerOf draws an entry instance of a region.
 func (q *request) peerOf(region string) (Peer, bool) {
 	var of []Peer
+	now := time.Now()
 	for _, p := range q.view.Peers {
-		if p.Region == region {
+		if p.Region == region && !q.g.avoided(now, p.Address) {
 			of = append(of, p)
 		}
 	}
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -359,6 +359,26 @@
 		a.gateway.SetView(&view)
 		So(a.call("/unsafe/x", "b").status, ShouldEqual, 200)
 	})
+	// Symptom: each request that crosses waits for a connection that cannot be made.
+	// Events: one of two instances of the other region is gone and is still named.
+	// Cause: nobody remembers that it could not be reached.
+	Convey("an instance that cannot be reached is left out for a while", t, func() {
+		y := newTarget(t, "far", whole(200, "far"))
+		a, _ := pair(t, nil, []*target{y})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		So(l.Close(), ShouldBeNil)
+		view := *a.gateway.View()
+		for range 9 {
+			view.Peers = append(view.Peers, exchange.Peer{Address: l.Addr().String(), Region: "other"})
+		}
+		a.gateway.SetView(&view)
+		before := a.metrics.Attempts.Count()
+		for range 20 {
+			So(a.call("/unsafe/x", "b").status, ShouldEqual, 200)
+		}
+		So(a.metrics.Attempts.Count()-before, ShouldBeLessThanOrEqualTo, 21)
+	})
 	Convey("a request crosses once only", t, func() {
 		a, b := pair(t, nil, nil)
 		view := *b.view
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -50,6 +50,8 @@
 	ending   atomic.Bool
 	inFlight atomic.Int64
 
+	// avoid holds until when each peer that could not be reached is left out.
+	avoid sync.Map
 	// asked counts the requests of each route by name.
 	asked sync.Map
 
@@ -124,6 +126,20 @@
 	n.(*atomic.Int64).Add(1)
 }
 
+// avoidPeer is how long an instance of another region that could not be reached is left
+// out: about until the core instances know that it is gone. Without it each request that
+// has to cross waits for a connection to it.
+const avoidPeer = 2500 * time.Millisecond
+
+func (g *Gateway) avoided(now time.Time, address string) bool {
+	until, ok := g.avoid.Load(address)
+	return ok && now.Before(until.(time.Time))
+}
+
+func (g *Gateway) unreachable(now time.Time, address string) {
+	g.avoid.Store(address, now.Add(avoidPeer))
+}
+
 // mayRepeat reports whether the budget allows one more sending, and counts it.
 func (g *Gateway) mayRepeat(now time.Time, service string, entries int) bool {
 	g.mu.Lock()
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -123,7 +123,11 @@
 	q.g.o.Metrics.Spilled.Inc(1)
 	a, err := q.g.o.Peers.Do(q.ctx, peer.Address, q.toPeer(now))
 	if err != nil {
-		q.lost(peer.Address, err)
+		if q.lost(peer.Address, err) != pick.Neutral {
+			// Another instance of the region may be there.
+			q.g.unreachable(time.Now(), peer.Address)
+			delete(q.triedRegions, peer.Region)
+		}
 		return false
 	}
 	if a.Header.Get(headerRefused) != "" {
