--- a/operate/cli/operations_test.go
+++ b/operate/cli/operations_test.go
@@ -26,8 +26,8 @@
 // logCall is a call of a logger with a constant message; logRow is a row of the
 // page's list.
 var (
-	logCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger|\bOrdinary)\.(Debug|Info|Warn|Error)\(\s*"([^"]+)"`)
-	anyCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger|\bOrdinary)\.(?:Debug|Info|Warn|Error|DPanic|Panic|Fatal)\(`)
+	logCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger|\bOrdinary)\.(?:Check\(zap\.)?(Debug|Info|Warn|Error)(?:Level, |\()\s*"([^"]+)"`)
+	anyCall = regexp.MustCompile(`(?:\b[lL]og|\bLogger|\bOrdinary)\.(?:Debug|Info|Warn|Error|DPanic|Panic|Fatal|Check)\(`)
 	logRow  = regexp.MustCompile("(?m)^\\| (debug|info|warn|error) \\| `([^`]+)` \\| .+ \\| .+ \\|$")
 )
 
--- a/pipeline/exchange/rig_test.go
+++ b/pipeline/exchange/rig_test.go
@@ -198,6 +198,7 @@
 
 // rig is a gateway of region "r" before targets, with a server for callers.
 type rig struct {
+	options exchange.Options
 	gateway *exchange.Gateway
 	metrics *metrics.SiteEntry
 	pool    *pick.Pool
@@ -240,13 +241,14 @@
 	}
 	r.pool.Update(time.Now(), pick.Snapshot{Targets: list, Entries: []string{"self"}})
 	r.metrics = metrics.NewSiteEntry(func() metrics.EntryState { return metrics.EntryState{} })
-	r.gateway = exchange.New(exchange.Options{
+	r.options = exchange.Options{
 		Region: region, Dialect: plain{}, Pool: r.pool, Killers: killers, Targets: rawhttp.NewClient(rawhttp.Options{}),
 		Peers:   rawhttp.NewClient(rawhttp.Options{}),
 		Retries: exchange.RetryLimits{Span: 10 * time.Second, Share: 0.2, Allowance: 100},
 		Rand:    rand.New(rand.NewPCG(1, 2)), Log: zap.NewNop(),
 		Ordinary: zap.NewNop(), Metrics: r.metrics,
-	})
+	}
+	r.gateway = exchange.New(r.options)
 	r.view = &exchange.View{Index: routes.NewIndex(r.table), Entries: 1}
 	r.gateway.SetView(r.view)
 	r.server = httptest.NewServer(r.gateway)
@@ -256,6 +258,13 @@
 	return r
 }
 
+// log makes the gateway anew with a logger for requests that are answered.
+func (r *rig) log(ordinary *zap.Logger) {
+	r.options.Ordinary = ordinary
+	r.gateway = exchange.New(r.options)
+	r.gateway.SetView(r.view)
+}
+
 // reply is an answer as a caller got it.
 type reply struct {
 	status int
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -48,7 +48,12 @@
 	if q.g.o.Killers != nil {
 		q.g.o.Killers.Answered(&q.raw, q.place)
 	}
-	q.g.o.Ordinary.Info("served", zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
+	// The fields are made only if the budget of lines lets the line through.
+	line := q.g.o.Ordinary.Check(zap.InfoLevel, "served")
+	if line == nil {
+		return
+	}
+	line.Write(zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
 		zap.Int("sends", q.sends), zap.Float64("estimate_ms", q.cost), zap.String("decided_by", q.decidedBy),
 		zap.Uint64("version", q.view.Index.Table.Version), zap.Duration("list_age", now.Sub(q.view.ListAt)),
 		zap.Duration("first", q.first.Sub(q.began)), zap.Duration("after", now.Sub(q.began)),
