--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -26,6 +26,9 @@
 	// compareInterval is the time between two reports to a second core instance: the
 	// followed one may be cut off from the others without knowing it yet.
 	compareInterval = 1500 * time.Millisecond
+	// beginPause is the time between two first reports to one core instance: both may
+	// have started at the same moment.
+	beginPause = 40 * time.Millisecond
 	// failPause is the time after a report that failed.
 	failPause = 100 * time.Millisecond
 )
@@ -45,28 +48,29 @@
 	parsed uint64
 }
 
-// begin asks all core instances that are known until one gives a state.
+// begin asks all core instances that are known, each again and again, until one gives a
+// state. None waits for another: one that has started a moment later is asked anew while
+// those of other regions have not answered yet.
 func (i *Instance) begin(ctx context.Context) {
-	for ctx.Err() == nil && !i.hasState() {
-		round, cancel := context.WithCancel(ctx)
-		var wg sync.WaitGroup
-		for _, to := range i.candidates() {
-			wg.Go(func() {
-				u, err := i.report(round, to, 0)
-				if round.Err() != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, to := range i.candidates() {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				u, err := i.report(ctx, to, 0)
+				if ctx.Err() != nil {
 					return
 				}
 				if i.note(to, u, err); i.hasState() {
 					cancel()
+					return
 				}
-			})
-		}
-		wg.Wait()
-		cancel()
-		if !i.hasState() {
-			pause(ctx, failPause)
-		}
+				pause(ctx, beginPause)
+			}
+		})
 	}
+	wg.Wait()
 }
 
 func (i *Instance) hasState() bool {
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -25,7 +25,7 @@
 	if readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond); u.ListAgeMillis >= 0 && readAt.After(k.list.ReadAt) {
 		if u.Digest == k.list.Digest {
 			k.list.ReadAt = readAt
-		} else if u.Targets != nil {
+		} else if u.Listed {
 			k.list = feed.List{Targets: u.Targets, Digest: u.Digest, ReadAt: readAt}
 		}
 	}
@@ -45,7 +45,8 @@
 // show makes the view of what is known.
 func (i *Instance) show(now time.Time) {
 	k := &i.known
-	if k.state == nil || k.state.Version == 0 {
+	if k.state == nil || k.state.Version == 0 || k.list.ReadAt.IsZero() {
+		// Without a list it would take requests and have no target for any.
 		return
 	}
 	view := i.gateway.View()
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -36,7 +36,7 @@
 func TestAnUpdateWithoutAListLeavesTheList(t *testing.T) {
 	Convey("two updates cross", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}, EntriesDigest: 5, ListAgeMillis: -1})
+		i.learn(&feed.Update{State: state(1, 1), Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}, EntriesDigest: 5, Listed: true, Digest: 1})
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
 		i.learn(&feed.Update{ListAgeMillis: -1})
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
@@ -53,8 +53,8 @@
 		i := newInstance(t)
 		fresh := []feed.Target{{ID: "new", Service: "s", Region: "q"}}
 		stale := []feed.Target{{ID: "old", Service: "s", Region: "q"}}
-		i.learn(&feed.Update{State: state(4, 9), Targets: fresh, Digest: 1, ListAgeMillis: 100})
-		i.learn(&feed.Update{State: state(3, 7), Targets: stale, Digest: 2, ListAgeMillis: 60000})
+		i.learn(&feed.Update{State: state(4, 9), Targets: fresh, Listed: true, Digest: 1, ListAgeMillis: 100})
+		i.learn(&feed.Update{State: state(3, 7), Targets: stale, Listed: true, Digest: 2, ListAgeMillis: 60000})
 		So(i.gateway.View().Index.Table.Version, ShouldEqual, 9)
 		So(i.known.list.Targets, ShouldResemble, fresh)
 	})
@@ -70,3 +70,16 @@
 		So(i.known.loads, ShouldBeEmpty)
 	})
 }
+
+// Symptom: an instance that starts refuses requests for lack of targets.
+// Events: it has a configuration and no list of targets yet.
+// Cause: it counted as ready.
+func TestNoViewWithoutAList(t *testing.T) {
+	Convey("a state, and then a list", t, func() {
+		i := newInstance(t)
+		i.learn(&feed.Update{State: state(1, 1), ListAgeMillis: -1})
+		So(i.Ready(), ShouldBeFalse)
+		i.learn(&feed.Update{Targets: []feed.Target{{ID: "x"}}, Listed: true, Digest: 4})
+		So(i.Ready(), ShouldBeTrue)
+	})
+}
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -228,7 +228,7 @@
 	if !b.list.ReadAt.IsZero() {
 		u.ListAgeMillis, u.Digest = now.Sub(b.list.ReadAt).Milliseconds(), b.list.Digest
 		if u.Digest != r.Digest {
-			u.Targets = b.list.Targets
+			u.Targets, u.Listed = b.list.Targets, true
 		}
 	}
 	u.Suspects = b.lateSuspects(now, false)
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -98,8 +98,10 @@
 	State *newest.State `cbor:"1,keyasint,omitempty"`
 	// Led says that the core instance hears from the leader of the log.
 	Led bool `cbor:"2,keyasint,omitempty"`
-	// Targets are set if their digest is another than Report.Digest.
+	// Targets stand for the whole list if Listed: its digest is another than
+	// Report.Digest.
 	Targets []Target `cbor:"3,keyasint,omitempty"`
+	Listed  bool     `cbor:"13,keyasint,omitempty"`
 	Digest  uint64   `cbor:"4,keyasint,omitempty"`
 	// ListAgeMillis is how long ago the list was read; negative if never.
 	ListAgeMillis int64  `cbor:"5,keyasint"`
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -14,8 +14,9 @@
 // Times after which a refused caller should come back, at most a third of what it has
 // left.
 const (
-	// retryNoView: an instance that starts has a view within half a second.
-	retryNoView = 500 * time.Millisecond
+	// retryNoView: an instance that starts has a view within half a second. Callers that
+	// come back earlier are refused again, and most do not come a third time.
+	retryNoView = 700 * time.Millisecond
 	// retrySoon: targets come and go within seconds; another instance may know more.
 	retrySoon = 250 * time.Millisecond
 	// retryKiller: it is refused for long.
