feed: lists by differences and by region

Cause: the whole list went to each entry and core instance whenever anything in it changed, and the remaining time of each cold target changed it with each reading: at 300 machines with 3,000 runners 3.7 MB a second and 93% of a core at each core instance, so that nothing was served; its 60 pages, one after the other, did not fit the rate either.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -206,6 +206,7 @@
 		Dir:        s.DataDir,
 		Parse:      platform.ParseConfiguration,
 		ReadList:   list.Read,
+		ListRate:   s.InstanceListRate,
 		Log:        r.log,
 		Lines:      r,
 	})
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -82,8 +82,11 @@
 	Dir string
 	// Parse reads and checks a configuration.
 	Parse func(document []byte) (*routes.Table, error)
-	// ReadList reads the platform's list of targets.
-	ReadList func(ctx context.Context) ([]feed.Target, error)
+	// ReadList reads the platform's list of targets and tells how many calls it took.
+	ReadList func(ctx context.Context) (targets []feed.Target, calls int, err error)
+	// ListRate is how many such calls the platform takes a second from all instances; 0
+	// where it does not say.
+	ListRate float64
 	Log      *zap.Logger
 	// Lines tells of missing log lines; nil where none are counted.
 	Lines Lines
@@ -112,6 +115,8 @@
 	metrics   *metrics.Set
 	// newcomer says that this instance stands for a voter that is gone.
 	newcomer bool
+	// listCalls is how many calls the last reading took; the reading duty's own.
+	listCalls int
 	// gossipNow wakes the gossip before its time.
 	gossipNow chan struct{}
 
@@ -393,7 +398,7 @@
 	if s := i.accepted(); s.Index > r.Index {
 		u.State = s
 	}
-	i.board.Fill(time.Now(), r, &u)
+	i.board.Fill(time.Now(), r, i.accepted().Evacuated, &u)
 	return u
 }
 
--- a/node/control/soft.go
+++ b/node/control/soft.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -24,8 +23,13 @@
 	// for a list of the others before it reads by itself: a reading, a gossip and a
 	// wide-area trip.
 	deputyDelay = 700 * time.Millisecond
-	// listTime bounds one reading.
-	listTime = 600 * time.Millisecond
+	// listTime bounds one reading of one page, and callShare is added for each page of the
+	// last one: a wide-area trip.
+	listTime  = 600 * time.Millisecond
+	callShare = 200 * time.Millisecond
+	// rateShare is the part of the platform's rate that readings take: a deputy may read
+	// beside the reader for a while.
+	rateShare = 0.4
 	// listTick is how often a reader looks whether a reading is due.
 	listTick = 100 * time.Millisecond
 )
@@ -47,45 +51,43 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		due := listInterval + time.Duration(i.board.Rank(now))*deputyDelay
+		due := i.interval() + time.Duration(i.board.Rank(now))*deputyDelay
 		if now.Before(notBefore) || now.Sub(i.board.List().ReadAt) < due {
 			continue
 		}
 		if err := i.readList(ctx); err != nil {
-			notBefore = time.Now().Add(listInterval)
+			notBefore = time.Now().Add(i.interval())
 			i.log.Warn("the list of targets was not read", zap.Error(err))
 		}
 	}
 }
 
 func (i *Instance) readList(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTime)
+	ctx, cancel := context.WithTimeout(ctx, listTime+time.Duration(i.listCalls)*callShare)
 	defer cancel()
-	before := i.board.List().Digest
+	before := i.board.List()
 	at := time.Now()
-	targets, err := i.o.ReadList(ctx)
+	targets, calls, err := i.o.ReadList(ctx)
 	if err != nil {
 		return err
 	}
-	digest, err := digestOf(targets)
-	if err != nil {
-		return err
-	}
-	i.board.Listed(feed.List{Targets: targets, Digest: digest, ReadAt: at}, true)
-	if digest != before {
+	i.listCalls = calls
+	list := feed.NewList(targets, at, before)
+	i.board.Listed(list, true)
+	if list.Digest != before.Digest {
 		i.log.Info("list of targets changed", zap.Int("targets", len(targets)))
 		i.hurryGossip()
 	}
 	return nil
 }
 
-func digestOf(targets []feed.Target) (uint64, error) {
-	data, err := cbor.Marshal(targets)
-	if err != nil {
-		return 0, err
+// interval is the time between two readings: a long list is read less often, to stay
+// within the part of the platform's rate that one reader takes.
+func (i *Instance) interval() time.Duration {
+	if i.o.ListRate <= 0 {
+		return listInterval
 	}
-	// 0 means that there is no list.
-	return max(1, xxhash.Sum64(data)), nil
+	return max(listInterval, time.Duration(float64(i.listCalls)/(rateShare*i.o.ListRate)*float64(time.Second)))
 }
 
 func (i *Instance) hurryGossip() {
@@ -144,25 +146,34 @@
 func (i *Instance) fetchList(from string, g feed.Gossip, heard time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTime)
 	defer cancel()
-	answer, err := i.hub.Call(ctx, from, channelList, nil)
+	question, err := cbor.Marshal(i.board.List().Digest)
+	if err != nil {
+		i.log.Error("a question for the list cannot be written", zap.Error(err))
+		return
+	}
+	answer, err := i.hub.Call(ctx, from, channelList, question)
 	if err != nil {
 		// The next gossip tells of it again.
 		return
 	}
-	var targets []feed.Target
-	if err := cbor.Unmarshal(answer, &targets); err != nil {
+	var n *feed.ListNews
+	if err := cbor.Unmarshal(answer, &n); err != nil {
 		i.log.Warn("a list of targets cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
-	digest, err := digestOf(targets)
-	if err != nil {
-		i.log.Error("a list of targets cannot be written", zap.Error(err))
+	if n == nil {
 		return
 	}
 	at := heard.Add(-time.Duration(g.ListAgeMillis) * time.Millisecond)
-	i.board.Listed(feed.List{Targets: targets, Digest: digest, ReadAt: at}, false)
+	if list, ok := i.board.List().Apply(n, time.Now(), at); ok {
+		i.board.Listed(list, false)
+	}
 }
 
-func (i *Instance) serveList(context.Context, string, []byte) ([]byte, error) {
-	return cbor.Marshal(i.board.List().Targets)
+func (i *Instance) serveList(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	var known uint64
+	if err := cbor.Unmarshal(payload, &known); err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(i.board.News(time.Now(), known, ""))
 }
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -129,9 +129,6 @@
 		i.chooser.Answered(to, u.Led)
 	}
 	i.mu.Unlock()
-	if err == nil {
-		i.learn(u)
-	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -183,7 +180,7 @@
 	return out
 }
 
-// report tells a core instance of this one and returns its news.
+// report tells a core instance of this one, takes in its news and returns them.
 func (i *Instance) report(ctx context.Context, to string, wait time.Duration) (*feed.Update, error) {
 	r := i.makeReport(wait)
 	payload, err := cbor.Marshal(r)
@@ -198,7 +195,11 @@
 		return nil, err
 	}
 	u := &feed.Update{}
-	return u, cbor.Unmarshal(answer, u)
+	if err := cbor.Unmarshal(answer, u); err != nil {
+		return nil, err
+	}
+	i.learn(u, r.Digest)
+	return u, nil
 }
 
 // makeReport leaves loads out where there is no wait: they are told to the followed core
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -11,9 +11,9 @@
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
-// learn takes in what a core instance tells. Neither the state of the log nor the list
+// learn takes in what a core instance tells one that holds the list asked. Neither the state of the log nor the list
 // goes back: the core instance may lag.
-func (i *Instance) learn(u *feed.Update) {
+func (i *Instance) learn(u *feed.Update, asked uint64) {
 	now := time.Now()
 	i.killers.learn(u.Suspects)
 	i.mu.Lock()
@@ -22,12 +22,16 @@
 	if u.State != nil && (k.state == nil || u.State.Index > k.state.Index) {
 		k.state = u.State
 	}
-	if readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond); u.ListAgeMillis >= 0 && readAt.After(k.list.ReadAt) {
-		if u.Digest == k.list.Digest {
-			k.list.ReadAt = readAt
-		} else if u.Listed {
-			k.list = feed.List{Targets: u.Targets, Digest: u.Digest, ReadAt: readAt}
+	readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond)
+	switch {
+	case u.ListAgeMillis < 0 || !readAt.After(k.list.ReadAt):
+	case u.List != nil:
+		// News about another list than the one held are asked for anew.
+		if list, ok := k.list.Apply(u.List, now, readAt); ok {
+			k.list = list
 		}
+	case asked == k.list.Digest:
+		k.list.ReadAt = readAt
 	}
 	if u.Led || len(k.cores) == 0 {
 		k.cores = u.Cores
@@ -67,7 +71,7 @@
 	for _, zone := range k.state.Zones() {
 		evacuated[zone] = true
 	}
-	i.showRegions(next, evacuated)
+	i.showRegions(next)
 	i.pool.Update(now, i.snapshot(next.Index, evacuated))
 	i.gateway.SetView(next)
 }
@@ -81,28 +85,15 @@
 }
 
 // showRegions sums up the other regions.
-func (i *Instance) showRegions(v *exchange.View, evacuated map[string]bool) {
+func (i *Instance) showRegions(v *exchange.View) {
 	for _, e := range i.known.entries {
 		if e.Ready && e.Region != i.o.Self.Region {
 			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region})
 		}
 	}
-	for _, t := range i.known.list.Targets {
-		if t.Region == i.o.Self.Region || t.Draining || evacuated[t.Zone] || t.ColdMillis > 0 {
-			continue
-		}
-		key := exchange.RegionService{Region: t.Region, Service: t.Service}
-		load := v.Regions[key]
-		load.Targets++
-		load.Slots += t.Slots
-		v.Regions[key] = load
-	}
 	for _, s := range i.known.regions {
 		key := exchange.RegionService{Region: s.Region, Service: s.Service}
-		if load, ok := v.Regions[key]; ok {
-			load.Running, load.Unread = load.Running+s.Running, load.Unread+s.Unread
-			v.Regions[key] = load
-		}
+		v.Regions[key] = exchange.RegionLoad{Targets: s.Targets, Slots: s.Slots, Running: s.Running, Unread: s.Unread}
 	}
 }
 
@@ -117,9 +108,7 @@
 		target := pick.Target{
 			ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Slots: t.Slots, Draining: t.Draining,
 		}
-		if t.ColdMillis > 0 {
-			target.ColdUntil = k.list.ReadAt.Add(time.Duration(t.ColdMillis) * time.Millisecond)
-		}
+		target.ColdUntil = t.ColdUntil
 		s.Targets = append(s.Targets, target)
 	}
 	if i.Ready() || i.gateway.View() == nil {
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -33,17 +33,26 @@
 type Board struct {
 	self Core
 
-	mu       sync.Mutex
-	cores    map[string]heardCore
-	entries  map[string]heardEntry
-	sums     map[string]heardSums
-	list     List
+	mu      sync.Mutex
+	cores   map[string]heardCore
+	entries map[string]heardEntry
+	sums    map[string]heardSums
+	list    List
+	// older are lists before it, newest last; differences are told from them.
+	older []List
+	// told keeps the differences from each of them, by region.
+	told     map[listKey]*ListNews
 	suspects []heardSuspect
 	// own says that list was read by this instance.
 	own     bool
 	changed chan struct{}
 }
 
+type listKey struct {
+	from   uint64
+	region string
+}
+
 type heardCore struct {
 	core Core
 	at   time.Time
@@ -103,7 +112,7 @@
 func NewBoard(self Core) *Board {
 	return &Board{
 		self: self, cores: map[string]heardCore{}, entries: map[string]heardEntry{},
-		sums: map[string]heardSums{}, changed: make(chan struct{}),
+		sums: map[string]heardSums{}, changed: make(chan struct{}), told: map[listKey]*ListNews{},
 	}
 }
 
@@ -180,11 +189,39 @@
 	if !l.ReadAt.After(b.list.ReadAt) {
 		return
 	}
-	differs := l.Digest != b.list.Digest
-	b.list, b.own = l, own
-	if differs {
-		b.wake()
+	if l.Digest == b.list.Digest {
+		b.list.ReadAt, b.own = l.ReadAt, own
+		return
+	}
+	b.older = append(b.older, b.list)
+	b.older = b.older[max(0, len(b.older)-keptLists):]
+	b.list, b.own, b.told = l, own, map[listKey]*ListNews{}
+	b.wake()
+}
+
+// News tells what an instance that knows the list of a digest lacks, in one region or in
+// all; nil if it lacks nothing.
+func (b *Board) News(now time.Time, known uint64, region string) *ListNews {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.news(now, known, region)
+}
+
+func (b *Board) news(now time.Time, known uint64, region string) *ListNews {
+	if b.list.Digest == 0 || known == b.list.Digest {
+		return nil
+	}
+	from := List{}
+	for _, l := range b.older {
+		if l.Digest == known {
+			from = l
+		}
+	}
+	key := listKey{from.Digest, region}
+	if b.told[key] == nil {
+		b.told[key] = news(from, b.list, region)
 	}
+	return b.told[key].sent(now)
 }
 
 // List returns the newest reading.
@@ -220,16 +257,14 @@
 	return slices.IndexFunc(b.Cores(now), func(c Core) bool { return c.ID == b.self.ID })
 }
 
-// Fill completes the answer to a report.
-func (b *Board) Fill(now time.Time, r Report, u *Update) {
+// Fill completes the answer to a report. evacuated are the zones that get nothing.
+func (b *Board) Fill(now time.Time, r Report, evacuated map[string]uint64, u *Update) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u.ListAgeMillis = -1
 	if !b.list.ReadAt.IsZero() {
-		u.ListAgeMillis, u.Digest = now.Sub(b.list.ReadAt).Milliseconds(), b.list.Digest
-		if u.Digest != r.Digest {
-			u.Targets, u.Listed = b.list.Targets, true
-		}
+		u.ListAgeMillis = now.Sub(b.list.ReadAt).Milliseconds()
+		u.List = b.news(now, r.Digest, r.Self.Region)
 	}
 	u.Suspects = b.lateSuspects(now, false)
 	u.Cores = b.liveCores(now)
@@ -239,14 +274,42 @@
 	if r.Self.Region == b.self.Region {
 		u.Near, u.Loads = true, b.sumLoads(now, r.Self.ID, true)
 	}
-	for region, h := range b.sums {
-		if now.Sub(h.at) < CoreLife && region != r.Self.Region {
-			u.Regions = append(u.Regions, h.sums...)
+	u.Regions = b.otherRegions(now, r.Self.Region, evacuated)
+}
+
+// otherRegions sums up what other regions than one have and do.
+func (b *Board) otherRegions(now time.Time, but string, evacuated map[string]uint64) []Summary {
+	type key struct{ region, service string }
+	sums := map[key]Summary{}
+	for _, t := range b.list.Targets {
+		if t.Region == but || t.Draining || evacuated[t.Zone] != 0 || now.Before(t.ColdUntil) {
+			continue
 		}
+		k := key{t.Region, t.Service}
+		sum := sums[k]
+		sums[k] = Summary{Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots}
 	}
-	if r.Self.Region != b.self.Region {
-		u.Regions = append(u.Regions, b.summarize(now)...)
+	add := func(loads []Summary) {
+		for _, l := range loads {
+			k := key{l.Region, l.Service}
+			if sum, ok := sums[k]; ok {
+				sum.Running, sum.Unread = sum.Running+l.Running, sum.Unread+l.Unread
+				sums[k] = sum
+			}
+		}
 	}
+	for _, h := range b.sums {
+		if now.Sub(h.at) < CoreLife {
+			add(h.sums)
+		}
+	}
+	add(b.summarize(now))
+	out := make([]Summary, 0, len(sums))
+	for _, s := range sums {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(x, y Summary) int { return strings.Compare(x.Region+x.Service, y.Region+y.Service) })
+	return out
 }
 
 // Entries lists the entry instances that were heard lately.
--- /dev/null
+++ b/node/feed/list_test.go
@@ -0,0 +1,111 @@
+package feed_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/node/feed"
+)
+
+// drawTargets draws a reading of up to six targets in two regions.
+func drawTargets(t *rapid.T) []feed.Target {
+	var out []feed.Target
+	for k := range 6 {
+		if !rapid.Bool().Draw(t, "there") {
+			continue
+		}
+		out = append(out, feed.Target{
+			ID: fmt.Sprint("t", k), Service: "s", Region: []string{"r", "q"}[k%2], Slots: rapid.IntRange(1, 2).Draw(t, "slots"),
+			Draining: rapid.Bool().Draw(t, "draining"), ColdMillis: int64(rapid.SampledFrom([]int{0, 0, 900, 2500}).Draw(t, "cold")),
+		})
+	}
+	return out
+}
+
+// Symptom: an instance sends to targets that are gone, or misses new ones.
+// Events: readings differ in any way; an instance hears of some of them, or none, and of
+// its region only.
+// Cause: what differs was told from another list than the one it holds.
+func TestNewsLeadToTheListThatWasRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := feed.NewBoard(me)
+		now := t0
+		held, last := feed.List{}, feed.List{}
+		for range rapid.IntRange(1, 15).Draw(t, "readings") {
+			now = now.Add(time.Duration(rapid.IntRange(100, 2000).Draw(t, "pause")) * time.Millisecond)
+			last = feed.NewList(drawTargets(t), now, last)
+			b.Listed(last, true)
+			if !rapid.Bool().Draw(t, "heard") {
+				continue
+			}
+			n := b.News(now, held.Digest, "r")
+			if n == nil {
+				if held.Digest != last.Digest {
+					t.Fatal("no news of another list")
+				}
+				continue
+			}
+			data, err := cbor.Marshal(n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var come feed.ListNews
+			if err := cbor.Unmarshal(data, &come); err != nil {
+				t.Fatal(err)
+			}
+			next, ok := held.Apply(&come, now, now)
+			if !ok {
+				t.Fatal("news about another list")
+			}
+			held = next
+			var want []feed.Target
+			for _, x := range last.Targets {
+				if x.Region == "r" {
+					want = append(want, x)
+				}
+			}
+			if len(want) != len(held.Targets) {
+				t.Fatalf("%d targets, want %d", len(held.Targets), len(want))
+			}
+			for k, x := range held.Targets {
+				late := x.ColdUntil.Sub(want[k].ColdUntil)
+				if x.ID != want[k].ID || x.Slots != want[k].Slots || x.Draining != want[k].Draining || x.Cold() != want[k].Cold() ||
+					late > 2*time.Second || late < -2*time.Second {
+					t.Fatalf("%+v, want %+v", x, want[k])
+				}
+			}
+		}
+	})
+}
+
+// Symptom: the whole list goes to all instances several times a second.
+// Events: targets are cold; each reading shows how much longer.
+// Cause: the remaining time is part of what is compared.
+func TestColdTargetsDoNotChangeTheList(t *testing.T) {
+	at := func(ms int, cold int64, before feed.List) feed.List {
+		return feed.NewList([]feed.Target{{ID: "x", ColdMillis: cold}}, t0.Add(time.Duration(ms)*time.Millisecond), before)
+	}
+	first := at(0, 3000, feed.List{})
+	second := at(700, 2310, first)
+	if first.Digest != second.Digest || second.Targets[0].ColdUntil != first.Targets[0].ColdUntil {
+		t.Fatal("differs while it is cold")
+	}
+	again := at(1400, 3000, second)
+	if again.Digest == second.Digest {
+		t.Fatal("cold anew looks the same")
+	}
+	if warm := at(5000, 0, again); warm.Digest == again.Digest {
+		t.Fatal("warm looks the same")
+	}
+}
+
+func TestNewsAboutAnotherListAreNotTaken(t *testing.T) {
+	l := feed.List{Digest: 5}
+	if _, ok := l.Apply(&feed.ListNews{Base: 4, Digest: 6}, t0, t0); ok {
+		t.Fatal("taken")
+	}
+}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -61,17 +61,12 @@
 	Slots int `cbor:"6,keyasint,omitempty"`
 	// Draining targets get nothing new.
 	Draining bool `cbor:"7,keyasint,omitempty"`
-	// ColdMillis is how long it stays cold, counted from the reading of the list.
-	ColdMillis int64 `cbor:"8,keyasint,omitempty"`
-}
-
-// List is one reading of the platform's list.
-type List struct {
-	Targets []Target
-	// Digest is of the targets; equal lists have equal digests.
-	Digest uint64
-	// ReadAt is when it was read, by the clock of this instance.
-	ReadAt time.Time
+	// ColdMillis is how long it stays cold, counted from the moment at which it was read
+	// or sent; ColdUntil the end of that time by the clock of this instance.
+	ColdMillis int64     `cbor:"8,keyasint,omitempty"`
+	ColdUntil  time.Time `cbor:"-"`
+	// ColdTurn tells one cold time of a target from the next.
+	ColdTurn uint8 `cbor:"9,keyasint,omitempty"`
 }
 
 // Report is what an entry instance asks a core instance with.
@@ -98,11 +93,9 @@
 	State *newest.State `cbor:"1,keyasint,omitempty"`
 	// Led says that the core instance hears from the leader of the log.
 	Led bool `cbor:"2,keyasint,omitempty"`
-	// Targets stand for the whole list if Listed: its digest is another than
-	// Report.Digest.
-	Targets []Target `cbor:"3,keyasint,omitempty"`
-	Listed  bool     `cbor:"13,keyasint,omitempty"`
-	Digest  uint64   `cbor:"4,keyasint,omitempty"`
+	// List is set if the list is another than that of Report.Digest: the targets of the
+	// asker's region.
+	List *ListNews `cbor:"3,keyasint,omitempty"`
 	// ListAgeMillis is how long ago the list was read; negative if never.
 	ListAgeMillis int64  `cbor:"5,keyasint"`
 	Cores         []Core `cbor:"6,keyasint,omitempty"`
@@ -127,6 +120,9 @@
 	// Running and Unread are summed over its targets, as in Load.
 	Running int `cbor:"3,keyasint"`
 	Unread  int `cbor:"4,keyasint"`
+	// Targets may get work, and Slots are theirs. Only an Update tells them.
+	Targets int `cbor:"5,keyasint,omitempty"`
+	Slots   int `cbor:"6,keyasint,omitempty"`
 }
 
 // Gossip is what a core instance tells another one.
--- a/settings/site.go
+++ b/settings/site.go
@@ -33,6 +33,9 @@
 	DataDir string `json:"data_dir"`
 	// InstanceList is the address of the platform's list of targets, IP:port.
 	InstanceList string `json:"instance_list"`
+	// InstanceListRate is how many calls of the list the platform takes a second from all
+	// instances; default none, which means that it does not say.
+	InstanceListRate float64 `json:"instance_list_rate"`
 	// Retries is the budget of sendings beyond the first ones for one service, of all
 	// instances together.
 	Retries SiteRetries `json:"retries"`
@@ -129,6 +132,7 @@
 		address(strict.Index("seeds", i), seed, true)
 	}
 	address("instance_list", s.InstanceList, s.Listen.Operators != "")
+	require(s.InstanceListRate >= 0, "instance_list_rate", "is %v, but must not be negative", s.InstanceListRate)
 	require(s.Retries.Share >= 0 && s.Retries.Allowance >= 0, "retries", "must not be negative")
 	require(s.GraceSeconds > 0, "grace_seconds", "is %v, but must be above 0", s.GraceSeconds)
 	return p
