--- a/daemon/site.go
+++ b/daemon/site.go
@@ -116,7 +116,7 @@
 	return r.runCore(ctx)
 }
 
-// Missing implements entry.Lines and control.Lines.
+// Missing implements lines.Counts.
 func (r *site) Missing() (dropped, leftOut uint64) { return r.sink.Dropped(), r.budget.LeftOut() }
 
 // watchSettings reads the settings anew when the platform says that they changed. What
--- a/metrics/lines/sink.go
+++ b/metrics/lines/sink.go
@@ -120,6 +120,12 @@
 // LeftOut is the number of lines beyond the budget.
 func (b *Budget) LeftOut() uint64 { return b.state.leftOut.Load() }
 
+// Counts tells of missing lines.
+type Counts interface {
+	// Missing is how many lines were dropped and left out.
+	Missing() (dropped, leftOut uint64)
+}
+
 // Tell logs what was dropped and left out, whenever it has grown, until ctx ends.
 func Tell(ctx context.Context, log *zap.Logger, s *Sink, b *Budget) {
 	tick := time.NewTicker(tellInterval)
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -26,6 +26,7 @@
 	"github.com/gullhaven/gullhaven/coord/replog"
 	"github.com/gullhaven/gullhaven/coord/wal"
 	"github.com/gullhaven/gullhaven/metrics"
+	"github.com/gullhaven/gullhaven/metrics/lines"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -89,13 +90,7 @@
 	ListRate float64
 	Log      *zap.Logger
 	// Lines tells of missing log lines; nil where none are counted.
-	Lines Lines
-}
-
-// Lines counts log lines.
-type Lines interface {
-	// Missing is how many were dropped and left out.
-	Missing() (dropped, leftOut uint64)
+	Lines lines.Counts
 }
 
 // Instance is a core instance.
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -2,7 +2,7 @@
 // its view of the surroundings by reporting to core instances.
 //
 // Duties, each a goroutine: following one core instance, comparing with a second one,
-// and closing idle connections. It has no disk and is no member of the group.
+// letting go of requests decided for others, and tidying up. It has no disk and is no member of the group.
 package entry
 
 import (
@@ -18,6 +18,7 @@
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/metrics"
+	"github.com/gullhaven/gullhaven/metrics/lines"
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/deciding"
 	"github.com/gullhaven/gullhaven/node/feed"
@@ -39,13 +40,7 @@
 	// Log tells of failures and changes, Ordinary of each request that was answered.
 	Log, Ordinary *zap.Logger
 	// Lines tells of missing log lines; nil where none are counted.
-	Lines Lines
-}
-
-// Lines counts log lines.
-type Lines interface {
-	// Missing is how many were dropped and left out.
-	Missing() (dropped, leftOut uint64)
+	Lines lines.Counts
 }
 
 // Instance is an entry instance.
@@ -156,7 +151,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, duty := range []func(context.Context){i.follow, i.compare, i.targets.Run, i.peers.Run, i.deciding.Run} {
+	for _, duty := range []func(context.Context){i.follow, i.compare, i.targets.Run, i.peers.Run, i.deciding.Run, i.tidy} {
 		i.wg.Go(func() { duty(ctx) })
 	}
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -128,7 +128,7 @@
 	for _, service := range index.Table.Services {
 		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond}
 		if service.Engine != nil {
-			rules.Engine, rules.MemoryTokens = true, service.Engine.MemoryTokens
+			rules.Engine = true
 		}
 		s.Rules[service.Name] = rules
 	}
--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -24,8 +24,7 @@
 // divide puts the targets of a service in order and gives each its group.
 func divide(list []*target) {
 	slices.SortFunc(list, func(a, b *target) int {
-		x, y := weight(0, a.ID), weight(0, b.ID)
-		if x < y || x == y && a.ID < b.ID {
+		if a.order < b.order || a.order == b.order && a.ID < b.ID {
 			return -1
 		}
 		return 1
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -46,6 +46,8 @@
 	// zone's return from evacuation ends to count as cold.
 	coldNext time.Time
 	coldBy   time.Time
+	// order is its place among the targets of the service, alike at all instances.
+	order uint64
 	// group is the part of the service's targets that it belongs to.
 	group int
 	// watches are called when the target turns out to be out of reach.
@@ -73,7 +75,7 @@
 	for _, listed := range s.Targets {
 		t := old[listed.ID]
 		if t == nil {
-			t = &target{kept: map[uint64]time.Time{}, watches: map[*Choice]func(){}, slowness: usualSlowness}
+			t = &target{kept: map[uint64]time.Time{}, watches: map[*Choice]func(){}, slowness: usualSlowness, order: weight(0, listed.ID)}
 		}
 		listed.Draining = listed.Draining || t.Draining
 		t.Target, t.others = listed, s.Loads[listed.ID]
@@ -183,18 +185,6 @@
 	return best
 }
 
-// Full reports whether each target of the service that may get work is out of slots.
-func (p *Pool) Full(now time.Time, service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, t := range p.byService[service] {
-		if p.eligible(now, t, Call{Service: service}) && t.running+t.others.Running < t.Slots {
-			return false
-		}
-	}
-	return true
-}
-
 // take counts the request in.
 func (p *Pool) take(now time.Time, t *target, c Call, chain []link, cost float64, home *target) *Choice {
 	ch := &Choice{ID: t.ID, Address: t.Address, Cost: cost, pool: p, t: t}
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -25,7 +25,7 @@
 }
 
 func engines() map[string]pick.ServiceRules {
-	return map[string]pick.ServiceRules{"s": {Engine: true, ColdFor: 3 * time.Second, ColdPerSecond: 2.2, MemoryTokens: 200000}}
+	return map[string]pick.ServiceRules{"s": {Engine: true, ColdFor: 3 * time.Second, ColdPerSecond: 2.2}}
 }
 
 func call(subject uint64) pick.Call {
@@ -387,3 +387,22 @@
 		t.Fatalf("prompts %v, answers %v", prompts, answers)
 	}
 }
+
+// Symptom: the memory of an instance grows with each request.
+// Events: prompts of ever new parts are sent; none comes again.
+// Cause: what was sent where is never forgotten.
+func TestKeptPartsAreForgotten(t *testing.T) {
+	p := pick.New("e")
+	p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}, Rules: engines()})
+	for n := range uint64(100) {
+		c, _ := p.Pick(t0, call(n))
+		c.Done(t0, pick.Good)
+	}
+	if n := p.Kept(); n < 200 {
+		t.Fatalf("%d parts kept", n)
+	}
+	p.Sweep(t0.Add(time.Minute))
+	if n := p.Kept(); n != 0 {
+		t.Fatalf("%d parts kept after a minute", n)
+	}
+}
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -130,3 +130,14 @@
 		}
 	}
 }
+
+// Kept is the number of prompt parts that are remembered, over all targets.
+func (p *Pool) Kept() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, t := range p.targets {
+		n += len(t.kept)
+	}
+	return n
+}
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -59,8 +59,6 @@
 	ColdPerSecond float64
 	// Engine says that the targets are model engines.
 	Engine bool
-	// MemoryTokens bounds what an engine keeps.
-	MemoryTokens int
 }
 
 // Snapshot is a new view of the surroundings.
