entry: first reports back off, and end with a core instance that hears from a leader

Change: pauses double from 40 to 640 ms, and an answer of an instance that hears from a leader ends the beginning.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -26,9 +26,11 @@
 	// compareInterval is the time between two reports to a second core instance: the
 	// followed one may be cut off from the others without knowing it yet.
 	compareInterval = 1500 * time.Millisecond
-	// beginPause is the time between two first reports to one core instance: both may
-	// have started at the same moment.
+	// beginPause is the time after the first report to a core instance that has no state:
+	// both may have started at the same moment. It doubles up to beginMost, as hundreds of
+	// instances may wait for the first configuration.
 	beginPause = 40 * time.Millisecond
+	beginMost  = 640 * time.Millisecond
 	// failPause is the time after a report that failed.
 	failPause = 100 * time.Millisecond
 )
@@ -49,24 +51,25 @@
 }
 
 // begin asks all core instances that are known, each again and again, until one gives a
-// state. None waits for another: one that has started a moment later is asked anew while
-// those of other regions have not answered yet.
+// state, or hears from a leader and has none. None waits for another: one that has started
+// a moment later is asked anew while those of other regions have not answered yet.
 func (i *Instance) begin(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, to := range i.candidates() {
 		wg.Go(func() {
-			for ctx.Err() == nil {
+			for wait := beginPause; ctx.Err() == nil; wait = min(2*wait, beginMost) {
 				u, err := i.report(ctx, to, 0)
 				if ctx.Err() != nil {
 					return
 				}
-				if i.note(to, u, err); i.hasState() {
+				i.note(to, u, err)
+				if i.hasState() || err == nil && u.Led {
 					cancel()
 					return
 				}
-				pause(ctx, beginPause)
+				pause(ctx, wait)
 			}
 		})
 	}
