feed: news of a list are encoded once for all that lack the same

Cause: at many instances a core instance encoded the same list for each of them. Change: encoded news are told again for 200 ms.

--- a/node/control/soft.go
+++ b/node/control/soft.go
@@ -175,5 +175,8 @@
 	if err := cbor.Unmarshal(payload, &known); err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(i.board.News(time.Now(), known, ""))
+	if n := i.board.News(time.Now(), known, ""); n != nil {
+		return n, nil
+	}
+	return cbor.Marshal((*feed.ListNews)(nil))
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
@@ -25,11 +26,8 @@
 	readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond)
 	switch {
 	case u.ListAgeMillis < 0 || !readAt.After(k.list.ReadAt):
-	case u.List != nil:
-		// News about another list than the one held are asked for anew.
-		if list, ok := k.list.Apply(u.List, now, readAt); ok {
-			k.list = list
-		}
+	case len(u.List) > 0:
+		i.learnList(u.List, now, readAt)
 	case asked == k.list.Digest:
 		k.list.ReadAt = readAt
 	}
@@ -46,6 +44,19 @@
 	i.show(now)
 }
 
+// learnList takes in news of the list; those about another list than the one held are
+// asked for anew.
+func (i *Instance) learnList(data []byte, now, readAt time.Time) {
+	var n feed.ListNews
+	if err := cbor.Unmarshal(data, &n); err != nil {
+		i.log.Warn("a list of targets cannot be read", zap.Error(err))
+		return
+	}
+	if list, ok := i.known.list.Apply(&n, now, readAt); ok {
+		i.known.list = list
+	}
+}
+
 // show makes the view of what is known.
 func (i *Instance) show(now time.Time) {
 	k := &i.known
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
@@ -25,6 +26,15 @@
 	return i
 }
 
+func encoded(t *testing.T, n feed.ListNews) []byte {
+	t.Helper()
+	data, err := cbor.Marshal(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 func state(index uint64, version byte) *newest.State {
 	return &newest.State{Index: index, Version: uint64(version), Document: []byte{version}}
 }
@@ -36,7 +46,7 @@
 func TestAnUpdateWithoutAListLeavesTheList(t *testing.T) {
 	Convey("two updates cross", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}, EntriesDigest: 5, List: &feed.ListNews{Digest: 1}}, 0)
+		i.learn(&feed.Update{State: state(1, 1), Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}, EntriesDigest: 5, List: encoded(t, feed.ListNews{Digest: 1})}, 0)
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
 		i.learn(&feed.Update{ListAgeMillis: -1}, 0)
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
@@ -53,8 +63,8 @@
 		i := newInstance(t)
 		fresh := []feed.Target{{ID: "new", Service: "s", Region: "q"}}
 		stale := []feed.Target{{ID: "old", Service: "s", Region: "q"}}
-		i.learn(&feed.Update{State: state(4, 9), List: &feed.ListNews{Digest: 1, Targets: fresh}, ListAgeMillis: 100}, 0)
-		i.learn(&feed.Update{State: state(3, 7), List: &feed.ListNews{Digest: 2, Targets: stale}, ListAgeMillis: 60000}, 0)
+		i.learn(&feed.Update{State: state(4, 9), List: encoded(t, feed.ListNews{Digest: 1, Targets: fresh}), ListAgeMillis: 100}, 0)
+		i.learn(&feed.Update{State: state(3, 7), List: encoded(t, feed.ListNews{Digest: 2, Targets: stale}), ListAgeMillis: 60000}, 0)
 		So(i.gateway.View().Index.Table.Version, ShouldEqual, 9)
 		So(i.known.list.Targets, ShouldResemble, fresh)
 	})
@@ -79,7 +89,7 @@
 		i := newInstance(t)
 		i.learn(&feed.Update{State: state(1, 1), ListAgeMillis: -1}, 0)
 		So(i.Ready(), ShouldBeFalse)
-		i.learn(&feed.Update{List: &feed.ListNews{Digest: 4, Targets: []feed.Target{{ID: "x"}}}}, 0)
+		i.learn(&feed.Update{List: encoded(t, feed.ListNews{Digest: 4, Targets: []feed.Target{{ID: "x"}}})}, 0)
 		So(i.Ready(), ShouldBeTrue)
 	})
 }
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/gullhaven/gullhaven/coord/suspect"
 )
@@ -41,13 +42,23 @@
 	// older are lists before it, newest last; differences are told from them.
 	older []List
 	// told keeps the differences from each of them, by region.
-	told     map[listKey]*ListNews
+	told     map[listKey]toldNews
 	suspects []heardSuspect
 	// own says that list was read by this instance.
 	own     bool
 	changed chan struct{}
 }
 
+// toldNews are encoded news and when they were.
+type toldNews struct {
+	data cbor.RawMessage
+	at   time.Time
+}
+
+// toldLife is how long encoded news are told again: what is left of cold times is that
+// much too long, which is the safe side.
+const toldLife = 200 * time.Millisecond
+
 type listKey struct {
 	from   uint64
 	region string
@@ -112,7 +123,7 @@
 func NewBoard(self Core) *Board {
 	return &Board{
 		self: self, cores: map[string]heardCore{}, entries: map[string]heardEntry{},
-		sums: map[string]heardSums{}, changed: make(chan struct{}), told: map[listKey]*ListNews{},
+		sums: map[string]heardSums{}, changed: make(chan struct{}), told: map[listKey]toldNews{},
 	}
 }
 
@@ -195,19 +206,19 @@
 	}
 	b.older = append(b.older, b.list)
 	b.older = b.older[max(0, len(b.older)-keptLists):]
-	b.list, b.own, b.told = l, own, map[listKey]*ListNews{}
+	b.list, b.own, b.told = l, own, map[listKey]toldNews{}
 	b.wake()
 }
 
 // News tells what an instance that knows the list of a digest lacks, in one region or in
-// all; nil if it lacks nothing.
-func (b *Board) News(now time.Time, known uint64, region string) *ListNews {
+// all, as encoded ListNews; nil if it lacks nothing.
+func (b *Board) News(now time.Time, known uint64, region string) cbor.RawMessage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.news(now, known, region)
 }
 
-func (b *Board) news(now time.Time, known uint64, region string) *ListNews {
+func (b *Board) news(now time.Time, known uint64, region string) cbor.RawMessage {
 	if b.list.Digest == 0 || known == b.list.Digest {
 		return nil
 	}
@@ -218,10 +229,17 @@
 		}
 	}
 	key := listKey{from.Digest, region}
-	if b.told[key] == nil {
-		b.told[key] = news(from, b.list, region)
+	told, ok := b.told[key]
+	if ok && now.Sub(told.at) < toldLife {
+		return told.data
+	}
+	data, err := cbor.Marshal(news(from, b.list, region).sent(now))
+	if err != nil {
+		// Each field has a fixed type.
+		panic("feed: news of a list cannot be encoded: " + err.Error())
 	}
-	return b.told[key].sent(now)
+	b.told[key] = toldNews{data: data, at: now}
+	return data
 }
 
 // List returns the newest reading.
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
@@ -169,9 +170,11 @@
 			b.Fill(t0, feed.Report{Digest: 9, Self: feed.Entry{ID: "e1", Region: "r"}}, nil, &known)
 			b.Fill(t0, feed.Report{Self: feed.Entry{ID: "e1", Region: "r"}}, nil, &unknown)
 			So(known.List, ShouldBeNil)
+			var list feed.ListNews
+			So(cbor.Unmarshal(unknown.List, &list), ShouldBeNil)
 			// The other target stands in another region.
-			So(len(unknown.List.Targets), ShouldEqual, 1)
-			So(unknown.List.Base, ShouldEqual, 0)
+			So(len(list.Targets), ShouldEqual, 1)
+			So(list.Base, ShouldEqual, 0)
 			So(known.Regions, ShouldResemble, []feed.Summary{{Region: "q", Service: "s", Targets: 1}})
 			So(len(known.Entries), ShouldEqual, 1)
 			// The asker's own load is not among those of the others.
--- a/node/feed/list_test.go
+++ b/node/feed/list_test.go
@@ -49,12 +49,8 @@
 				}
 				continue
 			}
-			data, err := cbor.Marshal(n)
-			if err != nil {
-				t.Fatal(err)
-			}
 			var come feed.ListNews
-			if err := cbor.Unmarshal(data, &come); err != nil {
+			if err := cbor.Unmarshal(n, &come); err != nil {
 				t.Fatal(err)
 			}
 			next, ok := held.Apply(&come, now, now)
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -11,6 +11,8 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/coord/suspect"
 )
@@ -93,9 +95,9 @@
 	State *newest.State `cbor:"1,keyasint,omitempty"`
 	// Led says that the core instance hears from the leader of the log.
 	Led bool `cbor:"2,keyasint,omitempty"`
-	// List is set if the list is another than that of Report.Digest: the targets of the
-	// asker's region.
-	List *ListNews `cbor:"3,keyasint,omitempty"`
+	// List holds ListNews of the asker's region, if the list is another than that of
+	// Report.Digest. It is encoded once for all that lack the same.
+	List cbor.RawMessage `cbor:"3,keyasint,omitempty"`
 	// ListAgeMillis is how long ago the list was read; negative if never.
 	ListAgeMillis int64  `cbor:"5,keyasint"`
 	Cores         []Core `cbor:"6,keyasint,omitempty"`
