--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -15,7 +15,8 @@
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
-// Limits of the common retry budget, which each instance keeps by a static share.
+// RetryLimits are those of the common retry budget, which each instance keeps by a
+// static share.
 type RetryLimits struct {
 	// Span, Share and Allowance are those of retry.Window for all instances
 	// together.
