pipeline: one copy of the headers that go further than one connection

cause: package pipeline and package exchange each had a list of the headers of one connection and a loop that drops what Connection names. change: package pipeline/endtoend holds both; exchange takes three more off, which it settles by itself.

--- a/pipeline/exchange/headers.go
+++ b/pipeline/exchange/headers.go
@@ -2,27 +2,17 @@
 
 import (
 	"net/http"
-	"strings"
+
+	"github.com/gullhaven/gullhaven/pipeline/endtoend"
 )
 
-// connectionHeaders concern one connection only and are not passed on.
-var connectionHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-	"Expect", "Host", "Proxy-Authenticate", "Proxy-Authorization",
-}
+// framing are headers that whoever sends a message on sets anew or settles by itself.
+var framing = [...]string{"Content-Length", "Expect", "Host"}
 
-// forwardable copies the headers without those of one connection. Values are shared.
+// forwardable copies the headers that are passed on as they came. Values are shared.
 func forwardable(h http.Header) http.Header {
-	out := make(http.Header, len(h)+4)
-	for name, values := range h {
-		out[name] = values
-	}
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, name := range connectionHeaders {
+	out := endtoend.Copy(h)
+	for _, name := range framing {
 		delete(out, name)
 	}
 	return out
--- a/pipeline/forward.go
+++ b/pipeline/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/pipeline/endtoend"
 	"github.com/gullhaven/gullhaven/pipeline/hop"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/ports/answer"
@@ -79,7 +80,7 @@
 }
 
 func (f *Forward) header(x *Exchange) http.Header {
-	h := endToEnd(x.R.Header)
+	h := endtoend.Copy(x.R.Header)
 	h.Set(HeaderHop, x.Hops.Add(f.at).String())
 	h.Set(HeaderRequestID, x.ID)
 	left := max(1, x.Deadline.Sub(f.deps.Now()).Milliseconds())
