--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -19,10 +19,6 @@
 	// what is known of it is up to a second old, and the traffic between regions is
 	// paid for.
 	spillMargin = 150.0
-	// readRate is that of package pick, in prompt tokens a millisecond.
-	readRate = 38.0
-	// overSlot is the cost of each request beyond a region's slots, in milliseconds.
-	overSlot = 60.0
 	// mostSends bounds how often one request is sent or tried to be sent.
 	mostSends = 4
 )
@@ -136,9 +132,9 @@
 // regionCost estimates the milliseconds until the first event from another region.
 func regionCost(load RegionLoad, c pick.Call, slowness float64) float64 {
 	targets := float64(load.Targets)
-	cost := wideCost + slowness*(float64(load.Unread)/targets+float64(c.PromptTokens))/readRate
+	cost := wideCost + slowness*(float64(load.Unread)/targets+float64(c.PromptTokens))/pick.ReadRate
 	if over := load.Running + 1 - load.Slots; load.Slots > 0 && over > 0 {
-		cost += overSlot * float64(over) / targets
+		cost += pick.QueueCost * float64(over) / targets
 	}
 	return cost + float64(load.Running)/targets
 }
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -8,9 +8,7 @@
 // eligible is the filter: what may get this request now.
 func (p *Pool) eligible(now time.Time, t *target, c Call) bool {
 	switch {
-	case t.Draining, p.snapshot.Evacuated[t.Zone], slices.Contains(c.Tried, t.ID):
-		return false
-	case now.Before(t.downUntil), t.probing:
+	case !p.open(now, t, c), t.probing:
 		return false
 	case p.cold(now, t):
 		return p.mayWarm(now, t)
@@ -18,6 +16,15 @@
 	return true
 }
 
+// open reports whether the target may get this request as far as its own state and the
+// request tell; whether it is the turn of a cold or returning one is decided apart.
+func (p *Pool) open(now time.Time, t *target, c Call) bool {
+	return !p.leaving(t) && !slices.Contains(c.Tried, t.ID) && !now.Before(t.downUntil)
+}
+
+// leaving reports whether the target gets nothing new by order.
+func (p *Pool) leaving(t *target) bool { return t.Draining || p.snapshot.Evacuated[t.Zone] }
+
 // cold reports whether a target bears only a few requests a second.
 func (p *Pool) cold(now time.Time, t *target) bool {
 	if p.snapshot.Rules[t.Service].ColdPerSecond <= 0 {
--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -104,7 +104,7 @@
 	var best *target
 	var most uint64
 	for _, t := range p.group(list, chain) {
-		if t.Draining || p.snapshot.Evacuated[t.Zone] {
+		if p.leaving(t) {
 			continue
 		}
 		if w := weight(key, t.ID); best == nil || w > most {
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -201,7 +200,7 @@
 	ch.Source = p.source(now, t, chain, home)
 	t.running++
 	t.unread += ch.unread
-	t.read = t.lateReading(now) + float64(ch.unread)/readRate
+	t.read = t.lateReading(now) + float64(ch.unread)/ReadRate
 	t.readAt = now
 	for _, l := range chain {
 		t.kept[l.key] = now
@@ -215,7 +214,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.Draining || p.snapshot.Evacuated[t.Zone] || slices.Contains(c.Tried, id) || now.Before(t.downUntil) {
+	if t == nil || !p.open(now, t, c) {
 		return nil
 	}
 	ch := p.take(now, t, c, c.chain(), 0, nil)
@@ -354,7 +353,7 @@
 	c := Counts{Targets: len(p.targets)}
 	for _, t := range p.targets {
 		switch {
-		case t.Draining || p.snapshot.Evacuated[t.Zone]:
+		case p.leaving(t):
 			c.Draining++
 		case now.Before(t.downUntil):
 			c.Out++
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -17,7 +17,7 @@
 	cost := 0.0
 	if t.Slots > 0 {
 		if over := running + 1 - t.Slots; over > 0 {
-			cost += queueCost * float64(over)
+			cost += QueueCost * float64(over)
 		}
 	}
 	if !p.snapshot.Rules[t.Service].Engine {
@@ -34,7 +34,7 @@
 	if !p.snapshot.Rules[t.Service].Engine {
 		return 0
 	}
-	own := float64(c.PromptTokens-t.keptTokens(now, chain)) / readRate
+	own := float64(c.PromptTokens-t.keptTokens(now, chain)) / ReadRate
 	running := float64(t.running + t.others.Running)
 	share := min(1, t.lateReading(now)/float64(readingSpan.Milliseconds()))
 	return disturb*own*running + slowed*float64(c.OutputTokens)*chunkTime*share
@@ -57,7 +57,7 @@
 		shared := float64(chain[len(chain)-2].tokens)
 		own = min(own, float64(c.PromptTokens)-guess*shared)
 	}
-	return (float64(unread) + own) / readRate
+	return (float64(unread) + own) / ReadRate
 }
 
 // runningCost is what one running request adds to the time to the first event, in
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -78,10 +78,10 @@
 
 // Constants of the estimates.
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond: measured
+	// ReadRate is how many prompt tokens an engine reads in a millisecond: measured
 	// speeds of 70-billion-parameter engines lie between 30 and 45. It only weighs
 	// reading against waiting, so a wrong value shifts the balance a little.
-	readRate = 38.0
+	ReadRate = 38.0
 	// disturb is the weight of the time that the reading of a prompt takes from each
 	// request that runs at the target, against waiting of its own; chunkTime is how much
 	// longer a step takes in which a part of a prompt is read, in milliseconds; slowed is
@@ -104,8 +104,8 @@
 	// slotCost is what a request at a plain target costs the next one, in
 	// milliseconds for a full set of slots: a few tens of milliseconds of work.
 	slotCost = 40.0
-	// queueCost is the cost of each request beyond the slots, in milliseconds.
-	queueCost = 60.0
+	// QueueCost is the cost of each request beyond the slots, in milliseconds.
+	QueueCost = 60.0
 	// guess is the share of the shared parts that is taken as kept at the target
 	// that all instances prefer for them, where this instance has not sent them.
 	guess = 0.6
