--- a/bundle/routes/types.go
+++ b/bundle/routes/types.go
@@ -5,7 +5,10 @@
 // never changed afterwards.
 package routes
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says what of a route's requests may be repeated.
 type Kind uint8
@@ -62,12 +65,7 @@
 
 // Allows reports whether a region may serve the route.
 func (r *Route) Allows(region string) bool {
-	for _, home := range r.Homes {
-		if home == region {
-			return true
-		}
-	}
-	return len(r.Homes) == 0
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
 // Share is one service of a route with its weight.
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -145,7 +146,7 @@
 		HeartbeatInterval: heartbeat,
 		ElectionTimeout:   election,
 	}
-	if o.FirstStart && contains(o.Seeds, o.Self.ID) {
+	if o.FirstStart && slices.Contains(o.Seeds, o.Self.ID) {
 		core.Bootstrap = &replog.Bootstrap{Voters: o.Seeds}
 	}
 	i.node, err = replhost.Open(replhost.Options{
@@ -192,15 +193,6 @@
 	}
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Links answers the links of other instances; mount it at link.DefaultPath.
 func (i *Instance) Links() http.Handler { return i.hub.Handler() }
 
@@ -390,10 +382,11 @@
 
 func (i *Instance) update(r feed.Report) feed.Update {
 	u := feed.Update{Led: i.led()}
-	if s := i.accepted(); s.Index > r.Index {
+	s := i.accepted()
+	if s.Index > r.Index {
 		u.State = s
 	}
-	i.board.Fill(time.Now(), r, i.accepted().Evacuated, &u)
+	i.board.Fill(time.Now(), r, s.Evacuated, &u)
 	return u
 }
 
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -12,8 +12,8 @@
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
-// learn takes in what a core instance tells one that holds the list asked. Neither the state of the log nor the list
-// goes back: the core instance may lag.
+// learn takes in what a core instance tells one that holds the list asked. Neither the
+// state of the log nor the list goes back: the core instance may lag.
 func (i *Instance) learn(u *feed.Update, asked uint64) {
 	now := time.Now()
 	i.killers.learn(u.Suspects)
@@ -116,20 +116,16 @@
 		if t.Region != i.o.Self.Region {
 			continue
 		}
-		target := pick.Target{
+		s.Targets = append(s.Targets, pick.Target{
 			ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Slots: t.Slots, Draining: t.Draining,
-		}
-		target.ColdUntil = t.ColdUntil
-		s.Targets = append(s.Targets, target)
+			ColdUntil: t.ColdUntil,
+		})
 	}
 	if i.Ready() || i.gateway.View() == nil {
 		s.Entries = append(s.Entries, i.o.Self.ID)
 	}
 	for _, e := range k.entries {
-		if e.Region != i.o.Self.Region {
-			continue
-		}
-		if e.Ready {
+		if e.Ready && e.Region == i.o.Self.Region {
 			s.Entries = append(s.Entries, e.ID)
 		}
 	}
@@ -137,11 +133,9 @@
 		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: l.Unread}
 	}
 	for _, service := range index.Table.Services {
-		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond}
-		if service.Engine != nil {
-			rules.Engine = true
+		s.Rules[service.Name] = pick.ServiceRules{
+			ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond, Engine: service.Engine != nil,
 		}
-		s.Rules[service.Name] = rules
 	}
 	return s
 }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -136,8 +136,7 @@
 		return false
 	}
 	if a.Header.Get(headerRefused) != "" {
-		_, complete := readWhole(a)
-		a.Close(complete)
+		discard(a)
 		return false
 	}
 	done, _ := q.take(a, nil)
@@ -175,19 +174,18 @@
 	}
 }
 
-// take reads an answer and relays it, or finds that another attempt is needed. p is nil for an answer of another instance.
+// take reads an answer and relays it, or finds that another attempt is needed. p is nil
+// for an answer of another instance.
 func (q *request) take(a *rawhttp.Answer, p *place) (done bool, result pick.Result) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
 	switch {
 	case reply.Gone:
 		q.turnedAway = true
-		_, complete := readWhole(a)
-		a.Close(complete)
+		discard(a)
 		return false, pick.Gone
 	case reply.NotRun:
 		q.turnedAway = true
-		_, complete := readWhole(a)
-		a.Close(complete)
+		discard(a)
 		return false, pick.Full
 	case !reply.Signed || reply.ID != q.call.ID || a.Header.Get("Content-Encoding") != "":
 		// Bytes that belong to another request or to none.
@@ -230,6 +228,12 @@
 	return body, err == nil && len(body) <= maxWhole
 }
 
+// discard reads an answer that nobody gets, so that its connection can be kept.
+func discard(a *rawhttp.Answer) {
+	_, complete := readWhole(a)
+	a.Close(complete)
+}
+
 // takeWhole relays an answer that is no stream of events. It is read whole first: one
 // that breaks off can be asked for again, and never looks complete.
 func (q *request) takeWhole(a *rawhttp.Answer) (bool, pick.Result) {
