placement: a drain that somebody else ordered is not ended by the leader

Cause: the planner resumed each drained engine that the bundle wants active, also one that a person or the platform had drained.

Change: load reports may name the order that drained the engine (drained_by, optional). The planner resumes only drains of leaders of its region; of an engine that does not name the order, a drain is somebody else's if it served when each order of a leader would have shown. The target is reported as blocked with drained_elsewhere and logged. A bundle that marks it as leaving takes the drain over.

--- a/node/placing/placing.go
+++ b/node/placing/placing.go
@@ -285,7 +285,7 @@
 	}
 	for _, t := range status.Targets {
 		old := s.logged.targets[t.Target]
-		if old.Phase == t.Phase && (old.Blocked == t.Blocked || t.Blocked != placement.BlockedDrainOverdue) {
+		if old.Phase == t.Phase && (old.Blocked == t.Blocked || !needsPerson(t.Blocked)) {
 			continue
 		}
 		s.logged.targets[t.Target] = t
@@ -293,3 +293,8 @@
 			zap.String("phase", string(t.Phase)), zap.String("blocked", string(t.Blocked)))
 	}
 }
+
+// needsPerson reports whether a target may wait until a person acts.
+func needsPerson(b placement.Blocked) bool {
+	return b == placement.BlockedDrainOverdue || b == placement.BlockedDrainedElsewhere
+}
--- a/placement/advance.go
+++ b/placement/advance.go
@@ -39,6 +39,9 @@
 	if t.report.Loading {
 		return BlockedOrder
 	}
+	if t.drainedElsewhere {
+		return BlockedDrainedElsewhere
+	}
 	return ""
 }
 
@@ -54,6 +57,7 @@
 func (p *Planner) forget(t *target) {
 	if !t.seenAt.IsZero() && p.now.Sub(latest(t.seenAt, p.watching)) > p.o.LostAfter {
 		t.order, t.seenAt, t.report, t.drainSeen, t.warm.done = nil, time.Time{}, ports.LoadReport{}, time.Time{}, false
+		t.drainedElsewhere = false
 	}
 }
 
@@ -90,7 +94,7 @@
 	if p.now.Before(t.clearAt) {
 		return false
 	}
-	t.order, t.trustFrom = nil, time.Time{}
+	t.order, t.trustFrom, t.drainUntil = nil, time.Time{}, time.Time{}
 	t.succeeded()
 	return true
 }
@@ -167,6 +171,9 @@
 	t.order = &pending{order: order}
 	t.trustFrom = latest(t.trustFrom, p.now.Add(p.o.ReportLag))
 	p.count(again)
+	if order.Kind == ports.OrderDrain {
+		t.drainUntil = order.Expires.Add(t.goal.OrderExpiry).Add(p.o.ReportLag)
+	}
 	if t.order.loads() {
 		p.storeFree = latest(p.storeFreeAt(), p.now).Add(p.readTime(bytes))
 		t.warm.done = false
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/lease"
@@ -177,8 +179,11 @@
 
 // formerEnded reports whether no order of an earlier leader is under way and
 // the reports show what the last of them did.
-func (p *Planner) formerEnded() bool {
-	return !p.now.Before(p.gained.Add(p.former()).Add(p.o.ReportLag))
+func (p *Planner) formerEnded() bool { return !p.now.Before(p.formerShown()) }
+
+// formerShown is from when reports show all that earlier leaders ordered.
+func (p *Planner) formerShown() time.Time {
+	return p.gained.Add(p.former()).Add(p.o.ReportLag)
 }
 
 // storeFreeAt is when the weight store has given all that was ordered, by this
@@ -208,6 +213,9 @@
 			t = &target{}
 		}
 		t.goal = g
+		if g.Leaving {
+			t.drainedElsewhere = false // The bundle wants the drain too, and ends it when it wants the target back.
+		}
 		p.targets = append(p.targets, t)
 	}
 }
@@ -227,7 +235,7 @@
 	}
 	t.polling = false
 	if e.Report != nil {
-		t.take(e.Asked, *e.Report)
+		t.take(e.Asked, *e.Report, p)
 	}
 }
 
@@ -260,3 +268,18 @@
 	p.seq++
 	return fmt.Sprintf("%s-%d-%d", p.o.Region, p.fence, p.seq)
 }
+
+// ownID reports whether an order was given by a leader of the region.
+func (p *Planner) ownID(id string) bool {
+	rest, ok := strings.CutPrefix(id, p.o.Region+"-")
+	if !ok {
+		return false
+	}
+	fence, seq, _ := strings.Cut(rest, "-")
+	return isNumber(fence) && isNumber(seq)
+}
+
+func isNumber(s string) bool {
+	_, err := strconv.ParseUint(s, 10, 64)
+	return err == nil
+}
--- a/placement/status.go
+++ b/placement/status.go
@@ -48,6 +48,9 @@
 	BlockedDrainOverdue Blocked = "drain_overdue"
 	// BlockedWarmUp: the warm-up is under way or failed.
 	BlockedWarmUp Blocked = "warm_up"
+	// BlockedDrainedElsewhere: a person or the platform has drained the target;
+	// whoever did so has to resume it.
+	BlockedDrainedElsewhere Blocked = "drained_elsewhere"
 	// BlockedRetry: an order failed and is tried again later.
 	BlockedRetry Blocked = "retry_later"
 	// BlockedLease: the lease is too short for an order.
@@ -124,6 +127,8 @@
 		return PhaseServing
 	case inProgress(r) > 0 && (t.goal.Leaving || t.goal.needsDrain(r)):
 		return PhaseDraining
+	case t.drainedElsewhere && !t.goal.needsDrain(r):
+		return PhaseDraining
 	case t.goal.Leaving:
 		return PhaseLeft
 	case r.Loading || t.goal.needsDrain(r) || t.goal.missing(r) != nil:
--- a/placement/target.go
+++ b/placement/target.go
@@ -74,9 +74,14 @@
 	// drainSeen is when a report of the drain came first, or when the last
 	// warm-up failed since; zero if not drained.
 	drainSeen time.Time
-	warm      warmUp
-	failures  int
-	retryAt   time.Time
+	// drainUntil is until when a report may tell of a drain that this leader
+	// ordered and has not seen yet; zero for none.
+	drainUntil time.Time
+	// drainedElsewhere: a person or the platform has drained the target.
+	drainedElsewhere bool
+	warm             warmUp
+	failures         int
+	retryAt          time.Time
 
 	phase   Phase
 	since   time.Time
@@ -93,10 +98,11 @@
 
 // take notes a report that was asked for at a time. One with the same time as
 // the last is an old one told again and proves nothing of the present.
-func (t *target) take(asked time.Time, r ports.LoadReport) {
+func (t *target) take(asked time.Time, r ports.LoadReport, p *Planner) {
 	if !t.seenAt.IsZero() && (r.At.Equal(t.report.At) || !asked.After(t.seenAt)) {
 		return
 	}
+	t.drainedElsewhere = t.foreignDrain(&r, p)
 	t.report, t.seenAt = r, asked
 	if !r.Draining {
 		t.drainSeen, t.warm.done = time.Time{}, false
@@ -105,6 +111,22 @@
 	}
 }
 
+// foreignDrain reports whether a new report tells of a drain that no leader of
+// the region ordered. An engine that names the order tells it by that. Of another
+// one it is known when it served, as of a time at which the drains that leaders
+// ordered would have shown.
+func (t *target) foreignDrain(r *ports.LoadReport, p *Planner) bool {
+	switch {
+	case !r.Draining || t.goal.Leaving:
+		return false
+	case r.DrainedBy != "":
+		return !p.ownID(r.DrainedBy)
+	case t.report.Draining || t.seenAt.IsZero():
+		return t.drainedElsewhere
+	}
+	return !t.seenAt.Before(p.formerShown()) && !t.seenAt.Before(t.drainUntil)
+}
+
 func (t *target) fresh(now time.Time, o *Options) bool {
 	return !t.seenAt.IsZero() && now.Sub(t.seenAt) <= o.StaleAfter
 }
@@ -190,7 +212,7 @@
 	if !g.inRole(r) {
 		return ports.Order{Kind: ports.OrderRole, Role: string(g.Role)}, 0
 	}
-	if r.Draining {
+	if r.Draining && !t.drainedElsewhere {
 		return ports.Order{Kind: ports.OrderResume}, 0
 	}
 	return ports.Order{}, 0
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -99,9 +99,11 @@
 	wanted   Wanted
 	version  int
 	maxLoads int
-	starts   []loadStart
-	sends    int
-	underWay []Send
+	// namesDrain says that load reports name the order of a drain.
+	namesDrain bool
+	starts     []loadStart
+	sends      int
+	underWay   []Send
 	// left are the drains of leaving targets, by id, with their fence.
 	left   map[string]uint64
 	orders int
@@ -113,6 +115,7 @@
 		rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 	}
 	w.maxLoads = rapid.IntRange(1, 3).Draw(t, "loads")
+	w.namesDrain = rapid.Bool().Draw(t, "names drain")
 	for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
 		e := &engine{id: fmt.Sprintf("e%d", i), checks: rapid.Bool().Draw(t, "checks"), taken: map[string]bool{}}
 		e.report.Model, e.report.Version = "m", "v0"
@@ -244,6 +247,9 @@
 		e.cached = e.report
 		e.cached.At, e.cached.Running, e.cached.Loading = w.now, len(e.requests), e.loading(w.now)
 		e.cached.Adapters = slices.Clone(e.report.Adapters)
+		if w.namesDrain && e.report.Draining {
+			e.cached.DrainedBy = e.drainedBy
+		}
 	}
 	r := e.cached
 	return &r
--- a/ports/engine.go
+++ b/ports/engine.go
@@ -97,7 +97,10 @@
 	Adapters []string `json:"adapters,omitempty"`
 	Role     string   `json:"role,omitempty"`
 	Draining bool     `json:"draining,omitempty"`
-	Loading  bool     `json:"loading,omitempty"`
+	// DrainedBy is the id of the order that drained the engine; empty if it
+	// doesn't tell, or was drained without an order.
+	DrainedBy string `json:"drained_by,omitempty"`
+	Loading   bool   `json:"loading,omitempty"`
 }
 
 // CacheEvent tells of prefix blocks stored or evicted. Events come late and
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -12,16 +12,18 @@
 
 // orders is what orders made of an engine.
 type orders struct {
-	cfg      EngineConfig
-	mu       sync.Mutex
-	fence    uint64
-	taken    []ports.Order
-	until    time.Time
-	drain    bool
-	model    string
-	version  string
-	role     string
-	adapters []string
+	cfg   EngineConfig
+	mu    sync.Mutex
+	fence uint64
+	taken []ports.Order
+	until time.Time
+	drain bool
+	// drainedBy is the id of the order that drained the engine.
+	drainedBy string
+	model     string
+	version   string
+	role      string
+	adapters  []string
 }
 
 func newOrders(cfg EngineConfig) *orders {
@@ -52,7 +54,7 @@
 	defer o.mu.Unlock()
 	l.Model, l.Version, l.Role = o.model, o.version, o.role
 	l.Adapters = slices.Clone(o.adapters)
-	l.Draining = o.drain
+	l.Draining, l.DrainedBy = o.drain, o.drainedBy
 	l.Loading = l.At.Before(o.until)
 }
 
@@ -99,9 +101,9 @@
 	case ports.OrderRole:
 		o.role = order.Role
 	case ports.OrderDrain:
-		o.drain = true
+		o.drain, o.drainedBy = true, order.ID
 	case ports.OrderResume:
-		o.drain = false
+		o.drain, o.drainedBy = false, ""
 	default:
 		return false
 	}
