A bounded group of core instances, and answers whose common part is made once

Cause: at 300 instances each answer to a report went over all targets and instances anew, each entry instance that came ended the waits of all, and each gossip was made and encoded once for each receiver: the core instances were at 92% of their part of a core and nothing was served.

A core instance outside passes on what operators and entry instances ask of it to a member.

--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -12,11 +12,15 @@
 //     answer while the number that can does not rise, until no majority is left;
 //   - a cut-off voter is taken for dead. Removing it on silence alone would let a
 //     group shrink step by step. So a voter leaves only after a newcomer of its
-//     zone has become a voter, and the number of voters never falls.
+//     zone has become a voter, and the number of voters never falls;
+//   - a group of a hundred. Each member costs the leader a message at each
+//     heartbeat and each commit the answers of half of them. So at most MaxMembers
+//     are let in, spread over regions and zones; the others stay outside, and one
+//     of them takes the place of a voter of its zone that is silent for long.
 package admit
 
 import (
-	"slices"
+	"cmp"
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/replog"
@@ -26,8 +30,8 @@
 // Applicant asks to be a member.
 type Applicant struct {
 	Member replog.Member
-	// Zone is the availability zone that it stands in.
-	Zone string
+	// Region and Zone are where it stands.
+	Region, Zone string
 	// Newcomer says that its disk was new at its start, that the group did not
 	// know its id when it asked first, and that it is not Settled yet.
 	Newcomer bool
@@ -43,12 +47,21 @@
 	// AskedWithin is the age above which an application is void; default 2 s,
 	// a few of the intervals at which applicants ask.
 	AskedWithin time.Duration
+	// MaxMembers bounds the voters and learners of a group in which no voter is
+	// silent; default 9, which bears the loss of four.
+	MaxMembers int
+	// OutsideAfter is how long a voter must have been silent before an applicant
+	// that is no newcomer takes its place; default 10 s, above a restart of its
+	// instance with an empty disk.
+	OutsideAfter time.Duration
 }
 
 // Defaults of Rules.
 const (
-	DefaultSilentFor   = 2 * time.Second
-	DefaultAskedWithin = 2 * time.Second
+	DefaultSilentFor    = 2 * time.Second
+	DefaultAskedWithin  = 2 * time.Second
+	DefaultMaxMembers   = 9
+	DefaultOutsideAfter = 10 * time.Second
 )
 
 // Group keeps who asked and which zone each member stands in. It belongs to one
@@ -56,7 +69,8 @@
 type Group struct {
 	rules      Rules
 	applicants map[string]Applicant
-	zones      map[string]string
+	// zones and regions are those of all that ever asked.
+	zones, regions map[string]string
 	// quietSince is when a voter was first found silent by this leader.
 	quietSince map[string]time.Time
 }
@@ -69,15 +83,22 @@
 	if r.AskedWithin <= 0 {
 		r.AskedWithin = DefaultAskedWithin
 	}
+	if r.MaxMembers <= 0 {
+		r.MaxMembers = DefaultMaxMembers
+	}
+	if r.OutsideAfter <= 0 {
+		r.OutsideAfter = DefaultOutsideAfter
+	}
 	return &Group{
-		rules: r, applicants: map[string]Applicant{}, zones: map[string]string{}, quietSince: map[string]time.Time{},
+		rules: r, applicants: map[string]Applicant{}, zones: map[string]string{}, regions: map[string]string{},
+		quietSince: map[string]time.Time{},
 	}
 }
 
 // Asked takes in an application. Members ask too, which tells their zones.
 func (g *Group) Asked(a Applicant) {
 	g.applicants[a.Member.ID] = a
-	g.zones[a.Member.ID] = a.Zone
+	g.zones[a.Member.ID], g.regions[a.Member.ID] = a.Zone, a.Region
 }
 
 // Next returns the change that the group needs now, if it needs one. s is the
@@ -121,7 +142,24 @@
 			return dead, true
 		}
 	}
-	return replog.Member{}, false
+	return g.surplus(now, s)
+}
+
+// surplus is the voter that is silent for longest where an applicant from outside
+// has taken the place of one: the group has more members than its rules allow.
+func (g *Group) surplus(now time.Time, s replog.Status) (replog.Member, bool) {
+	var longest replog.Member
+	if len(s.Config.Voters) <= g.rules.MaxMembers {
+		return longest, false
+	}
+	since := now
+	for _, m := range s.Config.Voters {
+		at, quiet := g.quietSince[m.ID]
+		if quiet && now.Sub(at) >= g.rules.OutsideAfter && at.Before(since) {
+			longest, since = m, at
+		}
+	}
+	return longest, since.Before(now)
 }
 
 // successors are the silent voters for which a newcomer that votes stands, each
@@ -164,22 +202,64 @@
 	return true
 }
 
-// joining is the first applicant that is no member.
+// Full reports whether an applicant that is no member stays outside for now.
+func (g *Group) Full(now time.Time, s replog.Status, a Applicant) bool {
+	if _, in := s.Config.Lookup(a.Member.ID); in {
+		return false
+	}
+	return len(s.Config.Members()) >= g.rules.MaxMembers && !g.standsIn(now, s, a)
+}
+
+// standsIn reports whether an applicant may take the place of a voter that is
+// silent: a newcomer at once, as the successor of an instance, and one from outside
+// when the voter of its own zone is silent for long. A voter that never asked this
+// leader is of unknown zone and may be cut off with its region: only a newcomer
+// stands in for it.
+func (g *Group) standsIn(now time.Time, s replog.Status, a Applicant) bool {
+	if len(s.Config.Members()) > g.rules.MaxMembers {
+		return false
+	}
+	for _, m := range s.Config.Voters {
+		since, quiet := g.quietSince[m.ID]
+		zone := g.zones[m.ID]
+		switch {
+		case !quiet:
+		case a.Newcomer && (zone == "" || zone == a.Zone):
+			return true
+		case zone == a.Zone && now.Sub(since) >= g.rules.OutsideAfter:
+			return true
+		}
+	}
+	return false
+}
+
+// joining is the applicant to let in next: that of the region, then of the zone,
+// with the fewest members.
 func (g *Group) joining(now time.Time, s replog.Status) (replog.ConfChange, bool) {
-	ids := make([]string, 0, len(g.applicants))
-	for id := range g.applicants {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		a := g.applicants[id]
-		if now.Sub(a.At) > g.rules.AskedWithin {
+	inRegion, inZone := map[string]int{}, map[string]int{}
+	for _, m := range s.Config.Members() {
+		inRegion[g.regions[m.ID]]++
+		inZone[g.zones[m.ID]]++
+	}
+	var best *Applicant
+	less := func(a, b *Applicant) bool {
+		return cmp.Or(
+			cmp.Compare(inRegion[a.Region], inRegion[b.Region]),
+			cmp.Compare(inZone[a.Zone], inZone[b.Zone]),
+			cmp.Compare(a.Member.ID, b.Member.ID),
+		) < 0
+	}
+	for id, a := range g.applicants {
+		_, in := s.Config.Lookup(id)
+		if in || now.Sub(a.At) > g.rules.AskedWithin || g.Full(now, s, a) {
 			continue
 		}
-		if _, ok := s.Config.Lookup(id); ok {
-			continue
+		if best == nil || less(&a, best) {
+			best = &a
 		}
-		return replog.ConfChange{Kind: confchange.AddLearner, Member: a.Member}, true
 	}
-	return replog.ConfChange{}, false
+	if best == nil {
+		return replog.ConfChange{}, false
+	}
+	return replog.ConfChange{Kind: confchange.AddLearner, Member: best.Member}, true
 }
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -65,6 +65,9 @@
 	channelJoin    = "join"
 	channelGossip  = "gossip"
 	channelList    = "list"
+	channelRead    = "read"
+	// channelMember is ChannelReport at a member, which does not pass it on again.
+	channelMember = "member-report"
 	// ChannelReport is where entry instances report.
 	ChannelReport = "report"
 )
@@ -92,6 +95,8 @@
 	Log      *zap.Logger
 	// Lines tells of missing log lines; nil where none are counted.
 	Lines lines.Counts
+	// Admission bounds the group; zero fields take the defaults.
+	Admission admit.Rules
 }
 
 // Instance is a core instance.
@@ -109,6 +114,7 @@
 	// membersMu guards members, which the joining duty and calls of others use.
 	membersMu sync.Mutex
 	metrics   *metrics.Set
+	outside   outside
 	// newcomer says that this instance stands for a voter that is gone.
 	newcomer bool
 	// listCalls is how many calls the last reading took; the reading duty's own.
@@ -130,7 +136,7 @@
 // duties.
 func New(o Options) (*Instance, error) {
 	i := &Instance{
-		o: o, log: o.Log, board: feed.NewBoard(o.Self), members: admit.New(admit.Rules{}),
+		o: o, log: o.Log, board: feed.NewBoard(o.Self), members: admit.New(o.Admission),
 		gossipNow: make(chan struct{}, 1),
 	}
 	i.metrics = metrics.NewSiteCore(i.shown)
@@ -171,7 +177,9 @@
 	hub.Serve(channelPropose, serveWorkers, i.servePropose)
 	hub.Serve(channelJoin, serveWorkers, i.serveJoin)
 	hub.Serve(channelList, serveWorkers, i.serveList)
-	hub.Serve(ChannelReport, serveWorkers, i.serveReport)
+	hub.Serve(channelRead, serveWorkers, i.serveRead)
+	hub.Serve(channelMember, serveWorkers, i.serveReport)
+	hub.Serve(ChannelReport, serveWorkers, i.passReport)
 	return i, nil
 }
 
--- a/node/control/joining.go
+++ b/node/control/joining.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -9,12 +11,17 @@
 
 	"github.com/gullhaven/gullhaven/coord/admit"
 	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/node/feed"
 )
 
 const (
 	// joinInterval is the time between two applications of a member, and between
 	// two looks of the leader at its group.
 	joinInterval = 300 * time.Millisecond
+	// outsideInterval is the time between two applications of an instance for which
+	// the group has no place: under the age at which an application is void, and 100
+	// of them cost the leader 70 calls a second.
+	outsideInterval = 1500 * time.Millisecond
 	// joinTime bounds one application: two wide-area trips.
 	joinTime = 500 * time.Millisecond
 	// changeTime bounds one change of the group.
@@ -26,6 +33,7 @@
 	Member   replog.Member `cbor:"1,keyasint"`
 	Zone     string        `cbor:"2,keyasint"`
 	Newcomer bool          `cbor:"3,keyasint,omitempty"`
+	Region   string        `cbor:"4,keyasint,omitempty"`
 }
 
 // reception answers an application.
@@ -38,6 +46,10 @@
 	// the applicant is no newcomer any more.
 	Known   bool `cbor:"3,keyasint,omitempty"`
 	Settled bool `cbor:"4,keyasint,omitempty"`
+	// Full says that the group has no place for the applicant now; Members are then
+	// those that it passes on to what it is asked.
+	Full    bool        `cbor:"5,keyasint,omitempty"`
+	Members []feed.Core `cbor:"6,keyasint,omitempty"`
 }
 
 // runJoining applies for membership again and again, which also tells the leader
@@ -46,12 +58,16 @@
 	tick := time.NewTicker(joinInterval)
 	defer tick.Stop()
 	asked := false
+	var notBefore time.Time
 	for at := 0; ; at++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
+		if time.Now().Before(notBefore) {
+			continue
+		}
 		if i.node.Status().Core.Role == replog.Leader {
 			i.serveApplication(i.application())
 			i.changeGroup(ctx)
@@ -61,6 +77,10 @@
 		if !ok {
 			continue
 		}
+		i.outside.note(i.o.Self, &r)
+		if r.Full {
+			notBefore = time.Now().Add(outsideInterval)
+		}
 		if r.Settled || r.Known && !asked {
 			i.newcomer = false
 		}
@@ -69,12 +89,12 @@
 }
 
 func (i *Instance) application() application {
-	return application{Member: i.node.Member(), Zone: i.o.Self.Zone, Newcomer: i.newcomer}
+	return application{Member: i.node.Member(), Region: i.o.Self.Region, Zone: i.o.Self.Zone, Newcomer: i.newcomer}
 }
 
 // apply asks the leader, or another core instance for who leads.
 func (i *Instance) apply(ctx context.Context, at int) (reception, bool) {
-	to := i.node.Status().Core.Leader.ID
+	to := cmp.Or(i.node.Status().Core.Leader.ID, i.outside.leaderID())
 	if to == "" {
 		others := i.others()
 		if len(others) == 0 {
@@ -83,6 +103,9 @@
 		to = others[at%len(others)]
 	}
 	r := i.ask(ctx, to)
+	if r == nil {
+		i.outside.lost(to)
+	}
 	if r != nil && !r.Leads && r.Leader != "" && r.Leader != to && r.Leader != i.o.Self.ID {
 		r = i.ask(ctx, r.Leader)
 	}
@@ -150,9 +173,22 @@
 	}
 	i.membersMu.Lock()
 	defer i.membersMu.Unlock()
-	i.members.Asked(admit.Applicant{Member: a.Member, Zone: a.Zone, Newcomer: a.Newcomer, At: time.Now()})
+	applicant := admit.Applicant{Member: a.Member, Region: a.Region, Zone: a.Zone, Newcomer: a.Newcomer, At: time.Now()}
+	i.members.Asked(applicant)
 	_, known := s.Config.Lookup(a.Member.ID)
-	return reception{Leader: i.o.Self.ID, Leads: true, Known: known, Settled: i.members.Settled(s, a.Member)}
+	r := reception{Leader: i.o.Self.ID, Leads: true, Known: known, Settled: i.members.Settled(s, a.Member)}
+	if i.members.Full(applicant.At, s, applicant) {
+		r.Full, r.Members = true, i.liveMembers(s.Config)
+	}
+	return r
+}
+
+// liveMembers are the members that were heard lately.
+func (i *Instance) liveMembers(c replog.Config) []feed.Core {
+	return slices.DeleteFunc(i.board.Cores(time.Now()), func(core feed.Core) bool {
+		_, in := c.Lookup(core.ID)
+		return !in
+	})
 }
 
 // changeGroup makes the change that the group needs, if it needs one.
--- a/node/control/operators.go
+++ b/node/control/operators.go
@@ -46,6 +46,13 @@
 // Current returns the newest accepted configuration. The error says that this
 // instance cannot be sure which one that is.
 func (i *Instance) Current(ctx context.Context) ([]byte, error) {
+	if i.isOutside() {
+		return i.readOutside(ctx)
+	}
+	return i.current(ctx)
+}
+
+func (i *Instance) current(ctx context.Context) ([]byte, error) {
 	if err := i.confirm(ctx); err != nil {
 		return nil, err
 	}
@@ -64,6 +71,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	if i.isOutside() {
+		_, err = i.callMember(ctx, i.outside.leaderID(), channelPropose, data)
+		return err
+	}
 	_, err = i.node.Propose(ctx, data)
 	var other *replhost.NotLeaderError
 	if !errors.As(err, &other) || other.Leader == "" || other.Leader == i.o.Self.ID {
--- a/node/control/soft.go
+++ b/node/control/soft.go
@@ -50,6 +50,9 @@
 			return
 		case <-tick.C:
 		}
+		if i.isOutside() {
+			continue
+		}
 		now := time.Now()
 		due := i.interval() + time.Duration(i.board.Rank(now))*deputyDelay
 		if now.Before(notBefore) || now.Sub(i.board.List().ReadAt) < due {
@@ -108,23 +111,32 @@
 		case <-tick.C:
 		case <-i.gossipNow:
 		}
+		if i.isOutside() {
+			continue
+		}
 		i.gossip()
 	}
 }
 
 func (i *Instance) gossip() {
 	now := time.Now()
-	known := map[string]feed.Core{}
+	regions := map[string]string{}
 	for _, c := range i.board.Cores(now) {
-		known[c.ID] = c
+		regions[c.ID] = c.Region
 	}
+	// Encoded once for those of the region and once for the others.
+	payloads := map[bool][]byte{}
 	for _, id := range i.others() {
-		payload, err := cbor.Marshal(i.board.Gossip(now, known[id]))
-		if err != nil {
-			i.log.Error("gossip cannot be written", zap.Error(err))
-			return
+		near := regions[id] == i.o.Self.Region
+		if payloads[near] == nil {
+			payload, err := cbor.Marshal(i.board.Gossip(now, near))
+			if err != nil {
+				i.log.Error("gossip cannot be written", zap.Error(err))
+				return
+			}
+			payloads[near] = payload
 		}
-		i.hub.Send(id, channelGossip, payload)
+		i.hub.Send(id, channelGossip, payloads[near])
 	}
 }
 
--- /dev/null
+++ b/node/feed/round.go
@@ -0,0 +1,241 @@
+package feed
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// roundLife is how long the common part of answers is used: a quarter of the time
+// between two reports of one instance. With 60 entry instances at a core instance the
+// sums are made 20 times a second instead of 300 times.
+const roundLife = 50 * time.Millisecond
+
+// round is what the answers of a moment have in common. Making it goes over all
+// targets and instances; an answer takes from it what concerns the asker.
+type round struct {
+	at    time.Time
+	cores []Core
+	// entries are without loads; digest is the sum of hashes.
+	entries []Entry
+	hashes  map[string]uint64
+	digest  uint64
+	// loads are those of the own region, in the order of targets; own are the parts that
+	// the instances which report here have in them.
+	loads []Load
+	own   map[string][]Load
+	// sums are told of each region, by the region that asks.
+	sums map[string][]Summary
+	// services are those of the own region's targets.
+	services map[string]string
+}
+
+// current returns the round of now.
+func (b *Board) current(now time.Time) *round {
+	if b.round != nil && !now.Before(b.round.at) && now.Sub(b.round.at) < roundLife {
+		return b.round
+	}
+	r := &round{
+		at: now, cores: b.liveCores(now), hashes: map[string]uint64{}, own: map[string][]Load{},
+		sums: map[string][]Summary{}, services: map[string]string{},
+	}
+	for _, h := range b.liveEntries(now) {
+		r.add(h, b.self.Region)
+	}
+	r.loads = b.sumLoads(r, true)
+	for _, t := range b.list.Targets {
+		if t.Region == b.self.Region {
+			r.services[t.ID] = t.Service
+		}
+	}
+	b.round = r
+	return r
+}
+
+func (r *round) add(h heardEntry, region string) {
+	e := h.entry
+	if h.direct && e.Region == region && len(e.Loads) > 0 {
+		r.own[e.ID] = e.Loads
+	}
+	e.Loads, e.AgeMillis = nil, 0
+	hash := e.hash()
+	r.entries = append(r.entries, e)
+	r.hashes[e.ID] = hash
+	r.digest += hash
+}
+
+// hash is of what others are told of an entry instance.
+func (e *Entry) hash() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{e.ID, e.Region, e.Zone, e.Callers, strconv.FormatBool(e.Ready)} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// others are the entry instances but one, and their digest.
+func (r *round) others(but string, known uint64) ([]Entry, uint64) {
+	// 0 means that the asker knows none.
+	digest := max(1, r.digest-r.hashes[but])
+	if digest == known {
+		return nil, 0
+	}
+	out := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		if e.ID != but {
+			out = append(out, e)
+		}
+	}
+	return out, digest
+}
+
+// loadsBut are the loads of the own region without those of one instance.
+func (r *round) loadsBut(id string) []Load {
+	own := r.own[id]
+	if len(own) == 0 {
+		return r.loads
+	}
+	mine := make(map[string]Load, len(own))
+	for _, l := range own {
+		mine[l.Target] = l
+	}
+	out := make([]Load, 0, len(r.loads))
+	for _, l := range r.loads {
+		m := mine[l.Target]
+		l.Running, l.Unread = l.Running-m.Running, l.Unread-m.Unread
+		if l.Running != 0 || l.Unread != 0 {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// Fill completes the answer to a report. evacuated are the zones that get nothing.
+func (b *Board) Fill(now time.Time, r Report, evacuated map[string]uint64, u *Update) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u.ListAgeMillis = -1
+	if !b.list.ReadAt.IsZero() {
+		u.ListAgeMillis = now.Sub(b.list.ReadAt).Milliseconds()
+		u.List = b.news(now, r.Digest, r.Self.Region)
+	}
+	u.Suspects = b.lateSuspects(now, false)
+	round := b.current(now)
+	u.Cores = round.cores
+	u.Entries, u.EntriesDigest = round.others(r.Self.ID, r.Entries)
+	if r.Self.Region == b.self.Region {
+		u.Near, u.Loads = true, round.loadsBut(r.Self.ID)
+	}
+	if _, ok := round.sums[r.Self.Region]; !ok {
+		round.sums[r.Self.Region] = b.otherRegions(round, r.Self.Region, evacuated)
+	}
+	u.Regions = round.sums[r.Self.Region]
+}
+
+// otherRegions sums up what other regions than one have and do.
+func (b *Board) otherRegions(r *round, but string, evacuated map[string]uint64) []Summary {
+	type key struct{ region, service string }
+	sums := map[key]Summary{}
+	for _, t := range b.list.Targets {
+		if t.Region == but || t.Draining || evacuated[t.Zone] != 0 || r.at.Before(t.ColdUntil) {
+			continue
+		}
+		k := key{t.Region, t.Service}
+		sum := sums[k]
+		sums[k] = Summary{Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots}
+	}
+	add := func(loads []Summary) {
+		for _, l := range loads {
+			k := key{l.Region, l.Service}
+			if sum, ok := sums[k]; ok {
+				sum.Running, sum.Unread = sum.Running+l.Running, sum.Unread+l.Unread
+				sums[k] = sum
+			}
+		}
+	}
+	for _, h := range b.sums {
+		if r.at.Sub(h.at) < CoreLife {
+			add(h.sums)
+		}
+	}
+	add(b.summarize(r))
+	out := make([]Summary, 0, len(sums))
+	for _, s := range sums {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(x, y Summary) int { return strings.Compare(x.Region+x.Service, y.Region+y.Service) })
+	return out
+}
+
+// sumLoads sums up what the entry instances of the own region have under way: of those
+// that report here, and with all of those that report to others too.
+func (b *Board) sumLoads(r *round, all bool) []Load {
+	sums := map[string]Load{}
+	add := func(loads []Load) {
+		for _, l := range loads {
+			sum := sums[l.Target]
+			sums[l.Target] = Load{Target: l.Target, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread}
+		}
+	}
+	for _, loads := range r.own {
+		add(loads)
+	}
+	for _, h := range b.cores {
+		if all && r.at.Sub(h.at) < CoreLife {
+			add(h.loads)
+		}
+	}
+	out := make([]Load, 0, len(sums))
+	for _, l := range sums {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(x, y Load) int { return strings.Compare(x.Target, y.Target) })
+	return out
+}
+
+// summarize sums up the loads of the own region by service.
+func (b *Board) summarize(r *round) []Summary {
+	sums := map[string]Summary{}
+	for _, l := range r.loads {
+		if name := r.services[l.Target]; name != "" {
+			sum := sums[name]
+			sums[name] = Summary{
+				Region: b.self.Region, Service: name, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread,
+			}
+		}
+	}
+	var out []Summary
+	for _, s := range sums {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(x, y Summary) int { return strings.Compare(x.Service, y.Service) })
+	return out
+}
+
+// Gossip is what this instance tells others: the entry instances that report here, to
+// those of its region their loads, and its own reading of the list.
+func (b *Board) Gossip(now time.Time, near bool) Gossip {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.current(now)
+	g := Gossip{From: b.self, Regions: b.summarize(r), Suspects: b.lateSuspects(now, true)}
+	for _, h := range b.liveEntries(now) {
+		if !h.direct {
+			continue
+		}
+		e := h.entry
+		e.Loads, e.AgeMillis = nil, now.Sub(h.at).Milliseconds()
+		g.Entries = append(g.Entries, e)
+	}
+	if near {
+		g.Loads = b.sumLoads(r, false)
+	}
+	if b.own {
+		g.Digest, g.ListAgeMillis = b.list.Digest, now.Sub(b.list.ReadAt).Milliseconds()
+	}
+	return g
+}
