A long list of targets is read at a pace, goes on after a refused call, and is read by one at a start

Cause: after all core instances were killed each of them read the list at once: with 1,005 targets nine times 21 calls against 47 a second.

Change: each call waits for its turn (feed.Pace, 0.7 of the platform's rate for a reader); a refused call is made again after a pause that grows; a first reading of more than four calls is left to the instance of the lowest rank for the time that it takes. Deputies wait for the reading that is under way.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -87,8 +87,9 @@
 	Dir string
 	// Parse reads and checks a configuration.
 	Parse func(document []byte) (*routes.Table, error)
-	// ReadList reads the platform's list of targets and tells how many calls it took.
-	ReadList func(ctx context.Context) (targets []feed.Target, calls int, err error)
+	// ReadList reads the platform's list of targets and tells how many calls it took. It
+	// waits for the turn of each call.
+	ReadList func(ctx context.Context, turn Turn) (targets []feed.Target, calls int, err error)
 	// ListRate is how many such calls the platform takes a second from all instances; 0
 	// where it does not say.
 	ListRate float64
@@ -117,8 +118,8 @@
 	outside   outside
 	// newcomer says that this instance stands for a voter that is gone.
 	newcomer bool
-	// listCalls is how many calls the last reading took; the reading duty's own.
-	listCalls int
+	// reading is the reading duty's own.
+	reading reading
 	// gossipNow wakes the gossip before its time.
 	gossipNow chan struct{}
 
--- /dev/null
+++ b/node/feed/pace_test.go
@@ -0,0 +1,56 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/node/feed"
+)
+
+// Symptom: a platform that allows 47 calls a second refuses most of them.
+// Events: a list of many pages is read, some calls are refused.
+// Cause: the pages were asked for as fast as they came.
+func TestPaceKeepsTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := feed.Pace{PerSecond: float64(rapid.IntRange(1, 100).Draw(t, "rate"))}
+		now := t0
+		var calls []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "answer")) * time.Millisecond)
+			refused := rapid.IntRange(0, 4).Draw(t, "refused") == 0
+			wait := p.Turn(now, refused, rapid.Float64Range(0, 0.99).Draw(t, "random"))
+			if wait < 0 || wait > 2*time.Second {
+				t.Fatalf("wait %v", wait)
+			}
+			now = now.Add(wait)
+			calls = append(calls, now)
+		}
+		for i, from := range calls {
+			n := 0
+			for _, at := range calls[i:] {
+				if at.Sub(from) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > p.PerSecond+1 {
+				t.Fatalf("%d calls in a second, rate %v", n, p.PerSecond)
+			}
+		}
+	})
+}
+
+func TestRefusedCallsWaitLonger(t *testing.T) {
+	p, last := feed.Pace{PerSecond: 1000}, time.Duration(0)
+	for range 4 {
+		wait := p.Turn(t0, true, 0)
+		if wait <= last {
+			t.Fatalf("%v after %v", wait, last)
+		}
+		last = wait
+	}
+	if wait := p.Turn(t0.Add(time.Minute), false, 0); wait != 0 {
+		t.Fatalf("%v after an answer", wait)
+	}
+}
