--- a/daemon/site.go
+++ b/daemon/site.go
@@ -153,11 +153,11 @@
 		return err
 	}
 	if err := r.listen(map[string]http.Handler{
-		s.Listen.Metrics:   i.Metrics(),
-		s.Listen.Instances: i.Peers(),
-		s.Listen.Callers:   i.Callers(),
-		s.Listen.Ready:     platform.ReadyCall(i.Ready),
-		s.Listen.Directory: platform.DirectoryCall(i.Addresses),
+		s.Listen.Metrics:         i.Metrics(),
+		s.Listen.BindInstances(): i.Peers(),
+		s.Listen.Callers:         i.Callers(),
+		s.Listen.Ready:           platform.ReadyCall(i.Ready),
+		s.Listen.Directory:       platform.DirectoryCall(i.Addresses),
 	}); err != nil {
 		return err
 	}
@@ -214,9 +214,9 @@
 		return err
 	}
 	if err := r.listen(map[string]http.Handler{
-		s.Listen.Metrics:   i.Metrics(),
-		s.Listen.Instances: i.Links(),
-		s.Listen.Operators: platform.OperatorCalls(i),
+		s.Listen.Metrics:         i.Metrics(),
+		s.Listen.BindInstances(): i.Links(),
+		s.Listen.Operators:       platform.OperatorCalls(i),
 	}); err != nil {
 		return err
 	}
@@ -248,7 +248,7 @@
 		server := &http.Server{
 			Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, ErrorLog: zap.NewStdLog(r.log),
 		}
-		if address == r.s.Listen.Instances {
+		if address == r.s.Listen.BindInstances() {
 			server.IdleTimeout = peerIdle
 			server.ConnState = tuneLink
 		}
--- a/settings/site.go
+++ b/settings/site.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -56,6 +57,9 @@
 	// Instances is where other instances reach this one, without TLS: the network
 	// between the instances of a site is private.
 	Instances string `json:"instances"`
+	// InstancesBind is where it listens for them, where Instances is the address of a
+	// forwarder before it; default Instances.
+	InstancesBind string `json:"instances_bind"`
 	// Metrics serves counters as text; default none.
 	Metrics string `json:"metrics"`
 }
@@ -123,6 +127,7 @@
 	address("listen.operators", s.Listen.Operators, false)
 	address("listen.directory", s.Listen.Directory, false)
 	address("listen.instances", s.Listen.Instances, true)
+	address("listen.instances_bind", s.Listen.InstancesBind, false)
 	address("listen.metrics", s.Listen.Metrics, false)
 	require((s.Listen.Callers == "") != (s.Listen.Operators == ""), "listen",
 		"needs either callers, for an entry instance, or operators, for a core instance")
@@ -138,6 +143,9 @@
 	return p
 }
 
+// BindInstances is where the instance listens for other instances.
+func (a *SiteAddresses) BindInstances() string { return cmp.Or(a.InstancesBind, a.Instances) }
+
 // SeedIDs are the seeds' addresses for instances.
 func (s *Site) SeedIDs() []string {
 	_, port, _ := net.SplitHostPort(s.Listen.Instances)
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,222 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/platform/platformtest"
+)
+
+const (
+	// deadline is that of each request, below its route's timeout.
+	deadline = 4 * time.Second
+	// slack is how much later its end may come where no fault befell its entry instance:
+	// the machine may be busy with other tests.
+	slack = 6 * time.Second
+	// dialTime bounds a connection of a caller.
+	dialTime = time.Second
+	// callers are so many, each with one request at a time and some pause after it.
+	callers     = 9
+	callerPause = 40 * time.Millisecond
+	// perConn is how many requests a caller sends over a connection at most.
+	perConn = 25
+	// writePause is the time between two configurations.
+	writePause = 300 * time.Millisecond
+	// callTime bounds a call of an operator and of the directory.
+	callTime = 2 * time.Second
+	// recovery bounds how long the site may take to serve after the last fault.
+	recovery = 40 * time.Second
+)
+
+var paths = []string{
+	platformtest.PathUnsafe + "x", platformtest.PathSafe + "x",
+	platformtest.PathStream + "events", platformtest.PathResumable + "events",
+}
+
+// Start begins to call; the returned function ends that and waits for the last answers.
+func (w *World) Start(ctx context.Context, seed uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	for n := range callers {
+		rng := rand.New(rand.NewPCG(seed, uint64(n)+2))
+		w.wg.Go(func() { w.call(ctx, n, rng) })
+	}
+	for author := range 2 {
+		rng := rand.New(rand.NewPCG(seed, uint64(author)+100))
+		w.wg.Go(func() { w.write(ctx, author, rng) })
+	}
+	w.wg.Go(func() { w.read(ctx, rand.New(rand.NewPCG(seed, 200))) })
+	return func() {
+		cancel()
+		w.wg.Wait()
+	}
+}
+
+// call is one caller: it keeps a connection until it ends or has served long.
+func (w *World) call(ctx context.Context, caller int, rng *rand.Rand) {
+	client := &http.Client{Timeout: callTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	for n := 0; ctx.Err() == nil; {
+		conn := w.connect(ctx, client, caller, rng)
+		if conn == nil {
+			pause(ctx, callerPause)
+			continue
+		}
+		stays := true
+		for sent := 0; stays && sent < perConn && ctx.Err() == nil; sent++ {
+			n++
+			r := Request{
+				ID: fmt.Sprintf("c%d-%d", caller, n), Path: paths[rng.IntN(len(paths))], Entry: conn.Address, Start: time.Now(),
+			}
+			r.Outcome, stays = conn.Ask(r.ID, r.Path, deadline, r.Start.Add(2*(deadline+slack)))
+			r.End = time.Now()
+			w.Ledger.Ended(r)
+			pause(ctx, time.Duration(rng.Int64N(int64(2*callerPause))))
+		}
+		conn.Close()
+	}
+}
+
+// connect asks the directory, near ones first, and connects to one of those that it names.
+func (w *World) connect(ctx context.Context, client *http.Client, caller int, rng *rand.Rand) *platformtest.Conn {
+	for n := range w.entries {
+		e := w.entries[(caller+n)%len(w.entries)]
+		addresses, err := platformtest.Resolve(ctx, client, e.directory, region(caller))
+		if err != nil || len(addresses) == 0 {
+			continue // It is down, or not ready.
+		}
+		conn, err := platformtest.Dial(addresses[rng.IntN(len(addresses))], dialTime)
+		if err == nil {
+			return conn
+		}
+	}
+	return nil
+}
+
+// write is one of two operators: both write the same versions, so that they race.
+func (w *World) write(ctx context.Context, author int, rng *rand.Rand) {
+	client := &http.Client{Timeout: callTime}
+	for ctx.Err() == nil {
+		version := w.Ledger.Newest(time.Now()) + 1
+		sent := platformtest.Document(version, fmt.Sprint("author ", author))
+		c := w.cores[rng.IntN(len(w.cores))]
+		if err := platformtest.Put(ctx, client, c.operators, sent); err == nil {
+			w.Ledger.Acknowledged(version, time.Now())
+		}
+		pause(ctx, writePause)
+	}
+}
+
+// read reads the configuration at all core instances by turns.
+func (w *World) read(ctx context.Context, rng *rand.Rand) {
+	client := &http.Client{Timeout: callTime}
+	for ctx.Err() == nil {
+		c := w.cores[rng.IntN(len(w.cores))]
+		sent := time.Now()
+		if _, version, err := platformtest.Get(ctx, client, c.operators); err == nil {
+			w.Ledger.Read(version, sent, c.name())
+		}
+		pause(ctx, callerPause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// AwaitServing waits until every entry instance serves each kind of request. where names
+// the moment.
+func (w *World) AwaitServing(ctx context.Context, where string) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(w.entries))
+	for n, e := range w.entries {
+		wg.Go(func() { errs[n] = w.awaitEntry(ctx, e, fmt.Sprint(where, "-", n)) })
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return fmt.Errorf("%s: %w", where, err)
+		}
+	}
+	return nil
+}
+
+func (w *World) awaitEntry(ctx context.Context, e *entry, name string) error {
+	end := time.Now().Add(recovery)
+	for _, path := range paths {
+		for n := 0; ; n++ {
+			o := askOnce(e, fmt.Sprint(name, path, n), path)
+			if o.Status == 200 && o.Err == nil {
+				break
+			}
+			if time.Now().After(end) || ctx.Err() != nil {
+				return fmt.Errorf("%s does not serve %s: status %d, %w", e.name(), path, o.Status, o.Err)
+			}
+			pause(ctx, callerPause)
+		}
+	}
+	return nil
+}
+
+func askOnce(e *entry, id, path string) platformtest.Outcome {
+	conn, err := platformtest.Dial(e.callers, dialTime)
+	if err != nil {
+		return platformtest.Outcome{Err: err}
+	}
+	defer conn.Close()
+	o, _ := conn.Ask(id, path, deadline, time.Now().Add(deadline+slack))
+	return o
+}
+
+// AwaitAgreement waits until all core instances read the same configuration, not older
+// than what was acknowledged.
+func (w *World) AwaitAgreement(ctx context.Context) error {
+	client := &http.Client{Timeout: callTime}
+	newest, end := w.Ledger.Newest(time.Now()), time.Now().Add(recovery)
+	for {
+		err := w.agreement(ctx, client, newest)
+		if err == nil || time.Now().After(end) || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, callerPause)
+	}
+}
+
+func (w *World) agreement(ctx context.Context, client *http.Client, newest uint64) error {
+	var first string
+	for n, c := range w.cores {
+		document, version, err := platformtest.Get(ctx, client, c.operators)
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.name(), err)
+		}
+		if n == 0 {
+			first = document
+		}
+		if document != first || version < newest {
+			return fmt.Errorf("%s holds version %d, %s another one; %d was acknowledged", c.name(), version, w.cores[0].name(), newest)
+		}
+	}
+	return nil
+}
+
+// Configure has the first configuration accepted.
+func (w *World) Configure(ctx context.Context) error {
+	client := &http.Client{Timeout: callTime}
+	end := time.Now().Add(recovery)
+	for n := 0; ; n++ {
+		err := platformtest.Put(ctx, client, w.cores[n%len(w.cores)].operators, platformtest.Document(1, "first"))
+		if err == nil {
+			w.Ledger.Acknowledged(1, time.Now())
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("the first configuration is not accepted: %w", err)
+		}
+		pause(ctx, callerPause)
+	}
+}
--- /dev/null
+++ b/soak/ledger_test.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gullhaven/gullhaven/platform/platformtest"
+)
+
+var began = time.Unix(1_800_000_000, 0)
+
+const unsafe, stream = platformtest.PathUnsafe + "x", platformtest.PathResumable + "events"
+
+var errCut = errors.New("cut")
+
+// ledgerOf holds one request that ran a number of times.
+func ledgerOf(runs int, r Request) *Ledger {
+	l := &Ledger{Events: 3, Runs: func(string) int { return runs }, Deadline: time.Second, Slack: time.Second}
+	r.ID, r.Entry, r.Start = "q", "e", began
+	if r.End.IsZero() {
+		r.End = began.Add(100 * time.Millisecond)
+	}
+	l.Ended(r)
+	return l
+}
+
+func answered(path, body string) Request {
+	return Request{Path: path, Outcome: platformtest.Outcome{Status: 200, Signed: true, Body: body}}
+}
+
+// Each promise is broken once: a check that finds nothing checks nothing.
+func TestLedgerFindsWhatMustNotBe(t *testing.T) {
+	refused := Request{Path: unsafe, Outcome: platformtest.Outcome{Status: 503}}
+	cut := Request{Path: unsafe, Outcome: platformtest.Outcome{Err: errCut}}
+	late := answered(unsafe, platformtest.Answer("q"))
+	late.End = began.Add(3 * time.Second)
+	for _, c := range []struct {
+		name string
+		l    *Ledger
+		want string
+	}{
+		{"an answer", ledgerOf(1, answered(unsafe, platformtest.Answer("q"))), ""},
+		{"a second run", ledgerOf(2, answered(unsafe, platformtest.Answer("q"))), "ran 2 times"},
+		{"a stream that is resumed runs again", ledgerOf(2, answered(stream, platformtest.Stream("q", 3))), ""},
+		{"a stream that is not", ledgerOf(2, answered(platformtest.PathStream+"events", platformtest.Stream("q", 3))), "ran 2 times"},
+		{"no run", ledgerOf(0, answered(unsafe, platformtest.Answer("q"))), "did not run"},
+		{"a refusal", ledgerOf(0, refused), ""},
+		{"a false refusal", ledgerOf(1, refused), "was refused and ran"},
+		{"a runner's own 503", ledgerOf(1, Request{Path: unsafe, Outcome: platformtest.Outcome{Status: 503, Signed: true}}), ""},
+		{"another one's answer", ledgerOf(1, answered(unsafe, platformtest.Answer("p"))), "complete with"},
+		{"a short stream that is complete", ledgerOf(1, answered(stream, platformtest.Stream("q", 2))), "complete with"},
+		{"a doubled event", ledgerOf(1, answered(stream, platformtest.Stream("q", 2)+platformtest.Event("q", 2))), "complete with"},
+		{"a gap before a cut", ledgerOf(1, Request{Path: stream, Outcome: platformtest.Outcome{
+			Status: 200, Body: platformtest.Event("q", 2), Err: errCut,
+		}}), "other bytes"},
+		{"a late answer", ledgerOf(1, late), "took 3s"},
+		{"a request that ran is cut off", ledgerOf(1, cut), "broken off without a fault"},
+		{"one that has not run", ledgerOf(0, cut), ""},
+	} {
+		Convey(c.name, t, func() {
+			got := strings.Join(c.l.Faults(), "\n")
+			if c.want == "" {
+				So(got, ShouldEqual, "")
+				return
+			}
+			So(got, ShouldContainSubstring, c.want)
+		})
+	}
+}
+
+func TestFaultsExplainOnlyWhatTheyOverlap(t *testing.T) {
+	befell := func(k Kind, entry string, from, to time.Duration) Disturbance {
+		return Disturbance{Fault: Fault{Kind: k}, Entry: entry, From: began.Add(from), To: began.Add(to)}
+	}
+	cut := Request{Path: unsafe, Outcome: platformtest.Outcome{Err: errCut}}
+	late := answered(unsafe, platformtest.Answer("q"))
+	late.End = began.Add(3 * time.Second)
+	for _, c := range []struct {
+		name   string
+		r      Request
+		d      Disturbance
+		faults int
+	}{
+		{"a kill explains a cut", cut, befell(Kill, "other", 0, time.Second), 0},
+		{"planned work does not", cut, befell(Restart, "e", 0, time.Second), 1},
+		{"nor one that was over", cut, befell(Kill, "e", -time.Second, 0), 1},
+		{"a fault there explains a late answer", late, befell(Pause, "e", 0, time.Second), 0},
+		{"one elsewhere does not", late, befell(Pause, "other", 0, time.Second), 1},
+	} {
+		Convey(c.name, t, func() {
+			l := ledgerOf(1, c.r)
+			l.Disturbed(c.d)
+			So(len(l.Faults()), ShouldEqual, c.faults)
+		})
+	}
+}
+
+func TestOldVersionsAreFound(t *testing.T) {
+	Convey("version 5 is acknowledged at 1 s", t, func() {
+		l := &Ledger{}
+		l.Acknowledged(5, began.Add(time.Second))
+		l.Read(4, began.Add(500*time.Millisecond), "a")
+		So(l.Faults(), ShouldBeEmpty)
+		l.Read(5, began.Add(2*time.Second), "a")
+		So(l.Faults(), ShouldBeEmpty)
+		l.Read(4, began.Add(2*time.Second), "a")
+		So(len(l.Faults()), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/soak/plan_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/gullhaven/gullhaven/coord/fixedseed"
+)
+
+func TestPlanIsDrawnByItsSeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		shape := Shape{Cores: rapid.IntRange(1, 9).Draw(t, "cores"), Entries: rapid.IntRange(1, 9).Draw(t, "entries"), Runners: rapid.IntRange(1, 9).Draw(t, "runners")}
+		span := time.Duration(rapid.IntRange(0, 60).Draw(t, "span")) * time.Second
+		plan := Draw(seed, shape, span)
+		if !slices.Equal(plan, Draw(seed, shape, span)) {
+			t.Fatal("two plans of one seed")
+		}
+		most := map[Role]int{RoleEntry: shape.Entries, RoleCore: shape.Cores, RoleRunner: shape.Runners, RoleList: 1}
+		wipes, last := 0, time.Duration(0)
+		for _, f := range plan {
+			if f.At < last || f.At >= span || f.For < shortest || f.For > longest || f.Number < 0 || f.Number >= most[f.Role] {
+				t.Fatalf("%v", f)
+			}
+			if !slices.Contains(kinds[f.Role], f.Kind) || seed%plannedOnly == 0 && !f.Kind.Planned() {
+				t.Fatalf("%v", f)
+			}
+			if f.Kind == Wipe {
+				wipes++
+			}
+			last = f.At
+		}
+		if wipes > 1 {
+			t.Fatalf("%d disks are lost", wipes)
+		}
+	})
+}
+
+func TestEachKindIsDrawn(t *testing.T) {
+	seen := map[Kind]bool{}
+	for seed := range uint64(60) {
+		for _, f := range Draw(seed, Shape{4, 4, 9}, 15*time.Second) {
+			seen[f.Kind] = true
+		}
+	}
+	for role, list := range kinds {
+		for _, k := range list {
+			if !seen[k] {
+				t.Errorf("%s of %s in none of 60 plans", k, role)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	seeds = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
+	span  = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
+	keep  = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
+)
+
+// binary is the daemon under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "gullhaven-soak-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "gullhavend")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/gullhavend").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// shortSeeds are played by each run of the tests: one of mixed faults, and one of planned
+// work only.
+var shortSeeds = []uint64{1, 4}
+
+// shortSpan is how long their faults are made.
+const shortSpan = 6 * time.Second
+
+func TestShortSoak(t *testing.T) {
+	for _, seed := range shortSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSeed(t, seed, shortSpan) })
+	}
+}
+
+// failedOnce are seeds that showed a fault once, each with its cause.
+var failedOnce = []struct {
+	seed  uint64
+	span  time.Duration
+	cause string
+}{}
+
+func TestSeedsThatFailedOnce(t *testing.T) {
+	for _, s := range failedOnce {
+		t.Run(fmt.Sprint(s.seed), func(t *testing.T) { playSeed(t, s.seed, s.span) })
+	}
+}
+
+func TestSeeds(t *testing.T) {
+	if *seeds == "" {
+		t.Skip("played by hand: -soak.seeds 1-50")
+	}
+	from, to, both := strings.Cut(*seeds, "-")
+	if !both {
+		to = from
+	}
+	first, err1 := strconv.ParseUint(from, 10, 64)
+	last, err2 := strconv.ParseUint(to, 10, 64)
+	if err1 != nil || err2 != nil {
+		t.Fatalf("seeds %q", *seeds)
+	}
+	for seed := first; seed <= last; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSeed(t, seed, *span) })
+	}
+}
+
+// playSeed starts a site, makes the faults of a seed, waits until it serves again, ends
+// it, and checks all that was seen.
+func playSeed(t *testing.T, seed uint64, span time.Duration) {
+	shape := Shape{Cores: 4, Entries: 4, Runners: 9}
+	dir := t.TempDir()
+	w, err := NewWorld(Options{Binary: binary, Dir: dir, Shape: shape, Log: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if t.Failed() {
+			keepLogs(t, dir, seed)
+		}
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	problems := w.play(ctx, seed, shape, span)
+	for _, p := range append(problems, w.Ledger.Faults()...) {
+		t.Error(p)
+	}
+	t.Logf("%d requests served, %d runs, newest version %d", w.Ledger.Served(), w.book.Total(), w.Ledger.Newest(time.Now()))
+	if w.Ledger.Served() == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// play returns what keeps the site from serving; the processes have ended then.
+func (w *World) play(ctx context.Context, seed uint64, shape Shape, span time.Duration) (problems []string) {
+	defer w.End()
+	note := func(err error) bool {
+		if err != nil {
+			problems = append(problems, err.Error())
+		}
+		return err == nil
+	}
+	if !note(w.Configure(ctx)) || !note(w.AwaitServing(ctx, "start")) {
+		return problems
+	}
+	stop := w.Start(ctx, seed)
+	w.Play(ctx, Draw(seed, shape, span))
+	note(w.AwaitServing(ctx, "after"))
+	stop()
+	note(w.AwaitAgreement(ctx))
+	return problems
+}
+
+// keepLogs copies the logs of the processes to a folder of the seed.
+func keepLogs(t *testing.T, dir string, seed uint64) {
+	if *keep == "" {
+		return
+	}
+	logs, err := filepath.Glob(filepath.Join(dir, "*", "log"))
+	if err != nil {
+		t.Error(err)
+	}
+	to := filepath.Join(*keep, fmt.Sprint(seed))
+	if err := os.MkdirAll(to, 0o700); err != nil {
+		t.Error(err)
+	}
+	for _, log := range logs {
+		data, err := os.ReadFile(log)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(to, filepath.Base(filepath.Dir(log))), data, 0o600)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,386 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gullhaven/gullhaven/platform/platformtest"
+)
+
+// Options of a World.
+type Options struct {
+	// Binary is the daemon's, Dir a folder for settings, disks and logs.
+	Binary, Dir string
+	Shape       Shape
+	Log         func(format string, args ...any)
+}
+
+const (
+	// zones, each a region of its own, as a zone's loss must be borne.
+	zones = 3
+	// work is the time that a runner takes for an answer and between two events.
+	work = 30 * time.Millisecond
+	// events is the length of a stream.
+	events = 12
+	// firstRunner is the number of the first runner's address, behind those of processes.
+	firstRunner = 100
+	// grace is the time that a process has to end.
+	grace = 6
+	// drained is how long a drained runner stays there: the time within which no request
+	// comes to it any more, and that of what it runs.
+	drained = 7 * time.Second
+	// settle is how long after its end a fault may still have effects: what was held back
+	// is sent again, links are dialled again, what was lost is missed.
+	settle = 4 * time.Second
+)
+
+// World is a site of processes with stand-ins of the platform around it.
+type World struct {
+	o       Options
+	Ledger  *Ledger
+	book    *platformtest.Book
+	list    *platformtest.List
+	entries []*entry
+	cores   []*coreInstance
+	runners []*runner
+	listing *http.Server
+	// next numbers the ids of runners.
+	next int
+	mu   sync.Mutex
+	wg   sync.WaitGroup
+}
+
+// behind is what stands behind a Forwarder.
+type behind struct{ forwarder *Forwarder }
+
+type entry struct {
+	behind
+	process
+	callers, directory, region string
+}
+
+type coreInstance struct {
+	behind
+	process
+	operators string
+}
+
+// runner is a runner's address; one after the other runs there, under new ids.
+type runner struct {
+	behind
+	service, zone string
+	server        *http.Server
+	listed        platformtest.Listed
+}
+
+// NewWorld starts the site and waits for nothing.
+func NewWorld(o Options) (*World, error) {
+	w := &World{o: o, book: &platformtest.Book{}, list: &platformtest.List{}}
+	w.Ledger = &Ledger{Events: events, Runs: w.book.Runs, Deadline: deadline, Slack: slack}
+	return w, w.build()
+}
+
+func (w *World) build() error {
+	listen, err := w.serveList()
+	if err != nil {
+		return err
+	}
+	net := newSubnet()
+	if err := w.addRunners(net); err != nil {
+		return err
+	}
+	// All instances are reached at the same port, each at an address of its own.
+	port, err := net.freePort(w.o.Shape.Cores + w.o.Shape.Entries)
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for n := range min(zones, w.o.Shape.Cores) {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", net.host(n), port))
+	}
+	common := func(n int, role string, number int) (map[string]any, map[string]string, error) {
+		dir := filepath.Join(w.o.Dir, fmt.Sprint(role, "-", number))
+		if err := os.MkdirAll(filepath.Join(dir, "disk"), 0o700); err != nil {
+			return nil, nil, err
+		}
+		bind, err := freeAddress(net.host(n))
+		if err != nil {
+			return nil, nil, err
+		}
+		addresses := map[string]string{"instances": fmt.Sprintf("%s:%d", net.host(n), port), "instances_bind": bind}
+		return map[string]any{
+			"instance": fmt.Sprint(role, "-", number), "region": region(number), "zone": zone(number),
+			"regions": map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"}, "listen": addresses, "seeds": seeds,
+			"instance_list": listen, "data_dir": filepath.Join(dir, "disk"), "grace_seconds": grace, "log_level": "debug",
+			"retries": map[string]any{"share": 0.2, "allowance": 50},
+		}, addresses, nil
+	}
+	for n := range w.o.Shape.Cores {
+		s, addresses, err := common(n, "core", n)
+		if err != nil {
+			return err
+		}
+		c := &coreInstance{process: w.process(s)}
+		if c.operators, err = freeAddress(net.host(n)); err != nil {
+			return err
+		}
+		addresses["operators"] = c.operators
+		if c.forwarder, err = Forward(addresses["instances"], addresses["instances_bind"]); err != nil {
+			return err
+		}
+		w.cores = append(w.cores, c)
+	}
+	for n := range w.o.Shape.Entries {
+		s, addresses, err := common(w.o.Shape.Cores+n, "entry", n)
+		if err != nil {
+			return err
+		}
+		e := &entry{process: w.process(s), region: region(n)}
+		for name, to := range map[string]*string{"callers": &e.callers, "directory": &e.directory} {
+			if *to, err = freeAddress(net.host(w.o.Shape.Cores + n)); err != nil {
+				return err
+			}
+			addresses[name] = *to
+		}
+		if e.forwarder, err = Forward(addresses["instances"], addresses["instances_bind"]); err != nil {
+			return err
+		}
+		w.entries = append(w.entries, e)
+	}
+	return w.startAll(true)
+}
+
+func zone(n int) string   { return fmt.Sprint("z", n%zones) }
+func region(n int) string { return fmt.Sprint("r", n%zones) }
+
+func (w *World) process(settings map[string]any) process {
+	dir := filepath.Dir(settings["data_dir"].(string))
+	return process{binary: w.o.Binary, dir: dir, settings: settings, fault: w.Ledger.Fault}
+}
+
+// startAll starts what does not run.
+func (w *World) startAll(first bool) error {
+	for _, p := range w.processes() {
+		if err := p.start(first); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) processes() []*process {
+	var out []*process
+	for _, c := range w.cores {
+		out = append(out, &c.process)
+	}
+	for _, e := range w.entries {
+		out = append(out, &e.process)
+	}
+	return out
+}
+
+func (w *World) serveList() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	w.listing = &http.Server{Handler: w.list, ReadHeaderTimeout: settle}
+	go func() { _ = w.listing.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// addRunners adds the runners of both services by turns to all zones.
+func (w *World) addRunners(net subnet) error {
+	for n := range w.o.Shape.Runners {
+		service := platformtest.ServiceDesk
+		if n/zones%2 == 1 {
+			service = platformtest.ServiceEngine
+		}
+		r := &runner{service: service, zone: zone(n)}
+		to, err := freeAddress(net.host(firstRunner + n))
+		if err != nil {
+			return err
+		}
+		if r.forwarder, err = Forward(net.host(firstRunner+n)+":0", to); err != nil {
+			return err
+		}
+		w.runners = append(w.runners, r)
+		if err := w.serve(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve starts a runner under a new id and lists it.
+func (w *World) serve(r *runner) error {
+	w.mu.Lock()
+	w.next++
+	id := fmt.Sprint("i-", w.next)
+	w.mu.Unlock()
+	l, err := net.Listen("tcp", r.forwarder.to)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           &platformtest.Runner{ID: id, Book: w.book, Work: work, Events: events},
+		ReadHeaderTimeout: settle,
+	}
+	go func() { _ = server.Serve(l) }()
+	listed := platformtest.Listed{ID: id, Service: r.service, Address: r.forwarder.Address(), Zone: r.zone, Slots: 16}
+	w.mu.Lock()
+	r.server, r.listed = server, listed
+	w.mu.Unlock()
+	w.list.Add(listed)
+	return nil
+}
+
+// held is what a runner is now.
+func (w *World) held(r *runner) (*http.Server, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return r.server, r.listed.ID
+}
+
+// Play carries out faults, each at its time, and returns when all are over.
+func (w *World) Play(ctx context.Context, faults []Fault) {
+	began := time.Now()
+	var wg sync.WaitGroup
+	for _, f := range faults {
+		select {
+		case <-time.After(time.Until(began.Add(f.At))):
+		case <-ctx.Done():
+		}
+		w.o.Log("%v", f)
+		wg.Go(func() {
+			d := Disturbance{Fault: f, From: time.Now()}
+			if f.Role == RoleEntry {
+				d.Entry = w.entries[f.Number].callers
+			}
+			if err := w.carryOut(f); err != nil {
+				w.Ledger.Fault("%v: %v", f, err)
+			}
+			d.To = time.Now().Add(settle)
+			w.Ledger.Disturbed(d)
+		})
+	}
+	wg.Wait()
+}
+
+func (w *World) carryOut(f Fault) error {
+	switch f.Role {
+	case RoleList:
+		w.list.Refuse(http.StatusTooManyRequests)
+		time.Sleep(f.For)
+		w.list.Refuse(0)
+		return nil
+	case RoleRunner:
+		r := w.runners[f.Number]
+		if f.Kind.network() {
+			f.trouble(r.forwarder)
+			return nil
+		}
+		return w.replace(r, f)
+	case RoleCore:
+		c := w.cores[f.Number]
+		if f.Kind.network() {
+			f.trouble(c.forwarder)
+			return nil
+		}
+		return c.befall(f)
+	default:
+		e := w.entries[f.Number]
+		if f.Kind.network() {
+			f.trouble(e.forwarder)
+			return nil
+		}
+		return e.befall(f)
+	}
+}
+
+// trouble makes a fault of the network.
+func (f Fault) trouble(x *Forwarder) {
+	if f.Kind == ResetConns {
+		x.Reset()
+		return
+	}
+	x.Set(map[Kind]Trouble{
+		Delay: {Delay: 60 * time.Millisecond}, HoldIn: {HoldIn: true}, HoldOut: {HoldOut: true}, Cut: {HoldIn: true, HoldOut: true},
+	}[f.Kind])
+	time.Sleep(f.For)
+	x.Set(Trouble{})
+}
+
+// befall makes a fault of a process.
+func (p *process) befall(f Fault) error {
+	switch f.Kind {
+	case Pause:
+		p.signal(syscall.SIGSTOP, false)
+		time.Sleep(f.For)
+		p.signal(syscall.SIGCONT, false)
+		return nil
+	case Reload:
+		p.signal(syscall.SIGHUP, false)
+		return nil
+	case Restart:
+		p.stop(syscall.SIGTERM)
+		return p.start(false)
+	}
+	p.stop(syscall.SIGKILL)
+	var err error
+	switch f.Kind {
+	case Wipe:
+		err = p.wipe()
+	case Tear:
+		err = p.tear()
+	}
+	time.Sleep(f.For)
+	return errors.Join(err, p.start(false))
+}
+
+// replace ends a runner, by a crash or as planned, and starts another one there.
+func (w *World) replace(r *runner, f Fault) error {
+	server, id := w.held(r)
+	if f.Kind == Drain {
+		w.list.Drain(id)
+		time.Sleep(drained)
+	}
+	if err := server.Close(); err != nil {
+		return err
+	}
+	time.Sleep(f.For)
+	w.list.Remove(id)
+	if now, _ := w.held(r); now != server {
+		return nil // Another fault has replaced it.
+	}
+	return w.serve(r)
+}
+
+// End stops all processes and stand-ins. Nothing runs afterwards.
+func (w *World) End() {
+	var wg sync.WaitGroup
+	for _, p := range w.processes() {
+		wg.Go(func() { p.stop(syscall.SIGTERM) })
+	}
+	wg.Wait()
+	for _, c := range w.cores {
+		c.forwarder.Close()
+	}
+	for _, e := range w.entries {
+		e.forwarder.Close()
+	}
+	for _, r := range w.runners {
+		r.forwarder.Close()
+		server, _ := w.held(r)
+		_ = server.Close()
+	}
+	_ = w.listing.Close()
+}
