feed: entry instances are told as differences, core instances when they change, and comparisons are brief

Change: a core instance numbers the changes of entry instances and tells what came since; whole news only to one that turns to it or lacks too much. The core instances are told where their digest differs. A comparison asks for the state, the list and the core instances only.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -137,7 +137,7 @@
 // duties.
 func New(o Options) (*Instance, error) {
 	i := &Instance{
-		o: o, log: o.Log, board: feed.NewBoard(o.Self), members: admit.New(o.Admission),
+		o: o, log: o.Log, board: feed.NewBoard(o.Self, rand.Uint64()), members: admit.New(o.Admission),
 		gossipNow: make(chan struct{}, 1),
 	}
 	i.metrics = metrics.NewSiteCore(i.shown)
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -40,9 +40,10 @@
 	state *newest.State
 	list  feed.List
 	cores []feed.Core
+	// coresDigest is that of cores as they were told.
+	coresDigest uint64
 	// entries are the other entry instances.
-	entries       []feed.Entry
-	entriesDigest uint64
+	entries feed.Known
 	// loads sums up what the others of the region have under way.
 	loads   []feed.Load
 	regions []feed.Summary
@@ -60,7 +61,7 @@
 	for _, to := range i.candidates() {
 		wg.Go(func() {
 			for wait := beginPause; ctx.Err() == nil; wait = min(2*wait, beginMost) {
-				u, err := i.report(ctx, to, 0)
+				u, err := i.report(ctx, to, i.makeReport(0))
 				if ctx.Err() != nil {
 					return
 				}
@@ -87,7 +88,7 @@
 	i.begin(ctx)
 	for ctx.Err() == nil {
 		to := i.followed()
-		u, err := i.report(ctx, to, reportWait)
+		u, err := i.report(ctx, to, i.makeReport(reportWait))
 		i.note(to, u, err)
 		if err != nil {
 			i.log.Debug("report failed", zap.String("to", to), zap.Error(err))
@@ -110,7 +111,9 @@
 		if to == "" {
 			continue
 		}
-		u, err := i.report(ctx, to, 0)
+		r := i.makeReport(0)
+		r.Brief = true
+		u, err := i.report(ctx, to, r)
 		i.note(to, u, err)
 	}
 }
@@ -184,12 +187,12 @@
 }
 
 // report tells a core instance of this one, takes in its news and returns them.
-func (i *Instance) report(ctx context.Context, to string, wait time.Duration) (*feed.Update, error) {
-	r := i.makeReport(wait)
+func (i *Instance) report(ctx context.Context, to string, r feed.Report) (*feed.Update, error) {
 	payload, err := cbor.Marshal(r)
 	if err != nil {
 		return nil, err
 	}
+	wait := time.Duration(r.WaitMillis) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, wait+reportTime)
 	defer cancel()
 	answer, err := i.hub.Call(ctx, to, control.ChannelReport, payload)
@@ -201,7 +204,7 @@
 	if err := cbor.Unmarshal(answer, u); err != nil {
 		return nil, err
 	}
-	i.learn(u, r.Digest)
+	i.learn(u, r)
 	return u, nil
 }
 
@@ -222,6 +225,7 @@
 	if i.known.state != nil {
 		r.Index = i.known.state.Index
 	}
-	r.Digest, r.Entries = i.known.list.Digest, i.known.entriesDigest
+	r.Digest, r.Cores = i.known.list.Digest, i.known.coresDigest
+	r.EntriesEpoch, r.EntriesAt = i.known.entries.Epoch, i.known.entries.At
 	return r
 }
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -137,7 +137,7 @@
 	if !i.known.list.ReadAt.IsZero() {
 		s.ListAge = now.Sub(i.known.list.ReadAt).Milliseconds()
 	}
-	s.Entries, s.Cores = int64(len(i.known.entries)+1), int64(len(i.known.cores))
+	s.Entries, s.Cores = int64(len(i.known.entries.Entries)+1), int64(len(i.known.cores))
 	return s
 }
 
@@ -166,7 +166,7 @@
 		// answer to the last report is due.
 		ctx, cancel := context.WithTimeout(context.Background(), reportTime)
 		defer cancel()
-		if _, err := i.report(ctx, i.followed(), 0); err != nil {
+		if _, err := i.report(ctx, i.followed(), i.makeReport(0)); err != nil {
 			i.log.Warn("leaving was not told, the next report tells", zap.Error(err))
 		}
 	})
@@ -187,7 +187,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	list := i.known.entries
+	list := i.known.entries.Entries
 	if i.Ready() {
 		self := i.o.Self
 		self.Ready = true
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -12,9 +12,9 @@
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
-// learn takes in what a core instance tells one that holds the list asked. Neither the
-// state of the log nor the list goes back: the core instance may lag.
-func (i *Instance) learn(u *feed.Update, asked uint64) {
+// learn takes in the answer of a core instance to a report. Neither the state of the log
+// nor the list goes back: the core instance may lag.
+func (i *Instance) learn(u *feed.Update, r feed.Report) {
 	now := time.Now()
 	i.killers.learn(u.Suspects)
 	i.mu.Lock()
@@ -28,19 +28,22 @@
 	case u.ListAgeMillis < 0 || !readAt.After(k.list.ReadAt):
 	case len(u.List) > 0:
 		i.learnList(u.List, now, readAt)
-	case asked == k.list.Digest:
+	case r.Digest == k.list.Digest:
 		k.list.ReadAt = readAt
 	}
-	if u.Led || len(k.cores) == 0 {
-		k.cores = u.Cores
+	if u.CoresDigest != 0 && (u.Led || len(k.cores) == 0) {
+		k.cores, k.coresDigest = u.Cores, u.CoresDigest
 	}
-	if u.EntriesDigest != 0 {
-		k.entries, k.entriesDigest = u.Entries, u.EntriesDigest
+	if u.Entries != nil && !k.entries.Apply(u.Entries) {
+		// Two reports have overtaken each other: the next one asks for all.
+		k.entries.Epoch, k.entries.At = 0, 0
+	}
+	if !r.Brief {
+		k.regions = u.Regions
 	}
 	if u.Near {
 		k.loads = u.Loads
 	}
-	k.regions = u.Regions
 	i.show(now)
 }
 
@@ -65,7 +68,7 @@
 		return
 	}
 	view := i.gateway.View()
-	next := &exchange.View{Regions: map[exchange.RegionService]exchange.RegionLoad{}, Entries: len(k.entries) + 1, ListAt: k.list.ReadAt}
+	next := &exchange.View{Regions: map[exchange.RegionService]exchange.RegionLoad{}, Entries: len(k.entries.Entries) + 1, ListAt: k.list.ReadAt}
 	if view != nil {
 		next.Index = view.Index
 	}
@@ -97,7 +100,7 @@
 
 // showRegions sums up the other regions.
 func (i *Instance) showRegions(v *exchange.View) {
-	for _, e := range i.known.entries {
+	for _, e := range i.known.entries.Entries {
 		if e.Ready && e.Region != i.o.Self.Region {
 			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region})
 		}
@@ -124,7 +127,7 @@
 	if i.Ready() || i.gateway.View() == nil {
 		s.Entries = append(s.Entries, i.o.Self.ID)
 	}
-	for _, e := range k.entries {
+	for _, e := range k.entries.Entries {
 		if e.Ready && e.Region == i.o.Self.Region {
 			s.Entries = append(s.Entries, e.ID)
 		}
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -46,11 +46,11 @@
 func TestAnUpdateWithoutAListLeavesTheList(t *testing.T) {
 	Convey("two updates cross", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}, EntriesDigest: 5, List: encoded(t, feed.ListNews{Digest: 1})}, 0)
+		i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, At: 1, Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
-		i.learn(&feed.Update{ListAgeMillis: -1}, 0)
+		i.learn(&feed.Update{ListAgeMillis: -1}, feed.Report{})
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
-		i.learn(&feed.Update{EntriesDigest: 6, ListAgeMillis: -1}, 0)
+		i.learn(&feed.Update{Entries: &feed.EntryNews{Epoch: 1, Base: 1, At: 2, Gone: []string{"a"}}, ListAgeMillis: -1}, feed.Report{})
 		So(i.gateway.View().Peers, ShouldBeEmpty)
 	})
 }
@@ -63,8 +63,8 @@
 		i := newInstance(t)
 		fresh := []feed.Target{{ID: "new", Service: "s", Region: "q"}}
 		stale := []feed.Target{{ID: "old", Service: "s", Region: "q"}}
-		i.learn(&feed.Update{State: state(4, 9), List: encoded(t, feed.ListNews{Digest: 1, Targets: fresh}), ListAgeMillis: 100}, 0)
-		i.learn(&feed.Update{State: state(3, 7), List: encoded(t, feed.ListNews{Digest: 2, Targets: stale}), ListAgeMillis: 60000}, 0)
+		i.learn(&feed.Update{State: state(4, 9), List: encoded(t, feed.ListNews{Digest: 1, Targets: fresh}), ListAgeMillis: 100}, feed.Report{})
+		i.learn(&feed.Update{State: state(3, 7), List: encoded(t, feed.ListNews{Digest: 2, Targets: stale}), ListAgeMillis: 60000}, feed.Report{})
 		So(i.gateway.View().Index.Table.Version, ShouldEqual, 9)
 		So(i.known.list.Targets, ShouldResemble, fresh)
 	})
@@ -73,23 +73,53 @@
 func TestLoadsOfTheOwnRegionAreKeptWhileAnotherOneAnswers(t *testing.T) {
 	Convey("a core instance of another region knows no loads", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), Near: true, Loads: []feed.Load{{Target: "x", Running: 2}}, ListAgeMillis: -1}, 0)
-		i.learn(&feed.Update{ListAgeMillis: -1}, 0)
+		i.learn(&feed.Update{State: state(1, 1), Near: true, Loads: []feed.Load{{Target: "x", Running: 2}}, ListAgeMillis: -1}, feed.Report{})
+		i.learn(&feed.Update{ListAgeMillis: -1}, feed.Report{})
 		So(len(i.known.loads), ShouldEqual, 1)
-		i.learn(&feed.Update{Near: true, ListAgeMillis: -1}, 0)
+		i.learn(&feed.Update{Near: true, ListAgeMillis: -1}, feed.Report{})
 		So(i.known.loads, ShouldBeEmpty)
 	})
 }
 
+// Symptom: requests that spill to another region stop for a moment, again and again.
+// Events: a core instance that is not followed is compared with.
+// Cause: what its brief answer leaves out was taken for nothing.
+func TestBriefAnswersLeaveTheRest(t *testing.T) {
+	Convey("sums of other regions, then a brief answer", t, func() {
+		i := newInstance(t)
+		sums := []feed.Summary{{Region: "q", Service: "s", Targets: 2}}
+		i.learn(&feed.Update{State: state(1, 1), Regions: sums, ListAgeMillis: -1}, feed.Report{})
+		i.learn(&feed.Update{ListAgeMillis: -1}, feed.Report{Brief: true})
+		So(i.known.regions, ShouldResemble, sums)
+	})
+}
+
+// Symptom: an instance that has gone is named to callers for good.
+// Events: news of the entry instances are lost, and the next ones build on them.
+// Cause: news were added to what they are not about.
+func TestNewsOfEntriesThatDoNotFitAreAskedForWhole(t *testing.T) {
+	Convey("news after ones that did not come", t, func() {
+		i := newInstance(t)
+		known := func() feed.Report { return i.makeReport(reportWait) }
+		i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, At: 4, Entries: []feed.Entry{{ID: "a"}}}, ListAgeMillis: -1}, known())
+		So(known().EntriesAt, ShouldEqual, 4)
+		i.learn(&feed.Update{Entries: &feed.EntryNews{Epoch: 1, Base: 6, At: 7}, ListAgeMillis: -1}, known())
+		So(known().EntriesAt, ShouldEqual, 0)
+		So(len(i.known.entries.Entries), ShouldEqual, 1)
+		i.learn(&feed.Update{Entries: &feed.EntryNews{Epoch: 1, At: 7, Entries: []feed.Entry{{ID: "b"}}}, ListAgeMillis: -1}, known())
+		So(i.known.entries.Entries, ShouldResemble, []feed.Entry{{ID: "b"}})
+	})
+}
+
 // Symptom: an instance that starts refuses requests for lack of targets.
 // Events: it has a configuration and no list of targets yet.
 // Cause: it counted as ready.
 func TestNoViewWithoutAList(t *testing.T) {
 	Convey("a state, and then a list", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), ListAgeMillis: -1}, 0)
+		i.learn(&feed.Update{State: state(1, 1), ListAgeMillis: -1}, feed.Report{})
 		So(i.Ready(), ShouldBeFalse)
-		i.learn(&feed.Update{List: encoded(t, feed.ListNews{Digest: 4, Targets: []feed.Target{{ID: "x"}}})}, 0)
+		i.learn(&feed.Update{List: encoded(t, feed.ListNews{Digest: 4, Targets: []feed.Target{{ID: "x"}}})}, feed.Report{})
 		So(i.Ready(), ShouldBeTrue)
 	})
 }
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -46,6 +46,8 @@
 	newcomerAt time.Time
 	// round is what the answers of a moment have in common; nil if something changed.
 	round *round
+	// changes of the entry instances, as told.
+	changes changes
 }
 
 // toldNews are encoded news and when they were.
@@ -82,11 +84,12 @@
 	at   time.Time
 }
 
-// NewBoard makes an empty board.
-func NewBoard(self Core) *Board {
+// NewBoard makes an empty board. epoch is another one at each start of the instance.
+func NewBoard(self Core, epoch uint64) *Board {
 	return &Board{
 		self: self, cores: map[string]heardCore{}, entries: map[string]heardEntry{},
 		sums: map[string]heardSums{}, changed: make(chan struct{}), told: map[listKey]toldNews{},
+		changes: changes{epoch: epoch, shown: map[string]shownEntry{}},
 	}
 }
 
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -60,7 +60,7 @@
 // Cause: the list that came last was taken for the newest.
 func TestListNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := feed.NewBoard(me)
+		b := feed.NewBoard(me, 1)
 		var newest time.Time
 		for range rapid.IntRange(1, 30).Draw(t, "lists") {
 			at := t0.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "at")) * time.Second)
@@ -100,7 +100,7 @@
 
 func TestBoardForgetsWhoIsSilent(t *testing.T) {
 	Convey("an entry instance and a core instance were heard", t, func() {
-		b := feed.NewBoard(me)
+		b := feed.NewBoard(me, 1)
 		b.Reported(t0, feed.Entry{ID: "e1", Region: "r", Callers: "c1", Ready: true})
 		b.Gossiped(t0, feed.Gossip{
 			From:    feed.Core{ID: "0", Region: "q"},
@@ -135,7 +135,7 @@
 
 func TestGossipCarriesOwnReadingsAndSums(t *testing.T) {
 	Convey("a core instance that has read the list", t, func() {
-		b := feed.NewBoard(me)
+		b := feed.NewBoard(me, 1)
 		b.Listed(feed.List{
 			Digest: 9, ReadAt: t0,
 			Targets: []feed.Target{{ID: "x", Service: "s", Region: "r"}, {ID: "y", Service: "s", Region: "q"}},
@@ -152,7 +152,7 @@
 		So(far.Regions, ShouldResemble, []feed.Summary{{Region: "r", Service: "s", Running: 3, Unread: 55}})
 
 		Convey("another one learns that it has to fetch", func() {
-			other := feed.NewBoard(feed.Core{ID: "3", Region: "q"})
+			other := feed.NewBoard(feed.Core{ID: "3", Region: "q"}, 1)
 			So(other.Gossiped(t0, far), ShouldBeTrue)
 			var u feed.Update
 			other.Fill(t0, feed.Report{Self: feed.Entry{Region: "q"}}, nil, &u)
@@ -176,16 +176,23 @@
 			So(len(list.Targets), ShouldEqual, 1)
 			So(list.Base, ShouldEqual, 0)
 			So(known.Regions, ShouldResemble, []feed.Summary{{Region: "q", Service: "s", Targets: 1}})
-			So(len(known.Entries), ShouldEqual, 1)
+			So(len(known.Entries.Entries), ShouldEqual, 1)
 			// The asker's own load is not among those of the others.
 			So(known.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 1, Unread: 5}})
+			asker := feed.Report{EntriesEpoch: known.Entries.Epoch, EntriesAt: known.Entries.At, Cores: known.CoresDigest, Self: feed.Entry{ID: "e1", Region: "r"}}
 			var again feed.Update
-			b.Fill(t0, feed.Report{Entries: known.EntriesDigest, Self: feed.Entry{ID: "e1", Region: "r"}}, nil, &again)
-			So(again.Entries, ShouldBeEmpty)
-			So(again.EntriesDigest, ShouldEqual, 0)
+			b.Fill(t0, asker, nil, &again)
+			So(again.Entries, ShouldBeNil)
+			So(again.Cores, ShouldBeEmpty)
+			So(again.CoresDigest, ShouldEqual, 0)
 			b.Reported(t0, feed.Entry{ID: "e2", Region: "r"})
-			b.Fill(t0, feed.Report{Entries: known.EntriesDigest, Self: feed.Entry{ID: "e1", Region: "r"}}, nil, &again)
-			So(len(again.Entries), ShouldEqual, 1)
+			b.Fill(t0, asker, nil, &again)
+			So(len(again.Entries.Entries), ShouldEqual, 1)
+			So(again.Entries.Base, ShouldEqual, asker.EntriesAt)
+			var brief feed.Update
+			asker.Brief, asker.EntriesAt = true, 0
+			b.Fill(t0, asker, nil, &brief)
+			So(brief, ShouldResemble, feed.Update{ListAgeMillis: 0, List: brief.List})
 		})
 	})
 }
--- a/node/feed/list_test.go
+++ b/node/feed/list_test.go
@@ -32,7 +32,7 @@
 // Cause: what differs was told from another list than the one it holds.
 func TestNewsLeadToTheListThatWasRead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := feed.NewBoard(me)
+		b := feed.NewBoard(me, 1)
 		now := t0
 		held, last := feed.List{}, feed.List{}
 		for range rapid.IntRange(1, 15).Draw(t, "readings") {
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -19,10 +18,8 @@
 type round struct {
 	at    time.Time
 	cores []Core
-	// entries are without loads; digest is the sum of hashes.
-	entries []Entry
-	hashes  map[string]uint64
-	digest  uint64
+	// coresDigest is never 0.
+	coresDigest uint64
 	// loads are those of the own region, in the order of targets; own are the parts that
 	// the instances which report here have in them.
 	loads []Load
@@ -39,11 +36,16 @@
 		return b.round
 	}
 	r := &round{
-		at: now, cores: b.liveCores(now), hashes: map[string]uint64{}, own: map[string][]Load{},
+		at: now, cores: b.liveCores(now), own: map[string][]Load{},
 		sums: map[string][]Summary{}, services: map[string]string{},
 	}
-	for _, h := range b.liveEntries(now) {
-		r.add(h, b.self.Region)
+	r.coresDigest = coresDigest(r.cores)
+	entries := b.liveEntries(now)
+	b.changes.take(entries)
+	for _, h := range entries {
+		if h.direct && h.entry.Region == b.self.Region && len(h.entry.Loads) > 0 {
+			r.own[h.entry.ID] = h.entry.Loads
+		}
 	}
 	r.loads = b.sumLoads(r, true)
 	for _, t := range b.list.Targets {
@@ -55,42 +57,17 @@
 	return r
 }
 
-func (r *round) add(h heardEntry, region string) {
-	e := h.entry
-	if h.direct && e.Region == region && len(e.Loads) > 0 {
-		r.own[e.ID] = e.Loads
-	}
-	e.Loads, e.AgeMillis = nil, 0
-	hash := e.hash()
-	r.entries = append(r.entries, e)
-	r.hashes[e.ID] = hash
-	r.digest += hash
-}
-
-// hash is of what others are told of an entry instance.
-func (e *Entry) hash() uint64 {
+// coresDigest names a list of core instances.
+func coresDigest(cores []Core) uint64 {
 	d := xxhash.New()
-	for _, part := range []string{e.ID, e.Region, e.Zone, e.Callers, strconv.FormatBool(e.Ready)} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
-}
-
-// others are the entry instances but one, and their digest.
-func (r *round) others(but string, known uint64) ([]Entry, uint64) {
-	// 0 means that the asker knows none.
-	digest := max(1, r.digest-r.hashes[but])
-	if digest == known {
-		return nil, 0
-	}
-	out := make([]Entry, 0, len(r.entries))
-	for _, e := range r.entries {
-		if e.ID != but {
-			out = append(out, e)
+	for _, c := range cores {
+		for _, part := range []string{c.ID, c.Region, c.Zone} {
+			_, _ = d.WriteString(part)
+			_, _ = d.Write([]byte{0})
 		}
 	}
-	return out, digest
+	// 0 means that the asker knows none.
+	return max(1, d.Sum64())
 }
 
 // loadsBut are the loads of the own region without those of one instance.
@@ -123,10 +100,15 @@
 		u.ListAgeMillis = now.Sub(b.list.ReadAt).Milliseconds()
 		u.List = b.news(now, r.Digest, r.Self.Region)
 	}
-	u.Suspects = b.lateSuspects(now, false)
 	round := b.current(now)
-	u.Cores = round.cores
-	u.Entries, u.EntriesDigest = round.others(r.Self.ID, r.Entries)
+	if round.coresDigest != r.Cores {
+		u.Cores, u.CoresDigest = round.cores, round.coresDigest
+	}
+	if r.Brief {
+		return
+	}
+	u.Suspects = b.lateSuspects(now, false)
+	u.Entries = b.changes.news(r.EntriesEpoch, r.EntriesAt, r.Self.ID)
 	if r.Self.Region == b.self.Region {
 		u.Near, u.Loads = true, round.loadsBut(r.Self.ID)
 	}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -85,8 +85,14 @@
 	// Suspects are requests that may crash their targets, as the asker found since its
 	// last report.
 	Suspects []suspect.Entry `cbor:"6,keyasint,omitempty"`
-	// Entries is the digest of the entry instances that it knows.
-	Entries uint64 `cbor:"7,keyasint,omitempty"`
+	// EntriesEpoch and EntriesAt are those of the entry instances that it knows, Cores the
+	// digest of the core instances.
+	EntriesEpoch uint64 `cbor:"8,keyasint,omitempty"`
+	EntriesAt    uint64 `cbor:"9,keyasint,omitempty"`
+	Cores        uint64 `cbor:"10,keyasint,omitempty"`
+	// Brief asks for the state, the list and the core instances only: it is for a
+	// comparison with a core instance that is not followed, which may be regions away.
+	Brief bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Update answers a Report.
@@ -99,12 +105,12 @@
 	// Report.Digest. It is encoded once for all that lack the same.
 	List cbor.RawMessage `cbor:"3,keyasint,omitempty"`
 	// ListAgeMillis is how long ago the list was read; negative if never.
-	ListAgeMillis int64  `cbor:"5,keyasint"`
-	Cores         []Core `cbor:"6,keyasint,omitempty"`
-	// Entries, without the asker and without loads, stand for all that are there if
-	// EntriesDigest is set: their digest is another than Report.Entries.
-	Entries       []Entry `cbor:"7,keyasint,omitempty"`
-	EntriesDigest uint64  `cbor:"10,keyasint,omitempty"`
+	ListAgeMillis int64 `cbor:"5,keyasint"`
+	// Cores are the core instances if CoresDigest is set: it is another than Report.Cores.
+	Cores       []Core `cbor:"6,keyasint,omitempty"`
+	CoresDigest uint64 `cbor:"13,keyasint,omitempty"`
+	// Entries are set if the asker lacks something.
+	Entries *EntryNews `cbor:"14,keyasint,omitempty"`
 	// Loads sums up what the others of the asker's region have under way; Near says that
 	// the core instance is of that region and knows.
 	Loads []Load `cbor:"11,keyasint,omitempty"`
