--- a/soak/plan.go
+++ b/soak/plan.go
@@ -123,8 +123,11 @@
 		out = append(out, f)
 		if rng.IntN(4) == 0 && !kind.Planned() && kind != Wipe {
 			// The same befalls several at once.
-			f.Number = rng.IntN(roles[role])
-			out = append(out, f)
+			other := rng.IntN(roles[role])
+			if other != f.Number {
+				f.Number = other
+				out = append(out, f)
+			}
 		}
 	}
 	return out
