--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -104,7 +104,9 @@
 	ID, Address string
 	// Cost is the estimate in milliseconds until the first event.
 	Cost float64
-	// Wait is Cost without what failures cost, for a comparison with other regions.
+	// Wait is Cost without what failures and others cost, for a comparison with other
+	// regions: their failures are not known, and a request of which each answer fails would
+	// drive all others away.
 	Wait float64
 	// Cold says that the target was cold.
 	Cold bool
@@ -166,24 +168,6 @@
 	return best, cost
 }
 
-// Estimate is the least cost of a call without choosing; infinite where no target is
-// available. The failures of targets do not count: another region's are not known, and
-// a request of which each answer fails would drive all others away.
-func (p *Pool) Estimate(now time.Time, c Call) float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	chain := c.chain()
-	list := p.byService[c.Service]
-	home := p.home(list, chain)
-	best := math.Inf(1)
-	for _, t := range list {
-		if p.eligible(now, t, c) {
-			best = min(best, p.wait(now, t, c, chain, t == home))
-		}
-	}
-	return best
-}
-
 // take counts the request in.
 func (p *Pool) take(now time.Time, t *target, c Call, chain []link, cost float64, home *target) *Choice {
 	ch := &Choice{ID: t.ID, Address: t.Address, Cost: cost, pool: p, t: t}
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
 	"time"
 
@@ -151,7 +150,6 @@
 		none, why := p.Pick(t0.Add(10*time.Millisecond), call(1))
 		So(none, ShouldBeNil)
 		So(why, ShouldEqual, pick.ReasonLeft)
-		So(math.IsInf(p.Estimate(t0.Add(10*time.Millisecond), call(1)), 1), ShouldBeTrue)
 
 		later := t0.Add(400 * time.Millisecond)
 		probe, _ := p.Pick(later, call(1))
@@ -299,12 +297,17 @@
 func TestFailuresDoNotRaiseTheEstimate(t *testing.T) {
 	p := pick.New("e")
 	p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}})
-	before := p.Estimate(t0, pick.Call{Service: "s"})
+	estimate := func() float64 {
+		c, _ := p.Pick(t0, pick.Call{Service: "s"})
+		c.Done(t0, pick.Neutral)
+		return c.Wait
+	}
+	before := estimate()
 	for range 5 {
 		c, _ := p.Pick(t0, pick.Call{Service: "s"})
 		c.Done(t0, pick.Failed)
 	}
-	if after := p.Estimate(t0, pick.Call{Service: "s"}); after != before {
+	if after := estimate(); after != before {
 		t.Fatalf("estimate of %v ms, before the failures %v ms", after, before)
 	}
 }
