entry: the other core instances are asked on after the first state

Cause: without a leader each core instance answers an entry instance that starts with the state that it kept, and these differ (versions 69 and 73 after a loss of power of all machines). The first answer ended the questions to the others, so that for half a second entry instances served by different versions and refused each other's requests.

Change: the questions go on for 1.2 s; a newer state is taken as it comes.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -31,6 +31,9 @@
 	// instances may wait for the first configuration.
 	beginPause = 40 * time.Millisecond
 	beginMost  = 640 * time.Millisecond
+	// beginAfter is how long the other core instances are still asked once one has given a
+	// state: a dial and an answer over regions, with a start that is a little later.
+	beginAfter = 1200 * time.Millisecond
 	// failPause is the time after a report that failed.
 	failPause = 100 * time.Millisecond
 )
@@ -53,28 +56,43 @@
 
 // begin asks all core instances that are known, each again and again, until one gives a
 // state, or hears from a leader and has none. None waits for another: one that has started
-// a moment later is asked anew while those of other regions have not answered yet.
+// a moment later is asked anew while those of other regions have not answered yet. The
+// others are asked on for a while: what one of them kept may be newer, and without a leader
+// no core instance knows that.
 func (i *Instance) begin(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	begun := make(chan struct{})
+	var once sync.Once
 	var wg sync.WaitGroup
 	for _, to := range i.candidates() {
-		wg.Go(func() {
-			for wait := beginPause; ctx.Err() == nil; wait = min(2*wait, beginMost) {
-				u, err := i.report(ctx, to, i.makeReport(0))
-				if ctx.Err() != nil {
-					return
-				}
-				i.note(to, u, err)
-				if i.hasState() || err == nil && u.Led {
-					cancel()
-					return
-				}
-				pause(ctx, wait)
-			}
-		})
-	}
-	wg.Wait()
+		wg.Go(func() { i.beginAt(ctx, to, func() { once.Do(func() { close(begun) }) }) })
+	}
+	select {
+	case <-begun:
+	case <-ctx.Done():
+	}
+	i.wg.Go(func() {
+		defer cancel()
+		pause(ctx, i.askOn)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// beginAt asks one core instance until it answers with what serves to begin.
+func (i *Instance) beginAt(ctx context.Context, to string, begun func()) {
+	for wait := beginPause; ctx.Err() == nil; wait = min(2*wait, beginMost) {
+		u, err := i.report(ctx, to, i.makeReport(0))
+		if ctx.Err() != nil {
+			return
+		}
+		i.note(to, u, err)
+		if err == nil && (i.hasState() || u.Led) {
+			begun()
+			return
+		}
+		pause(ctx, wait)
+	}
 }
 
 func (i *Instance) hasState() bool {
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -57,6 +57,9 @@
 	killers  *killers
 	metrics  *metrics.SiteEntry
 
+	// askOn is beginAfter but in tests.
+	askOn time.Duration
+
 	draining atomic.Bool
 	// mu guards known and chooser.
 	mu      sync.Mutex
@@ -85,7 +88,7 @@
 		return nil, err
 	}
 	i := &Instance{
-		o: o, log: o.Log, hub: hub, chooser: feed.NewChooser(),
+		o: o, log: o.Log, hub: hub, chooser: feed.NewChooser(), askOn: beginAfter,
 		pool:    pick.New(o.Self.ID),
 		targets: rawhttp.NewClient(rawhttp.Options{}),
 		peers:   rawhttp.NewClient(rawhttp.Options{DialTime: peerDialTime, IdleTime: peerIdleTime, Silence: peerSilence}),
