--- a/node/control/joining.go
+++ b/node/control/joining.go
@@ -77,7 +77,9 @@
 		if !ok {
 			continue
 		}
-		i.outside.note(i.o.Self, &r)
+		if i.outside.note(i.o.Self, &r) {
+			i.log.Info("place in the group", zap.Bool("outside", r.Full), zap.Int("members", len(r.Members)))
+		}
 		if r.Full {
 			notBefore = time.Now().Add(outsideInterval)
 		}
--- a/node/control/outside.go
+++ b/node/control/outside.go
@@ -27,13 +27,15 @@
 	members []string
 }
 
-// note takes in the leader's answer to an application.
-func (o *outside) note(self feed.Core, r *reception) {
+// note takes in the leader's answer to an application, and reports whether it changes
+// where this instance stands.
+func (o *outside) note(self feed.Core, r *reception) (changed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	changed = o.full != r.Full
 	o.full, o.leader = r.Full, r.Leader
 	if !r.Full {
-		return
+		return changed
 	}
 	distance := func(c feed.Core) int {
 		switch {
@@ -50,6 +52,7 @@
 	for _, c := range near {
 		o.members = append(o.members, c.ID)
 	}
+	return changed
 }
 
 // lost puts a member that did not answer behind the others.
