exchange: a request that would be late for sure is refused at once

Change: where what waits in front of the best engine, after the comparison with other regions, takes longer than the route's aim, the request gets 503 with when to come back; it has not run. Its own length does not count.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -13,6 +13,7 @@
 	SiteNoView         = Metric{"gullhaven_site_refused_no_configuration_total", Counter, "requests", "Requests refused before a configuration was known."}
 	SiteLeaving        = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
 	SiteKillers        = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
+	SiteOverloaded     = Metric{"gullhaven_site_refused_overloaded_total", Counter, "requests", "Requests refused as what waits in front of the best target takes longer than the route's aim."}
 	SiteOtherRefusals  = Metric{"gullhaven_site_refused_other_total", Counter, "requests", "Requests refused for other reasons: no route, malformed, too large, a peer that is behind."}
 	SiteRetriesDenied  = Metric{"gullhaven_site_retries_denied_total", Counter, "attempts", "Further sendings that the budget did not allow."}
 	SiteDecided        = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
@@ -40,7 +41,7 @@
 
 // Site are the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOtherRefusals, SiteRetriesDenied, SiteDecided,
+	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided,
 	SiteChooseTime, SiteSendTime, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
 	SiteTargetsLeaving, SiteVersion, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
@@ -49,9 +50,9 @@
 // SiteEntry are the metrics of an entry instance.
 type SiteEntry struct {
 	*Set
-	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOther gometrics.Counter
-	RetriesDenied, Decided                                                                gometrics.Counter
-	ChooseTime, SendTime, GapTime, WholeTime                                              *Times
+	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOverloaded, RefusedOther gometrics.Counter
+	RetriesDenied, Decided                                                                                   gometrics.Counter
+	ChooseTime, SendTime, GapTime, WholeTime                                                                 *Times
 }
 
 // EntryState is what an entry instance shows of itself when its page is read.
@@ -78,7 +79,8 @@
 	page.show(SiteLinesLeftOut, func(e *EntryState) int64 { return e.LinesLeftOut })
 	return &SiteEntry{
 		Set: s, PassedOn: s.Counter(SitePassedOn), RefusedNoTarget: s.Counter(SiteRefusals), RefusedNoView: s.Counter(SiteNoView),
-		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers), RefusedOther: s.Counter(SiteOtherRefusals),
+		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers),
+		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Decided: s.Counter(SiteDecided),
 		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WholeTime: s.Times(SiteWholeTime),
 	}
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -51,6 +51,7 @@
 	Target string  `cbor:"1,keyasint,omitempty"`
 	Source string  `cbor:"2,keyasint,omitempty"`
 	Cost   float64 `cbor:"3,keyasint,omitempty"`
+	Front  float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // news tells of a ticket: its target has begun to answer, or has ended.
@@ -140,7 +141,7 @@
 		s.tell(decider, news{Ticket: ticket, Ended: true, Result: pick.Neutral})
 		return exchange.Decision{}, false
 	}
-	return exchange.Decision{Target: d.Target, Source: d.Source, Cost: d.Cost, Ticket: ticket, By: decider}, d.Target != ""
+	return exchange.Decision{Target: d.Target, Source: d.Source, Cost: d.Cost, Front: d.Front, Ticket: ticket, By: decider}, d.Target != ""
 }
 
 // Began implements exchange.Decider.
@@ -186,7 +187,7 @@
 	s.mu.Lock()
 	s.tickets[q.Ticket] = held{choice: choice, until: now.Add(time.Duration(q.LeftMillis) * time.Millisecond)}
 	s.mu.Unlock()
-	return cbor.Marshal(decision{Target: choice.ID, Source: choice.Source, Cost: choice.Cost})
+	return cbor.Marshal(decision{Target: choice.ID, Source: choice.Source, Cost: choice.Cost, Front: choice.Front})
 }
 
 func (s *Service) told(from string, payload []byte) {
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -79,6 +79,10 @@
 	if p == nil {
 		return nil, CodeNoTarget
 	}
+	if q.overloaded(p) {
+		p.done(now, pick.Neutral)
+		return nil, CodeOverloaded
+	}
 	return p, ""
 }
 
@@ -89,7 +93,7 @@
 		if d, ok := q.g.o.Decider.Decide(q.ctx, c, q.call.ID, q.until.Sub(now)); ok {
 			if choice := q.g.o.Pool.PickAt(now, c, d.Target); choice != nil {
 				q.g.o.Metrics.Decided.Inc(1)
-				choice.Source, choice.Cost, choice.Wait = d.Source, d.Cost, d.Cost
+				choice.Source, choice.Cost, choice.Wait, choice.Front = d.Source, d.Cost, d.Cost, d.Front
 				return &place{choice: choice, decided: d, by: q.g.o.Decider}
 			}
 			q.g.o.Decider.Ended(d, pick.Neutral)
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -89,6 +89,8 @@
 		return m.RefusedLeaving
 	case CodeKiller:
 		return m.RefusedKiller
+	case CodeOverloaded:
+		return m.RefusedOverloaded
 	}
 	return m.RefusedOther
 }
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -98,9 +98,9 @@
 // Decision is a target chosen by another instance.
 type Decision struct {
 	Target string
-	// Source and Cost are those of pick.Choice.
-	Source string
-	Cost   float64
+	// Source, Cost and Front are those of pick.Choice.
+	Source      string
+	Cost, Front float64
 	// Ticket names the request at the instance By.
 	Ticket, By string
 }
@@ -137,11 +137,13 @@
 
 // Codes of the refusals.
 const (
-	CodeNoView     verdict.Code = "no_configuration"
-	CodeNoRoute    verdict.Code = "no_route"
-	CodeMalformed  verdict.Code = "malformed_request"
-	CodeTooLarge   verdict.Code = "body_too_large"
-	CodeNoTarget   verdict.Code = "no_target"
+	CodeNoView    verdict.Code = "no_configuration"
+	CodeNoRoute   verdict.Code = "no_route"
+	CodeMalformed verdict.Code = "malformed_request"
+	CodeTooLarge  verdict.Code = "body_too_large"
+	CodeNoTarget  verdict.Code = "no_target"
+	// CodeOverloaded: what waits in front takes longer than the route's aim.
+	CodeOverloaded verdict.Code = "overloaded"
 	CodeNoTime     verdict.Code = "no_time_left"
 	CodeTimeout    verdict.Code = "timeout"
 	CodeTargetLost verdict.Code = "target_lost"
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -108,6 +108,9 @@
 	// regions: their failures are not known, and a request of which each answer fails would
 	// drive all others away.
 	Wait float64
+	// Front is the part of Wait that requests in front take at an engine, whatever the
+	// length of the call's own prompt.
+	Front float64
 	// Cold says that the target was cold.
 	Cold bool
 	// Source is the address of another target that keeps more of the prompt, from
@@ -181,6 +184,9 @@
 	ch.Wait = p.wait(now, t, c, chain, t == home)
 	ch.plain, ch.at = p.reading(now, t, c, chain, t == home), now
 	ch.unread = c.PromptTokens - t.keptTokens(now, chain)
+	if p.snapshot.Rules[t.Service].Engine {
+		ch.Front = max(0, ch.Wait-t.slowness*float64(ch.unread)/ReadRate)
+	}
 	ch.Source = p.source(now, t, chain, home)
 	t.running++
 	t.unread += ch.unread
