--- a/soak/world.go
+++ b/soak/world.go
@@ -90,6 +90,7 @@
 	return w, w.build()
 }
 
+// build makes the stand-ins, the forwarders and the processes, and starts them.
 func (w *World) build() error {
 	listen, err := w.serveList()
 	if err != nil {
@@ -104,70 +105,95 @@
 	if err != nil {
 		return err
 	}
-	var seeds []string
+	l := layout{net: net, port: port, list: listen}
 	for n := range min(zones, w.o.Shape.Cores) {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", net.host(n), port))
-	}
-	common := func(n int, role string, number int) (map[string]any, map[string]string, error) {
-		dir := filepath.Join(w.o.Dir, fmt.Sprint(role, "-", number))
-		if err := os.MkdirAll(filepath.Join(dir, "disk"), 0o700); err != nil {
-			return nil, nil, err
-		}
-		bind, err := net.address(net.host(n))
-		if err != nil {
-			return nil, nil, err
-		}
-		addresses := map[string]string{"instances": fmt.Sprintf("%s:%d", net.host(n), port), "instances_bind": bind}
-		return map[string]any{
-			"instance": fmt.Sprint(role, "-", number), "region": region(number), "zone": zone(number),
-			"regions": map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"}, "listen": addresses, "seeds": seeds,
-			"instance_list": listen, "data_dir": filepath.Join(dir, "disk"), "grace_seconds": grace, "log_level": "debug",
-			"retries": map[string]any{"share": 0.2, "allowance": 50},
-		}, addresses, nil
+		l.seeds = append(l.seeds, l.instance(n))
 	}
 	for n := range w.o.Shape.Cores {
-		s, addresses, err := common(n, "core", n)
-		if err != nil {
+		if err := w.addCore(&l, n); err != nil {
 			return err
 		}
-		c := &coreInstance{process: w.process(s)}
-		if c.operators, err = net.address(net.host(n)); err != nil {
-			return err
-		}
-		addresses["operators"] = c.operators
-		if c.forwarder, err = Forward(addresses["instances"], addresses["instances_bind"]); err != nil {
-			return err
-		}
-		w.cores = append(w.cores, c)
 	}
 	for n := range w.o.Shape.Entries {
-		s, addresses, err := common(w.o.Shape.Cores+n, "entry", n)
-		if err != nil {
+		if err := w.addEntry(&l, n); err != nil {
 			return err
 		}
-		e := &entry{process: w.process(s), region: region(n)}
-		for name, to := range map[string]*string{"callers": &e.callers, "directory": &e.directory} {
-			if *to, err = net.address(net.host(w.o.Shape.Cores + n)); err != nil {
-				return err
-			}
-			addresses[name] = *to
-		}
-		if e.forwarder, err = Forward(addresses["instances"], addresses["instances_bind"]); err != nil {
+	}
+	return w.startAll(true)
+}
+
+// layout is where the instances of a World are.
+type layout struct {
+	net *subnet
+	// port is where other instances reach each of them.
+	port  int
+	list  string
+	seeds []string
+}
+
+// instance is the address for other instances of the n-th of all.
+func (l *layout) instance(n int) string { return fmt.Sprintf("%s:%d", l.net.host(n), l.port) }
+
+// addCore makes a core instance; they come first among all.
+func (w *World) addCore(l *layout, n int) error {
+	c := &coreInstance{}
+	addresses, err := w.prepare(l, &c.process, &c.behind, "core", n, n)
+	if err != nil {
+		return err
+	}
+	if c.operators, err = l.net.address(l.net.host(n)); err != nil {
+		return err
+	}
+	addresses["operators"] = c.operators
+	w.cores = append(w.cores, c)
+	return nil
+}
+
+// addEntry makes an entry instance.
+func (w *World) addEntry(l *layout, n int) error {
+	e, at := &entry{region: region(n)}, w.o.Shape.Cores+n
+	addresses, err := w.prepare(l, &e.process, &e.behind, "entry", n, at)
+	if err != nil {
+		return err
+	}
+	for name, to := range map[string]*string{"callers": &e.callers, "directory": &e.directory} {
+		if *to, err = l.net.address(l.net.host(at)); err != nil {
 			return err
 		}
-		w.entries = append(w.entries, e)
+		addresses[name] = *to
 	}
-	return w.startAll(true)
+	w.entries = append(w.entries, e)
+	return nil
+}
+
+// prepare fills in what both roles have: the settings of the number-th of a role, at a
+// place among all, its folder and its forwarder. It returns the addresses of the settings,
+// to which the role adds its own.
+func (w *World) prepare(l *layout, p *process, b *behind, role string, number, at int) (map[string]string, error) {
+	dir := filepath.Join(w.o.Dir, fmt.Sprint(role, "-", number))
+	disk := filepath.Join(dir, "disk")
+	if err := os.MkdirAll(disk, 0o700); err != nil {
+		return nil, err
+	}
+	bind, err := l.net.address(l.net.host(at))
+	if err != nil {
+		return nil, err
+	}
+	addresses := map[string]string{"instances": l.instance(at), "instances_bind": bind}
+	p.binary, p.dir, p.fault = w.o.Binary, dir, w.Ledger.Fault
+	p.settings = map[string]any{
+		"instance": filepath.Base(dir), "region": region(number), "zone": zone(number),
+		"regions": map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"}, "listen": addresses, "seeds": l.seeds,
+		"instance_list": l.list, "data_dir": disk, "grace_seconds": grace, "log_level": "debug",
+		"retries": map[string]any{"share": 0.2, "allowance": 50},
+	}
+	b.forwarder, err = Forward(l.instance(at), bind)
+	return addresses, err
 }
 
 func zone(n int) string   { return fmt.Sprint("z", n%zones) }
 func region(n int) string { return fmt.Sprint("r", n%zones) }
 
-func (w *World) process(settings map[string]any) process {
-	dir := filepath.Dir(settings["data_dir"].(string))
-	return process{binary: w.o.Binary, dir: dir, settings: settings, fault: w.Ledger.Fault}
-}
-
 // startAll starts what does not run.
 func (w *World) startAll(first bool) error {
 	for _, p := range w.processes() {
