--- a/node/control/outside.go
+++ b/node/control/outside.go
@@ -37,17 +37,10 @@
 	if !r.Full {
 		return changed
 	}
-	distance := func(c feed.Core) int {
-		switch {
-		case c.Zone == self.Zone:
-			return 0
-		case c.Region == self.Region:
-			return 1
-		}
-		return 2
-	}
 	near := slices.Clone(r.Members)
-	slices.SortStableFunc(near, func(a, b feed.Core) int { return cmp.Compare(distance(a), distance(b)) })
+	slices.SortStableFunc(near, func(a, b feed.Core) int {
+		return cmp.Compare(a.Distance(self.Region, self.Zone), b.Distance(self.Region, self.Zone))
+	})
 	o.members = o.members[:0]
 	for _, c := range near {
 		o.members = append(o.members, c.ID)
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -173,24 +174,13 @@
 	if len(cores) == 0 {
 		return i.o.Seeds
 	}
-	distance := func(c feed.Core) int {
-		switch {
-		case c.Zone == i.o.Self.Zone:
-			return 0
-		case c.Region == i.o.Self.Region:
-			return 1
-		}
-		return 2
-	}
 	order := func(c feed.Core) uint64 { return xxhash.Sum64String(i.o.Self.ID + c.ID) }
+	self := &i.o.Self
 	slices.SortFunc(cores, func(a, b feed.Core) int {
-		if d := distance(a) - distance(b); d != 0 {
-			return d
-		}
-		if order(a) < order(b) {
-			return -1
-		}
-		return 1
+		return cmp.Or(
+			cmp.Compare(a.Distance(self.Region, self.Zone), b.Distance(self.Region, self.Zone)),
+			cmp.Compare(order(a), order(b)),
+		)
 	})
 	out := make([]string, 0, len(cores)+len(i.o.Seeds))
 	for _, c := range cores {
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -51,6 +51,17 @@
 	Zone   string `cbor:"3,keyasint"`
 }
 
+// Distance is 0 inside a zone, 1 inside a region and 2 between regions.
+func (c *Core) Distance(region, zone string) int {
+	switch {
+	case c.Zone == zone:
+		return 0
+	case c.Region == region:
+		return 1
+	}
+	return 2
+}
+
 // Target is one back end as the platform lists it.
 type Target struct {
 	// ID is new at each start of the target.
