exchange: requests that cross regions keep the retry budget

A request that was passed on counted as a first sending at both instances and so allowed repeats twice; and an instance whose request was turned away by targets of another region did not count its next sending as a repeat.

Change: a request counts as a first sending where it came in; a refusal from another region says whether a target there has turned the request away.

Tests: TestRequestsPassedOnAllowRepeatsOnce (121 sendings, 113 allowed) and TestSendingsAfterARefusalElsewhereAreRepeats (100, 28 allowed) fail without it.

--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -136,6 +136,56 @@
 	})
 }
 
+// Symptom: while a region passes most requests on, a service gets more repeats from all
+// instances together than its budget allows.
+// Events: requests are passed on to another region, whose targets turn them away.
+// Cause: a request that was passed on counted as a first sending at both instances, and so
+// allowed repeats twice.
+func TestRequestsPassedOnAllowRepeatsOnce(t *testing.T) {
+	Convey("100 requests of another region, each turned away by two targets", t, func() {
+		x, y := newTarget(t, "t1", notRun), newTarget(t, "t2", notRun)
+		a, _ := pair(t, nil, []*target{x, y})
+		for range 100 {
+			So(a.call("/safe/x", "").status, ShouldEqual, 503)
+		}
+		// 0.75 of an allowance of 100 shared by six at the instance that was passed them,
+		// which took none of them from its own callers.
+		So(sent(x, y), ShouldBeLessThanOrEqualTo, 100+13)
+		So(sent(x, y), ShouldBeGreaterThan, 105)
+	})
+}
+
+// Symptom: the same, where the other region refuses what its targets have turned away.
+// Events: requests are passed on, turned away there, and sent to a target here.
+// Cause: the instance that passed them on did not know that they had reached a target.
+func TestSendingsAfterARefusalElsewhereAreRepeats(t *testing.T) {
+	Convey("100 requests that the other region turns away, one target here", t, func() {
+		x, y := newTarget(t, "near", whole(200, "near")), newTarget(t, "far", notRun)
+		a, _ := pair(t, []*target{x}, []*target{y})
+		for range 30 {
+			// The other region looks better.
+			a.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "near")
+		}
+		for range 100 {
+			a.call("/safe/x", "")
+		}
+		So(sent(y), ShouldEqual, 100)
+		// 0.75 of (20 of 100, and an allowance of 100 shared by six).
+		So(sent(x), ShouldBeLessThanOrEqualTo, 15+13)
+		So(sent(x), ShouldBeGreaterThan, 10)
+	})
+	Convey("what has reached no target there is no repeat", t, func() {
+		x := newTarget(t, "near", whole(200, "near"))
+		a, _ := pair(t, []*target{x}, nil)
+		for range 30 {
+			a.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "near")
+		}
+		for range 100 {
+			So(a.call("/safe/x", "").status, ShouldEqual, 200)
+		}
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	Convey("before a configuration", t, func() {
 		r := newRig(t, "r")
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -41,6 +41,9 @@
 	h := q.w.Header()
 	if q.from != nil && f.status == http.StatusServiceUnavailable {
 		h.Set(headerRefused, string(f.code))
+		if q.arrived() {
+			h.Set(headerArrived, "1")
+		}
 	}
 	if f.close {
 		h.Set("Connection", "close")
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -18,7 +18,11 @@
 
 // run sends the request until an attempt ends in a final answer or none may follow.
 func (q *request) run() {
-	q.g.countFirst(q.began, q.service, q.view.Entries)
+	if q.from == nil {
+		// One that was passed on counts where it came in: the budget is of all instances
+		// together, and each first sending allows repeats once.
+		q.g.countFirst(q.began, q.service, q.view.Entries)
+	}
 	q.g.countRoute(q.route.Name)
 	for {
 		now := time.Now()
@@ -136,6 +140,7 @@
 		return false
 	}
 	if a.Header.Get(headerRefused) != "" {
+		q.turnedAway = q.turnedAway || a.Header.Get(headerArrived) != ""
 		discard(a)
 		return false
 	}
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -159,5 +159,7 @@
 	headerLeft     = "Gullhaven-Left-Millis"
 	headerAttempts = "Gullhaven-Attempts"
 	headerRefused  = "Gullhaven-Refused"
-	headerAfter    = "Gullhaven-After"
+	// headerArrived says of a refusal that a target has turned the request away.
+	headerArrived = "Gullhaven-Arrived"
+	headerAfter   = "Gullhaven-After"
 )
