--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -162,6 +162,13 @@
 	return longest, since.Before(now)
 }
 
+// mayFollow reports whether a newcomer of a zone may be the successor of a voter: it is
+// of the same zone, or its zone is unknown to this leader.
+func (g *Group) mayFollow(zone, voter string) bool {
+	of := g.zones[voter]
+	return of == "" || of == zone
+}
+
 // successors are the silent voters for which a newcomer that votes stands, each
 // newcomer for one, in the order of ids. A voter that never asked this leader is
 // of unknown zone: it was silent all the time that the leader led, and any
@@ -175,8 +182,7 @@
 		}
 		for _, m := range s.Config.Voters {
 			a := g.applicants[m.ID]
-			fits := g.zones[dead.ID] == "" || g.zones[dead.ID] == a.Zone
-			if a.Newcomer && a.Member == m && !taken[m.ID] && fits {
+			if a.Newcomer && a.Member == m && !taken[m.ID] && g.mayFollow(a.Zone, dead.ID) {
 				taken[m.ID] = true
 				out = append(out, dead.ID)
 				break
@@ -195,7 +201,7 @@
 	}
 	for _, other := range s.Config.Voters {
 		_, quiet := g.quietSince[other.ID]
-		if quiet && (g.zones[other.ID] == "" || g.zones[other.ID] == g.zones[m.ID]) {
+		if quiet && g.mayFollow(g.zones[m.ID], other.ID) {
 			return false
 		}
 	}
@@ -221,12 +227,11 @@
 	}
 	for _, m := range s.Config.Voters {
 		since, quiet := g.quietSince[m.ID]
-		zone := g.zones[m.ID]
 		switch {
 		case !quiet:
-		case a.Newcomer && (zone == "" || zone == a.Zone):
+		case a.Newcomer && g.mayFollow(a.Zone, m.ID):
 			return true
-		case zone == a.Zone && now.Sub(since) >= g.rules.OutsideAfter:
+		case g.zones[m.ID] == a.Zone && now.Sub(since) >= g.rules.OutsideAfter:
 			return true
 		}
 	}
