--- a/node/feed/entries.go
+++ b/node/feed/entries.go
@@ -53,11 +53,15 @@
 		}
 	}
 	entries = append(entries, n.Entries...)
-	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	sortEntries(entries)
 	k.Entries, k.Epoch, k.At = entries, n.Epoch, n.At
 	return true
 }
 
+func sortEntries(entries []Entry) {
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+}
+
 // changes numbers what happens to the entry instances.
 type changes struct {
 	epoch uint64
@@ -131,6 +135,6 @@
 			n.Gone = append(n.Gone, g.id)
 		}
 	}
-	slices.SortFunc(n.Entries, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	sortEntries(n.Entries)
 	return n
 }
--- a/node/feed/list.go
+++ b/node/feed/list.go
@@ -50,10 +50,14 @@
 			t.ColdTurn++
 		}
 	}
-	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
+	sortTargets(targets)
 	return List{Targets: targets, Digest: digestOf(targets), ReadAt: readAt}
 }
 
+func sortTargets(targets []Target) {
+	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
+}
+
 func byID(targets []Target) map[string]Target {
 	out := make(map[string]Target, len(targets))
 	for _, t := range targets {
@@ -66,17 +70,20 @@
 func digestOf(targets []Target) uint64 {
 	d := xxhash.New()
 	for _, t := range targets {
-		for _, part := range []string{
-			t.ID, t.Service, t.Address, t.Zone, strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining),
-			strconv.FormatBool(t.Cold()), strconv.Itoa(int(t.ColdTurn)),
-		} {
-			_, _ = d.WriteString(part)
-			_, _ = d.Write([]byte{0})
-		}
+		digestParts(d, t.ID, t.Service, t.Address, t.Zone, strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining),
+			strconv.FormatBool(t.Cold()), strconv.Itoa(int(t.ColdTurn)))
 	}
 	return max(1, d.Sum64())
 }
 
+// digestParts adds strings to a digest, told from each other by a zero byte.
+func digestParts(d *xxhash.Digest, parts ...string) {
+	for _, part := range parts {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+}
+
 // Cold reports whether the target was listed as cold.
 func (t *Target) Cold() bool { return !t.ColdUntil.IsZero() }
 
@@ -153,6 +160,6 @@
 	for _, t := range all {
 		targets = append(targets, t)
 	}
-	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
+	sortTargets(targets)
 	return List{Targets: targets, Digest: n.Digest, ReadAt: readAt}, true
 }
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -61,10 +61,7 @@
 func coresDigest(cores []Core) uint64 {
 	d := xxhash.New()
 	for _, c := range cores {
-		for _, part := range []string{c.ID, c.Region, c.Zone} {
-			_, _ = d.WriteString(part)
-			_, _ = d.Write([]byte{0})
-		}
+		digestParts(d, c.ID, c.Region, c.Zone)
 	}
 	// 0 means that the asker knows none.
 	return max(1, d.Sum64())
