--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -154,9 +154,8 @@
 	if !errors.As(err, &f) {
 		f = &rawhttp.Failure{Verdict: verdict.MayHaveRun, Err: err}
 	}
-	q.verdict = q.verdict.Join(f.Verdict)
 	if f.Verdict != verdict.NotRun {
-		q.runs++
+		q.ran(f.Verdict)
 	}
 	q.g.o.Log.Info("attempt lost", zap.String("id", q.call.ID), zap.String("target", target), zap.Bool("dial", f.Dial),
 		zap.Bool("reused", f.Reused), zap.Error(f.Err), zap.Duration("after", time.Since(q.began)))
