node/duty: one ticking loop and one pause for the duties

Six duties had the loop over a ticker each, and two packages the pause that ends with its context. entry.begin waits by the instance's own group instead of a second one. No behaviour changes.

--- a/node/claims.go
+++ b/node/claims.go
@@ -12,6 +12,7 @@
 	"github.com/gullhaven/gullhaven/coord/claim"
 	"github.com/gullhaven/gullhaven/coord/membership"
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/group"
 	"github.com/gullhaven/gullhaven/node/members"
 	"github.com/gullhaven/gullhaven/node/registered"
@@ -92,21 +93,14 @@
 
 // run does the duties while this instance leads, until ctx ends.
 func (k *keeper) run(ctx context.Context) {
-	tick := time.NewTicker(claim.Tick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	duty.Every(ctx, claim.Tick, func(time.Time) {
 		if k.local.Node.LeaseUntil().IsZero() {
-			continue
+			return
 		}
 		k.registrar.Step(ctx)
 		k.propose(ctx, claim.Command{Expire: &claim.Expire{}})
 		k.tellLost(ctx)
-	}
+	})
 }
 
 // tellLost proposes the ended lives; one that fails is told again next time.
--- a/node/control/joining.go
+++ b/node/control/joining.go
@@ -11,6 +11,7 @@
 
 	"github.com/gullhaven/gullhaven/coord/admit"
 	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -55,27 +56,21 @@
 // runJoining applies for membership again and again, which also tells the leader
 // the zones of its members, and changes the group while this instance leads.
 func (i *Instance) runJoining(ctx context.Context) {
-	tick := time.NewTicker(joinInterval)
-	defer tick.Stop()
-	asked := false
+	asked, at := false, -1
 	var notBefore time.Time
-	for at := 0; ; at++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	duty.Every(ctx, joinInterval, func(time.Time) {
+		at++
 		if time.Now().Before(notBefore) {
-			continue
+			return
 		}
 		if i.node.Status().Core.Role == replog.Leader {
 			i.serveApplication(i.application())
 			i.changeGroup(ctx)
-			continue
+			return
 		}
 		r, ok := i.apply(ctx, at)
 		if !ok {
-			continue
+			return
 		}
 		if i.outside.note(i.o.Self, &r) {
 			i.log.Info("place in the group", zap.Bool("outside", r.Full), zap.Int("members", len(r.Members)))
@@ -87,7 +82,7 @@
 			i.newcomer = false
 		}
 		asked = true
-	}
+	})
 }
 
 func (i *Instance) application() application {
--- a/node/control/reading.go
+++ b/node/control/reading.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -54,22 +55,15 @@
 // than this instance's rank allows. So one instance reads as a rule; when it is
 // dead, frozen or cut off, the next one takes over by itself, on each side of a cut.
 func (i *Instance) runList(ctx context.Context) {
-	tick := time.NewTicker(listTick)
-	defer tick.Stop()
 	i.reading = reading{started: time.Now(), pace: feed.Pace{PerSecond: rateShare * i.o.ListRate}}
 	var notBefore time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	duty.Every(ctx, listTick, func(time.Time) {
 		if i.isOutside() {
-			continue
+			return
 		}
 		now := time.Now()
 		if now.Before(notBefore) || now.Sub(i.board.List().ReadAt) < i.due(i.board.Rank(now)) {
-			continue
+			return
 		}
 		err := i.readList(ctx)
 		switch {
@@ -80,7 +74,7 @@
 			notBefore = time.Now().Add(i.interval())
 			i.log.Warn("the list of targets was not read", zap.Error(err))
 		}
-	}
+	})
 }
 
 // due is the age of the newest list at which an instance of a rank reads. A deputy waits
@@ -141,7 +135,7 @@
 		wait := i.reading.pace.Turn(now, refused, rand.Float64())
 		mu.Unlock()
 		late.Reset(wait + listTime)
-		return sleep(ctx, wait)
+		return duty.Pause(ctx, wait)
 	}
 }
 
@@ -151,17 +145,3 @@
 func (i *Instance) patience() time.Duration {
 	return time.Duration(i.board.Rank(time.Now())) * i.callsTime(longestCalls)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
@@ -91,18 +92,7 @@
 }
 
 // Run lets go of tickets whose askers never told their end.
-func (s *Service) Run(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			s.sweep(now)
-		}
-	}
-}
+func (s *Service) Run(ctx context.Context) { duty.Every(ctx, sweepInterval, s.sweep) }
 
 func (s *Service) sweep(now time.Time) {
 	s.mu.Lock()
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -13,6 +13,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/node/control"
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -64,20 +65,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	begun := make(chan struct{})
 	var once sync.Once
-	var wg sync.WaitGroup
 	for _, to := range i.candidates() {
-		wg.Go(func() { i.beginAt(ctx, to, func() { once.Do(func() { close(begun) }) }) })
+		i.wg.Go(func() { i.beginAt(ctx, to, func() { once.Do(func() { close(begun) }) }) })
 	}
 	select {
 	case <-begun:
 	case <-ctx.Done():
 	}
-	i.wg.Go(func() {
-		defer cancel()
-		pause(ctx, i.askOn)
-		cancel()
-		wg.Wait()
-	})
+	time.AfterFunc(i.askOn, cancel)
 }
 
 // beginAt asks one core instance until it answers with what serves to begin.
@@ -92,7 +87,7 @@
 			begun()
 			return
 		}
-		pause(ctx, wait)
+		_ = duty.Pause(ctx, wait)
 	}
 }
 
@@ -111,11 +106,11 @@
 		i.note(to, u, err)
 		if err != nil {
 			i.log.Debug("report failed", zap.String("to", to), zap.Error(err))
-			pause(ctx, failPause)
+			_ = duty.Pause(ctx, failPause)
 			continue
 		}
 		if !u.Led {
-			pause(ctx, failPause)
+			_ = duty.Pause(ctx, failPause)
 		}
 	}
 }
@@ -124,7 +119,7 @@
 // lack, and finds one that hears from a leader again.
 func (i *Instance) compare(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
-		pause(ctx, compareInterval)
+		_ = duty.Pause(ctx, compareInterval)
 		followed, candidates := i.followed(), i.candidates()
 		to := i.chooser.Compare(turn, followed, candidates)
 		if to == "" {
@@ -156,15 +151,6 @@
 	i.mu.Unlock()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // candidates are the core instances, those of the own zone and region first, in an
 // order that differs from instance to instance; before any is known, the seeds.
 func (i *Instance) candidates() []string {
--- a/node/entry/tidy.go
+++ b/node/entry/tidy.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/gullhaven/gullhaven/node/duty"
 )
 
 // tidyInterval is the time between two looks for what is over.
@@ -11,22 +13,15 @@
 // tidy forgets prompt parts that were not used lately, and closes idle connections to
 // targets that are listed no more: their addresses are given to others.
 func (i *Instance) tidy(ctx context.Context) {
-	tick := time.NewTicker(tidyInterval)
-	defer tick.Stop()
 	before := map[string]bool{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			i.pool.Sweep(now)
-			listed := i.pool.Addresses()
-			for address := range before {
-				if !listed[address] {
-					i.targets.Forget(address)
-				}
+	duty.Every(ctx, tidyInterval, func(now time.Time) {
+		i.pool.Sweep(now)
+		listed := i.pool.Addresses()
+		for address := range before {
+			if !listed[address] {
+				i.targets.Forget(address)
 			}
-			before = listed
 		}
-	}
+		before = listed
+	})
 }
--- a/node/suspects/suspects.go
+++ b/node/suspects/suspects.go
@@ -15,6 +15,7 @@
 
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/coord/suspect"
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/route"
 )
@@ -152,18 +153,7 @@
 }
 
 // Run forgets what is over until ctx ends.
-func (s *Service) Run(ctx context.Context) {
-	tick := time.NewTicker(expireInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			s.expire(now)
-		}
-	}
-}
+func (s *Service) Run(ctx context.Context) { duty.Every(ctx, expireInterval, s.expire) }
 
 func (s *Service) expire(now time.Time) {
 	s.mu.Lock()
