--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/platform/platformtest"
 )
 
@@ -61,7 +62,7 @@
 	for n := 0; ctx.Err() == nil; {
 		conn := w.connect(ctx, client, caller, rng)
 		if conn == nil {
-			pause(ctx, callerPause)
+			_ = duty.Pause(ctx, callerPause)
 			continue
 		}
 		stays := true
@@ -73,7 +74,7 @@
 			r.Outcome, stays = conn.Ask(r.ID, r.Path, deadline, r.Start.Add(2*(deadline+slack)))
 			r.End = time.Now()
 			w.Ledger.Ended(r)
-			pause(ctx, time.Duration(rng.Int64N(int64(2*callerPause))))
+			_ = duty.Pause(ctx, time.Duration(rng.Int64N(int64(2*callerPause))))
 		}
 		conn.Close()
 	}
@@ -105,7 +106,7 @@
 		if err := platformtest.Put(ctx, client, c.operators, sent); err == nil {
 			w.Ledger.Acknowledged(version, time.Now())
 		}
-		pause(ctx, writePause)
+		_ = duty.Pause(ctx, writePause)
 	}
 }
 
@@ -118,14 +119,7 @@
 		if _, version, err := platformtest.Get(ctx, client, c.operators); err == nil {
 			w.Ledger.Read(version, sent, c.name())
 		}
-		pause(ctx, callerPause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		_ = duty.Pause(ctx, callerPause)
 	}
 }
 
@@ -149,20 +143,32 @@
 func (w *World) awaitEntry(ctx context.Context, e *entry, name string) error {
 	end := time.Now().Add(recovery)
 	for _, path := range paths {
-		for n := 0; ; n++ {
+		err := until(ctx, end, func(n int) error {
 			o := askOnce(e, fmt.Sprint(name, path, n), path)
-			if o.Status == 200 && o.Err == nil {
-				break
+			if o.Status == http.StatusOK && o.Err == nil {
+				return nil
 			}
-			if time.Now().After(end) || ctx.Err() != nil {
-				return fmt.Errorf("%s does not serve %s: status %d, %w", e.name(), path, o.Status, o.Err)
-			}
-			pause(ctx, callerPause)
+			return fmt.Errorf("%s does not serve %s: status %d, %w", e.name(), path, o.Status, o.Err)
+		})
+		if err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// until tries again and again until try succeeds, for as long as end allows, and returns
+// its last error. try is told its number, from 0.
+func until(ctx context.Context, end time.Time, try func(n int) error) error {
+	for n := 0; ; n++ {
+		err := try(n)
+		if err == nil || time.Now().After(end) || ctx.Err() != nil {
+			return err
+		}
+		_ = duty.Pause(ctx, callerPause)
+	}
+}
+
 func askOnce(e *entry, id, path string) platformtest.Outcome {
 	conn, err := platformtest.Dial(e.callers, dialTime)
 	if err != nil {
@@ -177,14 +183,8 @@
 // than what was acknowledged.
 func (w *World) AwaitAgreement(ctx context.Context) error {
 	client := &http.Client{Timeout: callTime}
-	newest, end := w.Ledger.Newest(time.Now()), time.Now().Add(recovery)
-	for {
-		err := w.agreement(ctx, client, newest)
-		if err == nil || time.Now().After(end) || ctx.Err() != nil {
-			return err
-		}
-		pause(ctx, callerPause)
-	}
+	newest := w.Ledger.Newest(time.Now())
+	return until(ctx, time.Now().Add(recovery), func(int) error { return w.agreement(ctx, client, newest) })
 }
 
 func (w *World) agreement(ctx context.Context, client *http.Client, newest uint64) error {
@@ -207,16 +207,12 @@
 // Configure has the first configuration accepted.
 func (w *World) Configure(ctx context.Context) error {
 	client := &http.Client{Timeout: callTime}
-	end := time.Now().Add(recovery)
-	for n := 0; ; n++ {
-		err := platformtest.Put(ctx, client, w.cores[n%len(w.cores)].operators, platformtest.Document(1, "first"))
-		if err == nil {
-			w.Ledger.Acknowledged(1, time.Now())
-			return nil
-		}
-		if time.Now().After(end) || ctx.Err() != nil {
-			return fmt.Errorf("the first configuration is not accepted: %w", err)
-		}
-		pause(ctx, callerPause)
+	err := until(ctx, time.Now().Add(recovery), func(n int) error {
+		return platformtest.Put(ctx, client, w.cores[n%len(w.cores)].operators, platformtest.Document(1, "first"))
+	})
+	if err != nil {
+		return fmt.Errorf("the first configuration is not accepted: %w", err)
 	}
+	w.Ledger.Acknowledged(1, time.Now())
+	return nil
 }
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -20,7 +20,7 @@
 	platformtest.Outcome
 }
 
-// at most once holds for what must not be repeated.
+// once reports whether the request must not be run again.
 func (r *Request) once() bool {
 	return strings.HasPrefix(r.Path, platformtest.PathUnsafe) || strings.HasPrefix(r.Path, platformtest.PathStream)
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -308,6 +308,10 @@
 }
 
 func (w *World) carryOut(f Fault) error {
+	if f.Kind.network() {
+		f.trouble(w.forwarder(f))
+		return nil
+	}
 	switch f.Role {
 	case RoleList:
 		w.list.Refuse(http.StatusTooManyRequests)
@@ -315,26 +319,23 @@
 		w.list.Refuse(0)
 		return nil
 	case RoleRunner:
-		r := w.runners[f.Number]
-		if f.Kind.network() {
-			f.trouble(r.forwarder)
-			return nil
-		}
-		return w.replace(r, f)
+		return w.replace(w.runners[f.Number], f)
 	case RoleCore:
-		c := w.cores[f.Number]
-		if f.Kind.network() {
-			f.trouble(c.forwarder)
-			return nil
-		}
-		return c.befall(f)
+		return w.cores[f.Number].befall(f)
 	default:
-		e := w.entries[f.Number]
-		if f.Kind.network() {
-			f.trouble(e.forwarder)
-			return nil
-		}
-		return e.befall(f)
+		return w.entries[f.Number].befall(f)
+	}
+}
+
+// forwarder is the one that a fault of the network concerns.
+func (w *World) forwarder(f Fault) *Forwarder {
+	switch f.Role {
+	case RoleRunner:
+		return w.runners[f.Number].forwarder
+	case RoleCore:
+		return w.cores[f.Number].forwarder
+	default:
+		return w.entries[f.Number].forwarder
 	}
 }
 
