route/pick: memory that running answers take counts in the choice of an engine

Cause: an engine was chosen by the time until the first event.

Change: each instance counts the tokens that its requests hold until they end, tells them with its loads, and a target whose memory would be over-full costs more. The answer's length is the caller's estimate where it gives one.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -209,7 +209,7 @@
 	self.Ready = i.Ready()
 	if wait > 0 {
 		for id, l := range i.pool.Loads() {
-			self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread})
+			self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread, Held: l.Held})
 		}
 	}
 	r := feed.Report{Self: self, WaitMillis: wait.Milliseconds(), Suspects: i.killers.takeNews()}
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -133,12 +133,14 @@
 		}
 	}
 	for _, l := range k.loads {
-		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: l.Unread}
+		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: l.Unread, Held: l.Held}
 	}
 	for _, service := range index.Table.Services {
-		s.Rules[service.Name] = pick.ServiceRules{
-			ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond, Engine: service.Engine != nil,
+		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond, Engine: service.Engine != nil}
+		if service.Engine != nil {
+			rules.MemoryTokens = service.Engine.MemoryTokens
 		}
+		s.Rules[service.Name] = rules
 	}
 	return s
 }
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -80,7 +80,7 @@
 	out := make([]Load, 0, len(r.loads))
 	for _, l := range r.loads {
 		m := mine[l.Target]
-		l.Running, l.Unread = l.Running-m.Running, l.Unread-m.Unread
+		l.Running, l.Unread, l.Held = l.Running-m.Running, l.Unread-m.Unread, l.Held-m.Held
 		if l.Running != 0 || l.Unread != 0 {
 			out = append(out, l)
 		}
@@ -157,7 +157,7 @@
 	add := func(loads []Load) {
 		for _, l := range loads {
 			sum := sums[l.Target]
-			sums[l.Target] = Load{Target: l.Target, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread}
+			sums[l.Target] = Load{Target: l.Target, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread, Held: sum.Held + l.Held}
 		}
 	}
 	for _, loads := range r.own {
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -41,6 +41,8 @@
 	// have not answered yet.
 	Running int `cbor:"2,keyasint"`
 	Unread  int `cbor:"3,keyasint,omitempty"`
+	// Held is the memory in tokens that they take until they end.
+	Held int `cbor:"4,keyasint,omitempty"`
 }
 
 // Core is an instance that keeps the replicated log.
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -24,10 +24,10 @@
 // target is what this instance knows of one.
 type target struct {
 	Target
-	running, unread int
-	// advised and advisedUnread are the part of these that others have decided.
-	advised, advisedUnread int
-	others                 Load
+	// own counts what this instance has under way there, or has decided for others;
+	// advised is the part of it that others have decided.
+	own, advised Load
+	others       Load
 	// failures in a row that took it out, until downUntil; probing says that one
 	// request is on its way to see whether it is back.
 	failures  int
@@ -122,10 +122,11 @@
 	// advised says that another instance decided and counts it.
 	advised bool
 	// plain is the estimate without the target's slowness, made at.
-	plain  float64
-	at     time.Time
-	unread int
-	probe  bool
+	plain float64
+	at    time.Time
+	// counted is what the request still adds to the target's load.
+	counted Load
+	probe   bool
 }
 
 // Why a choice was not made.
@@ -183,14 +184,14 @@
 	}
 	ch.Wait = p.wait(now, t, c, chain, t == home)
 	ch.plain, ch.at = p.reading(now, t, c, chain, t == home), now
-	ch.unread = c.PromptTokens - t.keptTokens(now, chain)
+	unread := c.PromptTokens - t.keptTokens(now, chain)
 	if p.snapshot.Rules[t.Service].Engine {
-		ch.Front = max(0, ch.Wait-t.slowness*float64(ch.unread)/ReadRate)
+		ch.Front = max(0, ch.Wait-t.slowness*float64(unread)/ReadRate)
 	}
 	ch.Source = p.source(now, t, chain, home)
-	t.running++
-	t.unread += ch.unread
-	t.read = t.lateReading(now) + float64(ch.unread)/ReadRate
+	ch.counted = Load{Running: 1, Unread: unread, Held: c.held()}
+	t.own.add(ch.counted)
+	t.read = t.lateReading(now) + float64(unread)/ReadRate
 	t.readAt = now
 	for _, l := range chain {
 		t.kept[l.key] = now
@@ -209,8 +210,7 @@
 	}
 	ch := p.take(now, t, c, c.chain(), 0, nil)
 	ch.advised = true
-	t.advised++
-	t.advisedUnread += ch.unread
+	t.advised.add(ch.counted)
 	return ch
 }
 
@@ -225,12 +225,16 @@
 	c.first()
 }
 
-func (c *Choice) first() {
-	c.t.unread -= c.unread
+// first takes the prompt out of what is not read yet.
+func (c *Choice) first() { c.uncount(Load{Unread: c.counted.Unread}) }
+
+// uncount takes a part of what the request was counted with out of the target's load.
+func (c *Choice) uncount(part Load) {
+	c.counted.subtract(part)
+	c.t.own.subtract(part)
 	if c.advised {
-		c.t.advisedUnread -= c.unread
+		c.t.advised.subtract(part)
 	}
-	c.unread = 0
 }
 
 // Result is how a request at a target ended, as far as it tells of the target.
@@ -278,11 +282,7 @@
 	defer c.pool.mu.Unlock()
 	t := c.t
 	delete(t.watches, c)
-	c.first()
-	t.running--
-	if c.advised {
-		t.advised--
-	}
+	c.uncount(c.counted)
 	if c.probe {
 		t.probing = false
 	}
@@ -326,8 +326,10 @@
 	defer p.mu.Unlock()
 	out := map[string]Load{}
 	for id, t := range p.targets {
-		if n := t.running - t.advised; n > 0 {
-			out[id] = Load{Running: n, Unread: t.unread - t.advisedUnread}
+		told := t.own
+		told.subtract(t.advised)
+		if told.Running > 0 {
+			out[id] = told
 		}
 	}
 	return out
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -7,13 +7,13 @@
 
 // cost is the wait with what failures and others cost.
 func (p *Pool) cost(now time.Time, t *target, c Call, chain []link, home bool) float64 {
-	return p.wait(now, t, c, chain, home) + p.social(now, t, c, chain) + failCost*t.failShare
+	return p.wait(now, t, c, chain, home) + p.social(now, t, c, chain) + p.crowding(t, c) + failCost*t.failShare
 }
 
 // wait estimates the milliseconds until the first event, or until the answer of a
 // plain target. home says that all instances prefer the target for the prompt.
 func (p *Pool) wait(now time.Time, t *target, c Call, chain []link, home bool) float64 {
-	running := t.running + t.others.Running
+	running := t.load().Running
 	cost := 0.0
 	if t.Slots > 0 {
 		if over := running + 1 - t.Slots; over > 0 {
@@ -35,7 +35,7 @@
 		return 0
 	}
 	own := float64(c.PromptTokens-t.keptTokens(now, chain)) / ReadRate
-	running := float64(t.running + t.others.Running)
+	running := float64(t.load().Running)
 	share := min(1, t.lateReading(now)/float64(readingSpan.Milliseconds()))
 	return disturb*own*running + slowed*float64(c.OutputTokens)*chunkTime*share
 }
@@ -51,7 +51,7 @@
 // reading is the time that the prompts in front and the call's own take at the plain
 // rate, in milliseconds.
 func (p *Pool) reading(now time.Time, t *target, c Call, chain []link, home bool) float64 {
-	unread := t.unread + t.others.Unread
+	unread := t.load().Unread
 	own := float64(c.PromptTokens - t.keptTokens(now, chain))
 	if home && len(chain) > 1 {
 		shared := float64(chain[len(chain)-2].tokens)
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -41,14 +41,17 @@
 	PromptTokens int
 	// OutputTokens is the most that the answer may have.
 	OutputTokens int
+	// HintTokens is the caller's estimate of the answer; 0 where it gave none.
+	HintTokens int
 	// Tried targets are not chosen again.
 	Tried []string
 }
 
 // Load is what others have under way at a target.
 type Load struct {
-	// Running counts requests, Unread the prompt tokens of those not yet answered.
-	Running, Unread int
+	// Running counts requests, Unread the prompt tokens of those not yet answered, and
+	// Held the tokens of memory that all of them take until they end.
+	Running, Unread, Held int
 }
 
 // ServiceRules are what a service says of its targets.
@@ -57,8 +60,10 @@
 	// how many requests a second it bears meanwhile from all instances together.
 	ColdFor       time.Duration
 	ColdPerSecond float64
-	// Engine says that the targets are model engines.
-	Engine bool
+	// Engine says that the targets are model engines, and MemoryTokens is what one of
+	// them holds of requests under way and of kept prompt parts; 0 if unknown.
+	Engine       bool
+	MemoryTokens int
 }
 
 // Snapshot is a new view of the surroundings.
