exchange: a region that has refused a request is left alone for half a second

Cause: a region's summary counts its targets as idle while they warm up after an evacuation.

Change: a service of a region that has turned a request away costs more than any wait for 500 ms, so it is a place only where there is none else. The test of the retry budget, which needs a region that refuses each time, switches that off.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -19,6 +19,18 @@
 	// what is known of it is up to a second old, and the traffic between regions is
 	// paid for.
 	spillMargin = 150.0
+	// refusedCost is what passing a request to a region costs more that has refused one of
+	// the service within refusedFor, in milliseconds: more than any wait, so that it is a
+	// place only where there is none else.
+	//
+	// What goes wrong without it: a region that is well by its summary and serves nothing,
+	// as while its targets warm up after an evacuation, looks idle. All others pass on to
+	// it, and each request loses two trips over the wide area. On a day with such a region
+	// 237 were sent there in 4 s.
+	refusedCost = 1e5
+	// refusedFor is under the time that targets take to warm up or come back, so that a
+	// region that serves again is found within half a second.
+	refusedFor = 500 * time.Millisecond
 	// mostSends bounds how often one request is sent or tried to be sent.
 	mostSends = 4
 )
@@ -60,7 +72,7 @@
 func (q *request) choose(now time.Time) (*place, verdict.Code) {
 	c := q.pickCall()
 	if !q.route.Allows(q.g.o.Region) {
-		if peer, ok := q.choosePeer(c, math.Inf(1)); ok {
+		if peer, ok := q.choosePeer(now, c, math.Inf(1)); ok {
 			return &place{peer: peer}, ""
 		}
 		return nil, CodeNoTarget
@@ -70,7 +82,7 @@
 	if p != nil {
 		local = p.choice.Wait
 	}
-	if peer, ok := q.choosePeer(c, local); ok {
+	if peer, ok := q.choosePeer(now, c, local); ok {
 		if p != nil {
 			p.done(now, pick.Neutral)
 		}
@@ -107,7 +119,7 @@
 
 // choosePeer finds an instance of another region where the request costs less. A
 // request crosses regions once, and a stream that has begun stays.
-func (q *request) choosePeer(c pick.Call, local float64) (Peer, bool) {
+func (q *request) choosePeer(now time.Time, c pick.Call, local float64) (Peer, bool) {
 	if q.from != nil {
 		return Peer{}, false
 	}
@@ -122,6 +134,9 @@
 			continue
 		}
 		cost := regionCost(load, c, slowness)
+		if q.g.hasRefused(now, key) {
+			cost += refusedCost
+		}
 		if cost > bestCost || cost == bestCost && key.Region > best.Region {
 			continue
 		}
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -162,6 +162,7 @@
 	Convey("100 requests that the other region turns away, one target here", t, func() {
 		x, y := newTarget(t, "near", whole(200, "near")), newTarget(t, "far", notRun)
 		a, _ := pair(t, []*target{x}, []*target{y})
+		a.gateway.PassOnAfterRefusals()
 		for range 30 {
 			// The other region looks better.
 			a.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "near")
@@ -409,6 +410,26 @@
 		a.gateway.SetView(&view)
 		So(a.call("/unsafe/x", "b").status, ShouldEqual, 200)
 	})
+	// Symptom: requests cross the wide area to be refused, again and again.
+	// Events: all targets of the other region turn requests away, though its summary says
+	// that they are idle; the own target is busy.
+	// Cause: nobody remembers that the region has refused.
+	Convey("a region that has just refused is left alone while there is another place", t, func() {
+		x, y := newTarget(t, "near", whole(200, "near")), newTarget(t, "far", notRun)
+		a, _ := pair(t, []*target{x}, []*target{y})
+		view := *a.gateway.View()
+		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = exchange.RegionLoad{Targets: 1, Slots: 4}
+		a.gateway.SetView(&view)
+		crossed := a.metrics.Spilled.Count()
+		for range 20 {
+			busy, _ := a.pool.Pick(time.Now(), pick.Call{Service: "s"})
+			So(busy, ShouldNotBeNil)
+		}
+		for range 5 {
+			So(a.call("/unsafe/x", "b").body, ShouldEqual, "near")
+		}
+		So(a.metrics.Spilled.Count()-crossed, ShouldEqual, 1)
+	})
 	// Symptom: each request that crosses waits for a connection that cannot be made.
 	// Events: one of two instances of the other region is gone and is still named.
 	// Cause: nobody remembers that it could not be reached.
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -53,6 +53,10 @@
 
 	// avoid holds until when each peer that could not be reached is left out.
 	avoid sync.Map
+	// refusing holds until when each service of a region is left out that has refused, and
+	// leaveOut for how long: refusedFor but in tests.
+	refusing sync.Map
+	leaveOut time.Duration
 	// asked counts the requests of each route by name.
 	asked sync.Map
 
@@ -62,7 +66,7 @@
 
 // New makes a Gateway that refuses all until it has a view.
 func New(o Options) *Gateway {
-	return &Gateway{o: o, windows: map[string]*retry.Window{}}
+	return &Gateway{o: o, leaveOut: refusedFor, windows: map[string]*retry.Window{}}
 }
 
 // SetView replaces the view.
@@ -78,6 +82,9 @@
 // are told to come back at once, to another instance.
 func (g *Gateway) RefuseStreams() { g.ending.Store(true) }
 
+// RefusesStreams reports whether RefuseStreams was called.
+func (g *Gateway) RefusesStreams() bool { return g.ending.Load() }
+
 // InFlight is the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -141,6 +148,17 @@
 	g.avoid.Store(address, now.Add(avoidPeer))
 }
 
+// refused notes that a region has turned a request for a service away.
+func (g *Gateway) refused(now time.Time, by RegionService) {
+	g.refusing.Store(by, now.Add(g.leaveOut))
+}
+
+// hasRefused reports whether a region has turned away a request for a service lately.
+func (g *Gateway) hasRefused(now time.Time, by RegionService) bool {
+	until, ok := g.refusing.Load(by)
+	return ok && now.Before(until.(time.Time))
+}
+
 // mayRepeat reports whether the budget allows one more sending, and counts it.
 func (g *Gateway) mayRepeat(now time.Time, service string, entries int) bool {
 	g.mu.Lock()
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -141,6 +141,7 @@
 	}
 	if a.Header.Get(headerRefused) != "" {
 		q.turnedAway = q.turnedAway || a.Header.Get(headerArrived) != ""
+		q.g.refused(time.Now(), RegionService{Region: peer.Region, Service: q.service})
 		discard(a)
 		return false
 	}
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -109,7 +109,8 @@
 // View is what is known of the surroundings. It is replaced, never changed.
 type View struct {
 	Index *routes.Index
-	// Peers are entry instances of other regions that take requests.
+	// Peers are entry instances of other regions that take requests. Those of a region
+	// leave only where none of its others is there.
 	Peers []Peer
 	// Regions sums up the load of other regions by region and service.
 	Regions map[RegionService]RegionLoad
