feed, entry: instances that leave are named and passed on to where a region has no other

Cause: restarting all entry instances two seconds apart has both of the two instances of a region leave at the same time, in both home regions of a route. In the same seconds other regions refused what was bound to these homes, for want of a way in.

Change: a leaving instance tells that it still takes requests, 3 s long. The directory names it where no ready instance serves as much of the host, other regions pass on to it where its region has no ready one, and such instances share out the groups of targets.

Tests fail without it.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -206,7 +206,7 @@
 // instance only, or they would count twice.
 func (i *Instance) makeReport(wait time.Duration) feed.Report {
 	self := i.o.Self
-	self.Ready = i.Ready()
+	self.Ready, self.Leaving = i.Ready(), i.leaving()
 	if wait > 0 {
 		for id, l := range i.pool.Loads() {
 			self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread, Held: l.Held})
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -147,6 +147,11 @@
 // Ready reports whether it takes requests.
 func (i *Instance) Ready() bool { return !i.draining.Load() && i.gateway.View() != nil }
 
+// leaving reports whether it still takes all requests though it leaves.
+func (i *Instance) leaving() bool {
+	return i.draining.Load() && i.gateway.View() != nil && !i.gateway.RefusesStreams()
+}
+
 // Gateway is the request path.
 func (i *Instance) Gateway() *exchange.Gateway { return i.gateway }
 
@@ -191,10 +196,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	list := i.known.entries.Entries
-	if i.Ready() {
-		self := i.o.Self
-		self.Ready = true
-		list = append([]feed.Entry{self}, list...)
-	}
+	self := i.o.Self
+	self.Ready, self.Leaving = i.Ready(), i.leaving()
+	list = append([]feed.Entry{self}, list...)
 	return feed.CallerAddresses(list, region, weight)
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -100,8 +100,8 @@
 
 // showRegions sums up the other regions.
 func (i *Instance) showRegions(v *exchange.View) {
-	for _, e := range i.known.entries.Entries {
-		if e.Ready && e.Region != i.o.Self.Region {
+	for _, e := range takers(i.known.entries.Entries) {
+		if e.Region != i.o.Self.Region {
 			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region})
 		}
 	}
@@ -111,6 +111,25 @@
 	}
 }
 
+// takers are the entry instances that take requests: of each region the ready ones, or
+// where it has none those that leave.
+//
+// What goes wrong without the latter: while the last instances of a region are restarted
+// its targets stand idle, and other regions refuse what is bound to it or overflow.
+func takers(entries []feed.Entry) []feed.Entry {
+	served := map[string]bool{}
+	for _, e := range entries {
+		served[e.Region] = served[e.Region] || e.Ready
+	}
+	var out []feed.Entry
+	for _, e := range entries {
+		if e.Ready || e.Leaving && !served[e.Region] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // snapshot is what the pool needs to know.
 func (i *Instance) snapshot(index *routes.Index, evacuated map[string]bool) pick.Snapshot {
 	k := &i.known
@@ -124,11 +143,11 @@
 			ColdUntil: t.ColdUntil,
 		})
 	}
-	if i.Ready() || i.gateway.View() == nil {
-		s.Entries = append(s.Entries, i.o.Self.ID)
-	}
-	for _, e := range k.entries.Entries {
-		if e.Ready && e.Region == i.o.Self.Region {
+	self := i.o.Self
+	// The first view makes it ready.
+	self.Ready, self.Leaving = !i.draining.Load(), i.leaving()
+	for _, e := range takers(append([]feed.Entry{self}, k.entries.Entries...)) {
+		if e.Region == self.Region {
 			s.Entries = append(s.Entries, e.ID)
 		}
 	}
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -55,6 +55,35 @@
 	})
 }
 
+// Symptom: requests are refused for want of a target while all targets of another region
+// stand idle.
+// Events: the last entry instances of that region leave, and take requests meanwhile.
+// Cause: an instance that leaves was no way into its region.
+func TestLeavingInstancesAreTheWayIntoARegionWithoutOthers(t *testing.T) {
+	Convey("two instances of another region leave", t, func() {
+		i := newInstance(t)
+		one, two := feed.Entry{ID: "a", Region: "q", Ready: true}, feed.Entry{ID: "b", Region: "q", Leaving: true}
+		learn := func(base uint64, entries ...feed.Entry) {
+			i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, Base: base, At: base + 1, Entries: entries}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
+		}
+		peers := func() []string {
+			var ids []string
+			for _, p := range i.gateway.View().Peers {
+				ids = append(ids, p.Address)
+			}
+			return ids
+		}
+		learn(0, one, two)
+		So(peers(), ShouldResemble, []string{"a"})
+		one.Ready, one.Leaving = false, true
+		learn(1, one)
+		So(peers(), ShouldResemble, []string{"a", "b"})
+		one.Leaving, two.Leaving = false, false
+		learn(2, one, two)
+		So(peers(), ShouldBeEmpty)
+	})
+}
+
 // Symptom: routes go back to an older version for a moment.
 // Events: updates of core instances of which one lags arrive in any order.
 // Cause: the newest message was taken for the newest state.
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -117,9 +117,9 @@
 // be named any more.
 func (b *Board) wakeFor(now time.Time, old Entry, known bool, e Entry) {
 	switch {
-	case known && old.Ready == e.Ready:
+	case known && old.Ready == e.Ready && old.Leaving == e.Leaving:
 		return
-	case known && old.Ready:
+	case known && (old.Ready || old.Leaving):
 	case now.Sub(b.newcomerAt) < newcomerGap:
 		return
 	default:
--- a/node/feed/entries.go
+++ b/node/feed/entries.go
@@ -112,7 +112,7 @@
 
 // same compares what others are told.
 func (e *Entry) same(o *Entry) bool {
-	return e.ID == o.ID && e.Region == o.Region && e.Zone == o.Zone && e.Callers == o.Callers && e.Ready == o.Ready
+	return e.ID == o.ID && e.Region == o.Region && e.Zone == o.Zone && e.Callers == o.Callers && e.Ready == o.Ready && e.Leaving == o.Leaving
 }
 
 // news tell an instance what it lacks; nil if that is nothing. It is not told of itself.
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -98,6 +98,40 @@
 	})
 }
 
+// Symptom: a tenth of the requests of a route with homes are refused during a planned
+// restart of all entry instances, two seconds apart.
+// Events: the instances of both home regions leave at the same time; the third region's
+// are back. The directory names these to all callers.
+// Cause: an instance that leaves was taken for gone, though it takes requests for 3 s.
+func TestDirectoryNamesLeavingInstancesWhereNoReadyOneServesAll(t *testing.T) {
+	leaving := func(region, callers string) feed.Entry {
+		return feed.Entry{Region: region, Callers: callers, Leaving: true}
+	}
+	ready := func(region, callers string) feed.Entry {
+		return feed.Entry{Region: region, Callers: callers, Ready: true}
+	}
+	gone := feed.Entry{Region: "a", Callers: "a9"}
+	weights := map[string]int{"a": 40, "b": 40, "c": 30}
+	weight := func(region string) int { return weights[region] }
+	Convey("homes a and b are restarted, c may not serve all", t, func() {
+		entries := []feed.Entry{gone, leaving("a", "a1"), leaving("b", "b1"), ready("c", "c1")}
+		So(feed.CallerAddresses(entries, "a", weight), ShouldResemble, []string{"a1"})
+		So(feed.CallerAddresses(entries, "b", weight), ShouldResemble, []string{"b1"})
+		So(feed.CallerAddresses(entries, "c", weight), ShouldResemble, []string{"c1"})
+		Convey("a home that is back serves the others", func() {
+			So(feed.CallerAddresses(append(entries, ready("b", "b2")), "a", weight), ShouldResemble, []string{"b2"})
+		})
+		Convey("without one of the own region any home will do", func() {
+			So(feed.CallerAddresses(entries[2:], "a", weight), ShouldResemble, []string{"b1"})
+		})
+	})
+	Convey("where all regions serve all, a ready one is better", t, func() {
+		entries := []feed.Entry{leaving("a", "a1"), ready("c", "c1")}
+		So(feed.CallerAddresses(entries, "a", alike), ShouldResemble, []string{"c1"})
+		So(feed.CallerAddresses(entries[:1], "a", alike), ShouldResemble, []string{"a1"})
+	})
+}
+
 func TestBoardForgetsWhoIsSilent(t *testing.T) {
 	Convey("an entry instance and a core instance were heard", t, func() {
 		b := feed.NewBoard(me, 1)
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -32,6 +32,9 @@
 	Loads []Load `cbor:"6,keyasint,omitempty"`
 	// AgeMillis is how old the report is where it is handed on.
 	AgeMillis int64 `cbor:"7,keyasint,omitempty"`
+	// Leaving says that it takes requests for a little while yet, though it is not ready:
+	// where a region has no other, it is better than none.
+	Leaving bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Load is what one instance has under way at one target.
