link, control: instances that start together find each other sooner

Cause: after a loss of power of all, entry instances had their first view 1.08 s after their start. Their machines came back 0.3 s before those of the core instances, the first packet of each connection was lost, and TCP sends it again after a second only. Then 350 ms went by on a confirmation that no majority could give, as no leader was there.

Change: the first four attempts to connect have 400 ms each for the peer's kernel to answer. A core instance that hears from no leader answers first reports at once. Callers that come before the first view are told 350 ms in place of 700 ms.

--- a/coord/link/options.go
+++ b/coord/link/options.go
@@ -64,6 +64,14 @@
 	IdleClose time.Duration
 	// DialTimeout bounds one attempt to connect, with its handshakes.
 	DialTimeout time.Duration
+	// ConnectTimeout bounds the first part of an attempt, until the peer's kernel has
+	// answered, in the first quickAttempts after a success; later ones have all of
+	// DialTimeout. Zero means DialTimeout always.
+	//
+	// It prevents that an instance waits a second for a peer that is back: where both lost
+	// power together and the peer returns a moment later, the first packet is lost, and the
+	// kernel sends it again after a second only.
+	ConnectTimeout time.Duration
 	// BackoffFloor and BackoffCeil bound the time between attempts. It doubles
 	// from floor to ceiling, and each wait is drawn from its upper half.
 	BackoffFloor, BackoffCeil time.Duration
@@ -113,6 +121,18 @@
 	return o, nil
 }
 
+// quickAttempts is how many attempts in a row have ConnectTimeout: a peer that takes
+// longer, as over a link that is full, is reached by the ones after.
+const quickAttempts = 4
+
+// connectTimeout is the bound of an attempt after so many failures in a row.
+func (o *Options) connectTimeout(failures int) time.Duration {
+	if o.ConnectTimeout <= 0 || failures >= quickAttempts {
+		return o.DialTimeout
+	}
+	return min(o.ConnectTimeout, o.DialTimeout)
+}
+
 func set[T comparable](v *T, def T) {
 	var zero T
 	if *v == zero {
--- a/coord/link/peer.go
+++ b/coord/link/peer.go
@@ -160,6 +160,13 @@
 	p.failures++
 }
 
+// connectTimeout is that of the next attempt.
+func (p *peer) connectTimeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hub.o.connectTimeout(p.failures)
+}
+
 // heard resets the back-off: the peer has said something.
 func (p *peer) heard() {
 	p.mu.Lock()
--- a/coord/link/writer.go
+++ b/coord/link/writer.go
@@ -272,7 +272,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, o.DialTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: dialTuned}
+	transport := &http.Transport{DialContext: dialTuned(p.connectTimeout())}
 	scheme, header := "ws", http.Header{plainHeader: {o.Plain}}
 	if o.Plain == "" {
 		transport.TLSClientConfig = o.Key.ClientConfig(p.id)
@@ -287,11 +287,14 @@
 	return ws, errors.Annotatef(err, "link to %s", p.id)
 }
 
-func dialTuned(ctx context.Context, network, addr string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, network, addr)
-	if err == nil {
-		tune(c)
+// dialTuned makes connections, each within a time.
+func dialTuned(within time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: within}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err == nil {
+			tune(c)
+		}
+		return c, err
 	}
-	return c, err
 }
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -193,8 +193,13 @@
 		Urgent:      append(urgent, channelGroup),
 		MaxMessage:  maxMessage,
 		DialTimeout: time.Second,
-		PingAfter:   700 * time.Millisecond,
-		PingTimeout: 700 * time.Millisecond,
+		// Two round trips between regions and some; TCP would send a lost first packet
+		// again after a second. After a loss of power of all, entry instances had their
+		// first view 1.08 s after their start, as the core instances' machines came back
+		// 0.3 s later.
+		ConnectTimeout: 400 * time.Millisecond,
+		PingAfter:      700 * time.Millisecond,
+		PingTimeout:    700 * time.Millisecond,
 		// All processes may start at the same moment after a loss of power: whoever
 		// finds the other end not listening yet asks again soon.
 		BackoffCeil: 200 * time.Millisecond,
@@ -380,8 +385,14 @@
 // started: this member may lag, and the instance would begin with a version older than
 // one acknowledged before its start. Where no majority answers in time it begins with
 // what this member holds, which was accepted once: a region that is cut off serves its
-// callers, and after a loss of power of all nobody waits for an election.
+// callers, and after a loss of power of all nobody waits for an election. A member that
+// hears from no leader answers at once: where there is one, the instance hears of newer
+// states from the other members, which it asks at the same time.
 func (i *Instance) confirmFirst(ctx context.Context) {
+	if !i.led() {
+		i.log.Info("first state not confirmed for want of a leader", zap.Uint64("version", i.accepted().Version))
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, firstTime)
 	defer cancel()
 	if err := i.node.Read(ctx); err != nil {
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -16,7 +16,7 @@
 const (
 	// retryNoView: an instance that starts has a view within half a second. Callers that
 	// come back earlier are refused again, and most do not come a third time.
-	retryNoView = 700 * time.Millisecond
+	retryNoView = 350 * time.Millisecond
 	// retrySoon: targets come and go within seconds; another instance may know more.
 	retrySoon = 250 * time.Millisecond
 	// retryKiller: it is refused for long.
