--- a/daemon/site.go
+++ b/daemon/site.go
@@ -198,7 +198,7 @@
 
 func (r *site) runCore(ctx context.Context) error {
 	s := r.s
-	list := &platform.List{Address: s.InstanceList, Regions: s.Regions, Client: &http.Client{Timeout: platformTime}}
+	list := &platform.List{Address: s.InstanceList, Regions: s.Regions, Client: &http.Client{Timeout: platformTime}, Log: r.log}
 	i, err := control.New(control.Options{
 		Self:       feed.Core{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone},
 		Seeds:      s.SeedIDs(),
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -53,6 +53,7 @@
 	Source string  `cbor:"2,keyasint,omitempty"`
 	Cost   float64 `cbor:"3,keyasint,omitempty"`
 	Front  float64 `cbor:"4,keyasint,omitempty"`
+	Wait   float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // news tells of a ticket: its target has begun to answer, or has ended.
@@ -131,7 +132,9 @@
 		s.tell(decider, news{Ticket: ticket, Ended: true, Result: pick.Neutral})
 		return exchange.Decision{}, false
 	}
-	return exchange.Decision{Target: d.Target, Source: d.Source, Cost: d.Cost, Front: d.Front, Ticket: ticket, By: decider}, d.Target != ""
+	return exchange.Decision{
+		Target: d.Target, Source: d.Source, Cost: d.Cost, Wait: d.Wait, Front: d.Front, Ticket: ticket, By: decider,
+	}, d.Target != ""
 }
 
 // Began implements exchange.Decider.
@@ -177,7 +180,7 @@
 	s.mu.Lock()
 	s.tickets[q.Ticket] = held{choice: choice, until: now.Add(time.Duration(q.LeftMillis) * time.Millisecond)}
 	s.mu.Unlock()
-	return cbor.Marshal(decision{Target: choice.ID, Source: choice.Source, Cost: choice.Cost, Front: choice.Front})
+	return cbor.Marshal(decision{Target: choice.ID, Source: choice.Source, Cost: choice.Cost, Front: choice.Front, Wait: choice.Wait})
 }
 
 func (s *Service) told(from string, payload []byte) {
--- a/node/deciding/service_test.go
+++ b/node/deciding/service_test.go
@@ -114,7 +114,7 @@
 			}
 		}
 		So(len(used), ShouldEqual, 5)
-		So(len(decider.pool.Loads()), ShouldEqual, 5)
+		So(len(decider.pool.Loads(time.Now())), ShouldEqual, 5)
 	})
 }
 
@@ -122,12 +122,12 @@
 	Convey("a decided request ends", t, func() {
 		decider, other := split(start(t, 2))
 		_, end := other.decide(t, call(1))
-		So(len(decider.pool.Loads()), ShouldEqual, 1)
+		So(len(decider.pool.Loads(time.Now())), ShouldEqual, 1)
 		end()
-		for deadline := time.Now().Add(20 * time.Second); len(decider.pool.Loads()) > 0 && time.Now().Before(deadline); {
+		for deadline := time.Now().Add(20 * time.Second); len(decider.pool.Loads(time.Now())) > 0 && time.Now().Before(deadline); {
 			time.Sleep(time.Millisecond)
 		}
-		So(decider.pool.Loads(), ShouldBeEmpty)
+		So(decider.pool.Loads(time.Now()), ShouldBeEmpty)
 	})
 }
 
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -68,7 +68,7 @@
 		return
 	}
 	view := i.gateway.View()
-	next := &exchange.View{Regions: map[exchange.RegionService]exchange.RegionLoad{}, Entries: len(k.entries.Entries) + 1, ListAt: k.list.ReadAt}
+	next := &exchange.View{Regions: map[exchange.RegionService]pick.RegionLoad{}, Entries: len(k.entries.Entries) + 1, ListAt: k.list.ReadAt}
 	if view != nil {
 		next.Index = view.Index
 	}
@@ -107,7 +107,9 @@
 	}
 	for _, s := range i.known.regions {
 		key := exchange.RegionService{Region: s.Region, Service: s.Service}
-		v.Regions[key] = exchange.RegionLoad{Targets: s.Targets, Slots: s.Slots, Running: s.Running, Unread: s.Unread}
+		v.Regions[key] = pick.RegionLoad{Targets: s.Targets, Slots: s.Slots, Load: pick.Load{
+			Running: s.Running, Unread: s.Unread, Held: s.Held, Reading: s.Reading,
+		}}
 	}
 }
 
@@ -140,7 +142,7 @@
 		}
 		s.Targets = append(s.Targets, pick.Target{
 			ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Slots: t.Slots, Draining: t.Draining,
-			ColdUntil: t.ColdUntil,
+			ColdUntil: t.ColdUntil, ColdTurn: t.ColdTurn, Born: t.Born,
 		})
 	}
 	self := i.o.Self
@@ -152,7 +154,7 @@
 		}
 	}
 	for _, l := range k.loads {
-		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: l.Unread, Held: l.Held}
+		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: l.Unread, Held: l.Held, Reading: l.Reading}
 	}
 	for _, service := range index.Table.Services {
 		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond, Engine: service.Engine != nil}
--- a/node/feed/list.go
+++ b/node/feed/list.go
@@ -71,7 +71,7 @@
 	d := xxhash.New()
 	for _, t := range targets {
 		digestParts(d, t.ID, t.Service, t.Address, t.Zone, strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining),
-			strconv.FormatBool(t.Cold()), strconv.Itoa(int(t.ColdTurn)))
+			strconv.FormatBool(t.Cold()), strconv.Itoa(int(t.ColdTurn)), strconv.FormatInt(t.Born, 10))
 	}
 	return max(1, d.Sum64())
 }
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -80,7 +80,7 @@
 	out := make([]Load, 0, len(r.loads))
 	for _, l := range r.loads {
 		m := mine[l.Target]
-		l.Running, l.Unread, l.Held = l.Running-m.Running, l.Unread-m.Unread, l.Held-m.Held
+		l = l.minus(m)
 		if l.Running != 0 || l.Unread != 0 {
 			out = append(out, l)
 		}
@@ -131,8 +131,7 @@
 		for _, l := range loads {
 			k := key{l.Region, l.Service}
 			if sum, ok := sums[k]; ok {
-				sum.Running, sum.Unread = sum.Running+l.Running, sum.Unread+l.Unread
-				sums[k] = sum
+				sums[k] = sum.plus(l.load())
 			}
 		}
 	}
@@ -157,7 +156,7 @@
 	add := func(loads []Load) {
 		for _, l := range loads {
 			sum := sums[l.Target]
-			sums[l.Target] = Load{Target: l.Target, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread, Held: sum.Held + l.Held}
+			sums[l.Target] = l.plus(sum)
 		}
 	}
 	for _, loads := range r.own {
@@ -182,9 +181,8 @@
 	for _, l := range r.loads {
 		if name := r.services[l.Target]; name != "" {
 			sum := sums[name]
-			sums[name] = Summary{
-				Region: b.self.Region, Service: name, Running: sum.Running + l.Running, Unread: sum.Unread + l.Unread,
-			}
+			sum.Region, sum.Service = b.self.Region, name
+			sums[name] = sum.plus(l)
 		}
 	}
 	var out []Summary
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -46,6 +46,9 @@
 	Unread  int `cbor:"3,keyasint,omitempty"`
 	// Held is the memory in tokens that they take until they end.
 	Held int `cbor:"4,keyasint,omitempty"`
+	// Reading is the time in milliseconds that reading prompts takes there, as it was given
+	// out lately.
+	Reading int `cbor:"5,keyasint,omitempty"`
 }
 
 // Core is an instance that keeps the replicated log.
@@ -69,7 +72,7 @@
 
 // Target is one back end as the platform lists it.
 type Target struct {
-	// ID is new at each start of the target.
+	// ID stays the same where a target starts again: see Born.
 	ID      string `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
 	Address string `cbor:"3,keyasint"`
@@ -85,6 +88,9 @@
 	ColdUntil  time.Time `cbor:"-"`
 	// ColdTurn tells one cold time of a target from the next.
 	ColdTurn uint8 `cbor:"9,keyasint,omitempty"`
+	// Born is when it started, in Unix milliseconds; 0 where the list does not tell. A
+	// target may start again under its id.
+	Born int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Report is what an entry instance asks a core instance with.
@@ -141,9 +147,11 @@
 type Summary struct {
 	Region  string `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
-	// Running and Unread are summed over its targets, as in Load.
+	// Running, Unread, Held and Reading are summed over its targets, as in Load.
 	Running int `cbor:"3,keyasint"`
 	Unread  int `cbor:"4,keyasint"`
+	Held    int `cbor:"7,keyasint,omitempty"`
+	Reading int `cbor:"8,keyasint,omitempty"`
 	// Targets may get work, and Slots are theirs. Only an Update tells them.
 	Targets int `cbor:"5,keyasint,omitempty"`
 	Slots   int `cbor:"6,keyasint,omitempty"`
--- a/pipeline/exchange/admit_test.go
+++ b/pipeline/exchange/admit_test.go
@@ -44,7 +44,7 @@
 		So(back, ShouldBeGreaterThan, 0)
 		So(len(x.requests())+len(y.requests()), ShouldEqual, 0)
 		// It is not counted at either of them.
-		loads := r.pool.Loads()
+		loads := r.pool.Loads(time.Now())
 		So(loads["t1"].Running+loads["t2"].Running, ShouldEqual, 0)
 		So(r.metrics.RefusedOverloaded.Count(), ShouldEqual, 1)
 
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -105,7 +105,7 @@
 		if d, ok := q.g.o.Decider.Decide(q.ctx, c, q.call.ID, q.until.Sub(now)); ok {
 			if choice := q.g.o.Pool.PickAt(now, c, d.Target); choice != nil {
 				q.g.o.Metrics.Decided.Inc(1)
-				choice.Source, choice.Cost, choice.Wait, choice.Front = d.Source, d.Cost, d.Cost, d.Front
+				choice.Source, choice.Cost, choice.Wait, choice.Front = d.Source, d.Cost, d.Wait, d.Front
 				return &place{choice: choice, decided: d, by: q.g.o.Decider}
 			}
 			q.g.o.Decider.Ended(d, pick.Neutral)
@@ -123,8 +123,6 @@
 	if q.from != nil {
 		return Peer{}, false
 	}
-	// Engines elsewhere are taken to be as slow as here.
-	slowness := q.g.o.Pool.Slowness(c.Service)
 	best, bestCost := Peer{}, local-spillMargin
 	if math.IsInf(local, 1) {
 		bestCost = local
@@ -133,7 +131,7 @@
 		if key.Service != q.service || load.Targets == 0 || !q.route.Allows(key.Region) || q.triedRegions[key.Region] {
 			continue
 		}
-		cost := regionCost(load, c, slowness)
+		cost := wideCost + q.g.o.Pool.RegionCost(load, c)
 		if q.g.hasRefused(now, key) {
 			cost += refusedCost
 		}
@@ -148,16 +146,6 @@
 	return best, best.Region != ""
 }
 
-// regionCost estimates the milliseconds until the first event from another region.
-func regionCost(load RegionLoad, c pick.Call, slowness float64) float64 {
-	targets := float64(load.Targets)
-	cost := wideCost + slowness*(float64(load.Unread)/targets+float64(c.PromptTokens))/pick.ReadRate
-	if over := load.Running + 1 - load.Slots; load.Slots > 0 && over > 0 {
-		cost += pick.QueueCost * float64(over) / targets
-	}
-	return cost + float64(load.Running)/targets
-}
-
 // peerOf draws an entry instance of a region.
 func (q *request) peerOf(region string) (Peer, bool) {
 	var of []Peer
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -362,7 +362,7 @@
 	a = newRig(t, "r", near...)
 	view := *a.view
 	view.Peers = []exchange.Peer{{Address: b.peers.Listener.Addr().String(), Region: "other"}}
-	view.Regions = map[exchange.RegionService]exchange.RegionLoad{{Region: "other", Service: "s"}: {Targets: 1, Slots: 4}}
+	view.Regions = map[exchange.RegionService]pick.RegionLoad{{Region: "other", Service: "s"}: {Targets: 1, Slots: 4}}
 	a.gateway.SetView(&view)
 	return a, b
 }
@@ -405,8 +405,8 @@
 		y := newTarget(t, "far", whole(200, "far"))
 		a, _ := pair(t, nil, []*target{y})
 		view := *a.gateway.View()
-		view.Regions[exchange.RegionService{Region: "empty", Service: "s"}] = exchange.RegionLoad{Targets: 9, Slots: 90}
-		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = exchange.RegionLoad{Targets: 1, Slots: 4, Running: 9}
+		view.Regions[exchange.RegionService{Region: "empty", Service: "s"}] = pick.RegionLoad{Targets: 9, Slots: 90}
+		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = pick.RegionLoad{Targets: 1, Slots: 4, Load: pick.Load{Running: 9}}
 		a.gateway.SetView(&view)
 		So(a.call("/unsafe/x", "b").status, ShouldEqual, 200)
 	})
@@ -418,7 +418,7 @@
 		x, y := newTarget(t, "near", whole(200, "near")), newTarget(t, "far", notRun)
 		a, _ := pair(t, []*target{x}, []*target{y})
 		view := *a.gateway.View()
-		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = exchange.RegionLoad{Targets: 1, Slots: 4}
+		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = pick.RegionLoad{Targets: 1, Slots: 4}
 		a.gateway.SetView(&view)
 		crossed := a.metrics.Spilled.Count()
 		for range 20 {
@@ -454,7 +454,7 @@
 		a, b := pair(t, nil, nil)
 		view := *b.view
 		view.Peers = []exchange.Peer{{Address: a.peers.Listener.Addr().String(), Region: "r"}}
-		view.Regions = map[exchange.RegionService]exchange.RegionLoad{{Region: "r", Service: "s"}: {Targets: 1, Slots: 4}}
+		view.Regions = map[exchange.RegionService]pick.RegionLoad{{Region: "r", Service: "s"}: {Targets: 1, Slots: 4}}
 		b.gateway.SetView(&view)
 		So(a.call("/safe/x", "").status, ShouldEqual, 503)
 		So(a.metrics.PassedOn.Count(), ShouldEqual, 0)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -99,9 +99,9 @@
 // Decision is a target chosen by another instance.
 type Decision struct {
 	Target string
-	// Source, Cost and Front are those of pick.Choice.
-	Source      string
-	Cost, Front float64
+	// Source, Cost, Wait and Front are those of pick.Choice.
+	Source            string
+	Cost, Wait, Front float64
 	// Ticket names the request at the instance By.
 	Ticket, By string
 }
@@ -113,7 +113,7 @@
 	// leave only where none of its others is there.
 	Peers []Peer
 	// Regions sums up the load of other regions by region and service.
-	Regions map[RegionService]RegionLoad
+	Regions map[RegionService]pick.RegionLoad
 	// ListAt is when the list of targets was read.
 	ListAt time.Time
 	// Entries is the number of entry instances in all regions.
@@ -129,14 +129,6 @@
 // RegionService names a service in a region.
 type RegionService struct{ Region, Service string }
 
-// RegionLoad is the load of a service in a region.
-type RegionLoad struct {
-	// Targets may get work; Running and Unread are summed over all.
-	Targets, Running, Unread int
-	// Slots is the sum of their slots.
-	Slots int
-}
-
 // Codes of the refusals.
 const (
 	CodeNoView    verdict.Code = "no_configuration"
--- a/route/pick/group_test.go
+++ b/route/pick/group_test.go
@@ -47,17 +47,17 @@
 	asker.Update(t0, s)
 	c, _ := decider.Pick(t0, call(1))
 	at := asker.PickAt(t0, call(1), c.ID)
-	if n := len(decider.Loads()) + len(asker.Loads()); n != 1 {
+	if n := len(decider.Loads(t0)) + len(asker.Loads(t0)); n != 1 {
 		t.Fatalf("listed %d times", n)
 	}
 	at.First(t0)
 	at.Done(t0, pick.Good)
 	c.Done(t0, pick.Good)
-	if n := len(decider.Loads()) + len(asker.Loads()); n != 0 {
+	if n := len(decider.Loads(t0)) + len(asker.Loads(t0)); n != 0 {
 		t.Fatalf("still listed %d times", n)
 	}
 	own, _ := asker.Pick(t0, call(1))
-	if len(asker.Loads()) != 1 {
+	if len(asker.Loads(t0)) != 1 {
 		t.Fatal("an own choice is not listed")
 	}
 	own.Done(t0, pick.Good)
--- /dev/null
+++ b/route/pick/incarnation_test.go
@@ -0,0 +1,82 @@
+package pick_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// Symptom: a target that has started again never gets a request any more, or is taken for
+// as loaded and as failing as the one before.
+// Events: a target drains, or crashes with requests under way, and starts again under its
+// id.
+// Cause: a target was known by its id alone.
+func TestTargetThatStartsAgainUnderItsIDIsAnotherOne(t *testing.T) {
+	list := func(change func(*pick.Target)) pick.Snapshot {
+		one := pick.Target{ID: "t0", Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: 4, Born: 1000}
+		change(&one)
+		return pick.Snapshot{Targets: []pick.Target{one}, Entries: []string{"e"}, Rules: engines()}
+	}
+	same := func(*pick.Target) {}
+	drained := func(x *pick.Target) { x.Draining = true }
+	Convey("a target of which all is known", t, func() {
+		p := pick.New("e")
+		p.Update(t0, list(same))
+		running, _ := p.Pick(t0, call(1))
+		lost, _ := p.Pick(t0, call(1))
+		lost.Done(t0, pick.Lost)
+		So(p.Kept(), ShouldEqual, 0)
+		Convey("listed again it stays what it was", func() {
+			p.Update(t0, list(same))
+			none, _ := p.Pick(t0, call(1))
+			So(none, ShouldBeNil)
+			So(p.Loads(t0)["t0"].Running, ShouldEqual, 1)
+		})
+		Convey("of a later start nothing is known", func() {
+			p.Update(t0, list(func(x *pick.Target) { x.Born = 1001 }))
+			So(p.Loads(t0), ShouldBeEmpty)
+			got, _ := p.Pick(t0, call(1))
+			So(got, ShouldNotBeNil)
+			Convey("and the end of what ran at the old one does not count there", func() {
+				running.Done(t0, pick.Lost)
+				So(p.Loads(t0)["t0"].Running, ShouldEqual, 1)
+				again, _ := p.Pick(t0, call(1))
+				So(again, ShouldNotBeNil)
+			})
+		})
+		Convey("an earlier start is an old list", func() {
+			p.Update(t0, list(func(x *pick.Target) { x.Born = 999 }))
+			So(p.Loads(t0)["t0"].Running, ShouldEqual, 1)
+		})
+	})
+	Convey("a drained target", t, func() {
+		p := pick.New("e")
+		open := func() bool {
+			c, _ := p.Pick(t0, call(1))
+			return c != nil
+		}
+		unborn := func(x *pick.Target) { x.Born = 0 }
+		p.Update(t0, list(func(x *pick.Target) { drained(x); unborn(x) }))
+		Convey("is not brought back by an older list", func() {
+			p.Update(t0, list(unborn))
+			So(open(), ShouldBeFalse)
+		})
+		Convey("is back when it is listed as newly cold", func() {
+			p.Update(t0, list(func(x *pick.Target) { unborn(x); x.ColdUntil, x.ColdTurn = t0.Add(3*time.Second), 7 }))
+			So(open(), ShouldBeTrue)
+		})
+		Convey("is back at another address", func() {
+			p.Update(t0, list(func(x *pick.Target) { unborn(x); x.Address = "10.0.0.2:1" }))
+			So(open(), ShouldBeTrue)
+		})
+		Convey("is back after it was off the list", func() {
+			s := list(unborn)
+			p.Update(t0, pick.Snapshot{Entries: s.Entries, Rules: s.Rules})
+			p.Update(t0, s)
+			So(open(), ShouldBeTrue)
+		})
+	})
+}
--- a/route/pick/load.go
+++ b/route/pick/load.go
@@ -5,6 +5,7 @@
 	l.Running += more.Running
 	l.Unread += more.Unread
 	l.Held += more.Held
+	l.Reading += more.Reading
 }
 
 // subtract takes a part out.
@@ -12,6 +13,7 @@
 	l.Running -= part.Running
 	l.Unread -= part.Unread
 	l.Held -= part.Held
+	l.Reading -= part.Reading
 }
 
 // load is what is under way at the target as far as is known.
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// Update takes in a new view. A target that was draining stays so under its id: an
-// older list, read elsewhere, must not bring it back.
+// Update takes in a new view. A target that was draining stays so until it starts again:
+// an older list, read elsewhere, must not bring it back.
 func (p *Pool) Update(now time.Time, s Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -73,7 +73,7 @@
 	p.noteEvacuations(now, s)
 	for _, listed := range s.Targets {
 		t := old[listed.ID]
-		if t == nil {
+		if t == nil || t.startedAgain(listed) {
 			t = &target{kept: map[uint64]time.Time{}, watches: map[*Choice]func(){}, slowness: usualSlowness, order: weight(0, listed.ID)}
 		}
 		listed.Draining = listed.Draining || t.Draining
@@ -149,13 +149,15 @@
 	chain := c.chain()
 	home := p.home(list, chain)
 	best, bestCost := p.best(now, p.group(list, chain), c, chain, home)
-	if best == nil || bestCost > crowded {
+	if best == nil || bestCost > leaveGroup {
 		best, bestCost = p.best(now, list, c, chain, home)
 	}
 	if best == nil {
 		return nil, ReasonLeft
 	}
-	return p.take(now, best, c, chain, bestCost, home), ""
+	ch := p.take(now, best, c, chain, bestCost, home)
+	best.readMore(now, ch.counted.Unread)
+	return ch, ""
 }
 
 // best is the eligible target of the least cost.
@@ -182,17 +184,16 @@
 		ch.Cold = true
 		t.coldNext = now.Add(time.Duration(float64(time.Second) / p.snapshot.Rules[t.Service].ColdPerSecond))
 	}
-	ch.Wait = p.wait(now, t, c, chain, t == home)
+	wait := p.wait(now, t, c, chain, t == home)
+	ch.Wait = wait
 	ch.plain, ch.at = p.reading(now, t, c, chain, t == home), now
 	unread := c.PromptTokens - t.keptTokens(now, chain)
 	if p.snapshot.Rules[t.Service].Engine {
-		ch.Front = max(0, ch.Wait-t.slowness*float64(unread)/ReadRate)
+		ch.Front = max(0, wait-t.slowness*float64(unread)/ReadRate)
 	}
 	ch.Source = p.source(now, t, chain, home)
 	ch.counted = Load{Running: 1, Unread: unread, Held: c.held()}
 	t.own.add(ch.counted)
-	t.read = t.lateReading(now) + float64(unread)/ReadRate
-	t.readAt = now
 	for _, l := range chain {
 		t.kept[l.key] = now
 	}
@@ -321,7 +322,7 @@
 
 // Loads lists what this instance has under way or has decided for others; what others
 // have decided they list.
-func (p *Pool) Loads() map[string]Load {
+func (p *Pool) Loads(now time.Time) map[string]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := map[string]Load{}
@@ -329,6 +330,7 @@
 		told := t.own
 		told.subtract(t.advised)
 		if told.Running > 0 {
+			told.Reading = int(t.ownReading(now))
 			out[id] = told
 		}
 	}
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -265,7 +265,7 @@
 		for _, c := range open {
 			c.Done(now, pick.Neutral)
 		}
-		if loads := p.Loads(); len(loads) > 0 {
+		if loads := p.Loads(now); len(loads) > 0 {
 			t.Fatalf("left: %v", loads)
 		}
 	})
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// cost is the wait with what failures and others cost.
+// cost is the wait with what others, full memory and failures cost.
 func (p *Pool) cost(now time.Time, t *target, c Call, chain []link, home bool) float64 {
 	return p.wait(now, t, c, chain, home) + p.social(now, t, c, chain) + p.crowding(t, c) + failCost*t.failShare
 }
@@ -34,14 +34,25 @@
 	if !p.snapshot.Rules[t.Service].Engine {
 		return 0
 	}
-	own := float64(c.PromptTokens-t.keptTokens(now, chain)) / ReadRate
-	running := float64(t.load().Running)
-	share := min(1, t.lateReading(now)/float64(readingSpan.Milliseconds()))
-	return disturb*own*running + slowed*float64(c.OutputTokens)*chunkTime*share
+	return disturbance(c, c.PromptTokens-t.keptTokens(now, chain), float64(t.load().Running), t.ownReading(now)+float64(t.others.Reading))
 }
 
-// lateReading is the reading given out over the last span, in milliseconds.
-func (t *target) lateReading(now time.Time) float64 {
+// disturbance is what reading unread tokens of a prompt costs the requests that run, and
+// the answer at a target that has read for so many milliseconds of the last span.
+func disturbance(c Call, unread int, running, reading float64) float64 {
+	share := min(1, reading/float64(readingSpan.Milliseconds()))
+	return disturb*float64(unread)/ReadRate*running + slowed*float64(c.answer())/usualAnswer*chunkTime*share
+}
+
+// readMore counts a prompt that this instance has given to the target.
+func (t *target) readMore(now time.Time, unread int) {
+	t.read = t.ownReading(now) + float64(unread)/ReadRate
+	t.readAt = now
+}
+
+// ownReading is the reading that this instance has given out over the last span, in
+// milliseconds.
+func (t *target) ownReading(now time.Time) float64 {
 	if t.readAt.IsZero() {
 		return 0
 	}
@@ -107,6 +118,10 @@
 func (p *Pool) Slowness(service string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.slowness(service)
+}
+
+func (p *Pool) slowness(service string) float64 {
 	list := p.byService[service]
 	if len(list) == 0 {
 		return usualSlowness
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -12,14 +12,18 @@
 
 // Target is one back end, as listed.
 type Target struct {
-	// ID is new at each start of the target.
+	// ID names the target. It may start again under its id, and knows nothing of before.
 	ID, Service, Address, Zone string
+	// Born is when it started, in Unix milliseconds; 0 if unknown.
+	Born int64
 	// Slots is how many requests it runs at once; 0 if unknown.
 	Slots int
 	// Draining targets get nothing new.
 	Draining bool
 	// ColdUntil is when it has warmed up; zero if it is warm.
 	ColdUntil time.Time
+	// ColdTurn tells one cold time of a target from the next.
+	ColdTurn uint8
 }
 
 // Part is one part of a prompt, from its beginning on.
@@ -52,6 +56,9 @@
 	// Running counts requests, Unread the prompt tokens of those not yet answered, and
 	// Held the tokens of memory that all of them take until they end.
 	Running, Unread, Held int
+	// Reading is the time in milliseconds that reading prompts takes there, as it was given
+	// out lately: it fades over readingSpan.
+	Reading int
 }
 
 // ServiceRules are what a service says of its targets.
@@ -114,9 +121,9 @@
 	// guess is the share of the shared parts that is taken as kept at the target
 	// that all instances prefer for them, where this instance has not sent them.
 	guess = 0.6
-	// crowded is the cost in milliseconds at the best target of a prompt's group beyond
+	// leaveGroup is the cost in milliseconds at the best target of a prompt's group beyond
 	// which all targets are candidates.
-	crowded = 400.0
+	leaveGroup = 400.0
 	// failCost is the cost of a target of which each answer failed lately, in
 	// milliseconds: about what a failed request costs its caller.
 	failCost = 1500.0
