pick: what waits at an engine is told apart by rank

Cause: an engine reads what is of the first rank first, but everything that waited there counted as in front of each request. In the 2 s after a loss of power of all, 500 requests were refused as they would be late, while those that were sent had their first event within 0.2 s (first rank) and 0.6 s (last).

Change: loads carry what is unread by rank; only what is of the same or an earlier rank counts as in front.

--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -108,7 +108,7 @@
 	for _, s := range i.known.regions {
 		key := exchange.RegionService{Region: s.Region, Service: s.Service}
 		v.Regions[key] = pick.RegionLoad{Targets: s.Targets, Slots: s.Slots, Load: pick.Load{
-			Running: s.Running, Unread: s.Unread, Held: s.Held, Reading: s.Reading,
+			Running: s.Running, Unread: queue(s.Unread), Held: s.Held, Reading: s.Reading,
 		}}
 	}
 }
@@ -132,6 +132,16 @@
 	return out
 }
 
+// queue is what waits, as another instance told it; ranks beyond those that are told apart
+// count as the last.
+func queue(byRank []int) pick.Queue {
+	var q pick.Queue
+	for rank, tokens := range byRank {
+		q[min(rank, pick.Ranks-1)] += tokens
+	}
+	return q
+}
+
 // snapshot is what the pool needs to know.
 func (i *Instance) snapshot(index *routes.Index, evacuated map[string]bool) pick.Snapshot {
 	k := &i.known
@@ -154,7 +164,7 @@
 		}
 	}
 	for _, l := range k.loads {
-		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: l.Unread, Held: l.Held, Reading: l.Reading}
+		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: queue(l.Unread), Held: l.Held, Reading: l.Reading}
 	}
 	for _, service := range index.Table.Services {
 		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond, Engine: service.Engine != nil}
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -174,16 +174,16 @@
 			Digest: 9, ReadAt: t0,
 			Targets: []feed.Target{{ID: "x", Service: "s", Region: "r"}, {ID: "y", Service: "s", Region: "q"}},
 		}, true)
-		b.Reported(t0, feed.Entry{ID: "e1", Region: "r", Ready: true, Loads: []feed.Load{{Target: "x", Running: 2, Unread: 50}}})
-		b.Reported(t0, feed.Entry{ID: "e2", Region: "r", Ready: true, Loads: []feed.Load{{Target: "x", Running: 1, Unread: 5}}})
+		b.Reported(t0, feed.Entry{ID: "e1", Region: "r", Ready: true, Loads: []feed.Load{{Target: "x", Running: 2, Unread: []int{50}}}})
+		b.Reported(t0, feed.Entry{ID: "e2", Region: "r", Ready: true, Loads: []feed.Load{{Target: "x", Running: 1, Unread: []int{5}}}})
 		near := b.Gossip(t0.Add(time.Second), true)
 		far := b.Gossip(t0.Add(time.Second), false)
 		So(near.Digest, ShouldEqual, 9)
 		So(near.ListAgeMillis, ShouldEqual, 1000)
-		So(near.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 3, Unread: 55}})
+		So(near.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 3, Unread: []int{55}}})
 		So(far.Loads, ShouldBeEmpty)
 		So(near.Entries[0].Loads, ShouldBeEmpty)
-		So(far.Regions, ShouldResemble, []feed.Summary{{Region: "r", Service: "s", Running: 3, Unread: 55}})
+		So(far.Regions, ShouldResemble, []feed.Summary{{Region: "r", Service: "s", Running: 3, Unread: []int{55}}})
 
 		Convey("another one learns that it has to fetch", func() {
 			other := feed.NewBoard(feed.Core{ID: "3", Region: "q"}, 1)
@@ -194,10 +194,10 @@
 			So(u.List, ShouldBeNil)
 		})
 		Convey("and adds the loads that others of the region told", func() {
-			b.Gossiped(t0, feed.Gossip{From: feed.Core{ID: "2", Region: "r"}, Loads: []feed.Load{{Target: "x", Running: 10, Unread: 1}}})
+			b.Gossiped(t0, feed.Gossip{From: feed.Core{ID: "2", Region: "r"}, Loads: []feed.Load{{Target: "x", Running: 10, Unread: []int{1}}}})
 			var u feed.Update
 			b.Fill(t0, feed.Report{Self: feed.Entry{ID: "e1", Region: "r"}}, nil, &u)
-			So(u.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 11, Unread: 6}})
+			So(u.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 11, Unread: []int{6}}})
 		})
 		Convey("and sends targets only where the digest differs", func() {
 			var known, unknown feed.Update
@@ -212,7 +212,7 @@
 			So(known.Regions, ShouldResemble, []feed.Summary{{Region: "q", Service: "s", Targets: 1}})
 			So(len(known.Entries.Entries), ShouldEqual, 1)
 			// The asker's own load is not among those of the others.
-			So(known.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 1, Unread: 5}})
+			So(known.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 1, Unread: []int{5}}})
 			asker := feed.Report{EntriesEpoch: known.Entries.Epoch, EntriesAt: known.Entries.At, Cores: known.CoresDigest, Self: feed.Entry{ID: "e1", Region: "r"}}
 			var again feed.Update
 			b.Fill(t0, asker, nil, &again)
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -81,7 +81,7 @@
 	for _, l := range r.loads {
 		m := mine[l.Target]
 		l = l.minus(m)
-		if l.Running != 0 || l.Unread != 0 {
+		if l.Running != 0 || len(l.Unread) != 0 {
 			out = append(out, l)
 		}
 	}
--- a/node/feed/sums.go
+++ b/node/feed/sums.go
@@ -1,17 +1,34 @@
 package feed
 
 // plus adds what another load says of the same target.
-func (l Load) plus(o Load) Load {
-	l.Running += o.Running
-	l.Unread += o.Unread
-	l.Held += o.Held
-	l.Reading += o.Reading
+func (l Load) plus(o Load) Load { return l.sum(o, 1) }
+
+// minus takes a part out.
+func (l Load) minus(part Load) Load { return l.sum(part, -1) }
+
+func (l Load) sum(o Load, sign int) Load {
+	l.Running += sign * o.Running
+	l.Held += sign * o.Held
+	l.Reading += sign * o.Reading
+	l.Unread = sumRanks(l.Unread, o.Unread, sign)
 	return l
 }
 
-// minus takes a part out.
-func (l Load) minus(part Load) Load {
-	return l.plus(Load{Running: -part.Running, Unread: -part.Unread, Held: -part.Held, Reading: -part.Reading})
+// sumRanks adds by rank, into a new slice: loads are shared between answers. Ranks of
+// nothing at the end are left out.
+func sumRanks(a, b []int, sign int) []int {
+	out := make([]int, max(len(a), len(b)))
+	copy(out, a)
+	for rank, n := range b {
+		out[rank] += sign * n
+	}
+	for len(out) > 0 && out[len(out)-1] == 0 {
+		out = out[:len(out)-1]
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return out
 }
 
 // plus adds the load of a target.
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -41,9 +41,9 @@
 type Load struct {
 	Target string `cbor:"1,keyasint"`
 	// Running counts requests, Unread the prompt tokens of those among them that
-	// have not answered yet.
-	Running int `cbor:"2,keyasint"`
-	Unread  int `cbor:"3,keyasint,omitempty"`
+	// have not answered yet, by their rank.
+	Running int   `cbor:"2,keyasint"`
+	Unread  []int `cbor:"3,keyasint,omitempty"`
 	// Held is the memory in tokens that they take until they end.
 	Held int `cbor:"4,keyasint,omitempty"`
 	// Reading is the time in milliseconds that reading prompts takes there, as it was given
@@ -148,10 +148,10 @@
 	Region  string `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
 	// Running, Unread, Held and Reading are summed over its targets, as in Load.
-	Running int `cbor:"3,keyasint"`
-	Unread  int `cbor:"4,keyasint"`
-	Held    int `cbor:"7,keyasint,omitempty"`
-	Reading int `cbor:"8,keyasint,omitempty"`
+	Running int   `cbor:"3,keyasint"`
+	Unread  []int `cbor:"4,keyasint,omitempty"`
+	Held    int   `cbor:"7,keyasint,omitempty"`
+	Reading int   `cbor:"8,keyasint,omitempty"`
 	// Targets may get work, and Slots are theirs. Only an Update tells them.
 	Targets int `cbor:"5,keyasint,omitempty"`
 	Slots   int `cbor:"6,keyasint,omitempty"`
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -64,7 +64,7 @@
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
 		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens, HintTokens: q.call.HintTokens, Tried: q.tried,
+		OutputTokens: q.call.OutputTokens, HintTokens: q.call.HintTokens, Rank: q.route.Priority, Tried: q.tried,
 	}
 }
 
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -156,7 +156,7 @@
 		return nil, ReasonLeft
 	}
 	ch := p.take(now, best, c, chain, bestCost, home)
-	best.readMore(now, ch.counted.Unread)
+	best.readMore(now, ch.counted.Unread.Ahead(c.Rank))
 	return ch, ""
 }
 
@@ -192,7 +192,7 @@
 		ch.Front = max(0, wait-t.slowness*float64(unread)/ReadRate)
 	}
 	ch.Source = p.source(now, t, chain, home)
-	ch.counted = Load{Running: 1, Unread: unread, Held: c.held()}
+	ch.counted = Load{Running: 1, Unread: QueueOf(c.Rank, unread), Held: c.held()}
 	t.own.add(ch.counted)
 	for _, l := range chain {
 		t.kept[l.key] = now
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -230,7 +230,7 @@
 	c, _ := p.Pick(t0, call(1))
 	first := c.ID
 	c.Done(t0, pick.Good)
-	s.Loads = map[string]pick.Load{first: {Running: 3, Unread: 60000}}
+	s.Loads = map[string]pick.Load{first: {Running: 3, Unread: pick.QueueOf(0, 60000)}}
 	p.Update(t0, s)
 	if c, _ := p.Pick(t0, call(1)); c.ID == first {
 		t.Fatal("sent where 60000 tokens wait")
@@ -338,7 +338,7 @@
 		s := pick.Snapshot{Targets: targets(5), Entries: []string{"e1", "e2"}, Rules: engines()}
 		one.Update(t0, s)
 		home, _ := one.Pick(t0, call(1))
-		s.Loads = map[string]pick.Load{home.ID: {Unread: 90000}}
+		s.Loads = map[string]pick.Load{home.ID: {Unread: pick.QueueOf(0, 90000)}}
 		other.Update(t0, s)
 		c, _ := other.Pick(t0, call(1))
 		So(c.ID, ShouldNotEqual, home.ID)
--- a/route/pick/region.go
+++ b/route/pick/region.go
@@ -17,7 +17,7 @@
 }
 
 // RegionCost estimates what a call costs at a region's targets, in milliseconds, as
-// Choice.Shared does at one of the own region: as if the load were spread evenly. The way
+// Choice.Wait does at one of the own region: as if the load were spread evenly. The way
 // there is not in it.
 func (p *Pool) RegionCost(load RegionLoad, c Call) float64 {
 	targets := float64(load.Targets)
@@ -33,6 +33,6 @@
 		return cost + slotCost*float64(load.Running)/float64(max(1, load.Slots))
 	}
 	// Engines elsewhere are taken to be as slow as here.
-	cost += p.slowness(c.Service) * (float64(load.Unread)/targets + float64(c.PromptTokens)) / ReadRate
+	cost += p.slowness(c.Service) * (float64(load.Unread.Ahead(c.Rank))/targets + float64(c.PromptTokens)) / ReadRate
 	return cost + runningCost*running
 }
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -62,7 +62,8 @@
 // reading is the time that the prompts in front and the call's own take at the plain
 // rate, in milliseconds.
 func (p *Pool) reading(now time.Time, t *target, c Call, chain []link, home bool) float64 {
-	unread := t.load().Unread
+	load := t.load()
+	unread := load.Unread.Ahead(c.Rank)
 	own := float64(c.PromptTokens - t.keptTokens(now, chain))
 	if home && len(chain) > 1 {
 		shared := float64(chain[len(chain)-2].tokens)
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -47,15 +47,19 @@
 	OutputTokens int
 	// HintTokens is the caller's estimate of the answer; 0 where it gave none.
 	HintTokens int
+	// Rank orders an engine's queue, 0 first.
+	Rank int
 	// Tried targets are not chosen again.
 	Tried []string
 }
 
 // Load is what others have under way at a target.
 type Load struct {
-	// Running counts requests, Unread the prompt tokens of those not yet answered, and
-	// Held the tokens of memory that all of them take until they end.
-	Running, Unread, Held int
+	// Running counts requests, and Held the tokens of memory that all of them take until
+	// they end.
+	Running, Held int
+	// Unread are the prompt tokens of those not yet answered.
+	Unread Queue
 	// Reading is the time in milliseconds that reading prompts takes there, as it was given
 	// out lately: it fades over readingSpan.
 	Reading int
