--- a/experiment/command.go
+++ b/experiment/command.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
+
+	"github.com/gullhaven/gullhaven/experiment/replay"
 )
 
 // Command is the command line of the experiment, in the form of go-flags.
@@ -26,6 +29,8 @@
 
 	Lone int `long:"lone" default:"1" description:"targets of a region that may be kept free at once for requests that may have killed one; 0 does not look for such requests"`
 
+	Patterns []string `long:"pattern" description:"recorded pattern of load to play against the decisions of a site and plain balancers, in place of the workloads; all stands for every one"`
+
 	// Out takes the table; standard output if nil.
 	Out io.Writer `no-flag:"true"`
 }
@@ -39,6 +44,9 @@
 	if out == nil {
 		out = os.Stdout
 	}
+	if len(c.Patterns) > 0 {
+		return c.replay(out)
+	}
 	res, err := Run(Options{
 		Workloads: c.Workloads, Deciders: c.Deciders, Loads: c.Loads, Faults: c.Faults,
 		Seeds: c.Seeds, Day: c.Day, Workers: c.Workers, Late: c.Late, Lone: c.Lone,
@@ -65,6 +73,15 @@
 	return err
 }
 
+// replay plays recorded patterns.
+func (c *Command) replay(out io.Writer) error {
+	names := c.Patterns
+	if slices.Contains(names, "all") {
+		names = replay.Names()
+	}
+	return replay.WriteTable(out, names, replay.Deciders, c.Seeds)
+}
+
 func (res *Result) saveJSON(name string) error {
 	f, err := os.Create(name)
 	if err != nil {
