exchange, feed: instances that leave are the last way into their region until they end

Change: an instance that leaves takes, after 3 s, what another region passes on if it can go on elsewhere should the end cut it off, and streams of its own callers whose time is over before its end. Others pass such requests on to it where its region has no better instance. A refusal for leaving counts against the instance, not its region.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -188,7 +188,7 @@
 	for range tick.C {
 		spent := time.Since(began)
 		if spent >= leastLeaving {
-			g.RefuseStreams()
+			g.RefuseStreams(began.Add(last))
 		}
 		if spent >= last || spent >= min(leastLeaving, last) && g.InFlight() == 0 {
 			return
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -147,9 +147,15 @@
 // Ready reports whether it takes requests.
 func (i *Instance) Ready() bool { return !i.draining.Load() && i.gateway.View() != nil }
 
-// leaving reports whether it still takes all requests though it leaves.
-func (i *Instance) leaving() bool {
-	return i.draining.Load() && i.gateway.View() != nil && !i.gateway.RefusesStreams()
+// leaving is what it still takes though it leaves.
+func (i *Instance) leaving() feed.Leaving {
+	switch {
+	case !i.draining.Load() || i.gateway.View() == nil:
+		return feed.TakesNothing
+	case i.gateway.RefusesStreams():
+		return feed.TakesPassed
+	}
+	return feed.TakesAll
 }
 
 // Gateway is the request path.
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -102,7 +102,7 @@
 func (i *Instance) showRegions(v *exchange.View) {
 	for _, e := range takers(i.known.entries.Entries) {
 		if e.Region != i.o.Self.Region {
-			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region})
+			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region, Ending: e.Leaving == feed.TakesPassed})
 		}
 	}
 	for _, s := range i.known.regions {
@@ -113,25 +113,39 @@
 	}
 }
 
-// takers are the entry instances that take requests: of each region the ready ones, or
-// where it has none those that leave.
+// takers are the entry instances that take requests: of each region the ready ones, where
+// it has none those that leave and take all, and where it has none of these the others that
+// leave.
 //
 // What goes wrong without the latter: while the last instances of a region are restarted
 // its targets stand idle, and other regions refuse what is bound to it or overflow.
 func takers(entries []feed.Entry) []feed.Entry {
-	served := map[string]bool{}
+	best := map[string]int{}
 	for _, e := range entries {
-		served[e.Region] = served[e.Region] || e.Ready
+		best[e.Region] = max(best[e.Region], taking(&e))
 	}
 	var out []feed.Entry
 	for _, e := range entries {
-		if e.Ready || e.Leaving && !served[e.Region] {
+		if n := taking(&e); n > 0 && n == best[e.Region] {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
+// taking orders instances by how much they take; 0 is nothing.
+func taking(e *feed.Entry) int {
+	switch {
+	case e.Ready:
+		return 3
+	case e.Leaving == feed.TakesAll:
+		return 2
+	case e.Leaving == feed.TakesPassed:
+		return 1
+	}
+	return 0
+}
+
 // queue is what waits, as another instance told it; ranks beyond those that are told apart
 // count as the last.
 func queue(byRank []int) pick.Queue {
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -62,7 +62,7 @@
 func TestLeavingInstancesAreTheWayIntoARegionWithoutOthers(t *testing.T) {
 	Convey("two instances of another region leave", t, func() {
 		i := newInstance(t)
-		one, two := feed.Entry{ID: "a", Region: "q", Ready: true}, feed.Entry{ID: "b", Region: "q", Leaving: true}
+		one, two := feed.Entry{ID: "a", Region: "q", Ready: true}, feed.Entry{ID: "b", Region: "q", Leaving: feed.TakesAll}
 		learn := func(base uint64, entries ...feed.Entry) {
 			i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, Base: base, At: base + 1, Entries: entries}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
 		}
@@ -75,11 +75,19 @@
 		}
 		learn(0, one, two)
 		So(peers(), ShouldResemble, []string{"a"})
-		one.Ready, one.Leaving = false, true
+		one.Ready, one.Leaving = false, feed.TakesAll
 		learn(1, one)
 		So(peers(), ShouldResemble, []string{"a", "b"})
-		one.Leaving, two.Leaving = false, false
-		learn(2, one, two)
+		two.Leaving = feed.TakesPassed
+		learn(2, two)
+		So(peers(), ShouldResemble, []string{"a"})
+		So(i.gateway.View().Peers[0].Ending, ShouldBeFalse)
+		one.Leaving = feed.TakesNothing
+		learn(3, one)
+		So(peers(), ShouldResemble, []string{"b"})
+		So(i.gateway.View().Peers[0].Ending, ShouldBeTrue)
+		two.Leaving = feed.TakesNothing
+		learn(4, two)
 		So(peers(), ShouldBeEmpty)
 	})
 }
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -101,7 +101,7 @@
 	if q.route == nil {
 		return &refusal{status: http.StatusNotFound, code: CodeNoRoute}
 	}
-	if q.g.ending.Load() && q.route.Kind == routes.Stream {
+	if q.g.cutsOff(q) {
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeLeaving, retry: place.Return(place.Leaving, 0)}
 	}
 	call, err := q.g.o.Dialect.Call(q.r.Header)
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/retry"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
@@ -48,8 +49,8 @@
 	o        Options
 	view     atomic.Pointer[View]
 	draining atomic.Bool
-	// ending says that what takes long would be cut off by the end.
-	ending   atomic.Bool
+	// ends is when this instance ends, in Unix nanoseconds; 0 while it takes all.
+	ends     atomic.Int64
 	inFlight atomic.Int64
 
 	// avoid holds until when each peer that could not be reached is left out.
@@ -79,12 +80,31 @@
 // Drain has each further answer close its connection.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// RefuseStreams has each further stream refused: it would not end in time. Callers
-// are told to come back at once, to another instance.
-func (g *Gateway) RefuseStreams() { g.ending.Store(true) }
+// RefuseStreams has each further stream refused that may last beyond the end of this
+// instance. Callers are told to come back at once, to another instance. What another
+// region passes on is taken if it can go on elsewhere: this may be the last way to the
+// targets of this region.
+func (g *Gateway) RefuseStreams(end time.Time) { g.ends.Store(end.UnixNano()) }
 
 // RefusesStreams reports whether RefuseStreams was called.
-func (g *Gateway) RefusesStreams() bool { return g.ending.Load() }
+func (g *Gateway) RefusesStreams() bool { return g.ends.Load() != 0 }
+
+// leastStay is how long an instance must still be there to take what another region passes
+// on: most answers of a second's length end in it.
+const leastStay = time.Second
+
+// cutsOff reports whether the end of this instance may cut a request off.
+func (g *Gateway) cutsOff(q *request) bool {
+	ends := g.ends.Load()
+	if ends == 0 || q.route.Kind != routes.Stream {
+		return false
+	}
+	left := time.Unix(0, ends).Sub(q.began)
+	if q.from != nil && q.route.Repeatable() {
+		return left < leastStay
+	}
+	return left < q.route.Timeout
+}
 
 // InFlight is the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -141,7 +141,7 @@
 	}
 	if a.Header.Get(headerRefused) != "" {
 		q.turnedAway = q.turnedAway || a.Header.Get(headerArrived) != ""
-		q.g.refused(time.Now(), RegionService{Region: peer.Region, Service: q.service})
+		q.refusedBy(peer, verdict.Code(a.Header.Get(headerRefused)))
 		discard(a)
 		return false
 	}
@@ -149,6 +149,18 @@
 	return done
 }
 
+// refusedBy notes that an instance of another region has turned the request away. One that
+// leaves says nothing of its region.
+func (q *request) refusedBy(peer Peer, code verdict.Code) {
+	now := time.Now()
+	if code == CodeLeaving {
+		q.g.unreachable(now, peer.Address)
+		delete(q.triedRegions, peer.Region)
+		return
+	}
+	q.g.refused(now, RegionService{Region: peer.Region, Service: q.service})
+}
+
 // lost takes in an attempt without an answer and says what it tells of the target.
 func (q *request) lost(target string, err error) pick.Result {
 	var f *rawhttp.Failure
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -124,6 +124,9 @@
 type Peer struct {
 	// Address is where it takes requests of other instances.
 	Address, Region string
+	// Ending says that it may end before the answer does: only what can be repeated is
+	// passed on to it.
+	Ending bool
 }
 
 // RegionService names a service in a region.
