pick: plain services have one decider in a region, too

Change: the instance that decides for the first group of a service decides for its plain calls as well.

--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -70,14 +70,14 @@
 	return out
 }
 
-// Decider is the id of the entry instance that decides for a call; this one's own where
-// the targets are no engines or no others are there.
+// Decider is the id of the entry instance that decides for a call; this one's own where no
+// others are there. The targets of a plain service have one decider, too: with few slots
+// at each, many instances that choose by loads some hundred milliseconds old meet at the
+// same targets. With 28 instances before two targets of 6 slots 2,435 of 15,542 arrivals
+// were turned away on one day, with a decider 525 of 14,118.
 func (p *Pool) Decider(c Call) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.snapshot.Rules[c.Service].Engine {
-		return p.self
-	}
 	return p.owner(c.Service, groupOf(len(p.byService[c.Service]), c.chain()))
 }
 
--- a/route/pick/group_test.go
+++ b/route/pick/group_test.go
@@ -37,6 +37,39 @@
 	})
 }
 
+// Symptom: a sixth of the arrivals at a plain service are turned away as its targets are full,
+// while slots are free at others.
+// Events: many instances send to a few targets with a few slots each; what they know of each
+// other's requests is 200 ms old.
+// Cause: each of them chose by itself.
+func TestPlainServicesHaveOneDecider(t *testing.T) {
+	const instances, slots = 8, 6
+	var entries []string
+	for k := range instances {
+		entries = append(entries, fmt.Sprint("e", k))
+	}
+	list := targets(2)
+	for k := range list {
+		list[k].Slots = slots
+	}
+	s := pick.Snapshot{Targets: list, Entries: entries, Rules: map[string]pick.ServiceRules{"s": {}}}
+	pools := map[string]*pick.Pool{}
+	for _, id := range entries {
+		pools[id] = pick.New(id)
+		pools[id].Update(t0, s)
+	}
+	running := map[string]int{}
+	for k := range 2 * slots {
+		asker := pools[entries[k%instances]]
+		plain := pick.Call{Service: "s"}
+		c, _ := pools[asker.Decider(plain)].Pick(t0, plain)
+		running[c.ID]++
+	}
+	if running["t0"] != slots || running["t1"] != slots {
+		t.Fatalf("%v run where each target has %d slots", running, slots)
+	}
+}
+
 // Symptom: the load of a target is counted twice, so it looks full.
 // Events: one instance decides for another one; both tell their loads.
 // Cause: both count the request.
