--- a/experiment/replay/world.go
+++ b/experiment/replay/world.go
@@ -1,12 +1,12 @@
 package replay
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/gullhaven/gullhaven/experiment/vtime"
 	"github.com/gullhaven/gullhaven/route/pick"
 	"github.com/gullhaven/gullhaven/route/place"
 	"github.com/gullhaven/gullhaven/standin/enginemodel"
@@ -24,27 +24,6 @@
 // epoch is where virtual time starts.
 var epoch = time.Unix(1_000_000, 0).UTC()
 
-// event is a thing to do at a time; equal times go in the order of making.
-type event struct {
-	at  time.Time
-	seq uint64
-	do  func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // engine is one of a region, with the requests that it has.
 type engine struct {
 	id     string
@@ -89,8 +68,7 @@
 type world struct {
 	p        *Pattern
 	now      time.Time
-	seq      uint64
-	queue    events
+	queue    vtime.Queue
 	regions  []*region
 	rng      *rand.Rand
 	figures  *Figures
@@ -112,12 +90,14 @@
 		w.plan(f)
 	}
 	w.every(tellInterval, w.tell)
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for {
+		at, do, ok := w.queue.Next()
+		if !ok {
+			return w.figures, nil
+		}
+		w.now = at
+		do()
 	}
-	return w.figures, nil
 }
 
 func (w *world) addRegion(r Region, decider string) error {
@@ -132,10 +112,7 @@
 	return err
 }
 
-func (w *world) at(t time.Time, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{t, w.seq, do})
-}
+func (w *world) at(t time.Time, do func()) { w.queue.At(t, do) }
 
 func (w *world) second(s float64) time.Time {
 	return epoch.Add(time.Duration(s * float64(time.Second)))
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -1,12 +1,12 @@
 package experiment
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/suspect"
+	"github.com/gullhaven/gullhaven/experiment/vtime"
 	"github.com/gullhaven/gullhaven/route"
 	"github.com/gullhaven/gullhaven/standin/enginemodel"
 )
@@ -53,31 +53,6 @@
 	make     Maker
 }
 
-// event is a thing to do at a time; equal times go in order of making.
-type event struct {
-	at  time.Time
-	seq uint64
-	do  func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // target is one engine with its feeds.
 type target struct {
 	spec    route.TargetSpec
@@ -156,8 +131,7 @@
 type world struct {
 	trial    *Trial
 	now      time.Time
-	seq      uint64
-	queue    eventQueue
+	queue    vtime.Queue
 	rng      *rand.Rand
 	regions  []*region
 	targets  map[route.TargetID]*target
@@ -234,8 +208,7 @@
 func (w *world) after(d time.Duration, do func()) { w.push(w.now.Add(d), do) }
 
 func (w *world) push(at time.Time, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{at, w.seq, do})
+	w.queue.At(at, do)
 }
 
 // run takes events until every call has its final answer. drainLimit bounds
@@ -248,13 +221,13 @@
 	w.summaries()
 	w.sampleCapacity()
 	limit := epoch.Add(w.trial.Day + drainLimit)
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
-		if e.at.After(limit) {
+	for {
+		at, do, ok := w.queue.Next()
+		if !ok || at.After(limit) {
 			return
 		}
-		w.now = e.at
-		e.do()
+		w.now = at
+		do()
 	}
 }
 
--- /dev/null
+++ b/pipeline/exchange/regions_test.go
@@ -0,0 +1,218 @@
+package exchange_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// Symptom: while a region passes most requests on, a service gets more repeats from all
+// instances together than its budget allows.
+// Events: requests are passed on to another region, whose targets turn them away.
+// Cause: a request that was passed on counted as a first sending at both instances, and so
+// allowed repeats twice.
+func TestRequestsPassedOnAllowRepeatsOnce(t *testing.T) {
+	Convey("100 requests of another region, each turned away by two targets", t, func() {
+		x, y := newTarget(t, "t1", notRun), newTarget(t, "t2", notRun)
+		a, _ := pair(t, nil, []*target{x, y})
+		for range 100 {
+			So(a.call("/safe/x", "").status, ShouldEqual, 503)
+		}
+		// 0.75 of an allowance of 100 shared by six at the instance that was passed them,
+		// which took none of them from its own callers.
+		So(sent(x, y), ShouldBeLessThanOrEqualTo, 100+13)
+		So(sent(x, y), ShouldBeGreaterThan, 105)
+	})
+}
+
+// Symptom: the same, where the other region refuses what its targets have turned away.
+// Events: requests are passed on, turned away there, and sent to a target here.
+// Cause: the instance that passed them on did not know that they had reached a target.
+func TestSendingsAfterARefusalElsewhereAreRepeats(t *testing.T) {
+	Convey("100 requests that the other region turns away, one target here", t, func() {
+		x, y := newTarget(t, "near", whole(200, "near")), newTarget(t, "far", notRun)
+		a, _ := pair(t, []*target{x}, []*target{y})
+		a.gateway.PassOnAfterRefusals()
+		for range 30 {
+			// The other region looks better.
+			a.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "near")
+		}
+		for range 100 {
+			a.call("/safe/x", "")
+		}
+		So(sent(y), ShouldEqual, 100)
+		// 0.75 of (20 of 100, and an allowance of 100 shared by six).
+		So(sent(x), ShouldBeLessThanOrEqualTo, 15+13)
+		So(sent(x), ShouldBeGreaterThan, 10)
+	})
+	Convey("what has reached no target there is no repeat", t, func() {
+		x := newTarget(t, "near", whole(200, "near"))
+		a, _ := pair(t, []*target{x}, nil)
+		for range 30 {
+			a.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "near")
+		}
+		for range 100 {
+			So(a.call("/safe/x", "").status, ShouldEqual, 200)
+		}
+	})
+}
+
+// Symptom: for seconds all requests that are bound to a region are refused, though its
+// targets stand idle and an instance there is up.
+// Events: the last instances of the region leave, and refuse all streams as their end may
+// cut them off; another region has no other way to these targets.
+// Cause: a stream that can go on elsewhere was refused like one that cannot.
+func TestLeavingInstanceTakesWhatIsPassedOnAndCanGoOn(t *testing.T) {
+	Convey("an instance of the other region that leaves", t, func() {
+		y := newTarget(t, "far", events(3, true))
+		a, b := pair(t, nil, []*target{y})
+		view := *a.gateway.View()
+		view.Peers[0].Ending = true
+		a.gateway.SetView(&view)
+		b.gateway.RefuseStreams(time.Now().Add(time.Minute))
+		Convey("is passed what may be resumed", func() { So(a.call("/resume/x", "b").body, ShouldEqual, pieces(1, 3)) })
+		Convey("is not passed what may run once only", func() {
+			So(a.call("/unsafe/x", "b").status, ShouldEqual, 503)
+			So(a.call("/stream/x", "b").status, ShouldEqual, 503)
+			So(len(y.requests()), ShouldEqual, 0)
+		})
+		Convey("refuses it shortly before its end, and is not asked again", func() {
+			b.gateway.RefuseStreams(time.Now().Add(10 * time.Millisecond))
+			for range 3 {
+				So(a.call("/resume/x", "b").status, ShouldEqual, 503)
+			}
+			So(len(y.requests()), ShouldEqual, 0)
+			So(a.metrics.Spilled.Count(), ShouldEqual, 1)
+		})
+	})
+}
+
+// pair are two regions; near passes on to far.
+func pair(t *testing.T, near, far []*target) (a, b *rig) {
+	b = newRig(t, "other", far...)
+	a = newRig(t, "r", near...)
+	view := *a.view
+	view.Peers = []exchange.Peer{{Address: b.peers.Listener.Addr().String(), Region: "other"}}
+	view.Regions = map[exchange.RegionService]pick.RegionLoad{{Region: "other", Service: "s"}: {Targets: 1, Slots: 4}}
+	a.gateway.SetView(&view)
+	return a, b
+}
+
+func TestOtherRegions(t *testing.T) {
+	Convey("a route with a home elsewhere is served there, with its headers intact", t, func() {
+		x, y := newTarget(t, "near", whole(200, "near")), newTarget(t, "far", whole(200, "far"))
+		a, _ := pair(t, []*target{x}, []*target{y})
+		got := a.call("/home/x", "")
+		So(got.body, ShouldEqual, "far")
+		So(sent(x), ShouldEqual, 0)
+		for name := range y.requests()[0].header {
+			So(name, ShouldNotStartWith, "Gullhaven-")
+		}
+	})
+	Convey("a region without targets passes on, and streams come through", t, func() {
+		y := newTarget(t, "far", events(5, true))
+		a, _ := pair(t, nil, []*target{y})
+		got := a.call("/stream/x", "b")
+		So(got.body, ShouldEqual, pieces(1, 5))
+		So(got.torn, ShouldBeFalse)
+	})
+	Convey("the other region turns it away: not run", t, func() {
+		y := newTarget(t, "far", notRun)
+		a, _ := pair(t, nil, []*target{y})
+		got := a.call("/unsafe/x", "b")
+		So(got.status, ShouldEqual, 503)
+		So(got.header.Get("Retry-After"), ShouldNotEqual, "")
+	})
+	Convey("the other region has lost it: it may have run", t, func() {
+		y := newTarget(t, "far", closes)
+		a, _ := pair(t, nil, []*target{y})
+		So(a.call("/unsafe/x", "b").status, ShouldEqual, 502)
+	})
+	// Symptom: requests are refused while a region could serve them.
+	// Events: the region that looks best has targets and no entry instance that takes
+	// requests; another one has both.
+	// Cause: the region was chosen before its instances were looked at.
+	Convey("a region without instances is no place", t, func() {
+		y := newTarget(t, "far", whole(200, "far"))
+		a, _ := pair(t, nil, []*target{y})
+		view := *a.gateway.View()
+		view.Regions[exchange.RegionService{Region: "empty", Service: "s"}] = pick.RegionLoad{Targets: 9, Slots: 90}
+		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = pick.RegionLoad{Targets: 1, Slots: 4, Load: pick.Load{Running: 9}}
+		a.gateway.SetView(&view)
+		So(a.call("/unsafe/x", "b").status, ShouldEqual, 200)
+	})
+	// Symptom: requests cross the wide area to be refused, again and again.
+	// Events: all targets of the other region turn requests away, though its summary says
+	// that they are idle; the own target is busy.
+	// Cause: nobody remembers that the region has refused.
+	Convey("a region that has just refused is left alone while there is another place", t, func() {
+		x, y := newTarget(t, "near", whole(200, "near")), newTarget(t, "far", notRun)
+		a, _ := pair(t, []*target{x}, []*target{y})
+		view := *a.gateway.View()
+		view.Regions[exchange.RegionService{Region: "other", Service: "s"}] = pick.RegionLoad{Targets: 1, Slots: 4}
+		a.gateway.SetView(&view)
+		crossed := a.metrics.Spilled.Count()
+		for range 20 {
+			busy, _ := a.pool.Pick(time.Now(), pick.Call{Service: "s"})
+			So(busy, ShouldNotBeNil)
+		}
+		for range 5 {
+			So(a.call("/unsafe/x", "b").body, ShouldEqual, "near")
+		}
+		So(a.metrics.Spilled.Count()-crossed, ShouldEqual, 1)
+	})
+	// Symptom: each request that crosses waits for a connection that cannot be made.
+	// Events: one of two instances of the other region is gone and is still named.
+	// Cause: nobody remembers that it could not be reached.
+	Convey("an instance that cannot be reached is left out for a while", t, func() {
+		y := newTarget(t, "far", whole(200, "far"))
+		a, _ := pair(t, nil, []*target{y})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		So(l.Close(), ShouldBeNil)
+		view := *a.gateway.View()
+		for range 9 {
+			view.Peers = append(view.Peers, exchange.Peer{Address: l.Addr().String(), Region: "other"})
+		}
+		a.gateway.SetView(&view)
+		before := a.metrics.Attempts.Count()
+		for range 20 {
+			So(a.call("/unsafe/x", "b").status, ShouldEqual, 200)
+		}
+		So(a.metrics.Attempts.Count()-before, ShouldBeLessThanOrEqualTo, 21)
+	})
+	Convey("a request crosses once only", t, func() {
+		a, b := pair(t, nil, nil)
+		view := *b.view
+		view.Peers = []exchange.Peer{{Address: a.peers.Listener.Addr().String(), Region: "r"}}
+		view.Regions = map[exchange.RegionService]pick.RegionLoad{{Region: "r", Service: "s"}: {Targets: 1, Slots: 4}}
+		b.gateway.SetView(&view)
+		So(a.call("/safe/x", "").status, ShouldEqual, 503)
+		So(a.metrics.PassedOn.Count(), ShouldEqual, 0)
+		So(b.metrics.PassedOn.Count(), ShouldEqual, 1)
+	})
+	Convey("an instance with an older configuration does not decide", t, func() {
+		y := newTarget(t, "far", whole(200, "far"))
+		a, b := pair(t, nil, []*target{y})
+		b.table.Version = 2
+		So(a.call("/safe/x", "").status, ShouldEqual, 503)
+		So(sent(y), ShouldEqual, 0)
+	})
+	Convey("the other region tries one target only", t, func() {
+		y, z := newTarget(t, "far1", whole(500, "failed")), newTarget(t, "far2", whole(500, "failed"))
+		a, _ := pair(t, nil, []*target{y, z})
+		So(a.call("/safe/x", "").status, ShouldEqual, 500)
+		So(sent(y, z), ShouldEqual, 1)
+	})
+	Convey("a request of another instance must say where from", t, func() {
+		b := newRig(t, "other")
+		req := b.request("/safe/x", "")
+		req.URL.Host = b.peers.Listener.Addr().String()
+		So(do(req).status, ShouldEqual, 400)
+	})
+}
