--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -49,8 +49,8 @@
 	o        Options
 	view     atomic.Pointer[View]
 	draining atomic.Bool
-	// ends is when this instance ends, in Unix nanoseconds; 0 while it takes all.
-	ends     atomic.Int64
+	// ends is when this instance ends, by the steady clock; nil while it takes all.
+	ends     atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 
 	// avoid holds until when each peer that could not be reached is left out.
@@ -84,10 +84,10 @@
 // instance. Callers are told to come back at once, to another instance. What another
 // region passes on is taken if it can go on elsewhere: this may be the last way to the
 // targets of this region.
-func (g *Gateway) RefuseStreams(end time.Time) { g.ends.Store(end.UnixNano()) }
+func (g *Gateway) RefuseStreams(end time.Time) { g.ends.Store(&end) }
 
 // RefusesStreams reports whether RefuseStreams was called.
-func (g *Gateway) RefusesStreams() bool { return g.ends.Load() != 0 }
+func (g *Gateway) RefusesStreams() bool { return g.ends.Load() != nil }
 
 // leastStay is how long an instance must still be there to take what another region passes
 // on: most answers of a second's length end in it.
@@ -96,10 +96,10 @@
 // cutsOff reports whether the end of this instance may cut a request off.
 func (g *Gateway) cutsOff(q *request) bool {
 	ends := g.ends.Load()
-	if ends == 0 || q.route.Kind != routes.Stream {
+	if ends == nil || q.route.Kind != routes.Stream {
 		return false
 	}
-	left := time.Unix(0, ends).Sub(q.began)
+	left := ends.Sub(q.began)
 	if q.from != nil && q.route.Repeatable() {
 		return left < leastStay
 	}
