--- a/node/control/reading.go
+++ b/node/control/reading.go
@@ -72,7 +72,7 @@
 			notBefore = i.reading.started.Add(i.patience())
 		default:
 			notBefore = time.Now().Add(i.interval())
-			i.log.Warn("the list of targets was not read", zap.Error(err))
+			i.log.Warn("the list of targets was not read", zap.Error(err), zap.Duration("age_of_the_last", now.Sub(i.board.List().ReadAt)))
 		}
 	})
 }
