pick: a target that was out of reach counts as cold when it answers again

Cause, read from the code: an engine that is back from a crash is idle, so after the first request that it answers well it is given all that comes, until the platform's list tells a second or two later that it is cold.

Change: a target to which no connection could be made counts as cold for the time of a start once it answers. An evacuation that ended earlier does not shorten that.

The test fails without it.

--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -116,6 +116,10 @@
 		t.probing = false
 	}
 	switch r {
+	case Good, Failed, Full:
+		c.pool.answered(now, t)
+	}
+	switch r {
 	case Good:
 		t.failures, t.downUntil = 0, time.Time{}
 		t.failShare *= failKeep
@@ -123,6 +127,7 @@
 		t.failures, t.downUntil = 0, time.Time{}
 		t.failShare = t.failShare*failKeep + (1 - failKeep)
 	case Unreachable:
+		t.unreached = true
 		for _, watch := range t.watches {
 			watches = append(watches, watch)
 		}
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -33,6 +33,27 @@
 	return now.Before(t.ColdUntil.Add(coldMargin)) || now.Before(t.coldBy)
 }
 
+// answered notes that a target is there. One that was out of reach may have started anew a
+// moment ago, and counts as cold for as long as a start takes.
+//
+// What goes wrong without it: the platform's list tells that a target is cold a second or two
+// after its start. In between it looks idle, so as soon as one request has come back well it
+// is given all that comes: on one day 11 in a second where it bears 7, and it crashes again.
+func (p *Pool) answered(now time.Time, t *target) {
+	if !t.unreached {
+		return
+	}
+	t.unreached = false
+	t.coldUntil(now.Add(p.snapshot.Rules[t.Service].ColdFor + coldMargin))
+}
+
+// coldUntil has the target count as cold for longer.
+func (t *target) coldUntil(until time.Time) {
+	if until.After(t.coldBy) {
+		t.coldBy = until
+	}
+}
+
 // mayWarm shares a cold target's few requests out: the entry instance that decides for
 // its group gives them at the rate that it bears, and the others none. What goes wrong
 // without it: each instance keeps the rate by itself, their sum crashes the target,
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -44,10 +44,12 @@
 	// slowness is how many times longer first events took than at the service's engines as
 	// a rule.
 	slowness float64
-	// coldAt is when it last was given a request while cold, and coldBy when a
-	// zone's return from evacuation ends to count as cold.
+	// coldNext is when it may be given the next request while cold. coldBy is when it ends to
+	// count as cold after a zone's return from evacuation, or after it was out of reach.
 	coldNext time.Time
 	coldBy   time.Time
+	// unreached says that no connection to it could be made since its last answer.
+	unreached bool
 	// order is its place among the targets of the service, alike at all instances.
 	order uint64
 	// group is the part of the service's targets that it belongs to.
@@ -83,7 +85,7 @@
 		listed.Draining = listed.Draining || t.Draining
 		t.Target, t.others = listed, s.Loads[listed.ID]
 		if at, ok := p.evacuatedAt[listed.Zone]; ok && !s.Evacuated[listed.Zone] {
-			t.coldBy = at.Add(s.Rules[listed.Service].ColdFor + coldMargin)
+			t.coldUntil(at.Add(s.Rules[listed.Service].ColdFor + coldMargin))
 		}
 		p.targets[listed.ID] = t
 		p.byService[listed.Service] = append(p.byService[listed.Service], t)
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -103,6 +103,53 @@
 	}
 }
 
+// Symptom: a target that has just started again gets many times what it bears, and crashes
+// once more.
+// Events: a target crashes and is back after two seconds. The list does not tell for another
+// second that it is cold; the first request to it is answered at once.
+// Cause: it was taken for well as soon as it had answered, and it looked idle.
+func TestTargetThatWasOutOfReachIsColdAtFirst(t *testing.T) {
+	p := pick.New("e")
+	rules := map[string]pick.ServiceRules{"s": {Engine: true, ColdFor: 3 * time.Second, ColdPerSecond: 3}}
+	p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}, Rules: rules})
+	c, _ := p.Pick(t0, call(1))
+	c.Done(t0, pick.Unreachable)
+	back := t0.Add(2 * time.Second)
+	probe, _ := p.Pick(back, call(1))
+	probe.First(back)
+	probe.Done(back, pick.Good)
+	sent := func(from time.Time) int {
+		got := 0
+		for k := range 100 {
+			at := from.Add(time.Duration(k) * 10 * time.Millisecond)
+			if c, _ := p.Pick(at, call(1)); c != nil {
+				c.Done(at, pick.Good)
+				got++
+			}
+		}
+		return got
+	}
+	if n := sent(back); n == 0 || n > 4 {
+		t.Errorf("%d requests in the first second", n)
+	}
+	// An evacuation that ended long ago does not make it warm.
+	p.Update(back.Add(time.Second), pick.Snapshot{Targets: targets(1), Entries: []string{"e"}, Rules: rules})
+	if n := sent(back.Add(time.Second)); n > 4 {
+		t.Errorf("%d requests in the second second", n)
+	}
+	if n := sent(back.Add(4 * time.Second)); n < 90 {
+		t.Errorf("%d requests in a second when it is warm", n)
+	}
+	// One that breaks off an answer was there.
+	lost, _ := p.Pick(back.Add(6*time.Second), call(1))
+	lost.Done(back.Add(6*time.Second), pick.Lost)
+	again, _ := p.Pick(back.Add(7*time.Second), call(1))
+	again.Done(back.Add(7*time.Second), pick.Good)
+	if n := sent(back.Add(7 * time.Second)); n < 90 {
+		t.Errorf("%d requests in a second after a broken answer", n)
+	}
+}
+
 // Symptom: a target crashes at the full rate a moment after the list calls it warm.
 // Events: the list says that it is cold for 100 ms more; a request comes 150 ms later.
 // Cause: the list's cold time was taken to the millisecond.
