entry, exchange: nothing is passed on to instances that leave

A stream of 12 s was passed on to an instance of another region that was leaving, cut off by its end, passed on to one of a third region that was leaving too, and cut off again; the caller's own instance had been told to leave 0.4 s after the stream came, so the cut counts as lost by planned work.

--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -149,11 +149,8 @@
 
 // leaving is what it still takes though it leaves.
 func (i *Instance) leaving() feed.Leaving {
-	switch {
-	case !i.draining.Load() || i.gateway.View() == nil:
+	if !i.draining.Load() || i.gateway.View() == nil || i.gateway.RefusesStreams() {
 		return feed.TakesNothing
-	case i.gateway.RefusesStreams():
-		return feed.TakesPassed
 	}
 	return feed.TakesAll
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -100,9 +100,11 @@
 
 // showRegions sums up the other regions.
 func (i *Instance) showRegions(v *exchange.View) {
-	for _, e := range takers(i.known.entries.Entries) {
-		if e.Region != i.o.Self.Region {
-			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region, Ending: e.Leaving == feed.TakesPassed})
+	for _, e := range i.known.entries.Entries {
+		// One that leaves is no way into its region: its end would cut off what was passed on
+		// to it, and the caller's own instance may be leaving as well.
+		if e.Ready && e.Region != i.o.Self.Region {
+			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region})
 		}
 	}
 	for _, s := range i.known.regions {
@@ -113,37 +115,23 @@
 	}
 }
 
-// takers are the entry instances that take requests: of each region the ready ones, where
-// it has none those that leave and take all, and where it has none of these the others that
-// leave.
-//
-// What goes wrong without the latter: while the last instances of a region are restarted
-// its targets stand idle, and other regions refuse what is bound to it or overflow.
-func takers(entries []feed.Entry) []feed.Entry {
-	best := map[string]int{}
+// takers are the entry instances of a region that take requests: the ready ones, or where
+// it has none those that leave and still take all, so that these agree on who decides.
+func takers(entries []feed.Entry, region string) []string {
+	var ready, leaving []string
 	for _, e := range entries {
-		best[e.Region] = max(best[e.Region], taking(&e))
-	}
-	var out []feed.Entry
-	for _, e := range entries {
-		if n := taking(&e); n > 0 && n == best[e.Region] {
-			out = append(out, e)
+		switch {
+		case e.Region != region:
+		case e.Ready:
+			ready = append(ready, e.ID)
+		case e.Leaving == feed.TakesAll:
+			leaving = append(leaving, e.ID)
 		}
 	}
-	return out
-}
-
-// taking orders instances by how much they take; 0 is nothing.
-func taking(e *feed.Entry) int {
-	switch {
-	case e.Ready:
-		return 3
-	case e.Leaving == feed.TakesAll:
-		return 2
-	case e.Leaving == feed.TakesPassed:
-		return 1
-	}
-	return 0
+	if len(ready) > 0 {
+		return ready
+	}
+	return leaving
 }
 
 // queue is what waits, as another instance told it; ranks beyond those that are told apart
@@ -172,11 +160,7 @@
 	self := i.o.Self
 	// The first view makes it ready.
 	self.Ready, self.Leaving = !i.draining.Load(), i.leaving()
-	for _, e := range takers(append([]feed.Entry{self}, k.entries.Entries...)) {
-		if e.Region == self.Region {
-			s.Entries = append(s.Entries, e.ID)
-		}
-	}
+	s.Entries = takers(append([]feed.Entry{self}, k.entries.Entries...), self.Region)
 	for _, l := range k.loads {
 		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: queue(l.Unread), Reading: l.Reading}
 	}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -45,9 +45,6 @@
 	TakesNothing Leaving = iota
 	// TakesAll: callers may still come.
 	TakesAll
-	// TakesPassed: only what other regions pass on and can be repeated, as it may end before
-	// the answer does.
-	TakesPassed
 )
 
 // Load is what one instance has under way at one target.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -128,13 +128,11 @@
 	return out
 }
 
-// peersOf are the entry instances of a region that the request may be passed on to and that
-// can be reached, as far as is known.
+// peersOf are the entry instances of a region that can be reached as far as is known.
 func (q *request) peersOf(now time.Time, region string) []Peer {
 	var of []Peer
 	for _, p := range q.view.Peers {
-		fits := !p.Ending || q.route.Repeatable()
-		if p.Region == region && fits && !q.g.avoided(now, p.Address) {
+		if p.Region == region && !q.g.avoided(now, p.Address) {
 			of = append(of, p)
 		}
 	}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -81,29 +81,19 @@
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
 // RefuseStreams has each further stream refused that may last beyond the end of this
-// instance. Callers are told to come back at once, to another instance. What another
-// region passes on is taken if it can go on elsewhere: this may be the last way to the
-// targets of this region.
+// instance. Callers are told to come back at once, to another instance.
 func (g *Gateway) RefuseStreams(end time.Time) { g.ends.Store(&end) }
 
 // RefusesStreams reports whether RefuseStreams was called.
 func (g *Gateway) RefusesStreams() bool { return g.ends.Load() != nil }
 
-// leastStay is how long an instance must still be there to take what another region passes
-// on: most answers of a second's length end in it.
-const leastStay = time.Second
-
 // cutsOff reports whether the end of this instance may cut a request off.
 func (g *Gateway) cutsOff(q *request) bool {
 	ends := g.ends.Load()
 	if ends == nil || q.route.Kind != routes.Stream {
 		return false
 	}
-	left := ends.Sub(q.began)
-	if q.from != nil && q.route.Repeatable() {
-		return left < leastStay
-	}
-	return left < q.route.Timeout
+	return ends.Sub(q.began) < q.route.Timeout
 }
 
 // InFlight is the number of requests in progress.
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -108,8 +108,7 @@
 // View is what is known of the surroundings. It is replaced, never changed.
 type View struct {
 	Index *routes.Index
-	// Peers are entry instances of other regions that take requests. Those of a region
-	// leave only where none of its others is there.
+	// Peers are entry instances of other regions that take requests.
 	Peers []Peer
 	// Regions sums up the load of other regions by region and service.
 	Regions map[RegionService]pick.RegionLoad
@@ -123,9 +122,6 @@
 type Peer struct {
 	// Address is where it takes requests of other instances.
 	Address, Region string
-	// Ending says that it may end before the answer does: only what can be repeated is
-	// passed on to it.
-	Ending bool
 }
 
 // RegionService names a service in a region.
