--- a/experiment/replay/chooser.go
+++ b/experiment/replay/chooser.go
@@ -115,7 +115,7 @@
 func (s *site) offers(q *request, mayPass bool) []place.Offer {
 	var out []place.Offer
 	for _, o := range s.w.regions {
-		if mayPass && o != s.r && o.told.Targets > 0 && s.w.reaches(s.r, o) {
+		if mayPass && o != s.r && o.told.Targets > 0 && !s.w.cut {
 			out = append(out, place.Offer{Region: o.Name, Cost: s.pool.RegionCost(o.told, q.call)})
 		}
 	}
@@ -165,7 +165,7 @@
 	live := p.r.live()
 	if len(live) == 0 {
 		for _, o := range p.w.regions {
-			if mayPass && o != p.r && len(o.live()) > 0 && p.w.reaches(p.r, o) {
+			if mayPass && o != p.r && len(o.live()) > 0 && !p.w.cut {
 				return decision{region: o}
 			}
 		}
--- a/experiment/replay/fault.go
+++ b/experiment/replay/fault.go
@@ -71,9 +71,6 @@
 	}
 }
 
-// reaches reports whether a region can pass a request on to another one.
-func (w *world) reaches(_, _ *region) bool { return !w.cut }
-
 // inOrder are the requests of an engine in the order of their ids, as each run of a seed
 // must be the same.
 func (e *engine) inOrder() []*request {
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -147,12 +147,9 @@
 // Ready reports whether it takes requests.
 func (i *Instance) Ready() bool { return !i.draining.Load() && i.gateway.View() != nil }
 
-// leaving is what it still takes though it leaves.
-func (i *Instance) leaving() feed.Leaving {
-	if !i.draining.Load() || i.gateway.View() == nil || i.gateway.RefusesStreams() {
-		return feed.TakesNothing
-	}
-	return feed.TakesAll
+// leaving reports whether it still takes callers though it leaves.
+func (i *Instance) leaving() bool {
+	return i.draining.Load() && i.gateway.View() != nil && !i.gateway.RefusesStreams()
 }
 
 // Gateway is the request path.
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -124,7 +124,7 @@
 		case e.Region != region:
 		case e.Ready:
 			ready = append(ready, e.ID)
-		case e.Leaving == feed.TakesAll:
+		case e.Leaving:
 			leaving = append(leaving, e.ID)
 		}
 	}
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -64,19 +64,19 @@
 func TestNothingIsPassedOnToInstancesThatLeave(t *testing.T) {
 	Convey("two instances of another region", t, func() {
 		i := newInstance(t)
-		one, two := feed.Entry{ID: "a", Region: "q", Ready: true}, feed.Entry{ID: "b", Region: "q", Leaving: feed.TakesAll}
+		one, two := feed.Entry{ID: "a", Region: "q", Ready: true}, feed.Entry{ID: "b", Region: "q", Leaving: true}
 		learn := func(base uint64, entries ...feed.Entry) {
 			i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, Base: base, At: base + 1, Entries: entries}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
 		}
 		learn(0, one, two)
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
 		So(i.gateway.View().Peers[0].Address, ShouldEqual, "a")
-		one.Ready, one.Leaving = false, feed.TakesAll
+		one.Ready, one.Leaving = false, true
 		learn(1, one)
 		So(i.gateway.View().Peers, ShouldBeEmpty)
 	})
 	Convey("in the own region those that leave decide where none is ready", t, func() {
-		leaving := feed.Entry{ID: "a", Region: "r", Leaving: feed.TakesAll}
+		leaving := feed.Entry{ID: "a", Region: "r", Leaving: true}
 		ready := feed.Entry{ID: "b", Region: "r", Ready: true}
 		gone, elsewhere := feed.Entry{ID: "c", Region: "r"}, feed.Entry{ID: "d", Region: "q", Ready: true}
 		So(takers([]feed.Entry{leaving, gone, elsewhere}, "r"), ShouldResemble, []string{"a"})
--- a/node/feed/addresses.go
+++ b/node/feed/addresses.go
@@ -14,7 +14,7 @@
 // that may not, and all their requests on that route are refused.
 func CallerAddresses(entries []Entry, region string, weight func(region string) int) []string {
 	ready := func(e *Entry) bool { return e.Ready }
-	leaving := func(e *Entry) bool { return e.Leaving == TakesAll && !e.Ready }
+	leaving := func(e *Entry) bool { return e.Leaving && !e.Ready }
 	if own := inRegion(entries, region, ready); len(own) > 0 {
 		return own
 	}
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -119,7 +119,7 @@
 	switch {
 	case known && old.Ready == e.Ready && old.Leaving == e.Leaving:
 		return
-	case known && (old.Ready || old.Leaving != TakesNothing):
+	case known && (old.Ready || old.Leaving):
 	case now.Sub(b.newcomerAt) < newcomerGap:
 		return
 	default:
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -105,7 +105,7 @@
 // Cause: an instance that leaves was taken for gone, though it takes requests for 3 s.
 func TestDirectoryNamesLeavingInstancesWhereNoReadyOneServesAll(t *testing.T) {
 	leaving := func(region, callers string) feed.Entry {
-		return feed.Entry{Region: region, Callers: callers, Leaving: feed.TakesAll}
+		return feed.Entry{Region: region, Callers: callers, Leaving: true}
 	}
 	ready := func(region, callers string) feed.Entry {
 		return feed.Entry{Region: region, Callers: callers, Ready: true}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -32,21 +32,11 @@
 	Loads []Load `cbor:"6,keyasint,omitempty"`
 	// AgeMillis is how old the report is where it is handed on.
 	AgeMillis int64 `cbor:"7,keyasint,omitempty"`
-	// Leaving says what it still takes though it is not ready: where a region has no other,
-	// it is better than none.
-	Leaving Leaving `cbor:"8,keyasint,omitempty"`
+	// Leaving says that it takes callers for a little while yet, though it is not ready:
+	// where a region has no other, it is better than none.
+	Leaving bool `cbor:"8,keyasint,omitempty"`
 }
 
-// Leaving is what an instance that leaves takes.
-type Leaving uint8
-
-const (
-	// TakesNothing: it is not leaving, or is gone for its callers.
-	TakesNothing Leaving = iota
-	// TakesAll: callers may still come.
-	TakesAll
-)
-
 // Load is what one instance has under way at one target.
 type Load struct {
 	Target string `cbor:"1,keyasint"`
--- a/route/pick/region.go
+++ b/route/pick/region.go
@@ -17,7 +17,7 @@
 	running := float64(load.Running) / targets
 	cost := 0.0
 	if over := load.Running + 1 - load.Slots; load.Slots > 0 && over > 0 {
-		cost += QueueCost * float64(over) / targets
+		cost += queueCost * float64(over) / targets
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -65,7 +65,7 @@
 	if t.Slots == 0 {
 		return 0
 	}
-	return QueueCost * float64(max(0, running+1-t.Slots))
+	return queueCost * float64(max(0, running+1-t.Slots))
 }
 
 // own is the part of the prompt that is read at a target: where the home is not known to
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -113,8 +113,8 @@
 	// slotCost is what a request at a plain target costs the next one, in
 	// milliseconds for a full set of slots: a few tens of milliseconds of work.
 	slotCost = 40.0
-	// QueueCost is the cost of each request beyond the slots, in milliseconds.
-	QueueCost = 60.0
+	// queueCost is the cost of each request beyond the slots, in milliseconds.
+	queueCost = 60.0
 	// guess is the share of the shared parts that is taken as kept at the target
 	// that all instances prefer for them, where this instance has not sent them.
 	guess = 0.6
