e2e: a found port is free; platform: a test asks the instance for its leader

(2) TestFirstStateIsToldAtOnceWhereNobodyLeads took the last 'leader' line of the log, which each instance writes at its next heartbeat: where all went in 0.3 s there was none, index out of range. Change: starts of processes and the closing of found ports exclude each other in e2e; targets close their listener themselves. The instance tells its leader.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -12,12 +12,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -175,50 +173,6 @@
 	}
 }
 
-// Ports are handed out below the range that the system takes the local ports of
-// connections from: a port found free up there can be taken by any connection
-// before the process that it is meant for, or that starts again, listens. Each
-// run of the tests has a block of its own, which it holds by its first port.
-const (
-	firstPort = 15000
-	blockSize = 2000
-	blocks    = 8
-)
-
-// nextPort was handed out last.
-var nextPort atomic.Int64
-
-// holdPorts takes a block of ports until the listener is closed.
-func holdPorts() (net.Listener, error) {
-	var err error
-	for n := range blocks {
-		first := firstPort + (os.Getpid()+n)%blocks*blockSize
-		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
-			nextPort.Store(int64(first))
-			return l, nil
-		}
-	}
-	return nil, fmt.Errorf("every block of ports is held by another run: %w", err)
-}
-
-// freeAddress finds a port of loopback that nothing listens on. None is handed
-// out twice.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for {
-		port := nextPort.Add(1)
-		if port%blockSize == firstPort%blockSize {
-			t.Fatal("the block of ports is used up")
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			must(t, l.Close())
-			return address
-		}
-	}
-}
-
 func (c *cluster) makeInstances(perRegion int) {
 	authority, err := keys.NewAuthority("e2e", time.Now(), time.Hour)
 	must(c.t, err)
@@ -301,7 +255,7 @@
 	defer log.Close()
 	i.cmd = exec.Command(binary, "--settings", filepath.Join(i.dir, "settings.json"))
 	i.cmd.Stderr, i.cmd.Stdout = log, log
-	must(t, i.cmd.Start())
+	must(t, startProcess(i.cmd))
 	i.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		_ = cmd.Wait()
@@ -438,7 +392,7 @@
 		cmd := exec.Command(binary, "standin", "--bundle", file, "--region", region)
 		out, err := cmd.StdoutPipe()
 		must(c.t, err)
-		must(c.t, cmd.Start())
+		must(c.t, startProcess(cmd))
 		c.standins = append(c.standins, cmd)
 		_, err = io.ReadFull(out, make([]byte, len("ready")))
 		must(c.t, err)
--- a/e2e/dev_test.go
+++ b/e2e/dev_test.go
@@ -27,7 +27,7 @@
 	out, err := cmd.StdoutPipe()
 	must(t, err)
 	cmd.Stderr = os.Stderr
-	must(t, cmd.Start())
+	must(t, startProcess(cmd))
 	t.Cleanup(func() { _ = cmd.Process.Kill() })
 	lines := bufio.NewScanner(out)
 	var said, tries []string
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -21,6 +21,9 @@
 	address string
 	handler http.Handler
 	server  *http.Server
+	// listener is closed by itself: a server that has not begun to serve does not
+	// know it.
+	listener net.Listener
 }
 
 type engineTarget struct {
@@ -36,15 +39,25 @@
 // up listens and serves.
 func (x *target) up() {
 	x.t.Helper()
-	x.server = &http.Server{Handler: x.handler}
+	must(x.t, x.tryUp())
+}
+
+func (x *target) tryUp() error {
 	l, err := net.Listen("tcp", x.address)
-	must(x.t, err)
+	if err != nil {
+		return err
+	}
+	x.listener, x.server = l, &http.Server{Handler: x.handler}
 	go func(s *http.Server) { _ = s.Serve(l) }(x.server)
+	return nil
 }
 
 // down breaks all connections off and listens no longer, as the end of a
 // target's process does.
-func (x *target) down() { _ = x.server.Close() }
+func (x *target) down() {
+	_ = closeListener(x.listener)
+	_ = x.server.Close()
+}
 
 // end loses all targets that were started.
 func (s *site) end() {
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -300,6 +300,9 @@
 	return voters, learners
 }
 
+// Leader is the id of the leader that this instance hears from; empty if there is none.
+func (i *Instance) Leader() string { return i.node.Status().Core.Leader.ID }
+
 // Ended is closed when the log has failed; the process should end then, so that
 // it is started anew on its disk.
 func (i *Instance) Ended() <-chan struct{} { return i.node.Ended() }
