pick: reading in a row for longer than events may pause costs the answers that run; log: the pause

Cause: where an engine reads a part of a prompt in each step, the next event of each answer that runs there comes after 7 or 8 steps of 60 to 100 ms. What waits of a later rank is not in front of a request, but is read in a row with it. Change: a choice costs 60 ms for each answer that runs at a target where, with the call, reading in a row reaches the shortest pause aim of the service's routes; nothing below 0.7 of it. 'served' has the longest pause.

--- a/bundle/routes/match.go
+++ b/bundle/routes/match.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Index finds routes and services of one table. It is read-only.
@@ -11,14 +12,16 @@
 	Table    *Table
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]*Service
+	gapAims  map[string]time.Duration
 }
 
 // NewIndex prepares a table for lookups. The table must not change afterwards.
 func NewIndex(t *Table) *Index {
-	x := &Index{Table: t, byHost: map[string][]*Route{}, services: map[string]*Service{}}
+	x := &Index{Table: t, byHost: map[string][]*Route{}, services: map[string]*Service{}, gapAims: map[string]time.Duration{}}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+		x.takeGapAim(r)
 	}
 	for _, list := range x.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -29,6 +32,22 @@
 	return x
 }
 
+// takeGapAim keeps the shortest aim of each service.
+func (x *Index) takeGapAim(r *Route) {
+	if r.GapAim <= 0 {
+		return
+	}
+	for _, s := range r.Split {
+		if known, ok := x.gapAims[s.Service]; !ok || r.GapAim < known {
+			x.gapAims[s.Service] = r.GapAim
+		}
+	}
+}
+
+// GapAim is the longest pause between events of an answer in time, the shortest of the
+// routes to a service; 0 where none has one.
+func (x *Index) GapAim(service string) time.Duration { return x.gapAims[service] }
+
 // Match returns the route of the longest prefix, or nil.
 func (x *Index) Match(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/bundle/routes/routes_test.go
+++ b/bundle/routes/routes_test.go
@@ -139,3 +139,14 @@
 		}
 	}
 }
+
+func TestGapAimIsTheShortestOfAServicesRoutes(t *testing.T) {
+	list := table()
+	list.Routes[0].GapAim, list.Routes[1].GapAim = 600*time.Millisecond, 300*time.Millisecond
+	x := routes.NewIndex(list)
+	for service, want := range map[string]time.Duration{"s1": 300 * time.Millisecond, "s2": 300 * time.Millisecond, "none": 0} {
+		if got := x.GapAim(service); got != want {
+			t.Errorf("%s: %v, want %v", service, got, want)
+		}
+	}
+}
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -165,7 +165,9 @@
 		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: queue(l.Unread), Reading: l.Reading}
 	}
 	for _, service := range index.Table.Services {
-		rules := pick.ServiceRules{ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond}
+		rules := pick.ServiceRules{
+			ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond, GapAim: index.GapAim(service.Name),
+		}
 		if service.Engine != nil {
 			rules.Engine, rules.FetchPerKilo = true, service.Engine.FetchPerKilo
 		}
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -52,6 +52,8 @@
 	cost                     float64
 	// first is when the answer began.
 	first time.Time
+	// pause is the longest time between two events of the stream.
+	pause time.Duration
 	// turnedAway says that a target has refused it without running it.
 	turnedAway bool
 	// triedRegions were asked and turned it away.
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -102,7 +102,7 @@
 		event, err := e.next()
 		now := time.Now()
 		if !first {
-			q.g.o.Metrics.GapTime.Update(now.Sub(began))
+			q.paused(now.Sub(began))
 		}
 		began = now
 		if err == io.EOF && first && !q.begun {
@@ -129,6 +129,12 @@
 	}
 }
 
+// paused notes the time between two events.
+func (q *request) paused(gap time.Duration) {
+	q.pause = max(q.pause, gap)
+	q.g.o.Metrics.GapTime.Update(gap)
+}
+
 // broken takes in a stream that ended early.
 func (q *request) broken(a *rawhttp.Answer, err error) pick.Result {
 	a.Close(false)
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -64,6 +64,7 @@
 	// Engines slow down with the requests that they run.
 	e.wait = e.wait + t.slowness*w.pace.until(e.tokens) + runningCost*running
 	e.social = disturbance(&w.call, w.pace.until(float64(e.unread)), running, t.ownReading(w.now)+float64(t.others.Reading))
+	e.social += w.stall(t, &e)
 	return e
 }
 
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -73,6 +73,9 @@
 	// FetchPerKilo is how long a target takes to fetch 1,000 tokens of kept prompt parts from
 	// another one, in milliseconds; 0 where it is not known.
 	FetchPerKilo float64
+	// GapAim is the longest pause between events of an answer in time, the shortest of the
+	// service's routes; 0 for none.
+	GapAim time.Duration
 }
 
 // Snapshot is a new view of the surroundings.
