soak: runners that start again under their id, and lists with entries of another writer

Cause: nothing in the soak played the two. Drawn among the other kinds they would have changed the plans of the seeds that are kept, so they are drawn beside them, and the kept seeds are played without.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -37,10 +37,15 @@
 	Drain Kind = "drain"
 	// Refuse has the platform's list answer with an error for For.
 	Refuse Kind = "refuse"
+	// Rebirth ends a runner, which starts again under its id after For.
+	Rebirth Kind = "rebirth"
+	// Foreign has the platform's list carry entries of another writer for For, which must
+	// disturb nobody.
+	Foreign Kind = "foreign"
 )
 
 // Planned reports whether the fault is planned work, which disturbs no request.
-func (k Kind) Planned() bool { return k == Restart || k == Reload || k == Drain }
+func (k Kind) Planned() bool { return k == Restart || k == Reload || k == Drain || k == Foreign }
 
 // network reports whether the fault is one of a Forwarder.
 func (k Kind) network() bool {
@@ -133,6 +138,24 @@
 	return out
 }
 
+// DrawLater draws faults of the kinds that came when seeds had been kept: among the others
+// they would change the plans of these.
+func DrawLater(seed uint64, s Shape, span time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var out []Fault
+	for at := laterGap(rng); at < span; at += laterGap(rng) {
+		f := Fault{Kind: Foreign, Role: RoleList, At: at, For: length(rng)}
+		if reborn := rng.IntN(s.Runners); rng.IntN(2) == 0 && seed%plannedOnly != 0 {
+			f.Kind, f.Role, f.Number = Rebirth, RoleRunner, reborn
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// laterGap is longer than a gap, as these faults come beside the others.
+func laterGap(rng *rand.Rand) time.Duration { return 3 * gap(rng) }
+
 func gap(rng *rand.Rand) time.Duration {
 	return time.Duration(rng.ExpFloat64() * float64(meanGap)).Round(time.Millisecond)
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -54,3 +54,22 @@
 		}
 	}
 }
+
+// Each of the later kinds comes, and seeds of planned work have nothing that disturbs.
+func TestLaterFaults(t *testing.T) {
+	drawn := map[Kind]int{}
+	for seed := range uint64(40) {
+		for _, f := range DrawLater(seed, Shape{Cores: 3, Entries: 3, Runners: 9}, time.Minute) {
+			drawn[f.Kind]++
+			if seed%plannedOnly == 0 && !f.Kind.Planned() {
+				t.Errorf("seed %d of planned work has %v", seed, f)
+			}
+			if f.At < 0 || f.At >= time.Minute || f.For <= 0 {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+	}
+	if len(drawn) != 2 || drawn[Rebirth] == 0 || drawn[Foreign] == 0 {
+		t.Errorf("drawn: %v", drawn)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -47,7 +49,7 @@
 
 func TestShortSoak(t *testing.T) {
 	for _, seed := range shortSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSeed(t, seed, shortSpan) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSeed(t, seed, shortSpan, true) })
 	}
 }
 
@@ -63,7 +65,7 @@
 
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, s := range failedOnce {
-		t.Run(fmt.Sprint(s.seed, " ", s.cause), func(t *testing.T) { playSeed(t, s.seed, s.span) })
+		t.Run(fmt.Sprint(s.seed, " ", s.cause), func(t *testing.T) { playSeed(t, s.seed, s.span, false) })
 	}
 }
 
@@ -81,13 +83,13 @@
 		t.Fatalf("seeds %q", *seeds)
 	}
 	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSeed(t, seed, *span) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSeed(t, seed, *span, true) })
 	}
 }
 
 // playSeed starts a site, makes the faults of a seed, waits until it serves again, ends
 // it, and checks all that was seen.
-func playSeed(t *testing.T, seed uint64, span time.Duration) {
+func playSeed(t *testing.T, seed uint64, span time.Duration, later bool) {
 	shape := Shape{Cores: 4, Entries: 4, Runners: 9}
 	dir := t.TempDir()
 	w, err := NewWorld(Options{Binary: binary, Dir: dir, Shape: shape, Log: t.Logf})
@@ -101,7 +103,7 @@
 	}()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	problems := w.play(ctx, seed, shape, span)
+	problems := w.play(ctx, seed, shape, span, later)
 	for _, p := range append(problems, w.Ledger.Faults()...) {
 		t.Error(p)
 	}
@@ -112,7 +114,7 @@
 }
 
 // play returns what keeps the site from serving; the processes have ended then.
-func (w *World) play(ctx context.Context, seed uint64, shape Shape, span time.Duration) (problems []string) {
+func (w *World) play(ctx context.Context, seed uint64, shape Shape, span time.Duration, later bool) (problems []string) {
 	defer w.End()
 	note := func(err error) bool {
 		if err != nil {
@@ -124,7 +126,12 @@
 		return problems
 	}
 	stop := w.Start(ctx, seed)
-	w.Play(ctx, Draw(seed, shape, span))
+	faults := Draw(seed, shape, span)
+	if later {
+		faults = append(faults, DrawLater(seed, shape, span)...)
+		slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	}
+	w.Play(ctx, faults)
 	note(w.AwaitServing(ctx, "after"))
 	stop()
 	note(w.AwaitAgreement(ctx))
--- a/soak/world.go
+++ b/soak/world.go
@@ -73,7 +73,7 @@
 	operators string
 }
 
-// runner is a runner's address; one after the other runs there, under new ids.
+// runner is a runner's address; one after the other runs there, under new ids or the same.
 type runner struct {
 	behind
 	service, zone string
@@ -245,19 +245,22 @@
 			return err
 		}
 		w.runners = append(w.runners, r)
-		if err := w.serve(r); err != nil {
+		if err := w.serve(r, w.newID()); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// serve starts a runner under a new id and lists it.
-func (w *World) serve(r *runner) error {
+func (w *World) newID() string {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.next++
-	id := fmt.Sprint("i-", w.next)
-	w.mu.Unlock()
+	return fmt.Sprint("i-", w.next)
+}
+
+// serve starts a runner under an id and lists it.
+func (w *World) serve(r *runner, id string) error {
 	l, err := net.Listen("tcp", r.forwarder.to)
 	if err != nil {
 		return err
@@ -267,7 +270,7 @@
 		ReadHeaderTimeout: settle,
 	}
 	go func() { _ = server.Serve(l) }()
-	listed := platformtest.Listed{ID: id, Service: r.service, Address: r.forwarder.Address(), Zone: r.zone, Slots: 16}
+	listed := platformtest.Listed{ID: id, Service: r.service, Address: r.forwarder.Address(), Zone: r.zone, Slots: 16, Born: time.Now().UnixMilli()}
 	w.mu.Lock()
 	r.server, r.listed = server, listed
 	w.mu.Unlock()
@@ -314,9 +317,7 @@
 	}
 	switch f.Role {
 	case RoleList:
-		w.list.Refuse(http.StatusTooManyRequests)
-		time.Sleep(f.For)
-		w.list.Refuse(0)
+		w.troubleList(f)
 		return nil
 	case RoleRunner:
 		return w.replace(w.runners[f.Number], f)
@@ -327,6 +328,27 @@
 	}
 }
 
+// foreignEntries have fields of another type or none, and states and services that are not
+// known.
+var foreignEntries = []string{
+	`{"id":7,"service":["x"],"address":null}`, `"i-1"`, `{}`, `null`,
+	`{"id":"i-1","service":"desk","address":"127.0.0.1:1","zone":"z0","slots":4,"state":"resting","coldRemainingMs":0}`,
+	`{"id":"w-1","service":"elsewhere","address":"127.0.0.1:1","zone":"z9","slots":"many","state":"ready","born":"now"}`,
+}
+
+// troubleList makes a fault of the platform's list.
+func (w *World) troubleList(f Fault) {
+	if f.Kind == Foreign {
+		w.list.Foreign(foreignEntries...)
+		time.Sleep(f.For)
+		w.list.Foreign()
+		return
+	}
+	w.list.Refuse(http.StatusTooManyRequests)
+	time.Sleep(f.For)
+	w.list.Refuse(0)
+}
+
 // forwarder is the one that a fault of the network concerns.
 func (w *World) forwarder(f Fault) *Forwarder {
 	switch f.Role {
@@ -390,19 +412,22 @@
 		return err
 	}
 	time.Sleep(f.For)
-	w.list.Remove(id)
-	return w.succeed(r, server)
+	if f.Kind != Rebirth {
+		id = w.newID()
+	}
+	return w.succeed(r, server, id)
 }
 
 // succeed starts a runner in the place of one that has ended, unless another fault has
 // done so.
-func (w *World) succeed(r *runner, ended *http.Server) error {
+func (w *World) succeed(r *runner, ended *http.Server, id string) error {
 	r.replacing.Lock()
 	defer r.replacing.Unlock()
 	if now, _ := w.held(r); now != ended {
 		return nil
 	}
-	return w.serve(r)
+	w.list.Remove(r.listed.ID)
+	return w.serve(r, id)
 }
 
 // End stops all processes and stand-ins. Nothing runs afterwards.
