--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -74,6 +74,10 @@
 	// tokens. Own and answers differ by a factor of Spread or so.
 	Subjects, Shared, Own, Answer int
 	Spread                        float64
+	// AnswerSpread is that of answers; 0 for Spread. MostOwn and MostAnswer bound the lengths
+	// of own parts and of answers; 0 for any own part, and for four times Answer.
+	AnswerSpread        float64
+	MostOwn, MostAnswer int
 	// AimMillis is until the first event, DeadlineMillis until the last one.
 	AimMillis, DeadlineMillis int
 	// GapAimMillis is the longest pause between events of an answer in time; 0 for any.
@@ -166,6 +170,22 @@
 	return time.Duration(least) * time.Millisecond
 }
 
+// mostAnswer is the longest answer that is asked for.
+func (k *Kind) mostAnswer() int {
+	const times = 4
+	if k.MostAnswer > 0 {
+		return k.MostAnswer
+	}
+	return times * k.Answer
+}
+
+func (k *Kind) answerSpread() float64 {
+	if k.AnswerSpread > 0 {
+		return k.AnswerSpread
+	}
+	return k.Spread
+}
+
 func millis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
 // times is how many times the mean arrives at a moment.
--- a/experiment/replay/world.go
+++ b/experiment/replay/world.go
@@ -145,15 +145,17 @@
 	q := &request{id: w.requests, kind: k, home: r, at: at}
 	subject := w.rng.IntN(k.Subjects)
 	own := max(1, int(w.around(k.Own, k.Spread)))
-	q.answer = max(1, int(w.around(k.Answer, k.Spread)))
+	if k.MostOwn > 0 {
+		own = min(own, k.MostOwn)
+	}
+	q.answer = max(1, int(w.around(k.Answer, k.answerSpread())))
 	q.prompt = k.Shared + own
 	key := uint64(subject+1)<<20 ^ uint64(len(k.Name))<<50 ^ uint64(k.Shared)
 	for n := range k.Shared / enginemodel.BlockTokens {
 		q.prefix = append(q.prefix, key+uint64(n)<<8)
 	}
-	const longest = 4
 	q.call = pick.Call{
-		Service: service, PromptTokens: q.prompt, OutputTokens: longest * k.Answer, Rank: k.Rank,
+		Service: service, PromptTokens: q.prompt, OutputTokens: k.mostAnswer(), Rank: k.Rank,
 		Parts: []pick.Part{{ID: key, Tokens: k.Shared}, {ID: 1<<63 | q.id, Tokens: own}},
 	}
 	q.answer = min(q.answer, q.call.OutputTokens)
