pipeline: a resend right after a cut answer is told how the request ended

Cause: ends of claims are recorded after their callers hear of them, and only whole answers are kept at the instance.

--- a/pipeline/claiming.go
+++ b/pipeline/claiming.go
@@ -25,6 +25,7 @@
 	forward  *Forward
 	journals *journals
 	recorder *recorder
+	recent   *recentEnds
 }
 
 func newClaiming(d *Deps, flight *inFlight, forward *Forward) *Claiming {
@@ -34,6 +35,7 @@
 		forward:  forward,
 		journals: newJournals(d.Bounds),
 		recorder: newRecorder(d.Claims, d.Metrics),
+		recent:   newRecentEnds(),
 	}
 }
 
@@ -167,6 +169,10 @@
 		if j := f.journals.find(x.keyOf()); j != nil {
 			return f.join(x, j, print)
 		}
+		if done, ok := f.recent.find(x.keyOf(), step.Attempt); ok {
+			x.Floor = verdict.NotRun
+			return recorded(done)
+		}
 	}
 	if joined, err := f.forward.join(x, step.Owner.ID); joined {
 		return err
@@ -222,6 +228,10 @@
 		status, digest := j.outcome()
 		step = y.claim.gate.Finished(now, y.Verdict, status, digest)
 	}
+	if err != nil {
+		// Before followers hear of the end, as they may come again at once.
+		f.recent.add(step.Command)
+	}
 	f.recorder.push(y.claim.home, step.Command)
 	f.journals.end(j, err, sentTo{target: y.target, took: y.atTarget})
 }
--- a/pipeline/once_test.go
+++ b/pipeline/once_test.go
@@ -259,3 +259,29 @@
 		t.Fatalf("%+v after %d runs", got, r.plain.Runs("k"))
 	}
 }
+
+// lateRecords keeps claims, and records no end of one.
+type lateRecords struct{ *memClaims }
+
+func (l lateRecords) Propose(ctx context.Context, home string, c claim.Command) (claim.Result, error) {
+	if c.Finish != nil {
+		return claim.Result{}, errors.New("not yet")
+	}
+	return l.memClaims.Propose(ctx, home, c)
+}
+
+// Symptom: a caller whose answer was cut off is told that the request still runs, and to
+// come back in a second, though it has ended.
+// Events: the answer is cut; the caller sends the request again at once; the claim's home
+// has not recorded the end yet.
+// Cause: only the home's word was asked, and ends are recorded after they are told.
+func TestResendBeforeTheEndIsRecorded(t *testing.T) {
+	r := newRig(t, withDeps(func(d *Deps) { d.Claims = lateRecords{newMemClaims()} }))
+	r.plain.SetFaults(standin.Fault{Kind: standin.FaultCut, Count: 1})
+	r.checkEnd(confirm("k", ""), verdict.Ran)
+	r.plain.SetFaults()
+	for range 2 {
+		r.checkEnd(confirm("k", "true"), verdict.Ran)
+	}
+	r.checkRuns(confirm("k", "true"), 1)
+}
