pick: a choice estimates each target once and finds the group once; the twins of kept parts are one

What a call meets at the chosen target was estimated three times, a prompt's group was made twice, and its home was looked for also where another instance had decided. keptTokens and asSource differed by one condition.

--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -94,8 +94,8 @@
 	return best
 }
 
-// home is the target that all instances prefer for the shared parts of a prompt.
-func (p *Pool) home(list []*target, chain []link) *target {
+// home is the target of a prompt's group that all instances prefer for its shared parts.
+func (p *Pool) home(group []*target, chain []link) *target {
 	if len(chain) < 2 {
 		return nil
 	}
@@ -103,7 +103,7 @@
 	key := chain[len(chain)-2].key
 	var best *target
 	var most uint64
-	for _, t := range p.group(list, chain) {
+	for _, t := range group {
 		if p.leaving(t) {
 			continue
 		}
--- a/route/pick/kept.go
+++ b/route/pick/kept.go
@@ -20,12 +20,18 @@
 // keptTokens is the length of the longest beginning of the prompt that was sent to the
 // target lately.
 func (t *target) keptTokens(now time.Time, chain []link) int {
+	return t.longest(now, chain, false).tokens
+}
+
+// longest is the longest beginning of the prompt that the target is taken to keep, or to
+// have read; its tokens are 0 for none.
+func (t *target) longest(now time.Time, chain []link, read bool) source {
 	for i := len(chain) - 1; i >= 0; i-- {
-		if t.kept[chain[i].key].counts(now) {
-			return chain[i].tokens
+		if u := t.kept[chain[i].key]; u.counts(now) && (u.read || !read) {
+			return source{t: t, tokens: chain[i].tokens, used: u.at}
 		}
 	}
-	return 0
+	return source{}
 }
 
 // keep notes that a request with a prompt is sent to the target.
@@ -75,7 +81,7 @@
 		if now.Before(t.downUntil) {
 			continue
 		}
-		switch s := t.asSource(now, shared); {
+		switch s := t.longest(now, shared, true); {
 		case s.betterThan(out[0]):
 			out[0], out[1] = s, out[0]
 		case s.betterThan(out[1]):
@@ -85,16 +91,6 @@
 	return out
 }
 
-// asSource is what the target has read of a prompt.
-func (t *target) asSource(now time.Time, chain []link) source {
-	for i := len(chain) - 1; i >= 0; i-- {
-		if u := t.kept[chain[i].key]; u.read && u.counts(now) {
-			return source{t: t, tokens: chain[i].tokens, used: u.at}
-		}
-	}
-	return source{}
-}
-
 // to is the source for one target; its tokens are 0 for none.
 func (s sources) to(t *target) source {
 	if s[0].t == t {
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -122,36 +122,38 @@
 		return nil, ReasonNone
 	}
 	w := p.weigh(now, c)
-	best, cost := p.best(p.group(list, w.chain), w)
-	if best == nil || w.at(best).hurry(best) > leaveGroup {
-		best, cost = p.best(list, w)
+	group := p.group(list, w.chain)
+	w.home = p.home(group, w.chain)
+	best, e := p.best(group, w)
+	if best == nil || e.hurry(best) > leaveGroup {
+		best, e = p.best(list, w)
 	}
 	if best == nil {
 		return nil, ReasonLeft
 	}
-	ch := p.take(w, best, cost)
+	ch := p.take(w, best, &e)
 	best.readMore(now, w.pace.until(float64(ch.counted.Unread.Ahead(c.Rank))))
 	return ch, ""
 }
 
-// best is the eligible target of the least cost.
-func (p *Pool) best(list []*target, w *weighing) (best *target, cost float64) {
-	cost = math.Inf(1)
+// best is the eligible target of the least cost, with what the call meets there.
+func (p *Pool) best(list []*target, w *weighing) (best *target, meets estimate) {
+	least := math.Inf(1)
 	for _, t := range list {
 		if !p.eligible(w.now, t, w.call) {
 			continue
 		}
 		e := w.at(t)
-		if x := e.cost(t); x < cost {
-			best, cost = t, x
+		if x := e.cost(t); x < least {
+			best, meets, least = t, e, x
 		}
 	}
-	return best, cost
+	return best, meets
 }
 
 // take counts the request in.
-func (p *Pool) take(w *weighing, t *target, cost float64) *Choice {
-	ch := &Choice{ID: t.ID, Address: t.Address, Cost: cost, pool: p, t: t, at: w.now, chain: w.chain}
+func (p *Pool) take(w *weighing, t *target, e *estimate) *Choice {
+	ch := &Choice{ID: t.ID, Address: t.Address, Cost: e.cost(t), pool: p, t: t, at: w.now, chain: w.chain}
 	if t.failures > 0 {
 		t.probing, ch.probe = true, true
 	}
@@ -159,7 +161,6 @@
 		ch.Cold = true
 		t.coldNext = w.now.Add(time.Duration(float64(time.Second) / w.rules.ColdPerSecond))
 	}
-	e := w.at(t)
 	ch.Wait, ch.Tokens = e.wait, e.tokens
 	if w.rules.Engine {
 		ch.Front = max(0, e.wait-t.slowness*w.pace.until(float64(e.unread)))
@@ -181,9 +182,8 @@
 		return nil
 	}
 	w := p.weigh(now, c)
-	// The one that decided names where to fetch from.
-	w.home = nil
-	ch := p.take(w, t, 0)
+	e := w.at(t)
+	ch := p.take(w, t, &e)
 	ch.advised = true
 	t.advised.add(ch.counted)
 	return ch
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -10,7 +10,8 @@
 	now   time.Time
 	call  Call
 	chain []link
-	// home is the target that all instances prefer for the prompt; nil for none.
+	// home is the target that all instances prefer for the prompt; nil for none, or where
+	// another instance has decided.
 	home  *target
 	rules ServiceRules
 	pace  *pace
@@ -22,9 +23,7 @@
 
 func (p *Pool) weigh(now time.Time, c Call) *weighing {
 	w := &weighing{now: now, call: c, chain: c.chain(), rules: p.snapshot.Rules[c.Service], pace: p.pace(c.Service)}
-	list := p.byService[c.Service]
-	w.home = p.home(list, w.chain)
-	w.sources = sourcesOf(now, list, w.chain)
+	w.sources = sourcesOf(now, p.byService[c.Service], w.chain)
 	w.fetch = w.fetchShare()
 	return w
 }
@@ -48,7 +47,7 @@
 }
 
 // hurry is what the call itself meets: all but what it costs others.
-func (e estimate) hurry(t *target) float64 { return e.wait + failCost*t.failShare }
+func (e *estimate) hurry(t *target) float64 { return e.wait + failCost*t.failShare }
 
 // at estimates what the call meets at a target.
 func (w *weighing) at(t *target) estimate {
