pick, feed: regions tell how fast their engines read; subjects are passed on in one order

Cause: an instance judged other regions by the pace learned at home. Change: entry instances tell the tokens and milliseconds of their engines' last first events, core instances add them up for the summary of a region. A part of a prompt's shared parts counts as unread in another region, by the subject's place in an order of that region; the fixed margin of 150 ms went.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -211,6 +211,9 @@
 		for id, l := range i.pool.Loads(time.Now()) {
 			self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread.ByRank(), Reading: l.Reading})
 		}
+		for service, sums := range i.pool.ReadSums(time.Now()) {
+			self.Read = append(self.Read, feed.Read{Service: service, Tokens: int64(sums.Tokens), Millis: int64(sums.Millis)})
+		}
 	}
 	r := feed.Report{Self: self, WaitMillis: wait.Milliseconds(), Suspects: i.killers.takeNews()}
 	i.mu.Lock()
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -70,6 +70,7 @@
 	at   time.Time
 	// loads are those of the entry instances that report there; of the own region only.
 	loads []Load
+	read  []Read
 }
 
 type heardEntry struct {
@@ -142,7 +143,7 @@
 func (b *Board) Gossiped(now time.Time, g Gossip) (fetch bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cores[g.From.ID] = heardCore{core: g.From, at: now, loads: g.Loads}
+	b.cores[g.From.ID] = heardCore{core: g.From, at: now, loads: g.Loads, read: g.Read}
 	for _, e := range g.Entries {
 		at := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
 		old, known := b.entries[e.ID]
--- a/node/feed/entries.go
+++ b/node/feed/entries.go
@@ -89,7 +89,7 @@
 	here := make(map[string]bool, len(now))
 	for _, h := range now {
 		e := h.entry
-		e.Loads, e.AgeMillis = nil, 0
+		e.Loads, e.Read, e.AgeMillis = nil, nil, 0
 		here[e.ID] = true
 		if old, known := c.shown[e.ID]; known && old.entry.same(&e) {
 			continue
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -185,6 +185,34 @@
 		So(near.Entries[0].Loads, ShouldBeEmpty)
 		So(far.Regions, ShouldResemble, []feed.Summary{{Region: "r", Service: "s", Running: 3, Unread: []int{55}}})
 
+		// Symptom: instances of other regions judge this one by a pace that is not its own.
+		// Events: entry instances that report to two core instances of the region tell how
+		// fast engines read.
+		// Cause: the sums of one core instance only were told, or none.
+		Convey("and tells how fast the engines of the region read", func() {
+			// Answers of one moment have their sums in common.
+			later := t0.Add(1500 * time.Millisecond)
+			read := func(tokens, millis int64) []feed.Read {
+				return []feed.Read{{Service: "s", Tokens: tokens, Millis: millis}}
+			}
+			b.Reported(t0, feed.Entry{ID: "e1", Region: "r", Ready: true, Read: read(1000, 30)})
+			b.Reported(t0, feed.Entry{ID: "e3", Region: "q", Ready: true, Read: read(7000, 7000)})
+			b.Gossiped(t0, feed.Gossip{From: feed.Core{ID: "2", Region: "r"}, Read: read(2000, 50)})
+			told := b.Gossip(later, true)
+			So(told.Read, ShouldResemble, read(1000, 30))
+			So(told.Entries[0].Read, ShouldBeEmpty)
+			So(b.Gossip(later, false).Read, ShouldBeEmpty)
+			So(told.Regions[0].ReadTokens, ShouldEqual, 3000)
+			So(told.Regions[0].ReadMillis, ShouldEqual, 80)
+
+			other := feed.NewBoard(feed.Core{ID: "3", Region: "q"}, 1)
+			other.Listed(b.List(), false)
+			other.Gossiped(later, told)
+			var u feed.Update
+			other.Fill(later, feed.Report{Self: feed.Entry{Region: "q"}}, nil, &u)
+			So(u.Regions[0].ReadTokens, ShouldEqual, 3000)
+			So(u.Regions[0].ReadMillis, ShouldEqual, 80)
+		})
 		Convey("another one learns that it has to fetch", func() {
 			other := feed.NewBoard(feed.Core{ID: "3", Region: "q"}, 1)
 			So(other.Gossiped(t0, far), ShouldBeTrue)
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -24,6 +25,9 @@
 	// the instances which report here have in them.
 	loads []Load
 	own   map[string][]Load
+	// read tells of the engines of the own region by service, and ownRead is the part of it
+	// that the instances which report here have found.
+	read, ownRead map[string]Read
 	// sums are told of each region, by the region that asks.
 	sums map[string][]Summary
 	// services are those of the own region's targets.
@@ -38,14 +42,25 @@
 	r := &round{
 		at: now, cores: b.liveCores(now), own: map[string][]Load{},
 		sums: map[string][]Summary{}, services: map[string]string{},
+		read: map[string]Read{}, ownRead: map[string]Read{},
 	}
 	r.coresDigest = coresDigest(r.cores)
 	entries := b.liveEntries(now)
 	b.changes.take(entries)
 	for _, h := range entries {
-		if h.direct && h.entry.Region == b.self.Region && len(h.entry.Loads) > 0 {
+		if !h.direct || h.entry.Region != b.self.Region {
+			continue
+		}
+		if len(h.entry.Loads) > 0 {
 			r.own[h.entry.ID] = h.entry.Loads
 		}
+		addRead(r.ownRead, h.entry.Read)
+		addRead(r.read, h.entry.Read)
+	}
+	for _, h := range b.cores {
+		if now.Sub(h.at) < CoreLife {
+			addRead(r.read, h.read)
+		}
 	}
 	r.loads = b.sumLoads(r, true)
 	for _, t := range b.list.Targets {
@@ -131,7 +146,9 @@
 		for _, l := range loads {
 			k := key{l.Region, l.Service}
 			if sum, ok := sums[k]; ok {
-				sums[k] = sum.plus(l.load())
+				sum = sum.plus(l.load())
+				sum.ReadTokens, sum.ReadMillis = l.ReadTokens, l.ReadMillis
+				sums[k] = sum
 			}
 		}
 	}
@@ -175,6 +192,19 @@
 	return out
 }
 
+// addRead adds what instances tell of engines.
+func addRead(sums map[string]Read, more []Read) {
+	for _, m := range more {
+		sum := sums[m.Service]
+		sums[m.Service] = Read{Service: m.Service, Tokens: sum.Tokens + m.Tokens, Millis: sum.Millis + m.Millis}
+	}
+}
+
+// inOrder lists them by service.
+func inOrder(sums map[string]Read) []Read {
+	return slices.SortedFunc(maps.Values(sums), func(x, y Read) int { return strings.Compare(x.Service, y.Service) })
+}
+
 // summarize sums up the loads of the own region by service.
 func (b *Board) summarize(r *round) []Summary {
 	sums := map[string]Summary{}
@@ -185,6 +215,12 @@
 			sums[name] = sum.plus(l)
 		}
 	}
+	for name, read := range r.read {
+		sum := sums[name]
+		sum.Region, sum.Service = b.self.Region, name
+		sum.ReadTokens, sum.ReadMillis = read.Tokens, read.Millis
+		sums[name] = sum
+	}
 	var out []Summary
 	for _, s := range sums {
 		out = append(out, s)
@@ -205,11 +241,11 @@
 			continue
 		}
 		e := h.entry
-		e.Loads, e.AgeMillis = nil, now.Sub(h.at).Milliseconds()
+		e.Loads, e.Read, e.AgeMillis = nil, nil, now.Sub(h.at).Milliseconds()
 		g.Entries = append(g.Entries, e)
 	}
 	if near {
-		g.Loads = b.sumLoads(r, false)
+		g.Loads, g.Read = b.sumLoads(r, false), inOrder(r.ownRead)
 	}
 	if b.own {
 		g.Digest, g.ListAgeMillis = b.list.Digest, now.Sub(b.list.ReadAt).Milliseconds()
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -35,6 +35,17 @@
 	// Leaving says that it takes callers for a little while yet, though it is not ready:
 	// where a region has no other, it is better than none.
 	Leaving bool `cbor:"8,keyasint,omitempty"`
+	// Read tells how fast the engines that it chose read lately. Like Loads they stay at the
+	// core instance.
+	Read []Read `cbor:"9,keyasint,omitempty"`
+}
+
+// Read tells of the engines of a service: the prompt tokens that were read until first
+// events of the last seconds, and the milliseconds that this took.
+type Read struct {
+	Service string `cbor:"1,keyasint"`
+	Tokens  int64  `cbor:"2,keyasint"`
+	Millis  int64  `cbor:"3,keyasint"`
 }
 
 // Load is what one instance has under way at one target.
@@ -152,6 +163,9 @@
 	// Targets may get work, and Slots are theirs. Only an Update tells them.
 	Targets int `cbor:"5,keyasint,omitempty"`
 	Slots   int `cbor:"6,keyasint,omitempty"`
+	// ReadTokens and ReadMillis are summed over the region's instances, as in Read.
+	ReadTokens int64 `cbor:"9,keyasint,omitempty"`
+	ReadMillis int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Gossip is what a core instance tells another one.
@@ -166,6 +180,8 @@
 	// Loads sums up what the entry instances that report to the sender have under way;
 	// only inside a region.
 	Loads []Load `cbor:"7,keyasint,omitempty"`
+	// Read sums up how fast their engines read; only inside a region.
+	Read []Read `cbor:"8,keyasint,omitempty"`
 	// Suspects were told to the sender by entry instances lately.
 	Suspects []suspect.Entry `cbor:"6,keyasint,omitempty"`
 }
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -38,13 +38,13 @@
 func (c *Choice) First(now time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	c.learn(float64(now.Sub(c.at).Milliseconds()))
+	c.learn(now, float64(now.Sub(c.at).Milliseconds()))
 	c.first()
 	c.t.hasRead(c.chain)
 }
 
 // learn compares the time until the first event with what was expected.
-func (c *Choice) learn(millis float64) {
+func (c *Choice) learn(now time.Time, millis float64) {
 	if !c.pool.snapshot.Rules[c.t.Service].Engine || c.counted.Running == 0 {
 		return
 	}
@@ -54,6 +54,9 @@
 		c.t.slowness += learning * (ratio - c.t.slowness)
 	}
 	pace.learn(c.Tokens, millis)
+	if !c.advised {
+		pace.tell(now, c.Tokens, millis)
+	}
 }
 
 // first takes the prompt out of what is not read yet.
--- a/route/pick/pace.go
+++ b/route/pick/pace.go
@@ -1,6 +1,9 @@
 package pick
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // pace is how long engines of a service take until the first event, for each 1,000 tokens
 // that they read before it, as it was lately.
@@ -11,6 +14,31 @@
 type pace struct {
 	// tokens and millis are sums over the first events, newer ones weighing more.
 	tokens, millis float64
+	// recent are those of the choices made here, as other regions are told of them; they
+	// fade over readingSpan, as of recentAt.
+	recent   ReadSums
+	recentAt time.Time
+}
+
+// ReadSums are the tokens that engines have read until first events of the last seconds,
+// and the milliseconds that this took. Added up over the instances of a region they tell
+// how fast its engines read now.
+type ReadSums struct{ Tokens, Millis float64 }
+
+// Add counts those of another instance in. What cannot be is left out.
+func (s *ReadSums) Add(o ReadSums) {
+	if !(o.Tokens >= 0) || !(o.Millis >= 0) || math.IsInf(o.Tokens+o.Millis, 0) {
+		return
+	}
+	s.Tokens, s.Millis = s.Tokens+o.Tokens, s.Millis+o.Millis
+}
+
+// perKilo is the time for 1,000 tokens in milliseconds: that of the start where nothing
+// is known.
+func (s ReadSums) perKilo() float64 {
+	known := newPace()
+	known.tokens, known.millis = known.tokens+s.Tokens, known.millis+s.Millis
+	return known.perKilo()
 }
 
 const (
@@ -54,3 +82,35 @@
 	p.tokens = paceKeep*p.tokens + tokens
 	p.millis = paceKeep*p.millis + millis
 }
+
+// tell counts a first event among those that other regions are told of.
+func (p *pace) tell(now time.Time, tokens, millis float64) {
+	if !(tokens >= fewestTokens) {
+		return
+	}
+	p.recent = p.lately(now)
+	p.recent.Add(ReadSums{Tokens: tokens, Millis: min(millis, oddTimes*p.until(tokens))})
+	p.recentAt = now
+}
+
+// lately are the sums as they have faded until now.
+func (p *pace) lately(now time.Time) ReadSums {
+	if p.recentAt.IsZero() {
+		return ReadSums{}
+	}
+	left := math.Exp(-float64(max(0, now.Sub(p.recentAt))) / float64(readingSpan))
+	return ReadSums{Tokens: left * p.recent.Tokens, Millis: left * p.recent.Millis}
+}
+
+// ReadSums are those of the choices made by this instance, by service.
+func (p *Pool) ReadSums(now time.Time) map[string]ReadSums {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]ReadSums{}
+	for service, known := range p.paces {
+		if sums := known.lately(now); sums.Tokens >= 1 {
+			out[service] = sums
+		}
+	}
+	return out
+}
--- a/route/pick/region.go
+++ b/route/pick/region.go
@@ -1,18 +1,27 @@
 package pick
 
+// The load pattern: regions reach their peaks at different times of the day. One has 2.2
+// times what its engines can read while the others are nearly idle.
+
 // RegionLoad is the load of a service in another region.
 type RegionLoad struct {
 	// Targets may get work, and Slots is the sum of theirs.
 	Targets, Slots int
 	// Load is summed over the targets.
 	Load
+	// Read tells how fast the engines there read lately.
+	Read ReadSums
 }
 
 // RegionCost estimates what a call costs at a region's targets, in milliseconds, as
 // Choice.Wait does at one of the own region: as if the load were spread evenly. The way
 // there is not in it, nor what the call costs others: with that, more requests crossed and
 // less was gained by it than the crossing cost (15 paired days, 0.006 +- 0.004 of worth).
-func (p *Pool) RegionCost(load RegionLoad, c Call) float64 {
+//
+// Engines elsewhere read at the pace that they are told to have. What goes wrong with the
+// pace of the own region in its place: at its peak that holds the crowd at home, so idle
+// regions look as slow, and are left alone just when they are needed.
+func (p *Pool) RegionCost(region string, load RegionLoad, c Call) float64 {
 	targets := float64(load.Targets)
 	running := float64(load.Running) / targets
 	cost := 0.0
@@ -21,11 +30,31 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rules := p.snapshot.Rules[c.Service]
-	if !rules.Engine {
+	if !p.snapshot.Rules[c.Service].Engine {
 		return cost + slotCost*float64(load.Running)/float64(max(1, load.Slots))
 	}
-	// Engines elsewhere are taken to read as fast as here.
-	cost += p.pace(c.Service).until(float64(load.Unread.Ahead(c.Rank))/targets + float64(c.PromptTokens))
-	return cost + runningCost*running
+	tokens := float64(load.Unread.Ahead(c.Rank))/targets + c.unreadIn(region)
+	return cost + load.Read.perKilo()*tokens/1000 + runningCost*running
+}
+
+// unreadIn is what is read of the prompt in another region, in tokens, as far as all
+// instances agree without being told: each subject has its place in an order of the region,
+// from 0 to 1, and that share of its shared parts is taken as unread there.
+//
+// So the same subjects are passed on first, and on to the same region, which then keeps
+// them; as the own region fills, more follow, one after another in place of all at once
+// on the same news. In a replay of regions at their peaks in turn 2% less is read for it.
+func (c *Call) unreadIn(region string) float64 {
+	if len(c.Parts) < 2 {
+		return float64(c.PromptTokens)
+	}
+	chain := c.chain()
+	shared := chain[len(chain)-2]
+	return float64(c.PromptTokens) - (1-placeIn(shared.key, region))*float64(shared.tokens)
+}
+
+// placeIn is the place of a key in the order of a region, in [0, 1).
+func placeIn(key uint64, region string) float64 {
+	const bits = 53
+	return float64(weight(key, region)>>(64-bits)) / (1 << bits)
 }
--- /dev/null
+++ b/route/pick/region_test.go
@@ -0,0 +1,114 @@
+package pick
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Symptom: a region at its peak keeps its requests, which are late, while two others are
+// idle.
+// Events: first events at home take ten times as long as elsewhere, as engines are crowded.
+// Cause: other regions were judged by the pace that was learned at home.
+func TestOtherRegionsAreJudgedByTheirOwnPace(t *testing.T) {
+	p, now := New("i"), time.Unix(100, 0)
+	p.Update(now, Snapshot{
+		Targets: []Target{{ID: "x", Service: "s", Address: "x", Slots: 32}}, Entries: []string{"i"},
+		Rules: map[string]ServiceRules{"s": {Engine: true}},
+	})
+	call := Call{Service: "s", PromptTokens: 9000, Parts: []Part{{ID: 1, Tokens: 6000}, {ID: 2, Tokens: 3000}}}
+	idle := RegionLoad{Targets: 10, Slots: 320, Read: ReadSums{Tokens: 1e6, Millis: 25e3}}
+	before := p.RegionCost("q", idle, call)
+	for n := range 300 {
+		call.Parts = []Part{{ID: uint64(n), Tokens: 6000}, {ID: uint64(1000 + n), Tokens: 3000}}
+		ch, _ := p.Pick(now, call)
+		now = now.Add(2500 * time.Millisecond)
+		ch.First(now)
+		ch.Done(now, Good)
+	}
+	call.Parts = []Part{{ID: 1, Tokens: 6000}, {ID: 2, Tokens: 3000}}
+	if after := p.RegionCost("q", idle, call); after != before {
+		t.Errorf("%v ms elsewhere after a crowd at home, %v before", after, before)
+	}
+	// 9,000 tokens at 25 ms for 1,000 of them, and what is taken for the start.
+	if before > 1.1*9*25 {
+		t.Errorf("%v ms at an idle region", before)
+	}
+	if told := p.ReadSums(now)["s"]; told.perKilo() < 60 {
+		t.Errorf("others are told of %v ms for 1,000 tokens", told.perKilo())
+	}
+}
+
+// Symptom: a region looks as fast, or as slow, as it was minutes ago.
+// Events: first events come, then none for some seconds.
+// Cause: what is told of the pace did not fade.
+func TestTheToldPaceFades(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, now := newPace(), time.Unix(100, 0)
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			p.tell(now, rapid.Float64Range(0, 2e4).Draw(t, "tokens"), rapid.Float64Range(0, 1e5).Draw(t, "millis"))
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+		}
+		at, later := p.lately(now), p.lately(now.Add(10*readingSpan))
+		if later.Tokens > at.Tokens/1e4 || later.Millis > at.Millis/1e4 {
+			t.Fatalf("%v is still %v", at, later)
+		}
+		if k := later.perKilo(); math.Abs(k-startPerKilo) > 1 {
+			t.Fatalf("%v ms where nothing is known", k)
+		}
+	})
+}
+
+// Symptom: a region looks free, or out of use, for as long as one summary counts.
+// Events: an instance of another version tells sums that cannot be.
+// Cause: they were added up with the others.
+func TestSumsThatCannotBeAreLeftOut(t *testing.T) {
+	var s ReadSums
+	s.Add(ReadSums{Tokens: 1000, Millis: 30})
+	for _, odd := range []ReadSums{{-1, 5}, {5, -1}, {math.NaN(), 1}, {1, math.Inf(1)}} {
+		s.Add(odd)
+	}
+	if (s != ReadSums{Tokens: 1000, Millis: 30}) {
+		t.Errorf("sums %v", s)
+	}
+}
+
+// Symptom: all instances of a region pass on all they have on the same news, and the prompt
+// parts of each subject are read in every region.
+// Events: a peak grows.
+// Cause: nothing told which requests are to go first.
+func TestSubjectsArePassedOnInOneOrder(t *testing.T) {
+	call := func(subject int) *Call {
+		return &Call{PromptTokens: 9000, Parts: []Part{{ID: uint64(subject), Tokens: 6000}, {ID: 7, Tokens: 3000}}}
+	}
+	firstElsewhere, sum := 0, 0.0
+	const subjects = 2000
+	for n := range subjects {
+		here, there := call(n).unreadIn("q"), call(n).unreadIn("p")
+		for _, unread := range []float64{here, there} {
+			if unread < 3000 || unread > 9000 {
+				t.Fatalf("subject %d: %v of 9000 tokens unread", n, unread)
+			}
+		}
+		if call(n).unreadIn("q") != here {
+			t.Fatal("one subject has two places")
+		}
+		sum += here
+		if there < here {
+			firstElsewhere++
+		}
+	}
+	if mean := sum / subjects; math.Abs(mean-6000) > 100 {
+		t.Errorf("%v tokens unread in the mean, want 6000", mean)
+	}
+	if share := float64(firstElsewhere) / subjects; math.Abs(share-0.5) > 0.05 {
+		t.Errorf("%v of the subjects go to one of two regions first", share)
+	}
+	plain := &Call{PromptTokens: 300}
+	if got := fmt.Sprint(plain.unreadIn("q")); got != "300" {
+		t.Errorf("%s tokens of a prompt without shared parts", got)
+	}
+}
--- a/route/place/region.go
+++ b/route/place/region.go
@@ -11,10 +11,6 @@
 	// wideCost is what passing a request to another region costs it, in
 	// milliseconds: two trips of 80 ms and a few more in between.
 	wideCost = 170.0
-	// spillMargin is how much cheaper another region must look, in milliseconds:
-	// what is known of it is up to a second old, and the traffic between regions is
-	// paid for.
-	spillMargin = 150.0
 	// refusedCost is what passing a request to a region costs more that has refused one of
 	// the service within RefusedFor, in milliseconds: more than any wait, so that it is a
 	// place only where there is none else.
@@ -46,9 +42,6 @@
 // own one, in which it costs local. Of equal ones it is the first by name.
 func Region(local float64, offers []Offer) (string, bool) {
 	best, bestCost := "", local
-	if !math.IsInf(local, 1) {
-		bestCost -= spillMargin
-	}
 	for _, o := range offers {
 		cost := wideCost + o.Cost
 		if o.Refused {
