exchange, metrics: the wait that was expected, its cost, and how far it was off

Cause: served logged as estimate_ms what a choice weighs, with what others pay: 5 to 100 times the first event that came, though the page said 'until the first event'. Change: wait_ms is the wait that was expected, also of a region that was passed on to; cost_ms what was weighed; left how long the caller waits. gullhaven_site_wait_ratio counts the real wait over the expected one.

--- a/experiment/replay/chooser.go
+++ b/experiment/replay/chooser.go
@@ -201,9 +201,9 @@
 	if choice != nil {
 		local = choice.Wait
 	}
-	if name, ok := place.Region(local, s.offers(asked, q, mayPass)); ok {
+	if offer := place.Region(local, s.offers(asked, q, mayPass)); offer != nil {
 		sent.done(now, pick.Neutral)
-		return decision{region: s.region(name)}
+		return decision{region: s.region(offer.Region)}
 	}
 	if choice == nil {
 		return decision{sent: noneSent{}}
--- a/metrics/page.go
+++ b/metrics/page.go
@@ -33,13 +33,13 @@
 
 func (s *Set) write(w io.Writer, name string) error {
 	s.mu.Lock()
-	m, times := s.known[name], s.times[name]
+	m, histogram := s.known[name], s.histograms[name]
 	s.mu.Unlock()
 	if _, err := fmt.Fprintf(w, "# HELP %s %s Unit: %s.\n# TYPE %s %s\n", name, m.Meaning, m.Unit, name, m.Kind); err != nil {
 		return err
 	}
-	if times != nil {
-		return times.write(w, name)
+	if histogram != nil {
+		return histogram.write(w, name)
 	}
 	var value int64
 	switch v := s.registry.Get(name).(type) {
@@ -52,20 +52,20 @@
 	return err
 }
 
-func (t *Times) write(w io.Writer, name string) error {
+func (h *histogram) write(w io.Writer, name string) error {
 	var sum int64
-	for i := range t.buckets {
-		sum += t.buckets[i].Load()
+	for i := range h.buckets {
+		sum += h.buckets[i].Load()
 		le := "+Inf"
-		if i < len(bounds) {
-			le = strconv.FormatFloat(bounds[i].Seconds(), 'g', -1, 64)
+		if i < len(h.bounds) {
+			le = strconv.FormatFloat(h.bounds[i], 'g', -1, 64)
 		}
 		if _, err := fmt.Fprintf(w, "%s_bucket{le=\"%s\"} %d\n", name, le, sum); err != nil {
 			return err
 		}
 	}
-	seconds := float64(t.nanos.Load()) / 1e9
-	_, err := fmt.Fprintf(w, "%s_sum %g\n%s_count %d\n", name, seconds, name, sum)
+	total := float64(h.nanos.Load()) / 1e9
+	_, err := fmt.Fprintf(w, "%s_sum %g\n%s_count %d\n", name, total, name, sum)
 	return err
 }
 
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -9,10 +9,12 @@
 
 // Set is a registry with the metrics of an instance.
 type Set struct {
-	registry gometrics.Registry
-	mu       sync.Mutex
-	known    map[string]Metric
-	times    map[string]*Times
+	registry   gometrics.Registry
+	mu         sync.Mutex
+	known      map[string]Metric
+	histograms map[string]*histogram
+	times      map[string]*Times
+	ratios     map[string]*Ratios
 	// control is what readControl gave for the page that is being written.
 	readControl func() Control
 	control     atomic.Pointer[Control]
@@ -61,7 +63,8 @@
 }
 
 func newEmptySet() *Set {
-	return &Set{registry: gometrics.NewRegistry(), known: map[string]Metric{}, times: map[string]*Times{}}
+	return &Set{registry: gometrics.NewRegistry(), known: map[string]Metric{}, histograms: map[string]*histogram{},
+		times: map[string]*Times{}, ratios: map[string]*Ratios{}}
 }
 
 // Counter registers a counter, or returns the one registered by this name.
@@ -84,11 +87,24 @@
 	if t, ok := s.times[m.Name]; ok {
 		return t
 	}
-	t := newTimes()
-	s.times[m.Name] = t
+	t := &Times{newHistogram(timeBounds)}
+	s.times[m.Name], s.histograms[m.Name] = t, t.histogram
 	return t
 }
 
+// Ratios registers a histogram of ratios.
+func (s *Set) Ratios(m Metric) *Ratios {
+	s.describe(m)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.ratios[m.Name]; ok {
+		return r
+	}
+	r := &Ratios{newHistogram(ratioBounds)}
+	s.ratios[m.Name], s.histograms[m.Name] = r, r.histogram
+	return r
+}
+
 func (s *Set) describe(m Metric) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -19,6 +19,7 @@
 	SiteDecided        = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
 	SiteChooseTime     = Metric{"gullhaven_site_choose_seconds", Histogram, "seconds", "Time to choose where to send, with asking another instance."}
 	SiteSendTime       = Metric{"gullhaven_site_send_seconds", Histogram, "seconds", "Time from sending to the head of the answer or the loss of it."}
+	SiteWaitRatio      = Metric{"gullhaven_site_wait_ratio", Histogram, "ratio", "Wait for the first event over the one that was expected, of requests to engines of the own region."}
 	SiteGapTime        = Metric{"gullhaven_site_event_gap_seconds", Histogram, "seconds", "Time between two events of a stream."}
 	SiteWholeTime      = Metric{"gullhaven_site_whole_seconds", Histogram, "seconds", "Time from the acceptance of a request to its end."}
 	SiteDials          = Metric{"gullhaven_site_connections_total", Counter, "connections", "New connections to targets."}
@@ -42,7 +43,7 @@
 // Site are the metrics that only instances of a site have, each once.
 var Site = []Metric{
 	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided,
-	SiteChooseTime, SiteSendTime, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
+	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
 	SiteTargetsLeaving, SiteVersion, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
 }
@@ -52,7 +53,9 @@
 	*Set
 	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOverloaded, RefusedOther gometrics.Counter
 	RetriesDenied, Decided                                                                                   gometrics.Counter
-	ChooseTime, SendTime, GapTime, WholeTime                                                                 *Times
+	// WaitRatio tells how good choices can be: what they expect against what comes.
+	WaitRatio                                *Ratios
+	ChooseTime, SendTime, GapTime, WholeTime *Times
 }
 
 // EntryState is what an entry instance shows of itself when its page is read.
@@ -82,7 +85,7 @@
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Decided: s.Counter(SiteDecided),
-		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WholeTime: s.Times(SiteWholeTime),
+		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WaitRatio: s.Ratios(SiteWaitRatio), WholeTime: s.Times(SiteWholeTime),
 	}
 }
 
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -46,10 +46,13 @@
 	runs  int
 	sends int
 	tried []string
-	// place is the last one tried, and cost what it was estimated to take until the
-	// first event, in milliseconds.
+	// place is the last one tried.
 	place, source, decidedBy string
-	cost                     float64
+	// sentAt is when it was sent there. wait is how long its answer was expected to take to
+	// begin, and cost what the choice weighed, with what others pay and what failures cost;
+	// both in milliseconds.
+	sentAt     time.Time
+	wait, cost float64
 	// first is when the answer began.
 	first time.Time
 	// pause is the longest time between two events of the stream.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -18,6 +18,8 @@
 type destination struct {
 	choice *pick.Choice
 	peer   Peer
+	// wait is how long the answer of a peer is expected to take to begin, in milliseconds.
+	wait float64
 	// decided is set where another instance chose, which is told of the request.
 	decided Decision
 	by      Decider
@@ -51,8 +53,8 @@
 func (q *request) choose(now time.Time) (*destination, verdict.Code) {
 	c := q.pickCall()
 	if !q.route.Allows(q.g.o.Region) {
-		if peer, ok := q.choosePeer(now, c, place.Nowhere); ok {
-			return &destination{peer: peer}, ""
+		if far := q.choosePeer(now, c, place.Nowhere); far != nil {
+			return far, ""
 		}
 		return nil, CodeNoTarget
 	}
@@ -61,11 +63,11 @@
 	if p != nil {
 		local = p.choice.Wait
 	}
-	if peer, ok := q.choosePeer(now, c, local); ok {
+	if far := q.choosePeer(now, c, local); far != nil {
 		if p != nil {
 			p.done(now, pick.Neutral)
 		}
-		return &destination{peer: peer}, ""
+		return far, ""
 	}
 	if p == nil {
 		return nil, CodeNoTarget
@@ -98,18 +100,18 @@
 	return nil
 }
 
-// choosePeer finds an instance of another region where the request costs less than local. A
-// request crosses regions once, and a stream that has begun stays.
-func (q *request) choosePeer(now time.Time, c pick.Call, local float64) (Peer, bool) {
+// choosePeer finds an instance of another region where the request costs less than local;
+// nil for none. A request crosses regions once, and a stream that has begun stays.
+func (q *request) choosePeer(now time.Time, c pick.Call, local float64) *destination {
 	if q.from != nil {
-		return Peer{}, false
+		return nil
 	}
-	region, ok := place.Region(local, q.offers(now, c))
-	if !ok {
-		return Peer{}, false
+	offer := place.Region(local, q.offers(now, c))
+	if offer == nil {
+		return nil
 	}
-	address := place.Way(q.g.o.Self, q.peersOf(now, region), q.g.o.Peers.Keeps, q.g.uniform())
-	return Peer{Address: address, Region: region}, true
+	address := place.Way(q.g.o.Self, q.peersOf(now, offer.Region), q.g.o.Peers.Keeps, q.g.uniform())
+	return &destination{peer: Peer{Address: address, Region: offer.Region}, wait: offer.Wait()}
 }
 
 // offers are the regions that may serve the request and can be reached: one whose targets
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -85,6 +85,13 @@
 	return 0, false
 }
 
+// compareWait counts how long the first event was expected to take and has taken.
+func (q *request) compareWait(now time.Time) {
+	if q.wait > 0 && q.call.PromptTokens > 0 {
+		q.g.o.Metrics.WaitRatio.Update(float64(now.Sub(q.sentAt).Milliseconds()) / q.wait)
+	}
+}
+
 // takeStream relays the events of an answer.
 func (q *request) takeStream(a *rawhttp.Answer, p *destination) (bool, pick.Result) {
 	e := eventReaders.Get().(*events)
@@ -118,7 +125,8 @@
 			return false, q.broken(a, err)
 		}
 		if first && p != nil {
-			p.began(time.Now())
+			p.began(now)
+			q.compareWait(now)
 		}
 		first = false
 		if !q.relay(a, e, event) {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -58,8 +58,8 @@
 		return
 	}
 	line.Write(zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
-		zap.Int("sends", q.sends), zap.Float64("estimate_ms", q.cost), zap.String("decided_by", q.decidedBy),
-		zap.Uint64("version", q.view.Index.Table.Version), zap.Duration("list_age", now.Sub(q.view.ListAt)),
+		zap.Int("sends", q.sends), zap.Float64("wait_ms", q.wait), zap.Float64("cost_ms", q.cost), zap.String("decided_by", q.decidedBy),
+		zap.Duration("left", q.until.Sub(q.began)), zap.Uint64("version", q.view.Index.Table.Version), zap.Duration("list_age", now.Sub(q.view.ListAt)),
 		zap.Duration("first", q.first.Sub(q.began)), zap.Duration("after", now.Sub(q.began)), zap.Duration("pause", q.pause),
 		zap.Int("prompt_tokens", q.call.PromptTokens), zap.String("source", q.source), zap.Bool("passed", q.from != nil))
 }
@@ -93,10 +93,11 @@
 	q.sends++
 	q.g.o.Metrics.Attempts.Inc(1)
 	if p.choice == nil {
-		return q.attemptPeer(p.peer, now)
+		return q.attemptPeer(p, now)
 	}
 	q.tried = append(q.tried, p.choice.ID)
-	q.place, q.cost, q.source, q.decidedBy = p.choice.ID, p.choice.Cost, p.choice.Source, p.decided.By
+	q.place, q.source, q.decidedBy = p.choice.ID, p.choice.Source, p.decided.By
+	q.sentAt, q.wait, q.cost = now, p.choice.Wait, p.choice.Cost
 	ctx, cancel := context.WithCancelCause(q.ctx)
 	defer cancel(nil)
 	if q.route.Repeatable() {
@@ -123,12 +124,14 @@
 }
 
 // attemptPeer passes the request on to another region.
-func (q *request) attemptPeer(peer Peer, now time.Time) bool {
+func (q *request) attemptPeer(p *destination, now time.Time) bool {
+	peer := p.peer
 	if q.triedRegions == nil {
 		q.triedRegions = map[string]bool{}
 	}
 	q.triedRegions[peer.Region] = true
-	q.place = peer.Address
+	q.place, q.source, q.decidedBy = peer.Address, "", ""
+	q.sentAt, q.wait, q.cost = now, p.wait, p.wait
 	q.g.o.Metrics.Spilled.Inc(1)
 	a, err := q.g.o.Peers.Do(q.ctx, peer.Address, q.toPeer(now))
 	if err != nil {
--- a/route/place/place_test.go
+++ b/route/place/place_test.go
@@ -33,13 +33,19 @@
 		"nowhere else than where refused": {place.Nowhere, []place.Offer{refused("q", 0)}, "q"},
 		"nowhere at all":                  {place.Nowhere, nil, ""},
 	} {
-		got, ok := place.Region(row.local, row.offers)
-		if got != row.want || ok != (row.want != "") {
+		if got := regionOf(place.Region(row.local, row.offers)); got != row.want {
 			t.Errorf("%s: %q, want %q", name, got, row.want)
 		}
 	}
 }
 
+func regionOf(o *place.Offer) string {
+	if o == nil {
+		return ""
+	}
+	return o.Region
+}
+
 func TestRegionDoesNotDependOnTheOrderOfOffers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var offers []place.Offer
@@ -49,8 +55,8 @@
 			})
 		}
 		local := float64(rapid.IntRange(0, 20).Draw(t, "local") * 100)
-		a, _ := place.Region(local, offers)
-		b, _ := place.Region(local, rapid.Permutation(offers).Draw(t, "order"))
+		a := regionOf(place.Region(local, offers))
+		b := regionOf(place.Region(local, rapid.Permutation(offers).Draw(t, "order")))
 		if a != b {
 			t.Fatalf("%q and %q", a, b)
 		}
--- a/route/place/region.go
+++ b/route/place/region.go
@@ -35,21 +35,26 @@
 	Refused bool
 }
 
+// Wait is what a request passed on there meets until its first event, in milliseconds.
+func (o *Offer) Wait() float64 { return wideCost + o.Cost }
+
 // Nowhere is the cost in the own region where it has no target for a request.
 var Nowhere = math.Inf(1)
 
 // Region chooses the region that a request is passed on to, where that is better than the
-// own one, in which it costs local. Of equal ones it is the first by name.
-func Region(local float64, offers []Offer) (string, bool) {
-	best, bestCost := "", local
-	for _, o := range offers {
-		cost := wideCost + o.Cost
+// own one, in which it costs local; nil for none. Of equal ones it is the first by name.
+func Region(local float64, offers []Offer) *Offer {
+	var best *Offer
+	bestCost := local
+	for i := range offers {
+		o := &offers[i]
+		cost := o.Wait()
 		if o.Refused {
 			cost += refusedCost
 		}
-		if cost < bestCost || cost == bestCost && best != "" && o.Region < best {
-			best, bestCost = o.Region, cost
+		if cost < bestCost || cost == bestCost && best != nil && o.Region < best.Region {
+			best, bestCost = o, cost
 		}
 	}
-	return best, best != ""
+	return best
 }
