sending: a kept connection that the target has closed gets no byte of a request

Symptom: TestSuspectIsRefusedAtOnceWhereNoTargetIsLeft failed once: the first of 40 resends was answered 502 may_have_run in place of a refusal that says when to come back. Ruled out: a fresh connection, a target that had begun to run it. Change: a kept connection is looked at before it is used, as rawhttp does; a closed one is dropped and net/http takes another.

--- a/ports/rawhttp/socket_linux.go
+++ b/ports/rawhttp/socket_linux.go
@@ -43,11 +43,12 @@
 	if time.Now().After(c.idleUntil) {
 		return false
 	}
-	return peek(c.Conn) == nil
+	return Quiet(c.Conn) == nil
 }
 
-// peek returns nil if a read of the connection would have to wait.
-func peek(c net.Conn) error {
+// Quiet returns nil if a read of the connection would have to wait: the other end has
+// neither closed it nor sent anything.
+func Quiet(c net.Conn) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
--- a/ports/sending/transport.go
+++ b/ports/sending/transport.go
@@ -13,6 +13,7 @@
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 )
 
 const (
@@ -69,6 +70,20 @@
 	t.fresh.CloseIdleConnections()
 }
 
+// dropStale closes a kept connection that the target has closed, before a byte of the
+// request is written to it, and reports that. net/http then takes another one.
+//
+// What goes wrong without it: a target ends, and for some milliseconds net/http has not
+// noticed. A request written to such a connection fails, and its caller is told that it may
+// have run, where it cannot have and could be sent elsewhere at once.
+func dropStale(info httptrace.GotConnInfo) bool {
+	if !info.Reused || rawhttp.Quiet(info.Conn) == nil {
+		return false
+	}
+	_ = info.Conn.Close()
+	return true
+}
+
 // Do sends a request. Its error is a *verdict.Error: NotRun if no connection
 // was got, else MayHaveRun.
 //
@@ -80,7 +95,11 @@
 // never does so. A target then sees one connection for each such request.
 func (t *Transports) Do(req *http.Request, once bool) (*http.Response, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if !dropStale(info) {
+			connected.Store(true)
+		}
+	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	rt := t.kept
 	if once {
