place: the way to another region is learned from what crosses

Cause: passing on was weighed at 170 ms whatever the regions' distance: deployments 10 ms or 300 ms apart would leave idle regions alone, or pass on to be late. Change: the instance that serves what was passed on tells how long its answer took to begin; the one that passed it on learns the rest as the way there. 170 ms until then.

--- a/experiment/replay/chooser.go
+++ b/experiment/replay/chooser.go
@@ -223,7 +223,7 @@
 	var out []place.Offer
 	for _, o := range s.w.regions {
 		if mayPass && o != s.r && o.told.Targets > 0 && !s.w.cut {
-			out = append(out, place.Offer{Region: o.Name, Cost: asked.pool.RegionCost(o.Name, o.told, q.call)})
+			out = append(out, place.Offer{Region: o.Name, Trip: s.w.trips.To(o.Name), Cost: asked.pool.RegionCost(o.Name, o.told, q.call)})
 		}
 	}
 	return out
--- a/experiment/replay/world.go
+++ b/experiment/replay/world.go
@@ -70,14 +70,16 @@
 
 // world is one run.
 type world struct {
-	p        *Pattern
-	now      time.Time
-	queue    vtime.Queue
-	regions  []*region
-	rng      *rand.Rand
-	figures  *Figures
-	dark     bool
-	cut      bool
+	p       *Pattern
+	now     time.Time
+	queue   vtime.Queue
+	regions []*region
+	rng     *rand.Rand
+	figures *Figures
+	dark    bool
+	cut     bool
+	// trips are never learned here: all take wideTrip.
+	trips    place.Trips
 	requests uint64
 }
 
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -61,6 +61,8 @@
 	// leaveOut for how long: place.RefusedFor but in tests.
 	refusing sync.Map
 	leaveOut time.Duration
+	// trips are those to other regions.
+	trips place.Trips
 	// asked counts the requests of each route by name.
 	asked sync.Map
 
--- a/pipeline/exchange/regions_test.go
+++ b/pipeline/exchange/regions_test.go
@@ -176,6 +176,23 @@
 		}
 		So(a.options.Peers.Dials(), ShouldBeLessThanOrEqualTo, 4)
 	})
+	// Symptom: regions near each other leave each other alone while one is crowded.
+	// Events: requests are passed on and answered within a few milliseconds.
+	// Cause: the way between regions was a constant; or what the caller gets tells of it.
+	Convey("the way to another region is learned from what crosses", t, func() {
+		y := newTarget(t, "far", whole(200, "far"))
+		a, _ := pair(t, nil, []*target{y})
+		before := a.gateway.TripTo("other")
+		for range 50 {
+			got := a.call("/unsafe/x", "b")
+			So(got.status, ShouldEqual, 200)
+			for name := range got.header {
+				So(name, ShouldNotStartWith, "Gullhaven-")
+			}
+		}
+		So(a.gateway.TripTo("other"), ShouldBeLessThan, before)
+		So(a.gateway.TripTo("elsewhere"), ShouldEqual, before)
+	})
 	Convey("a request crosses once only", t, func() {
 		a, b := pair(t, nil, nil)
 		view := *b.view
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -183,10 +183,18 @@
 // whole answer, also where another target goes on.
 func (q *request) beginStream(a *rawhttp.Answer) {
 	copyAnswerHeaders(q.w.Header(), a.Header)
+	q.tellTook(q.w.Header())
 	q.w.WriteHeader(a.StatusCode)
 	q.begun, q.first = true, time.Now()
 }
 
+// tellTook tells an instance of another region how long the answer took to begin here.
+func (q *request) tellTook(h http.Header) {
+	if q.from != nil {
+		h.Set(headerTook, strconv.FormatInt(time.Since(q.began).Milliseconds(), 10))
+	}
+}
+
 func copyAnswerHeaders(to, from http.Header) {
 	for name, values := range forwardable(from) {
 		to[name] = values
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -148,10 +149,21 @@
 		discard(a)
 		return false
 	}
+	q.learnTrip(peer.Region, a.Header)
 	done, _ := q.take(a, nil)
 	return done
 }
 
+// learnTrip takes in how long the way to another region and back was. An instance that does
+// not say how long its answer took to begin tells nothing.
+func (q *request) learnTrip(region string, h http.Header) {
+	there, err := strconv.ParseInt(h.Get(headerTook), 10, 64)
+	h.Del(headerTook)
+	if err == nil {
+		q.g.trips.Learn(region, float64(time.Since(q.sentAt).Milliseconds()), float64(there))
+	}
+}
+
 // refusedBy notes that an instance of another region has turned the request away. One that
 // leaves says nothing of its region.
 func (q *request) refusedBy(peer Peer, code verdict.Code) {
@@ -288,6 +300,7 @@
 	q.first = time.Now()
 	h := q.w.Header()
 	copyAnswerHeaders(h, answer.header)
+	q.tellTook(h)
 	if q.r.Method == http.MethodHead {
 		if v := answer.header.Get("Content-Length"); v != "" {
 			h.Set("Content-Length", v)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -154,4 +154,7 @@
 	// headerArrived says of a refusal that a target has turned the request away.
 	headerArrived = "Gullhaven-Arrived"
 	headerAfter   = "Gullhaven-After"
+	// headerTook says of an answer how many milliseconds it took to begin, from when the
+	// instance that was passed the request had accepted it.
+	headerTook = "Gullhaven-Took-Millis"
 )
--- a/route/place/place_test.go
+++ b/route/place/place_test.go
@@ -14,9 +14,11 @@
 // Events: regions of all costs, some of which have just refused.
 // Cause: a comparison without the way there, or without what is not known of it.
 func TestRegionIsLeftOnlyForABetterOne(t *testing.T) {
-	offer := func(region string, cost float64) place.Offer { return place.Offer{Region: region, Cost: cost} }
+	offer := func(region string, cost float64) place.Offer {
+		return place.Offer{Region: region, Trip: 170, Cost: cost}
+	}
 	refused := func(region string, cost float64) place.Offer {
-		return place.Offer{Region: region, Cost: cost, Refused: true}
+		return place.Offer{Region: region, Trip: 170, Cost: cost, Refused: true}
 	}
 	for name, row := range map[string]struct {
 		local  float64
--- a/route/place/region.go
+++ b/route/place/region.go
@@ -8,9 +8,6 @@
 // The load pattern: a region is at its peak, or has lost targets, while others are idle.
 
 const (
-	// wideCost is what passing a request to another region costs it, in
-	// milliseconds: two trips of 80 ms and a few more in between.
-	wideCost = 170.0
 	// refusedCost is what passing a request to a region costs more that has refused one of
 	// the service within RefusedFor, in milliseconds: more than any wait, so that it is a
 	// place only where there is none else.
@@ -29,6 +26,8 @@
 // Offer is a region that may serve a request and can be reached.
 type Offer struct {
 	Region string
+	// Trip is what the way there and back costs it, see Trips.
+	Trip float64
 	// Cost is what the request costs at its targets, see pick.Pool.RegionCost.
 	Cost float64
 	// Refused says that it has refused a request for the service lately.
@@ -36,7 +35,7 @@
 }
 
 // Wait is what a request passed on there meets until its first event, in milliseconds.
-func (o *Offer) Wait() float64 { return wideCost + o.Cost }
+func (o *Offer) Wait() float64 { return o.Trip + o.Cost }
 
 // Nowhere is the cost in the own region where it has no target for a request.
 var Nowhere = math.Inf(1)
