feed, place: a region whose load nobody has told is a place only where there is no other

Cause: the targets of a region stand in the list while its core instances are cut off; a load that nobody told counted as none, so the region looked idle to all others. Figures that cannot be were taken as they came. Change: a summary says where the load is not known, such a region counts as one that has just refused; impossible summaries are left out. Both are counted. Measured: by tests only so far.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -17,6 +17,8 @@
 	SiteOtherRefusals  = Metric{"gullhaven_site_refused_other_total", Counter, "requests", "Requests refused for other reasons: no route, malformed, too large, a peer that is behind."}
 	SiteRetriesDenied  = Metric{"gullhaven_site_retries_denied_total", Counter, "attempts", "Further sendings that the budget did not allow."}
 	SiteDecided        = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
+	SiteInvalidSums    = Metric{"gullhaven_site_summaries_invalid_total", Counter, "summaries", "Summaries of other regions left out as their figures cannot be."}
+	SiteUntoldSums     = Metric{"gullhaven_site_summaries_untold_total", Counter, "summaries", "Summaries of other regions whose load was not known: they get requests only where there is no other place."}
 	SiteChooseTime     = Metric{"gullhaven_site_choose_seconds", Histogram, "seconds", "Time to choose where to send, with asking another instance."}
 	SiteSendTime       = Metric{"gullhaven_site_send_seconds", Histogram, "seconds", "Time from sending to the head of the answer or the loss of it."}
 	SiteWaitRatio      = Metric{"gullhaven_site_wait_ratio", Histogram, "ratio", "Wait for the first event over the one that was expected, of requests to engines of the own region."}
@@ -42,7 +44,7 @@
 
 // Site are the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided,
+	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
 	SiteTargetsLeaving, SiteVersion, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
@@ -52,7 +54,7 @@
 type SiteEntry struct {
 	*Set
 	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOverloaded, RefusedOther gometrics.Counter
-	RetriesDenied, Decided                                                                                   gometrics.Counter
+	RetriesDenied, Decided, SummariesInvalid, SummariesUntold                                                gometrics.Counter
 	// WaitRatio tells how good choices can be: what they expect against what comes.
 	WaitRatio                                *Ratios
 	ChooseTime, SendTime, GapTime, WholeTime *Times
@@ -85,6 +87,7 @@
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Decided: s.Counter(SiteDecided),
+		SummariesInvalid: s.Counter(SiteInvalidSums), SummariesUntold: s.Counter(SiteUntoldSums),
 		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WaitRatio: s.Ratios(SiteWaitRatio), WholeTime: s.Times(SiteWholeTime),
 	}
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -108,20 +108,20 @@
 		}
 	}
 	for _, s := range i.known.regions {
+		if !s.Valid() {
+			i.metrics.SummariesInvalid.Inc(1)
+			continue
+		}
+		if s.Untold {
+			i.metrics.SummariesUntold.Inc(1)
+		}
 		key := exchange.RegionService{Region: s.Region, Service: s.Service}
 		v.Regions[key] = pick.RegionLoad{Targets: s.Targets, Slots: s.Slots, Load: pick.Load{
 			Running: s.Running, Unread: queue(s.Unread), Reading: s.Reading,
-		}, Read: readSums(&s)}
+		}, Read: pick.ReadSums{Tokens: float64(s.ReadTokens), Millis: float64(s.ReadMillis)}, Untold: s.Untold}
 	}
 }
 
-// readSums are those of another region, where they can be.
-func readSums(s *feed.Summary) pick.ReadSums {
-	var out pick.ReadSums
-	out.Add(pick.ReadSums{Tokens: float64(s.ReadTokens), Millis: float64(s.ReadMillis)})
-	return out
-}
-
 // takers are the entry instances of a region that take requests: the ready ones, or where
 // it has none those that leave and still take all, so that these agree on who decides.
 func takers(entries []feed.Entry, region string) []string {
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -10,6 +10,8 @@
 	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 func newInstance(t *testing.T) *Instance {
@@ -55,6 +57,30 @@
 	})
 }
 
+// Symptom: a region gets all that others have too much of, or choices are no numbers.
+// Events: the summary of a region has figures that cannot be, as from another version; the
+// load of another one is not known.
+// Cause: they were taken as they came.
+func TestSummariesThatCannotBeAreLeftOut(t *testing.T) {
+	Convey("summaries of four regions", t, func() {
+		i := newInstance(t)
+		i.learn(&feed.Update{State: state(1, 1), List: encoded(t, feed.ListNews{Digest: 1}), Regions: []feed.Summary{
+			{Region: "good", Service: "s", Targets: 2, Slots: 8, Unread: []int{0, 5}, ReadTokens: 100, ReadMillis: 3},
+			{Region: "negative", Service: "s", Targets: 2, Running: -1},
+			{Region: "odd", Service: "s", Targets: 2, Unread: []int{3, -9}},
+			{Region: "unknown", Service: "s", Targets: 2, Untold: true},
+		}}, feed.Report{})
+		regions := i.gateway.View().Regions
+		So(len(regions), ShouldEqual, 2)
+		good := regions[exchange.RegionService{Region: "good", Service: "s"}]
+		So(good.Unread.Ahead(1), ShouldEqual, 5)
+		So(good.Read, ShouldResemble, pick.ReadSums{Tokens: 100, Millis: 3})
+		So(regions[exchange.RegionService{Region: "unknown", Service: "s"}].Untold, ShouldBeTrue)
+		So(i.metrics.SummariesInvalid.Count(), ShouldEqual, 2)
+		So(i.metrics.SummariesUntold.Count(), ShouldEqual, 1)
+	})
+}
+
 // Symptom: during a restart of all instances a stream is cut off twice and its caller gets
 // half of an answer.
 // Events: it was passed on to an instance of another region that was leaving, and when that
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -189,6 +189,24 @@
 		// Events: entry instances that report to two core instances of the region tell how
 		// fast engines read.
 		// Cause: the sums of one core instance only were told, or none.
+		// Symptom: all regions pass on to one that is crowded.
+		// Events: the core instances of a region are cut off for three seconds.
+		// Cause: its targets were listed, and a load that nobody told counted as none.
+		Convey("and says where the load of a region is not known", func() {
+			regions := func(at time.Time) feed.Summary {
+				var u feed.Update
+				b.Fill(at, feed.Report{Self: feed.Entry{ID: "e1", Region: "r"}}, nil, &u)
+				return u.Regions[0]
+			}
+			b.Gossiped(t0.Add(time.Second), feed.Gossip{From: feed.Core{ID: "4", Region: "q"}, Regions: []feed.Summary{{Region: "q", Service: "s", Running: 7}}})
+			told := regions(t0.Add(2 * time.Second))
+			So(told.Untold, ShouldBeFalse)
+			So(told.Running, ShouldEqual, 7)
+			So(regions(t0.Add(5*time.Second)).Untold, ShouldBeTrue)
+			// An idle region tells nothing of any service.
+			b.Gossiped(t0.Add(6*time.Second), feed.Gossip{From: feed.Core{ID: "4", Region: "q"}})
+			So(regions(t0.Add(7*time.Second)).Untold, ShouldBeFalse)
+		})
 		Convey("and tells how fast the engines of the region read", func() {
 			// Answers of one moment have their sums in common.
 			later := t0.Add(1500 * time.Millisecond)
@@ -237,7 +255,7 @@
 			// The other target stands in another region.
 			So(len(list.Targets), ShouldEqual, 1)
 			So(list.Base, ShouldEqual, 0)
-			So(known.Regions, ShouldResemble, []feed.Summary{{Region: "q", Service: "s", Targets: 1}})
+			So(known.Regions, ShouldResemble, []feed.Summary{{Region: "q", Service: "s", Targets: 1, Untold: true}})
 			So(len(known.Entries.Entries), ShouldEqual, 1)
 			// The asker's own load is not among those of the others.
 			So(known.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 1, Unread: []int{5}}})
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -140,7 +140,9 @@
 		}
 		k := key{t.Region, t.Service}
 		sum := sums[k]
-		sums[k] = Summary{Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots}
+		sums[k] = Summary{
+			Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots, Untold: !b.toldOf(r, t.Region),
+		}
 	}
 	add := func(loads []Summary) {
 		for _, l := range loads {
@@ -166,6 +168,15 @@
 	return out
 }
 
+// toldOf reports whether the load of a region is known.
+//
+// What goes wrong without it: the core instances of a region are cut off, its entry
+// instances are not. Its targets stand in the list and their load is missing, so the region
+// looks idle, and all others pass on to it.
+func (b *Board) toldOf(r *round, region string) bool {
+	return region == b.self.Region || r.at.Sub(b.sums[region].at) < CoreLife
+}
+
 // sumLoads sums up what the entry instances of the own region have under way: of those
 // that report here, and with all of those that report to others too.
 func (b *Board) sumLoads(r *round, all bool) []Load {
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -166,6 +166,19 @@
 	// ReadTokens and ReadMillis are summed over the region's instances, as in Read.
 	ReadTokens int64 `cbor:"9,keyasint,omitempty"`
 	ReadMillis int64 `cbor:"10,keyasint,omitempty"`
+	// Untold says that nobody has told the load of the region lately: what is said of it
+	// comes from the list of targets alone. Only an Update tells it.
+	Untold bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Valid reports whether the figures can be.
+func (s *Summary) Valid() bool {
+	for _, tokens := range s.Unread {
+		if tokens < 0 {
+			return false
+		}
+	}
+	return s.Targets >= 0 && s.Slots >= 0 && s.Running >= 0 && s.Reading >= 0 && s.ReadTokens >= 0 && s.ReadMillis >= 0
 }
 
 // Gossip is what a core instance tells another one.
--- a/route/pick/region.go
+++ b/route/pick/region.go
@@ -11,6 +11,8 @@
 	Load
 	// Read tells how fast the engines there read lately.
 	Read ReadSums
+	// Untold says that Load and Read are not known.
+	Untold bool
 }
 
 // RegionCost estimates what a call costs at a region's targets, in milliseconds, as
--- a/route/place/place_test.go
+++ b/route/place/place_test.go
@@ -20,6 +20,7 @@
 	refused := func(region string, cost float64) place.Offer {
 		return place.Offer{Region: region, Trip: 170, Cost: cost, Refused: true}
 	}
+	untold := func(region string) place.Offer { return place.Offer{Region: region, Trip: 170, Untold: true} }
 	for name, row := range map[string]struct {
 		local  float64
 		offers []place.Offer
@@ -31,6 +32,8 @@
 		"the best of two":                 {900, []place.Offer{offer("q", 70), offer("p", 60)}, "p"},
 		"equal ones":                      {900, []place.Offer{offer("q", 60), offer("p", 60)}, "p"},
 		"one that has just refused":       {900, []place.Offer{refused("q", 0)}, ""},
+		"one whose load is not known":     {900, []place.Offer{untold("q")}, ""},
+		"nowhere else than where unknown": {place.Nowhere, []place.Offer{untold("q")}, "q"},
 		"nowhere else":                    {place.Nowhere, []place.Offer{offer("q", 5000)}, "q"},
 		"nowhere else than where refused": {place.Nowhere, []place.Offer{refused("q", 0)}, "q"},
 		"nowhere at all":                  {place.Nowhere, nil, ""},
--- a/route/place/region.go
+++ b/route/place/region.go
@@ -9,8 +9,8 @@
 
 const (
 	// refusedCost is what passing a request to a region costs more that has refused one of
-	// the service within RefusedFor, in milliseconds: more than any wait, so that it is a
-	// place only where there is none else.
+	// the service within RefusedFor, or whose load is not known, in milliseconds: more than
+	// any wait, so that it is a place only where there is none else.
 	//
 	// What goes wrong without it: a region that is well by its summary and serves nothing,
 	// as while its targets warm up after an evacuation, looks idle. All others pass on to
@@ -30,8 +30,9 @@
 	Trip float64
 	// Cost is what the request costs at its targets, see pick.Pool.RegionCost.
 	Cost float64
-	// Refused says that it has refused a request for the service lately.
-	Refused bool
+	// Refused says that it has refused a request for the service lately, Untold that its load
+	// is not known: it is a place only where there is none else.
+	Refused, Untold bool
 }
 
 // Wait is what a request passed on there meets until its first event, in milliseconds.
@@ -48,7 +49,7 @@
 	for i := range offers {
 		o := &offers[i]
 		cost := o.Wait()
-		if o.Refused {
+		if o.Refused || o.Untold {
 			cost += refusedCost
 		}
 		if cost < bestCost || cost == bestCost && best != nil && o.Region < best.Region {
