--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -149,17 +149,18 @@
 		discard(a)
 		return false
 	}
-	q.learnTrip(peer.Region, a.Header)
+	q.learnTrip(peer.Region, a)
 	done, _ := q.take(a, nil)
 	return done
 }
 
 // learnTrip takes in how long the way to another region and back was. An instance that does
-// not say how long its answer took to begin tells nothing.
-func (q *request) learnTrip(region string, h http.Header) {
-	there, err := strconv.ParseInt(h.Get(headerTook), 10, 64)
-	h.Del(headerTook)
-	if err == nil {
+// not say how long its answer took to begin tells nothing, nor does a new connection: at the
+// beginning of a peak most are new, and the region would look farther than it is from then on.
+func (q *request) learnTrip(region string, a *rawhttp.Answer) {
+	there, err := strconv.ParseInt(a.Header.Get(headerTook), 10, 64)
+	a.Header.Del(headerTook)
+	if err == nil && a.Reused() {
 		q.g.trips.Learn(region, float64(time.Since(q.sentAt).Milliseconds()), float64(there))
 	}
 }
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -222,6 +222,9 @@
 	}
 }
 
+// Reused reports whether the connection had carried requests before.
+func (a *Answer) Reused() bool { return a.c.used }
+
 // Framed reports whether the end of the body can be told from a lost connection.
 func (a *Answer) Framed() bool {
 	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
--- a/route/place/trip.go
+++ b/route/place/trip.go
@@ -21,8 +21,8 @@
 )
 
 // Trips are what passing requests to other regions costs them beside their wait there, as
-// it was lately: the way there and back, and a connection where none is kept. It is safe
-// for several goroutines.
+// it was lately: the way there and back over a kept connection. It is safe for several
+// goroutines.
 //
 // What goes wrong with a constant: regions 10 ms apart leave each other alone while one is
 // crowded, and between regions 300 ms apart requests cross to be late.
