--- a/route/pick/pace_test.go
+++ b/route/pick/pace_test.go
@@ -1,8 +1,10 @@
 package pick
 
 import (
+	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -28,6 +30,23 @@
 	}
 }
 
+// Symptom: an instance grows with each service that ever was.
+// Events: configurations name other services again and again.
+// Cause: the pace of a service stayed when the service had gone.
+func TestPacesOfServicesThatAreGoneAreForgotten(t *testing.T) {
+	p := New("e")
+	for n := range 30 {
+		name := fmt.Sprint("s", n)
+		p.Update(time.Unix(int64(n), 0), Snapshot{Rules: map[string]ServiceRules{name: {Engine: true}}})
+		p.RegionCost("q", RegionLoad{Targets: 1}, Call{Service: name})
+		p.Pick(time.Unix(int64(n), 0), Call{Service: name})
+		p.pace(name).learn(1000, 50)
+	}
+	if len(p.paces) != 1 {
+		t.Errorf("%d paces are kept, one service is there", len(p.paces))
+	}
+}
+
 // Symptom: a service looks hopeless for seconds after one engine has hung.
 // Events: some first events come after a minute, or at times that cannot be.
 // Cause: one odd answer decided.
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -94,6 +94,16 @@
 		divide(list)
 	}
 	p.snapshot = s
+	p.forgetPaces()
+}
+
+// forgetPaces drops those of services that the configuration no longer names.
+func (p *Pool) forgetPaces() {
+	for service := range p.paces {
+		if _, ok := p.snapshot.Rules[service]; !ok {
+			delete(p.paces, service)
+		}
+	}
 }
 
 func (p *Pool) noteEvacuations(now time.Time, s Snapshot) {
