--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -23,6 +23,7 @@
 	"github.com/gullhaven/gullhaven/api/gen/operators"
 	"github.com/gullhaven/gullhaven/bundle"
 	"github.com/gullhaven/gullhaven/coord/keys"
+	"github.com/gullhaven/gullhaven/standin/loopback"
 	// The binary is built by TestMain, which the test cache does not see: with
 	// the import a change of the product runs the tests again.
 	_ "github.com/gullhaven/gullhaven/daemon"
@@ -255,7 +256,7 @@
 	defer log.Close()
 	i.cmd = exec.Command(binary, "--settings", filepath.Join(i.dir, "settings.json"))
 	i.cmd.Stderr, i.cmd.Stdout = log, log
-	must(t, startProcess(i.cmd))
+	must(t, loopback.Start(i.cmd))
 	i.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		_ = cmd.Wait()
@@ -392,7 +393,7 @@
 		cmd := exec.Command(binary, "standin", "--bundle", file, "--region", region)
 		out, err := cmd.StdoutPipe()
 		must(c.t, err)
-		must(c.t, startProcess(cmd))
+		must(c.t, loopback.Start(cmd))
 		c.standins = append(c.standins, cmd)
 		_, err = io.ReadFull(out, make([]byte, len("ready")))
 		must(c.t, err)
--- a/e2e/dev_test.go
+++ b/e2e/dev_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"github.com/gullhaven/gullhaven/standin/loopback"
 )
 
 // devAddresses are those of gullhavend --dev.
@@ -27,7 +29,7 @@
 	out, err := cmd.StdoutPipe()
 	must(t, err)
 	cmd.Stderr = os.Stderr
-	must(t, startProcess(cmd))
+	must(t, loopback.Start(cmd))
 	t.Cleanup(func() { _ = cmd.Process.Kill() })
 	lines := bufio.NewScanner(out)
 	var said, tries []string
--- a/e2e/ports_test.go
+++ b/e2e/ports_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+
+	"github.com/gullhaven/gullhaven/standin/loopback"
 )
 
 // Ports are handed out below the range that the system takes the local ports of
@@ -48,43 +50,12 @@
 			t.Fatal("the block of ports is used up")
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if tryListen(address) == nil {
+		if loopback.Try(address) == nil {
 			return address
 		}
 	}
 }
 
-// starting is held while a process is started and while a listener of this process is
-// open for a moment or closed. A process that is being started has a copy of every open
-// file until it runs its program: a port whose listener was closed meanwhile stays taken
-// until then.
-var starting sync.Mutex
-
-// startProcess starts a process. Nothing else in the tests may call Start by itself.
-func startProcess(cmd *exec.Cmd) error {
-	starting.Lock()
-	defer starting.Unlock()
-	return cmd.Start()
-}
-
-// tryListen listens on an address for a moment.
-func tryListen(address string) error {
-	starting.Lock()
-	defer starting.Unlock()
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	return l.Close()
-}
-
-// closeListener closes a listener; its port is free afterwards.
-func closeListener(l net.Listener) error {
-	starting.Lock()
-	defer starting.Unlock()
-	return l.Close()
-}
-
 // Symptom: a target of a test could not listen on the port that had been found free for
 // it: "address already in use", though nothing in the system used it.
 // Events: ports are found, and listened on at once, while other tests start processes.
@@ -103,7 +74,7 @@
 				default:
 				}
 				cmd := exec.Command("true")
-				if err := startProcess(cmd); err != nil {
+				if err := loopback.Start(cmd); err != nil {
 					t.Error(err)
 					return
 				}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/gullhaven/gullhaven/standin"
+	"github.com/gullhaven/gullhaven/standin/loopback"
 )
 
 // site is the targets of one region in the test's process.
@@ -55,7 +56,7 @@
 // down breaks all connections off and listens no longer, as the end of a
 // target's process does.
 func (x *target) down() {
-	_ = closeListener(x.listener)
+	_ = loopback.Close(x.listener)
 	_ = x.server.Close()
 }
 
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -81,28 +81,31 @@
 
 // Times registers a histogram of times.
 func (s *Set) Times(m Metric) *Times {
-	s.describe(m)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if t, ok := s.times[m.Name]; ok {
-		return t
-	}
-	t := &Times{newHistogram(timeBounds)}
-	s.times[m.Name], s.histograms[m.Name] = t, t.histogram
-	return t
+	return registered(s, m, s.times, func() (*Times, *histogram) {
+		h := newHistogram(timeBounds)
+		return &Times{h}, h
+	})
 }
 
 // Ratios registers a histogram of ratios.
 func (s *Set) Ratios(m Metric) *Ratios {
+	return registered(s, m, s.ratios, func() (*Ratios, *histogram) {
+		h := newHistogram(ratioBounds)
+		return &Ratios{h}, h
+	})
+}
+
+// registered returns the histogram of this name, made if there is none.
+func registered[T any](s *Set, m Metric, known map[string]T, make func() (T, *histogram)) T {
 	s.describe(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r, ok := s.ratios[m.Name]; ok {
-		return r
+	if made, ok := known[m.Name]; ok {
+		return made
 	}
-	r := &Ratios{newHistogram(ratioBounds)}
-	s.ratios[m.Name], s.histograms[m.Name] = r, r.histogram
-	return r
+	made, h := make()
+	known[m.Name], s.histograms[m.Name] = made, h
+	return made
 }
 
 func (s *Set) describe(m Metric) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/gullhaven/gullhaven/standin/loopback"
 )
 
 // killAfter is how long a process may take to end after it was asked to.
@@ -52,7 +54,7 @@
 	}
 	cmd := exec.Command(p.binary, "site", "--settings", file)
 	cmd.Stdout, cmd.Stderr = out, out
-	if err := startProcess(cmd); err != nil {
+	if err := loopback.Start(cmd); err != nil {
 		return err
 	}
 	ends := make(chan struct{})
--- a/soak/subnet.go
+++ b/soak/subnet.go
@@ -5,8 +5,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"sync"
+
+	"github.com/gullhaven/gullhaven/standin/loopback"
 )
 
 // Ports are handed out below the range that the system takes the local ports of
@@ -36,7 +36,7 @@
 	for s.next <= lastPort {
 		address := fmt.Sprintf("%s:%d", host, s.next)
 		s.next++
-		if tryListen(address) {
+		if loopback.Try(address) == nil {
 			return address, nil
 		}
 	}
@@ -57,25 +57,13 @@
 
 func (s *subnet) free(hosts, port int) bool {
 	for n := range hosts {
-		if !tryListen(fmt.Sprintf("%s:%d", s.host(n), port)) {
+		if loopback.Try(fmt.Sprintf("%s:%d", s.host(n), port)) != nil {
 			return false
 		}
 	}
 	return true
 }
 
-// starting is held while a process is started and while a listener of this process is
-// closed. A process that is being started has a copy of every open file until it runs its
-// program: a port whose listener was closed meanwhile stays taken until then.
-var starting sync.Mutex
-
-// startProcess starts a process. Nothing else may call Start by itself.
-func startProcess(cmd *exec.Cmd) error {
-	starting.Lock()
-	defer starting.Unlock()
-	return cmd.Start()
-}
-
 // server is an HTTP server whose address is used again after its end.
 type server struct {
 	http http.Server
@@ -95,20 +83,7 @@
 // end closes the listener too: one that does not serve yet would be closed later, while a
 // process may be starting.
 func (s *server) end() error {
-	starting.Lock()
-	defer starting.Unlock()
-	err := s.http.Close()
-	_ = s.l.Close()
+	err := loopback.Close(&s.http)
+	_ = loopback.Close(s.l)
 	return err
 }
-
-// tryListen listens at an address for a moment.
-func tryListen(address string) bool {
-	starting.Lock()
-	defer starting.Unlock()
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	return l.Close() == nil
-}
--- a/soak/subnet_test.go
+++ b/soak/subnet_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/gullhaven/gullhaven/standin/loopback"
 )
 
 // Symptom: the successor of a runner cannot listen, "address already in use", seconds after
@@ -58,7 +60,7 @@
 					return
 				default:
 				}
-				if cmd := exec.Command("true"); startProcess(cmd) == nil {
+				if cmd := exec.Command("true"); loopback.Start(cmd) == nil {
 					_ = cmd.Wait()
 				}
 			}
