--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -125,7 +125,10 @@
 		if !q.g.reach.Open(now, key.Region) || len(q.peersOf(now, key.Region)) == 0 {
 			continue
 		}
-		out = append(out, place.Offer{Region: key.Region, Trip: q.g.trips.To(key.Region), Cost: q.g.o.Pool.RegionCost(key.Region, load, c), Refused: q.g.hasRefused(now, key), Untold: load.Untold})
+		out = append(out, place.Offer{
+			Region: key.Region, Trip: q.g.trips.To(key.Region), Cost: q.g.o.Pool.RegionCost(key.Region, load, c),
+			Refused: q.g.hasRefused(now, key), Untold: load.Untold,
+		})
 	}
 	return out
 }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -60,7 +60,8 @@
 	}
 	line.Write(zap.String("id", q.call.ID), zap.String("place", q.place), zap.String("service", q.service),
 		zap.Int("sends", q.sends), zap.Float64("wait_ms", q.wait), zap.Float64("cost_ms", q.cost), zap.String("decided_by", q.decidedBy),
-		zap.Duration("left", q.until.Sub(q.began)), zap.Uint64("version", q.view.Index.Table.Version), zap.Duration("list_age", now.Sub(q.view.ListAt)),
+		zap.Duration("left", q.until.Sub(q.began)),
+		zap.Uint64("version", q.view.Index.Table.Version), zap.Duration("list_age", now.Sub(q.view.ListAt)),
 		zap.Duration("first", q.first.Sub(q.began)), zap.Duration("after", now.Sub(q.began)), zap.Duration("pause", q.pause),
 		zap.Int("prompt_tokens", q.call.PromptTokens), zap.String("source", q.source), zap.Bool("passed", q.from != nil))
 }
