--- a/metrics/site.go
+++ b/metrics/site.go
@@ -19,6 +19,7 @@
 	SiteDecided        = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
 	SiteInvalidSums    = Metric{"gullhaven_site_summaries_invalid_total", Counter, "summaries", "Summaries of other regions left out as their figures cannot be."}
 	SiteUntoldSums     = Metric{"gullhaven_site_summaries_untold_total", Counter, "summaries", "Summaries of other regions whose load was not known: they get requests only where there is no other place."}
+	SiteRegionsOut     = Metric{"gullhaven_site_regions_out_total", Counter, "regions", "Times that another region was left out as none of its instances could be reached."}
 	SiteChooseTime     = Metric{"gullhaven_site_choose_seconds", Histogram, "seconds", "Time to choose where to send, with asking another instance."}
 	SiteSendTime       = Metric{"gullhaven_site_send_seconds", Histogram, "seconds", "Time from sending to the head of the answer or the loss of it."}
 	SiteWaitRatio      = Metric{"gullhaven_site_wait_ratio", Histogram, "ratio", "Wait for the first event over the one that was expected, of requests to engines of the own region."}
@@ -44,7 +45,7 @@
 
 // Site are the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums,
+	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums, SiteRegionsOut,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
 	SiteTargetsLeaving, SiteVersion, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
@@ -54,7 +55,7 @@
 type SiteEntry struct {
 	*Set
 	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOverloaded, RefusedOther gometrics.Counter
-	RetriesDenied, Decided, SummariesInvalid, SummariesUntold                                                gometrics.Counter
+	RetriesDenied, Decided, SummariesInvalid, SummariesUntold, RegionsOut                                    gometrics.Counter
 	// WaitRatio tells how good choices can be: what they expect against what comes.
 	WaitRatio                                *Ratios
 	ChooseTime, SendTime, GapTime, WholeTime *Times
@@ -87,7 +88,7 @@
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Decided: s.Counter(SiteDecided),
-		SummariesInvalid: s.Counter(SiteInvalidSums), SummariesUntold: s.Counter(SiteUntoldSums),
+		SummariesInvalid: s.Counter(SiteInvalidSums), SummariesUntold: s.Counter(SiteUntoldSums), RegionsOut: s.Counter(SiteRegionsOut),
 		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WaitRatio: s.Ratios(SiteWaitRatio), WholeTime: s.Times(SiteWholeTime),
 	}
 }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -143,12 +143,17 @@
 		if q.lost(peer.Address, err) != pick.Neutral || silent {
 			// Another instance of the region may be there.
 			q.g.unreachable(time.Now(), peer.Address)
-			q.g.reach.Failed(time.Now(), peer.Region)
+			if q.g.reach.Failed(time.Now(), peer.Region) {
+				q.g.o.Metrics.RegionsOut.Inc(1)
+				q.g.o.Log.Warn("region out of reach", zap.String("region", peer.Region), zap.Error(err))
+			}
 			delete(q.triedRegions, peer.Region)
 		}
 		return false
 	}
-	q.g.reach.Answered(peer.Region)
+	if q.g.reach.Answered(peer.Region) {
+		q.g.o.Log.Info("region answers again", zap.String("region", peer.Region))
+	}
 	if a.Header.Get(headerRefused) != "" {
 		q.turnedAway = q.turnedAway || a.Header.Get(headerArrived) != ""
 		q.refusedBy(peer, verdict.Code(a.Header.Get(headerRefused)))
--- a/route/place/reach.go
+++ b/route/place/reach.go
@@ -52,8 +52,9 @@
 	}
 }
 
-// Failed notes that an instance of the region could not be reached.
-func (r *Reach) Failed(now time.Time, region string) {
+// Failed notes that an instance of the region could not be reached, and reports whether the
+// region is left out from now on.
+func (r *Reach) Failed(now time.Time, region string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.by == nil {
@@ -66,13 +67,17 @@
 	}
 	known.failures++
 	known.pause(now)
+	return known.failures == reachFails
 }
 
-// Answered notes that an instance of the region has answered.
-func (r *Reach) Answered(region string) {
+// Answered notes that an instance of the region has answered, and reports whether the region
+// had been left out.
+func (r *Reach) Answered(region string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	known := r.by[region]
 	delete(r.by, region)
+	return known != nil && known.failures >= reachFails
 }
 
 func (r *reach) pause(now time.Time) {
