entry, control: reports without an answer, the version heard of and the bytes of the links are told

Cause: an entry instance that got no answers for 30 s said nothing of it: a failed report was logged for debugging only, and its page had neither failures nor bytes of its links. So what its link was full of could be read from the monitoring of the machines alone. Change: a line after three reports in a row without an answer, and one when they come again; metrics of failed reports, of the newest version heard of, and of the links' messages, bytes and late answers, which the product's own instances had already (one sum for both).

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -31,6 +31,8 @@
 	SiteTargetsCold    = Metric{"gullhaven_site_targets_cold", Gauge, "targets", "Targets that bear only a few requests a second."}
 	SiteTargetsLeaving = Metric{"gullhaven_site_targets_draining", Gauge, "targets", "Targets that drain, or whose zone is evacuated."}
 	SiteVersion        = Metric{"gullhaven_site_version", Gauge, "version", "Version of the configuration in force, or accepted at a core instance; 0 for none."}
+	SiteHeard          = Metric{"gullhaven_site_version_heard", Gauge, "version", "Newest version that a core instance told this entry instance of; above the one in force it is on its way."}
+	SiteReportsFailed  = Metric{"gullhaven_site_reports_failed_total", Counter, "reports", "Reports to core instances that got no answer in time. Without answers the list of targets and the configuration grow old."}
 	SiteListAge        = Metric{"gullhaven_site_list_age_milliseconds", Gauge, "milliseconds", "Age of the list of targets; negative if there is none."}
 	SiteEntries        = Metric{"gullhaven_site_entries", Gauge, "instances", "Entry instances known."}
 	SiteCores          = Metric{"gullhaven_site_cores", Gauge, "instances", "Core instances known."}
@@ -47,7 +49,7 @@
 var Site = []Metric{
 	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums, SiteRegionsOut,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
-	SiteTargetsLeaving, SiteVersion, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
+	SiteTargetsLeaving, SiteVersion, SiteHeard, SiteReportsFailed, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
 }
 
@@ -55,7 +57,7 @@
 type SiteEntry struct {
 	*Set
 	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOverloaded, RefusedOther gometrics.Counter
-	RetriesDenied, Decided, SummariesInvalid, SummariesUntold, RegionsOut                                    gometrics.Counter
+	RetriesDenied, Decided, SummariesInvalid, SummariesUntold, RegionsOut, ReportsFailed                     gometrics.Counter
 	// WaitRatio tells how good choices can be: what they expect against what comes.
 	WaitRatio                                *Ratios
 	ChooseTime, SendTime, GapTime, WholeTime *Times
@@ -63,8 +65,9 @@
 
 // EntryState is what an entry instance shows of itself when its page is read.
 type EntryState struct {
-	InFlight, Dials, Targets, Out, Cold, Draining, Version, ListAge, Entries, Cores int64
-	LinesDropped, LinesLeftOut                                                      int64
+	InFlight, Dials, Targets, Out, Cold, Draining, Version, Heard, ListAge, Entries, Cores int64
+	LinesDropped, LinesLeftOut                                                             int64
+	Links                                                                                  Links
 }
 
 // NewSiteEntry makes the metrics of an entry instance; read gives its state.
@@ -78,17 +81,19 @@
 	page.show(SiteTargetsCold, func(e *EntryState) int64 { return e.Cold })
 	page.show(SiteTargetsLeaving, func(e *EntryState) int64 { return e.Draining })
 	page.show(SiteVersion, func(e *EntryState) int64 { return e.Version })
+	page.show(SiteHeard, func(e *EntryState) int64 { return e.Heard })
 	page.show(SiteListAge, func(e *EntryState) int64 { return e.ListAge })
 	page.show(SiteEntries, func(e *EntryState) int64 { return e.Entries })
 	page.show(SiteCores, func(e *EntryState) int64 { return e.Cores })
 	page.show(SiteLinesDropped, func(e *EntryState) int64 { return e.LinesDropped })
 	page.show(SiteLinesLeftOut, func(e *EntryState) int64 { return e.LinesLeftOut })
+	showLinks(page, func(e *EntryState) *Links { return &e.Links })
 	return &SiteEntry{
 		Set: s, PassedOn: s.Counter(SitePassedOn), RefusedNoTarget: s.Counter(SiteRefusals), RefusedNoView: s.Counter(SiteNoView),
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Decided: s.Counter(SiteDecided),
-		SummariesInvalid: s.Counter(SiteInvalidSums), SummariesUntold: s.Counter(SiteUntoldSums), RegionsOut: s.Counter(SiteRegionsOut),
+		SummariesInvalid: s.Counter(SiteInvalidSums), SummariesUntold: s.Counter(SiteUntoldSums), RegionsOut: s.Counter(SiteRegionsOut), ReportsFailed: s.Counter(SiteReportsFailed),
 		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WaitRatio: s.Ratios(SiteWaitRatio), WholeTime: s.Times(SiteWholeTime),
 	}
 }
@@ -98,6 +103,7 @@
 	Leads                                                         bool
 	Term, Applied, Behind, Voters, Version, ListAge, Targets      int64
 	Entries, Cores, Syncs, SyncedEntries, LinesDropped, LinesLeft int64
+	Links                                                         Links
 }
 
 // NewSiteCore makes the metrics of a core instance; read gives its state.
@@ -123,6 +129,7 @@
 	page.show(LogSyncedEntries, func(c *CoreState) int64 { return c.SyncedEntries })
 	page.show(SiteLinesDropped, func(c *CoreState) int64 { return c.LinesDropped })
 	page.show(SiteLinesLeftOut, func(c *CoreState) int64 { return c.LinesLeft })
+	showLinks(page, func(c *CoreState) *Links { return &c.Links })
 	return s
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -34,17 +34,12 @@
 	c.LinkConnections = int64(s.Connections)
 	c.LinkDials, c.LinkDialFailures = int64(s.Dials), int64(s.DialFailures)
 	c.LinkAcceptRefusals = int64(s.AcceptRefusals)
-	c.LinkPingTimeouts, c.LinkLateAnswers = int64(s.PingTimeouts), int64(s.LateAnswers)
 	c.LinkBadBatches = int64(s.BadBatches)
-	for _, channel := range s.Channels {
-		c.LinkMessagesSent += int64(channel.Sent)
-		c.LinkBytesSent += int64(channel.SentBytes)
-		c.LinkMessagesReceived += int64(channel.Received)
-		c.LinkBytesReceived += int64(channel.ReceivedBytes)
-		c.LinkRefused += int64(channel.Refused)
-		c.LinkDropped += int64(channel.Dropped)
-		c.LinkOverflow += int64(channel.Overflow)
-	}
+	l := metrics.SumLinks(s)
+	c.LinkPingTimeouts, c.LinkLateAnswers = l.PingTimeouts, l.Late
+	c.LinkMessagesSent, c.LinkBytesSent = l.Sent, l.SentBytes
+	c.LinkMessagesReceived, c.LinkBytesReceived = l.Received, l.ReceivedBytes
+	c.LinkRefused, c.LinkDropped, c.LinkOverflow = l.Refused, l.Dropped, l.Overflow
 }
 
 func (n *Node) bundleControl(c *metrics.Control) {
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -222,6 +222,7 @@
 		Version: int64(i.accepted().Version), ListAge: -1, Entries: int64(len(i.board.Entries(now))),
 		Cores: int64(len(i.board.Cores(now))), Syncs: int64(s.Counters.Syncs), SyncedEntries: int64(s.Counters.SyncedEntries),
 	}
+	c.Links = metrics.SumLinks(i.hub.Stats())
 	if l := i.board.List(); !l.ReadAt.IsZero() {
 		c.ListAge, c.Targets = now.Sub(l.ReadAt).Milliseconds(), int64(len(l.Targets))
 	}
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -38,6 +38,9 @@
 	beginAfter = 1200 * time.Millisecond
 	// failPause is the time after a report that failed.
 	failPause = 100 * time.Millisecond
+	// tellFailures is after how many reports in a row without an answer a line tells of it:
+	// one or two are an election or a lost connection.
+	tellFailures = 3
 )
 
 // knowledge is what the core instances have told.
@@ -143,12 +146,32 @@
 // note takes in an answer or its lack.
 func (i *Instance) note(to string, u *feed.Update, err error) {
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	if err != nil {
 		i.chooser.Failed(time.Now(), to)
-	} else {
-		i.chooser.Answered(to, u.Led)
+		i.unanswered(to, err)
+		return
 	}
-	i.mu.Unlock()
+	i.chooser.Answered(to, u.Led)
+	if i.failedInRow >= tellFailures {
+		i.log.Info("core instances answer again", zap.String("from", to), zap.Int("failed", i.failedInRow))
+	}
+	i.failedInRow = 0
+}
+
+// unanswered counts a report without an answer, and tells when news have stayed away for
+// some reports: what is in force and the list of targets grow old from then on.
+func (i *Instance) unanswered(to string, err error) {
+	i.metrics.ReportsFailed.Inc(1)
+	i.failedInRow++
+	if i.failedInRow != tellFailures {
+		return
+	}
+	fields := []zap.Field{zap.String("last", to), zap.Int("failed", i.failedInRow), zap.Error(err)}
+	if k := &i.known; k.state != nil {
+		fields = append(fields, zap.Uint64("version", k.state.Version), zap.Duration("list_age", time.Since(k.list.ReadAt)))
+	}
+	i.log.Warn("core instances do not answer", fields...)
 }
 
 // candidates are the core instances, those of the own zone and region first, in an
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -61,10 +61,12 @@
 	askOn time.Duration
 
 	draining atomic.Bool
-	// mu guards known and chooser.
+	// mu guards known, chooser and failedInRow.
 	mu      sync.Mutex
 	known   knowledge
 	chooser *feed.Chooser
+	// failedInRow counts the newest reports without an answer.
+	failedInRow int
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -127,6 +129,7 @@
 	now := time.Now()
 	s := metrics.EntryState{InFlight: i.gateway.InFlight(), Dials: int64(i.targets.Dials()), ListAge: -1}
 	c := i.pool.Count(now)
+	s.Links = metrics.SumLinks(i.hub.Stats())
 	s.Targets, s.Out, s.Cold, s.Draining = int64(c.Targets), int64(c.Out), int64(c.Cold), int64(c.Draining)
 	if i.o.Lines != nil {
 		dropped, leftOut := i.o.Lines.Missing()
@@ -141,6 +144,9 @@
 		s.ListAge = now.Sub(i.known.list.ReadAt).Milliseconds()
 	}
 	s.Entries, s.Cores = int64(len(i.known.entries.Entries)+1), int64(len(i.known.cores))
+	if i.known.state != nil {
+		s.Heard = int64(i.known.state.Version)
+	}
 	return s
 }
 
