--- a/coord/replog/sim_test.go
+++ b/coord/replog/sim_test.go
@@ -115,6 +115,8 @@
 	// idle is the mean number of steps between two proposals at a node.
 	idle  int
 	count func(Message)
+	// delay, if set, is how long a message takes on its way.
+	delay func(Message) time.Duration
 
 	// What was ever seen, for the invariants.
 	disks     map[Member]*disk
@@ -215,6 +217,9 @@
 		}
 		for range copies {
 			delay := time.Millisecond * time.Duration(1+s.rng.IntN(8))
+			if s.delay != nil {
+				delay = s.delay(m)
+			}
 			if s.lossy && s.rng.IntN(30) == 0 {
 				delay = time.Duration(s.rng.Int64N(int64(5 * simElection)))
 			}
