replog: an append is taken as lost by the time that its bytes may take, not by the next heartbeat

What operators saw: a small change behind a large one was acknowledged after 3.9 s, and the members' links carried twice to ten times what the entries are. Cause: the answer to a heartbeat let a short append go out while a long one was on its way. Long messages are cut into chunks and short ones overtake them, so the peer rejected it for the lack of the entry before, and the long one was sent again; with each heartbeat once more (31 times in TestLargeEntryIsSentOnceToEachMember, where an entry takes three election timeouts). Change: an append under way counts as lost only once a peer that takes 256 KiB a second would have answered, twice as long after each one that was sent again; what overtook it goes again when it has arrived. A short append is taken as lost with the next heartbeat, as before. Why it holds: it depends on bytes and on answers alone; the doubling lets any rate do in the end.

--- a/coord/replog/replicate.go
+++ b/coord/replog/replicate.go
@@ -110,7 +110,7 @@
 		return
 	}
 	entries := n.log.between(p.Next, n.log.last(), n.opts.MaxAppendBytes)
-	p.Sent(prev+uint64(len(entries)), len(entries))
+	p.Sent(n.now, prev+uint64(len(entries)), len(entries), dataBytes(entries))
 	p.SentCommit = max(p.SentCommit, min(n.log.commit, prev+uint64(len(entries))))
 	n.sendAsLeader(Message{
 		Kind: MsgAppend, To: to, Index: prev, LogTerm: term,
@@ -118,6 +118,14 @@
 	})
 }
 
+// dataBytes is the length of the entries' data.
+func dataBytes(entries []Entry) (sum int) {
+	for _, e := range entries {
+		sum += len(e.Data)
+	}
+	return sum
+}
+
 func (n *Node) sendSnapshot(to Member, p *tracker.Progress) {
 	s := n.log.snapshot
 	p.SentSnapshot(s.Index, n.now)
@@ -218,14 +226,14 @@
 	delete(n.lead.strangers, m.From.ID)
 	switch {
 	case m.Kind == MsgHeartbeatResp:
-		p.Heard(n.now, n.opts.MaxInflight, snapshotPatience*n.opts.ElectionTimeout)
+		mayAppend := p.Heard(n.now, n.opts.MaxInflight, snapshotPatience*n.opts.ElectionTimeout)
 		n.ackRound(p, m.Round)
-		if p.Match < n.log.last() && p.MaySend(n.opts.MaxInflight) {
+		if p.Match < n.log.last() && mayAppend {
 			n.sendAppend(m.From, p)
 		}
 	case m.Reject:
 		hint, _ := n.lastWithin(min(m.Hint, n.log.last()), m.HintTerm)
-		if p.Reject(m.Index, hint) {
+		if p.Reject(n.now, m.Index, hint) {
 			n.sendAppend(m.From, p)
 		}
 	default:
