--- a/bundle/newest/machine_test.go
+++ b/bundle/newest/machine_test.go
@@ -23,6 +23,17 @@
 	return entry(t, newest.Command{Offer: &newest.Offer{Version: version, Document: []byte(document)}})
 }
 
+func textOf(t rapid.TB, s *newest.State) string {
+	if s.Document == nil {
+		return ""
+	}
+	text, err := s.Document.Join()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
 // Symptom: instances run different routes under one version, or go back to an older
 // one.
 // Events: operators race with any versions, and older offers arrive again.
@@ -39,8 +50,8 @@
 			if v > version {
 				version, document = v, text
 			}
-			if s := m.State(); s.Version != version || string(s.Document) != document {
-				t.Fatalf("version %d with %q, want %d with %q", s.Version, s.Document, version, document)
+			if s := m.State(); s.Version != version || textOf(t, s) != document {
+				t.Fatalf("version %d with %q, want %d with %q", s.Version, textOf(t, s), version, document)
 			}
 		}
 	})
--- /dev/null
+++ b/bundle/newest/parts_test.go
@@ -0,0 +1,197 @@
+package newest_test
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/coord/pieces"
+)
+
+// lines cuts a document of lines, each an element.
+func lines(t rapid.TB, text []byte) *pieces.Source {
+	var l pieces.Layout
+	for at, c := range text {
+		if c == '\n' {
+			l.Ends = append(l.Ends, at+1)
+		}
+	}
+	s, err := pieces.Cut(text, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func parts(t rapid.TB, packed [][]byte) []byte {
+	return entry(t, newest.Command{Parts: &newest.Parts{Packed: packed}})
+}
+
+func offerOf(t rapid.TB, version uint64, s *pieces.Source) []byte {
+	return entry(t, newest.Command{Offer: &newest.Offer{Version: version, Manifest: &s.Manifest}})
+}
+
+func missing(t rapid.TB, result []byte) int {
+	r, err := newest.DecodeResult(result)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(r.Missing)
+}
+
+func longText(version, n int) []byte {
+	var b bytes.Buffer
+	for k := range n {
+		fmt.Fprintf(&b, "line %d of some length, so that there are several pieces %x\n", k, uint64(k)*0x9e3779b97f4a7c15)
+	}
+	fmt.Fprintf(&b, "version %d\n", version)
+	return b.Bytes()
+}
+
+// Operators race with configurations of many pieces, some of which never come, come twice or
+// come late. Only whole ones are in force, all members agree on each of them, whether they
+// saw all entries or a snapshot, and the highest version that was whole at its offer wins.
+func TestOnlyWholeConfigurationsAreTaken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newest.NewMachine(nil)
+		want, version := []byte(nil), uint64(0)
+		for index := range rapid.IntRange(1, 12).Draw(t, "entries") {
+			v := rapid.IntRange(1, 9).Draw(t, "version")
+			s := lines(t, longText(v, rapid.IntRange(0, 600).Draw(t, "lines")))
+			digests := m.Missing(&s.Manifest)
+			left := rapid.IntRange(0, len(digests)).Draw(t, "pieces that do not come")
+			packed := s.PackOf(digests[:len(digests)-left])
+			if len(packed) > 0 {
+				m.Apply(uint64(3*index+1), parts(t, packed))
+			}
+			got := missing(t, m.Apply(uint64(3*index+2), offerOf(t, uint64(v), s)))
+			if higher := uint64(v) > version; higher && got != left {
+				t.Fatalf("%d pieces are missing, %d did not come", got, left)
+			}
+			if uint64(v) > version && left == 0 {
+				version, want = uint64(v), longText(v, 0)
+			}
+			state := m.State()
+			if state.Version != version || !bytes.HasSuffix([]byte(textOf(t, state)), want) {
+				t.Fatalf("version %d, want %d", state.Version, version)
+			}
+			data, err := m.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			other := newest.NewMachine(nil)
+			if err := other.Restore(data); err != nil {
+				t.Fatal(err)
+			}
+			if rapid.Bool().Draw(t, "go on from the snapshot") {
+				m = other
+			}
+		}
+	})
+}
+
+// An operator's call ends before all pieces are committed. The next one, at another core
+// instance, has to propose only the rest.
+func TestPiecesStayForTheNextTry(t *testing.T) {
+	m := newest.NewMachine(nil)
+	s := lines(t, longText(3, 800))
+	all := m.Missing(&s.Manifest)
+	m.Apply(1, parts(t, s.PackOf(all[:len(all)/2])))
+	rest := m.Missing(&s.Manifest)
+	if len(all) < 4 || len(rest) != len(all)-len(all)/2 {
+		t.Fatalf("%d pieces are left of %d", len(rest), len(all))
+	}
+	m.Apply(2, parts(t, s.PackOf(rest)))
+	if got := missing(t, m.Apply(3, offerOf(t, 3, s))); got != 0 || m.State().Version != 3 {
+		t.Fatalf("version %d, %d pieces missing", m.State().Version, got)
+	}
+	// A change of one line needs what changed and nothing more.
+	next := lines(t, append(longText(3, 800), []byte("one more\n")...))
+	if got := len(m.Missing(&next.Manifest)); got > 2 {
+		t.Fatalf("%d pieces for one line", got)
+	}
+}
+
+// Pieces that nobody offers give way to newer ones, the oldest first, and an offer of them
+// says what it lacks.
+func TestStagedPiecesAreBounded(t *testing.T) {
+	m := newest.NewMachine(nil)
+	first := lines(t, longText(1, 200))
+	m.Apply(1, parts(t, first.PackOf(m.Missing(&first.Manifest))))
+	block := make([]byte, 1<<20)
+	for k := range 9 {
+		for at := range block {
+			block[at] = byte(at * (k + 3) * 2654435761 >> 13)
+		}
+		// As it stands in the stream of a compressor that finds nothing to compress.
+		m.Apply(uint64(k+2), parts(t, [][]byte{stored(block)}))
+	}
+	if got := missing(t, m.Apply(20, offerOf(t, 1, first))); got != len(slices.Compact(first.Manifest.Digests)) {
+		t.Fatalf("%d pieces missing", got)
+	}
+	data, err := m.Snapshot()
+	if err != nil || len(data) > 9<<20 {
+		t.Fatalf("a snapshot of %d bytes, %v", len(data), err)
+	}
+}
+
+// stored writes bytes as a deflate stream of stored blocks.
+func stored(raw []byte) []byte {
+	var out []byte
+	for len(raw) > 0 {
+		n := min(len(raw), 65535)
+		final := byte(0)
+		if n == len(raw) {
+			final = 1
+		}
+		out = append(out, final, byte(n), byte(n>>8), byte(^n), byte(^n>>8))
+		out = append(out, raw[:n]...)
+		raw = raw[n:]
+	}
+	return out
+}
+
+// A disk holds entries and snapshots of a build that kept documents whole. Its state is read
+// as it was, and goes on.
+func TestStatesOfBeforePiecesAreRead(t *testing.T) {
+	old, err := cbor.Marshal(map[int]any{1: 7, 2: 4, 3: []byte("a document"), 4: map[string]uint64{"z": 5}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := newest.NewMachine(nil)
+	if err := m.Restore(old); err != nil {
+		t.Fatal(err)
+	}
+	s := m.State()
+	if s.Version != 4 || s.Index != 7 || textOf(t, s) != "a document" || s.Zones()[0] != "z" {
+		t.Fatalf("%+v", s)
+	}
+	m.Apply(8, offer(t, 5, "another one"))
+	if s := m.State(); s.Version != 5 || textOf(t, s) != "another one" || s.Root == (pieces.Digest{}) {
+		t.Fatalf("%+v", s)
+	}
+	again, err := newest.DecodeState(old)
+	if err != nil || textOf(t, again) != "a document" {
+		t.Fatalf("%+v, %v", again, err)
+	}
+}
+
+// An entry with damaged pieces, or with a manifest that cannot be, changes nothing.
+func TestDamagedPartsAreLeftOut(t *testing.T) {
+	m := newest.NewMachine(nil)
+	s := lines(t, longText(1, 200))
+	m.Apply(1, parts(t, [][]byte{{1, 2, 3}, nil}))
+	if got := len(m.Missing(&s.Manifest)); got != len(s.Manifest.Digests) {
+		t.Fatalf("%d missing", got)
+	}
+	bad := newest.Command{Offer: &newest.Offer{Version: 2, Manifest: &pieces.Manifest{Head: 4}}}
+	m.Apply(2, entry(t, bad))
+	if m.State().Version != 0 {
+		t.Fatalf("version %d", m.State().Version)
+	}
+}
--- /dev/null
+++ b/coord/pieces/transfer_test.go
@@ -0,0 +1,252 @@
+package pieces
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// world is one receiver behind a link, in virtual time. Sources learn of versions one after
+// the other, are down for a while, forget all at a restart, and answers are lost.
+type world struct {
+	t    *rapid.T
+	now  time.Time
+	rate int // bytes a second that the link leaves to the transfer
+	trip time.Duration
+	loss int // one answer in so many is lost; 0 for none
+
+	sources  []*Holder
+	down     []bool
+	transfer *Transfer
+	// got is what the receiver holds, and version what it has in force.
+	got     map[Digest][]byte
+	version int
+	// told and texts are the versions that were made.
+	told  []Digest
+	texts [][]byte
+	// sent are the bytes that came over the link, of use or not.
+	sent int
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1000, 0), got: map[Digest][]byte{},
+		rate: rapid.SampledFrom([]int{4 << 10, 40 << 10, 1 << 20}).Draw(t, "rate"),
+		trip: time.Duration(rapid.IntRange(1, 200).Draw(t, "trip")) * time.Millisecond,
+		loss: rapid.SampledFrom([]int{0, 3, 20}).Draw(t, "loss"),
+	}
+	for range rapid.IntRange(1, 4).Draw(t, "sources") {
+		w.sources, w.down = append(w.sources, &Holder{}), append(w.down, false)
+	}
+	w.transfer = NewTransfer(func(d Digest) bool { return w.got[d] != nil })
+	return w
+}
+
+// publish makes a version that some sources know at once.
+func (w *world) publish(names []string) {
+	s := cut(w.t, names)
+	d := s.Pack()
+	root := d.Manifest.Root()
+	text, _ := elements(names)
+	w.told, w.texts = append(w.told, root), append(w.texts, text)
+	for k, h := range w.sources {
+		if !w.down[k] {
+			h.Put(root, d)
+		}
+	}
+}
+
+// tell has the receiver hear of the newest version from the sources that know it.
+func (w *world) tell() {
+	root := w.told[len(w.told)-1]
+	if w.version == len(w.told) {
+		return
+	}
+	for k, h := range w.sources {
+		if !w.down[k] && !h.Answer(&Ask{Root: root}).Unknown {
+			w.transfer.Want(w.now, root, fmt.Sprint(k))
+		}
+	}
+}
+
+// step asks one question, or waits.
+func (w *world) step() {
+	q, wait := w.transfer.Next(w.now)
+	if q == nil {
+		w.now = w.now.Add(max(wait, 50*time.Millisecond))
+		return
+	}
+	var k int
+	_, _ = fmt.Sscan(q.To, &k)
+	if w.down[k] {
+		w.fail(q)
+		return
+	}
+	a := w.sources[k].Answer(&q.Ask)
+	bytes := sizeOf(a)
+	w.sent += bytes
+	took := w.trip + time.Duration(bytes)*time.Second/time.Duration(w.rate)
+	if took > q.Within || w.loss > 0 && rapid.IntRange(1, w.loss).Draw(w.t, "lost") == 1 {
+		w.fail(q)
+		return
+	}
+	w.now = w.now.Add(took)
+	// A failure is a source that has forgotten the version: the next one to tell is asked.
+	_ = w.transfer.Answered(w.now, q, a)
+	w.adopt()
+}
+
+func (w *world) fail(q *Question) {
+	w.now = w.now.Add(q.Within)
+	w.transfer.Failed(w.now, q)
+}
+
+func sizeOf(a *Answer) int {
+	size := 50
+	for _, p := range a.Packed {
+		size += len(p)
+	}
+	if a.Manifest != nil {
+		size += len(a.Manifest.Digests) * len(Digest{})
+	}
+	return size
+}
+
+func (w *world) adopt() {
+	if !w.transfer.Complete() {
+		return
+	}
+	root := w.transfer.Wanted()
+	m, got := w.transfer.Take()
+	var text []byte
+	all := map[Digest][]byte{}
+	for _, d := range m.Digests {
+		raw := got[d]
+		if raw == nil {
+			raw = w.got[d]
+		}
+		all[d] = raw
+		text = append(text, raw...)
+	}
+	w.got = all
+	version := 1
+	for w.told[version-1] != root {
+		version++
+	}
+	if version <= w.version {
+		w.t.Fatalf("version %d is in force after %d", version, w.version)
+	}
+	w.version = version
+	if !bytes.Equal(text, w.texts[version-1]) {
+		w.t.Fatalf("version %d is not what was made", version)
+	}
+}
+
+// Whatever the link carries, whatever is lost, whoever restarts and however fast versions
+// follow each other, the newest version arrives once no newer one comes, no older one is put
+// in force after it, and what has come of a version is not asked for again.
+func TestNewestVersionArrivesInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		names := numbered(rapid.IntRange(1, 900).Draw(t, "elements"), 7)
+		w.publish(names)
+		for range rapid.IntRange(0, 5).Draw(t, "changes") {
+			for range rapid.IntRange(0, 6).Draw(t, "steps") {
+				w.tell()
+				w.step()
+			}
+			k := rapid.IntRange(0, len(w.sources)-1).Draw(t, "source")
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				w.down[k] = len(w.sources) > 1 && !w.down[k]
+			case 1:
+				*w.sources[k] = Holder{}
+			default:
+				names = append([]string{}, names...)
+				names[rapid.IntRange(0, len(names)-1).Draw(t, "at")] = fmt.Sprintf("changed %d", len(w.told))
+				w.publish(names)
+			}
+		}
+		for k := range w.down {
+			w.down[k] = false
+		}
+		w.publish(append([]string{"last"}, names...))
+		d := cut(t, append([]string{"last"}, names...)).Pack()
+		whole := 0
+		for _, p := range d.Packed {
+			whole += len(p)
+		}
+		begun, failed, sent := w.now, w.transfer.Stats().Failed, w.sent
+		for w.version < len(w.told) {
+			w.tell()
+			w.step()
+			if w.now.Sub(begun) > time.Hour {
+				left, _, _ := w.transfer.Left()
+				t.Fatalf("version %d of %d, %d pieces left after an hour", w.version, len(w.told), left)
+			}
+		}
+		failures := int(w.transfer.Stats().Failed - failed)
+		// Each piece once, a manifest for each try of it, and what failed questions brought.
+		most := whole + (failures+2)*(mostAsk+len(d.Manifest.Digests)*len(Digest{})+100) + len(d.Packed)*100
+		if got := w.sent - sent; got > most {
+			t.Fatalf("%d bytes were sent for %d, with %d failures", got, whole, failures)
+		}
+	})
+}
+
+// Answers that are wrong change nothing, and the next source is asked.
+func TestWrongAnswersAreLeftOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d, other := cut(t, numbered(300, 1)).Pack(), cut(t, numbered(300, 2)).Pack()
+	root := d.Manifest.Root()
+	tr := NewTransfer(func(Digest) bool { return false })
+	tr.Want(now, root, "a")
+	tr.Want(now, root, "b")
+	var good Holder
+	good.Put(root, d)
+	ask := func() *Question {
+		for {
+			q, wait := tr.Next(now)
+			if q != nil {
+				return q
+			}
+			now = now.Add(wait)
+		}
+	}
+	for name, wrong := range map[string]*Answer{
+		"another manifest": {Manifest: &other.Manifest}, "none": {},
+		"one that cannot be": {Manifest: &Manifest{Head: 3}},
+	} {
+		q := ask()
+		if tr.Answered(now, q, wrong) == nil {
+			t.Error(name)
+		}
+		if next := ask(); next.To == q.To {
+			t.Errorf("%s: %s is asked again", name, q.To)
+		}
+	}
+	q := ask()
+	if err := tr.Answered(now, q, good.Answer(&q.Ask)); err != nil {
+		t.Fatal(err)
+	}
+	before, _, _ := tr.Left()
+	for name, wrong := range map[string]*Answer{
+		"another piece": {Packed: [][]byte{other.Packed[3]}}, "damaged": {Packed: [][]byte{{1, 2, 3}}}, "none": {},
+	} {
+		if tr.Answered(now, ask(), wrong) == nil {
+			t.Error(name)
+		}
+	}
+	if left, _, _ := tr.Left(); left != before {
+		t.Errorf("%d pieces are left of %d", left, before)
+	}
+	for !tr.Complete() {
+		q := ask()
+		if err := tr.Answered(now, q, good.Answer(&q.Ask)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/daemon/site.go
+++ b/daemon/site.go
@@ -144,7 +144,7 @@
 	i, err := entry.New(entry.Options{
 		Self:    feed.Entry{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone, Callers: s.Listen.Callers},
 		Seeds:   s.SeedIDs(),
-		Parse:   platform.ParseConfiguration,
+		Format:  platform.Format{},
 		Dialect: platform.Dialect{},
 		Retries: exchange.RetryLimits{Span: s.Retries.Span(), Share: s.Retries.Share, Allowance: s.Retries.Allowance},
 		Log:     r.log, Ordinary: r.ordinary, Lines: r,
@@ -204,7 +204,7 @@
 		Seeds:      s.SeedIDs(),
 		FirstStart: s.FirstStart,
 		Dir:        s.DataDir,
-		Parse:      platform.ParseConfiguration,
+		Format:     platform.Format{},
 		ReadList:   list.Read,
 		ListRate:   s.InstanceListRate,
 		Log:        r.log,
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -33,6 +33,9 @@
 	SiteVersion        = Metric{"gullhaven_site_version", Gauge, "version", "Version of the configuration in force, or accepted at a core instance; 0 for none."}
 	SiteHeard          = Metric{"gullhaven_site_version_heard", Gauge, "version", "Newest version that a core instance told this entry instance of; above the one in force it is on its way."}
 	SiteReportsFailed  = Metric{"gullhaven_site_reports_failed_total", Counter, "reports", "Reports to core instances that got no answer in time. Without answers the list of targets and the configuration grow old."}
+	SitePiecesLeft     = Metric{"gullhaven_site_pieces_left", Gauge, "pieces", "Pieces of the newest configuration that are still to come; 0 also while its list of pieces is."}
+	SitePieceBytes     = Metric{"gullhaven_site_piece_bytes_total", Counter, "bytes", "Bytes of pieces of configurations that came."}
+	SitePiecesFailed   = Metric{"gullhaven_site_pieces_failed_total", Counter, "questions", "Questions for a configuration that got no answer of use; another core instance was asked, for less."}
 	SiteListAge        = Metric{"gullhaven_site_list_age_milliseconds", Gauge, "milliseconds", "Age of the list of targets; negative if there is none."}
 	SiteEntries        = Metric{"gullhaven_site_entries", Gauge, "instances", "Entry instances known."}
 	SiteCores          = Metric{"gullhaven_site_cores", Gauge, "instances", "Core instances known."}
@@ -49,7 +52,7 @@
 var Site = []Metric{
 	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums, SiteRegionsOut,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
-	SiteTargetsLeaving, SiteVersion, SiteHeard, SiteReportsFailed, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
+	SiteTargetsLeaving, SiteVersion, SiteHeard, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
 }
 
@@ -66,7 +69,7 @@
 // EntryState is what an entry instance shows of itself when its page is read.
 type EntryState struct {
 	InFlight, Dials, Targets, Out, Cold, Draining, Version, Heard, ListAge, Entries, Cores int64
-	LinesDropped, LinesLeftOut                                                             int64
+	LinesDropped, LinesLeftOut, PiecesLeft, PieceBytes, PiecesFailed                       int64
 	Links                                                                                  Links
 }
 
@@ -82,6 +85,9 @@
 	page.show(SiteTargetsLeaving, func(e *EntryState) int64 { return e.Draining })
 	page.show(SiteVersion, func(e *EntryState) int64 { return e.Version })
 	page.show(SiteHeard, func(e *EntryState) int64 { return e.Heard })
+	page.show(SitePiecesLeft, func(e *EntryState) int64 { return e.PiecesLeft })
+	page.show(SitePieceBytes, func(e *EntryState) int64 { return e.PieceBytes })
+	page.show(SitePiecesFailed, func(e *EntryState) int64 { return e.PiecesFailed })
 	page.show(SiteListAge, func(e *EntryState) int64 { return e.ListAge })
 	page.show(SiteEntries, func(e *EntryState) int64 { return e.Entries })
 	page.show(SiteCores, func(e *EntryState) int64 { return e.Cores })
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -46,8 +46,12 @@
 	keepEntries     = 64
 	// maxDocument bounds a configuration in bytes, as the limit on a body does.
 	maxDocument = 4 << 20
-	// maxMessage bounds a message between instances: a snapshot with one document.
-	maxMessage = maxDocument + 1<<20
+	// maxMessage bounds a message between instances: a snapshot with one document, and with
+	// pieces of others that were not offered yet.
+	maxMessage = 3*maxDocument + 1<<20
+	// appendBytes bounds the entries of one message between members: one that goes as one
+	// chunk keeps its place among the heartbeats.
+	appendBytes = 12 << 10
 	// callTime bounds one operation on the group. Operators give a call a second.
 	callTime = 900 * time.Millisecond
 	// firstTime bounds the confirmation for an instance that has just started: a
@@ -70,6 +74,10 @@
 	channelMember = "member-report"
 	// ChannelReport is where entry instances report.
 	ChannelReport = "report"
+	// ChannelDocument is where they ask for a configuration, see package pieces.
+	ChannelDocument = "document"
+	// channelMemberDocument is ChannelDocument at a member, which does not pass it on again.
+	channelMemberDocument = "member-document"
 )
 
 // logFolder holds the replicated log.
@@ -85,8 +93,8 @@
 	FirstStart bool
 	// Dir is the folder on the disk, used by this instance alone.
 	Dir string
-	// Parse reads and checks a configuration.
-	Parse func(document []byte) (*routes.Table, error)
+	// Format reads and checks configurations.
+	Format routes.Format
 	// ReadList reads the platform's list of targets and tells how many calls it took. It
 	// waits for the turn of each call.
 	ReadList func(ctx context.Context, turn Turn) (targets []feed.Target, calls int, err error)
@@ -109,6 +117,8 @@
 	machine *newest.Machine
 	board   *feed.Board
 	kept    *kept
+	// documents are given to entry instances.
+	documents documents
 	// first is the state that was accepted before the start; nil if unknown.
 	first   *newest.State
 	members *admit.Group
@@ -152,6 +162,7 @@
 		Self:              replog.Member{ID: o.Self.ID},
 		HeartbeatInterval: heartbeat,
 		ElectionTimeout:   election,
+		MaxAppendBytes:    appendBytes,
 	}
 	if o.FirstStart && slices.Contains(o.Seeds, o.Self.ID) {
 		core.Bootstrap = &replog.Bootstrap{Voters: o.Seeds}
@@ -170,6 +181,7 @@
 		i.log.Warn("accepted state beside the log cannot be read", zap.Error(err))
 	}
 	if i.first != nil {
+		i.documents.put(i.first)
 		o.Log.Info("accepted before the start", zap.Uint64("version", i.first.Version), zap.Uint64("index", i.first.Index))
 	}
 	i.newcomer = i.node.Status().New && !o.FirstStart
@@ -181,6 +193,8 @@
 	hub.Serve(channelRead, serveWorkers, i.serveRead)
 	hub.Serve(channelMember, serveWorkers, i.serveReport)
 	hub.Serve(ChannelReport, serveWorkers, i.passReport)
+	hub.Serve(channelMemberDocument, serveWorkers, i.serveDocument)
+	hub.Serve(ChannelDocument, serveWorkers, i.passDocument)
 	return i, nil
 }
 
@@ -336,6 +350,7 @@
 func (i *Instance) changed(s *newest.State) {
 	i.log.Info("accepted", zap.Uint64("version", s.Version), zap.Uint64("index", s.Index),
 		zap.Strings("evacuated", s.Zones()))
+	i.documents.put(s)
 	i.kept.put(s)
 	i.board.Wake()
 }
@@ -407,8 +422,8 @@
 func (i *Instance) update(r feed.Report) feed.Update {
 	u := feed.Update{Led: i.led()}
 	s := i.accepted()
-	if s.Index > r.Index {
-		u.State = s
+	if s.Index > r.Held {
+		u.Head = s.Head()
 	}
 	i.board.Fill(time.Now(), r, s.Evacuated, &u)
 	return u
--- a/node/control/kept.go
+++ b/node/control/kept.go
@@ -113,6 +113,5 @@
 	if len(data) < checkBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checkBytes:]) {
 		return nil, errors.NotValidf("checksum of the accepted state")
 	}
-	s := &newest.State{}
-	return s, cbor.Unmarshal(data[checkBytes:], s)
+	return newest.DecodeState(data[checkBytes:])
 }
--- a/node/control/kept_test.go
+++ b/node/control/kept_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/coord/wal/faultfs"
 )
 
@@ -19,6 +20,15 @@
 	return newKept(fs, "/d", zap.NewNop())
 }
 
+func stateOf(version uint64, text string) *newest.State {
+	source, err := pieces.Cut([]byte(text), pieces.Layout{})
+	if err != nil {
+		panic(err)
+	}
+	d := source.Pack()
+	return &newest.State{Index: version, Version: version, Document: d, Root: d.Manifest.Root()}
+}
+
 // Symptom: after a loss of power all requests are refused until a leader is elected,
 // or are served by a configuration that was never accepted.
 // Events: power is lost at any operation of the writing of a state.
@@ -29,14 +39,16 @@
 		for budget := 0; ; budget++ {
 			fs := faultfs.New()
 			k := newKeptOn(fs)
-			So(k.write(&newest.State{Index: 1, Version: 1, Document: []byte("one")}), ShouldBeNil)
+			So(k.write(stateOf(1, "one")), ShouldBeNil)
 			fs.CrashAfter(budget)
-			err := k.write(&newest.State{Index: 2, Version: 2, Document: []byte("two")})
+			err := k.write(stateOf(2, "two"))
 			fs.Mend()
 			fs.PowerLoss(rng.IntN)
 			s, readErr := newKeptOn(fs).read()
 			So(readErr, ShouldBeNil)
-			So(fmt.Sprint(s.Version, string(s.Document)), ShouldBeIn, "1one", "2two")
+			text, joinErr := s.Document.Join()
+			So(joinErr, ShouldBeNil)
+			So(fmt.Sprint(s.Version, string(text)), ShouldBeIn, "1one", "2two")
 			if err == nil {
 				So(s.Version, ShouldEqual, 2)
 				return
--- a/node/control/operators.go
+++ b/node/control/operators.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 )
@@ -25,7 +27,7 @@
 // version, will be in force. An *InvalidError says that it never will be; with any
 // other error it may or may not be, and the same may be offered again anywhere.
 func (i *Instance) Offer(ctx context.Context, document []byte) error {
-	table, err := i.o.Parse(document)
+	table, err := i.o.Format.Parse(document)
 	if err != nil {
 		i.log.Info("refused a configuration", zap.Int("bytes", len(document)), zap.Error(err))
 		return &InvalidError{err}
@@ -34,13 +36,24 @@
 		// The state holds only what a majority has committed.
 		return nil
 	}
-	return i.propose(ctx, newest.Command{Offer: &newest.Offer{Version: table.Version, Document: document}})
+	layout := i.o.Format.Layout(document)
+	if len(layout.Ends) != len(table.Routes) {
+		// Routes that are not read one by one as they are read together would differ from
+		// instance to instance.
+		layout = pieces.Layout{}
+	}
+	source, err := pieces.Cut(document, layout)
+	if err != nil {
+		return err
+	}
+	return i.offer(ctx, table.Version, source)
 }
 
 // Evacuate orders that the targets of a zone get nothing more, or takes that back.
 // nil acknowledges it.
 func (i *Instance) Evacuate(ctx context.Context, zone string, on bool) error {
-	return i.propose(ctx, newest.Command{Zone: &newest.Zone{Name: zone, Evacuate: on}})
+	_, err := i.propose(ctx, newest.Command{Zone: &newest.Zone{Name: zone, Evacuate: on}})
+	return err
 }
 
 // Current returns the newest accepted configuration. The error says that this
@@ -60,29 +73,82 @@
 	if s.Version == 0 {
 		return nil, errNoDocument
 	}
-	return s.Document, nil
+	return s.Document.Join()
+}
+
+// offerRounds is how often an offer is made: pieces that others have proposed may have given
+// way to newer ones meanwhile.
+const offerRounds = 3
+
+// offer proposes the pieces that the group lacks, and then the configuration that consists
+// of them. Pieces that were committed stay where the rest comes too late, and the next try,
+// at any core instance, goes on from there.
+func (i *Instance) offer(ctx context.Context, version uint64, source *pieces.Source) error {
+	missing := i.machine.Missing(&source.Manifest)
+	for range offerRounds {
+		if err := i.proposeParts(ctx, source.PackOf(missing)); err != nil {
+			return err
+		}
+		result, err := i.propose(ctx, newest.Command{Offer: &newest.Offer{Version: version, Manifest: &source.Manifest}})
+		if err != nil || len(result.Missing) == 0 {
+			return err
+		}
+		missing = result.Missing
+	}
+	return errors.New("pieces of the configuration were lost again and again")
+}
+
+// partsBytes bounds the pieces of one proposal: one entry goes as one chunk of a link.
+const partsBytes = appendBytes - 1<<10
+
+// proposeParts proposes pieces, all at once.
+func (i *Instance) proposeParts(ctx context.Context, packed [][]byte) error {
+	var batches [][][]byte
+	size := partsBytes
+	for _, p := range packed {
+		if size += len(p); size > partsBytes {
+			batches, size = append(batches, nil), len(p)
+		}
+		last := &batches[len(batches)-1]
+		*last = append(*last, p)
+	}
+	errs := make([]error, len(batches))
+	var wg sync.WaitGroup
+	for k, batch := range batches {
+		wg.Go(func() {
+			_, errs[k] = i.propose(ctx, newest.Command{Parts: &newest.Parts{Packed: batch}})
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs...)
 }
 
-// propose has a command committed, here or at the leader.
-func (i *Instance) propose(ctx context.Context, c newest.Command) error {
+// propose has a command committed, here or at the leader, and returns what it came to.
+func (i *Instance) propose(ctx context.Context, c newest.Command) (newest.Result, error) {
 	data, err := newest.Encode(c)
 	if err != nil {
-		return err
+		return newest.Result{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	result, err := i.commit(ctx, data)
+	if err != nil {
+		return newest.Result{}, err
+	}
+	return newest.DecodeResult(result)
+}
+
+func (i *Instance) commit(ctx context.Context, data []byte) ([]byte, error) {
 	if i.isOutside() {
-		_, err = i.callMember(ctx, i.outside.leaderID(), channelPropose, data)
-		return err
+		return i.callMember(ctx, i.outside.leaderID(), channelPropose, data)
 	}
-	_, err = i.node.Propose(ctx, data)
+	result, err := i.node.Propose(ctx, data)
 	var other *replhost.NotLeaderError
 	if !errors.As(err, &other) || other.Leader == "" || other.Leader == i.o.Self.ID {
-		return err
+		return result, err
 	}
 	// Commands may be committed twice: the second time changes nothing.
-	_, err = i.hub.Call(ctx, other.Leader, channelPropose, data)
-	return err
+	return i.hub.Call(ctx, other.Leader, channelPropose, data)
 }
 
 // servePropose takes a command of another member. It is not passed on again.
@@ -91,6 +157,5 @@
 	if err := cbor.Unmarshal(data, &c); err != nil {
 		return nil, verdict.New(verdict.NotRun, "malformed_command", err.Error())
 	}
-	_, err := i.node.Propose(ctx, data)
-	return nil, err
+	return i.node.Propose(ctx, data)
 }
--- a/node/entry/begin_test.go
+++ b/node/entry/begin_test.go
@@ -36,7 +36,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		return cbor.Marshal(feed.Update{State: s, ListAgeMillis: -1})
+		return cbor.Marshal(feed.Update{Head: s.Head(), ListAgeMillis: -1})
 	})
 	server := &http.Server{Handler: hub.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
@@ -64,10 +64,10 @@
 	index := func() uint64 {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		if i.known.state == nil {
+		if i.known.head == nil {
 			return 0
 		}
-		return i.known.state.Index
+		return i.known.head.Index
 	}
 	if got := index(); got != 1 {
 		t.Fatalf("begins with state %d", got)
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/feed"
@@ -45,7 +46,11 @@
 
 // knowledge is what the core instances have told.
 type knowledge struct {
-	state *newest.State
+	// head is the newest state that was told of; its document may still be on its way.
+	head *newest.Head
+	// held is the newest state whose document is held, and index made of that.
+	held  *newest.Head
+	index *routes.Index
 	list  feed.List
 	cores []feed.Core
 	// coresDigest is that of cores as they were told.
@@ -55,8 +60,6 @@
 	// loads sums up what the others of the region have under way.
 	loads   []feed.Load
 	regions []feed.Summary
-	// parsed is the version that the view was made of.
-	parsed uint64
 }
 
 // begin asks all core instances that are known, each again and again, until one gives a
@@ -86,7 +89,7 @@
 			return
 		}
 		i.note(to, u, err)
-		if err == nil && (i.hasState() || u.Led) {
+		if err == nil && (i.heard() || u.Led) {
 			begun()
 			return
 		}
@@ -94,10 +97,11 @@
 	}
 }
 
-func (i *Instance) hasState() bool {
+// heard reports whether any state was told of.
+func (i *Instance) heard() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.known.state != nil
+	return i.known.head != nil
 }
 
 // follow reports to one core instance again and again.
@@ -153,10 +157,10 @@
 		return
 	}
 	i.chooser.Answered(to, u.Led)
-	if i.failedInRow >= tellFailures {
+	if i.silent {
 		i.log.Info("core instances answer again", zap.String("from", to), zap.Int("failed", i.failedInRow))
 	}
-	i.failedInRow = 0
+	i.failedInRow, i.silent = 0, false
 }
 
 // unanswered counts a report without an answer, and tells when news have stayed away for
@@ -164,14 +168,14 @@
 func (i *Instance) unanswered(to string, err error) {
 	i.metrics.ReportsFailed.Inc(1)
 	i.failedInRow++
-	if i.failedInRow != tellFailures {
+	k := &i.known
+	if i.failedInRow != tellFailures || k.held == nil {
+		// At a start the others may not listen yet.
 		return
 	}
-	fields := []zap.Field{zap.String("last", to), zap.Int("failed", i.failedInRow), zap.Error(err)}
-	if k := &i.known; k.state != nil {
-		fields = append(fields, zap.Uint64("version", k.state.Version), zap.Duration("list_age", time.Since(k.list.ReadAt)))
-	}
-	i.log.Warn("core instances do not answer", fields...)
+	i.silent = true
+	i.log.Warn("core instances do not answer", zap.String("last", to), zap.Int("failed", i.failedInRow), zap.Error(err),
+		zap.Uint64("version", k.held.Version), zap.Duration("list_age", time.Since(k.list.ReadAt)))
 }
 
 // candidates are the core instances, those of the own zone and region first, in an
@@ -221,7 +225,7 @@
 	if err := cbor.Unmarshal(answer, u); err != nil {
 		return nil, err
 	}
-	i.learn(u, r)
+	i.learn(to, u, r)
 	return u, nil
 }
 
@@ -241,9 +245,12 @@
 	r := feed.Report{Self: self, WaitMillis: wait.Milliseconds(), Suspects: i.killers.takeNews()}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	r.First = i.known.state == nil
-	if i.known.state != nil {
-		r.Index = i.known.state.Index
+	r.First = i.known.head == nil
+	if i.known.head != nil {
+		r.Index = i.known.head.Index
+	}
+	if i.known.held != nil {
+		r.Held = i.known.held.Index
 	}
 	r.Digest, r.Cores = i.known.list.Digest, i.known.coresDigest
 	r.EntriesEpoch, r.EntriesAt = i.known.entries.Epoch, i.known.entries.At
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -2,7 +2,7 @@
 // its view of the surroundings by reporting to core instances.
 //
 // Duties, each a goroutine: following one core instance, comparing with a second one,
-// letting go of requests decided for others, and tidying up. It has no disk and is no member of the group.
+// getting new configurations, letting go of requests decided for others, and tidying up. It has no disk and is no member of the group.
 package entry
 
 import (
@@ -33,8 +33,8 @@
 	Self feed.Entry
 	// Seeds are core instances by id.
 	Seeds []string
-	// Parse reads a configuration.
-	Parse   func(document []byte) (*routes.Table, error)
+	// Format reads configurations.
+	Format  routes.Format
 	Dialect exchange.Dialect
 	Retries exchange.RetryLimits
 	// Log tells of failures and changes, Ordinary of each request that was answered.
@@ -55,18 +55,21 @@
 	// deciding has others choose targets, and chooses for others.
 	deciding *deciding.Service
 	killers  *killers
+	fetcher  *fetcher
 	metrics  *metrics.SiteEntry
 
 	// askOn is beginAfter but in tests.
 	askOn time.Duration
 
 	draining atomic.Bool
-	// mu guards known, chooser and failedInRow.
+	// mu guards what follows.
 	mu      sync.Mutex
 	known   knowledge
 	chooser *feed.Chooser
-	// failedInRow counts the newest reports without an answer.
+	// failedInRow counts the newest reports without an answer; silent says that a line told
+	// of them.
 	failedInRow int
+	silent      bool
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -97,6 +100,7 @@
 	}
 	i.metrics = metrics.NewSiteEntry(i.shown)
 	i.killers = newKillers(o.Log)
+	i.fetcher = newFetcher()
 	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
 	i.gateway = exchange.New(exchange.Options{
 		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Decider: i.deciding, Killers: i.killers, Targets: i.targets, Peers: i.peers,
@@ -144,9 +148,11 @@
 		s.ListAge = now.Sub(i.known.list.ReadAt).Milliseconds()
 	}
 	s.Entries, s.Cores = int64(len(i.known.entries.Entries)+1), int64(len(i.known.cores))
-	if i.known.state != nil {
-		s.Heard = int64(i.known.state.Version)
+	if i.known.head != nil {
+		s.Heard = int64(i.known.head.Version)
 	}
+	left, transfers := i.fetcher.state()
+	s.PiecesLeft, s.PieceBytes, s.PiecesFailed = int64(left), int64(transfers.Bytes), int64(transfers.Failed)
 	return s
 }
 
@@ -165,7 +171,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, duty := range []func(context.Context){i.follow, i.compare, i.targets.Run, i.peers.Run, i.deciding.Run, i.tidy} {
+	for _, duty := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.tidy} {
 		i.wg.Go(func() { duty(ctx) })
 	}
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
@@ -14,14 +15,14 @@
 
 // learn takes in the answer of a core instance to a report. Neither the state of the log
 // nor the list goes back: the core instance may lag.
-func (i *Instance) learn(u *feed.Update, r feed.Report) {
+func (i *Instance) learn(from string, u *feed.Update, r feed.Report) {
 	now := time.Now()
 	i.killers.learn(u.Suspects)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	k := &i.known
-	if u.State != nil && (k.state == nil || u.State.Index > k.state.Index) {
-		k.state = u.State
+	if u.Head != nil {
+		i.learnHead(now, from, u.Head)
 	}
 	readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond)
 	switch {
@@ -60,29 +61,33 @@
 	}
 }
 
+// learnHead takes in a state that a core instance tells of. Its evacuations hold at once,
+// its document has to be asked for.
+func (i *Instance) learnHead(now time.Time, from string, h *newest.Head) {
+	k := &i.known
+	if k.head != nil && h.Index < k.head.Index {
+		return
+	}
+	k.head = h
+	if k.held != nil && k.held.Root == h.Root {
+		k.held = h
+		return
+	}
+	i.fetcher.want(now, h, from)
+}
+
 // show makes the view of what is known.
 func (i *Instance) show(now time.Time) {
 	k := &i.known
-	if k.state == nil || k.state.Version == 0 || k.list.ReadAt.IsZero() {
+	if k.index == nil || k.list.ReadAt.IsZero() {
 		// Without a list it would take requests and have no target for any.
 		return
 	}
-	view := i.gateway.View()
-	next := &exchange.View{Regions: map[exchange.RegionService]pick.RegionLoad{}, Entries: len(k.entries.Entries) + 1, ListAt: k.list.ReadAt}
-	if view != nil {
-		next.Index = view.Index
-	}
-	if k.parsed != k.state.Version {
-		index, err := i.parse(k.state.Document)
-		if err != nil {
-			i.log.Error("an accepted configuration cannot be read", zap.Uint64("version", k.state.Version), zap.Error(err))
-			return
-		}
-		next.Index, k.parsed = index, k.state.Version
-		i.log.Info("in force", zap.Uint64("version", k.state.Version), zap.Int("routes", len(index.Table.Routes)))
+	next := &exchange.View{
+		Index: k.index, Regions: map[exchange.RegionService]pick.RegionLoad{}, Entries: len(k.entries.Entries) + 1, ListAt: k.list.ReadAt,
 	}
 	evacuated := map[string]bool{}
-	for _, zone := range k.state.Zones() {
+	for _, zone := range k.head.Zones() {
 		evacuated[zone] = true
 	}
 	i.showRegions(next)
@@ -90,14 +95,6 @@
 	i.gateway.SetView(next)
 }
 
-func (i *Instance) parse(document []byte) (*routes.Index, error) {
-	table, err := i.o.Parse(document)
-	if err != nil {
-		return nil, err
-	}
-	return routes.NewIndex(table), nil
-}
-
 // showRegions sums up the other regions.
 func (i *Instance) showRegions(v *exchange.View) {
 	for _, e := range i.known.entries.Entries {
--- a/node/entry/learn_test.go
+++ b/node/entry/learn_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"errors"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
@@ -9,6 +11,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
@@ -18,8 +21,7 @@
 	t.Helper()
 	i, err := New(Options{
 		Self: feed.Entry{ID: "127.0.0.1:1", Region: "r", Zone: "z", Callers: "127.0.0.1:2"}, Seeds: []string{"127.0.0.1:3"},
-		Parse: func(document []byte) (*routes.Table, error) { return &routes.Table{Version: uint64(document[0])}, nil },
-		Log:   zap.NewNop(), Ordinary: zap.NewNop(),
+		Format: oneByte{}, Log: zap.NewNop(), Ordinary: zap.NewNop(),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -37,8 +39,44 @@
 	return data
 }
 
+// oneByte is a format of documents that consist of their version.
+type oneByte struct{}
+
+func (oneByte) Parse(document []byte) (*routes.Table, error) {
+	return &routes.Table{Version: uint64(document[0])}, nil
+}
+func (oneByte) Layout([]byte) pieces.Layout                { return pieces.Layout{} }
+func (oneByte) ParseRoutes([]byte) ([]routes.Route, error) { return nil, errors.New("no routes") }
+
 func state(index uint64, version byte) *newest.State {
-	return &newest.State{Index: index, Version: uint64(version), Document: []byte{version}}
+	source, err := pieces.Cut([]byte{version}, pieces.Layout{})
+	if err != nil {
+		panic(err)
+	}
+	d := source.Pack()
+	return &newest.State{Index: index, Version: uint64(version), Document: d, Root: d.Manifest.Root()}
+}
+
+// learnWhole has an instance take in an update with a state, and then the state's document.
+func learnWhole(t *testing.T, i *Instance, s *newest.State, u *feed.Update, r feed.Report) {
+	t.Helper()
+	u.Head = s.Head()
+	i.learn("core", u, r)
+	var holder pieces.Holder
+	holder.Put(s.Root, s.Document)
+	for {
+		q, wait := i.fetcher.next(time.Now())
+		if q == nil {
+			if wait >= 0 {
+				t.Fatal("a question failed")
+			}
+			return
+		}
+		if err := i.fetcher.transfer.Answered(time.Now(), q, holder.Answer(&q.Ask)); err != nil {
+			t.Fatal(err)
+		}
+		i.adopt()
+	}
 }
 
 // Symptom: a region refuses all requests that another one has to serve.
@@ -48,11 +86,11 @@
 func TestAnUpdateWithoutAListLeavesTheList(t *testing.T) {
 	Convey("two updates cross", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, At: 1, Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
+		learnWhole(t, i, state(1, 1), &feed.Update{Entries: &feed.EntryNews{Epoch: 1, At: 1, Entries: []feed.Entry{{ID: "a", Region: "q", Ready: true}}}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
-		i.learn(&feed.Update{ListAgeMillis: -1}, feed.Report{})
+		i.learn("core", &feed.Update{ListAgeMillis: -1}, feed.Report{})
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
-		i.learn(&feed.Update{Entries: &feed.EntryNews{Epoch: 1, Base: 1, At: 2, Gone: []string{"a"}}, ListAgeMillis: -1}, feed.Report{})
+		i.learn("core", &feed.Update{Entries: &feed.EntryNews{Epoch: 1, Base: 1, At: 2, Gone: []string{"a"}}, ListAgeMillis: -1}, feed.Report{})
 		So(i.gateway.View().Peers, ShouldBeEmpty)
 	})
 }
@@ -64,7 +102,7 @@
 func TestSummariesThatCannotBeAreLeftOut(t *testing.T) {
 	Convey("summaries of four regions", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), List: encoded(t, feed.ListNews{Digest: 1}), Regions: []feed.Summary{
+		learnWhole(t, i, state(1, 1), &feed.Update{List: encoded(t, feed.ListNews{Digest: 1}), Regions: []feed.Summary{
 			{Region: "good", Service: "s", Targets: 2, Slots: 8, Unread: []int{0, 5}, ReadTokens: 100, ReadMillis: 3},
 			{Region: "negative", Service: "s", Targets: 2, Running: -1},
 			{Region: "odd", Service: "s", Targets: 2, Unread: []int{3, -9}},
@@ -92,7 +130,7 @@
 		i := newInstance(t)
 		one, two := feed.Entry{ID: "a", Region: "q", Ready: true}, feed.Entry{ID: "b", Region: "q", Leaving: true}
 		learn := func(base uint64, entries ...feed.Entry) {
-			i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, Base: base, At: base + 1, Entries: entries}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
+			learnWhole(t, i, state(1, 1), &feed.Update{Entries: &feed.EntryNews{Epoch: 1, Base: base, At: base + 1, Entries: entries}, List: encoded(t, feed.ListNews{Digest: 1})}, feed.Report{})
 		}
 		learn(0, one, two)
 		So(len(i.gateway.View().Peers), ShouldEqual, 1)
@@ -118,8 +156,8 @@
 		i := newInstance(t)
 		fresh := []feed.Target{{ID: "new", Service: "s", Region: "q"}}
 		stale := []feed.Target{{ID: "old", Service: "s", Region: "q"}}
-		i.learn(&feed.Update{State: state(4, 9), List: encoded(t, feed.ListNews{Digest: 1, Targets: fresh}), ListAgeMillis: 100}, feed.Report{})
-		i.learn(&feed.Update{State: state(3, 7), List: encoded(t, feed.ListNews{Digest: 2, Targets: stale}), ListAgeMillis: 60000}, feed.Report{})
+		learnWhole(t, i, state(4, 9), &feed.Update{List: encoded(t, feed.ListNews{Digest: 1, Targets: fresh}), ListAgeMillis: 100}, feed.Report{})
+		learnWhole(t, i, state(3, 7), &feed.Update{List: encoded(t, feed.ListNews{Digest: 2, Targets: stale}), ListAgeMillis: 60000}, feed.Report{})
 		So(i.gateway.View().Index.Table.Version, ShouldEqual, 9)
 		So(i.known.list.Targets, ShouldResemble, fresh)
 	})
@@ -128,10 +166,10 @@
 func TestLoadsOfTheOwnRegionAreKeptWhileAnotherOneAnswers(t *testing.T) {
 	Convey("a core instance of another region knows no loads", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), Near: true, Loads: []feed.Load{{Target: "x", Running: 2}}, ListAgeMillis: -1}, feed.Report{})
-		i.learn(&feed.Update{ListAgeMillis: -1}, feed.Report{})
+		learnWhole(t, i, state(1, 1), &feed.Update{Near: true, Loads: []feed.Load{{Target: "x", Running: 2}}, ListAgeMillis: -1}, feed.Report{})
+		i.learn("core", &feed.Update{ListAgeMillis: -1}, feed.Report{})
 		So(len(i.known.loads), ShouldEqual, 1)
-		i.learn(&feed.Update{Near: true, ListAgeMillis: -1}, feed.Report{})
+		i.learn("core", &feed.Update{Near: true, ListAgeMillis: -1}, feed.Report{})
 		So(i.known.loads, ShouldBeEmpty)
 	})
 }
@@ -143,8 +181,8 @@
 	Convey("sums of other regions, then a brief answer", t, func() {
 		i := newInstance(t)
 		sums := []feed.Summary{{Region: "q", Service: "s", Targets: 2}}
-		i.learn(&feed.Update{State: state(1, 1), Regions: sums, ListAgeMillis: -1}, feed.Report{})
-		i.learn(&feed.Update{ListAgeMillis: -1}, feed.Report{Brief: true})
+		learnWhole(t, i, state(1, 1), &feed.Update{Regions: sums, ListAgeMillis: -1}, feed.Report{})
+		i.learn("core", &feed.Update{ListAgeMillis: -1}, feed.Report{Brief: true})
 		So(i.known.regions, ShouldResemble, sums)
 	})
 }
@@ -156,12 +194,12 @@
 	Convey("news after ones that did not come", t, func() {
 		i := newInstance(t)
 		known := func() feed.Report { return i.makeReport(reportWait) }
-		i.learn(&feed.Update{State: state(1, 1), Entries: &feed.EntryNews{Epoch: 1, At: 4, Entries: []feed.Entry{{ID: "a"}}}, ListAgeMillis: -1}, known())
+		learnWhole(t, i, state(1, 1), &feed.Update{Entries: &feed.EntryNews{Epoch: 1, At: 4, Entries: []feed.Entry{{ID: "a"}}}, ListAgeMillis: -1}, known())
 		So(known().EntriesAt, ShouldEqual, 4)
-		i.learn(&feed.Update{Entries: &feed.EntryNews{Epoch: 1, Base: 6, At: 7}, ListAgeMillis: -1}, known())
+		i.learn("core", &feed.Update{Entries: &feed.EntryNews{Epoch: 1, Base: 6, At: 7}, ListAgeMillis: -1}, known())
 		So(known().EntriesAt, ShouldEqual, 0)
 		So(len(i.known.entries.Entries), ShouldEqual, 1)
-		i.learn(&feed.Update{Entries: &feed.EntryNews{Epoch: 1, At: 7, Entries: []feed.Entry{{ID: "b"}}}, ListAgeMillis: -1}, known())
+		i.learn("core", &feed.Update{Entries: &feed.EntryNews{Epoch: 1, At: 7, Entries: []feed.Entry{{ID: "b"}}}, ListAgeMillis: -1}, known())
 		So(i.known.entries.Entries, ShouldResemble, []feed.Entry{{ID: "b"}})
 	})
 }
@@ -172,9 +210,9 @@
 func TestNoViewWithoutAList(t *testing.T) {
 	Convey("a state, and then a list", t, func() {
 		i := newInstance(t)
-		i.learn(&feed.Update{State: state(1, 1), ListAgeMillis: -1}, feed.Report{})
+		learnWhole(t, i, state(1, 1), &feed.Update{ListAgeMillis: -1}, feed.Report{})
 		So(i.Ready(), ShouldBeFalse)
-		i.learn(&feed.Update{List: encoded(t, feed.ListNews{Digest: 4, Targets: []feed.Target{{ID: "x"}}})}, feed.Report{})
+		i.learn("core", &feed.Update{List: encoded(t, feed.ListNews{Digest: 4, Targets: []feed.Target{{ID: "x"}}})}, feed.Report{})
 		So(i.Ready(), ShouldBeTrue)
 	})
 }
--- a/node/feed/addresses.go
+++ b/node/feed/addresses.go
@@ -43,12 +43,18 @@
 // heaviest names the entries that fit in the regions of the largest weight; -1 without any.
 func heaviest(entries []Entry, weight func(region string) int, fits func(*Entry) bool) (out []string, most int) {
 	most = -1
+	// A region is weighed once, as that goes over all routes.
+	weights := map[string]int{}
 	for i := range entries {
 		e := &entries[i]
 		if !fits(e) {
 			continue
 		}
-		w := weight(e.Region)
+		w, known := weights[e.Region]
+		if !known {
+			w = weight(e.Region)
+			weights[e.Region] = w
+		}
 		if w > most {
 			most, out = w, nil
 		}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -105,9 +105,12 @@
 // Report is what an entry instance asks a core instance with.
 type Report struct {
 	Self Entry `cbor:"1,keyasint"`
-	// Index and Digest are what it holds of the log's state and the list.
+	// Index and Digest are what it knows of the log's state and the list.
 	Index  uint64 `cbor:"2,keyasint,omitempty"`
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// Held is the index of the newest state whose document it holds, too. While that is
+	// below Index the answer tells again who has the document.
+	Held uint64 `cbor:"12,keyasint,omitempty"`
 	// First asks for a state that is confirmed by a majority: the asker has
 	// started and holds none.
 	First bool `cbor:"4,keyasint,omitempty"`
@@ -128,8 +131,9 @@
 
 // Update answers a Report.
 type Update struct {
-	// State is set if it is newer than Report.Index.
-	State *newest.State `cbor:"1,keyasint,omitempty"`
+	// Head is set if it is newer than Report.Held. Its document is asked for apart, piece by
+	// piece: what is short and urgent does not wait behind it.
+	Head *newest.Head `cbor:"15,keyasint,omitempty"`
 	// Led says that the core instance hears from the leader of the log.
 	Led bool `cbor:"2,keyasint,omitempty"`
 	// List holds ListNews of the asker's region, if the list is another than that of
