--- a/coord/replhost/codec.go
+++ b/coord/replhost/codec.go
@@ -26,26 +26,59 @@
 	return m
 }
 
+// packBytes bounds the entries that are packed with other messages into one payload. A
+// longer message goes alone: heartbeats that were packed with it would wait behind it at a
+// transport that lets short payloads overtake long ones.
+const packBytes = 12 << 10
+
+// parcel is what goes to one node in one payload.
+type parcel struct {
+	to       string
+	messages []replog.Message
+	bytes    int
+}
+
 // payloads packs messages by receiver, in their order.
 func payloads(messages []replog.Message, send func(to string, payload []byte)) error {
-	byNode := map[string][]replog.Message{}
-	var order []string
-	for _, m := range messages {
-		if byNode[m.To.ID] == nil {
-			order = append(order, m.To.ID)
-		}
-		byNode[m.To.ID] = append(byNode[m.To.ID], m)
-	}
-	for _, to := range order {
-		b, err := cbor.Marshal(byNode[to])
+	for _, p := range pack(messages) {
+		b, err := cbor.Marshal(p.messages)
 		if err != nil {
 			return errors.Annotate(err, "encode messages")
 		}
-		send(to, b)
+		send(p.to, b)
 	}
 	return nil
 }
 
+func pack(messages []replog.Message) []*parcel {
+	var out []*parcel
+	open := map[string]*parcel{}
+	for _, m := range messages {
+		n := dataBytes(&m)
+		p := open[m.To.ID]
+		if p == nil || p.bytes > 0 && p.bytes+n > packBytes || n > packBytes && len(p.messages) > 0 {
+			p = &parcel{to: m.To.ID}
+			open[m.To.ID] = p
+			out = append(out, p)
+		}
+		p.messages = append(p.messages, m)
+		p.bytes += n
+	}
+	return out
+}
+
+// dataBytes is the length of what a message carries.
+func dataBytes(m *replog.Message) int {
+	n := 0
+	for i := range m.Entries {
+		n += len(m.Entries[i].Data)
+	}
+	if m.Snapshot != nil {
+		n += len(m.Snapshot.Data)
+	}
+	return n
+}
+
 func decodeMessages(payload []byte) ([]replog.Message, error) {
 	var messages []replog.Message
 	err := decoding.Unmarshal(payload, &messages)
--- a/coord/replog/replicate.go
+++ b/coord/replog/replicate.go
@@ -128,7 +128,7 @@
 
 func (n *Node) sendSnapshot(to Member, p *tracker.Progress) {
 	s := n.log.snapshot
-	p.SentSnapshot(s.Index, n.now)
+	p.SentSnapshot(n.now, s.Index, len(s.Data))
 	n.sendAsLeader(Message{Kind: MsgSnapshot, To: to, Index: s.Index, LogTerm: s.Term, Snapshot: &s})
 }
 
--- a/coord/replog/tracker/tracker.go
+++ b/coord/replog/tracker/tracker.go
@@ -32,9 +32,8 @@
 	// time at which that round was sent.
 	Round     uint64
 	LeaseFrom time.Time
-	// SnapshotSent is the time of the last snapshot, for the Snapshot state.
-	SnapshotSent time.Time
 
+	// inflight are the appends, or the snapshot, that were not answered yet.
 	inflight []appended
 	waiting  bool
 	// overtaken says that the peer rejected an append that reached it before an earlier one.
@@ -102,9 +101,10 @@
 	p.Next = last + 1
 }
 
-// SentSnapshot notes a snapshot.
-func (p *Progress) SentSnapshot(index uint64, now time.Time) {
-	p.State, p.SnapshotSent, p.Next, p.inflight, p.overtaken = Snapshot, now, index+1, nil, false
+// SentSnapshot notes a snapshot of so many bytes.
+func (p *Progress) SentSnapshot(now time.Time, index uint64, bytes int) {
+	p.State, p.Next, p.overtaken = Snapshot, index+1, false
+	p.inflight = []appended{{last: index, bytes: bytes, at: now}}
 }
 
 // Ack notes that the peer holds all up to index, and reports whether that is
@@ -152,21 +152,20 @@
 
 // Heard takes in an answer to a heartbeat. It lets one more append go out where those under
 // way must be taken as lost: the next one is rejected and the peer probed again. A snapshot
-// older than patience is taken as lost, too.
+// is given patience at least, as the peer has to write it.
 func (p *Progress) Heard(now time.Time, limit int, patience time.Duration) (mayAppend bool) {
-	if p.State == Snapshot {
-		if now.Sub(p.SnapshotSent) <= patience {
-			return false
-		}
-		p.probe(p.Match + 1)
-		return true
-	}
 	if len(p.inflight) > 0 && !p.lost(now, p.inflight[0]) {
 		return false
 	}
+	if p.State == Snapshot && now.Sub(p.inflight[0].at) <= patience {
+		return false
+	}
 	if len(p.inflight) > 0 && p.inflight[0].bytes > 0 {
 		p.resent++
 	}
+	if p.State == Snapshot {
+		p.probe(p.Match + 1)
+	}
 	if p.overtaken {
 		p.probe(p.Match + 1)
 	}
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -40,10 +40,12 @@
 )
 
 const (
-	// snapshotEntries is the number of changes between snapshots, keepEntries of
-	// those kept for members that lag: configurations of 100 KB make 26 MB of log.
-	snapshotEntries = 256
-	keepEntries     = 64
+	// snapshotEntries is the number of entries between snapshots, keepEntries of those kept
+	// for members that lag: more than a large configuration has pieces, so that a member
+	// which is a moment behind does not need all of them anew. With entries of appendBytes
+	// they are 9 MB of log.
+	snapshotEntries = 512
+	keepEntries     = 256
 	// maxDocument bounds a configuration in bytes, as the limit on a body does.
 	maxDocument = 4 << 20
 	// maxMessage bounds a message between instances: a snapshot with one document, and with
--- a/node/control/operators.go
+++ b/node/control/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
@@ -84,7 +85,16 @@
 // of them. Pieces that were committed stay where the rest comes too late, and the next try,
 // at any core instance, goes on from there.
 func (i *Instance) offer(ctx context.Context, version uint64, source *pieces.Source) error {
+	began := time.Now()
 	missing := i.machine.Missing(&source.Manifest)
+	lacked := len(missing)
+	err := i.offerMissing(ctx, version, source, missing)
+	i.log.Info("offered a configuration", zap.Uint64("version", version), zap.Int("bytes", source.Manifest.Bytes), zap.Int("pieces", lacked),
+		zap.Int("of", len(source.Manifest.Digests)), zap.Duration("took", time.Since(began)), zap.Error(err))
+	return err
+}
+
+func (i *Instance) offerMissing(ctx context.Context, version uint64, source *pieces.Source, missing []pieces.Digest) error {
 	for range offerRounds {
 		if err := i.proposeParts(ctx, source.PackOf(missing)); err != nil {
 			return err
@@ -98,10 +108,15 @@
 	return errors.New("pieces of the configuration were lost again and again")
 }
 
-// partsBytes bounds the pieces of one proposal: one entry goes as one chunk of a link.
-const partsBytes = appendBytes - 1<<10
+const (
+	// partsBytes bounds the pieces of one proposal: one entry goes as one chunk of a link.
+	partsBytes = appendBytes - 1<<10
+	// partsAtOnce bounds the proposals of pieces under way, below the ring of a link: a
+	// document that compresses badly has hundreds.
+	partsAtOnce = 64
+)
 
-// proposeParts proposes pieces, all at once.
+// proposeParts proposes pieces, many at once.
 func (i *Instance) proposeParts(ctx context.Context, packed [][]byte) error {
 	var batches [][][]byte
 	size := partsBytes
@@ -113,9 +128,12 @@
 		*last = append(*last, p)
 	}
 	errs := make([]error, len(batches))
+	turns := make(chan struct{}, partsAtOnce)
 	var wg sync.WaitGroup
 	for k, batch := range batches {
+		turns <- struct{}{}
 		wg.Go(func() {
+			defer func() { <-turns }()
 			_, errs[k] = i.propose(ctx, newest.Command{Parts: &newest.Parts{Packed: batch}})
 		})
 	}
