spread: a whole copy is collected over pulls, and asked for by what the link carries

What operators saw: an instance that restarted behind a slow link never had a bundle in force. Cause, the same class as of configurations of a site: a pull that brought nothing for a second was given up with all sections that had come, parts had up to 512 KB whatever the link, and parts that came late were dropped. Over 32 to 256 KB a second a copy of 2.1 MB never arrived; 13 to 17 MB came instead. Change: the copy outlives pulls, peers and newer versions, of which it keeps what they share; an answer in time doubles what is asked for, from 64 KB on, a failure takes a quarter of it and doubles the wait; late parts are taken, as they name themselves by their digest.

--- a/bundle/spread/core.go
+++ b/bundle/spread/core.go
@@ -30,6 +30,9 @@
 	steps []Step
 	fresh bool
 	pull  *pull
+	// copy collects a whole copy over pulls, and pace says how much is asked for at once.
+	copy *wholeCopy
+	pace pace
 
 	appliedAt time.Time
 	members   map[string]memberState
@@ -41,6 +44,7 @@
 func New(self Peer, rng *rand.Rand) *Core {
 	return &Core{
 		self:    self,
+		pace:    newPace(),
 		rng:     rng,
 		members: map[string]memberState{},
 		regions: map[string]heardRegion{},
@@ -127,6 +131,9 @@
 	if c.pull != nil && c.pull.head.Version <= id.Version {
 		c.pull = nil
 	}
+	if c.copy != nil && c.copy.head.Version <= id.Version {
+		c.copy = nil
+	}
 	out := c.toChildren(step)
 	return append(out, c.tellApplied(now)...)
 }
@@ -137,7 +144,7 @@
 	case Have:
 		return c.onHave(now, from, m.Head)
 	case Ask:
-		return c.onAsk(now, from, m.Head)
+		return c.onAsk(now, from, m)
 	case Steps:
 		return c.onSteps(now, from, m)
 	case Whole:
@@ -164,8 +171,9 @@
 	for _, p := range c.comparisons() {
 		out = append(out, c.to(p, Message{Kind: Have}))
 	}
-	if c.pull != nil && now.Sub(c.pull.since) > pullTimeout {
+	if c.pull != nil && now.Sub(c.pull.since) > c.pace.patience() {
 		c.pull = nil
+		c.pace.failed()
 	}
 	if now.Sub(c.appliedAt) >= appliedEvery {
 		out = append(out, c.tellApplied(now)...)
--- a/bundle/spread/types.go
+++ b/bundle/spread/types.go
@@ -79,6 +79,9 @@
 	Sections [][]byte `cbor:"7,keyasint,omitempty"`
 	// State goes with Region.
 	State *RegionState `cbor:"8,keyasint,omitempty"`
+	// MaxBytes goes with Ask and Want: how much to answer with, one item at least. 0 means
+	// maxPartBytes.
+	MaxBytes int `cbor:"9,keyasint,omitempty"`
 }
 
 // RegionState is what a relay tells of its region.
@@ -118,16 +121,21 @@
 	maxSteps = 128
 	// maxStepBytes bounds the changes in one message, in bytes of deltas.
 	maxStepBytes = 256 << 10
-	// maxPartBytes bounds the sections in one message, in bytes.
-	maxPartBytes = 512 << 10
+	// maxPartBytes bounds the sections in one message, and firstPartBytes those of the first
+	// answer to one that lags, in bytes. An answer in less than quickAnswer doubles it.
+	maxPartBytes   = 512 << 10
+	firstPartBytes = 64 << 10
+	quickAnswer    = 300 * time.Millisecond
 	// maxWant bounds the sections asked for at once.
 	maxWant = 64
 	// fanOut is how many members each instance of a region serves.
 	fanOut = 3
 	// comparePeers is how many random peers each Tick compares versions with.
 	comparePeers = 2
-	// pullTimeout is how long an unanswered pull keeps others from being asked.
+	// pullTimeout is how long an unanswered pull keeps others from being asked. It doubles
+	// with each pull in a row that brings nothing, maxPatience times at most.
 	pullTimeout = time.Second
+	maxPatience = 5
 	// appliedEvery is the time between repeated Applied and Region messages.
 	appliedEvery = 5 * time.Second
 )
--- a/bundle/spread/world_test.go
+++ b/bundle/spread/world_test.go
@@ -24,6 +24,12 @@
 	messages int
 	bytes    int
 	failure  string
+	// rates are the bytes a second that the links to some instances carry, and free is when
+	// what was sent to them has passed; links to others take no time.
+	rates map[string]int
+	free  map[string]time.Time
+	// received are the bytes that were sent to each instance.
+	received map[string]int
 }
 
 type flight struct {
@@ -35,7 +41,8 @@
 func newWorld(seed uint64, regions, perRegion, voters int) *world {
 	w := &world{
 		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), cut: map[string]bool{},
-		cores: map[string]*Core{}, installed: map[string]uint64{},
+		cores: map[string]*Core{}, installed: map[string]uint64{}, rates: map[string]int{}, free: map[string]time.Time{},
+		received: map[string]int{},
 	}
 	for r := range regions {
 		for i := range perRegion {
@@ -110,10 +117,25 @@
 		}
 		w.messages++
 		w.bytes += len(data)
-		w.inbox = append(w.inbox, flight{at: w.now.Add(w.delay(id, o.To)), from: id, to: o.To, data: data})
+		w.received[o.To] += len(data)
+		w.inbox = append(w.inbox, flight{at: w.passed(o.To, len(data)).Add(w.delay(id, o.To)), from: id, to: o.To, data: data})
 	}
 }
 
+// passed is when bytes that are sent now have passed the link to an instance.
+func (w *world) passed(to string, bytes int) time.Time {
+	rate := w.rates[to]
+	if rate == 0 {
+		return w.now
+	}
+	begin := w.now
+	if w.free[to].After(begin) {
+		begin = w.free[to]
+	}
+	w.free[to] = begin.Add(time.Duration(bytes) * time.Second / time.Duration(rate))
+	return w.free[to]
+}
+
 // checkInstalled notes a version that goes back or was never accepted.
 func (w *world) checkInstalled(id string, s *bundle.Signed) {
 	if s.Bundle.Version <= w.installed[id] {
