--- a/metrics/site.go
+++ b/metrics/site.go
@@ -38,6 +38,7 @@
 	SitePiecesFailed   = Metric{"gullhaven_site_pieces_failed_total", Counter, "questions", "Questions for a configuration that got no answer of use; another core instance was asked, for less."}
 	SiteListAge        = Metric{"gullhaven_site_list_age_milliseconds", Gauge, "milliseconds", "Age of the list of targets; negative if there is none."}
 	SiteEntries        = Metric{"gullhaven_site_entries", Gauge, "instances", "Entry instances known."}
+	SiteEntriesBehind  = Metric{"gullhaven_site_entries_behind", Gauge, "instances", "Entry instances that report to this core instance and lack what is accepted for over four seconds."}
 	SiteCores          = Metric{"gullhaven_site_cores", Gauge, "instances", "Core instances known."}
 	SiteLogRole        = Metric{"gullhaven_site_log_leads", Gauge, "bool", "1 at the leader of the log, else 0."}
 	SiteLogTerm        = Metric{"gullhaven_site_log_term", Gauge, "term", "Term of the log."}
@@ -52,7 +53,7 @@
 var Site = []Metric{
 	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums, SiteRegionsOut,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
-	SiteTargetsLeaving, SiteVersion, SiteHeard, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
+	SiteTargetsLeaving, SiteVersion, SiteHeard, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
 }
 
@@ -106,10 +107,11 @@
 
 // CoreState is what a core instance shows of itself when its page is read.
 type CoreState struct {
-	Leads                                                         bool
-	Term, Applied, Behind, Voters, Version, ListAge, Targets      int64
-	Entries, Cores, Syncs, SyncedEntries, LinesDropped, LinesLeft int64
-	Links                                                         Links
+	Leads                                                    bool
+	Term, Applied, Behind, Voters, Version, ListAge, Targets int64
+	Entries, EntriesBehind, Cores                            int64
+	Syncs, SyncedEntries, LinesDropped, LinesLeft            int64
+	Links                                                    Links
 }
 
 // NewSiteCore makes the metrics of a core instance; read gives its state.
@@ -130,6 +132,7 @@
 	page.show(SiteListAge, func(c *CoreState) int64 { return c.ListAge })
 	page.show(SiteTargets, func(c *CoreState) int64 { return c.Targets })
 	page.show(SiteEntries, func(c *CoreState) int64 { return c.Entries })
+	page.show(SiteEntriesBehind, func(c *CoreState) int64 { return c.EntriesBehind })
 	page.show(SiteCores, func(c *CoreState) int64 { return c.Cores })
 	page.show(LogSyncs, func(c *CoreState) int64 { return c.Syncs })
 	page.show(LogSyncedEntries, func(c *CoreState) int64 { return c.SyncedEntries })
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -121,6 +121,7 @@
 	kept    *kept
 	// documents are given to entry instances.
 	documents documents
+	lagging   lagging
 	// first is the state that was accepted before the start; nil if unknown.
 	first   *newest.State
 	members *admit.Group
@@ -238,7 +239,7 @@
 		Version: int64(i.accepted().Version), ListAge: -1, Entries: int64(len(i.board.Entries(now))),
 		Cores: int64(len(i.board.Cores(now))), Syncs: int64(s.Counters.Syncs), SyncedEntries: int64(s.Counters.SyncedEntries),
 	}
-	c.Links = metrics.SumLinks(i.hub.Stats())
+	c.Links, c.EntriesBehind = metrics.SumLinks(i.hub.Stats()), int64(i.lagging.count(now))
 	if l := i.board.List(); !l.ReadAt.IsZero() {
 		c.ListAge, c.Targets = now.Sub(l.ReadAt).Milliseconds(), int64(len(l.Targets))
 	}
@@ -384,6 +385,7 @@
 		return nil, err
 	}
 	i.board.Reported(time.Now(), r.Self)
+	i.noteHeld(time.Now(), &r)
 	i.board.Suspected(time.Now(), r.Suspects, true)
 	if r.First {
 		i.confirmFirst(ctx)
--- /dev/null
+++ b/node/entry/fetch_bench_test.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/pieces"
+	"github.com/gullhaven/gullhaven/platform"
+)
+
+// configuration is one of n routes, of which the middle one has a timeout of its own.
+func configuration(version, n, timeout int) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
+	for k := range n {
+		if k > 0 {
+			b.WriteByte(',')
+		}
+		ms := 2000
+		if k == n/2 {
+			ms = timeout
+		}
+		id := uint64(k+1) * 0x9e3779b97f4a7c15
+		fmt.Fprintf(&b, `{"name":"r-%08x","host":"h%d.example","pathPrefix":"/%x/","kind":"safe","timeoutMs":%d,"targetLatencyMs":400,`+
+			`"priority":2,"service":"s","attempts":1,"stickySessions":false,"resumable":false,"gapAimMs":300,"homeRegions":[]}`, uint32(id), k%7, id>>16, ms)
+	}
+	b.WriteString(`],"services":[{"name":"s","healthPath":"/health","maxConnections":370}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`)
+	return b.Bytes()
+}
+
+// heldConfiguration is a configuration as a core instance holds it.
+type heldConfiguration struct {
+	head   *newest.Head
+	holder pieces.Holder
+}
+
+func hold(b testing.TB, index uint64, document []byte) *heldConfiguration {
+	b.Helper()
+	f := platform.Format{}
+	s, err := pieces.Cut(document, f.Layout(document))
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := s.Pack()
+	h := &heldConfiguration{head: &newest.Head{Index: index, Version: index, Root: d.Manifest.Root()}}
+	h.holder.Put(h.head.Root, d)
+	return h
+}
+
+// take has an instance get a configuration, and returns the bytes that came.
+func (h *heldConfiguration) take(b testing.TB, i *Instance) (came int) {
+	i.known.head = h.head
+	i.fetcher.want(time.Now(), h.head, "core")
+	for {
+		q, _ := i.fetcher.next(time.Now())
+		if q == nil {
+			return came
+		}
+		data, err := cbor.Marshal(h.holder.Answer(&q.Ask))
+		if err != nil {
+			b.Fatal(err)
+		}
+		came += len(data)
+		var a pieces.Answer
+		if err := cbor.Unmarshal(data, &a); err != nil {
+			b.Fatal(err)
+		}
+		if err := i.fetcher.transfer.Answered(time.Now(), q, &a); err != nil {
+			b.Fatal(err)
+		}
+		i.adopt()
+	}
+}
+
+// A change of one route costs an entry instance under a twentieth of the bytes of the whole
+// where there are thousands, and what it reads is the whole's.
+func TestChangeOfOneRouteCostsLittle(t *testing.T) {
+	for _, n := range []int{1500, 6000, 12000} {
+		i := newInstance(t)
+		i.o.Format = platform.Format{}
+		whole := hold(t, 1, configuration(1, n, 2000)).take(t, i)
+		change := hold(t, 2, configuration(2, n, 3000)).take(t, i)
+		if 20*change > whole {
+			t.Errorf("%d routes: %d bytes for one route, %d for all", n, change, whole)
+		}
+		if got := i.fetcher.index.Len(); got != n || i.known.held.Version != 2 {
+			t.Errorf("%d routes of %d, version %d", got, n, i.known.held.Version)
+		}
+	}
+}
+
+// BenchmarkConfiguration measures what a configuration costs an entry instance: bytes that
+// come and processor time, as a whole and for one changed route, and for comparison the whole
+// document read at each change.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, n := range []int{50, 1500, 6000, 18000} {
+		document := configuration(1, n, 2000)
+		b.Run(fmt.Sprintf("%d/document", n), func(b *testing.B) {
+			for b.Loop() {
+				table, err := platform.ParseConfiguration(document)
+				if err != nil {
+					b.Fatal(err)
+				}
+				routes.NewIndex(table)
+			}
+			b.ReportMetric(float64(len(document)), "B/change")
+		})
+		b.Run(fmt.Sprintf("%d/whole", n), func(b *testing.B) {
+			h, came := hold(b, 1, document), 0
+			for b.Loop() {
+				i := &Instance{o: Options{Format: platform.Format{}}, log: zap.NewNop(), fetcher: newFetcher()}
+				came = h.take(b, i)
+			}
+			b.ReportMetric(float64(came), "B/change")
+		})
+		b.Run(fmt.Sprintf("%d/one_route", n), func(b *testing.B) {
+			versions := []*heldConfiguration{hold(b, 2, configuration(2, n, 3000)), hold(b, 3, configuration(3, n, 4000))}
+			i := &Instance{o: Options{Format: platform.Format{}}, log: zap.NewNop(), fetcher: newFetcher()}
+			hold(b, 1, document).take(b, i)
+			came := 0
+			for k := 0; b.Loop(); k++ {
+				came = versions[k%2].take(b, i)
+			}
+			b.ReportMetric(float64(came), "B/change")
+		})
+	}
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -27,6 +27,10 @@
 	perConn = 25
 	// writePause is the time between two configurations.
 	writePause = 300 * time.Millisecond
+	// One version in so many has largeRoutes routes more: a restart or a cut meets it on its
+	// way.
+	largeOneIn  = 4
+	largeRoutes = 3000
 	// callTime bounds a call of an operator and of the directory.
 	callTime = 2 * time.Second
 	// recovery bounds how long the site may take to serve after the last fault.
@@ -101,7 +105,11 @@
 	client := &http.Client{Timeout: callTime}
 	for ctx.Err() == nil {
 		version := w.Ledger.Newest(time.Now()) + 1
-		sent := platformtest.Document(version, fmt.Sprint("author ", author))
+		more := 0
+		if version%largeOneIn == 0 {
+			more = largeRoutes
+		}
+		sent := platformtest.LargeDocument(version, fmt.Sprint("author ", author), more)
 		c := w.cores[rng.IntN(len(w.cores))]
 		if err := platformtest.Put(ctx, client, c.operators, sent); err == nil {
 			w.Ledger.Acknowledged(version, time.Now())
