pieces: a document that is on its way is finished before a newer one is begun

Cause: each newer version that was told of ended the transfer of the one before. Where versions follow each other faster than a manifest and some pieces take, as every 100 ms from another region, none was in force until the last had come. Change: the newest version waits until the one on its way is whole, or until two questions in a row for that failed, or nobody has it any more; pieces are kept in any case.

--- a/coord/pieces/transfer.go
+++ b/coord/pieces/transfer.go
@@ -29,6 +29,11 @@
 
 // Transfer gets the pieces of the newest document that was told of. It belongs to one
 // goroutine at a time.
+//
+// A document that is on its way is finished before a newer one is begun, as long as somebody
+// has it and answers. What goes wrong otherwise: versions follow each other faster than a
+// manifest and some pieces take from another region, each one ends the transfer of the one
+// before, and none is ever whole until the last has come.
 type Transfer struct {
 	root     Digest
 	manifest *Manifest
@@ -40,7 +45,10 @@
 	held func(Digest) bool
 	// sources have told of the document, the next to ask first.
 	sources []string
-	ask     int
+	// next is the newest document, if that is another one, and nextSources have told of it.
+	next        Digest
+	nextSources []string
+	ask         int
 	// failures in a row, since something came.
 	failures  int
 	notBefore time.Time
@@ -66,22 +74,63 @@
 // piece already.
 func NewTransfer(held func(Digest) bool) *Transfer { return &Transfer{held: held} }
 
-// Want names the newest document and somebody who has told of it. What has come of another
-// one is kept as far as this one has it, too.
+// giveUpAfter is how many failures in a row end the transfer of a document of which there is
+// a newer one.
+const giveUpAfter = 2
+
+// Want names the newest document and somebody who has told of it.
 func (t *Transfer) Want(now time.Time, root Digest, from string) {
-	if t.root != root {
-		t.root, t.manifest, t.missing, t.sources = root, nil, nil, nil
-		t.ask, t.began = firstAsk, now
-		t.failures, t.notBefore = 0, time.Time{}
+	switch {
+	case t.root == (Digest{}) || t.root == root && t.next == (Digest{}):
+		t.begin(now, root)
+		t.sources = withSource(t.sources, from)
+		return
+	case t.root == root:
+		// It is newest no more, but it is the one on its way.
+		t.sources = withSource(t.sources, from)
+		return
+	case t.next != root:
+		t.next, t.nextSources = root, nil
+	}
+	t.nextSources = withSource(t.nextSources, from)
+	t.turnToNext(now)
+}
+
+func withSource(sources []string, from string) []string {
+	if slices.Contains(sources, from) {
+		return sources
+	}
+	return append(sources, from)
+}
+
+// begin turns to a document. What has come of another one is kept as far as this one has it,
+// too.
+func (t *Transfer) begin(now time.Time, root Digest) {
+	if t.root == root {
+		return
 	}
-	if !slices.Contains(t.sources, from) {
-		t.sources = append(t.sources, from)
+	t.root, t.manifest, t.missing, t.sources = root, nil, nil, nil
+	t.ask, t.began = firstAsk, now
+	t.failures, t.notBefore = 0, time.Time{}
+}
+
+// turnToNext leaves a document that nobody has or gives any more for the newest one.
+func (t *Transfer) turnToNext(now time.Time) {
+	if t.next == (Digest{}) || t.Complete() || len(t.sources) > 0 && t.failures < giveUpAfter {
+		return
 	}
+	root, sources := t.next, t.nextSources
+	t.next, t.nextSources = Digest{}, nil
+	t.begin(now, root)
+	t.sources = sources
 }
 
 // Wanted is the document that the Transfer is about; zero for none.
 func (t *Transfer) Wanted() Digest { return t.root }
 
+// Wants reports whether a document is the one on its way or the newest.
+func (t *Transfer) Wants(root Digest) bool { return root == t.root || root == t.next }
+
 // Stats returns the counters.
 func (t *Transfer) Stats() Stats { return t.stats }
 
@@ -113,6 +162,7 @@
 	if a.Unknown {
 		t.Failed(now, q)
 		t.drop(q.To)
+		t.turnToNext(now)
 		return errors.NotFoundf("document %s at %s", q.Ask.Root, q.To)
 	}
 	err := t.take(q, a)
@@ -201,6 +251,7 @@
 	if len(t.sources) > 1 && t.sources[0] == q.To {
 		t.sources = append(t.sources[1:], q.To)
 	}
+	t.turnToNext(now)
 }
 
 func (t *Transfer) drop(source string) {
@@ -211,9 +262,15 @@
 func (t *Transfer) Complete() bool { return t.manifest != nil && len(t.missing) == 0 }
 
 // Take ends the transfer of a complete document, and returns its manifest and the pieces
-// that the host did not hold.
-func (t *Transfer) Take() (*Manifest, map[Digest][]byte) {
+// that the host did not hold. A newer document that was told of is begun.
+func (t *Transfer) Take(now time.Time) (*Manifest, map[Digest][]byte) {
 	m, got := t.manifest, t.got
+	next, sources := t.next, t.nextSources
 	t.root, t.manifest, t.got, t.missing, t.sources = Digest{}, nil, nil, nil, nil
+	t.next, t.nextSources = Digest{}, nil
+	if next != (Digest{}) {
+		t.begin(now, next)
+		t.sources = sources
+	}
 	return m, got
 }
--- a/coord/pieces/transfer_test.go
+++ b/coord/pieces/transfer_test.go
@@ -120,7 +120,7 @@
 		return
 	}
 	root := w.transfer.Wanted()
-	m, got := w.transfer.Take()
+	m, got := w.transfer.Take(w.now)
 	var text []byte
 	all := map[Digest][]byte{}
 	for _, d := range m.Digests {
@@ -197,6 +197,41 @@
 	})
 }
 
+// Versions follow each other every 100 ms while a manifest and a piece take 160 ms each, as
+// from another region. Each one used to end the transfer of the one before, and none was ever
+// in force until the last had come.
+func TestVersionsInSeriesComeIntoForceMeanwhile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.rate, w.loss, w.trip = 1<<20, 0, 160*time.Millisecond
+		names := numbered(400, 3)
+		w.publish(names)
+		for w.version == 0 {
+			w.tell()
+			w.step()
+		}
+		end, last := w.now.Add(10*time.Second), w.now
+		next := w.now
+		for w.now.Before(end) {
+			if !w.now.Before(next) {
+				names = append([]string{}, names...)
+				names[rapid.IntRange(0, len(names)-1).Draw(t, "at")] = fmt.Sprint("changed ", len(w.told))
+				w.publish(names)
+				next = w.now.Add(100 * time.Millisecond)
+			}
+			before := w.version
+			w.tell()
+			w.step()
+			if w.version > before {
+				last = w.now
+			}
+			if w.now.Sub(last) > 2*time.Second {
+				t.Fatalf("version %d of %d is in force since %v", w.version, len(w.told), w.now.Sub(last))
+			}
+		}
+	})
+}
+
 // Answers that are wrong change nothing, and the next source is asked.
 func TestWrongAnswersAreLeftOut(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/node/entry/fetch.go
+++ b/node/entry/fetch.go
@@ -30,10 +30,10 @@
 type fetcher struct {
 	mu       sync.Mutex
 	transfer *pieces.Transfer
-	// head is the state whose document is wanted; nil for none.
-	head *newest.Head
-	// told says that a line told of the transfer under way.
-	told bool
+	// heads are the states whose documents are wanted: of the one on its way and the newest.
+	heads map[pieces.Digest]*newest.Head
+	// told names the document of which a line told that it takes long.
+	told pieces.Digest
 	// taken names the document that came whole last. It is not asked for again by reports
 	// that were made before it was in force, nor where it could not be read.
 	taken pieces.Digest
@@ -49,7 +49,7 @@
 }
 
 func newFetcher() *fetcher {
-	f := &fetcher{woken: make(chan struct{}, 1), index: new(routes.Index)}
+	f := &fetcher{woken: make(chan struct{}, 1), heads: map[pieces.Digest]*newest.Head{}, index: new(routes.Index)}
 	f.transfer = pieces.NewTransfer(f.holds)
 	return f
 }
@@ -64,11 +64,13 @@
 	if f.taken == h.Root {
 		return
 	}
-	if f.head == nil || f.head.Root != h.Root {
-		f.told = false
-	}
-	f.head = h
+	f.heads[h.Root] = h
 	f.transfer.Want(now, h.Root, from)
+	for root := range f.heads {
+		if !f.transfer.Wants(root) {
+			delete(f.heads, root)
+		}
+	}
 	select {
 	case f.woken <- struct{}{}:
 	default:
@@ -134,11 +136,12 @@
 func (i *Instance) tellSlow(now time.Time, q *pieces.Question, err error) {
 	f := i.fetcher
 	left, since, known := f.transfer.Left()
-	if f.told || f.head == nil || now.Sub(since) < tellSlow {
+	head := f.heads[f.transfer.Wanted()]
+	if head == nil || f.told == head.Root || now.Sub(since) < tellSlow {
 		return
 	}
-	f.told = true
-	i.log.Warn("a configuration takes long to come", zap.Uint64("version", f.head.Version), zap.Duration("since", now.Sub(since)),
+	f.told = head.Root
+	i.log.Warn("a configuration takes long to come", zap.Uint64("version", head.Version), zap.Duration("since", now.Sub(since)),
 		zap.Bool("manifest", known), zap.Int("pieces_left", left), zap.String("from", q.To), zap.Error(err))
 }
 
@@ -166,9 +169,14 @@
 		return
 	}
 	_, since, _ := f.transfer.Left()
-	m, got := f.transfer.Take()
-	head := f.head
-	f.head, f.taken = nil, head.Root
+	head := f.heads[f.transfer.Wanted()]
+	m, got := f.transfer.Take(time.Now())
+	f.taken = head.Root
+	for root, h := range f.heads {
+		if h.Index <= head.Index {
+			delete(f.heads, root)
+		}
+	}
 	f.mu.Unlock()
 
 	err := i.build(m, got)
