control: an instance outside of the group gets a configuration in pieces, too

Change: the member confirms and tells the name of the document; the pieces are asked for one question at a time and stay for the next call.

--- a/node/control/outside.go
+++ b/node/control/outside.go
@@ -7,8 +7,11 @@
 	"slices"
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -25,6 +28,8 @@
 	leader string
 	// members are the live ones, the nearest first.
 	members []string
+	// reader gets documents for operators.
+	reader documentReader
 }
 
 // note takes in the leader's answer to an application, and reports whether it changes
@@ -125,25 +130,51 @@
 	return i.serveReport(ctx, from, payload)
 }
 
-// readOutside has a member read what is accepted.
+// readOutside has a member read what is accepted, and gets the document in pieces. What has
+// come is kept for the next call where this one ends too early.
 func (i *Instance) readOutside(ctx context.Context) ([]byte, error) {
+	from := i.outside.nearest()
+	h, err := i.readHead(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	if h.Version == 0 {
+		return nil, errNoDocument
+	}
+	return i.outside.reader.read(ctx, h.Root, func(ctx context.Context, a *pieces.Ask) (*pieces.Answer, error) {
+		return i.askMember(ctx, from, a)
+	})
+}
+
+// readHead has a member confirm what is accepted.
+func (i *Instance) readHead(ctx context.Context, from string) (*newest.Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	document, err := i.callMember(ctx, i.outside.nearest(), channelRead, nil)
+	data, err := i.callMember(ctx, from, channelRead, nil)
 	if err != nil {
 		return nil, err
 	}
-	if len(document) == 0 {
-		return nil, errNoDocument
+	h := &newest.Head{}
+	return h, cbor.Unmarshal(data, h)
+}
+
+func (i *Instance) askMember(ctx context.Context, from string, a *pieces.Ask) (*pieces.Answer, error) {
+	payload, err := cbor.Marshal(a)
+	if err != nil {
+		return nil, err
 	}
-	return document, nil
+	data, err := i.callMember(ctx, from, channelMemberDocument, payload)
+	if err != nil {
+		return nil, err
+	}
+	answer := &pieces.Answer{}
+	return answer, cbor.Unmarshal(data, answer)
 }
 
-// serveRead answers an instance outside; empty where no configuration was accepted yet.
+// serveRead tells an instance outside what is accepted; version 0 where nothing was yet.
 func (i *Instance) serveRead(ctx context.Context, _ string, _ []byte) ([]byte, error) {
-	document, err := i.current(ctx)
-	if errors.Is(err, errNoDocument) {
-		return nil, nil
+	if err := i.confirm(ctx); err != nil {
+		return nil, err
 	}
-	return document, err
+	return cbor.Marshal(i.machine.State().Head())
 }
