burn: the figures stand below the request path, in metrics; their page and command in operate

Cause: api, metrics and node imported operate, which stands on top of them, for the figures of burn. Change: operate/burn is metrics/burn, its page operate/burnpage. No behaviour changes. Result: but for a test of the interface's form nothing below imports operate any more.

--- a/api/burn.go
+++ b/api/burn.go
@@ -5,7 +5,7 @@
 
 	"github.com/gullhaven/gullhaven/api/gen/operators"
 	"github.com/gullhaven/gullhaven/bundle"
-	"github.com/gullhaven/gullhaven/operate/burn"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 )
 
 // maxBurnHistory bounds the history in an answer, in bytes: that of a region of
--- a/api/design/operators.go
+++ b/api/design/operators.go
@@ -146,7 +146,7 @@
 	Attribute("version", UInt64, "Bundle that the objectives are of")
 	Attribute("at_ms", Int64, "Clock of the instance, in Unix milliseconds")
 	Attribute("services", ArrayOf(serviceBurn))
-	Attribute("history", Bytes, "Snapshot of package operate/burn, to be merged with those of others")
+	Attribute("history", Bytes, "Snapshot of package metrics/burn, to be merged with those of others")
 	Required("instance", "region", "version", "at_ms", "services", "history")
 })
 
--- a/api/gen/http/operators/client/types.go
+++ b/api/gen/http/operators/client/types.go
@@ -58,7 +58,7 @@
 	// Clock of the instance, in Unix milliseconds
 	AtMs     *int64                     `form:"at_ms,omitempty" json:"at_ms,omitempty" xml:"at_ms,omitempty"`
 	Services []*ServiceBurnResponseBody `form:"services,omitempty" json:"services,omitempty" xml:"services,omitempty"`
-	// Snapshot of package operate/burn, to be merged with those of others
+	// Snapshot of package metrics/burn, to be merged with those of others
 	History []byte `form:"history,omitempty" json:"history,omitempty" xml:"history,omitempty"`
 }
 
--- a/api/gen/http/operators/server/types.go
+++ b/api/gen/http/operators/server/types.go
@@ -57,7 +57,7 @@
 	// Clock of the instance, in Unix milliseconds
 	AtMs     int64                      `form:"at_ms" json:"at_ms" xml:"at_ms"`
 	Services []*ServiceBurnResponseBody `form:"services" json:"services" xml:"services"`
-	// Snapshot of package operate/burn, to be merged with those of others
+	// Snapshot of package metrics/burn, to be merged with those of others
 	History []byte `form:"history" json:"history" xml:"history"`
 }
 
--- a/api/gen/operators/service.go
+++ b/api/gen/operators/service.go
@@ -54,7 +54,7 @@
 	// Clock of the instance, in Unix milliseconds
 	AtMs     int64
 	Services []*ServiceBurn
-	// Snapshot of package operate/burn, to be merged with those of others
+	// Snapshot of package metrics/burn, to be merged with those of others
 	History []byte
 }
 
--- a/api/server_test.go
+++ b/api/server_test.go
@@ -19,7 +19,7 @@
 	"github.com/gullhaven/gullhaven/coord/claim"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/metrics"
-	"github.com/gullhaven/gullhaven/operate/burn"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 	"github.com/gullhaven/gullhaven/pipeline"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/ports/enginehttp"
--- a/metrics/served/observer.go
+++ b/metrics/served/observer.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
-	"github.com/gullhaven/gullhaven/operate/burn"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 	"github.com/gullhaven/gullhaven/pipeline"
 	"github.com/gullhaven/gullhaven/route"
 )
--- a/metrics/served/served_test.go
+++ b/metrics/served/served_test.go
@@ -11,7 +11,7 @@
 
 	_ "github.com/gullhaven/gullhaven/coord/fixedseed"
 	"github.com/gullhaven/gullhaven/coord/verdict"
-	"github.com/gullhaven/gullhaven/operate/burn"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 	"github.com/gullhaven/gullhaven/pipeline"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/route"
--- a/node/history.go
+++ b/node/history.go
@@ -10,8 +10,8 @@
 
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/coord/ring"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 	"github.com/gullhaven/gullhaven/metrics/served"
-	"github.com/gullhaven/gullhaven/operate/burn"
 	"github.com/gullhaven/gullhaven/pipeline"
 	"github.com/gullhaven/gullhaven/route"
 )
--- a/operate/burn.go
+++ b/operate/burn.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/gullhaven/gullhaven/operate/burn"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 )
 
 // BurnPath answers GET with a BurnAnswer.
--- a/operate/burnpage/page.go
+++ b/operate/burnpage/page.go
@@ -1,6 +1,6 @@
-// Package page writes a burn report as one HTML file that needs no other: style
+// Package burnpage writes a burn report as one HTML file that needs no other: style
 // and plots are inside, and nothing is loaded from anywhere.
-package page
+package burnpage
 
 import (
 	_ "embed"
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/gullhaven/gullhaven/operate/burn"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 )
 
 //go:embed page.html
--- a/operate/capacity/duties.go
+++ b/operate/capacity/duties.go
@@ -4,9 +4,9 @@
 	"math"
 
 	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/metrics/burn"
 	"github.com/gullhaven/gullhaven/node/limits"
 	"github.com/gullhaven/gullhaven/node/loads"
-	"github.com/gullhaven/gullhaven/operate/burn"
 )
 
 // Numbers of the code that the duties follow.
@@ -216,7 +216,7 @@
 			Memory: float64(w.size.Models) * (w.slopes.of("served_memory") + historyBytes),
 			Sent:   handover, Received: handover,
 		},
-		Mechanism: "operate/burn, metrics/served; 64 KB to two neighbours every five minutes",
+		Mechanism: "metrics/burn, metrics/served; 64 KB to two neighbours every five minutes",
 		Slopes:    []string{"burn_cpu", "served_memory"},
 	}
 }
--- a/operate/cli/report_burn.go
+++ b/operate/cli/report_burn.go
@@ -10,9 +10,9 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
+	"github.com/gullhaven/gullhaven/metrics/burn"
 	"github.com/gullhaven/gullhaven/operate"
-	"github.com/gullhaven/gullhaven/operate/burn"
-	"github.com/gullhaven/gullhaven/operate/burn/page"
+	"github.com/gullhaven/gullhaven/operate/burnpage"
 )
 
 var _ = Register(Command{
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	if err := page.Write(file, report.Report, silentNames(report)); err != nil {
+	if err := burnpage.Write(file, report.Report, silentNames(report)); err != nil {
 		_ = file.Close()
 		return errors.Annotate(err, c.HTML)
 	}
--- a/operate/cli/report_burn_test.go
+++ b/operate/cli/report_burn_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/gullhaven/gullhaven/metrics/burn"
 	"github.com/gullhaven/gullhaven/operate"
-	"github.com/gullhaven/gullhaven/operate/burn"
 	"github.com/gullhaven/gullhaven/operate/cli"
 )
 
