--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -210,10 +210,9 @@
 		Urgent:      append(urgent, channelGroup),
 		MaxMessage:  maxMessage,
 		DialTimeout: time.Second,
-		// Two round trips between regions and some; TCP would send a lost first packet
-		// again after a second. After a loss of power of all, entry instances had their
-		// first view 1.08 s after their start, as the core instances' machines came back
-		// 0.3 s later.
+		// Two round trips between regions and some; TCP would send a lost first packet again
+		// after a second, as where core instances come back a moment later than entry
+		// instances after a loss of power of all.
 		ConnectTimeout: 400 * time.Millisecond,
 		PingAfter:      700 * time.Millisecond,
 		PingTimeout:    700 * time.Millisecond,
--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -19,9 +19,7 @@
 
 // groupSize is how many targets a group has about: enough for one of them to be idle,
 // and few enough for the parts of a prompt to stay at few, and for one instance to decide
-// for them: some 200 choices a second.
-//
-// Gain over 12: worth 0.018 +- 0.002 more on four days of 191 instances before 80 engines.
+// for them. Fewer leave engines of a group idle while those of another one are crowded.
 const groupSize = 20
 
 // divide puts the targets of a service in order and gives each its group.
--- a/route/pick/kept.go
+++ b/route/pick/kept.go
@@ -120,9 +120,8 @@
 // as the tokens that are read in the same time: a prompt whose parts are kept anywhere in
 // the region costs about the same at all targets, and goes where least waits.
 //
-// Gain: with such requests kept to the targets that had read their parts, and only the
-// others told where to fetch them, a quarter more of the shared parts were read again (ten
-// paired days, 18 engines: 0.033 of worth paid for it, now 0.027).
+// Gain: fewer shared parts are read again than where requests are kept to the targets that
+// have read their parts, and only the others are told where to fetch them.
 func (w *weighing) unreadAt(t *target) int {
 	own := t.keptTokens(w.now, w.chain)
 	unread := w.call.PromptTokens - own
--- a/route/pick/region.go
+++ b/route/pick/region.go
@@ -17,14 +17,12 @@
 
 // RegionCost estimates what a call costs at a region's targets, in milliseconds, as
 // Choice.Wait does at one of the own region: as if the load were spread evenly. The way
-// there is not in it, nor what the call costs others: with that, more requests crossed and
-// less was gained by it than the crossing cost (15 paired days, 0.006 +- 0.004 of worth).
+// there is not in it, nor what the call costs others: with that, more requests cross than
+// gain by it.
 //
 // Engines elsewhere read at the pace that they are told to have. What goes wrong with the
 // pace of the own region in its place: at its peak that holds the crowd at home, so idle
-// regions look as slow, and are left alone just when they are needed. Gain of this, the order
-// of subjects and requests that cross over kept connections: worth 0.038 +- 0.007 more on six
-// days of 191 instances before 80 engines.
+// regions look as slow, and are left alone just when they are needed.
 func (p *Pool) RegionCost(region string, load RegionLoad, c Call) float64 {
 	targets := float64(load.Targets)
 	running := float64(load.Running) / targets
@@ -47,8 +45,7 @@
 //
 // So the same subjects are passed on first, and on to the same region, which then keeps
 // them; as the own region fills, more follow, one after another in place of all at once
-// on the same news. Gain, in a replay of large regions at their peaks in turn: worth 0.812,
-// and 0.800 with one share of kept parts for all subjects, as the region had it lately.
+// on the same news, as with one share of kept parts for all subjects.
 func (c *Call) unreadIn(region string) float64 {
 	if len(c.Parts) < 2 {
 		return float64(c.PromptTokens)
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -87,7 +87,7 @@
 }
 
 // usualAnswer is the share of the longest answer that one has as a rule. Callers' own
-// estimates, which are often far off, made choices worse (11 paired days: 0.006 +- 0.002).
+// estimates are often far off, and make choices worse.
 const usualAnswer = 0.35
 
 // answer is the length in tokens that the answer is expected to have.
--- a/route/pick/stall.go
+++ b/route/pick/stall.go
@@ -5,9 +5,7 @@
 // next event of every answer comes that much later: once reading has gone on for as long as
 // a route lets events pause, all that run there are late.
 //
-// Gain: on three days of 90 engines, whose events hold eight tokens, worth 0.010 +- 0.001
-// more, 0.017 more of the whole days' requests; a sixth of the long answers were late
-// without it, most of them for a pause.
+// Gain: fewer long answers are late for a pause, most where an event holds many tokens.
 
 const (
 	// stallCost is the cost of one running answer that is late, in milliseconds of waiting:
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -102,8 +102,7 @@
 	// much or runs many: chunkTime is how much longer a step takes in which a part of a
 	// prompt is read, and runningTime what each running request adds, both in milliseconds.
 	// With disturb it keeps long prompts and long answers at different targets; without
-	// runningTime long answers crowd at the targets that read little (replay of long prompts
-	// among running answers: worth 0.984, with it 0.997).
+	// runningTime long answers crowd at the targets that read little.
 	slowed      = 0.286
 	chunkTime   = 26.0
 	runningTime = 0.3
@@ -126,9 +125,8 @@
 	guess = 0.6
 	// leaveGroup is what a call may meet at the best target of its prompt's group, in
 	// milliseconds; beyond it all targets are candidates. What the call costs others is not
-	// in it: with that, long answers left their group at any load, to targets of which their
-	// decider knows only what others told (two days of 83 instances: worth 0.493, 0.501
-	// without).
+	// in it: with that, long answers leave their group at any load, to targets of which their
+	// decider knows only what others told.
 	leaveGroup = 400.0
 	// failCost is the cost of a target of which each answer failed lately, in
 	// milliseconds: about what a failed request costs its caller.
--- a/route/place/reach.go
+++ b/route/place/reach.go
@@ -21,8 +21,7 @@
 // Reach tells which regions can be reached. It is safe for several goroutines.
 //
 // What goes wrong with instances that are left out one by one: behind a cut each of sixty
-// instances of the region costs somebody the 400 ms that a connection may take. While a
-// region was cut off from 126 instances for nine seconds, 3,394 attempts ended so.
+// instances of the region costs somebody the 400 ms that a connection may take.
 type Reach struct {
 	mu sync.Mutex
 	by map[string]*reach
--- a/route/place/refuse.go
+++ b/route/place/refuse.go
@@ -6,9 +6,7 @@
 // more, the first event comes late for sure.
 //
 // What goes wrong without it: for as long as more comes than the engines can read, all
-// wait behind each other and all are late. On a day with a burst over all regions (59
-// entry instances, 90 engines) 44% of the long and 58% of the short prompts were in time
-// without it, and 60 and 72% with it.
+// wait behind each other and all are late.
 const lateShare = 1.0
 
 // Overloaded reports whether a request that has not run is refused, at once and with when
--- a/route/place/region.go
+++ b/route/place/region.go
@@ -14,8 +14,7 @@
 	//
 	// What goes wrong without it: a region that is well by its summary and serves nothing,
 	// as while its targets warm up after an evacuation, looks idle. All others pass on to
-	// it, and each request loses two trips over the wide area. On a day with such a region
-	// 237 were sent there in 4 s.
+	// it, and each request loses two trips over the wide area.
 	refusedCost = 1e5
 )
 
--- a/route/place/return.go
+++ b/route/place/return.go
@@ -21,8 +21,7 @@
 var back = map[Why]time.Duration{
 	Busy: 250 * time.Millisecond,
 	// Callers that come back earlier than an instance that starts has a view are refused
-	// again, and most do not come a third time. It takes 0.1 to 0.5 s, and those that come
-	// after 0.7 s are late.
+	// again, and most do not come a third time; those that come much later are late.
 	Starting: 350 * time.Millisecond,
 	Leaving:  20 * time.Millisecond,
 	Killing:  time.Second,
