--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
@@ -16,7 +15,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
@@ -375,70 +373,3 @@
 	}
 	return s.Core.Leader.ID != i.o.Self.ID || !i.node.LeaseUntil().IsZero()
 }
-
-// serveReport answers an entry instance, at once if there is news and else after
-// the time that it allows.
-func (i *Instance) serveReport(ctx context.Context, _ string, payload []byte) ([]byte, error) {
-	var r feed.Report
-	if err := cbor.Unmarshal(payload, &r); err != nil {
-		return nil, err
-	}
-	i.board.Reported(time.Now(), r.Self)
-	i.noteHeld(time.Now(), &r)
-	i.board.Suspected(time.Now(), r.Suspects, true)
-	if r.First {
-		i.confirmFirst(ctx)
-	}
-	wait := time.NewTimer(time.Duration(r.WaitMillis) * time.Millisecond)
-	defer wait.Stop()
-	changed := i.board.Changed()
-	if i.accepted().Index <= r.Index && i.board.List().Digest == r.Digest {
-		select {
-		case <-changed:
-		case <-wait.C:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-	return cbor.Marshal(i.update(r))
-}
-
-// confirmFirst tries to have the state confirmed for an instance that has just
-// started: this member may lag, and the instance would begin with a version older than
-// one acknowledged before its start. Where no majority answers in time it begins with
-// what this member holds, which was accepted once: a region that is cut off serves its
-// callers, and after a loss of power of all nobody waits for an election. A member that
-// hears from no leader answers at once: where there is one, the instance hears of newer
-// states from the other members, which it asks at the same time.
-func (i *Instance) confirmFirst(ctx context.Context) {
-	if !i.led() {
-		i.log.Info("first state not confirmed for want of a leader", zap.Uint64("version", i.accepted().Version))
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, firstTime)
-	defer cancel()
-	if err := i.node.Read(ctx); err != nil {
-		i.log.Info("first state not confirmed", zap.Error(err), zap.Uint64("version", i.accepted().Version))
-	}
-}
-
-func (i *Instance) update(r feed.Report) feed.Update {
-	u := feed.Update{Led: i.led()}
-	s := i.accepted()
-	if s.Index > r.Held {
-		u.Head = s.Head()
-	}
-	i.board.Fill(time.Now(), r, s.Evacuated, &u)
-	return u
-}
-
-// confirm returns nil once this member holds everything that was acknowledged
-// before the call.
-func (i *Instance) confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return i.node.Read(ctx)
-}
-
-// errNoDocument: no configuration was accepted yet.
-var errNoDocument = errors.New("no configuration was accepted yet")
