control: the news of a list go with the gossip that tells of it; the first gossip opens the links

What callers saw: after a loss of power of all those of regions whose core instances do not read the platform's list were refused for want of a target some 0.3 s longer than the others. Cause: the reader's gossip told that there is a list, for which links were opened first, two trips there and back, and which was then asked for, one more. Change: a core instance gossips at its start, and right after a reading that found the list changed the news go along, up to 16 KB, to be added to the list before; where that is another one they are asked for as before.

--- a/node/control/soft.go
+++ b/node/control/soft.go
@@ -29,21 +29,29 @@
 func (i *Instance) runGossip(ctx context.Context) {
 	tick := time.NewTicker(gossipInterval)
 	defer tick.Stop()
+	// The first one opens the links. Without it a first list waits for them: two trips to
+	// another region and back.
+	if !i.isOutside() {
+		i.gossip(false)
+	}
 	for {
+		fresh := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		case <-i.gossipNow:
+			fresh = true
 		}
 		if i.isOutside() {
 			continue
 		}
-		i.gossip()
+		i.gossip(fresh)
 	}
 }
 
-func (i *Instance) gossip() {
+// gossip tells the others; fresh says that the list has just changed.
+func (i *Instance) gossip(fresh bool) {
 	now := time.Now()
 	regions := map[string]string{}
 	for _, c := range i.board.Cores(now) {
@@ -54,7 +62,7 @@
 	for _, id := range i.others() {
 		near := regions[id] == i.o.Self.Region
 		if payloads[near] == nil {
-			payload, err := cbor.Marshal(i.board.Gossip(now, near))
+			payload, err := cbor.Marshal(i.board.Gossip(now, near, fresh))
 			if err != nil {
 				i.log.Error("gossip cannot be written", zap.Error(err))
 				return
@@ -73,12 +81,35 @@
 	}
 	now := time.Now()
 	i.board.Suspected(now, g.Suspects, false)
-	if !i.board.Gossiped(now, g) {
+	if !i.board.Gossiped(now, g) || i.takeList(from, &g, now) {
 		return
 	}
 	i.wg.Go(func() { i.fetchList(from, g, now) })
 }
 
+// takeList takes the news of a list that came with a gossip; false if they are about a list
+// that is not held here.
+func (i *Instance) takeList(from string, g *feed.Gossip, heard time.Time) bool {
+	if len(g.List) == 0 {
+		return false
+	}
+	var n feed.ListNews
+	if err := cbor.Unmarshal(g.List, &n); err != nil {
+		i.log.Warn("a list of targets cannot be read", zap.String("from", from), zap.Error(err))
+		return false
+	}
+	list, ok := i.board.List().Apply(&n, time.Now(), readAt(g, heard))
+	if ok {
+		i.board.Listed(list, false)
+	}
+	return ok
+}
+
+// readAt is when a list was read of which a gossip told.
+func readAt(g *feed.Gossip, heard time.Time) time.Time {
+	return heard.Add(-time.Duration(g.ListAgeMillis) * time.Millisecond)
+}
+
 // fetchList gets a list that another core instance has read.
 func (i *Instance) fetchList(from string, g feed.Gossip, heard time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTime)
@@ -101,8 +132,7 @@
 	if n == nil {
 		return
 	}
-	at := heard.Add(-time.Duration(g.ListAgeMillis) * time.Millisecond)
-	if list, ok := i.board.List().Apply(n, time.Now(), at); ok {
+	if list, ok := i.board.List().Apply(n, time.Now(), readAt(&g, heard)); ok {
 		i.board.Listed(list, false)
 	}
 }
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -139,7 +139,7 @@
 }
 
 // Gossiped takes in what another core instance tells, and reports whether its
-// list is newer than the one held and has to be fetched.
+// list is newer than the one held and has to be taken from its news or fetched.
 func (b *Board) Gossiped(now time.Time, g Gossip) (fetch bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/node/feed/list_test.go
+++ b/node/feed/list_test.go
@@ -105,3 +105,51 @@
 		t.Fatal("taken")
 	}
 }
+
+// Core instances of other regions had a list of targets 0.3 s after the one that read it: its
+// gossip told that there was one, and they asked for it, a trip there and back. After a loss of
+// power of all their callers were refused meanwhile. The news go with the gossip now, to be
+// added to the list before; where that is another one they are asked for as before.
+func TestNewsOfAListGoWithTheGossip(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reader := feed.NewBoard(feed.Core{ID: "1", Region: "r"}, 1)
+	listed := func(at time.Time, ids ...string) {
+		var targets []feed.Target
+		for _, id := range ids {
+			targets = append(targets, feed.Target{ID: id, Service: "s", Region: "q"})
+		}
+		reader.Listed(feed.NewList(targets, at, reader.List()), true)
+	}
+	take := func(held feed.List, g feed.Gossip) (feed.List, bool) {
+		var n feed.ListNews
+		if err := cbor.Unmarshal(g.List, &n); err != nil {
+			t.Fatal(err)
+		}
+		return held.Apply(&n, now, now)
+	}
+	listed(now, "a", "b")
+	first, ok := take(feed.List{}, reader.Gossip(now, false, true))
+	if !ok || first.Digest != reader.List().Digest || len(first.Targets) != 2 {
+		t.Fatalf("%v %+v", ok, first)
+	}
+	listed(now.Add(time.Second), "a", "c")
+	g := reader.Gossip(now.Add(time.Second), true, true)
+	second, ok := take(first, g)
+	if !ok || second.Digest != reader.List().Digest || len(second.Targets) != 2 || second.Targets[1].ID != "c" {
+		t.Fatalf("%v %+v", ok, second)
+	}
+	if _, ok := take(feed.List{Digest: 7}, g); ok {
+		t.Error("news are added to a list that they are not about")
+	}
+	if g := reader.Gossip(now.Add(time.Second), false, false); g.List != nil || g.Digest == 0 {
+		t.Errorf("a gossip between readings: %+v", g)
+	}
+	var many []string
+	for k := range 2000 {
+		many = append(many, fmt.Sprint("target ", k))
+	}
+	listed(now.Add(2*time.Second), many...)
+	if g := reader.Gossip(now.Add(2*time.Second), false, true); g.List != nil {
+		t.Errorf("%d bytes of news go with a gossip", len(g.List))
+	}
+}
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -240,9 +240,14 @@
 	return out
 }
 
+// pushBytes bounds the news of a list that go with a gossip. Longer ones, as a first list of
+// hundreds of targets, are fetched by those that lack them.
+const pushBytes = 16 << 10
+
 // Gossip is what this instance tells others: the entry instances that report here, to
-// those of its region their loads, and its own reading of the list.
-func (b *Board) Gossip(now time.Time, near bool) Gossip {
+// those of its region their loads, and its own reading of the list. fresh says that the list
+// has just changed: its news go along, as a question for them costs a trip there and back.
+func (b *Board) Gossip(now time.Time, near, fresh bool) Gossip {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.current(now)
@@ -261,5 +266,10 @@
 	if b.own {
 		g.Digest, g.ListAgeMillis = b.list.Digest, now.Sub(b.list.ReadAt).Milliseconds()
 	}
+	if b.own && fresh && len(b.older) > 0 {
+		if news := b.news(now, b.older[len(b.older)-1].Digest, ""); len(news) <= pushBytes {
+			g.List = news
+		}
+	}
 	return g
 }
