pieces: a source that has forgotten a document is still asked for the next one

Cause: where the only source of a document had forgotten it, as newer ones had come, it was left out after the transfer had turned to the newest one, of which it had told: nobody was asked until a report told of it again. Change: it is left out of the document that it does not have. Putting pieces together stands once. Result: TestSourceOfAForgottenDocumentIsAskedForTheNext fails without it.

--- a/coord/pieces/manifest.go
+++ b/coord/pieces/manifest.go
@@ -58,3 +58,18 @@
 	}
 	return out
 }
+
+// Join puts a document together of the pieces that came and those that were held, and returns
+// all of them: what is held from now on.
+func (m *Manifest) Join(came, held map[Digest][]byte) (document []byte, all map[Digest][]byte) {
+	document, all = make([]byte, 0, m.Bytes), make(map[Digest][]byte, len(m.Digests))
+	for _, d := range m.Digests {
+		raw := came[d]
+		if raw == nil {
+			raw = held[d]
+		}
+		all[d] = raw
+		document = append(document, raw...)
+	}
+	return document, all
+}
--- a/coord/pieces/transfer.go
+++ b/coord/pieces/transfer.go
@@ -160,9 +160,11 @@
 // ErrDamaged where its content is wrong; the Transfer goes on with another source.
 func (t *Transfer) Answered(now time.Time, q *Question, a *Answer) error {
 	if a.Unknown {
+		if q.Ask.Root == t.root {
+			// It has told of the next one all the same.
+			t.sources = slices.DeleteFunc(t.sources, func(s string) bool { return s == q.To })
+		}
 		t.Failed(now, q)
-		t.drop(q.To)
-		t.turnToNext(now)
 		return errors.NotFoundf("document %s at %s", q.Ask.Root, q.To)
 	}
 	err := t.take(q, a)
@@ -254,10 +256,6 @@
 	t.turnToNext(now)
 }
 
-func (t *Transfer) drop(source string) {
-	t.sources = slices.DeleteFunc(t.sources, func(s string) bool { return s == source })
-}
-
 // Complete reports whether all has come.
 func (t *Transfer) Complete() bool { return t.manifest != nil && len(t.missing) == 0 }
 
--- a/coord/pieces/transfer_test.go
+++ b/coord/pieces/transfer_test.go
@@ -121,16 +121,7 @@
 	}
 	root := w.transfer.Wanted()
 	m, got := w.transfer.Take(w.now)
-	var text []byte
-	all := map[Digest][]byte{}
-	for _, d := range m.Digests {
-		raw := got[d]
-		if raw == nil {
-			raw = w.got[d]
-		}
-		all[d] = raw
-		text = append(text, raw...)
-	}
+	text, all := m.Join(got, w.got)
 	w.got = all
 	version := 1
 	for w.told[version-1] != root {
@@ -285,3 +276,34 @@
 		}
 	}
 }
+
+// The only source of a document has forgotten it, as newer ones have come, and has told of the
+// newest. It is asked for that at once, and not left out for what it does not have any more.
+func TestSourceOfAForgottenDocumentIsAskedForTheNext(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old, newest := cut(t, numbered(50, 1)).Pack().Manifest.Root(), cut(t, numbered(50, 2)).Pack().Manifest.Root()
+	for failures := range giveUpAfter + 1 {
+		tr := NewTransfer(func(Digest) bool { return false })
+		tr.Want(now, old, "a")
+		for range failures {
+			q, wait := tr.Next(now)
+			for ; q == nil; q, wait = tr.Next(now) {
+				now = now.Add(wait)
+			}
+			tr.Failed(now, q)
+		}
+		q, wait := tr.Next(now)
+		for ; q == nil; q, wait = tr.Next(now) {
+			now = now.Add(wait)
+		}
+		tr.Want(now, newest, "a")
+		_ = tr.Answered(now, q, &Answer{Unknown: true})
+		next, wait := tr.Next(now)
+		for ; next == nil && wait >= 0; next, wait = tr.Next(now) {
+			now = now.Add(wait)
+		}
+		if next == nil || next.To != "a" || next.Ask.Root != newest {
+			t.Errorf("after %d failures: %+v", failures, next)
+		}
+	}
+}
--- a/node/control/reader.go
+++ b/node/control/reader.go
@@ -65,15 +65,7 @@
 // take puts a document together that has come whole.
 func (r *documentReader) take() []byte {
 	m, got := r.transfer.Take(time.Now())
-	out, all := make([]byte, 0, m.Bytes), map[pieces.Digest][]byte{}
-	for _, d := range m.Digests {
-		raw := got[d]
-		if raw == nil {
-			raw = r.held[d]
-		}
-		all[d] = raw
-		out = append(out, raw...)
-	}
+	document, all := m.Join(got, r.held)
 	r.held = all
-	return out
+	return document
 }
