routes, exchange, platform: callers of a site are told by their keys; targets get the workspace's name

Cause: the site's way read nothing of workspaces. On the users' newest deployment targets got the callers' keys in place of the workspace's name, keys that no configuration held were served, and homes of workspaces bound nobody. Change: a configuration's workspaces are checked and indexed by digests of their keys; a request is identified before its body is read, and again before each further attempt; the name replaces the key towards targets, the digest towards other regions, which judge by their own configuration. The workspace's rank and homes bind beside the route's. Unknown keys get 401, no common home 421.

--- a/bundle/routes/check.go
+++ b/bundle/routes/check.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"math"
 	"strings"
 
 	"github.com/juju/errors"
@@ -8,7 +9,8 @@
 
 // Check returns an error that names the first rule that the table breaks: a
 // route to an unknown service, two routes of the same host and prefix, weights
-// that add up to nothing, a timeout of nothing, or a prefix without its slashes.
+// that add up to nothing, a timeout of nothing, a prefix without its slashes, or
+// two workspaces of one name or with one key.
 func (t *Table) Check() error {
 	services := map[string]bool{}
 	for _, s := range t.Services {
@@ -32,7 +34,7 @@
 		}
 		places[place] = r.Name
 	}
-	return nil
+	return checkWorkspaces(t.Workspaces)
 }
 
 func (r *Route) check(services map[string]bool) error {
@@ -63,3 +65,46 @@
 	}
 	return nil
 }
+
+// checkWorkspaces never names a key in its error.
+func checkWorkspaces(list []Workspace) error {
+	names := make(map[string]bool, len(list))
+	holders := make(map[KeyDigest]string, len(list))
+	for i := range list {
+		w := &list[i]
+		if err := w.check(); err != nil {
+			return err
+		}
+		if names[w.Name] {
+			return errors.NotValidf("workspace %q that stands twice", w.Name)
+		}
+		names[w.Name] = true
+		for _, key := range w.Keys {
+			if other, taken := holders[key]; taken && other != w.Name {
+				return errors.NotValidf("workspaces %q and %q with one key in common", other, w.Name)
+			}
+			holders[key] = w.Name
+		}
+	}
+	return nil
+}
+
+func (w *Workspace) check() error {
+	if !headerSafe(w.Name) {
+		return errors.NotValidf("workspace name %q", w.Name)
+	}
+	l := &w.Limit
+	for what, n := range map[string]float64{"rate": l.Rate, "burst": l.Burst, "cost of a plain request": l.PlainTokens} {
+		if !(n >= 0) || math.IsInf(n, 0) {
+			return errors.NotValidf("workspace %q: %s of %v", w.Name, what, n)
+		}
+	}
+	return nil
+}
+
+// headerSafe reports whether a name can stand in a header and means the same there.
+func headerSafe(name string) bool {
+	printable := func(r rune) bool { return r >= ' ' && r <= '~' }
+	other := func(r rune) bool { return !printable(r) }
+	return name != "" && !strings.ContainsFunc(name, other) && strings.TrimSpace(name) == name
+}
--- a/bundle/routes/index.go
+++ b/bundle/routes/index.go
@@ -59,6 +59,8 @@
 	gapAims  map[string]time.Duration
 	longest  int
 	routes   int
+	// workspaces is nil where callers need no key.
+	workspaces *workspaces
 }
 
 // NewIndex prepares a table for lookups. The table must not change afterwards.
@@ -71,6 +73,9 @@
 		Table: t, groups: groups, byPlace: x.byPlace,
 		services: map[string]*Service{}, gapAims: map[string]time.Duration{},
 	}
+	if t.Keyed {
+		next.workspaces = indexWorkspaces(t.Workspaces, x.workspaces)
+	}
 	for i := range t.Services {
 		next.services[t.Services[i].Name] = &t.Services[i]
 	}
--- a/bundle/routes/types.go
+++ b/bundle/routes/types.go
@@ -29,6 +29,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Keyed says that callers are told by the keys of Workspaces. Else anybody is served.
+	Keyed      bool
+	Workspaces []Workspace
 }
 
 // Route sends the requests of one host whose path begins with Prefix to services.
@@ -54,6 +57,8 @@
 	Homes []string
 	// Affine requests name the parts of their prompt; targets keep them.
 	Affine bool
+	// Open routes also serve callers without a key.
+	Open bool
 	// Split shares the requests over services by weight.
 	Split []Share
 }
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -14,6 +14,9 @@
 	SiteLeaving        = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
 	SiteKillers        = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
 	SiteOverloaded     = Metric{"gullhaven_site_refused_overloaded_total", Counter, "requests", "Requests refused as what waits in front of the best target takes longer than the route's aim."}
+	SiteUnknownKeys    = Metric{"gullhaven_site_refused_key_total", Counter, "requests", "Requests refused as they carried no key that a workspace holds."}
+	SiteNoHome         = Metric{"gullhaven_site_refused_no_home_total", Counter, "requests", "Requests refused as the homes of their route and workspace have no region in common."}
+	SiteOverLimit      = Metric{"gullhaven_site_refused_over_limit_total", Counter, "requests", "Requests refused as their workspace was over its limit."}
 	SiteOtherRefusals  = Metric{"gullhaven_site_refused_other_total", Counter, "requests", "Requests refused for other reasons: no route, malformed, too large, a peer that is behind."}
 	SiteRetriesDenied  = Metric{"gullhaven_site_retries_denied_total", Counter, "attempts", "Further sendings that the budget did not allow."}
 	SiteDecided        = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
@@ -51,7 +54,7 @@
 
 // Site are the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums, SiteRegionsOut,
+	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteUnknownKeys, SiteNoHome, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums, SiteRegionsOut,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
 	SiteTargetsLeaving, SiteVersion, SiteHeard, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
@@ -61,6 +64,7 @@
 type SiteEntry struct {
 	*Set
 	PassedOn, RefusedNoTarget, RefusedNoView, RefusedLeaving, RefusedKiller, RefusedOverloaded, RefusedOther gometrics.Counter
+	RefusedKey, RefusedNoHome, RefusedLimit                                                                  gometrics.Counter
 	RetriesDenied, Decided, SummariesInvalid, SummariesUntold, RegionsOut, ReportsFailed                     gometrics.Counter
 	// WaitRatio tells how good choices can be: what they expect against what comes.
 	WaitRatio                                *Ratios
@@ -99,6 +103,7 @@
 		Set: s, PassedOn: s.Counter(SitePassedOn), RefusedNoTarget: s.Counter(SiteRefusals), RefusedNoView: s.Counter(SiteNoView),
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedKiller: s.Counter(SiteKillers),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
+		RefusedKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHome), RefusedLimit: s.Counter(SiteOverLimit),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Decided: s.Counter(SiteDecided),
 		SummariesInvalid: s.Counter(SiteInvalidSums), SummariesUntold: s.Counter(SiteUntoldSums), RegionsOut: s.Counter(SiteRegionsOut), ReportsFailed: s.Counter(SiteReportsFailed),
 		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), GapTime: s.Times(SiteGapTime), WaitRatio: s.Ratios(SiteWaitRatio), WholeTime: s.Times(SiteWholeTime),
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -32,6 +32,8 @@
 	route *routes.Route
 	call  Call
 	from  *passed
+	// workspace is the caller's; nil where it has shown no key.
+	workspace *routes.Workspace
 
 	ctx      context.Context
 	began    time.Time
@@ -61,6 +63,8 @@
 	turnedAway bool
 	// triedRegions were asked and turned it away.
 	triedRegions map[string]bool
+	// final is the refusal of another region that no attempt changes.
+	final *refusal
 	// held is a target's failure, kept while others are tried.
 	held *wholeAnswer
 	// stream state
@@ -115,6 +119,9 @@
 		return &refusal{status: http.StatusBadRequest, code: CodeMalformed, close: true}
 	}
 	q.call = call
+	if refusal := q.identify(); refusal != nil {
+		return refusal
+	}
 	q.last, q.has = call.After, call.HasAfter
 	q.service = q.route.Pick(xxhash.Sum64String(call.ID))
 	q.attempts = max(1, q.route.Attempts)
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -45,14 +45,14 @@
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
 		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens, Rank: q.route.Priority, Tried: q.tried,
+		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.tried,
 	}
 }
 
 // choose finds the next place, or says why there is none.
 func (q *request) choose(now time.Time) (*destination, verdict.Code) {
 	c := q.pickCall()
-	if !q.route.Allows(q.g.o.Region) {
+	if !q.allows(q.g.o.Region) {
 		if far := q.choosePeer(now, c, place.Nowhere); far != nil {
 			return far, ""
 		}
@@ -119,7 +119,7 @@
 func (q *request) offers(now time.Time, c pick.Call) []place.Offer {
 	var out []place.Offer
 	for key, load := range q.view.Regions {
-		if key.Service != q.service || load.Targets == 0 || !q.route.Allows(key.Region) || q.triedRegions[key.Region] {
+		if key.Service != q.service || load.Targets == 0 || !q.allows(key.Region) || q.triedRegions[key.Region] {
 			continue
 		}
 		if !q.g.reach.Open(now, key.Region) || len(q.peersOf(now, key.Region)) == 0 {
@@ -150,8 +150,8 @@
 	raw := q.raw
 	raw.Header = forwardable(q.r.Header)
 	q.g.o.Dialect.Prepare(raw.Header, Sending{
-		Left: q.until.Sub(now), Target: choice.ID, Rank: q.route.Priority, Streaming: len(q.call.Parts) > 0,
-		After: q.last, HasAfter: q.has, Source: choice.Source,
+		Left: q.until.Sub(now), Target: choice.ID, Rank: q.rank(), Streaming: len(q.call.Parts) > 0,
+		After: q.last, HasAfter: q.has, Source: choice.Source, Keyed: q.view.Index.Table.Keyed, Workspace: q.workspaceName(),
 	})
 	return &raw
 }
@@ -165,6 +165,10 @@
 		// One: what the other instance repeats, this one cannot count.
 		Attempts: 1,
 	}
+	if q.view.Index.Table.Keyed {
+		q.g.o.Dialect.Conceal(raw.Header)
+		p.Credential = q.call.Credential
+	}
 	p.write(raw.Header)
 	if q.has {
 		raw.Header.Set(headerAfter, strconv.FormatInt(q.last, 10))
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -26,12 +26,15 @@
 // request has not run and never will.
 func (q *request) refuse(f *refusal) {
 	h := q.w.Header()
-	if q.from != nil && f.status == http.StatusServiceUnavailable {
+	if q.from != nil && q.verdict == verdict.NotRun {
 		h.Set(headerRefused, string(f.code))
 		if q.arrived() {
 			h.Set(headerArrived, "1")
 		}
 	}
+	if f.status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if f.close {
 		h.Set("Connection", "close")
 	}
@@ -50,7 +53,7 @@
 	q.count(f)
 	q.g.o.Log.Info("refused", zap.String("id", q.call.ID), zap.Int("status", f.status), zap.String("code", string(f.code)),
 		zap.Stringer("verdict", q.verdict), zap.Int("sends", q.sends), zap.Duration("after", time.Since(q.began)),
-		zap.String("service", q.service), zap.Bool("passed", q.from != nil))
+		zap.String("service", q.service), zap.String("workspace", q.workspaceName()), zap.Bool("passed", q.from != nil))
 }
 
 // count counts a final answer of the system's own.
@@ -81,6 +84,10 @@
 		return m.RefusedKiller
 	case CodeOverloaded:
 		return m.RefusedOverloaded
+	case CodeKey:
+		return m.RefusedKey
+	case CodeNoHome:
+		return m.RefusedNoHome
 	}
 	return m.RefusedOther
 }
--- a/pipeline/exchange/passed.go
+++ b/pipeline/exchange/passed.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"encoding/hex"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,8 @@
 	Left    time.Duration
 	// Attempts is how many targets may still be sent the request.
 	Attempts int
+	// Credential is the caller's.
+	Credential Credential
 }
 
 func readPassed(h http.Header) (*passed, error) {
@@ -36,7 +39,10 @@
 	if p.Attempts, err = strconv.Atoi(h.Get(headerAttempts)); err != nil {
 		return nil, errors.Annotate(err, headerAttempts)
 	}
-	for _, name := range []string{headerFrom, headerVersion, headerLeft, headerAttempts} {
+	if p.Credential, err = readCredential(h.Get(headerKey)); err != nil {
+		return nil, err
+	}
+	for _, name := range []string{headerFrom, headerVersion, headerLeft, headerAttempts, headerKey} {
 		h.Del(name)
 	}
 	return p, nil
@@ -47,4 +53,18 @@
 	h.Set(headerVersion, strconv.FormatUint(p.Version, 10))
 	h.Set(headerLeft, strconv.FormatInt(p.Left.Milliseconds(), 10))
 	h.Set(headerAttempts, strconv.Itoa(p.Attempts))
+	h.Del(headerKey)
+	if p.Credential.Given {
+		h.Set(headerKey, hex.EncodeToString(p.Credential.Key[:]))
+	}
+}
+
+func readCredential(text string) (Credential, error) {
+	c := Credential{Given: text != ""}
+	key, err := hex.DecodeString(text)
+	if err == nil && c.Given && len(key) != len(c.Key) {
+		err = errors.NotValidf("%d bytes", len(key))
+	}
+	copy(c.Key[:], key)
+	return c, errors.Annotate(err, headerKey)
 }
--- a/pipeline/exchange/rig_test.go
+++ b/pipeline/exchange/rig_test.go
@@ -43,10 +43,25 @@
 		c.After, _ = strconv.ParseInt(text, 10, 64)
 		c.HasAfter = true
 	}
+	if key := h.Get("Key"); key != "" {
+		c.Credential = exchange.Credential{Given: true, Key: routes.DigestKey(key)}
+	}
 	return c, nil
 }
 
-func (plain) Prepare(h http.Header, s exchange.Sending) {
+func (plain) Conceal(h http.Header) {
+	h.Del("Key")
+	h.Del("Workspace")
+}
+
+func (p plain) Prepare(h http.Header, s exchange.Sending) {
+	if s.Keyed {
+		p.Conceal(h)
+	}
+	if s.Workspace != "" {
+		h.Set("Workspace", s.Workspace)
+	}
+	h.Set("Rank", strconv.Itoa(s.Rank))
 	h.Set("Meant", s.Target)
 	h.Set("Left", s.Left.String())
 	if s.HasAfter {
@@ -166,6 +181,14 @@
 	return err == nil
 }
 
+// changing does something before it answers.
+func changing(change func(), then script) script {
+	return func(c net.Conn, r seen) bool {
+		change()
+		return then(c, r)
+	}
+}
+
 func closes(net.Conn, seen) bool { return false }
 
 // events streams from the id after the asked one to last, in chunks; whole says that
@@ -236,11 +259,7 @@
 		route.Split = []routes.Share{{Service: "s", Weight: 1}}
 		r.table.Routes = append(r.table.Routes, route)
 	}
-	var list []pick.Target
-	for _, x := range targets {
-		list = append(list, pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 4})
-	}
-	r.pool.Update(time.Now(), pick.Snapshot{Targets: list, Entries: []string{"self"}})
+	r.list(targets...)
 	r.metrics = metrics.NewSiteEntry(func() metrics.EntryState { return metrics.EntryState{} })
 	r.options = exchange.Options{
 		Region: region, Dialect: plain{}, Pool: r.pool, Killers: killers, Targets: rawhttp.NewClient(rawhttp.Options{}),
@@ -259,6 +278,15 @@
 	return r
 }
 
+// list has the pool know these targets.
+func (r *rig) list(targets ...*target) {
+	var list []pick.Target
+	for _, x := range targets {
+		list = append(list, pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 4})
+	}
+	r.pool.Update(time.Now(), pick.Snapshot{Targets: list, Entries: []string{"self"}})
+}
+
 // log makes the gateway anew with a logger for requests that are answered.
 func (r *rig) log(ordinary *zap.Logger) {
 	r.options.Ordinary = ordinary
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -37,6 +37,13 @@
 			q.served()
 			return
 		}
+		if q.final == nil && q.verdict == verdict.NotRun && q.revoked() {
+			q.final = refuseKey()
+		}
+		if q.final != nil {
+			q.refuse(q.final)
+			return
+		}
 		if code, ok := q.mayGoOn(); !ok {
 			q.giveUp(code)
 			return
@@ -156,7 +163,7 @@
 	}
 	if a.Header.Get(headerRefused) != "" {
 		q.turnedAway = q.turnedAway || a.Header.Get(headerArrived) != ""
-		q.refusedBy(peer, verdict.Code(a.Header.Get(headerRefused)))
+		q.refusedBy(peer, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)))
 		discard(a)
 		return false
 	}
@@ -177,9 +184,16 @@
 }
 
 // refusedBy notes that an instance of another region has turned the request away. One that
-// leaves says nothing of its region.
-func (q *request) refusedBy(peer Peer, code verdict.Code) {
+// leaves says nothing of its region, and one that knows a newer configuration by which the
+// request is not allowed decides for all.
+func (q *request) refusedBy(peer Peer, status int, code verdict.Code) {
 	now := time.Now()
+	if status != http.StatusServiceUnavailable {
+		if q.verdict == verdict.NotRun {
+			q.final = &refusal{status: status, code: code}
+		}
+		return
+	}
 	if code == CodeLeaving {
 		q.g.unreachable(now, peer.Address)
 		delete(q.triedRegions, peer.Region)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -30,12 +30,22 @@
 	PromptTokens int
 	// OutputTokens is the most that the answer may have.
 	OutputTokens int
+	// Counted says that the request tells its tokens.
+	Counted bool
+	// Credential is what the caller has shown.
+	Credential Credential
 	// After is the id of the last event that the caller has; HasAfter says that it
 	// gave one.
 	After    int64
 	HasAfter bool
 }
 
+// Credential is a caller's key. One that is given and cannot be read has no digest.
+type Credential struct {
+	Given bool
+	Key   routes.KeyDigest
+}
+
 // Sending is what the headers towards a target carry.
 type Sending struct {
 	// Left is how long the target may take.
@@ -52,6 +62,10 @@
 	// Source is the address of a target that keeps more of the prompt, from where this
 	// one is to fetch it; empty for none.
 	Source string
+	// Keyed says that callers are told by their keys, which stay here; Workspace is the
+	// name of the caller's, empty for a caller without a key.
+	Keyed     bool
+	Workspace string
 }
 
 // Reply is what the headers of a target's answer say.
@@ -72,6 +86,8 @@
 	// Prepare sets the headers of a sending on a copy of the caller's, without those
 	// that only the system may set.
 	Prepare(h http.Header, s Sending)
+	// Conceal takes off a caller's key, and what it says of its workspace.
+	Conceal(h http.Header)
 	// Reply reads the headers of a target's answer.
 	Reply(status int, h http.Header) Reply
 }
@@ -142,6 +158,10 @@
 	CodeKiller     verdict.Code = "request_crashes_targets"
 	CodeLeaving    verdict.Code = "instance_leaving"
 	CodeBehind     verdict.Code = "configuration_behind"
+	// CodeKey: no key, or none that a workspace holds.
+	CodeKey verdict.Code = "unknown_key"
+	// CodeNoHome: the homes of route and workspace have no region in common.
+	CodeNoHome verdict.Code = "no_home_region"
 )
 
 // Headers between instances. They never leave the system.
@@ -154,6 +174,9 @@
 	// headerArrived says of a refusal that a target has turned the request away.
 	headerArrived = "Gullhaven-Arrived"
 	headerAfter   = "Gullhaven-After"
+	// headerKey holds the digest of the caller's key: the receiver judges by its own
+	// configuration, which is not older.
+	headerKey = "Gullhaven-Key"
 	// headerTook says of an answer how many milliseconds it took to begin, from when the
 	// instance that was passed the request had accepted it.
 	headerTook = "Gullhaven-Took-Millis"
