suspect: what has finished lately is suspected of no crash

Change: a table remembers the digests that finished lately, in two halves of 1,024; a new suspicion of one of them, its own or another instance's, is cleared at once and the clearance told. A killer never finishes, so none gains by it. The region of the property tests publishes what merges return, as the package asks of its host; before, nothing but what every table concludes alike was returned.

--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -12,7 +12,9 @@
 // A digest that is a suspect of two crashes, or was alone in one, is
 // quarantined: it is refused until its entry expires.
 //
-//   - A digest that finishes anywhere is cleared: a killer never finishes.
+//   - A digest that finishes anywhere is cleared: a killer never finishes. For
+//     FinishedLife it is not suspected of any other crash either, here or by
+//     what others tell here.
 //   - A crash with a quarantined digest in it is explained, and its other
 //     suspects are cleared of it: they shared the batch by chance.
 //   - A planned shutdown is no crash and makes no suspects.
@@ -38,9 +40,9 @@
 // its own two. Two killers in one batch: the first one found explains the
 // crash and clears the other, which then can kill two more; it loses three
 // targets, one of them shared. Without that rule each of a batch's innocents
-// would need a lone run. Popular innocents that were in flight at two crashes
-// before they finish anywhere are refused until one copy finishes or the entry
-// expires. Entries don't cross regions: each region can lose two.
+// would need a lone run. Innocents that were in flight at two crashes and have
+// finished at no instance lately are refused until one copy finishes or the
+// entry expires. Entries don't cross regions: each region can lose two.
 package suspect
 
 import (
@@ -101,10 +103,17 @@
 	// MaxEntries held; beyond that cleared ones go first, and of equals the one
 	// that expires first.
 	MaxEntries int
+	// FinishedLife is how long a digest is remembered that has finished here.
+	FinishedLife time.Duration
+	// MaxFinished is how many of them are remembered at least; beyond twice as
+	// many the oldest are forgotten.
+	MaxFinished int
 }
 
 // DefaultConfig keeps a day of entries in about a megabyte.
-func DefaultConfig() Config { return Config{Lifetime: 24 * time.Hour, MaxEntries: 8192} }
+func DefaultConfig() Config {
+	return Config{Lifetime: 24 * time.Hour, MaxEntries: 8192, FinishedLife: 10 * time.Minute, MaxFinished: 1024}
+}
 
 // Table is one instance's knowledge of suspects. The one of the region's owner
 // serves Reserve as well. It has a single owner.
@@ -116,6 +125,7 @@
 	crashes map[Crash][]Digest
 	// reserved is until when the lone run of a digest is taken.
 	reserved map[Digest]time.Time
+	finished finished
 	// count is the number of entries in digests.
 	count   int
 	evicted uint64
@@ -199,10 +209,17 @@
 	if !ok || !finished {
 		return nil
 	}
+	return t.Finished(now, s.digest)
+}
+
+// Finished records that a digest ended with a whole answer, without a sending
+// that was recorded before. The entries returned are to be published.
+func (t *Table) Finished(now time.Time, d Digest) []Entry {
+	t.finished.add(now, d, t.cfg.MaxFinished)
 	var out []Entry
-	for c, e := range t.digests[s.digest] {
+	for c, e := range t.digests[d] {
 		if e.standing != Cleared {
-			out = append(out, Entry{s.digest, c, Cleared, now.Add(t.cfg.Lifetime)})
+			out = append(out, Entry{d, c, Cleared, now.Add(t.cfg.Lifetime)})
 		}
 	}
 	return t.Merge(now, out)
@@ -245,8 +262,12 @@
 func (t *Table) Merge(now time.Time, entries []Entry) []Entry {
 	var news []Entry
 	for _, e := range entries {
-		if now.Before(e.Until) && t.raise(e) {
-			news = append(news, e)
+		if !now.Before(e.Until) || !t.raise(e) {
+			continue
+		}
+		news = append(news, e)
+		if innocent := (Entry{e.Digest, e.Crash, Cleared, e.Until}); e.Standing == Suspected && t.finishedLately(now, e.Digest) && t.raise(innocent) {
+			news = append(news, innocent)
 		}
 	}
 	for _, e := range slices.Clone(news) {
--- a/coord/suspect/table_test.go
+++ b/coord/suspect/table_test.go
@@ -38,13 +38,18 @@
 	return r
 }
 
-// publish merges news at all instances, doubled and in an order of its own.
+// publish merges news at all instances, doubled and in an order of its own, and what
+// follows from them after that.
 func (r *region) publish(news []Entry) {
+	var more []Entry
 	for _, t := range r.tables {
 		for i := range news {
-			t.Merge(r.now, news[len(news)-1-i:])
+			more = append(more, t.Merge(r.now, news[len(news)-1-i:])...)
 		}
-		t.Merge(r.now, news)
+		more = append(more, t.Merge(r.now, news)...)
+	}
+	if len(more) > 0 {
+		r.publish(more)
 	}
 }
 
@@ -251,3 +256,74 @@
 		t.Fatal("a suspect went before a cleared entry")
 	}
 }
+
+// Guards against a popular request that is refused for the crashes of others: it runs at two
+// targets that crash before a copy of it has finished, and none may run after that.
+func TestWhatHasFinishedLatelyIsNoSuspect(t *testing.T) {
+	popular, crashes := Digest{1}, []Crash{{"a", 1}, {"b", 1}}
+	finishedAt := func(where *Table) {
+		where.Sent(100, popular, "c", false)
+		where.Ended(start, 100, true)
+	}
+	crash := func(where *Table) (news []Entry) {
+		for n, c := range crashes {
+			where.Sent(Attempt(n), popular, c.Target, false)
+			news = append(news, where.Crashed(start.Add(time.Minute), c)...)
+		}
+		return news
+	}
+	t.Run("at the instance itself", func(t *testing.T) {
+		one := New(DefaultConfig())
+		finishedAt(one)
+		crash(one)
+		if got := one.Decide(popular); got != Run {
+			t.Errorf("decision %v", got)
+		}
+	})
+	t.Run("at another instance", func(t *testing.T) {
+		one, other := New(DefaultConfig()), New(DefaultConfig())
+		finishedAt(other)
+		news := crash(one)
+		if got := one.Decide(popular); got != Refuse {
+			t.Fatalf("decision %v before the other instance is heard", got)
+		}
+		one.Merge(start, other.Merge(start.Add(time.Minute), news))
+		if a, b := one.Decide(popular), other.Decide(popular); a != Run || b != Run {
+			t.Errorf("decisions %v and %v", a, b)
+		}
+	})
+	t.Run("too long ago", func(t *testing.T) {
+		one := New(DefaultConfig())
+		one.Sent(100, popular, "c", false)
+		one.Ended(start.Add(-DefaultConfig().FinishedLife), 100, true)
+		crash(one)
+		if got := one.Decide(popular); got != Refuse {
+			t.Errorf("decision %v", got)
+		}
+	})
+}
+
+// Guards against memory that grows with each request, and against newer digests forgotten
+// before older ones.
+func TestFinishedDigestsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 8
+		var f finished
+		var order []Digest
+		for n := range rapid.IntRange(1, 100).Draw(t, "finished") {
+			d := Digest{byte(rapid.IntRange(0, 40).Draw(t, "digest"))}
+			f.add(start.Add(time.Duration(n)*time.Second), d, most)
+			order = append(order, d)
+			if kept := len(f.newer) + len(f.older); kept > 2*most {
+				t.Fatalf("%d kept", kept)
+			}
+			distinct := map[Digest]bool{}
+			for k := len(order) - 1; k >= 0 && len(distinct) < most; k-- {
+				distinct[order[k]] = true
+				if _, ok := f.at(order[k]); !ok {
+					t.Fatalf("one of the newest %d is forgotten", most)
+				}
+			}
+		}
+	})
+}
--- a/node/entry/killers.go
+++ b/node/entry/killers.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 //
 // A request whose target broke off before it answered is a suspect of that target's
 // crash; one that is a suspect of two is refused until its entry expires. One that is
-// answered is cleared. Requests are told by a digest of what is the same each time that
+// answered is cleared, and no suspect for a while. Requests are told by a digest of what is the same each time that
 // their caller sends them again. Suspects do not run alone here, as package suspect
 // would have it: the innocent would wait, and what is lost is one target more.
 type killers struct {
@@ -74,19 +75,11 @@
 }
 
 // Answered implements exchange.Killers.
-func (k *killers) Answered(r *rawhttp.Request, target string) {
+func (k *killers) Answered(r *rawhttp.Request, _ string) {
+	d := digestOf(r)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.table.Len() == 0 {
-		return
-	}
-	d := digestOf(r)
-	if k.table.Decide(d) == suspect.Run {
-		return
-	}
-	k.attempts++
-	k.table.Sent(k.attempts, d, target, false)
-	k.add(k.table.Ended(time.Now(), k.attempts, true))
+	k.add(k.table.Finished(time.Now(), d))
 }
 
 func (k *killers) add(entries []suspect.Entry) {
@@ -120,5 +113,11 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table.Merge(time.Now(), entries)
+	// What follows from them is told: an innocent request is cleared where it has finished.
+	told := make(map[suspect.Entry]bool, len(entries))
+	for _, e := range entries {
+		told[e] = true
+	}
+	news := k.table.Merge(time.Now(), entries)
+	k.add(slices.DeleteFunc(news, func(e suspect.Entry) bool { return told[e] }))
 }
