quota, limit: workspaces of a site are kept within their limits over all instances

Change: in each region one entry instance stands for a workspace and is asked for each request; the leader of the core instances' group divides the limit over these holders by demand (coord/limit, one level more, so one mechanism for both ways). A new leader renews what holders hold and grants nothing else until its predecessor's shares have ended. Shares are in proportion to demand, and demand is followed four times as fast as with a report every two seconds. What was taken and never ran is given back; a refusal is 429 with when to come back, its line tells what it was judged by.

--- a/coord/limit/allocator.go
+++ b/coord/limit/allocator.go
@@ -16,17 +16,30 @@
 	lease  time.Duration
 	// quietUntil is when every share of a predecessor has ended.
 	quietUntil time.Time
-	instances  map[string]*reporter
-	limits     map[ID]*division
-	seq        uint64
+	// proportional says how a limit is divided that is asked for more than once over.
+	proportional bool
+	// renews says that shares of a predecessor are renewed until then.
+	renews    bool
+	instances map[string]*reporter
+	// holders are those that have reported, by name.
+	holders map[string]*reporter
+	limits  map[ID]*division
+	seq     uint64
 }
 
-// reporter is what is known of one instance.
+// reporter is what is known of one instance, or of one holder.
 type reporter struct {
 	heardAt time.Time
 	report  uint64
 }
 
+// Holder is who reports and holds shares. Several may stand for one of the instances that
+// SetInstances names, one after the other or at once; a share is one holder's.
+type Holder struct {
+	// Instance has the floor that its holders fall back to, Name is one life of the holder.
+	Instance, Name string
+}
+
 // division is one limit and who has what of it.
 type division struct {
 	holdings map[string]*holding
@@ -35,10 +48,11 @@
 	filledAt time.Time
 }
 
-// holding is what one instance asks for and may be using.
+// holding is what one holder asks for and may be using.
 type holding struct {
-	demand float64
-	heard  time.Time
+	instance string
+	demand   float64
+	heard    time.Time
 	// held is the share that the instance last said it uses.
 	held uint64
 	// unheld counts reports in a row without a share that is good for a while.
@@ -59,12 +73,32 @@
 func NewAllocator(now time.Time, lookup Lookup, lease time.Duration, instances []string) *Allocator {
 	a := &Allocator{
 		lookup: lookup, lease: lease, quietUntil: now.Add(lease),
-		instances: make(map[string]*reporter), limits: make(map[ID]*division),
+		instances: make(map[string]*reporter), holders: make(map[string]*reporter), limits: make(map[ID]*division),
 	}
 	a.SetInstances(now, instances)
 	return a
 }
 
+// SetProportional has a limit that is asked for more than once over divided in proportion to
+// what holders ask for, so that a request passes as likely with each of them. Else each holder
+// gets as much as any other that asks for more than its equal part.
+func (a *Allocator) SetProportional() { a.proportional = true }
+
+// Resume has the Allocator follow a predecessor whose sequence was below first: until all
+// shares of that one have ended it renews what a holder says that it holds, and grants
+// nothing else. What is in force stays within the limit, as no share grows.
+func (a *Allocator) Resume(first uint64) { a.seq, a.renews = first, true }
+
+// EndQuiet says that every holder of a predecessor's shares has reported since.
+func (a *Allocator) EndQuiet(now time.Time) {
+	if now.Before(a.quietUntil) {
+		a.quietUntil = now
+	}
+}
+
+// Quiet reports whether the Allocator still waits for a predecessor's shares.
+func (a *Allocator) Quiet(now time.Time) bool { return now.Before(a.quietUntil) }
+
 // SetInstances tells the lives of instances in the region, as membership has
 // them: a restarted instance has another name here. The shares of one that is
 // gone stay counted until their leases end.
@@ -72,6 +106,8 @@
 	for name := range a.instances {
 		if !slices.Contains(names, name) {
 			delete(a.instances, name)
+			// One that comes back under the name counts its reports anew.
+			delete(a.holders, name)
 		}
 	}
 	for _, name := range names {
@@ -84,18 +120,27 @@
 // Len is the number of limits held.
 func (a *Allocator) Len() int { return len(a.limits) }
 
-// Report takes the demands of an instance and returns one share for each that
-// has a limit. A report of an unknown instance, or one that comes after a later
-// one, is answered with nothing.
+// Report is ReportOf of an instance that is its own only holder.
 func (a *Allocator) Report(now time.Time, instance string, number uint64, demands []Demand) []Share {
-	r := a.instances[instance]
-	if r == nil || number <= r.report {
+	return a.ReportOf(now, Holder{instance, instance}, number, demands)
+}
+
+// ReportOf takes the demands of a holder and returns one share for each that
+// has a limit. A report for an unknown instance, or one that comes after a later
+// one of the same holder, is answered with nothing.
+func (a *Allocator) ReportOf(now time.Time, holder Holder, number uint64, demands []Demand) []Share {
+	part, r := a.instances[holder.Instance], a.holders[holder.Name]
+	if r == nil {
+		r = &reporter{}
+	}
+	if part == nil || number <= r.report {
 		return nil
 	}
-	r.report, r.heardAt = number, now
+	a.holders[holder.Name] = r
+	r.report, r.heardAt, part.heardAt = number, now, now
 	shares := make([]Share, 0, len(demands))
 	for _, d := range demands {
-		if s, ok := a.answer(now, instance, d); ok {
+		if s, ok := a.answer(now, holder, d); ok {
 			shares = append(shares, s)
 		}
 	}
@@ -111,9 +156,15 @@
 			delete(a.limits, id)
 		}
 	}
+	for name, r := range a.holders {
+		// A late report of a life that was forgotten is answered with a share that has ended.
+		if now.Sub(r.heardAt) > 2*a.lease {
+			delete(a.holders, name)
+		}
+	}
 }
 
-func (a *Allocator) answer(now time.Time, instance string, dem Demand) (Share, bool) {
+func (a *Allocator) answer(now time.Time, holder Holder, dem Demand) (Share, bool) {
 	lim, ok := a.lookup(dem.ID)
 	if !ok || lim.Rate <= 0 {
 		return Share{}, false
@@ -123,35 +174,43 @@
 		d = &division{holdings: make(map[string]*holding), born: now}
 		a.limits[dem.ID] = d
 	}
-	h := d.heard(now, instance, dem, a.lease)
-	if dem.Rate <= 0 || now.Before(a.quietUntil) {
+	h := d.heard(now, holder, dem, a.lease)
+	if dem.Rate <= 0 || a.Quiet(now) && !a.renewable(dem) {
 		return Share{}, false
 	}
+	share := dem.Share
+	if !a.Quiet(now) {
+		share = lim.Scaled(a.part(now, d, holder.Name, lim))
+	}
 	a.seq++
-	g := granted{seq: a.seq, limit: lim.Scaled(a.part(now, d, instance, lim)), until: now.Add(a.lease)}
+	g := granted{seq: a.seq, limit: share, until: now.Add(a.lease)}
 	h.out = append(h.out, g)
 	return Share{ID: dem.ID, Seq: g.seq, Limit: g.limit, Lease: a.lease}, true
 }
 
-// part is the part of the limit for an instance, from 0 to 1: its target, but
+func (a *Allocator) renewable(dem Demand) bool { return a.renews && dem.Held > 0 && dem.Share.Rate > 0 }
+
+// part is the part of the limit for a holder, from 0 to 1: its target, but
 // never more than is not in use by others.
-func (a *Allocator) part(now time.Time, d *division, instance string, lim Limit) float64 {
+func (a *Allocator) part(now time.Time, d *division, holder string, lim Limit) float64 {
 	floor := 1 / float64(max(1, len(a.instances)))
 	free := 1.0
+	held := make(map[string]bool, len(a.instances))
 	for name, h := range d.holdings {
-		if name != instance {
-			silent := a.silent(now, name) || h.demand > 0 && now.Sub(h.heard) > a.lease/2
+		held[h.instance] = true
+		if name != holder {
+			silent := a.silent(now, h.instance) || h.demand > 0 && now.Sub(h.heard) > a.lease/2
 			free -= h.inUse(now, lim, floor, silent)
 		}
 	}
 	for name := range a.instances {
-		if d.holdings[name] == nil && a.silent(now, name) {
+		if !held[name] && a.silent(now, name) {
 			free -= floor
 		}
 	}
 	free = max(0, free)
-	target := d.target(now, instance, lim, len(a.instances))
-	if last := d.holdings[instance].last(); last != nil {
+	target := d.target(now, holder, lim, len(a.instances), a.proportional)
+	if last := d.holdings[holder].last(); last != nil {
 		old := last.limit.Rate / lim.Rate
 		if diff := target - old; old > 0 && max(diff, -diff) < hysteresis*old {
 			target = old
@@ -191,11 +250,11 @@
 
 // heard takes a demand. Shares older than the one held are never used again;
 // newer ones may still arrive at the instance, so they stay counted.
-func (d *division) heard(now time.Time, instance string, dem Demand, lease time.Duration) *holding {
-	h := d.holdings[instance]
+func (d *division) heard(now time.Time, holder Holder, dem Demand, lease time.Duration) *holding {
+	h := d.holdings[holder.Name]
 	if h == nil {
-		h = &holding{}
-		d.holdings[instance] = h
+		h = &holding{instance: holder.Instance}
+		d.holdings[holder.Name] = h
 	}
 	if diff := dem.Rate - h.demand; max(diff, -diff) > swing*h.demand {
 		d.filledAt = time.Time{}
--- a/coord/limit/limit.go
+++ b/coord/limit/limit.go
@@ -54,6 +54,8 @@
 	Rate float64 `cbor:"2,keyasint"`
 	// Held is the Seq of the share in use, 0 for none.
 	Held uint64 `cbor:"3,keyasint"`
+	// Share is what is in use, for an Allocator that does not know it: see Resume.
+	Share Limit `cbor:"4,keyasint"`
 }
 
 // Share is a leased part of one limit.
--- a/coord/limit/limiter.go
+++ b/coord/limit/limiter.go
@@ -24,13 +24,15 @@
 	until  time.Time
 	demand demand
 	hurry  hurry
+	// usedAt is when it was last asked.
+	usedAt time.Time
 }
 
 // newBucket starts with the floor's burst and no rate until wait has passed.
-func newBucket(now time.Time, floor Limit, wait time.Duration) *Bucket {
+func newBucket(now time.Time, floor Limit, wait time.Duration, p pace) *Bucket {
 	return &Bucket{
 		floor: floor, tokens: floor.Burst, at: now,
-		until: now.Add(wait), demand: demand{at: now},
+		until: now.Add(wait), demand: demand{pace: p, at: now},
 	}
 }
 
@@ -93,6 +95,7 @@
 		return true, 0
 	}
 	b.fill(now)
+	b.usedAt = now
 	b.demand.asked += n
 	if b.tokens > 0 {
 		b.tokens -= n
@@ -102,6 +105,14 @@
 	return false, waitFor(-b.tokens, b.rate(now))
 }
 
+// inForce is the share in force; nothing if it has ended.
+func (b *Bucket) inForce(now time.Time) Limit {
+	if b.seq == 0 || !now.Before(b.until) {
+		return Limit{}
+	}
+	return b.share
+}
+
 // ask is the rate to ask the owner for, above 0.
 func (b *Bucket) ask() float64 {
 	return max(b.demand.need(b.tokens), leastPart*b.floor.Rate)
@@ -135,6 +146,7 @@
 	lookup    Lookup
 	instances int
 	lease     time.Duration
+	pace      pace
 	buckets   map[ID]*Bucket
 	// sentAt are the times of reports not answered yet, by number.
 	sentAt map[uint64]time.Time
@@ -144,6 +156,22 @@
 	answered uint64
 	// hurried are the buckets that may have something urgent to report.
 	hurried map[ID]bool
+	// owns, if set, says which limits this instance still stands for.
+	owns func(ID) bool
+}
+
+// releaseAfter is how long a limit that the instance does not stand for any more must not
+// have been asked for until its share is returned: the others learn of a change of who
+// stands for it within that time.
+const releaseAfter = time.Second
+
+// SetOwned tells which limits this instance stands for. Shares of others are returned once
+// nobody asks for them.
+func (l *Limiter) SetOwned(owns func(ID) bool) { l.owns = owns }
+
+// released reports whether a limit is another instance's by now.
+func (l *Limiter) released(now time.Time, id ID, b *Bucket) bool {
+	return l.owns != nil && !l.owns(id) && now.Sub(b.usedAt) > releaseAfter
 }
 
 // maxUnanswered bounds the reports whose answer is still taken.
@@ -153,12 +181,16 @@
 // lease is the lease of shares.
 func NewLimiter(lookup Lookup, instances int, lease time.Duration) *Limiter {
 	return &Limiter{
-		lookup: lookup, instances: max(1, instances), lease: lease,
+		lookup: lookup, instances: max(1, instances), lease: lease, pace: 1,
 		buckets: make(map[ID]*Bucket), sentAt: make(map[uint64]time.Time),
 		hurried: make(map[ID]bool),
 	}
 }
 
+// SetPace has the Limiter follow demand faster or slower than with a report every two seconds,
+// where it is 1: the time constants are that part of theirs.
+func (l *Limiter) SetPace(p float64) { l.pace = pace(p) }
+
 // SetInstances tells the number of instances in the region; floors of buckets
 // made before follow with the next Report.
 func (l *Limiter) SetInstances(n int) { l.instances = max(1, n) }
@@ -210,7 +242,7 @@
 	if !ok || lim.Rate <= 0 {
 		return nil
 	}
-	b := newBucket(now, lim.Scaled(1/float64(l.instances)), l.lease)
+	b := newBucket(now, lim.Scaled(1/float64(l.instances)), l.lease, l.pace)
 	l.buckets[id] = b
 	return b
 }
@@ -233,7 +265,7 @@
 	for id, b := range l.buckets {
 		b.hurry.reported()
 		b.fill(now)
-		if !l.refloor(now, id, b) {
+		if l.released(now, id, b) || !l.refloor(now, id, b) {
 			delete(l.buckets, id)
 			demands = append(demands, Demand{ID: id, Held: b.seq})
 			continue
@@ -244,7 +276,7 @@
 			rate = 0
 			delete(l.buckets, id)
 		}
-		demands = append(demands, Demand{ID: id, Rate: rate, Held: b.seq})
+		demands = append(demands, Demand{ID: id, Rate: rate, Held: b.seq, Share: b.inForce(now)})
 	}
 	return l.number(now), sorted(demands)
 }
@@ -294,3 +326,23 @@
 		}
 	}
 }
+
+// State is what one limit has here.
+type State struct {
+	// Rate is what the limit is spent at: that of a share, or of the floor where no share is
+	// in force. Leased says which.
+	Rate   float64
+	Leased bool
+	// Tokens are left; below 0 they are owed.
+	Tokens float64
+}
+
+// State returns what a limit has here at a time; nothing where nobody has asked.
+func (l *Limiter) State(now time.Time, id ID) State {
+	b := l.buckets[id]
+	if b == nil {
+		return State{}
+	}
+	b.fill(now)
+	return State{Rate: b.rate(now), Leased: b.inForce(now).Rate > 0, Tokens: b.tokens}
+}
--- a/coord/limit/offered_test.go
+++ b/coord/limit/offered_test.go
@@ -43,7 +43,7 @@
 func tokensOnly(i ID) (Limit, bool) { return whole, i.Resource == Tokens }
 
 func newCrowd(n int, seed uint64) *crowd {
-	c := &crowd{now: start, load: offeredPart, random: rand.New(rand.NewPCG(seed, 1)), central: newBucket(start, whole, 0)}
+	c := &crowd{now: start, load: offeredPart, random: rand.New(rand.NewPCG(seed, 1)), central: newBucket(start, whole, 0, 1)}
 	for i := range n {
 		c.names = append(c.names, fmt.Sprint(i))
 		c.limiters = append(c.limiters, NewLimiter(tokensOnly, n, lease))
--- a/coord/limit/target.go
+++ b/coord/limit/target.go
@@ -26,10 +26,10 @@
 	swing   = 0.2
 )
 
-// filling is the max-min fair division of a limit, in parts of it.
+// filling is the division of a limit, in parts of it.
 type filling struct {
-	// level is the most that an instance gets of what it asks for.
-	level float64
+	// level is the most that an instance gets of what it asks for, scale the part of it.
+	level, scale float64
 	// spare is what nobody asks for, less what is kept for newcomers, for each
 	// that asks.
 	spare float64
@@ -37,32 +37,39 @@
 
 // target is the part of the limit for an instance: who asks for less than an
 // equal part gets what it asks for with headroom, and the others divide the
-// rest equally. What nobody asks for is divided equally among all that ask.
-func (d *division) target(now time.Time, instance string, lim Limit, instances int) float64 {
+// rest equally; or all get the same part of what they ask for. What nobody asks
+// for is divided equally among all that ask.
+func (d *division) target(now time.Time, holder string, lim Limit, instances int, proportional bool) float64 {
 	if d.filledAt.IsZero() || now.Sub(d.filledAt) >= fillAge {
 		d.filledAt = now
-		d.fill = d.filled(lim, instances)
+		d.fill = d.filled(lim, instances, proportional)
 	}
-	want := d.holdings[instance].want(lim)
+	want := d.holdings[holder].want(lim)
 	if now.Sub(d.born) < firstRound {
 		return max(want, firstPart/float64(max(1, instances)))
 	}
-	return min(want, d.fill.level) + d.fill.spare
+	return min(want, d.fill.level)*d.fill.scale + d.fill.spare
 }
 
 // want is the part of the limit that an instance asks for.
 func (h *holding) want(lim Limit) float64 { return min(1, headroom*h.demand/lim.Rate) }
 
 // filled fills the smallest wants first; the level is where the rest divides
-// equally.
-func (d *division) filled(lim Limit, instances int) filling {
+// equally. A proportional one scales all alike.
+func (d *division) filled(lim Limit, instances int, proportional bool) filling {
 	wants := make([]float64, 0, len(d.holdings))
-	f := filling{level: 1}
+	f := filling{level: 1, scale: 1}
+	sum := 0.0
 	for _, h := range d.holdings {
 		if h.demand > 0 {
 			wants = append(wants, h.want(lim))
+			sum += h.want(lim)
 		}
 	}
+	if proportional && sum > 1 {
+		f.scale = 1 / sum
+		return f
+	}
 	slices.Sort(wants)
 	left := 1.0
 	for i, w := range wants {
--- a/coord/limit/urgent.go
+++ b/coord/limit/urgent.go
@@ -62,7 +62,7 @@
 		}
 		b.fill(now)
 		b.demand.measure(now)
-		demands = append(demands, Demand{ID: id, Rate: b.ask(), Held: b.seq})
+		demands = append(demands, Demand{ID: id, Rate: b.ask(), Held: b.seq, Share: b.inForce(now)})
 	}
 	if len(demands) == 0 {
 		return 0, nil
--- a/daemon/site.go
+++ b/daemon/site.go
@@ -21,6 +21,7 @@
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/entry"
 	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/node/quota"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/platform"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
@@ -147,7 +148,11 @@
 		Format:  platform.Format{},
 		Dialect: platform.Dialect{},
 		Retries: exchange.RetryLimits{Span: s.Retries.Span(), Share: s.Retries.Share, Allowance: s.Retries.Allowance},
-		Log:     r.log, Ordinary: r.ordinary, Lines: r,
+		Regions: s.RegionNames(),
+		Tolerance: quota.Tolerance{
+			Window: s.LimitTolerance.Window(), Share: s.LimitTolerance.Share, Units: s.LimitTolerance.Units,
+		},
+		Log: r.log, Ordinary: r.ordinary, Lines: r,
 	})
 	if err != nil {
 		return err
@@ -201,6 +206,7 @@
 	list := &platform.List{Address: s.InstanceList, Regions: s.Regions, Client: &http.Client{Timeout: platformTime}, Log: r.log}
 	i, err := control.New(control.Options{
 		Self:       feed.Core{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone},
+		Regions:    s.RegionNames(),
 		Seeds:      s.SeedIDs(),
 		FirstStart: s.FirstStart,
 		Dir:        s.DataDir,
--- /dev/null
+++ b/experiment/quotas/world.go
@@ -0,0 +1,140 @@
+package quotas
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// Regions and Instances of each.
+	Regions   = 3
+	Instances = 25
+	// step is the resolution of virtual time; swing how much the demand of a second wavers.
+	step  = 10 * time.Millisecond
+	swing = 0.22
+	// trip is the way between two regions, near inside of one.
+	trip = 80 * time.Millisecond
+	near = time.Millisecond
+)
+
+// Scheme decides for each request of one workspace whether it passes.
+type Scheme interface {
+	// Take asks at an instance of a region.
+	Take(now time.Time, region, instance int, units float64) bool
+	// Step is called at each step of time.
+	Step(now time.Time)
+}
+
+// Result of a scheme under a load.
+type Result struct {
+	// Excess is the most that passed in a window over what the limit gives in it.
+	Excess float64
+	// Needless is the part of what one bucket for all lets through that was refused beyond
+	// it, and WorstNeedless the same of the worst two seconds.
+	Needless, WorstNeedless float64
+}
+
+// window is the length of the windows in which passing is judged.
+const window = 8 * time.Second
+
+// bucket is one bucket for all instances.
+type bucket struct {
+	rate, burst, tokens float64
+}
+
+func (b *bucket) take(units float64) bool {
+	// A request larger than the burst would never pass.
+	if b.tokens < min(units, b.burst) {
+		return false
+	}
+	b.tokens -= units
+	return true
+}
+
+// Play has a scheme serve a load for a time.
+func Play(seed uint64, l *Load, s Scheme, length time.Duration, fault func(at time.Duration, now time.Time)) Result {
+	r := rand.New(rand.NewPCG(seed, 1))
+	start := time.Unix(1_800_000_000, 0)
+	ideal := &bucket{rate: l.Limit.Rate, burst: l.Limit.Burst, tokens: l.Limit.Burst}
+	steps := int(length / step)
+	passed, owed, got := make([]float64, steps), make([]float64, steps), make([]float64, steps)
+	var wavers [Regions]float64
+	for k := range steps {
+		at := time.Duration(k) * step
+		now := start.Add(at)
+		if fault != nil {
+			fault(at, now)
+		}
+		s.Step(now)
+		ideal.tokens = min(ideal.burst, ideal.tokens+ideal.rate*step.Seconds())
+		for region := range Regions {
+			if k%int(time.Second/step) == 0 {
+				wavers[region] = math.Exp(swing * r.NormFloat64())
+			}
+			left := l.demand(region, at) * wavers[region] * step.Seconds() / requestMean
+			for n := poisson(r, left); n > 0; n-- {
+				units := size(r)
+				allowed := ideal.take(units)
+				ok := s.Take(now, region, r.IntN(Instances), units)
+				if ok {
+					passed[k] += units
+				}
+				if allowed {
+					owed[k] += units
+					got[k] += boolUnits(ok, units)
+				}
+			}
+		}
+	}
+	return judge(l, passed, owed, got)
+}
+
+func boolUnits(ok bool, units float64) float64 {
+	if ok {
+		return units
+	}
+	return 0
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	n, p, bound := 0, 1.0, math.Exp(-mean)
+	for p *= r.Float64(); p > bound; p *= r.Float64() {
+		n++
+	}
+	return n
+}
+
+// judge compares what passed with the limit, and with what one bucket let through. What one
+// request was refused another one may have had in its place: only the sum counts.
+func judge(l *Load, passed, owed, got []float64) Result {
+	var res Result
+	w := int(window / step)
+	give := l.Limit.Rate*window.Seconds() + l.Limit.Burst
+	sum := 0.0
+	for k := range passed {
+		sum += passed[k]
+		if k >= w {
+			sum -= passed[k-w]
+		}
+		res.Excess = max(res.Excess, sum/give-1)
+	}
+	const two = int(2 * time.Second / step)
+	var allOwed, allLack float64
+	for k := 0; k+two <= len(owed); k += two {
+		var o, p float64
+		for j := k; j < k+two; j++ {
+			o += owed[j]
+			p += passed[j]
+		}
+		allOwed += o
+		allLack += max(0, o-p)
+		if o > 0 {
+			res.WorstNeedless = max(res.WorstNeedless, max(0, o-p)/o)
+		}
+	}
+	if allOwed > 0 {
+		res.Needless = allLack / allOwed
+	}
+	return res
+}
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -27,6 +27,7 @@
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/metrics/lines"
 	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/node/quota"
 )
 
 // Times of the group, whose members are regions apart: the round trip between two
@@ -78,6 +79,8 @@
 	ChannelDocument = "document"
 	// channelMemberDocument is ChannelDocument at a member, which does not pass it on again.
 	channelMemberDocument = "member-document"
+	// channelMemberLimits is quota.ChannelReport at the leader, which does not pass it on again.
+	channelMemberLimits = "member-limits"
 )
 
 // logFolder holds the replicated log.
@@ -86,6 +89,8 @@
 // Options of an Instance.
 type Options struct {
 	Self feed.Core
+	// Regions are all regions of the site.
+	Regions []string
 	// Seeds are core instances by id.
 	Seeds []string
 	// FirstStart says that the whole system starts for the first time; the seeds
@@ -129,6 +134,7 @@
 	outside   outside
 	// newcomer says that this instance stands for a voter that is gone.
 	newcomer bool
+	dividing dividing
 	// reading is the reading duty's own.
 	reading reading
 	// gossipNow wakes the gossip before its time.
@@ -196,6 +202,8 @@
 	hub.Serve(ChannelReport, serveWorkers, i.passReport)
 	hub.Serve(channelMemberDocument, serveWorkers, i.serveDocument)
 	hub.Serve(ChannelDocument, serveWorkers, i.passDocument)
+	hub.Serve(quota.ChannelReport, serveWorkers, i.passLimits)
+	hub.Serve(channelMemberLimits, serveWorkers, i.serveLimits)
 	return i, nil
 }
 
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -22,6 +22,7 @@
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/deciding"
 	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/node/quota"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
@@ -37,6 +38,10 @@
 	Format  routes.Format
 	Dialect exchange.Dialect
 	Retries exchange.RetryLimits
+	// Regions are all regions of the site, Tolerance what the platform lets all instances
+	// together pass beyond a workspace's limit.
+	Regions   []string
+	Tolerance quota.Tolerance
 	// Log tells of failures and changes, Ordinary of each request that was answered.
 	Log, Ordinary *zap.Logger
 	// Lines tells of missing log lines; nil where none are counted.
@@ -55,6 +60,7 @@
 	// deciding has others choose targets, and chooses for others.
 	deciding *deciding.Service
 	killers  *killers
+	limits   *quota.Service
 	fetcher  *fetcher
 	metrics  *metrics.SiteEntry
 
@@ -88,7 +94,7 @@
 
 // New assembles an instance. Start begins its duties.
 func New(o Options) (*Instance, error) {
-	hub, err := link.New(control.LinkOptions(o.Self.ID, deciding.Channels()...))
+	hub, err := link.New(control.LinkOptions(o.Self.ID, append(deciding.Channels(), quota.Channels()...)...))
 	if err != nil {
 		return nil, err
 	}
@@ -102,8 +108,11 @@
 	i.killers = newKillers(o.Log)
 	i.fetcher = newFetcher()
 	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
+	i.limits = quota.New(quota.Options{
+		Self: o.Self.ID, Region: o.Self.Region, Regions: len(o.Regions), Tolerance: o.Tolerance, Hub: hub, Core: i.followed, Log: o.Log,
+	})
 	i.gateway = exchange.New(exchange.Options{
-		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Decider: i.deciding, Killers: i.killers, Targets: i.targets, Peers: i.peers,
+		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, Decider: i.deciding, Killers: i.killers, Limits: i.limits, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
 		Ordinary: o.Ordinary, Metrics: i.metrics,
 	})
@@ -171,7 +180,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, duty := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.tidy} {
+	for _, duty := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.limits.Run, i.tidy} {
 		i.wg.Go(func() { duty(ctx) })
 	}
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -91,7 +91,9 @@
 		evacuated[zone] = true
 	}
 	i.showRegions(next)
-	i.pool.Update(now, i.snapshot(next.Index, evacuated))
+	snapshot := i.snapshot(next.Index, evacuated)
+	i.pool.Update(now, snapshot)
+	i.limits.SetView(next.Index, snapshot.Entries, next.Entries)
 	i.gateway.SetView(next)
 }
 
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -34,6 +34,8 @@
 	from  *passed
 	// workspace is the caller's; nil where it has shown no key.
 	workspace *routes.Workspace
+	// units are what it took of the workspace's limit.
+	units float64
 
 	ctx      context.Context
 	began    time.Time
@@ -95,6 +97,11 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.until)
 	defer cancel()
 	q.ctx = ctx
+	if refusal := q.takeLimit(); refusal != nil {
+		q.refuse(refusal)
+		return
+	}
+	defer q.settleLimit()
 	q.run()
 }
 
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -20,6 +20,8 @@
 	retry time.Duration
 	// close has the connection closed: what follows on it cannot be trusted.
 	close bool
+	// limit is set where the workspace is over its limit.
+	limit *judged
 }
 
 // refuse writes a final answer of the system's own. 429 and 503 promise that the
@@ -51,9 +53,18 @@
 	// The caller may have left; there is nothing more to tell it.
 	_, _ = q.w.Write([]byte(body))
 	q.count(f)
+	q.tell(f)
+}
+
+// tell logs a final answer of the system's own, with what it was judged by.
+func (q *request) tell(f *refusal) {
+	more := zap.Skip()
+	if f.limit != nil {
+		more = zap.Object("limit", f.limit)
+	}
 	q.g.o.Log.Info("refused", zap.String("id", q.call.ID), zap.Int("status", f.status), zap.String("code", string(f.code)),
 		zap.Stringer("verdict", q.verdict), zap.Int("sends", q.sends), zap.Duration("after", time.Since(q.began)),
-		zap.String("service", q.service), zap.String("workspace", q.workspaceName()), zap.Bool("passed", q.from != nil))
+		zap.String("service", q.service), zap.String("workspace", q.workspaceName()), zap.Bool("passed", q.from != nil), more)
 }
 
 // count counts a final answer of the system's own.
@@ -86,6 +97,8 @@
 		return m.RefusedOverloaded
 	case CodeKey:
 		return m.RefusedKey
+	case CodeLimit:
+		return m.RefusedLimit
 	case CodeNoHome:
 		return m.RefusedNoHome
 	}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -38,6 +38,8 @@
 	Decider Decider
 	// Killers, if set, has requests refused that crash their targets.
 	Killers Killers
+	// Limits, if set, has requests refused that are beyond their workspace's limit.
+	Limits Limits
 	// Targets and Peers send to targets and to instances of other regions.
 	Targets, Peers *rawhttp.Client
 	Retries        RetryLimits
--- a/pipeline/exchange/rig_test.go
+++ b/pipeline/exchange/rig_test.go
@@ -290,8 +290,14 @@
 // log makes the gateway anew with a logger for requests that are answered.
 func (r *rig) log(ordinary *zap.Logger) {
 	r.options.Ordinary = ordinary
+	r.renew()
+}
+
+// renew makes the gateway anew after a change of its options.
+func (r *rig) renew() {
 	r.gateway = exchange.New(r.options)
 	r.gateway.SetView(r.view)
+	r.server.Config.Handler = r.gateway
 }
 
 // reply is an answer as a caller got it.
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -101,6 +101,28 @@
 	Ended(d Decision, r pick.Result)
 }
 
+// Limits keeps workspaces within their limits, over all instances.
+type Limits interface {
+	// Take spends units of a workspace's limit.
+	Take(ctx context.Context, w *routes.Workspace, units float64) LimitAnswer
+	// Return gives back what a request took that never ran.
+	Return(w *routes.Workspace, units float64)
+}
+
+// LimitAnswer says whether a request is within its workspace's limit.
+type LimitAnswer struct {
+	OK bool
+	// Wait is when there will be more, and the rest what the request was judged by, where not
+	// OK: the instance that stands for the workspace, empty where none was reached; the units
+	// per second that it had, leased from the leader or its own part of the limit; and the
+	// configuration.
+	Wait    time.Duration
+	By      string
+	Rate    float64
+	Leased  bool
+	Version uint64
+}
+
 // Killers knows the requests that crash each target that runs them.
 type Killers interface {
 	// Refused reports whether a request must not be sent any more.
@@ -162,6 +184,8 @@
 	CodeKey verdict.Code = "unknown_key"
 	// CodeNoHome: the homes of route and workspace have no region in common.
 	CodeNoHome verdict.Code = "no_home_region"
+	// CodeLimit: the workspace's limit is used up.
+	CodeLimit verdict.Code = "workspace_over_limit"
 )
 
 // Headers between instances. They never leave the system.
--- a/route/place/return.go
+++ b/route/place/return.go
@@ -49,3 +49,15 @@
 	}
 	return max(min(after, left/3), min(after, soonest))
 }
+
+// soonestUnits and latestUnits bound when a caller comes back whose workspace has used up its
+// limit: units come by the second, and one that is told a minute does not come at all.
+const (
+	soonestUnits = 100 * time.Millisecond
+	latestUnits  = 10 * time.Second
+)
+
+// ReturnAfter is when a caller should come back whose workspace has units again after wait.
+func ReturnAfter(wait time.Duration) time.Duration {
+	return min(max(wait, soonestUnits), latestUnits)
+}
--- a/settings/site.go
+++ b/settings/site.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/gullhaven/gullhaven/bundle/strict"
@@ -40,6 +42,9 @@
 	// Retries is the budget of sendings beyond the first ones for one service, of all
 	// instances together.
 	Retries SiteRetries `json:"retries"`
+	// LimitTolerance is what the platform lets all instances together pass beyond a
+	// workspace's limit; default nothing.
+	LimitTolerance SiteTolerance `json:"limit_tolerance"`
 	// GraceSeconds is the time between SIGTERM and the end by force; default 8.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMB bounds the process; the collector works harder near it. Default none.
@@ -73,6 +78,18 @@
 	SpanSeconds float64 `json:"span_seconds"`
 }
 
+// SiteTolerance is what may pass beyond a limit in any window: a share of what the limit gives
+// in it, and units beside that.
+type SiteTolerance struct {
+	Share float64 `json:"share"`
+	Units float64 `json:"units"`
+	// WindowSeconds is the length of the window. No default.
+	WindowSeconds float64 `json:"window_seconds"`
+}
+
+// Window of the tolerance.
+func (t SiteTolerance) Window() time.Duration { return seconds(t.WindowSeconds) }
+
 // Span of the budget.
 func (r SiteRetries) Span() time.Duration { return seconds(r.SpanSeconds) }
 
@@ -139,6 +156,9 @@
 	address("instance_list", s.InstanceList, s.Listen.Operators != "")
 	require(s.InstanceListRate >= 0, "instance_list_rate", "is %v, but must not be negative", s.InstanceListRate)
 	require(s.Retries.Share >= 0 && s.Retries.Allowance >= 0, "retries", "must not be negative")
+	t := s.LimitTolerance
+	require(t.Share >= 0 && t.Units >= 0 && t.WindowSeconds >= 0, "limit_tolerance", "must not be negative")
+	require(t.WindowSeconds > 0 || t.Share == 0 && t.Units == 0, "limit_tolerance.window_seconds", "is missing")
 	require(s.GraceSeconds > 0, "grace_seconds", "is %v, but must be above 0", s.GraceSeconds)
 	return p
 }
@@ -156,3 +176,9 @@
 	}
 	return out
 }
+
+// RegionNames are the regions of the site, in order.
+func (s *Site) RegionNames() []string {
+	names := slices.Sorted(maps.Values(s.Regions))
+	return slices.Compact(names)
+}
