--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -44,6 +44,9 @@
 	Events int
 	// Runs tells how often a request ran.
 	Runs func(id string) int
+	// Strange, if set, tells how often a request came to a target under another name than its
+	// workspace's, or with its caller's key.
+	Strange func() int
 	// Deadline is that of all requests, Slack the time beyond it in which an answer
 	// must have come at an instance that no fault befell.
 	Deadline, Slack time.Duration
@@ -127,6 +130,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := slices.Clone(l.faults)
+	if l.Strange != nil && l.Strange() > 0 {
+		out = append(out, fmt.Sprintf("%d requests came under another workspace's name or with a key", l.Strange()))
+	}
 	for i := range l.requests {
 		r := &l.requests[i]
 		for _, fault := range []string{l.runs(r), l.content(r), l.inTime(r), l.lost(r)} {
--- a/soak/world.go
+++ b/soak/world.go
@@ -86,7 +86,7 @@
 // NewWorld starts the site and waits for nothing.
 func NewWorld(o Options) (*World, error) {
 	w := &World{o: o, book: &platformtest.Book{}, list: &platformtest.List{}}
-	w.Ledger = &Ledger{Events: events, Runs: w.book.Runs, Deadline: deadline, Slack: slack}
+	w.Ledger = &Ledger{Events: events, Runs: w.book.Runs, Strange: w.book.Strange, Deadline: deadline, Slack: slack}
 	return w, w.build()
 }
 
