quota, limit, newest: limits are divided again a moment after all were killed

Cause: a new leader granted nothing for a lease of 3 s, as it did not know who held shares of its predecessor; and until their views were whole, instances were asked for workspaces that others stand for, so that the leader counted a floor for each of them and had nothing left to grant (twelve and fifteen workspaces in single reports). Change: the log names who may hold shares before the first is granted, and the wait of a new leader ends once all of them have reported; an instance that has just started begins with its region's part; one that does not stand for a workspace tells once that it has nothing, and spends what it was lent and no more. Units go back to whom they were taken from, which may be the instance itself.

--- a/bundle/newest/machine.go
+++ b/bundle/newest/machine.go
@@ -27,6 +27,8 @@
 	Offer *Offer `cbor:"1,keyasint,omitempty"`
 	Zone  *Zone  `cbor:"2,keyasint,omitempty"`
 	Parts *Parts `cbor:"3,keyasint,omitempty"`
+	// Holders changes no State: nothing that callers meet depends on it.
+	Holders *Holders `cbor:"4,keyasint,omitempty"`
 }
 
 // Offer proposes a configuration, checked by the proposer.
@@ -98,6 +100,7 @@
 	mu      sync.Mutex
 	state   *State
 	staged  staged
+	holders map[string]bool
 	changed func(*State)
 }
 
@@ -185,6 +188,8 @@
 	switch {
 	case c.Parts != nil:
 		m.staged.add(c.Parts.Packed)
+	case c.Holders != nil:
+		m.holders = c.Holders.change(m.holders)
 	case c.Offer != nil && c.Offer.Version > s.Version:
 		return m.offer(index, c.Offer)
 	case c.Zone != nil && c.Zone.Evacuate != (s.Evacuated[c.Zone.Name] != 0):
@@ -250,12 +255,14 @@
 	// Before is the document of snapshots that were written before there were pieces.
 	Before []byte   `cbor:"3,keyasint,omitempty"`
 	Staged [][]byte `cbor:"7,keyasint,omitempty"`
+	// Holders are in order.
+	Holders []string `cbor:"8,keyasint,omitempty"`
 }
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
-	s := snapshot{State: *m.state, Staged: m.staged.packed()}
+	s := snapshot{State: *m.state, Staged: m.staged.packed(), Holders: slices.Sorted(maps.Keys(m.holders))}
 	m.mu.Unlock()
 	return cbor.Marshal(s)
 }
@@ -269,6 +276,7 @@
 	m.mu.Lock()
 	m.state, m.staged = &s.State, staged{}
 	m.staged.add(s.Staged)
+	m.setHolders(s.Holders)
 	m.mu.Unlock()
 	m.changed(&s.State)
 	return nil
--- a/bundle/newest/parts_test.go
+++ b/bundle/newest/parts_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -195,3 +196,37 @@
 		t.Fatalf("version %d", m.State().Version)
 	}
 }
+
+// Guards against a leader that does not know who may hold shares under its predecessor: they
+// outlive snapshots, and change nothing that callers meet.
+func TestHoldersOutliveSnapshots(t *testing.T) {
+	m := newest.NewMachine(func(*newest.State) { t.Error("a change of holders was told as one of the state") })
+	apply := func(index uint64, h *newest.Holders) {
+		data, err := newest.Encode(newest.Command{Holders: h})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Apply(index, data)
+	}
+	apply(1, &newest.Holders{Add: []string{"b", "a", "b"}})
+	apply(2, &newest.Holders{Add: []string{"c"}, Gone: []string{"a", "x"}})
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := newest.NewMachine(nil)
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for _, machine := range []*newest.Machine{m, restored} {
+		if got := strings.Join(machine.Holders(), " "); got != "b c" {
+			t.Errorf("holders %q", got)
+		}
+		if !machine.MayHold("b") || machine.MayHold("a") {
+			t.Error("an instance that was added may not hold, or one that is gone may")
+		}
+	}
+	if m.State().Index != 0 {
+		t.Error("the state has changed")
+	}
+}
--- a/coord/limit/allocator.go
+++ b/coord/limit/allocator.go
@@ -175,6 +175,10 @@
 		a.limits[dem.ID] = d
 	}
 	h := d.heard(now, holder, dem, a.lease)
+	if dem.Rate <= 0 && len(h.out) == 0 {
+		delete(d.holdings, holder.Name)
+		return Share{}, false
+	}
 	if dem.Rate <= 0 || a.Quiet(now) && !a.renewable(dem) {
 		return Share{}, false
 	}
--- a/coord/limit/limit_test.go
+++ b/coord/limit/limit_test.go
@@ -280,3 +280,49 @@
 		l.Take(start.Add(time.Duration(i)*time.Microsecond), names[i%len(names)], 100)
 	}
 }
+
+// Guards against an owner that has nothing to grant as it counts the floors of all that were
+// asked for a limit once, and against those that go on to spend their floors.
+func TestInstancesThatDoNotStandForALimitSleep(t *testing.T) {
+	const instances = 10
+	now := start
+	var names []string
+	for n := range instances {
+		names = append(names, fmt.Sprint(n))
+	}
+	alloc := NewAllocator(now.Add(-lease), lookup, lease, []string{"p"})
+	var limiters []*Limiter
+	for n := range instances {
+		l := NewLimiter(lookup, 1, lease)
+		l.SetWait(0)
+		l.SetOwned(func(ID) bool { return n == 0 })
+		limiters = append(limiters, l)
+		// Asked before it was known who stands for the limit, until its floor's burst is spent.
+		for ok := true; ok; {
+			ok, _ = l.Take(now, "w", 0)
+		}
+	}
+	for range 4 {
+		now = now.Add(step)
+		for n, l := range limiters {
+			number, demands := l.Report(now)
+			l.Granted(now, number, alloc.ReportOf(now, Holder{"p", names[n]}, number, demands))
+		}
+	}
+	for n, l := range limiters {
+		s := l.State(now, id)
+		if n == 0 && (!s.Leased || s.Rate < whole.Rate/2) {
+			t.Errorf("the one that stands for the limit has %+v", s)
+		}
+		if n > 0 && s.Leased {
+			t.Errorf("instance %d has %+v", n, s)
+		}
+		// What came before it slept may be spent.
+		for ok := n > 0; ok; {
+			ok, _ = l.Take(now, "w", 0)
+		}
+		if ok, _ := l.Take(now.Add(10*lease), "w", 0); n > 0 && ok {
+			t.Errorf("instance %d lets more pass", n)
+		}
+	}
+}
--- a/coord/limit/limiter.go
+++ b/coord/limit/limiter.go
@@ -26,6 +26,9 @@
 	hurry  hurry
 	// usedAt is when it was last asked.
 	usedAt time.Time
+	// dormant: another instance stands for the limit, and no share is in force here. What is
+	// left may be spent, and no more comes.
+	dormant bool
 }
 
 // newBucket starts with the floor's burst and no rate until wait has passed.
@@ -55,7 +58,9 @@
 		}
 	}
 	if now.After(b.at) {
-		b.add(now.Sub(b.at), b.floor.Rate, b.floor.Burst)
+		if !b.dormant {
+			b.add(now.Sub(b.at), b.floor.Rate, b.floor.Burst)
+		}
 		b.at = now
 	}
 }
@@ -146,8 +151,10 @@
 	lookup    Lookup
 	instances int
 	lease     time.Duration
-	pace      pace
-	buckets   map[ID]*Bucket
+	// wait is how long a new bucket has no rate until it is on its floor without a share.
+	wait    time.Duration
+	pace    pace
+	buckets map[ID]*Bucket
 	// sentAt are the times of reports not answered yet, by number.
 	sentAt map[uint64]time.Time
 	report uint64
@@ -165,10 +172,25 @@
 // stands for it within that time.
 const releaseAfter = time.Second
 
+// dormantLife is how many leases a dormant bucket is kept after it was last asked: one that is
+// forgotten is lent its floor's burst again.
+const dormantLife = 10
+
 // SetOwned tells which limits this instance stands for. Shares of others are returned once
 // nobody asks for them.
 func (l *Limiter) SetOwned(owns func(ID) bool) { l.owns = owns }
 
+// sleeps notes whether a limit is another instance's of which no share is in force here, and
+// reports whether the owner is to be told.
+//
+// What goes wrong without it: after a start each instance is asked for a while for limits that
+// others stand for. The owner counts the floor of each, and has nothing left to grant.
+func (l *Limiter) sleeps(now time.Time, id ID, b *Bucket) (tell bool) {
+	before := b.dormant
+	b.dormant = l.owns != nil && !l.owns(id) && b.inForce(now).Rate <= 0
+	return b.dormant && !before
+}
+
 // released reports whether a limit is another instance's by now.
 func (l *Limiter) released(now time.Time, id ID, b *Bucket) bool {
 	return l.owns != nil && !l.owns(id) && now.Sub(b.usedAt) > releaseAfter
@@ -181,12 +203,17 @@
 // lease is the lease of shares.
 func NewLimiter(lookup Lookup, instances int, lease time.Duration) *Limiter {
 	return &Limiter{
-		lookup: lookup, instances: max(1, instances), lease: lease, pace: 1,
+		lookup: lookup, instances: max(1, instances), lease: lease, wait: lease, pace: 1,
 		buckets: make(map[ID]*Bucket), sentAt: make(map[uint64]time.Time),
 		hurried: make(map[ID]bool),
 	}
 }
 
+// SetWait tells how long new buckets have no rate until they are on their floors without a
+// share; a lease, if nothing is told. Within a lease another instance may use a share of the
+// same part, unless that is known to have ended.
+func (l *Limiter) SetWait(d time.Duration) { l.wait = d }
+
 // SetPace has the Limiter follow demand faster or slower than with a report every two seconds,
 // where it is 1: the time constants are that part of theirs.
 func (l *Limiter) SetPace(p float64) { l.pace = pace(p) }
@@ -242,7 +269,7 @@
 	if !ok || lim.Rate <= 0 {
 		return nil
 	}
-	b := newBucket(now, lim.Scaled(1/float64(l.instances)), l.lease, l.pace)
+	b := newBucket(now, lim.Scaled(1/float64(l.instances)), l.wait, l.pace)
 	l.buckets[id] = b
 	return b
 }
@@ -265,6 +292,15 @@
 	for id, b := range l.buckets {
 		b.hurry.reported()
 		b.fill(now)
+		if l.sleeps(now, id, b) {
+			demands = append(demands, Demand{ID: id})
+		}
+		if b.dormant {
+			if now.Sub(b.usedAt) > dormantLife*l.lease {
+				delete(l.buckets, id)
+			}
+			continue
+		}
 		if l.released(now, id, b) || !l.refloor(now, id, b) {
 			delete(l.buckets, id)
 			demands = append(demands, Demand{ID: id, Held: b.seq})
--- a/coord/limit/urgent.go
+++ b/coord/limit/urgent.go
@@ -54,7 +54,7 @@
 func (l *Limiter) Urgent(now time.Time) (number uint64, demands []Demand) {
 	for id := range l.hurried {
 		b := l.buckets[id]
-		if b == nil || !b.hurry.due(now) {
+		if b == nil || b.dormant || !b.hurry.due(now) {
 			continue
 		}
 		if !b.hurry.refused {
--- a/experiment/quotas/shares.go
+++ b/experiment/quotas/shares.go
@@ -46,7 +46,7 @@
 		var list []*holder
 		for n := range each {
 			x := &holder{region: region, id: fmt.Sprint(region, "-", n)}
-			x.h = quota.NewHolders(uint64(region*each+n+1), s.part(region, n), Regions*each, t)
+			x.h = quota.NewHolders(start, uint64(region*each+n+1), s.part(region, n), Regions*each, t)
 			x.h.SetLimits(1, limits)
 			x.h.SetEntries(Regions*Instances, func(string) bool { return true })
 			list = append(list, x)
--- a/node/quota/divider.go
+++ b/node/quota/divider.go
@@ -16,6 +16,9 @@
 	sweepAt time.Time
 	// awaited are the holders that may hold a predecessor's shares and have not reported yet.
 	awaited map[string]bool
+	// heardAt is when each holder reported last in this term, which began at since.
+	heardAt map[string]time.Time
+	since   time.Time
 }
 
 type told struct {
@@ -32,7 +35,7 @@
 // have an equal part of a limit to fall back to. known are all that may hold shares of a
 // predecessor: once each of them has reported in this term nothing is left unknown.
 func NewDivider(now time.Time, term uint64, regions, known []string) *Divider {
-	d := &Divider{limits: map[string]told{}, awaited: map[string]bool{}, sweepAt: now.Add(Lease)}
+	d := &Divider{limits: map[string]told{}, awaited: map[string]bool{}, heardAt: map[string]time.Time{}, since: now, sweepAt: now.Add(Lease)}
 	d.allocator = limit.NewAllocator(now, d.lookup, Lease, regions)
 	// The sequences of terms do not meet: a term grants fewer shares than this.
 	const grantsOfTerm = 40
@@ -86,6 +89,7 @@
 
 // heard notes that what an instance holds is known: its earlier lives have ended.
 func (d *Divider) heard(now time.Time, from string) {
+	d.heardAt[from] = now
 	if !d.awaited[from] {
 		return
 	}
@@ -95,6 +99,26 @@
 	}
 }
 
+// goneAfter is the silence after which an instance is taken off those that may hold shares:
+// long after its last share has ended.
+const goneAfter = 20 * Lease
+
+// Gone are those of known that may hold shares and have been silent for long.
+func (d *Divider) Gone(now time.Time, known []string) []string {
+	var out []string
+	for _, id := range known {
+		at, ok := d.heardAt[id]
+		if !ok {
+			at = d.since
+		}
+		if now.Sub(at) > goneAfter {
+			out = append(out, id)
+			delete(d.heardAt, id)
+		}
+	}
+	return out
+}
+
 func (d *Divider) sweep(now time.Time) {
 	d.sweepAt = now.Add(Lease / 3)
 	d.allocator.Sweep(now)
--- a/node/quota/doc.go
+++ b/node/quota/doc.go
@@ -18,12 +18,15 @@
 // one renews what holders say that they hold and grants nothing else until the shares of its
 // predecessor have ended, so what is in force stays within the limit without a gap.
 //
-// More than that passes only in three cases, of which none lasts longer than a cut:
+// More than that passes only in these cases, of which none lasts longer than a cut:
 //
 //   - A holder whose share ended falls back to its region's part of the limit. The leader
 //     sets that aside for a region that is silent, not for a single holder in a region that
 //     is heard: at most one region's part more, for each part of a region that is cut off
 //     from the rest of it.
+//   - An instance that has just started begins with its region's part at once, as all may
+//     have been killed and a leader takes two seconds to be found. Where the leader is there
+//     its first share replaces that within half a second.
 //   - An instance that reaches none that stands for a workspace lets pass half of its equal
 //     part of the limit among all instances that it ever knew at once: with k of n instances
 //     alone at most k/2n of the limit more.
--- a/node/quota/holders.go
+++ b/node/quota/holders.go
@@ -10,7 +10,9 @@
 // region, and what it lets pass by itself where it reaches none that stands for one. It has
 // no input or output and a single owner.
 type Holders struct {
-	life      uint64
+	life uint64
+	// bornAt is when the instance started.
+	bornAt    time.Time
 	region    string
 	tolerance Tolerance
 	// limits are those of the configuration in force.
@@ -38,13 +40,14 @@
 
 // NewHolders makes the Holders of one life of an instance. regions is the number of regions
 // of the site.
-func NewHolders(life uint64, region string, regions int, t Tolerance) *Holders {
+func NewHolders(now time.Time, life uint64, region string, regions int, t Tolerance) *Holders {
 	h := &Holders{
-		life: life, region: region, tolerance: t, entries: fewestEntries, granted: map[string]bool{},
+		life: life, bornAt: now, region: region, tolerance: t, entries: fewestEntries, granted: map[string]bool{},
 		limits: func(string) (limit.Limit, bool) { return limit.Limit{}, false },
 	}
 	h.shared = limit.NewLimiter(h.lookup, regions, Lease)
 	h.shared.SetPace(pace)
+	h.shared.SetWait(0)
 	h.alone = limit.NewLimiter(h.lookupAlone, 1, 0)
 	return h
 }
@@ -79,6 +82,9 @@
 	if _, known := h.limits(workspace); !known {
 		return Verdict{Unknown: true}
 	}
+	if now.Sub(h.bornAt) >= Lease {
+		h.shared.SetWait(Lease)
+	}
 	ok, wait := h.shared.TakeTokens(now, workspace, units)
 	if ok {
 		return Verdict{OK: true}
@@ -101,6 +107,11 @@
 	h.shared.Refund(now, workspace, units)
 }
 
+// BackAlone gives back what TakeAlone took.
+func (h *Holders) BackAlone(now time.Time, workspace string, units float64) {
+	h.alone.Refund(now, workspace, units)
+}
+
 // Report asks for shares of all workspaces, or of those that should not wait; false where
 // there is nothing urgent.
 func (h *Holders) Report(now time.Time, urgent bool) (*Report, bool) {
--- a/node/quota/service.go
+++ b/node/quota/service.go
@@ -76,7 +76,7 @@
 
 // New makes a Service that answers on the hub.
 func New(o Options) *Service {
-	s := &Service{o: o, holders: NewHolders(rand.Uint64(), o.Region, o.Regions, o.Tolerance), avoid: map[string]time.Time{}}
+	s := &Service{o: o, holders: NewHolders(replhost.BootClock{}.Now(), rand.Uint64(), o.Region, o.Regions, o.Tolerance), avoid: map[string]time.Time{}}
 	o.Hub.Serve(channelTake, takeWorkers, s.serveTake)
 	o.Hub.Handle(channelBack, s.serveBack)
 	return s
@@ -183,9 +183,14 @@
 }
 
 // Return implements exchange.Limits.
-func (s *Service) Return(w *routes.Workspace, units float64) {
-	to := s.stands(w.Name)
-	if to == s.o.Self {
+func (s *Service) Return(w *routes.Workspace, units float64, a exchange.LimitAnswer) {
+	switch a.By {
+	case "":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.holders.BackAlone(s.clock.Now(), w.Name, units)
+		return
+	case s.o.Self:
 		s.back(w.Name, units)
 		return
 	}
@@ -195,7 +200,7 @@
 		return
 	}
 	// A lost message costs the workspace a request.
-	s.o.Hub.Send(to, channelBack, payload)
+	s.o.Hub.Send(a.By, channelBack, payload)
 }
 
 func (s *Service) back(workspace string, units float64) {
--- a/node/quota/world_test.go
+++ b/node/quota/world_test.go
@@ -31,8 +31,9 @@
 	sentAt     time.Time
 	regularAt  time.Time
 	waits      bool
-	// cut instances reach no leader.
-	cut bool
+	// cut instances reach no leader, other ones do not stand for the workspace as far as they
+	// know.
+	cut, other bool
 }
 
 // message is a report on its way to the leader, or an answer on its way back.
@@ -78,9 +79,9 @@
 
 func (w *world) start(id, region string) *life {
 	w.started++
-	l := &life{id: id, region: region, holders: NewHolders(w.started, region, len(regions), Tolerance{})}
+	l := &life{id: id, region: region, holders: NewHolders(w.now, w.started, region, len(regions), Tolerance{})}
 	l.holders.SetLimits(1, func(string) (limit.Limit, bool) { return whole, true })
-	l.holders.SetEntries(len(regions), func(string) bool { return true })
+	l.holders.SetEntries(len(regions), func(string) bool { return !l.other })
 	return l
 }
 
@@ -115,6 +116,9 @@
 		if w.chance("cut or joined", 200) {
 			w.lives[k].cut = !w.lives[k].cut
 		}
+		if w.chance("another stands for the workspace, or this one", 100) {
+			w.lives[k].other = !w.lives[k].other
+		}
 	}
 }
 
@@ -221,7 +225,7 @@
 		}
 		w.faulty = false
 		for _, l := range w.lives {
-			l.cut = false
+			l.cut, l.other = false, false
 		}
 		// One region asks for seven tenths of the limit, at one instance.
 		const share = 0.7
@@ -324,7 +328,7 @@
 func TestThoseAloneLetPassAPart(t *testing.T) {
 	const entries = 74
 	now, passed := worldStart, 0.0
-	h := NewHolders(1, "p", len(regions), Tolerance{})
+	h := NewHolders(now, 1, "p", len(regions), Tolerance{})
 	h.SetLimits(1, func(string) (limit.Limit, bool) { return whole, true })
 	h.SetEntries(entries, func(string) bool { return false })
 	for range 1000 {
@@ -349,7 +353,8 @@
 		e := tol.Effective(l)
 		passes := e.Rate*tol.Window.Seconds() + 2*e.Burst
 		allowed := (l.Rate*tol.Window.Seconds()+l.Burst)*(1+tol.Share) + tol.Units
-		if passes > allowed*(1+1e-9) || 2*e.Burst < l.Burst {
+		gives := l.Rate*tol.Window.Seconds() + l.Burst
+		if passes > allowed*(1+1e-9) || passes < gives*(1-1e-9) {
 			t.Fatalf("%v pass, %v are allowed; burst %v of %v", passes, allowed, e.Burst, l.Burst)
 		}
 	})
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -34,8 +34,9 @@
 	from  *passed
 	// workspace is the caller's; nil where it has shown no key.
 	workspace *routes.Workspace
-	// units are what it took of the workspace's limit.
+	// units are what it took of the workspace's limit, and limit the answer that allowed it.
 	units float64
+	limit LimitAnswer
 
 	ctx      context.Context
 	began    time.Time
--- a/pipeline/exchange/limits.go
+++ b/pipeline/exchange/limits.go
@@ -36,7 +36,7 @@
 	units := w.Limit.Cost(q.call.PromptTokens, q.call.OutputTokens, q.call.Counted)
 	a := limits.Take(q.ctx, w, units)
 	if a.OK {
-		q.units = units
+		q.units, q.limit = units, a
 		return nil
 	}
 	return &refusal{status: http.StatusTooManyRequests, code: CodeLimit, retry: place.ReturnAfter(a.Wait), limit: &judged{LimitAnswer: a, units: units}}
@@ -45,6 +45,6 @@
 // settleLimit gives back what a request took that has not run.
 func (q *request) settleLimit() {
 	if q.units > 0 && q.verdict == verdict.NotRun {
-		q.g.o.Limits.Return(q.workspace, q.units)
+		q.g.o.Limits.Return(q.workspace, q.units, q.limit)
 	}
 }
--- a/pipeline/exchange/limits_test.go
+++ b/pipeline/exchange/limits_test.go
@@ -29,7 +29,7 @@
 	return exchange.LimitAnswer{OK: true}
 }
 
-func (c *counted) Return(_ *routes.Workspace, units float64) {
+func (c *counted) Return(_ *routes.Workspace, units float64, _ exchange.LimitAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.left += units
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -105,19 +105,19 @@
 type Limits interface {
 	// Take spends units of a workspace's limit.
 	Take(ctx context.Context, w *routes.Workspace, units float64) LimitAnswer
-	// Return gives back what a request took that never ran.
-	Return(w *routes.Workspace, units float64)
+	// Return gives back what a request took, by an answer, that never ran.
+	Return(w *routes.Workspace, units float64, a LimitAnswer)
 }
 
 // LimitAnswer says whether a request is within its workspace's limit.
 type LimitAnswer struct {
 	OK bool
+	// By is the instance that stands for the workspace; empty where none was reached.
+	By string
 	// Wait is when there will be more, and the rest what the request was judged by, where not
-	// OK: the instance that stands for the workspace, empty where none was reached; the units
-	// per second that it had, leased from the leader or its own part of the limit; and the
-	// configuration.
+	// OK: the units per second that the workspace had there, leased from the leader or its own
+	// part of the limit; and the configuration.
 	Wait    time.Duration
-	By      string
 	Rate    float64
 	Leased  bool
 	Version uint64
