quota: a limit is divided as what it gives in a window

Cause: a bucket of rate and burst gives a burst once, a limit gives it in each window; a flood that lasts got a ninth less than its limit. Change: the divided rate is what a window gives and half of the tolerance, bursts take a third of it. Experiments judge by the same window.

--- a/experiment/quotas/load.go
+++ b/experiment/quotas/load.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// gives is what the limit gives in a window.
+func (l *Load) gives() float64 { return l.Limit.Rate*window.Seconds() + l.Limit.Burst }
+
 // demand is what a region asks for at a time, in units per second.
 func (l *Load) demand(region int, at time.Duration) float64 {
 	d := l.Mean / Regions * shapes[region](at.Seconds())
--- a/node/quota/effective.go
+++ b/node/quota/effective.go
@@ -14,16 +14,25 @@
 	Units  float64
 }
 
-// usedTolerance is the part of a tolerance that is spent on larger bursts. The rest is for
-// requests in debt and for the cases of the package comment.
-const usedTolerance = 0.5
+const (
+	// rateTolerance is the part of a tolerance that is spent on the rate, and burstTolerance
+	// on bursts. The rest is for requests in debt and for the cases of the package comment.
+	rateTolerance  = 0.5
+	burstTolerance = 0.35
+)
 
-// Effective is the limit that is divided: with a burst so large that two of them, as
-// coord/limit may pass, stay within the tolerance.
-//
-// What goes wrong with half of the burst: a region whose share is small refuses the second
-// long request of a second, though the workspace is far below its limit.
+// Effective is the limit that is divided. A limit gives rate*window + burst in each window,
+// so a flood that lasts is let through at that over the window, and a little more: what the
+// holders cannot use at once is lost. Two bursts, as coord/limit may pass, fill the rest.
 func (t Tolerance) Effective(l limit.Limit) limit.Limit {
-	more := t.Share*(l.Rate*t.Window.Seconds()+l.Burst) + t.Units
-	return limit.Limit{Rate: l.Rate, Burst: (l.Burst + usedTolerance*more) / 2}
+	window := t.Window.Seconds()
+	if window <= 0 {
+		return limit.Limit{Rate: l.Rate, Burst: l.Burst / 2}
+	}
+	gives := l.Rate*window + l.Burst
+	tolerance := t.Share*gives + t.Units
+	return limit.Limit{
+		Rate:  (gives + rateTolerance*tolerance) / window,
+		Burst: burstTolerance * tolerance / 2,
+	}
 }
