--- a/experiment/command.go
+++ b/experiment/command.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/gullhaven/gullhaven/experiment/quotas"
 	"github.com/gullhaven/gullhaven/experiment/replay"
 )
 
@@ -29,6 +30,8 @@
 
 	Lone int `long:"lone" default:"1" description:"targets of a region that may be kept free at once for requests that may have killed one; 0 does not look for such requests"`
 
+	Limits bool `long:"limits" description:"ways to keep workspaces within their limits over all instances, in place of the workloads"`
+
 	Patterns []string `long:"pattern" description:"recorded pattern of load to play against the decisions of a site and plain balancers, in place of the workloads; all stands for every one"`
 
 	// Out takes the table; standard output if nil.
@@ -44,6 +47,9 @@
 	if out == nil {
 		out = os.Stdout
 	}
+	if c.Limits {
+		return quotas.WriteTable(out, c.Seeds)
+	}
 	if len(c.Patterns) > 0 {
 		return c.replay(out)
 	}
--- /dev/null
+++ b/experiment/quotas/table.go
@@ -0,0 +1,87 @@
+package quotas
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/limit"
+	"github.com/gullhaven/gullhaven/node/quota"
+)
+
+// length is how long a load is played, in virtual time: each region has its peak, and the
+// first one has it again.
+const length = 48 * time.Second
+
+// tolerance is what may pass beyond a limit in a window.
+var tolerance = quota.Tolerance{Window: window, Share: 0.1, Units: 110_000}
+
+// most is how much more may pass in a window than a limit gives, as a part of that.
+func (l *Load) most() float64 { return tolerance.Share + tolerance.Units/l.gives() }
+
+// Pattern is a load with its name.
+type Pattern struct {
+	Name string
+	Load Load
+}
+
+// Patterns are the loads that are played: workspaces of three sizes as a rule, in a flood, and
+// one whose limit was lowered.
+func Patterns() []Pattern {
+	of := func(rate, mean, hot float64) Load {
+		return Load{Limit: limit.Limit{Rate: rate, Burst: rate}, Mean: mean, Hot: hot, HotAt: 6 * time.Second, HotFor: 9 * time.Second}
+	}
+	const flood = 6
+	return []Pattern{
+		{"large", of(1_170_000, 650_000, 0)},
+		{"middle", of(186_000, 103_000, 0)},
+		{"small", of(29_000, 16_000, 0)},
+		{"large-flood", of(1_170_000, 650_000, flood)},
+		{"middle-flood", of(186_000, 103_000, flood)},
+		{"small-flood", of(29_000, 16_000, flood)},
+		{"lowered", of(186_000, 300_000, 0)},
+	}
+}
+
+// Way is a scheme with its name.
+type Way struct {
+	Name string
+	New  func(l *Load) Scheme
+}
+
+// Ways are the schemes that are compared.
+var Ways = []Way{
+	{"each-instance", func(l *Load) Scheme { return NewShares(l, Instances, tolerance) }},
+	{"one-of-a-region", func(l *Load) Scheme { return NewShares(l, 1, tolerance) }},
+	{"told-use", func(l *Load) Scheme { return NewTold(l) }},
+}
+
+// Mean plays a load with some seeds, and returns the mean and the most of each figure.
+func Mean(l Load, w Way, seeds int) (mean, most Result) {
+	n := float64(seeds)
+	for seed := range uint64(seeds) {
+		r := Play(seed, &l, w.New(&l), length)
+		mean.Excess += r.Excess / n
+		mean.Needless += r.Needless / n
+		mean.WorstNeedless += r.WorstNeedless / n
+		most.Excess = max(most.Excess, r.Excess)
+		most.Needless = max(most.Needless, r.Needless)
+		most.WorstNeedless = max(most.WorstNeedless, r.WorstNeedless)
+	}
+	return mean, most
+}
+
+// WriteTable plays all loads in all ways and prints their figures.
+func WriteTable(out io.Writer, seeds int) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "load\tway\texcess\tmost\tallowed\tneedless\tworst 2 s\tmost")
+	for _, p := range Patterns() {
+		for _, w := range Ways {
+			mean, most := Mean(p.Load, w, seeds)
+			fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.4f\t%.3f\t%.3f\n", p.Name, w.Name,
+				mean.Excess, most.Excess, p.Load.most(), mean.Needless, mean.WorstNeedless, most.WorstNeedless)
+		}
+	}
+	return t.Flush()
+}
