--- a/coord/limit/demand.go
+++ b/coord/limit/demand.go
@@ -19,7 +19,7 @@
 	leastCounted = time.Second
 )
 
-// Pace is how fast demand is followed, as a part of what serves a report every two seconds.
+// pace is how fast demand is followed, as a part of what serves a report every two seconds.
 // A host that reports more often follows faster.
 type pace float64
 
--- a/coord/limit/doc.go
+++ b/coord/limit/doc.go
@@ -63,6 +63,19 @@
 // A workspace that is new at an instance starts with its floor of the burst
 // and no rate. If no share comes within a lease it falls back to the floor.
 //
+// # Several holders of one part
+//
+// An instance in SetInstances may also be a part of a larger system, for example a region,
+// in which one holder after the other, or two at once while views differ, stand for a limit.
+// Shares are each holder's (ReportOf); floors are the parts'. A holder that does not stand
+// for a limit any more returns its share once nobody asks it (SetOwned), and one that never
+// had a share spends what it was lent and no more. So the sum of shares in force stays within
+// the limit whatever holders believe of each other.
+//
+// An Allocator that follows another one may renew what holders say that they hold, in place of
+// granting nothing (Resume): no share grows until those of the predecessor have ended, or all
+// that may hold one have reported (EndQuiet).
+//
 // # Between regions
 //
 // RegionPart divides a limit over regions once, by the bundle: there is no
--- a/node/quota/world_test.go
+++ b/node/quota/world_test.go
@@ -89,8 +89,9 @@
 	return w.faulty && rapid.IntRange(1, in).Draw(w.t, what) == 1
 }
 
-// step lets time pass: faults, messages, reports and requests.
-func (w *world) step(asked func(l *life) int) {
+// step lets time pass: faults, messages, reports and requests. It returns how many were
+// refused.
+func (w *world) step(asked func(l *life) int) (refused int) {
 	w.now = w.now.Add(worldStep)
 	w.faults()
 	if w.divider == nil && !w.now.Before(w.leaderAt) {
@@ -100,7 +101,16 @@
 	for _, l := range w.lives {
 		w.report(l)
 	}
-	w.pass(asked)
+	return w.pass(asked)
+}
+
+// expectNoRefusals lets time pass in which nothing may be refused.
+func (w *world) expectNoRefusals(d time.Duration, asked func(l *life) int) {
+	for range int(d / worldStep) {
+		if refused := w.step(asked); refused > 0 {
+			w.t.Fatalf("%d requests refused", refused)
+		}
+	}
 }
 
 func (w *world) faults() {
@@ -239,16 +249,7 @@
 		for range int(3 * Lease / worldStep) {
 			w.step(steady)
 		}
-		for range int(5 * time.Second / worldStep) {
-			w.now = w.now.Add(worldStep)
-			w.deliver()
-			for _, l := range w.lives {
-				w.report(l)
-			}
-			if refused := w.pass(steady); refused > 0 {
-				t.Fatalf("%d requests refused", refused)
-			}
-		}
+		w.expectNoRefusals(5*time.Second, steady)
 	})
 }
 
@@ -264,19 +265,7 @@
 		for range rapid.IntRange(1, 3).Draw(t, "leaders") {
 			w.divider = nil
 			w.leaderAt = w.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "election")) * time.Millisecond)
-			for range int(4 * time.Second / worldStep) {
-				w.now = w.now.Add(worldStep)
-				if w.divider == nil && !w.now.Before(w.leaderAt) {
-					w.lead()
-				}
-				w.deliver()
-				for _, l := range w.lives {
-					w.report(l)
-				}
-				if refused := w.pass(steady); refused > 0 {
-					t.Fatalf("%d requests refused", refused)
-				}
-			}
+			w.expectNoRefusals(4*time.Second, steady)
 		}
 	})
 }
--- a/route/place/place_test.go
+++ b/route/place/place_test.go
@@ -102,3 +102,17 @@
 		}
 	}
 }
+
+// Guards against callers that come back before there are units, or are told to wait for longer
+// than they can.
+func TestReturnAfter(t *testing.T) {
+	for wait, want := range map[time.Duration]time.Duration{
+		0:                       100 * time.Millisecond,
+		1500 * time.Millisecond: 1500 * time.Millisecond,
+		time.Hour:               10 * time.Second,
+	} {
+		if got := place.ReturnAfter(wait); got != want {
+			t.Errorf("units after %v: %v, want %v", wait, got, want)
+		}
+	}
+}
