--- a/node/quota/doc.go
+++ b/node/quota/doc.go
@@ -31,10 +31,4 @@
 //     part of the limit among all instances that it ever knew at once: with k of n instances
 //     alone at most k/2n of the limit more.
 //   - A limit that is lowered holds at each holder from when its own configuration tells.
-//
-// # What it costs
-//
-// A question and an answer inside the region for each request of a workspace with a limit,
-// about 100 bytes each way and some 60 microseconds at both ends; a report of each holder
-// five times a second, 40 bytes for a workspace that it stands for.
 package quota
