exchange, retry: what a retry budget has counted can be read in the log

Cause: no line told what an instance's window of the common retry budget held, so that restarts, moving peaks, wrong numbers of senders and sendings that nobody counts looked the same. Change: the windows stand in a part of their own (repeats), same logic, and 'repeats' logs at most once a second and service what they hold.

--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -37,10 +37,24 @@
 	w.firsts[w.at%windowParts]++
 }
 
+// Use is what a Window holds.
+type Use struct {
+	// Firsts and Extras are counted in the span that ends now.
+	Firsts, Extras int
+	// Most is how many extras they allow.
+	Most float64
+}
+
+// Use returns what is counted now.
+func (w *Window) Use(now time.Time) Use {
+	w.move(now)
+	firsts := sum(w.firsts[:])
+	return Use{Firsts: firsts, Extras: sum(w.extras[:]), Most: w.share*float64(firsts) + w.allowance}
+}
+
 // TryExtra counts a further sending in and reports whether it is allowed.
 func (w *Window) TryExtra(now time.Time) bool {
-	w.move(now)
-	if float64(sum(w.extras[:])+1) > w.share*float64(sum(w.firsts[:]))+w.allowance {
+	if use := w.Use(now); float64(use.Extras+1) > use.Most {
 		return false
 	}
 	w.extras[w.at%(windowParts+1)]++
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -11,22 +11,12 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
-	"github.com/gullhaven/gullhaven/coord/retry"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 	"github.com/gullhaven/gullhaven/route/place"
 )
 
-// RetryLimits are those of the common retry budget, which each instance keeps by a
-// static share.
-type RetryLimits struct {
-	// Span, Share and Allowance are those of retry.Window for all instances
-	// together.
-	Span             time.Duration
-	Share, Allowance float64
-}
-
 // Options of a Gateway.
 type Options struct {
 	// Self is the id of this instance.
@@ -75,14 +65,15 @@
 	// asked counts the requests of each route by name.
 	asked sync.Map
 
-	mu      sync.Mutex
-	windows map[string]*retry.Window
+	repeats *repeats
+
+	mu sync.Mutex // guards o.Rand
 }
 
 // New makes a Gateway that refuses all until it has a view.
 func New(o Options) *Gateway {
 	return &Gateway{
-		o: o, begun: make(chan struct{}), startWait: place.StartWait, leaveOut: place.RefusedFor, windows: map[string]*retry.Window{},
+		o: o, begun: make(chan struct{}), startWait: place.StartWait, leaveOut: place.RefusedFor, repeats: newRepeats(o.Retries),
 	}
 }
 
@@ -132,35 +123,6 @@
 // InFlight is the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// shares of the common retry budget.
-const (
-	// budgetMargin is the part of the common bound that is used: the senders'
-	// windows and the judge's do not begin at the same moment.
-	budgetMargin = 0.75
-	// fewestEntries is the least number of senders that the allowance is shared
-	// among: an instance that knows of no others may only be cut off from them.
-	fewestEntries = 6
-)
-
-// window is the budget of a service.
-func (g *Gateway) window(now time.Time, service string, entries int) *retry.Window {
-	w := g.windows[service]
-	allowance := budgetMargin * g.o.Retries.Allowance / float64(max(entries, fewestEntries))
-	if w == nil {
-		w = retry.NewWindow(now, g.o.Retries.Span, budgetMargin*g.o.Retries.Share, allowance)
-		g.windows[service] = w
-	}
-	w.SetAllowance(allowance)
-	return w
-}
-
-// countFirst counts the first sending of a request.
-func (g *Gateway) countFirst(now time.Time, service string, entries int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.window(now, service, entries).First(now)
-}
-
 // RouteWeight is how much a route is used: 1 and the number of its requests here. Routes
 // that only stand in the configuration weigh little.
 func (g *Gateway) RouteWeight(route string) int {
@@ -203,17 +165,6 @@
 	return ok && now.Before(until.(time.Time))
 }
 
-// mayRepeat reports whether the budget allows one more sending, and counts it.
-func (g *Gateway) mayRepeat(now time.Time, service string, entries int) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.window(now, service, entries).TryExtra(now) {
-		g.o.Metrics.RetriesDenied.Inc(1)
-		return false
-	}
-	return true
-}
-
 // uniform draws a number.
 func (g *Gateway) uniform() uint64 {
 	g.mu.Lock()
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -22,7 +22,7 @@
 	if q.from == nil {
 		// One that was passed on counts where it came in: the budget is of all instances
 		// together, and each first sending allows repeats once.
-		q.g.countFirst(q.began, q.service, q.view.Entries)
+		q.g.repeats.first(q.began, q.service, q.view.Entries)
 	}
 	q.g.countRoute(q.route.Name)
 	for {
@@ -83,13 +83,26 @@
 		return CodeTargetLost, false
 	case q.sends >= mostSends:
 		return CodeNoTarget, false
-	case q.arrived() && !q.g.mayRepeat(now, q.service, q.view.Entries):
+	case q.arrived() && !q.mayRepeat(now):
 		return CodeNoTarget, false
 	}
 	q.g.o.Metrics.Retries.Inc(1)
 	return "", true
 }
 
+// mayRepeat reports whether the budget of the service allows one more sending, and counts it.
+func (q *request) mayRepeat(now time.Time) bool {
+	d := q.g.repeats.try(now, q.service, q.view.Entries)
+	if d.tell {
+		q.g.o.Log.Info("repeats", zap.String("service", q.service), zap.Bool("allowed", d.allowed), zap.Int("firsts", d.use.Firsts),
+			zap.Int("extras", d.use.Extras), zap.Float64("most", d.use.Most), zap.Int("entries", q.view.Entries), zap.Duration("age", d.age))
+	}
+	if !d.allowed {
+		q.g.o.Metrics.RetriesDenied.Inc(1)
+	}
+	return d.allowed
+}
+
 // arrived reports whether an attempt has reached a target, be it turned away.
 func (q *request) arrived() bool { return q.turnedAway || q.runs > 0 }
 
