--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -73,7 +73,7 @@
 // New makes a Gateway that refuses all until it has a view.
 func New(o Options) *Gateway {
 	return &Gateway{
-		o: o, begun: make(chan struct{}), startWait: place.StartWait, leaveOut: place.RefusedFor, repeats: newRepeats(o.Retries),
+		o: o, begun: make(chan struct{}), startWait: place.StartWait, leaveOut: place.RefusedFor, repeats: newRepeats(o.Retries, time.Now()),
 	}
 }
 
--- a/pipeline/exchange/repeats.go
+++ b/pipeline/exchange/repeats.go
@@ -31,6 +31,8 @@
 // It is safe for several goroutines.
 type repeats struct {
 	limits RetryLimits
+	// began is when the process did.
+	began time.Time
 
 	mu       sync.Mutex
 	services map[string]*serviceRepeats
@@ -38,7 +40,6 @@
 
 type serviceRepeats struct {
 	window *retry.Window
-	began  time.Time
 	toldAt time.Time
 }
 
@@ -48,12 +49,12 @@
 	// tell says that a log line is due.
 	tell bool
 	use  retry.Use
-	// age of the window.
+	// age of the process.
 	age time.Duration
 }
 
-func newRepeats(limits RetryLimits) *repeats {
-	return &repeats{limits: limits, services: map[string]*serviceRepeats{}}
+func newRepeats(limits RetryLimits, began time.Time) *repeats {
+	return &repeats{limits: limits, began: began, services: map[string]*serviceRepeats{}}
 }
 
 // first counts the first sending of a request. entries is the number of entry instances.
@@ -68,7 +69,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.of(now, service, entries)
-	d := repeatDecision{allowed: s.window.TryExtra(now), age: now.Sub(s.began)}
+	d := repeatDecision{allowed: s.window.TryExtra(now), age: now.Sub(r.began)}
 	if now.Sub(s.toldAt) >= tellEvery {
 		s.toldAt, d.tell, d.use = now, true, s.window.Use(now)
 	}
@@ -79,7 +80,7 @@
 	allowance := budgetMargin * r.limits.Allowance / float64(max(entries, fewestEntries))
 	s := r.services[service]
 	if s == nil {
-		s = &serviceRepeats{window: retry.NewWindow(now, r.limits.Span, budgetMargin*r.limits.Share, allowance), began: now}
+		s = &serviceRepeats{window: retry.NewWindow(now, r.limits.Span, budgetMargin*r.limits.Share, allowance)}
 		r.services[service] = s
 	}
 	s.window.SetAllowance(allowance)
