platform, pick, exchange: limits that targets name are read, logged and counted

Cause: answers of targets in need say how many requests a second they take; nothing read it, so no line told of it. Change: the header is decoded at the boundary, the pool keeps what each target named last, 'target names a limit' logs each change, and gullhaven_site_targets_limited counts them. No decision uses it yet.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -32,6 +32,7 @@
 	SiteTargets        = Metric{"gullhaven_site_targets", Gauge, "targets", "Targets of the region on the list."}
 	SiteTargetsOut     = Metric{"gullhaven_site_targets_out", Gauge, "targets", "Targets left out for a while as they were lost."}
 	SiteTargetsCold    = Metric{"gullhaven_site_targets_cold", Gauge, "targets", "Targets that bear only a few requests a second."}
+	SiteTargetsLimited = Metric{"gullhaven_site_targets_limited", Gauge, "targets", "Targets that name in their answers how many requests a second they take."}
 	SiteTargetsLeaving = Metric{"gullhaven_site_targets_draining", Gauge, "targets", "Targets that drain, or whose zone is evacuated."}
 	SiteVersion        = Metric{"gullhaven_site_version", Gauge, "version", "Version of the configuration in force, or accepted at a core instance; 0 for none."}
 	SiteHeard          = Metric{"gullhaven_site_version_heard", Gauge, "version", "Newest version that a core instance told this entry instance of; above the one in force it is on its way."}
@@ -55,7 +56,7 @@
 // Site are the metrics that only instances of a site have, each once.
 var Site = []Metric{
 	SitePassedOn, SiteRefusals, SiteNoView, SiteLeaving, SiteKillers, SiteOverloaded, SiteUnknownKeys, SiteNoHome, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteDecided, SiteInvalidSums, SiteUntoldSums, SiteRegionsOut,
-	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold,
+	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteGapTime, SiteWholeTime, SiteDials, SiteTargets, SiteTargetsOut, SiteTargetsCold, SiteTargetsLimited,
 	SiteTargetsLeaving, SiteVersion, SiteHeard, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesLeftOut,
 }
@@ -73,9 +74,9 @@
 
 // EntryState is what an entry instance shows of itself when its page is read.
 type EntryState struct {
-	InFlight, Dials, Targets, Out, Cold, Draining, Version, Heard, ListAge, Entries, Cores int64
-	LinesDropped, LinesLeftOut, PiecesLeft, PieceBytes, PiecesFailed                       int64
-	Links                                                                                  Links
+	InFlight, Dials, Targets, Out, Cold, Limited, Draining, Version, Heard, ListAge, Entries, Cores int64
+	LinesDropped, LinesLeftOut, PiecesLeft, PieceBytes, PiecesFailed                                int64
+	Links                                                                                           Links
 }
 
 // NewSiteEntry makes the metrics of an entry instance; read gives its state.
@@ -87,6 +88,7 @@
 	page.show(SiteTargets, func(e *EntryState) int64 { return e.Targets })
 	page.show(SiteTargetsOut, func(e *EntryState) int64 { return e.Out })
 	page.show(SiteTargetsCold, func(e *EntryState) int64 { return e.Cold })
+	page.show(SiteTargetsLimited, func(e *EntryState) int64 { return e.Limited })
 	page.show(SiteTargetsLeaving, func(e *EntryState) int64 { return e.Draining })
 	page.show(SiteVersion, func(e *EntryState) int64 { return e.Version })
 	page.show(SiteHeard, func(e *EntryState) int64 { return e.Heard })
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -249,6 +249,9 @@
 // for an answer of another instance.
 func (q *request) take(a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
+	if p != nil && (reply.ID == q.call.ID || reply.NotRun) && !reply.Gone {
+		q.noteLimit(p.choice, reply.Named)
+	}
 	switch {
 	case reply.Gone:
 		q.turnedAway = true
@@ -269,6 +272,15 @@
 	return q.takeWhole(a)
 }
 
+// noteLimit takes in the limit that a target names in an answer of its own.
+func (q *request) noteLimit(c *pick.Choice, n pick.Named) {
+	if !c.Named(time.Now(), n) {
+		return
+	}
+	q.g.o.Log.Info("target names a limit", zap.String("target", c.ID), zap.Bool("limited", n.Limited), zap.Float64("per_second", n.PerSecond),
+		zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
+}
+
 // ran counts a target that ran the request or may have.
 func (q *request) ran(v verdict.Verdict) {
 	q.runs++
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -77,6 +77,8 @@
 	// NotRun says that the target did not run the request; Gone that another target
 	// has its address.
 	NotRun, Gone bool
+	// Named is the limit that the target names.
+	Named pick.Named
 }
 
 // Dialect translates between headers and these types. It decides nothing.
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -48,6 +48,8 @@
 	// count as cold after a zone's return from evacuation, or after it was out of reach.
 	coldNext time.Time
 	coldBy   time.Time
+	// named is the limit that it has named last.
+	named heard
 	// unreached says that no connection to it could be made since its last answer.
 	unreached bool
 	// order is its place among the targets of the service, alike at all instances.
@@ -226,8 +228,8 @@
 	return out
 }
 
-// Counts of targets by what they may get.
-type Counts struct{ Targets, Out, Cold, Draining int }
+// Counts of targets by what they may get. A limited one may be any of the others, too.
+type Counts struct{ Targets, Out, Cold, Limited, Draining int }
 
 // Count counts the targets of the region.
 func (p *Pool) Count(now time.Time) Counts {
@@ -235,6 +237,9 @@
 	defer p.mu.Unlock()
 	c := Counts{Targets: len(p.targets)}
 	for _, t := range p.targets {
+		if t.named.Limited {
+			c.Limited++
+		}
 		switch {
 		case p.leaving(t):
 			c.Draining++
