pick, deciding: a target gets from all instances together what it names

Cause: nothing read the limit, so the choice went on by load alone (hypothesis 1). Behind it waits the second: who gets an answer is not who decides. Change: the rate of a cold target and the limit that a target names are one bound, kept by the instance that decides for the target's group; the others give such a target nothing by themselves. An asker tells its decider where the answer names another limit than the decider believed; questions carry the limits that the asker knows, so a decider that begins does not begin at nothing; a decider without a target says what it knows, so that an asker does not send what was withheld. Newer words win by the time of the answer. A limit under 0.25 a second is taken as that, or nothing would tell of its end; what cannot be meant is none. Why it works: the sum is one instance's spacing; while two of them believe that they decide it is twice that, within what the users allow for a second or two.

--- /dev/null
+++ b/node/deciding/named_test.go
@@ -0,0 +1,87 @@
+package deciding_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// ask asks until the link is up, and returns the decision.
+func (i *instance) ask(t *testing.T) exchange.Decision {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if d, ok := i.s.Decide(context.Background(), call(1), "id", time.Minute); ok {
+			return d
+		}
+	}
+	t.Fatal("no decision")
+	return exchange.Decision{}
+}
+
+// knows waits until an instance knows so many limits.
+func (i *instance) knows(n int) int {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if len(i.pool.Known(time.Now(), "s")) == n {
+			break
+		}
+	}
+	return len(i.pool.Known(time.Now(), "s"))
+}
+
+// Guards against a limit that stays with the instance that got the answer, while another one
+// decides.
+func TestNamedLimitReachesTheDecider(t *testing.T) {
+	Convey("a target names a limit in an answer to another instance", t, func() {
+		decider, other := split(start(t, 2))
+		d := other.ask(t)
+		So(d.Limit, ShouldResemble, pick.Named{})
+		other.s.Named(d, pick.Named{Limited: true, PerSecond: 2})
+		So(decider.knows(1), ShouldEqual, 1)
+		Convey("and names none in a later one", func() {
+			other.s.Named(d, pick.Named{})
+			So(decider.knows(0), ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against a decider that begins at nothing and gives a target in need its full share.
+func TestDeciderThatBeginsLearnsLimitsFromAskers(t *testing.T) {
+	Convey("an instance that knows of limits at all targets asks a decider that knows none", t, func() {
+		decider, other := split(start(t, 2))
+		for {
+			c, _ := other.pool.Pick(time.Now(), call(1))
+			if c == nil {
+				break
+			}
+			c.Heard(time.Now(), pick.Named{Limited: true, PerSecond: 0})
+		}
+		known := len(other.pool.Known(time.Now(), "s"))
+		So(known, ShouldBeGreaterThan, 0)
+		other.ask(t)
+		So(len(decider.pool.Known(time.Now(), "s")), ShouldEqual, known)
+	})
+}
+
+// Guards against an instance that sends by itself what its decider has withheld.
+func TestAskerLearnsWhyThereIsNoTarget(t *testing.T) {
+	Convey("all targets are in need and not due", t, func() {
+		decider, other := split(start(t, 2))
+		other.ask(t)
+		now := time.Now()
+		for range 50 {
+			c, _ := decider.pool.Pick(now, call(1))
+			if c == nil {
+				break
+			}
+			c.Heard(now, pick.Named{Limited: true, PerSecond: 0})
+		}
+		_, ok := other.s.Decide(context.Background(), call(1), "id", time.Minute)
+		So(ok, ShouldBeFalse)
+		So(len(other.pool.Known(time.Now(), "s")), ShouldEqual, 5)
+	})
+}
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -45,6 +45,8 @@
 	Ticket     string    `cbor:"1,keyasint"`
 	Call       pick.Call `cbor:"2,keyasint"`
 	LeftMillis int64     `cbor:"3,keyasint"`
+	// Known are the limits of the service's targets that the asker knows of.
+	Known []pick.Known `cbor:"4,keyasint,omitempty"`
 }
 
 // decision answers a question; Target is empty where none may get the request.
@@ -55,13 +57,20 @@
 	Front  float64 `cbor:"4,keyasint,omitempty"`
 	Wait   float64 `cbor:"5,keyasint,omitempty"`
 	Tokens float64 `cbor:"6,keyasint,omitempty"`
+	// Limit is what the target named last.
+	Limit *pick.Named `cbor:"7,keyasint,omitempty"`
+	// Known are the limits known here, where there is no target: the asker must not send what
+	// was withheld.
+	Known []pick.Known `cbor:"8,keyasint,omitempty"`
 }
 
-// news tells of a ticket: its target has begun to answer, or has ended.
+// news tells of a ticket: its target names another limit than was known, has begun to answer, or
+// has ended.
 type news struct {
 	Ticket string      `cbor:"1,keyasint"`
 	Ended  bool        `cbor:"2,keyasint,omitempty"`
 	Result pick.Result `cbor:"3,keyasint,omitempty"`
+	Named  *pick.Named `cbor:"4,keyasint,omitempty"`
 }
 
 // Service asks deciders, and answers as one.
@@ -115,7 +124,7 @@
 	}
 	// The number keeps a late message of one attempt from another one's ticket.
 	ticket := fmt.Sprint(s.self, " ", id, " ", s.asked.Add(1))
-	payload, err := cbor.Marshal(question{Ticket: ticket, Call: c, LeftMillis: left.Milliseconds()})
+	payload, err := cbor.Marshal(question{Ticket: ticket, Call: c, LeftMillis: left.Milliseconds(), Known: s.pool.Known(time.Now(), c.Service)})
 	if err != nil {
 		s.log.Error("a question for a target cannot be written", zap.Error(err))
 		return exchange.Decision{}, false
@@ -133,9 +142,19 @@
 		s.tell(decider, news{Ticket: ticket, Ended: true, Result: pick.Neutral})
 		return exchange.Decision{}, false
 	}
-	return exchange.Decision{
+	s.pool.Learn(time.Now(), d.Known)
+	out := exchange.Decision{
 		Target: d.Target, Source: d.Source, Cost: d.Cost, Wait: d.Wait, Front: d.Front, Tokens: d.Tokens, Ticket: ticket, By: decider,
-	}, d.Target != ""
+	}
+	if d.Limit != nil {
+		out.Limit = *d.Limit
+	}
+	return out, d.Target != ""
+}
+
+// Named implements exchange.Decider.
+func (s *Service) Named(d exchange.Decision, n pick.Named) {
+	s.tell(d.By, news{Ticket: d.Ticket, Named: &n})
 }
 
 // Began implements exchange.Decider.
@@ -174,14 +193,19 @@
 		return nil, err
 	}
 	now := time.Now()
+	s.pool.Learn(now, q.Known)
 	choice, _ := s.pool.Pick(now, q.Call)
 	if choice == nil {
-		return cbor.Marshal(decision{})
+		return cbor.Marshal(decision{Known: s.pool.Known(now, q.Call.Service)})
 	}
 	s.mu.Lock()
 	s.tickets[q.Ticket] = held{choice: choice, until: now.Add(time.Duration(q.LeftMillis) * time.Millisecond)}
 	s.mu.Unlock()
-	return cbor.Marshal(decision{Target: choice.ID, Source: choice.Source, Cost: choice.Cost, Front: choice.Front, Wait: choice.Wait, Tokens: choice.Tokens})
+	d := decision{Target: choice.ID, Source: choice.Source, Cost: choice.Cost, Front: choice.Front, Wait: choice.Wait, Tokens: choice.Tokens}
+	if choice.Limit.Limited {
+		d.Limit = &choice.Limit
+	}
+	return cbor.Marshal(d)
 }
 
 func (s *Service) told(from string, payload []byte) {
@@ -198,6 +222,8 @@
 	s.mu.Unlock()
 	switch {
 	case !ok:
+	case n.Named != nil:
+		h.choice.Heard(time.Now(), *n.Named)
 	case n.Ended:
 		h.choice.Done(time.Now(), n.Result)
 	default:
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -250,7 +250,7 @@
 func (q *request) take(a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
 	if p != nil && (reply.ID == q.call.ID || reply.NotRun) && !reply.Gone {
-		q.noteLimit(p.choice, reply.Named)
+		q.noteLimit(p, reply.Named)
 	}
 	switch {
 	case reply.Gone:
@@ -273,11 +273,15 @@
 }
 
 // noteLimit takes in the limit that a target names in an answer of its own.
-func (q *request) noteLimit(c *pick.Choice, n pick.Named) {
-	if !c.Named(time.Now(), n) {
+func (q *request) noteLimit(p *destination, n pick.Named) {
+	news := p.choice.Heard(time.Now(), n)
+	if p.by != nil && p.decided.Limit != n {
+		p.by.Named(p.decided, n)
+	}
+	if !news {
 		return
 	}
-	q.g.o.Log.Info("target names a limit", zap.String("target", c.ID), zap.Bool("limited", n.Limited), zap.Float64("per_second", n.PerSecond),
+	q.g.o.Log.Info("target names a limit", zap.String("target", p.choice.ID), zap.Bool("limited", n.Limited), zap.Float64("per_second", n.PerSecond),
 		zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
 }
 
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -98,7 +98,9 @@
 type Decider interface {
 	// Decide asks for a target within left; false where this instance is to choose.
 	Decide(ctx context.Context, c pick.Call, id string, left time.Duration) (Decision, bool)
-	// Began tells that the target has begun to answer, Ended how the request ended.
+	// Named tells of a limit that the target names, or names no more, Began that it has begun to
+	// answer, Ended how the request ended.
+	Named(d Decision, n pick.Named)
 	Began(d Decision)
 	Ended(d Decision, r pick.Result)
 }
@@ -141,6 +143,8 @@
 	// Source, Cost, Wait, Front and Tokens are those of pick.Choice.
 	Source                    string
 	Cost, Wait, Front, Tokens float64
+	// Limit is what the target named last, as far as was known there.
+	Limit pick.Named
 	// Ticket names the request at the instance By.
 	Ticket, By string
 }
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -19,6 +19,8 @@
 	Tokens float64
 	// Cold says that the target was cold.
 	Cold bool
+	// Limit is what the target had named last, as far as was known.
+	Limit Named
 	// Source is the address of another target that keeps more of the prompt, from
 	// where this one may fetch it; empty for none.
 	Source string
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -10,8 +10,8 @@
 	switch {
 	case !p.open(now, t, c), t.probing:
 		return false
-	case p.cold(now, t):
-		return p.mayWarm(now, t)
+	case p.perSecond(now, t) > 0:
+		return p.due(now, t)
 	}
 	return true
 }
@@ -54,12 +54,11 @@
 	}
 }
 
-// mayWarm shares a cold target's few requests out: the entry instance that decides for
-// its group gives them at the rate that it bears, and the others none. What goes wrong
-// without it: each instance keeps the rate by itself, their sum crashes the target,
-// and it comes back cold again.
-func (p *Pool) mayWarm(now time.Time, t *target) bool {
-	if now.Before(t.coldNext) {
+// due shares out the few requests of a target that bears only so many a second: the entry
+// instance that decides for its group gives them at that rate, and the others none. What goes
+// wrong without it: each instance keeps the rate by itself, and their sum crashes the target.
+func (p *Pool) due(now time.Time, t *target) bool {
+	if now.Before(t.next) {
 		return false
 	}
 	return p.owner(t.Service, t.group) == p.self
--- a/route/pick/named.go
+++ b/route/pick/named.go
@@ -7,6 +7,11 @@
 
 // The load pattern: a target in need names in its answers how many requests a second it takes
 // from all instances together, for as long as it says so.
+//
+// The instance that decides for the target's group gives it requests at that rate, as to a cold
+// one; the others give it none by themselves. Who gets an answer is not who decides, so what
+// the answer names goes back to the decider where it believes otherwise, and each question
+// carries what the asker knows: a decider that begins does not begin at nothing.
 
 // Named is the limit that a target names in an answer. The zero value names none.
 type Named struct {
@@ -14,8 +19,8 @@
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 }
 
-// valid reports whether a limit can be meant. What cannot be is taken for none.
-func (n Named) valid() bool {
+// Valid reports whether a limit can be meant. What cannot be is taken for none.
+func (n Named) Valid() bool {
 	return n.Limited && n.PerSecond >= 0 && !math.IsInf(n.PerSecond, 0)
 }
 
@@ -25,8 +30,8 @@
 	at time.Time
 }
 
-// Named takes in what the target's answer names, and reports whether that is news.
-func (c *Choice) Named(now time.Time, n Named) bool {
+// Heard takes in what the target's answer names, and reports whether that is news.
+func (c *Choice) Heard(now time.Time, n Named) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	return c.t.hears(now, n)
@@ -37,10 +42,67 @@
 	if at.Before(t.named.at) {
 		return false
 	}
-	if !n.valid() {
+	if !n.Valid() {
 		n = Named{}
 	}
 	news = n != t.named.Named
 	t.named = heard{n, at}
 	return news
 }
+
+const (
+	// leastNamed is what a target that names less gets all the same, a second: without a
+	// request, nothing would tell that it has recovered.
+	leastNamed = 0.25
+	// mostKnown bounds the limits that go with one question, oldestKnown their age.
+	mostKnown   = 64
+	oldestKnown = time.Hour
+)
+
+// perSecond is how many requests a second a target bears from all instances together; 0 where
+// nothing bounds it.
+func (p *Pool) perSecond(now time.Time, t *target) float64 {
+	least := 0.0
+	if p.cold(now, t) {
+		least = p.snapshot.Rules[t.Service].ColdPerSecond
+	}
+	if t.named.Limited {
+		limit := max(leastNamed, t.named.PerSecond)
+		if least == 0 || limit < least {
+			least = limit
+		}
+	}
+	return least
+}
+
+// Known is a limit that an instance knows of.
+type Known struct {
+	Target string `cbor:"1,keyasint"`
+	Named  Named  `cbor:"2,keyasint"`
+	// AgeMillis is how long ago the target named it.
+	AgeMillis int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Known lists the targets of a service that are in need as far as is known here.
+func (p *Pool) Known(now time.Time, service string) []Known {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Known
+	for _, t := range p.byService[service] {
+		if t.named.Limited && len(out) < mostKnown {
+			out = append(out, Known{Target: t.ID, Named: t.named.Named, AgeMillis: now.Sub(t.named.at).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// Learn takes in what another instance knows. What was heard here later stays.
+func (p *Pool) Learn(now time.Time, known []Known) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, k := range known {
+		if t := p.targets[k.Target]; t != nil && k.AgeMillis >= 0 && k.AgeMillis <= oldestKnown.Milliseconds() {
+			t.hears(now.Add(-time.Duration(k.AgeMillis)*time.Millisecond), k.Named)
+		}
+	}
+}
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -44,10 +44,11 @@
 	// slowness is how many times longer first events took than at the service's engines as
 	// a rule.
 	slowness float64
-	// coldNext is when it may be given the next request while cold. coldBy is when it ends to
-	// count as cold after a zone's return from evacuation, or after it was out of reach.
-	coldNext time.Time
-	coldBy   time.Time
+	// next is when it may be given the next request while it bears only a few. coldBy is when
+	// it ends to count as cold after a zone's return from evacuation, or after it was out of
+	// reach.
+	next   time.Time
+	coldBy time.Time
 	// named is the limit that it has named last.
 	named heard
 	// unreached says that no connection to it could be made since its last answer.
@@ -120,7 +121,8 @@
 const (
 	// ReasonNone: the service has no target in the region.
 	ReasonNone = "no_target"
-	// ReasonLeft: all targets are draining, evacuated, cold or out of reach.
+	// ReasonLeft: all targets are draining, evacuated, out of reach, or cold or in need and not
+	// due yet.
 	ReasonLeft = "none_available"
 )
 
@@ -165,13 +167,13 @@
 
 // take counts the request in.
 func (p *Pool) take(w *weighing, t *target, e *estimate) *Choice {
-	ch := &Choice{ID: t.ID, Address: t.Address, Cost: e.cost(t), pool: p, t: t, at: w.now, chain: w.chain}
+	ch := &Choice{ID: t.ID, Address: t.Address, Cost: e.cost(t), Limit: t.named.Named, pool: p, t: t, at: w.now, chain: w.chain}
 	if t.failures > 0 {
 		t.probing, ch.probe = true, true
 	}
-	if p.cold(w.now, t) {
-		ch.Cold = true
-		t.coldNext = w.now.Add(time.Duration(float64(time.Second) / w.rules.ColdPerSecond))
+	ch.Cold = p.cold(w.now, t)
+	if perSecond := p.perSecond(w.now, t); perSecond > 0 {
+		t.next = w.now.Add(time.Duration(float64(time.Second) / perSecond))
 	}
 	ch.Wait, ch.Tokens = e.wait, e.tokens
 	if w.rules.Engine {
