--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -187,7 +187,7 @@
 	s.avoid[id] = time.Now().Add(avoidFor)
 }
 
-func (s *Service) serveAsk(_ context.Context, _ string, payload []byte) ([]byte, error) {
+func (s *Service) serveAsk(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var q question
 	if err := cbor.Unmarshal(payload, &q); err != nil {
 		return nil, err
@@ -198,6 +198,9 @@
 	if choice == nil {
 		return cbor.Marshal(decision{Known: s.pool.Known(now, q.Call.Service)})
 	}
+	if choice.Cold {
+		s.log.Info("cold target chosen", zap.String("target", choice.ID), zap.Int("entries", choice.Entries), zap.String("asker", from))
+	}
 	s.mu.Lock()
 	s.tickets[q.Ticket] = held{choice: choice, until: now.Add(time.Duration(q.LeftMillis) * time.Millisecond)}
 	s.mu.Unlock()
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
@@ -95,6 +97,9 @@
 		}
 	}
 	if choice, _ := q.g.o.Pool.Pick(now, c); choice != nil {
+		if choice.Cold {
+			q.g.o.Log.Info("cold target chosen", zap.String("target", choice.ID), zap.Int("entries", choice.Entries), zap.String("id", q.call.ID))
+		}
 		return &destination{choice: choice}
 	}
 	return nil
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -17,8 +17,10 @@
 	Front float64
 	// Tokens are what is read until the first event, as far as was known.
 	Tokens float64
-	// Cold says that the target was cold.
-	Cold bool
+	// Cold says that the target was cold, and Entries how many instances were known among which
+	// one decides for it.
+	Cold    bool
+	Entries int
 	// Limit is what the target had named last, as far as was known.
 	Limit Named
 	// Source is the address of another target that keeps more of the prompt, from
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -171,7 +171,7 @@
 	if t.failures > 0 {
 		t.probing, ch.probe = true, true
 	}
-	ch.Cold = p.cold(w.now, t)
+	ch.Cold, ch.Entries = p.cold(w.now, t), len(p.snapshot.Entries)
 	if perSecond := p.perSecond(w.now, t); perSecond > 0 {
 		t.next = w.now.Add(time.Duration(float64(time.Second) / perSecond))
 	}
