pick, entry: only an instance that has settled as decider gives requests to cold targets

Cause: the decider of a target is the first by rendezvous among the entry instances that one knows. Instances that start together know few others, so several took themselves for it: within 0.8 s seven gave requests to one target (lines 'cold target chosen': 107 of 236 choices by instances that knew only themselves; one of them for two seconds). Change: an instance gives targets that bear only so many a second nothing until a core instance has answered a report in which it was ready, and until it has been the decider by all that it knew for 0.7 s, as long as news take.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -57,6 +57,8 @@
 	coresDigest uint64
 	// entries are the other entry instances.
 	entries feed.Known
+	// joined says that a core instance has answered a report in which this instance was ready.
+	joined bool
 	// loads sums up what the others of the region have under way.
 	loads   []feed.Load
 	regions []feed.Summary
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -41,6 +41,8 @@
 	}
 	if !r.Brief {
 		k.regions = u.Regions
+		// The answer to a report that called this instance ready tells of all that were.
+		k.joined = k.joined || r.Self.Ready
 	}
 	if u.Near {
 		k.loads = u.Loads
@@ -166,6 +168,7 @@
 	self := i.o.Self
 	// The first view makes it ready.
 	self.Ready, self.Leaving = !i.draining.Load(), i.leaving()
+	s.Unheard = !k.joined
 	s.Entries = takers(append([]feed.Entry{self}, k.entries.Entries...), self.Region)
 	for _, l := range k.loads {
 		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: queue(l.Unread), Reading: l.Reading}
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -58,8 +58,5 @@
 // instance that decides for its group gives them at that rate, and the others none. What goes
 // wrong without it: each instance keeps the rate by itself, and their sum crashes the target.
 func (p *Pool) due(now time.Time, t *target) bool {
-	if now.Before(t.next) {
-		return false
-	}
-	return p.owner(t.Service, t.group) == p.self
+	return !now.Before(t.next) && p.settled(now, t.Service, t.group)
 }
--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -85,9 +85,17 @@
 // owner is the entry instance that decides for a group; alike at all that know the
 // same entry instances.
 func (p *Pool) owner(service string, group int) string {
+	if best := ownerAmong(p.snapshot.Entries, service, group); best != "" {
+		return best
+	}
+	return p.self
+}
+
+// ownerAmong is the first of some entry instances by rendezvous; empty for none.
+func ownerAmong(ids []string, service string, group int) string {
 	key := xxhash.Sum64String(groupName(service, group))
-	best, most := p.self, uint64(0)
-	for _, id := range p.snapshot.Entries {
+	best, most := "", uint64(0)
+	for _, id := range ids {
 		if w := weight(key, id); w > most {
 			best, most = id, w
 		}
--- /dev/null
+++ b/route/pick/owner_test.go
@@ -0,0 +1,80 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// Guards against instances that start together, each of which takes itself for the one that
+// decides for a cold target until it has heard of the others.
+func TestColdTargetWhileInstancesHearOfEachOther(t *testing.T) {
+	const (
+		perSecond, slack = 2.2 * 1.5, 3
+		step             = 20 * time.Millisecond
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 25).Draw(t, "instances")
+		list := targets(1)
+		list[0].ColdUntil = t0.Add(time.Hour)
+		var pools []*pick.Pool
+		var ids []string
+		// startAt is when each begins to serve, joinedAt when a core instance has heard of it.
+		var startAt, joinedAt []time.Time
+		ms := func(least, most int, label string) time.Duration {
+			return time.Duration(rapid.IntRange(least, most).Draw(t, label)) * time.Millisecond
+		}
+		for k := range n {
+			ids = append(ids, fmt.Sprint("e", k))
+			pools = append(pools, pick.New(ids[k]))
+			startAt = append(startAt, t0.Add(ms(0, 1500, "start")))
+			joinedAt = append(joinedAt, startAt[k].Add(ms(20, 1500, "joins")))
+		}
+		// hearsAt is when each hears of each other one.
+		hearsAt := make([][]time.Time, n)
+		for k := range n {
+			for other := range n {
+				at := joinedAt[other].Add(ms(20, 680, "news"))
+				if at.Before(joinedAt[k]) {
+					at = joinedAt[k]
+				}
+				hearsAt[k] = append(hearsAt[k], at)
+			}
+		}
+		var sent []time.Time
+		for now := t0; now.Before(t0.Add(5 * time.Second)); now = now.Add(step) {
+			for k, p := range pools {
+				if now.Before(startAt[k]) {
+					continue
+				}
+				known := []string{ids[k]}
+				for other := range n {
+					if other != k && !now.Before(hearsAt[k][other]) {
+						known = append(known, ids[other])
+					}
+				}
+				p.Update(now, pick.Snapshot{Targets: list, Entries: known, Unheard: now.Before(joinedAt[k]), Rules: engines()})
+				if c, _ := p.Pick(now, call(5)); c != nil {
+					sent = append(sent, now)
+					c.Done(now, pick.Good)
+				}
+			}
+			inSecond := 0
+			for _, at := range sent {
+				if now.Sub(at) < time.Second {
+					inSecond++
+				}
+			}
+			if float64(inSecond) > perSecond+slack {
+				t.Fatalf("%d requests in a second", inSecond)
+			}
+		}
+		if len(sent) == 0 {
+			t.Fatal("no request at all")
+		}
+	})
+}
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -17,6 +17,8 @@
 	// byService is in the order of ids.
 	byService map[string][]*target
 	snapshot  Snapshot
+	// past are the entry instances known before those of the snapshot, for settleTime.
+	past []pastEntries
 	// evacuatedAt is when each zone was last seen evacuated.
 	evacuatedAt map[string]time.Time
 	// paces are those of the engines by service.
@@ -80,6 +82,7 @@
 	p.targets = make(map[string]*target, len(s.Targets))
 	p.byService = map[string][]*target{}
 	p.noteEvacuations(now, s)
+	p.noteEntries(now, &s)
 	for _, listed := range s.Targets {
 		t := old[listed.ID]
 		if t == nil || t.startedAgain(listed) {
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -89,6 +89,8 @@
 	// Entries are the ids of the region's entry instances that take requests, this
 	// one included, in order. They share out the groups of targets.
 	Entries []string
+	// Unheard says that this instance has started and not been told the others yet.
+	Unheard bool
 	// Rules by service.
 	Rules map[string]ServiceRules
 }
