quota: a request whose workspace has just lost its limit passes where its own instance is the one asked

Cause: between identification and the question for units the limit may go from the configuration; an instance that stands for the workspace itself then took its own 'unknown' for a refusal (429). Others decided alone and let it pass. Change: an own 'unknown' is treated as another one's. Test: TestRequestOfAWorkspaceThatLosesItsLimitPasses, red before.

--- a/node/quota/service.go
+++ b/node/quota/service.go
@@ -133,9 +133,11 @@
 	for range mostAsked {
 		to := s.stands(workspace)
 		if to == s.o.Self {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return s.holders.Take(s.clock.Now(), workspace, units), to
+			if v := s.takeHere(workspace, units); !v.Unknown {
+				return v, to
+			}
+			// The limit has gone from the configuration since the request was identified.
+			break
 		}
 		if to == "" {
 			break
@@ -153,6 +155,12 @@
 	return s.holders.TakeAlone(s.clock.Now(), workspace, units), ""
 }
 
+func (s *Service) takeHere(workspace string, units float64) Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holders.Take(s.clock.Now(), workspace, units)
+}
+
 func (s *Service) call(ctx context.Context, to string, q Question) (Verdict, error) {
 	var v Verdict
 	payload, err := cbor.Marshal(q)
@@ -214,10 +222,7 @@
 	if err := cbor.Unmarshal(payload, &q); err != nil {
 		return nil, err
 	}
-	s.mu.Lock()
-	v := s.holders.Take(s.clock.Now(), q.Workspace, max(0, q.Units))
-	s.mu.Unlock()
-	return cbor.Marshal(v)
+	return cbor.Marshal(s.takeHere(q.Workspace, max(0, q.Units)))
 }
 
 func (s *Service) serveBack(from string, payload []byte) {
--- a/node/quota/service_test.go
+++ b/node/quota/service_test.go
@@ -215,3 +215,14 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// Guards against a workspace that is refused for a limit which has just been taken away.
+func TestRequestOfAWorkspaceThatLosesItsLimitPasses(t *testing.T) {
+	all := start(t, 1)
+	free := limited
+	free.Limit = routes.UseLimit{}
+	know(all, table(free))
+	if a := all[0].s.Take(context.Background(), &limited, 1); !a.OK {
+		t.Errorf("refused: %+v", a)
+	}
+}
