--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -21,10 +21,11 @@
 //	extras(span) <= share * (firsts(span) + firsts(span before)) + allowances
 //
 // also where the load moves between senders. A bound by the first sendings of the span that
-// ends now does not add up: each sender would allow by the span in which it was busiest. A
-// sender that starts anew may forget its first sendings, but not its extras: what its last life
-// and this one have earned together stays within the sum above, and only the allowance has to
-// be smaller until a span has passed.
+// ends now would not add up: each sender would allow by the span in which it was busiest.
+//
+// A sender that starts anew has forgotten what it sent, and what that was earned by. Its last
+// life and this one still earn each first sending once, so the sum above holds for them too,
+// but for the allowance: that has to be smaller until a span has passed.
 type Window struct {
 	share, allowance float64
 	part             time.Duration
--- a/node/deciding/named_test.go
+++ b/node/deciding/named_test.go
@@ -26,11 +26,11 @@
 // knows waits until an instance knows so many limits.
 func (i *instance) knows(n int) int {
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if len(i.pool.Known(time.Now(), "s")) == n {
+		if len(i.pool.KnownLimits(time.Now(), "s")) == n {
 			break
 		}
 	}
-	return len(i.pool.Known(time.Now(), "s"))
+	return len(i.pool.KnownLimits(time.Now(), "s"))
 }
 
 // Guards against a limit that stays with the instance that got the answer, while another one
@@ -39,11 +39,11 @@
 	Convey("a target names a limit in an answer to another instance", t, func() {
 		decider, other := split(start(t, 2))
 		d := other.ask(t)
-		So(d.Limit, ShouldResemble, pick.Named{})
-		other.s.Named(d, pick.Named{Limited: true, PerSecond: 2})
+		So(d.Limit, ShouldResemble, pick.NamedLimit{})
+		other.s.Named(d, pick.NamedLimit{Limited: true, PerSecond: 2})
 		So(decider.knows(1), ShouldEqual, 1)
 		Convey("and names none in a later one", func() {
-			other.s.Named(d, pick.Named{})
+			other.s.Named(d, pick.NamedLimit{})
 			So(decider.knows(0), ShouldEqual, 0)
 		})
 	})
@@ -58,12 +58,12 @@
 			if c == nil {
 				break
 			}
-			c.Heard(time.Now(), pick.Named{Limited: true, PerSecond: 0})
+			c.Heard(time.Now(), pick.NamedLimit{Limited: true, PerSecond: 0})
 		}
-		known := len(other.pool.Known(time.Now(), "s"))
+		known := len(other.pool.KnownLimits(time.Now(), "s"))
 		So(known, ShouldBeGreaterThan, 0)
 		other.ask(t)
-		So(len(decider.pool.Known(time.Now(), "s")), ShouldEqual, known)
+		So(len(decider.pool.KnownLimits(time.Now(), "s")), ShouldEqual, known)
 	})
 }
 
@@ -78,10 +78,10 @@
 			if c == nil {
 				break
 			}
-			c.Heard(now, pick.Named{Limited: true, PerSecond: 0})
+			c.Heard(now, pick.NamedLimit{Limited: true, PerSecond: 0})
 		}
 		_, ok := other.s.Decide(context.Background(), call(1), "id", time.Minute)
 		So(ok, ShouldBeFalse)
-		So(len(other.pool.Known(time.Now(), "s")), ShouldEqual, 5)
+		So(len(other.pool.KnownLimits(time.Now(), "s")), ShouldEqual, 5)
 	})
 }
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -46,7 +46,7 @@
 	Call       pick.Call `cbor:"2,keyasint"`
 	LeftMillis int64     `cbor:"3,keyasint"`
 	// Known are the limits of the service's targets that the asker knows of.
-	Known []pick.Known `cbor:"4,keyasint,omitempty"`
+	Known []pick.KnownLimit `cbor:"4,keyasint,omitempty"`
 }
 
 // decision answers a question; Target is empty where none may get the request.
@@ -58,19 +58,19 @@
 	Wait   float64 `cbor:"5,keyasint,omitempty"`
 	Tokens float64 `cbor:"6,keyasint,omitempty"`
 	// Limit is what the target named last.
-	Limit *pick.Named `cbor:"7,keyasint,omitempty"`
+	Limit *pick.NamedLimit `cbor:"7,keyasint,omitempty"`
 	// Known are the limits known here, where there is no target: the asker must not send what
 	// was withheld.
-	Known []pick.Known `cbor:"8,keyasint,omitempty"`
+	Known []pick.KnownLimit `cbor:"8,keyasint,omitempty"`
 }
 
 // news tells of a ticket: its target names another limit than was known, has begun to answer, or
 // has ended.
 type news struct {
-	Ticket string      `cbor:"1,keyasint"`
-	Ended  bool        `cbor:"2,keyasint,omitempty"`
-	Result pick.Result `cbor:"3,keyasint,omitempty"`
-	Named  *pick.Named `cbor:"4,keyasint,omitempty"`
+	Ticket string           `cbor:"1,keyasint"`
+	Ended  bool             `cbor:"2,keyasint,omitempty"`
+	Result pick.Result      `cbor:"3,keyasint,omitempty"`
+	Named  *pick.NamedLimit `cbor:"4,keyasint,omitempty"`
 }
 
 // Service asks deciders, and answers as one.
@@ -124,7 +124,7 @@
 	}
 	// The number keeps a late message of one attempt from another one's ticket.
 	ticket := fmt.Sprint(s.self, " ", id, " ", s.asked.Add(1))
-	payload, err := cbor.Marshal(question{Ticket: ticket, Call: c, LeftMillis: left.Milliseconds(), Known: s.pool.Known(time.Now(), c.Service)})
+	payload, err := cbor.Marshal(question{Ticket: ticket, Call: c, LeftMillis: left.Milliseconds(), Known: s.pool.KnownLimits(time.Now(), c.Service)})
 	if err != nil {
 		s.log.Error("a question for a target cannot be written", zap.Error(err))
 		return exchange.Decision{}, false
@@ -142,7 +142,7 @@
 		s.tell(decider, news{Ticket: ticket, Ended: true, Result: pick.Neutral})
 		return exchange.Decision{}, false
 	}
-	s.pool.Learn(time.Now(), d.Known)
+	s.pool.LearnLimits(time.Now(), d.Known)
 	out := exchange.Decision{
 		Target: d.Target, Source: d.Source, Cost: d.Cost, Wait: d.Wait, Front: d.Front, Tokens: d.Tokens, Ticket: ticket, By: decider,
 	}
@@ -153,7 +153,7 @@
 }
 
 // Named implements exchange.Decider.
-func (s *Service) Named(d exchange.Decision, n pick.Named) {
+func (s *Service) Named(d exchange.Decision, n pick.NamedLimit) {
 	s.tell(d.By, news{Ticket: d.Ticket, Named: &n})
 }
 
@@ -193,10 +193,10 @@
 		return nil, err
 	}
 	now := time.Now()
-	s.pool.Learn(now, q.Known)
+	s.pool.LearnLimits(now, q.Known)
 	choice, _ := s.pool.Pick(now, q.Call)
 	if choice == nil {
-		return cbor.Marshal(decision{Known: s.pool.Known(now, q.Call.Service)})
+		return cbor.Marshal(decision{Known: s.pool.KnownLimits(now, q.Call.Service)})
 	}
 	if choice.Cold {
 		s.log.Info("cold target chosen", zap.String("target", choice.ID), zap.Int("entries", choice.Entries), zap.String("asker", from))
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -273,7 +273,7 @@
 }
 
 // noteLimit takes in the limit that a target names in an answer of its own.
-func (q *request) noteLimit(p *destination, n pick.Named) {
+func (q *request) noteLimit(p *destination, n pick.NamedLimit) {
 	news := p.choice.Heard(time.Now(), n)
 	if p.by != nil && p.decided.Limit != n {
 		p.by.Named(p.decided, n)
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -22,7 +22,7 @@
 	Cold    bool
 	Entries int
 	// Limit is what the target had named last, as far as was known.
-	Limit Named
+	Limit NamedLimit
 	// Source is the address of another target that keeps more of the prompt, from
 	// where this one may fetch it; empty for none.
 	Source string
--- a/route/pick/named.go
+++ b/route/pick/named.go
@@ -13,39 +13,39 @@
 // the answer names goes back to the decider where it believes otherwise, and each question
 // carries what the asker knows: a decider that begins does not begin at nothing.
 
-// Named is the limit that a target names in an answer. The zero value names none.
-type Named struct {
+// NamedLimit is the limit that a target names in an answer. The zero value names none.
+type NamedLimit struct {
 	Limited   bool    `cbor:"1,keyasint,omitempty"`
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Valid reports whether a limit can be meant. What cannot be is taken for none.
-func (n Named) Valid() bool {
+func (n NamedLimit) Valid() bool {
 	return n.Limited && n.PerSecond >= 0 && !math.IsInf(n.PerSecond, 0)
 }
 
 // heard is what a target named last, and when its answer came.
 type heard struct {
-	Named
+	NamedLimit
 	at time.Time
 }
 
 // Heard takes in what the target's answer names, and reports whether that is news.
-func (c *Choice) Heard(now time.Time, n Named) bool {
+func (c *Choice) Heard(now time.Time, n NamedLimit) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	return c.t.hears(now, n)
 }
 
 // hears takes in what the target has named at a time, if nothing newer is known.
-func (t *target) hears(at time.Time, n Named) (news bool) {
+func (t *target) hears(at time.Time, n NamedLimit) (news bool) {
 	if at.Before(t.named.at) {
 		return false
 	}
 	if !n.Valid() {
-		n = Named{}
+		n = NamedLimit{}
 	}
-	news = n != t.named.Named
+	news = n != t.named.NamedLimit
 	t.named = heard{n, at}
 	return news
 }
@@ -75,29 +75,29 @@
 	return least
 }
 
-// Known is a limit that an instance knows of.
-type Known struct {
-	Target string `cbor:"1,keyasint"`
-	Named  Named  `cbor:"2,keyasint"`
+// KnownLimit is a limit that an instance knows of.
+type KnownLimit struct {
+	Target string     `cbor:"1,keyasint"`
+	Named  NamedLimit `cbor:"2,keyasint"`
 	// AgeMillis is how long ago the target named it.
 	AgeMillis int64 `cbor:"3,keyasint,omitempty"`
 }
 
-// Known lists the targets of a service that are in need as far as is known here.
-func (p *Pool) Known(now time.Time, service string) []Known {
+// KnownLimits lists the targets of a service that are in need as far as is known here.
+func (p *Pool) KnownLimits(now time.Time, service string) []KnownLimit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []Known
+	var out []KnownLimit
 	for _, t := range p.byService[service] {
 		if t.named.Limited && len(out) < mostKnown {
-			out = append(out, Known{Target: t.ID, Named: t.named.Named, AgeMillis: now.Sub(t.named.at).Milliseconds()})
+			out = append(out, KnownLimit{Target: t.ID, Named: t.named.NamedLimit, AgeMillis: now.Sub(t.named.at).Milliseconds()})
 		}
 	}
 	return out
 }
 
-// Learn takes in what another instance knows. What was heard here later stays.
-func (p *Pool) Learn(now time.Time, known []Known) {
+// LearnLimits takes in what another instance knows. What was heard here later stays.
+func (p *Pool) LearnLimits(now time.Time, known []KnownLimit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, k := range known {
--- a/route/pick/named_test.go
+++ b/route/pick/named_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,12 +29,18 @@
 	pools   []*pick.Pool
 	targets []pick.Target
 	// limit is what the target in need names now; namedAt when it first did.
-	limit   pick.Named
+	limit   pick.NamedLimit
 	namedAt time.Time
 	// toldAt is when each instance first got an answer with a limit.
 	toldAt  []time.Time
 	sent    []sentAt
-	pending []func()
+	pending []answer
+}
+
+// answer is one on its way from a target.
+type answer struct {
+	at   time.Time
+	take func()
 }
 
 type sentAt struct {
@@ -79,11 +86,11 @@
 	}
 	var decided, own *pick.Choice
 	if decider != asker {
-		decider.Learn(w.now, asker.Known(w.now, c.Service))
+		decider.LearnLimits(w.now, asker.KnownLimits(w.now, c.Service))
 		if decided, _ = decider.Pick(w.now, c); decided != nil {
 			own = asker.PickAt(w.now, c, decided.ID)
 		} else {
-			asker.Learn(w.now, decider.Known(w.now, c.Service))
+			asker.LearnLimits(w.now, decider.KnownLimits(w.now, c.Service))
 		}
 	}
 	if own == nil {
@@ -94,16 +101,12 @@
 	if own.ID == inNeedID {
 		w.sent = append(w.sent, sentAt{w.now, k})
 	}
-	limit := pick.Named{}
+	limit := pick.NamedLimit{}
 	if own.ID == inNeedID {
 		limit = w.limit
 	}
 	at := w.now.Add(needStep * time.Duration(rapid.IntRange(1, 20).Draw(w.t, "answer")))
-	w.pending = append(w.pending, func() {
-		if w.now.Before(at) {
-			return
-		}
-		at = at.Add(time.Hour)
+	w.pending = append(w.pending, answer{at, func() {
 		own.Heard(w.now, limit)
 		if limit.Limited && w.toldAt[k].IsZero() {
 			w.toldAt[k] = w.now
@@ -115,14 +118,18 @@
 			}
 			decided.Done(w.now, pick.Good)
 		}
-	})
+	}})
 }
 
 func (w *needWorld) step() {
 	w.now = w.now.Add(needStep)
-	for _, answer := range w.pending {
-		answer()
-	}
+	w.pending = slices.DeleteFunc(w.pending, func(a answer) bool {
+		if w.now.Before(a.at) {
+			return false
+		}
+		a.take()
+		return true
+	})
 }
 
 // over reports how many requests of the span that ends now count against the limit, if they are
@@ -152,7 +159,7 @@
 			w.ask(rapid.IntRange(0, n-1).Draw(t, "at"), true, true)
 			w.step()
 		}
-		w.limit = pick.Named{Limited: true, PerSecond: rapid.SampledFrom([]float64{0, 0.3, 1, 1.9, 12}).Draw(t, "limit")}
+		w.limit = pick.NamedLimit{Limited: true, PerSecond: rapid.SampledFrom([]float64{0, 0.3, 1, 1.9, 12}).Draw(t, "limit")}
 		w.namedAt = w.now
 		ids := w.ids
 		for k := range 900 {
@@ -178,7 +185,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 5).Draw(t, "instances")
 		w := newNeedWorld(t, n, 1)
-		w.limit = pick.Named{Limited: true, PerSecond: rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "limit")}
+		w.limit = pick.NamedLimit{Limited: true, PerSecond: rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "limit")}
 		w.namedAt = w.now
 		ask := func(steps int) {
 			for range steps {
@@ -187,7 +194,7 @@
 			}
 		}
 		ask(400)
-		w.limit = pick.Named{}
+		w.limit = pick.NamedLimit{}
 		ask(300)
 		w.sent = nil
 		ask(200)
@@ -203,12 +210,12 @@
 		p := pick.New("e")
 		p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}, Rules: engines()})
 		c, _ := p.Pick(t0, call(1))
-		if c.Heard(t0, pick.Named{Limited: true, PerSecond: perSecond}) {
+		if c.Heard(t0, pick.NamedLimit{Limited: true, PerSecond: perSecond}) {
 			t.Errorf("%v is news", perSecond)
 		}
-		p.Learn(t0, []pick.Known{
-			{Target: "t0", Named: pick.Named{Limited: true}, AgeMillis: -5}, {Target: "t0", Named: pick.Named{Limited: true}, AgeMillis: math.MaxInt64},
-			{Target: "none", Named: pick.Named{Limited: true}},
+		p.LearnLimits(t0, []pick.KnownLimit{
+			{Target: "t0", Named: pick.NamedLimit{Limited: true}, AgeMillis: -5}, {Target: "t0", Named: pick.NamedLimit{Limited: true}, AgeMillis: math.MaxInt64},
+			{Target: "none", Named: pick.NamedLimit{Limited: true}},
 		})
 		if again, _ := p.Pick(t0, call(1)); again == nil {
 			t.Errorf("%v shuts the target out", perSecond)
@@ -222,14 +229,14 @@
 	p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}, Rules: engines()})
 	c, _ := p.Pick(t0, call(1))
 	now := t0.Add(time.Minute)
-	c.Heard(now, pick.Named{Limited: true, PerSecond: 2})
-	c.Heard(now.Add(time.Second), pick.Named{})
-	p.Learn(now.Add(2*time.Second), []pick.Known{{Target: "t0", Named: pick.Named{Limited: true, PerSecond: 2}, AgeMillis: 1500}})
-	if got := p.Known(now, "s"); len(got) != 0 {
+	c.Heard(now, pick.NamedLimit{Limited: true, PerSecond: 2})
+	c.Heard(now.Add(time.Second), pick.NamedLimit{})
+	p.LearnLimits(now.Add(2*time.Second), []pick.KnownLimit{{Target: "t0", Named: pick.NamedLimit{Limited: true, PerSecond: 2}, AgeMillis: 1500}})
+	if got := p.KnownLimits(now, "s"); len(got) != 0 {
 		t.Fatalf("known: %v", got)
 	}
-	p.Learn(now.Add(2*time.Second), []pick.Known{{Target: "t0", Named: pick.Named{Limited: true, PerSecond: 2}, AgeMillis: 500}})
-	if got := p.Known(now.Add(2*time.Second), "s"); len(got) != 1 || got[0].AgeMillis != 500 {
+	p.LearnLimits(now.Add(2*time.Second), []pick.KnownLimit{{Target: "t0", Named: pick.NamedLimit{Limited: true, PerSecond: 2}, AgeMillis: 500}})
+	if got := p.KnownLimits(now.Add(2*time.Second), "s"); len(got) != 1 || got[0].AgeMillis != 500 {
 		t.Fatalf("known: %v", got)
 	}
 }
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -170,7 +170,7 @@
 
 // take counts the request in.
 func (p *Pool) take(w *weighing, t *target, e *estimate) *Choice {
-	ch := &Choice{ID: t.ID, Address: t.Address, Cost: e.cost(t), Limit: t.named.Named, pool: p, t: t, at: w.now, chain: w.chain}
+	ch := &Choice{ID: t.ID, Address: t.Address, Cost: e.cost(t), Limit: t.named.NamedLimit, pool: p, t: t, at: w.now, chain: w.chain}
 	if t.failures > 0 {
 		t.probing, ch.probe = true, true
 	}
