--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -34,6 +34,16 @@
 	}
 }
 
+func inLastSecond(sent []time.Time, now time.Time) int {
+	n := 0
+	for _, at := range sent {
+		if now.Sub(at) < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
 // Symptom: a target that has just come back crashes again and again.
 // Events: any number of instances send it requests as they come, each within the rate
 // that the target bears.
@@ -61,14 +71,8 @@
 				sent = append(sent, now)
 				c.Done(now, pick.Good)
 			}
-			inSecond := 0
-			for _, at := range sent {
-				if now.Sub(at) < time.Second {
-					inSecond++
-				}
-			}
-			if float64(inSecond) > perSecond+slack {
-				t.Fatalf("%d requests in a second", inSecond)
+			if got := inLastSecond(sent, now); float64(got) > perSecond+slack {
+				t.Fatalf("%d requests in a second", got)
 			}
 		}
 	})
--- a/route/pick/tenure_test.go
+++ b/route/pick/tenure_test.go
@@ -63,14 +63,8 @@
 					c.Done(now, pick.Good)
 				}
 			}
-			inSecond := 0
-			for _, at := range sent {
-				if now.Sub(at) < time.Second {
-					inSecond++
-				}
-			}
-			if float64(inSecond) > perSecond+slack {
-				t.Fatalf("%d requests in a second", inSecond)
+			if got := inLastSecond(sent, now); float64(got) > perSecond+slack {
+				t.Fatalf("%d requests in a second", got)
 			}
 		}
 		if len(sent) == 0 {
