--- a/node/deciding/named_test.go
+++ b/node/deciding/named_test.go
@@ -7,22 +7,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
-// ask asks until the link is up, and returns the decision.
-func (i *instance) ask(t *testing.T) exchange.Decision {
-	t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if d, ok := i.s.Decide(context.Background(), call(1), "id", time.Minute); ok {
-			return d
-		}
-	}
-	t.Fatal("no decision")
-	return exchange.Decision{}
-}
-
 // knows waits until an instance knows so many limits.
 func (i *instance) knows(n int) int {
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
@@ -38,7 +25,7 @@
 func TestNamedLimitReachesTheDecider(t *testing.T) {
 	Convey("a target names a limit in an answer to another instance", t, func() {
 		decider, other := split(start(t, 2))
-		d := other.ask(t)
+		d := other.ask(t, call(1))
 		So(d.Limit, ShouldResemble, pick.NamedLimit{})
 		other.s.Named(d, pick.NamedLimit{Limited: true, PerSecond: 2})
 		So(decider.knows(1), ShouldEqual, 1)
@@ -62,7 +49,7 @@
 		}
 		known := len(other.pool.KnownLimits(time.Now(), "s"))
 		So(known, ShouldBeGreaterThan, 0)
-		other.ask(t)
+		other.ask(t, call(1))
 		So(len(decider.pool.KnownLimits(time.Now(), "s")), ShouldEqual, known)
 	})
 }
@@ -71,7 +58,7 @@
 func TestAskerLearnsWhyThereIsNoTarget(t *testing.T) {
 	Convey("all targets are in need and not due", t, func() {
 		decider, other := split(start(t, 2))
-		other.ask(t)
+		other.ask(t, call(1))
 		now := time.Now()
 		for range 50 {
 			c, _ := decider.pool.Pick(now, call(1))
--- a/node/deciding/service_test.go
+++ b/node/deciding/service_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/node/deciding"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
@@ -85,14 +86,21 @@
 
 // decide asks until the link is up.
 func (i *instance) decide(t *testing.T, c pick.Call) (target string, end func()) {
+	t.Helper()
+	d := i.ask(t, c)
+	return d.Target, func() { i.s.Ended(d, pick.Good) }
+}
+
+// ask is decide with all that was decided.
+func (i *instance) ask(t *testing.T, c pick.Call) exchange.Decision {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if d, ok := i.s.Decide(context.Background(), c, "id", time.Minute); ok {
-			return d.Target, func() { i.s.Ended(d, pick.Good) }
+			return d
 		}
 	}
 	t.Fatal("no decision")
-	return "", nil
+	return exchange.Decision{}
 }
 
 // Symptom: long prompts wait behind each other at some engines while others are idle.
