entry, control: instances that start ask for the state only

Cause: the three core instances that all know at a first start were asked for everything by each of 985 entry instances, every 0.64 s, until there was a leader: all targets of a region, all entry instances. Each report asked the log's goroutine three questions and had a first state confirmed by itself, so votes and the operator's change waited behind them. Alone: TestBeginsWithProbes, TestProbeIsAnsweredInFewBytes.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,7 @@
 	"github.com/gullhaven/gullhaven/coord/wal"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/metrics/lines"
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/node/quota"
 )
@@ -137,6 +139,12 @@
 	dividing dividing
 	// reading is the reading duty's own.
 	reading reading
+	// standing is what the log said lately; confirming shares one confirmation among
+	// those that ask for it together.
+	standing   standing
+	confirming duty.Shared
+	// unled says that a line told of first states that nobody could confirm.
+	unled atomic.Bool
 	// gossipNow wakes the gossip before its time.
 	gossipNow chan struct{}
 
@@ -324,7 +332,7 @@
 }
 
 // Leader is the id of the leader that this instance hears from; empty if there is none.
-func (i *Instance) Leader() string { return i.node.Status().Core.Leader.ID }
+func (i *Instance) Leader() string { return i.stands().leader }
 
 // Ended is closed when the log has failed; the process should end then, so that
 // it is started anew on its disk.
@@ -349,6 +357,9 @@
 			continue
 		}
 		leader = s.Leader.ID
+		// Those that wait for a leader hear of it.
+		i.board.Wake()
+		i.unled.Store(false)
 		i.log.Info("leader", zap.String("leader", leader), zap.Uint64("term", s.Term),
 			zap.Stringer("config", s.Config), zap.Uint64("applied", s.Applied))
 	}
@@ -372,12 +383,3 @@
 	}
 	return s
 }
-
-// led reports whether this instance hears from a leader.
-func (i *Instance) led() bool {
-	s := i.node.Status()
-	if s.State != replhost.Running || s.Core.Leader.ID == "" {
-		return false
-	}
-	return s.Core.Leader.ID != i.o.Self.ID || !i.node.LeaseUntil().IsZero()
-}
--- a/node/control/outside.go
+++ b/node/control/outside.go
@@ -94,7 +94,7 @@
 	if i.outside.isFull() {
 		return true
 	}
-	if _, in := i.node.Status().Core.Config.Lookup(i.o.Self.ID); in {
+	if i.stands().member {
 		return false
 	}
 	return !i.o.FirstStart || !slices.Contains(i.o.Seeds, i.o.Self.ID)
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -18,8 +18,10 @@
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, err
 	}
-	i.board.Reported(time.Now(), r.Self)
-	i.noteHeld(time.Now(), &r)
+	if !r.Probe {
+		i.board.Reported(time.Now(), r.Self)
+		i.noteHeld(time.Now(), &r)
+	}
 	i.board.Suspected(time.Now(), r.Suspects, true)
 	if r.First {
 		i.confirmFirst(ctx)
@@ -27,7 +29,7 @@
 	wait := time.NewTimer(time.Duration(r.WaitMillis) * time.Millisecond)
 	defer wait.Stop()
 	changed := i.board.Changed()
-	if i.accepted().Index <= r.Index && i.board.List().Digest == r.Digest {
+	if i.nothingFor(&r) {
 		select {
 		case <-changed:
 		case <-wait.C:
@@ -38,6 +40,18 @@
 	return cbor.Marshal(i.update(r))
 }
 
+// nothingFor reports whether there is nothing yet that the asker waits for. A probe ends with
+// a state, or with a leader that has none.
+func (i *Instance) nothingFor(r *feed.Report) bool {
+	if i.accepted().Index > r.Index {
+		return false
+	}
+	if r.Probe {
+		return !i.led()
+	}
+	return i.board.List().Digest == r.Digest
+}
+
 // confirmFirst tries to have the state confirmed for an instance that has just
 // started: this member may lag, and the instance would begin with a version older than
 // one acknowledged before its start. Where no majority answers in time it begins with
@@ -47,14 +61,18 @@
 // states from the other members, which it asks at the same time.
 func (i *Instance) confirmFirst(ctx context.Context) {
 	if !i.led() {
-		i.log.Info("first state not confirmed for want of a leader", zap.Uint64("version", i.accepted().Version))
+		if !i.unled.Swap(true) {
+			i.log.Info("first state not confirmed for want of a leader", zap.Uint64("version", i.accepted().Version))
+		}
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, firstTime)
-	defer cancel()
-	if err := i.node.Read(ctx); err != nil {
-		i.log.Info("first state not confirmed", zap.Error(err), zap.Uint64("version", i.accepted().Version))
-	}
+	i.confirming.Do(ctx, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), firstTime)
+		defer cancel()
+		if err := i.node.Read(ctx); err != nil {
+			i.log.Info("first state not confirmed", zap.Error(err), zap.Uint64("version", i.accepted().Version))
+		}
+	})
 }
 
 func (i *Instance) update(r feed.Report) feed.Update {
--- a/node/entry/begin_test.go
+++ b/node/entry/begin_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,19 @@
 
 // coreStandIn answers reports with a state, each after answers was read once.
 func coreStandIn(t *testing.T, s *newest.State, answers <-chan struct{}) (id string) {
+	t.Helper()
+	return answering(t, func(ctx context.Context, _ *feed.Report) (feed.Update, error) {
+		select {
+		case <-answers:
+		case <-ctx.Done():
+			return feed.Update{}, ctx.Err()
+		}
+		return feed.Update{Head: s.Head(), ListAgeMillis: -1}, nil
+	})
+}
+
+// answering is a core instance that answers reports by a function.
+func answering(t *testing.T, answer func(context.Context, *feed.Report) (feed.Update, error)) (id string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,13 +44,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	hub.Serve(control.ChannelReport, 4, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
-		select {
-		case <-answers:
-		case <-ctx.Done():
-			return nil, ctx.Err()
+	hub.Serve(control.ChannelReport, 4, func(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+		var r feed.Report
+		if err := cbor.Unmarshal(payload, &r); err != nil {
+			return nil, err
+		}
+		u, err := answer(ctx, &r)
+		if err != nil {
+			return nil, err
 		}
-		return cbor.Marshal(feed.Update{Head: s.Head(), ListAgeMillis: -1})
+		return cbor.Marshal(u)
 	})
 	server := &http.Server{Handler: hub.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
@@ -79,3 +96,31 @@
 		}
 	}
 }
+
+// Symptom: a thousand instances start and none is ready for a minute: three core instances
+// are at the end of their processor and elect no leader.
+// Events: all instances know the same three core instances and ask each of them again and
+// again.
+// Cause: each answer held all targets and all entry instances.
+func TestBeginsWithProbes(t *testing.T) {
+	var mu sync.Mutex
+	var reports []feed.Report
+	core := answering(t, func(_ context.Context, r *feed.Report) (feed.Update, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		reports = append(reports, *r)
+		return feed.Update{Led: len(reports) == 3, ListAgeMillis: -1}, nil
+	})
+	i := newInstance(t)
+	i.o.Seeds, i.askOn = []string{core}, 0
+	i.begin(t.Context())
+	i.wg.Wait()
+	if len(reports) != 3 {
+		t.Errorf("%d reports", len(reports))
+	}
+	for _, r := range reports {
+		if !r.Probe || r.WaitMillis == 0 {
+			t.Errorf("report %+v", r)
+		}
+	}
+}
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -29,11 +29,16 @@
 	// compareInterval is the time between two reports to a second core instance: the
 	// followed one may be cut off from the others without knowing it yet.
 	compareInterval = 1500 * time.Millisecond
-	// beginPause is the time after the first report to a core instance that has no state:
-	// both may have started at the same moment. It doubles up to beginMost, as hundreds of
-	// instances may wait for the first configuration.
+	// probeWait is how long a core instance may hold a probe back while it has no state and
+	// hears from no leader.
+	probeWait = 500 * time.Millisecond
+	// beginPause is the time after a probe that was not answered: both may have started at
+	// the same moment. It doubles up to beginMost, as hundreds of instances may ask.
 	beginPause = 40 * time.Millisecond
 	beginMost  = 640 * time.Millisecond
+	// firstListTime is how much longer a report may take that brings the first list of
+	// targets: hundreds of instances get it at once after a start, over links of 10 Mbit/s.
+	firstListTime = 4 * time.Second
 	// beginAfter is how long the other core instances are still asked once one has given a
 	// state: a dial and an answer over regions, with a start that is a little later.
 	beginAfter = 1200 * time.Millisecond
@@ -84,9 +89,14 @@
 }
 
 // beginAt asks one core instance until it answers with what serves to begin.
+//
+// What goes wrong where it asks for more than that: all instances know the same few core
+// instances at the first start, and each of those would tell all entry instances all targets
+// and each other, again with each question, instead of electing a leader.
 func (i *Instance) beginAt(ctx context.Context, to string, begun func()) {
-	for wait := beginPause; ctx.Err() == nil; wait = min(2*wait, beginMost) {
-		u, err := i.report(ctx, to, i.makeReport(0))
+	wait := beginPause
+	for ctx.Err() == nil {
+		u, err := i.report(ctx, to, i.makeProbe())
 		if ctx.Err() != nil {
 			return
 		}
@@ -95,10 +105,21 @@
 			begun()
 			return
 		}
+		if err == nil {
+			wait = beginPause
+		}
 		_ = duty.Pause(ctx, wait)
+		wait = min(2*wait, beginMost)
 	}
 }
 
+// makeProbe is a report that asks for the state and the core instances only.
+func (i *Instance) makeProbe() feed.Report {
+	r := i.makeReport(0)
+	r.Brief, r.Probe, r.WaitMillis = true, true, probeWait.Milliseconds()
+	return r
+}
+
 // heard reports whether any state was told of.
 func (i *Instance) heard() bool {
 	i.mu.Lock()
@@ -215,8 +236,11 @@
 	if err != nil {
 		return nil, err
 	}
-	wait := time.Duration(r.WaitMillis) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+reportTime)
+	within := time.Duration(r.WaitMillis)*time.Millisecond + reportTime
+	if r.Digest == 0 && !r.Brief {
+		within += firstListTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	answer, err := i.hub.Call(ctx, to, control.ChannelReport, payload)
 	if err != nil {
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -104,6 +104,7 @@
 		targets: rawhttp.NewClient(rawhttp.Options{}),
 		peers:   rawhttp.NewClient(rawhttp.Options{DialTime: peerDialTime, IdleTime: peerIdleTime, Silence: peerSilence}),
 	}
+	i.known.entries.Self = o.Self.ID
 	i.metrics = metrics.NewSiteEntry(i.shown)
 	i.killers = newKillers(o.Log)
 	i.fetcher = newFetcher()
--- a/node/feed/entries.go
+++ b/node/feed/entries.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"strings"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // keptGone is how many entry instances that went a core instance remembers, to tell of
@@ -21,10 +24,31 @@
 	// Entries are new or changed, without loads, Gone the ids of those that went.
 	Entries []Entry  `cbor:"4,keyasint,omitempty"`
 	Gone    []string `cbor:"5,keyasint,omitempty"`
+
+	// encode makes the encoded form, once for all that are told the same.
+	encode func() ([]byte, error)
+}
+
+// MarshalCBOR implements cbor.Marshaler.
+//
+// What goes wrong where each answer is encoded by itself: after a start a core instance tells
+// hundreds of entry instances of hundreds, some times a second.
+func (n *EntryNews) MarshalCBOR() ([]byte, error) {
+	if n.encode == nil {
+		return n.marshal()
+	}
+	return n.encode()
+}
+
+func (n *EntryNews) marshal() ([]byte, error) {
+	type plain EntryNews
+	return cbor.Marshal((*plain)(n))
 }
 
 // Known is what an instance knows of the entry instances, itself left out.
 type Known struct {
+	// Self is the id of the instance.
+	Self string
 	// Entries are in the order of ids.
 	Entries []Entry
 	// Epoch and At are those of the last news.
@@ -38,7 +62,7 @@
 	} else if n.Epoch != k.Epoch || n.Base != k.At {
 		return false
 	}
-	changed := map[string]bool{}
+	changed := map[string]bool{k.Self: true}
 	for _, id := range n.Gone {
 		changed[id] = true
 	}
@@ -52,7 +76,11 @@
 			entries = append(entries, e)
 		}
 	}
-	entries = append(entries, n.Entries...)
+	for _, e := range n.Entries {
+		if e.ID != k.Self {
+			entries = append(entries, e)
+		}
+	}
 	sortEntries(entries)
 	k.Entries, k.Epoch, k.At = entries, n.Epoch, n.At
 	return true
@@ -72,6 +100,9 @@
 	// them any more.
 	gone      []goneEntry
 	forgotten uint64
+	// told are the news up to the change toldAt, by the change that they begin with.
+	told   map[uint64]*EntryNews
+	toldAt uint64
 }
 
 type shownEntry struct {
@@ -115,26 +146,39 @@
 	return e.ID == o.ID && e.Region == o.Region && e.Zone == o.Zone && e.Callers == o.Callers && e.Ready == o.Ready && e.Leaving == o.Leaving
 }
 
-// news tell an instance what it lacks; nil if that is nothing. It is not told of itself.
-func (c *changes) news(epoch, at uint64, asker string) *EntryNews {
-	n := &EntryNews{Epoch: c.epoch, At: c.last}
+// news tell an instance what it lacks, and perhaps of itself; nil if that is nothing. They
+// are the same for all that lack the same.
+func (c *changes) news(epoch, at uint64) *EntryNews {
+	base := uint64(0)
 	if epoch == c.epoch && at <= c.last && at >= c.forgotten {
-		n.Base = at
+		base = at
 	}
-	if c.last == 0 || n.Base == c.last {
+	if c.last == 0 || base == c.last {
 		return nil
 	}
-	for id, s := range c.shown {
-		if s.number > n.Base && id != asker {
+	if c.told == nil || c.toldAt != c.last {
+		c.told, c.toldAt = map[uint64]*EntryNews{}, c.last
+	}
+	if c.told[base] == nil {
+		c.told[base] = c.newsSince(base)
+	}
+	return c.told[base]
+}
+
+func (c *changes) newsSince(base uint64) *EntryNews {
+	n := &EntryNews{Epoch: c.epoch, Base: base, At: c.last}
+	for _, s := range c.shown {
+		if s.number > base {
 			n.Entries = append(n.Entries, s.entry)
 		}
 	}
 	for _, g := range c.gone {
 		_, back := c.shown[g.id]
-		if n.Base > 0 && g.number > n.Base && !back {
+		if base > 0 && g.number > base && !back {
 			n.Gone = append(n.Gone, g.id)
 		}
 	}
 	sortEntries(n.Entries)
+	n.encode = sync.OnceValues(n.marshal)
 	return n
 }
--- a/node/feed/entries_test.go
+++ b/node/feed/entries_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"github.com/gullhaven/gullhaven/node/feed"
@@ -20,7 +21,7 @@
 		now := t0
 		boards := []*feed.Board{feed.NewBoard(me, 1), feed.NewBoard(me, 2)}
 		asker := feed.Entry{ID: "e0", Region: "r", Zone: "z", Ready: true}
-		var known feed.Known
+		known := feed.Known{Self: asker.ID}
 		there := map[string]feed.Entry{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(60, 900).Draw(t, "pause")) * time.Millisecond)
@@ -116,3 +117,53 @@
 		t.Fatalf("%+v", known)
 	}
 }
+
+// Symptom: a core instance spends a start on encoding who is there.
+// Events: hundreds of instances come within a second; each is told all of them.
+// Cause: each answer was made and encoded by itself.
+func TestNewsAreMadeOnceForAllThatLackTheSame(t *testing.T) {
+	b := feed.NewBoard(me, 1)
+	for n := range 1000 {
+		b.Reported(t0, feed.Entry{ID: fmt.Sprint("e", n), Region: "r", Ready: true})
+	}
+	var first *feed.EntryNews
+	for n := range 1000 {
+		var u feed.Update
+		b.Fill(t0, feed.Report{Self: feed.Entry{ID: fmt.Sprint("e", n), Region: "r"}}, nil, &u)
+		if first == nil {
+			first = u.Entries
+		}
+		if u.Entries != first {
+			t.Fatalf("asker %d is told by news of its own", n)
+		}
+	}
+	data, err := cbor.Marshal(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got feed.EntryNews
+	if err := cbor.Unmarshal(data, &got); err != nil || len(got.Entries) != 1000 || got.At != first.At {
+		t.Errorf("%d entries of %d, %v", len(got.Entries), len(first.Entries), err)
+	}
+}
+
+// Symptom: a core instance sends 30 MB a second during a start and answers no vote.
+// Events: a thousand instances ask the same core instance for who is there.
+// Cause: a question for the state was answered with all targets and instances.
+func TestProbeIsAnsweredInFewBytes(t *testing.T) {
+	b := feed.NewBoard(me, 1)
+	for n := range 1000 {
+		b.Reported(t0, feed.Entry{ID: fmt.Sprint("e", n), Region: "r", Ready: true})
+	}
+	var targets []feed.Target
+	for n := range 10000 {
+		targets = append(targets, feed.Target{ID: fmt.Sprint("t", n), Service: "s", Region: "r"})
+	}
+	b.Listed(feed.NewList(targets, t0, feed.List{}), true)
+	u := feed.Update{Led: true}
+	b.Fill(t0, feed.Report{Self: feed.Entry{ID: "new", Region: "r"}, Brief: true, Probe: true}, nil, &u)
+	data, err := cbor.Marshal(u)
+	if err != nil || len(data) > 100 || len(u.Cores) != 1 || u.ListAgeMillis != -1 {
+		t.Errorf("%d bytes, %+v, %v", len(data), u, err)
+	}
+}
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -256,7 +256,11 @@
 			So(len(list.Targets), ShouldEqual, 1)
 			So(list.Base, ShouldEqual, 0)
 			So(known.Regions, ShouldResemble, []feed.Summary{{Region: "q", Service: "s", Targets: 1, Untold: true}})
-			So(len(known.Entries.Entries), ShouldEqual, 1)
+			// The asker leaves itself out.
+			So(len(known.Entries.Entries), ShouldEqual, 2)
+			others := feed.Known{Self: "e1"}
+			So(others.Apply(known.Entries), ShouldBeTrue)
+			So(len(others.Entries), ShouldEqual, 1)
 			// The asker's own load is not among those of the others.
 			So(known.Loads, ShouldResemble, []feed.Load{{Target: "x", Running: 1, Unread: []int{5}}})
 			asker := feed.Report{EntriesEpoch: known.Entries.Epoch, EntriesAt: known.Entries.At, Cores: known.CoresDigest, Self: feed.Entry{ID: "e1", Region: "r"}}
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -108,7 +108,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u.ListAgeMillis = -1
-	if !b.list.ReadAt.IsZero() {
+	if !b.list.ReadAt.IsZero() && !r.Probe {
 		u.ListAgeMillis = now.Sub(b.list.ReadAt).Milliseconds()
 		u.List = b.news(now, r.Digest, r.Self.Region)
 	}
@@ -116,11 +116,11 @@
 	if round.coresDigest != r.Cores {
 		u.Cores, u.CoresDigest = round.cores, round.coresDigest
 	}
-	if r.Brief {
+	if r.Brief || r.Probe {
 		return
 	}
 	u.Suspects = b.lateSuspects(now, false)
-	u.Entries = b.changes.news(r.EntriesEpoch, r.EntriesAt, r.Self.ID)
+	u.Entries = b.changes.news(r.EntriesEpoch, r.EntriesAt)
 	if r.Self.Region == b.self.Region {
 		u.Near, u.Loads = true, round.loadsBut(r.Self.ID)
 	}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -127,6 +127,10 @@
 	// Brief asks for the state, the list and the core instances only: it is for a
 	// comparison with a core instance that is not followed, which may be regions away.
 	Brief bool `cbor:"11,keyasint,omitempty"`
+	// Probe asks for even less, the state and the core instances: an instance that has just
+	// started asks several core instances and then reports to one. It does not count as a
+	// report of the asker.
+	Probe bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Update answers a Report.
