feed, pick: an instance hears the loads of its own groups of targets

Cause: each entry instance was told the loads of all targets of its region five times a second, and made its pool of targets anew with each answer; all requests to a plain service had one decider. Change: an instance asks for the loads of the groups that it decides for, or would decide for next; with 200 targets at most for all. Loads are updated by themselves where nothing else has changed. Groups of a plain service have deciders of their own, calls go to them by lot.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -16,6 +16,7 @@
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 const (
@@ -64,8 +65,10 @@
 	entries feed.Known
 	// joined says that a core instance has answered a report in which this instance was ready.
 	joined bool
-	// loads sums up what the others of the region have under way.
+	// loads sums up what the others of the region have under way; partial says that only
+	// those of some groups of targets were asked for.
 	loads   []feed.Load
+	partial bool
 	regions []feed.Summary
 }
 
@@ -260,15 +263,17 @@
 func (i *Instance) makeReport(wait time.Duration) feed.Report {
 	self := i.o.Self
 	self.Ready, self.Leaving = i.Ready(), i.leaving()
+	r := feed.Report{WaitMillis: wait.Milliseconds(), Suspects: i.killers.takeNews()}
 	if wait > 0 {
 		for id, l := range i.pool.Loads(time.Now()) {
 			self.Loads = append(self.Loads, feed.Load{Target: id, Running: l.Running, Unread: l.Unread.ByRank(), Reading: l.Reading})
 		}
+		r.Groups, r.Part = i.wantedGroups()
 		for service, sums := range i.pool.ReadSums(time.Now()) {
 			self.Read = append(self.Read, feed.Read{Service: service, Tokens: int64(sums.Tokens), Millis: int64(sums.Millis)})
 		}
 	}
-	r := feed.Report{Self: self, WaitMillis: wait.Milliseconds(), Suspects: i.killers.takeNews()}
+	r.Self = self
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r.First = i.known.head == nil
@@ -282,3 +287,15 @@
 	r.EntriesEpoch, r.EntriesAt = i.known.entries.Epoch, i.known.entries.At
 	return r
 }
+
+// wholeLoads is how many targets a region may have for each instance to be told the loads of
+// all: 40 KB a second if all of them are busy.
+const wholeLoads = 200
+
+// wantedGroups are the groups whose loads are asked for; false for all targets.
+func (i *Instance) wantedGroups() ([]pick.Group, bool) {
+	if i.pool.Targets() <= wholeLoads {
+		return nil, false
+	}
+	return i.pool.Duties(), true
+}
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -45,7 +45,7 @@
 		k.joined = k.joined || r.Self.Ready
 	}
 	if u.Near {
-		k.loads = u.Loads
+		k.loads, k.partial = u.Loads, r.Part
 	}
 	i.show(now)
 }
@@ -79,7 +79,7 @@
 }
 
 // show makes the view of what is known.
-func (i *Instance) show(now time.Time) {
+func (i *Instance) show(at time.Time) {
 	k := &i.known
 	if k.index == nil || k.list.ReadAt.IsZero() {
 		// Without a list it would take requests and have no target for any.
@@ -88,26 +88,61 @@
 	next := &exchange.View{
 		Index: k.index, Regions: map[exchange.RegionService]pick.RegionLoad{}, Entries: len(k.entries.Entries) + 1, ListAt: k.list.ReadAt,
 	}
-	evacuated := map[string]bool{}
-	for _, zone := range k.head.Zones() {
-		evacuated[zone] = true
-	}
 	i.showRegions(next)
-	snapshot := i.snapshot(next.Index, evacuated)
-	i.pool.Update(now, snapshot)
-	i.limits.SetView(next.Index, snapshot.Entries, next.Entries)
+	if now := i.basisNow(); i.last.basis != now {
+		i.last.basis, i.last.peers = now, i.peersNow()
+		snapshot := i.snapshot(next.Index)
+		i.pool.Update(at, snapshot)
+		i.limits.SetView(next.Index, snapshot.Entries, next.Entries)
+	} else {
+		i.pool.UpdateLoads(at, k.poolLoads())
+	}
+	next.Peers = i.last.peers
 	i.gateway.SetView(next)
 }
 
-// showRegions sums up the other regions.
-func (i *Instance) showRegions(v *exchange.View) {
+// shown is what the last view was made of.
+type shown struct {
+	basis basis
+	peers []exchange.Peer
+}
+
+// basis is all that a snapshot of the pool is made of but the loads.
+//
+// What goes wrong where each report makes a snapshot: with 4,000 targets an instance spends a
+// third of its processor on going over them five times a second, when nothing has changed.
+type basis struct {
+	index *routes.Index
+	head  *newest.Head
+	list  uint64
+	// epoch and at are those of the entry instances.
+	epoch, at                uint64
+	ready, leaving, draining bool
+	joined, partial          bool
+}
+
+func (i *Instance) basisNow() basis {
+	k := &i.known
+	return basis{
+		index: k.index, head: k.head, list: k.list.Digest, epoch: k.entries.Epoch, at: k.entries.At,
+		ready: i.Ready(), leaving: i.leaving(), draining: i.draining.Load(), joined: k.joined, partial: k.partial,
+	}
+}
+
+// peersNow are the entry instances of other regions that take requests.
+func (i *Instance) peersNow() (out []exchange.Peer) {
 	for _, e := range i.known.entries.Entries {
 		// One that leaves is no way into its region: its end would cut off what was passed on
 		// to it, and the caller's own instance may be leaving as well.
 		if e.Ready && e.Region != i.o.Self.Region {
-			v.Peers = append(v.Peers, exchange.Peer{Address: e.ID, Region: e.Region})
+			out = append(out, exchange.Peer{Address: e.ID, Region: e.Region})
 		}
 	}
+	return out
+}
+
+// showRegions sums up the other regions.
+func (i *Instance) showRegions(v *exchange.View) {
 	for _, s := range i.known.regions {
 		if !s.Valid() {
 			i.metrics.SummariesInvalid.Inc(1)
@@ -153,9 +188,12 @@
 }
 
 // snapshot is what the pool needs to know.
-func (i *Instance) snapshot(index *routes.Index, evacuated map[string]bool) pick.Snapshot {
+func (i *Instance) snapshot(index *routes.Index) pick.Snapshot {
 	k := &i.known
-	s := pick.Snapshot{Evacuated: evacuated, Loads: map[string]pick.Load{}, Rules: map[string]pick.ServiceRules{}}
+	s := pick.Snapshot{Evacuated: map[string]bool{}, Loads: k.poolLoads(), Partial: k.partial, Rules: map[string]pick.ServiceRules{}}
+	for _, zone := range k.head.Zones() {
+		s.Evacuated[zone] = true
+	}
 	for _, t := range k.list.Targets {
 		if t.Region != i.o.Self.Region {
 			continue
@@ -170,9 +208,6 @@
 	self.Ready, self.Leaving = !i.draining.Load(), i.leaving()
 	s.Unheard = !k.joined
 	s.Entries = takers(append([]feed.Entry{self}, k.entries.Entries...), self.Region)
-	for _, l := range k.loads {
-		s.Loads[l.Target] = pick.Load{Running: l.Running, Unread: queue(l.Unread), Reading: l.Reading}
-	}
 	for _, service := range index.Table.Services {
 		rules := pick.ServiceRules{
 			ColdFor: service.ColdFor, ColdPerSecond: service.ColdPerSecond, GapAim: index.GapAim(service.Name),
@@ -184,3 +219,12 @@
 	}
 	return s
 }
+
+// poolLoads are the loads of the others as the pool takes them.
+func (k *knowledge) poolLoads() map[string]pick.Load {
+	out := make(map[string]pick.Load, len(k.loads))
+	for _, l := range k.loads {
+		out[l.Target] = pick.Load{Running: l.Running, Unread: queue(l.Unread), Reading: l.Reading}
+	}
+	return out
+}
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -1,12 +1,15 @@
 package feed
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 // Times after which soft state is void.
@@ -39,6 +42,8 @@
 	// told keeps the differences from each of them, by region.
 	told     map[listKey]toldNews
 	suspects []heardSuspect
+	// divided are the groups of the own region's targets; nil until they are asked for.
+	divided map[string]pick.Group
 	// own says that list was read by this instance.
 	own     bool
 	changed chan struct{}
@@ -184,10 +189,28 @@
 	}
 	b.older = append(b.older, b.list)
 	b.older = b.older[max(0, len(b.older)-keptLists):]
-	b.list, b.own, b.told = l, own, map[listKey]toldNews{}
+	b.list, b.own, b.told, b.divided = l, own, map[listKey]toldNews{}, nil
 	b.wake()
 }
 
+// division tells the groups of the own region's targets.
+func (b *Board) division() map[string]pick.Group {
+	if b.divided != nil {
+		return b.divided
+	}
+	ids := map[string][]string{}
+	for _, t := range b.list.Targets {
+		if t.Region == b.self.Region {
+			ids[t.Service] = append(ids[t.Service], t.ID)
+		}
+	}
+	b.divided = map[string]pick.Group{}
+	for service, of := range ids {
+		maps.Copy(b.divided, pick.Division(service, of))
+	}
+	return b.divided
+}
+
 // List returns the newest reading.
 func (b *Board) List() List {
 	b.mu.Lock()
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 // roundLife is how long the common part of answers is used: a quarter of the time
@@ -25,13 +27,13 @@
 	// the instances which report here have in them.
 	loads []Load
 	own   map[string][]Load
+	// byGroup are loads by group; nil until they are asked for.
+	byGroup map[pick.Group][]Load
 	// read tells of the engines of the own region by service, and ownRead is the part of it
 	// that the instances which report here have found.
 	read, ownRead map[string]Read
 	// sums are told of each region, by the region that asks.
 	sums map[string][]Summary
-	// services are those of the own region's targets.
-	services map[string]string
 }
 
 // current returns the round of now.
@@ -41,7 +43,7 @@
 	}
 	r := &round{
 		at: now, cores: b.liveCores(now), own: map[string][]Load{},
-		sums: map[string][]Summary{}, services: map[string]string{},
+		sums: map[string][]Summary{},
 		read: map[string]Read{}, ownRead: map[string]Read{},
 	}
 	r.coresDigest = coresDigest(r.cores)
@@ -63,11 +65,6 @@
 		}
 	}
 	r.loads = b.sumLoads(r, true)
-	for _, t := range b.list.Targets {
-		if t.Region == b.self.Region {
-			r.services[t.ID] = t.Service
-		}
-	}
 	b.round = r
 	return r
 }
@@ -82,18 +79,41 @@
 	return max(1, d.Sum64())
 }
 
-// loadsBut are the loads of the own region without those of one instance.
-func (r *round) loadsBut(id string) []Load {
+// loadsFor are the loads that a report asks for.
+//
+// What goes wrong where each instance hears of all targets: in a region of 300 instances and
+// 4,000 targets each load that changes is told 300 times, five times a second, though one or
+// two instances choose among its target's group.
+func (b *Board) loadsFor(r *round, q *Report) []Load {
+	if !q.Part {
+		return r.loadsBut(r.loads, q.Self.ID)
+	}
+	if r.byGroup == nil {
+		r.byGroup = map[pick.Group][]Load{}
+		for _, l := range r.loads {
+			g := b.division()[l.Target]
+			r.byGroup[g] = append(r.byGroup[g], l)
+		}
+	}
+	var out []Load
+	for _, g := range q.Groups {
+		out = append(out, r.byGroup[g]...)
+	}
+	return r.loadsBut(out, q.Self.ID)
+}
+
+// loadsBut are some loads without those of one instance.
+func (r *round) loadsBut(all []Load, id string) []Load {
 	own := r.own[id]
 	if len(own) == 0 {
-		return r.loads
+		return all
 	}
 	mine := make(map[string]Load, len(own))
 	for _, l := range own {
 		mine[l.Target] = l
 	}
-	out := make([]Load, 0, len(r.loads))
-	for _, l := range r.loads {
+	out := make([]Load, 0, len(all))
+	for _, l := range all {
 		m := mine[l.Target]
 		l = l.minus(m)
 		if l.Running != 0 || len(l.Unread) != 0 {
@@ -122,7 +142,7 @@
 	u.Suspects = b.lateSuspects(now, false)
 	u.Entries = b.changes.news(r.EntriesEpoch, r.EntriesAt)
 	if r.Self.Region == b.self.Region {
-		u.Near, u.Loads = true, round.loadsBut(r.Self.ID)
+		u.Near, u.Loads = true, b.loadsFor(round, &r)
 	}
 	if _, ok := round.sums[r.Self.Region]; !ok {
 		round.sums[r.Self.Region] = b.otherRegions(round, r.Self.Region, evacuated)
@@ -220,7 +240,7 @@
 func (b *Board) summarize(r *round) []Summary {
 	sums := map[string]Summary{}
 	for _, l := range r.loads {
-		if name := r.services[l.Target]; name != "" {
+		if name := b.division()[l.Target].Service; name != "" {
 			sum := sums[name]
 			sum.Region, sum.Service = b.self.Region, name
 			sums[name] = sum.plus(l)
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -15,6 +15,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/coord/suspect"
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 // Entry is what an entry instance tells of itself.
@@ -131,6 +132,10 @@
 	// started asks several core instances and then reports to one. It does not count as a
 	// report of the asker.
 	Probe bool `cbor:"13,keyasint,omitempty"`
+	// Part asks for the loads of the targets in Groups, in place of those of all targets of
+	// the asker's region.
+	Part   bool         `cbor:"14,keyasint,omitempty"`
+	Groups []pick.Group `cbor:"15,keyasint,omitempty"`
 }
 
 // Update answers a Report.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
@@ -47,7 +48,7 @@
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
 		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.tried,
+		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.tried, Lot: xxhash.Sum64String(q.call.ID),
 	}
 }
 
--- /dev/null
+++ b/route/pick/duties_test.go
@@ -0,0 +1,170 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// region is the pools of the entry instances of a region before the same targets.
+func region(instances, n int, rules pick.ServiceRules) (pools map[string]*pick.Pool, s pick.Snapshot) {
+	s = pick.Snapshot{Targets: targets(n), Rules: map[string]pick.ServiceRules{"s": rules}, Partial: true}
+	for k := range instances {
+		s.Entries = append(s.Entries, fmt.Sprint("e", k))
+	}
+	pools = map[string]*pick.Pool{}
+	for _, id := range s.Entries {
+		pools[id] = pick.New(id)
+		pools[id].Update(t0, s)
+	}
+	return pools, s
+}
+
+// Symptom: the loads of some targets are told to nobody who chooses among them.
+// Events: each instance asks for the loads of the groups that it takes for its own.
+// Cause: instance and teller divide the targets differently, or a group has no instance.
+func TestLoadsOfAllGroupsAreAskedFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances, n := rapid.IntRange(1, 60).Draw(t, "instances"), rapid.IntRange(1, 900).Draw(t, "targets")
+		pools, s := region(instances, n, pick.ServiceRules{Engine: true})
+		asked := map[pick.Group]int{}
+		for _, p := range pools {
+			for _, g := range p.Duties() {
+				asked[g]++
+			}
+		}
+		var ids []string
+		for _, x := range s.Targets {
+			ids = append(ids, x.ID)
+		}
+		groupOf := pick.Division("s", ids)
+		for id, g := range groupOf {
+			if asked[g] != min(2, instances) {
+				t.Fatalf("the loads of %s in %v are asked for by %d instances", id, g, asked[g])
+			}
+		}
+		for subject := range uint64(5) {
+			c := call(subject)
+			decider := pools[pools["e0"].Decider(c)]
+			choice, _ := decider.Pick(t0, c)
+			mine := map[pick.Group]bool{}
+			for _, g := range decider.Duties() {
+				mine[g] = true
+			}
+			if !mine[groupOf[choice.ID]] {
+				t.Fatalf("chose %s of a group whose loads it does not ask for", choice.ID)
+			}
+		}
+	})
+}
+
+// Symptom: one instance of three hundred is at the end of its processor, and plain requests
+// wait for it.
+// Events: a region's plain service has a hundred targets.
+// Cause: one instance decided for each request to the service.
+func TestLargePlainServiceHasManyDeciders(t *testing.T) {
+	pools, _ := region(300, 120, pick.ServiceRules{})
+	decided, chosen := map[string]int{}, map[string]int{}
+	const calls = 600
+	for k := range uint64(calls) {
+		c := pick.Call{Service: "s", Lot: k * 0x9e3779b97f4a7c15}
+		by := pools["e0"].Decider(c)
+		decided[by]++
+		choice, _ := pools[by].Pick(t0, c)
+		chosen[choice.ID]++
+	}
+	if len(decided) != 6 {
+		t.Errorf("%d deciders", len(decided))
+	}
+	for id, n := range decided {
+		if n > calls/3 {
+			t.Errorf("%s decides %d of %d", id, n, calls)
+		}
+	}
+	for id, n := range chosen {
+		if n > 3*calls/120 {
+			t.Errorf("%s gets %d of %d", id, n, calls)
+		}
+	}
+}
+
+// Symptom: targets look busy or idle that are not.
+// Events: loads come and go while the list stays as it is.
+// Cause: an update of the loads alone left other loads than an update of all.
+func TestLoadsAloneAreAsGoodAsAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, alone := pick.New("e"), pick.New("e")
+		s := pick.Snapshot{Targets: targets(30), Entries: []string{"e"}, Rules: engines()}
+		alone.Update(t0, s)
+		for step := range 5 {
+			now := t0.Add(time.Duration(step) * 200 * time.Millisecond)
+			s.Loads = map[string]pick.Load{}
+			for range rapid.IntRange(0, 40).Draw(t, "loads") {
+				id := fmt.Sprint("t", rapid.IntRange(0, 35).Draw(t, "target"))
+				s.Loads[id] = pick.Load{Running: rapid.IntRange(1, 9).Draw(t, "running"), Unread: pick.QueueOf(0, 1000)}
+			}
+			whole.Update(now, s)
+			alone.UpdateLoads(now, s.Loads)
+			c := call(rapid.Uint64Range(1, 9).Draw(t, "subject"))
+			x, _ := whole.Pick(now, c)
+			y, _ := alone.Pick(now, c)
+			if x.ID != y.ID || x.Cost != y.Cost {
+				t.Fatalf("%s at %v against %s at %v", x.ID, x.Cost, y.ID, y.Cost)
+			}
+		}
+	})
+}
+
+// Symptom: many deciders crowd one target outside their groups, while others are idle.
+// Events: groups have no target to give, as after a crash; nobody knows the loads elsewhere.
+// Cause: all chose the first of those that look idle.
+func TestOverflowOfGroupsIsSpread(t *testing.T) {
+	pools, s := region(40, 400, pick.ServiceRules{Engine: true})
+	chosen := map[string]int{}
+	for k, id := range s.Entries {
+		p := pools[id]
+		c := call(uint64(k))
+		c.Lot = uint64(k) * 0x9e3779b97f4a7c15
+		for {
+			first, _ := p.Pick(t0, c)
+			if len(c.Tried) == 60 {
+				chosen[first.ID]++
+				break
+			}
+			c.Tried = append(c.Tried, first.ID)
+		}
+	}
+	for id, n := range chosen {
+		if n > 3 {
+			t.Errorf("%d of %d meet at %s", n, len(s.Entries), id)
+		}
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{400, 4000, 8000} {
+		s := pick.Snapshot{Targets: targets(n), Rules: engines(), Partial: true, Loads: map[string]pick.Load{}}
+		for k := range 300 {
+			s.Entries = append(s.Entries, fmt.Sprint("e", k))
+		}
+		for k := range 60 {
+			s.Loads[fmt.Sprint("t", k)] = pick.Load{Running: 2}
+		}
+		p := pick.New("e0")
+		p.Update(t0, s)
+		b.Run(fmt.Sprint("all/", n), func(b *testing.B) {
+			for b.Loop() {
+				p.Update(t0, s)
+			}
+		})
+		b.Run(fmt.Sprint("loads/", n), func(b *testing.B) {
+			for b.Loop() {
+				p.UpdateLoads(t0, s.Loads)
+			}
+		})
+	}
+}
--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -24,29 +25,55 @@
 
 // divide puts the targets of a service in order and gives each its group.
 func divide(list []*target) {
-	slices.SortFunc(list, func(a, b *target) int {
-		if a.order < b.order || a.order == b.order && a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b *target) int { return compareOrder(a.order, b.order, a.ID, b.ID) })
 	groups := groupsOf(len(list))
 	for k, t := range list {
 		t.group = k % groups
 	}
 }
 
+func compareOrder(a, b uint64, idA, idB string) int {
+	return cmp.Or(cmp.Compare(a, b), cmp.Compare(idA, idB))
+}
+
+// orderOf is the place of a target among those of its service, alike at all instances.
+func orderOf(id string) uint64 { return weight(0, id) }
+
+// Group names a group of the targets of a service in the own region.
+type Group struct {
+	Service string `cbor:"1,keyasint"`
+	Number  int    `cbor:"2,keyasint,omitempty"`
+}
+
+// Division tells the group of each target of a service, as all instances that know the same
+// targets divide them.
+func Division(service string, ids []string) map[string]Group {
+	order := make(map[string]uint64, len(ids))
+	for _, id := range ids {
+		order[id] = orderOf(id)
+	}
+	sorted := slices.Clone(ids)
+	slices.SortFunc(sorted, func(a, b string) int { return compareOrder(order[a], order[b], a, b) })
+	groups := groupsOf(len(ids))
+	out := make(map[string]Group, len(ids))
+	for k, id := range sorted {
+		out[id] = Group{Service: service, Number: k % groups}
+	}
+	return out
+}
+
 func groupsOf(targets int) int { return max(1, (targets+groupSize/2)/groupSize) }
 
 // groupName names a group in rendezvous.
 func groupName(service string, group int) string { return service + "/" + strconv.Itoa(group) }
 
-// groupOf is the group of a prompt; any call without shared parts has the first.
-func groupOf(targets int, chain []link) int {
+// groupOf is the group of a call: of its shared prompt parts, or by lot where it has none.
+func groupOf(targets int, chain []link, lot uint64) int {
+	groups := groupsOf(targets)
 	if len(chain) < 2 {
-		return 0
+		return int(lot % uint64(groups))
 	}
-	key, groups := chain[len(chain)-2].key, groupsOf(targets)
+	key := chain[len(chain)-2].key
 	best, most := 0, uint64(0)
 	for g := range groups {
 		if w := weight(key, strconv.Itoa(g)); w > most {
@@ -56,12 +83,12 @@
 	return best
 }
 
-// group are the targets of a prompt's group; all where it has no shared parts.
-func (p *Pool) group(list []*target, chain []link) []*target {
-	if len(chain) < 2 || len(list) <= groupSize {
+// group are the targets of a call's group.
+func (p *Pool) group(list []*target, chain []link, lot uint64) []*target {
+	if groupsOf(len(list)) == 1 {
 		return list
 	}
-	g := groupOf(len(list), chain)
+	g := groupOf(len(list), chain, lot)
 	out := make([]*target, 0, groupSize+groupSize/2)
 	for _, t := range list {
 		if t.group == g {
@@ -72,14 +99,37 @@
 }
 
 // Decider is the id of the entry instance that decides for a call; this one's own where no
-// others are there. The targets of a plain service have one decider, too: with few slots
-// at each, many instances that choose by loads some hundred milliseconds old meet at the
-// same targets. With 28 instances before two targets of 6 slots 2,435 of 15,542 arrivals
-// were turned away on one day, with a decider 525 of 14,118.
+// others are there. The groups of a plain service have deciders, too: with few slots at each
+// target, many instances that choose by loads some hundred milliseconds old meet at the same
+// ones. One decider for all of them would be asked for each request of the region.
 func (p *Pool) Decider(c Call) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.owner(c.Service, groupOf(len(p.byService[c.Service]), c.chain()))
+	return p.owner(c.Service, groupOf(len(p.byService[c.Service]), c.chain(), c.Lot))
+}
+
+// Duties are the groups whose loads this instance needs: those it decides for, and those it
+// would decide for next.
+func (p *Pool) Duties() []Group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.duties == nil {
+		p.duties = p.findDuties()
+	}
+	return p.duties
+}
+
+func (p *Pool) findDuties() []Group {
+	out := []Group{}
+	for service, list := range p.byService {
+		for g := range groupsOf(len(list)) {
+			first, second := ownersAmong(p.snapshot.Entries, service, g)
+			if first == p.self || second == p.self {
+				out = append(out, Group{Service: service, Number: g})
+			}
+		}
+	}
+	return out
 }
 
 // owner is the entry instance that decides for a group; alike at all that know the
@@ -93,14 +143,24 @@
 
 // ownerAmong is the first of some entry instances by rendezvous; empty for none.
 func ownerAmong(ids []string, service string, group int) string {
+	first, _ := ownersAmong(ids, service, group)
+	return first
+}
+
+// ownersAmong are the first and the second of some entry instances by rendezvous; empty for
+// none.
+func ownersAmong(ids []string, service string, group int) (first, second string) {
 	key := xxhash.Sum64String(groupName(service, group))
-	best, most := "", uint64(0)
+	most, next := uint64(0), uint64(0)
 	for _, id := range ids {
-		if w := weight(key, id); w > most {
-			best, most = id, w
+		switch w := weight(key, id); {
+		case w > most:
+			first, second, most, next = id, first, w, most
+		case w > next:
+			second, next = id, w
 		}
 	}
-	return best
+	return first, second
 }
 
 // home is the target of a prompt's group that all instances prefer for its shared parts.
--- a/route/pick/leavegroup_test.go
+++ b/route/pick/leavegroup_test.go
@@ -15,7 +15,7 @@
 	const all = 2 * groupSize
 	at := time.Unix(1000, 0)
 	c := Call{Service: "s", PromptTokens: 6000, OutputTokens: 1000, Parts: []Part{{ID: 1, Tokens: 5000}, {ID: 2, Tokens: 1000}}}
-	own := groupOf(all, c.chain())
+	own := groupOf(all, c.chain(), 0)
 	chosen := func(unread int) int {
 		p := New("e")
 		s := Snapshot{Entries: []string{"e"}, Rules: map[string]ServiceRules{"s": {Engine: true}}, Loads: map[string]Load{}}
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	// byService is in the order of ids.
 	byService map[string][]*target
 	snapshot  Snapshot
+	// duties are those of the snapshot; nil until they are asked for.
+	duties []Group
 	// past are the entry instances known before those of the snapshot, for settleTime.
 	past []pastEntries
 	// evacuatedAt is when each zone was last seen evacuated.
@@ -86,7 +89,7 @@
 	for _, listed := range s.Targets {
 		t := old[listed.ID]
 		if t == nil || t.startedAgain(listed) {
-			t = &target{kept: map[uint64]use{}, watches: map[*Choice]func(){}, slowness: 1, order: weight(0, listed.ID)}
+			t = &target{kept: map[uint64]use{}, watches: map[*Choice]func(){}, slowness: 1, order: orderOf(listed.ID)}
 		}
 		listed.Draining = listed.Draining || t.Draining
 		t.Target, t.others = listed, s.Loads[listed.ID]
@@ -99,10 +102,30 @@
 	for _, list := range p.byService {
 		divide(list)
 	}
-	p.snapshot = s
+	p.snapshot, p.duties = s, nil
 	p.forgetPaces()
 }
 
+// UpdateLoads takes in new loads of the others where nothing else has changed. It costs by
+// the number of loads, not of targets.
+func (p *Pool) UpdateLoads(now time.Time, loads map[string]Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noteEvacuations(now, p.snapshot)
+	p.noteEntries(now, &p.snapshot)
+	for id := range p.snapshot.Loads {
+		if t := p.targets[id]; t != nil {
+			t.others = Load{}
+		}
+	}
+	for id, l := range loads {
+		if t := p.targets[id]; t != nil {
+			t.others = l
+		}
+	}
+	p.snapshot.Loads = loads
+}
+
 // forgetPaces drops those of services that the configuration no longer names.
 func (p *Pool) forgetPaces() {
 	for service := range p.paces {
@@ -139,11 +162,11 @@
 		return nil, ReasonNone
 	}
 	w := p.weigh(now, c)
-	group := p.group(list, w.chain)
+	group := p.group(list, w.chain, c.Lot)
 	w.home = p.home(group, w.chain)
 	best, e := p.best(group, w)
 	if best == nil || e.hurry(best) > leaveGroup {
-		best, e = p.best(list, w)
+		best, e = p.best(p.inTurn(list, c.Lot), w)
 	}
 	if best == nil {
 		return nil, ReasonLeft
@@ -153,6 +176,16 @@
 	return ch, ""
 }
 
+// inTurn lists the targets from any one on where the loads of most are not known here: those
+// all look idle, and the first of them would be chosen by all.
+func (p *Pool) inTurn(list []*target, lot uint64) []*target {
+	if !p.snapshot.Partial {
+		return list
+	}
+	at := int(lot % uint64(len(list)))
+	return slices.Concat(list[at:], list[:at])
+}
+
 // best is the eligible target of the least cost, with what the call meets there.
 func (p *Pool) best(list []*target, w *weighing) (best *target, meets estimate) {
 	least := math.Inf(1)
@@ -257,6 +290,13 @@
 	return c
 }
 
+// Targets is the number of targets.
+func (p *Pool) Targets() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.targets)
+}
+
 // Addresses of the targets now.
 func (p *Pool) Addresses() map[string]bool {
 	p.mu.Lock()
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -49,6 +49,8 @@
 	Rank int
 	// Tried targets are not chosen again.
 	Tried []string
+	// Lot spreads calls without shared parts over the groups of targets.
+	Lot uint64
 }
 
 // Load is what others have under way at a target.
@@ -84,8 +86,10 @@
 	Targets []Target
 	// Evacuated zones get nothing.
 	Evacuated map[string]bool
-	// Loads are what the other entry instances of the region have under way.
-	Loads map[string]Load
+	// Loads are what the other entry instances of the region have under way; Partial says
+	// that they are those of the Duties only.
+	Loads   map[string]Load
+	Partial bool
 	// Entries are the ids of the region's entry instances that take requests, this
 	// one included, in order. They share out the groups of targets.
 	Entries []string
