feed: reports and wakes are spread by how many instances report

Cause: each entry instance that left ended the waits of all others at once, so the restart of a sixth of a thousand instances is 170 times a thousand answers within seconds; reports came five times a second however many report. Change: a core instance tells reports to wait a millisecond for each that reports to it; wakes are as far apart as the answers take. Measured: 100 leaves in a second among 400 reporters end the waits 2 to 4 times (TestManyReportersAreAnsweredSeldomer); a site of few waits as before.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -270,7 +270,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, duty := range []func(context.Context){i.runJoining, i.runList, i.runGossip, i.watchNode, i.kept.run} {
+	for _, duty := range []func(context.Context){i.runJoining, i.runList, i.runGossip, i.runWakes, i.watchNode, i.kept.run} {
 		i.wg.Go(func() { duty(ctx) })
 	}
 }
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -82,6 +82,10 @@
 		u.Head = s.Head()
 	}
 	i.board.Fill(time.Now(), r, s.Evacuated, &u)
+	asked := time.Duration(r.WaitMillis) * time.Millisecond
+	if wait := i.board.ReportWait(asked); !r.Brief && wait > asked {
+		u.WaitMillis = wait.Milliseconds()
+	}
 	return u
 }
 
--- a/node/control/soft.go
+++ b/node/control/soft.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/replhost"
+	"github.com/gullhaven/gullhaven/node/duty"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -18,6 +19,12 @@
 // clock is that of the log.
 func (i *Instance) clock() time.Time { return replhost.BootClock{}.Now() }
 
+// wakeTick is how often a core instance looks whether entry instances have to hear that
+// others leave.
+const wakeTick = 20 * time.Millisecond
+
+func (i *Instance) runWakes(ctx context.Context) { duty.Every(ctx, wakeTick, i.board.WakeDue) }
+
 func (i *Instance) hurryGossip() {
 	select {
 	case i.gossipNow <- struct{}{}:
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -24,6 +24,8 @@
 	// there is no news: the loads of the others are that old at most, and a few
 	// reports a second cost an instance under 1% of a core.
 	reportWait = 200 * time.Millisecond
+	// longestWait bounds what a core instance may ask for in its place.
+	longestWait = time.Second
 	// reportTime bounds a report beyond its wait: a wide-area trip and a busy core
 	// instance.
 	reportTime = 700 * time.Millisecond
@@ -133,10 +135,12 @@
 // follow reports to one core instance again and again.
 func (i *Instance) follow(ctx context.Context) {
 	i.begin(ctx)
+	wait := reportWait
 	for ctx.Err() == nil {
 		to := i.followed()
-		u, err := i.report(ctx, to, i.makeReport(reportWait))
+		u, err := i.report(ctx, to, i.makeReport(wait))
 		i.note(to, u, err)
+		wait = nextWait(u)
 		if err != nil {
 			i.log.Debug("report failed", zap.String("to", to), zap.Error(err))
 			_ = duty.Pause(ctx, failPause)
@@ -148,6 +152,14 @@
 	}
 }
 
+// nextWait is how long the next report may wait, after an answer or its lack.
+func nextWait(u *feed.Update) time.Duration {
+	if u == nil {
+		return reportWait
+	}
+	return max(reportWait, min(longestWait, time.Duration(u.WaitMillis)*time.Millisecond))
+}
+
 // compare asks one core instance after the other for news that the followed one may
 // lack, and finds one that hears from a leader again.
 func (i *Instance) compare(ctx context.Context) {
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -25,6 +25,11 @@
 	// hundreds come within a second of a start, and each wake is an answer to each of
 	// them. A report ends by itself within 200 ms, so that nobody hears of one much later.
 	newcomerGap = 200 * time.Millisecond
+	// answerGap is the time between two answers of a core instance that reports and wakes for
+	// entry instances are spread by: 1,000 answers a second take some tenth of a core.
+	answerGap = time.Millisecond
+	// mostWait bounds ReportWait: an entry instance must be heard well within EntryLife.
+	mostWait = time.Second
 )
 
 // Board is the soft state that a core instance holds. It is safe for several
@@ -49,6 +54,12 @@
 	changed chan struct{}
 	// newcomerAt is when entry instances that came last ended the waits.
 	newcomerAt time.Time
+	// wokenAt is when the waits were ended last. wakeDue says that an entry instance has
+	// left or begun to leave since, of which nobody was woken to hear yet.
+	wokenAt time.Time
+	wakeDue bool
+	// reporters is how many entry instances reported here lately.
+	reporters int
 	// round is what the answers of a moment have in common; nil if something changed.
 	round *round
 	// changes of the entry instances, as told.
@@ -116,7 +127,36 @@
 
 func (b *Board) wake() {
 	close(b.changed)
-	b.changed, b.round = make(chan struct{}), nil
+	b.changed, b.round, b.wakeDue = make(chan struct{}), nil, false
+}
+
+// WakeDue ends the waits where an entry instance has left and the last wake is long enough
+// ago for the answers to it to have been given. Call it every few milliseconds.
+//
+// What goes wrong where each of them ends the waits at once: when a sixth of a thousand
+// instances restart within seconds, each of their ends and begins is a thousand answers.
+func (b *Board) WakeDue(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wakeIfDue(now)
+}
+
+func (b *Board) wakeIfDue(now time.Time) {
+	if b.wakeDue && now.Sub(b.wokenAt) >= b.spread() {
+		b.wokenAt = now
+		b.wake()
+	}
+}
+
+// spread is how long answers to all that report here take.
+func (b *Board) spread() time.Duration { return time.Duration(b.reporters) * answerGap }
+
+// ReportWait is how long a report may be held back, of which least was asked for: the more
+// report here, the longer.
+func (b *Board) ReportWait(least time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(least, min(mostWait, b.spread()))
 }
 
 // wakeFor ends the waits where an entry instance has changed: one that leaves must not
@@ -131,7 +171,8 @@
 	default:
 		b.newcomerAt = now
 	}
-	b.wake()
+	b.wakeDue, b.round = true, nil
+	b.wakeIfDue(now)
 }
 
 // Reported takes in the report of an entry instance.
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -167,6 +168,53 @@
 	})
 }
 
+// Symptom: core instances are at the end of their processor while a planned restart goes on.
+// Events: a sixth of a thousand entry instances restart within some seconds.
+// Cause: each that left was a reason to answer all others at once; and the others reported as
+// often as where there are few.
+func TestManyReportersAreAnsweredSeldomer(t *testing.T) {
+	const reporters, restarts = 400, 100
+	entry := func(n int, ready bool) feed.Entry {
+		return feed.Entry{ID: fmt.Sprint("e", n), Region: "r", Ready: ready}
+	}
+	b := feed.NewBoard(me, 1)
+	for n := range reporters {
+		b.Reported(t0, entry(n, true))
+	}
+	b.Fill(t0, feed.Report{}, nil, &feed.Update{})
+	wakes, now := 0, t0
+	for n := range restarts {
+		now = now.Add(10 * time.Millisecond)
+		changed := b.Changed()
+		b.Reported(now, entry(n, false))
+		b.WakeDue(now)
+		select {
+		case <-changed:
+			wakes++
+		default:
+		}
+		// The others go on to report.
+		b.Reported(now, entry(reporters-1, true))
+	}
+	if wakes < 2 || wakes > 4 {
+		t.Errorf("%d wakes for %d reporters in %v", wakes, reporters, now.Sub(t0))
+	}
+	changed := b.Changed()
+	b.Reported(now, entry(restarts, false))
+	b.WakeDue(now.Add(time.Second))
+	select {
+	case <-changed:
+	default:
+		t.Error("nobody hears of the last that left")
+	}
+	if got := b.ReportWait(200 * time.Millisecond); got != 400*time.Millisecond {
+		t.Errorf("reports wait %v", got)
+	}
+	if got := feed.NewBoard(me, 1).ReportWait(200 * time.Millisecond); got != 200*time.Millisecond {
+		t.Errorf("reports of a small site wait %v", got)
+	}
+}
+
 func TestGossipCarriesOwnReadingsAndSums(t *testing.T) {
 	Convey("a core instance that has read the list", t, func() {
 		b := feed.NewBoard(me, 1)
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -49,7 +49,11 @@
 	r.coresDigest = coresDigest(r.cores)
 	entries := b.liveEntries(now)
 	b.changes.take(entries)
+	b.reporters = 0
 	for _, h := range entries {
+		if h.direct {
+			b.reporters++
+		}
 		if !h.direct || h.entry.Region != b.self.Region {
 			continue
 		}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -163,6 +163,9 @@
 	Regions []Summary `cbor:"8,keyasint,omitempty"`
 	// Suspects were told by any entry instance lately.
 	Suspects []suspect.Entry `cbor:"9,keyasint,omitempty"`
+	// WaitMillis is how long the asker's next report may wait, where that is longer than it
+	// asked for: the core instance has more to answer than it can that often.
+	WaitMillis int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // Summary is the load of one service in one region.
