feed: the directory names instances of all zones of a region

Cause: of a region with more than 64 instances the directory named the first by address, which are all of one zone. When that is lost, callers know no instance that lives. Change: they are taken zone by zone, in each zone by a digest of their ids, alike at all instances.

--- a/node/feed/addresses.go
+++ b/node/feed/addresses.go
@@ -1,5 +1,12 @@
 package feed
 
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // maxAddresses bounds the addresses named to one caller.
 const maxAddresses = 64
 
@@ -31,18 +38,53 @@
 
 // inRegion names the entries of one region that fit.
 func inRegion(entries []Entry, region string, fits func(*Entry) bool) []string {
-	var out []string
+	var of []Entry
 	for i := range entries {
 		if e := &entries[i]; e.Region == region && fits(e) {
-			out = append(out, e.Callers)
+			of = append(of, *e)
 		}
 	}
-	return out[:min(len(out), maxAddresses)]
+	return named(of)
+}
+
+// named are the callers' addresses of some entries, as many as may be named: the same ones
+// at all instances, so that the connections behind them are used again, and as many of each
+// zone.
+//
+// What goes wrong with the first ones: where a region has more than may be named, they are
+// all of one zone, and when that is lost the region's callers know no other.
+func named(entries []Entry) []string {
+	if len(entries) > maxAddresses {
+		entries = zoneByZone(entries)[:maxAddresses]
+	}
+	var out []string
+	for i := range entries {
+		out = append(out, entries[i].Callers)
+	}
+	return out
+}
+
+// zoneByZone puts the first of each zone before the second of any, in each zone by a digest of
+// their ids.
+func zoneByZone(entries []Entry) []Entry {
+	order := func(e *Entry) uint64 { return xxhash.Sum64String(e.ID) }
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Or(cmp.Compare(order(&a), order(&b)), cmp.Compare(a.ID, b.ID)) })
+	place, seen := map[string]int{}, map[string]int{}
+	for i := range entries {
+		e := &entries[i]
+		place[e.ID] = seen[e.Zone]
+		seen[e.Zone]++
+	}
+	slices.SortStableFunc(entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(place[a.ID], place[b.ID]), cmp.Compare(a.Zone, b.Zone))
+	})
+	return entries
 }
 
 // heaviest names the entries that fit in the regions of the largest weight; -1 without any.
-func heaviest(entries []Entry, weight func(region string) int, fits func(*Entry) bool) (out []string, most int) {
-	most = -1
+func heaviest(entries []Entry, weight func(region string) int, fits func(*Entry) bool) ([]string, int) {
+	most := -1
+	var of []Entry
 	// A region is weighed once, as that goes over all routes.
 	weights := map[string]int{}
 	for i := range entries {
@@ -56,11 +98,11 @@
 			weights[e.Region] = w
 		}
 		if w > most {
-			most, out = w, nil
+			most, of = w, nil
 		}
 		if w == most {
-			out = append(out, e.Callers)
+			of = append(of, *e)
 		}
 	}
-	return out[:min(len(out), maxAddresses)], most
+	return named(of), most
 }
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -133,6 +133,39 @@
 	})
 }
 
+// Symptom: after the loss of a zone the callers of its region are served by nobody for as long
+// as they believe the directory's answers.
+// Events: a region has more instances than the directory names to a caller.
+// Cause: those named were the first by address, which are all of one zone.
+func TestDirectoryNamesInstancesOfAllZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := map[string]string{}
+		var entries []feed.Entry
+		counts := []int{rapid.IntRange(0, 300).Draw(t, "a"), rapid.IntRange(0, 300).Draw(t, "b"), rapid.IntRange(0, 30).Draw(t, "c")}
+		for z, n := range counts {
+			for k := range n {
+				e := feed.Entry{ID: fmt.Sprintf("10.%d.0.%d", z, k), Region: "r", Zone: fmt.Sprint("z", z), Ready: true}
+				e.Callers = "for callers " + e.ID
+				zones[e.Callers] = e.Zone
+				entries = append(entries, e)
+			}
+		}
+		got := feed.CallerAddresses(entries, "r", alike)
+		if len(got) != min(64, len(entries)) {
+			t.Fatalf("%d of %d named", len(got), len(entries))
+		}
+		of := map[string]int{}
+		for _, address := range got {
+			of[zones[address]]++
+		}
+		for z, n := range counts {
+			if here := of[fmt.Sprint("z", z)]; here < min(n, 64/len(counts)) {
+				t.Fatalf("%d named of the %d of a zone: %v", here, n, of)
+			}
+		}
+	})
+}
+
 func TestBoardForgetsWhoIsSilent(t *testing.T) {
 	Convey("an entry instance and a core instance were heard", t, func() {
 		b := feed.NewBoard(me, 1)
