control: a long list of targets is read less often

Cause: a list of 50 pages was read every 0.7 s, 71 calls a second, which are paid for. Change: 33 calls a second, at least once in 1.5 s; deputies learn from the gossip how many calls a reading takes, or they would take the reader for late.

--- a/node/control/reading.go
+++ b/node/control/reading.go
@@ -18,6 +18,11 @@
 	// are counted and paid for. With the list's own lag it keeps the last sending
 	// to a draining target under 1.5 s after the list shows it.
 	listInterval = 700 * time.Millisecond
+	// callGap is the mean time between two calls of all readings, and mostInterval bounds the
+	// time between two readings of a long list by it: calls are paid for, and what a reading
+	// finds is known everywhere 2 s after it was listed.
+	callGap      = 30 * time.Millisecond
+	mostInterval = 1500 * time.Millisecond
 	// deputyDelay is how much longer each further core instance, by rank, waits
 	// for a list of the others before it reads by itself: a reading, a gossip and a
 	// wide-area trip.
@@ -45,8 +50,6 @@
 
 // reading is the state of the reading duty.
 type reading struct {
-	// calls is how many the last reading took.
-	calls   int
 	pace    feed.Pace
 	started time.Time
 }
@@ -83,12 +86,20 @@
 	if rank == 0 {
 		return i.interval()
 	}
-	return i.interval() + i.callsTime(i.reading.calls) + time.Duration(rank)*deputyDelay
+	return i.interval() + i.callsTime(i.board.Calls()) + time.Duration(rank)*deputyDelay
 }
 
 // interval is the time between two readings: a long list is read less often, to stay
 // within the part of the platform's rate that one reader takes.
-func (i *Instance) interval() time.Duration { return max(listInterval, i.callsTime(i.reading.calls)) }
+func (i *Instance) interval() time.Duration {
+	calls := i.board.Calls()
+	return readingInterval(calls, i.callsTime(calls))
+}
+
+// readingInterval is the time between two readings of so many calls, which take so long.
+func readingInterval(calls int, takes time.Duration) time.Duration {
+	return max(listInterval, min(mostInterval, time.Duration(calls)*callGap), takes)
+}
 
 // callsTime is how long calls take at the reader's rate.
 func (i *Instance) callsTime(calls int) time.Duration {
@@ -108,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	i.reading.calls = calls
+	i.board.Read(calls)
 	list := feed.NewList(targets, at, before)
 	i.board.Listed(list, true)
 	if list.Digest != before.Digest {
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -50,7 +50,9 @@
 	// divided are the groups of the own region's targets; nil until they are asked for.
 	divided map[string]pick.Group
 	// own says that list was read by this instance.
-	own     bool
+	own bool
+	// calls is how many calls of the platform the newest reading took.
+	calls   int
 	changed chan struct{}
 	// newcomerAt is when entry instances that came last ended the waits.
 	newcomerAt time.Time
@@ -209,6 +211,7 @@
 	if !at.After(b.list.ReadAt) {
 		return false
 	}
+	b.calls = g.Calls
 	if g.Digest == b.list.Digest {
 		b.list.ReadAt, b.own = at, false
 		return false
@@ -252,6 +255,20 @@
 	return b.divided
 }
 
+// Read notes how many calls the last reading of this instance took.
+func (b *Board) Read(calls int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls = calls
+}
+
+// Calls is how many calls the newest reading took, here or at another core instance.
+func (b *Board) Calls() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.calls
+}
+
 // List returns the newest reading.
 func (b *Board) List() List {
 	b.mu.Lock()
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -288,7 +288,7 @@
 		g.Loads, g.Read = b.sumLoads(r, false), inOrder(r.ownRead)
 	}
 	if b.own {
-		g.Digest, g.ListAgeMillis = b.list.Digest, now.Sub(b.list.ReadAt).Milliseconds()
+		g.Digest, g.ListAgeMillis, g.Calls = b.list.Digest, now.Sub(b.list.ReadAt).Milliseconds(), b.calls
 	}
 	if b.own && fresh && len(b.older) > 0 {
 		if news := b.news(now, b.older[len(b.older)-1].Digest, ""); len(news) <= pushBytes {
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -206,6 +206,8 @@
 	// itself; Digest is 0 if it has not read.
 	Digest        uint64 `cbor:"4,keyasint,omitempty"`
 	ListAgeMillis int64  `cbor:"5,keyasint,omitempty"`
+	// Calls is how many calls that reading took.
+	Calls int `cbor:"10,keyasint,omitempty"`
 	// List holds ListNews of all regions, how the list differs from the one before, right
 	// after a reading that found it changed.
 	List cbor.RawMessage `cbor:"9,keyasint,omitempty"`
