--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -171,7 +171,8 @@
 			continue
 		}
 		r := i.makeReport(0)
-		r.Brief = true
+		// The first list comes from the followed one: it is long, and under way.
+		r.Brief, r.Probe = true, r.Digest == 0
 		u, err := i.report(ctx, to, r)
 		i.note(to, u, err)
 	}
