feed: an instance that compares is told of by the core instance that it follows

Cause: entry instances compare with all core instances in turn, and each of those told all others of all that had compared with it. Change: a brief report is handed on only where the followed core instance has told nothing for 1.5 s, or something else. TestWhoComparesIsToldByTheFollowedOne.

--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -18,10 +18,7 @@
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, err
 	}
-	if !r.Probe {
-		i.board.Reported(time.Now(), r.Self)
-		i.noteHeld(time.Now(), &r)
-	}
+	i.noteReport(time.Now(), &r)
 	i.board.Suspected(time.Now(), r.Suspects, true)
 	if r.First {
 		i.confirmFirst(ctx)
@@ -40,6 +37,19 @@
 	return cbor.Marshal(i.update(r))
 }
 
+// noteReport takes in what a report tells of the asker.
+func (i *Instance) noteReport(now time.Time, r *feed.Report) {
+	switch {
+	case r.Probe:
+		return
+	case r.Brief:
+		i.board.Compared(now, r.Self)
+	default:
+		i.board.Reported(now, r.Self)
+	}
+	i.noteHeld(now, r)
+}
+
 // nothingFor reports whether there is nothing yet that the asker waits for. A probe ends with
 // a state, or with a leader that has none.
 func (i *Instance) nothingFor(r *feed.Report) bool {
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -186,6 +186,27 @@
 	b.wakeFor(now, old.entry, known, e)
 }
 
+// comparedAfter is how old the news of an entry instance must be for its brief report to a
+// core instance that it does not follow to be handed on by that: the followed one may be cut
+// off from the others.
+const comparedAfter = 1500 * time.Millisecond
+
+// Compared takes in the brief report of an entry instance that follows another core instance,
+// which tells of it as a rule.
+//
+// What goes wrong where each of them is handed on: an instance asks all core instances in
+// turn, so each core instance tells all others of most entry instances, again and again.
+func (b *Board) Compared(now time.Time, e Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, known := b.entries[e.ID]
+	if known && now.Sub(old.at) < comparedAfter && old.entry.same(&e) {
+		return
+	}
+	b.entries[e.ID] = heardEntry{entry: e, at: now, direct: true}
+	b.wakeFor(now, old.entry, known, e)
+}
+
 // Gossiped takes in what another core instance tells, and reports whether its
 // list is newer than the one held and has to be taken from its news or fetched.
 func (b *Board) Gossiped(now time.Time, g Gossip) (fetch bool) {
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -248,6 +248,38 @@
 	}
 }
 
+// Symptom: the gossip of core instances grows with the square of their number.
+// Events: entry instances follow one core instance and compare with each of the others in turn.
+// Cause: each core instance told all others of each instance that had compared with it.
+func TestWhoComparesIsToldByTheFollowedOne(t *testing.T) {
+	Convey("an entry instance that follows another core instance", t, func() {
+		e := feed.Entry{ID: "e1", Region: "r", Callers: "c1", Ready: true}
+		b := feed.NewBoard(me, 1)
+		b.Gossiped(t0, feed.Gossip{From: feed.Core{ID: "2", Region: "r"}, Entries: []feed.Entry{e}})
+		told := func(at time.Time) []feed.Entry { return b.Gossip(at, false, false).Entries }
+		later := t0.Add(time.Second)
+		b.Compared(later, e)
+		So(told(later), ShouldBeEmpty)
+		Convey("is told of here when the other one falls silent", func() {
+			later = t0.Add(2 * time.Second)
+			b.Compared(later, e)
+			So(len(told(later)), ShouldEqual, 1)
+		})
+		Convey("is told of here when it leaves", func() {
+			e.Ready = false
+			b.Compared(later, e)
+			So(len(told(later)), ShouldEqual, 1)
+			So(told(later)[0].Ready, ShouldBeFalse)
+		})
+		Convey("is told of here when it turns to this one", func() {
+			b.Reported(later, e)
+			So(len(told(later)), ShouldEqual, 1)
+			b.Compared(later.Add(time.Second), e)
+			So(len(told(later.Add(time.Second))), ShouldEqual, 1)
+		})
+	})
+}
+
 func TestGossipCarriesOwnReadingsAndSums(t *testing.T) {
 	Convey("a core instance that has read the list", t, func() {
 		b := feed.NewBoard(me, 1)
