pick: a request goes over the targets of its group, not of its region

Cause: groups were found by a pass over all targets, and so were the sources of kept prompt parts. Change: groups are kept by the division; targets are found by the prompt parts that they keep.

--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -24,12 +24,14 @@
 const groupSize = 20
 
 // divide puts the targets of a service in order and gives each its group.
-func divide(list []*target) {
+func divide(list []*target) [][]*target {
 	slices.SortFunc(list, func(a, b *target) int { return compareOrder(a.order, b.order, a.ID, b.ID) })
-	groups := groupsOf(len(list))
+	groups := make([][]*target, groupsOf(len(list)))
 	for k, t := range list {
-		t.group = k % groups
+		t.group = k % len(groups)
+		groups[t.group] = append(groups[t.group], t)
 	}
+	return groups
 }
 
 func compareOrder(a, b uint64, idA, idB string) int {
@@ -84,18 +86,8 @@
 }
 
 // group are the targets of a call's group.
-func (p *Pool) group(list []*target, chain []link, lot uint64) []*target {
-	if groupsOf(len(list)) == 1 {
-		return list
-	}
-	g := groupOf(len(list), chain, lot)
-	out := make([]*target, 0, groupSize+groupSize/2)
-	for _, t := range list {
-		if t.group == g {
-			out = append(out, t)
-		}
-	}
-	return out
+func (p *Pool) group(service string, chain []link, lot uint64) []*target {
+	return p.groups[service][groupOf(len(p.byService[service]), chain, lot)]
 }
 
 // Decider is the id of the entry instance that decides for a call; this one's own where no
--- a/route/pick/kept.go
+++ b/route/pick/kept.go
@@ -20,24 +20,22 @@
 // keptTokens is the length of the longest beginning of the prompt that was sent to the
 // target lately.
 func (t *target) keptTokens(now time.Time, chain []link) int {
-	return t.longest(now, chain, false).tokens
-}
-
-// longest is the longest beginning of the prompt that the target is taken to keep, or to
-// have read; its tokens are 0 for none.
-func (t *target) longest(now time.Time, chain []link, read bool) source {
 	for i := len(chain) - 1; i >= 0; i-- {
-		if u := t.kept[chain[i].key]; u.counts(now) && (u.read || !read) {
-			return source{t: t, tokens: chain[i].tokens, used: u.at}
+		if t.kept[chain[i].key].counts(now) {
+			return chain[i].tokens
 		}
 	}
-	return source{}
+	return 0
 }
 
 // keep notes that a request with a prompt is sent to the target.
-func (t *target) keep(now time.Time, chain []link) {
+func (p *Pool) keep(now time.Time, t *target, chain []link) {
 	for _, l := range chain {
-		t.kept[l.key] = use{at: now, read: t.kept[l.key].read}
+		u, known := t.kept[l.key]
+		if !known {
+			p.holders[l.key] = append(p.holders[l.key], t)
+		}
+		t.kept[l.key] = use{at: now, read: u.read}
 	}
 }
 
@@ -70,27 +68,34 @@
 // sources are the best one and the next, as none is a source for itself.
 type sources [2]source
 
-// sourcesOf finds them for a prompt, all but its own last part.
-func sourcesOf(now time.Time, list []*target, chain []link) sources {
+// sourcesOf finds them for a prompt, all but its own last part. Longer beginnings come first,
+// so that it ends with the second target that has one.
+func (p *Pool) sourcesOf(now time.Time, service string, chain []link) sources {
 	var out sources
-	if len(chain) < 2 {
-		return out
-	}
-	shared := chain[:len(chain)-1]
-	for _, t := range list {
-		if now.Before(t.downUntil) {
-			continue
-		}
-		switch s := t.longest(now, shared, true); {
-		case s.betterThan(out[0]):
-			out[0], out[1] = s, out[0]
-		case s.betterThan(out[1]):
-			out[1] = s
+	for n := len(chain) - 1; n > 0 && out[1].t == nil; n-- {
+		l := chain[n-1]
+		for _, t := range p.holders[l.key] {
+			u := t.kept[l.key]
+			if t.Service != service || p.targets[t.ID] != t || now.Before(t.downUntil) || !u.read || !u.counts(now) {
+				continue
+			}
+			out.add(source{t: t, tokens: l.tokens, used: u.at})
 		}
 	}
 	return out
 }
 
+// add takes in a source, of each target the first one only.
+func (s *sources) add(o source) {
+	switch {
+	case s[0].t == o.t || s[1].t == o.t:
+	case s[0].t == nil || o.betterThan(s[0]):
+		s[0], s[1] = o, s[0]
+	case s[1].t == nil || o.betterThan(s[1]):
+		s[1] = o
+	}
+}
+
 // to is the source for one target; its tokens are 0 for none.
 func (s sources) to(t *target) source {
 	if s[0].t == t {
@@ -153,11 +158,14 @@
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.holders = map[uint64][]*target{}
 	for _, t := range p.targets {
 		for key, u := range t.kept {
 			if !u.counts(now) {
 				delete(t.kept, key)
+				continue
 			}
+			p.holders[key] = append(p.holders[key], t)
 		}
 	}
 }
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -15,9 +15,13 @@
 
 	mu      sync.Mutex
 	targets map[string]*target
-	// byService is in the order of ids.
+	// byService is in the order of the division, and groups are its parts.
 	byService map[string][]*target
-	snapshot  Snapshot
+	groups    map[string][][]*target
+	// holders are the targets that a prompt part was sent to; some may be gone, or have
+	// forgotten it.
+	holders  map[uint64][]*target
+	snapshot Snapshot
 	// duties are those of the snapshot; nil until they are asked for.
 	duties []Group
 	// past are the entry instances known before those of the snapshot, for settleTime.
@@ -72,7 +76,7 @@
 func New(self string) *Pool {
 	return &Pool{
 		self: self, targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedAt: map[string]time.Time{},
-		paces: map[string]*pace{},
+		paces: map[string]*pace{}, holders: map[uint64][]*target{},
 	}
 }
 
@@ -99,8 +103,9 @@
 		p.targets[listed.ID] = t
 		p.byService[listed.Service] = append(p.byService[listed.Service], t)
 	}
-	for _, list := range p.byService {
-		divide(list)
+	p.groups = map[string][][]*target{}
+	for service, list := range p.byService {
+		p.groups[service] = divide(list)
 	}
 	p.snapshot, p.duties = s, nil
 	p.forgetPaces()
@@ -162,7 +167,7 @@
 		return nil, ReasonNone
 	}
 	w := p.weigh(now, c)
-	group := p.group(list, w.chain, c.Lot)
+	group := p.group(c.Service, w.chain, c.Lot)
 	w.home = p.home(group, w.chain)
 	best, e := p.best(group, w)
 	if best == nil || e.hurry(best) > leaveGroup {
@@ -218,7 +223,7 @@
 	ch.Source = w.source(t)
 	ch.counted = Load{Running: 1, Unread: QueueOf(w.call.Rank, e.unread)}
 	t.own.add(ch.counted)
-	t.keep(w.now, w.chain)
+	p.keep(w.now, t, w.chain)
 	return ch
 }
 
--- /dev/null
+++ b/route/pick/request_bench_test.go
@@ -0,0 +1,32 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// BenchmarkRequest is what one request costs the instance that decides and the one that asks,
+// by the number of targets.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{20, 400, 4000, 8000} {
+		pools, _ := region(1, n, pick.ServiceRules{Engine: true})
+		p := pools["e0"]
+		b.Run(fmt.Sprint("decide/", n), func(b *testing.B) {
+			for k := uint64(0); b.Loop(); k++ {
+				now := t0.Add(time.Duration(k) * 10 * time.Millisecond)
+				c, _ := p.Pick(now, call(k%1000))
+				c.First(now)
+				c.Done(now, pick.Good)
+			}
+		})
+		b.Run(fmt.Sprint("ask/", n), func(b *testing.B) {
+			for k := uint64(0); b.Loop(); k++ {
+				p.Decider(call(k % 1000))
+				p.KnownLimits(t0, "s")
+			}
+		})
+	}
+}
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -23,7 +23,7 @@
 
 func (p *Pool) weigh(now time.Time, c Call) *weighing {
 	w := &weighing{now: now, call: c, chain: c.chain(), rules: p.snapshot.Rules[c.Service], pace: p.pace(c.Service)}
-	w.sources = sourcesOf(now, p.byService[c.Service], w.chain)
+	w.sources = p.sourcesOf(now, c.Service, w.chain)
 	w.fetch = w.fetchShare()
 	return w
 }
