pick, entry: who decides for cold targets waits for as long as news may take

Cause: an instance gave requests to cold targets 0.7 s after it had become their decider, which is the time that news take without any slack; with reports that wait longer, news take longer. Change: the time follows from the intervals of reports and gossip, with a slack of 0.3 s: 1.2 s as a rule. An instance of less than 10 s gives nothing while it is not told who is there. One test calls for an update with each request now, as an instance gets them.

--- a/node/control/soft.go
+++ b/node/control/soft.go
@@ -12,9 +12,9 @@
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
-// gossipInterval is the time between two messages to each other core instance: four
+// GossipInterval is the time between two messages to each other core instance: four
 // of them for five instances are 2 KB/s in all.
-const gossipInterval = 500 * time.Millisecond
+const GossipInterval = 500 * time.Millisecond
 
 // clock is that of the log.
 func (i *Instance) clock() time.Time { return replhost.BootClock{}.Now() }
@@ -34,7 +34,7 @@
 
 // runGossip tells the other core instances what this one knows.
 func (i *Instance) runGossip(ctx context.Context) {
-	tick := time.NewTicker(gossipInterval)
+	tick := time.NewTicker(GossipInterval)
 	defer tick.Stop()
 	// The first one opens the links. Without it a first list waits for them: two trips to
 	// another region and back.
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -72,6 +72,8 @@
 	loads   []feed.Load
 	partial bool
 	regions []feed.Summary
+	// wait is how long the next report may be held back.
+	wait time.Duration
 }
 
 // begin asks all core instances that are known, each again and again, until one gives a
@@ -135,12 +137,10 @@
 // follow reports to one core instance again and again.
 func (i *Instance) follow(ctx context.Context) {
 	i.begin(ctx)
-	wait := reportWait
 	for ctx.Err() == nil {
 		to := i.followed()
-		u, err := i.report(ctx, to, i.makeReport(wait))
+		u, err := i.report(ctx, to, i.makeReport(i.reportWait()))
 		i.note(to, u, err)
-		wait = nextWait(u)
 		if err != nil {
 			i.log.Debug("report failed", zap.String("to", to), zap.Error(err))
 			_ = duty.Pause(ctx, failPause)
@@ -152,14 +152,17 @@
 	}
 }
 
-// nextWait is how long the next report may wait, after an answer or its lack.
+// nextWait is how long the report after an answer may wait.
 func nextWait(u *feed.Update) time.Duration {
-	if u == nil {
-		return reportWait
-	}
 	return max(reportWait, min(longestWait, time.Duration(u.WaitMillis)*time.Millisecond))
 }
 
+func (i *Instance) reportWait() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return max(reportWait, i.known.wait)
+}
+
 // compare asks one core instance after the other for news that the followed one may
 // lack, and finds one that hears from a leader again.
 func (i *Instance) compare(ctx context.Context) {
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -8,6 +8,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
@@ -47,6 +48,9 @@
 	if u.Near {
 		k.loads, k.partial = u.Loads, r.Part
 	}
+	if !r.Brief {
+		k.wait = nextWait(u)
+	}
 	i.show(now)
 }
 
@@ -119,6 +123,7 @@
 	epoch, at                uint64
 	ready, leaving, draining bool
 	joined, partial          bool
+	settle                   time.Duration
 }
 
 func (i *Instance) basisNow() basis {
@@ -126,6 +131,7 @@
 	return basis{
 		index: k.index, head: k.head, list: k.list.Digest, epoch: k.entries.Epoch, at: k.entries.At,
 		ready: i.Ready(), leaving: i.leaving(), draining: i.draining.Load(), joined: k.joined, partial: k.partial,
+		settle: k.settle(),
 	}
 }
 
@@ -190,7 +196,7 @@
 // snapshot is what the pool needs to know.
 func (i *Instance) snapshot(index *routes.Index) pick.Snapshot {
 	k := &i.known
-	s := pick.Snapshot{Evacuated: map[string]bool{}, Loads: k.poolLoads(), Partial: k.partial, Rules: map[string]pick.ServiceRules{}}
+	s := pick.Snapshot{Evacuated: map[string]bool{}, Loads: k.poolLoads(), Partial: k.partial, Settle: k.settle(), Rules: map[string]pick.ServiceRules{}}
 	for _, zone := range k.head.Zones() {
 		s.Evacuated[zone] = true
 	}
@@ -220,6 +226,13 @@
 	return s
 }
 
+// slackOfNews is how much longer than its intervals news may take, over a busy link and at
+// instances that are short of processor.
+const slackOfNews = 300 * time.Millisecond
+
+// settle is how long news of an entry instance take to the others: see pick.Snapshot.
+func (k *knowledge) settle() time.Duration { return 2*k.wait + control.GossipInterval + slackOfNews }
+
 // poolLoads are the loads of the others as the pool takes them.
 func (k *knowledge) poolLoads() map[string]pick.Load {
 	out := make(map[string]pick.Load, len(k.loads))
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -24,8 +24,10 @@
 	snapshot Snapshot
 	// duties are those of the snapshot; nil until they are asked for.
 	duties []Group
-	// past are the entry instances known before those of the snapshot, for settleTime.
-	past []pastEntries
+	// past are the entry instances known before those of the snapshot, for as long as settle
+	// says. begunAt is when this instance was first told who is there, heardAt when last.
+	past             []pastEntries
+	begunAt, heardAt time.Time
 	// evacuatedAt is when each zone was last seen evacuated.
 	evacuatedAt map[string]time.Time
 	// paces are those of the engines by service.
--- a/route/pick/pool_test.go
+++ b/route/pick/pool_test.go
@@ -126,6 +126,8 @@
 		got := 0
 		for k := range 100 {
 			at := from.Add(time.Duration(k) * 10 * time.Millisecond)
+			// It is told that nothing has changed.
+			p.UpdateLoads(at, nil)
 			if c, _ := p.Pick(at, call(1)); c != nil {
 				c.Done(at, pick.Good)
 				got++
--- a/route/pick/tenure.go
+++ b/route/pick/tenure.go
@@ -14,9 +14,17 @@
 // it knew, for as long as news of an instance take to reach the others: whoever it has taken over
 // from knows by then.
 
-// settleTime is how long news of an entry instance may take to the others of its region: a report
-// to a core instance, its news to the other ones, and the answer to the next report.
-const settleTime = 700 * time.Millisecond
+const (
+	// leastSettle is the least that settle is taken for.
+	leastSettle = 700 * time.Millisecond
+	// youngFor is how long an instance has to have been told lately who is there in order to
+	// decide: later it keeps its view where it is cut off from all core instances, as all that
+	// are cut off with it do.
+	youngFor = 10 * time.Second
+)
+
+// settle is how long news of an entry instance may take to the others of its region.
+func (p *Pool) settle() time.Duration { return max(leastSettle, p.snapshot.Settle) }
 
 // pastEntries are entry instances as they were known until a time.
 type pastEntries struct {
@@ -26,7 +34,12 @@
 
 // noteEntries keeps what was known until now, for as long as it counts.
 func (p *Pool) noteEntries(now time.Time, s *Snapshot) {
-	p.past = slices.DeleteFunc(p.past, func(e pastEntries) bool { return now.Sub(e.until) >= settleTime })
+	settle := max(p.settle(), s.Settle)
+	p.past = slices.DeleteFunc(p.past, func(e pastEntries) bool { return now.Sub(e.until) >= settle })
+	if p.begunAt.IsZero() {
+		p.begunAt = now
+	}
+	p.heardAt = now
 	switch {
 	case s.Unheard:
 		// As if somebody else had been there.
@@ -36,13 +49,16 @@
 	}
 }
 
-// settled reports whether this instance decides for a group, and has for settleTime.
+// settled reports whether this instance decides for a group, and has for as long as news take.
 func (p *Pool) settled(now time.Time, service string, group int) bool {
 	if p.owner(service, group) != p.self || p.snapshot.Unheard {
 		return false
 	}
+	if now.Sub(p.begunAt) < youngFor && now.Sub(p.heardAt) >= p.settle() {
+		return false
+	}
 	for _, e := range p.past {
-		if now.Sub(e.until) < settleTime && ownerAmong(e.ids, service, group) != p.self {
+		if now.Sub(e.until) < p.settle() && ownerAmong(e.ids, service, group) != p.self {
 			return false
 		}
 	}
--- a/route/pick/tenure_test.go
+++ b/route/pick/tenure_test.go
@@ -19,6 +19,8 @@
 	)
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 25).Draw(t, "instances")
+		settle := rapid.SampledFrom([]time.Duration{0, 1200 * time.Millisecond, 2 * time.Second}).Draw(t, "settle")
+		mostNews := max(680, int(settle.Milliseconds())-20)
 		list := targets(1)
 		list[0].ColdUntil = t0.Add(time.Hour)
 		var pools []*pick.Pool
@@ -38,7 +40,7 @@
 		hearsAt := make([][]time.Time, n)
 		for k := range n {
 			for other := range n {
-				at := joinedAt[other].Add(ms(20, 680, "news"))
+				at := joinedAt[other].Add(ms(20, mostNews, "news"))
 				if at.Before(joinedAt[k]) {
 					at = joinedAt[k]
 				}
@@ -46,7 +48,7 @@
 			}
 		}
 		var sent []time.Time
-		for now := t0; now.Before(t0.Add(5 * time.Second)); now = now.Add(step) {
+		for now := t0; now.Before(t0.Add(8 * time.Second)); now = now.Add(step) {
 			for k, p := range pools {
 				if now.Before(startAt[k]) {
 					continue
@@ -57,7 +59,7 @@
 						known = append(known, ids[other])
 					}
 				}
-				p.Update(now, pick.Snapshot{Targets: list, Entries: known, Unheard: now.Before(joinedAt[k]), Rules: engines()})
+				p.Update(now, pick.Snapshot{Targets: list, Entries: known, Unheard: now.Before(joinedAt[k]), Settle: settle, Rules: engines()})
 				if c, _ := p.Pick(now, call(5)); c != nil {
 					sent = append(sent, now)
 					c.Done(now, pick.Good)
@@ -72,3 +74,30 @@
 		}
 	})
 }
+
+// Guards against an instance that has just started, on a processor that is short, and decides by
+// a view that is seconds old.
+func TestColdTargetOfAnInstanceThatHearsNothing(t *testing.T) {
+	list := targets(1)
+	list[0].ColdUntil = t0.Add(time.Hour)
+	s := pick.Snapshot{Targets: list, Entries: []string{"e"}, Rules: engines()}
+	gives := func(p *pick.Pool, now time.Time) bool {
+		c, _ := p.Pick(now, call(5))
+		return c != nil
+	}
+	young := pick.New("e")
+	young.Update(t0, s)
+	if gives(young, t0.Add(2*time.Second)) {
+		t.Error("one that has heard nothing for two seconds after its start gives")
+	}
+	young.UpdateLoads(t0.Add(2*time.Second), nil)
+	if !gives(young, t0.Add(2100*time.Millisecond)) {
+		t.Error("one that hears does not give")
+	}
+	old := pick.New("e")
+	old.Update(t0, s)
+	old.UpdateLoads(t0.Add(time.Minute), nil)
+	if !gives(old, t0.Add(2*time.Minute)) {
+		t.Error("one that is cut off for a minute does not give")
+	}
+}
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -93,6 +93,9 @@
 	// Entries are the ids of the region's entry instances that take requests, this
 	// one included, in order. They share out the groups of targets.
 	Entries []string
+	// Settle is how long news of an entry instance may take to the others of the region: a
+	// report to a core instance, its news to the other ones, and the answer to the next report.
+	Settle time.Duration
 	// Unheard says that this instance has started and not been told the others yet.
 	Unheard bool
 	// Rules by service.
