--- a/operate/cli/capacity.go
+++ b/operate/cli/capacity.go
@@ -17,6 +17,8 @@
 with the budgets. It meets no instance. Without options it is the planned size.
 
 --slopes lists the slopes with the commands that measure them again.
+--report compares what reports of plays say of each role, the middle instance and
+the busiest, in place of the table; it may be given more than once.
 With --check the exit code is 1 if a budget is exceeded.
 
 Example: gullhaven capacity --instances 720 --targets 1400 --requests 7600`,
@@ -26,25 +28,26 @@
 // capacityCommand is the command `capacity`.
 type capacityCommand struct {
 	env           *Env
-	Instances     int     `long:"instances" description:"instances of the system"`
-	Targets       int     `long:"targets" description:"runners"`
-	Accelerators  int     `long:"accelerators" description:"accelerators of the runners"`
-	Requests      float64 `long:"requests" description:"requests a second"`
-	Tokens        float64 `long:"tokens" description:"generated tokens a second"`
-	Workspaces    int     `long:"workspaces" description:"workspaces"`
-	Models        int     `long:"models" description:"models in use"`
-	Regions       int     `long:"regions" description:"regions"`
-	Zones         int     `long:"zones" description:"availability zones"`
-	Changes       float64 `long:"changes" description:"changes of the bundle a day"`
-	Skew          float64 `long:"skew" description:"capacity of the largest region by that of the smallest"`
-	Once          float64 `long:"once" description:"share of requests that run at most once"`
-	ClaimLifetime float64 `long:"claim-lifetime" value-name:"SECONDS" description:"lifetime of claims"`
-	Voters        int     `long:"voters" description:"voters of the global group"`
-	Times         float64 `long:"times" default:"1" description:"grow all but the regions by a factor"`
-	JSON          bool    `long:"json" description:"print JSON"`
-	Markdown      bool    `long:"markdown" description:"print the tables of docs/CAPACITY.md"`
-	Slopes        bool    `long:"slopes" description:"list the slopes and their commands"`
-	Check         bool    `long:"check" description:"exit with 1 if a budget is exceeded"`
+	Instances     int      `long:"instances" description:"instances of the system"`
+	Targets       int      `long:"targets" description:"runners"`
+	Accelerators  int      `long:"accelerators" description:"accelerators of the runners"`
+	Requests      float64  `long:"requests" description:"requests a second"`
+	Tokens        float64  `long:"tokens" description:"generated tokens a second"`
+	Workspaces    int      `long:"workspaces" description:"workspaces"`
+	Models        int      `long:"models" description:"models in use"`
+	Regions       int      `long:"regions" description:"regions"`
+	Zones         int      `long:"zones" description:"availability zones"`
+	Changes       float64  `long:"changes" description:"changes of the bundle a day"`
+	Skew          float64  `long:"skew" description:"capacity of the largest region by that of the smallest"`
+	Once          float64  `long:"once" description:"share of requests that run at most once"`
+	ClaimLifetime float64  `long:"claim-lifetime" value-name:"SECONDS" description:"lifetime of claims"`
+	Voters        int      `long:"voters" description:"voters of the global group"`
+	Times         float64  `long:"times" default:"1" description:"grow all but the regions by a factor"`
+	JSON          bool     `long:"json" description:"print JSON"`
+	Markdown      bool     `long:"markdown" description:"print the tables of docs/CAPACITY.md"`
+	Slopes        bool     `long:"slopes" description:"list the slopes and their commands"`
+	Reports       []string `long:"report" value-name:"FILE" description:"compare what reports of plays measured"`
+	Check         bool     `long:"check" description:"exit with 1 if a budget is exceeded"`
 }
 
 // newCapacity has the planned size as its defaults.
@@ -74,6 +77,9 @@
 	if c.Slopes {
 		return c.listSlopes()
 	}
+	if len(c.Reports) > 0 {
+		return c.compareReports()
+	}
 	slopes, err := capacity.Recorded()
 	if err != nil {
 		return err
@@ -91,6 +97,21 @@
 	return nil
 }
 
+func (c *capacityCommand) compareReports() error {
+	var reports []*capacity.Play
+	for _, path := range c.Reports {
+		m, err := capacity.ReadPlay(path)
+		if err != nil {
+			return err
+		}
+		reports = append(reports, m)
+	}
+	if c.JSON {
+		return json.NewEncoder(c.env.Out).Encode(reports)
+	}
+	return capacity.ComparePlays(c.env.Out, reports)
+}
+
 func (c *capacityCommand) write(report *capacity.Report) error {
 	switch {
 	case c.JSON:
