feed: a list that is older than the asker's is not told

Cause: a digest that a core instance did not know was taken for none, and answered with all targets of the asker's region. A core instance that hears of a new list a moment later than the asker does not know it; 985 instances compare every 1.5 s, two thirds of them across regions. Change: a report tells how old its list is; a list that is older is not told.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -300,6 +300,9 @@
 		r.Held = i.known.held.Index
 	}
 	r.Digest, r.Cores = i.known.list.Digest, i.known.coresDigest
+	if r.Digest != 0 {
+		r.ListAgeMillis = time.Since(i.known.list.ReadAt).Milliseconds()
+	}
 	r.EntriesEpoch, r.EntriesAt = i.known.entries.Epoch, i.known.entries.At
 	return r
 }
--- a/node/feed/list_test.go
+++ b/node/feed/list_test.go
@@ -153,3 +153,37 @@
 		t.Errorf("%d bytes of news go with a gossip", len(g.List))
 	}
 }
+
+// Symptom: most of the traffic between regions of a large site is lists of targets.
+// Events: an entry instance holds a list that has just changed, and compares with a core instance
+// of another region, which hears of the change a moment later.
+// Cause: a digest that was not known counted as none, and was answered with all targets.
+func TestOlderListIsNotTold(t *testing.T) {
+	b := feed.NewBoard(me, 1)
+	list := func(n int, at time.Time) feed.List {
+		var targets []feed.Target
+		for k := range n {
+			targets = append(targets, feed.Target{ID: fmt.Sprint("t", k), Service: "s", Region: "q"})
+		}
+		return feed.NewList(targets, at, feed.List{})
+	}
+	older, newer := list(1000, t0), list(1001, t0.Add(time.Second))
+	now := t0.Add(1200 * time.Millisecond)
+	ask := func(digest uint64, age int64) *feed.Update {
+		u := &feed.Update{}
+		r := feed.Report{Self: feed.Entry{ID: "e", Region: "q"}, Brief: true, Digest: digest, ListAgeMillis: age}
+		b.Fill(now, r, nil, u)
+		return u
+	}
+	b.Listed(older, false)
+	if u := ask(newer.Digest, 200); u.List != nil || u.ListAgeMillis != 1200 {
+		t.Errorf("%d bytes of a list of %d ms", len(u.List), u.ListAgeMillis)
+	}
+	if u := ask(0, 0); u.List == nil {
+		t.Error("an instance without a list is told none")
+	}
+	b.Listed(newer, false)
+	if u := ask(older.Digest, 1200); len(u.List) == 0 || len(u.List) > 200 {
+		t.Errorf("%d bytes of what has changed", len(u.List))
+	}
+}
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -134,7 +134,9 @@
 	u.ListAgeMillis = -1
 	if !b.list.ReadAt.IsZero() && !r.Probe {
 		u.ListAgeMillis = now.Sub(b.list.ReadAt).Milliseconds()
-		u.List = b.news(now, r.Digest, r.Self.Region)
+		if b.newerThan(now, &r) {
+			u.List = b.news(now, r.Digest, r.Self.Region)
+		}
 	}
 	round := b.current(now)
 	if round.coresDigest != r.Cores {
@@ -154,6 +156,16 @@
 	u.Regions = round.sums[r.Self.Region]
 }
 
+// newerThan reports whether the list here was read after that of the asker.
+//
+// What goes wrong without it: a core instance that hears of a new list a moment later than the
+// asker does not know the asker's list, and tells it all targets of its region. With many
+// instances that compare with core instances of other regions that is most of the traffic
+// between regions.
+func (b *Board) newerThan(now time.Time, r *Report) bool {
+	return r.Digest == 0 || now.Sub(b.list.ReadAt) < time.Duration(r.ListAgeMillis)*time.Millisecond
+}
+
 // otherRegions sums up what other regions than one have and do.
 func (b *Board) otherRegions(r *round, but string, evacuated map[string]uint64) []Summary {
 	type key struct{ region, service string }
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -109,6 +109,8 @@
 	// Index and Digest are what it knows of the log's state and the list.
 	Index  uint64 `cbor:"2,keyasint,omitempty"`
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// ListAgeMillis is how long ago that list was read, as far as the asker knows.
+	ListAgeMillis int64 `cbor:"17,keyasint,omitempty"`
 	// Held is the index of the newest state whose document it holds, too. While that is
 	// below Index the answer tells again who has the document.
 	Held uint64 `cbor:"12,keyasint,omitempty"`
