--- a/node/control/standing.go
+++ b/node/control/standing.go
@@ -31,12 +31,14 @@
 }
 
 // stands tells the place of this instance, as of a moment ago.
-func (i *Instance) stands() placed {
-	s := &i.standing
+func (i *Instance) stands() placed { return i.standing.of(time.Now(), i.askStanding) }
+
+// of is the answer of standingLife ago at most, or a new one.
+func (s *standing) of(now time.Time, ask func() placed) placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now := time.Now(); now.Sub(s.at) >= standingLife {
-		s.placed, s.at = i.askStanding(), now
+	if now.Sub(s.at) >= standingLife {
+		s.placed, s.at = ask(), now
 	}
 	return s.placed
 }
