control: a report waits where the list here is older than the asker's

Cause: a list that is not told still ended the wait, so that an entry instance whose list is newer than that of the core instance it follows asked again and again without a pause until that had caught up. Found by reading; it was so before lists were compared by age, with the whole list told. Change: only a list that is told ends the wait; the wait counts in the age of the asker's list. Measured: TestOlderListIsNotTold.

--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -18,7 +18,8 @@
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, err
 	}
-	i.noteReport(time.Now(), &r)
+	began := time.Now()
+	i.noteReport(began, &r)
 	i.board.Suspected(time.Now(), r.Suspects, true)
 	if r.First {
 		i.confirmFirst(ctx)
@@ -34,6 +35,7 @@
 			return nil, ctx.Err()
 		}
 	}
+	r.ListAgeMillis += time.Since(began).Milliseconds()
 	return cbor.Marshal(i.update(r))
 }
 
@@ -59,7 +61,7 @@
 	if r.Probe {
 		return !i.led()
 	}
-	return i.board.List().Digest == r.Digest
+	return !i.board.HasList(time.Now(), r)
 }
 
 // confirmFirst tries to have the state confirmed for an instance that has just
--- a/node/feed/list_test.go
+++ b/node/feed/list_test.go
@@ -176,6 +176,9 @@
 		return u
 	}
 	b.Listed(older, false)
+	if b.HasList(now, &feed.Report{Digest: newer.Digest, ListAgeMillis: 200}) {
+		t.Error("an answer without news does not wait for any")
+	}
 	if u := ask(newer.Digest, 200); u.List != nil || u.ListAgeMillis != 1200 {
 		t.Errorf("%d bytes of a list of %d ms", len(u.List), u.ListAgeMillis)
 	}
@@ -183,6 +186,9 @@
 		t.Error("an instance without a list is told none")
 	}
 	b.Listed(newer, false)
+	if !b.HasList(now, &feed.Report{Digest: older.Digest, ListAgeMillis: 1200}) {
+		t.Error("an answer with news waits")
+	}
 	if u := ask(older.Digest, 1200); len(u.List) == 0 || len(u.List) > 200 {
 		t.Errorf("%d bytes of what has changed", len(u.List))
 	}
--- a/node/feed/round.go
+++ b/node/feed/round.go
@@ -156,6 +156,13 @@
 	u.Regions = round.sums[r.Self.Region]
 }
 
+// HasList reports whether there is another list here than the asker's that is told to it.
+func (b *Board) HasList(now time.Time, r *Report) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list.Digest != r.Digest && b.newerThan(now, r)
+}
+
 // newerThan reports whether the list here was read after that of the asker.
 //
 // What goes wrong without it: a core instance that hears of a new list a moment later than the
