--- a/route/pick/request_bench_test.go
+++ b/route/pick/choice_bench_test.go
@@ -8,9 +8,9 @@
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
-// BenchmarkRequest is what one request costs the instance that decides and the one that asks,
+// BenchmarkChoiceBySize is what one request costs the instance that decides and the one that asks,
 // by the number of targets.
-func BenchmarkRequest(b *testing.B) {
+func BenchmarkChoiceBySize(b *testing.B) {
 	for _, n := range []int{20, 400, 4000, 8000} {
 		pools, _ := region(1, n, pick.ServiceRules{Engine: true})
 		p := pools["e0"]
