--- a/node/control/reading.go
+++ b/node/control/reading.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	i.board.Read(calls)
+	i.board.ReadTook(calls)
 	list := feed.NewList(targets, at, before)
 	i.board.Listed(list, true)
 	if list.Digest != before.Digest {
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -71,7 +71,7 @@
 	// mu guards what follows.
 	mu      sync.Mutex
 	known   knowledge
-	last    shown
+	last    lastView
 	chooser *feed.Chooser
 	// failedInRow counts the newest reports without an answer; silent says that a line told
 	// of them.
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -83,7 +83,7 @@
 }
 
 // show makes the view of what is known.
-func (i *Instance) show(at time.Time) {
+func (i *Instance) show(now time.Time) {
 	k := &i.known
 	if k.index == nil || k.list.ReadAt.IsZero() {
 		// Without a list it would take requests and have no target for any.
@@ -93,28 +93,28 @@
 		Index: k.index, Regions: map[exchange.RegionService]pick.RegionLoad{}, Entries: len(k.entries.Entries) + 1, ListAt: k.list.ReadAt,
 	}
 	i.showRegions(next)
-	if now := i.basisNow(); i.last.basis != now {
-		i.last.basis, i.last.peers = now, i.peersNow()
+	if current := i.currentBasis(); i.last.basis != current {
+		i.last = lastView{basis: current, peers: i.currentPeers()}
 		snapshot := i.snapshot(next.Index)
-		i.pool.Update(at, snapshot)
+		i.pool.Update(now, snapshot)
 		i.limits.SetView(next.Index, snapshot.Entries, next.Entries)
 	} else {
-		i.pool.UpdateLoads(at, k.poolLoads())
+		i.pool.UpdateLoads(now, k.poolLoads())
 	}
 	next.Peers = i.last.peers
 	i.gateway.SetView(next)
 }
 
-// shown is what the last view was made of.
-type shown struct {
+// lastView is what the last view was made of.
+type lastView struct {
 	basis basis
 	peers []exchange.Peer
 }
 
 // basis is all that a snapshot of the pool is made of but the loads.
 //
-// What goes wrong where each report makes a snapshot: with 4,000 targets an instance spends a
-// third of its processor on going over them five times a second, when nothing has changed.
+// What goes wrong where each report makes a snapshot: an instance before thousands of targets
+// goes over all of them some times a second, when nothing has changed.
 type basis struct {
 	index *routes.Index
 	head  *newest.Head
@@ -126,7 +126,7 @@
 	settle                   time.Duration
 }
 
-func (i *Instance) basisNow() basis {
+func (i *Instance) currentBasis() basis {
 	k := &i.known
 	return basis{
 		index: k.index, head: k.head, list: k.list.Digest, epoch: k.entries.Epoch, at: k.entries.At,
@@ -135,8 +135,8 @@
 	}
 }
 
-// peersNow are the entry instances of other regions that take requests.
-func (i *Instance) peersNow() (out []exchange.Peer) {
+// currentPeers are the entry instances of other regions that take requests.
+func (i *Instance) currentPeers() (out []exchange.Peer) {
 	for _, e := range i.known.entries.Entries {
 		// One that leaves is no way into its region: its end would cut off what was passed on
 		// to it, and the caller's own instance may be leaving as well.
--- a/node/feed/board.go
+++ b/node/feed/board.go
@@ -276,8 +276,8 @@
 	return b.divided
 }
 
-// Read notes how many calls the last reading of this instance took.
-func (b *Board) Read(calls int) {
+// ReadTook notes how many calls the last reading of this instance took.
+func (b *Board) ReadTook(calls int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.calls = calls
