platform, exchange: see rests and leaving in targets' answers

New lines 'target asks for rest' and 'malformed header of a target', fields rest and decided_by of 'attempt failed', three counters. No decision uses them yet.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -20,6 +20,9 @@
 	SiteOtherRefusals     = Metric{"gullhaven_site_refused_other_total", Counter, "requests", "Requests refused for other reasons: no route, malformed, too large, a peer that is behind."}
 	SiteRetriesDenied     = Metric{"gullhaven_site_retries_denied_total", Counter, "attempts", "Further sendings that the budget did not allow."}
 	SiteOwnedElsewhere    = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
+	SiteRestsAsked        = Metric{"gullhaven_site_rests_asked_total", Counter, "answers", "Answers of targets that turned a request away and asked this instance for rest."}
+	SiteLeavingAnswers    = Metric{"gullhaven_site_answers_leaving_total", Counter, "answers", "Answers of targets that said that they are leaving."}
+	SiteMalformedHeaders  = Metric{"gullhaven_site_headers_malformed_total", Counter, "headers", "Headers of targets about themselves that were ignored or clamped as their values are malformed."}
 	SiteInvalidSummaries  = Metric{"gullhaven_site_summaries_invalid_total", Counter, "summaries", "Summaries of other regions left out as their figures cannot be."}
 	SiteUnknownSummaries  = Metric{"gullhaven_site_summaries_untold_total", Counter, "summaries", "Summaries of other regions whose load was not known: they get requests only where there is no other place."}
 	SiteRegionsUnreached  = Metric{"gullhaven_site_regions_out_total", Counter, "regions", "Times that another region was left out as none of its instances could be reached."}
@@ -55,7 +58,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteOwnedElsewhere, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
@@ -67,6 +70,7 @@
 	ForwardedIn, RefusedNoTarget, RefusedNoConfiguration, RefusedLeaving, RefusedPoison, RefusedOverloaded, RefusedOther gometrics.Counter
 	RefusedUnknownKey, RefusedNoHome, RefusedOverLimit                                                                   gometrics.Counter
 	RetriesDenied, OwnedElsewhere, SummariesInvalid, SummariesUnknown, RegionsUnreached, ReportsFailed                   gometrics.Counter
+	RestsAsked, LeavingAnswers, MalformedHeaders                                                                         gometrics.Counter
 	// WaitRatio is the actual wait over the expected wait, which shows the quality of choices.
 	WaitRatio                                       *Ratios
 	ChooseTime, SendTime, EventGapTime, RequestTime *Times
@@ -107,6 +111,7 @@
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RefusedUnknownKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHomeRegion), RefusedOverLimit: s.Counter(SiteOverLimit),
 		RetriesDenied: s.Counter(SiteRetriesDenied), OwnedElsewhere: s.Counter(SiteOwnedElsewhere),
+		RestsAsked: s.Counter(SiteRestsAsked), LeavingAnswers: s.Counter(SiteLeavingAnswers), MalformedHeaders: s.Counter(SiteMalformedHeaders),
 		SummariesInvalid: s.Counter(SiteInvalidSummaries), SummariesUnknown: s.Counter(SiteUnknownSummaries), RegionsUnreached: s.Counter(SiteRegionsUnreached), ReportsFailed: s.Counter(SiteReportsFailed),
 		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), EventGapTime: s.Times(SiteEventGapTime), WaitRatio: s.Ratios(SiteWaitRatio), RequestTime: s.Times(SiteRequestTime),
 	}
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -66,6 +66,8 @@
 	longestGap time.Duration
 	// rejected says that a target has rejected the request without running it.
 	rejected bool
+	// rest is what the last target asked for when it turned the request away.
+	rest time.Duration
 	// triedRegions are the regions that the request was forwarded to.
 	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
--- a/pipeline/exchange/rig_test.go
+++ b/pipeline/exchange/rig_test.go
@@ -74,6 +74,9 @@
 	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		r.Limit = pick.TargetLimit{Limited: true, PerSecond: perSecond}
 	}
+	r.Rest, _ = time.ParseDuration(h.Get("Rest"))
+	r.Leaving = h.Get("Leaving") != ""
+	r.Malformed = h["Malformed"]
 	return r
 }
 
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -120,7 +120,7 @@
 	}
 	q.triedTargets = append(q.triedTargets, p.choice.ID)
 	q.lastTried, q.source, q.decidedBy = p.choice.ID, p.choice.Source, p.decision.Owner
-	q.sentAt, q.expectedWaitMs, q.costMs = now, p.choice.Wait, p.choice.Cost
+	q.sentAt, q.expectedWaitMs, q.costMs, q.rest = now, p.choice.Wait, p.choice.Cost, 0
 	ctx, cancel := context.WithCancelCause(q.ctx)
 	defer cancel(nil)
 	if q.route.Repeatable() {
@@ -143,7 +143,7 @@
 
 func (q *request) logAttempt(target string, a *rawhttp.Answer, result pick.Result) {
 	q.g.o.Log.Info("attempt failed", zap.String("id", q.call.ID), zap.String("target", target), zap.Int("status", a.StatusCode),
-		zap.Uint8("result", uint8(result)), zap.Stringer("verdict", q.verdict), zap.Duration("after", time.Since(q.acceptedAt)))
+		zap.Uint8("result", uint8(result)), zap.Stringer("verdict", q.verdict), zap.Duration("rest", q.rest), zap.String("decided_by", q.decidedBy), zap.Duration("after", time.Since(q.acceptedAt)))
 }
 
 // attemptPeer forwards the request to another region and reports whether the caller has got the
@@ -254,6 +254,7 @@
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
 	if p != nil && (reply.ID == q.call.ID || reply.NotRun) && !reply.Replaced {
 		q.reportLimit(p, reply.Limit)
+		q.recordAnnouncements(p, &reply)
 	}
 	switch {
 	case reply.Replaced:
@@ -289,6 +290,24 @@
 		zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
 }
 
+// recordAnnouncements counts and logs what a target says of itself in its own answer.
+func (q *request) recordAnnouncements(p *destination, reply *Reply) {
+	m, log := q.g.o.Metrics, q.g.o.Log
+	if reply.Rest > 0 {
+		q.rest = reply.Rest
+		m.RestsAsked.Inc(1)
+		log.Info("target asks for rest", zap.String("target", p.choice.ID), zap.Duration("rest", reply.Rest),
+			zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
+	}
+	if reply.Leaving {
+		m.LeavingAnswers.Inc(1)
+	}
+	if len(reply.Malformed) > 0 {
+		m.MalformedHeaders.Inc(int64(len(reply.Malformed)))
+		q.g.o.AccessLog.Warn("malformed header of a target", zap.String("target", p.choice.ID), zap.Strings("headers", reply.Malformed))
+	}
+}
+
 // recordRun counts a target that ran the request or may have run it.
 func (q *request) recordRun(v verdict.Verdict) {
 	q.runs++
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -79,6 +79,14 @@
 	NotRun, Replaced bool
 	// Limit is the limit that the target reports.
 	Limit pick.TargetLimit
+	// Rest is for how long the target, which has turned the request away, wants no requests from
+	// this instance; 0 for none.
+	Rest time.Duration
+	// Leaving says that the target is about to end.
+	Leaving bool
+	// Malformed are the headers about the target itself that were ignored or clamped, as
+	// "name: value".
+	Malformed []string
 }
 
 // Dialect translates between headers and the types of this package. It makes no decisions.
