--- a/pipeline/exchange/announcements_test.go
+++ b/pipeline/exchange/announcements_test.go
@@ -1,11 +1,17 @@
 package exchange_test
 
 import (
+	"fmt"
+	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 // Guards against answers whose malformed headers fail the request, or are ignored unnoticed.
@@ -20,3 +26,75 @@
 		So(logs.FilterMessage("malformed header of a target").Len(), ShouldEqual, 1)
 	})
 }
+
+// asksForRest returns a script that turns requests away and asks for rest.
+func asksForRest(rest time.Duration) script {
+	return respondRaw(fmt.Sprintf("HTTP/1.1 503 X\r\nNot-Run: 1\r\nRest: %v\r\nContent-Length: 0\r\n\r\n", rest), true)
+}
+
+// answersTo returns a script that answers requests for a path well, with more headers.
+func answersTo(path, headers string) script {
+	if path == "/safe/x" || path == "/unsafe/x" {
+		return respondRaw("HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n"+headers+"Content-Length: 4\r\n\r\nwell", true)
+	}
+	return respondRaw("HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n"+headers+"Content-Type: text/event-stream\r\nContent-Length: 18\r\n\r\nid: 1\ndata: well\n\n", true)
+}
+
+// Guards against requests to a target that has turned one away and asked for rest: such a target
+// is idle, so it looks cheaper than a busy one.
+func TestRestingTargetGetsNoRequests(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/resume/x"} {
+		Convey("100 requests for "+path+", a busy target and one that asks for rest", t, func() {
+			x, y := newTarget(t, "t2", asksForRest(time.Minute)), newTarget(t, "t1", answersTo(path, ""))
+			r := newRig(t, "r", x, y)
+			for range 100 {
+				r.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "t1")
+			}
+			for range 100 {
+				So(r.call(path, "").status, ShouldEqual, 200)
+			}
+			So(requestCount(x), ShouldEqual, 1)
+			So(requestCount(y), ShouldEqual, 100)
+		})
+	}
+}
+
+// Guards against requests to a target that has said that it is leaving.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/resume/x"} {
+		Convey("100 requests for "+path+" and two targets, one of which is leaving", t, func() {
+			x, y := newTarget(t, "t2", answersTo(path, "Leaving: 1\r\n")), newTarget(t, "t1", answersTo(path, ""))
+			r := newRig(t, "r", x, y)
+			for range 100 {
+				So(r.call(path, "").status, ShouldEqual, 200)
+			}
+			So(requestCount(x), ShouldEqual, 1)
+		})
+	}
+}
+
+// Guards against requests that are tried, or told to come back too early, while no target wants
+// any.
+func TestRequestsAreRefusedWhileAllTargetsRest(t *testing.T) {
+	Convey("two targets that ask for a minute of rest", t, func() {
+		x, y := newTarget(t, "t2", asksForRest(time.Minute)), newTarget(t, "t1", asksForRest(time.Minute))
+		r := newRig(t, "r", x, y)
+		began := time.Now()
+		for range 10 {
+			r.call("/safe/x", "")
+		}
+		different := map[string]bool{}
+		for range 20 {
+			got := r.call("/safe/x", "")
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			So(err, ShouldBeNil)
+			So(after, ShouldBeGreaterThanOrEqualTo, (time.Minute - time.Since(began)).Seconds())
+			different[got.header.Get("Retry-After")] = true
+		}
+		So(requestCount(x), ShouldBeLessThanOrEqualTo, 1)
+		So(requestCount(y), ShouldBeLessThanOrEqualTo, 1)
+		// Callers that come back together would be turned away together.
+		So(len(different), ShouldBeGreaterThan, 10)
+	})
+}
