pick: a target that asks for rest gets no requests meanwhile

Cause: Retry-After of a target's 503 was read by nobody. The answer was recorded as a rejection, which raises a cost; a target that runs nothing looks idle and stays the cheapest. Change: each instance keeps the rests it was asked for (Choice.Rest) and excludes the target until the end of the last one; it names resting targets to the group owners that choose for it, so an owner needs no state of its own. After a rest one request at a time tests the target; a rest counts as no failure (Rested), or the target would stay idle after it. With the rest counted as a failure TestRestedTargetGetsItsShareAgain fails (0 of 200).

--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,7 +126,12 @@
 	}
 	// The number keeps a late message of one attempt from matching the ticket of another.
 	ticket := fmt.Sprint(s.self, " ", id, " ", s.nextTicket.Add(1))
-	payload, err := cbor.Marshal(targetRequest{Ticket: ticket, Call: c, TimeoutMillis: timeout.Milliseconds(), Known: s.pool.KnownLimits(time.Now(), c.Service)})
+	now := time.Now()
+	c.Tried = slices.Concat(c.Tried, s.pool.Resting(now, c.Service))
+	payload, err := cbor.Marshal(targetRequest{
+		Ticket: ticket, Call: c, TimeoutMillis: timeout.Milliseconds(),
+		Known: s.pool.KnownLimits(now, c.Service),
+	})
 	if err != nil {
 		s.log.Error("cannot encode the request for a target", zap.Error(err))
 		return exchange.Decision{}, false
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -264,6 +264,9 @@
 	case reply.NotRun:
 		q.rejected = true
 		discard(a)
+		if reply.Rest > 0 {
+			return false, pick.Rested
+		}
 		return false, pick.Rejected
 	case !reply.Signed || reply.ID != q.call.ID || a.Header.Get("Content-Encoding") != "":
 		// The answer belongs to another request or to none.
@@ -290,11 +293,13 @@
 		zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
 }
 
-// recordAnnouncements counts and logs what a target says of itself in its own answer.
+// recordAnnouncements records what a target says of itself in its own answer. A rest holds for this
+// instance only.
 func (q *request) recordAnnouncements(p *destination, reply *Reply) {
 	m, log := q.g.o.Metrics, q.g.o.Log
 	if reply.Rest > 0 {
 		q.rest = reply.Rest
+		p.choice.Rest(time.Now(), reply.Rest)
 		m.RestsAsked.Inc(1)
 		log.Info("target asks for rest", zap.String("target", p.choice.ID), zap.Duration("rest", reply.Rest),
 			zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -45,6 +45,7 @@
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.learn(now, float64(now.Sub(c.at).Milliseconds()))
+	c.endRestTest()
 	c.endPrefill()
 	c.t.markPrefilled(c.chain)
 }
@@ -66,6 +67,13 @@
 	}
 }
 
+// endRestTest ends the test of a target after its rest: it has accepted the request.
+func (c *Choice) endRestTest() {
+	if c.probe && c.t.rest.untested && c.t.failures == 0 {
+		c.t.probing, c.probe, c.t.rest.untested = false, false, false
+	}
+}
+
 // endPrefill removes the prompt from the pending prefill.
 func (c *Choice) endPrefill() { c.uncount(Load{PendingPrefill: c.counted.PendingPrefill}) }
 
@@ -96,6 +104,9 @@
 	Replaced
 	// Rejected: it rejected the request.
 	Rejected
+	// Rested: it rejected the request and asked for rest. That counts as no failure: it has said
+	// when it accepts requests again, and is tested then.
+	Rested
 )
 
 // OnUnreachable registers f to be called when another request finds the target unreachable before
@@ -127,13 +138,18 @@
 		t.probing = false
 	}
 	switch r {
-	case Good, Failed, Rejected:
+	case Good, Failed:
+		t.rest.untested = t.rest.untested && t.resting(now)
+		fallthrough
+	case Rejected, Rested:
 		c.pool.answered(now, t)
 	}
 	switch r {
 	case Good:
 		t.failures, t.backoffUntil = 0, time.Time{}
 		t.failShare *= failShareDecay
+	case Rested:
+		t.failures, t.backoffUntil = 0, time.Time{}
 	case Failed, Rejected:
 		t.failures, t.backoffUntil = 0, time.Time{}
 		t.failShare = t.failShare*failShareDecay + (1 - failShareDecay)
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -19,7 +19,7 @@
 // available reports whether the target may get this request as far as its own state and the
 // request's tried targets allow. Rate limits and probes of targets are checked separately.
 func (p *Pool) available(now time.Time, t *target, c Call) bool {
-	return !p.draining(t) && !slices.Contains(c.Tried, t.ID) && !now.Before(t.backoffUntil)
+	return !p.draining(t) && !slices.Contains(c.Tried, t.ID) && !now.Before(t.backoffUntil) && !t.resting(now)
 }
 
 // draining reports whether the target is draining or its zone evacuated.
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -64,6 +64,8 @@
 	inferredColdUntil time.Time
 	// limit is the last limit known.
 	limit limitAt
+	// rest is the last rest that it asked this instance for.
+	rest rest
 	// unreached says that no connection could be established since its last answer.
 	unreached bool
 	// order is its sort key among the targets of the service, the same at all instances.
@@ -158,7 +160,7 @@
 const (
 	// ReasonNoTarget: the service has no target in the region.
 	ReasonNoTarget = "no_target"
-	// ReasonNoneAvailable: all targets are draining, evacuated, in backoff, being probed, already
+	// ReasonNoneAvailable: all targets are draining, evacuated, in backoff, resting, being probed, already
 	// tried, or rate-limited and not due yet or left to the owner of their group.
 	ReasonNoneAvailable = "none_available"
 )
@@ -213,10 +215,10 @@
 }
 
 // reserve counts the request in the target's load and rate limit, as its probe if the target has
-// failed, and returns the choice.
+// failed or rested, and returns the choice.
 func (p *Pool) reserve(w *scorer, t *target, e *estimate) *Choice {
 	ch := &Choice{ID: t.ID, Address: t.Address, Cost: e.cost(t), Limit: t.limit.TargetLimit, pool: p, t: t, at: w.now, chain: w.chain}
-	if t.failures > 0 {
+	if t.failures > 0 || t.rest.untested {
 		t.probing, ch.probe = true, true
 	}
 	ch.Cold, ch.EntryInstances = p.cold(w.now, t), len(p.snapshot.Entries)
--- /dev/null
+++ b/route/pick/rest.go
@@ -0,0 +1,78 @@
+package pick
+
+import "time"
+
+// A target that turns a request away may ask the instance that sent it for rest: it wants no
+// requests from that instance for a time. Each instance keeps the rests that it was asked for, and
+// names the resting targets to the group owners that choose for it, so an owner that begins needs
+// no state. Other instances may go on sending requests to the target.
+
+// rest is the rest that a target asked this instance for.
+type rest struct {
+	until time.Time
+	// asked is the length of the rest that ends last.
+	asked time.Duration
+	// untested says that no request has been accepted since: after the rest, one request at a time
+	// tests whether the target accepts them again.
+	untested bool
+}
+
+// Rest records that the target turned the request away at a time and asked this instance for rest.
+// Of several rests the one that ends last holds.
+func (c *Choice) Rest(now time.Time, asked time.Duration) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if until := now.Add(asked); until.After(c.t.rest.until) {
+		c.t.rest = rest{until: until, asked: asked, untested: true}
+	}
+}
+
+// resting reports whether the target has asked this instance for rest.
+func (t *target) resting(now time.Time) bool { return now.Before(t.rest.until) }
+
+// maxNamedResting bounds the resting targets that are named to a group owner.
+const maxNamedResting = 64
+
+// Resting returns the targets of a service that must get no request from this instance because
+// they rest or are tested after a rest, at most maxNamedResting.
+func (p *Pool) Resting(now time.Time, service string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, t := range p.byService[service] {
+		if (t.resting(now) || t.rest.untested && t.probing) && len(out) < maxNamedResting {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
+
+// RestLeft is the time until a service has a target that accepts requests from this instance
+// again. Asked is how long that target's whole rest is.
+type RestLeft struct{ Left, Asked time.Duration }
+
+// RestLeft returns the rest left if all targets of a service that stay are resting or in backoff,
+// and at least one is resting; otherwise it returns false.
+func (p *Pool) RestLeft(now time.Time, service string) (out RestLeft, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := true
+	for _, t := range p.byService[service] {
+		if p.draining(t) {
+			continue
+		}
+		until, asked := t.rest.until, t.rest.asked
+		if t.backoffUntil.After(until) {
+			until, asked = t.backoffUntil, 0
+		}
+		left := until.Sub(now)
+		if left <= 0 {
+			return RestLeft{}, false
+		}
+		if first || left < out.Left {
+			out, first = RestLeft{Left: left, Asked: asked}, false
+		}
+		ok = ok || t.resting(now)
+	}
+	return out, ok
+}
--- /dev/null
+++ b/route/pick/rest_test.go
@@ -0,0 +1,236 @@
+package pick_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// restWorld is the entry instances of a region and targets, of which the first turns requests away
+// and asks for rest while rest is above 0.
+type restWorld struct {
+	t       *rapid.T
+	now     time.Time
+	ids     []string
+	pools   []*pick.Pool
+	targets []pick.Target
+	rest    time.Duration
+	// restsUntil is until when the target has asked each instance for rest.
+	restsUntil []time.Time
+	// served counts the requests that the first target has accepted, inFlight those that are on
+	// their way to it, by instance.
+	served   int
+	inFlight []int
+	pending  []answer
+}
+
+const (
+	restStep  = 20 * time.Millisecond
+	restingID = "t0"
+)
+
+func newRestWorld(t *rapid.T, instances, others int) *restWorld {
+	w := &restWorld{t: t, now: t0, targets: targets(1 + others), restsUntil: make([]time.Time, instances), inFlight: make([]int, instances)}
+	for k := range instances {
+		w.ids = append(w.ids, fmt.Sprint("e", k))
+		w.pools = append(w.pools, pick.New(w.ids[k]))
+	}
+	for k := range w.pools {
+		w.update(k, w.ids, w.targets)
+	}
+	return w
+}
+
+func (w *restWorld) update(k int, ids []string, listed []pick.Target) {
+	w.pools[k].Update(w.now, pick.Snapshot{Targets: listed, Entries: ids, Rules: engines()})
+}
+
+// choose chooses a target for a request at instance k: the group owner does, as in package
+// deciding, or instance k if the owner does not respond.
+func (w *restWorld) choose(k int, ownerResponds bool) (own, atOwner *pick.Choice) {
+	c := call(uint64(rapid.IntRange(1, 5).Draw(w.t, "subject")))
+	requester := w.pools[k]
+	if d := slices.Index(w.ids, requester.Owner(c)); ownerResponds && d != k {
+		asked := c
+		asked.Tried = slices.Concat(c.Tried, requester.Resting(w.now, c.Service))
+		if atOwner, _ = w.pools[d].Pick(w.now, asked); atOwner != nil {
+			own = requester.PickAt(w.now, c, atOwner.ID)
+		}
+	}
+	if own == nil {
+		own, _ = requester.Pick(w.now, c)
+	}
+	return own, atOwner
+}
+
+// request runs a request at instance k. The first target must not get it while it rests.
+func (w *restWorld) request(k int, ownerResponds bool) {
+	own, atOwner := w.choose(k, ownerResponds)
+	end := func(r pick.Result) {
+		for _, c := range []*pick.Choice{own, atOwner} {
+			if c != nil {
+				c.Done(w.now, r)
+			}
+		}
+	}
+	if own == nil || own.ID != restingID {
+		w.answerLater(func() { end(pick.Good) })
+		return
+	}
+	if w.now.Before(w.restsUntil[k]) {
+		w.t.Fatalf("instance %d sends a request %v before the end of the rest", k, w.restsUntil[k].Sub(w.now))
+	}
+	w.inFlight[k]++
+	rest := w.rest
+	w.answerLater(func() {
+		w.inFlight[k]--
+		if rest == 0 {
+			w.served++
+			end(pick.Good)
+			return
+		}
+		own.Rest(w.now, rest)
+		if until := w.now.Add(rest); until.After(w.restsUntil[k]) {
+			w.restsUntil[k] = until
+		}
+		end(pick.Rested)
+	})
+}
+
+func (w *restWorld) answerLater(deliver func()) {
+	at := w.now.Add(restStep * time.Duration(rapid.IntRange(1, 20).Draw(w.t, "answer")))
+	w.pending = append(w.pending, answer{at, deliver})
+}
+
+func (w *restWorld) step() {
+	w.now = w.now.Add(restStep)
+	w.pending = slices.DeleteFunc(w.pending, func(a answer) bool {
+		if w.now.Before(a.at) {
+			return false
+		}
+		a.deliver()
+		return true
+	})
+}
+
+// run makes requests while snapshots come.
+func (w *restWorld) run(steps int) {
+	for k := range steps {
+		if k%10 == 0 {
+			w.update(rapid.IntRange(0, len(w.pools)-1).Draw(w.t, "updated"), w.ids, w.targets)
+		}
+		w.request(rapid.IntRange(0, len(w.pools)-1).Draw(w.t, "at"), rapid.IntRange(0, 9).Draw(w.t, "owner responds") > 0)
+		w.step()
+	}
+}
+
+func drawRest(t *rapid.T) time.Duration {
+	return rapid.SampledFrom([]time.Duration{50 * time.Millisecond, time.Second, 3 * time.Second, time.Hour}).Draw(t, "rest")
+}
+
+// Guards against requests to a target from an instance that it has asked for rest, whichever
+// instance chooses.
+func TestInstanceKeepsTheRestThatATargetAsksFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRestWorld(t, rapid.IntRange(1, 5).Draw(t, "instances"), rapid.IntRange(0, 3).Draw(t, "others"))
+		for range 4 {
+			w.rest = drawRest(t)
+			w.run(150)
+			w.rest = 0
+			w.run(50)
+		}
+	})
+}
+
+// Guards against a target that stays idle after its rest.
+func TestRestedTargetGetsItsShareAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRestWorld(t, rapid.IntRange(1, 5).Draw(t, "instances"), 1)
+		w.rest = time.Second
+		w.run(200)
+		w.rest = 0
+		w.run(200)
+		for k := range w.pools {
+			w.update(k, w.ids, w.targets)
+		}
+		w.served = 0
+		for range 200 {
+			w.request(rapid.IntRange(0, len(w.pools)-1).Draw(t, "at"), true)
+			w.step()
+		}
+		if w.served < 30 {
+			t.Fatalf("%d of 200 requests", w.served)
+		}
+	})
+}
+
+// Guards against many requests at once to a target that turns requests away again after its rest.
+func TestOneRequestTestsATargetAfterItsRest(t *testing.T) {
+	p := pick.New("e")
+	p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}, Rules: engines()})
+	pickNow := func(now time.Time) *pick.Choice {
+		c, _ := p.Pick(now, call(1))
+		return c
+	}
+	first := pickNow(t0)
+	first.Rest(t0, time.Second)
+	first.Done(t0, pick.Rested)
+	if pickNow(t0.Add(999*time.Millisecond)) != nil {
+		t.Fatal("chosen while it rests")
+	}
+	now := t0.Add(time.Second)
+	test := pickNow(now)
+	if test == nil || pickNow(now) != nil || len(p.Resting(now, "s")) != 1 {
+		t.Fatal("not exactly one request tests it")
+	}
+	// The target has accepted the request; the answer goes on for long.
+	test.FirstEvent(now)
+	if pickNow(now) == nil || len(p.Resting(now, "s")) != 0 {
+		t.Fatal("not chosen after it has accepted a request")
+	}
+}
+
+// Guards against a rest that is shortened by a shorter one, asked for in a later answer.
+func TestOfSeveralRestsTheLastToEndHolds(t *testing.T) {
+	p := pick.New("e")
+	p.Update(t0, pick.Snapshot{Targets: targets(1), Entries: []string{"e"}, Rules: engines()})
+	c, _ := p.Pick(t0, call(1))
+	c.Rest(t0, 3*time.Second)
+	c.Rest(t0.Add(time.Second), time.Second)
+	c.Done(t0.Add(time.Second), pick.Rested)
+	if again, _ := p.Pick(t0.Add(2500*time.Millisecond), call(1)); again != nil {
+		t.Fatal("chosen during the longer rest")
+	}
+	if again, _ := p.Pick(t0.Add(3*time.Second), call(1)); again == nil {
+		t.Fatal("not chosen after the rests")
+	}
+}
+
+// Guards against refusals that tell a time although a target has room, or another time than the
+// end of the first rest.
+func TestRestLeftIsThatOfTheFirstTargetToEndItsRest(t *testing.T) {
+	p := pick.New("e")
+	p.Update(t0, pick.Snapshot{Targets: targets(2), Entries: []string{"e"}, Rules: engines()})
+	a, _ := p.Pick(t0, call(1))
+	b, _ := p.Pick(t0, pick.Call{Service: "s", PromptTokens: 9000, Tried: []string{a.ID}})
+	a.Rest(t0, 3*time.Second)
+	if _, ok := p.RestLeft(t0, "s"); ok {
+		t.Fatal("one target has room")
+	}
+	b.Rest(t0, 2*time.Second)
+	got, ok := p.RestLeft(t0.Add(500*time.Millisecond), "s")
+	if want := (pick.RestLeft{Left: 1500 * time.Millisecond, Asked: 2 * time.Second}); !ok || got != want {
+		t.Fatalf("%+v", got)
+	}
+	if _, ok := p.RestLeft(t0.Add(2*time.Second), "s"); ok {
+		t.Fatal("a rest has ended")
+	}
+	if _, ok := p.RestLeft(t0, "unknown"); ok {
+		t.Fatal("a service without targets rests")
+	}
+}
