pick, deciding: a target that says it is leaving gets no requests

Callers' requests went to targets that had said in their answers that they are about to end; where the platform's list is late or cannot be read, they were cut off there. Change: Choice.Leaving makes the target draining until it starts again. The instance that hears it tells the owner of the target's group, questions to an owner and its refusals name the leaving targets known, with their start time, so that a later start is not taken for the one that left.

--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -48,6 +48,9 @@
 	TimeoutMillis int64     `cbor:"3,keyasint"`
 	// Known are the limits of the service's targets that the requesting instance knows.
 	Known []pick.KnownLimit `cbor:"4,keyasint,omitempty"`
+	// Leaving are the service's targets that have said that they are leaving, as far as the
+	// requesting instance knows.
+	Leaving []pick.KnownLeaving `cbor:"5,keyasint,omitempty"`
 }
 
 // targetResponse answers a targetRequest. Target is empty if no target may receive the request.
@@ -63,15 +66,18 @@
 	// Known are the limits that the owner knows, set if there is no target: the requesting
 	// instance must not send a request that the owner withheld.
 	Known []pick.KnownLimit `cbor:"8,keyasint,omitempty"`
+	// Leaving are those that the owner knows, set if there is no target.
+	Leaving []pick.KnownLeaving `cbor:"9,keyasint,omitempty"`
 }
 
-// update reports on a ticket: its target reported a changed limit (Limit), the request has ended
-// (Ended), or, with neither set, the target has begun to answer.
+// update reports on a ticket: its target reported a changed limit (Limit) or that it is leaving
+// (Leaving), the request has ended (Ended), or, with none set, the target has begun to answer.
 type update struct {
-	Ticket string            `cbor:"1,keyasint"`
-	Ended  bool              `cbor:"2,keyasint,omitempty"`
-	Result pick.Result       `cbor:"3,keyasint,omitempty"`
-	Limit  *pick.TargetLimit `cbor:"4,keyasint,omitempty"`
+	Ticket  string            `cbor:"1,keyasint"`
+	Ended   bool              `cbor:"2,keyasint,omitempty"`
+	Result  pick.Result       `cbor:"3,keyasint,omitempty"`
+	Limit   *pick.TargetLimit `cbor:"4,keyasint,omitempty"`
+	Leaving bool              `cbor:"5,keyasint,omitempty"`
 }
 
 // Service calls group owners, and serves the calls of other instances as an owner.
@@ -130,7 +136,7 @@
 	c.Tried = slices.Concat(c.Tried, s.pool.Resting(now, c.Service))
 	payload, err := cbor.Marshal(targetRequest{
 		Ticket: ticket, Call: c, TimeoutMillis: timeout.Milliseconds(),
-		Known: s.pool.KnownLimits(now, c.Service),
+		Known: s.pool.KnownLimits(now, c.Service), Leaving: s.pool.KnownLeaving(c.Service),
 	})
 	if err != nil {
 		s.log.Error("cannot encode the request for a target", zap.Error(err))
@@ -150,6 +156,7 @@
 		return exchange.Decision{}, false
 	}
 	s.pool.LearnLimits(time.Now(), d.Known)
+	s.pool.LearnLeaving(d.Leaving)
 	out := exchange.Decision{
 		Target: d.Target, Source: d.Source, Cost: d.Cost, Wait: d.Wait, QueueWait: d.QueueWait, Tokens: d.Tokens, Ticket: ticket, Owner: owner,
 	}
@@ -164,6 +171,11 @@
 	s.sendUpdate(d.Owner, update{Ticket: d.Ticket, Limit: &n})
 }
 
+// ReportLeaving implements exchange.GroupOwner.
+func (s *Service) ReportLeaving(d exchange.Decision) {
+	s.sendUpdate(d.Owner, update{Ticket: d.Ticket, Leaving: true})
+}
+
 // ReportFirstEvent implements exchange.GroupOwner.
 func (s *Service) ReportFirstEvent(d exchange.Decision) {
 	s.sendUpdate(d.Owner, update{Ticket: d.Ticket})
@@ -203,9 +215,10 @@
 	}
 	now := time.Now()
 	s.pool.LearnLimits(now, r.Known)
+	s.pool.LearnLeaving(r.Leaving)
 	choice, _ := s.pool.Pick(now, r.Call)
 	if choice == nil {
-		return cbor.Marshal(targetResponse{Known: s.pool.KnownLimits(now, r.Call.Service)})
+		return cbor.Marshal(targetResponse{Known: s.pool.KnownLimits(now, r.Call.Service), Leaving: s.pool.KnownLeaving(r.Call.Service)})
 	}
 	if choice.Cold {
 		s.log.Info("cold target chosen", zap.String("target", choice.ID), zap.Int("entries", choice.EntryInstances), zap.String("asker", from))
@@ -236,6 +249,8 @@
 	case !ok:
 	case u.Limit != nil:
 		a.choice.LearnLimit(time.Now(), *u.Limit)
+	case u.Leaving:
+		a.choice.Leaving()
 	case u.Ended:
 		a.choice.Done(time.Now(), u.Result)
 	default:
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -293,8 +293,8 @@
 		zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
 }
 
-// recordAnnouncements records what a target says of itself in its own answer. A rest holds for this
-// instance only.
+// recordAnnouncements records what a target says of itself in its own answer, and tells the group
+// owner that it is leaving. A rest holds for this instance only.
 func (q *request) recordAnnouncements(p *destination, reply *Reply) {
 	m, log := q.g.o.Metrics, q.g.o.Log
 	if reply.Rest > 0 {
@@ -306,6 +306,12 @@
 	}
 	if reply.Leaving {
 		m.LeavingAnswers.Inc(1)
+		if p.choice.Leaving() {
+			log.Info("target is leaving", zap.String("target", p.choice.ID), zap.String("service", q.service), zap.String("id", q.call.ID))
+		}
+		if p.owner != nil {
+			p.owner.ReportLeaving(p.decision)
+		}
 	}
 	if len(reply.Malformed) > 0 {
 		m.MalformedHeaders.Inc(int64(len(reply.Malformed)))
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -109,6 +109,8 @@
 	Choose(ctx context.Context, c pick.Call, id string, timeout time.Duration) (Decision, bool)
 	// ReportLimit reports a limit that the target has set or lifted.
 	ReportLimit(d Decision, n pick.TargetLimit)
+	// ReportLeaving reports that the target has said that it is leaving.
+	ReportLeaving(d Decision)
 	// ReportFirstEvent reports that the target has begun to answer.
 	ReportFirstEvent(d Decision)
 	// ReportEnd reports how the request ended.
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -64,8 +64,10 @@
 	inferredColdUntil time.Time
 	// limit is the last limit known.
 	limit limitAt
-	// rest is the last rest that it asked this instance for.
-	rest rest
+	// rest is the last rest that it asked this instance for. leaving says that it has said that it
+	// is leaving; it is then draining too.
+	rest    rest
+	leaving bool
 	// unreached says that no connection could be established since its last answer.
 	unreached bool
 	// order is its sort key among the targets of the service, the same at all instances.
