exchange: while all targets rest, callers are told when the first rest ends

Callers were told to come back after 0.25 s while all targets had asked for 20 s of rest, tried in vain, and would all have come back when it ended. Cause: the time of a refusal was a constant; no refusal knew of rests. Change: the refusal is made at once, names its reason (targets_resting, targets_draining), and tells the end of the first rest, here or in another region, plus a drawn part of the asked rest (2 s at most, and no later than the caller's deadline allows), so that callers come back about as fast as they were refused. Another region's instance that refuses so is skipped for the service until then. A delay is rounded up, so nobody comes too early.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -10,6 +10,7 @@
 var (
 	SiteForwardedIn       = Metric{"gullhaven_site_passed_on_total", Counter, "requests", "Requests that came from another region."}
 	SiteNoTarget          = Metric{"gullhaven_site_refused_no_target_total", Counter, "requests", "Requests refused as no target was available."}
+	SiteResting           = Metric{"gullhaven_site_refused_resting_total", Counter, "requests", "Requests refused as all targets had asked for rest."}
 	SiteNoConfiguration   = Metric{"gullhaven_site_refused_no_configuration_total", Counter, "requests", "Requests refused before a configuration was known."}
 	SiteLeaving           = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
 	SitePoisonRequests    = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
@@ -58,7 +59,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
@@ -70,7 +71,7 @@
 	ForwardedIn, RefusedNoTarget, RefusedNoConfiguration, RefusedLeaving, RefusedPoison, RefusedOverloaded, RefusedOther gometrics.Counter
 	RefusedUnknownKey, RefusedNoHome, RefusedOverLimit                                                                   gometrics.Counter
 	RetriesDenied, OwnedElsewhere, SummariesInvalid, SummariesUnknown, RegionsUnreached, ReportsFailed                   gometrics.Counter
-	RestsAsked, LeavingAnswers, MalformedHeaders                                                                         gometrics.Counter
+	RefusedResting, RestsAsked, LeavingAnswers, MalformedHeaders                                                         gometrics.Counter
 	// WaitRatio is the actual wait over the expected wait, which shows the quality of choices.
 	WaitRatio                                       *Ratios
 	ChooseTime, SendTime, EventGapTime, RequestTime *Times
@@ -106,7 +107,7 @@
 	page.gauge(SiteLinesSkipped, func(e *EntryState) int64 { return e.LinesSkipped })
 	registerLinks(page, func(e *EntryState) *Links { return &e.Links })
 	return &SiteEntry{
-		Set: s, ForwardedIn: s.Counter(SiteForwardedIn), RefusedNoTarget: s.Counter(SiteNoTarget), RefusedNoConfiguration: s.Counter(SiteNoConfiguration),
+		Set: s, ForwardedIn: s.Counter(SiteForwardedIn), RefusedNoTarget: s.Counter(SiteNoTarget), RefusedResting: s.Counter(SiteResting), RefusedNoConfiguration: s.Counter(SiteNoConfiguration),
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedPoison: s.Counter(SitePoisonRequests),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RefusedUnknownKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHomeRegion), RefusedOverLimit: s.Counter(SiteOverLimit),
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -68,6 +68,9 @@
 	rejected bool
 	// rest is what the last target asked for when it turned the request away.
 	rest time.Duration
+	// refusedElsewhere says that another region has refused the request though it has targets that
+	// don't rest.
+	refusedElsewhere bool
 	// triedRegions are the regions that the request was forwarded to.
 	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -141,11 +141,11 @@
 }
 
 // reachablePeers returns the addresses of a region's entry instances that are not known to
-// be unreachable.
+// be unreachable, or to have only targets that rest.
 func (q *request) reachablePeers(now time.Time, region string) []string {
 	var addresses []string
 	for _, p := range q.view.Peers {
-		if p.Region == region && !q.g.isUnreachable(now, p.Address) {
+		if p.Region == region && !q.g.isUnreachable(now, p.Address) && q.g.restLeft(now, peerService{p.Address, q.service}) == 0 {
 			addresses = append(addresses, p.Address)
 		}
 	}
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -41,7 +41,7 @@
 		h.Set("Connection", "close")
 	}
 	if f.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", formatSeconds(f.retryAfter))
 	}
 	if q.call.ID != "" {
 		h.Set("X-Request-Id", q.call.ID)
@@ -56,6 +56,12 @@
 	q.logRefusal(f)
 }
 
+// formatSeconds formats a delay with two decimals, rounded up, so that nobody returns too early.
+func formatSeconds(d time.Duration) string {
+	const unit = 10 * time.Millisecond
+	return strconv.FormatFloat(((d+unit-1)/unit*unit).Seconds(), 'f', 2, 64)
+}
+
 // logRefusal logs a refusal with what the decision was based on.
 func (q *request) logRefusal(f *refusal) {
 	more := zap.Skip()
@@ -85,8 +91,10 @@
 func (q *request) refusalCounter(code verdict.Code) gometrics.Counter {
 	m := q.g.o.Metrics
 	switch code {
-	case CodeNoTarget:
+	case CodeNoTarget, CodeDraining:
 		return m.RefusedNoTarget
+	case CodeResting:
+		return m.RefusedResting
 	case CodeNoConfiguration:
 		return m.RefusedNoConfiguration
 	case CodeLeaving:
@@ -122,10 +130,66 @@
 	case q.failedAnswer != nil:
 		q.writeAnswer(q.failedAnswer)
 	case q.verdict == verdict.NotRun:
-		q.refuse(&refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: place.RetryAfter(place.Busy, time.Until(q.deadline))})
+		q.refuse(q.unserved(time.Now(), code))
 	case time.Now().Before(q.deadline):
 		q.refuse(&refusal{status: http.StatusBadGateway, code: code})
 	default:
 		q.refuse(&refusal{status: http.StatusGatewayTimeout, code: code})
 	}
 }
+
+// unserved returns the refusal of a request that has not run, with the time after which the caller
+// may return. If all targets that may serve it rest, that is when the first of them ends its rest.
+func (q *request) unserved(now time.Time, code verdict.Code) *refusal {
+	left := q.deadline.Sub(now)
+	busy := &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: place.RetryAfter(place.Busy, left)}
+	if code != CodeNoTarget || q.refusedElsewhere {
+		return busy
+	}
+	own, peers := q.ownRest(now, left), q.peersRest(now)
+	switch {
+	case !q.allows(q.g.o.Region) && peers == 0:
+		return busy
+	case own > 0 && peers > 0:
+		return q.resting(min(own, peers))
+	case own > 0 || !q.allows(q.g.o.Region):
+		return q.resting(max(own, peers))
+	case !q.g.o.Pool.AllDraining(q.service):
+		return busy
+	case peers > 0:
+		return q.resting(peers)
+	}
+	return &refusal{status: http.StatusServiceUnavailable, code: CodeDraining, retryAfter: place.RetryAfter(place.Draining, left)}
+}
+
+func (q *request) resting(after time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: CodeResting, retryAfter: after}
+}
+
+// ownRest returns after what time the caller may return if all targets of the own region rest; 0
+// if they don't, or may not serve the request.
+func (q *request) ownRest(now time.Time, left time.Duration) time.Duration {
+	rest, ok := q.g.o.Pool.RestLeft(now, q.service)
+	if !ok || !q.allows(q.g.o.Region) {
+		return 0
+	}
+	const bits = 53
+	uniform := float64(q.g.uniform()>>(64-bits)) / (1 << bits)
+	return place.RestRetryAfter(rest.Left, rest.Asked, left, uniform)
+}
+
+// peersRest returns after what time the first instance of another region whose targets all rest
+// accepts the request; 0 if there is none.
+func (q *request) peersRest(now time.Time) time.Duration {
+	if q.forwarded != nil {
+		return 0
+	}
+	var least time.Duration
+	for _, p := range q.view.Peers {
+		left := q.g.restLeft(now, peerService{p.Address, q.service})
+		if left > 0 && q.allows(p.Region) && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least
+}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -60,6 +60,9 @@
 	// unreachableUntil holds, by peer address, until when a peer that could not be reached
 	// is skipped.
 	unreachableUntil sync.Map
+	// restingUntil holds until when a peer is skipped because all its targets have asked it for
+	// rest, by peerService.
+	restingUntil sync.Map
 	// refusedUntil holds until when a region counts as having refused, by RegionService.
 	// refusalPause is for how long: place.RefusedFor, except in tests.
 	refusedUntil sync.Map
@@ -160,6 +163,20 @@
 	g.unreachableUntil.Store(address, now.Add(unreachablePause))
 }
 
+// peerService identifies a service at an instance of another region.
+type peerService struct{ address, service string }
+
+// restLeft returns for how long all targets of a service rest for a peer; 0 if they don't.
+func (g *Gateway) restLeft(now time.Time, p peerService) time.Duration {
+	until, ok := g.restingUntil.Load(p)
+	if !ok {
+		return 0
+	}
+	return max(0, until.(time.Time).Sub(now))
+}
+
+func (g *Gateway) markResting(until time.Time, p peerService) { g.restingUntil.Store(p, until) }
+
 // recordRefusal records that a region has refused a request for a service.
 func (g *Gateway) recordRefusal(now time.Time, by RegionService) {
 	g.refusedUntil.Store(by, now.Add(g.refusalPause))
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -179,7 +179,7 @@
 	}
 	if a.Header.Get(headerRefused) != "" {
 		q.rejected = q.rejected || a.Header.Get(headerReachedTarget) != ""
-		q.peerRefused(peer, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)))
+		q.peerRefused(peer, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)), parseRetryAfter(a.Header))
 		discard(a)
 		return false
 	}
@@ -200,9 +200,10 @@
 }
 
 // peerRefused records that an instance of another region has refused the request. If the
-// instance is leaving, that says nothing about its region. If its newer configuration does not
-// allow the request, the refusal is final for all regions.
-func (q *request) peerRefused(peer Peer, status int, code verdict.Code) {
+// instance is leaving, that says nothing about its region. If all targets have asked it for rest,
+// it is skipped for this service until then. If its newer configuration does not allow the request,
+// the refusal is final for all regions.
+func (q *request) peerRefused(peer Peer, status int, code verdict.Code, retryAfter time.Duration) {
 	now := time.Now()
 	if status != http.StatusServiceUnavailable {
 		if q.verdict == verdict.NotRun {
@@ -215,9 +216,26 @@
 		delete(q.triedRegions, peer.Region)
 		return
 	}
+	if code == CodeResting && retryAfter > 0 {
+		q.g.markResting(now.Add(retryAfter), peerService{peer.Address, q.service})
+	} else {
+		q.refusedElsewhere = true
+	}
 	q.g.recordRefusal(now, RegionService{Region: peer.Region, Service: q.service})
 }
 
+// parseRetryAfter parses the Retry-After of another instance; 0 for none.
+func parseRetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0 && seconds <= maxPeerRest.Seconds()) {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// maxPeerRest bounds the Retry-After of another instance; longer ones count as none.
+const maxPeerRest = 2 * time.Hour
+
 // attemptLost records an attempt without an answer and returns its result for the target.
 func (q *request) attemptLost(target string, err error) pick.Result {
 	var f *rawhttp.Failure
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -195,6 +195,10 @@
 	CodeMalformed       verdict.Code = "malformed_request"
 	CodeTooLarge        verdict.Code = "body_too_large"
 	CodeNoTarget        verdict.Code = "no_target"
+	// CodeResting: all targets that may serve the request have asked for rest, CodeDraining: all are
+	// about to end.
+	CodeResting  verdict.Code = "targets_resting"
+	CodeDraining verdict.Code = "targets_draining"
 	// CodeOverloaded: the work queued ahead takes longer than the route's Aim.
 	CodeOverloaded verdict.Code = "overloaded"
 	CodeNoTime     verdict.Code = "no_time_left"
--- a/route/pick/rest.go
+++ b/route/pick/rest.go
@@ -76,3 +76,15 @@
 	}
 	return out, ok
 }
+
+// AllDraining reports whether a service has targets and all of them are draining.
+func (p *Pool) AllDraining(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.byService[service] {
+		if !p.draining(t) {
+			return false
+		}
+	}
+	return len(p.byService[service]) > 0
+}
--- a/route/place/retryafter.go
+++ b/route/place/retryafter.go
@@ -13,6 +13,8 @@
 	Starting
 	// Leaving: the instance is leaving, and another one accepts the request now.
 	Leaving
+	// Draining: all targets of the service are draining, and the list names no other one yet.
+	Draining
 	// PoisonRequest: the request has crashed every target that ran it and is refused for a long
 	// time.
 	PoisonRequest
@@ -25,6 +27,7 @@
 	// try a third time. Callers that retry much later are late.
 	Starting:      350 * time.Millisecond,
 	Leaving:       20 * time.Millisecond,
+	Draining:      time.Second,
 	PoisonRequest: time.Second,
 }
 
@@ -64,3 +67,23 @@
 func LimitRetryAfter(retryAfter time.Duration) time.Duration {
 	return min(max(retryAfter, minLimitRetryAfter), maxLimitRetryAfter)
 }
+
+const (
+	// minRestSpread and maxRestSpread bound the time over which the callers that were refused
+	// during a rest return after it.
+	minRestSpread = 100 * time.Millisecond
+	maxRestSpread = 2 * time.Second
+)
+
+// RestRetryAfter returns the delay for a caller that is refused because all targets rest, the first
+// for the time left of the asked rest. Callers return over a time as long as the whole rest, or the
+// half of what their deadline leaves after it, so that they come back about as fast as they were
+// refused. deadline is the time until the caller's deadline, 0 for none, and uniform a random
+// number in [0, 1).
+func RestRetryAfter(left, asked, deadline time.Duration, uniform float64) time.Duration {
+	spread := min(asked, maxRestSpread)
+	if after := deadline - left; after > 0 {
+		spread = min(spread, after/2)
+	}
+	return left + time.Duration(uniform*float64(max(spread, minRestSpread)))
+}
