--- a/metrics/site.go
+++ b/metrics/site.go
@@ -37,6 +37,7 @@
 	SiteTargetsBackingOff = Metric{"gullhaven_site_targets_out", Gauge, "targets", "Targets left out for a while as they were lost."}
 	SiteTargetsCold       = Metric{"gullhaven_site_targets_cold", Gauge, "targets", "Targets that bear only a few requests a second."}
 	SiteTargetsLimited    = Metric{"gullhaven_site_targets_limited", Gauge, "targets", "Targets that name in their answers how many requests a second they take."}
+	SiteTargetsResting    = Metric{"gullhaven_site_targets_resting", Gauge, "targets", "Targets that have asked this instance for rest and get nothing from it until its end."}
 	SiteTargetsLeaving    = Metric{"gullhaven_site_targets_draining", Gauge, "targets", "Targets that drain, or whose zone is evacuated."}
 	SiteVersion           = Metric{"gullhaven_site_version", Gauge, "version", "Version of the configuration in force, or accepted at a core instance; 0 for none."}
 	SiteReceivedVersion   = Metric{"gullhaven_site_version_heard", Gauge, "version", "Newest version that a core instance told this entry instance of; above the one in force it is on its way."}
@@ -60,7 +61,7 @@
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
 	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
-	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited,
+	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
 }
@@ -79,9 +80,9 @@
 
 // EntryState has the values that are read from an entry instance for each page.
 type EntryState struct {
-	InFlight, Dials, Targets, BackingOff, Cold, Limited, Draining, Version, ReceivedVersion, ListAge, Entries, Cores int64
-	LinesDropped, LinesSkipped, PiecesLeft, PieceBytes, PiecesFailed                                                 int64
-	Links                                                                                                            Links
+	InFlight, Dials, Targets, BackingOff, Cold, Limited, Resting, Draining, Version, ReceivedVersion, ListAge, Entries, Cores int64
+	LinesDropped, LinesSkipped, PiecesLeft, PieceBytes, PiecesFailed                                                          int64
+	Links                                                                                                                     Links
 }
 
 // NewSiteEntry returns the metrics of an entry instance; read is called once for each page.
@@ -94,6 +95,7 @@
 	page.gauge(SiteTargetsBackingOff, func(e *EntryState) int64 { return e.BackingOff })
 	page.gauge(SiteTargetsCold, func(e *EntryState) int64 { return e.Cold })
 	page.gauge(SiteTargetsLimited, func(e *EntryState) int64 { return e.Limited })
+	page.gauge(SiteTargetsResting, func(e *EntryState) int64 { return e.Resting })
 	page.gauge(SiteTargetsLeaving, func(e *EntryState) int64 { return e.Draining })
 	page.gauge(SiteVersion, func(e *EntryState) int64 { return e.Version })
 	page.gauge(SiteReceivedVersion, func(e *EntryState) int64 { return e.ReceivedVersion })
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -289,8 +289,8 @@
 	return out
 }
 
-// Counts are numbers of targets by state. A limited target may be in any other state too.
-type Counts struct{ Targets, BackingOff, Cold, Limited, Draining int }
+// Counts are numbers of targets by state. A limited or resting target may be in any other state too.
+type Counts struct{ Targets, BackingOff, Cold, Limited, Resting, Draining int }
 
 // Count returns the numbers of targets in the region by state.
 func (p *Pool) Count(now time.Time) Counts {
@@ -301,6 +301,9 @@
 		if t.limit.Limited {
 			c.Limited++
 		}
+		if t.resting(now) {
+			c.Resting++
+		}
 		switch {
 		case p.draining(t):
 			c.Draining++
