soak: runners that ask for rest and runners that say they leave

Cause: no run of processes had targets that say anything of themselves. Change: faults turn_away (503 with a rest, some malformed) and leave (Server-Leaving, 2 s before the list says so), drawn beside the recorded plans; the ledger checks that an instance leaves a target alone during a rest that it was asked for (two requests later than half a second after it), and once it has passed on an answer that says leaving. A rest may be written with an exponent: the soak's first run showed one ignored as malformed (15 requests during a rest of 1e9 s).

--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -56,6 +56,7 @@
 	disturbances []Disturbance
 	acknowledged []acknowledgement
 	violations   []string
+	announced    announcements
 }
 
 type acknowledgement struct {
@@ -134,6 +135,7 @@
 	if l.WrongWorkspace != nil && l.WrongWorkspace() > 0 {
 		out = append(out, fmt.Sprintf("%d requests came under another workspace's name or with a key", l.WrongWorkspace()))
 	}
+	out = append(out, l.checkAnnouncements()...)
 	for i := range l.requests {
 		r := &l.requests[i]
 		for _, fault := range []string{l.checkRuns(r), l.checkContent(r), l.checkInTime(r), l.checkLost(r)} {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -43,10 +43,16 @@
 	// ForeignEntries adds entries of another writer to the platform's list for For, which
 	// must disturb no request.
 	ForeignEntries Kind = "foreign"
+	// TurnAway has a runner turn all requests away for For and ask for rest.
+	TurnAway Kind = "turn_away"
+	// Leave is Drain, with answers that say that the runner is leaving. The list says so later.
+	Leave Kind = "leave"
 )
 
 // Planned reports whether the fault is planned work, which must disturb no request.
-func (k Kind) Planned() bool { return k == Restart || k == Reload || k == Drain || k == ForeignEntries }
+func (k Kind) Planned() bool {
+	return slices.Contains([]Kind{Restart, Reload, Drain, ForeignEntries, TurnAway, Leave}, k)
+}
 
 // network reports whether the fault is injected by a Forwarder.
 func (k Kind) network() bool {
@@ -156,6 +162,21 @@
 	return out
 }
 
+// DrawTargetFaults returns faults in which runners say something of themselves, sorted by At. Like
+// those of DrawExtraFaults they are added to the recorded plans.
+func DrawTargetFaults(seed uint64, s Shape, span time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var out []Fault
+	for at := extraGap(rng); at < span; at += extraGap(rng) {
+		f := Fault{Kind: TurnAway, Role: RoleRunner, Number: rng.IntN(s.Runners), At: at, For: faultTime(rng)}
+		if rng.IntN(4) == 0 {
+			f.Kind = Leave
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
 // extraGap is longer than gap, as these faults are added to the others.
 func extraGap(rng *rand.Rand) time.Duration { return 3 * gap(rng) }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,7 +87,8 @@
 }
 
 // runSeed starts a site, injects the faults of a seed, waits until the site serves again,
-// stops it, and checks all observations. extra adds the faults of DrawExtraFaults.
+// stops it, and checks all observations. extra adds the faults of
+// DrawExtraFaults and DrawTargetFaults.
 func runSeed(t *testing.T, seed uint64, span time.Duration, extra bool) {
 	shape := Shape{Cores: 4, Entries: 4, Runners: 9}
 	dir := t.TempDir()
@@ -129,6 +130,7 @@
 	faults := DrawFaults(seed, shape, span)
 	if extra {
 		faults = append(faults, DrawExtraFaults(seed, shape, span)...)
+		faults = append(faults, DrawTargetFaults(seed, shape, span)...)
 		slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	}
 	w.InjectFaults(ctx, faults)
--- a/soak/world.go
+++ b/soak/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -79,8 +80,11 @@
 type runner struct {
 	forwarded
 	service, zone string
-	server        *server
-	listEntry     platformtest.ListEntry
+	// number is the runner's number in faults.
+	number    int
+	server    *server
+	handler   *platformtest.Runner
+	listEntry platformtest.ListEntry
 	// replacing is held while a runner is replaced.
 	replacing sync.Mutex
 }
@@ -165,6 +169,7 @@
 		addresses[name] = *to
 	}
 	w.entries = append(w.entries, e)
+	w.Ledger.AddEntry(e.callers, e.region)
 	return nil
 }
 
@@ -196,6 +201,9 @@
 func zone(n int) string   { return fmt.Sprint("z", n%zones) }
 func region(n int) string { return fmt.Sprint("r", n%zones) }
 
+// regionOfZone returns the region of a zone: each zone is a region of its own.
+func regionOfZone(zone string) string { return "r" + strings.TrimPrefix(zone, "z") }
+
 // startAll starts all processes that don't run. first is their setting first_start.
 func (w *World) startAll(first bool) error {
 	for _, p := range w.processes() {
@@ -234,7 +242,7 @@
 		if n/zones%2 == 1 {
 			service = platformtest.ServiceEngine
 		}
-		r := &runner{service: service, zone: zone(n)}
+		r := &runner{service: service, zone: zone(n), number: n}
 		to, err := net.address(net.host(firstRunner + n))
 		if err != nil {
 			return err
@@ -263,13 +271,16 @@
 
 // serve starts a runner with this ID and lists it.
 func (w *World) serve(r *runner, id string) error {
-	server, err := serve(r.forwarder.to, &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents})
+	runner := &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents}
+	target := w.Ledger.AddTarget(r.number, regionOfZone(r.zone))
+	runner.Arrived = func(a platformtest.Arrival) { w.Ledger.AddArrival(target, a) }
+	server, err := serve(r.forwarder.to, runner)
 	if err != nil {
 		return err
 	}
 	listed := platformtest.ListEntry{ID: id, Service: r.service, Address: r.forwarder.Address(), Zone: r.zone, Slots: 16, Born: time.Now().UnixMilli()}
 	w.mu.Lock()
-	r.server, r.listEntry = server, listed
+	r.server, r.listEntry, r.handler = server, listed, runner
 	w.mu.Unlock()
 	w.list.Add(listed)
 	return nil
@@ -318,6 +329,10 @@
 		w.injectListFault(f)
 		return nil
 	case RoleRunner:
+		if f.Kind == TurnAway {
+			w.turnAway(w.runners[f.Number], f)
+			return nil
+		}
 		return w.replace(w.runners[f.Number], f)
 	case RoleCore:
 		return w.cores[f.Number].inject(f)
@@ -398,10 +413,34 @@
 	return errors.Join(err, p.start(false))
 }
 
+// restValues are the values of Retry-After that runners send, some of which are malformed.
+var restValues = []string{"1", "0.6", "2.5", "", "soon", "-3", "1e9"}
+
+// turnAway has a runner turn requests away. The number of the fault's milliseconds chooses the rest
+// that it asks for.
+func (w *World) turnAway(r *runner, f Fault) {
+	w.mu.Lock()
+	handler := r.handler
+	w.mu.Unlock()
+	handler.TurnAway(true, restValues[f.At.Milliseconds()%int64(len(restValues))])
+	time.Sleep(f.For)
+	handler.TurnAway(false, "")
+}
+
+// listLag is how much later the list says that a runner drains than the runner itself.
+const listLag = 2 * time.Second
+
 // replace ends a runner, by a crash or as planned, and starts another one at its address.
 func (w *World) replace(r *runner, f Fault) error {
 	server, id := w.current(r)
-	if f.Kind == Drain {
+	switch f.Kind {
+	case Leave:
+		w.mu.Lock()
+		r.handler.SetLeaving("1")
+		w.mu.Unlock()
+		time.Sleep(listLag)
+		fallthrough
+	case Drain:
 		w.list.Drain(id)
 		time.Sleep(drainTime)
 	}
