pick: a target that is busy gets requests only if no other is available

Cause: 429 with Retry-After was taken for a rest. Change: Choice.Busy: such a target is left alone while another one is available; otherwise it is chosen, and its time left counts as wait, so that another region goes before it where that costs less.

--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -59,7 +59,7 @@
 // formatSeconds formats a delay with two decimals, rounded up, so that nobody returns too early.
 func formatSeconds(d time.Duration) string {
 	const unit = 10 * time.Millisecond
-	return strconv.FormatFloat(((d+unit-1)/unit*unit).Seconds(), 'f', 2, 64)
+	return strconv.FormatFloat(((d + unit - 1) / unit * unit).Seconds(), 'f', 2, 64)
 }
 
 // logRefusal logs a refusal with what the decision was based on.
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -282,7 +282,7 @@
 	case reply.NotRun:
 		q.rejected = true
 		discard(a)
-		if reply.Rest > 0 {
+		if reply.Rest > 0 || reply.BusyFor > 0 {
 			return false, pick.Rested
 		}
 		return false, pick.Rejected
@@ -322,6 +322,9 @@
 		log.Info("target asks for rest", zap.String("target", p.choice.ID), zap.Duration("rest", reply.Rest),
 			zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
 	}
+	if reply.BusyFor > 0 {
+		p.choice.Busy(time.Now(), reply.BusyFor)
+	}
 	if reply.Leaving {
 		m.LeavingAnswers.Inc(1)
 		if p.choice.Leaving() {
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -82,6 +82,9 @@
 	// Rest is for how long the target, which has turned the request away, wants no requests from
 	// this instance; 0 for none.
 	Rest time.Duration
+	// BusyFor is for how long the target, which is too busy for the request, expects to be so; 0 if
+	// it has not said so.
+	BusyFor time.Duration
 	// Leaving says that the target is about to end.
 	Leaving bool
 	// Malformed are the headers about the target itself that were ignored or clamped, as
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// eligible reports whether the target may get this request now.
-func (p *Pool) eligible(now time.Time, t *target, c Call) bool {
+// eligible reports whether the target may get the scorer's request now.
+func (p *Pool) eligible(t *target, w *scorer) bool {
 	switch {
-	case !p.available(now, t, c), t.probing:
+	case !p.available(w.now, t, w.call), t.probing, t.busyFor(w.now) > 0 && !w.busyToo:
 		return false
-	case p.allowedPerSecond(now, t) > 0:
-		return p.rateAllows(now, t)
+	case p.allowedPerSecond(w.now, t) > 0:
+		return p.rateAllows(w.now, t)
 	}
 	return true
 }
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -189,6 +189,10 @@
 	if best == nil || e.callCost(best) > leaveGroupMillis {
 		best, e = p.best(p.rotated(list, c.SpreadKey), w)
 	}
+	if best == nil {
+		w.busyToo = true
+		best, e = p.best(p.rotated(list, c.SpreadKey), w)
+	}
 	if best == nil {
 		return nil, ReasonNoneAvailable
 	}
@@ -211,7 +215,7 @@
 func (p *Pool) best(list []*target, w *scorer) (best *target, estimated estimate) {
 	least := math.Inf(1)
 	for _, t := range list {
-		if !p.eligible(w.now, t, w.call) {
+		if !p.eligible(t, w) {
 			continue
 		}
 		e := w.estimateAt(t)
--- a/route/pick/rest.go
+++ b/route/pick/rest.go
@@ -6,12 +6,17 @@
 // requests from that instance for a time. Each instance keeps the rests that it was asked for, and
 // names the resting targets to the group owners that choose for it, so an owner that begins needs
 // no state. Other instances may go on sending requests to the target.
+//
+// A target that is only busy says when it expects to accept requests again. It gets none until
+// then as long as another target is available, here or in another region at less cost.
 
-// rest is the rest that a target asked this instance for.
+// rest is what a target has asked this instance for.
 type rest struct {
+	// until is the end of the rest. asked is the length of the rest that ends last.
 	until time.Time
-	// asked is the length of the rest that ends last.
 	asked time.Duration
+	// busyUntil is when it expects not to be busy any more.
+	busyUntil time.Time
 	// untested says that no request has been accepted since: after the rest, one request at a time
 	// tests whether the target accepts them again.
 	untested bool
@@ -23,24 +28,34 @@
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	if until := now.Add(asked); until.After(c.t.rest.until) {
-		c.t.rest = rest{until: until, asked: asked, untested: true}
+		c.t.rest.until, c.t.rest.asked, c.t.rest.untested = until, asked, true
 	}
 }
 
+// Busy records that the target rejected the request at a time and expects to be busy for so long.
+func (c *Choice) Busy(now time.Time, expected time.Duration) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.t.rest.busyUntil, c.t.rest.untested = now.Add(expected), true
+}
+
 // resting reports whether the target has asked this instance for rest.
 func (t *target) resting(now time.Time) bool { return now.Before(t.rest.until) }
 
+// busyFor is how much longer the target expects to be busy.
+func (t *target) busyFor(now time.Time) time.Duration { return max(0, t.rest.busyUntil.Sub(now)) }
+
 // maxNamedResting bounds the resting targets that are named to a group owner.
 const maxNamedResting = 64
 
-// Resting returns the targets of a service that must get no request from this instance because
-// they rest or are tested after a rest, at most maxNamedResting.
+// Resting returns the targets of a service that a group owner must not choose for this instance
+// because they rest, are busy or are tested after that, at most maxNamedResting.
 func (p *Pool) Resting(now time.Time, service string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []string
 	for _, t := range p.byService[service] {
-		if (t.resting(now) || t.rest.untested && t.probing) && len(out) < maxNamedResting {
+		if (t.resting(now) || t.busyFor(now) > 0 || t.rest.untested && t.probing) && len(out) < maxNamedResting {
 			out = append(out, t.ID)
 		}
 	}
--- a/route/pick/rest_test.go
+++ b/route/pick/rest_test.go
@@ -238,3 +238,29 @@
 		t.Fatal("a service without targets rests")
 	}
 }
+
+// Guards against requests that are refused although a target might accept them, and against
+// requests at busy targets while another one is available.
+func TestBusyTargetIsChosenIfThereIsNoOther(t *testing.T) {
+	p := pick.New("e")
+	p.Update(t0, pick.Snapshot{Targets: targets(2), Entries: []string{"e"}, Rules: engines()})
+	busy, _ := p.Pick(t0, call(1))
+	busy.Busy(t0, time.Second)
+	busy.Done(t0, pick.Rested)
+	now := t0.Add(100 * time.Millisecond)
+	other, _ := p.Pick(now, call(1))
+	if other.ID == busy.ID || !slices.Equal(p.Resting(now, "s"), []string{busy.ID}) {
+		t.Fatal("the busy target is chosen beside a free one")
+	}
+	last, _ := p.Pick(now, pick.Call{Service: "s", PromptTokens: 9000, Tried: []string{other.ID}})
+	if last == nil || last.ID != busy.ID || last.Wait < 900 {
+		t.Fatalf("the busy target is not chosen as the last one, or without its wait: %+v", last)
+	}
+	last.Done(now, pick.Good)
+	if again, _ := p.Pick(t0.Add(time.Second), call(1)); again.ID != busy.ID || again.Wait >= 900 {
+		t.Fatal("not chosen as before after it was busy")
+	}
+	if _, ok := p.RestLeft(now, "s"); ok {
+		t.Fatal("a busy target counts as resting")
+	}
+}
--- a/route/pick/score.go
+++ b/route/pick/score.go
@@ -15,6 +15,8 @@
 	preferred   *target
 	rules       ServiceRules
 	prefillTime *prefillTime
+	// busyToo says that targets that expect to be busy may be chosen.
+	busyToo bool
 	// sources are where the prompt's shared parts can be fetched from, and fetchRatio is the ratio
 	// of fetch time to prefill time.
 	sources    sources
@@ -53,7 +55,7 @@
 func (w *scorer) estimateAt(t *target) estimate {
 	e := estimate{load: t.load()}
 	running := float64(e.load.Running)
-	e.wait = w.slotWait(t, e.load.Running)
+	e.wait = w.slotWait(t, e.load.Running) + float64(t.busyFor(w.now).Milliseconds())
 	if !w.rules.Engine {
 		e.wait += slotCostMillis * running / float64(max(1, t.Slots))
 		return e
