route, ports: instances of bundles keep the rests of their targets

Callers of an instance of bundles got errors while targets had room: 9 of 60 requests went to three plain targets or engines that had answered 503 with a minute of Retry-After, 41 to engines that had answered 429 so. Fractions of a second were read as 0. Change: route.End carries the rest (503) or the busy time (429), a filter of its own keeps the first and prefers others to the second, refusals tell when the first rest ends. ports.RetryAfter reads the header for all clients and for platform. A plain service's own 429 stays an answer for the caller.

--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -43,6 +43,8 @@
 	// tokens is the number of output tokens relayed: one per chunk, or the request's
 	// OutputTokens, an estimate, for an answer of one chunk.
 	tokens int
+	// rest is for how long the target of a relayed answer wants no requests.
+	rest time.Duration
 	// startedAt is when it was sent.
 	startedAt time.Time
 }
@@ -173,7 +175,14 @@
 // end records the end of an attempt.
 func (f *Attempts) end(x *Exchange, a *attempt, err error) {
 	outcome := outcomeOf(x, err)
-	f.routing.Ended(route.End{Attempt: a.route, Outcome: outcome, OutputTokens: a.tokens, CachedTokens: -1})
+	end := route.End{Attempt: a.route, Outcome: outcome, OutputTokens: a.tokens, CachedTokens: -1, Rest: a.rest}
+	var e *verdict.Error
+	if errors.As(err, &e) && e.Code == ports.CodeResting {
+		end.Rest = e.RetryAfter
+	} else if e != nil && e.Code == ports.CodeRejected {
+		end.Busy = e.RetryAfter
+	}
+	f.routing.Ended(end)
 	f.budgets.ended(x.Service.ID, outcome)
 	f.leftTarget(x, a, suspectEnd(x, err))
 }
@@ -218,7 +227,7 @@
 		return route.Cancelled
 	case ports.CodeUnreached:
 		return route.Unreached
-	case ports.CodeRejected:
+	case ports.CodeRejected, ports.CodeResting:
 		return route.Rejected
 	case ports.CodeInvalid:
 		return route.Succeeded
--- a/pipeline/codes.go
+++ b/pipeline/codes.go
@@ -75,6 +75,7 @@
 
 	ports.CodeUnreached: http.StatusServiceUnavailable,
 	ports.CodeRejected:  http.StatusServiceUnavailable,
+	ports.CodeResting:   http.StatusServiceUnavailable,
 	ports.CodeInvalid:   http.StatusBadRequest,
 
 	verdict.Code(route.ReasonUnknownService): http.StatusNotFound,
--- a/pipeline/sendplain.go
+++ b/pipeline/sendplain.go
@@ -70,6 +70,9 @@
 		return err
 	}
 	defer answer.Body.Close()
+	if answer.Status == http.StatusServiceUnavailable {
+		a.rest = ports.RetryAfter(answer.Header)
+	}
 	if !x.Once && isGatewayError(answer.Status) && !x.bodyUsed() && a.query.Attempt+1 < x.View.Bundle.Rules.MaxAttempts {
 		return verdict.New(verdict.MayHaveRun, ports.CodeTargetError, "the target answered "+http.StatusText(answer.Status))
 	}
--- a/ports/engine.go
+++ b/ports/engine.go
@@ -23,6 +23,9 @@
 	CodeUnreached verdict.Code = "target_unreached"
 	// CodeRejected: the target refused the request before running it.
 	CodeRejected verdict.Code = "target_rejected"
+	// CodeResting: the target turned the request away and wants no requests for
+	// the error's RetryAfter.
+	CodeResting verdict.Code = "target_resting"
 	// CodeInvalid: the target found the request itself at fault.
 	CodeInvalid verdict.Code = "target_invalid"
 	// CodeTargetError: the target answered with an error.
--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -146,7 +146,7 @@
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests:
 		e.Verdict, e.Code = verdict.NotRun, ports.CodeRejected
-		e.RetryAfter = retryAfter(resp.Header)
+		e.RetryAfter = ports.RetryAfter(resp.Header)
 	case resp.StatusCode == http.StatusNotFound:
 		e.Verdict, e.Code = verdict.NotRun, ports.CodeUnknownAttempt
 	case resp.StatusCode >= 400 && resp.StatusCode < 500:
@@ -154,15 +154,10 @@
 	case resp.Header.Get(ports.HeaderVerdict) == verdict.NotRun.String():
 		e.Verdict, e.Code = verdict.NotRun, ports.CodeRejected
 	}
-	return e
-}
-
-func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || s < 0 {
-		return 0
+	if rest := ports.RetryAfter(resp.Header); rest > 0 && resp.StatusCode == http.StatusServiceUnavailable {
+		e.Code, e.RetryAfter = ports.CodeResting, rest
 	}
-	return time.Duration(s) * time.Second
+	return e
 }
 
 // Cancel ends an attempt; an unknown one is no error.
--- a/ports/platformhttp/client.go
+++ b/ports/platformhttp/client.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"time"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
@@ -92,9 +91,8 @@
 	case http.StatusNotFound:
 		return ErrObjectNotFound
 	case http.StatusTooManyRequests:
-		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
 		e := verdict.New(verdict.NotRun, ports.CodeRejected, "the weight store is at its rate")
-		e.RetryAfter = time.Duration(seconds) * time.Second
+		e.RetryAfter = ports.RetryAfter(resp.Header)
 		return e
 	}
 	return verdict.New(verdict.Ran, ports.CodeTargetError, fmt.Sprintf("the weight store answered %d", resp.StatusCode))
--- a/route/admission.go
+++ b/route/admission.go
@@ -11,6 +11,9 @@
 	unknownServiceRetry = 30 * time.Second
 	// noTargetRetry is the retry delay reported while no target accepts work.
 	noTargetRetry = 2 * time.Second
+	// restSpread is the time over which callers return after a rest of all
+	// targets.
+	restSpread = time.Second
 	// minRetry and maxRetry bound the reported retry delay.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 60 * time.Second
@@ -158,6 +161,10 @@
 	case !permitted:
 		return Decision{Action: Refuse, Reason: ReasonResidency, RetryAfter: unknownServiceRetry}
 	}
+	if rest := s.restLeft(r.seconds(now)); rest > 0 {
+		// Callers come back over a second, not together.
+		return Decision{Action: Refuse, Reason: ReasonNoTarget, RetryAfter: rest + time.Duration(r.rng.Int64N(int64(restSpread)))}
+	}
 	return Decision{Action: Refuse, Reason: ReasonNoTarget, RetryAfter: noTargetRetry}
 }
 
--- a/route/events.go
+++ b/route/events.go
@@ -74,6 +74,7 @@
 	t.cache.clear()
 	t.speed = speed{}
 	t.guard = guard{}
+	t.rest = rest{}
 	t.trust = 1
 	t.eventSeq = 0
 }
@@ -245,6 +246,7 @@
 	t := a.t
 	t.load.end(at, a.sentAt, a.memory)
 	r.oldestUnanswered(t)
+	t.rest.learn(at, e)
 	switch e.Outcome {
 	case Succeeded:
 		t.answeredAt = at
--- a/route/router.go
+++ b/route/router.go
@@ -66,7 +66,7 @@
 		remoteRegions: make(map[string][]string),
 		attempts:      make(map[AttemptID]attempt),
 		filters: []Filter{
-			residencyFilter{}, stateFilter{}, adapterFilter{}, triedFilter{},
+			residencyFilter{}, stateFilter{}, adapterFilter{}, triedFilter{}, restFilter{},
 			healthFilter{}, slowStartFilter{},
 		},
 		scorers: []Scorer{queueScorer{}, prefixScorer{}, kvScorer{}, zoneScorer{}, adapterScorer{}},
@@ -191,6 +191,7 @@
 	c.PrefillTime = t.prefillTime
 	c.TokenTime = t.tokenTime
 	c.Health = t.guard.state(at)
+	c.RestFor, c.BusyFor = t.rest.until-at, t.rest.busyUntil-at
 	c.WarmFor = at - t.warmAt
 	c.StalledFor = t.stalled
 	c.Wait, c.FirstToken, c.Finish, c.Score = 0, 0, 0, 0
--- a/route/scope.go
+++ b/route/scope.go
@@ -99,7 +99,7 @@
 	start := r.rng.IntN(len(s.list))
 	for i := range s.list {
 		t := s.list[(start+i)%len(s.list)]
-		if t.spec.State != Warm || t.guard.state(at) != Healthy ||
+		if t.spec.State != Warm || t.guard.state(at) != Healthy || t.rest.until > at ||
 			adapter && !slices.Contains(t.spec.Adapters, q.Adapter) {
 			continue
 		}
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -81,6 +81,9 @@
 	// Health is not Healthy if the circuit breaker or grey detection excludes
 	// the target.
 	Health Health
+	// RestFor is for how many more seconds the target wants no requests, BusyFor
+	// for how many it expects to be too busy; not above 0 for none.
+	RestFor, BusyFor float64
 	// StalledFor is the time in seconds for which the target has given no first
 	// token although one is overdue.
 	StalledFor float64
--- a/route/summary.go
+++ b/route/summary.go
@@ -109,7 +109,7 @@
 	p := s.peers(&r.cfg)
 	var waits []float64
 	for _, t := range s.list {
-		if t.spec.State != Warm || t.guard.state(at) != Healthy {
+		if t.spec.State != Warm || t.guard.state(at) != Healthy || t.rest.until > at {
 			continue
 		}
 		sum.Targets++
--- a/route/target.go
+++ b/route/target.go
@@ -33,6 +33,7 @@
 	// learnedPrefillRate is 1/prefillTime, cached to avoid divisions.
 	learnedPrefillRate float64
 	guard              guard
+	rest               rest
 	cache              *blockLRU
 	// trust is the fraction of predicted prefix hits that are confirmed, 0 to
 	// 1.
--- a/route/types.go
+++ b/route/types.go
@@ -205,6 +205,10 @@
 	// OutputTokens is the number of received tokens; CachedTokens is the prefix
 	// hit reported by the engine, -1 if it reported none.
 	OutputTokens, CachedTokens int
+	// Rest is for how long the target, which turned the request away, wants no
+	// requests from this instance, Busy for how long it expects to be too busy;
+	// 0 if it has not said so.
+	Rest, Busy time.Duration
 }
 
 // RegionSummary is a neighbour's summary of one service in its region.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -186,7 +187,7 @@
 	priority, _ := strconv.Atoi(r.Header.Get(ports.HeaderPriority))
 	if f.Kind == FaultReject || e.orders.draining() || !e.slots.acquire(r.Context(), priority) {
 		e.rejected.Add(1)
-		w.Header().Set("Retry-After", "1")
+		w.Header().Set("Retry-After", cmp.Or(f.RetryAfter, "1"))
 		http.Error(w, "no room", http.StatusTooManyRequests)
 		return
 	}
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -58,6 +58,9 @@
 	// Chunk is the number of a chunk of the answer, from 1.
 	Chunk       int   `json:"chunk,omitempty"`
 	DelayMillis int64 `json:"delay_ms,omitempty"`
+	// RetryAfter is the Retry-After of FaultReject; empty for 1 at an engine and
+	// none at a plain service.
+	RetryAfter string `json:"retry_after,omitempty"`
 }
 
 func (f Fault) delay() time.Duration { return time.Duration(f.DelayMillis) * time.Millisecond }
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -59,6 +59,9 @@
 	}
 	f := p.faults.next(append([]byte(r.URL.Path+"\n"), body...))
 	if f.Kind == FaultReject {
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		http.Error(w, "no room", http.StatusServiceUnavailable)
 		return
 	}
