--- a/experiment/replay/chooser.go
+++ b/experiment/replay/chooser.go
@@ -23,12 +23,19 @@
 	// source is an engine to fetch cached prompt parts from; nil for none.
 	source  *engine
 	tracker tracker
+	// sender is the instance that sends the request, or the balancer.
+	sender any
+	// retryAfter is when the caller of a refused request may return; 0 for the usual time.
+	retryAfter time.Duration
 }
 
 // tracker is notified of the progress of a request at its engine.
 type tracker interface {
 	firstEvent(now time.Time)
 	done(now time.Time, r pick.Result)
+	// rest and leaving tell what the engine says of itself.
+	rest(now time.Time, asked time.Duration)
+	leaving()
 }
 
 // chooser routes the requests of one region's callers.
@@ -38,6 +45,8 @@
 	loads(now time.Time, sum *pick.RegionLoad)
 	// reset drops all state.
 	reset(now time.Time)
+	// enginesChanged tells that an engine of the region has started again.
+	enginesChanged(now time.Time)
 }
 
 func newChooser(name string, w *world, r *region) (chooser, error) {
@@ -85,11 +94,22 @@
 	}
 }
 
+// rest tells the receiving instance, the last one, which was asked.
+func (s siteTracker) rest(now time.Time, asked time.Duration) { s[len(s)-1].Rest(now, asked) }
+
+func (s siteTracker) leaving() {
+	for _, c := range s {
+		c.Leaving()
+	}
+}
+
 // noTracker is for requests that were not sent to an engine.
 type noTracker struct{}
 
-func (noTracker) firstEvent(time.Time)        {}
-func (noTracker) done(time.Time, pick.Result) {}
+func (noTracker) firstEvent(time.Time)          {}
+func (noTracker) done(time.Time, pick.Result)   {}
+func (noTracker) rest(time.Time, time.Duration) {}
+func (noTracker) leaving()                      {}
 
 func newSite(w *world, r *region) *site {
 	s := &site{w: w, r: r, rng: rand.New(rand.NewPCG(uint64(len(r.Name)), 3))}
@@ -122,7 +142,7 @@
 	}
 	for _, e := range s.r.liveEngines() {
 		snapshot.Targets = append(snapshot.Targets, pick.Target{
-			ID: e.id, Service: service, Address: e.id, Zone: zone, Slots: s.w.p.Engine.Slots,
+			ID: e.id, Service: service, Address: e.id, Zone: zone, Slots: s.w.p.Engine.Slots, StartMillis: 1 + e.starts,
 		})
 	}
 	s.knownEngines = len(snapshot.Targets)
@@ -138,6 +158,8 @@
 	}
 }
 
+func (s *site) enginesChanged(now time.Time) { s.update(now) }
+
 // exchangeLocal exchanges the loads between the instances of the region.
 func (s *site) exchangeLocal() { s.update(s.w.now) }
 
@@ -173,10 +195,19 @@
 // pick lets the request's group owner choose a target for the receiver, which sends the
 // request. It returns nil if there is none.
 func (s *site) pick(now time.Time, receiver *instance, q *request) (*pick.Choice, siteTracker) {
-	owner := s.byID[receiver.pool.Owner(q.call)]
-	choice, _ := owner.pool.Pick(now, q.call)
+	owner, call := s.byID[receiver.pool.Owner(q.call)], q.call
+	if owner != receiver {
+		call.Tried = slices.Concat(call.Tried, receiver.pool.Resting(now, service))
+		owner.pool.LearnLeaving(receiver.pool.KnownLeaving(service))
+	}
+	choice, _ := owner.pool.Pick(now, call)
 	if choice == nil {
-		return nil, nil
+		receiver.pool.LearnLeaving(owner.pool.KnownLeaving(service))
+		own, _ := receiver.pool.Pick(now, q.call)
+		if own == nil {
+			return nil, nil
+		}
+		return own, siteTracker{own}
 	}
 	if owner == receiver {
 		return choice, siteTracker{choice}
@@ -208,13 +239,17 @@
 		return decision{region: s.region(candidate.Region)}
 	}
 	if choice == nil {
-		return decision{tracker: noTracker{}}
+		d := decision{tracker: noTracker{}}
+		if rest, ok := receiver.pool.RestLeft(now, service); ok {
+			d.retryAfter = place.RestRetryAfter(rest.Left, rest.Asked, q.deadline().Sub(now), s.rng.Float64())
+		}
+		return d
 	}
 	if place.Overloaded(choice.QueueWait, time.Duration(q.kind.AimMillis)*time.Millisecond) {
 		sent.done(now, pick.Neutral)
 		return decision{tracker: noTracker{}}
 	}
-	d := decision{engine: s.engine(choice.ID), tracker: sent}
+	d := decision{engine: s.engine(choice.ID), tracker: sent, sender: receiver}
 	if choice.Source != "" {
 		d.source = s.engine(choice.Source)
 	}
@@ -267,6 +302,8 @@
 }
 
 func (plainTracker) firstEvent(time.Time)          {}
+func (plainTracker) rest(time.Time, time.Duration) {}
+func (plainTracker) leaving()                      {}
 func (s plainTracker) done(time.Time, pick.Result) { s.p.inFlight[s.e]-- }
 
 func (p *plain) choose(_ time.Time, _ *request, mayForward bool) decision {
@@ -281,7 +318,7 @@
 	}
 	e := p.pick(live)
 	p.inFlight[e]++
-	return decision{engine: e, tracker: plainTracker{p, e}}
+	return decision{engine: e, tracker: plainTracker{p, e}, sender: p}
 }
 
 func (p *plain) pick(live []*engine) *engine {
@@ -306,3 +343,5 @@
 }
 
 func (p *plain) reset(time.Time) { clear(p.inFlight) }
+
+func (*plain) enginesChanged(time.Time) {}
--- a/experiment/replay/figures.go
+++ b/experiment/replay/figures.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"text/tabwriter"
+	"time"
 )
 
 // outcome is how a request ended.
@@ -37,10 +38,20 @@
 	// PrefillTokens are the prompt tokens that engines prefilled, without cached ones, in
 	// requests that got a first event.
 	PrefillTokens int
+	// TurnedAway counts requests that engines turned away and asked for rest, DuringRest those
+	// of them that a sender had sent during a rest that it was asked for. AfterLeaving counts
+	// requests to engines that had told their sender that they were leaving.
+	TurnedAway, DuringRest, AfterLeaving int
+	// Returns counts the refused callers by the time for which they were told to return, in
+	// units of returnWindow.
+	Returns map[int]int
 }
 
+// returnWindow is the unit of Figures.Returns.
+const returnWindow = 250 * time.Millisecond
+
 func newFigures(p *Pattern, decider string) *Figures {
-	f := &Figures{Pattern: p.Name, Decider: decider, Kinds: map[string]*KindFigures{}}
+	f := &Figures{Pattern: p.Name, Decider: decider, Kinds: map[string]*KindFigures{}, Returns: map[int]int{}}
 	for _, k := range p.Kinds {
 		f.Kinds[k.Name] = &KindFigures{}
 	}
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"io/fs"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -97,14 +98,20 @@
 // Fault is a fault in a pattern.
 type Fault struct {
 	// Kind is crash (a share of a region's engines, or of each region's if Region is empty,
-	// is down), cut (no region reaches another), or dark (all instances are down and lose
-	// their state). It begins at second At and lasts For seconds.
-	Kind    string
-	At, For float64
-	Region  string
-	Share   float64
+	// is down), rest (such a share turns all requests away and asks for RestSeconds of rest),
+	// leave (such a share says that it is leaving, ends after For and starts again), cut (no
+	// region reaches another), or dark (all instances are down and lose their state). It begins
+	// at second At and lasts For seconds.
+	Kind        string
+	At, For     float64
+	Region      string
+	Share       float64
+	RestSeconds float64
 }
 
+// faultKinds are the kinds of faults.
+var faultKinds = []string{"crash", "rest", "leave", "cut", "dark"}
+
 //go:embed patterns/*.json
 var patterns embed.FS
 
@@ -143,7 +150,7 @@
 		return errors.NotValidf("engine")
 	}
 	for _, f := range p.Faults {
-		if f.Kind != "crash" && f.Kind != "cut" && f.Kind != "dark" {
+		if !slices.Contains(faultKinds, f.Kind) || f.Kind == "rest" && f.RestSeconds <= 0 {
 			return errors.NotValidf("fault %q", f.Kind)
 		}
 	}
--- a/experiment/replay/replay_test.go
+++ b/experiment/replay/replay_test.go
@@ -194,3 +194,19 @@
 		t.Errorf("worth %.3f, without fetching %.3f", with.Worth(), without.Worth())
 	}
 }
+
+// Guards against requests to engines that rest or leave, against engines that stay idle after
+// that, and against callers that come back together: a part of the engines, all of a region and
+// all engines ask for rest in turn, then a third says that it is leaving.
+func TestRestingAndLeavingEnginesAreLeftAlone(t *testing.T) {
+	p := load(t, "targets-that-rest")
+	for seed := range uint64(3) {
+		f, plain := run(t, p, site, seed+1), run(t, p, "least_outstanding", seed+1)
+		if f.DuringRest > 0 || f.AfterLeaving > 0 || f.TurnedAway == 0 {
+			t.Errorf("of %d requests turned away %d were sent during a rest, %d to leaving engines", f.TurnedAway, f.DuringRest, f.AfterLeaving)
+		}
+		if f.Worth() < plain.Worth() {
+			t.Errorf("worth %.3f, of least outstanding %.3f", f.Worth(), plain.Worth())
+		}
+	}
+}
--- a/experiment/replay/world.go
+++ b/experiment/replay/world.go
@@ -33,6 +33,13 @@
 	model    *enginemodel.Engine
 	down     bool
 	requests map[uint64]*request
+	// starts counts its starts.
+	starts int64
+	// restAsked is the rest that it asks for while it turns requests away; 0 while it accepts
+	// them. leaving means that it says so. told is by decision.sender.
+	restAsked time.Duration
+	leaving   bool
+	told      map[any]told
 }
 
 // region is a region with its decider.
@@ -61,6 +68,7 @@
 	// pause is the longest time between two events of its answer.
 	pause   time.Duration
 	engine  *engine
+	sender  any
 	tracker tracker
 }
 
@@ -110,7 +118,7 @@
 	out := &region{Region: r}
 	for n := range r.Engines {
 		id := r.Name + "-" + strconv.Itoa(n)
-		out.engines = append(out.engines, &engine{id: id, region: out, model: enginemodel.New(w.p.Engine.config()), requests: map[uint64]*request{}})
+		out.engines = append(out.engines, &engine{id: id, region: out, model: enginemodel.New(w.p.Engine.config()), requests: map[uint64]*request{}, told: map[any]told{}})
 	}
 	var err error
 	out.chooser, err = newChooser(decider, w, out)
@@ -217,20 +225,26 @@
 		w.at(w.now.Add(regionDelay), func() { w.decide(q, d.region, false) })
 	case d.engine == nil || d.engine.down:
 		d.tracker.done(w.now, pick.Unreachable)
-		w.refuse(q, !mayForward)
+		w.refuse(q, !mayForward, d.retryAfter)
+	case d.engine.restAsked > 0:
+		w.turnAway(q, d, r, mayForward)
 	default:
 		w.send(q, d)
 	}
 }
 
-// refuse refuses a request; its caller retries once.
-func (w *world) refuse(q *request, forwarded bool) {
+// refuse refuses a request; its caller retries once, after a time if one is given.
+func (w *world) refuse(q *request, forwarded bool, after time.Duration) {
 	if q.retried {
 		w.end(q, refused)
 		return
 	}
-	q.retried = true
-	back := w.now.Add(place.RetryAfter(place.Busy, q.deadline().Sub(w.now)))
+	q.retried, q.call.Tried = true, nil
+	if after <= 0 {
+		after = place.RetryAfter(place.Busy, q.deadline().Sub(w.now))
+	}
+	w.figures.Returns[int(w.now.Add(after).Sub(epoch)/returnWindow)]++
+	back := w.now.Add(after)
 	if forwarded {
 		back = back.Add(regionDelay)
 	}
@@ -247,10 +261,13 @@
 	})
 	if err != nil {
 		d.tracker.done(w.now, pick.Rejected)
-		w.refuse(q, false)
+		w.refuse(q, false, 0)
 		return
 	}
-	q.engine, q.tracker = d.engine, d.tracker
+	if d.engine.told[d.sender].leaving {
+		w.figures.AfterLeaving++
+	}
+	q.engine, q.sender, q.tracker = d.engine, d.sender, d.tracker
 	d.engine.requests[q.id] = q
 	w.at(q.deadline(), func() { w.expire(q) })
 	w.scheduleAdvance(d.engine)
@@ -273,6 +290,12 @@
 			q.first = event.At
 			w.figures.PrefillTokens += q.prompt - event.CachedTokens
 			q.tracker.firstEvent(w.now)
+			if e.leaving {
+				t := e.told[q.sender]
+				t.leaving = true
+				e.told[q.sender] = t
+				q.tracker.leaving()
+			}
 			continue
 		}
 		delete(e.requests, q.id)
