routes: a host means the same however it is written

Cause: Match ignored a port and the case of a host, HomeRegionWeight only the case: a directory call with a port in its name weighed every region 0 and named instances outside the home regions, from which requests cross. A dot at the end of a name missed the route, and a route configured in upper case was never found. Change: one canonical form for requests, directory calls, the index and the check for doubled routes. No breach of residency was possible: the request path takes the route, and so its regions, from Match alone.

--- a/bundle/routes/check.go
+++ b/bundle/routes/check.go
@@ -28,7 +28,7 @@
 		if err := r.check(services); err != nil {
 			return err
 		}
-		key := [2]string{r.Host, r.Prefix}
+		key := [2]string{canonicalHost(r.Host), r.Prefix}
 		if other, taken := owners[key]; taken {
 			return errors.NotValidf("route %q: host %q and prefix %q are those of route %q too;", r.Name, r.Host, r.Prefix, other)
 		}
@@ -38,7 +38,7 @@
 }
 
 func (r *Route) check(services map[string]bool) error {
-	if r.Host == "" {
+	if canonicalHost(r.Host) == "" {
 		return errors.NotValidf("route %q without a host", r.Name)
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
--- a/bundle/routes/index.go
+++ b/bundle/routes/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,8 +18,15 @@
 	longestPrefix int
 }
 
-// NewGroup makes a group. The caller must not change the routes afterwards.
+// NewGroup makes a group. The caller must not change the routes afterwards. Hosts that are not
+// canonical become so in the group.
 func NewGroup(list []Route) *Group {
+	if slices.ContainsFunc(list, func(r Route) bool { return canonicalHost(r.Host) != r.Host }) {
+		list = slices.Clone(list)
+		for i := range list {
+			list[i].Host = canonicalHost(list[i].Host)
+		}
+	}
 	g := &Group{routes: list, gapAims: map[string]time.Duration{}}
 	for i := range list {
 		r := &list[i]
--- a/bundle/routes/match.go
+++ b/bundle/routes/match.go
@@ -10,13 +10,21 @@
 // events of a response that is on time. It is 0 if no route sets one.
 func (x *Index) GapAim(service string) time.Duration { return x.gapAims[service] }
 
-// Match returns the route of a request's host whose prefix is the longest that path begins
-// with, or nil. A port in host is ignored, and so is its case.
-func (x *Index) Match(host, path string) *Route {
+// canonicalHost returns a host in lower case without a port, the brackets of an IPv6 address and
+// the dot that may end a name.
+func canonicalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
+	} else if inner, ok := strings.CutPrefix(host, "["); ok {
+		host = strings.TrimSuffix(inner, "]")
 	}
-	host = strings.ToLower(host)
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// Match returns the route of a request's host whose prefix is the longest that path begins
+// with, or nil. Hosts are compared in their canonical form.
+func (x *Index) Match(host, path string) *Route {
+	host = canonicalHost(host)
 	// Prefixes end with a slash, and none is longer than longestPrefix.
 	for end := min(len(path), x.longestPrefix); end > 0; end-- {
 		if path[end-1] != '/' {
@@ -33,7 +41,7 @@
 // HomeRegionWeight returns how much of a host's requests a region may serve: the sum of weight
 // over the names of the host's routes that allow the region.
 func (x *Index) HomeRegionWeight(host, region string, weight func(route string) int) int {
-	host = strings.ToLower(host)
+	host = canonicalHost(host)
 	sum := 0
 	for _, g := range x.groups {
 		for i := range g.routes {
--- a/bundle/routes/routes_test.go
+++ b/bundle/routes/routes_test.go
@@ -152,3 +152,46 @@
 		}
 	}
 }
+
+// Guards against requests and directory calls that miss their routes, and so their home regions,
+// because of the way a host is written, in the request or in the configuration.
+func TestHostsAreMatchedHoweverTheyAreWritten(t *testing.T) {
+	for _, configured := range []string{"h.example", "H.Example", "h.example.", "[::1]", "::1"} {
+		written := []string{"h.example", "H.EXAMPLE", "h.example:8080", "h.example.", "H.example.:80", "h.example:"}
+		if strings.Contains(configured, ":") {
+			written = []string{"[::1]", "[::1]:80"}
+		}
+		x := routes.NewIndex(&routes.Table{Routes: []routes.Route{{Name: "r", Host: configured, Prefix: "/a/", HomeRegions: []string{"home"}}}})
+		for _, host := range written {
+			if x.Match(host, "/a/b") == nil {
+				t.Errorf("a request for %q misses the route of %q", host, configured)
+			}
+			weight := func(string) int { return 1 }
+			if got := x.HomeRegionWeight(host, "home", weight); got != 1 {
+				t.Errorf("%q weighs %d in the home region of %q", host, got, configured)
+			}
+			if got := x.HomeRegionWeight(host, "other", weight); got != 0 {
+				t.Errorf("%q weighs %d outside the home region of %q", host, got, configured)
+			}
+		}
+	}
+	for _, host := range []string{"", ":", ".", "h.example.com", "xh.example", "[", "]:"} {
+		x := routes.NewIndex(&routes.Table{Routes: []routes.Route{{Name: "r", Host: "h.example", Prefix: "/a/"}}})
+		if x.Match(host, "/a/b") != nil {
+			t.Errorf("a request for %q finds a route", host)
+		}
+	}
+}
+
+// Guards against two routes for one host, written in two ways, of which one is never used.
+func TestRoutesOfOneHostInTwoSpellingsAreRefused(t *testing.T) {
+	table := &routes.Table{Version: 1, Services: []routes.Service{{Name: "s"}}}
+	for _, host := range []string{"h.example", "H.example."} {
+		table.Routes = append(table.Routes, routes.Route{
+			Name: host, Host: host, Prefix: "/a/", Timeout: time.Second, Split: []routes.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	if err := table.Check(); err == nil {
+		t.Error("accepted")
+	}
+}
