routes: the first bad limit of a workspace is named

Cause: the limits were checked in the order of a map, so the same table got another error each time. Change: they are checked in order. Result: TestFirstBadLimitOfAWorkspaceIsNamed failed before, passes.

--- a/bundle/routes/check.go
+++ b/bundle/routes/check.go
@@ -94,9 +94,12 @@
 		return errors.NotValidf("workspace name %q", w.Name)
 	}
 	l := &w.Limit
-	for what, n := range map[string]float64{"rate": l.Rate, "burst": l.Burst, "cost of a plain request": l.PlainTokens} {
-		if !(n >= 0) || math.IsInf(n, 0) {
-			return errors.NotValidf("workspace %q: %s of %v", w.Name, what, n)
+	for _, x := range []struct {
+		name  string
+		value float64
+	}{{"rate", l.Rate}, {"burst", l.Burst}, {"cost of a plain request", l.PlainTokens}} {
+		if !(x.value >= 0) || math.IsInf(x.value, 0) {
+			return errors.NotValidf("workspace %q: %s of %v", w.Name, x.name, x.value)
 		}
 	}
 	return nil
--- a/bundle/routes/routes_test.go
+++ b/bundle/routes/routes_test.go
@@ -195,3 +195,13 @@
 		t.Error("accepted")
 	}
 }
+
+// Guards against an error that names another bad limit each time the same table is sent.
+func TestFirstBadLimitOfAWorkspaceIsNamed(t *testing.T) {
+	table := &routes.Table{Version: 1, Workspaces: []routes.Workspace{{Name: "w", Limit: routes.RateLimit{Rate: -1, Burst: -2, PlainTokens: -3}}}}
+	for range 50 {
+		if err := table.Check(); err == nil || !strings.Contains(err.Error(), "rate of -1") {
+			t.Fatalf("%v", err)
+		}
+	}
+}
