quota: an owner that knows no such limit is asked once

Cause: on UnknownLimit consumeAtOwner went round its loop without avoiding the owner, so the same one was called again while the caller waited. Change: the request is then decided by the isolated part, as it was after the second call. Result: TestOwnerWithoutTheLimitIsCalledOnce failed before (2 calls).

--- a/node/quota/service.go
+++ b/node/quota/service.go
@@ -149,9 +149,11 @@
 		if err == nil && !v.UnknownLimit {
 			return v, to
 		}
-		if err != nil {
-			s.startAvoiding(to)
+		if err == nil {
+			// The owner's configuration is older or newer.
+			break
 		}
+		s.startAvoiding(to)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/quota/service_test.go
+++ b/node/quota/service_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -225,3 +226,27 @@
 		t.Errorf("refused: %+v", a)
 	}
 }
+
+// Guards against a second call to an owner that has just said that it knows no such limit, while
+// the caller waits.
+func TestOwnerWithoutTheLimitIsCalledOnce(t *testing.T) {
+	core := leader(t)
+	i := &instance{}
+	i.id, i.hub, i.server = listen(t)
+	i.s = quota.New(quota.Options{
+		Self: i.id, Region: "p", Regions: len(regions), Hub: i.hub, Core: func() string { return core }, Log: zap.NewNop(),
+	})
+	owner, hub, _ := listen(t)
+	var calls atomic.Int64
+	hub.Serve(quota.Channels()[0], 4, func(context.Context, string, []byte) ([]byte, error) {
+		calls.Add(1)
+		return cbor.Marshal(quota.ConsumeResponse{UnknownLimit: true})
+	})
+	i.s.SetView(table(limited), []string{owner}, 2)
+	for before := int64(0); calls.Load() == 0; before = calls.Load() {
+		i.s.Consume(context.Background(), &limited, 1)
+		if n := calls.Load() - before; n > 1 {
+			t.Fatalf("%d calls", n)
+		}
+	}
+}
