wal: a damaged length allocates nothing, shown by a test

Cause: the comment of MaxBatchBytes read as if recovery had to check it. Change: the comment says that reading needs no such bound; a test flips each bit of a frame's length. Result: the code was right: under 1 MB is allocated in each of 32 cases.

--- a/coord/wal/damage_test.go
+++ b/coord/wal/damage_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"path/filepath"
 	"reflect"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -159,3 +160,35 @@
 		t.Fatalf("opened with %v", err)
 	}
 }
+
+// Guards against a damaged length that has recovery allocate without bound: each bit of the length
+// of a batch flips.
+func TestDamagedLengthAllocatesNoMoreThanTheFile(t *testing.T) {
+	// See format.go: the header of a segment, and the fields before the length of a frame.
+	const lengthAt, lengthBits = 64 + 44, 32
+	const most = 1 << 20 // bytes; the file has a few hundred
+	for bit := range lengthBits {
+		fs := faultfs.New()
+		log, _, err := wal.Open(fs, dir, wal.Options{Incarnation: wal.Incarnation{7}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := log.Append(wal.Record{Type: 1, Data: []byte("record")}); err != nil {
+			t.Fatal(err)
+		}
+		if err := log.Sync(); err != nil {
+			t.Fatal(err)
+		}
+		fs.Kill()
+		files := slices.Sorted(maps.Keys(fs.Dump()))
+		segment := files[slices.IndexFunc(files, func(f string) bool { return strings.HasSuffix(f, ".wal") })]
+		fs.FlipBit(segment, 8*lengthAt+bit)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, _, err = wal.Open(fs, dir, wal.Options{})
+		runtime.ReadMemStats(&after)
+		if got := after.TotalAlloc - before.TotalAlloc; got > most {
+			t.Errorf("bit %d: %d bytes allocated, error %v", bit, got, err)
+		}
+	}
+}
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -10,7 +10,8 @@
 	// DefaultSegmentBytes is the length at which a segment is closed.
 	DefaultSegmentBytes = 16 << 20
 	// MaxBatchBytes bounds the frame header and records of one Sync, and so the memory
-	// that a batch takes.
+	// that writing a batch takes. Reading needs no such bound: a frame that is longer than
+	// the rest of its file is damaged, and no memory is allocated by its length.
 	MaxBatchBytes = 256 << 20
 
 	// maxKeptBufferBytes is the largest buffer that is kept for the next batch.
