pieces: a fetch keeps the pieces that it asks for

Cause: NextFetch gave its caller a part of the slice of missing pieces; pieces that arrived from another source while the request was encoded shifted it, so other pieces were asked for, some twice. Change: the fetch has a copy. Result: TestFetchKeepsItsPieces failed before, passes.

--- a/coord/pieces/transfer.go
+++ b/coord/pieces/transfer.go
@@ -154,7 +154,7 @@
 	}
 	f := &Fetch{To: t.sources[0], Request: Request{Root: t.root}, Timeout: min(minResponseTimeout<<min(t.failures, 8), maxResponseTimeout)}
 	if t.manifest != nil {
-		f.Request.Pieces, f.Request.MaxBytes = t.missing[:min(len(t.missing), maxRequestPieces)], t.requestBytes
+		f.Request.Pieces, f.Request.MaxBytes = slices.Clone(t.missing[:min(len(t.missing), maxRequestPieces)]), t.requestBytes
 	}
 	return f, 0
 }
--- a/coord/pieces/transfer_test.go
+++ b/coord/pieces/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -310,3 +311,40 @@
 		}
 	}
 }
+
+// Guards against a request that changes while it is sent: pieces that arrive meanwhile are removed
+// from those that are missing.
+func TestFetchKeepsItsPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t)
+		var names []string
+		for n := range 200 {
+			names = append(names, fmt.Sprint("name ", n))
+		}
+		sim.publish(names)
+		sim.announce()
+		var fetch *Fetch
+		for fetch == nil || len(fetch.Request.Pieces) < 2 {
+			if sim.transfer.Complete() {
+				t.Skip("a document of less than two pieces")
+			}
+			if f, wait := sim.transfer.NextFetch(sim.now); f != nil {
+				fetch = f
+			} else {
+				sim.now = sim.now.Add(max(wait, time.Millisecond))
+				continue
+			}
+			if len(fetch.Request.Pieces) < 2 {
+				_ = sim.transfer.HandleResponse(sim.now, fetch, sim.sources[0].Respond(&fetch.Request))
+			}
+		}
+		before := slices.Clone(fetch.Request.Pieces)
+		first := Request{Root: fetch.Request.Root, Pieces: before[:1], MaxBytes: 1 << 20}
+		if err := sim.transfer.HandleResponse(sim.now, &Fetch{To: fetch.To, Request: first}, sim.sources[0].Respond(&first)); err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Equal(before, fetch.Request.Pieces) {
+			t.Fatal("the pieces of a fetch have changed")
+		}
+	})
+}
