pipeline: the time to the first byte is read from the clock given

Cause: relay.head read the machine's clock, Arrival the one given. Change: the exchange carries its clock. Result: TestFirstByteIsMeasuredByTheClockGiven failed before (2.2 ms on a clock that stands still).

--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -35,6 +35,8 @@
 	Number  uint64
 	Kind    Kind
 	Arrival time.Time
+	// now is the clock of Arrival.
+	now func() time.Time
 	// View is the bundle in force at arrival.
 	View *View
 	// Peer is the instance that forwarded the request; empty for a caller's own.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -213,6 +213,7 @@
 		R:       r,
 		Kind:    k,
 		Arrival: p.deps.Now(),
+		now:     p.deps.Now,
 		View:    p.view.Load(),
 		Peer:    peer,
 	}
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -99,7 +99,7 @@
 	x.W.Header().Set(HeaderVerdict, verdict.Ran.String())
 	_ = http.NewResponseController(x.W).SetWriteDeadline(x.Deadline.Add(writeGrace))
 	x.headWritten = true
-	x.firstByte = time.Now()
+	x.firstByte = x.now()
 	x.W.WriteHeader(status)
 }
 
