pipeline: chunks of claimed requests are counted as of others

Cause: a claimed answer reaches its caller through a buffer, whose parts were counted: 2 chunks of 9, so the mean pause between chunks was too long and the objective seemed missed. Change: events are counted. Result: TestChunksOfAClaimedRequestAreCountedAsOfOthers failed before (2, 9 without a claim).

--- a/pipeline/answerbuffer.go
+++ b/pipeline/answerbuffer.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"bytes"
 	"errors"
 	"net/http"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"github.com/gullhaven/gullhaven/coord/claim"
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/route"
 )
 
@@ -95,6 +97,15 @@
 	return bufferState{status: j.status, body: j.body[offset:], done: j.done, err: j.err, wake: j.wake}
 }
 
+// chunksIn returns the number of chunks in a part of the answer: its events without the end mark,
+// or 1 if it is no event stream. Events are written whole, so none is cut by a part's end.
+func (j *answerBuffer) chunksIn(part []byte) int {
+	if j.header.Get("Content-Type") != ports.ContentTypeEvents {
+		return 1
+	}
+	return bytes.Count(part, []byte("\n\n")) - bytes.Count(part, []byte("data: "+ports.EndMark+"\n\n"))
+}
+
 // follow relays the answer to a caller, up to its end. A caller that leaves
 // doesn't end the answer for others.
 func (j *answerBuffer) follow(x *Exchange) error {
@@ -106,7 +117,7 @@
 		}
 		if len(p.body) > 0 {
 			offset += len(p.body)
-			x.chunks++
+			x.chunks += j.chunksIn(p.body)
 			if err := j.relayPart(r, p.body); err != nil {
 				return err
 			}
--- a/pipeline/observed_test.go
+++ b/pipeline/observed_test.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"io"
 	"testing"
 	"time"
 )
@@ -15,3 +16,19 @@
 		t.Errorf("code %q, first byte after %v on a clock that stands still", o.Code, o.FirstByte)
 	}
 }
+
+// Guards against a claimed request whose answer counts as fewer chunks than others get, and so as
+// one with long pauses: the parts of the buffer were counted.
+func TestChunksOfAClaimedRequestAreCountedAsOfOthers(t *testing.T) {
+	chunks := func(c call) int {
+		observed := outcomeObserver{outcomes: make(chan Outcome, 1)}
+		r := newRig(t, withDeps(func(d *Deps) { d.Observer = observed }))
+		_, _ = io.ReadAll(r.do(c).Body)
+		return (<-observed.outcomes).Chunks
+	}
+	body := chat("p", true, 9)
+	claimed := call{body: body, header: map[string]string{HeaderIdempotencyKey: "k", HeaderIdempotent: "false"}}
+	if plain, got := chunks(call{body: body}), chunks(claimed); got != plain || plain < 9 {
+		t.Errorf("%d chunks, %d without a claim", got, plain)
+	}
+}
