pipeline: the recorder takes any number of new regions

Cause: regions without workers went through a channel of 256 places, sent to under the lock: with no worker running, the next new region blocked every request that records a claim. Change: they are listed under the lock, a signal wakes the runner. Result: TestRecorderTakesAnyNumberOfRegions failed before (blocked).

--- a/pipeline/observed_test.go
+++ b/pipeline/observed_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/gullhaven/gullhaven/coord/claim"
+	"github.com/gullhaven/gullhaven/metrics"
 )
 
 // Guards against a time to the first byte that mixes the clock given with that of the machine.
@@ -32,3 +36,21 @@
 		t.Errorf("%d chunks, %d without a claim", got, plain)
 	}
 }
+
+// Guards against a queue that blocks all requests while many regions are new and no worker takes
+// them.
+func TestRecorderTakesAnyNumberOfRegions(t *testing.T) {
+	r := newRecorder(newMemClaims(), metrics.NewSet())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := range 1000 {
+			r.push("region-"+strings.Repeat("x", n), &claim.Command{})
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("blocked")
+	}
+}
--- a/pipeline/recorder.go
+++ b/pipeline/recorder.go
@@ -32,18 +32,17 @@
 // claim. An end that is lost leaves the claim running until it counts as "may
 // have run", which is too careful but never wrong.
 type recorder struct {
-	claims     ports.Claims
-	metrics    *metrics.Set
-	mu         sync.Mutex
-	queues     map[string]*ring.Ring[claim.Command]
-	newRegions chan string
+	claims  ports.Claims
+	metrics *metrics.Set
+	mu      sync.Mutex
+	queues  map[string]*ring.Ring[claim.Command]
+	// newRegions are those without workers yet; wake is signalled when there are any.
+	newRegions []string
+	wake       chan struct{}
 }
 
-// maxClaimRegions bounds the regions that keep claims.
-const maxClaimRegions = 256
-
 func newRecorder(c ports.Claims, m *metrics.Set) *recorder {
-	return &recorder{claims: c, metrics: m, queues: map[string]*ring.Ring[claim.Command]{}, newRegions: make(chan string, maxClaimRegions)}
+	return &recorder{claims: c, metrics: m, queues: map[string]*ring.Ring[claim.Command]{}, wake: make(chan struct{}, 1)}
 }
 
 // push queues a command for a region; a nil command is ignored. A command for
@@ -64,11 +63,24 @@
 	if !ok {
 		q = ring.New[claim.Command](recordQueueSize)
 		r.queues[region] = q
-		r.newRegions <- region
+		r.newRegions = append(r.newRegions, region)
+		select {
+		case r.wake <- struct{}{}:
+		default: // A signal is pending already.
+		}
 	}
 	return q
 }
 
+// takeNewRegions returns the regions that need workers.
+func (r *recorder) takeNewRegions() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := r.newRegions
+	r.newRegions = nil
+	return taken
+}
+
 // run starts the workers of each region as it is first used. It returns when
 // ctx has ended and all workers have stopped.
 func (r *recorder) run(ctx context.Context) {
@@ -76,9 +88,11 @@
 	defer workers.Wait()
 	for {
 		select {
-		case region := <-r.newRegions:
-			for range recordWorkers {
-				workers.Go(func() { r.work(ctx, region) })
+		case <-r.wake:
+			for _, region := range r.takeNewRegions() {
+				for range recordWorkers {
+					workers.Go(func() { r.work(ctx, region) })
+				}
 			}
 		case <-ctx.Done():
 			return
