pipeline: quoted texts hold no part of a character

Cause: a caller's text was cut after 64 bytes, which may be inside one. Change: what is no whole character is left out. Result: TestQuotedTextIsWhole failed before.

--- a/pipeline/observed_test.go
+++ b/pipeline/observed_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gullhaven/gullhaven/coord/claim"
 	"github.com/gullhaven/gullhaven/metrics"
@@ -54,3 +55,12 @@
 		t.Fatal("blocked")
 	}
 }
+
+// Guards against messages with a part of a character.
+func TestQuotedTextIsWhole(t *testing.T) {
+	for _, text := range []string{strings.Repeat("é", 100), strings.Repeat("€", 100), "x" + strings.Repeat("😀", 40), "\xff\xfe", ""} {
+		if got := quoted(text); !utf8.ValidString(got) || len(got) > maxQuotedBytes+2 {
+			t.Errorf("%q", got)
+		}
+	}
+}
--- a/pipeline/residency.go
+++ b/pipeline/residency.go
@@ -55,8 +55,14 @@
 	return next(x)
 }
 
-// quoted quotes a caller's text for a message, up to 64 bytes of it.
-func quoted(s string) string { return `"` + s[:min(len(s), 64)] + `"` }
+// maxQuotedBytes bounds a caller's text in a message.
+const maxQuotedBytes = 64
+
+// quoted quotes a caller's text for a message, up to maxQuotedBytes of it and without a part of a
+// character.
+func quoted(s string) string {
+	return `"` + strings.ToValidUTF8(s[:min(len(s), maxQuotedBytes)], "") + `"`
+}
 
 // Residency refuses a request that this region may not process, before its body
 // is read, and names the regions that may.
