exchange: a stream may continue in another region, said and kept by a test

Cause: choosePeer did not say whether a stream that has begun may go on in another region. Change: it says so: after the last event, under the first head, where the home regions allow it; the code was right. Result: TestStreamThatHasBegunContinuesInAnotherRegion passes on the code as it was.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -108,7 +108,9 @@
 }
 
 // choosePeer returns an instance of another region where the request costs less than local,
-// in milliseconds; nil for none. A request is forwarded at most once.
+// in milliseconds; nil for none. A request is forwarded at most once. A resumable stream that has
+// begun may continue there, after the last event that the caller has and under the head of its first
+// answer, if the route's and the workspace's home regions allow it.
 func (q *request) choosePeer(now time.Time, c pick.Call, local float64) *destination {
 	if q.forwarded != nil {
 		return nil
--- a/pipeline/exchange/regions_test.go
+++ b/pipeline/exchange/regions_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
@@ -237,3 +238,38 @@
 		So(do(req).status, ShouldEqual, 400)
 	})
 }
+
+// Guards against a stream that is broken off though another region may continue it, and against
+// one that continues with other events, with another head, or outside its home regions.
+func TestStreamThatHasBegunContinuesInAnotherRegion(t *testing.T) {
+	Convey("a stream that may be resumed breaks after three events, and the own region has no other target", t, func() {
+		x, y := newTarget(t, "near", streamEvents(3, false)), newTarget(t, "far", streamEvents(6, true))
+		a, _ := newRegionPair(t, []*target{x}, []*target{y})
+		got := a.call("/resume/x", "b")
+		So(got.status, ShouldEqual, 200)
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 6))
+		So(got.header.Get("Id"), ShouldEqual, "id-1")
+		So(y.requests()[0].header.Get("After"), ShouldEqual, "3")
+	})
+	Convey("one that may not be resumed ends", t, func() {
+		x, y := newTarget(t, "near", streamEvents(3, false)), newTarget(t, "far", streamEvents(6, true))
+		a, _ := newRegionPair(t, []*target{x}, []*target{y})
+		So(a.call("/stream/x", "b").truncated, ShouldBeTrue)
+		So(requestCount(y), ShouldEqual, 0)
+	})
+	Convey("one whose home is the own region ends there", t, func() {
+		x, y := newTarget(t, "near", streamEvents(3, false)), newTarget(t, "far", streamEvents(6, true))
+		a, _ := newRegionPair(t, []*target{x}, []*target{y})
+		for i := range a.table.Routes {
+			if a.table.Routes[i].Name == "resume" {
+				a.table.Routes[i].HomeRegions = []string{"r"}
+			}
+		}
+		view := *a.gateway.View()
+		view.Index = routes.NewIndex(a.table)
+		a.gateway.SetView(&view)
+		So(a.call("/resume/x", "b").truncated, ShouldBeTrue)
+		So(requestCount(y), ShouldEqual, 0)
+	})
+}
