pick: a new group owner keeps to one request at a time after a failure

Cause: PickAt doesn't look at the probe under way, rightly, as the owner's own test must pass; but an owner that has just begun knows of no failure and chose the target for several requests of an instance that knew. Change: targets that get one request at a time are named to the owner with the resting ones. Result: TestNewGroupOwnerKeepsToOneRequestAtATimeAfterAFailure failed before.

--- a/route/pick/rest.go
+++ b/route/pick/rest.go
@@ -49,13 +49,14 @@
 const maxNamedResting = 64
 
 // Resting returns the targets of a service that a group owner must not choose for this instance
-// because they rest, are busy or are tested after that, at most maxNamedResting.
+// because they rest, are busy, or get one request at a time after that or after a failure, at most
+// maxNamedResting. PickAt does not check the last: it would then refuse the owner's own test.
 func (p *Pool) Resting(now time.Time, service string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []string
 	for _, t := range p.byService[service] {
-		if (t.resting(now) || t.busyFor(now) > 0 || t.rest.untested && t.probing) && len(out) < maxNamedResting {
+		if (t.resting(now) || t.busyFor(now) > 0 || t.probing) && len(out) < maxNamedResting {
 			out = append(out, t.ID)
 		}
 	}
--- a/route/pick/rest_test.go
+++ b/route/pick/rest_test.go
@@ -264,3 +264,27 @@
 		t.Fatal("a busy target counts as resting")
 	}
 }
+
+// Guards against several requests at once to a target that has failed, from an instance that knows
+// it by a group owner that has just begun and does not.
+func TestNewGroupOwnerKeepsToOneRequestAtATimeAfterAFailure(t *testing.T) {
+	snapshot := pick.Snapshot{Targets: targets(1), Entries: []string{"e", "owner"}, Rules: engines()}
+	asker, owner := pick.New("e"), pick.New("owner")
+	asker.Update(t0, snapshot)
+	owner.Update(t0, snapshot)
+	lost, _ := asker.Pick(t0, call(1))
+	lost.Done(t0, pick.Lost)
+	now := t0.Add(10 * time.Second)
+	ask := func() *pick.Choice {
+		c := call(1)
+		c.Tried = asker.Resting(now, "s")
+		chosen, _ := owner.Pick(now, c)
+		if chosen == nil {
+			return nil
+		}
+		return asker.PickAt(now, call(1), chosen.ID)
+	}
+	if ask() == nil || ask() != nil {
+		t.Fatal("not exactly one request tests the target")
+	}
+}
