route: a cache event without a number hides no gap

Cause: such an event set the last number to 0, after which any number counted as the first. Change: it leaves the last number as it is. Result: TestUnnumberedCacheEventHidesNoGap failed before (trust 1).

--- a/route/events.go
+++ b/route/events.go
@@ -165,7 +165,7 @@
 	if t.eventSeq != 0 && e.Seq > t.eventSeq+1 {
 		t.trust *= gapTrust
 	}
-	t.eventSeq = e.Seq
+	t.eventSeq = max(t.eventSeq, e.Seq) // an event may have no number
 	for _, d := range e.Evicted {
 		t.cache.evict(d)
 	}
--- a/route/events_test.go
+++ b/route/events_test.go
@@ -133,3 +133,16 @@
 		t.Fatalf("trust %v after good hits", v.trust)
 	}
 }
+
+// Guards against a gap in the cache events that goes unnoticed after an event without a number.
+func TestUnnumberedCacheEventHidesNoGap(t *testing.T) {
+	r := newTestRouter(1)
+	for id := range r.targets {
+		for _, seq := range []uint64{1, 2, 0, 5} {
+			r.CacheEvent(epoch, CacheEvent{Target: id, Seq: seq, Stored: []uint64{seq}})
+		}
+		if got := r.targets[id].trust; got != gapTrust {
+			t.Errorf("trust %v after events 3 and 4 were lost, want %v", got, gapTrust)
+		}
+	}
+}
