route: exclusions of long ago do not count

Cause: exclusions of grey targets were counted over a target's whole life, as only a broken one's success resets them: the fifth slow spell in a month left it out sixteen times as long. Change: as long a time without an exclusion as the longest one resets them. Result: TestExclusionsOfLongAgoDoNotCount failed before.

--- a/route/guard.go
+++ b/route/guard.go
@@ -25,8 +25,10 @@
 	failures      int
 	health        Health
 	excludedUntil float64
-	// exclusions counts exclusions. A success resets it only while health is
-	// Broken; after Ejected it goes on counting.
+	// exclusions counts exclusions, each of which lasts twice as long as the one
+	// before. It is reset by a success while health is Broken, and by as long a
+	// time without an exclusion as the longest one: single responses of a grey
+	// target say nothing.
 	exclusions int
 }
 
@@ -40,6 +42,9 @@
 }
 
 func (g *guard) exclude(now float64, h Health, seconds float64) {
+	if now-g.excludedUntil >= seconds*float64(int(1)<<maxEjectDoublings) {
+		g.exclusions = 0
+	}
 	g.health = h
 	g.excludedUntil = now + seconds*float64(int(1)<<min(g.exclusions, maxEjectDoublings))
 	g.exclusions++
--- a/route/guard_test.go
+++ b/route/guard_test.go
@@ -115,3 +115,22 @@
 		t.Fatal("the second exclusion is not longer")
 	}
 }
+
+// Guards against a target that is left out ever longer for each slow spell of its whole life.
+func TestExclusionsOfLongAgoDoNotCount(t *testing.T) {
+	const forSeconds = 10.0
+	var g guard
+	now := 0.0
+	for n := range 6 {
+		g.exclude(now, Ejected, forSeconds)
+		if want := forSeconds * float64(int(1)<<min(n, maxEjectDoublings)); g.excludedUntil-now != want {
+			t.Fatalf("exclusion %d in a row lasts %v s, want %v", n, g.excludedUntil-now, want)
+		}
+		now = g.excludedUntil + 1
+	}
+	now = g.excludedUntil + forSeconds*float64(int(1)<<maxEjectDoublings)
+	g.exclude(now, Ejected, forSeconds)
+	if g.excludedUntil-now != forSeconds {
+		t.Errorf("an exclusion after a long time of health lasts %v s, want %v", g.excludedUntil-now, forSeconds)
+	}
+}
