exchange, limit: a code and a field without use are gone

Cause: CodeNoTime was never refused with, holderState.held never read. Change: both are removed. Result: build and tests of both packages pass.

--- a/coord/limit/allocator.go
+++ b/coord/limit/allocator.go
@@ -58,8 +58,6 @@
 	// demand is in units per second.
 	demand     float64
 	reportedAt time.Time
-	// held is the Seq of the share that the holder last reported as in use.
-	held uint64
 	// reportsWithoutShare counts consecutive reports without a share that stays
 	// valid for another third of a lease.
 	reportsWithoutShare int
@@ -278,7 +276,7 @@
 	if diff := dem.Rate - h.demand; max(diff, -diff) > demandChange*h.demand {
 		d.allocatedAt = time.Time{}
 	}
-	h.demand, h.reportedAt, h.held = dem.Rate, now, dem.Held
+	h.demand, h.reportedAt = dem.Rate, now
 	hasShare := false
 	h.outstanding = slices.DeleteFunc(h.outstanding, func(g grantedShare) bool {
 		hasShare = hasShare || g.seq == dem.Held && now.Add(lease/3).Before(g.until)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -204,7 +204,6 @@
 	CodeDraining verdict.Code = "targets_draining"
 	// CodeOverloaded: the work queued ahead takes longer than the route's Aim.
 	CodeOverloaded verdict.Code = "overloaded"
-	CodeNoTime     verdict.Code = "no_time_left"
 	CodeTimeout    verdict.Code = "timeout"
 	CodeTargetLost verdict.Code = "target_lost"
 	CodePoison     verdict.Code = "request_crashes_targets"
