transport: a request that meets the end of its target has not run

Cause: an idle connection is checked before a request is written; a target that closes between the check and the write left the caller with may_have_run, and an unsafe request could not go to another target. Change: the check stands after the write too. If the stream ends and the kernel has no byte of the request acknowledged, the target had closed before it came: not_run. A reset proves nothing and stays may_have_run.

--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -3,6 +3,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -52,7 +53,13 @@
 	}
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	kept := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -78,7 +85,8 @@
 // request written to such a connection fails with MayHaveRun, though it cannot have run and
 // could be retried at another target at once.
 func dropStale(info httptrace.GotConnInfo) bool {
-	if !info.Reused || rawhttp.CheckIdle(info.Conn) == nil {
+	c, ok := info.Conn.(*conn)
+	if !ok || !info.Reused || rawhttp.CheckIdle(c.Conn) == nil {
 		return false
 	}
 	_ = info.Conn.Close()
@@ -86,7 +94,7 @@
 }
 
 // Do sends a request. Its error is a *verdict.Error: NotRun if there was no
-// connection, else MayHaveRun.
+// connection, or the target had closed it before the request came, else MayHaveRun.
 //
 // With once the request gets a connection of its own. net/http retries a request by
 // itself when a reused connection turns out to be closed and the request is a GET, or
@@ -94,10 +102,10 @@
 // run only once would then run twice, and none of our counters would show it. On a new
 // connection net/http never retries. A target sees one connection for each such request.
 func (t *Transports) Do(req *http.Request, once bool) (*http.Response, error) {
-	var connected atomic.Bool
+	var used atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if !dropStale(info) {
-			connected.Store(true)
+		if c, ok := info.Conn.(*conn); ok && !dropStale(info) {
+			used.Store(c)
 		}
 	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
@@ -113,8 +121,11 @@
 		// errors.Is must not find io.EOF, which means the end of an answer.
 		err = io.ErrUnexpectedEOF
 	}
-	if !connected.Load() {
+	switch c := used.Load(); {
+	case c == nil:
 		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "no connection to the target", Err: err}
+	case !c.targetRead():
+		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "the target had closed the connection", Err: err}
 	}
 	return nil, &verdict.Error{
 		Verdict: verdict.MayHaveRun,
--- a/ports/transport/transport_test.go
+++ b/ports/transport/transport_test.go
@@ -1,9 +1,12 @@
 package transport_test
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 
@@ -48,3 +51,87 @@
 		}
 	}
 }
+
+// rawTarget accepts one connection and answers the first request on it. It returns its address and
+// the connection.
+func rawTarget(t *testing.T) (string, chan net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := make(chan net.Conn, 1)
+	go func() {
+		defer l.Close()
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		// A close with unread bytes would be a reset.
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		conns <- c
+	}()
+	return l.Addr().String(), conns
+}
+
+// Guards against a wrong verdict on a request that is written just before or after its target ends:
+// what the check of the idle connection cannot see is found after the write.
+func TestVerdictOfARequestThatMeetsTheEndOfItsTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		// end ends the target when the request has its connection.
+		end  func(c net.Conn)
+		want verdict.Verdict
+	}{
+		"it closes before the request is written": {func(c net.Conn) { _ = c.Close() }, verdict.NotRun},
+		"it reads the request and closes": {func(c net.Conn) {
+			go func() {
+				_, _ = c.Read(make([]byte, 1))
+				_ = c.(*net.TCPConn).CloseWrite()
+			}()
+		}, verdict.MayHaveRun},
+		"it reads the request and resets": {func(c net.Conn) {
+			go func() {
+				_, _ = c.Read(make([]byte, 1))
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}()
+		}, verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			transports := transport.NewTransports(transport.Options{})
+			defer transports.Close()
+			address, conns := rawTarget(t)
+			post := func(gotConn func(httptrace.GotConnInfo)) error {
+				ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: gotConn})
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", io.NopCloser(strings.NewReader("body")))
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp, err := transports.Do(req, false)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				return err
+			}
+			if err := post(nil); err != nil {
+				t.Fatal(err)
+			}
+			target := <-conns
+			defer target.Close()
+			var failed *verdict.Error
+			err := post(func(info httptrace.GotConnInfo) {
+				if info.Reused {
+					c.end(target)
+				}
+			})
+			if !errors.As(err, &failed) || failed.Verdict != c.want {
+				t.Errorf("%v, want %v", err, c.want)
+			}
+		})
+	}
+}
