--- a/route/pick/limit_test.go
+++ b/route/pick/limit_test.go
@@ -23,8 +23,8 @@
 
 // limitWorld is the entry instances of a region and targets of which one is limited.
 type limitWorld struct {
+	transit
 	t       *rapid.T
-	now     time.Time
 	ids     []string
 	pools   []*pick.Pool
 	targets []pick.Target
@@ -34,15 +34,37 @@
 	// learnedAt is when each instance first received the limit.
 	learnedAt []time.Time
 	sent      []sentAt
-	pending   []answer
 }
 
-// answer is a response in transit from a target.
+// transit is virtual time in steps, and the responses in transit from targets.
+type transit struct {
+	now     time.Time
+	pending []answer
+}
+
+// answer is a response in transit.
 type answer struct {
 	at      time.Time
 	deliver func()
 }
 
+// answerLater delivers an answer after 1 to 20 steps.
+func (w *transit) answerLater(t *rapid.T, deliver func()) {
+	at := w.now.Add(limitStep * time.Duration(rapid.IntRange(1, 20).Draw(t, "answer")))
+	w.pending = append(w.pending, answer{at, deliver})
+}
+
+func (w *transit) step() {
+	w.now = w.now.Add(limitStep)
+	w.pending = slices.DeleteFunc(w.pending, func(a answer) bool {
+		if w.now.Before(a.at) {
+			return false
+		}
+		a.deliver()
+		return true
+	})
+}
+
 type sentAt struct {
 	at   time.Time
 	from int
@@ -51,7 +73,7 @@
 const limitedID = "t0"
 
 func newLimitWorld(t *rapid.T, instances, others int) *limitWorld {
-	w := &limitWorld{t: t, now: t0, targets: targets(1 + others), learnedAt: make([]time.Time, instances)}
+	w := &limitWorld{t: t, transit: transit{now: t0}, targets: targets(1 + others), learnedAt: make([]time.Time, instances)}
 	for k := range instances {
 		w.ids = append(w.ids, fmt.Sprint("e", k))
 		w.pools = append(w.pools, pick.New(w.ids[k]))
@@ -105,8 +127,7 @@
 	if own.ID == limitedID {
 		limit = w.limit
 	}
-	at := w.now.Add(limitStep * time.Duration(rapid.IntRange(1, 20).Draw(w.t, "answer")))
-	w.pending = append(w.pending, answer{at, func() {
+	w.answerLater(w.t, func() {
 		own.LearnLimit(w.now, limit)
 		if limit.Limited && w.learnedAt[k].IsZero() {
 			w.learnedAt[k] = w.now
@@ -118,17 +139,6 @@
 			}
 			chosen.Done(w.now, pick.Good)
 		}
-	}})
-}
-
-func (w *limitWorld) step() {
-	w.now = w.now.Add(limitStep)
-	w.pending = slices.DeleteFunc(w.pending, func(a answer) bool {
-		if w.now.Before(a.at) {
-			return false
-		}
-		a.deliver()
-		return true
 	})
 }
 
--- a/route/pick/rest_test.go
+++ b/route/pick/rest_test.go
@@ -14,28 +14,22 @@
 // restWorld is the entry instances of a region and targets, of which the first turns requests away
 // and asks for rest while rest is above 0.
 type restWorld struct {
+	transit
 	t       *rapid.T
-	now     time.Time
 	ids     []string
 	pools   []*pick.Pool
 	targets []pick.Target
 	rest    time.Duration
 	// restsUntil is until when the target has asked each instance for rest.
 	restsUntil []time.Time
-	// served counts the requests that the first target has accepted, inFlight those that are on
-	// their way to it, by instance.
-	served   int
-	inFlight []int
-	pending  []answer
+	// served counts the requests that the first target has accepted.
+	served int
 }
 
-const (
-	restStep  = 20 * time.Millisecond
-	restingID = "t0"
-)
+const restingID = "t0"
 
 func newRestWorld(t *rapid.T, instances, others int) *restWorld {
-	w := &restWorld{t: t, now: t0, targets: targets(1 + others), restsUntil: make([]time.Time, instances), inFlight: make([]int, instances)}
+	w := &restWorld{t: t, transit: transit{now: t0}, targets: targets(1 + others), restsUntil: make([]time.Time, instances)}
 	for k := range instances {
 		w.ids = append(w.ids, fmt.Sprint("e", k))
 		w.pools = append(w.pools, pick.New(w.ids[k]))
@@ -79,16 +73,14 @@
 		}
 	}
 	if own == nil || own.ID != restingID {
-		w.answerLater(func() { end(pick.Good) })
+		w.answerLater(w.t, func() { end(pick.Good) })
 		return
 	}
 	if w.now.Before(w.restsUntil[k]) {
 		w.t.Fatalf("instance %d sends a request %v before the end of the rest", k, w.restsUntil[k].Sub(w.now))
 	}
-	w.inFlight[k]++
 	rest := w.rest
-	w.answerLater(func() {
-		w.inFlight[k]--
+	w.answerLater(w.t, func() {
 		if rest == 0 {
 			w.served++
 			end(pick.Good)
@@ -102,22 +94,6 @@
 	})
 }
 
-func (w *restWorld) answerLater(deliver func()) {
-	at := w.now.Add(restStep * time.Duration(rapid.IntRange(1, 20).Draw(w.t, "answer")))
-	w.pending = append(w.pending, answer{at, deliver})
-}
-
-func (w *restWorld) step() {
-	w.now = w.now.Add(restStep)
-	w.pending = slices.DeleteFunc(w.pending, func(a answer) bool {
-		if w.now.Before(a.at) {
-			return false
-		}
-		a.deliver()
-		return true
-	})
-}
-
 // run makes requests while snapshots come, some of which lack the first target.
 func (w *restWorld) run(steps int) {
 	for k := range steps {
