entry: the report of a leaving instance has its loads

Cause: Drain reported with no wait, and such reports have no loads; the core instance that the instance follows took it for its newest report, so until the next one the group owners took the targets of its requests for idle. Change: the report may wait a millisecond, and has the loads. Result: TestReportOfALeavingInstanceHasItsLoads failed before (none).

--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -199,12 +199,20 @@
 		// report is due.
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
-		if _, err := i.report(ctx, i.followed(), i.newReport(0)); err != nil {
+		if _, err := i.report(ctx, i.followed(), i.drainReport()); err != nil {
 			i.log.Warn("leaving could not be reported; the next report includes it", zap.Error(err))
 		}
 	})
 }
 
+// drainReport returns the report of Drain, which is answered at once.
+func (i *Instance) drainReport() feed.Report { return i.newReport(drainReportWait) }
+
+// drainReportWait is how long the answer to the report of Drain may wait. It is above 0, as a report
+// without a wait has no loads, and would replace those of the report before: group owners would
+// take the targets of this instance's requests for idle.
+const drainReportWait = time.Millisecond
+
 // Stop ends the goroutines and waits for them.
 func (i *Instance) Stop() {
 	i.cancel()
--- a/node/entry/update_test.go
+++ b/node/entry/update_test.go
@@ -209,3 +209,17 @@
 		So(i.Ready(), ShouldBeTrue)
 	})
 }
+
+// Guards against targets that look idle to the others while an instance leaves: its last report of
+// its own accord must have its loads.
+func TestReportOfALeavingInstanceHasItsLoads(t *testing.T) {
+	i := newInstance(t)
+	now := time.Now()
+	i.pool.Update(now, pick.Snapshot{Targets: []pick.Target{{ID: "t", Service: "s"}}, Entries: []string{i.o.Self.ID}})
+	if c, _ := i.pool.Pick(now, pick.Call{Service: "s"}); c == nil {
+		t.Fatal("no target")
+	}
+	if loads := i.drainReport().Self.Loads; len(loads) != 1 || loads[0].Running != 1 {
+		t.Errorf("loads %v", loads)
+	}
+}
