exchange: one reader of Retry-After

Cause: the header of another instance was read by a function of its own. Change: ports.RetryAfter reads it. Result: the tests of the package pass.

--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
@@ -179,7 +180,7 @@
 	}
 	if a.Header.Get(headerRefused) != "" {
 		q.rejected = q.rejected || a.Header.Get(headerReachedTarget) != ""
-		q.peerRefused(peer, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)), parseRetryAfter(a.Header))
+		q.peerRefused(peer, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)), ports.RetryAfter(a.Header))
 		discard(a)
 		return false
 	}
@@ -224,18 +225,6 @@
 	q.g.recordRefusal(now, RegionService{Region: peer.Region, Service: q.service})
 }
 
-// parseRetryAfter parses the Retry-After of another instance; 0 for none.
-func parseRetryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || !(seconds > 0 && seconds <= maxPeerRest.Seconds()) {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// maxPeerRest bounds the Retry-After of another instance; longer ones count as none.
-const maxPeerRest = 2 * time.Hour
-
 // attemptLost records an attempt without an answer and returns its result for the target.
 func (q *request) attemptLost(target string, err error) pick.Result {
 	var f *rawhttp.Failure
