--- a/soak/forwarder.go
+++ b/soak/forwarder.go
@@ -64,8 +64,12 @@
 	}
 }
 
-// Close resets all connections, stops listening and waits for both.
+// Close resets all connections, stops listening and waits for both. A nil Forwarder has nothing to
+// close.
 func (f *Forwarder) Close() {
+	if f == nil {
+		return
+	}
 	f.mu.Lock()
 	f.closed = true
 	f.mu.Unlock()
--- a/soak/world.go
+++ b/soak/world.go
@@ -89,11 +89,16 @@
 	replacing sync.Mutex
 }
 
-// NewWorld starts the site without waiting until it serves. The caller must call End.
+// NewWorld starts the site without waiting until it serves. The caller must call End, unless an
+// error is returned: then nothing is left behind.
 func NewWorld(o Options) (*World, error) {
 	w := &World{o: o, runLog: &platformtest.RunLog{}, list: &platformtest.List{}}
 	w.Ledger = &Ledger{Events: streamEvents, Runs: w.runLog.Runs, WrongWorkspace: w.runLog.WrongWorkspace, Deadline: deadline, Slack: slack}
-	return w, w.build()
+	if err := w.build(); err != nil {
+		w.End()
+		return nil, err
+	}
+	return w, nil
 }
 
 // build creates and starts the stand-ins, the forwarders and the processes.
@@ -143,6 +148,7 @@
 // addCore adds core instance n. Core instances have the first hosts, entry instances the next.
 func (w *World) addCore(l *layout, n int) error {
 	c := &coreInstance{}
+	w.cores = append(w.cores, c)
 	addresses, err := w.prepare(l, &c.process, &c.forwarded, "core", n, n)
 	if err != nil {
 		return err
@@ -151,13 +157,13 @@
 		return err
 	}
 	addresses["operators"] = c.operators
-	w.cores = append(w.cores, c)
 	return nil
 }
 
 // addEntry adds entry instance n.
 func (w *World) addEntry(l *layout, n int) error {
 	e, at := &entry{region: region(n)}, w.o.Shape.Cores+n
+	w.entries = append(w.entries, e)
 	addresses, err := w.prepare(l, &e.process, &e.forwarded, "entry", n, at)
 	if err != nil {
 		return err
@@ -168,7 +174,6 @@
 		}
 		addresses[name] = *to
 	}
-	w.entries = append(w.entries, e)
 	w.Ledger.AddEntry(e.callers, e.region)
 	return nil
 }
@@ -466,7 +471,7 @@
 	return w.serve(r, id)
 }
 
-// End stops all processes and stand-ins, and waits for them.
+// End stops all processes and stand-ins that have started, and waits for them.
 func (w *World) End() {
 	var wg sync.WaitGroup
 	for _, p := range w.processes() {
@@ -481,8 +486,11 @@
 	}
 	for _, r := range w.runners {
 		r.forwarder.Close()
-		server, _ := w.current(r)
-		_ = server.end()
+		if server, _ := w.current(r); server != nil {
+			_ = server.end()
+		}
+	}
+	if w.listServer != nil {
+		_ = w.listServer.Close()
 	}
-	_ = w.listServer.Close()
 }
