feed: a lost report drops no live instance while reports are held back

Cause: an instance counted as gone 2.5 s after its last report, said to be five report intervals; where a thousand instances report to a core instance, reports are held back for a second, and one that is lost leaves 2.8 to 3.6 s between two. Change: the time grows with how much longer than usual reports are held back. Up to 200 reporting instances nothing changes. Random losses of a fifth of all messages still drop it at any wait: not mended.

--- a/node/feed/store.go
+++ b/node/feed/store.go
@@ -14,9 +14,9 @@
 
 // Lifetimes of reported state, and intervals of updates.
 const (
-	// EntryTTL is how long an entry instance counts as alive after its last report: five report
-	// intervals, so that a lost report or a slow core instance removes none, and well under the 9 s
-	// for which a dead instance may still be given to callers.
+	// EntryTTL is how long an entry instance counts as alive after its last report, beyond the time
+	// by which reports are held back longer: a lost report or a slow core instance removes none. It
+	// is well under the 9 s for which a dead instance may still be given to callers.
 	EntryTTL = 2500 * time.Millisecond
 	// CoreTTL is the same for core instances.
 	CoreTTL = 3 * time.Second
@@ -27,6 +27,8 @@
 	// answerInterval is the time that a core instance allows for each answer when it spreads
 	// reports and wake-ups: 1,000 answers a second take about a tenth of a core.
 	answerInterval = time.Millisecond
+	// usualReportWait is how long the answer to a report usually waits.
+	usualReportWait = 200 * time.Millisecond
 	// maxReportWait bounds ReportWait: entry instances must report well within EntryTTL.
 	maxReportWait = time.Second
 )
@@ -333,10 +335,17 @@
 	return out
 }
 
+// entryTTL is EntryTTL, and longer while reports are held back longer than usual: one that is lost is
+// followed by another one that is held back.
+func (st *Store) entryTTL() time.Duration {
+	return EntryTTL + 2*max(0, min(maxReportWait, st.answerTime())-usualReportWait)
+}
+
 func (st *Store) liveEntries(now time.Time) []entryRecord {
 	var out []entryRecord
+	ttl := st.entryTTL()
 	for id, e := range st.entries {
-		if now.Sub(e.reportedAt) < EntryTTL {
+		if now.Sub(e.reportedAt) < ttl {
 			out = append(out, e)
 		} else {
 			delete(st.entries, id)
