--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -196,9 +196,9 @@
 // entries of the crash were merged here.
 func (t *Table) Release(d Digest) { delete(t.reserved, d) }
 
-// Sent records an attempt sent from this instance to a target. alone says that the
+// Started records an attempt sent from this instance to a target. alone says that the
 // target runs nothing else, from any instance.
-func (t *Table) Sent(a Attempt, d Digest, target string, alone bool) {
+func (t *Table) Started(a Attempt, d Digest, target string, alone bool) {
 	t.inFlight[a] = sentAttempt{digest: d, target: target, alone: alone}
 }
 
@@ -215,7 +215,7 @@
 }
 
 // Finished records that a request with this digest finished with a complete answer,
-// whether or not its attempt was recorded by Sent, and clears the digest of all crashes.
+// whether or not its attempt was recorded by Started, and clears the digest of all crashes.
 // The host must publish the entries returned.
 func (t *Table) Finished(now time.Time, d Digest) []Entry {
 	t.finished.add(now, d, t.cfg.MaxFinished)
--- a/coord/suspect/table_test.go
+++ b/coord/suspect/table_test.go
@@ -72,7 +72,7 @@
 	}
 	r.next++
 	r.aloneAt[target] = alone
-	r.tables[i].Sent(r.next, d, fmt.Sprint(target), alone)
+	r.tables[i].Started(r.next, d, fmt.Sprint(target), alone)
 	r.targets[target][r.next] = i
 	r.digests[r.next] = d
 	return true
@@ -213,18 +213,18 @@
 func TestCrashOfLoneRunIsProof(t *testing.T) {
 	table := New(DefaultConfig())
 	poison, innocent, other := Digest{1}, Digest{2}, Digest{3}
-	table.Sent(1, poison, "a", false)
-	table.Sent(2, innocent, "a", false)
+	table.Started(1, poison, "a", false)
+	table.Started(2, innocent, "a", false)
 	table.Crashed(start, Crash{"a", 1})
 	if table.Decide(poison) != RunAlone || table.Decide(innocent) != RunAlone {
 		t.Fatal("a crash made no suspects")
 	}
-	table.Sent(3, poison, "b", true)
+	table.Started(3, poison, "b", true)
 	table.Crashed(start, Crash{"b", 1})
 	if table.Decide(poison) != Refuse || table.Decide(innocent) != Run {
 		t.Fatal("the second crash did not separate the poison request from the innocent one")
 	}
-	table.Sent(4, other, "c", true)
+	table.Started(4, other, "c", true)
 	table.Crashed(start, Crash{"c", 1})
 	if table.Decide(other) != Refuse {
 		t.Fatal("a lone crash is no proof")
@@ -237,7 +237,7 @@
 func TestEntriesAreBoundedClearedOnesFirst(t *testing.T) {
 	table := New(Config{Lifetime: time.Hour, MaxEntries: 10})
 	for i := range 30 {
-		table.Sent(Attempt(i), Digest{byte(i)}, "a", false)
+		table.Started(Attempt(i), Digest{byte(i)}, "a", false)
 	}
 	table.Crashed(start, Crash{"a", 1})
 	if table.Len() != 10 || table.Evicted() != 20 {
@@ -245,7 +245,7 @@
 	}
 	kept := table.Entries()
 	table.Merge(start, []Entry{{kept[0].Digest, kept[0].Crash, Cleared, start.Add(time.Hour)}})
-	table.Sent(99, Digest{99}, "b", false)
+	table.Started(99, Digest{99}, "b", false)
 	table.Crashed(start, Crash{"b", 1})
 	if table.Decide(Digest{99}) != RunAlone || table.Decide(kept[1].Digest) != RunAlone || table.Len() != 10 {
 		t.Fatal("a suspect was evicted before a cleared entry")
@@ -257,12 +257,12 @@
 func TestRecentlyFinishedDigestIsNoSuspect(t *testing.T) {
 	popular, crashes := Digest{1}, []Crash{{"a", 1}, {"b", 1}}
 	finishedAt := func(where *Table) {
-		where.Sent(100, popular, "c", false)
+		where.Started(100, popular, "c", false)
 		where.Ended(start, 100, true)
 	}
 	crash := func(where *Table) (updates []Entry) {
 		for n, c := range crashes {
-			where.Sent(Attempt(n), popular, c.Target, false)
+			where.Started(Attempt(n), popular, c.Target, false)
 			updates = append(updates, where.Crashed(start.Add(time.Minute), c)...)
 		}
 		return updates
@@ -289,7 +289,7 @@
 	})
 	t.Run("too long ago", func(t *testing.T) {
 		one := New(DefaultConfig())
-		one.Sent(100, popular, "c", false)
+		one.Started(100, popular, "c", false)
 		one.Ended(start.Add(-DefaultConfig().FinishedTTL), 100, true)
 		crash(one)
 		if got := one.Decide(popular); got != Refuse {
--- a/experiment/call.go
+++ b/experiment/call.go
@@ -136,7 +136,7 @@
 	c.open = append(c.open, a)
 	c.in.decider.Sent(w.now, route.AttemptID(a.id), &c.req, d)
 	if c.in.table != nil {
-		c.in.table.Sent(suspect.Attempt(a.id), c.digest, string(t.spec.ID), alone)
+		c.in.table.Started(suspect.Attempt(a.id), c.digest, string(t.spec.ID), alone)
 	}
 	w.after(targetDelay, func() { w.enqueue(a) })
 	if !d.HedgeAt.IsZero() && c.req.Idempotent && !c.hedged {
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -66,7 +66,7 @@
 	defer p.mu.Unlock()
 	now, d := time.Now(), digestOf(r)
 	p.attempts++
-	p.table.Sent(p.attempts, d, target, false)
+	p.table.Started(p.attempts, d, target, false)
 	p.add(p.table.Crashed(now, suspect.Crash{Target: target}))
 	if p.table.Decide(d) == suspect.Refuse {
 		p.log.Warn("a request has crashed two targets and is refused from now on", zap.String("host", r.Host),
--- a/node/suspects/suspects.go
+++ b/node/suspects/suspects.go
@@ -128,7 +128,7 @@
 	defer s.mu.Unlock()
 	s.next++
 	s.attempts[id] = attempt{number: s.next, target: target}
-	s.table.Sent(s.next, shortDigest(d), target, alone)
+	s.table.Started(s.next, shortDigest(d), target, alone)
 }
 
 // Ended records the end of an attempt. Entries that result from a crash are published
