exchange: callers come back spread also after rests of other regions

Cause: where another region's rest ended first, all callers were told the same moment, the end of what its instance had told once. Change: that rest is kept with its length, and the spread is drawn for each caller, as for a rest here. Result: TestRestsOfOtherRegionsAreKnown with twenty callers failed before (one time for all).

--- a/pipeline/exchange/announcements_test.go
+++ b/pipeline/exchange/announcements_test.go
@@ -143,9 +143,15 @@
 		x, y := newTarget(t, "near", respond(200, "near")), newTarget(t, "far", asksForRest(rest))
 		a, _ := newRegionPair(t, []*target{x}, []*target{y})
 		a.call("/home/x", "")
-		got := a.call("/home/x", "")
-		So(got.body, ShouldEqual, "targets_resting\n")
-		So(retryAfter(got), ShouldBeGreaterThan, rest-5*time.Second)
+		different := map[string]bool{}
+		for range 20 {
+			got := a.call("/home/x", "")
+			So(got.body, ShouldEqual, "targets_resting\n")
+			So(retryAfter(got), ShouldBeGreaterThan, rest-5*time.Second)
+			different[got.header.Get("Retry-After")] = true
+		}
+		// Callers that come back together would be turned away together.
+		So(len(different), ShouldBeGreaterThan, 10)
 		So(requestCount(x), ShouldEqual, 0)
 		So(requestCount(y), ShouldEqual, 1)
 	})
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -147,7 +147,7 @@
 func (q *request) reachablePeers(now time.Time, region string) []string {
 	var addresses []string
 	for _, p := range q.view.Peers {
-		if p.Region == region && !q.g.isUnreachable(now, p.Address) && q.g.restLeft(now, peerService{p.Address, q.service}) == 0 {
+		if p.Region == region && !q.g.isUnreachable(now, p.Address) && q.g.restLeft(now, peerService{p.Address, q.service}).Left == 0 {
 			addresses = append(addresses, p.Address)
 		}
 	}
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/route/pick"
 	"github.com/gullhaven/gullhaven/route/place"
 )
 
@@ -139,57 +140,47 @@
 }
 
 // unserved returns the refusal of a request that has not run, with the time after which the caller
-// may return. If all targets that may serve it rest, that is when the first of them ends its rest.
+// may return: when the first rest ends, if all targets that may serve it rest.
 func (q *request) unserved(now time.Time, code verdict.Code) *refusal {
 	left := q.deadline.Sub(now)
-	busy := &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: place.RetryAfter(place.Busy, left)}
+	f := &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: place.RetryAfter(place.Busy, left)}
 	if code != CodeNoTarget || q.refusedElsewhere {
-		return busy
+		return f
 	}
-	own, peers := q.ownRest(now, left), q.peersRest(now)
-	switch {
-	case !q.allows(q.g.o.Region) && peers == 0:
-		return busy
-	case own > 0 && peers > 0:
-		return q.resting(min(own, peers))
-	case own > 0 || !q.allows(q.g.o.Region):
-		return q.resting(max(own, peers))
-	case !q.g.o.Pool.AllDraining(q.service):
-		return busy
-	case peers > 0:
-		return q.resting(peers)
+	if rest, ok := q.firstRest(now); ok {
+		f.code, f.retryAfter = CodeResting, place.RestRetryAfter(rest.Left, rest.Asked, left, q.g.fraction())
+	} else if q.allows(q.g.o.Region) && q.g.o.Pool.AllDraining(q.service) {
+		f.code, f.retryAfter = CodeDraining, place.RetryAfter(place.Draining, left)
 	}
-	return &refusal{status: http.StatusServiceUnavailable, code: CodeDraining, retryAfter: place.RetryAfter(place.Draining, left)}
-}
-
-func (q *request) resting(after time.Duration) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, code: CodeResting, retryAfter: after}
+	return f
 }
 
-// ownRest returns after what time the caller may return if all targets of the own region rest; 0
-// if they don't, or may not serve the request.
-func (q *request) ownRest(now time.Time, left time.Duration) time.Duration {
-	rest, ok := q.g.o.Pool.RestLeft(now, q.service)
-	if !ok || !q.allows(q.g.o.Region) {
-		return 0
+// firstRest returns the rest that ends first if all targets that may serve the request rest or are
+// draining, here and at the instances of other regions that have refused; otherwise false.
+func (q *request) firstRest(now time.Time) (own pick.RestLeft, ok bool) {
+	if q.allows(q.g.o.Region) {
+		own, ok = q.g.o.Pool.RestLeft(now, q.service)
+		if !ok && !q.g.o.Pool.AllDraining(q.service) {
+			return pick.RestLeft{}, false
+		}
+	}
+	if peers, others := q.peersRest(now); others && (!ok || peers.Left < own.Left) {
+		return peers, true
 	}
-	const bits = 53
-	uniform := float64(q.g.uniform()>>(64-bits)) / (1 << bits)
-	return place.RestRetryAfter(rest.Left, rest.Asked, left, uniform)
+	return own, ok
 }
 
-// peersRest returns after what time the first instance of another region whose targets all rest
-// accepts the request; 0 if there is none.
-func (q *request) peersRest(now time.Time) time.Duration {
+// peersRest returns the rest left at the first instance of another region that accepts the request
+// again, of those whose targets all rest; false if there is none.
+func (q *request) peersRest(now time.Time) (least pick.RestLeft, ok bool) {
 	if q.forwarded != nil {
-		return 0
+		return pick.RestLeft{}, false
 	}
-	var least time.Duration
 	for _, p := range q.view.Peers {
-		left := q.g.restLeft(now, peerService{p.Address, q.service})
-		if left > 0 && q.allows(p.Region) && (least == 0 || left < least) {
-			least = left
+		rest := q.g.restLeft(now, peerService{p.Address, q.service})
+		if rest.Left > 0 && q.allows(p.Region) && (!ok || rest.Left < least.Left) {
+			least, ok = rest, true
 		}
 	}
-	return least
+	return least, ok
 }
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -60,9 +60,9 @@
 	// unreachableUntil holds, by peer address, until when a peer that could not be reached
 	// is skipped.
 	unreachableUntil sync.Map
-	// restingUntil holds until when a peer is skipped because all its targets have asked it for
-	// rest, by peerService.
-	restingUntil sync.Map
+	// peerRests holds the rests of peers all of whose targets have asked them for rest, by
+	// peerService. Such a peer is skipped.
+	peerRests sync.Map
 	// refusedUntil holds until when a region counts as having refused, by RegionService.
 	// refusalPause is for how long: place.RefusedFor, except in tests.
 	refusedUntil sync.Map
@@ -166,16 +166,25 @@
 // peerService identifies a service at an instance of another region.
 type peerService struct{ address, service string }
 
-// restLeft returns for how long all targets of a service rest for a peer; 0 if they don't.
-func (g *Gateway) restLeft(now time.Time, p peerService) time.Duration {
-	until, ok := g.restingUntil.Load(p)
+// peerRest is how long a peer has asked to be skipped.
+type peerRest struct {
+	until time.Time
+	asked time.Duration
+}
+
+// restLeft returns for how long all targets of a service rest for a peer; zero if they don't.
+func (g *Gateway) restLeft(now time.Time, p peerService) pick.RestLeft {
+	known, ok := g.peerRests.Load(p)
 	if !ok {
-		return 0
+		return pick.RestLeft{}
 	}
-	return max(0, until.(time.Time).Sub(now))
+	rest := known.(peerRest)
+	return pick.RestLeft{Left: max(0, rest.until.Sub(now)), Asked: rest.asked}
 }
 
-func (g *Gateway) markResting(until time.Time, p peerService) { g.restingUntil.Store(p, until) }
+func (g *Gateway) markResting(now time.Time, p peerService, asked time.Duration) {
+	g.peerRests.Store(p, peerRest{until: now.Add(asked), asked: asked})
+}
 
 // recordRefusal records that a region has refused a request for a service.
 func (g *Gateway) recordRefusal(now time.Time, by RegionService) {
@@ -195,6 +204,12 @@
 	return g.o.Rand.Uint64()
 }
 
+// fraction returns a uniformly distributed random number in [0, 1).
+func (g *Gateway) fraction() float64 {
+	const bits = 53
+	return float64(g.uniform()>>(64-bits)) / (1 << bits)
+}
+
 // ServeHTTP serves a caller's request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.o.Metrics.Requests.Inc(1)
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -218,7 +218,7 @@
 		return
 	}
 	if code == CodeResting && retryAfter > 0 {
-		q.g.markResting(now.Add(retryAfter), peerService{peer.Address, q.service})
+		q.g.markResting(now, peerService{peer.Address, q.service}, retryAfter)
 	} else {
 		q.refusedElsewhere = true
 	}
