spread: what a region's report says while its relay is behind

Cause: Newest reads as the highest version of the region; it is the relay's. Result: the code was right: a region learns nothing late but its own report, by the time of one transfer.

--- a/bundle/spread/types.go
+++ b/bundle/spread/types.go
@@ -91,7 +91,8 @@
 	At time.Time `cbor:"2,keyasint" json:"at"`
 	// Members is the number of instances that the relay knows to be in the region.
 	Members int `cbor:"3,keyasint" json:"members"`
-	// Newest is the version in force at the relay. InForce members have it or a newer one.
+	// Newest is the version in force at the relay, which fetches a newer one as soon as a member
+	// reports it. InForce members have Newest or a newer one.
 	Newest  bundle.Identity `cbor:"4,keyasint" json:"newest"`
 	InForce int             `cbor:"5,keyasint" json:"in_force"`
 	// Behind lists up to MaxBehind of the other members.
