capacity: why no instance is set aside

Cause: SetAside is never set, which read as forgotten. Change: the comment says why it is 0; its budget stays checked.

--- a/operate/capacity/table.go
+++ b/operate/capacity/table.go
@@ -90,7 +90,8 @@
 	Roles   []Role `json:"roles"`
 	Change  Change `json:"change"`
 	Path    Path   `json:"path"`
-	// SetAside is the number of instances that do nothing but control, Disks the
+	// SetAside is the number of instances that do nothing but control: 0, as each
+	// role shares its instance with the request path. Disks is the
 	// number that need a disk.
 	SetAside int `json:"set_aside"`
 	Disks    int `json:"disks"`
