exchange: an answer that belongs to no request tells of its target too

Cause: a rest or Server-Leaving counted only in an answer with the request's id or marked as not run. A 503 without either, or a late answer to another request, comes from the same target all the same. Change: both count in any answer but that of a target that has taken over the address. A limit still counts only in the request's own answer. Result: TestAnswersThatBelongToNoRequestTellOfTheirTarget failed before (20 of 20 requests reached the target).

--- a/pipeline/exchange/announcements_test.go
+++ b/pipeline/exchange/announcements_test.go
@@ -169,3 +169,24 @@
 		So(requestCount(x), ShouldEqual, 1)
 	})
 }
+
+// Guards against a rest or a leaving target that is missed because the answer belongs to no request:
+// it tells of the target all the same, unless another one has its address.
+func TestAnswersThatBelongToNoRequestTellOfTheirTarget(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 503 X\r\nRest: 1m", "HTTP/1.1 503 X\r\nId: other\r\nSigned: yes\r\nRest: 1m",
+		"HTTP/1.1 200 X\r\nId: other\r\nSigned: yes\r\nLeaving: 1", "HTTP/1.1 500 X\r\nLeaving: 1",
+	} {
+		Convey(head, t, func() {
+			x, y := newTarget(t, "t2", respondRaw(head+"\r\nContent-Length: 0\r\n\r\n", true)), newTarget(t, "t1", respond(200, "well"))
+			r := newRig(t, "r", x, y)
+			for range 100 {
+				r.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "t1")
+			}
+			for range 20 {
+				r.call("/safe/x", "")
+			}
+			So(requestCount(x), ShouldEqual, 1)
+		})
+	}
+}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -259,8 +259,7 @@
 // another attempt is needed. p is nil for an answer of another instance.
 func (q *request) handleAnswer(a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
-	if p != nil && (reply.ID == q.call.ID || reply.NotRun) && !reply.Replaced {
-		q.reportLimit(p, reply.Limit)
+	if p != nil && !reply.Replaced {
 		q.recordAnnouncements(p, &reply)
 	}
 	switch {
@@ -300,9 +299,13 @@
 		zap.String("service", q.service), zap.String("id", q.call.ID), zap.String("decided_by", q.decidedBy))
 }
 
-// recordAnnouncements records what a target says of itself in its own answer, and tells the group
-// owner that it is leaving. A rest holds for this instance only.
+// recordAnnouncements records what a target says of itself, and tells the group owner its limit and
+// that it is leaving. A rest holds for this instance only. An answer that belongs to another request
+// is out of date: what it says of a limit doesn't count.
 func (q *request) recordAnnouncements(p *destination, reply *Reply) {
+	if reply.ID == q.call.ID || reply.NotRun {
+		q.reportLimit(p, reply.Limit)
+	}
 	m, log := q.g.o.Metrics, q.g.o.Log
 	if reply.Rest > 0 {
 		q.rest = reply.Rest
