--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -104,8 +104,8 @@
 	Replaced
 	// Rejected: it rejected the request.
 	Rejected
-	// Rested: it rejected the request and asked for rest. That counts as no failure: it has said
-	// when it accepts requests again, and is tested then.
+	// Rested: it rejected the request and said when it accepts requests again: it asked for rest, or
+	// is busy. That counts as no failure, and it is tested then.
 	Rested
 )
 
--- a/soak/announced.go
+++ b/soak/announced.go
@@ -124,8 +124,8 @@
 	return out
 }
 
-// excuses reports whether the entry instance was restarted, paused or impaired between two times,
-// or the network of the target.
+// excuses reports whether a fault between two times excuses requests: one of the entry instance, or
+// of the network before the target.
 func (l *Ledger) excuses(t *targetRecord, entry string, from, to time.Time) bool {
 	between := Request{Start: from, End: to}
 	return l.isDisturbed(&between, func(d *Disturbance) bool {
