--- a/pipeline/exchange/retry_budget_test.go
+++ b/pipeline/exchange/retry_budget_test.go
@@ -35,6 +35,9 @@
 	// visible is the number of entry instances that this one sees.
 	visible int
 	starts  []time.Time
+	// paused says that the process stands still: requests wait in its sockets.
+	paused  bool
+	waiting int
 }
 
 func newBudgetSim(allowance float64, regions, perRegion int) *budgetSim {
@@ -63,9 +66,13 @@
 func (w *budgetSim) step(load func(region int) int, failing bool) {
 	requests, retries := 0, 0
 	for _, s := range w.instances {
-		for range load(s.region) {
+		requests += load(s.region)
+		s.waiting += load(s.region)
+		if s.paused {
+			continue
+		}
+		for ; s.waiting > 0; s.waiting-- {
 			s.budget.recordRequest(w.now, "s", s.visible)
-			requests++
 			for range maxRetriesPerRequest {
 				if failing && s.budget.tryRetry(w.now, "s", s.visible).allowed {
 					retries++
@@ -77,6 +84,13 @@
 	w.now = w.now.Add(simStep)
 }
 
+// pauseAll has all processes stand still, or continue.
+func (w *budgetSim) pauseAll(paused bool) {
+	for _, s := range w.instances {
+		s.paused = paused
+	}
+}
+
 func (w *budgetSim) run(d time.Duration, load func(region int) int, failing bool) {
 	for range int(d / simStep) {
 		w.step(load, failing)
@@ -167,6 +181,21 @@
 	}
 }
 
+// Guards against instances that count requests, which waited in their sockets while they stood still,
+// as if callers had sent them only then.
+func TestRequestsReadAfterAPauseEarnNoRetries(t *testing.T) {
+	w := newBudgetSim(50, 3, 2)
+	w.run(simSpan, constantLoad(2), false)
+	w.pauseAll(true)
+	w.run(8*time.Second, constantLoad(10), false)
+	w.pauseAll(false)
+	w.run(9*time.Second, constantLoad(2), false)
+	w.run(simSpan, constantLoad(2), true)
+	if err := w.check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against more retries of a service than all instances together may send, under any load,
 // restarts and partitions.
 func TestRetriesOfAllInstancesStayWithinTheBudget(t *testing.T) {
