exchange, retry: requests read after a pause earn no retries

Callers see nothing of their own: engines that fail get more repeats than the budget of all instances allows. Cause: an instance counted a request when it read it, not when it was sent. After it stood still, it read at once all that had waited in its sockets, of callers that had mostly left, and these requests earned repeats for two spans from then on. The class: what is bounded by when callers act, but counted by when an instance acts. Change: the instance notices pauses by signs of life, four a second; what it reads for as long after a pause as the pause lasted earns nothing. Shorter lags are covered by retry.Window: first attempts count in their own span for one slot less, and in the slot in which they were received. A log line and a metric tell of pauses, the line on repeats of requests that earned nothing. Why this works: a request that earns was sent at most retry.MaxLag before it was counted, so the sum over instances holds for the times of sending.

--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -5,22 +5,28 @@
 	"time"
 )
 
-// windowSlots is how many slots a span is counted in: the error of the sliding sums is one
-// slot.
-const windowSlots = 10
+const (
+	// windowSlots is how many slots a span is counted in: the error of the sliding sums is one
+	// slot.
+	windowSlots = 10
+	// earningSlots is how many slots, that of a retry included, first attempts earn it in its own
+	// span. The last slot of the span is left out for those that were counted late.
+	earningSlots = windowSlots - 1
+)
 
 // Window bounds the retries of one of several senders so that the sum over all of them keeps a
 // common bound without communication. Unlike a Budget it does not depend on successes. It is not
 // safe for concurrent use.
 //
 // For each moment a in the span that ends now, the retries since a are at most share times the
-// first attempts since a span before a, plus the allowance. So the retries in any span are earned
-// by the first attempts of that span and of the one before it, at each sender alike, and sums
-// over senders keep
+// first attempts since a span less MaxLag before a, plus the allowance. First attempts may be counted
+// by MaxLag later than callers sent the requests. So the retries in any span are earned by the
+// requests that were sent in that span and the one before it, at each sender alike, and sums over
+// senders keep
 //
 //	retries(span) <= share * (first(span) + first(span before)) + allowances
 //
-// where first counts first attempts, also where the load moves between senders. A bound by the
+// where first counts requests, also where the load moves between senders. A bound by the
 // first attempts of the span that ends now would not add up: each sender would allow by the span
 // in which it was busiest.
 //
@@ -37,20 +43,27 @@
 	retries       [windowSlots + 1]int
 }
 
+// MaxLag returns by how much later than it was sent a request may be counted at a Window of length
+// span.
+func MaxLag(span time.Duration) time.Duration { return span / windowSlots }
+
 // NewWindow returns a Window of length span. share is how many retries each first attempt
 // allows in each of the two spans that it counts in; allowance is how many more are allowed.
 func NewWindow(now time.Time, span time.Duration, share, allowance float64) *Window {
-	return &Window{share: share, allowance: allowance, slotLength: max(1, span/windowSlots), start: now}
+	return &Window{share: share, allowance: allowance, slotLength: max(1, MaxLag(span)), start: now}
 }
 
 // SetAllowance replaces the allowance, for example when the number of senders changes or a span
 // has passed since this one started.
 func (w *Window) SetAllowance(allowance float64) { w.allowance = allowance }
 
-// CountFirstAttempt counts the first attempt of a request.
-func (w *Window) CountFirstAttempt(now time.Time) {
-	w.advance(now)
-	w.firstAttempts[w.current%int64(len(w.firstAttempts))]++
+// CountFirstAttempt counts the first attempt of a request that was received at a time, which may be
+// in the past.
+func (w *Window) CountFirstAttempt(receivedAt time.Time) {
+	w.advance(receivedAt)
+	if slot := w.slot(receivedAt); w.keepsFirstAttempts(slot) {
+		w.firstAttempts[slot%int64(len(w.firstAttempts))]++
+	}
 }
 
 // Use is the state of a Window.
@@ -65,15 +78,14 @@
 func (w *Window) Use(now time.Time) Use {
 	w.advance(now)
 	use := Use{Remaining: math.Inf(1)}
-	earning := 0
 	for back := range int64(windowSlots) {
-		earning += w.firstAttemptsIn(w.current - back)
+		use.FirstAttempts += w.firstAttemptsIn(w.current - back)
 	}
-	use.FirstAttempts = earning
+	earning := use.FirstAttempts - w.firstAttemptsIn(w.current-earningSlots)
 	for back := range int64(len(w.retries)) {
 		use.Retries += w.retriesIn(w.current - back)
 		use.Remaining = min(use.Remaining, w.share*float64(earning)+w.allowance-float64(use.Retries))
-		earning += w.firstAttemptsIn(w.current - back - windowSlots)
+		earning += w.firstAttemptsIn(w.current - back - earningSlots)
 	}
 	return use
 }
@@ -89,12 +101,21 @@
 
 // firstAttemptsIn and retriesIn return the counts of a slot that is kept; 0 before the start.
 func (w *Window) firstAttemptsIn(slot int64) int {
-	if slot < 0 || slot <= w.current-int64(len(w.firstAttempts)) {
+	if !w.keepsFirstAttempts(slot) {
 		return 0
 	}
 	return w.firstAttempts[slot%int64(len(w.firstAttempts))]
 }
 
+func (w *Window) keepsFirstAttempts(slot int64) bool {
+	return slot >= 0 && slot > w.current-int64(len(w.firstAttempts))
+}
+
+// slot returns the number of the slot of a time; negative before the start.
+func (w *Window) slot(at time.Time) int64 {
+	return int64(at.Sub(w.start) / w.slotLength)
+}
+
 func (w *Window) retriesIn(slot int64) int {
 	if slot < 0 {
 		return 0
@@ -104,7 +125,7 @@
 
 // advance clears the slots that are no longer kept.
 func (w *Window) advance(now time.Time) {
-	at := int64(now.Sub(w.start) / w.slotLength)
+	at := w.slot(now)
 	for ; w.current < at; w.current++ {
 		if kept := int64(len(w.firstAttempts)); at-w.current > kept {
 			w.current = at - kept
--- a/coord/retry/window_test.go
+++ b/coord/retry/window_test.go
@@ -10,7 +10,8 @@
 )
 
 // Guards against a burst at the end of one slot and another at the beginning of the next, and
-// against retries that are earned by first attempts of more than this span and the one before.
+// against retries that are earned by requests sent before this span and the one before it, also if
+// their first attempts are counted later.
 func TestWindowBoundsRetriesInAnySpan(t *testing.T) {
 	const (
 		span      = 10 * time.Second
@@ -26,7 +27,8 @@
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 40, 300, 2500, 11000, 400000}).Draw(t, "pause")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "first") {
 				w.CountFirstAttempt(now)
-				firsts = append(firsts, now)
+				lag := rapid.SampledFrom([]time.Duration{0, retry.MaxLag(span)}).Draw(t, "lag")
+				firsts = append(firsts, now.Add(-lag))
 				continue
 			}
 			if w.TryRetry(now) {
@@ -53,6 +55,20 @@
 	return n
 }
 
+// Guards against retries that are earned by requests sent over a span earlier, but counted within it.
+func TestRequestsCountedLateEarnForNoLonger(t *testing.T) {
+	const span = 10 * time.Second
+	countedAt := time.Unix(1000, 0)
+	w := retry.NewWindow(countedAt, span, 0.5, 0)
+	for range 100 {
+		w.CountFirstAttempt(countedAt)
+	}
+	sentAt := countedAt.Add(-retry.MaxLag(span))
+	if w.TryRetry(sentAt.Add(span + 990*time.Millisecond)) {
+		t.Fatal("allowed a retry by requests sent over a span before")
+	}
+}
+
 // Guards against a bound that refuses, at a steady load, what two spans earn together.
 func TestWindowAllowsTwiceItsShareAtSteadyLoad(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -20,6 +20,7 @@
 	SiteOverLimit         = Metric{"gullhaven_site_refused_over_limit_total", Counter, "requests", "Requests refused as their workspace was over its limit."}
 	SiteOtherRefusals     = Metric{"gullhaven_site_refused_other_total", Counter, "requests", "Requests refused for other reasons: no route, malformed, too large, a peer that is behind."}
 	SiteRetriesDenied     = Metric{"gullhaven_site_retries_denied_total", Counter, "attempts", "Further sendings that the budget did not allow."}
+	SitePauses            = Metric{"gullhaven_site_pauses_total", Counter, "pauses", "Times that the process stood still for long enough that requests waited unread."}
 	SiteOwnedElsewhere    = Metric{"gullhaven_site_decided_elsewhere_total", Counter, "attempts", "Sendings whose target another instance chose."}
 	SiteRestsAsked        = Metric{"gullhaven_site_rests_asked_total", Counter, "answers", "Answers of targets that turned a request away and asked this instance for rest."}
 	SiteLeavingAnswers    = Metric{"gullhaven_site_answers_leaving_total", Counter, "answers", "Answers of targets that said that they are leaving."}
@@ -60,7 +61,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
@@ -72,7 +73,7 @@
 	ForwardedIn, RefusedNoTarget, RefusedNoConfiguration, RefusedLeaving, RefusedPoison, RefusedOverloaded, RefusedOther gometrics.Counter
 	RefusedUnknownKey, RefusedNoHome, RefusedOverLimit                                                                   gometrics.Counter
 	RetriesDenied, OwnedElsewhere, SummariesInvalid, SummariesUnknown, RegionsUnreached, ReportsFailed                   gometrics.Counter
-	RefusedResting, RestsAsked, LeavingAnswers, MalformedHeaders                                                         gometrics.Counter
+	RefusedResting, RestsAsked, LeavingAnswers, MalformedHeaders, Pauses                                                 gometrics.Counter
 	// WaitRatio is the actual wait over the expected wait, which shows the quality of choices.
 	WaitRatio                                       *Ratios
 	ChooseTime, SendTime, EventGapTime, RequestTime *Times
@@ -113,7 +114,7 @@
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedPoison: s.Counter(SitePoisonRequests),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RefusedUnknownKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHomeRegion), RefusedOverLimit: s.Counter(SiteOverLimit),
-		RetriesDenied: s.Counter(SiteRetriesDenied), OwnedElsewhere: s.Counter(SiteOwnedElsewhere),
+		RetriesDenied: s.Counter(SiteRetriesDenied), Pauses: s.Counter(SitePauses), OwnedElsewhere: s.Counter(SiteOwnedElsewhere),
 		RestsAsked: s.Counter(SiteRestsAsked), LeavingAnswers: s.Counter(SiteLeavingAnswers), MalformedHeaders: s.Counter(SiteMalformedHeaders),
 		SummariesInvalid: s.Counter(SiteInvalidSummaries), SummariesUnknown: s.Counter(SiteUnknownSummaries), RegionsUnreached: s.Counter(SiteRegionsUnreached), ReportsFailed: s.Counter(SiteReportsFailed),
 		ChooseTime: s.Times(SiteChooseTime), SendTime: s.Times(SiteSendTime), EventGapTime: s.Times(SiteEventGapTime), WaitRatio: s.Ratios(SiteWaitRatio), RequestTime: s.Times(SiteRequestTime),
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -184,7 +184,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, run := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.limits.Run, i.expireUnused} {
+	for _, run := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.limits.Run, i.gateway.Run, i.expireUnused} {
 		i.wg.Go(func() { run(ctx) })
 	}
 }
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// signOfLifeInterval is the time between two signs of life for the retry budget: well below
+// retry.MaxLag of its span.
+const signOfLifeInterval = 250 * time.Millisecond
+
+// Run detects pauses of this process until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	tick := time.NewTicker(signOfLifeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if pause := g.retries.running(time.Now()); pause > 0 {
+				g.o.Metrics.Pauses.Inc(1)
+				g.o.Log.Warn("the process stood still", zap.Duration("pause", pause))
+			}
+		}
+	}
+}
+
 // SetView replaces the view.
 func (g *Gateway) SetView(v *View) {
 	g.view.Store(v)
--- /dev/null
+++ b/pipeline/exchange/pause.go
@@ -0,0 +1,38 @@
+package exchange
+
+import "time"
+
+// pauseDetector detects that this process stood still or lagged, so that what it reads afterwards may
+// have waited in its sockets. It is not safe for concurrent use.
+type pauseDetector struct {
+	// maxLag is the longest time between two signs of life that is not a pause.
+	maxLag time.Duration
+	// runningAt is the last sign of life.
+	runningAt time.Time
+	// endedAt is the end of the last pause; until caughtUpAt, requests may have waited since before
+	// it.
+	endedAt, caughtUpAt time.Time
+}
+
+// running records a sign of life and returns the pause that it ends; 0 for none.
+func (p *pauseDetector) running(now time.Time) time.Duration {
+	gap := now.Sub(p.runningAt)
+	if gap <= 0 {
+		return 0
+	}
+	p.runningAt = now
+	if gap <= p.maxLag {
+		return 0
+	}
+	p.endedAt = now
+	// To read what has waited takes less time than it waited: an overloaded process shows by a
+	// further lag.
+	p.caughtUpAt = now.Add(gap)
+	return gap
+}
+
+// mayHaveWaited reports whether a request that was read at a time may have waited for longer than
+// maxLag.
+func (p *pauseDetector) mayHaveWaited(readAt time.Time) bool {
+	return !readAt.Before(p.endedAt) && readAt.Before(p.caughtUpAt)
+}
--- a/pipeline/exchange/retry_budget.go
+++ b/pipeline/exchange/retry_budget.go
@@ -38,12 +38,20 @@
 // A process does not know what it sent before a restart. The retries that its own requests earn
 // are safe nevertheless, because a retry.Window counts each request for one span and the next.
 // Of the allowance, it takes a smaller part until it has run for a span.
+//
+// Requests earn retries from when callers sent them. After a pause of the process, requests of earlier
+// spans wait in its sockets: those that it reads then earn none.
 type retryBudget struct {
 	limits RetryLimits
 	// startedAt is when the process started.
 	startedAt time.Time
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	pauses pauseDetector
+	// unreported is a pause that recordRequest noticed before running did.
+	unreported time.Duration
+	// unearned counts the requests that earn no retries, as they may have waited during a pause.
+	unearned int
 	// maxEntries is the highest number of entry instances seen so far: one that disappears may
 	// only be unreachable from here, and still sends retries.
 	maxEntries int
@@ -61,19 +69,41 @@
 	// logDue says that a log line is due; use is set only then.
 	logDue bool
 	use    retry.Use
+	// unearned is how many requests since the start have earned no retries, as they may have waited
+	// during a pause of the process.
+	unearned int
 	// uptime is the time since the process started.
 	uptime time.Duration
 }
 
 func newRetryBudget(limits RetryLimits, startedAt time.Time) *retryBudget {
-	return &retryBudget{limits: limits, startedAt: startedAt, maxEntries: minEntryInstances, services: map[string]*serviceBudget{}}
+	return &retryBudget{
+		limits: limits, startedAt: startedAt, maxEntries: minEntryInstances, services: map[string]*serviceBudget{},
+		pauses: pauseDetector{maxLag: retry.MaxLag(limits.Span), runningAt: startedAt},
+	}
 }
 
-// recordRequest counts the first attempt of a request. entries is the number of entry instances.
-func (r *retryBudget) recordRequest(now time.Time, service string, entries int) {
+// running must be called several times within a retry.MaxLag while the process runs. It returns the
+// pause that ends now; 0 for none.
+func (r *retryBudget) running(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.service(now, service, entries).window.CountFirstAttempt(now)
+	pause := max(r.unreported, r.pauses.running(now))
+	r.unreported = 0
+	return pause
+}
+
+// recordRequest counts the first attempt of a request that was read at a time. entries is the number
+// of entry instances.
+func (r *retryBudget) recordRequest(readAt time.Time, service string, entries int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreported = max(r.unreported, r.pauses.running(readAt))
+	if r.pauses.mayHaveWaited(readAt) {
+		r.unearned++
+		return
+	}
+	r.service(readAt, service, entries).window.CountFirstAttempt(readAt)
 }
 
 // tryRetry decides whether a retry is allowed, and counts it if so.
@@ -83,7 +113,7 @@
 	s := r.service(now, service, entries)
 	d := retryDecision{allowed: s.window.TryRetry(now), uptime: now.Sub(r.startedAt)}
 	if now.Sub(s.loggedAt) >= logInterval {
-		s.loggedAt, d.logDue, d.use = now, true, s.window.Use(now)
+		s.loggedAt, d.logDue, d.use, d.unearned = now, true, s.window.Use(now), r.unearned
 	}
 	return d
 }
--- a/pipeline/exchange/retry_budget_test.go
+++ b/pipeline/exchange/retry_budget_test.go
@@ -15,6 +15,8 @@
 	simShare     = 0.2
 	// maxSimStartsPerSpan is how often an instance may start within a span.
 	maxSimStartsPerSpan = 4
+	// maxSimLag is the longest time in steps that a process may lag without noticing.
+	maxSimLag = 10
 	// maxRetriesPerRequest is how often a failing request asks for a retry.
 	maxRetriesPerRequest = 3
 )
@@ -38,6 +40,10 @@
 	// paused says that the process stands still: requests wait in its sockets.
 	paused  bool
 	waiting int
+	// lag is how many steps after it was sent each request is read, and unread the numbers of
+	// requests of the last steps that are not read yet.
+	lag    int
+	unread []int
 }
 
 func newBudgetSim(allowance float64, regions, perRegion int) *budgetSim {
@@ -51,8 +57,10 @@
 	return w
 }
 
+// restart replaces a process. What waited in its sockets is lost.
 func (w *budgetSim) restart(k int) {
 	s := w.instances[k]
+	s.waiting, s.unread = 0, nil
 	s.budget, s.starts = newRetryBudget(w.limits, w.now), append(s.starts, w.now)
 }
 
@@ -67,10 +75,14 @@
 	requests, retries := 0, 0
 	for _, s := range w.instances {
 		requests += load(s.region)
-		s.waiting += load(s.region)
+		s.unread = append(s.unread, load(s.region))
+		for ; len(s.unread) > s.lag; s.unread = s.unread[1:] {
+			s.waiting += s.unread[0]
+		}
 		if s.paused {
 			continue
 		}
+		s.budget.running(w.now)
 		for ; s.waiting > 0; s.waiting-- {
 			s.budget.recordRequest(w.now, "s", s.visible)
 			for range maxRetriesPerRequest {
@@ -197,7 +209,7 @@
 }
 
 // Guards against more retries of a service than all instances together may send, under any load,
-// restarts and partitions.
+// restarts, partitions, pauses and lags.
 func TestRetriesOfAllInstancesStayWithinTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		regions, perRegion := rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 3).Draw(t, "instances")
@@ -213,8 +225,10 @@
 			}
 			sees := rapid.SampledFrom([]int{1, regions * perRegion}).Draw(t, "sees")
 			restarts := rapid.SampledFrom([]int{0, 1, len(w.instances)}).Draw(t, "restarts")
+			paused := rapid.SampledFrom([]int{0, 0, 1, len(w.instances)}).Draw(t, "paused")
 			for k, s := range w.instances {
-				s.visible = sees
+				s.visible, s.paused = sees, k < paused
+				s.lag = rapid.SampledFrom([]int{0, 5, maxSimLag}).Draw(t, "lag")
 				if k < restarts && w.mayRestart(k) {
 					w.restart(k)
 				}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -98,12 +98,14 @@
 	d := q.g.retries.tryRetry(now, q.service, q.view.EntryInstances)
 	if d.logDue {
 		q.g.o.Log.Info("repeats", zap.String("service", q.service), zap.Bool("allowed", d.allowed), zap.Int("firsts", d.use.FirstAttempts),
-			zap.Int("extras", d.use.Retries), zap.Float64("left", d.use.Remaining), zap.Int("entries", q.view.EntryInstances), zap.Duration("age", d.uptime))
+			zap.Int("extras", d.use.Retries), zap.Float64("left", d.use.Remaining), zap.Int("unearned", d.unearned), zap.Int("entries", q.view.EntryInstances), zap.Duration("age", d.uptime))
 	}
 	if !d.allowed {
 		q.g.o.Metrics.RetriesDenied.Inc(1)
+		return false
 	}
-	return d.allowed
+	q.g.o.Log.Debug("repeat counted", zap.String("id", q.call.ID), zap.String("service", q.service))
+	return true
 }
 
 // reachedTarget reports whether an attempt has reached a target, even if the target rejected it.
