soak: the retry budget is checked where requests arrive

Cause: instances bound their own counts; nothing compared these with what targets saw, so arrivals that nobody counts, or in another span than the one they were counted in, could not show in our own tests. Change: soak.Ledger holds the arrivals at runners by request, service and span against the budget, by the times at which callers sent, and against the retries that entry instances have logged; also requests for another runner. Signs of life come in proportion to the span.

--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/retry"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
@@ -85,13 +86,16 @@
 	}
 }
 
-// signOfLifeInterval is the time between two signs of life for the retry budget: well below
-// retry.MaxLag of its span.
-const signOfLifeInterval = 250 * time.Millisecond
+const (
+	// signsOfLifePerLag is the number of signs of life within retry.MaxLag.
+	signsOfLifePerLag = 4
+	// minSignInterval bounds the processor time of signs of life.
+	minSignInterval = 25 * time.Millisecond
+)
 
 // Run detects pauses of this process until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	tick := time.NewTicker(signOfLifeInterval)
+	tick := time.NewTicker(max(minSignInterval, retry.MaxLag(g.o.Retries.Span)/signsOfLifePerLag))
 	defer tick.Stop()
 	for {
 		select {
--- a/soak/announced.go
+++ b/soak/announced.go
@@ -19,9 +19,9 @@
 // targetRecord is one start of a runner.
 type targetRecord struct {
 	// number is the runner's number in faults.
-	number   int
-	region   string
-	arrivals []platformtest.Arrival
+	number          int
+	service, region string
+	arrivals        []platformtest.Arrival
 }
 
 const (
@@ -43,10 +43,10 @@
 }
 
 // AddTarget adds a start of a runner and returns its number among all starts.
-func (l *Ledger) AddTarget(number int, region string) int {
+func (l *Ledger) AddTarget(number int, service, region string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.announced.targets = append(l.announced.targets, &targetRecord{number: number, region: region})
+	l.announced.targets = append(l.announced.targets, &targetRecord{number: number, service: service, region: region})
 	return len(l.announced.targets) - 1
 }
 
@@ -76,7 +76,7 @@
 	for _, t := range l.announced.targets {
 		byEntry := map[string][]directArrival{}
 		for _, a := range t.arrivals {
-			if r := requests[a.ID]; r != nil && l.announced.regions[r.Entry] == t.region {
+			if r := requests[a.ID]; r != nil && !a.Misdirected && l.announced.regions[r.Entry] == t.region {
 				byEntry[r.Entry] = append(byEntry[r.Entry], directArrival{a, r})
 			}
 		}
--- a/soak/announced_test.go
+++ b/soak/announced_test.go
@@ -14,7 +14,7 @@
 func ledgerOfArrivals(first platformtest.Arrival, later ...time.Duration) *Ledger {
 	l := &Ledger{Events: 3, Runs: func(string) int { return 1 }, Deadline: time.Minute}
 	l.AddEntry("e", "r0")
-	target := l.AddTarget(0, "r0")
+	target := l.AddTarget(0, platformtest.ServiceDesk, "r0")
 	for n, at := range append([]time.Duration{0}, later...) {
 		a := platformtest.Arrival{}
 		if n == 0 {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -20,9 +20,7 @@
 	slack = 6 * time.Second
 	// dialTimeout bounds the dial of a caller's connection.
 	dialTimeout = time.Second
-	// callerCount is the number of callers, each with one request at a time and a pause
-	// after it.
-	callerCount = 9
+	// callerPause is the mean pause of a caller between two requests.
 	callerPause = 40 * time.Millisecond
 	// requestsPerConn bounds the requests that a caller sends over a connection.
 	requestsPerConn = 25
@@ -47,7 +45,7 @@
 // answers.
 func (w *World) Start(ctx context.Context, seed uint64) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	for n := range callerCount {
+	for n := range w.o.Callers {
 		rng := rand.New(rand.NewPCG(seed, uint64(n)+2))
 		w.wg.Go(func() { w.runCaller(ctx, n, rng) })
 	}
@@ -156,6 +154,7 @@
 	end := time.Now().Add(recoveryTimeout)
 	for _, path := range paths {
 		err := retryUntil(ctx, end, func(n int) error {
+			w.Ledger.AddSent(path, time.Now())
 			o := sendOnce(e, fmt.Sprint(name, path, n), path)
 			if o.Status == http.StatusOK && o.Err == nil {
 				return nil
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -50,9 +50,13 @@
 	// Deadline is the deadline of all requests. Slack is the time after it within which a
 	// request must have ended at an entry instance without a fault.
 	Deadline, Slack time.Duration
+	// Budget is the retry budget of each service; not checked if its Span is 0.
+	Budget RetryBudget
 
-	mu           sync.Mutex
-	requests     []Request
+	mu       sync.Mutex
+	requests []Request
+	// sent are further requests, of which only the path and the start are known.
+	sent         []Request
 	disturbances []Disturbance
 	acknowledged []acknowledgement
 	violations   []string
@@ -136,6 +140,7 @@
 		out = append(out, fmt.Sprintf("%d requests came under another workspace's name or with a key", l.WrongWorkspace()))
 	}
 	out = append(out, l.checkAnnouncements()...)
+	out = append(out, l.checkBudget()...)
 	for i := range l.requests {
 		r := &l.requests[i]
 		for _, fault := range []string{l.checkRuns(r), l.checkContent(r), l.checkInTime(r), l.checkLost(r)} {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -45,13 +45,15 @@
 	ForeignEntries Kind = "foreign"
 	// TurnAway has a runner turn all requests away for For and ask for rest.
 	TurnAway Kind = "turn_away"
+	// Reject is TurnAway without a rest.
+	Reject Kind = "reject"
 	// Leave is Drain, with answers that say that the runner is leaving. The list says so later.
 	Leave Kind = "leave"
 )
 
 // Planned reports whether the fault is planned work, which must disturb no request.
 func (k Kind) Planned() bool {
-	return slices.Contains([]Kind{Restart, Reload, Drain, ForeignEntries, TurnAway, Leave}, k)
+	return slices.Contains([]Kind{Restart, Reload, Drain, ForeignEntries, TurnAway, Reject, Leave}, k)
 }
 
 // network reports whether the fault is injected by a Forwarder.
@@ -177,6 +179,29 @@
 	return out
 }
 
+// wideKinds are the faults that DrawWideFaults draws for each role.
+var wideKinds = map[Role][]Kind{
+	RoleEntry:  {Pause, Pause, Kill, Restart},
+	RoleRunner: {Reject, Reject, Reject, HoldIn, HoldOut, Cut, ResetConns},
+}
+
+// DrawWideFaults returns faults each of which affects all entry instances or all runners at once, so
+// that most requests need another attempt. They are sorted by At.
+func DrawWideFaults(seed uint64, s Shape, span time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	count := map[Role]int{RoleEntry: s.Entries, RoleRunner: s.Runners}
+	roles := []Role{RoleEntry, RoleRunner, RoleRunner}
+	var out []Fault
+	for at := gap(rng); at < span; at += extraGap(rng) {
+		role := roles[rng.IntN(len(roles))]
+		f := Fault{Kind: wideKinds[role][rng.IntN(len(wideKinds[role]))], Role: role, At: at, For: faultTime(rng)}
+		for f.Number = range count[role] {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // extraGap is longer than gap, as these faults are added to the others.
 func extraGap(rng *rand.Rand) time.Duration { return 3 * gap(rng) }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,7 @@
 
 var (
 	seeds = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
+	wide  = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
 	span  = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
 	keep  = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
@@ -52,6 +53,19 @@
 	}
 }
 
+// wideSpan is the time within which the faults of TestRetryBudgetInWideFaults begin.
+const wideSpan = 9 * time.Second
+
+// Guards against more arrivals at targets than the retry budget of all instances allows, while faults
+// of all targets and of all entry instances overlap.
+func TestRetryBudgetInWideFaults(t *testing.T) { runWide(t, 2, wideSpan) }
+
+// runWide plays the wide faults of a seed with a budget that they use up.
+func runWide(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 9}, Callers: 30, Budget: RetryBudget{Span: 3 * time.Second, Share: 0.2, Allowance: 6}}
+	runFaults(t, seed, o, DrawWideFaults(seed, o.Shape, span))
+}
+
 // formerFailures are seeds that failed before, each with its cause.
 var formerFailures = []struct {
 	seed  uint64
@@ -82,40 +96,64 @@
 		t.Fatalf("seeds %q", *seeds)
 	}
 	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, *span, true) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			if *wide {
+				runWide(t, seed, *span)
+				return
+			}
+			runSeed(t, seed, *span, true)
+		})
 	}
 }
 
-// runSeed starts a site, injects the faults of a seed, waits until the site serves again,
-// stops it, and checks all observations. extra adds the faults of
-// DrawExtraFaults and DrawTargetFaults.
+// siteBudget is the retry budget of the sites of recorded seeds.
+var siteBudget = RetryBudget{Span: 10 * time.Second, Share: 0.2, Allowance: 50}
+
+// runSeed plays the faults of a seed. extra adds those of DrawExtraFaults and DrawTargetFaults.
 func runSeed(t *testing.T, seed uint64, span time.Duration, extra bool) {
-	shape := Shape{Cores: 4, Entries: 4, Runners: 9}
-	dir := t.TempDir()
-	w, err := NewWorld(Options{Binary: binary, Dir: dir, Shape: shape, Log: t.Logf})
+	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 9}, Callers: 9, Budget: siteBudget}
+	faults := DrawFaults(seed, o.Shape, span)
+	if extra {
+		faults = append(faults, DrawExtraFaults(seed, o.Shape, span)...)
+		faults = append(faults, DrawTargetFaults(seed, o.Shape, span)...)
+	}
+	runFaults(t, seed, o, faults)
+}
+
+// runFaults starts a site, injects faults, waits until the site serves again, stops it, and checks
+// all observations. seed is that of the callers.
+func runFaults(t *testing.T, seed uint64, o Options, faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	o.Binary, o.Dir, o.Log = binary, t.TempDir(), t.Logf
+	w, err := NewWorld(o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() {
 		if t.Failed() {
-			keepLogs(t, dir, seed)
+			keepLogs(t, o.Dir, seed)
 		}
 	}()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	problems := w.runPlan(ctx, seed, shape, span, extra)
+	problems := w.runPlan(ctx, seed, faults)
+	counted, err := w.CountedRetries()
+	if err != nil {
+		t.Error(err)
+	}
+	w.Ledger.CheckCounted(counted)
 	for _, p := range append(problems, w.Ledger.Violations()...) {
 		t.Error(p)
 	}
-	t.Logf("%d requests served, %d runs, newest version %d", w.Ledger.Served(), w.runLog.Total(), w.Ledger.Newest(time.Now()))
+	t.Logf("%d requests served, %d runs, newest version %d; %s", w.Ledger.Served(), w.runLog.Total(), w.Ledger.Newest(time.Now()), w.Ledger.BudgetUse())
 	if w.Ledger.Served() == 0 {
 		t.Error("no request was served")
 	}
 }
 
-// runPlan runs the plan of a seed and returns what keeps the site from serving. The processes
-// have ended when it returns.
-func (w *World) runPlan(ctx context.Context, seed uint64, shape Shape, span time.Duration, extra bool) (problems []string) {
+// runPlan injects faults and returns what keeps the site from serving. The processes have ended when
+// it returns.
+func (w *World) runPlan(ctx context.Context, seed uint64, faults []Fault) (problems []string) {
 	defer w.End()
 	record := func(err error) bool {
 		if err != nil {
@@ -127,12 +165,6 @@
 		return problems
 	}
 	stop := w.Start(ctx, seed)
-	faults := DrawFaults(seed, shape, span)
-	if extra {
-		faults = append(faults, DrawExtraFaults(seed, shape, span)...)
-		faults = append(faults, DrawTargetFaults(seed, shape, span)...)
-		slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	}
 	w.InjectFaults(ctx, faults)
 	record(w.AwaitServing(ctx, "after"))
 	stop()
--- a/soak/world.go
+++ b/soak/world.go
@@ -21,7 +21,10 @@
 	// Binary is the path of the daemon, Dir a folder for settings, disks and logs.
 	Binary, Dir string
 	Shape       Shape
-	Log         func(format string, args ...any)
+	// Callers is the number of callers, each with one request at a time.
+	Callers int
+	Budget  RetryBudget
+	Log     func(format string, args ...any)
 }
 
 const (
@@ -93,7 +96,7 @@
 // error is returned: then nothing is left behind.
 func NewWorld(o Options) (*World, error) {
 	w := &World{o: o, runLog: &platformtest.RunLog{}, list: &platformtest.List{}}
-	w.Ledger = &Ledger{Events: streamEvents, Runs: w.runLog.Runs, WrongWorkspace: w.runLog.WrongWorkspace, Deadline: deadline, Slack: slack}
+	w.Ledger = &Ledger{Events: streamEvents, Runs: w.runLog.Runs, WrongWorkspace: w.runLog.WrongWorkspace, Deadline: deadline, Slack: slack, Budget: o.Budget}
 	if err := w.build(); err != nil {
 		w.End()
 		return nil, err
@@ -197,7 +200,7 @@
 		"instance": filepath.Base(dir), "region": region(number), "zone": zone(number),
 		"regions": map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"}, "listen": addresses, "seeds": l.seeds,
 		"instance_list": l.list, "data_dir": disk, "grace_seconds": graceSeconds, "log_level": "debug",
-		"retries": map[string]any{"share": 0.2, "allowance": 50},
+		"retries": map[string]any{"share": w.o.Budget.Share, "allowance": w.o.Budget.Allowance, "span_seconds": w.o.Budget.Span.Seconds()},
 	}
 	b.forwarder, err = Forward(l.instance(at), bind)
 	return addresses, err
@@ -277,7 +280,7 @@
 // serve starts a runner with this ID and lists it.
 func (w *World) serve(r *runner, id string) error {
 	runner := &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents}
-	target := w.Ledger.AddTarget(r.number, regionOfZone(r.zone))
+	target := w.Ledger.AddTarget(r.number, r.service, regionOfZone(r.zone))
 	runner.Arrived = func(a platformtest.Arrival) { w.Ledger.AddArrival(target, a) }
 	server, err := serve(r.forwarder.to, runner)
 	if err != nil {
@@ -334,8 +337,12 @@
 		w.injectListFault(f)
 		return nil
 	case RoleRunner:
-		if f.Kind == TurnAway {
-			w.turnAway(w.runners[f.Number], f)
+		switch f.Kind {
+		case TurnAway:
+			w.turnAway(w.runners[f.Number], f.For, restValues[f.At.Milliseconds()%int64(len(restValues))])
+			return nil
+		case Reject:
+			w.turnAway(w.runners[f.Number], f.For, "")
 			return nil
 		}
 		return w.replace(w.runners[f.Number], f)
@@ -418,17 +425,17 @@
 	return errors.Join(err, p.start(false))
 }
 
-// restValues are the values of Retry-After that runners send, some of which are malformed.
+// restValues are the values of Retry-After that runners send, some of which are malformed. The
+// milliseconds of the fault's time choose one.
 var restValues = []string{"1", "0.6", "2.5", "", "soon", "-3", "1e9"}
 
-// turnAway has a runner turn requests away. The number of the fault's milliseconds chooses the rest
-// that it asks for.
-func (w *World) turnAway(r *runner, f Fault) {
+// turnAway has a runner turn requests away for a time and ask for a rest; none if it is empty.
+func (w *World) turnAway(r *runner, during time.Duration, rest string) {
 	w.mu.Lock()
 	handler := r.handler
 	w.mu.Unlock()
-	handler.TurnAway(true, restValues[f.At.Milliseconds()%int64(len(restValues))])
-	time.Sleep(f.For)
+	handler.TurnAway(true, rest)
+	time.Sleep(during)
 	handler.TurnAway(false, "")
 }
 
