entry, daemon: a short partition does not lose the middle of an answer

Callers saw streams in which events were missing, some of them complete in form, after a partition between regions of one and a half to three seconds. Cause: the instance that sends an answer gave its connection up after 1.5 s without acknowledgement, the one that waits for the answer after up to 3 s. When the partition ended in between, what had been given up was lost, and later bytes were still delivered. Change: an accepted connection between instances is given up later than the other side gives it up, so an answer goes on where it was.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -276,7 +276,7 @@
 	link.TuneConn(c, s)
 	if tcp, ok := c.(*net.TCPConn); ok && s == http.StateNew {
 		// If it fails, a lost connection is still detected by the pings of the link.
-		_ = rawhttp.DetectDeadPeer(tcp, rawhttp.DefaultAckTimeout)
+		_ = rawhttp.DetectDeadPeer(tcp, entry.AnswerAckTimeout)
 	}
 }
 
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -89,9 +89,13 @@
 	// instance is tried before that.
 	peerDialTimeout = 400 * time.Millisecond
 	peerIdleTimeout = 20 * time.Second
-	// peerSilenceTimeout is how long bytes to another region may stay unacknowledged: it detects a
+	// PeerAckTimeout is how long bytes to another region may stay unacknowledged: it detects a
 	// partition, and leaves time to retransmit lost packets.
-	peerSilenceTimeout = 2 * time.Second
+	PeerAckTimeout = 2 * time.Second
+	// AnswerAckTimeout is how long bytes of an answer to another instance may stay unacknowledged.
+	// An instance that waits for an answer gives up first: if a partition is over before that, the
+	// answer goes on where it was.
+	AnswerAckTimeout = PeerAckTimeout + rawhttp.KeepaliveInterval + time.Second
 )
 
 // New returns an instance. Start starts its goroutines.
@@ -104,7 +108,7 @@
 		o: o, log: o.Log, hub: hub, chooser: feed.NewCoreChooser(), startupProbeTime: startupProbeTime,
 		pool:    pick.New(o.Self.ID),
 		targets: rawhttp.NewClient(rawhttp.Options{}),
-		peers:   rawhttp.NewClient(rawhttp.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, AckTimeout: peerSilenceTimeout}),
+		peers:   rawhttp.NewClient(rawhttp.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, AckTimeout: PeerAckTimeout}),
 	}
 	i.known.entries.Self = o.Self.ID
 	i.metrics = metrics.NewSiteEntry(i.metricsState)
--- a/ports/rawhttp/socket_linux.go
+++ b/ports/rawhttp/socket_linux.go
@@ -8,16 +8,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// keepaliveInterval is the idle time after which the kernel sends probes, and the time
+// KeepaliveInterval is the idle time after which the kernel sends probes, and the time
 // between two probes. The kernel counts in whole seconds.
-const keepaliveInterval = time.Second
+const KeepaliveInterval = time.Second
 
 // DetectDeadPeer makes the kernel close a connection if sent bytes stay unacknowledged for
 // ackTimeout, or if the peer does not answer probes while idle. Without it, a connection
-// hangs for many minutes after a partition or the loss of the peer's machine.
+// hangs for many minutes after a partition or the loss of the peer's machine. A dead peer is
+// detected within ackTimeout and a KeepaliveInterval.
 func DetectDeadPeer(c *net.TCPConn, ackTimeout time.Duration) error {
 	err := c.SetKeepAliveConfig(net.KeepAliveConfig{
-		Enable: true, Idle: keepaliveInterval, Interval: keepaliveInterval, Count: 2,
+		Enable: true, Idle: KeepaliveInterval, Interval: KeepaliveInterval, Count: 2,
 	})
 	if err != nil {
 		return err
