standin, load, limit: two fields without use are gone, priority and rank are told apart

Cause: EngineConfig.ID was a name that only one host read back, and the known of a history was written and never read. Priority and rank count in opposite directions, which nothing said.

--- a/coord/limit/fair.go
+++ b/coord/limit/fair.go
@@ -28,7 +28,8 @@
 	Workspace string
 	// Weight of the workspace, above 0.
 	Weight float64
-	// Priority from 0 to Priorities-1; others are clamped.
+	// Priority from 0 to Priorities-1, the most urgent; others are clamped. A rank, in other
+	// packages, counts the other way round: 0 is the most urgent.
 	Priority int
 	// Cost is the work, above 0, in the same unit for all items.
 	Cost float64
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -42,7 +42,7 @@
 
 // devEngineConfig is the engine with the model of the embedded bundle loaded.
 var devEngineConfig = standin.EngineConfig{
-	ID: "engine-1", PerToken: 5 * time.Millisecond, Slots: 16, Model: "dev-model", Version: "v1", Role: string(bundle.RoleBoth),
+	PerToken: 5 * time.Millisecond, Slots: 16, Model: "dev-model", Version: "v1", Role: string(bundle.RoleBoth),
 }
 
 // devBundle is the bundle of --dev, without the operator's and the workspaces' keys.
--- a/daemon/standin.go
+++ b/daemon/standin.go
@@ -43,8 +43,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var s standinSet
-	for _, cfg := range engines {
-		if err := s.startEngine(ctx, cfg.ID, cfg); err != nil {
+	for _, e := range engines {
+		if err := s.startEngine(ctx, e.address, e.config); err != nil {
 			return err
 		}
 	}
@@ -58,12 +58,17 @@
 	return errors.Join(s.errs...)
 }
 
-// loadTargets returns the engines, whose ids are their addresses, and the addresses of
-// plain services.
-func (o *standinOptions) loadTargets() ([]standin.EngineConfig, []string, error) {
-	var engines []standin.EngineConfig
+// engineAt is an engine and its listen address.
+type engineAt struct {
+	address string
+	config  standin.EngineConfig
+}
+
+// loadTargets returns the engines and the addresses of plain services.
+func (o *standinOptions) loadTargets() ([]engineAt, []string, error) {
+	var engines []engineAt
 	for _, address := range splitList(o.Engines) {
-		engines = append(engines, standin.EngineConfig{ID: address, PerToken: o.PerToken})
+		engines = append(engines, engineAt{address, standin.EngineConfig{PerToken: o.PerToken}})
 	}
 	plain := splitList(o.Plain)
 	if o.Bundle == "" {
@@ -83,7 +88,7 @@
 
 // bundleTargets returns the targets of a bundle; engines have the models of their services
 // loaded.
-func (o *standinOptions) bundleTargets(b *bundle.Bundle) (engines []standin.EngineConfig, plain []string) {
+func (o *standinOptions) bundleTargets(b *bundle.Bundle) (engines []engineAt, plain []string) {
 	services := map[string]bundle.Service{}
 	for _, s := range b.Services {
 		services[s.ID] = s
@@ -95,10 +100,10 @@
 		case service.Kind == bundle.KindPlain:
 			plain = append(plain, t.Address)
 		default:
-			engines = append(engines, standin.EngineConfig{
-				ID: t.Address, PerToken: o.PerToken, Slots: t.Slots, IgnoresFence: !t.ChecksFence,
+			engines = append(engines, engineAt{t.Address, standin.EngineConfig{
+				PerToken: o.PerToken, Slots: t.Slots, IgnoresFence: !t.ChecksFence,
 				Model: service.Model, Version: service.Version, Role: string(t.Role), Adapters: service.Adapters,
-			})
+			}})
 		}
 	}
 	return engines, plain
--- a/e2e/targets_test.go
+++ b/e2e/targets_test.go
@@ -98,7 +98,7 @@
 		s := c.targets[b.Region]
 		if b.Service == "briefing" {
 			e := standin.NewEngine(standin.EngineConfig{
-				ID: b.ID, PerToken: standinTokenTime, Slots: b.Slots, IgnoresFence: !b.ChecksFence,
+				PerToken: standinTokenTime, Slots: b.Slots, IgnoresFence: !b.ChecksFence,
 				Model: c.bundle.Models[0].ID, Version: c.bundle.Models[0].Versions[0].ID, Role: string(b.Role),
 			})
 			x := &engineTarget{target{t: c.t, address: b.Address, handler: e}, e}
--- a/node/placing/placing_test.go
+++ b/node/placing/placing_test.go
@@ -45,7 +45,7 @@
 	f := &fleet{set: enginehttp.NewSet(tr)}
 	for i := range engineCount {
 		e := standin.NewEngine(standin.EngineConfig{
-			ID: fmt.Sprintf("e%d", i), PerToken: time.Millisecond, LoadTime: 50 * time.Millisecond, IgnoresFence: i == 0,
+			PerToken: time.Millisecond, LoadTime: 50 * time.Millisecond, IgnoresFence: i == 0,
 		})
 		s := httptest.NewServer(f.checkOrders(t, e))
 		t.Cleanup(s.Close)
--- a/operate/capacity/bench_test.go
+++ b/operate/capacity/bench_test.go
@@ -152,7 +152,7 @@
 // the owner.
 func BenchmarkPoll(b *testing.B) {
 	var bytes atomic.Int64
-	server := httptest.NewUnstartedServer(standin.NewEngine(standin.EngineConfig{ID: "e"}))
+	server := httptest.NewUnstartedServer(standin.NewEngine(standin.EngineConfig{}))
 	server.Listener = countingListener{server.Listener, &bytes}
 	server.Start()
 	defer server.Close()
--- a/operate/load/history.go
+++ b/operate/load/history.go
@@ -26,8 +26,6 @@
 	reportedRun bool
 	// reportedNotRun: a refusal says that the key did not run.
 	reportedNotRun bool
-	// known: some attempt was refused or answered; if not, no result was promised.
-	known bool
 	// allNotRun: every attempt was refused with not_run or found no connection.
 	allNotRun    bool
 	duplicateRun string
@@ -41,10 +39,8 @@
 func (h *history) add(o *outcome, after bool) {
 	switch o.kind {
 	case Answered:
-		h.known = true
 		h.addAnswer(o.plain)
 	case Refused:
-		h.known = true
 		h.addRefusal(o, after)
 	case Unreached:
 	default:
--- a/pipeline/rig_test.go
+++ b/pipeline/rig_test.go
@@ -67,7 +67,7 @@
 	transports := transport.NewTransports(transport.Options{})
 	t.Cleanup(transports.Close)
 	r := &rig{t: t, claims: newMemClaims(), b: testBundle()}
-	r.engines = []*standin.Engine{standin.NewEngine(standin.EngineConfig{ID: "e0"})}
+	r.engines = []*standin.Engine{standin.NewEngine(standin.EngineConfig{})}
 	r.plain = standin.NewPlain("booking-desk")
 	r.deps = Deps{
 		Instance: claim.Instance{ID: "malang-1", Incarnation: 1},
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -25,8 +25,6 @@
 
 // EngineConfig configures a stand-in engine.
 type EngineConfig struct {
-	// ID is a name for the host's own use.
-	ID string
 	// Slots bounds the requests that run at once; default 8.
 	Slots int
 	// MaxWaiting bounds the requests that wait for a slot; further ones get
