exchange: requests of callers that have left are not sent

Callers that had left got their requests run, and others waited behind them. While it is overloaded or wakes from a pause, it reads requests whose callers left seconds ago; the end of the connection is read only after the request, so some went to targets before it. Change: before each attempt the instance looks at the caller's connection itself. A request whose caller has closed it ends there.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -253,6 +253,7 @@
 		}
 		server := &http.Server{
 			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: zap.NewStdLog(r.log),
+			ConnContext: exchange.WithCallerConn,
 		}
 		if address == r.s.Listen.BindInstances() {
 			server.IdleTimeout = peerIdleTimeout
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
@@ -255,6 +256,45 @@
 	})
 }
 
+// Guards against requests that are sent to targets although their callers left before they were read.
+func TestRequestsOfCallersThatLeftAreNotSent(t *testing.T) {
+	const callers = 100
+	x := newTarget(t, "t1", respond(200, "ok"))
+	r := newRig(t, "r", x)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range callers {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fmt.Fprintf(c, "POST /safe/x HTTP/1.1\r\nHost: %s\r\nId: %d\r\nContent-Length: 1\r\n\r\nb", host, n); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ended := make(chan struct{}, callers)
+	server := &http.Server{ConnContext: exchange.WithCallerConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		defer func() { ended <- struct{}{} }()
+		r.gateway.ServeHTTP(w, q)
+	})}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	for range callers {
+		<-ended
+	}
+	if got := requestCount(x); got > 0 {
+		t.Errorf("%d of %d requests were sent", got, callers)
+	}
+	if gone := r.metrics.CallersGone.Count(); gone != callers {
+		t.Errorf("%d of %d callers counted as gone", gone, callers)
+	}
+}
+
 // Guards against targets that work on requests whose callers have left: when a caller closes its
 // connection, the connection to the target must be closed.
 func TestLeavingCallerIsCancelledAtTheTarget(t *testing.T) {
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -125,9 +125,7 @@
 			zap.Duration("after", time.Since(q.acceptedAt)), zap.Int("sends", q.attemptCount))
 		panic(http.ErrAbortHandler)
 	case q.r.Context().Err() != nil:
-		q.g.o.Metrics.CallersGone.Inc(1)
-		q.g.o.Log.Debug("caller left", zap.String("id", q.call.ID), zap.Duration("after", time.Since(q.acceptedAt)))
-		panic(http.ErrAbortHandler)
+		q.abort()
 	case q.failedAnswer != nil:
 		q.writeAnswer(q.failedAnswer)
 	case q.verdict == verdict.NotRun:
@@ -139,6 +137,13 @@
 	}
 }
 
+// abort ends a request whose caller has left. It panics with http.ErrAbortHandler.
+func (q *request) abort() {
+	q.g.o.Metrics.CallersGone.Inc(1)
+	q.g.o.Log.Debug("caller left", zap.String("id", q.call.ID), zap.Duration("after", time.Since(q.acceptedAt)))
+	panic(http.ErrAbortHandler)
+}
+
 // unserved returns the refusal of a request that has not run, with the time after which the caller
 // may return: when the first rest ends, if all targets that may serve it rest.
 func (q *request) unserved(now time.Time, code verdict.Code) *refusal {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -27,6 +27,9 @@
 	}
 	q.g.countRoute(q.route.Name)
 	for {
+		if q.callerLeft() {
+			q.abort()
+		}
 		now := time.Now()
 		to, code := q.choose(now)
 		q.g.o.Metrics.ChooseTime.Update(time.Since(now))
--- a/ports/rawhttp/socket_linux.go
+++ b/ports/rawhttp/socket_linux.go
@@ -47,6 +47,26 @@
 	return CheckIdle(c.Conn) == nil
 }
 
+// HasEnded reports whether the peer has closed or reset a connection and has sent nothing before that
+// is not read yet.
+func HasEnded(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || err == unix.ECONNRESET
+	})
+	return err == nil && ended
+}
+
 // CheckIdle returns nil if a read of the connection would block: the peer has neither
 // closed it nor sent anything.
 func CheckIdle(c net.Conn) error {
