exchange: a pause while catching up continues the one before

Cause: a second, shorter pause replaced the time in which what waited during the first one earns nothing; without a span every sign of life was a pause. Change: pauses merge; none is detected without a lag. Measured: TestPauseWhileCatchingUpContinuesThePauseBefore and TestNoPauseIsDetectedWithoutALag fail on the code before, pass now.

--- a/pipeline/exchange/pause.go
+++ b/pipeline/exchange/pause.go
@@ -5,12 +5,13 @@
 // pauseDetector detects that this process stood still or lagged, so that what it reads afterwards may
 // have waited in its sockets. It is not safe for concurrent use.
 type pauseDetector struct {
-	// maxLag is the longest time between two signs of life that is not a pause.
+	// maxLag is the longest time between two signs of life that is not a pause; 0 if none is
+	// detected.
 	maxLag time.Duration
 	// runningAt is the last sign of life.
 	runningAt time.Time
 	// endedAt is the end of the last pause; until caughtUpAt, requests may have waited since before
-	// it.
+	// it. A pause before caughtUpAt continues the last one.
 	endedAt, caughtUpAt time.Time
 }
 
@@ -21,13 +22,17 @@
 		return 0
 	}
 	p.runningAt = now
-	if gap <= p.maxLag {
+	if gap <= p.maxLag || p.maxLag == 0 {
 		return 0
 	}
-	p.endedAt = now
+	if now.After(p.caughtUpAt) {
+		p.endedAt = now
+	}
 	// To read what has waited takes less time than it waited: an overloaded process shows by a
 	// further lag.
-	p.caughtUpAt = now.Add(gap)
+	if until := now.Add(gap); until.After(p.caughtUpAt) {
+		p.caughtUpAt = until
+	}
 	return gap
 }
 
