--- a/soak/doc.go
+++ b/soak/doc.go
@@ -10,4 +10,7 @@
 // violation in one of a hundred interleavings needs many seeds:
 //
 //	go test ./soak -run TestSeeds -soak.seeds 1-50 -timeout 1h
+//
+// DrawWideFaults draws faults of all entry instances or of all runners, which use up the retry budget;
+// -soak.wide plays them.
 package soak
