exchange: other regions are told the end of a rest without a spread

Callers could be refused for up to two seconds after a rest had ended in the other region. Cause: the time told to an instance that forwards had the spread of callers in it; that instance skipped the region until then, and spread its own callers once more. Change: a forwarded request is told when the rest ends; the instance that received it from its caller spreads. Measured: TestOtherRegionsAreToldTheEndOfARest failed before (21.54 s for a rest of 20 s) and passes.

--- a/pipeline/exchange/announcements_test.go
+++ b/pipeline/exchange/announcements_test.go
@@ -157,6 +157,25 @@
 	})
 }
 
+// Guards against a region that is skipped for longer than its targets rest: its instance told the end
+// of the rest with the spread of its own callers.
+func TestOtherRegionsAreToldTheEndOfARest(t *testing.T) {
+	const rest = 20 * time.Second
+	Convey("an instance of another region forwards requests to one whose targets rest", t, func() {
+		_, b := newRegionPair(t, nil, []*target{newTarget(t, "far", asksForRest(rest))})
+		for range 20 {
+			req := b.request("/safe/x", "")
+			req.URL.Host = b.peers.Listener.Addr().String()
+			for name, value := range map[string]string{"From": "r", "Version": "3", "Left-Millis": "60000", "Attempts": "1"} {
+				req.Header.Set("Gullhaven-"+name, value)
+			}
+			got := do(req)
+			So(got.body, ShouldEqual, "targets_resting\n")
+			So(retryAfter(got), ShouldBeBetween, rest-5*time.Second, rest+10*time.Millisecond)
+		}
+	})
+}
+
 // Guards against callers that are told to come back at once while all targets are about to end.
 func TestCallersComeBackLaterWhileAllTargetsAreLeaving(t *testing.T) {
 	Convey("the only target is leaving", t, func() {
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -152,7 +152,11 @@
 	if code != CodeNoTarget || q.refusedElsewhere {
 		return f
 	}
-	if rest, ok := q.firstRest(now); ok {
+	rest, resting := q.firstRest(now)
+	if resting && q.forwarded != nil {
+		// The other instance spreads its own callers.
+		f.code, f.retryAfter = CodeResting, rest.Left
+	} else if resting {
 		f.code, f.retryAfter = CodeResting, place.RestRetryAfter(rest.Left, rest.Asked, left, q.g.fraction())
 	} else if q.allows(q.g.o.Region) && q.g.o.Pool.AllDraining(q.service) {
 		f.code, f.retryAfter = CodeDraining, place.RetryAfter(place.Draining, left)
