--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -87,22 +87,22 @@
 }
 
 const (
-	// signsOfLifePerLag is the number of signs of life within retry.MaxLag.
-	signsOfLifePerLag = 4
-	// minSignInterval bounds the processor time of signs of life.
-	minSignInterval = 25 * time.Millisecond
+	// heartbeatsPerLag is the number of heartbeats within retry.MaxLag.
+	heartbeatsPerLag = 4
+	// minHeartbeatInterval bounds the processor time of heartbeats.
+	minHeartbeatInterval = 25 * time.Millisecond
 )
 
 // Run detects pauses of this process until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	tick := time.NewTicker(max(minSignInterval, retry.MaxLag(g.o.Retries.Span)/signsOfLifePerLag))
+	tick := time.NewTicker(max(minHeartbeatInterval, retry.MaxLag(g.o.Retries.Span)/heartbeatsPerLag))
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if pause := g.retries.running(time.Now()); pause > 0 {
+			if pause := g.retries.heartbeat(time.Now()); pause > 0 {
 				g.o.Metrics.Pauses.Inc(1)
 				g.o.Log.Warn("the process stood still", zap.Duration("pause", pause))
 			}
--- a/pipeline/exchange/pause.go
+++ b/pipeline/exchange/pause.go
@@ -5,23 +5,22 @@
 // pauseDetector detects that this process stood still or lagged, so that what it reads afterwards may
 // have waited in its sockets. It is not safe for concurrent use.
 type pauseDetector struct {
-	// maxLag is the longest time between two signs of life that is not a pause; 0 if none is
-	// detected.
+	// maxLag is the longest time between two heartbeats that is not a pause; 0 if none is detected.
 	maxLag time.Duration
-	// runningAt is the last sign of life.
-	runningAt time.Time
+	// heartbeatAt is the time of the last heartbeat.
+	heartbeatAt time.Time
 	// endedAt is the end of the last pause; until caughtUpAt, requests may have waited since before
 	// it. A pause before caughtUpAt continues the last one.
 	endedAt, caughtUpAt time.Time
 }
 
-// running records a sign of life and returns the pause that it ends; 0 for none.
-func (p *pauseDetector) running(now time.Time) time.Duration {
-	gap := now.Sub(p.runningAt)
+// heartbeat records that the process runs, and returns the pause that ends now; 0 for none.
+func (p *pauseDetector) heartbeat(now time.Time) time.Duration {
+	gap := now.Sub(p.heartbeatAt)
 	if gap <= 0 {
 		return 0
 	}
-	p.runningAt = now
+	p.heartbeatAt = now
 	if gap <= p.maxLag || p.maxLag == 0 {
 		return 0
 	}
--- a/pipeline/exchange/pause_test.go
+++ b/pipeline/exchange/pause_test.go
@@ -9,11 +9,11 @@
 func TestPauseWhileCatchingUpContinuesThePauseBefore(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
-	p := pauseDetector{maxLag: time.Second, runningAt: start}
-	if pause := p.running(at(8)); pause != 8*time.Second {
+	p := pauseDetector{maxLag: time.Second, heartbeatAt: start}
+	if pause := p.heartbeat(at(8)); pause != 8*time.Second {
 		t.Fatalf("a pause of %v", pause)
 	}
-	if pause := p.running(at(10)); pause != 2*time.Second {
+	if pause := p.heartbeat(at(10)); pause != 2*time.Second {
 		t.Fatalf("a pause of %v", pause)
 	}
 	for seconds, want := range map[float64]bool{0.5: false, 8: true, 9: true, 10: true, 13: true, 15.9: true, 16: false} {
@@ -25,8 +25,8 @@
 
 // Guards against pauses that are found without a span of the budget.
 func TestNoPauseIsDetectedWithoutALag(t *testing.T) {
-	p := pauseDetector{runningAt: time.Unix(1_800_000_000, 0)}
-	if pause := p.running(p.runningAt.Add(time.Hour)); pause != 0 {
+	p := pauseDetector{heartbeatAt: time.Unix(1_800_000_000, 0)}
+	if pause := p.heartbeat(p.heartbeatAt.Add(time.Hour)); pause != 0 {
 		t.Errorf("a pause of %v", pause)
 	}
 }
--- a/pipeline/exchange/retry_budget.go
+++ b/pipeline/exchange/retry_budget.go
@@ -48,7 +48,7 @@
 
 	mu     sync.Mutex
 	pauses pauseDetector
-	// unreported is a pause that recordRequest noticed before running did.
+	// unreported is a pause that recordRequest noticed before heartbeat did.
 	unreported time.Duration
 	// unearned counts the requests that earn no retries, as they may have waited during a pause.
 	unearned int
@@ -79,16 +79,16 @@
 func newRetryBudget(limits RetryLimits, startedAt time.Time) *retryBudget {
 	return &retryBudget{
 		limits: limits, startedAt: startedAt, maxEntries: minEntryInstances, services: map[string]*serviceBudget{},
-		pauses: pauseDetector{maxLag: retry.MaxLag(limits.Span), runningAt: startedAt},
+		pauses: pauseDetector{maxLag: retry.MaxLag(limits.Span), heartbeatAt: startedAt},
 	}
 }
 
-// running must be called several times within a retry.MaxLag while the process runs. It returns the
+// heartbeat must be called several times within a retry.MaxLag while the process runs. It returns the
 // pause that ends now; 0 for none.
-func (r *retryBudget) running(now time.Time) time.Duration {
+func (r *retryBudget) heartbeat(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	pause := max(r.unreported, r.pauses.running(now))
+	pause := max(r.unreported, r.pauses.heartbeat(now))
 	r.unreported = 0
 	return pause
 }
@@ -98,7 +98,7 @@
 func (r *retryBudget) recordRequest(readAt time.Time, service string, entries int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unreported = max(r.unreported, r.pauses.running(readAt))
+	r.unreported = max(r.unreported, r.pauses.heartbeat(readAt))
 	if r.pauses.mayHaveWaited(readAt) {
 		r.unearned++
 		return
--- a/pipeline/exchange/retry_budget_test.go
+++ b/pipeline/exchange/retry_budget_test.go
@@ -82,7 +82,7 @@
 		if s.paused {
 			continue
 		}
-		s.budget.running(w.now)
+		s.budget.heartbeat(w.now)
 		for ; s.waiting > 0; s.waiting-- {
 			s.budget.recordRequest(w.now, "s", s.visible)
 			for range maxRetriesPerRequest {
