docs, soak: statements that no run showed are gone

Change: wording of pages and comments only. Measured: go test ./docs ./operate/cli ./ports/rawhttp and the soak's own tests with TestRetryBudgetInWideFaults pass.

--- a/ports/rawhttp/socket_linux.go
+++ b/ports/rawhttp/socket_linux.go
@@ -47,8 +47,7 @@
 	return CheckIdle(c.Conn) == nil
 }
 
-// HasEnded reports whether the peer has closed or reset a connection and has sent nothing before that
-// is not read yet.
+// HasEnded reports whether the peer has closed or reset a connection and no byte is left to read.
 func HasEnded(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -11,6 +11,6 @@
 //
 //	go test ./soak -run TestSeeds -soak.seeds 1-50 -timeout 1h
 //
-// DrawWideFaults draws faults of all entry instances or of all runners, which use up the retry budget;
-// -soak.wide plays them.
+// DrawWideFaults draws faults of all entry instances or of all runners, so that most requests are
+// retried; -soak.wide plays them.
 package soak
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,7 +60,7 @@
 // of all targets and of all entry instances overlap.
 func TestRetryBudgetInWideFaults(t *testing.T) { runWide(t, 2, wideSpan) }
 
-// runWide plays the wide faults of a seed with a budget that they use up.
+// runWide plays the wide faults of a seed with a small retry budget.
 func runWide(t *testing.T, seed uint64, span time.Duration) {
 	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 9}, Callers: 30, Budget: RetryBudget{Span: 3 * time.Second, Share: 0.2, Allowance: 6}}
 	runFaults(t, seed, o, DrawWideFaults(seed, o.Shape, span))
--- a/soak/world.go
+++ b/soak/world.go
@@ -23,8 +23,9 @@
 	Shape       Shape
 	// Callers is the number of callers, each with one request at a time.
 	Callers int
-	Budget  RetryBudget
-	Log     func(format string, args ...any)
+	// Budget is the retry budget in the settings of all instances, which Ledger checks.
+	Budget RetryBudget
+	Log    func(format string, args ...any)
 }
 
 const (
