coord/suspect: only a crash of a lone run explains other crashes

Callers saw a request that crashes its targets sent on to more of them, at a site where suspects do not run alone. Cause: a digest that was a suspect of two crashes explained both, and cleared all other suspects of them. An innocent one, convicted first by chance, so cleared the guilty one. Change: what explains a crash is proof alone: a crash in which a digest ran alone. Measured: TestQuarantinedInnocentDoesNotClearTheCause fails before (decision Run about the cause); go test ./coord/suspect ./experiment ./e2e -run TestPoisonRequest pass.

--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -15,8 +15,10 @@
 //   - A digest that finishes anywhere is cleared: a poison request never finishes.
 //     For FinishedTTL it is not suspected of any other crash either, whether
 //     recorded here or reported by others.
-//   - A crash with a quarantined digest in it is explained, and its other
-//     suspects are cleared of it: they shared the batch by chance.
+//   - A crash in which a digest was alone proves that it is the cause. It explains
+//     the other crashes that the digest was in, and their other suspects are cleared
+//     of these. A suspect of two crashes explains none: it may be innocent itself,
+//     and would clear the cause.
 //   - A planned shutdown is no crash and makes no suspects.
 //
 // # Why at most two targets are lost
@@ -37,10 +39,10 @@
 // Copies that run at several targets at the moment of the first crash can crash
 // all of those. An instance that is partitioned from the others of its region, but
 // not from targets and callers, learns of no suspects: each such side can lose
-// its own two. With two poison requests in one batch, the first one found explains
-// the crash and clears the other, which then can crash two more; it loses three
-// targets, one of them shared. Without that rule each innocent request of a batch
-// would need a lone run. Innocent requests that were in flight at two crashes and
+// its own two. With two poison requests in one batch, the first one that is alone in
+// a crash explains that of the batch and clears the other, which then can crash two
+// more; it loses three targets, one of them shared. Without that rule each innocent
+// request of a batch would need a lone run. Innocent requests that were in flight at two crashes and
 // have finished at no instance recently are refused until one copy finishes or the
 // entry expires. Entries don't cross regions: each region can lose two targets.
 package suspect
@@ -306,9 +308,9 @@
 	return true
 }
 
-// clearInnocents clears the other suspects of the crashes of a quarantined digest.
+// clearInnocents clears the other suspects of the crashes of a digest that was alone in one.
 func (t *Table) clearInnocents(now time.Time, d Digest) []Entry {
-	if t.Decide(d) != Refuse {
+	if _, alone := t.countSuspicions(d); !alone {
 		return nil
 	}
 	var updates []Entry
@@ -317,7 +319,7 @@
 			continue
 		}
 		for _, other := range t.crashes[c] {
-			if other == d || t.Decide(other) == Refuse {
+			if _, alone := t.countSuspicions(other); other == d || alone {
 				continue
 			}
 			cleared := Entry{other, c, Cleared, now.Add(t.cfg.Lifetime)}
