coord/suspect, node/entry: a refused request has trials, ever rarer, and stays refused while it comes

Callers of an innocent request that had shared two crashes were refused for ten minutes, and a poison request crashed two more targets every ten minutes. Cause: a quarantine ended by time alone, after a fixed lifetime, and crashes were told apart by the target's id, under which a target may return and crash again; copies that ran at the same time counted apart, so that a loss of power made suspects of popular requests. A request that finished once was immune for ten minutes. Change: a refused request may run once (a trial) 5 s after its last crash, one at a time over all instances, granted by one of them; a trial that crashes its target makes the next one eight times later, one that finishes clears. Refusals renew the entries. Crashes carry when the attempt was sent and count only if that was after the crash counted before. One finish excuses one crash. The caller's key is part of what identifies a request.

--- a/coord/suspect/cause_test.go
+++ b/coord/suspect/cause_test.go
@@ -13,7 +13,7 @@
 		// Another instance reports its suspect of the same crash a moment later.
 		table.Merge(start, []Entry{{Digest: poison, Crash: Crash{target, 1}, Until: start.Add(DefaultConfig().Lifetime)}})
 	}
-	if got := table.Decide(poison); got != Refuse {
+	if got := table.Decide(start, poison); got != Refuse {
 		t.Errorf("decision %v about the cause", got)
 	}
 }
--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -10,10 +10,10 @@
 // All digests in flight at a target that crashes become suspects of that
 // crash. A suspect runs alone, on a target that runs nothing else, or waits.
 // A digest that is a suspect of two crashes, or was alone in one, is
-// quarantined: it is refused until its entry expires.
+// quarantined: it is refused until its entry expires, or until a trial (below).
 //
 //   - A digest that finishes anywhere is cleared: a poison request never finishes.
-//     For FinishedTTL it is not suspected of any other crash either, whether
+//     It is not suspected of a later crash for FinishedTTL either, whether
 //     recorded here or reported by others.
 //   - A crash in which a digest was alone proves that it is the cause. It explains
 //     the other crashes that the digest was in, and their other suspects are cleared
@@ -21,6 +21,24 @@
 //     and would clear the cause.
 //   - A planned shutdown is no crash and makes no suspects.
 //
+// # Hosts without lone runs
+//
+// A host whose targets cannot be held free reports crashes with the time at which
+// the attempt was sent (ReportCrash). Copies of a request that ran at the same time
+// at several targets, which all lost power, then count as suspects of one crash: a
+// crash counts only if its attempt was sent after the crash counted before it. So a
+// poison request whose callers wait for the end of one attempt before the next
+// crashes two targets before it is refused, and with n copies at a time 2n.
+//
+// # Trials
+//
+// Without lone runs an innocent digest can be quarantined by chance, and cannot
+// finish any more. So after Config.TrialAfter one copy may run (Trial, then Reserve).
+// If it finishes, the digest is cleared; if it crashes its target, the next trial is
+// trialFactor times later. While callers send a quarantined digest, Renew keeps its
+// entries. So in a time T a poison request gets log(T/TrialAfter)/log(trialFactor)
+// trials, and an innocent one waits for TrialAfter if its trial ends well.
+//
 // # Why at most two targets are lost
 //
 // After the first crash the poison request is a suspect at every instance that
@@ -39,10 +57,10 @@
 // Copies that run at several targets at the moment of the first crash can crash
 // all of those. An instance that is partitioned from the others of its region, but
 // not from targets and callers, learns of no suspects: each such side can lose
-// its own two. With two poison requests in one batch, the first one that is alone in
-// a crash explains that of the batch and clears the other, which then can crash two
-// more; it loses three targets, one of them shared. Without that rule each innocent
-// request of a batch would need a lone run. Innocent requests that were in flight at two crashes and
+// its own two. With two poison requests in one batch, the first one found explains
+// the crash and clears the other, which then can crash two more; it loses three
+// targets, one of them shared. Without that rule each innocent request of a batch
+// would need a lone run. Innocent requests that were in flight at two crashes and
 // have finished at no instance recently are refused until one copy finishes or the
 // entry expires. Entries don't cross regions: each region can lose two targets.
 package suspect
@@ -76,6 +94,8 @@
 	RunAlone
 	// Refuse: the digest is quarantined.
 	Refuse
+	// Trial: the digest is quarantined, and one copy may run after Reserve.
+	Trial
 )
 
 // Status is the relation of a digest to a crash. It only rises.
@@ -97,12 +117,36 @@
 	Status Status `cbor:"3,keyasint,omitempty"`
 	// Until is when the entry expires.
 	Until time.Time `cbor:"4,keyasint"`
+	// SentAt is when the attempt was sent, and CrashedAt when its target was found to have
+	// crashed; both are zero if the host does not report them.
+	SentAt    Instant `cbor:"5,keyasint,omitempty"`
+	CrashedAt Instant `cbor:"6,keyasint,omitempty"`
+}
+
+// Instant is a Unix time in microseconds; 0 if it is not known.
+type Instant int64
+
+// InstantOf returns the instant of a time.
+func InstantOf(t time.Time) Instant { return Instant(t.UnixMicro()) }
+
+// Time returns the time of an instant; the zero time if it is not known.
+func (i Instant) Time() time.Time {
+	if i == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(int64(i))
 }
 
 // Config bounds a Table.
 type Config struct {
-	// Lifetime of an entry, and so of a quarantine.
+	// Lifetime of an entry, and so of a quarantine that is not renewed.
 	Lifetime time.Duration
+	// TrialAfter is how long after its last crash a quarantined digest may have its first trial;
+	// 0 for no trials.
+	TrialAfter time.Duration
+	// MaxTrials bounds the trials that are reserved at the same time: two of them at one target
+	// would not tell which one crashed it.
+	MaxTrials int
 	// MaxEntries in the table; beyond that cleared ones are evicted first, and
 	// otherwise the one that expires first.
 	MaxEntries int
@@ -141,8 +185,9 @@
 }
 
 type entry struct {
-	status Status
-	until  time.Time
+	status            Status
+	until             time.Time
+	sentAt, crashedAt Instant
 }
 
 // New returns an empty table.
@@ -161,39 +206,45 @@
 func (t *Table) Evicted() uint64 { return t.evicted }
 
 // Decide returns how a request with this digest may run now.
-func (t *Table) Decide(d Digest) Decision {
-	switch suspected, alone := t.countSuspicions(d); {
-	case alone || suspected >= 2:
+func (t *Table) Decide(now time.Time, d Digest) Decision {
+	switch v := t.suspicion(d); {
+	case v.quarantined() && t.trialDue(now, v):
+		return Trial
+	case v.quarantined():
 		return Refuse
-	case suspected == 1:
+	case v.crashes == 1:
 		return RunAlone
 	}
 	return Run
 }
 
-func (t *Table) countSuspicions(d Digest) (suspected int, alone bool) {
-	for _, e := range t.digests[d] {
-		switch e.status {
-		case Suspected:
-			suspected++
-		case Alone:
-			alone = true
-		}
-	}
-	return suspected, alone
-}
-
-// Reserve reserves the one lone run of a suspect in the region, until the given time at
-// the latest, and reports whether it did. Call it on the owner's table only; Release ends
-// the reservation.
+// Reserve reserves the one lone run of a suspect, or the one trial of a quarantined digest,
+// until the given time at the latest, and reports whether it did. Call it on the owner's table
+// only; Release ends the reservation.
 func (t *Table) Reserve(now time.Time, d Digest, until time.Time) bool {
-	if t.Decide(d) != RunAlone || now.Before(t.reserved[d]) {
+	switch v := t.Decide(now, d); {
+	case now.Before(t.reserved[d]):
+		return false
+	case v == Trial && t.reservedAt(now) >= t.cfg.MaxTrials:
+		return false
+	case v != RunAlone && v != Trial:
 		return false
 	}
 	t.reserved[d] = until
 	return true
 }
 
+// reservedAt returns the number of reservations in force.
+func (t *Table) reservedAt(now time.Time) int {
+	n := 0
+	for _, until := range t.reserved {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
 // Release ends a reservation. Call it once the run has ended and, if it crashed, the
 // entries of the crash were merged here.
 func (t *Table) Release(d Digest) { delete(t.reserved, d) }
@@ -224,7 +275,7 @@
 	var out []Entry
 	for c, e := range t.digests[d] {
 		if e.status != Cleared {
-			out = append(out, Entry{d, c, Cleared, now.Add(t.cfg.Lifetime)})
+			out = append(out, e.withStatus(d, c, Cleared, now.Add(t.cfg.Lifetime)))
 		}
 	}
 	return t.Merge(now, out)
@@ -272,7 +323,9 @@
 			continue
 		}
 		updates = append(updates, e)
-		if innocent := (Entry{e.Digest, e.Crash, Cleared, e.Until}); e.Status == Suspected && t.finishedRecently(now, e.Digest) && t.join(innocent) {
+		innocent := e
+		innocent.Status = Cleared
+		if e.Status == Suspected && t.excuses(now, e) && t.join(innocent) {
 			updates = append(updates, innocent)
 		}
 	}
@@ -295,14 +348,15 @@
 		t.digests[e.Digest] = entries
 	}
 	if old := entries[e.Crash]; old != nil {
-		if e.Status <= old.status {
+		renewed := e.Status == old.status && e.Until.Sub(old.until) >= t.renewAfter()
+		if e.Status <= old.status && !renewed {
 			return false
 		}
-		old.status = e.Status
+		old.status = max(old.status, e.Status)
 		old.until = later(old.until, e.Until)
 		return true
 	}
-	entries[e.Crash] = &entry{status: e.Status, until: e.Until}
+	entries[e.Crash] = &entry{status: e.Status, until: e.Until, sentAt: e.SentAt, crashedAt: e.CrashedAt}
 	t.crashes[e.Crash] = append(t.crashes[e.Crash], e.Digest)
 	t.entryCount++
 	return true
@@ -310,7 +364,7 @@
 
 // clearInnocents clears the other suspects of the crashes of a digest that was alone in one.
 func (t *Table) clearInnocents(now time.Time, d Digest) []Entry {
-	if _, alone := t.countSuspicions(d); !alone {
+	if !t.suspicion(d).alone {
 		return nil
 	}
 	var updates []Entry
@@ -319,10 +373,10 @@
 			continue
 		}
 		for _, other := range t.crashes[c] {
-			if _, alone := t.countSuspicions(other); other == d || alone {
+			if other == d || t.suspicion(other).alone {
 				continue
 			}
-			cleared := Entry{other, c, Cleared, now.Add(t.cfg.Lifetime)}
+			cleared := t.digests[other][c].withStatus(other, c, Cleared, now.Add(t.cfg.Lifetime))
 			if t.join(cleared) {
 				updates = append(updates, cleared)
 			}
@@ -336,7 +390,7 @@
 	out := make([]Entry, 0, t.entryCount)
 	for d, entries := range t.digests {
 		for c, e := range entries {
-			out = append(out, Entry{d, c, e.status, e.until})
+			out = append(out, e.withStatus(d, c, e.status, e.until))
 		}
 	}
 	slices.SortFunc(out, compareEntries)
--- a/coord/suspect/table_test.go
+++ b/coord/suspect/table_test.go
@@ -58,7 +58,7 @@
 	i := rapid.IntRange(0, len(r.tables)-1).Draw(r.t, "instance")
 	target := rapid.IntRange(0, len(r.targets)-1).Draw(r.t, "target")
 	alone := false
-	switch r.tables[i].Decide(d) {
+	switch r.tables[i].Decide(start, d) {
 	case Refuse:
 		return false
 	case RunAlone:
@@ -123,7 +123,7 @@
 func (r *region) checkDecisionsMatch() {
 	for _, t := range r.tables {
 		for _, e := range r.tables[0].Entries() {
-			if t.Decide(e.Digest) != r.tables[0].Decide(e.Digest) {
+			if t.Decide(start, e.Digest) != r.tables[0].Decide(start, e.Digest) {
 				r.t.Fatalf("instances decide differently about %v", e.Digest)
 			}
 		}
@@ -137,7 +137,7 @@
 			d := requests[rapid.IntRange(0, len(requests)-1).Draw(r.t, "request")]
 			// A caller waits for the end before it resends. Copies of a known suspect come
 			// from many callers at once.
-			if !r.inFlight(d) || r.tables[0].Decide(d) != Run {
+			if !r.inFlight(d) || r.tables[0].Decide(start, d) != Run {
 				r.send(d)
 			}
 			continue
@@ -177,7 +177,7 @@
 			for target := range r.targets {
 				r.run(target, false)
 			}
-			if got := r.tables[0].Decide(d); got != Run {
+			if got := r.tables[0].Decide(start, d); got != Run {
 				t.Fatalf("an innocent request has decision %d", got)
 			}
 		}
@@ -216,17 +216,17 @@
 	table.Started(1, poison, "a", false)
 	table.Started(2, innocent, "a", false)
 	table.Crashed(start, Crash{"a", 1})
-	if table.Decide(poison) != RunAlone || table.Decide(innocent) != RunAlone {
+	if table.Decide(start, poison) != RunAlone || table.Decide(start, innocent) != RunAlone {
 		t.Fatal("a crash made no suspects")
 	}
 	table.Started(3, poison, "b", true)
 	table.Crashed(start, Crash{"b", 1})
-	if table.Decide(poison) != Refuse || table.Decide(innocent) != Run {
+	if table.Decide(start, poison) != Refuse || table.Decide(start, innocent) != Run {
 		t.Fatal("the second crash did not separate the poison request from the innocent one")
 	}
 	table.Started(4, other, "c", true)
 	table.Crashed(start, Crash{"c", 1})
-	if table.Decide(other) != Refuse {
+	if table.Decide(start, other) != Refuse {
 		t.Fatal("a lone crash is no proof")
 	}
 }
@@ -244,10 +244,10 @@
 		t.Fatalf("%d held, %d evicted", table.Len(), table.Evicted())
 	}
 	kept := table.Entries()
-	table.Merge(start, []Entry{{kept[0].Digest, kept[0].Crash, Cleared, start.Add(time.Hour)}})
+	table.Merge(start, []Entry{{Digest: kept[0].Digest, Crash: kept[0].Crash, Status: Cleared, Until: start.Add(time.Hour)}})
 	table.Started(99, Digest{99}, "b", false)
 	table.Crashed(start, Crash{"b", 1})
-	if table.Decide(Digest{99}) != RunAlone || table.Decide(kept[1].Digest) != RunAlone || table.Len() != 10 {
+	if table.Decide(start, Digest{99}) != RunAlone || table.Decide(start, kept[1].Digest) != RunAlone || table.Len() != 10 {
 		t.Fatal("a suspect was evicted before a cleared entry")
 	}
 }
@@ -271,7 +271,7 @@
 		one := New(DefaultConfig())
 		finishedAt(one)
 		crash(one)
-		if got := one.Decide(popular); got != Run {
+		if got := one.Decide(start, popular); got != Run {
 			t.Errorf("decision %v", got)
 		}
 	})
@@ -279,11 +279,11 @@
 		one, other := New(DefaultConfig()), New(DefaultConfig())
 		finishedAt(other)
 		updates := crash(one)
-		if got := one.Decide(popular); got != Refuse {
+		if got := one.Decide(start, popular); got != Refuse {
 			t.Fatalf("decision %v before the other instance's entries are merged", got)
 		}
 		one.Merge(start, other.Merge(start.Add(time.Minute), updates))
-		if a, b := one.Decide(popular), other.Decide(popular); a != Run || b != Run {
+		if a, b := one.Decide(start, popular), other.Decide(start, popular); a != Run || b != Run {
 			t.Errorf("decisions %v and %v", a, b)
 		}
 	})
@@ -292,7 +292,7 @@
 		one.Started(100, popular, "c", false)
 		one.Ended(start.Add(-DefaultConfig().FinishedTTL), 100, true)
 		crash(one)
-		if got := one.Decide(popular); got != Refuse {
+		if got := one.Decide(start, popular); got != Refuse {
 			t.Errorf("decision %v", got)
 		}
 	})
@@ -315,7 +315,7 @@
 			distinct := map[Digest]bool{}
 			for k := len(order) - 1; k >= 0 && len(distinct) < maxFinished; k-- {
 				distinct[order[k]] = true
-				if _, ok := f.lastFinishedAt(order[k]); !ok {
+				if _, ok := f.last(order[k]); !ok {
 					t.Fatalf("one of the newest %d was dropped", maxFinished)
 				}
 			}
--- a/experiment/call.go
+++ b/experiment/call.go
@@ -103,7 +103,7 @@
 	if c.outcome != pending {
 		return
 	}
-	switch c.suspicion() {
+	switch c.suspicion(w.now) {
 	case suspect.Refuse:
 		w.endUnanswered(c)
 		return
@@ -218,7 +218,7 @@
 // hedge starts a second attempt if the first has not produced a token yet.
 func (w *world) hedge(a *attempt) {
 	c := a.call
-	if c.outcome != pending || c.responseStarted || c.suspicion() != suspect.Run || len(c.open) != 1 || c.open[0] != a || a.in.retryTokens < 1 {
+	if c.outcome != pending || c.responseStarted || c.suspicion(w.now) != suspect.Run || len(c.open) != 1 || c.open[0] != a || a.in.retryTokens < 1 {
 		return
 	}
 	second := c.req
--- a/experiment/suspects.go
+++ b/experiment/suspects.go
@@ -40,11 +40,11 @@
 
 // suspicion returns how the request may run here. It is checked before each
 // attempt.
-func (c *call) suspicion() suspect.Decision {
+func (c *call) suspicion(now time.Time) suspect.Decision {
 	if c.in.table == nil {
 		return suspect.Run
 	}
-	return c.in.table.Decide(c.digest)
+	return c.in.table.Decide(now, c.digest)
 }
 
 // publish merges entries at all instances of a region, and then the entries that
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -113,6 +113,7 @@
 	i.known.entries.Self = o.Self.ID
 	i.metrics = metrics.NewSiteEntry(i.metricsState)
 	i.poisonRequests = newPoisonRequests(o.Log)
+	newTrials(o.Self.ID, hub, o.Log, i.acceptingInstances, i.poisonRequests)
 	i.fetcher = newFetcher()
 	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
 	i.limits = quota.New(quota.Options{
@@ -144,6 +145,20 @@
 // MetricsHandler serves the metrics as text.
 func (i *Instance) MetricsHandler() http.Handler { return i.metrics }
 
+// acceptingInstances returns the IDs of the entry instances of all regions that accept requests, this
+// one included.
+func (i *Instance) acceptingInstances() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	ids := []string{i.o.Self.ID}
+	for _, e := range i.known.entries.Entries {
+		if e.Ready {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
 // metricsState returns the current values for the metrics.
 func (i *Instance) metricsState() metrics.EntryState {
 	now := time.Now()
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -9,77 +11,134 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/suspect"
-	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
 )
 
 // poisonRequests tracks the requests that crash each target that runs them, over all instances.
 //
-// A request whose target broke off before it answered is a suspect of that target's crash; a
-// suspect of two crashes is refused until its entry expires. A request that is answered is cleared,
-// and not suspected for a while. Requests are identified by a digest of what is the same in each
-// retry of their caller. Unlike in package suspect, suspects do not run alone here: innocent ones
-// would have to wait, and only one more target is lost.
+// A request under which a target broke off its answer is a suspect of that target's crash; a suspect
+// of two crashes is refused, except for single trials that come ever later. A request that finishes
+// is cleared. Requests are identified by a digest of what is the same in each retry of their caller.
+// Unlike in the instances of bundles, suspects do not run alone here: innocent ones would have to
+// wait, and only one more target is lost.
 type poisonRequests struct {
 	log *zap.Logger
-
-	mu       sync.Mutex
-	table    *suspect.Table
-	attempts suspect.Attempt
+	// reserve asks the instance that owns the trials for one of a request.
+	reserve func(ctx context.Context, d suspect.Digest) bool
+	// release tells it that the trial has ended, and with which entries.
+	release func(d suspect.Digest, entries []suspect.Entry)
+
+	mu    sync.Mutex
+	table *suspect.Table
+	// trials are the digests whose trial runs at this instance, and when it was admitted.
+	trials map[suspect.Digest]time.Time
 	// pending are entries that were not reported yet.
 	pending []suspect.Entry
 }
 
-// poisonTTL is how long a request that crashes its targets is refused: its caller retries it within
-// seconds or minutes, and an innocent one that was in flight at two crashes must not be refused for
-// a day.
-const poisonTTL = 10 * time.Minute
+const (
+	// poisonTTL is how long a request is refused that its caller does not send any more: callers
+	// return within seconds or minutes, and each refusal renews it.
+	poisonTTL = 10 * time.Minute
+	// trialAfter is when a refused request has its first trial: other instances and regions have
+	// heard of both crashes by then, and an innocent caller is not turned away for long.
+	trialAfter = 5 * time.Second
+)
 
 // maxPending bounds the entries that wait for the next report; the oldest are dropped.
 const maxPending = 256
 
 func newPoisonRequests(log *zap.Logger) *poisonRequests {
 	cfg := suspect.DefaultConfig()
-	cfg.Lifetime = poisonTTL
-	return &poisonRequests{log: log, table: suspect.New(cfg)}
+	cfg.Lifetime, cfg.TrialAfter, cfg.MaxTrials = poisonTTL, trialAfter, 1
+	return &poisonRequests{
+		log: log, table: suspect.New(cfg), trials: map[suspect.Digest]time.Time{},
+		reserve: func(context.Context, suspect.Digest) bool { return false },
+		release: func(suspect.Digest, []suspect.Entry) {},
+	}
 }
 
-func digestOf(r *rawhttp.Request) suspect.Digest {
+func digestOf(c exchange.Content) suspect.Digest {
 	h := sha256.New()
-	for _, part := range []string{r.Method, r.Host, r.Target} {
+	for _, part := range []string{c.Method, c.Host, c.Target} {
 		// None of them can contain the separator.
 		_, _ = h.Write(append([]byte(part), '\n'))
 	}
-	_, _ = h.Write(r.Body)
+	_, _ = h.Write(c.Caller[:])
+	_, _ = h.Write(c.Body)
 	return suspect.Digest(h.Sum(nil)[:len(suspect.Digest{})])
 }
 
-// IsPoison reports whether a request must no longer be sent to a target.
-func (p *poisonRequests) IsPoison(r *rawhttp.Request) bool {
+// Admit implements exchange.PoisonRequests.
+func (p *poisonRequests) Admit(ctx context.Context, c exchange.Content, forwarded bool) (refusedFor time.Duration, ok bool) {
+	d, decision, left := p.decide(c)
+	switch {
+	case decision != suspect.Trial:
+		return left, decision != suspect.Refuse
+	case forwarded:
+		// The other instance has the reservation.
+		return 0, true
+	case p.reserve(ctx, d):
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.trials[d] = time.Now()
+		p.log.Info("a request that has crashed targets has a trial", zap.String("host", c.Host), zap.String("method", c.Method))
+		return 0, true
+	}
+	return left, false
+}
+
+func (p *poisonRequests) decide(c exchange.Content) (d suspect.Digest, decision suspect.Decision, refusedFor time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Len() > 0 && p.table.Decide(digestOf(r)) == suspect.Refuse
+	if p.table.Len() == 0 {
+		return d, suspect.Run, 0
+	}
+	now := time.Now()
+	d = digestOf(c)
+	if decision = p.table.Decide(now, d); decision == suspect.Refuse || decision == suspect.Trial {
+		p.add(p.table.Renew(now, d))
+	}
+	return d, decision, p.table.RefusedFor(now, d)
+}
+
+// MayRetry implements exchange.PoisonRequests.
+func (p *poisonRequests) MayRetry(c exchange.Content) bool {
+	_, decision, _ := p.decide(c)
+	return decision != suspect.Refuse && decision != suspect.Trial
 }
 
-// ReportCrash records that a target broke off before it answered a request.
-func (p *poisonRequests) ReportCrash(r *rawhttp.Request, target string) {
+// ReportCrash implements exchange.PoisonRequests.
+func (p *poisonRequests) ReportCrash(c exchange.Content, target string, sentAt time.Time) {
+	now, d := time.Now(), digestOf(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, d := time.Now(), digestOf(r)
-	p.attempts++
-	p.table.Started(p.attempts, d, target, false)
-	p.add(p.table.Crashed(now, suspect.Crash{Target: target}))
-	if p.table.Decide(d) == suspect.Refuse {
-		p.log.Warn("a request has crashed two targets and is refused from now on", zap.String("host", r.Host),
-			zap.String("method", r.Method), zap.String("last", target))
+	// A target may return under its ID at once.
+	crash := suspect.Crash{Target: target, Incarnation: uint64(now.UnixNano())}
+	entries := p.table.ReportCrash(now, d, crash, sentAt)
+	p.add(entries)
+	p.endTrial(d, entries)
+	if p.table.Decide(now, d) == suspect.Refuse {
+		p.log.Warn("a request has crashed several targets and is refused from now on", zap.String("host", c.Host),
+			zap.String("method", c.Method), zap.String("last", target), zap.Duration("until_trial", p.table.RefusedFor(now, d)))
 	}
 }
 
-// ReportAnswer records that a target answered a request.
-func (p *poisonRequests) ReportAnswer(r *rawhttp.Request, _ string) {
-	d := digestOf(r)
+// ReportFinished implements exchange.PoisonRequests.
+func (p *poisonRequests) ReportFinished(c exchange.Content) {
+	d := digestOf(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.add(p.table.Finished(time.Now(), d))
+	entries := p.table.Finished(time.Now(), d)
+	p.add(entries)
+	p.endTrial(d, entries)
+}
+
+func (p *poisonRequests) endTrial(d suspect.Digest, entries []suspect.Entry) {
+	if _, ok := p.trials[d]; ok {
+		delete(p.trials, d)
+		p.release(d, entries)
+	}
 }
 
 func (p *poisonRequests) add(entries []suspect.Entry) {
@@ -94,7 +153,9 @@
 func (p *poisonRequests) takePending() []suspect.Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Expire(time.Now())
+	now := time.Now()
+	p.table.Expire(now)
+	maps.DeleteFunc(p.trials, func(_ suspect.Digest, at time.Time) bool { return now.Sub(at) > maxTrialTime })
 	entries := p.pending
 	p.pending = nil
 	return entries
@@ -123,3 +184,19 @@
 	derived := p.table.Merge(time.Now(), entries)
 	p.add(slices.DeleteFunc(derived, func(e suspect.Entry) bool { return received[e] }))
 }
+
+// grantTrial reserves a trial as the owner of all trials.
+func (p *poisonRequests) grantTrial(d suspect.Digest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return p.table.Reserve(now, d, now.Add(maxTrialTime))
+}
+
+// endReservation ends a reservation of grantTrial, with what the trial has shown.
+func (p *poisonRequests) endReservation(d suspect.Digest, entries []suspect.Entry) {
+	p.merge(entries)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Release(d)
+}
--- a/node/suspects/suspects.go
+++ b/node/suspects/suspects.go
@@ -109,10 +109,10 @@
 func shortDigest(d ports.Digest) suspect.Digest { return suspect.Digest(d[:len(suspect.Digest{})]) }
 
 // Check reports how a request may run: normally, alone, or not at all.
-func (s *Service) Check(_ time.Time, d ports.Digest) ports.Suspicion {
+func (s *Service) Check(now time.Time, d ports.Digest) ports.Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch s.table.Decide(shortDigest(d)) {
+	switch s.table.Decide(now, shortDigest(d)) {
 	case suspect.RunAlone:
 		return ports.SuspectAlone
 	case suspect.Refuse:
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -100,8 +100,8 @@
 		q.refuse(refusal)
 		return
 	}
-	if g.o.PoisonRequests != nil && g.o.PoisonRequests.IsPoison(&q.raw) {
-		q.refuse(&refusal{status: http.StatusServiceUnavailable, code: CodePoison, retryAfter: place.RetryAfter(place.PoisonRequest, 0)})
+	if refusal := q.checkPoison(); refusal != nil {
+		q.refuse(refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -13,7 +13,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
-	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
@@ -342,19 +341,21 @@
 
 // fakePoison records what the gateway reports.
 type fakePoison struct {
-	crashed, answered []string
+	crashed, finished []string
 	poison            bool
 }
 
-func (c *fakePoison) IsPoison(*rawhttp.Request) bool { return c.poison }
+func (c *fakePoison) Admit(context.Context, exchange.Content, bool) (time.Duration, bool) {
+	return 0, !c.poison
+}
+
+func (c *fakePoison) MayRetry(exchange.Content) bool { return !c.poison }
 
-func (c *fakePoison) ReportCrash(_ *rawhttp.Request, target string) {
+func (c *fakePoison) ReportCrash(_ exchange.Content, target string, _ time.Time) {
 	c.crashed = append(c.crashed, target)
 }
 
-func (c *fakePoison) ReportAnswer(_ *rawhttp.Request, place string) {
-	c.answered = append(c.answered, place)
-}
+func (c *fakePoison) ReportFinished(r exchange.Content) { c.finished = append(c.finished, r.Target) }
 
 // Guards against retrying a poison request without end, and against taking an innocent request
 // for one: only a connection that the target closes before its answer counts as a crash.
@@ -380,7 +381,7 @@
 		x := newTarget(t, "t1", respond(200, "done"))
 		r := newRigWith(t, "r", k, x)
 		So(r.call("/unsafe/x", "b").status, ShouldEqual, 200)
-		So(k.answered, ShouldResemble, []string{"t1"})
+		So(k.finished, ShouldResemble, []string{"/unsafe/x"})
 		k.poison = true
 		got := r.call("/unsafe/x", "b")
 		So(got.status, ShouldEqual, 503)
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -62,7 +62,7 @@
 	m.FirstByteTime.Update(q.firstByteAt.Sub(q.acceptedAt))
 	m.RequestTime.Update(now.Sub(q.acceptedAt))
 	if q.g.o.PoisonRequests != nil {
-		q.g.o.PoisonRequests.ReportAnswer(&q.raw, q.lastTried)
+		q.g.o.PoisonRequests.ReportFinished(q.content())
 	}
 	// The fields are built only if the log line budget admits the line.
 	line := q.g.o.AccessLog.Check(zap.InfoLevel, "served")
@@ -252,14 +252,6 @@
 	return pick.Lost
 }
 
-// reportCrash reports a target that closed the connection instead of answering.
-func (q *request) reportCrash(target string, err error) {
-	ended := errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-	if ended && q.g.o.PoisonRequests != nil && q.ctx.Err() == nil {
-		q.g.o.PoisonRequests.ReportCrash(&q.raw, target)
-	}
-}
-
 // handleAnswer relays an answer and reports whether the caller has got it whole; if not,
 // another attempt is needed. p is nil for an answer of another instance.
 func (q *request) handleAnswer(a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -14,7 +14,6 @@
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/verdict"
-	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
@@ -148,12 +147,24 @@
 
 // PoisonRequests knows the requests that crash every target that runs them.
 type PoisonRequests interface {
-	// IsPoison reports whether the request must not be sent any more.
-	IsPoison(r *rawhttp.Request) bool
-	// ReportCrash reports that a target closed the connection before it answered.
-	ReportCrash(r *rawhttp.Request, target string)
-	// ReportAnswer reports that a target answered the request.
-	ReportAnswer(r *rawhttp.Request, target string)
+	// Admit reports whether a request may be sent to a target, and if not, for how long it is refused
+	// at least. forwarded says that an instance of another region has admitted it.
+	Admit(ctx context.Context, c Content, forwarded bool) (refusedFor time.Duration, ok bool)
+	// MayRetry reports whether a request may be sent to another target after one that was lost.
+	MayRetry(c Content) bool
+	// ReportCrash reports that a target broke off its answer to a request that was sent at sentAt, or
+	// closed the connection before it answered.
+	ReportCrash(c Content, target string, sentAt time.Time)
+	// ReportFinished reports that a target ran the request to its end.
+	ReportFinished(c Content)
+}
+
+// Content is what stays the same when a caller sends a request again.
+type Content struct {
+	Method, Host, Target string
+	Body                 []byte
+	// Caller is the digest of the caller's key; zero for a caller without one.
+	Caller routes.KeyDigest
 }
 
 // Decision is a target chosen by a group owner.
