exchange: a target that ends within its answer has crashed, too

Cause: a crash was reported only if the target had sent nothing. A request whose targets send the head of an answer, or part of it, before they end was never a suspect; requests that waited at the same targets were. Change: an answer that breaks off counts, however much of it has come. What is malformed, silent or over the length is still no crash. The case 'truncates its answer' of TestCrashesAreReported held that this is no crash, which was wrong: nothing tells such an end from one without a head.

--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -358,21 +358,30 @@
 func (c *fakePoison) ReportFinished(r exchange.Content) { c.finished = append(c.finished, r.Target) }
 
 // Guards against retrying a poison request without end, and against taking an innocent request
-// for one: only a connection that the target closes before its answer counts as a crash.
+// for one: only a connection that the target closes before or within its answer counts as a crash.
 func TestCrashesAreReported(t *testing.T) {
+	const head = "HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n"
 	for name, c := range map[string]struct {
 		first script
+		path  string
 		want  int
 	}{
-		"ends the connection":  {closes, 1},
-		"fails":                {respond(500, "failed"), 0},
-		"rejects":              {notRun, 0},
-		"truncates its answer": {respondRaw("HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\nContent-Length: 9\r\n\r\nx", false), 0},
+		"ends the connection":                 {closes, "/unsafe/x", 1},
+		"fails":                               {respond(500, "failed"), "/unsafe/x", 0},
+		"rejects":                             {notRun, "/unsafe/x", 0},
+		"sends what is no answer":             {respondRaw("no answer at all\r\n\r\n", true), "/unsafe/x", 0},
+		"sends a malformed chunk":             {respondRaw(head+"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", true), "/unsafe/x", 0},
+		"ends after its head":                 {respondRaw(head+"Content-Length: 9\r\n\r\n", false), "/unsafe/x", 1},
+		"truncates its answer":                {respondRaw(head+"Content-Length: 9\r\n\r\nx", false), "/unsafe/x", 1},
+		"truncates a chunk":                   {respondRaw(head+"Transfer-Encoding: chunked\r\n\r\n9\r\nx", false), "/unsafe/x", 1},
+		"ends a stream before its events":     {respondRaw(head+"Transfer-Encoding: chunked\r\n\r\n", false), "/stream/x", 1},
+		"ends a stream in an event":           {streamEvents(3, false), "/stream/x", 1},
+		"ends an unframed stream in an event": {respondRaw(head+"\r\nid: 1\nda", false), "/stream/x", 1},
 	} {
 		Convey("a target that "+name, t, func() {
 			k := &fakePoison{}
 			r := newRigWith(t, "r", k, newTarget(t, "t1", c.first))
-			r.call("/unsafe/x", "b")
+			r.call(c.path, "b")
 			So(len(k.crashed), ShouldEqual, c.want)
 		})
 	}
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -27,10 +27,16 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: CodePoison, retryAfter: after}
 }
 
-// reportCrash reports a target that closed the connection instead of answering.
-func (q *request) reportCrash(target string, err error) {
-	ended := errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-	if ended && q.g.o.PoisonRequests != nil && q.ctx.Err() == nil {
-		q.g.o.PoisonRequests.ReportCrash(q.content(), target, q.sentAt)
+// brokeOff reports whether an error says that the other end has closed or reset the connection before
+// or within its answer. A target that is silent, or sends what is no answer, has not crashed.
+func brokeOff(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// reportCrash reports the target of the last attempt if err says that it broke off. How much of an
+// answer it had sent by then does not matter. An instance of another region reports its own targets.
+func (q *request) reportCrash(p *destination, err error) {
+	if p != nil && brokeOff(err) && q.g.o.PoisonRequests != nil && q.ctx.Err() == nil {
+		q.g.o.PoisonRequests.ReportCrash(q.content(), p.choice.ID, q.sentAt)
 	}
 }
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -123,7 +123,7 @@
 			return true, pick.Good
 		}
 		if err != nil {
-			return false, q.streamBroken(a, err)
+			return false, q.streamBroken(a, p, err)
 		}
 		if first && p != nil {
 			p.reportFirstEvent(now)
@@ -145,9 +145,10 @@
 }
 
 // streamBroken records a stream that ended early and returns the result for the target.
-func (q *request) streamBroken(a *rawhttp.Answer, err error) pick.Result {
+func (q *request) streamBroken(a *rawhttp.Answer, p *destination, err error) pick.Result {
 	a.Close(false)
 	q.recordRun(verdict.MayHaveRun)
+	q.reportCrash(p, err)
 	if q.ctx.Err() != nil {
 		return pick.Neutral
 	}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -135,7 +135,7 @@
 	a, err := q.g.o.Targets.Do(ctx, p.choice.Address, q.targetRequest(p.choice, now))
 	q.g.o.Metrics.SendTime.Update(time.Since(now))
 	if err != nil {
-		q.reportCrash(p.choice.ID, err)
+		q.reportCrash(p, err)
 		p.reportEnd(time.Now(), q.attemptLost(p.choice.ID, err))
 		return false
 	}
@@ -279,7 +279,7 @@
 	case q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK:
 		return q.relayStream(a, p)
 	}
-	return q.relayWhole(a)
+	return q.relayWhole(a, p)
 }
 
 // reportLimit records the limit that a target reports in its own answer, and passes it to the
@@ -345,33 +345,44 @@
 // maxAnswerBytes bounds an answer that is buffered whole.
 const maxAnswerBytes = 16 << 20
 
-// readAnswer reads a body and reports whether it is complete.
-func readAnswer(a *rawhttp.Answer) ([]byte, bool) {
+// errAnswerTooLong is returned for an answer of over maxAnswerBytes.
+var errAnswerTooLong = errors.New("answer is too long to be buffered")
+
+// readAnswer reads a body. The error says why it is not complete.
+func readAnswer(a *rawhttp.Answer) ([]byte, error) {
 	if a.ContentLength == 0 {
-		return nil, true
+		return nil, nil
 	}
 	if n := a.ContentLength; n > 0 && n <= maxAnswerBytes && a.Request == nil {
 		body := make([]byte, n)
 		_, err := io.ReadFull(a.Body, body)
-		return body, err == nil
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return body, err
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	return body, err == nil && len(body) <= maxAnswerBytes
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
+	return body, err
 }
 
 // discard reads and drops an answer, so that its connection can be reused.
 func discard(a *rawhttp.Answer) {
-	_, complete := readAnswer(a)
-	a.Close(complete)
+	_, err := readAnswer(a)
+	a.Close(err == nil)
 }
 
 // relayWhole relays an answer that is not an event stream. It buffers the whole answer first,
-// so that a truncated answer can be retried and never looks complete.
-func (q *request) relayWhole(a *rawhttp.Answer) (bool, pick.Result) {
-	body, complete := readAnswer(a)
-	a.Close(complete)
-	if !complete {
+// so that a truncated answer can be retried and never looks complete. p is nil for an answer of
+// another instance.
+func (q *request) relayWhole(a *rawhttp.Answer, p *destination) (bool, pick.Result) {
+	body, err := readAnswer(a)
+	a.Close(err == nil)
+	if err != nil {
 		q.recordRun(verdict.MayHaveRun)
+		q.reportCrash(p, err)
 		if q.ctx.Err() != nil {
 			return false, pick.Neutral
 		}
