exchange: only a whole answer of a run proves that a request is innocent

A request that crashes its targets was sent on to up to 8 of 12 if each third run answered 500. Cause: any answer that reached the caller cleared a request, and made it immune. A target may answer 500 or 400 without having run the request, and an answer without a length ends with its connection: its end may be the crash. Change: a request is cleared by a framed answer below 400, read to its end.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -77,6 +77,8 @@
 	finalRefusal *refusal
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
+	// finished says that the answer proves that a target has run the request to its end.
+	finished bool
 	// headWritten says that the head of the answer was written to the caller. lastEventID is
 	// the last event that the caller has, if hasLastEventID is set.
 	headWritten    bool
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -385,6 +385,23 @@
 			So(len(k.crashed), ShouldEqual, c.want)
 		})
 	}
+	for name, c := range map[string]struct {
+		first script
+		want  int
+	}{
+		"answers":                        {respond(200, "done"), 1},
+		"answers in chunks":              {respondRaw(head+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", false), 1},
+		"fails":                          {respond(500, "failed"), 0},
+		"says that the request is wrong": {respond(400, "wrong"), 0},
+		"answers without a length":       {respondRaw(head+"\r\nx", false), 0},
+	} {
+		Convey("a target that "+name+" proves nothing or that the request is innocent", t, func() {
+			k := &fakePoison{}
+			r := newRigWith(t, "r", k, newTarget(t, "t1", c.first))
+			r.call("/unsafe/x", "b")
+			So(len(k.finished), ShouldEqual, c.want)
+		})
+	}
 	Convey("an answer is reported, and a poison request is not sent", t, func() {
 		k := &fakePoison{}
 		x := newTarget(t, "t1", respond(200, "done"))
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"syscall"
 
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/place"
 )
 
@@ -33,6 +34,20 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// provesEnd reports whether an answer that was read to its end proves that a target has run the request
+// to its end without a crash. A target may fail without having begun, and the end of an unframed answer
+// may be a crash.
+func provesEnd(a *rawhttp.Answer) bool {
+	return a.StatusCode < http.StatusBadRequest && a.Framed()
+}
+
+// reportFinished reports a request that has run to its end.
+func (q *request) reportFinished() {
+	if q.finished && q.g.o.PoisonRequests != nil {
+		q.g.o.PoisonRequests.ReportFinished(q.content())
+	}
+}
+
 // reportCrash reports the target of the last attempt if err says that it broke off. How much of an
 // answer it had sent by then does not matter. An instance of another region reports its own targets.
 func (q *request) reportCrash(p *destination, err error) {
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -119,6 +119,7 @@
 		}
 		if err == io.EOF {
 			a.Close(true)
+			q.finished = provesEnd(a)
 			q.recordRun(verdict.Ran)
 			return true, pick.Good
 		}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -61,9 +61,7 @@
 	m.Answered.Inc(1)
 	m.FirstByteTime.Update(q.firstByteAt.Sub(q.acceptedAt))
 	m.RequestTime.Update(now.Sub(q.acceptedAt))
-	if q.g.o.PoisonRequests != nil {
-		q.g.o.PoisonRequests.ReportFinished(q.content())
-	}
+	q.reportFinished()
 	// The fields are built only if the log line budget admits the line.
 	line := q.g.o.AccessLog.Check(zap.InfoLevel, "served")
 	if line == nil {
@@ -391,6 +389,7 @@
 	q.recordRun(verdict.Ran)
 	answer := &bufferedAnswer{status: a.StatusCode, header: a.Header, body: body}
 	if a.StatusCode < http.StatusInternalServerError {
+		q.finished = provesEnd(a)
 		q.writeAnswer(answer)
 		return true, pick.Good
 	}
