exchange: a request that is refused from now on is not sent to another target either

Cause: whether a request crashes its targets was asked once, when it was accepted. Change: it is asked again before each further attempt. Measured: the new case of TestCrashesAreReported fails before (2 sends, 1 allowed).

--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -343,6 +343,8 @@
 type fakePoison struct {
 	crashed, finished []string
 	poison            bool
+	// crashesAllowed is how many crashes make a poison request; 0 if none do.
+	crashesAllowed int
 }
 
 func (c *fakePoison) Admit(context.Context, exchange.Content, bool) (time.Duration, bool) {
@@ -353,6 +355,7 @@
 
 func (c *fakePoison) ReportCrash(_ exchange.Content, target string, _ time.Time) {
 	c.crashed = append(c.crashed, target)
+	c.poison = c.poison || len(c.crashed) == c.crashesAllowed
 }
 
 func (c *fakePoison) ReportFinished(r exchange.Content) { c.finished = append(c.finished, r.Target) }
@@ -402,6 +405,13 @@
 			So(len(k.finished), ShouldEqual, c.want)
 		})
 	}
+	Convey("a request whose crash makes it a poison request is not sent to another target", t, func() {
+		k := &fakePoison{crashesAllowed: 1}
+		x, y := newTarget(t, "t1", closes), newTarget(t, "t2", closes)
+		r := newRigWith(t, "r", k, x, y)
+		So(r.call("/safe/x", "b").status, ShouldEqual, 502)
+		So(requestCount(x)+requestCount(y), ShouldEqual, 1)
+	})
 	Convey("an answer is reported, and a poison request is not sent", t, func() {
 		k := &fakePoison{}
 		x := newTarget(t, "t1", respond(200, "done"))
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -86,6 +86,8 @@
 		return CodeTargetLost, false
 	case q.attemptCount >= maxAttempts:
 		return CodeNoTarget, false
+	case q.g.o.PoisonRequests != nil && q.runs > 0 && !q.g.o.PoisonRequests.MayRetry(q.content()):
+		return CodePoison, false
 	case q.reachedTarget() && !q.tryRetry(now):
 		return CodeNoTarget, false
 	}
