node: who starts or returns later hears of requests that crash their targets

Such a request was sent on by instances that had started, or been cut off, while the others were told. Cause: core instances passed suspects on for 3 s, to whoever asked then. Change: a core instance keeps them until they expire and numbers them; an entry instance names the last number that it has (SuspectsMark) and gets the others, from core instances that it only compares with, too. An entry instance tells a core instance that has started all that it knows. A crash is sent to the followed core instance at once, ahead of the next report. Measured: TestInstancesThatStartOrReturnLaterGetSuspects (no marks before: an instance that starts 5 minutes later got none); go test ./node/... ./platform pass.

--- a/node/control/gossip.go
+++ b/node/control/gossip.go
@@ -88,6 +88,7 @@
 	}
 	now := time.Now()
 	i.store.AddSuspects(now, g.Suspects, false)
+	i.compareSuspects(now, from, g.SuspectsDigest)
 	if !i.store.MergeGossip(now, g) || i.applyList(from, &g, now) {
 		return
 	}
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -127,7 +127,9 @@
 	acceptedFile *acceptedFile
 	// documents are served to entry instances.
 	documents documents
-	lagging   lagTable
+	// suspectExchanges are those with other core instances.
+	suspectExchanges suspectExchanges
+	lagging          lagTable
 	// startState is the state that was accepted before the start; nil if unknown.
 	startState *newest.State
 	members    *admit.Group
@@ -203,6 +205,8 @@
 	i.newcomer = i.node.Status().New && !o.FirstStart
 	hub.Handle(channelGroup, i.node.Receive)
 	hub.Handle(channelGossip, i.handleGossip)
+	hub.Handle(ChannelSuspects, i.handleSuspects)
+	hub.Serve(channelAllSuspects, 1, i.serveAllSuspects)
 	hub.Serve(channelPropose, maxConcurrentCalls, i.servePropose)
 	hub.Serve(channelJoin, maxConcurrentCalls, i.serveJoin)
 	hub.Serve(channelList, maxConcurrentCalls, i.serveList)
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -20,7 +20,7 @@
 	}
 	began := time.Now()
 	i.recordReport(began, &r)
-	i.store.AddSuspects(time.Now(), r.Suspects, true)
+	i.addSuspects(r.Suspects)
 	if r.WantConfirmed {
 		i.confirmFirst(ctx)
 	}
@@ -61,7 +61,7 @@
 	if r.Probe {
 		return !i.hasLeader()
 	}
-	return !i.store.HasListFor(time.Now(), r)
+	return !i.store.HasListFor(time.Now(), r) && !i.store.HasSuspectsFor(r)
 }
 
 // confirmFirst tries to confirm the accepted state for an instance that has just started. This
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -252,6 +252,11 @@
 
 // report sends a report to a core instance, applies the answer and returns it.
 func (i *Instance) report(ctx context.Context, to string, r feed.Report) (*feed.Update, error) {
+	if !r.Probe {
+		i.mu.Lock()
+		r.Suspected = i.suspects.markFor(to)
+		i.mu.Unlock()
+	}
 	payload, err := cbor.Marshal(r)
 	if err != nil {
 		return nil, err
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -73,6 +73,7 @@
 	mu       sync.Mutex
 	known    knownState
 	lastView lastView
+	suspects suspectMarks
 	chooser  *feed.CoreChooser
 	// consecutiveFailures is the number of reports that failed since the last answer; silenceLogged
 	// says that they were logged.
@@ -203,7 +204,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, run := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.limits.Run, i.gateway.Run, i.expireUnused} {
+	for _, run := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.limits.Run, i.gateway.Run, i.expireUnused, i.publishSuspects} {
 		i.wg.Go(func() { run(ctx) })
 	}
 }
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -34,6 +34,8 @@
 	trials map[suspect.Digest]time.Time
 	// pending are entries that were not reported yet.
 	pending []suspect.Entry
+	// crashes gets a value after a crash, whose entries must reach the other instances soon.
+	crashes chan struct{}
 }
 
 const (
@@ -46,13 +48,13 @@
 )
 
 // maxPending bounds the entries that wait for the next report; the oldest are dropped.
-const maxPending = 256
+const maxPending = 2048
 
 func newPoisonRequests(log *zap.Logger) *poisonRequests {
 	cfg := suspect.DefaultConfig()
 	cfg.Lifetime, cfg.TrialAfter, cfg.MaxTrials = poisonTTL, trialAfter, 1
 	return &poisonRequests{
-		log: log, table: suspect.New(cfg), trials: map[suspect.Digest]time.Time{},
+		log: log, table: suspect.New(cfg), trials: map[suspect.Digest]time.Time{}, crashes: make(chan struct{}, 1),
 		reserve: func(context.Context, suspect.Digest) bool { return false },
 		release: func(suspect.Digest, []suspect.Entry) {},
 	}
@@ -111,34 +113,39 @@
 // ReportCrash implements exchange.PoisonRequests.
 func (p *poisonRequests) ReportCrash(c exchange.Content, target string, sentAt time.Time) {
 	now, d := time.Now(), digestOf(c)
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	// A target may return under its ID at once.
 	crash := suspect.Crash{Target: target, Incarnation: uint64(now.UnixNano())}
-	entries := p.table.ReportCrash(now, d, crash, sentAt)
-	p.add(entries)
-	p.endTrial(d, entries)
-	if p.table.Decide(now, d) == suspect.Refuse {
+	refusedFor := p.record(d, func() []suspect.Entry { return p.table.ReportCrash(now, d, crash, sentAt) })
+	select {
+	case p.crashes <- struct{}{}:
+	default:
+	}
+	if refusedFor > 0 {
 		p.log.Warn("a request has crashed several targets and is refused from now on", zap.String("host", c.Host),
-			zap.String("method", c.Method), zap.String("last", target), zap.Duration("until_trial", p.table.RefusedFor(now, d)))
+			zap.String("method", c.Method), zap.String("last", target), zap.Duration("until_trial", refusedFor))
 	}
 }
 
 // ReportFinished implements exchange.PoisonRequests.
 func (p *poisonRequests) ReportFinished(c exchange.Content) {
 	d := digestOf(c)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	entries := p.table.Finished(time.Now(), d)
-	p.add(entries)
-	p.endTrial(d, entries)
+	p.record(d, func() []suspect.Entry { return p.table.Finished(time.Now(), d) })
 }
 
-func (p *poisonRequests) endTrial(d suspect.Digest, entries []suspect.Entry) {
-	if _, ok := p.trials[d]; ok {
-		delete(p.trials, d)
+// record has change change the table, ends the trial of the request, if there is one, and returns for
+// how long the request is refused now.
+func (p *poisonRequests) record(d suspect.Digest, change func() []suspect.Entry) (refusedFor time.Duration) {
+	p.mu.Lock()
+	entries := change()
+	p.add(entries)
+	_, trial := p.trials[d]
+	delete(p.trials, d)
+	refusedFor = p.table.RefusedFor(time.Now(), d)
+	p.mu.Unlock()
+	if trial {
 		p.release(d, entries)
 	}
+	return refusedFor
 }
 
 func (p *poisonRequests) add(entries []suspect.Entry) {
@@ -161,6 +168,20 @@
 	return entries
 }
 
+// pendingEntries returns the entries that were not reported yet, and keeps them for the next report.
+func (p *poisonRequests) pendingEntries() []suspect.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.pending)
+}
+
+// reportAll reports all entries again, as a core instance has started without them.
+func (p *poisonRequests) reportAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.add(p.table.Entries())
+}
+
 // restorePending returns entries whose report failed.
 func (p *poisonRequests) restorePending(entries []suspect.Entry) {
 	p.mu.Lock()
--- a/node/entry/trials.go
+++ b/node/entry/trials.go
@@ -81,8 +81,7 @@
 func (t *trials) release(d suspect.Digest, entries []suspect.Entry) {
 	owner := t.owner()
 	if owner == t.self {
-		// The caller holds the lock of the requests.
-		go t.requests.endReservation(d, entries)
+		t.requests.endReservation(d, entries)
 		return
 	}
 	payload, err := cbor.Marshal(trialEnd{Digest: d, Entries: entries})
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -21,6 +21,9 @@
 	i.poisonRequests.merge(u.Suspects)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.suspects.update(from, u.Suspected) {
+		i.poisonRequests.reportAll()
+	}
 	k := &i.known
 	if u.Head != nil {
 		i.applyHead(now, from, u.Head)
--- a/node/feed/aggregate.go
+++ b/node/feed/aggregate.go
@@ -143,10 +143,12 @@
 	if agg.coresDigest != r.CoresDigest {
 		u.Cores, u.CoresDigest = agg.cores, agg.coresDigest
 	}
+	if !r.Probe {
+		u.Suspects, u.Suspected = st.suspectsFor(now, &r)
+	}
 	if r.Brief || r.Probe {
 		return
 	}
-	u.Suspects = st.recentSuspects(now, false)
 	u.Entries = st.changes.update(r.EntriesEpoch, r.EntriesAt)
 	if r.Self.Region == st.self.Region {
 		u.SameRegion, u.Loads = true, st.loadsFor(agg, &r)
@@ -295,7 +297,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	agg := st.currentAggregate(now)
-	g := Gossip{From: st.self, Regions: st.summarizeOwn(agg), Suspects: st.recentSuspects(now, true)}
+	g := Gossip{From: st.self, Regions: st.summarizeOwn(agg), Suspects: st.recentSuspects(now, true), SuspectsDigest: st.currentSuspectsDigest(now)}
 	for _, h := range st.liveEntries(now) {
 		if !h.direct {
 			continue
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -1,53 +1,206 @@
 package feed
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/gullhaven/gullhaven/coord/suspect"
 )
 
 const (
-	// suspectTTL is how long suspects are forwarded: several reports and gossip messages, so that a
-	// lost message has no effect.
-	suspectTTL = 3 * time.Second
-	// maxSuspects bounds their number; each takes 60 bytes.
-	maxSuspects = 512
+	// suspectGossipTime is for how long a suspect that an entry instance reported here is sent to
+	// other core instances: several gossip messages, so that a lost one has no effect. One that was
+	// partitioned for longer gets it by SuspectsDigest.
+	suspectGossipTime = 3 * time.Second
+	// maxSuspects bounds their number; each takes 80 bytes.
+	maxSuspects = 2048
 )
 
-// suspectRecord is sent to entry instances for suspectTTL. If an entry instance reported it here
-// (direct), it is sent to other core instances too.
+// SuspectsMark says which suspects of a core instance an entry instance has got.
+type SuspectsMark struct {
+	// Epoch identifies the numbering, which each start of a core instance restarts, and At is the
+	// number of the last suspect.
+	Epoch uint64 `cbor:"1,keyasint"`
+	At    uint64 `cbor:"2,keyasint"`
+}
+
+type suspectKey struct {
+	digest suspect.Digest
+	crash  suspect.Crash
+}
+
+// suspectRecord is kept until the entry expires, so that instances which start or return later get
+// it, too.
 type suspectRecord struct {
 	entry      suspect.Entry
 	receivedAt time.Time
-	direct     bool
+	// number orders the records by their last change.
+	number uint64
+	// direct says that an entry instance reported it here.
+	direct bool
+}
+
+// suspectLog holds the requests that may crash their targets, and those that were cleared.
+type suspectLog struct {
+	records map[suspectKey]suspectRecord
+	last    uint64
+}
+
+// add stores an entry and reports whether it changed anything.
+func (l *suspectLog) add(now time.Time, e suspect.Entry, direct bool) bool {
+	key := suspectKey{e.Digest, e.Crash}
+	old, known := l.records[key]
+	if !now.Before(e.Until) || known && e.Status <= old.entry.Status && !e.Until.After(old.entry.Until) {
+		return false
+	}
+	if known {
+		e.Status = max(e.Status, old.entry.Status)
+		if e.Until.Before(old.entry.Until) {
+			e.Until = old.entry.Until
+		}
+	} else if len(l.records) >= maxSuspects {
+		l.evict()
+	}
+	if l.records == nil {
+		l.records = map[suspectKey]suspectRecord{}
+	}
+	l.last++
+	l.records[key] = suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct}
+	return true
+}
+
+// evict removes one record: a cleared one before others, then the one that changed longest ago.
+func (l *suspectLog) evict() {
+	var oldest suspectKey
+	var found *suspectRecord
+	for key, r := range l.records {
+		if found == nil || r.evictedBefore(found) {
+			oldest, found = key, &r
+		}
+	}
+	delete(l.records, oldest)
+}
+
+func (r *suspectRecord) evictedBefore(o *suspectRecord) bool {
+	if cleared := r.entry.Status == suspect.Cleared; cleared != (o.entry.Status == suspect.Cleared) {
+		return cleared
+	}
+	return r.number < o.number
+}
+
+func (l *suspectLog) expire(now time.Time) {
+	for key, r := range l.records {
+		if !now.Before(r.entry.Until) {
+			delete(l.records, key)
+		}
+	}
+}
+
+// entries returns those that are included, in the order of their last changes.
+func (l *suspectLog) entries(include func(r *suspectRecord) bool) []suspect.Entry {
+	var found []suspectRecord
+	for _, r := range l.records {
+		if include(&r) {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b suspectRecord) int { return cmp.Compare(a.number, b.number) })
+	var out []suspect.Entry
+	for _, r := range found {
+		out = append(out, r.entry)
+	}
+	return out
+}
+
+// digest identifies the set of records, whatever their order; 0 for none.
+func (l *suspectLog) digest() uint64 {
+	var sum uint64
+	for key, r := range l.records {
+		// A struct of fixed types cannot fail to be encoded.
+		data, _ := cbor.Marshal(suspect.Entry{Digest: key.digest, Crash: key.crash, Status: r.entry.Status})
+		sum += xxhash.Sum64(data)
+	}
+	return sum
 }
 
 // AddSuspects stores requests that may crash their targets. direct says that an entry instance
-// reported them here. Beyond maxSuspects they are dropped.
-func (st *Store) AddSuspects(now time.Time, entries []suspect.Entry, direct bool) {
+// reported them here. It reports whether any of them was new.
+func (st *Store) AddSuspects(now time.Time, entries []suspect.Entry, direct bool) (changed bool) {
 	if len(entries) == 0 {
-		return
+		return false
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.suspects.expire(now)
 	for _, e := range entries {
-		known := slices.ContainsFunc(st.suspects, func(h suspectRecord) bool { return h.entry == e })
-		if !known && len(st.suspects) < maxSuspects {
-			st.suspects = append(st.suspects, suspectRecord{entry: e, receivedAt: now, direct: direct})
-		}
+		changed = st.suspects.add(now, e, direct) || changed
 	}
-	st.wake()
+	if changed {
+		st.wakePending, st.suspectsDigest = true, 0
+		st.wakeIfPending(now)
+	}
+	return changed
+}
+
+// Suspects returns all that are stored, for another core instance.
+func (st *Store) Suspects(now time.Time) []suspect.Entry {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.suspects.expire(now)
+	return st.suspects.entries(func(*suspectRecord) bool { return true })
+}
+
+// HasSuspectsFor reports whether the sender of a report misses suspects.
+func (st *Store) HasSuspectsFor(r *Report) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	m := r.Suspected
+	return m != nil && len(st.suspects.records) > 0 && (m.Epoch != st.changes.epoch || m.At < st.suspects.last)
 }
 
-// recentSuspects returns those received within suspectTTL, with directOnly only direct ones.
+// suspectsFor returns the suspects that the sender of a report misses, and its next mark. One of an
+// older version, without a mark, gets the recent ones.
+func (st *Store) suspectsFor(now time.Time, r *Report) ([]suspect.Entry, *SuspectsMark) {
+	m := r.Suspected
+	if m == nil {
+		return st.recentSuspects(now, false), nil
+	}
+	next := &SuspectsMark{Epoch: st.changes.epoch, At: st.suspects.last}
+	if *m == *next {
+		return nil, next
+	}
+	st.suspects.expire(now)
+	return st.suspects.entries(func(r *suspectRecord) bool { return m.Epoch != next.Epoch || r.number > m.At }), next
+}
+
+// recentSuspects returns those received within suspectGossipTime, with directOnly only direct ones.
 func (st *Store) recentSuspects(now time.Time, directOnly bool) []suspect.Entry {
-	st.suspects = slices.DeleteFunc(st.suspects, func(h suspectRecord) bool { return now.Sub(h.receivedAt) > suspectTTL })
-	var out []suspect.Entry
-	for _, h := range st.suspects {
-		if h.direct || !directOnly {
-			out = append(out, h.entry)
-		}
+	if len(st.suspects.records) == 0 {
+		return nil
 	}
-	return out
+	return st.suspects.entries(func(r *suspectRecord) bool {
+		return now.Sub(r.receivedAt) <= suspectGossipTime && (r.direct || !directOnly)
+	})
+}
+
+// SuspectsDiffer reports whether another core instance holds other suspects than this one, so that
+// the two must exchange all. A full store exchanges none, as its neighbours evict others.
+func (st *Store) SuspectsDiffer(now time.Time, digest uint64) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return len(st.suspects.records) < maxSuspects && digest != st.currentSuspectsDigest(now)
+}
+
+// currentSuspectsDigest returns the digest of the suspects, which is computed after a change only.
+func (st *Store) currentSuspectsDigest(now time.Time) uint64 {
+	before := len(st.suspects.records)
+	st.suspects.expire(now)
+	if st.suspectsDigest == 0 || before != len(st.suspects.records) {
+		st.suspectsDigest = st.suspects.digest()
+	}
+	return st.suspectsDigest
 }
--- /dev/null
+++ b/node/feed/suspects_test.go
@@ -0,0 +1,88 @@
+package feed_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gullhaven/gullhaven/coord/suspect"
+	"github.com/gullhaven/gullhaven/node/feed"
+)
+
+func suspectOf(n int, status suspect.Status) suspect.Entry {
+	return suspect.Entry{Digest: suspect.Digest{byte(n), byte(n >> 8)}, Crash: suspect.Crash{Target: "t"}, Status: status, Until: t0.Add(10 * time.Minute)}
+}
+
+// Guards against instances that send a poison request on to targets because they never hear of its
+// crashes: they start after these, or were partitioned while the others were told.
+func TestInstancesThatStartOrReturnLaterGetSuspects(t *testing.T) {
+	update := func(st *feed.Store, now time.Time, m feed.SuspectsMark) *feed.Update {
+		u := &feed.Update{}
+		r := feed.Report{Self: feed.Entry{ID: "e", Region: "r"}, Brief: true, Suspected: &m}
+		So(st.HasSuspectsFor(&r), ShouldEqual, len(st.Suspects(now)) > 0 && m.At < uint64(len(st.Suspects(now))))
+		st.FillUpdate(now, r, nil, u)
+		return u
+	}
+	Convey("a core instance with suspects", t, func() {
+		a := feed.NewStore(feed.Core{ID: "1", Region: "r", Zone: "z"}, 7)
+		So(a.AddSuspects(t0, []suspect.Entry{suspectOf(1, suspect.Suspected)}, true), ShouldBeTrue)
+		So(a.AddSuspects(t0, []suspect.Entry{suspectOf(1, suspect.Suspected)}, true), ShouldBeFalse)
+		later := t0.Add(5 * time.Minute)
+		Convey("sends them to an entry instance that starts later, and once", func() {
+			u := update(a, later, feed.SuspectsMark{})
+			So(len(u.Suspects), ShouldEqual, 1)
+			So(update(a, later, *u.Suspected).Suspects, ShouldBeEmpty)
+			a.AddSuspects(later, []suspect.Entry{suspectOf(2, suspect.Suspected)}, true)
+			u = update(a, later, *u.Suspected)
+			So(u.Suspects, ShouldResemble, []suspect.Entry{suspectOf(2, suspect.Suspected)})
+		})
+		Convey("sends one again that was cleared", func() {
+			u := update(a, t0, feed.SuspectsMark{})
+			a.AddSuspects(later, []suspect.Entry{suspectOf(1, suspect.Cleared)}, true)
+			So(a.AddSuspects(later, []suspect.Entry{suspectOf(1, suspect.Suspected)}, true), ShouldBeFalse)
+			r := feed.Report{Self: feed.Entry{ID: "e", Region: "r"}, Suspected: u.Suspected}
+			next := &feed.Update{}
+			a.FillUpdate(later, r, nil, next)
+			So(next.Suspects, ShouldResemble, []suspect.Entry{suspectOf(1, suspect.Cleared)})
+		})
+		Convey("finds that another one that was partitioned holds others, until both have exchanged all", func() {
+			b := feed.NewStore(feed.Core{ID: "2", Region: "q", Zone: "y"}, 8)
+			b.AddSuspects(t0, []suspect.Entry{suspectOf(3, suspect.Suspected)}, true)
+			g := a.Gossip(later, false, false)
+			So(g.Suspects, ShouldBeEmpty)
+			So(b.SuspectsDiffer(later, g.SuspectsDigest), ShouldBeTrue)
+			b.AddSuspects(later, a.Suspects(later), false)
+			a.AddSuspects(later, b.Suspects(later), false)
+			So(b.SuspectsDiffer(later, a.Gossip(later, false, false).SuspectsDigest), ShouldBeFalse)
+			So(len(update(b, later, feed.SuspectsMark{}).Suspects), ShouldEqual, 2)
+		})
+		Convey("forgets them when they expire", func() {
+			So(a.Suspects(t0.Add(10*time.Minute)), ShouldBeEmpty)
+			So(a.Gossip(t0.Add(10*time.Minute), false, false).SuspectsDigest, ShouldEqual, 0)
+		})
+		Convey("an instance of an older version gets the recent ones", func() {
+			u := &feed.Update{}
+			a.FillUpdate(t0.Add(time.Second), feed.Report{Self: feed.Entry{ID: "e", Region: "r"}}, nil, u)
+			So(len(u.Suspects), ShouldEqual, 1)
+			u = &feed.Update{}
+			a.FillUpdate(later, feed.Report{Self: feed.Entry{ID: "e", Region: "r"}}, nil, u)
+			So(u.Suspects, ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against memory that grows with crashes, and suspects that make room for cleared ones.
+func TestSuspectsAreBoundedClearedOnesFirst(t *testing.T) {
+	const many = 3000
+	a := feed.NewStore(feed.Core{ID: "1", Region: "r", Zone: "z"}, 7)
+	a.AddSuspects(t0, []suspect.Entry{suspectOf(0, suspect.Suspected)}, true)
+	for n := range many {
+		a.AddSuspects(t0, []suspect.Entry{suspectOf(n+1, suspect.Cleared)}, true)
+	}
+	held := a.Suspects(t0)
+	if len(held) >= many || fmt.Sprint(held[0]) != fmt.Sprint(suspectOf(0, suspect.Suspected)) {
+		t.Errorf("%d held, the first %v", len(held), held[0])
+	}
+}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -120,6 +120,9 @@
 	// Suspects are requests that may crash their targets, found by the sender since its last
 	// report.
 	Suspects []suspect.Entry `cbor:"6,keyasint,omitempty"`
+	// Suspected are the suspects that the sender has got from this core instance; nil if the sender's
+	// version does not say so.
+	Suspected *SuspectsMark `cbor:"18,keyasint,omitempty"`
 	// EntriesEpoch and EntriesAt are those of the last EntriesUpdate, CoresDigest that of the core
 	// instances that it knows.
 	EntriesEpoch uint64 `cbor:"8,keyasint,omitempty"`
@@ -161,8 +164,10 @@
 	SameRegion bool   `cbor:"12,keyasint,omitempty"`
 	// Regions summarize the load of the other regions.
 	Regions []Summary `cbor:"8,keyasint,omitempty"`
-	// Suspects were recently reported by any entry instance.
-	Suspects []suspect.Entry `cbor:"9,keyasint,omitempty"`
+	// Suspects are those that the sender misses, of any entry instance, and Suspected is the mark for
+	// the sender's next report.
+	Suspects  []suspect.Entry `cbor:"9,keyasint,omitempty"`
+	Suspected *SuspectsMark   `cbor:"17,keyasint,omitempty"`
 	// WaitMillis is how long the next report may wait, if longer than the sender asked for: the
 	// core instance has more reports to answer than it can that often.
 	WaitMillis int64 `cbor:"16,keyasint,omitempty"`
@@ -217,6 +222,8 @@
 	Loads []Load `cbor:"7,keyasint,omitempty"`
 	// PrefillSums are the sums of these instances by service; within a region only.
 	PrefillSums []PrefillSums `cbor:"8,keyasint,omitempty"`
-	// Suspects were recently reported to the sender by entry instances.
-	Suspects []suspect.Entry `cbor:"6,keyasint,omitempty"`
+	// Suspects were recently reported to the sender by entry instances. SuspectsDigest identifies all
+	// that the sender holds; 0 if it holds none or its version does not say so.
+	Suspects       []suspect.Entry `cbor:"6,keyasint,omitempty"`
+	SuspectsDigest uint64          `cbor:"11,keyasint,omitempty"`
 }
