feed, pick: the software version of a target is known below the list's reader

Streams held events of two software versions, and prompt memory of one version was fetched by targets of another. Cause: the reader of the platform's list checked that an entry has a version, and dropped it. Nothing below could tell targets of two versions apart.

--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -163,7 +163,7 @@
 		key := exchange.RegionService{Region: s.Region, Service: s.Service}
 		v.Regions[key] = pick.RegionLoad{Targets: s.Targets, Slots: s.Slots, Load: pick.Load{
 			Running: s.Running, PendingPrefill: queueByRank(s.PendingPrefill), PrefillMillis: s.PrefillMillis,
-		}, Prefill: pick.PrefillSums{Tokens: float64(s.PrefillSumTokens), Millis: float64(s.PrefillSumMillis)}, LoadUnknown: s.LoadUnknown}
+		}, Prefill: pick.PrefillSums{Tokens: float64(s.PrefillSumTokens), Millis: float64(s.PrefillSumMillis)}, LoadUnknown: s.LoadUnknown, Software: s.Software}
 	}
 }
 
@@ -210,7 +210,7 @@
 		}
 		s.Targets = append(s.Targets, pick.Target{
 			ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Slots: t.Slots, Draining: t.Draining,
-			ColdUntil: t.ColdUntil, ColdEpoch: t.ColdEpoch, StartMillis: t.StartMillis,
+			ColdUntil: t.ColdUntil, ColdEpoch: t.ColdEpoch, StartMillis: t.StartMillis, Software: t.Software,
 		})
 	}
 	self := i.o.Self
--- a/node/feed/aggregate.go
+++ b/node/feed/aggregate.go
@@ -186,8 +186,15 @@
 		}
 		k := key{t.Region, t.Service}
 		sum := sums[k]
+		if sum.Software == nil && t.Software != "" {
+			sum.Software = map[string]int{}
+		}
+		if t.Software != "" {
+			sum.Software[t.Software]++
+		}
 		sums[k] = Summary{
-			Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots, LoadUnknown: !st.loadKnown(agg, t.Region),
+			Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots, Software: sum.Software,
+			LoadUnknown: !st.loadKnown(agg, t.Region),
 		}
 	}
 	add := func(loads []Summary) {
--- a/node/feed/list.go
+++ b/node/feed/list.go
@@ -70,7 +70,7 @@
 	d := xxhash.New()
 	for _, t := range targets {
 		hashStrings(d, t.ID, t.Service, t.Address, t.Zone, strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining),
-			strconv.FormatBool(t.Cold()), strconv.Itoa(int(t.ColdEpoch)), strconv.FormatInt(t.StartMillis, 10))
+			strconv.FormatBool(t.Cold()), strconv.Itoa(int(t.ColdEpoch)), strconv.FormatInt(t.StartMillis, 10), t.Software)
 	}
 	return max(1, d.Sum64())
 }
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -99,6 +99,8 @@
 	// StartMillis is the start time in Unix milliseconds; 0 if the list has none. A target may
 	// restart under its ID.
 	StartMillis int64 `cbor:"10,keyasint,omitempty"`
+	// Software is the version of its software; empty if the sender's version does not say so.
+	Software string `cbor:"11,keyasint,omitempty"`
 }
 
 // Report is the request of an entry instance to a core instance.
@@ -189,6 +191,8 @@
 	// PrefillSums.
 	PrefillSumTokens int64 `cbor:"9,keyasint,omitempty"`
 	PrefillSumMillis int64 `cbor:"10,keyasint,omitempty"`
+	// Software is the number of targets by version of their software. It is set in an Update only.
+	Software map[string]int `cbor:"12,keyasint,omitempty"`
 	// LoadUnknown says that the load of the region was not reported recently: Targets and Slots
 	// come from the list of targets alone. It is set in an Update only.
 	LoadUnknown bool `cbor:"11,keyasint,omitempty"`
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -25,6 +25,8 @@
 	EntryInstances int
 	// Limit is the last limit known of the target.
 	Limit TargetLimit
+	// Software is the version of the target's software; empty if unknown.
+	Software string
 	// Source is the address of another target from which this one may fetch a longer cached prefix
 	// of the prompt; empty for none.
 	Source string
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -22,6 +22,8 @@
 	// it.
 	holders  map[uint64][]*target
 	snapshot Snapshot
+	// versions is the number of software versions of each service's targets.
+	versions map[string]int
 	// watched are the groups of WatchedGroups for the snapshot; nil until computed.
 	watched []Group
 	// absent are targets that were on the list recently.
@@ -118,14 +120,24 @@
 		p.byService[listed.Service] = append(p.byService[listed.Service], t)
 	}
 	p.keepAbsent(now, old)
-	p.groups = map[string][][]*target{}
+	p.groups, p.versions = map[string][][]*target{}, map[string]int{}
 	for service, list := range p.byService {
 		p.groups[service] = splitIntoGroups(list)
+		p.versions[service] = countVersions(list)
 	}
 	p.snapshot, p.watched = s, nil
 	p.dropUnusedPrefillTimes()
 }
 
+// countVersions returns the number of distinct software versions.
+func countVersions(list []*target) int {
+	versions := map[string]bool{}
+	for _, t := range list {
+		versions[t.Software] = true
+	}
+	return len(versions)
+}
+
 // UpdateLoads replaces the loads of the other instances when nothing else has changed. Its cost
 // grows with the number of loads, not of targets. The pool keeps loads; the caller must not modify
 // the map while the pool is in use.
@@ -229,7 +241,7 @@
 // reserve counts the request in the target's load and rate limit, as its probe if the target has
 // failed or rested, and returns the choice.
 func (p *Pool) reserve(w *scorer, t *target, e *estimate) *Choice {
-	ch := &Choice{ID: t.ID, Address: t.Address, Cost: e.cost(t), Limit: t.limit.TargetLimit, pool: p, t: t, at: w.now, chain: w.chain}
+	ch := &Choice{ID: t.ID, Address: t.Address, Software: t.Software, Cost: e.cost(t), Limit: t.limit.TargetLimit, pool: p, t: t, at: w.now, chain: w.chain}
 	if t.failures > 0 || t.rest.untested {
 		t.probing, ch.probe = true, true
 	}
--- a/route/pick/prefix.go
+++ b/route/pick/prefix.go
@@ -68,14 +68,19 @@
 	return s.lastUsed.After(o.lastUsed)
 }
 
-// sources are the best source and the second best, as no target is a source for itself.
-type sources [2]source
+// sourcesPerVersion is the number of sources of a software version that are kept, as no target is a
+// source for itself.
+const sourcesPerVersion = 2
+
+// sources are the best source and the second best of each software version: a target cannot use what
+// another version has cached.
+type sources []source
 
 // findSources finds the sources of a prompt without its last part. It goes from longer to shorter
-// prefixes and stops when two targets are found.
+// prefixes and stops when two targets of each version are found.
 func (p *Pool) findSources(now time.Time, service string, chain []prefix) sources {
 	var out sources
-	for n := len(chain) - 1; n > 0 && out[1].t == nil; n-- {
+	for n := len(chain) - 1; n > 0 && len(out) < sourcesPerVersion*p.versions[service]; n-- {
 		l := chain[n-1]
 		for _, t := range p.holders[l.key] {
 			u := t.prefixes[l.key]
@@ -90,21 +95,34 @@
 
 // add inserts a source. Only the first one of each target counts.
 func (s *sources) add(o source) {
+	worst, same := -1, 0
+	for i, known := range *s {
+		switch {
+		case known.t == o.t:
+			return
+		case known.t.Software != o.t.Software:
+			continue
+		case worst < 0 || (*s)[worst].betterThan(known):
+			worst = i
+		}
+		same++
+	}
 	switch {
-	case s[0].t == o.t || s[1].t == o.t:
-	case s[0].t == nil || o.betterThan(s[0]):
-		s[0], s[1] = o, s[0]
-	case s[1].t == nil || o.betterThan(s[1]):
-		s[1] = o
+	case same < sourcesPerVersion:
+		*s = append(*s, o)
+	case o.betterThan((*s)[worst]):
+		(*s)[worst] = o
 	}
 }
 
 // forTarget is the source to use for a target; the zero source for none.
-func (s sources) forTarget(t *target) source {
-	if s[0].t == t {
-		return s[1]
+func (s sources) forTarget(t *target) (best source) {
+	for _, o := range s {
+		if o.t != t && o.t.Software == t.Software && (best.t == nil || o.betterThan(best)) {
+			best = o
+		}
 	}
-	return s[0]
+	return best
 }
 
 const (
@@ -150,7 +168,7 @@
 		return from.t.Address
 	}
 	shared := w.chain[len(w.chain)-2].tokens
-	if w.preferred != nil && w.preferred != t && shared >= t.cachedTokens(w.now, w.chain)+minFetchTokens {
+	if w.preferred != nil && w.preferred != t && w.preferred.Software == t.Software && shared >= t.cachedTokens(w.now, w.chain)+minFetchTokens {
 		return w.preferred.Address
 	}
 	return ""
--- a/route/pick/region.go
+++ b/route/pick/region.go
@@ -11,10 +11,17 @@
 	Load
 	// Prefill is the recent prefill speed of the engines there.
 	Prefill PrefillSums
+	// Software is the number of targets by version of their software; nil if it is not known.
+	Software map[string]int
 	// LoadUnknown says that Load and Prefill are not known.
 	LoadUnknown bool
 }
 
+// Has reports whether the region may have a target of a software version; empty for any.
+func (l RegionLoad) Has(software string) bool {
+	return software == "" || l.Software == nil || l.Software[software] > 0
+}
+
 // RegionCost estimates what a call costs at another region's targets, in milliseconds, comparable
 // to Choice.Wait in the own region, as if the load were spread evenly. load.Targets must be above
 // 0. The round trip is not included, nor is the cost to other requests: with the latter, more
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -16,6 +16,9 @@
 	ID, Service, Address, Zone string
 	// StartMillis is the start time in Unix milliseconds; 0 if unknown.
 	StartMillis int64
+	// Software is the version of its software; empty if unknown. What two versions write does not fit
+	// together.
+	Software string
 	// Slots is the number of requests it runs concurrently; 0 if unknown.
 	Slots int
 	// Draining targets get no new requests.
@@ -50,6 +53,8 @@
 	Rank int
 	// Tried lists targets that must not be chosen again.
 	Tried []string
+	// Software is the version that the target must have; empty for any.
+	Software string
 	// SpreadKey spreads calls without shared parts over the groups of targets. It is encoded as
 	// Lot.
 	SpreadKey uint64 `cbor:"Lot"`
