exchange, node/streams: a stream goes on only at the software version that began it

Cause: a stream that was resumed within one answer, passed on to another region or taken up by its caller at another instance went to any target of its route. The class: state of a stream that only the instance which began it could have. Change: the instance that passes on the first event records what began the stream, here and at a few keepers (two in its region, one in each other, of eight at most in each). One at which a caller takes it up (Resumes) asks them; what nobody knows is refused and has not run. Attempts within one answer and requests to other regions carry the version. The take-up goes to the service that began it if its route still allows that. Streams are found under the key of their caller only.

--- a/bundle/routes/match.go
+++ b/bundle/routes/match.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -72,3 +73,8 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
+
+// SplitsTo reports whether the route sends a share of its requests to a service.
+func (r *Route) SplitsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/gullhaven/gullhaven/node/deciding"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/node/quota"
+	"github.com/gullhaven/gullhaven/node/streams"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
@@ -101,7 +103,7 @@
 
 // New returns an instance. Start starts its goroutines.
 func New(o Options) (*Instance, error) {
-	hub, err := link.New(control.LinkOptions(o.Self.ID, append(deciding.Channels(), quota.Channels()...)...))
+	hub, err := link.New(control.LinkOptions(o.Self.ID, slices.Concat(deciding.Channels(), quota.Channels(), streams.Channels())...))
 	if err != nil {
 		return nil, err
 	}
@@ -120,8 +122,9 @@
 	i.limits = quota.New(quota.Options{
 		Self: o.Self.ID, Region: o.Self.Region, Regions: len(o.Regions), Tolerance: o.Tolerance, Hub: hub, Core: i.followed, Log: o.Log,
 	})
+	began := streams.New(streams.Options{Self: streams.Instance{ID: o.Self.ID, Region: o.Self.Region}, Hub: hub, Instances: i.otherInstances, Log: o.Log})
 	i.gateway = exchange.New(exchange.Options{
-		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Limits: i.limits, Targets: i.targets, Peers: i.peers,
+		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Streams: began, Limits: i.limits, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
 		AccessLog: o.AccessLog, Metrics: i.metrics,
 	})
@@ -149,15 +152,23 @@
 // acceptingInstances returns the IDs of the entry instances of all regions that accept requests, this
 // one included.
 func (i *Instance) acceptingInstances() []string {
+	ids := []string{i.o.Self.ID}
+	for _, other := range i.otherInstances() {
+		ids = append(ids, other.ID)
+	}
+	return ids
+}
+
+// otherInstances returns the other entry instances of all regions that accept requests.
+func (i *Instance) otherInstances() (out []streams.Instance) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	ids := []string{i.o.Self.ID}
 	for _, e := range i.known.entries.Entries {
 		if e.Ready {
-			ids = append(ids, e.ID)
+			out = append(out, streams.Instance{ID: e.ID, Region: e.Region})
 		}
 	}
-	return ids
+	return out
 }
 
 // metricsState returns the current values for the metrics.
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -77,6 +77,10 @@
 	finalRefusal *refusal
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
+	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
+	// empty Software if that is not known.
+	begun  bool
+	origin Origin
 	// finished says that the answer proves that a target has run the request to its end.
 	finished bool
 	// headWritten says that the head of the answer was written to the caller. lastEventID is
@@ -109,6 +113,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	if refusal := q.findOrigin(); refusal != nil {
+		q.refuse(refusal)
+		return
+	}
 	if refusal := q.consumeLimit(); refusal != nil {
 		q.refuse(refusal)
 		return
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -49,7 +49,7 @@
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
 		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.triedTargets, SpreadKey: xxhash.Sum64String(q.call.ID),
+		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.triedTargets, Software: q.origin.Software, SpreadKey: xxhash.Sum64String(q.call.ID),
 	}
 }
 
@@ -128,7 +128,7 @@
 func (q *request) regionCandidates(now time.Time, c pick.Call) []place.RegionCandidate {
 	var out []place.RegionCandidate
 	for key, load := range q.view.Regions {
-		if key.Service != q.service || load.Targets == 0 || !q.allows(key.Region) || q.triedRegions[key.Region] {
+		if key.Service != q.service || load.Targets == 0 || !q.allows(key.Region) || q.triedRegions[key.Region] || !load.Has(q.origin.Software) {
 			continue
 		}
 		if !q.g.reach.Available(now, key.Region) || len(q.reachablePeers(now, key.Region)) == 0 {
@@ -179,6 +179,7 @@
 		p.Credential = q.call.Credential
 	}
 	p.write(raw.Header)
+	q.writeOrigin(raw.Header)
 	if q.hasLastEventID {
 		raw.Header.Set(headerLastEventID, strconv.FormatInt(q.lastEventID, 10))
 	}
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -243,8 +243,10 @@
 	Convey("a caller's own resumption is forwarded to the target", t, func() {
 		x := newTarget(t, "t1", streamEvents(5, true))
 		r := newRig(t, "r", x)
+		r.streams.Began("first", exchange.Origin{Service: "s", Software: "v1"})
 		req := r.request("/resume/x", "b")
 		req.Header.Set("After", "3")
+		req.Header.Set("Resumes", "first")
 		So(do(req).body, ShouldEqual, eventText(4, 5))
 	})
 	Convey("a failure instead of a stream is relayed", t, func() {
--- a/pipeline/exchange/forwarded.go
+++ b/pipeline/exchange/forwarded.go
@@ -20,6 +20,10 @@
 	MaxRuns int
 	// Credential is the caller's key.
 	Credential Credential
+	// Origin is what began the stream that the request goes on with; empty if it begins one or the
+	// sender does not know. Begins says that the sender wants to know what a stream begins with.
+	Origin Origin
+	Begins bool
 }
 
 // readForwarded parses the headers of a forwarded request and removes them from h. The text of
@@ -44,6 +48,9 @@
 	if p.Credential, err = readCredential(h.Get(headerKey)); err != nil {
 		return nil, err
 	}
+	if p.Origin, p.Begins, err = readOrigin(h); err != nil {
+		return nil, errors.Annotate(err, headerSoftware)
+	}
 	for _, name := range []string{headerFrom, headerVersion, headerTimeout, headerAttempts, headerKey} {
 		h.Del(name)
 	}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -29,6 +29,9 @@
 	GroupOwner GroupOwner
 	// PoisonRequests, if set, refuses requests that crash their targets.
 	PoisonRequests PoisonRequests
+	// Streams, if set, knows what began the streams that callers take up. Without it, callers cannot
+	// take any up.
+	Streams Streams
 	// Limits, if set, refuses requests that exceed their workspace's limit.
 	Limits Limits
 	// Targets and Peers send to targets and to instances of other regions.
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -12,7 +12,7 @@
 
 // content returns what identifies the request when its caller sends it again.
 func (q *request) content() Content {
-	return Content{Method: q.raw.Method, Host: q.raw.Host, Target: q.raw.Target, Body: q.raw.Body, Caller: q.call.Credential.Digest}
+	return Content{Method: q.raw.Method, Host: q.raw.Host, Target: q.raw.Target, Body: q.raw.Body, Caller: q.credential().Digest}
 }
 
 // checkPoison refuses a request that crashes its targets.
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -130,6 +131,9 @@
 			p.reportFirstEvent(now)
 			q.recordWaitRatio(now)
 		}
+		if first {
+			q.recordOrigin(a, p)
+		}
 		first = false
 		if !q.relayEvent(a, e, event) {
 			a.Close(false)
@@ -186,6 +190,10 @@
 // answer, even if the stream is resumed at another target.
 func (q *request) writeHead(a *rawhttp.Answer) {
 	copyAnswerHeaders(q.w.Header(), a.Header)
+	q.w.Header().Del(headerSoftware)
+	if q.forwarded != nil && q.forwarded.Begins {
+		q.w.Header().Set(headerSoftware, url.QueryEscape(q.origin.Software))
+	}
 	q.setTook(q.w.Header())
 	q.w.WriteHeader(a.StatusCode)
 	q.headWritten, q.firstByteAt = true, time.Now()
--- a/pipeline/exchange/rig_test.go
+++ b/pipeline/exchange/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -43,6 +44,7 @@
 		c.LastEventID, _ = strconv.ParseInt(text, 10, 64)
 		c.HasLastEventID = true
 	}
+	c.Resumes = h.Get("Resumes")
 	if key := h.Get("Key"); key != "" {
 		c.Credential = exchange.Credential{Present: true, Digest: routes.DigestKey(key)}
 	}
@@ -90,6 +92,8 @@
 // one. A script writes raw bytes and reports whether the connection stays open.
 type target struct {
 	id, addr string
+	// software is the version of its software.
+	software string
 	mu       sync.Mutex
 	scripts  []script
 	received []receivedRequest
@@ -106,7 +110,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	x := &target{id: id, addr: l.Addr().String(), scripts: scripts, ended: make(chan struct{}, 100)}
+	x := &target{id: id, software: "v1", addr: l.Addr().String(), scripts: scripts, ended: make(chan struct{}, 100)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -226,12 +230,35 @@
 	return b.String()
 }
 
+// fakeStreams knows the origins of streams by key.
+type fakeStreams struct {
+	mu      sync.Mutex
+	origins map[string]exchange.Origin
+}
+
+func (s *fakeStreams) Began(key string, o exchange.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.origins == nil {
+		s.origins = map[string]exchange.Origin{}
+	}
+	s.origins[key] = o
+}
+
+func (s *fakeStreams) Origin(_ context.Context, key string) (exchange.Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.origins[key]
+	return o, ok
+}
+
 // rig is a gateway in front of targets, with servers for callers and for other regions.
 type rig struct {
 	options exchange.Options
 	gateway *exchange.Gateway
 	metrics *metrics.SiteEntry
 	pool    *pick.Pool
+	streams *fakeStreams
 	table   *routes.Table
 	view    *exchange.View
 	server  *httptest.Server
@@ -247,7 +274,7 @@
 
 func newRigWith(t testing.TB, region string, poison exchange.PoisonRequests, targets ...*target) *rig {
 	t.Helper()
-	r := &rig{pool: pick.New("self"), table: &routes.Table{
+	r := &rig{pool: pick.New("self"), streams: &fakeStreams{}, table: &routes.Table{
 		Version: 3, Services: []routes.Service{{Name: "s"}}, Limits: routes.Limits{MaxBodyBytes: 1000},
 	}}
 	for name, route := range map[string]routes.Route{
@@ -269,7 +296,7 @@
 	r.setTargets(targets...)
 	r.metrics = metrics.NewSiteEntry(func() metrics.EntryState { return metrics.EntryState{} })
 	r.options = exchange.Options{
-		Region: region, Dialect: testDialect{}, Pool: r.pool, PoisonRequests: poison, Targets: rawhttp.NewClient(rawhttp.Options{}),
+		Region: region, Dialect: testDialect{}, Pool: r.pool, PoisonRequests: poison, Streams: r.streams, Targets: rawhttp.NewClient(rawhttp.Options{}),
 		Peers:   rawhttp.NewClient(rawhttp.Options{}),
 		Retries: exchange.RetryLimits{Span: 10 * time.Second, Share: 0.2, Allowance: 100},
 		Rand:    rand.New(rand.NewPCG(1, 2)), Log: zap.NewNop(),
@@ -287,9 +314,16 @@
 
 // setTargets replaces the targets of the pool.
 func (r *rig) setTargets(targets ...*target) {
+	r.setTargetsOf(map[string][]*target{"s": targets})
+}
+
+// setTargetsOf replaces the targets of the pool by service.
+func (r *rig) setTargetsOf(byService map[string][]*target) {
 	var list []pick.Target
-	for _, x := range targets {
-		list = append(list, pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 4})
+	for service, targets := range byService {
+		for _, x := range targets {
+			list = append(list, pick.Target{ID: x.id, Service: service, Address: x.addr, Zone: "z", Slots: 4, Software: x.software})
+		}
 	}
 	r.pool.Update(time.Now(), pick.Snapshot{Targets: list, Entries: []string{"self"}})
 }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -84,6 +84,8 @@
 		return CodeTimeout, false
 	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns):
 		return CodeTargetLost, false
+	case q.begun && q.origin.Software == "":
+		return CodeUnknownStream, false
 	case q.attemptCount >= maxAttempts:
 		return CodeNoTarget, false
 	case q.g.o.PoisonRequests != nil && q.runs > 0 && !q.g.o.PoisonRequests.MayRetry(q.content()):
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -37,6 +37,9 @@
 	// HasLastEventID.
 	LastEventID    int64
 	HasLastEventID bool
+	// Resumes is the ID of the attempt that brought the first event of the stream that the caller
+	// takes up; empty if it gives none.
+	Resumes string
 }
 
 // Credential is a caller's key. One that is present but malformed has a zero Digest.
@@ -159,6 +162,22 @@
 	ReportFinished(c Content)
 }
 
+// Streams knows what began the streams that callers may take up.
+type Streams interface {
+	// Began records what began a stream, or that it goes on.
+	Began(key string, o Origin)
+	// Origin returns what began a stream, and asks other instances if need be; false if it is not
+	// known.
+	Origin(ctx context.Context, key string) (Origin, bool)
+}
+
+// Origin is what began a stream: a service, and the version of its target's software. It goes on at
+// this version only.
+type Origin struct {
+	Service  string `cbor:"1,keyasint"`
+	Software string `cbor:"2,keyasint"`
+}
+
 // Content is what stays the same when a caller sends a request again.
 type Content struct {
 	Method, Host, Target string
@@ -217,9 +236,11 @@
 	CodeOverloaded verdict.Code = "overloaded"
 	CodeTimeout    verdict.Code = "timeout"
 	CodeTargetLost verdict.Code = "target_lost"
-	CodePoison     verdict.Code = "request_crashes_targets"
-	CodeLeaving    verdict.Code = "instance_leaving"
-	CodeBehind     verdict.Code = "configuration_behind"
+	// CodeUnknownStream: what began the stream that the caller takes up is not known.
+	CodeUnknownStream verdict.Code = "unknown_stream"
+	CodePoison        verdict.Code = "request_crashes_targets"
+	CodeLeaving       verdict.Code = "instance_leaving"
+	CodeBehind        verdict.Code = "configuration_behind"
 	// CodeUnknownKey: no key, or a key that no workspace holds.
 	CodeUnknownKey verdict.Code = "unknown_key"
 	// CodeNoHomeRegion: the route and the workspace have no home region in common.
@@ -238,6 +259,11 @@
 	// headerReachedTarget marks a refusal of a request that a target has rejected.
 	headerReachedTarget = "Gullhaven-Arrived"
 	headerLastEventID   = "Gullhaven-After"
+	// headerService and headerSoftware hold what began the stream that the request goes on with,
+	// escaped as in a URL query. An answer has headerSoftware if the request has headerBegins.
+	headerService  = "Gullhaven-Service"
+	headerSoftware = "Gullhaven-Software"
+	headerBegins   = "Gullhaven-Begins"
 	// headerKey holds the digest of the caller's key: the receiver checks it against its own
 	// configuration, which is not older than the sender's.
 	headerKey = "Gullhaven-Key"
