exchange, node/entry: a caller that does not name the stream it takes up

Cause: without Resumes there is nothing to ask for, so what began the stream was never known. Change: such a stream goes on if the service has had targets of one version only, in all regions, as long as a stream may be taken up (2 minutes); that leaves one version that can have begun it. What a caller names and nobody knows stays refused. A line 'stream taken up' tells what was found.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -72,6 +72,11 @@
 	loads        []feed.Load
 	partialLoads bool
 	regions      []feed.Summary
+	// versions are the software versions listed recently. ownVersions are those of the list with the
+	// digest ownVersionsOf.
+	versions      versionHistory
+	ownVersions   []serviceVersion
+	ownVersionsOf uint64
 	// nextReportWait is how long the next report may be held back.
 	nextReportWait time.Duration
 }
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -96,6 +98,10 @@
 		Index: k.index, Regions: map[exchange.RegionService]pick.RegionLoad{}, EntryInstances: len(k.entries.Entries) + 1, TargetsReadAt: k.list.ReadAt,
 	}
 	i.addRegions(next)
+	for _, l := range k.listedVersions() {
+		k.versions.record(now, l.service, l.version)
+	}
+	next.Versions = k.versions.recent(now)
 	if current := i.currentInputs(); i.lastView.inputs != current {
 		i.lastView = lastView{inputs: current, peers: i.currentPeers()}
 		snapshot := i.poolSnapshot(next.Index)
@@ -108,6 +114,28 @@
 	i.gateway.SetView(next)
 }
 
+// serviceVersion is a software version of a service's targets.
+type serviceVersion struct{ service, version string }
+
+// listedVersions returns the software versions of the listed targets of the own region, found once for
+// each list, and of the other regions.
+func (k *knownState) listedVersions() []serviceVersion {
+	if k.ownVersionsOf != k.list.Digest {
+		seen := map[serviceVersion]bool{}
+		for _, t := range k.list.Targets {
+			seen[serviceVersion{t.Service, t.Software}] = true
+		}
+		k.ownVersions, k.ownVersionsOf = slices.Collect(maps.Keys(seen)), k.list.Digest
+	}
+	out := slices.Clone(k.ownVersions)
+	for _, s := range k.regions {
+		for version := range s.Software {
+			out = append(out, serviceVersion{s.Service, version})
+		}
+	}
+	return out
+}
+
 // lastView holds what the last view was built from.
 type lastView struct {
 	inputs viewInputs
--- /dev/null
+++ b/node/entry/versions.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// versionMemory is how long a software version counts after its last target is gone from the list: a
+// stream that it began may still be taken up.
+const versionMemory = 2 * time.Minute
+
+// versionHistory holds the software versions of the targets of each service that were listed recently,
+// in any region.
+type versionHistory struct {
+	// lastListed is when each version was last listed, by service.
+	lastListed map[string]map[string]time.Time
+}
+
+// record records the versions that are listed now.
+func (v *versionHistory) record(now time.Time, service string, versions ...string) {
+	for _, version := range versions {
+		if version == "" {
+			continue
+		}
+		if v.lastListed == nil {
+			v.lastListed = map[string]map[string]time.Time{}
+		}
+		if v.lastListed[service] == nil {
+			v.lastListed[service] = map[string]time.Time{}
+		}
+		v.lastListed[service][version] = now
+	}
+}
+
+// recent returns the versions of each service that were listed within versionMemory, and forgets the
+// others.
+func (v *versionHistory) recent(now time.Time) map[string][]string {
+	out := map[string][]string{}
+	for service, versions := range v.lastListed {
+		maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) >= versionMemory })
+		if len(versions) == 0 {
+			delete(v.lastListed, service)
+			continue
+		}
+		out[service] = slices.Sorted(maps.Keys(versions))
+	}
+	return out
+}
--- a/node/feed/aggregate.go
+++ b/node/feed/aggregate.go
@@ -180,20 +180,21 @@
 func (st *Store) summarizeOthers(agg *aggregate, except string, evacuated map[string]uint64) []Summary {
 	type key struct{ region, service string }
 	sums := map[key]Summary{}
+	software := map[key]map[string]int{}
 	for _, t := range st.list.Targets {
+		if k := (key{t.Region, t.Service}); t.Region != except && t.Software != "" {
+			if software[k] == nil {
+				software[k] = map[string]int{}
+			}
+			software[k][t.Software]++
+		}
 		if t.Region == except || t.Draining || evacuated[t.Zone] != 0 || agg.at.Before(t.ColdUntil) {
 			continue
 		}
 		k := key{t.Region, t.Service}
 		sum := sums[k]
-		if sum.Software == nil && t.Software != "" {
-			sum.Software = map[string]int{}
-		}
-		if t.Software != "" {
-			sum.Software[t.Software]++
-		}
 		sums[k] = Summary{
-			Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots, Software: sum.Software,
+			Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots, Software: software[k],
 			LoadUnknown: !st.loadKnown(agg, t.Region),
 		}
 	}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -191,7 +191,8 @@
 	// PrefillSums.
 	PrefillSumTokens int64 `cbor:"9,keyasint,omitempty"`
 	PrefillSumMillis int64 `cbor:"10,keyasint,omitempty"`
-	// Software is the number of targets by version of their software. It is set in an Update only.
+	// Software is the number of targets by version of their software, those that are draining or cold
+	// included. It is set in an Update only.
 	Software map[string]int `cbor:"12,keyasint,omitempty"`
 	// LoadUnknown says that the load of the region was not reported recently: Targets and Slots
 	// come from the list of targets alone. It is set in an Update only.
--- a/pipeline/exchange/origin.go
+++ b/pipeline/exchange/origin.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"slices"
 
+	"go.uber.org/zap"
+
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/place"
@@ -47,7 +49,11 @@
 			q.g.o.Streams.Began(key, origin)
 		}
 		q.origin = origin
+	case q.call.Resumes == "":
+		q.origin = q.onlyOrigin()
 	}
+	q.g.o.Log.Info("stream taken up", zap.String("id", q.call.ID), zap.String("resumes", q.call.Resumes), zap.Int64("last", q.lastEventID),
+		zap.String("service", q.origin.Service), zap.String("software", q.origin.Software), zap.Bool("passed", q.forwarded != nil))
 	if q.origin.Software == "" {
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeUnknownStream, retryAfter: place.RetryAfter(place.Busy, 0)}
 	}
@@ -57,6 +63,15 @@
 	return nil
 }
 
+// onlyOrigin returns what began the stream of a caller that does not name it, if its service has had
+// targets of one software version only.
+func (q *request) onlyOrigin() Origin {
+	if versions := q.view.Versions[q.service]; len(versions) == 1 {
+		return Origin{Service: q.service, Software: versions[0]}
+	}
+	return Origin{}
+}
+
 // recordOrigin records what begins the stream, before its first event is passed on. p is nil for an
 // answer of another instance.
 func (q *request) recordOrigin(a *rawhttp.Answer, p *destination) {
--- a/pipeline/exchange/origin_test.go
+++ b/pipeline/exchange/origin_test.go
@@ -74,6 +74,17 @@
 		}
 		So(requestCount(x), ShouldEqual, 0)
 	})
+	Convey("one that its caller does not name goes on if there has been one version only", t, func() {
+		for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
+			x := newTarget(t, "t1", streamEvents(5, true))
+			r := newRig(t, "r", x)
+			view := *r.view
+			view.Versions = map[string][]string{"s": versions}
+			r.gateway.SetView(&view)
+			So(r.takeUp("").status == 200, ShouldEqual, len(versions) == 1)
+			So(r.takeUp("unknown").status, ShouldEqual, 503)
+		}
+	})
 	Convey("so is one of another caller", t, func() {
 		x := newTarget(t, "t1", streamEvents(5, true))
 		r := newRig(t, "r", x)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -206,6 +206,9 @@
 	Peers []Peer
 	// Regions is the load of other regions by region and service.
 	Regions map[RegionService]pick.RegionLoad
+	// Versions are the software versions of each service's targets, in any region, that were listed as
+	// long as a stream may be taken up.
+	Versions map[string][]string
 	// TargetsReadAt is when the list of targets was read.
 	TargetsReadAt time.Time
 	// EntryInstances is the number of entry instances in all regions.
--- a/route/pick/region.go
+++ b/route/pick/region.go
@@ -11,7 +11,8 @@
 	Load
 	// Prefill is the recent prefill speed of the engines there.
 	Prefill PrefillSums
-	// Software is the number of targets by version of their software; nil if it is not known.
+	// Software is the number of targets by version of their software, also of those that are not usable;
+	// nil if it is not known.
 	Software map[string]int
 	// LoadUnknown says that Load and Prefill are not known.
 	LoadUnknown bool
