soak: versions side by side, poison requests, and the ledger's two rules

Change: runners name their version in each event, and successors may be of the other one; callers take up resumable streams that break after an event; a caller of a poison request (-soak.poison, and a short run with all tests). The ledger holds streams of two versions, streams that are not taken up, and poison requests that reach runners once they are known, against the users' bounds.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +55,9 @@
 		w.wg.Go(func() { w.runOperator(ctx, author, rng) })
 	}
 	w.wg.Go(func() { w.runReader(ctx, rand.New(rand.NewPCG(seed, 200))) })
+	if w.o.Poison {
+		w.wg.Go(func() { w.runPoison(ctx, rand.New(rand.NewPCG(seed, 300))) })
+	}
 	return func() {
 		cancel()
 		w.wg.Wait()
@@ -79,12 +83,30 @@
 			r.Outcome, stays = conn.Do(r.ID, r.Path, deadline, r.Start.Add(2*(deadline+slack)))
 			r.End = time.Now()
 			w.Ledger.AddRequest(r)
+			w.takeUp(ctx, client, caller, rng, &r)
 			_ = duty.Pause(ctx, time.Duration(rng.Int64N(int64(2*callerPause))))
 		}
 		conn.Close()
 	}
 }
 
+// takeUp takes up a stream that broke after an event, once, at any entry instance.
+func (w *World) takeUp(ctx context.Context, client *http.Client, caller int, rng *rand.Rand, broken *Request) {
+	after := broken.wholeEvents()
+	if broken.Err == nil || after == 0 || !strings.HasPrefix(broken.Path, platformtest.PathResumable) {
+		return
+	}
+	conn := w.connect(ctx, client, caller, rng)
+	if conn == nil {
+		return
+	}
+	defer conn.Close()
+	r := Request{ID: broken.ID + "-again", Path: broken.Path, Entry: conn.Address, Start: time.Now(), Resumes: broken.ID, After: after}
+	r.Outcome = conn.TakeUp(r.ID, r.Path, r.Resumes, after, deadline, r.Start.Add(2*(deadline+slack)))
+	r.End = time.Now()
+	w.Ledger.AddRequest(r)
+}
+
 // connect asks the directories in turn, from the caller's own on, and connects to one of the
 // addresses that they return. It returns nil if none can be reached.
 func (w *World) connect(ctx context.Context, client *http.Client, caller int, rng *rand.Rand) *platformtest.Conn {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -17,6 +17,10 @@
 	// Entry is the address that it was sent to.
 	Entry      string
 	Start, End time.Time
+	// Resumes is the ID of the request that brought the first event of the stream that this one takes
+	// up after event After; empty for others.
+	Resumes string
+	After   int
 	platformtest.Outcome
 }
 
@@ -61,6 +65,8 @@
 	acknowledged []acknowledgement
 	violations   []string
 	announced    announcements
+	// crashes are those under poison requests.
+	crashes []crash
 }
 
 type acknowledgement struct {
@@ -141,6 +147,8 @@
 	}
 	out = append(out, l.checkAnnouncements()...)
 	out = append(out, l.checkBudget()...)
+	out = append(out, l.checkVersions()...)
+	out = append(out, l.checkPoison()...)
 	for i := range l.requests {
 		r := &l.requests[i]
 		for _, fault := range []string{l.checkRuns(r), l.checkContent(r), l.checkInTime(r), l.checkLost(r)} {
@@ -180,15 +188,17 @@
 	if r.Status != 200 {
 		return ""
 	}
-	want := platformtest.Answer(r.ID)
+	want, got := platformtest.Answer(r.ID), r.Body
 	if r.isStream() {
-		want = platformtest.Stream(r.ID, l.Events)
+		want = platformtest.Stream(r.streamID(), l.Events)
+		want = strings.TrimPrefix(want, platformtest.Stream(r.streamID(), r.After))
+		got, _ = platformtest.SplitSoftware(r.Body)
 	}
 	switch {
-	case r.Err == nil && r.Body != want:
-		return fmt.Sprintf("complete with %d of %d bytes: %.60q", len(r.Body), len(want), r.Body)
-	case r.Err != nil && !strings.HasPrefix(want, r.Body):
-		return fmt.Sprintf("other bytes: %.60q", r.Body)
+	case r.Err == nil && got != want:
+		return fmt.Sprintf("complete with %d of %d bytes: %.60q", len(got), len(want), got)
+	case r.Err != nil && !strings.HasPrefix(want, got):
+		return fmt.Sprintf("other bytes: %.60q", got)
 	}
 	return ""
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,10 +16,11 @@
 )
 
 var (
-	seeds = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
-	wide  = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
-	span  = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
-	keep  = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
+	seeds    = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
+	wide     = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
+	span     = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
+	poisoned = flag.Bool("soak.poison", false, "play soak.seeds with a poison request besides")
+	keep     = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
 
 // binary is the daemon under test.
@@ -66,6 +67,19 @@
 	runFaults(t, seed, o, DrawWideFaults(seed, o.Shape, span))
 }
 
+// poisonSpan is the time within which the faults of TestPoisonRequestInASoak begin: the request must be
+// known some time before.
+const poisonSpan = 14 * time.Second
+
+// Guards against a request that crashes one runner after the other, sent on by instances that do not
+// know of it, while faults of all kinds overlap.
+func TestPoisonRequestInASoak(t *testing.T) { runPoisoned(t, 301, poisonSpan) }
+
+func runPoisoned(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 9}, Callers: 9, Budget: siteBudget, Poison: true}
+	runFaults(t, seed, o, append(DrawFaults(seed, o.Shape, span), DrawExtraFaults(seed, o.Shape, span)...))
+}
+
 // formerFailures are seeds that failed before, each with its cause.
 var formerFailures = []struct {
 	seed  uint64
@@ -97,9 +111,13 @@
 	}
 	for seed := first; seed <= last; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			if *wide {
+			switch {
+			case *wide:
 				runWide(t, seed, *span)
 				return
+			case *poisoned:
+				runPoisoned(t, seed, *span)
+				return
 			}
 			runSeed(t, seed, *span, true)
 		})
@@ -145,7 +163,7 @@
 	for _, p := range append(problems, w.Ledger.Violations()...) {
 		t.Error(p)
 	}
-	t.Logf("%d requests served, %d runs, newest version %d; %s", w.Ledger.Served(), w.runLog.Total(), w.Ledger.Newest(time.Now()), w.Ledger.BudgetUse())
+	t.Logf("%d requests served, %d runs, %d crashes under poison requests, newest version %d; %s", w.Ledger.Served(), w.runLog.Total(), w.Ledger.Crashes(), w.Ledger.Newest(time.Now()), w.Ledger.BudgetUse())
 	if w.Ledger.Served() == 0 {
 		t.Error("no request was served")
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -25,6 +25,8 @@
 	Callers int
 	// Budget is the retry budget in the settings of all instances, which Ledger checks.
 	Budget RetryBudget
+	// Poison adds a caller whose request crashes each runner that runs it.
+	Poison bool
 	Log    func(format string, args ...any)
 }
 
@@ -85,7 +87,9 @@
 	forwarded
 	service, zone string
 	// number is the runner's number in faults.
-	number    int
+	number int
+	// starts counts the runners that have run there.
+	starts    int
 	server    *server
 	handler   *platformtest.Runner
 	listEntry platformtest.ListEntry
@@ -278,16 +282,24 @@
 	return fmt.Sprint("i-", w.nextID)
 }
 
+// softwareOf returns the software version of the start of a runner, counted from 1. Two versions serve
+// side by side, and every other successor is of the other one.
+func softwareOf(number, start int) string { return fmt.Sprint("v", 1+(number+start/2)%2) }
+
 // serve starts a runner with this ID and lists it.
 func (w *World) serve(r *runner, id string) error {
-	runner := &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents}
+	w.mu.Lock()
+	r.starts++
+	software := softwareOf(r.number, r.starts)
+	w.mu.Unlock()
+	runner := &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents, Software: software, Crash: w.crashUnder(r)}
 	target := w.Ledger.AddTarget(r.number, r.service, regionOfZone(r.zone))
 	runner.Arrived = func(a platformtest.Arrival) { w.Ledger.AddArrival(target, a) }
 	server, err := serve(r.forwarder.to, runner)
 	if err != nil {
 		return err
 	}
-	listed := platformtest.ListEntry{ID: id, Service: r.service, Address: r.forwarder.Address(), Zone: r.zone, Slots: 16, Born: time.Now().UnixMilli()}
+	listed := platformtest.ListEntry{ID: id, Service: r.service, Address: r.forwarder.Address(), Zone: r.zone, Slots: 16, Version: software, Born: time.Now().UnixMilli()}
 	w.mu.Lock()
 	r.server, r.listEntry, r.handler = server, listed, runner
 	w.mu.Unlock()
