--- a/metrics/site.go
+++ b/metrics/site.go
@@ -14,6 +14,7 @@
 	SiteNoConfiguration   = Metric{"gullhaven_site_refused_no_configuration_total", Counter, "requests", "Requests refused before a configuration was known."}
 	SiteLeaving           = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
 	SitePoisonRequests    = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
+	SiteUnknownStreams    = Metric{"gullhaven_site_refused_unknown_stream_total", Counter, "requests", "Requests refused as no instance knows what began the stream that they take up."}
 	SiteOverloaded        = Metric{"gullhaven_site_refused_overloaded_total", Counter, "requests", "Requests refused as what waits in front of the best target takes longer than the route's aim."}
 	SiteUnknownKeys       = Metric{"gullhaven_site_refused_key_total", Counter, "requests", "Requests refused as they carried no key that a workspace holds."}
 	SiteNoHomeRegion      = Metric{"gullhaven_site_refused_no_home_total", Counter, "requests", "Requests refused as the homes of their route and workspace have no region in common."}
@@ -61,7 +62,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteUnknownStreams, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
@@ -73,7 +74,7 @@
 	ForwardedIn, RefusedNoTarget, RefusedNoConfiguration, RefusedLeaving, RefusedPoison, RefusedOverloaded, RefusedOther gometrics.Counter
 	RefusedUnknownKey, RefusedNoHome, RefusedOverLimit                                                                   gometrics.Counter
 	RetriesDenied, OwnedElsewhere, SummariesInvalid, SummariesUnknown, RegionsUnreached, ReportsFailed                   gometrics.Counter
-	RefusedResting, RestsAsked, LeavingAnswers, MalformedHeaders, Pauses                                                 gometrics.Counter
+	RefusedResting, RefusedUnknownStream, RestsAsked, LeavingAnswers, MalformedHeaders, Pauses                           gometrics.Counter
 	// WaitRatio is the actual wait over the expected wait, which shows the quality of choices.
 	WaitRatio                                       *Ratios
 	ChooseTime, SendTime, EventGapTime, RequestTime *Times
@@ -111,7 +112,7 @@
 	registerLinks(page, func(e *EntryState) *Links { return &e.Links })
 	return &SiteEntry{
 		Set: s, ForwardedIn: s.Counter(SiteForwardedIn), RefusedNoTarget: s.Counter(SiteNoTarget), RefusedResting: s.Counter(SiteResting), RefusedNoConfiguration: s.Counter(SiteNoConfiguration),
-		RefusedLeaving: s.Counter(SiteLeaving), RefusedPoison: s.Counter(SitePoisonRequests),
+		RefusedLeaving: s.Counter(SiteLeaving), RefusedPoison: s.Counter(SitePoisonRequests), RefusedUnknownStream: s.Counter(SiteUnknownStreams),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOther: s.Counter(SiteOtherRefusals),
 		RefusedUnknownKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHomeRegion), RefusedOverLimit: s.Counter(SiteOverLimit),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Pauses: s.Counter(SitePauses), OwnedElsewhere: s.Counter(SiteOwnedElsewhere),
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -102,6 +102,8 @@
 		return m.RefusedLeaving
 	case CodePoison:
 		return m.RefusedPoison
+	case CodeUnknownStream:
+		return m.RefusedUnknownStream
 	case CodeOverloaded:
 		return m.RefusedOverloaded
 	case CodeUnknownKey:
