node/control: quarantined requests survive a loss of power of all machines

Cause: suspects lived in memory only, of entry and core instances. After a loss of power of all, each request that crashes its targets would have crashed two more, and had its trials anew. The file is written like the one of the accepted state (checkedFile).

--- a/node/control/accepted_file.go
+++ b/node/control/accepted_file.go
@@ -2,13 +2,8 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"os"
-	"path/filepath"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
@@ -22,22 +17,16 @@
 // requests for the 2 s that an election takes. The state in the file was accepted, which the
 // tail of the log does not say.
 type acceptedFile struct {
-	fs  wal.FS
-	dir string
-	log *zap.Logger
+	file checkedFile
+	log  *zap.Logger
 	// next holds the state to write; a newer one replaces it.
 	next chan *newest.State
 }
 
-const (
-	acceptedName     = "accepted"
-	acceptedTempName = "accepted.new"
-	// checksumBytes is the length of the checksum before the state.
-	checksumBytes = 8
-)
+const acceptedName = "accepted"
 
 func newAcceptedFile(fs wal.FS, dir string, log *zap.Logger) *acceptedFile {
-	return &acceptedFile{fs: fs, dir: dir, log: log, next: make(chan *newest.State, 1)}
+	return &acceptedFile{file: checkedFile{fs: fs, dir: dir, name: acceptedName}, log: log, next: make(chan *newest.State, 1)}
 }
 
 // save queues a state for writing, replacing one that still waits. It never blocks.
@@ -75,43 +64,15 @@
 	if err != nil {
 		return err
 	}
-	data = append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(data)), data...)
-	if err := k.fs.MkdirAll(k.dir); err != nil {
-		return err
-	}
-	temp := filepath.Join(k.dir, acceptedTempName)
-	f, err := k.fs.Create(temp)
-	if err != nil {
-		return err
-	}
-	_, err = f.WriteAt(data, 0)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closed := f.Close(); err == nil {
-		err = closed
-	}
-	if err != nil {
-		return err
-	}
-	if err := k.fs.Rename(temp, filepath.Join(k.dir, acceptedName)); err != nil {
-		return err
-	}
-	return k.fs.SyncDir(k.dir)
+	return k.file.write(data)
 }
 
 // read returns the state in the file, nil if there is no file, and an error if the file cannot
 // be read. The instance then starts from the log alone.
 func (k *acceptedFile) read() (*newest.State, error) {
-	data, err := k.fs.ReadFile(filepath.Join(k.dir, acceptedName))
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
+	data, err := k.file.read()
+	if err != nil || data == nil {
 		return nil, err
 	}
-	if len(data) < checksumBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
-		return nil, errors.NotValidf("checksum of the accepted state")
-	}
-	return newest.DecodeState(data[checksumBytes:])
+	return newest.DecodeState(data)
 }
--- a/node/control/gossip.go
+++ b/node/control/gossip.go
@@ -87,7 +87,9 @@
 		return
 	}
 	now := time.Now()
-	i.store.AddSuspects(now, g.Suspects, false)
+	if i.store.AddSuspects(now, g.Suspects, false) {
+		i.suspectsFile.markChanged()
+	}
 	i.compareSuspects(now, from, g.SuspectsDigest)
 	if !i.store.MergeGossip(now, g) || i.applyList(from, &g, now) {
 		return
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -125,6 +125,7 @@
 	machine      *newest.Machine
 	store        *feed.Store
 	acceptedFile *acceptedFile
+	suspectsFile *suspectsFile
 	// documents are served to entry instances.
 	documents documents
 	// suspectExchanges are those with other core instances.
@@ -170,6 +171,7 @@
 	}
 	i.metrics = metrics.NewSiteCore(i.coreState)
 	i.acceptedFile = newAcceptedFile(wal.OS{}, o.Dir, o.Log)
+	i.suspectsFile = newSuspectsFile(wal.OS{}, o.Dir, o.Log)
 	i.machine = newest.NewMachine(i.onAccepted)
 	hub, err := link.New(LinkOptions(o.Self.ID))
 	if err != nil {
@@ -202,6 +204,7 @@
 		i.documents.put(i.startState)
 		o.Log.Info("read the accepted state beside the log", zap.Uint64("version", i.startState.Version), zap.Uint64("index", i.startState.Index))
 	}
+	i.store.AddSuspects(time.Now(), i.suspectsFile.read(), false)
 	i.newcomer = i.node.Status().New && !o.FirstStart
 	hub.Handle(channelGroup, i.node.Receive)
 	hub.Handle(channelGossip, i.handleGossip)
@@ -276,7 +279,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, run := range []func(context.Context){i.runJoining, i.runList, i.runGossip, i.runWakes, i.watchNode, i.acceptedFile.run} {
+	for _, run := range []func(context.Context){i.runJoining, i.runList, i.runGossip, i.runWakes, i.watchNode, i.acceptedFile.run, i.runSuspectsFile} {
 		i.wg.Go(func() { run(ctx) })
 	}
 }
--- a/node/control/suspects.go
+++ b/node/control/suspects.go
@@ -53,9 +53,15 @@
 func (i *Instance) addSuspects(entries []suspect.Entry) {
 	if i.store.AddSuspects(time.Now(), entries, true) {
 		i.triggerGossip()
+		i.suspectsFile.markChanged()
 	}
 }
 
+// runSuspectsFile keeps the quarantined requests on disk until ctx ends.
+func (i *Instance) runSuspectsFile(ctx context.Context) {
+	i.suspectsFile.run(ctx, i.store.QuarantinedSuspects)
+}
+
 func (i *Instance) handleSuspects(from string, payload []byte) {
 	var entries []suspect.Entry
 	if err := cbor.Unmarshal(payload, &entries); err != nil {
@@ -104,5 +110,7 @@
 		i.log.Warn("suspects cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
-	i.store.AddSuspects(time.Now(), entries, false)
+	if i.store.AddSuspects(time.Now(), entries, false) {
+		i.suspectsFile.markChanged()
+	}
 }
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -16,6 +16,8 @@
 	// other core instances: several gossip messages, so that a lost one has no effect. One that was
 	// partitioned for longer gets it by SuspectsDigest.
 	suspectGossipTime = 3 * time.Second
+	// minQuarantined is the number of crashes of a quarantined request.
+	minQuarantined = 2
 	// maxSuspects bounds their number; each takes 80 bytes.
 	maxSuspects = 2048
 )
@@ -154,6 +156,20 @@
 	return st.suspects.entries(func(*suspectRecord) bool { return true })
 }
 
+// QuarantinedSuspects returns the entries of the requests that are suspects of two crashes or more.
+func (st *Store) QuarantinedSuspects(now time.Time) []suspect.Entry {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.suspects.expire(now)
+	crashes := map[suspect.Digest]int{}
+	for key, r := range st.suspects.records {
+		if r.entry.Status != suspect.Cleared {
+			crashes[key.digest]++
+		}
+	}
+	return st.suspects.entries(func(r *suspectRecord) bool { return crashes[r.entry.Digest] >= minQuarantined })
+}
+
 // HasSuspectsFor reports whether the sender of a report misses suspects.
 func (st *Store) HasSuspectsFor(r *Report) bool {
 	st.mu.Lock()
--- a/node/feed/suspects_test.go
+++ b/node/feed/suspects_test.go
@@ -58,6 +58,13 @@
 			So(b.SuspectsDiffer(later, a.Gossip(later, false, false).SuspectsDigest), ShouldBeFalse)
 			So(len(update(b, later, feed.SuspectsMark{}).Suspects), ShouldEqual, 2)
 		})
+		Convey("names those of two crashes as quarantined, with all their entries", func() {
+			So(a.QuarantinedSuspects(t0), ShouldBeEmpty)
+			again, cleared := suspectOf(1, suspect.Suspected), suspectOf(1, suspect.Cleared)
+			again.Crash.Target, cleared.Crash.Target = "u", "v"
+			a.AddSuspects(t0, []suspect.Entry{again, cleared, suspectOf(2, suspect.Suspected)}, true)
+			So(len(a.QuarantinedSuspects(t0)), ShouldEqual, 3)
+		})
 		Convey("forgets them when they expire", func() {
 			So(a.Suspects(t0.Add(10*time.Minute)), ShouldBeEmpty)
 			So(a.Gossip(t0.Add(10*time.Minute), false, false).SuspectsDigest, ShouldEqual, 0)
