--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -78,13 +78,22 @@
 	}
 	// A request that an earlier attempt may have run is not refused.
 	fresh := q.verdict == verdict.NotRun && !q.headWritten
-	if fresh && place.Overloaded(p.choice.QueueWait, q.route.Aim) {
+	if fresh && place.Overloaded(p.choice.QueueWait, q.queueAim(now)) {
 		p.reportEnd(now, pick.Neutral)
 		return nil, CodeOverloaded
 	}
 	return p, ""
 }
 
+// queueAim returns how long the request may wait in a queue: as long as its caller waits if that has
+// events of the stream, which only targets of one software version can go on with.
+func (q *request) queueAim(now time.Time) time.Duration {
+	if q.begun && q.route.Aim > 0 {
+		return max(q.route.Aim, q.deadline.Sub(now))
+	}
+	return q.route.Aim
+}
+
 // chooseTarget chooses among the targets of this region, or has their group owner choose. It
 // returns nil if there is none.
 func (q *request) chooseTarget(now time.Time, c pick.Call) *destination {
--- a/pipeline/exchange/overload_test.go
+++ b/pipeline/exchange/overload_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
@@ -15,7 +16,7 @@
 func (r *rig) queuePrompts(n int, targets ...*target) {
 	var list []pick.Target
 	for _, x := range targets {
-		list = append(list, pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 64})
+		list = append(list, pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 64, Software: x.software})
 	}
 	r.pool.Update(time.Now(), pick.Snapshot{
 		Targets: list, Entries: []string{"self"}, Rules: map[string]pick.ServiceRules{"s": {Engine: true}},
@@ -47,6 +48,17 @@
 		So(loads["t1"].Running+loads["t2"].Running, ShouldEqual, 0)
 		So(r.metrics.RefusedOverloaded.Count(), ShouldEqual, 1)
 
+		Convey("a stream that its caller takes up waits as long as its caller", func() {
+			r.streams.Began("first", exchange.Origin{Service: "s", Software: "v1"})
+			req := r.request("/taken/x", "b")
+			req.Header.Set("After", "1")
+			req.Header.Set("Resumes", "first")
+			req.Header.Set("Deadline", "1.2s")
+			So(do(req).status, ShouldEqual, http.StatusServiceUnavailable)
+			So(r.call("/taken/x", "b").status, ShouldEqual, http.StatusServiceUnavailable)
+			req.Header.Del("Deadline")
+			So(do(req).body, ShouldEqual, eventText(2, 2))
+		})
 		Convey("a route without an aim is sent nevertheless", func() {
 			So(r.call("/stream/x", "b").status, ShouldEqual, http.StatusOK)
 		})
