soak: a runner that returns under its ID keeps its software version

Cause: every second start of a stand-in was of the other version, also under the same ID. Change: a successor changes its version only under a new ID.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,11 +16,11 @@
 )
 
 var (
-	seeds    = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
-	wide     = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
-	span     = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
-	poisoned = flag.Bool("soak.poison", false, "play soak.seeds with a poison request besides")
-	keep     = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
+	seeds = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
+	wide  = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
+	span  = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
+	mixed = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
+	keep  = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
 
 // binary is the daemon under test.
@@ -67,17 +67,20 @@
 	runFaults(t, seed, o, DrawWideFaults(seed, o.Shape, span))
 }
 
-// poisonSpan is the time within which the faults of TestPoisonRequestInASoak begin: the request must be
-// known some time before.
-const poisonSpan = 14 * time.Second
+// mixedSpan is the time within which the faults of TestVersionsAndPoisonRequestsInASoak begin: the poison
+// request must be known some time before.
+const mixedSpan = 14 * time.Second
 
 // Guards against a request that crashes one runner after the other, sent on by instances that do not
-// know of it, while faults of all kinds overlap.
-func TestPoisonRequestInASoak(t *testing.T) { runPoisoned(t, 301, poisonSpan) }
-
-func runPoisoned(t *testing.T, seed uint64, span time.Duration) {
-	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 9}, Callers: 9, Budget: siteBudget, Poison: true}
-	runFaults(t, seed, o, append(DrawFaults(seed, o.Shape, span), DrawExtraFaults(seed, o.Shape, span)...))
+// know of it, and against streams of two software versions, while faults of all kinds overlap.
+func TestVersionsAndPoisonRequestsInASoak(t *testing.T) { runMixed(t, 301, mixedSpan) }
+
+// runMixed plays the faults of a seed with two runners of each service in each region, of two software
+// versions, and with a poison request.
+func runMixed(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 12}, Callers: 16, Budget: siteBudget, Poison: true}
+	faults := append(DrawFaults(seed, o.Shape, span), DrawExtraFaults(seed, o.Shape, span)...)
+	runFaults(t, seed, o, append(faults, DrawTargetFaults(seed, o.Shape, span)...))
 }
 
 // formerFailures are seeds that failed before, each with its cause.
@@ -115,8 +118,8 @@
 			case *wide:
 				runWide(t, seed, *span)
 				return
-			case *poisoned:
-				runPoisoned(t, seed, *span)
+			case *mixed:
+				runMixed(t, seed, *span)
 				return
 			}
 			runSeed(t, seed, *span, true)
--- a/soak/world.go
+++ b/soak/world.go
@@ -88,11 +88,11 @@
 	service, zone string
 	// number is the runner's number in faults.
 	number int
-	// starts counts the runners that have run there.
-	starts    int
-	server    *server
-	handler   *platformtest.Runner
-	listEntry platformtest.ListEntry
+	// successors counts the runners of other IDs that have run there after the first one.
+	successors int
+	server     *server
+	handler    *platformtest.Runner
+	listEntry  platformtest.ListEntry
 	// replacing is held while a runner is replaced.
 	replacing sync.Mutex
 }
@@ -282,15 +282,19 @@
 	return fmt.Sprint("i-", w.nextID)
 }
 
-// softwareOf returns the software version of the start of a runner, counted from 1. Two versions serve
-// side by side, and every other successor is of the other one.
-func softwareOf(number, start int) string { return fmt.Sprint("v", 1+(number+start/2)%2) }
+// softwareOf returns the software version of a runner. Two versions serve side by side in each region
+// that has two runners of a service, and every other successor is of the other one.
+func softwareOf(number, successors int) string {
+	return fmt.Sprint("v", 1+(number/(2*zones)+successors/2)%2)
+}
 
 // serve starts a runner with this ID and lists it.
 func (w *World) serve(r *runner, id string) error {
 	w.mu.Lock()
-	r.starts++
-	software := softwareOf(r.number, r.starts)
+	if r.listEntry.ID != "" && r.listEntry.ID != id {
+		r.successors++
+	}
+	software := softwareOf(r.number, r.successors)
 	w.mu.Unlock()
 	runner := &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents, Software: software, Crash: w.crashUnder(r)}
 	target := w.Ledger.AddTarget(r.number, r.service, regionOfZone(r.zone))
