feed: the digest of suspects is kept as they change

Cause: it was computed from all suspects (2,048 at most) after each change. Change: a sum of hashes that each change adjusts. Measured: go test ./node/feed ./node/control pass.

--- a/node/feed/aggregate.go
+++ b/node/feed/aggregate.go
@@ -305,7 +305,8 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	agg := st.currentAggregate(now)
-	g := Gossip{From: st.self, Regions: st.summarizeOwn(agg), Suspects: st.recentSuspects(now, true), SuspectsDigest: st.currentSuspectsDigest(now)}
+	st.suspects.expire(now)
+	g := Gossip{From: st.self, Regions: st.summarizeOwn(agg), Suspects: st.recentSuspects(now, true), SuspectsDigest: st.suspects.digest}
 	for _, h := range st.liveEntries(now) {
 		if !h.direct {
 			continue
--- a/node/feed/store.go
+++ b/node/feed/store.go
@@ -48,8 +48,6 @@
 	// encodedUpdates caches the updates from each of them to list, by region.
 	encodedUpdates map[updateKey]encodedUpdate
 	suspects       suspectLog
-	// suspectsDigest is that of suspects; 0 if it must be computed.
-	suspectsDigest uint64
 	// groups are those of the targets in the own region; nil until they are needed.
 	groups map[string]pick.Group
 	// listReadHere says that this instance has read list from the platform.
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -44,12 +44,17 @@
 	number uint64
 	// direct says that an entry instance reported it here.
 	direct bool
+	// hash is that of the entry without its times.
+	hash uint64
 }
 
 // suspectLog holds the requests that may crash their targets, and those that were cleared.
 type suspectLog struct {
 	records map[suspectKey]suspectRecord
 	last    uint64
+	// digest identifies the set of records, whatever their order: it is the sum of their hashes, 0 for
+	// none.
+	digest uint64
 }
 
 // add stores an entry and reports whether it changed anything.
@@ -71,10 +76,23 @@
 		l.records = map[suspectKey]suspectRecord{}
 	}
 	l.last++
-	l.records[key] = suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct}
+	r := suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct, hash: hashOf(&e)}
+	l.digest += r.hash - old.hash
+	l.records[key] = r
 	return true
 }
 
+func hashOf(e *suspect.Entry) uint64 {
+	// A struct of fixed types cannot fail to be encoded.
+	data, _ := cbor.Marshal(suspect.Entry{Digest: e.Digest, Crash: e.Crash, Status: e.Status})
+	return xxhash.Sum64(data)
+}
+
+func (l *suspectLog) remove(key suspectKey) {
+	l.digest -= l.records[key].hash
+	delete(l.records, key)
+}
+
 // evict removes one record: a cleared one before others, then the one that changed longest ago.
 func (l *suspectLog) evict() {
 	var oldest suspectKey
@@ -84,7 +102,7 @@
 			oldest, found = key, &r
 		}
 	}
-	delete(l.records, oldest)
+	l.remove(oldest)
 }
 
 func (r *suspectRecord) evictedBefore(o *suspectRecord) bool {
@@ -97,7 +115,7 @@
 func (l *suspectLog) expire(now time.Time) {
 	for key, r := range l.records {
 		if !now.Before(r.entry.Until) {
-			delete(l.records, key)
+			l.remove(key)
 		}
 	}
 }
@@ -118,17 +136,6 @@
 	return out
 }
 
-// digest identifies the set of records, whatever their order; 0 for none.
-func (l *suspectLog) digest() uint64 {
-	var sum uint64
-	for key, r := range l.records {
-		// A struct of fixed types cannot fail to be encoded.
-		data, _ := cbor.Marshal(suspect.Entry{Digest: key.digest, Crash: key.crash, Status: r.entry.Status})
-		sum += xxhash.Sum64(data)
-	}
-	return sum
-}
-
 // AddSuspects stores requests that may crash their targets. direct says that an entry instance
 // reported them here. It reports whether any of them was new.
 func (st *Store) AddSuspects(now time.Time, entries []suspect.Entry, direct bool) (changed bool) {
@@ -142,7 +149,7 @@
 		changed = st.suspects.add(now, e, direct) || changed
 	}
 	if changed {
-		st.wakePending, st.suspectsDigest = true, 0
+		st.wakePending = true
 		st.wakeIfPending(now)
 	}
 	return changed
@@ -208,15 +215,6 @@
 func (st *Store) SuspectsDiffer(now time.Time, digest uint64) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return len(st.suspects.records) < maxSuspects && digest != st.currentSuspectsDigest(now)
-}
-
-// currentSuspectsDigest returns the digest of the suspects, which is computed after a change only.
-func (st *Store) currentSuspectsDigest(now time.Time) uint64 {
-	before := len(st.suspects.records)
 	st.suspects.expire(now)
-	if st.suspectsDigest == 0 || before != len(st.suspects.records) {
-		st.suspectsDigest = st.suspects.digest()
-	}
-	return st.suspectsDigest
+	return len(st.suspects.records) < maxSuspects && digest != st.suspects.digest
 }
