--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -14,7 +14,7 @@
 //
 //   - A digest that finishes anywhere is cleared: a poison request never finishes.
 //     It is not suspected of a later crash for FinishedTTL either, whether
-//     recorded here or reported by others.
+//     recorded here or reported by others (of one crash, if the host reports times).
 //   - A crash in which a digest was alone proves that it is the cause. It explains
 //     the other crashes that the digest was in, and their other suspects are cleared
 //     of these. A suspect of two crashes explains none: it may be innocent itself,
@@ -57,12 +57,12 @@
 // Copies that run at several targets at the moment of the first crash can crash
 // all of those. An instance that is partitioned from the others of its region, but
 // not from targets and callers, learns of no suspects: each such side can lose
-// its own two. With two poison requests in one batch, the first one found explains
-// the crash and clears the other, which then can crash two more; it loses three
-// targets, one of them shared. Without that rule each innocent request of a batch
-// would need a lone run. Innocent requests that were in flight at two crashes and
-// have finished at no instance recently are refused until one copy finishes or the
-// entry expires. Entries don't cross regions: each region can lose two targets.
+// its own two. With two poison requests in one batch, the first one that is alone in
+// a crash explains that of the batch and clears the other, which then can crash two
+// more; it loses three targets, one of them shared. Without that rule each innocent
+// request of a batch would need a lone run. Without trials, innocent requests that
+// were in flight at two crashes and have finished at no instance recently are refused
+// until one copy finishes or the entry expires. Entries don't cross regions: each region can lose two targets.
 package suspect
 
 import (
