soak: callers go on after the last fault of a mixed run

Change: callers go on for 14 s after the last fault of a mixed run, whose faults begin within 8 s instead of 14.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/gullhaven/gullhaven/node/duty"
 )
 
 var (
@@ -67,9 +69,13 @@
 	runFaults(t, seed, o, DrawWideFaults(seed, o.Shape, span))
 }
 
-// mixedSpan is the time within which the faults of TestVersionsAndPoisonRequestsInASoak begin: the poison
-// request must be known some time before.
-const mixedSpan = 14 * time.Second
+const (
+	// mixedSpan is the time within which the faults of TestVersionsAndPoisonRequestsInASoak begin.
+	mixedSpan = 8 * time.Second
+	// mixedCalm is how long its callers go on: instances are in touch again by then, and the poison
+	// request comes a dozen times more.
+	mixedCalm = effectTime + inTouch + 4*time.Second
+)
 
 // Guards against a request that crashes one runner after the other, sent on by instances that do not
 // know of it, and against streams of two software versions, while faults of all kinds overlap.
@@ -78,7 +84,7 @@
 // runMixed plays the faults of a seed with two runners of each service in each region, of two software
 // versions, and with a poison request.
 func runMixed(t *testing.T, seed uint64, span time.Duration) {
-	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 12}, Callers: 16, Budget: siteBudget, Poison: true}
+	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 12}, Callers: 16, Budget: siteBudget, Poison: true, Calm: mixedCalm}
 	faults := append(DrawFaults(seed, o.Shape, span), DrawExtraFaults(seed, o.Shape, span)...)
 	runFaults(t, seed, o, append(faults, DrawTargetFaults(seed, o.Shape, span)...))
 }
@@ -188,6 +194,7 @@
 	stop := w.Start(ctx, seed)
 	w.InjectFaults(ctx, faults)
 	record(w.AwaitServing(ctx, "after"))
+	_ = duty.Pause(ctx, w.o.Calm)
 	stop()
 	record(w.AwaitAgreement(ctx))
 	return problems
--- a/soak/world.go
+++ b/soak/world.go
@@ -27,7 +27,9 @@
 	Budget RetryBudget
 	// Poison adds a caller whose request crashes each runner that runs it.
 	Poison bool
-	Log    func(format string, args ...any)
+	// Calm is how long callers go on after the last fault.
+	Calm time.Duration
+	Log  func(format string, args ...any)
 }
 
 const (
