feed: the versions of the listed targets are counted once for each list

Cause: they were counted again for each aggregate, over all targets. Change: counted when a list is first asked for them. Measured: TestRegionsTellTheSoftwareOfTheirTargets, go test ./node/feed pass.

--- a/node/feed/aggregate.go
+++ b/node/feed/aggregate.go
@@ -178,29 +178,21 @@
 
 // summarizeOthers returns the capacity and load of all regions but except, by region and service.
 func (st *Store) summarizeOthers(agg *aggregate, except string, evacuated map[string]uint64) []Summary {
-	type key struct{ region, service string }
-	sums := map[key]Summary{}
-	software := map[key]map[string]int{}
+	sums := map[regionService]Summary{}
 	for _, t := range st.list.Targets {
-		if k := (key{t.Region, t.Service}); t.Region != except && t.Software != "" {
-			if software[k] == nil {
-				software[k] = map[string]int{}
-			}
-			software[k][t.Software]++
-		}
 		if t.Region == except || t.Draining || evacuated[t.Zone] != 0 || agg.at.Before(t.ColdUntil) {
 			continue
 		}
-		k := key{t.Region, t.Service}
+		k := regionService{t.Region, t.Service}
 		sum := sums[k]
 		sums[k] = Summary{
-			Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots, Software: software[k],
+			Region: t.Region, Service: t.Service, Targets: sum.Targets + 1, Slots: sum.Slots + t.Slots, Software: st.listedSoftware()[k],
 			LoadUnknown: !st.loadKnown(agg, t.Region),
 		}
 	}
 	add := func(loads []Summary) {
 		for _, l := range loads {
-			k := key{l.Region, l.Service}
+			k := regionService{l.Region, l.Service}
 			if sum, ok := sums[k]; ok {
 				sum = sum.plus(l.load())
 				sum.PrefillSumTokens, sum.PrefillSumMillis = l.PrefillSumTokens, l.PrefillSumMillis
@@ -222,6 +214,28 @@
 	return out
 }
 
+type regionService struct{ region, service string }
+
+// listedSoftware returns the number of targets by software version, region and service. Do not change
+// it.
+func (st *Store) listedSoftware() map[regionService]map[string]int {
+	if st.software != nil {
+		return st.software
+	}
+	st.software = map[regionService]map[string]int{}
+	for _, t := range st.list.Targets {
+		if t.Software == "" {
+			continue
+		}
+		k := regionService{t.Region, t.Service}
+		if st.software[k] == nil {
+			st.software[k] = map[string]int{}
+		}
+		st.software[k][t.Software]++
+	}
+	return st.software
+}
+
 // loadKnown reports whether the load of a region is known.
 //
 // Without it, if the core instances of a region are partitioned and its entry instances are not,
--- a/node/feed/store.go
+++ b/node/feed/store.go
@@ -50,6 +50,8 @@
 	suspects       suspectLog
 	// groups are those of the targets in the own region; nil until they are needed.
 	groups map[string]pick.Group
+	// software counts the listed targets by version; nil until it is needed.
+	software map[regionService]map[string]int
 	// listReadHere says that this instance has read list from the platform.
 	listReadHere bool
 	// readCalls is the number of platform calls that the newest reading took.
@@ -255,7 +257,7 @@
 	}
 	st.olderLists = append(st.olderLists, st.list)
 	st.olderLists = st.olderLists[max(0, len(st.olderLists)-maxOlderLists):]
-	st.list, st.listReadHere, st.encodedUpdates, st.groups = l, readHere, map[updateKey]encodedUpdate{}, nil
+	st.list, st.listReadHere, st.encodedUpdates, st.groups, st.software = l, readHere, map[updateKey]encodedUpdate{}, nil, nil
 	st.wake()
 }
 
