soak: streams that are taken up count only while their version serves

Cause: the ledger lacked a condition of the users' rule (LOST): while two runners of the stream's software version serve. Change: the ledger knows which version runs where since when, and counts a take-up if two runners of its version are without a fault.

--- a/soak/announced.go
+++ b/soak/announced.go
@@ -21,7 +21,10 @@
 	// number is the runner's number in faults.
 	number          int
 	service, region string
-	arrivals        []platformtest.Arrival
+	// software is the version of its software, and since when it was started.
+	software string
+	since    time.Time
+	arrivals []platformtest.Arrival
 }
 
 const (
@@ -42,11 +45,11 @@
 	l.announced.regions[callers] = region
 }
 
-// AddTarget adds a start of a runner and returns its number among all starts.
-func (l *Ledger) AddTarget(number int, service, region string) int {
+// AddTarget adds a start of a runner of a software version and returns its number among all starts.
+func (l *Ledger) AddTarget(number int, service, region, software string, since time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.announced.targets = append(l.announced.targets, &targetRecord{number: number, service: service, region: region})
+	l.announced.targets = append(l.announced.targets, &targetRecord{number: number, service: service, region: region, software: software, since: since})
 	return len(l.announced.targets) - 1
 }
 
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -13,6 +13,10 @@
 // up and sends to hold: until then it may not have heard of other instances.
 const inTouch = 6 * time.Second
 
+// minServing is the number of runners of a stream's software version that must serve for its share to
+// count.
+const minServing = 2
+
 // minTakenUp is the number of streams taken up from which on their share is checked.
 const minTakenUp = 12
 
@@ -32,6 +36,7 @@
 func (l *Ledger) checkVersions() (out []string) {
 	versions := map[string][]string{}
 	var begin, goOn share
+	var takenUp []*Request
 	for i := range l.requests {
 		r := &l.requests[i]
 		if !strings.HasPrefix(r.Path, platformtest.PathResumable) {
@@ -43,12 +48,17 @@
 				versions[r.streamID()] = append(known, v)
 			}
 		}
-		if l.isInTouch(r) {
-			counted := &begin
-			if r.Resumes != "" {
-				counted = &goOn
-			}
-			counted.add(r.wholeEvents() > 0)
+		switch {
+		case !l.isInTouch(r):
+		case r.Resumes == "":
+			begin.add(r.wholeEvents() > 0)
+		default:
+			takenUp = append(takenUp, r)
+		}
+	}
+	for _, r := range takenUp {
+		if began := versions[r.Resumes]; len(began) > 0 && l.serving(began[0], r) >= minServing {
+			goOn.add(r.wholeEvents() > 0)
 		}
 	}
 	for id, held := range versions {
@@ -62,6 +72,25 @@
 	return out
 }
 
+// serving returns the number of runners of a software version that serve streams, without a fault, while
+// a request is in progress.
+func (l *Ledger) serving(software string, r *Request) int {
+	current := map[int]*targetRecord{}
+	for _, t := range l.announced.targets {
+		if t.service == platformtest.ServiceEngine && !t.since.After(r.Start) {
+			current[t.number] = t
+		}
+	}
+	n := 0
+	for number, t := range current {
+		faulty := l.isDisturbed(r, func(d *Disturbance) bool { return d.Fault.Role == RoleRunner && d.Fault.Number == number })
+		if t.software == software && !faulty {
+			n++
+		}
+	}
+	return n
+}
+
 // share is a number of a total.
 type share struct{ n, of int }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -299,7 +299,7 @@
 	software := softwareOf(r.number, r.successors)
 	w.mu.Unlock()
 	runner := &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents, Software: software, Crash: w.crashUnder(r)}
-	target := w.Ledger.AddTarget(r.number, r.service, regionOfZone(r.zone))
+	target := w.Ledger.AddTarget(r.number, r.service, regionOfZone(r.zone), software, time.Now())
 	runner.Arrived = func(a platformtest.Arrival) { w.Ledger.AddArrival(target, a) }
 	server, err := serve(r.forwarder.to, runner)
 	if err != nil {
