node/control: a state that nobody could confirm is logged, whatever was logged before

Cause: a line of first states that were not confirmed for want of a leader was written once until the leader changed next. The flag was set again right after a leader came, by a position up to 20 ms old, and the next time without a leader had no line until the loss was noticed. Change: once for each state and time without a leader.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -147,9 +147,9 @@
 	// confirmation among callers that ask for it at the same time.
 	positionCache positionCache
 	confirmations duty.Coalescer
-	// noLeaderLogged says that the log already has a line about first states that nobody could
-	// confirm.
-	noLeaderLogged atomic.Bool
+	// noLeaderLogged is one above the index of the state that the log already names in a line about
+	// first states that nobody could confirm; 0 for none since the leader last changed.
+	noLeaderLogged atomic.Uint64
 	// gossipNow triggers gossip before its interval ends, as the list has changed, and suspectsNow, as
 	// there are new suspects.
 	gossipNow, suspectsNow chan struct{}
@@ -369,7 +369,7 @@
 		leader = s.Leader.ID
 		// Wakes the calls that wait for a leader.
 		i.store.Wake()
-		i.noLeaderLogged.Store(false)
+		i.noLeaderLogged.Store(0)
 		i.log.Info("leader", zap.String("leader", leader), zap.Uint64("term", s.Term),
 			zap.Stringer("config", s.Config), zap.Uint64("applied", s.Applied))
 	}
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -73,8 +73,9 @@
 // the same time.
 func (i *Instance) confirmFirst(ctx context.Context) {
 	if !i.hasLeader() {
-		if !i.noLeaderLogged.Swap(true) {
-			i.log.Info("first state not confirmed for want of a leader", zap.Uint64("version", i.accepted().Version))
+		s := i.accepted()
+		if i.noLeaderLogged.Swap(s.Index+1) != s.Index+1 {
+			i.log.Info("first state not confirmed for want of a leader", zap.Uint64("version", s.Version))
 		}
 		return
 	}
