--- a/coord/suspect/several_test.go
+++ b/coord/suspect/several_test.go
@@ -30,12 +30,13 @@
 	downUntil [stormTargets]time.Time
 	// inTransit are entries that have not reached all instances.
 	inTransit []transit
-	// crashes counts the targets that each request has crashed, lateCrashes those after it had
-	// crashed three and contact was over.
+	// crashes counts the targets that each request has crashed, lateCrashes those later than contact
+	// after the third.
 	crashes, lateCrashes [stormRequests]int
 	thirdAt              [stormRequests]time.Time
 	finished             [stormRequests]bool
-	// refusedFor is the longest that each request was refused without a run.
+	// refusedSince is for how long each request has been refused without a run, longestRefusal the
+	// longest of these times.
 	refusedSince, longestRefusal [stormRequests]time.Duration
 }
 
@@ -44,6 +45,7 @@
 	at      time.Time
 }
 
+// contact is the time within which a request must be known everywhere after its third crash.
 const contact = 6 * time.Second
 
 func newStorm(seed uint64, poisons int) *storm {
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -18,7 +18,7 @@
 	suspectGossipTime = 3 * time.Second
 	// minQuarantined is the number of crashes of a quarantined request.
 	minQuarantined = 2
-	// maxSuspects bounds their number; each takes 80 bytes.
+	// maxSuspects bounds the number of suspects that are kept; each takes 80 bytes.
 	maxSuspects = 2048
 )
 
