exchange, node/entry: a trial that has not run does not keep others waiting

Cause: a trial whose request was refused, or rejected by its targets, held its reservation for 10 s. There is one at a time over all regions, so under overload innocent requests waited for each of them in turn. Change: a request that no target can have run ends its trial. One that may have run and whose end is not known still holds it: a caller that leaves early must not have one trial after the other.

--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -132,6 +132,17 @@
 	p.record(d, func() []suspect.Entry { return p.table.Finished(time.Now(), d) })
 }
 
+// ReportNotRun implements exchange.PoisonRequests. A trial that has not run shows nothing, and must not
+// keep others waiting.
+func (p *poisonRequests) ReportNotRun(c exchange.Content) {
+	p.mu.Lock()
+	idle := len(p.trials) == 0
+	p.mu.Unlock()
+	if !idle {
+		p.record(digestOf(c), func() []suspect.Entry { return nil })
+	}
+}
+
 // record has change change the table, ends the trial of the request, if there is one, and returns for
 // how long the request is refused now.
 func (p *poisonRequests) record(d suspect.Digest, change func() []suspect.Entry) (refusedFor time.Duration) {
--- a/node/entry/poison_test.go
+++ b/node/entry/poison_test.go
@@ -96,6 +96,12 @@
 		So(owner.admits(r), ShouldBeFalse)
 		_, ok := owner.Admit(t.Context(), r, true)
 		So(ok, ShouldBeTrue)
+		Convey("it does not run, and another one has the trial", func() {
+			other.ReportNotRun(r)
+			e := <-ended
+			owner.endReservation(e.Digest, e.Entries)
+			So(owner.admits(r), ShouldBeTrue)
+		})
 		Convey("it finishes and is cleared", func() {
 			other.ReportFinished(r)
 			e := <-ended
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -110,6 +110,7 @@
 		q.refuse(refusal)
 		return
 	}
+	defer q.reportNotRun()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -343,8 +343,8 @@
 
 // fakePoison records what the gateway reports.
 type fakePoison struct {
-	crashed, finished []string
-	poison            bool
+	crashed, finished, notRun []string
+	poison                    bool
 	// crashesAllowed is how many crashes make a poison request; 0 if none do.
 	crashesAllowed int
 }
@@ -360,6 +360,8 @@
 	c.poison = c.poison || len(c.crashed) == c.crashesAllowed
 }
 
+func (c *fakePoison) ReportNotRun(r exchange.Content) { c.notRun = append(c.notRun, r.Target) }
+
 func (c *fakePoison) ReportFinished(r exchange.Content) { c.finished = append(c.finished, r.Target) }
 
 // Guards against retrying a poison request without end, and against taking an innocent request
@@ -387,7 +389,10 @@
 			k := &fakePoison{}
 			r := newRigWith(t, "r", k, newTarget(t, "t1", c.first))
 			r.call(c.path, "b")
+			// The handler has returned then.
+			r.server.Close()
 			So(len(k.crashed), ShouldEqual, c.want)
+			So(len(k.notRun) == 1, ShouldEqual, name == "rejects")
 		})
 	}
 	for name, c := range map[string]struct {
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"syscall"
 
+	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/place"
 )
@@ -48,6 +49,13 @@
 	}
 }
 
+// reportNotRun reports a request that has ended and that no target can have run.
+func (q *request) reportNotRun() {
+	if q.verdict == verdict.NotRun && q.g.o.PoisonRequests != nil {
+		q.g.o.PoisonRequests.ReportNotRun(q.content())
+	}
+}
+
 // reportCrash reports the target of the last attempt if err says that it broke off. How much of an
 // answer it had sent by then does not matter. An instance of another region reports its own targets.
 func (q *request) reportCrash(p *destination, err error) {
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -158,8 +158,9 @@
 	// ReportCrash reports that a target broke off its answer to a request that was sent at sentAt, or
 	// closed the connection before it answered.
 	ReportCrash(c Content, target string, sentAt time.Time)
-	// ReportFinished reports that a target ran the request to its end.
+	// ReportFinished reports that a target ran the request to its end, ReportNotRun that none ran it.
 	ReportFinished(c Content)
+	ReportNotRun(c Content)
 }
 
 // Streams knows what began the streams that callers may take up.
