coord/suspect, docs: one number of crashes for a quarantine, the bound said exactly

Cause: node/feed had a copy of the number of crashes that quarantine a request. Change: suspect.QuarantineAfter; the pages say so.

--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -36,8 +36,8 @@
 // finish any more. So after Config.TrialAfter one copy may run (Trial, then Reserve).
 // If it finishes, the digest is cleared; if it crashes its target, the next trial is
 // trialFactor times later. While callers send a quarantined digest, Renew keeps its
-// entries. So in a time T a poison request gets log(T/TrialAfter)/log(trialFactor)
-// trials, and an innocent one waits for TrialAfter if its trial ends well.
+// entries. So in a time T a poison request gets at most one trial more than
+// log(T/TrialAfter)/log(trialFactor), and an innocent one waits for TrialAfter if its trial ends well.
 //
 // # Why at most two targets are lost
 //
--- a/coord/suspect/trial.go
+++ b/coord/suspect/trial.go
@@ -11,12 +11,13 @@
 	trialFactor = 8
 	// maxTrials bounds the exponent of the wait.
 	maxTrials = 8
-	// quarantineAfter is the number of crashes from which on a digest is quarantined.
-	quarantineAfter = 2
 	// renewFraction is the fraction of the lifetime by which a renewal must extend an entry.
 	renewFraction = 4
 )
 
+// QuarantineAfter is the number of crashes from which on a digest is quarantined.
+const QuarantineAfter = 2
+
 // suspicion is what the entries of a digest amount to.
 type suspicion struct {
 	// crashes is the number of crashes that count, and alone says that it was alone in one.
@@ -29,7 +30,7 @@
 	lastAt Instant
 }
 
-func (v suspicion) quarantined() bool { return v.alone || v.crashes >= quarantineAfter }
+func (v suspicion) quarantined() bool { return v.alone || v.crashes >= QuarantineAfter }
 
 // suspicion counts the crashes of a digest, those of copies that ran at the same time once.
 func (t *Table) suspicion(d Digest) suspicion {
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -16,8 +16,6 @@
 	// other core instances: several gossip messages, so that a lost one has no effect. One that was
 	// partitioned for longer gets it by SuspectsDigest.
 	suspectGossipTime = 3 * time.Second
-	// minQuarantined is the number of crashes of a quarantined request.
-	minQuarantined = 2
 	// maxSuspects bounds the number of suspects that are kept; each takes 80 bytes.
 	maxSuspects = 2048
 )
@@ -174,7 +172,7 @@
 			crashes[key.digest]++
 		}
 	}
-	return st.suspects.entries(func(r *suspectRecord) bool { return crashes[r.entry.Digest] >= minQuarantined })
+	return st.suspects.entries(func(r *suspectRecord) bool { return crashes[r.entry.Digest] >= suspect.QuarantineAfter })
 }
 
 // HasSuspectsFor reports whether the sender of a report misses suspects.
