--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -29,8 +29,8 @@
 	GroupOwner GroupOwner
 	// PoisonRequests, if set, refuses requests that crash their targets.
 	PoisonRequests PoisonRequests
-	// Streams, if set, knows what began the streams that callers take up. Without it, callers cannot
-	// take any up.
+	// Streams, if set, knows what began the streams that callers take up. Without it, those that a
+	// caller names are refused.
 	Streams Streams
 	// Limits, if set, refuses requests that exceed their workspace's limit.
 	Limits Limits
--- a/route/place/retryafter.go
+++ b/route/place/retryafter.go
@@ -15,8 +15,7 @@
 	Leaving
 	// Draining: all targets of the service are draining, and the list names no other one yet.
 	Draining
-	// PoisonRequest: the request has crashed every target that ran it and is refused for a long
-	// time.
+	// PoisonRequest: the request has crashed several targets and is refused until its next trial.
 	PoisonRequest
 )
 
