--- a/coord/suspect/finished.go
+++ b/coord/suspect/finished.go
@@ -1,6 +1,9 @@
 package suspect
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
 // finished remembers when requests finished, by digest, in two halves: when the newer one
 // is full the older one is dropped, so at least the newest MaxFinished digests are kept.
@@ -12,16 +15,18 @@
 	newer, older map[Digest]finish
 }
 
-// finish is the last time that a request with a digest finished, and the end of the last crash
-// that a finish excused; zero if there was none.
+// finish is the last time that a request with a digest finished, and how often one has. excused is the
+// last round of crashes that the finishes excused, and spent the number of rounds since the last finish.
 type finish struct {
-	at           time.Time
-	excusedUntil Instant
+	at      time.Time
+	count   uint32
+	excused uint32
+	spent   int
 }
 
 func (f *finished) add(now time.Time, d Digest, maxNewer int) {
 	last, _ := f.last(d)
-	last.at = now
+	last.at, last.count, last.spent = now, last.count+1, 0
 	f.set(d, last, maxNewer)
 }
 
@@ -44,21 +49,29 @@
 	return v, ok
 }
 
+// excusable returns the number of rounds that finishes excuse: one more for each eightfold number of them,
+// and none for fewer than eight. A part of most requests is in the crashes of all others, and hardly
+// becomes deadly after hundreds of finishes; one that seldom finishes may.
+func (f finish) excusable() int {
+	const bitsPerRound, most = 3, 4
+	return min(most, (bits.Len32(f.count)-1)/bitsPerRound)
+}
+
 // excuses reports whether a suspect is innocent because a request with its digest finished here
-// within FinishedTTL. If the host reports times, one finish excuses one crash, and those of copies
-// that ran at the same time: a request that now and then finishes is refused if it crashes targets
-// more often.
+// within FinishedTTL. If the host reports rounds, finishes excuse a few rounds until the next one: a
+// digest that now and then finishes is refused if it crashes targets more often.
 func (t *Table) excuses(now time.Time, e Entry) bool {
 	last, ok := t.finished.last(e.Digest)
 	switch {
 	case !ok || now.Sub(last.at) >= t.cfg.FinishedTTL:
 		return false
-	case e.SentAt <= last.excusedUntil:
+	case e.Round <= last.excused:
 		return true
-	case InstantOf(last.at) <= last.excusedUntil:
+	case last.spent >= last.excusable():
 		return false
 	}
-	last.excusedUntil = e.CrashedAt
+	last.excused = e.Round
+	last.spent++
 	t.finished.set(e.Digest, last, t.cfg.MaxFinished)
 	return true
 }
--- /dev/null
+++ b/coord/suspect/judge.go
@@ -0,0 +1,123 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// QuarantineAfter is the number of rounds of crashes from which on a digest is quarantined.
+const QuarantineAfter = 2
+
+// suspicion is what the entries of a digest amount to.
+type suspicion struct {
+	// rounds is the number of rounds that count, and alone says that it was alone in a crash.
+	rounds int
+	alone  bool
+	// trials is the number of rounds in which a trial of it crashed a target.
+	trials int
+	// lastAt is when the last crash was found.
+	lastAt time.Time
+}
+
+func (v suspicion) quarantined() bool { return v.alone || v.rounds >= QuarantineAfter }
+
+// suspicion returns the suspicion of a digest.
+func (t *Table) suspicion(d Digest) suspicion {
+	entries := t.digests[d]
+	if len(entries) == 0 {
+		return suspicion{}
+	}
+	if t.suspicions == nil {
+		t.judge()
+	}
+	if v, ok := t.suspicions[d]; ok {
+		return v
+	}
+	return weigh(entries, nil)
+}
+
+// judge weighs the digests that may be quarantined, those of most rounds first: the crashes of one that
+// is quarantined are explained for those of fewer rounds.
+func (t *Table) judge() {
+	t.suspicions = make(map[Digest]suspicion)
+	byRounds := make(map[int][]Digest)
+	for d, entries := range t.digests {
+		if v := weigh(entries, nil); v.quarantined() {
+			// A trial of one digest says nothing of the crashes before it.
+			untried := v.rounds - v.trials
+			byRounds[untried] = append(byRounds[untried], d)
+		}
+	}
+	var order []int
+	for rounds := range byRounds {
+		order = append(order, rounds)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(b, a) })
+	explained := make(map[Crash]bool)
+	for _, rounds := range order {
+		for _, d := range byRounds[rounds] {
+			t.suspicions[d] = weigh(t.digests[d], explained)
+		}
+		for _, d := range byRounds[rounds] {
+			if !t.suspicions[d].quarantined() {
+				continue
+			}
+			for c, e := range t.digests[d] {
+				if e.status != Cleared {
+					explained[c] = true
+				}
+			}
+		}
+	}
+}
+
+// weigh counts the rounds of entries that are neither cleared nor explained. Entries without rounds count
+// one each, and are explained only by Cleared.
+func weigh(entries map[Crash]*entry, explained map[Crash]bool) suspicion {
+	var v suspicion
+	var rounds, trials []uint32
+	for c, e := range entries {
+		if e.status == Cleared {
+			continue
+		}
+		v.alone = v.alone || e.status == Alone
+		if at := e.foundAt(); at.After(v.lastAt) {
+			v.lastAt = at
+		}
+		switch {
+		case e.round == 0:
+			v.rounds++
+			continue
+		case explained[c]:
+			continue
+		case !slices.Contains(rounds, e.round):
+			rounds = append(rounds, e.round)
+		}
+		if e.trial && !slices.Contains(trials, e.round) {
+			trials = append(trials, e.round)
+		}
+	}
+	v.rounds += len(rounds)
+	v.trials = len(trials)
+	return v
+}
+
+// foundAt returns when the crash was found. A clock that is ahead does not count.
+func (e *entry) foundAt() time.Time {
+	if e.crashedAt == 0 || e.crashedAt.Time().After(e.learnedAt) {
+		return e.learnedAt
+	}
+	return e.crashedAt.Time()
+}
+
+// uncleared returns the number of entries that are not cleared.
+func uncleared(entries map[Crash]*entry) int {
+	n := 0
+	for _, e := range entries {
+		if e.status != Cleared {
+			n++
+		}
+	}
+	return n
+}
--- a/coord/suspect/several_test.go
+++ b/coord/suspect/several_test.go
@@ -79,7 +79,10 @@
 }
 
 // run is one run of a request, sent by an instance.
-type run struct{ request, instance int }
+type run struct {
+	request, instance int
+	trials            []Digest
+}
 
 // step sends each unfinished request to a random target that is up, and ends all runs.
 func (s *storm) step() {
@@ -91,11 +94,12 @@
 			continue
 		}
 		instance := s.rng.IntN(stormInstances)
-		if !s.allowed(r, instance) {
+		allowed, trials := s.allowed(r, instance)
+		if !allowed {
 			continue
 		}
 		if target := s.rng.IntN(stormTargets); !s.downUntil[target].After(s.now) && len(batches[target]) < stormBatch {
-			batches[target] = append(batches[target], run{r, instance})
+			batches[target] = append(batches[target], run{r, instance, trials})
 		} else {
 			s.tables[0].Release(Digest{byte(r)})
 		}
@@ -105,19 +109,20 @@
 	}
 }
 
-// allowed reports whether an instance may send a request; the first table owns the trials.
-func (s *storm) allowed(r, instance int) bool {
+// allowed reports whether an instance may send a request, and of which digests that is a trial; the first
+// table owns the trials.
+func (s *storm) allowed(r, instance int) (ok bool, trials []Digest) {
 	d := Digest{byte(r)}
 	v := s.tables[instance].Decide(s.now, d)
-	ok := v != Refuse && (v != Trial || s.tables[0].Reserve(s.now, d, s.now.Add(10*time.Second)))
+	ok = v != Refuse && (v != Trial || s.tables[0].Reserve(s.now, d, s.now.Add(10*time.Second)))
 	if ok {
 		s.refusedSince[r] = 0
-		return true
+		return true, s.tables[instance].Quarantined(d)
 	}
 	s.spread(s.tables[instance].Renew(s.now, d))
 	s.refusedSince[r] += stormTick
 	s.longestRefusal[r] = max(s.longestRefusal[r], s.refusedSince[r])
-	return false
+	return false, nil
 }
 
 func (s *storm) end(target int, batch []run) {
@@ -138,7 +143,7 @@
 			if x.request < s.poisons {
 				s.count(x.request)
 			}
-			entries := t.ReportCrash(endedAt, d, Crash{fmt.Sprint(target), uint64(endedAt.UnixMilli())}, sentAt)
+			entries := t.ReportCrash(endedAt, Crash{fmt.Sprint(target), uint64(endedAt.UnixMilli())}, Sent{Digests: []Digest{d}, Trials: x.trials, SentAt: sentAt})
 			s.tables[0].Merge(endedAt, entries)
 			s.spread(entries)
 		}
--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -21,23 +21,34 @@
 //     and would clear the cause.
 //   - A planned shutdown is no crash and makes no suspects.
 //
+// # Requests of several parts
+//
+// What crashes a target may be a part that unlike requests share. A host names each request by several
+// digests, its own and one of each part that others may share, and reports all of them. A complete
+// answer proves all of them innocent. A digest that crashes targets is in each of its crashes, while
+// the parts around it change: a suspect of more crashes that is quarantined explains the crashes that
+// it shares with suspects of fewer, and these do not count against the others. The explanation holds only
+// while it is quarantined, so nothing is lost if it turns out to be innocent. Suspects of as many
+// crashes explain nothing of each other.
+//
 // # Hosts without lone runs
 //
-// A host whose targets cannot be held free reports crashes with the time at which
-// the attempt was sent (ReportCrash). Copies of a request that ran at the same time
-// at several targets, which all lost power, then count as suspects of one crash: a
-// crash counts only if its attempt was sent after the crash counted before it. So a
-// poison request whose callers wait for the end of one attempt before the next
-// crashes two targets before it is refused, and with n copies at a time 2n.
+// A host whose targets cannot be held free reports crashes with the time at which the attempt was sent
+// (ReportCrash). Crashes count by rounds: a crash is one round later than the crashes of the digest that
+// its instance knew of when it sent the attempt. So copies that run at the same time, at targets which
+// all lose power, count once, and no clocks are compared. With QuarantineAfter rounds a digest is
+// quarantined. A poison digest crashes in each round as many targets as run it until all instances know
+// of the round before, and not more than QuarantineAfter rounds that no other digest explains.
 //
 // # Trials
 //
-// Without lone runs an innocent digest can be quarantined by chance, and cannot
-// finish any more. So after Config.TrialAfter one copy may run (Trial, then Reserve).
-// If it finishes, the digest is cleared; if it crashes its target, the next trial is
-// trialFactor times later. While callers send a quarantined digest, Renew keeps its
-// entries. So in a time T a poison request gets at most one trial more than
-// log(T/TrialAfter)/log(trialFactor), and an innocent one waits for TrialAfter if its trial ends well.
+// Without lone runs an innocent digest can be quarantined by chance, and cannot finish any more. So
+// after Config.TrialAfter one request may run (Trial, then ReserveAll). If it finishes, all its digests
+// are cleared; if it crashes its target, the next trial of its quarantined digests is trialFactor times
+// later. A request with several quarantined digests waits twice as long, so that a sound one with one of
+// them comes first. While callers send a quarantined digest, Renew keeps its entries. So in a time T a
+// poison digest gets at most one trial more than log(T/TrialAfter)/log(trialFactor), and an innocent
+// one waits for TrialAfter if its trial ends well.
 //
 // # Why at most two targets are lost
 //
@@ -67,13 +78,19 @@
 
 import (
 	"cmp"
+	"encoding/hex"
+	"maps"
 	"slices"
 	"time"
 )
 
-// Digest identifies a normalised request body without ids: the first half of its SHA-256.
+// Digest identifies a normalised request body without ids, by the first half of its SHA-256, or a part
+// that requests may share.
 type Digest [16]byte
 
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
 // Crash identifies the end of one incarnation of a target, the same at all instances.
 type Crash struct {
 	Target string `cbor:"1,keyasint"`
@@ -118,9 +135,14 @@
 	// Until is when the entry expires.
 	Until time.Time `cbor:"4,keyasint"`
 	// SentAt is when the attempt was sent, and CrashedAt when its target was found to have
-	// crashed; both are zero if the host does not report them.
+	// crashed, both by the clock of the instance that reports them; zero if the host does not.
 	SentAt    Instant `cbor:"5,keyasint,omitempty"`
 	CrashedAt Instant `cbor:"6,keyasint,omitempty"`
+	// Round is one more than that of the crashes of the digest that the instance knew of when it sent
+	// the attempt; 0 if the host does not report it, and then each crash counts.
+	Round uint32 `cbor:"7,keyasint,omitempty"`
+	// Trial says that the attempt was a trial of the digest.
+	Trial bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Instant is a Unix time in microseconds; 0 if it is not known.
@@ -147,8 +169,8 @@
 	// MaxTrials bounds the trials that are reserved at the same time: two of them at one target
 	// would not tell which one crashed it.
 	MaxTrials int
-	// MaxEntries in the table; beyond that cleared ones are evicted first, and
-	// otherwise the one that expires first.
+	// MaxEntries in the table; beyond that cleared ones are evicted first, then those of digests
+	// with a single crash, and of these the ones that expire first.
 	MaxEntries int
 	// FinishedTTL is how long a digest that has finished here is remembered.
 	FinishedTTL time.Duration
@@ -170,9 +192,11 @@
 	digests  map[Digest]map[Crash]*entry
 	// crashes lists the digests that have an entry for a crash.
 	crashes map[Crash][]Digest
-	// reserved is until when the lone run of a digest is reserved.
-	reserved map[Digest]time.Time
+	// reserved has the reservation of a digest's lone run or trial.
+	reserved map[Digest]*reservation
 	finished finished
+	// suspicions are those of all digests that may be quarantined; nil after a change.
+	suspicions map[Digest]suspicion
 	// entryCount is the number of entries in digests.
 	entryCount int
 	evicted    uint64
@@ -188,13 +212,17 @@
 	status            Status
 	until             time.Time
 	sentAt, crashedAt Instant
+	round             uint32
+	trial             bool
+	// learnedAt is when this instance learned of the round, by its own clock.
+	learnedAt time.Time
 }
 
 // New returns an empty table.
 func New(cfg Config) *Table {
 	return &Table{
 		cfg: cfg, inFlight: make(map[Attempt]sentAttempt), digests: make(map[Digest]map[Crash]*entry),
-		crashes: make(map[Crash][]Digest), reserved: make(map[Digest]time.Time),
+		crashes: make(map[Crash][]Digest), reserved: make(map[Digest]*reservation),
 	}
 }
 
@@ -205,50 +233,20 @@
 // crash targets again, so a growing count calls for a larger bound.
 func (t *Table) Evicted() uint64 { return t.evicted }
 
-// Decide returns how a request with this digest may run now.
-func (t *Table) Decide(now time.Time, d Digest) Decision {
-	switch v := t.suspicion(d); {
-	case v.quarantined() && t.trialDue(now, v):
+// Decide returns how a request with these digests may run now.
+func (t *Table) Decide(now time.Time, digests ...Digest) Decision {
+	quarantined := t.quarantined(digests)
+	switch {
+	case len(quarantined) > 0 && t.trialDue(now, quarantined):
 		return Trial
-	case v.quarantined():
+	case len(quarantined) > 0:
 		return Refuse
-	case v.crashes == 1:
+	case slices.ContainsFunc(digests, func(d Digest) bool { return t.suspicion(d).rounds == 1 }):
 		return RunAlone
 	}
 	return Run
 }
 
-// Reserve reserves the one lone run of a suspect, or the one trial of a quarantined digest,
-// until the given time at the latest, and reports whether it did. Call it on the owner's table
-// only; Release ends the reservation.
-func (t *Table) Reserve(now time.Time, d Digest, until time.Time) bool {
-	switch v := t.Decide(now, d); {
-	case now.Before(t.reserved[d]):
-		return false
-	case v == Trial && t.reservedAt(now) >= t.cfg.MaxTrials:
-		return false
-	case v != RunAlone && v != Trial:
-		return false
-	}
-	t.reserved[d] = until
-	return true
-}
-
-// reservedAt returns the number of reservations in force.
-func (t *Table) reservedAt(now time.Time) int {
-	n := 0
-	for _, until := range t.reserved {
-		if now.Before(until) {
-			n++
-		}
-	}
-	return n
-}
-
-// Release ends a reservation. Call it once the run has ended and, if it crashed, the
-// entries of the crash were merged here.
-func (t *Table) Release(d Digest) { delete(t.reserved, d) }
-
 // Started records an attempt sent from this instance to a target. alone says that the
 // target runs nothing else, from any instance.
 func (t *Table) Started(a Attempt, d Digest, target string, alone bool) {
@@ -267,15 +265,17 @@
 	return t.Finished(now, s.digest)
 }
 
-// Finished records that a request with this digest finished with a complete answer,
-// whether or not its attempt was recorded by Started, and clears the digest of all crashes.
+// Finished records that a request with these digests finished with a complete answer,
+// whether or not its attempt was recorded by Started, and clears the digests of all crashes.
 // The host must publish the entries returned.
-func (t *Table) Finished(now time.Time, d Digest) []Entry {
-	t.finished.add(now, d, t.cfg.MaxFinished)
+func (t *Table) Finished(now time.Time, digests ...Digest) []Entry {
 	var out []Entry
-	for c, e := range t.digests[d] {
-		if e.status != Cleared {
-			out = append(out, e.withStatus(d, c, Cleared, now.Add(t.cfg.Lifetime)))
+	for _, d := range digests {
+		t.finished.add(now, d, t.cfg.MaxFinished)
+		for c, e := range t.digests[d] {
+			if e.status != Cleared {
+				out = append(out, e.withStatus(d, c, Cleared, now.Add(t.cfg.Lifetime)))
+			}
 		}
 	}
 	return t.Merge(now, out)
@@ -319,13 +319,13 @@
 func (t *Table) Merge(now time.Time, entries []Entry) []Entry {
 	var updates []Entry
 	for _, e := range entries {
-		if !now.Before(e.Until) || !t.join(e) {
+		if !now.Before(e.Until) || !t.join(now, e) {
 			continue
 		}
 		updates = append(updates, e)
 		innocent := e
 		innocent.Status = Cleared
-		if e.Status == Suspected && t.excuses(now, e) && t.join(innocent) {
+		if e.Status == Suspected && t.excuses(now, e) && t.join(now, innocent) {
 			updates = append(updates, innocent)
 		}
 	}
@@ -341,24 +341,33 @@
 }
 
 // join joins an entry with the stored one and reports whether that changed anything.
-func (t *Table) join(e Entry) bool {
+func (t *Table) join(now time.Time, e Entry) bool {
 	entries := t.digests[e.Digest]
 	if entries == nil {
 		entries = make(map[Crash]*entry)
 		t.digests[e.Digest] = entries
 	}
-	if old := entries[e.Crash]; old != nil {
-		renewed := e.Status == old.status && e.Until.Sub(old.until) >= t.renewAfter()
-		if e.Status <= old.status && !renewed {
-			return false
-		}
-		old.status = max(old.status, e.Status)
-		old.until = later(old.until, e.Until)
+	old := entries[e.Crash]
+	if old == nil {
+		entries[e.Crash] = &entry{status: e.Status, until: e.Until, sentAt: e.SentAt, crashedAt: e.CrashedAt, round: e.Round, trial: e.Trial, learnedAt: now}
+		t.crashes[e.Crash] = append(t.crashes[e.Crash], e.Digest)
+		t.entryCount++
+		t.suspicions = nil
 		return true
 	}
-	entries[e.Crash] = &entry{status: e.Status, until: e.Until, sentAt: e.SentAt, crashedAt: e.CrashedAt}
-	t.crashes[e.Crash] = append(t.crashes[e.Crash], e.Digest)
-	t.entryCount++
+	renewed := e.Status == old.status && e.Until.Sub(old.until) >= t.renewAfter()
+	later := e.Round > old.round || e.Trial && !old.trial
+	if e.Status <= old.status && !renewed && !later {
+		return false
+	}
+	if e.Round > old.round {
+		old.round, old.learnedAt, old.crashedAt = e.Round, now, e.CrashedAt
+	}
+	old.status, old.trial = max(old.status, e.Status), old.trial || e.Trial
+	if e.Until.After(old.until) {
+		old.until = e.Until
+	}
+	t.suspicions = nil
 	return true
 }
 
@@ -377,7 +386,7 @@
 				continue
 			}
 			cleared := t.digests[other][c].withStatus(other, c, Cleared, now.Add(t.cfg.Lifetime))
-			if t.join(cleared) {
+			if t.join(now, cleared) {
 				updates = append(updates, cleared)
 			}
 		}
@@ -414,54 +423,5 @@
 			}
 		}
 	}
-	for d, until := range t.reserved {
-		if !now.Before(until) {
-			delete(t.reserved, d)
-		}
-	}
-}
-
-// evictExcess evicts entries until MaxEntries are left: cleared ones before
-// others, then those that expire first.
-func (t *Table) evictExcess() {
-	over := t.entryCount - t.cfg.MaxEntries
-	if over <= 0 {
-		return
-	}
-	all := t.Entries()
-	slices.SortStableFunc(all, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(evictionRank(a), evictionRank(b)), a.Until.Compare(b.Until))
-	})
-	for _, e := range all[:over] {
-		t.removeEntry(e.Digest, e.Crash)
-		t.evicted++
-	}
-}
-
-func evictionRank(e Entry) int {
-	if e.Status == Cleared {
-		return 0
-	}
-	return 1
-}
-
-func (t *Table) removeEntry(d Digest, c Crash) {
-	entries := t.digests[d]
-	delete(entries, c)
-	t.entryCount--
-	if len(entries) == 0 {
-		delete(t.digests, d)
-	}
-	left := slices.DeleteFunc(t.crashes[c], func(o Digest) bool { return o == d })
-	t.crashes[c] = left
-	if len(left) == 0 {
-		delete(t.crashes, c)
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	maps.DeleteFunc(t.reserved, func(_ Digest, r *reservation) bool { return !now.Before(r.until) })
 }
--- a/coord/suspect/trial.go
+++ b/coord/suspect/trial.go
@@ -1,7 +1,7 @@
 package suspect
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,97 +11,166 @@
 	trialFactor = 8
 	// maxTrials bounds the exponent of the wait.
 	maxTrials = 8
+	// certainAfter is the number of crashes from which on a digest without finishes is hardly innocent.
+	certainAfter = 5
 	// renewFraction is the fraction of the lifetime by which a renewal must extend an entry.
 	renewFraction = 4
 )
 
-// QuarantineAfter is the number of crashes from which on a digest is quarantined.
-const QuarantineAfter = 2
-
-// suspicion is what the entries of a digest amount to.
-type suspicion struct {
-	// crashes is the number of crashes that count, and alone says that it was alone in one.
-	crashes int
-	alone   bool
-	// retrials is the number of those whose attempt was sent at least TrialAfter after the crash
-	// before: before that, instances may not have known of it.
-	retrials int
-	// lastAt is when the last of them was found; zero if unknown.
-	lastAt Instant
+// reservation is that of one lone run or trial.
+type reservation struct{ until time.Time }
+
+// Reserve is ReserveAll for a request with one digest.
+func (t *Table) Reserve(now time.Time, d Digest, until time.Time) bool {
+	return t.ReserveAll(now, []Digest{d}, until)
 }
 
-func (v suspicion) quarantined() bool { return v.alone || v.crashes >= QuarantineAfter }
+// ReserveAll reserves the one lone run of a suspect, or the one trial of a request's quarantined
+// digests, until the given time at the latest, and reports whether it did. Call it on the owner's table
+// only; Release ends the reservation.
+func (t *Table) ReserveAll(now time.Time, digests []Digest, until time.Time) bool {
+	v := t.Decide(now, digests...)
+	switch {
+	case v != RunAlone && v != Trial:
+		return false
+	case v == Trial && t.reservedAt(now) >= t.cfg.MaxTrials:
+		return false
+	}
+	for _, d := range digests {
+		if r := t.reserved[d]; r != nil && now.Before(r.until) {
+			return false
+		}
+	}
+	r := &reservation{until: until}
+	for _, d := range digests {
+		t.reserved[d] = r
+	}
+	return true
+}
 
-// suspicion counts the crashes of a digest, those of copies that ran at the same time once.
-func (t *Table) suspicion(d Digest) suspicion {
-	var v suspicion
-	var timed []*entry
-	for _, e := range t.digests[d] {
-		switch {
-		case e.status == Cleared:
-			continue
-		case e.sentAt == 0:
-			v.crashes++
-		default:
-			timed = append(timed, e)
+// reservedAt returns the number of reservations in force.
+func (t *Table) reservedAt(now time.Time) int {
+	inForce := map[*reservation]bool{}
+	for _, r := range t.reserved {
+		if now.Before(r.until) {
+			inForce[r] = true
 		}
-		v.alone = v.alone || e.status == Alone
-		v.lastAt = max(v.lastAt, e.crashedAt)
 	}
-	slices.SortFunc(timed, func(a, b *entry) int { return cmp.Compare(a.crashedAt, b.crashedAt) })
-	var counted Instant
-	for _, e := range timed {
-		if e.sentAt > counted {
-			v.crashes++
-			if counted != 0 && e.sentAt.Time().Sub(counted.Time()) >= t.cfg.TrialAfter {
-				v.retrials++
-			}
-			counted = e.crashedAt
+	return len(inForce)
+}
+
+// Release ends the reservation of all digests that were reserved together with this one. Call it once
+// the run has ended and, if it crashed, the entries of the crash were merged here.
+func (t *Table) Release(d Digest) {
+	if r := t.reserved[d]; r != nil {
+		maps.DeleteFunc(t.reserved, func(_ Digest, o *reservation) bool { return o == r })
+	}
+}
+
+// quarantined returns those digests that are quarantined.
+func (t *Table) quarantined(digests []Digest) []Digest {
+	var out []Digest
+	for _, d := range digests {
+		if t.suspicion(d).quarantined() {
+			out = append(out, d)
 		}
 	}
-	return v
+	return out
 }
 
-// trialAt returns when a quarantined digest may have its next trial.
-func (t *Table) trialAt(v suspicion) time.Time {
-	wait := t.cfg.TrialAfter
-	for range min(v.retrials, maxTrials) {
+// Quarantined returns those digests of a request that are quarantined.
+func (t *Table) Quarantined(digests ...Digest) []Digest { return t.quarantined(digests) }
+
+// trialAt returns when a request with these quarantined digests may have its next trial.
+func (t *Table) trialAt(quarantined []Digest) time.Time {
+	var at time.Time
+	for _, d := range quarantined {
+		wait := t.trialWait(d)
+		if len(quarantined) > 1 {
+			wait *= 2
+		}
+		if next := t.suspicion(d).lastAt.Add(wait); next.After(at) {
+			at = next
+		}
+	}
+	return at
+}
+
+// trialWait returns how long after its last crash a digest has its next trial. One that this instance
+// remembers to have finished is likely innocent and waits half as long; one that has crashed many
+// targets is hardly innocent, and its first trial comes as late as the second one of others.
+func (t *Table) trialWait(d Digest) time.Duration {
+	wait, failed := t.cfg.TrialAfter, t.suspicion(d).trials
+	switch _, finished := t.finished.last(d); {
+	case finished:
+		wait /= 2
+	case uncleared(t.digests[d]) >= certainAfter:
+		failed++
+	}
+	for range min(failed, maxTrials) {
 		wait *= trialFactor
 	}
-	return v.lastAt.Time().Add(wait)
+	return wait
 }
 
-func (t *Table) trialDue(now time.Time, v suspicion) bool {
-	return t.cfg.TrialAfter > 0 && v.lastAt != 0 && !now.Before(t.trialAt(v))
+func (t *Table) trialDue(now time.Time, quarantined []Digest) bool {
+	return t.cfg.TrialAfter > 0 && !now.Before(t.trialAt(quarantined))
 }
 
-// RefusedFor returns how long a quarantined digest is still refused: until its next trial, or, if
-// there are no trials, for Lifetime. It returns 0 for other digests.
-func (t *Table) RefusedFor(now time.Time, d Digest) time.Duration {
-	v := t.suspicion(d)
+// RefusedFor returns how long a request with these digests is still refused: until its next trial, or,
+// if there are no trials, for Lifetime. It returns 0 for a request that is not quarantined.
+func (t *Table) RefusedFor(now time.Time, digests ...Digest) time.Duration {
+	quarantined := t.quarantined(digests)
 	switch {
-	case !v.quarantined():
+	case len(quarantined) == 0:
 		return 0
-	case t.cfg.TrialAfter <= 0 || v.lastAt == 0:
+	case t.cfg.TrialAfter <= 0:
 		return t.cfg.Lifetime
 	}
-	return max(0, t.trialAt(v).Sub(now))
+	return max(0, t.trialAt(quarantined).Sub(now))
 }
 
-// ReportCrash records that a target was found to have crashed now, under an attempt of this instance
-// that was sent at sentAt and not recorded by Started. The host must publish the entries returned.
-func (t *Table) ReportCrash(now time.Time, d Digest, c Crash, sentAt time.Time) []Entry {
-	return t.Merge(now, []Entry{{Digest: d, Crash: c, Until: now.Add(t.cfg.Lifetime), SentAt: InstantOf(sentAt), CrashedAt: InstantOf(now)}})
+// Sent is an attempt of this instance that was not recorded by Started.
+type Sent struct {
+	// Digests are those of its request, and Trials those that it was a trial of.
+	Digests, Trials []Digest
+	SentAt          time.Time
 }
 
-// Renew extends the lifetime of the entries of a digest that was refused, so that it stays
-// quarantined while its callers send it. The host must publish the entries returned.
-func (t *Table) Renew(now time.Time, d Digest) []Entry {
+// ReportCrash records that a target was found to have crashed now, under an attempt. The host must publish
+// the entries returned.
+func (t *Table) ReportCrash(now time.Time, c Crash, s Sent) []Entry {
+	out := make([]Entry, 0, len(s.Digests))
+	for _, d := range s.Digests {
+		out = append(out, Entry{
+			Digest: d, Crash: c, Until: now.Add(t.cfg.Lifetime), SentAt: InstantOf(s.SentAt), CrashedAt: InstantOf(now),
+			Round: t.roundKnown(s.SentAt, d) + 1, Trial: slices.Contains(s.Trials, d),
+		})
+	}
+	return t.Merge(now, out)
+}
+
+// roundKnown returns the last round of a digest that this instance knew of at a time.
+func (t *Table) roundKnown(at time.Time, d Digest) uint32 {
+	var last uint32
+	for _, e := range t.digests[d] {
+		if e.learnedAt.Before(at) {
+			last = max(last, e.round)
+		}
+	}
+	return last
+}
+
+// Renew extends the lifetime of the entries of digests that were refused, so that they stay
+// quarantined while their callers send them. The host must publish the entries returned.
+func (t *Table) Renew(now time.Time, digests ...Digest) []Entry {
 	var out []Entry
 	until := now.Add(t.cfg.Lifetime)
-	for c, e := range t.digests[d] {
-		if e.status != Cleared && until.Sub(e.until) >= t.renewAfter() {
-			out = append(out, e.withStatus(d, c, e.status, until))
+	for _, d := range digests {
+		for c, e := range t.digests[d] {
+			if e.status != Cleared && until.Sub(e.until) >= t.renewAfter() {
+				out = append(out, e.withStatus(d, c, e.status, until))
+			}
 		}
 	}
 	return t.Merge(now, out)
@@ -111,5 +180,5 @@
 
 // withStatus returns the entry as instances exchange it, with another status and expiry.
 func (e *entry) withStatus(d Digest, c Crash, s Status, until time.Time) Entry {
-	return Entry{Digest: d, Crash: c, Status: s, Until: until, SentAt: e.sentAt, CrashedAt: e.crashedAt}
+	return Entry{Digest: d, Crash: c, Status: s, Until: until, SentAt: e.sentAt, CrashedAt: e.crashedAt, Round: e.round, Trial: e.trial}
 }
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"maps"
 	"slices"
 	"sync"
@@ -14,30 +13,39 @@
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 )
 
-// poisonRequests tracks the requests that crash each target that runs them, over all instances.
+// poisonRequests tracks what crashes each target that runs it, over all instances: a request as a whole,
+// or a part of prompts.
 //
-// A request under which a target broke off its answer is a suspect of that target's crash; a suspect
-// of two crashes is refused, except for single trials that come ever later. A request that finishes
-// is cleared. Requests are identified by a digest of what is the same in each retry of their caller.
-// Unlike in the instances of bundles, suspects do not run alone here: innocent ones would have to
-// wait, and only one more target is lost.
+// All requests under which a target broke off its answer are suspects of that target's crash, with their
+// parts; a suspect of two crashes is refused, except for single trials that come ever later. A request
+// that finishes is cleared with its parts. A request is identified by a digest of what is the same in each
+// retry of its caller. Unlike in the instances of bundles, suspects do not run alone here: innocent ones
+// would have to wait, and only one more target is lost.
 type poisonRequests struct {
 	log *zap.Logger
-	// reserve asks the instance that owns the trials for one of a request.
-	reserve func(ctx context.Context, d suspect.Digest) bool
+	// reserve asks the instance that owns the trials for one of a request's quarantined digests.
+	reserve func(ctx context.Context, quarantined []suspect.Digest) bool
 	// release tells it that the trial has ended, and with which entries.
-	release func(d suspect.Digest, entries []suspect.Entry)
+	release func(quarantined []suspect.Digest, entries []suspect.Entry)
 
 	mu    sync.Mutex
 	table *suspect.Table
-	// trials are the digests whose trial runs at this instance, and when it was admitted.
-	trials map[suspect.Digest]time.Time
+	// trials are the requests whose trial runs at this instance, by the digest of the whole request.
+	trials map[suspect.Digest]trial
+	// crashed is the last crash found of each target.
+	crashed map[string]foundCrash
 	// pending are entries that were not reported yet.
 	pending []suspect.Entry
 	// crashes gets a value after a crash, whose entries must reach the other instances soon.
 	crashes chan struct{}
 }
 
+// trial is a trial that runs at this instance.
+type trial struct {
+	digests    []suspect.Digest
+	admittedAt time.Time
+}
+
 const (
 	// poisonTTL is how long a request is refused that its caller does not send any more: callers
 	// return within seconds or minutes, and each refusal renews it.
@@ -45,91 +53,88 @@
 	// trialAfter is when a refused request has its first trial: other instances and regions have
 	// heard of both crashes by then, and an innocent caller is not turned away for long.
 	trialAfter = 5 * time.Second
+	// maxFinished is the number of finished digests that are remembered: the parts of most requests
+	// come again within as many.
+	maxFinished = 8192
 )
 
 // maxPending bounds the entries that wait for the next report; the oldest are dropped.
-const maxPending = 2048
+const maxPending = 8192
 
 func newPoisonRequests(log *zap.Logger) *poisonRequests {
 	cfg := suspect.DefaultConfig()
-	cfg.Lifetime, cfg.TrialAfter, cfg.MaxTrials = poisonTTL, trialAfter, 1
+	cfg.Lifetime, cfg.TrialAfter, cfg.MaxTrials, cfg.MaxFinished = poisonTTL, trialAfter, 1, maxFinished
 	return &poisonRequests{
-		log: log, table: suspect.New(cfg), trials: map[suspect.Digest]time.Time{}, crashes: make(chan struct{}, 1),
-		reserve: func(context.Context, suspect.Digest) bool { return false },
-		release: func(suspect.Digest, []suspect.Entry) {},
-	}
-}
-
-func digestOf(c exchange.Content) suspect.Digest {
-	h := sha256.New()
-	for _, part := range []string{c.Method, c.Host, c.Target} {
-		// None of them can contain the separator.
-		_, _ = h.Write(append([]byte(part), '\n'))
+		log: log, table: suspect.New(cfg), trials: map[suspect.Digest]trial{}, crashed: map[string]foundCrash{}, crashes: make(chan struct{}, 1),
+		reserve: func(context.Context, []suspect.Digest) bool { return false },
+		release: func([]suspect.Digest, []suspect.Entry) {},
 	}
-	_, _ = h.Write(c.Caller[:])
-	_, _ = h.Write(c.Body)
-	return suspect.Digest(h.Sum(nil)[:len(suspect.Digest{})])
 }
 
 // Admit implements exchange.PoisonRequests.
-func (p *poisonRequests) Admit(ctx context.Context, c exchange.Content, forwarded bool) (refusedFor time.Duration, ok bool) {
-	d, decision, left := p.decide(c)
+func (p *poisonRequests) Admit(ctx context.Context, c exchange.Content, from exchange.Sender) exchange.Admission {
+	digests, quarantined, decision, left := p.decide(c)
+	refused := exchange.Admission{RefusedFor: left}
 	switch {
-	case decision != suspect.Trial:
-		return left, decision != suspect.Refuse
-	case forwarded:
-		// The other instance has the reservation.
-		return 0, true
-	case p.reserve(ctx, d):
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.trials[d] = time.Now()
-		p.log.Info("a request that has crashed targets has a trial", zap.String("host", c.Host), zap.String("method", c.Method))
-		return 0, true
+	case len(quarantined) == 0:
+		return exchange.Admission{Admitted: true}
+	case from == exchange.FromPeer, from == exchange.FromCaller && decision != suspect.Trial:
+		return refused
+	case from == exchange.FromCaller && !p.reserve(ctx, quarantined):
+		return refused
 	}
-	return left, false
+	// If a peer has admitted it as a trial, that has the reservation.
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trials[digests[0]] = trial{digests: quarantined, admittedAt: time.Now()}
+	p.log.Info("a request that has crashed targets has a trial", zap.String("host", c.Host), zap.String("method", c.Method),
+		zap.Stringers("digests", quarantined))
+	return exchange.Admission{Admitted: true, Trial: true}
 }
 
-func (p *poisonRequests) decide(c exchange.Content) (d suspect.Digest, decision suspect.Decision, refusedFor time.Duration) {
+// decide returns the digests of a request, those that are quarantined, and for how long it is refused.
+func (p *poisonRequests) decide(c exchange.Content) (digests, quarantined []suspect.Digest, decision suspect.Decision, refusedFor time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.table.Len() == 0 {
-		return d, suspect.Run, 0
+		return nil, nil, suspect.Run, 0
 	}
 	now := time.Now()
-	d = digestOf(c)
-	if decision = p.table.Decide(now, d); decision == suspect.Refuse || decision == suspect.Trial {
-		p.add(p.table.Renew(now, d))
+	digests = digestsOf(c)
+	decision = p.table.Decide(now, digests...)
+	if quarantined = p.table.Quarantined(digests...); len(quarantined) > 0 {
+		p.add(p.table.Renew(now, quarantined...))
 	}
-	return d, decision, p.table.RefusedFor(now, d)
+	return digests, quarantined, decision, p.table.RefusedFor(now, digests...)
 }
 
 // MayRetry implements exchange.PoisonRequests.
 func (p *poisonRequests) MayRetry(c exchange.Content) bool {
-	_, decision, _ := p.decide(c)
-	return decision != suspect.Refuse && decision != suspect.Trial
+	_, quarantined, _, _ := p.decide(c)
+	return len(quarantined) == 0
 }
 
 // ReportCrash implements exchange.PoisonRequests.
-func (p *poisonRequests) ReportCrash(c exchange.Content, target string, sentAt time.Time) {
-	now, d := time.Now(), digestOf(c)
-	// A target may return under its ID at once.
-	crash := suspect.Crash{Target: target, Incarnation: uint64(now.UnixNano())}
-	refusedFor := p.record(d, func() []suspect.Entry { return p.table.ReportCrash(now, d, crash, sentAt) })
+func (p *poisonRequests) ReportCrash(c exchange.Content, s exchange.Sending) {
+	digests := digestsOf(c)
+	refused := p.record(digests, func(now time.Time) []suspect.Entry {
+		sent := suspect.Sent{Digests: digests, Trials: p.trials[digests[0]].digests, SentAt: s.SentAt}
+		return p.table.ReportCrash(now, p.crashOf(now, s), sent)
+	})
 	select {
 	case p.crashes <- struct{}{}:
 	default:
 	}
-	if refusedFor > 0 {
+	if len(refused) > 0 {
 		p.log.Warn("a request has crashed several targets and is refused from now on", zap.String("host", c.Host),
-			zap.String("method", c.Method), zap.String("last", target), zap.Duration("until_trial", refusedFor))
+			zap.String("method", c.Method), zap.String("last", s.Target), zap.Stringers("digests", refused))
 	}
 }
 
 // ReportFinished implements exchange.PoisonRequests.
 func (p *poisonRequests) ReportFinished(c exchange.Content) {
-	d := digestOf(c)
-	p.record(d, func() []suspect.Entry { return p.table.Finished(time.Now(), d) })
+	digests := digestsOf(c)
+	p.record(digests, func(now time.Time) []suspect.Entry { return p.table.Finished(now, digests...) })
 }
 
 // ReportNotRun implements exchange.PoisonRequests. A trial that has not run shows nothing, and must not
@@ -139,24 +144,24 @@
 	idle := len(p.trials) == 0
 	p.mu.Unlock()
 	if !idle {
-		p.record(digestOf(c), func() []suspect.Entry { return nil })
+		p.record(digestsOf(c), func(time.Time) []suspect.Entry { return nil })
 	}
 }
 
-// record has change change the table, ends the trial of the request, if there is one, and returns for
-// how long the request is refused now.
-func (p *poisonRequests) record(d suspect.Digest, change func() []suspect.Entry) (refusedFor time.Duration) {
+// record has change change the table, ends the trial of the request, if there is one, and returns those
+// of its digests that are quarantined now.
+func (p *poisonRequests) record(digests []suspect.Digest, change func(now time.Time) []suspect.Entry) (quarantined []suspect.Digest) {
 	p.mu.Lock()
-	entries := change()
+	entries := change(time.Now())
 	p.add(entries)
-	_, trial := p.trials[d]
-	delete(p.trials, d)
-	refusedFor = p.table.RefusedFor(time.Now(), d)
+	ended, isTrial := p.trials[digests[0]]
+	delete(p.trials, digests[0])
+	quarantined = p.table.Quarantined(digests...)
 	p.mu.Unlock()
-	if trial {
-		p.release(d, entries)
+	if isTrial {
+		p.release(ended.digests, entries)
 	}
-	return refusedFor
+	return quarantined
 }
 
 func (p *poisonRequests) add(entries []suspect.Entry) {
@@ -173,7 +178,8 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.table.Expire(now)
-	maps.DeleteFunc(p.trials, func(_ suspect.Digest, at time.Time) bool { return now.Sub(at) > maxTrialTime })
+	maps.DeleteFunc(p.trials, func(_ suspect.Digest, t trial) bool { return now.Sub(t.admittedAt) > maxTrialTime })
+	maps.DeleteFunc(p.crashed, func(_ string, c foundCrash) bool { return now.Sub(c.at) > poisonTTL })
 	entries := p.pending
 	p.pending = nil
 	return entries
@@ -218,17 +224,19 @@
 }
 
 // grantTrial reserves a trial as the owner of all trials.
-func (p *poisonRequests) grantTrial(d suspect.Digest) bool {
+func (p *poisonRequests) grantTrial(quarantined []suspect.Digest) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	return p.table.Reserve(now, d, now.Add(maxTrialTime))
+	return p.table.ReserveAll(now, quarantined, now.Add(maxTrialTime))
 }
 
 // endReservation ends a reservation of grantTrial, with what the trial has shown.
-func (p *poisonRequests) endReservation(d suspect.Digest, entries []suspect.Entry) {
+func (p *poisonRequests) endReservation(quarantined []suspect.Digest, entries []suspect.Entry) {
 	p.merge(entries)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Release(d)
+	for _, d := range quarantined {
+		p.table.Release(d)
+	}
 }
--- a/node/entry/poison_test.go
+++ b/node/entry/poison_test.go
@@ -15,13 +15,12 @@
 
 // admits reports whether a request of a caller may be sent to a target.
 func (p *poisonRequests) admits(c exchange.Content) bool {
-	_, ok := p.Admit(context.Background(), c, false)
-	return ok
+	return p.Admit(context.Background(), c, exchange.FromCaller).Admitted
 }
 
 // crash reports a crash under a request that was sent just now.
 func (p *poisonRequests) crash(c exchange.Content, target string) {
-	p.ReportCrash(c, target, time.Now())
+	p.ReportCrash(c, exchange.Sending{Target: target, SentAt: time.Now()})
 }
 
 // Guards against one request that crashes target after target: its caller retries it under new IDs
@@ -78,10 +77,10 @@
 	Convey("two instances that refuse a request, long after its crashes", t, func() {
 		owner, other := newPoisonRequests(zap.NewNop()), newPoisonRequests(zap.NewNop())
 		for _, p := range []*poisonRequests{owner, other} {
-			p.reserve = func(_ context.Context, d suspect.Digest) bool { return owner.grantTrial(d) }
+			p.reserve = func(_ context.Context, quarantined []suspect.Digest) bool { return owner.grantTrial(quarantined) }
 		}
 		ended := make(chan trialEnd, 1)
-		other.release = func(d suspect.Digest, entries []suspect.Entry) { ended <- trialEnd{d, entries} }
+		other.release = func(d []suspect.Digest, entries []suspect.Entry) { ended <- trialEnd{Digest: d[0], Entries: entries} }
 		r := exchange.Content{Method: "GET", Host: "h", Target: "/x"}
 		long := time.Now().Add(-trialAfter)
 		for _, at := range []time.Time{long.Add(-time.Second), long} {
@@ -94,28 +93,28 @@
 		So(other.admits(r), ShouldBeTrue)
 		So(other.admits(r), ShouldBeFalse)
 		So(owner.admits(r), ShouldBeFalse)
-		_, ok := owner.Admit(t.Context(), r, true)
-		So(ok, ShouldBeTrue)
+		So(owner.Admit(t.Context(), r, exchange.FromPeerAsTrial).Admitted, ShouldBeTrue)
+		So(owner.Admit(t.Context(), r, exchange.FromPeer).Admitted, ShouldBeFalse)
 		Convey("it does not run, and another one has the trial", func() {
 			other.ReportNotRun(r)
 			e := <-ended
-			owner.endReservation(e.Digest, e.Entries)
+			owner.endReservation([]suspect.Digest{e.Digest}, e.Entries)
 			So(owner.admits(r), ShouldBeTrue)
 		})
 		Convey("it finishes and is cleared", func() {
 			other.ReportFinished(r)
 			e := <-ended
-			owner.endReservation(e.Digest, e.Entries)
+			owner.endReservation([]suspect.Digest{e.Digest}, e.Entries)
 			So(owner.admits(r), ShouldBeTrue)
 			So(other.admits(r), ShouldBeTrue)
 		})
 		Convey("it crashes another target and is refused for longer", func() {
 			other.crash(r, "t")
 			e := <-ended
-			owner.endReservation(e.Digest, e.Entries)
-			refusedFor, ok := owner.Admit(t.Context(), r, false)
-			So(ok, ShouldBeFalse)
-			So(refusedFor, ShouldBeGreaterThan, trialAfter)
+			owner.endReservation([]suspect.Digest{e.Digest}, e.Entries)
+			a := owner.Admit(t.Context(), r, exchange.FromCaller)
+			So(a.Admitted, ShouldBeFalse)
+			So(a.RefusedFor, ShouldBeGreaterThan, trialAfter)
 			So(other.admits(r), ShouldBeFalse)
 		})
 	})
--- a/node/entry/trials.go
+++ b/node/entry/trials.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,9 +29,11 @@
 
 // trialEnd ends the trial of a request.
 type trialEnd struct {
+	// Digest is the first one that was reserved, Others are the further ones.
 	Digest suspect.Digest `cbor:"1,keyasint"`
 	// Entries are what the trial has shown.
-	Entries []suspect.Entry `cbor:"2,keyasint,omitempty"`
+	Entries []suspect.Entry  `cbor:"2,keyasint,omitempty"`
+	Others  []suspect.Digest `cbor:"3,keyasint,omitempty"`
 }
 
 // trials lets one instance of all regions grant the trials of poison requests, one at a time: two at
@@ -66,25 +69,29 @@
 }
 
 // reserve asks the owner for a trial. An owner that does not answer grants none.
-func (t *trials) reserve(ctx context.Context, d suspect.Digest) bool {
+func (t *trials) reserve(ctx context.Context, quarantined []suspect.Digest) bool {
 	owner := t.owner()
 	if owner == t.self {
-		return t.requests.grantTrial(d)
+		return t.requests.grantTrial(quarantined)
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	answer, err := t.hub.Call(ctx, owner, channelTrial, d[:])
+	var payload []byte
+	for _, d := range quarantined {
+		payload = append(payload, d[:]...)
+	}
+	answer, err := t.hub.Call(ctx, owner, channelTrial, payload)
 	return err == nil && len(answer) > 0
 }
 
 // release tells the owner that a trial has ended. If the message is lost, the reservation expires.
-func (t *trials) release(d suspect.Digest, entries []suspect.Entry) {
+func (t *trials) release(quarantined []suspect.Digest, entries []suspect.Entry) {
 	owner := t.owner()
 	if owner == t.self {
-		t.requests.endReservation(d, entries)
+		t.requests.endReservation(quarantined, entries)
 		return
 	}
-	payload, err := cbor.Marshal(trialEnd{Digest: d, Entries: entries})
+	payload, err := cbor.Marshal(trialEnd{Digest: quarantined[0], Others: quarantined[1:], Entries: entries})
 	if err != nil {
 		t.log.Error("the end of a trial cannot be encoded", zap.Error(err))
 		return
@@ -92,14 +99,18 @@
 	t.hub.Send(owner, channelTrialEnd, payload)
 }
 
-// serve answers with one byte if it grants the trial, and with none if not.
+// serve answers with one byte if it grants the trial, and with none if not. The payload has the digests
+// one after the other.
 func (t *trials) serve(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	var d suspect.Digest
-	if len(payload) != len(d) || t.owner() != t.self {
+	const size = len(suspect.Digest{})
+	if len(payload) == 0 || len(payload)%size != 0 || len(payload) > size*(1+maxSuspectParts) || t.owner() != t.self {
 		return nil, nil
 	}
-	copy(d[:], payload)
-	if !t.requests.grantTrial(d) {
+	var quarantined []suspect.Digest
+	for d := range slices.Chunk(payload, size) {
+		quarantined = append(quarantined, suspect.Digest(d))
+	}
+	if !t.requests.grantTrial(quarantined) {
 		return nil, nil
 	}
 	return []byte{1}, nil
@@ -111,5 +122,5 @@
 		t.log.Warn("the end of a trial cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
-	t.requests.endReservation(e.Digest, e.Entries)
+	t.requests.endReservation(append([]suspect.Digest{e.Digest}, e.Others...), e.Entries)
 }
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -59,11 +59,11 @@
 func (l *suspectLog) add(now time.Time, e suspect.Entry, direct bool) bool {
 	key := suspectKey{e.Digest, e.Crash}
 	old, known := l.records[key]
-	if !now.Before(e.Until) || known && e.Status <= old.entry.Status && !e.Until.After(old.entry.Until) {
+	if !now.Before(e.Until) || known && e.Status <= old.entry.Status && !e.Until.After(old.entry.Until) && e.Round <= old.entry.Round {
 		return false
 	}
 	if known {
-		e.Status = max(e.Status, old.entry.Status)
+		e.Status, e.Round, e.Trial = max(e.Status, old.entry.Status), max(e.Round, old.entry.Round), e.Trial || old.entry.Trial
 		if e.Until.Before(old.entry.Until) {
 			e.Until = old.entry.Until
 		}
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -46,6 +46,8 @@
 	raw        rawhttp.Request
 	// maxRuns bounds the number of targets that may run the request.
 	maxRuns int
+	// trial says that it was admitted as a trial of a request that has crashed targets.
+	trial bool
 
 	// The fields below change with each attempt.
 	verdict verdict.Verdict
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -181,7 +181,7 @@
 	p := forwardedRequest{
 		SenderRegion: q.g.o.Region, Version: q.view.Index.Table.Version, Timeout: q.deadline.Sub(now) - regionReturnTrip,
 		// Only 1, because this instance cannot count the retries of the other one.
-		MaxRuns: 1,
+		MaxRuns: 1, Trial: q.trial,
 	}
 	if q.view.Index.Table.Keyed {
 		q.g.o.Dialect.Conceal(raw.Header)
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -349,14 +349,14 @@
 	crashesAllowed int
 }
 
-func (c *fakePoison) Admit(context.Context, exchange.Content, bool) (time.Duration, bool) {
-	return 0, !c.poison
+func (c *fakePoison) Admit(context.Context, exchange.Content, exchange.Sender) exchange.Admission {
+	return exchange.Admission{Admitted: !c.poison}
 }
 
 func (c *fakePoison) MayRetry(exchange.Content) bool { return !c.poison }
 
-func (c *fakePoison) ReportCrash(_ exchange.Content, target string, _ time.Time) {
-	c.crashed = append(c.crashed, target)
+func (c *fakePoison) ReportCrash(_ exchange.Content, s exchange.Sending) {
+	c.crashed = append(c.crashed, s.Target)
 	c.poison = c.poison || len(c.crashed) == c.crashesAllowed
 }
 
--- a/pipeline/exchange/forwarded.go
+++ b/pipeline/exchange/forwarded.go
@@ -24,6 +24,8 @@
 	// sender does not know. Begins says that the sender wants to know what a stream begins with.
 	Origin Origin
 	Begins bool
+	// Trial says that the request is a trial of one that has crashed targets.
+	Trial bool
 }
 
 // readForwarded parses the headers of a forwarded request and removes them from h. The text of
@@ -51,7 +53,8 @@
 	if p.Origin, p.Begins, err = readOrigin(h); err != nil {
 		return nil, errors.Annotate(err, headerSoftware)
 	}
-	for _, name := range []string{headerFrom, headerVersion, headerTimeout, headerAttempts, headerKey} {
+	p.Trial = h.Get(headerTrial) != ""
+	for _, name := range []string{headerFrom, headerVersion, headerTimeout, headerAttempts, headerKey, headerTrial} {
 		h.Del(name)
 	}
 	return p, nil
@@ -63,6 +66,10 @@
 	h.Set(headerVersion, strconv.FormatUint(p.Version, 10))
 	h.Set(headerTimeout, strconv.FormatInt(p.Timeout.Milliseconds(), 10))
 	h.Set(headerAttempts, strconv.Itoa(p.MaxRuns))
+	h.Del(headerTrial)
+	if p.Trial {
+		h.Set(headerTrial, "1")
+	}
 	h.Del(headerKey)
 	if p.Credential.Present {
 		h.Set(headerKey, hex.EncodeToString(p.Credential.Digest[:]))
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -13,7 +13,7 @@
 
 // content returns what identifies the request when its caller sends it again.
 func (q *request) content() Content {
-	return Content{Method: q.raw.Method, Host: q.raw.Host, Target: q.raw.Target, Body: q.raw.Body, Caller: q.credential().Digest}
+	return Content{Method: q.raw.Method, Host: q.raw.Host, Target: q.raw.Target, Body: q.raw.Body, Parts: q.call.Parts, Caller: q.credential().Digest}
 }
 
 // checkPoison refuses a request that crashes its targets.
@@ -21,14 +21,25 @@
 	if q.g.o.PoisonRequests == nil {
 		return nil
 	}
-	refusedFor, ok := q.g.o.PoisonRequests.Admit(q.r.Context(), q.content(), q.forwarded != nil)
-	if ok {
+	admission := q.g.o.PoisonRequests.Admit(q.r.Context(), q.content(), q.sender())
+	q.trial = admission.Trial
+	if admission.Admitted {
 		return nil
 	}
-	after := max(refusedFor, place.RetryAfter(place.PoisonRequest, 0))
+	after := max(admission.RefusedFor, place.RetryAfter(place.PoisonRequest, 0))
 	return &refusal{status: http.StatusServiceUnavailable, code: CodePoison, retryAfter: after}
 }
 
+func (q *request) sender() Sender {
+	switch {
+	case q.forwarded == nil:
+		return FromCaller
+	case q.forwarded.Trial:
+		return FromPeerAsTrial
+	}
+	return FromPeer
+}
+
 // brokeOff reports whether an error says that the other end has closed or reset the connection before
 // or within its answer. A target that is silent, or sends what is no answer, has not crashed.
 func brokeOff(err error) bool {
@@ -60,6 +71,11 @@
 // answer it had sent by then does not matter. An instance of another region reports its own targets.
 func (q *request) reportCrash(p *destination, err error) {
 	if p != nil && brokeOff(err) && q.g.o.PoisonRequests != nil && q.ctx.Err() == nil {
-		q.g.o.PoisonRequests.ReportCrash(q.content(), p.choice.ID, q.sentAt)
+		q.g.o.PoisonRequests.ReportCrash(q.content(), q.sending(p))
 	}
 }
+
+// sending returns the last attempt, at a target.
+func (q *request) sending(p *destination) Sending {
+	return Sending{Target: p.choice.ID, StartMillis: p.choice.StartMillis, SentAt: q.sentAt}
+}
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -148,21 +148,49 @@
 	Version uint64
 }
 
-// PoisonRequests knows the requests that crash every target that runs them.
+// PoisonRequests knows the requests that crash every target that runs them, whatever in them does.
 type PoisonRequests interface {
-	// Admit reports whether a request may be sent to a target, and if not, for how long it is refused
-	// at least. forwarded says that an instance of another region has admitted it.
-	Admit(ctx context.Context, c Content, forwarded bool) (refusedFor time.Duration, ok bool)
+	// Admit reports whether a request may be sent to a target.
+	Admit(ctx context.Context, c Content, from Sender) Admission
 	// MayRetry reports whether a request may be sent to another target after one that was lost.
 	MayRetry(c Content) bool
-	// ReportCrash reports that a target broke off its answer to a request that was sent at sentAt, or
-	// closed the connection before it answered.
-	ReportCrash(c Content, target string, sentAt time.Time)
+	// ReportCrash reports that a target broke off its answer to a request, or closed the connection
+	// before it answered.
+	ReportCrash(c Content, s Sending)
 	// ReportFinished reports that a target ran the request to its end, ReportNotRun that none ran it.
 	ReportFinished(c Content)
 	ReportNotRun(c Content)
 }
 
+// Sender says who sent a request to this instance.
+type Sender uint8
+
+const (
+	// FromCaller: a caller.
+	FromCaller Sender = iota
+	// FromPeer: an instance of another region, which has admitted it.
+	FromPeer
+	// FromPeerAsTrial: an instance of another region, which has admitted it as a trial.
+	FromPeerAsTrial
+)
+
+// Admission is the answer of Admit.
+type Admission struct {
+	Admitted bool
+	// Trial says that the request is the only one of its kind that may run now.
+	Trial bool
+	// RefusedFor is for how long a request that is not admitted will be refused at least.
+	RefusedFor time.Duration
+}
+
+// Sending is one sending of a request to a target.
+type Sending struct {
+	Target string
+	// StartMillis is the start time of the target in Unix milliseconds; 0 if unknown.
+	StartMillis int64
+	SentAt      time.Time
+}
+
 // Streams knows what began the streams that callers may take up.
 type Streams interface {
 	// Began records what began a stream, or that it goes on.
@@ -183,6 +211,8 @@
 type Content struct {
 	Method, Host, Target string
 	Body                 []byte
+	// Parts are the parts of its prompt. Other requests may share all but the last.
+	Parts []pick.Part
 	// Caller is the digest of the caller's key; zero for a caller without one.
 	Caller routes.KeyDigest
 }
@@ -268,6 +298,8 @@
 	headerService  = "Gullhaven-Service"
 	headerSoftware = "Gullhaven-Software"
 	headerBegins   = "Gullhaven-Begins"
+	// headerTrial marks a trial of a request that has crashed targets.
+	headerTrial = "Gullhaven-Trial"
 	// headerKey holds the digest of the caller's key: the receiver checks it against its own
 	// configuration, which is not older than the sender's.
 	headerKey = "Gullhaven-Key"
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -27,6 +27,8 @@
 	Limit TargetLimit
 	// Software is the version of the target's software; empty if unknown.
 	Software string
+	// StartMillis is the target's start time in Unix milliseconds; 0 if unknown.
+	StartMillis int64
 	// Source is the address of another target from which this one may fetch a longer cached prefix
 	// of the prompt; empty for none.
 	Source string
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -241,7 +241,7 @@
 // reserve counts the request in the target's load and rate limit, as its probe if the target has
 // failed or rested, and returns the choice.
 func (p *Pool) reserve(w *scorer, t *target, e *estimate) *Choice {
-	ch := &Choice{ID: t.ID, Address: t.Address, Software: t.Software, Cost: e.cost(t), Limit: t.limit.TargetLimit, pool: p, t: t, at: w.now, chain: w.chain}
+	ch := &Choice{ID: t.ID, Address: t.Address, Software: t.Software, StartMillis: t.StartMillis, Cost: e.cost(t), Limit: t.limit.TargetLimit, pool: p, t: t, at: w.now, chain: w.chain}
 	if t.failures > 0 || t.rest.untested {
 		t.probing, ch.probe = true, true
 	}
