coord/suspect, node/entry, exchange: ends that tell nothing are settled by what follows

Cause: an answer without a length or chunks counted neither as a crash nor as innocence, whatever followed; an attempt whose caller left first was no suspect of the crash that it caused; and an answer that another region relays counted as proof, though that region frames it whatever its target sent. A deadly part could hide behind all three.

Change: such ends wait until a sign shows what they were. The target answers within the second in which it cannot have started again, or later and its listed start is the same: the answer was whole. Another attempt at the target breaks off, here or as another instance tells, it accepts no connection, its listed start is newer, or it is gone without having drained: it crashed. The target of a trial with such an end is probed by a connection. Only the instance that sent a request to a target tells that it finished. A trial that tells nothing counts like a failed one when the next is due, one that has not run does not.

--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -32,6 +32,11 @@
 	firstIsDeadly bool
 	// turns has three subjects that finished before become deadly at 30 s.
 	turns bool
+	// unframed is the share of answers that end with their connection, cleanly also if their target
+	// crashes.
+	unframed float64
+	// leave is the share of deadly requests whose callers leave 50 ms before the target crashes.
+	leave float64
 	// cut is for how long from 10 s on the first instances hear nothing of the others.
 	cut time.Duration
 	// restarts is the mean number of restarts per instance and second.
@@ -45,10 +50,12 @@
 	now, began time.Time
 	rng        *rand.Rand
 	tables     []*Table
+	unsettled  [crowdInstances]Unsettled
 	trialOwner int
 	targets    [crowdTargets]crowdTarget
 	waiting    []crowdRetry
 	inTransit  []transit
+	probes     []crowdProbe
 	parts      []crowdPart
 	next       int
 	// identify returns the digests by which a request is suspected.
@@ -82,6 +89,12 @@
 	tries int
 }
 
+// crowdProbe is a probe of the target of an unsettled trial.
+type crowdProbe struct {
+	instance, target int
+	at               time.Time
+}
+
 type crowdRetry struct {
 	r  *crowdRequest
 	at time.Time
@@ -94,6 +107,8 @@
 	// begins is when it begins to answer; zero while it waits. work is how long it takes.
 	begins time.Time
 	work   time.Duration
+	// unframed and left say that its answer is unframed and that its caller leaves early.
+	unframed, left bool
 }
 
 func newCrowd(seed uint64, shape crowdShape) *crowd {
@@ -157,6 +172,11 @@
 		}
 		for i, t := range c.tables {
 			if !c.cutOff(i) {
+				for _, e := range m.entries {
+					if e.Status == Suspected {
+						c.suspectEnds(i, c.unsettled[i].Crashed(c.now, 3*time.Second, e.Crash.Target))
+					}
+				}
 				c.publish(i, subtract(t.Merge(c.now, m.entries), m.entries))
 			}
 		}
@@ -187,6 +207,7 @@
 func (c *crowd) step() {
 	c.now = c.now.Add(crowdTick)
 	c.deliver()
+	c.probe()
 	c.restartSome()
 	for n := c.perTick; n > c.rng.Float64(); n-- {
 		c.send(c.draw())
@@ -202,6 +223,12 @@
 	}
 	for n := range c.targets {
 		c.advance(n)
+		if t := &c.targets[n]; t.downUntil.Equal(c.now) {
+			// The list shows that it has started again.
+			for i := range c.unsettled {
+				c.suspectEnds(i, c.unsettled[i].Gone(fmt.Sprint(n)))
+			}
+		}
 	}
 }
 
@@ -245,15 +272,19 @@
 	}
 	target := c.rng.IntN(crowdTargets)
 	t := &c.targets[target]
+	if t.downUntil.After(c.now) {
+		c.suspectEnds(instance, c.unsettled[instance].Gone(fmt.Sprint(target)))
+	}
 	ok = ok && (!t.downUntil.After(c.now) && len(t.runs) < 2*crowdSlots)
 	c.countFirst(r, ok)
 	switch {
 	case ok:
-		t.runs = append(t.runs, &crowdRun{r: r, instance: instance, sent: Sent{Digests: digests, Trials: trials, SentAt: c.now}, work: time.Duration(200+c.rng.IntN(2000)) * time.Millisecond})
+		t.runs = append(t.runs, &crowdRun{r: r, instance: instance, sent: Sent{Digests: digests, Trials: trials, SentAt: c.now}, work: time.Duration(200+c.rng.IntN(2000)) * time.Millisecond,
+			unframed: c.rng.Float64() < c.unframed, left: r.deadly >= 0 && c.rng.Float64() < c.leave})
 		c.countDeadly(r, instance)
 		return
 	case trials != nil:
-		c.tables[c.trialOwner].Release(trials[0])
+		c.tables[c.trialOwner].Withdraw(trials[0])
 	}
 	c.retry(r)
 }
@@ -343,7 +374,18 @@
 		}
 	}
 	t.runs = kept
+	for i := range c.unsettled {
+		for _, e := range c.unsettled[i].Settle(c.now) {
+			c.publish(i, c.tables[i].Finished(c.now, e.Digests...))
+		}
+	}
 	for _, x := range done {
+		c.unsettled[x.instance].Alive(c.now, fmt.Sprint(n))
+		if x.unframed {
+			c.endUnsettled(n, x)
+			c.release(x)
+			continue
+		}
 		c.publish(x.instance, c.tables[x.instance].Finished(c.now, x.sent.Digests...))
 		c.release(x)
 	}
@@ -362,8 +404,19 @@
 
 func (c *crowd) crash(n int) {
 	t := &c.targets[n]
-	t.incarnation++
+	// An end comes before the crash is found on the other connections.
+	for _, x := range t.runs {
+		if begun := !x.begins.IsZero(); begun && x.unframed || x.left {
+			c.endUnsettled(n, x)
+		}
+	}
 	for _, x := range t.runs {
+		if begun := !x.begins.IsZero(); begun && x.unframed || x.left {
+			c.release(x)
+			c.retry(x.r)
+			continue
+		}
+		c.suspectEnds(x.instance, c.unsettled[x.instance].Crashed(c.now, time.Second, fmt.Sprint(n)))
 		entries := c.tables[x.instance].ReportCrash(c.now, Crash{fmt.Sprint(n), t.incarnation}, x.sent)
 		c.publish(x.instance, entries)
 		if len(x.sent.Trials) > 0 {
@@ -372,9 +425,44 @@
 		c.release(x)
 		c.retry(x.r)
 	}
+	t.incarnation++
 	t.runs, t.downUntil = nil, c.now.Add(crowdDown)
 }
 
+// endUnsettled ends a run so that its end does not tell whether its target crashed.
+func (c *crowd) endUnsettled(target int, x *crowdRun) {
+	c.unsettled[x.instance].Add(End{Sent: x.sent, Crash: Crash{fmt.Sprint(target), c.targets[target].incarnation}, At: c.now, Whole: !x.left})
+	if len(x.sent.Trials) > 0 {
+		c.probes = append(c.probes, crowdProbe{x.instance, target, c.now.Add(ProbeAfter)})
+	}
+}
+
+func (c *crowd) probe() {
+	due := c.probes
+	c.probes = nil
+	for _, p := range due {
+		switch {
+		case p.at.After(c.now):
+			c.probes = append(c.probes, p)
+		case c.targets[p.target].downUntil.After(c.now):
+			c.suspectEnds(p.instance, c.unsettled[p.instance].Gone(fmt.Sprint(p.target)))
+		default:
+			c.unsettled[p.instance].Alive(c.now, fmt.Sprint(p.target))
+		}
+	}
+}
+
+// suspectEnds has an instance record a crash under ends.
+func (c *crowd) suspectEnds(instance int, ends []End) {
+	for _, e := range ends {
+		entries := c.tables[instance].ReportCrash(c.now, e.Crash, e.Sent)
+		c.publish(instance, entries)
+		if len(e.Trials) > 0 {
+			c.tables[c.trialOwner].Merge(c.now, entries)
+		}
+	}
+}
+
 func (c *crowd) release(x *crowdRun) {
 	if len(x.sent.Trials) > 0 {
 		c.tables[c.trialOwner].Release(x.sent.Trials[0])
@@ -413,6 +501,10 @@
 	"few requests":                {perTick: 0.3, share: 0.2, deadly: 1},
 	"full targets":                {perTick: 4, share: 0.2, deadly: 1},
 	"a cut":                       {perTick: 2, share: 0.2, deadly: 1, cut: 15 * time.Second},
+	"some answers unframed":       {perTick: 2, share: 0.2, deadly: 1, unframed: 0.3},
+	"all answers unframed":        {perTick: 2, share: 0.2, deadly: 1, unframed: 1},
+	"all unframed, few requests":  {perTick: 0.3, share: 0.2, deadly: 1, unframed: 1},
+	"callers leave":               {perTick: 2, share: 0.2, deadly: 1, leave: 0.8},
 	"restarts":                    {perTick: 2, share: 0.2, deadly: 1, restarts: 0.05},
 }
 
--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -194,6 +194,8 @@
 	crashes map[Crash][]Digest
 	// reserved has the reservation of a digest's lone run or trial.
 	reserved map[Digest]*reservation
+	// granted has the trials that this table has granted, of digests that were not cleared since.
+	granted  map[Digest]grant
 	finished finished
 	// suspicions are those of all digests that may be quarantined; nil after a change.
 	suspicions map[Digest]suspicion
@@ -222,7 +224,7 @@
 func New(cfg Config) *Table {
 	return &Table{
 		cfg: cfg, inFlight: make(map[Attempt]sentAttempt), digests: make(map[Digest]map[Crash]*entry),
-		crashes: make(map[Crash][]Digest), reserved: make(map[Digest]*reservation),
+		crashes: make(map[Crash][]Digest), reserved: make(map[Digest]*reservation), granted: make(map[Digest]grant),
 	}
 }
 
@@ -272,6 +274,7 @@
 	var out []Entry
 	for _, d := range digests {
 		t.finished.add(now, d, t.cfg.MaxFinished)
+		delete(t.granted, d)
 		for c, e := range t.digests[d] {
 			if e.status != Cleared {
 				out = append(out, e.withStatus(d, c, Cleared, now.Add(t.cfg.Lifetime)))
@@ -423,5 +426,6 @@
 			}
 		}
 	}
+	maps.DeleteFunc(t.granted, func(d Digest, _ grant) bool { return !t.suspicion(d).quarantined() && t.reserved[d] == nil })
 	maps.DeleteFunc(t.reserved, func(_ Digest, r *reservation) bool { return !now.Before(r.until) })
 }
--- a/coord/suspect/trial.go
+++ b/coord/suspect/trial.go
@@ -44,10 +44,32 @@
 	r := &reservation{until: until}
 	for _, d := range digests {
 		t.reserved[d] = r
+		if v == Trial {
+			t.granted[d] = grant{count: max(t.granted[d].count, t.suspicion(d).trials) + 1, at: now}
+		}
 	}
 	return true
 }
 
+// grant is the last trial of a digest that this table granted. One whose end tells nothing counts like one
+// that crashes its target.
+type grant struct {
+	count int
+	at    time.Time
+}
+
+// Withdraw ends a reservation whose trial has not run.
+func (t *Table) Withdraw(d Digest) {
+	if r := t.reserved[d]; r != nil {
+		for o, other := range t.reserved {
+			if g := t.granted[o]; other == r && g.count > 0 {
+				t.granted[o] = grant{count: g.count - 1}
+			}
+		}
+	}
+	t.Release(d)
+}
+
 // reservedAt returns the number of reservations in force.
 func (t *Table) reservedAt(now time.Time) int {
 	inForce := map[*reservation]bool{}
@@ -89,8 +111,10 @@
 		if len(quarantined) > 1 {
 			wait *= 2
 		}
-		if next := t.suspicion(d).lastAt.Add(wait); next.After(at) {
-			at = next
+		for _, last := range []time.Time{t.suspicion(d).lastAt, t.granted[d].at} {
+			if next := last.Add(wait); next.After(at) {
+				at = next
+			}
 		}
 	}
 	return at
@@ -100,7 +124,7 @@
 // remembers to have finished is likely innocent and waits half as long; one that has crashed many
 // targets is hardly innocent, and its first trial comes as late as the second one of others.
 func (t *Table) trialWait(d Digest) time.Duration {
-	wait, failed := t.cfg.TrialAfter, t.suspicion(d).trials
+	wait, failed := t.cfg.TrialAfter, max(t.suspicion(d).trials, t.granted[d].count)
 	switch _, finished := t.finished.last(d); {
 	case finished:
 		wait /= 2
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -116,6 +116,7 @@
 	i.known.entries.Self = o.Self.ID
 	i.metrics = metrics.NewSiteEntry(i.metricsState)
 	i.poisonRequests = newPoisonRequests(o.Log)
+	i.poisonRequests.probe = i.probeTarget
 	newTrials(o.Self.ID, hub, o.Log, i.acceptingInstances, i.poisonRequests)
 	i.fetcher = newFetcher()
 	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -25,8 +25,10 @@
 	log *zap.Logger
 	// reserve asks the instance that owns the trials for one of a request's quarantined digests.
 	reserve func(ctx context.Context, quarantined []suspect.Digest) bool
-	// release tells it that the trial has ended, and with which entries.
-	release func(quarantined []suspect.Digest, entries []suspect.Entry)
+	// release tells it that the trial has ended, and with what.
+	release func(e trialEnd)
+	// probe finds out whether a target lives.
+	probe func(target string)
 
 	mu    sync.Mutex
 	table *suspect.Table
@@ -34,6 +36,8 @@
 	trials map[suspect.Digest]trial
 	// crashed is the last crash found of each target.
 	crashed map[string]foundCrash
+	// unsettled are attempts whose end did not tell whether their target crashed.
+	unsettled suspect.Unsettled
 	// pending are entries that were not reported yet.
 	pending []suspect.Entry
 	// crashes gets a value after a crash, whose entries must reach the other instances soon.
@@ -67,7 +71,8 @@
 	return &poisonRequests{
 		log: log, table: suspect.New(cfg), trials: map[suspect.Digest]trial{}, crashed: map[string]foundCrash{}, crashes: make(chan struct{}, 1),
 		reserve: func(context.Context, []suspect.Digest) bool { return false },
-		release: func([]suspect.Digest, []suspect.Entry) {},
+		release: func(trialEnd) {},
+		probe:   func(string) {},
 	}
 }
 
@@ -118,13 +123,11 @@
 func (p *poisonRequests) ReportCrash(c exchange.Content, s exchange.Sending) {
 	digests := digestsOf(c)
 	refused := p.record(digests, func(now time.Time) []suspect.Entry {
+		p.suspectEnds(now, p.unsettled.Crashed(now, crashWindow, s.Target))
 		sent := suspect.Sent{Digests: digests, Trials: p.trials[digests[0]].digests, SentAt: s.SentAt}
 		return p.table.ReportCrash(now, p.crashOf(now, s), sent)
 	})
-	select {
-	case p.crashes <- struct{}{}:
-	default:
-	}
+	p.publishSoon()
 	if len(refused) > 0 {
 		p.log.Warn("a request has crashed several targets and is refused from now on", zap.String("host", c.Host),
 			zap.String("method", c.Method), zap.String("last", s.Target), zap.Stringers("digests", refused))
@@ -144,7 +147,7 @@
 	idle := len(p.trials) == 0
 	p.mu.Unlock()
 	if !idle {
-		p.record(digestsOf(c), func(time.Time) []suspect.Entry { return nil })
+		p.endTrial(digestsOf(c)[0], trialEnd{NotRun: true})
 	}
 }
 
@@ -154,16 +157,32 @@
 	p.mu.Lock()
 	entries := change(time.Now())
 	p.add(entries)
-	ended, isTrial := p.trials[digests[0]]
-	delete(p.trials, digests[0])
 	quarantined = p.table.Quarantined(digests...)
 	p.mu.Unlock()
-	if isTrial {
-		p.release(ended.digests, entries)
-	}
+	p.endTrial(digests[0], trialEnd{Entries: entries})
 	return quarantined
 }
 
+// endTrial ends the trial of a request, if it is one.
+func (p *poisonRequests) endTrial(whole suspect.Digest, e trialEnd) {
+	p.mu.Lock()
+	t, ok := p.trials[whole]
+	delete(p.trials, whole)
+	p.mu.Unlock()
+	if ok {
+		e.Digest, e.Others = t.digests[0], t.digests[1:]
+		p.release(e)
+	}
+}
+
+// publishSoon has pending entries sent before the next report.
+func (p *poisonRequests) publishSoon() {
+	select {
+	case p.crashes <- struct{}{}:
+	default:
+	}
+}
+
 func (p *poisonRequests) add(entries []suspect.Entry) {
 	p.pending = append(p.pending, entries...)
 	if over := len(p.pending) - maxPending; over > 0 {
@@ -177,6 +196,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.settle(now)
 	p.table.Expire(now)
 	maps.DeleteFunc(p.trials, func(_ suspect.Digest, t trial) bool { return now.Sub(t.admittedAt) > maxTrialTime })
 	maps.DeleteFunc(p.crashed, func(_ string, c foundCrash) bool { return now.Sub(c.at) > poisonTTL })
@@ -219,7 +239,9 @@
 	for _, e := range entries {
 		received[e] = true
 	}
-	derived := p.table.Merge(time.Now(), entries)
+	now := time.Now()
+	p.suspectToldCrashes(now, entries)
+	derived := p.table.Merge(now, entries)
 	p.add(slices.DeleteFunc(derived, func(e suspect.Entry) bool { return received[e] }))
 }
 
@@ -232,11 +254,14 @@
 }
 
 // endReservation ends a reservation of grantTrial, with what the trial has shown.
-func (p *poisonRequests) endReservation(quarantined []suspect.Digest, entries []suspect.Entry) {
-	p.merge(entries)
+func (p *poisonRequests) endReservation(e trialEnd) {
+	p.merge(e.Entries)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, d := range quarantined {
-		p.table.Release(d)
+	end := p.table.Release
+	if e.NotRun {
+		end = p.table.Withdraw
 	}
+	// One digest stands for all that were reserved together, unless the reservation has expired.
+	end(e.Digest)
 }
--- a/node/entry/poison_test.go
+++ b/node/entry/poison_test.go
@@ -80,7 +80,7 @@
 			p.reserve = func(_ context.Context, quarantined []suspect.Digest) bool { return owner.grantTrial(quarantined) }
 		}
 		ended := make(chan trialEnd, 1)
-		other.release = func(d []suspect.Digest, entries []suspect.Entry) { ended <- trialEnd{Digest: d[0], Entries: entries} }
+		other.release = func(e trialEnd) { ended <- e }
 		r := exchange.Content{Method: "GET", Host: "h", Target: "/x"}
 		long := time.Now().Add(-trialAfter)
 		for _, at := range []time.Time{long.Add(-time.Second), long} {
@@ -98,20 +98,20 @@
 		Convey("it does not run, and another one has the trial", func() {
 			other.ReportNotRun(r)
 			e := <-ended
-			owner.endReservation([]suspect.Digest{e.Digest}, e.Entries)
+			owner.endReservation(e)
 			So(owner.admits(r), ShouldBeTrue)
 		})
 		Convey("it finishes and is cleared", func() {
 			other.ReportFinished(r)
 			e := <-ended
-			owner.endReservation([]suspect.Digest{e.Digest}, e.Entries)
+			owner.endReservation(e)
 			So(owner.admits(r), ShouldBeTrue)
 			So(other.admits(r), ShouldBeTrue)
 		})
 		Convey("it crashes another target and is refused for longer", func() {
 			other.crash(r, "t")
 			e := <-ended
-			owner.endReservation([]suspect.Digest{e.Digest}, e.Entries)
+			owner.endReservation(e)
 			a := owner.Admit(t.Context(), r, exchange.FromCaller)
 			So(a.Admitted, ShouldBeFalse)
 			So(a.RefusedFor, ShouldBeGreaterThan, trialAfter)
--- a/node/entry/trials.go
+++ b/node/entry/trials.go
@@ -29,11 +29,13 @@
 
 // trialEnd ends the trial of a request.
 type trialEnd struct {
-	// Digest is the first one that was reserved, Others are the further ones.
+	// Digest is the first one that was reserved, and Others are the further ones.
 	Digest suspect.Digest `cbor:"1,keyasint"`
 	// Entries are what the trial has shown.
 	Entries []suspect.Entry  `cbor:"2,keyasint,omitempty"`
 	Others  []suspect.Digest `cbor:"3,keyasint,omitempty"`
+	// NotRun says that no target has run the trial.
+	NotRun bool `cbor:"4,keyasint,omitempty"`
 }
 
 // trials lets one instance of all regions grant the trials of poison requests, one at a time: two at
@@ -85,13 +87,13 @@
 }
 
 // release tells the owner that a trial has ended. If the message is lost, the reservation expires.
-func (t *trials) release(quarantined []suspect.Digest, entries []suspect.Entry) {
+func (t *trials) release(e trialEnd) {
 	owner := t.owner()
 	if owner == t.self {
-		t.requests.endReservation(quarantined, entries)
+		t.requests.endReservation(e)
 		return
 	}
-	payload, err := cbor.Marshal(trialEnd{Digest: quarantined[0], Others: quarantined[1:], Entries: entries})
+	payload, err := cbor.Marshal(e)
 	if err != nil {
 		t.log.Error("the end of a trial cannot be encoded", zap.Error(err))
 		return
@@ -122,5 +124,5 @@
 		t.log.Warn("the end of a trial cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
-	t.requests.endReservation(append([]suspect.Digest{e.Digest}, e.Others...), e.Entries)
+	t.requests.endReservation(e)
 }
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -68,6 +68,7 @@
 		return
 	}
 	if list, ok := i.known.list.Apply(&n, now, readAt); ok {
+		i.poisonRequests.targetsListed(i.known.list.Targets, list.Targets)
 		i.known.list = list
 	}
 }
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -344,7 +344,9 @@
 // fakePoison records what the gateway reports.
 type fakePoison struct {
 	crashed, finished, notRun []string
-	poison                    bool
+	// whole and left are the targets of unsettled ends: whole answers, and attempts whose caller left.
+	whole, left, unreachable []string
+	poison                   bool
 	// crashesAllowed is how many crashes make a poison request; 0 if none do.
 	crashesAllowed int
 }
@@ -360,6 +362,18 @@
 	c.poison = c.poison || len(c.crashed) == c.crashesAllowed
 }
 
+func (c *fakePoison) ReportUnsettled(_ exchange.Content, s exchange.Sending, whole bool) {
+	if whole {
+		c.whole = append(c.whole, s.Target)
+	} else {
+		c.left = append(c.left, s.Target)
+	}
+}
+
+func (c *fakePoison) ReportAlive(string) {}
+
+func (c *fakePoison) ReportUnreachable(target string) { c.unreachable = append(c.unreachable, target) }
+
 func (c *fakePoison) ReportNotRun(r exchange.Content) { c.notRun = append(c.notRun, r.Target) }
 
 func (c *fakePoison) ReportFinished(r exchange.Content) { c.finished = append(c.finished, r.Target) }
@@ -410,6 +424,7 @@
 			r := newRigWith(t, "r", k, newTarget(t, "t1", c.first))
 			r.call("/unsafe/x", "b")
 			So(len(k.finished), ShouldEqual, c.want)
+			So(len(k.whole) == 1, ShouldEqual, name == "answers without a length")
 		})
 	}
 	Convey("a request whose crash makes it a poison request is not sent to another target", t, func() {
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -40,17 +40,25 @@
 	return FromPeer
 }
 
+// errCallerLeft ends the relaying of a stream whose caller does not read any more.
+var errCallerLeft = errors.New("the caller has left")
+
 // brokeOff reports whether an error says that the other end has closed or reset the connection before
 // or within its answer. A target that is silent, or sends what is no answer, has not crashed.
 func brokeOff(err error) bool {
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// provesEnd reports whether an answer that was read to its end proves that a target has run the request
-// to its end without a crash. A target may fail without having begun, and the end of an unframed answer
-// may be a crash.
-func provesEnd(a *rawhttp.Answer) bool {
-	return a.StatusCode < http.StatusBadRequest && a.Framed()
+// reportAnswerEnd reports an answer of a target that was read to its end. A failure proves nothing, as the
+// target may not have begun; the end of an unframed answer may be a crash.
+func (q *request) reportAnswerEnd(a *rawhttp.Answer, p *destination) {
+	if p == nil || a.StatusCode >= http.StatusBadRequest {
+		return
+	}
+	q.finished = a.Framed()
+	if !q.finished && q.g.o.PoisonRequests != nil {
+		q.g.o.PoisonRequests.ReportUnsettled(q.content(), q.sending(p), true)
+	}
 }
 
 // reportFinished reports a request that has run to its end.
@@ -70,11 +78,30 @@
 // reportCrash reports the target of the last attempt if err says that it broke off. How much of an
 // answer it had sent by then does not matter. An instance of another region reports its own targets.
 func (q *request) reportCrash(p *destination, err error) {
-	if p != nil && brokeOff(err) && q.g.o.PoisonRequests != nil && q.ctx.Err() == nil {
+	if p == nil || q.g.o.PoisonRequests == nil {
+		return
+	}
+	var f *rawhttp.Failure
+	switch {
+	case errors.As(err, &f) && f.DialFailed:
+		if q.ctx.Err() == nil {
+			q.g.o.PoisonRequests.ReportUnreachable(p.choice.ID)
+		}
+	case q.ctx.Err() != nil || errors.Is(err, errCallerLeft):
+		// The target may crash under it all the same, or has just done so.
+		q.g.o.PoisonRequests.ReportUnsettled(q.content(), q.sending(p), false)
+	case brokeOff(err):
 		q.g.o.PoisonRequests.ReportCrash(q.content(), q.sending(p))
 	}
 }
 
+// reportAlive reports that a target has begun to answer the request.
+func (q *request) reportAlive(p *destination) {
+	if p != nil && q.g.o.PoisonRequests != nil {
+		q.g.o.PoisonRequests.ReportAlive(p.choice.ID)
+	}
+}
+
 // sending returns the last attempt, at a target.
 func (q *request) sending(p *destination) Sending {
 	return Sending{Target: p.choice.ID, StartMillis: p.choice.StartMillis, SentAt: q.sentAt}
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -120,7 +120,7 @@
 		}
 		if err == io.EOF {
 			a.Close(true)
-			q.finished = provesEnd(a)
+			q.reportAnswerEnd(a, p)
 			q.recordRun(verdict.Ran)
 			return true, pick.Good
 		}
@@ -138,6 +138,7 @@
 		if !q.relayEvent(a, e, event) {
 			a.Close(false)
 			q.recordRun(verdict.Ran)
+			q.reportCrash(p, errCallerLeft)
 			return false, pick.Neutral
 		}
 	}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -278,7 +278,9 @@
 		a.Close(false)
 		q.recordRun(verdict.MayHaveRun)
 		return false, pick.Failed
-	case q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK:
+	}
+	q.reportAlive(p)
+	if q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK {
 		return q.relayStream(a, p)
 	}
 	return q.relayWhole(a, p)
@@ -393,7 +395,7 @@
 	q.recordRun(verdict.Ran)
 	answer := &bufferedAnswer{status: a.StatusCode, header: a.Header, body: body}
 	if a.StatusCode < http.StatusInternalServerError {
-		q.finished = provesEnd(a)
+		q.reportAnswerEnd(a, p)
 		q.writeAnswer(answer)
 		return true, pick.Good
 	}
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -160,6 +160,12 @@
 	// ReportFinished reports that a target ran the request to its end, ReportNotRun that none ran it.
 	ReportFinished(c Content)
 	ReportNotRun(c Content)
+	// ReportUnsettled reports that an attempt ended without a sign of whether the target crashed. whole
+	// says that its answer was whole if the target did not.
+	ReportUnsettled(c Content, s Sending, whole bool)
+	// ReportAlive reports that a target has answered, ReportUnreachable that it accepts no connection.
+	ReportAlive(target string)
+	ReportUnreachable(target string)
 }
 
 // Sender says who sent a request to this instance.
