node/feed, coord/suspect: what crashed one target makes room for what crashed several

Cause: full stores evicted the suspect that expires first. With the parts of all requests in flight, a caller with many unlike parts could push out the part that crashes targets before its next crash.

Change: cleared ones go first, then those of a single crash; core instances keep 8,192 (2,048 before), and evict a sixteenth at once. The bound of the test of core instances grows with it.

--- a/coord/suspect/several_test.go
+++ b/coord/suspect/several_test.go
@@ -101,7 +101,7 @@
 		if target := s.rng.IntN(stormTargets); !s.downUntil[target].After(s.now) && len(batches[target]) < stormBatch {
 			batches[target] = append(batches[target], run{r, instance, trials})
 		} else {
-			s.tables[0].Release(Digest{byte(r)})
+			s.tables[0].Withdraw(Digest{byte(r)})
 		}
 	}
 	for target, batch := range batches {
--- a/coord/suspect/table_test.go
+++ b/coord/suspect/table_test.go
@@ -322,3 +322,73 @@
 		}
 	})
 }
+
+// Guards against a caller whose requests, in flight at one crash with many unlike parts, push out what has
+// crashed targets before.
+func TestSuspectsOfOneCrashMakeRoomForOthers(t *testing.T) {
+	table := New(Config{Lifetime: time.Hour, MaxEntries: 100})
+	deadly := Digest{0xff}
+	for n := range 2 {
+		now := start.Add(time.Duration(n) * time.Second)
+		table.ReportCrash(now, Crash{fmt.Sprint("t", n), 1}, Sent{Digests: []Digest{deadly}, SentAt: now.Add(-time.Millisecond)})
+	}
+	for n := range 1000 {
+		table.ReportCrash(start.Add(time.Minute), Crash{"x", 1}, Sent{Digests: []Digest{{byte(n), byte(n >> 8)}}, SentAt: start})
+	}
+	if got := table.Decide(start.Add(time.Minute), deadly); got != Refuse || table.Len() > 100 {
+		t.Errorf("decision %v, %d entries", got, table.Len())
+	}
+}
+
+// Guards against sound parts that are refused because they share the crashes of a deadly one, and against a
+// deadly part that escapes because an innocent one was in more crashes.
+func TestSuspectOfMoreCrashesExplainsThoseOfFewer(t *testing.T) {
+	table := New(Config{Lifetime: time.Hour, MaxEntries: 100, FinishedTTL: time.Hour, MaxFinished: 100})
+	deadly, sound, other := Digest{1}, Digest{2}, Digest{3}
+	at := start
+	crash := func(target string, digests ...Digest) {
+		at = at.Add(time.Second)
+		table.ReportCrash(at, Crash{target, 1}, Sent{Digests: digests, SentAt: at.Add(-time.Millisecond)})
+	}
+	refused := func(d Digest) bool { return table.Decide(at, d) == Refuse }
+	crash("a", deadly, sound)
+	crash("b", deadly, sound)
+	if !refused(deadly) || !refused(sound) {
+		t.Fatal("suspects of the same crashes are told apart")
+	}
+	crash("c", deadly, other)
+	crash("d", other)
+	if !refused(deadly) || refused(sound) || refused(other) {
+		t.Fatal("three crashes do not explain two of them")
+	}
+	table.Finished(at, deadly)
+	if refused(deadly) || !refused(sound) || !refused(other) {
+		t.Fatal("an innocent suspect still explains crashes")
+	}
+}
+
+// Guards against trials that tell nothing and come again and again.
+func TestTrialThatTellsNothingCountsForTheNext(t *testing.T) {
+	cfg := Config{Lifetime: time.Hour, MaxEntries: 100, TrialAfter: 5 * time.Second, MaxTrials: 1}
+	table := New(cfg)
+	d := Digest{1}
+	for n := range 2 {
+		now := start.Add(time.Duration(n) * time.Second)
+		table.ReportCrash(now, Crash{fmt.Sprint("t", n), 1}, Sent{Digests: []Digest{d}, SentAt: now.Add(-time.Millisecond)})
+	}
+	at := start.Add(time.Second + cfg.TrialAfter)
+	reserve := func() bool { return table.Reserve(at, d, at.Add(time.Second)) }
+	if !reserve() {
+		t.Fatal("no trial")
+	}
+	table.Withdraw(d)
+	if !reserve() {
+		t.Fatal("no trial after one that has not run")
+	}
+	table.Release(d)
+	for at = at.Add(time.Second); !reserve(); at = at.Add(time.Second) {
+	}
+	if after := at.Sub(start); after < trialFactor*cfg.TrialAfter {
+		t.Errorf("the next trial comes after %v", after)
+	}
+}
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -17,7 +17,10 @@
 	// partitioned for longer gets it by SuspectsDigest.
 	suspectGossipTime = 3 * time.Second
 	// maxSuspects bounds the number of suspects that are kept; each takes 80 bytes.
-	maxSuspects = 2048
+	maxSuspects = 8192
+	// evictedSuspects is how many of a full store are evicted at once, so that it is not searched for
+	// each new one.
+	evictedSuspects = maxSuspects / 16
 )
 
 // SuspectsMark says which suspects of a core instance an entry instance has got.
@@ -91,23 +94,40 @@
 	delete(l.records, key)
 }
 
-// evict removes one record: a cleared one before others, then the one that changed longest ago.
+// evict removes records: cleared ones before others, then those of digests with a single crash, which a
+// caller can have many of, and of these the ones that changed longest ago.
 func (l *suspectLog) evict() {
-	var oldest suspectKey
-	var found *suspectRecord
+	type ranked struct {
+		key    suspectKey
+		rank   int
+		number uint64
+	}
+	crashes := l.crashes()
+	var all []ranked
 	for key, r := range l.records {
-		if found == nil || r.evictedBefore(found) {
-			oldest, found = key, &r
+		rank := min(crashes[key.digest], suspect.QuarantineAfter)
+		if r.entry.Status == suspect.Cleared {
+			rank = 0
 		}
+		all = append(all, ranked{key, rank, r.number})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.number, b.number))
+	})
+	for _, r := range all[:min(evictedSuspects, len(all))] {
+		l.remove(r.key)
 	}
-	l.remove(oldest)
 }
 
-func (r *suspectRecord) evictedBefore(o *suspectRecord) bool {
-	if cleared := r.entry.Status == suspect.Cleared; cleared != (o.entry.Status == suspect.Cleared) {
-		return cleared
+// crashes returns the number of crashes of each digest that it is not cleared of.
+func (l *suspectLog) crashes() map[suspect.Digest]int {
+	out := map[suspect.Digest]int{}
+	for key, r := range l.records {
+		if r.entry.Status != suspect.Cleared {
+			out[key.digest]++
+		}
 	}
-	return r.number < o.number
+	return out
 }
 
 func (l *suspectLog) expire(now time.Time) {
@@ -166,12 +186,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.suspects.expire(now)
-	crashes := map[suspect.Digest]int{}
-	for key, r := range st.suspects.records {
-		if r.entry.Status != suspect.Cleared {
-			crashes[key.digest]++
-		}
-	}
+	crashes := st.suspects.crashes()
 	return st.suspects.entries(func(r *suspectRecord) bool { return crashes[r.entry.Digest] >= suspect.QuarantineAfter })
 }
 
--- a/node/feed/suspects_test.go
+++ b/node/feed/suspects_test.go
@@ -82,7 +82,7 @@
 
 // Guards against memory that grows with crashes, and suspects that make room for cleared ones.
 func TestSuspectsAreBoundedClearedOnesFirst(t *testing.T) {
-	const many = 3000
+	const many = 10_000
 	a := feed.NewStore(feed.Core{ID: "1", Region: "r", Zone: "z"}, 7)
 	a.AddSuspects(t0, []suspect.Entry{suspectOf(0, suspect.Suspected)}, true)
 	for n := range many {
@@ -93,3 +93,19 @@
 		t.Errorf("%d held, the first %v", len(held), held[0])
 	}
 }
+
+// Guards against a caller whose requests, in flight at one crash with many unlike parts, push out what has
+// crashed targets before.
+func TestSuspectsOfOneCrashMakeRoomForOthers(t *testing.T) {
+	a := feed.NewStore(feed.Core{ID: "1", Region: "r", Zone: "z"}, 7)
+	deadly := suspectOf(0, suspect.Suspected)
+	again := deadly
+	again.Crash.Target = "u"
+	a.AddSuspects(t0, []suspect.Entry{deadly, again}, true)
+	for n := range 20_000 {
+		a.AddSuspects(t0, []suspect.Entry{suspectOf(n+1, suspect.Suspected)}, true)
+	}
+	if got := len(a.QuarantinedSuspects(t0)); got != 2 {
+		t.Errorf("%d entries of it are held", got)
+	}
+}
