exchange: an answer counts only once it is known to be that of the request

Cause: handleAnswer looked at 421 and at rejections before it compared the id. A late second copy of a target's rejection, which names another request, was taken for the rejection of the next request on the connection.

Change: one place decides whether an answer belongs to the request, before its verdict is read. An answer that names no request is believed only as a rejection; a copy of it may come later, so a request that may not be repeated is not sent over a connection whose last answer named none. A rest and a departure that a foreign answer tells still count, as they only spare their target.

--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -254,14 +254,30 @@
 	return pick.Lost
 }
 
+// belongs reports whether an answer is that of the request: a second copy of an earlier answer on the
+// connection may come instead, and tells nothing of this one. An answer that names no request is its own only
+// if the target has not run any.
+func (q *request) belongs(a *rawhttp.Answer, reply *Reply) bool {
+	if reply.ID == "" && (reply.NotRun || reply.Replaced) {
+		a.Unnamed()
+		return true
+	}
+	return reply.ID == q.call.ID && (reply.Signed || reply.NotRun || reply.Replaced)
+}
+
 // handleAnswer relays an answer and reports whether the caller has got it whole; if not,
 // another attempt is needed. p is nil for an answer of another instance.
 func (q *request) handleAnswer(a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
+	belongs := q.belongs(a, &reply)
 	if p != nil && !reply.Replaced {
-		q.recordAnnouncements(p, &reply)
+		q.recordAnnouncements(p, &reply, belongs)
 	}
 	switch {
+	case !belongs:
+		a.Close(false)
+		q.recordRun(verdict.MayHaveRun)
+		return false, pick.Failed
 	case reply.Replaced:
 		q.rejected = true
 		discard(a)
@@ -273,8 +289,8 @@
 			return false, pick.Rested
 		}
 		return false, pick.Rejected
-	case !reply.Signed || reply.ID != q.call.ID || a.Header.Get("Content-Encoding") != "":
-		// The answer belongs to another request or to none.
+	case a.Header.Get("Content-Encoding") != "":
+		// It is not the target's body.
 		a.Close(false)
 		q.recordRun(verdict.MayHaveRun)
 		return false, pick.Failed
@@ -301,10 +317,10 @@
 }
 
 // recordAnnouncements records what a target says of itself, and tells the group owner its limit and
-// that it is leaving. A rest holds for this instance only. An answer that belongs to another request
-// is out of date: what it says of a limit doesn't count.
-func (q *request) recordAnnouncements(p *destination, reply *Reply) {
-	if reply.ID == q.call.ID || reply.NotRun {
+// that it is leaving. A rest holds for this instance only. What an answer to another request says may be
+// out of date: it counts only where the target is spared.
+func (q *request) recordAnnouncements(p *destination, reply *Reply, belongs bool) {
+	if belongs {
 		q.reportLimit(p, reply.Limit)
 	}
 	m, log := q.g.o.Metrics, q.g.o.Log
