exchange, metrics: the parts of a prompt stand in the lines of attempts that broke off

Cause: no line named what an attempt that broke off had in its prompt, nor that an end was part of a crash; suspects and evictions were in no metric.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -14,6 +14,8 @@
 	SiteNoConfiguration   = Metric{"gullhaven_site_refused_no_configuration_total", Counter, "requests", "Requests refused before a configuration was known."}
 	SiteLeaving           = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
 	SitePoisonRequests    = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
+	SiteSuspects          = Metric{"gullhaven_site_suspects", Gauge, "entries", "Requests and prompt parts that were in flight at a crash of a target, one entry for each crash."}
+	SiteSuspectsEvicted   = Metric{"gullhaven_site_suspects_evicted_total", Counter, "entries", "Of these, how many made room for others before they expired."}
 	SiteUnknownStreams    = Metric{"gullhaven_site_refused_unknown_stream_total", Counter, "requests", "Requests refused as no instance knows what began the stream that they take up."}
 	SiteOverloaded        = Metric{"gullhaven_site_refused_overloaded_total", Counter, "requests", "Requests refused as what waits in front of the best target takes longer than the route's aim."}
 	SiteUnknownKeys       = Metric{"gullhaven_site_refused_key_total", Counter, "requests", "Requests refused as they carried no key that a workspace holds."}
@@ -62,7 +64,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteUnknownStreams, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
@@ -84,6 +86,7 @@
 type EntryState struct {
 	InFlight, Dials, Targets, BackingOff, Cold, Limited, Resting, Draining, Version, ReceivedVersion, ListAge, Entries, Cores int64
 	LinesDropped, LinesSkipped, PiecesLeft, PieceBytes, PiecesFailed                                                          int64
+	Suspects, SuspectsEvicted                                                                                                 int64
 	Links                                                                                                                     Links
 }
 
@@ -104,6 +107,8 @@
 	page.gauge(SitePiecesLeft, func(e *EntryState) int64 { return e.PiecesLeft })
 	page.gauge(SitePieceBytes, func(e *EntryState) int64 { return e.PieceBytes })
 	page.gauge(SitePiecesFailed, func(e *EntryState) int64 { return e.PiecesFailed })
+	page.gauge(SiteSuspects, func(e *EntryState) int64 { return e.Suspects })
+	page.gauge(SiteSuspectsEvicted, func(e *EntryState) int64 { return e.SuspectsEvicted })
 	page.gauge(SiteListAge, func(e *EntryState) int64 { return e.ListAge })
 	page.gauge(SiteEntries, func(e *EntryState) int64 { return e.Entries })
 	page.gauge(SiteCores, func(e *EntryState) int64 { return e.Cores })
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -180,6 +180,7 @@
 	s.Links = metrics.SumLinks(i.hub.Stats())
 	s.Targets, s.BackingOff, s.Cold, s.Limited = int64(c.Targets), int64(c.BackingOff), int64(c.Cold), int64(c.Limited)
 	s.Resting, s.Draining = int64(c.Resting), int64(c.Draining)
+	s.Suspects, s.SuspectsEvicted = i.poisonRequests.count()
 	if i.o.Lines != nil {
 		dropped, leftOut := i.o.Lines.Missing()
 		s.LinesDropped, s.LinesSkipped = int64(dropped), int64(leftOut)
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -205,6 +205,13 @@
 	return entries
 }
 
+// count returns the number of entries, and of those that were evicted since the start.
+func (p *poisonRequests) count() (held, evicted int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int64(p.table.Len()), int64(p.table.Evicted())
+}
+
 // pendingEntries returns the entries that were not reported yet, and keeps them for the next report.
 func (p *poisonRequests) pendingEntries() []suspect.Entry {
 	p.mu.Lock()
--- a/node/entry/unsettled.go
+++ b/node/entry/unsettled.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gullhaven/gullhaven/coord/suspect"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
@@ -48,6 +50,7 @@
 // suspectEnds records a crash under attempts whose ends were unsettled.
 func (p *poisonRequests) suspectEnds(now time.Time, ends []suspect.End) {
 	for _, e := range ends {
+		p.log.Info("an attempt ended with its target", zap.String("target", e.Crash.Target), zap.Bool("whole", e.Whole), zap.Stringers("digests", e.Digests))
 		p.add(p.table.ReportCrash(now, e.Crash, e.Sent))
 	}
 	if len(ends) > 0 {
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -4,10 +4,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"syscall"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/route/pick"
 	"github.com/gullhaven/gullhaven/route/place"
 )
 
@@ -106,3 +111,24 @@
 func (q *request) sending(p *destination) Sending {
 	return Sending{Target: p.choice.ID, StartMillis: p.choice.StartMillis, SentAt: q.sentAt}
 }
+
+// partsField is a log field with the parts of the request's prompt, as its caller names them.
+func (q *request) partsField() zap.Field {
+	if len(q.call.Parts) == 0 {
+		return zap.Skip()
+	}
+	return zap.Array("parts", partIDs(q.call.Parts[:min(len(q.call.Parts), maxLoggedParts)]))
+}
+
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 16
+
+type partIDs []pick.Part
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (p partIDs) MarshalLogArray(e zapcore.ArrayEncoder) error {
+	for _, part := range p {
+		e.AppendString(strconv.FormatUint(part.ID, 16))
+	}
+	return nil
+}
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -161,7 +161,7 @@
 	if q.headWritten {
 		q.g.o.Metrics.Resumes.Inc(1)
 	}
-	q.g.o.Log.Info("stream broken", zap.String("id", q.call.ID), zap.Int64("last", q.lastEventID), zap.Error(err),
+	q.g.o.Log.Info("stream broken", zap.String("id", q.call.ID), zap.Int64("last", q.lastEventID), zap.Error(err), q.partsField(),
 		zap.Bool("resumable", q.route.Resumable), zap.Duration("after", time.Since(q.acceptedAt)))
 	return pick.Lost
 }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -242,7 +242,7 @@
 		q.recordRun(f.Verdict)
 	}
 	q.g.o.Log.Info("attempt lost", zap.String("id", q.call.ID), zap.String("target", target), zap.Bool("dial", f.DialFailed),
-		zap.Bool("reused", f.Reused), zap.Error(f.Err), zap.Duration("after", time.Since(q.acceptedAt)))
+		zap.Bool("reused", f.Reused), zap.Error(f.Err), q.partsField(), zap.Duration("after", time.Since(q.acceptedAt)))
 	switch {
 	case q.ctx.Err() != nil:
 		return pick.Neutral
