node/control: a seed keeps the intent of its first start on disk

Cause: only the founder forms the group, and only the settings of its first start say that it is to. A restart half a second later has other settings, so it was a blank node like the others, and no other member may form the group.

Change: each seed of a first start keeps the seeds in a file before it opens its log, and acts on it while its log is blank. A founder forms a group only if all other seeds answer that they are blank, so no second group can come of it; a lost disk loses the intent too.

--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -11,11 +11,11 @@
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
@@ -154,6 +154,9 @@
 	// there are new suspects.
 	gossipNow, suspectsNow chan struct{}
 
+	// firstStart says that the seeds, this instance among them, are about to form the group.
+	firstStart bool
+
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
@@ -185,8 +188,13 @@
 		ElectionTimeout:   electionTimeout,
 		MaxAppendBytes:    maxAppendBytes,
 	}
-	if o.FirstStart && slices.Contains(o.Seeds, o.Self.ID) {
-		core.Bootstrap = &replog.Bootstrap{Voters: o.Seeds}
+	seeds, err := i.seedsToFormWith()
+	if err != nil {
+		hub.Close()
+		return nil, errors.Annotate(err, "keeping the intent of the first start")
+	}
+	if len(seeds) > 0 {
+		core.Bootstrap = &replog.Bootstrap{Voters: seeds}
 	}
 	i.node, err = replhost.Open(replhost.Options{
 		Core: core, Dir: filepath.Join(o.Dir, logDir), Transport: transport{hub}, StateMachine: i.machine, Clock: replhost.BootClock{},
@@ -206,7 +214,8 @@
 		o.Log.Info("read the accepted state beside the log", zap.Uint64("version", i.startState.Version), zap.Uint64("index", i.startState.Index))
 	}
 	i.store.AddSuspects(time.Now(), i.suspectsFile.read(), false)
-	i.newcomer = i.node.Status().New && !o.FirstStart
+	i.firstStart = i.isFirstStart(seeds)
+	i.newcomer = i.node.Status().New && !i.firstStart
 	hub.Handle(channelGroup, i.node.Receive)
 	hub.Handle(channelGossip, i.handleGossip)
 	hub.Handle(ChannelSuspects, i.handleSuspects)
--- a/node/control/standby.go
+++ b/node/control/standby.go
@@ -97,7 +97,7 @@
 	if i.position().member {
 		return false
 	}
-	return !i.o.FirstStart || !slices.Contains(i.o.Seeds, i.o.Self.ID)
+	return !i.firstStart || !slices.Contains(i.o.Seeds, i.o.Self.ID)
 }
 
 // callMember calls a member, and demotes it after an error.
