node/entry: the target of a suspect with an unframed answer is probed

Change: not only trials but all suspects have the target probed by a connection a moment after the unframed end of a whole answer, four at a time.

--- a/coord/suspect/judge.go
+++ b/coord/suspect/judge.go
@@ -111,6 +111,11 @@
 	return e.crashedAt.Time()
 }
 
+// Suspects reports whether any of the digests is a suspect of a crash.
+func (t *Table) Suspects(digests ...Digest) bool {
+	return slices.ContainsFunc(digests, func(d Digest) bool { return uncleared(t.digests[d]) > 0 })
+}
+
 // uncleared returns the number of entries that are not cleared.
 func uncleared(entries map[Crash]*entry) int {
 	n := 0
--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -17,6 +17,8 @@
 	crowdDown       = 3 * time.Second
 	crowdCrashAfter = 100 * time.Millisecond
 	crowdSeeds      = 8
+	// crowdProbes bounds the probes under way.
+	crowdProbes = 4 * crowdInstances
 	// crowdUntil is until when requests with deadly parts come, crowdEnd when all requests end.
 	crowdUntil, crowdEnd = 60 * time.Second, 70 * time.Second
 )
@@ -432,7 +434,7 @@
 // endUnsettled ends a run so that its end does not tell whether its target crashed.
 func (c *crowd) endUnsettled(target int, x *crowdRun) {
 	c.unsettled[x.instance].Add(End{Sent: x.sent, Crash: Crash{fmt.Sprint(target), c.targets[target].incarnation}, At: c.now, Whole: !x.left})
-	if len(x.sent.Trials) > 0 {
+	if !x.left && c.tables[x.instance].Suspects(x.sent.Digests...) && len(c.probes) < crowdProbes {
 		c.probes = append(c.probes, crowdProbe{x.instance, target, c.now.Add(ProbeAfter)})
 	}
 }
--- a/coord/suspect/unsettled.go
+++ b/coord/suspect/unsettled.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// ProbeAfter is how long after the unsettled end of a trial its target should be probed, so that the trial
-// tells something: long enough for Alive.
+// ProbeAfter is how long after the unsettled end of a suspect's attempt its target should be probed, so that
+// the end tells something: long enough for Alive.
 const ProbeAfter = aliveAfter + 50*time.Millisecond
 
 const (
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -38,6 +38,8 @@
 	crashed map[string]foundCrash
 	// unsettled are attempts whose end did not tell whether their target crashed.
 	unsettled suspect.Unsettled
+	// probes is the number of probes under way.
+	probes int
 	// pending are entries that were not reported yet.
 	pending []suspect.Entry
 	// crashes gets a value after a crash, whose entries must reach the other instances soon.
--- a/node/entry/unsettled.go
+++ b/node/entry/unsettled.go
@@ -15,9 +15,11 @@
 	// crashWindow is how long before a crash that this instance finds itself an attempt may have ended
 	// because of it, and toldCrashWindow before one that another instance tells.
 	crashWindow, toldCrashWindow = time.Second, 3 * time.Second
+	// maxProbes bounds the probes under way.
+	maxProbes = 4
 )
 
-// ReportUnsettled implements exchange.PoisonRequests. The target of a trial is probed, so that the trial
+// ReportUnsettled implements exchange.PoisonRequests. The target of a suspect is probed, so that the end
 // tells something.
 func (p *poisonRequests) ReportUnsettled(c exchange.Content, s exchange.Sending, whole bool) {
 	digests := digestsOf(c)
@@ -28,8 +30,14 @@
 	switch crashed := p.unsettled.Add(e); {
 	case crashed:
 		p.suspectEnds(now, []suspect.End{e})
-	case len(trials) > 0:
-		time.AfterFunc(suspect.ProbeAfter, func() { p.probe(s.Target) })
+	case whole && p.table.Suspects(digests...) && p.probes < maxProbes:
+		p.probes++
+		time.AfterFunc(suspect.ProbeAfter, func() {
+			p.probe(s.Target)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.probes--
+		})
 	}
 }
 
