--- a/coord/suspect/judge.go
+++ b/coord/suspect/judge.go
@@ -37,6 +37,17 @@
 	return weigh(entries, nil)
 }
 
+// Quarantined returns those digests of a request that are quarantined.
+func (t *Table) Quarantined(digests ...Digest) []Digest {
+	var out []Digest
+	for _, d := range digests {
+		if t.suspicion(d).quarantined() {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // judge weighs the digests that may be quarantined, those of most rounds first: the crashes of one that
 // is quarantined are explained for those of fewer rounds.
 func (t *Table) judge() {
--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -14,7 +14,7 @@
 //
 //   - A digest that finishes anywhere is cleared: a poison request never finishes.
 //     It is not suspected of a later crash for FinishedTTL either, whether
-//     recorded here or reported by others (of one crash, if the host reports times).
+//     recorded here or reported by others (of a few rounds, if the host reports them).
 //   - A crash in which a digest was alone proves that it is the cause. It explains
 //     the other crashes that the digest was in, and their other suspects are cleared
 //     of these. A suspect of two crashes explains none: it may be innocent itself,
@@ -237,7 +237,7 @@
 
 // Decide returns how a request with these digests may run now.
 func (t *Table) Decide(now time.Time, digests ...Digest) Decision {
-	quarantined := t.quarantined(digests)
+	quarantined := t.Quarantined(digests...)
 	switch {
 	case len(quarantined) > 0 && t.trialDue(now, quarantined):
 		return Trial
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -448,6 +448,24 @@
 	})
 }
 
+// Guards against a crash that looks like a proof of innocence: another region frames the answer that its
+// target sent without a length. Only the instance that sent a request tells of its end.
+func TestAnswersOfOtherRegionsProveNothingHere(t *testing.T) {
+	const head = "HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n"
+	for answer, want := range map[string][2]int{head + "\r\nx": {0, 1}, head + "Content-Length: 1\r\n\r\nx": {1, 0}} {
+		Convey(answer, t, func() {
+			near, far := &fakePoison{}, &fakePoison{}
+			a, b := newRegionPairWith(t, near, far, nil, []*target{newTarget(t, "far", respondRaw(answer, false))})
+			So(a.call("/unsafe/x", "b").body, ShouldEqual, "x")
+			// The handlers have returned then.
+			a.server.Close()
+			b.peers.Close()
+			So([2]int{len(far.finished), len(far.whole)}, ShouldEqual, want)
+			So(len(near.finished)+len(near.whole), ShouldEqual, 0)
+		})
+	}
+}
+
 // Guards against waiting seconds for a target that no longer responds. When a new connection to it
 // fails, requests in flight there that may be retried must move to another target; otherwise only
 // the kernel's timeout ends their connections.
--- a/pipeline/exchange/regions_test.go
+++ b/pipeline/exchange/regions_test.go
@@ -64,8 +64,13 @@
 
 // newRegionPair returns rigs of two regions, of which a forwards to b.
 func newRegionPair(t *testing.T, near, far []*target) (a, b *rig) {
-	b = newRig(t, "other", far...)
-	a = newRig(t, "r", near...)
+	return newRegionPairWith(t, nil, nil, near, far)
+}
+
+// newRegionPairWith is newRegionPair with what each region knows of requests that crash their targets.
+func newRegionPairWith(t *testing.T, nearPoison, farPoison exchange.PoisonRequests, near, far []*target) (a, b *rig) {
+	b = newRigWith(t, "other", farPoison, far...)
+	a = newRigWith(t, "r", nearPoison, near...)
 	view := *a.view
 	view.Peers = []exchange.Peer{{Address: b.peers.Listener.Addr().String(), Region: "other"}}
 	view.Regions = map[exchange.RegionService]pick.RegionLoad{{Region: "other", Service: "s"}: {Targets: 1, Slots: 4}}
