--- a/pipeline/exchange/left.go
+++ b/pipeline/exchange/left.go
@@ -15,11 +15,13 @@
 	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
-// callerLeft reports whether the caller has closed its connection. The context alone says so later:
-// while the instance is overloaded or wakes from a pause, it reads requests whose callers have long
-// left, and their ends only after them.
-func (q *request) callerLeft() bool {
-	ctx := q.r.Context()
+// callerLeft reports whether the caller has closed its connection.
+func (q *request) callerLeft() bool { return CallerLeft(q.r.Context()) }
+
+// CallerLeft reports whether the sender of a request with this context has closed its connection. The
+// context alone says so later: while the instance is overloaded or wakes from a pause, it reads requests
+// whose senders have long left, and their ends only after them.
+func CallerLeft(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return true
 	}
