--- a/coord/suspect/judge.go
+++ b/coord/suspect/judge.go
@@ -37,6 +37,17 @@
 	return weigh(entries, nil)
 }
 
+// Quarantined returns those digests of a request that are quarantined.
+func (t *Table) Quarantined(digests ...Digest) []Digest {
+	var out []Digest
+	for _, d := range digests {
+		if t.suspicion(d).quarantined() {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // judge weighs the digests that may be quarantined, those of most rounds first: the crashes of one that
 // is quarantined are explained for those of fewer rounds.
 func (t *Table) judge() {
@@ -111,6 +122,11 @@
 	return e.crashedAt.Time()
 }
 
+// Suspects reports whether any of the digests is a suspect of a crash.
+func (t *Table) Suspects(digests ...Digest) bool {
+	return slices.ContainsFunc(digests, func(d Digest) bool { return uncleared(t.digests[d]) > 0 })
+}
+
 // uncleared returns the number of entries that are not cleared.
 func uncleared(entries map[Crash]*entry) int {
 	n := 0
