exchange: another region's refusal of a poison request is final and says nothing of the region

Cause: a region that knew of a crash before the sender refused the forwarded request, and counted as refusing work for a while; the sender then looked for further regions.

Change: such a refusal is final, with the time it tells.

Measured: the new test fails before (the caller is told no_target), passes now.

--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -466,6 +466,21 @@
 	}
 }
 
+// Guards against a region that counts as refusing work because it refused a request that crashes targets.
+func TestRefusalOfAPoisonRequestSaysNothingOfItsRegion(t *testing.T) {
+	Convey("the other region knows that a request crashes targets", t, func() {
+		far := &fakePoison{poison: true}
+		y := newTarget(t, "far", respond(200, "far"))
+		a, _ := newRegionPairWith(t, nil, far, nil, []*target{y})
+		got := a.call("/safe/x", "b")
+		So(got.status, ShouldEqual, 503)
+		So(got.body, ShouldEqual, "request_crashes_targets\n")
+		So(got.header.Get("Retry-After"), ShouldNotEqual, "")
+		far.poison = false
+		So(a.call("/safe/x", "c").body, ShouldEqual, "far")
+	})
+}
+
 // Guards against waiting seconds for a target that no longer responds. When a new connection to it
 // fails, requests in flight there that may be retried must move to another target; otherwise only
 // the kernel's timeout ends their connections.
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -219,6 +219,11 @@
 		}
 		return
 	}
+	if code == CodePoison {
+		// It crashes targets anywhere, and says nothing of the region.
+		q.finalRefusal = &refusal{status: status, code: code, retryAfter: retryAfter}
+		return
+	}
 	if code == CodeLeaving {
 		q.g.markUnreachable(now, peer.Address)
 		delete(q.triedRegions, peer.Region)
