exchange: one place decides how a request without an answer ends

Cause: since a poison refusal of another region is final, run wrote it whatever had gone before: a status line and text into a stream that had begun, which then ended as complete (ORDER), and 503, which promises that nothing has run, for a request that may have run. An answer below 500 from the target that a stream is resumed at was written into the stream in the same way.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -105,11 +105,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	if refusal := q.accept(); refusal != nil {
-		q.refuse(refusal)
+		q.end(refusal)
 		return
 	}
 	if refusal := q.checkPoison(); refusal != nil {
-		q.refuse(refusal)
+		q.end(refusal)
 		return
 	}
 	defer q.reportNotRun()
@@ -117,11 +117,11 @@
 	defer cancel()
 	q.ctx = ctx
 	if refusal := q.findOrigin(); refusal != nil {
-		q.refuse(refusal)
+		q.end(refusal)
 		return
 	}
 	if refusal := q.consumeLimit(); refusal != nil {
-		q.refuse(refusal)
+		q.end(refusal)
 		return
 	}
 	defer q.refundLimit()
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -25,9 +25,33 @@
 	limit *limitRefusal
 }
 
-// refuse answers the caller with a refusal. The statuses 429 and 503 guarantee that the request
+// end ends a request that has no complete answer, with f if nothing has been written yet. It is the only
+// place that ends one: it panics with http.ErrAbortHandler if the caller has left or already has the head
+// of an answer.
+func (q *request) end(f *refusal) {
+	now := time.Now()
+	p := progress{
+		headWritten: q.headWritten, callerLeft: q.r.Context().Err() != nil, failedAnswer: q.failedAnswer != nil,
+		verdict: q.verdict, expired: !now.Before(q.deadline),
+	}
+	switch p.ending() {
+	case endBrokenOff:
+		q.g.o.Metrics.CutAnswers.Inc(1)
+		q.g.o.Log.Info("broke off", zap.String("id", q.call.ID), zap.String("code", string(f.code)),
+			zap.Duration("after", now.Sub(q.acceptedAt)), zap.Int("sends", q.attemptCount))
+		panic(http.ErrAbortHandler)
+	case endCallerLeft:
+		q.abort()
+	case endFailedAnswer:
+		q.writeAnswer(q.failedAnswer)
+	default:
+		q.writeRefusal(p.allowed(f))
+	}
+}
+
+// writeRefusal answers the caller with a refusal. The statuses 429 and 503 guarantee that the request
 // has not run and never will.
-func (q *request) refuse(f *refusal) {
+func (q *request) writeRefusal(f *refusal) {
 	h := q.w.Header()
 	if q.forwarded != nil && q.verdict == verdict.NotRun {
 		h.Set(headerRefused, string(f.code))
@@ -116,28 +140,8 @@
 	return m.RefusedOther
 }
 
-// giveUp ends a request whose attempts gave no final answer. It panics with
-// http.ErrAbortHandler if the caller has left or already has the head of an answer.
-func (q *request) giveUp(code verdict.Code) {
-	switch {
-	case q.headWritten:
-		// The answer must not look complete.
-		q.g.o.Metrics.CutAnswers.Inc(1)
-		q.g.o.Log.Info("broke off", zap.String("id", q.call.ID), zap.String("code", string(code)),
-			zap.Duration("after", time.Since(q.acceptedAt)), zap.Int("sends", q.attemptCount))
-		panic(http.ErrAbortHandler)
-	case q.r.Context().Err() != nil:
-		q.abort()
-	case q.failedAnswer != nil:
-		q.writeAnswer(q.failedAnswer)
-	case q.verdict == verdict.NotRun:
-		q.refuse(q.unserved(time.Now(), code))
-	case time.Now().Before(q.deadline):
-		q.refuse(&refusal{status: http.StatusBadGateway, code: code})
-	default:
-		q.refuse(&refusal{status: http.StatusGatewayTimeout, code: code})
-	}
-}
+// giveUp ends a request whose attempts gave no final answer.
+func (q *request) giveUp(code verdict.Code) { q.end(q.unserved(time.Now(), code)) }
 
 // abort ends a request whose caller has left. It panics with http.ErrAbortHandler.
 func (q *request) abort() {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -45,7 +45,7 @@
 			q.finalRefusal = refuseKey()
 		}
 		if q.finalRefusal != nil {
-			q.refuse(q.finalRefusal)
+			q.end(q.finalRefusal)
 			return
 		}
 		if code, ok := q.mayRetry(); !ok {
@@ -415,14 +415,15 @@
 	}
 	q.recordRun(verdict.Ran)
 	answer := &bufferedAnswer{status: a.StatusCode, header: a.Header, body: body}
+	if q.headWritten {
+		// A stream that has begun cannot go on with another answer.
+		return false, pick.Failed
+	}
 	if a.StatusCode < http.StatusInternalServerError {
 		q.reportAnswerEnd(a, p)
 		q.writeAnswer(answer)
 		return true, pick.Good
 	}
-	if q.headWritten {
-		return false, pick.Failed
-	}
 	if q.route.Repeatable() && q.runs < q.maxRuns {
 		q.failedAnswer = answer
 		return false, pick.Failed
