coord/suspect: many targets that end in one moment convict nobody by themselves

Cause: all that runs on a target that ends is a suspect, and two rounds refuse a digest.

Change: a crash that is found within 50 ms of seven or more others counts for a digest only if that is in a quarter of them: what crashes targets is in the crashes that it causes.

--- a/coord/suspect/judge.go
+++ b/coord/suspect/judge.go
@@ -34,7 +34,7 @@
 	if v, ok := t.suspicions[d]; ok {
 		return v
 	}
-	return weigh(entries, nil)
+	return weigh(entries, nil, t.found)
 }
 
 // Quarantined returns those digests of a request that are quarantined.
@@ -51,10 +51,10 @@
 // judge weighs the digests that may be quarantined, those of most rounds first: the crashes of one that
 // is quarantined are explained for those of fewer rounds.
 func (t *Table) judge() {
-	t.suspicions = make(map[Digest]suspicion)
+	t.suspicions, t.found = make(map[Digest]suspicion), t.findCrashes()
 	byRounds := make(map[int][]Digest)
 	for d, entries := range t.digests {
-		if v := weigh(entries, nil); v.quarantined() {
+		if v := weigh(entries, nil, t.found); v.quarantined() {
 			// A trial of one digest says nothing of the crashes before it.
 			untried := v.rounds - v.trials
 			byRounds[untried] = append(byRounds[untried], d)
@@ -68,7 +68,7 @@
 	explained := make(map[Crash]bool)
 	for _, rounds := range order {
 		for _, d := range byRounds[rounds] {
-			t.suspicions[d] = weigh(t.digests[d], explained)
+			t.suspicions[d] = weigh(t.digests[d], explained, t.found)
 		}
 		for _, d := range byRounds[rounds] {
 			if !t.suspicions[d].quarantined() {
@@ -83,9 +83,9 @@
 	}
 }
 
-// weigh counts the rounds of entries that are neither cleared nor explained. Entries without rounds count
-// one each, and are explained only by Cleared.
-func weigh(entries map[Crash]*entry, explained map[Crash]bool) suspicion {
+// weigh counts the rounds of entries that are neither cleared nor explained, nor of one of many crashes of a
+// moment that mostly lack the digest. Entries without rounds count one each, and are explained only by Cleared.
+func weigh(entries map[Crash]*entry, explained map[Crash]bool, found foundCrashes) suspicion {
 	var v suspicion
 	var rounds, trials []uint32
 	for c, e := range entries {
@@ -100,7 +100,7 @@
 		case e.round == 0:
 			v.rounds++
 			continue
-		case explained[c]:
+		case explained[c], found.excuses(e, entries):
 			continue
 		case !slices.Contains(rounds, e.round):
 			rounds = append(rounds, e.round)
--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -199,6 +199,8 @@
 	finished finished
 	// suspicions are those of all digests that may be quarantined; nil after a change.
 	suspicions map[Digest]suspicion
+	// found are the crashes by time, as of suspicions.
+	found foundCrashes
 	// entryCount is the number of entries in digests.
 	entryCount int
 	evicted    uint64
