--- a/soak/plan.go
+++ b/soak/plan.go
@@ -202,6 +202,24 @@
 	return out
 }
 
+// massCrashGap is the mean time between the crashes of DrawMassCrashes: long enough that streams run again.
+const massCrashGap = 1500 * time.Millisecond
+
+// DrawMassCrashes returns faults in which all runners, or every second one, end in the same moment under the
+// requests in flight there, sorted by At.
+func DrawMassCrashes(seed uint64, s Shape, span time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var out []Fault
+	for at := massCrashGap; at < span; at += massCrashGap + gap(rng) {
+		f := Fault{Kind: Crash, Role: RoleRunner, At: at, For: minFaultTime + faultTime(rng)/4}
+		step := 1 + rng.IntN(2)
+		for f.Number = rng.IntN(step); f.Number < s.Runners; f.Number += step {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // extraGap is longer than gap, as these faults are added to the others.
 func extraGap(rng *rand.Rand) time.Duration { return 3 * gap(rng) }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	wide  = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
 	span  = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
 	mixed = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
+	mass  = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
 	keep  = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
 
@@ -89,6 +90,19 @@
 	runFaults(t, seed, o, append(faults, DrawTargetFaults(seed, o.Shape, span)...))
 }
 
+// massSpan is the time within which the faults of TestMassCrashesUnderStreams begin.
+const massSpan = 8 * time.Second
+
+// Guards against streams that end as complete though events are missing, and against sound requests that
+// another region refuses as poison, after runners have ended together under them.
+func TestMassCrashesUnderStreams(t *testing.T) { runMass(t, 1, massSpan) }
+
+// runMass plays the mass crashes of a seed with two runners of each service in each region.
+func runMass(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 12}, Callers: 40, Budget: siteBudget, Poison: true}
+	runFaults(t, seed, o, DrawMassCrashes(seed, o.Shape, span))
+}
+
 // formerFailures are seeds that failed before, each with its cause.
 var formerFailures = []struct {
 	seed  uint64
@@ -127,6 +141,9 @@
 			case *mixed:
 				runMixed(t, seed, *span)
 				return
+			case *mass:
+				runMass(t, seed, *span)
+				return
 			}
 			runSeed(t, seed, *span, true)
 		})
