admit: wiring of the admission between the gateway and the group owner

Cause: whoever arrives while the queue is longer than the route's aim is refused, whichever workspace it is, and the instance that refuses is not the one that sees the requests of all entry instances for a group.

Change: a request for a target carries what its admission depends on (key 6), and the response the decision (key 10). exchange.Options.Admission decides on an instance's own choices. node/deciding implements both with package route/admit; deciding.Returns is where a second component supplies the retry time of a refusal and recognizes promised requests. The setting hard_load.fair_admission switches it on; hard_load refuses unknown names. GroupOwner.Choose takes an admission request, so its calls in the tests of node/deciding pass nil.

Result: the tests of node/deciding, node/entry, pipeline/exchange, route/pick, route/place, settings and metrics pass with the setting off.

--- /dev/null
+++ b/node/deciding/admission.go
@@ -0,0 +1,156 @@
+package deciding
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/route/admit"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// Arrival is a request that the admission is to decide on.
+type Arrival struct {
+	// Group is the group of the request, for which Admission decides.
+	Group pick.Group
+	// ContentKey is as in exchange.AdmissionRequest.
+	ContentKey uint64
+	admit.Request
+}
+
+// Returns gives the callers of refused requests a time to return, and recognizes them then. Admission
+// calls its methods one at a time.
+type Returns interface {
+	// Arrived is called before the decision on a request that has not run. It returns the work promised
+	// to others, in milliseconds, that counts as queued ahead of the request, and whether the request
+	// takes a place that it was promised: then it is not refused for the length of the queue.
+	Arrived(now time.Time, a Arrival) (aheadMillis float64, promised bool)
+	// Refused is called for a refused request and returns when its caller is to return and whether it
+	// then has a place. A time of 0 leaves it to the caller's instance.
+	Refused(now time.Time, a Arrival, why admit.Reason) (after time.Duration, promised bool)
+	// Withdrawn is called for a refused request that has gone to another region instead.
+	Withdrawn(now time.Time, g pick.Group, contentKey uint64)
+	// Sweep is called once a sweepInterval to drop what has expired.
+	Sweep(now time.Time)
+}
+
+// AdmissionOptions say what an Admission decides by.
+type AdmissionOptions struct {
+	// Returns, if set, says when refused callers are to return.
+	Returns Returns
+}
+
+// Admission decides whether requests are admitted, by the shares of their workspaces in the work of a
+// group of targets. It decides for the instance itself, and as group owner for others. It is safe for
+// concurrent use.
+type Admission struct {
+	o AdmissionOptions
+
+	mu     sync.Mutex
+	groups map[pick.Group]*admit.Shares
+}
+
+// NewAdmission returns an Admission that knows of no requests.
+func NewAdmission(o AdmissionOptions) *Admission {
+	return &Admission{o: o, groups: map[pick.Group]*admit.Shares{}}
+}
+
+// Decide implements exchange.AdmissionControl.
+func (a *Admission) Decide(now time.Time, c *pick.Choice, r exchange.AdmissionRequest) (exchange.AdmissionDecision, exchange.AdmissionTicket) {
+	return a.decide(now, c, r)
+}
+
+func (a *Admission) decide(now time.Time, c *pick.Choice, r exchange.AdmissionRequest) (exchange.AdmissionDecision, *ticket) {
+	arrival := Arrival{Group: c.Group, ContentKey: r.ContentKey, Request: admit.Request{
+		Workspace: r.Workspace, Rank: c.Rank, QueueMillis: c.QueueWait, WaitMillis: c.Wait, WorkMillis: c.Work,
+		Aim: milliseconds(r.AimMillis), Left: milliseconds(r.LeftMillis),
+	}}
+	t := &ticket{a: a, group: c.Group, contentKey: r.ContentKey}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	shares := a.groups[c.Group]
+	if shares == nil {
+		shares = admit.NewShares()
+		a.groups[c.Group] = shares
+	}
+	if !r.NotRun {
+		t.grant = shares.Count(now, arrival.Request)
+		return exchange.AdmissionDecision{QueueMillis: c.QueueWait}, t
+	}
+	if a.o.Returns != nil {
+		ahead, promised := a.o.Returns.Arrived(now, arrival)
+		arrival.QueueMillis += ahead
+		arrival.Promised = promised
+	}
+	d, grant := shares.Decide(now, arrival.Request)
+	t.grant, t.refused = grant, d.Refused()
+	out := exchange.AdmissionDecision{
+		Refused: d.Refused(), Reason: verdict.Code(d.Reason), QueueMillis: arrival.QueueMillis, ShareMillis: d.ShareMillis, UsedMillis: d.UsedMillis,
+	}
+	if d.Refused() && a.o.Returns != nil {
+		after, promised := a.o.Returns.Refused(now, arrival, d.Reason)
+		out.RetryMillis, out.Promised = after.Milliseconds(), promised
+	}
+	return out, t
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// sweep drops the shares of groups that this instance has long decided nothing for.
+func (a *Admission) sweep(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for group, shares := range a.groups {
+		if shares.Idle(now) {
+			delete(a.groups, group)
+		}
+	}
+	if a.o.Returns != nil {
+		a.o.Returns.Sweep(now)
+	}
+}
+
+// ticket implements exchange.AdmissionTicket.
+type ticket struct {
+	a          *Admission
+	group      pick.Group
+	contentKey uint64
+	refused    bool
+	// a.mu guards the fields below. grant is nil once the request has begun or ended.
+	grant *admit.Grant
+}
+
+// FirstEvent implements exchange.AdmissionTicket.
+func (t *ticket) FirstEvent() {
+	t.a.mu.Lock()
+	defer t.a.mu.Unlock()
+	t.grant = nil
+}
+
+// End implements exchange.AdmissionTicket.
+func (t *ticket) End(now time.Time, r pick.Result) {
+	t.a.mu.Lock()
+	defer t.a.mu.Unlock()
+	grant := t.grant
+	t.grant = nil
+	if grant == nil || !notRun(r) {
+		return
+	}
+	if shares := t.a.groups[t.group]; shares != nil {
+		shares.Return(grant)
+	}
+	if t.refused && t.a.o.Returns != nil {
+		t.a.o.Returns.Withdrawn(now, t.group, t.contentKey)
+	}
+}
+
+// notRun reports whether a request that ended before its first event takes no more of the target's work:
+// no target has run it, or it was taken back.
+func notRun(r pick.Result) bool {
+	switch r {
+	case pick.Neutral, pick.Unreachable, pick.Replaced, pick.Rejected, pick.Rested:
+		return true
+	}
+	return false
+}
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -51,6 +51,9 @@
 	// Leaving are the service's targets that have said that they are leaving, as far as the
 	// requesting instance knows.
 	Leaving []pick.KnownLeaving `cbor:"5,keyasint,omitempty"`
+	// Admission asks for a decision on the request's admission; nil if the requesting instance wants
+	// none, or is of a build that knows none.
+	Admission *exchange.AdmissionRequest `cbor:"6,keyasint,omitempty"`
 }
 
 // targetResponse answers a targetRequest. Target is empty if no target may receive the request.
@@ -68,6 +71,9 @@
 	Known []pick.KnownLimit `cbor:"8,keyasint,omitempty"`
 	// Leaving are those that the owner knows, set if there is no target.
 	Leaving []pick.KnownLeaving `cbor:"9,keyasint,omitempty"`
+	// Admission is the decision on the request's admission; nil if the owner decides on none. The owner
+	// does not keep the place of a request that it refuses.
+	Admission *exchange.AdmissionDecision `cbor:"10,keyasint,omitempty"`
 }
 
 // update reports on a ticket: its target reported a changed limit (Limit) or that it is leaving
@@ -86,6 +92,8 @@
 	hub  *link.Hub
 	pool *pick.Pool
 	log  *zap.Logger
+	// admission is nil if this instance decides on no admissions.
+	admission *Admission
 
 	// nextTicket numbers the tickets of this instance.
 	nextTicket atomic.Uint64
@@ -95,37 +103,66 @@
 	avoidUntil map[string]time.Time
 }
 
-// assignment is a request that was given a target and has not ended. It expires at until.
+// assignment is a request that was given a target and has not ended, or was refused. It expires at until.
 type assignment struct {
-	choice *pick.Choice
-	until  time.Time
+	// choice is nil if the request was refused, and admission if nothing was decided on it.
+	choice    *pick.Choice
+	admission *ticket
+	until     time.Time
 }
 
-// New returns a Service and registers its channels at the hub. self is this instance's ID.
+// done removes the request from the target's load and records its result.
+func (a *assignment) done(now time.Time, r pick.Result) {
+	if a.choice != nil {
+		a.choice.Done(now, r)
+	}
+	if a.admission != nil {
+		a.admission.End(now, r)
+	}
+}
+
+// refusedTicketTime is how long the ticket of a refused request is kept: the instance that asked reports
+// at once if the request goes to another region instead.
+const refusedTicketTime = time.Second
+
+// New returns a Service that decides on no admissions and registers its channels at the hub. self is this
+// instance's ID.
 func New(self string, hub *link.Hub, pool *pick.Pool, log *zap.Logger) *Service {
-	s := &Service{self: self, hub: hub, pool: pool, log: log, tickets: map[string]assignment{}, avoidUntil: map[string]time.Time{}}
+	return NewWithAdmission(self, hub, pool, log, nil)
+}
+
+// NewWithAdmission is New for a Service that, as group owner, decides on the admission of the requests
+// whose instances ask for it. admission may be nil.
+func NewWithAdmission(self string, hub *link.Hub, pool *pick.Pool, log *zap.Logger, admission *Admission) *Service {
+	s := &Service{self: self, hub: hub, pool: pool, log: log, admission: admission, tickets: map[string]assignment{}, avoidUntil: map[string]time.Time{}}
 	hub.Serve(channelDecide, decideWorkers, s.serveDecide)
 	hub.Handle(channelUpdate, s.handleUpdate)
 	return s
 }
 
-// Run expires tickets whose end was not reported by the request's deadline, until ctx ends.
+// Run drops idle shares, and expires tickets whose end was not reported by the request's deadline, until ctx ends.
 func (s *Service) Run(ctx context.Context) { duty.Every(ctx, sweepInterval, s.sweep) }
 
 func (s *Service) sweep(now time.Time) {
+	if s.admission != nil {
+		s.admission.sweep(now)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ticket, a := range s.tickets {
 		if now.After(a.until) {
 			delete(s.tickets, ticket)
-			a.choice.Done(now, pick.Neutral)
+			// The work of such a request stays counted: a target may have run it.
+			if a.choice != nil {
+				a.choice.Done(now, pick.Neutral)
+			}
 		}
 	}
 }
 
 // Choose implements exchange.GroupOwner. It returns false if this instance owns the group, if the
 // owner has not answered in time, now or within avoidDuration, or if the owner has no target.
-func (s *Service) Choose(ctx context.Context, c pick.Call, id string, timeout time.Duration) (exchange.Decision, bool) {
+func (s *Service) Choose(ctx context.Context, c pick.Call, id string, timeout time.Duration, a *exchange.AdmissionRequest) (exchange.Decision, bool) {
 	owner := s.pool.Owner(c)
 	if owner == s.self || s.avoided(owner) {
 		return exchange.Decision{}, false
@@ -136,7 +173,7 @@
 	c.Tried = slices.Concat(c.Tried, s.pool.Resting(now, c.Service))
 	payload, err := cbor.Marshal(targetRequest{
 		Ticket: ticket, Call: c, TimeoutMillis: timeout.Milliseconds(),
-		Known: s.pool.KnownLimits(now, c.Service), Leaving: s.pool.KnownLeaving(c.Service),
+		Known: s.pool.KnownLimits(now, c.Service), Leaving: s.pool.KnownLeaving(c.Service), Admission: a,
 	})
 	if err != nil {
 		s.log.Error("cannot encode the request for a target", zap.Error(err))
@@ -159,6 +196,7 @@
 	s.pool.LearnLeaving(d.Leaving)
 	out := exchange.Decision{
 		Target: d.Target, Source: d.Source, Cost: d.Cost, Wait: d.Wait, QueueWait: d.QueueWait, Tokens: d.Tokens, Ticket: ticket, Owner: owner,
+		Admission: d.Admission,
 	}
 	if d.Limit != nil {
 		out.Limit = *d.Limit
@@ -223,13 +261,22 @@
 	if choice.Cold {
 		s.log.Info("cold target chosen", zap.String("target", choice.ID), zap.Int("entries", choice.EntryInstances), zap.String("asker", from))
 	}
-	s.mu.Lock()
-	s.tickets[r.Ticket] = assignment{choice: choice, until: now.Add(time.Duration(r.TimeoutMillis) * time.Millisecond)}
-	s.mu.Unlock()
+	a := assignment{choice: choice, until: now.Add(milliseconds(r.TimeoutMillis))}
 	d := targetResponse{Target: choice.ID, Source: choice.Source, Cost: choice.Cost, QueueWait: choice.QueueWait, Wait: choice.Wait, Tokens: choice.Tokens}
 	if choice.Limit.Limited {
 		d.Limit = &choice.Limit
 	}
+	if s.admission != nil && r.Admission != nil {
+		decision, ticket := s.admission.decide(now, choice, *r.Admission)
+		d.Admission, a.admission = &decision, ticket
+		if decision.Refused {
+			choice.Done(now, pick.Neutral)
+			a.choice, a.until = nil, now.Add(refusedTicketTime)
+		}
+	}
+	s.mu.Lock()
+	s.tickets[r.Ticket] = a
+	s.mu.Unlock()
 	return cbor.Marshal(d)
 }
 
@@ -247,13 +294,18 @@
 	s.mu.Unlock()
 	switch {
 	case !ok:
+	case u.Ended:
+		a.done(time.Now(), u.Result)
+	case a.choice == nil:
+		// A refused request has no target to report on.
 	case u.Limit != nil:
 		a.choice.LearnLimit(time.Now(), *u.Limit)
 	case u.Leaving:
 		a.choice.Leaving()
-	case u.Ended:
-		a.choice.Done(time.Now(), u.Result)
 	default:
 		a.choice.FirstEvent(time.Now())
+		if a.admission != nil {
+			a.admission.FirstEvent()
+		}
 	}
 }
--- a/node/deciding/service_test.go
+++ b/node/deciding/service_test.go
@@ -95,7 +95,7 @@
 func (i *instance) ask(t *testing.T, c pick.Call) exchange.Decision {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if d, ok := i.s.Choose(context.Background(), c, "id", time.Minute); ok {
+		if d, ok := i.s.Choose(context.Background(), c, "id", time.Minute, nil); ok {
 			return d
 		}
 	}
@@ -145,13 +145,13 @@
 		owner, other := split(start(t, 2))
 		owner.hub.Close()
 		for range 3 {
-			_, ok := other.s.Choose(context.Background(), call(1), "id", time.Minute)
+			_, ok := other.s.Choose(context.Background(), call(1), "id", time.Minute, nil)
 			So(ok, ShouldBeFalse)
 		}
 	})
 	Convey("the group owner does not call itself", t, func() {
 		owner, _ := split(start(t, 2))
-		_, ok := owner.s.Choose(context.Background(), call(1), "id", time.Minute)
+		_, ok := owner.s.Choose(context.Background(), call(1), "id", time.Minute, nil)
 		So(ok, ShouldBeFalse)
 	})
 }
--- a/node/deciding/target_limit_test.go
+++ b/node/deciding/target_limit_test.go
@@ -67,7 +67,7 @@
 			}
 			c.LearnLimit(now, pick.TargetLimit{Limited: true, PerSecond: 0})
 		}
-		_, ok := other.s.Choose(context.Background(), call(1), "id", time.Minute)
+		_, ok := other.s.Choose(context.Background(), call(1), "id", time.Minute, nil)
 		So(ok, ShouldBeFalse)
 		So(len(other.pool.KnownLimits(time.Now(), "s")), ShouldEqual, 5)
 	})
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -45,6 +45,9 @@
 	// together to admit beyond a workspace's limit.
 	Regions   []string
 	Tolerance quota.Tolerance
+	// FairAdmission has requests refused by the shares of their workspaces in the work of the targets,
+	// instead of by the length of the queue alone.
+	FairAdmission bool
 	// Log is for failures and changes, AccessLog for each answered request.
 	Log, AccessLog *zap.Logger
 	// Lines counts missing log lines; nil if they are not counted.
@@ -119,16 +122,24 @@
 	i.poisonRequests.probe = i.probeTarget
 	newTrials(o.Self.ID, hub, o.Log, i.acceptingInstances, i.poisonRequests)
 	i.fetcher = newFetcher()
-	i.deciding = deciding.New(o.Self.ID, hub, i.pool, o.Log)
+	var admission *deciding.Admission
+	if o.FairAdmission {
+		admission = deciding.NewAdmission(deciding.AdmissionOptions{})
+	}
+	i.deciding = deciding.NewWithAdmission(o.Self.ID, hub, i.pool, o.Log, admission)
 	i.limits = quota.New(quota.Options{
 		Self: o.Self.ID, Region: o.Self.Region, Regions: len(o.Regions), Tolerance: o.Tolerance, Hub: hub, Core: i.followed, Log: o.Log,
 	})
 	began := streams.New(streams.Options{Self: streams.Instance{ID: o.Self.ID, Region: o.Self.Region}, Hub: hub, Instances: i.otherInstances, Log: o.Log})
-	i.gateway = exchange.New(exchange.Options{
+	options := exchange.Options{
 		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Streams: began, Limits: i.limits, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
 		AccessLog: o.AccessLog, Metrics: i.metrics,
-	})
+	}
+	if admission != nil {
+		options.Admission = admission
+	}
+	i.gateway = exchange.New(options)
 	return i, nil
 }
 
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -49,6 +49,10 @@
 	// trial says that it was admitted as a trial of a request that has crashed targets.
 	trial bool
 
+	// contentHash is the hash of contentKey, if hasContentKey is set.
+	contentHash   uint64
+	hasContentKey bool
+
 	// The fields below change with each attempt.
 	verdict verdict.Verdict
 	// runs counts the targets that may have run the request.
@@ -77,6 +81,8 @@
 	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
 	finalRefusal *refusal
+	// refusedAdmission is the decision that refused the last attempt before it was sent; nil for none.
+	refusedAdmission *refusedAdmission
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -27,11 +27,18 @@
 	// decision and owner are set if the group owner chose; it gets reports on the request.
 	decision Decision
 	owner    GroupOwner
+	// admission is the decision on the request; nil if nobody has decided. ticket is set if this
+	// instance decided.
+	admission *AdmissionDecision
+	ticket    AdmissionTicket
 }
 
 // reportFirstEvent records that the target has begun to answer.
 func (p *destination) reportFirstEvent(now time.Time) {
 	p.choice.FirstEvent(now)
+	if p.ticket != nil {
+		p.ticket.FirstEvent()
+	}
 	if p.owner != nil {
 		p.owner.ReportFirstEvent(p.decision)
 	}
@@ -40,6 +47,9 @@
 // reportEnd records the end of the request at the target.
 func (p *destination) reportEnd(now time.Time, r pick.Result) {
 	p.choice.Done(now, r)
+	if p.ticket != nil {
+		p.ticket.End(now, r)
+	}
 	if p.owner != nil {
 		p.owner.ReportEnd(p.decision, r)
 	}
@@ -76,11 +86,8 @@
 	if p == nil {
 		return nil, CodeNoTarget
 	}
-	// A request that an earlier attempt may have run is not refused.
-	fresh := q.verdict == verdict.NotRun && !q.headWritten
-	if fresh && place.Overloaded(p.choice.QueueWait, q.queueAim(now)) {
-		p.reportEnd(now, pick.Neutral)
-		return nil, CodeOverloaded
+	if code := q.refusedBy(p, now); code != "" {
+		return nil, code
 	}
 	return p, ""
 }
@@ -94,15 +101,19 @@
 	return q.route.Aim
 }
 
+// mayRefuse reports whether the request may still be refused: not after an attempt that may have run it.
+func (q *request) mayRefuse() bool { return q.verdict == verdict.NotRun && !q.headWritten }
+
 // chooseTarget chooses among the targets of this region, or has their group owner choose. It
 // returns nil if there is none.
 func (q *request) chooseTarget(now time.Time, c pick.Call) *destination {
+	admission := q.admissionRequest(now)
 	if q.g.o.GroupOwner != nil {
-		if d, ok := q.g.o.GroupOwner.Choose(q.ctx, c, q.call.ID, q.deadline.Sub(now)); ok {
+		if d, ok := q.g.o.GroupOwner.Choose(q.ctx, c, q.call.ID, q.deadline.Sub(now), admission); ok {
 			if choice := q.g.o.Pool.PickAt(now, c, d.Target); choice != nil {
 				q.g.o.Metrics.OwnedElsewhere.Inc(1)
 				choice.Source, choice.Cost, choice.Wait, choice.QueueWait, choice.Tokens = d.Source, d.Cost, d.Wait, d.QueueWait, d.Tokens
-				return &destination{choice: choice, decision: d, owner: q.g.o.GroupOwner}
+				return &destination{choice: choice, decision: d, owner: q.g.o.GroupOwner, admission: d.Admission}
 			}
 			q.g.o.GroupOwner.ReportEnd(d, pick.Neutral)
 		}
@@ -111,7 +122,12 @@
 		if choice.Cold {
 			q.g.o.Log.Info("cold target chosen", zap.String("target", choice.ID), zap.Int("entries", choice.EntryInstances), zap.String("id", q.call.ID))
 		}
-		return &destination{choice: choice}
+		p := &destination{choice: choice}
+		if admission != nil {
+			decision, ticket := q.g.o.Admission.Decide(now, choice, *admission)
+			p.admission, p.ticket = &decision, ticket
+		}
+		return p
 	}
 	return nil
 }
@@ -145,7 +161,7 @@
 		}
 		out = append(out, place.RegionCandidate{
 			Region: key.Region, RoundTrip: q.g.trips.To(key.Region), Cost: q.g.o.Pool.RegionCost(key.Region, load, c),
-			Refused: q.g.hasRefused(now, key), LoadUnknown: load.LoadUnknown,
+			Refused: q.g.hasRefused(now, key, q.workspaceName()), LoadUnknown: load.LoadUnknown,
 		})
 	}
 	return out
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -23,6 +23,8 @@
 	close bool
 	// limit is set if the workspace is over its limit.
 	limit *limitRefusal
+	// admission is set if the request was refused before it was sent because of the load.
+	admission *refusedAdmission
 }
 
 // end ends a request that has no complete answer, with f if nothing has been written yet. It is the only
@@ -93,6 +95,9 @@
 	if f.limit != nil {
 		more = zap.Object("limit", f.limit)
 	}
+	if f.admission != nil {
+		more = zap.Object("admission", f.admission)
+	}
 	q.g.o.Log.Info("refused", zap.String("id", q.call.ID), zap.Int("status", f.status), zap.String("code", string(f.code)),
 		zap.Stringer("verdict", q.verdict), zap.Int("sends", q.attemptCount), zap.Duration("after", time.Since(q.acceptedAt)),
 		zap.String("service", q.service), zap.String("workspace", q.workspaceName()), zap.Bool("passed", q.forwarded != nil), more)
@@ -130,6 +135,10 @@
 		return m.RefusedUnknownStream
 	case CodeOverloaded:
 		return m.RefusedOverloaded
+	case CodeOverShare:
+		return m.RefusedOverShare
+	case CodePastDeadline:
+		return m.RefusedPastDeadline
 	case CodeUnknownKey:
 		return m.RefusedUnknownKey
 	case CodeOverLimit:
@@ -155,6 +164,13 @@
 func (q *request) unserved(now time.Time, code verdict.Code) *refusal {
 	left := q.deadline.Sub(now)
 	f := &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: place.RetryAfter(place.Busy, left)}
+	if a := q.refusedAdmission; a != nil && code == a.Reason {
+		f.admission = a
+		if after := a.retryAfter(); after > 0 {
+			f.retryAfter = after
+		}
+		return f
+	}
 	if code != CodeNoTarget || q.refusedElsewhere {
 		return f
 	}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -27,6 +27,10 @@
 	Pool    *pick.Pool
 	// GroupOwner, if set, is asked before Pool.
 	GroupOwner GroupOwner
+	// Admission, if set, decides whether requests are admitted for which this instance itself chose the
+	// target, and GroupOwner is asked to decide for the others. Without it, a request is refused if the
+	// work queued ahead takes longer than the route's Aim.
+	Admission AdmissionControl
 	// PoisonRequests, if set, refuses requests that crash their targets.
 	PoisonRequests PoisonRequests
 	// Streams, if set, knows what began the streams that callers take up. Without it, those that a
@@ -67,7 +71,8 @@
 	// peerRests holds the rests of peers all of whose targets have asked them for rest, by
 	// peerService. Such a peer is skipped.
 	peerRests sync.Map
-	// refusedUntil holds until when a region counts as having refused, by RegionService.
+	// refusedUntil holds until when a region counts as having refused, by RegionService, or by
+	// workspaceRefusal for one workspace.
 	// refusalPause is for how long: place.RefusedFor, except in tests.
 	refusedUntil sync.Map
 	refusalPause time.Duration
@@ -214,15 +219,26 @@
 	g.peerRests.Store(p, peerRest{until: now.Add(asked), asked: asked})
 }
 
-// recordRefusal records that a region has refused a request for a service.
-func (g *Gateway) recordRefusal(now time.Time, by RegionService) {
+// workspaceRefusal identifies the requests of a workspace, over its share there, at a region's service.
+type workspaceRefusal struct {
+	RegionService
+	workspace string
+}
+
+// recordRefusal records that a region has refused a request for a service, or of a workspace for it.
+func (g *Gateway) recordRefusal(now time.Time, by any) {
 	g.refusedUntil.Store(by, now.Add(g.refusalPause))
 }
 
-// hasRefused reports whether a region has recently refused a request for a service.
-func (g *Gateway) hasRefused(now time.Time, by RegionService) bool {
-	until, ok := g.refusedUntil.Load(by)
-	return ok && now.Before(until.(time.Time))
+// hasRefused reports whether a region has recently refused a request for a service, or of the
+// workspace for it.
+func (g *Gateway) hasRefused(now time.Time, by RegionService, workspace string) bool {
+	for _, key := range []any{by, workspaceRefusal{by, workspace}} {
+		if until, ok := g.refusedUntil.Load(key); ok && now.Before(until.(time.Time)) {
+			return true
+		}
+	}
+	return false
 }
 
 // uniform returns a uniformly distributed random number.
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -234,7 +234,16 @@
 	} else {
 		q.refusedElsewhere = true
 	}
-	q.g.recordRefusal(now, RegionService{Region: peer.Region, Service: q.service})
+	at := RegionService{Region: peer.Region, Service: q.service}
+	switch code {
+	case CodeOverShare:
+		// It may serve other workspaces.
+		q.g.recordRefusal(now, workspaceRefusal{at, q.workspaceName()})
+	case CodePastDeadline:
+		// It may serve requests with more time left.
+	default:
+		q.g.recordRefusal(now, at)
+	}
 }
 
 // attemptLost records an attempt without an answer and returns its result for the target.
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -109,19 +109,67 @@
 
 // GroupOwner has the entry instance that owns a group of targets choose among them.
 type GroupOwner interface {
-	// Choose asks the owner for a target and waits at most timeout. It returns false if this
-	// instance must choose.
-	Choose(ctx context.Context, c pick.Call, id string, timeout time.Duration) (Decision, bool)
+	// Choose asks the owner for a target, and for a decision on the admission a, which is nil if none
+	// is wanted. It returns false if this instance must choose. timeout is how long the request may
+	// take: the owner counts it no longer than that.
+	Choose(ctx context.Context, c pick.Call, id string, timeout time.Duration, a *AdmissionRequest) (Decision, bool)
 	// ReportLimit reports a limit that the target has set or lifted.
 	ReportLimit(d Decision, n pick.TargetLimit)
 	// ReportLeaving reports that the target has said that it is leaving.
 	ReportLeaving(d Decision)
 	// ReportFirstEvent reports that the target has begun to answer.
 	ReportFirstEvent(d Decision)
-	// ReportEnd reports how the request ended.
+	// ReportEnd reports how the request ended. A request that was refused is reported only if it has
+	// gone to another region instead.
 	ReportEnd(d Decision, r pick.Result)
 }
 
+// AdmissionControl decides whether requests are admitted for which this instance itself chose the
+// target.
+type AdmissionControl interface {
+	// Decide decides on a request with a choice of the instance's own pool, and counts its work.
+	Decide(now time.Time, c *pick.Choice, r AdmissionRequest) (AdmissionDecision, AdmissionTicket)
+}
+
+// AdmissionTicket is the work counted for one request.
+type AdmissionTicket interface {
+	// FirstEvent says that the target has begun to answer.
+	FirstEvent()
+	// End says how the request ended. One that no target has run gives its work back. A request that was
+	// refused ends only if it has gone to another region instead.
+	End(now time.Time, r pick.Result)
+}
+
+// AdmissionRequest is what the admission of a request depends on, beside its target.
+type AdmissionRequest struct {
+	// Workspace is the name of the caller's workspace; empty for none.
+	Workspace string `cbor:"1,keyasint,omitempty"`
+	// AimMillis is the time within which the answer is to begin, 0 for none, and LeftMillis the time to
+	// the deadline, both in milliseconds.
+	AimMillis  int64 `cbor:"2,keyasint,omitempty"`
+	LeftMillis int64 `cbor:"3,keyasint,omitempty"`
+	// ContentKey is a hash of what stays the same when the caller sends the request again.
+	ContentKey uint64 `cbor:"4,keyasint,omitempty"`
+	// NotRun says that no earlier attempt may have run the request: only then may it be refused.
+	NotRun bool `cbor:"5,keyasint,omitempty"`
+}
+
+// AdmissionDecision is the answer to an AdmissionRequest.
+type AdmissionDecision struct {
+	// Refused says that the request must not be sent to the target, and Reason why.
+	Refused bool         `cbor:"1,keyasint,omitempty"`
+	Reason  verdict.Code `cbor:"2,keyasint,omitempty"`
+	// RetryMillis is the time in milliseconds after which the caller of a refused request is to return;
+	// 0 leaves it to the instance of the caller. Promised says that it then has a place.
+	RetryMillis int64 `cbor:"3,keyasint,omitempty"`
+	Promised    bool  `cbor:"4,keyasint,omitempty"`
+	// QueueMillis is the work queued ahead that the decision is based on, ShareMillis the fair level of
+	// work and UsedMillis the work admitted for the workspace, in milliseconds, as in admit.Decision.
+	QueueMillis float64 `cbor:"5,keyasint,omitempty"`
+	ShareMillis float64 `cbor:"6,keyasint,omitempty"`
+	UsedMillis  float64 `cbor:"7,keyasint,omitempty"`
+}
+
 // Limits enforces the limits of workspaces across all instances.
 type Limits interface {
 	// Consume consumes units of a workspace's limit.
@@ -233,6 +281,8 @@
 	Limit pick.TargetLimit
 	// Ticket identifies the request at the instance Owner.
 	Ticket, Owner string
+	// Admission is nil if the owner decides on none.
+	Admission *AdmissionDecision
 }
 
 // View is a snapshot of the configuration and of the other regions. It is replaced, and must
@@ -274,8 +324,12 @@
 	CodeDraining verdict.Code = "targets_draining"
 	// CodeOverloaded: the work queued ahead takes longer than the route's Aim.
 	CodeOverloaded verdict.Code = "overloaded"
-	CodeTimeout    verdict.Code = "timeout"
-	CodeTargetLost verdict.Code = "target_lost"
+	// CodeOverShare: the work queued ahead takes longer than half the route's Aim, and the workspace has
+	// had more than its share. CodePastDeadline: the first event is expected after the deadline.
+	CodeOverShare    verdict.Code = "over_share"
+	CodePastDeadline verdict.Code = "past_deadline"
+	CodeTimeout      verdict.Code = "timeout"
+	CodeTargetLost   verdict.Code = "target_lost"
 	// CodeUnknownStream: what began the stream that the caller takes up is not known.
 	CodeUnknownStream verdict.Code = "unknown_stream"
 	CodePoison        verdict.Code = "request_crashes_targets"
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -17,6 +17,14 @@
 	// QueueWait is the part of Wait that an engine spends on queued requests, independent of the
 	// length of the call's own prompt.
 	QueueWait float64
+	// Work is the time in milliseconds that an engine spends on the call's own prompt; 0 at a plain
+	// target.
+	Work float64
+	// Rank is the rank of the call.
+	Rank int
+	// Group is the group of the call, by which instances agree on who decides. It is set only in
+	// choices of Pick. The target may be one of another group.
+	Group Group
 	// Tokens is the estimated prefill until the first event, in tokens.
 	Tokens float64
 	// Cold says that the target was cold when chosen. EntryInstances is the number of entry
--- a/route/pick/group.go
+++ b/route/pick/group.go
@@ -85,11 +85,6 @@
 	return best
 }
 
-// groupTargets returns the targets of a call's group.
-func (p *Pool) groupTargets(service string, chain []prefix, spreadKey uint64) []*target {
-	return p.groups[service][groupOf(len(p.byService[service]), chain, spreadKey)]
-}
-
 // Owner returns the ID of the entry instance that owns the call's group, or of this instance if no
 // others are known. Groups of plain services have owners too: with few slots at each target, many
 // instances that choose by loads some hundred milliseconds old pick the same targets. A single
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -195,7 +195,8 @@
 		return nil, ReasonNoTarget
 	}
 	w := p.newScorer(now, c)
-	group := p.groupTargets(c.Service, w.chain, c.SpreadKey)
+	number := groupOf(len(list), w.chain, c.SpreadKey)
+	group := p.groups[c.Service][number]
 	w.preferred = p.preferredTarget(group, w.chain)
 	best, e := p.best(group, w)
 	if best == nil || e.callCost(best) > leaveGroupMillis {
@@ -209,6 +210,7 @@
 		return nil, ReasonNoneAvailable
 	}
 	ch := p.reserve(w, best, &e)
+	ch.Group = Group{Service: c.Service, Number: number}
 	best.recordPrefill(now, w.prefillTime.firstEventMillis(float64(ch.counted.PendingPrefill.Ahead(c.Rank))))
 	return ch, ""
 }
@@ -241,7 +243,7 @@
 // reserve counts the request in the target's load and rate limit, as its probe if the target has
 // failed or rested, and returns the choice.
 func (p *Pool) reserve(w *scorer, t *target, e *estimate) *Choice {
-	ch := &Choice{ID: t.ID, Address: t.Address, Software: t.Software, StartMillis: t.StartMillis, Cost: e.cost(t), Limit: t.limit.TargetLimit, pool: p, t: t, at: w.now, chain: w.chain}
+	ch := &Choice{ID: t.ID, Address: t.Address, Software: t.Software, StartMillis: t.StartMillis, Rank: w.call.Rank, Cost: e.cost(t), Limit: t.limit.TargetLimit, pool: p, t: t, at: w.now, chain: w.chain}
 	if t.failures > 0 || t.rest.untested {
 		t.probing, ch.probe = true, true
 	}
@@ -251,7 +253,8 @@
 	}
 	ch.Wait, ch.Tokens = e.wait, e.tokens
 	if w.rules.Engine {
-		ch.QueueWait = max(0, e.wait-t.slowness*w.prefillTime.firstEventMillis(float64(e.prefillTokens)))
+		ch.Work = t.slowness * w.prefillTime.firstEventMillis(float64(e.prefillTokens))
+		ch.QueueWait = max(0, e.wait-ch.Work)
 	}
 	ch.Source = w.source(t)
 	ch.counted = Load{Running: 1, PendingPrefill: QueueOf(w.call.Rank, e.prefillTokens)}
--- a/settings/site.go
+++ b/settings/site.go
@@ -44,6 +44,8 @@
 	// LimitTolerance is what all instances together may pass beyond a workspace's limit;
 	// default nothing.
 	LimitTolerance SiteTolerance `json:"limit_tolerance"`
+	// HardLoad switches on how the instance behaves under more load than it can serve.
+	HardLoad HardLoad `json:"hard_load"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL; default 8.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMB is the memory limit of the process, from which the garbage collector's
@@ -88,6 +90,43 @@
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
+// HardLoad has the switches of the behaviour under hard load, all off by default. Unlike elsewhere in a
+// Site, an unknown name is a fault: a misspelled switch would be off without a sign of it.
+type HardLoad struct {
+	// FairAdmission refuses the requests of workspaces first that have had more than their share, while
+	// more arrive than the targets can serve.
+	FairAdmission bool `json:"fair_admission"`
+	// PromisedReturns tells the callers of refused requests a time at which they have a place.
+	PromisedReturns bool `json:"promised_returns"`
+	// WeightedDirectory names entry instances to callers in proportion to their capacity.
+	WeightedDirectory bool `json:"weighted_directory"`
+
+	// unknown are the names that it does not have, in order.
+	unknown []string
+}
+
+// UnmarshalJSON implements json.Unmarshaler. Unknown names are faults of check.
+func (h *HardLoad) UnmarshalJSON(data []byte) error {
+	var values map[string]json.RawMessage
+	if err := json.Unmarshal(data, &values); err != nil {
+		return fmt.Errorf("hard_load: %w", err)
+	}
+	switches := map[string]*bool{
+		"fair_admission": &h.FairAdmission, "promised_returns": &h.PromisedReturns, "weighted_directory": &h.WeightedDirectory,
+	}
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		on, known := switches[name]
+		if !known {
+			h.unknown = append(h.unknown, name)
+			continue
+		}
+		if err := json.Unmarshal(values[name], on); err != nil {
+			return fmt.Errorf("hard_load.%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
 // Window returns the length of the window.
 func (t SiteTolerance) Window() time.Duration { return seconds(t.WindowSeconds) }
 
@@ -161,6 +200,9 @@
 	t := s.LimitTolerance
 	require(t.Share >= 0 && t.Units >= 0 && t.WindowSeconds >= 0, "limit_tolerance", "must not be negative")
 	require(t.WindowSeconds > 0 || t.Share == 0 && t.Units == 0, "limit_tolerance.window_seconds", "is missing")
+	for _, name := range s.HardLoad.unknown {
+		p.Add(strict.Field("hard_load", name), "is not known")
+	}
 	require(s.GraceSeconds > 0, "grace_seconds", "is %v, but must be above 0", s.GraceSeconds)
 	return p
 }
