--- a/node/deciding/service_test.go
+++ b/node/deciding/service_test.go
@@ -28,6 +28,12 @@
 
 // start starts n instances that know each other and the targets.
 func start(t *testing.T, n int) []*instance {
+	t.Helper()
+	return startWith(t, n, func() *deciding.Admission { return nil })
+}
+
+// startWith is start for instances that decide on admissions.
+func startWith(t *testing.T, n int, admission func() *deciding.Admission) []*instance {
 	t.Helper()
 	var all []*instance
 	var ids []string
@@ -45,7 +51,7 @@
 			t.Fatal(err)
 		}
 		i.pool = pick.New(i.id)
-		i.s = deciding.New(i.id, i.hub, i.pool, zap.NewNop())
+		i.s = deciding.NewWithAdmission(i.id, i.hub, i.pool, zap.NewNop(), admission())
 		server := &http.Server{Handler: i.hub.Handler(), ReadHeaderTimeout: time.Minute}
 		go func() { _ = server.Serve(l) }()
 		t.Cleanup(func() { i.hub.Close(); _ = server.Close() })
--- a/pipeline/exchange/admission.go
+++ b/pipeline/exchange/admission.go
@@ -65,6 +65,7 @@
 	e.AddDuration("share", durationOf(a.ShareMillis))
 	e.AddDuration("used", durationOf(a.UsedMillis))
 	e.AddString("by", a.by)
+	e.AddBool("promised", a.Promised)
 	return nil
 }
 
--- a/route/admit/admit.go
+++ b/route/admit/admit.go
@@ -37,7 +37,7 @@
 	// OverShare: the workspace is over its share, and the work queued ahead takes longer than half the
 	// aim.
 	OverShare Reason = "over_share"
-	// PastDeadline: the first event is expected after the deadline.
+	// PastDeadline: the first event is expected after the deadline, and the request is no trial.
 	PastDeadline Reason = "past_deadline"
 )
 
--- a/route/admit/shares.go
+++ b/route/admit/shares.go
@@ -18,7 +18,7 @@
 	// the largest float64, and work that old no longer counts.
 	maxExponent = 30.0
 	// negligibleMillis is the asked work below which a workspace is forgotten when work is scaled again.
-	negligibleMillis = 1e-3
+	negligibleMillis = 1e-9
 	// tolerance is the relative error of the sums, so that a workspace that has had all that it asked
 	// for is not over its share by rounding.
 	tolerance = 1e-9
@@ -42,6 +42,8 @@
 	// level is the last fair level found, where the next search starts.
 	level  float64
 	lastAt time.Time
+	// lastTrial is when a request was last admitted though its first event was expected after its deadline.
+	lastTrial time.Time
 	// epoch is the number of scales so far, and lastFactor what work was multiplied by at the start of
 	// this one.
 	epoch      uint64
@@ -92,12 +94,26 @@
 			d.Reason = OverShare
 		}
 	}
-	if d.Reason == "" && r.pastDeadline() {
+	if d.Reason == "" && r.pastDeadline() && !s.isTrial(now, r) {
 		d.Reason = PastDeadline
 	}
 	return d
 }
 
+// TrialInterval is the time between two requests that are admitted though their first events are expected
+// after their deadlines. Expected times are learned from first events: if all such requests were refused,
+// nothing would correct times that are too long, as after all targets hung for a while.
+const TrialInterval = time.Second
+
+// isTrial reports whether a request is admitted as the next trial. It would wait for little but itself.
+func (s *Shares) isTrial(now time.Time, r *Request) bool {
+	if r.queueLongerThan(maxQueueShareOver) || now.Sub(s.lastTrial) < TrialInterval {
+		return false
+	}
+	s.lastTrial = now
+	return true
+}
+
 // Return takes the work of a request out that goes elsewhere or does not run after all. Only the first
 // call for a grant does something.
 func (s *Shares) Return(g *Grant) {
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -73,6 +73,22 @@
 			So(err, ShouldNotBeNil)
 		})
 	}
+	Convey("the switches for hard load are off, and can be switched on", t, func() {
+		s, err := settings.LoadSite(coreSettings(t, "", nil))
+		So(err, ShouldBeNil)
+		So(s.HardLoad, ShouldResemble, settings.HardLoad{})
+		s, err = settings.LoadSite(coreSettings(t, "hard_load", map[string]any{"fair_admission": true, "promised_returns": false}))
+		So(err, ShouldBeNil)
+		So(s.HardLoad, ShouldResemble, settings.HardLoad{FairAdmission: true})
+	})
+	// Guards against a misspelled switch that stays off without a sign of it.
+	for name, value := range map[string]any{"fair_admissions": true, "Fair_Admission": true, "fair_admission": "yes"} {
+		Convey("an error that names the switch: "+name, t, func() {
+			_, err := settings.LoadSite(coreSettings(t, "hard_load", map[string]any{name: value}))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "hard_load."+name)
+		})
+	}
 	Convey("a missing file, and one that is not JSON", t, func() {
 		_, err := settings.LoadSite(filepath.Join(t.TempDir(), "none"))
 		So(err, ShouldNotBeNil)
