--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -140,7 +140,8 @@
 	return s
 }
 
-// Run drops idle shares, and expires tickets whose end was not reported by the request's deadline, until ctx ends.
+// Run expires tickets whose end was not reported by the request's deadline, and drops idle shares, until
+// ctx ends.
 func (s *Service) Run(ctx context.Context) { duty.Every(ctx, sweepInterval, s.sweep) }
 
 func (s *Service) sweep(now time.Time) {
