--- a/node/deciding/service_test.go
+++ b/node/deciding/service_test.go
@@ -28,6 +28,12 @@
 
 // start starts n instances that know each other and the targets.
 func start(t *testing.T, n int) []*instance {
+	t.Helper()
+	return startWith(t, n, func() *deciding.Admission { return nil })
+}
+
+// startWith is start for instances that decide on admissions.
+func startWith(t *testing.T, n int, admission func() *deciding.Admission) []*instance {
 	t.Helper()
 	var all []*instance
 	var ids []string
@@ -45,7 +51,7 @@
 			t.Fatal(err)
 		}
 		i.pool = pick.New(i.id)
-		i.s = deciding.New(i.id, i.hub, i.pool, zap.NewNop())
+		i.s = deciding.NewWithAdmission(i.id, i.hub, i.pool, zap.NewNop(), admission())
 		server := &http.Server{Handler: i.hub.Handler(), ReadHeaderTimeout: time.Minute}
 		go func() { _ = server.Serve(l) }()
 		t.Cleanup(func() { i.hub.Close(); _ = server.Close() })
@@ -95,7 +101,7 @@
 func (i *instance) ask(t *testing.T, c pick.Call) exchange.Decision {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if d, ok := i.s.Choose(context.Background(), c, "id", time.Minute); ok {
+		if d, ok := i.s.Choose(context.Background(), c, "id", time.Minute, nil); ok {
 			return d
 		}
 	}
@@ -145,13 +151,13 @@
 		owner, other := split(start(t, 2))
 		owner.hub.Close()
 		for range 3 {
-			_, ok := other.s.Choose(context.Background(), call(1), "id", time.Minute)
+			_, ok := other.s.Choose(context.Background(), call(1), "id", time.Minute, nil)
 			So(ok, ShouldBeFalse)
 		}
 	})
 	Convey("the group owner does not call itself", t, func() {
 		owner, _ := split(start(t, 2))
-		_, ok := owner.s.Choose(context.Background(), call(1), "id", time.Minute)
+		_, ok := owner.s.Choose(context.Background(), call(1), "id", time.Minute, nil)
 		So(ok, ShouldBeFalse)
 	})
 }
