admit: urgent requests have precedence in their group of targets

Cause: a request is admitted by its own rank's queue and aim.

Change: route/admit.Precedence averages the pressure of each rank (queue over aim) and refuses what would take the room of more urgent ranks, but for a floor of a tenth; a request that is refused so, or as overloaded, goes to another region that can begin within its aim.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -142,6 +142,7 @@
 
 func (r *site) runEntry(ctx context.Context) error {
 	s := r.s
+	hardLoad := platform.HardLoad(s.HardLoad, s.Contracts)
 	i, err := entry.New(entry.Options{
 		Self:    feed.Entry{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone, CallerAddress: s.Listen.Callers},
 		Seeds:   s.SeedIDs(),
@@ -152,8 +153,8 @@
 		Tolerance: quota.Tolerance{
 			Window: s.LimitTolerance.Window(), Share: s.LimitTolerance.Share, Units: s.LimitTolerance.Units,
 		},
-		FairAdmission: s.HardLoad.FairAdmission,
-		Log:           r.log, AccessLog: r.accessLog, Lines: r,
+		FairAdmission: hardLoad.FairAdmission, UrgentFirst: hardLoad.UrgentFirst,
+		Log: r.log, AccessLog: r.accessLog, Lines: r,
 	})
 	if err != nil {
 		return err
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -19,6 +19,7 @@
 	SiteUnknownStreams    = Metric{"gullhaven_site_refused_unknown_stream_total", Counter, "requests", "Requests refused as no instance knows what began the stream that they take up."}
 	SiteOverloaded        = Metric{"gullhaven_site_refused_overloaded_total", Counter, "requests", "Requests refused as what waits in front of the best target takes longer than the route's aim."}
 	SiteOverShare         = Metric{"gullhaven_site_refused_over_share_total", Counter, "requests", "Requests refused as their workspace had had more than its share, and what waits in front of the best target takes longer than half the route's aim."}
+	SiteOutranked         = Metric{"gullhaven_site_refused_outranked_total", Counter, "requests", "Requests refused as more urgent ones of the same group of targets needed the room."}
 	SitePastDeadline      = Metric{"gullhaven_site_refused_past_deadline_total", Counter, "requests", "Requests refused as their first event was expected after their deadline."}
 	SiteUnknownKeys       = Metric{"gullhaven_site_refused_key_total", Counter, "requests", "Requests refused as they carried no key that a workspace holds."}
 	SiteNoHomeRegion      = Metric{"gullhaven_site_refused_no_home_total", Counter, "requests", "Requests refused as the homes of their route and workspace have no region in common."}
@@ -66,7 +67,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SitePastDeadline, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SiteOutranked, SitePastDeadline, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
@@ -76,7 +77,7 @@
 type SiteEntry struct {
 	*Set
 	ForwardedIn, RefusedNoTarget, RefusedNoConfiguration, RefusedLeaving, RefusedPoison, RefusedOverloaded, RefusedOther gometrics.Counter
-	RefusedOverShare, RefusedPastDeadline, RefusedUnknownKey, RefusedNoHome, RefusedOverLimit                            gometrics.Counter
+	RefusedOverShare, RefusedOutranked, RefusedPastDeadline, RefusedUnknownKey, RefusedNoHome, RefusedOverLimit          gometrics.Counter
 	RetriesDenied, OwnedElsewhere, SummariesInvalid, SummariesUnknown, RegionsUnreached, ReportsFailed                   gometrics.Counter
 	RefusedResting, RefusedUnknownStream, RestsAsked, LeavingAnswers, MalformedHeaders, Pauses                           gometrics.Counter
 	// WaitRatio is the actual wait over the expected wait, which shows the quality of choices.
@@ -120,7 +121,7 @@
 	return &SiteEntry{
 		Set: s, ForwardedIn: s.Counter(SiteForwardedIn), RefusedNoTarget: s.Counter(SiteNoTarget), RefusedResting: s.Counter(SiteResting), RefusedNoConfiguration: s.Counter(SiteNoConfiguration),
 		RefusedLeaving: s.Counter(SiteLeaving), RefusedPoison: s.Counter(SitePoisonRequests), RefusedUnknownStream: s.Counter(SiteUnknownStreams),
-		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOverShare: s.Counter(SiteOverShare), RefusedPastDeadline: s.Counter(SitePastDeadline), RefusedOther: s.Counter(SiteOtherRefusals),
+		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOverShare: s.Counter(SiteOverShare), RefusedOutranked: s.Counter(SiteOutranked), RefusedPastDeadline: s.Counter(SitePastDeadline), RefusedOther: s.Counter(SiteOtherRefusals),
 		RefusedUnknownKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHomeRegion), RefusedOverLimit: s.Counter(SiteOverLimit),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Pauses: s.Counter(SitePauses), OwnedElsewhere: s.Counter(SiteOwnedElsewhere),
 		RestsAsked: s.Counter(SiteRestsAsked), LeavingAnswers: s.Counter(SiteLeavingAnswers), MalformedHeaders: s.Counter(SiteMalformedHeaders),
--- a/node/deciding/admission.go
+++ b/node/deciding/admission.go
@@ -37,6 +37,10 @@
 
 // AdmissionOptions say what an Admission decides by.
 type AdmissionOptions struct {
+	// FairShares has workspaces share the work of a group; otherwise all requests count as those of one.
+	FairShares bool
+	// UrgentFirst refuses requests that would take the room that more urgent ones of the group need.
+	UrgentFirst bool
 	// Returns, if set, says when refused callers are to return.
 	Returns Returns
 }
@@ -48,12 +52,18 @@
 	o AdmissionOptions
 
 	mu     sync.Mutex
-	groups map[pick.Group]*admit.Shares
+	groups map[pick.Group]*groupState
+}
+
+// groupState is what an Admission knows of one group.
+type groupState struct {
+	*admit.Shares
+	precedence admit.Precedence
 }
 
 // NewAdmission returns an Admission that knows of no requests.
 func NewAdmission(o AdmissionOptions) *Admission {
-	return &Admission{o: o, groups: map[pick.Group]*admit.Shares{}}
+	return &Admission{o: o, groups: map[pick.Group]*groupState{}}
 }
 
 // Decide implements exchange.AdmissionControl.
@@ -69,13 +79,16 @@
 	t := &ticket{a: a, group: c.Group, contentKey: r.ContentKey}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	shares := a.groups[c.Group]
-	if shares == nil {
-		shares = admit.NewShares()
-		a.groups[c.Group] = shares
+	if !a.o.FairShares {
+		arrival.Workspace = ""
+	}
+	group := a.groups[c.Group]
+	if group == nil {
+		group = &groupState{Shares: admit.NewShares()}
+		a.groups[c.Group] = group
 	}
 	if !r.NotRun {
-		t.grant = shares.Count(now, arrival.Request)
+		t.grant = group.Count(now, arrival.Request)
 		return exchange.AdmissionDecision{QueueMillis: c.QueueWait}, t
 	}
 	if a.o.Returns != nil {
@@ -83,10 +96,12 @@
 		arrival.QueueMillis += ahead
 		arrival.Promised = promised
 	}
-	d, grant := shares.Decide(now, arrival.Request)
+	arrival.Outranked = a.o.UrgentFirst && !group.precedence.Admit(now, arrival.Rank, arrival.Pressure())
+	d, grant := group.Decide(now, arrival.Request)
 	t.grant, t.refused = grant, d.Refused()
 	out := exchange.AdmissionDecision{
 		Refused: d.Refused(), Reason: verdict.Code(d.Reason), QueueMillis: arrival.QueueMillis, ShareMillis: d.ShareMillis, UsedMillis: d.UsedMillis,
+		UrgentPressure: group.precedence.Urgent(now, arrival.Rank),
 	}
 	if d.Refused() && a.o.Returns != nil {
 		after, promised := a.o.Returns.Refused(now, arrival, d.Reason)
@@ -101,9 +116,9 @@
 func (a *Admission) sweep(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for group, shares := range a.groups {
-		if shares.Idle(now) {
-			delete(a.groups, group)
+	for g, state := range a.groups {
+		if state.Idle(now) {
+			delete(a.groups, g)
 		}
 	}
 	if a.o.Returns != nil {
@@ -137,8 +152,8 @@
 	if grant == nil || !notRun(r) {
 		return
 	}
-	if shares := t.a.groups[t.group]; shares != nil {
-		shares.Return(grant)
+	if state := t.a.groups[t.group]; state != nil {
+		state.Return(grant)
 	}
 	if t.refused && t.a.o.Returns != nil {
 		t.a.o.Returns.Withdrawn(now, t.group, t.contentKey)
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -48,6 +48,8 @@
 	// FairAdmission has requests refused by the shares of their workspaces in the work of the targets,
 	// instead of by the length of the queue alone.
 	FairAdmission bool
+	// UrgentFirst has requests refused that would take the room that more urgent ones need.
+	UrgentFirst bool
 	// Log is for failures and changes, AccessLog for each answered request.
 	Log, AccessLog *zap.Logger
 	// Lines counts missing log lines; nil if they are not counted.
@@ -123,8 +125,8 @@
 	newTrials(o.Self.ID, hub, o.Log, i.acceptingInstances, i.poisonRequests)
 	i.fetcher = newFetcher()
 	var admission *deciding.Admission
-	if o.FairAdmission {
-		admission = deciding.NewAdmission(deciding.AdmissionOptions{})
+	if o.FairAdmission || o.UrgentFirst {
+		admission = deciding.NewAdmission(deciding.AdmissionOptions{FairShares: o.FairAdmission, UrgentFirst: o.UrgentFirst})
 	}
 	i.deciding = deciding.NewWithAdmission(o.Self.ID, hub, i.pool, o.Log, admission)
 	i.limits = quota.New(quota.Options{
--- a/pipeline/exchange/admission.go
+++ b/pipeline/exchange/admission.go
@@ -64,6 +64,7 @@
 	e.AddDuration("aim", a.aim)
 	e.AddDuration("share", durationOf(a.ShareMillis))
 	e.AddDuration("used", durationOf(a.UsedMillis))
+	e.AddFloat64("urgent_pressure", a.UrgentPressure)
 	e.AddString("by", a.by)
 	e.AddBool("promised", a.Promised)
 	return nil
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// withdraw reports that a request that was refused here goes to another region.
+func (p *destination) withdraw(now time.Time) {
+	if p.ticket != nil {
+		p.ticket.End(now, pick.Neutral)
+	}
+	if p.owner != nil {
+		p.owner.ReportEnd(p.decision, pick.Neutral)
+	}
+}
+
 // pickCall returns the request as the pool needs it.
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
@@ -86,10 +96,25 @@
 	if p == nil {
 		return nil, CodeNoTarget
 	}
-	if code := q.refusedBy(p, now); code != "" {
-		return nil, code
+	code := q.refusedBy(p, now)
+	if code == "" {
+		return p, ""
+	}
+	if remote := q.choosePeerInstead(now, c, code); remote != nil {
+		p.withdraw(now)
+		return remote, ""
+	}
+	return nil, code
+}
+
+// choosePeerInstead returns an instance of another region for a request that the own region refuses: one
+// whose targets are expected to begin within the aim, though the own ones would sooner if others did not
+// need the room. A workspace over its share finds no more of it elsewhere.
+func (q *request) choosePeerInstead(now time.Time, c pick.Call, code verdict.Code) *destination {
+	if q.g.o.Admission == nil || code != CodeOutranked && code != CodeOverloaded {
+		return nil
 	}
-	return p, ""
+	return q.choosePeer(now, c, float64(q.route.Aim.Milliseconds()))
 }
 
 // queueAim returns how long the request may wait in a queue: as long as its caller waits if that has
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -137,6 +137,8 @@
 		return m.RefusedOverloaded
 	case CodeOverShare:
 		return m.RefusedOverShare
+	case CodeOutranked:
+		return m.RefusedOutranked
 	case CodePastDeadline:
 		return m.RefusedPastDeadline
 	case CodeUnknownKey:
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -168,6 +168,8 @@
 	QueueMillis float64 `cbor:"5,keyasint,omitempty"`
 	ShareMillis float64 `cbor:"6,keyasint,omitempty"`
 	UsedMillis  float64 `cbor:"7,keyasint,omitempty"`
+	// UrgentPressure is the work queued ahead of more urgent requests of late, divided by their aim.
+	UrgentPressure float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Limits enforces the limits of workspaces across all instances.
@@ -326,7 +328,9 @@
 	CodeOverloaded verdict.Code = "overloaded"
 	// CodeOverShare: the work queued ahead takes longer than half the route's Aim, and the workspace has
 	// had more than its share. CodePastDeadline: the first event is expected after the deadline.
-	CodeOverShare    verdict.Code = "over_share"
+	CodeOverShare verdict.Code = "over_share"
+	// CodeOutranked: more urgent requests need the room.
+	CodeOutranked    verdict.Code = "outranked"
 	CodePastDeadline verdict.Code = "past_deadline"
 	CodeTimeout      verdict.Code = "timeout"
 	CodeTargetLost   verdict.Code = "target_lost"
--- a/route/admit/admit.go
+++ b/route/admit/admit.go
@@ -22,6 +22,8 @@
 	WorkMillis float64
 	// Aim is the time within which the answer is to begin; 0 for none. Left is the time to the deadline.
 	Aim, Left time.Duration
+	// Outranked says that Precedence leaves the request no room beside more urgent ones.
+	Outranked bool
 	// Promised says that the request takes a place that it was promised: the length of the queue is no
 	// reason to refuse it.
 	Promised bool
@@ -37,6 +39,8 @@
 	// OverShare: the workspace is over its share, and the work queued ahead takes longer than half the
 	// aim.
 	OverShare Reason = "over_share"
+	// Outranked: more urgent requests need the room.
+	Outranked Reason = "outranked"
 	// PastDeadline: the first event is expected after the deadline, and the request is no trial.
 	PastDeadline Reason = "past_deadline"
 )
--- a/route/admit/precedence.go
+++ b/route/admit/precedence.go
@@ -42,9 +42,17 @@
 	at    time.Time
 }
 
+// Pressure returns the pressure of a request; 0 without an aim.
+func (r *Request) Pressure() float64 {
+	if r.Aim <= 0 {
+		return 0
+	}
+	return r.QueueMillis / millis(r.Aim)
+}
+
 // Admit reports whether a request of a rank and pressure may have a place as far as more urgent ranks allow.
 // Up to easyPressure of those, each may; at 1, when urgent requests themselves are refused, only the floor; in
-// between, those of which less is queued ahead.
+// between, those with less queued ahead of them.
 func (p *Precedence) Admit(now time.Time, rank int, pressure float64) bool {
 	rank = min(max(0, rank), ranks-1)
 	p.pressure[rank].observe(now, min(max(0, pressure), maxPressure))
--- a/route/admit/shares.go
+++ b/route/admit/shares.go
@@ -94,6 +94,9 @@
 			d.Reason = OverShare
 		}
 	}
+	if d.Reason == "" && r.Outranked && !r.Promised {
+		d.Reason = Outranked
+	}
 	if d.Reason == "" && r.pastDeadline() && !s.isTrial(now, r) {
 		d.Reason = PastDeadline
 	}
--- a/settings/site.go
+++ b/settings/site.go
@@ -46,6 +46,9 @@
 	LimitTolerance SiteTolerance `json:"limit_tolerance"`
 	// HardLoad switches on how the instance behaves under more load than it can serve.
 	HardLoad HardLoad `json:"hard_load"`
+	// Contracts are the platform's names of what it holds the site to. Package platform says which
+	// switches of HardLoad they turn on; names that it does not know turn on nothing.
+	Contracts []string `json:"contracts"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL; default 8.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMB is the memory limit of the process, from which the garbage collector's
@@ -96,6 +99,8 @@
 	// FairAdmission refuses the requests of workspaces first that have had more than their share, while
 	// more arrive than the targets can serve.
 	FairAdmission bool `json:"fair_admission"`
+	// UrgentFirst refuses requests that would take the room that more urgent ones need.
+	UrgentFirst bool `json:"urgent_first"`
 	// PromisedReturns tells the callers of refused requests a time at which they have a place.
 	PromisedReturns bool `json:"promised_returns"`
 	// WeightedDirectory names entry instances to callers in proportion to their capacity.
@@ -112,7 +117,7 @@
 		return fmt.Errorf("hard_load: %w", err)
 	}
 	switches := map[string]*bool{
-		"fair_admission": &h.FairAdmission, "promised_returns": &h.PromisedReturns, "weighted_directory": &h.WeightedDirectory,
+		"fair_admission": &h.FairAdmission, "urgent_first": &h.UrgentFirst, "promised_returns": &h.PromisedReturns, "weighted_directory": &h.WeightedDirectory,
 	}
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		on, known := switches[name]
