feed, place: entry instances get callers and requests by their capacity

Cause: the directory lists all ready entry instances of a region once, and other regions forward to them alike, so an instance with 0.144 of a core is sent as much as one with 0.48.

Change: with hard_load.weighted_directory, an entry instance reports its capacity (feed.Entry, key 10), CallerAddresses lists instances in proportion to it within 64 addresses, and ChooseInstance prefers them in proportion to it. Unknown and invalid capacities count as the median of the region; core instances count invalid ones. Without the setting, and with equal capacities, lists, choices and messages are as before.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -143,7 +143,11 @@
 func (r *site) runEntry(ctx context.Context) error {
 	s := r.s
 	i, err := entry.New(entry.Options{
-		Self:    feed.Entry{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone, CallerAddress: s.Listen.Callers},
+		Self: feed.Entry{
+			ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone, CallerAddress: s.Listen.Callers, Capacity: s.Capacity.ProcessorMilli(),
+		},
+		WeightedDirectory: s.HardLoad.WeightedDirectory,
+
 		Seeds:   s.SeedIDs(),
 		Format:  platform.Format{},
 		Dialect: platform.Dialect{},
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -52,6 +52,7 @@
 	SiteListAge           = Metric{"gullhaven_site_list_age_milliseconds", Gauge, "milliseconds", "Age of the list of targets; negative if there is none."}
 	SiteEntries           = Metric{"gullhaven_site_entries", Gauge, "instances", "Entry instances known."}
 	SiteEntriesBehind     = Metric{"gullhaven_site_entries_behind", Gauge, "instances", "Entry instances that report to this core instance and lack what is accepted for over four seconds."}
+	SiteInvalidCapacities = Metric{"gullhaven_site_capacities_invalid_total", Counter, "reports", "Reports of entry instances whose capacity counts as unknown as it is negative, not finite, or not between a thousandth of a core and a million cores."}
 	SiteCores             = Metric{"gullhaven_site_cores", Gauge, "instances", "Core instances known."}
 	SiteLogRole           = Metric{"gullhaven_site_log_leads", Gauge, "bool", "1 at the leader of the log, else 0."}
 	SiteLogTerm           = Metric{"gullhaven_site_log_term", Gauge, "term", "Term of the log."}
@@ -66,7 +67,7 @@
 var Site = []Metric{
 	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
-	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
+	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteInvalidCapacities, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
 }
 
@@ -131,7 +132,7 @@
 type CoreState struct {
 	IsLeader                                                 bool
 	Term, Applied, Behind, Voters, Version, ListAge, Targets int64
-	Entries, EntriesBehind, Cores                            int64
+	Entries, EntriesBehind, CapacitiesInvalid, Cores         int64
 	Syncs, SyncedEntries, LinesDropped, LinesSkipped         int64
 	Links                                                    Links
 }
@@ -155,6 +156,7 @@
 	page.gauge(SiteTargets, func(c *CoreState) int64 { return c.Targets })
 	page.gauge(SiteEntries, func(c *CoreState) int64 { return c.Entries })
 	page.gauge(SiteEntriesBehind, func(c *CoreState) int64 { return c.EntriesBehind })
+	page.gauge(SiteInvalidCapacities, func(c *CoreState) int64 { return c.CapacitiesInvalid })
 	page.gauge(SiteCores, func(c *CoreState) int64 { return c.Cores })
 	page.gauge(LogSyncs, func(c *CoreState) int64 { return c.Syncs })
 	page.gauge(LogSyncedEntries, func(c *CoreState) int64 { return c.SyncedEntries })
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -271,6 +271,7 @@
 		Version: int64(i.accepted().Version), ListAge: -1, Entries: int64(len(i.store.Entries(now))),
 		Cores: int64(len(i.store.Cores(now))), Syncs: int64(s.Counters.Syncs), SyncedEntries: int64(s.Counters.SyncedEntries),
 	}
+	c.CapacitiesInvalid = int64(i.store.InvalidCapacities())
 	c.Links, c.EntriesBehind = metrics.SumLinks(i.hub.Stats()), int64(i.lagging.count(now))
 	if l := i.store.List(); !l.ReadAt.IsZero() {
 		c.ListAge, c.Targets = now.Sub(l.ReadAt).Milliseconds(), int64(len(l.Targets))
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -35,6 +35,9 @@
 type Options struct {
 	// Self is what it reports of itself; Ready, Leaving and Loads are filled in.
 	Self feed.Entry
+	// WeightedDirectory reports the capacity in Self, and gives callers and other regions' requests to
+	// entry instances in proportion to their capacities. Without it capacities are ignored.
+	WeightedDirectory bool
 	// Seeds are the IDs of core instances.
 	Seeds []string
 	// Format reads configurations.
@@ -107,6 +110,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !o.WeightedDirectory {
+		o.Self.Capacity = 0
+	}
 	i := &Instance{
 		o: o, log: o.Log, hub: hub, chooser: feed.NewCoreChooser(), startupProbeTime: startupProbeTime,
 		pool:    pick.New(o.Self.ID),
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -41,6 +41,11 @@
 	if u.CoresDigest != 0 && (u.HasLeader || len(k.cores) == 0) {
 		k.cores, k.coresDigest = u.Cores, u.CoresDigest
 	}
+	if u.Entries != nil && !i.o.WeightedDirectory {
+		for n := range u.Entries.Entries {
+			u.Entries.Entries[n].Capacity = 0
+		}
+	}
 	if u.Entries != nil && !k.entries.Apply(u.Entries) {
 		// Two reports have overtaken each other: the next one asks for all.
 		k.entries.Epoch, k.entries.At = 0, 0
@@ -169,12 +174,21 @@
 
 // currentPeers returns the entry instances of other regions that accept requests.
 func (i *Instance) currentPeers() (out []exchange.Peer) {
+	var accepting []feed.Entry
 	for _, e := range i.known.entries.Entries {
 		// A leaving one is excluded: its end would cut off requests forwarded to it, and the
 		// caller's own instance may be leaving as well.
 		if e.Ready && e.Region != i.o.Self.Region {
-			out = append(out, exchange.Peer{Address: e.ID, Region: e.Region})
+			accepting = append(accepting, e)
+		}
+	}
+	capacities := feed.Capacities(accepting)
+	for n, e := range accepting {
+		p := exchange.Peer{Address: e.ID, Region: e.Region}
+		if capacities != nil {
+			p.Capacity = capacities[n]
 		}
+		out = append(out, p)
 	}
 	return out
 }
--- a/node/entry/update_test.go
+++ b/node/entry/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,10 +18,14 @@
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
-func newInstance(t *testing.T) *Instance {
+func newInstance(t *testing.T) *Instance { return newWeightedInstance(t, false) }
+
+// newWeightedInstance returns an instance with a capacity of 192 thousandths of a core.
+func newWeightedInstance(t *testing.T, weighted bool) *Instance {
 	t.Helper()
 	i, err := New(Options{
-		Self: feed.Entry{ID: "127.0.0.1:1", Region: "r", Zone: "z", CallerAddress: "127.0.0.1:2"}, Seeds: []string{"127.0.0.1:3"},
+		Self:              feed.Entry{ID: "127.0.0.1:1", Region: "r", Zone: "z", CallerAddress: "127.0.0.1:2", Capacity: 192},
+		WeightedDirectory: weighted, Seeds: []string{"127.0.0.1:3"},
 		Format: oneByte{}, Log: zap.NewNop(), AccessLog: zap.NewNop(),
 	})
 	if err != nil {
@@ -145,6 +150,38 @@
 	})
 }
 
+// Guards against lists and reports that change where the weighted directory is off, also while
+// instances with another setting report their capacities; and against capacities that do not reach the
+// directory or the choice of an instance of another region.
+func TestCapacitiesApplyOnlyIfEnabled(t *testing.T) {
+	for _, weighted := range []bool{false, true} {
+		Convey(fmt.Sprintf("one large instance in each region, enabled: %v", weighted), t, func() {
+			i := newWeightedInstance(t, weighted)
+			applyWhole(t, i, state(1, 1), &feed.Update{Entries: &feed.EntriesUpdate{Epoch: 1, At: 1, Entries: []feed.Entry{
+				{ID: "a", Region: "r", Zone: "z", CallerAddress: "large", Ready: true, Capacity: 576},
+				{ID: "b", Region: "q", Zone: "y", Ready: true, Capacity: 576}, {ID: "c", Region: "q", Zone: "y", Ready: true},
+				{ID: "d", Region: "q", Zone: "y", Ready: true, Capacity: 192},
+			}}, List: encode(t, feed.ListUpdate{Digest: 1})}, feed.Report{})
+			peers, list, report := i.gateway.View().Peers, i.CallerAddresses("h.example", "r"), i.newReport(0)
+			data, err := cbor.Marshal(report.Self)
+			So(err, ShouldBeNil)
+			var sent map[int]any
+			So(cbor.Unmarshal(data, &sent), ShouldBeNil)
+			if !weighted {
+				So(sent, ShouldNotContainKey, 10)
+				So(list, ShouldResemble, []string{"127.0.0.1:2", "large"})
+				So(peers, ShouldResemble, []exchange.Peer{{Address: "b", Region: "q"}, {Address: "c", Region: "q"}, {Address: "d", Region: "q"}})
+				return
+			}
+			So(list, ShouldResemble, []string{"large", "127.0.0.1:2", "large", "large"})
+			So(peers, ShouldResemble, []exchange.Peer{
+				{Address: "b", Region: "q", Capacity: 576}, {Address: "c", Region: "q", Capacity: 384}, {Address: "d", Region: "q", Capacity: 192},
+			})
+			So(sent[10], ShouldEqual, 192)
+		})
+	}
+}
+
 // Guards against routes that return to an older version for a moment: updates of core instances,
 // one of which lags, arrive in any order, and the newest message is taken for the newest state.
 func TestStateAndListNeverGoBack(t *testing.T) {
--- a/node/feed/addresses.go
+++ b/node/feed/addresses.go
@@ -48,36 +48,81 @@
 }
 
 // selectAddresses returns the caller addresses of some entries, at most maxAddresses: the same ones
-// at all instances, so that connections behind them are reused, and equally many of each zone.
+// at all instances, so that connections behind them are reused, and of each zone equally many or, if
+// capacities differ, with equal capacity. An entry of more capacity than others is listed several
+// times if there is room, as callers connect to an address of the list at random.
 //
 // If it took the first ones, in a region that has more of them they would all be of one zone, and
 // when that zone is lost the region's callers would know no other address.
 func selectAddresses(entries []Entry) []string {
-	if len(entries) > maxAddresses {
-		entries = zoneByZone(entries)[:maxAddresses]
+	capacities := Capacities(entries)
+	if capacities == nil && len(entries) <= maxAddresses {
+		var out []string
+		for i := range entries {
+			out = append(out, entries[i].CallerAddress)
+		}
+		return out
 	}
-	var out []string
-	for i := range entries {
-		out = append(out, entries[i].CallerAddress)
+	chosen := zoneByZone(entries, capacities)
+	chosen = chosen[:min(maxAddresses, len(chosen))]
+	copies := make([]int, len(chosen))
+	if capacities != nil {
+		of := make([]float64, len(chosen))
+		for i := range chosen {
+			of[i] = chosen[i].capacity
+		}
+		copies = apportion(of, maxAddresses)
+	}
+	out := make([]string, 0, maxAddresses)
+	for i := range chosen {
+		out = append(out, chosen[i].entry.CallerAddress)
+	}
+	// Further copies follow the first ones of all.
+	for n := 2; n <= maxAddresses; n++ {
+		for i := range chosen {
+			if copies[i] >= n {
+				out = append(out, chosen[i].entry.CallerAddress)
+			}
+		}
 	}
 	return out
 }
 
-// zoneByZone sorts entries in place and returns them: the first entry of each zone before the second
-// of any, within a zone by a hash of their IDs.
-func zoneByZone(entries []Entry) []Entry {
-	hash := func(e *Entry) uint64 { return xxhash.Sum64String(e.ID) }
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Or(cmp.Compare(hash(&a), hash(&b)), cmp.Compare(a.ID, b.ID)) })
-	rankInZone, zoneCounts := map[string]int{}, map[string]int{}
+// zonedEntry is an entry with its place in the order of zoneByZone.
+type zonedEntry struct {
+	entry *Entry
+	hash  uint64
+	// capacity is in thousandths of a core, or 1 if all are alike. before is the sum of those that
+	// come earlier in the zone.
+	capacity, before float64
+}
+
+// zoneByZone returns entries such that the next one is always of the zone with the least capacity so
+// far, within a zone the largest first, then by a hash of their IDs. If capacities is nil, all are
+// alike: the first entry of each zone comes before the second of any.
+//
+// An entry that joins moves only later ones of its zone.
+func zoneByZone(entries []Entry, capacities []float64) []zonedEntry {
+	order := make([]zonedEntry, len(entries))
 	for i := range entries {
-		e := &entries[i]
-		rankInZone[e.ID] = zoneCounts[e.Zone]
-		zoneCounts[e.Zone]++
+		order[i] = zonedEntry{entry: &entries[i], hash: xxhash.Sum64String(entries[i].ID), capacity: 1}
+		if capacities != nil {
+			order[i].capacity = capacities[i]
+		}
+	}
+	slices.SortFunc(order, func(a, b zonedEntry) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.hash, b.hash), cmp.Compare(a.entry.ID, b.entry.ID))
+	})
+	ofZone := map[string]float64{}
+	for i := range order {
+		o := &order[i]
+		o.before = ofZone[o.entry.Zone]
+		ofZone[o.entry.Zone] += o.capacity
 	}
-	slices.SortStableFunc(entries, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(rankInZone[a.ID], rankInZone[b.ID]), cmp.Compare(a.Zone, b.Zone))
+	slices.SortStableFunc(order, func(a, b zonedEntry) int {
+		return cmp.Or(cmp.Compare(a.before, b.before), cmp.Compare(a.entry.Zone, b.entry.Zone))
 	})
-	return entries
+	return order
 }
 
 // heaviestRegions returns the addresses of the entries that match fits in the regions of the
--- a/node/feed/store.go
+++ b/node/feed/store.go
@@ -65,6 +65,8 @@
 	wakePending bool
 	// reporters is the number of entry instances that recently reported here.
 	reporters int
+	// invalidCapacities is the number of reports whose capacity was ignored.
+	invalidCapacities int
 	// aggregate holds the common parts of current answers; nil if something changed.
 	aggregate *aggregate
 	// changes are those of the entry instances.
@@ -184,11 +186,30 @@
 func (st *Store) AddReport(now time.Time, e Entry) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.checkCapacity(&e)
 	old, known := st.entries[e.ID]
 	st.entries[e.ID] = entryRecord{entry: e, reportedAt: now, direct: true}
 	st.wakeForChange(now, old.entry, known, e)
 }
 
+// checkCapacity makes an invalid capacity unknown.
+//
+// A stored value that is not a number would differ from itself in each comparison: the entry would
+// be sent to all others as changed, again for each answer.
+func (st *Store) checkCapacity(e *Entry) {
+	if !ValidCapacity(e.Capacity) {
+		e.Capacity = 0
+		st.invalidCapacities++
+	}
+}
+
+// InvalidCapacities returns the number of reports whose capacity was ignored as invalid.
+func (st *Store) InvalidCapacities() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.invalidCapacities
+}
+
 // comparisonMinAge is how old the last report of an entry instance must be for a core instance that
 // it does not follow to forward its brief report: the followed one may be partitioned from the
 // others.
@@ -202,6 +223,7 @@
 func (st *Store) AddComparison(now time.Time, e Entry) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.checkCapacity(&e)
 	old, known := st.entries[e.ID]
 	if known && now.Sub(old.reportedAt) < comparisonMinAge && old.entry.samePublished(&e) {
 		return
@@ -222,6 +244,7 @@
 		if known && !at.After(old.reportedAt) {
 			continue
 		}
+		st.checkCapacity(&e)
 		st.entries[e.ID] = entryRecord{entry: e, reportedAt: at}
 		st.wakeForChange(now, old.entry, known, e)
 	}
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -38,6 +38,9 @@
 	// PrefillSums give the recent prefill speed of the engines that it chose. Like Loads they stay
 	// at the core instance.
 	PrefillSums []PrefillSums `cbor:"9,keyasint,omitempty"`
+	// Capacity is its share of the processor in thousandths of a core; 0 if unknown. It is a
+	// floating-point number so that a value that is none makes no report unreadable.
+	Capacity float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // PrefillSums are, for the engines of a service, the prompt tokens prefilled until recent first
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -151,16 +151,16 @@
 	return out
 }
 
-// reachablePeers returns the addresses of a region's entry instances that are not known to
+// reachablePeers returns a region's entry instances that are not known to
 // be unreachable, or to have only targets that rest.
-func (q *request) reachablePeers(now time.Time, region string) []string {
-	var addresses []string
+func (q *request) reachablePeers(now time.Time, region string) []place.Instance {
+	var peers []place.Instance
 	for _, p := range q.view.Peers {
 		if p.Region == region && !q.g.isUnreachable(now, p.Address) && q.g.restLeft(now, peerService{p.Address, q.service}).Left == 0 {
-			addresses = append(addresses, p.Address)
+			peers = append(peers, place.Instance{Address: p.Address, Capacity: p.Capacity})
 		}
 	}
-	return addresses
+	return peers
 }
 
 // targetRequest returns the request as it is sent to a target.
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -256,6 +256,8 @@
 type Peer struct {
 	// Address is where it accepts requests from other instances.
 	Address, Region string
+	// Capacity is its share of the processor in thousandths of a core; 0 if those of all are unknown.
+	Capacity float64
 }
 
 // RegionService identifies a service in a region.
--- a/settings/site.go
+++ b/settings/site.go
@@ -3,11 +3,14 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gullhaven/gullhaven/bundle/strict"
@@ -44,6 +47,10 @@
 	// LimitTolerance is what all instances together may pass beyond a workspace's limit;
 	// default nothing.
 	LimitTolerance SiteTolerance `json:"limit_tolerance"`
+	// Capacity is what the machine gives this process; default unknown.
+	Capacity SiteCapacity `json:"capacity"`
+	// HardLoad enables what a deployment needs if its load exceeds what it can serve.
+	HardLoad SiteHardLoad `json:"hard_load"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL; default 8.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMB is the memory limit of the process, from which the garbage collector's
@@ -88,6 +95,50 @@
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
+// SiteCapacity is what the machine gives a process; 0 means unknown.
+type SiteCapacity struct {
+	// Processor is its share of the processor, in cores.
+	Processor float64 `json:"processor"`
+	// LinkMbps is the throughput of its network link in each direction, in Mbit/s. It is checked
+	// and not used yet.
+	LinkMbps float64 `json:"link_mbps"`
+}
+
+// milliPerCore is the number of thousandths of a core in a core.
+const milliPerCore = 1000
+
+// ProcessorMilli returns the share of the processor in thousandths of a core.
+func (c SiteCapacity) ProcessorMilli() float64 { return c.Processor * milliPerCore }
+
+// Bounds of a processor share, in cores: feed.ValidCapacity ignores what is outside them.
+const (
+	minProcessor = 0.001
+	maxProcessor = 1e6
+)
+
+// SiteHardLoad has a switch for each part; all are off by default.
+type SiteHardLoad struct {
+	// WeightedDirectory has entry instances named to callers, and chosen by other regions, in
+	// proportion to Capacity.
+	WeightedDirectory bool `json:"weighted_directory"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler. It refuses unknown names.
+//
+// If they were ignored as elsewhere, a misspelt switch would leave its part off without a word.
+func (h *SiteHardLoad) UnmarshalJSON(data []byte) error {
+	type plain SiteHardLoad
+	err := strict.Decode(data, (*plain)(h))
+	var problems Problems
+	if !errors.As(err, &problems) {
+		return err
+	}
+	for i := range problems {
+		problems[i].Path = strings.TrimSuffix("hard_load."+problems[i].Path, ".")
+	}
+	return problems
+}
+
 // Window returns the length of the window.
 func (t SiteTolerance) Window() time.Duration { return seconds(t.WindowSeconds) }
 
@@ -161,6 +212,10 @@
 	t := s.LimitTolerance
 	require(t.Share >= 0 && t.Units >= 0 && t.WindowSeconds >= 0, "limit_tolerance", "must not be negative")
 	require(t.WindowSeconds > 0 || t.Share == 0 && t.Units == 0, "limit_tolerance.window_seconds", "is missing")
+	cores := s.Capacity.Processor
+	require(cores == 0 || cores >= minProcessor && cores <= maxProcessor, "capacity.processor",
+		"is %v, but must be 0 or from %v to %v cores", cores, minProcessor, maxProcessor)
+	require(s.Capacity.LinkMbps >= 0 && !math.IsInf(s.Capacity.LinkMbps, 1), "capacity.link_mbps", "is %v, but must be finite and not negative", s.Capacity.LinkMbps)
 	require(s.GraceSeconds > 0, "grace_seconds", "is %v, but must be above 0", s.GraceSeconds)
 	return p
 }
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -55,6 +55,8 @@
 		So(s.SeedIDs(), ShouldResemble, []string{"10.0.0.1:90", "10.0.0.2:90"})
 		So(s.Listen.BindInstances(), ShouldEqual, "10.0.0.1:90")
 		So(s.FirstStart, ShouldBeFalse)
+		So(s.HardLoad, ShouldResemble, settings.SiteHardLoad{})
+		So(s.Capacity, ShouldResemble, settings.SiteCapacity{})
 	})
 	Convey("the listen address may differ from the one for others", t, func() {
 		s, err := settings.LoadSite(coreSettings(t, "listen.instances_bind", "127.0.0.1:91"))
@@ -82,3 +84,31 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// Guards against a part that stays off without a word because its switch is misspelt, and against a
+// capacity that makes an instance get no callers or all of them.
+func TestHardLoadSettings(t *testing.T) {
+	Convey("switches and capacity are read", t, func() {
+		s, err := settings.LoadSite(coreSettings(t, "hard_load", json.RawMessage(`{"weighted_directory": true}`)))
+		So(err, ShouldBeNil)
+		So(s.HardLoad.WeightedDirectory, ShouldBeTrue)
+		s, err = settings.LoadSite(coreSettings(t, "capacity", map[string]any{"processor": 0.192, "link_mbps": 7.5}))
+		So(err, ShouldBeNil)
+		So(s.Capacity.ProcessorMilli(), ShouldEqual, 192)
+		So(s.Capacity.LinkMbps, ShouldEqual, 7.5)
+	})
+	for _, c := range []struct{ key, field, json string }{
+		{"hard_load", "hard_load.weigthed_directory", `{"weigthed_directory": true}`},
+		{"hard_load", "hard_load", `true`},
+		{"capacity", "capacity.processor", `{"processor": -0.1}`},
+		{"capacity", "capacity.processor", `{"processor": 1e999}`},
+		{"capacity", "capacity.link_mbps", `{"link_mbps": -1}`},
+		{"capacity", "capacity.link_mbps", `{"link_mbps": 1e999}`},
+	} {
+		Convey("an error that names the field: "+c.json, t, func() {
+			_, err := settings.LoadSite(coreSettings(t, c.key, json.RawMessage(c.json)))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, c.field)
+		})
+	}
+}
