--- a/daemon/site.go
+++ b/daemon/site.go
@@ -144,7 +144,11 @@
 	s := r.s
 	hardLoad := platform.HardLoad(s.HardLoad, s.Contracts)
 	i, err := entry.New(entry.Options{
-		Self:    feed.Entry{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone, CallerAddress: s.Listen.Callers},
+		Self: feed.Entry{
+			ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone, CallerAddress: s.Listen.Callers, Capacity: s.Capacity.ProcessorMilli(),
+		},
+		WeightedDirectory: hardLoad.WeightedDirectory,
+
 		Seeds:   s.SeedIDs(),
 		Format:  platform.Format{},
 		Dialect: platform.Dialect{},
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -13,6 +13,7 @@
 	SiteResting           = Metric{"gullhaven_site_refused_resting_total", Counter, "requests", "Requests refused as all targets had asked for rest."}
 	SiteNoConfiguration   = Metric{"gullhaven_site_refused_no_configuration_total", Counter, "requests", "Requests refused before a configuration was known."}
 	SiteLeaving           = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
+	SiteRefusedForLoad    = Metric{"gullhaven_site_refused_instance_overloaded_total", Counter, "requests", "Requests refused as the instance had used up its share of the processor and most others of the region had not."}
 	SitePoisonRequests    = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
 	SiteSuspects          = Metric{"gullhaven_site_suspects", Gauge, "entries", "Requests and prompt parts that were in flight at a crash of a target, one entry for each crash."}
 	SiteSuspectsEvicted   = Metric{"gullhaven_site_suspects_evicted_total", Counter, "entries", "Of these, how many made room for others before they expired."}
@@ -55,6 +56,7 @@
 	SiteListAge           = Metric{"gullhaven_site_list_age_milliseconds", Gauge, "milliseconds", "Age of the list of targets; negative if there is none."}
 	SiteEntries           = Metric{"gullhaven_site_entries", Gauge, "instances", "Entry instances known."}
 	SiteEntriesBehind     = Metric{"gullhaven_site_entries_behind", Gauge, "instances", "Entry instances that report to this core instance and lack what is accepted for over four seconds."}
+	SiteInvalidCapacities = Metric{"gullhaven_site_capacities_invalid_total", Counter, "reports", "Reports of entry instances whose capacity counts as unknown as it is negative, not finite, or not between a thousandth of a core and a million cores."}
 	SiteCores             = Metric{"gullhaven_site_cores", Gauge, "instances", "Core instances known."}
 	SiteLogRole           = Metric{"gullhaven_site_log_leads", Gauge, "bool", "1 at the leader of the log, else 0."}
 	SiteLogTerm           = Metric{"gullhaven_site_log_term", Gauge, "term", "Term of the log."}
@@ -67,9 +69,9 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SiteOutranked, SitePastDeadline, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SiteRefusedForLoad, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SiteOutranked, SitePastDeadline, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
-	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
+	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteInvalidCapacities, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
 }
 
@@ -80,6 +82,7 @@
 	RefusedOverShare, RefusedOutranked, RefusedPastDeadline, RefusedUnknownKey, RefusedNoHome, RefusedOverLimit          gometrics.Counter
 	RetriesDenied, OwnedElsewhere, SummariesInvalid, SummariesUnknown, RegionsUnreached, ReportsFailed                   gometrics.Counter
 	RefusedResting, RefusedUnknownStream, RestsAsked, LeavingAnswers, MalformedHeaders, Pauses                           gometrics.Counter
+	RefusedForLoad                                                                                                       gometrics.Counter
 	// WaitRatio is the actual wait over the expected wait, which shows the quality of choices.
 	WaitRatio                                       *Ratios
 	ChooseTime, SendTime, EventGapTime, RequestTime *Times
@@ -120,7 +123,7 @@
 	registerLinks(page, func(e *EntryState) *Links { return &e.Links })
 	return &SiteEntry{
 		Set: s, ForwardedIn: s.Counter(SiteForwardedIn), RefusedNoTarget: s.Counter(SiteNoTarget), RefusedResting: s.Counter(SiteResting), RefusedNoConfiguration: s.Counter(SiteNoConfiguration),
-		RefusedLeaving: s.Counter(SiteLeaving), RefusedPoison: s.Counter(SitePoisonRequests), RefusedUnknownStream: s.Counter(SiteUnknownStreams),
+		RefusedLeaving: s.Counter(SiteLeaving), RefusedForLoad: s.Counter(SiteRefusedForLoad), RefusedPoison: s.Counter(SitePoisonRequests), RefusedUnknownStream: s.Counter(SiteUnknownStreams),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOverShare: s.Counter(SiteOverShare), RefusedOutranked: s.Counter(SiteOutranked), RefusedPastDeadline: s.Counter(SitePastDeadline), RefusedOther: s.Counter(SiteOtherRefusals),
 		RefusedUnknownKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHomeRegion), RefusedOverLimit: s.Counter(SiteOverLimit),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Pauses: s.Counter(SitePauses), OwnedElsewhere: s.Counter(SiteOwnedElsewhere),
@@ -134,7 +137,7 @@
 type CoreState struct {
 	IsLeader                                                 bool
 	Term, Applied, Behind, Voters, Version, ListAge, Targets int64
-	Entries, EntriesBehind, Cores                            int64
+	Entries, EntriesBehind, CapacitiesInvalid, Cores         int64
 	Syncs, SyncedEntries, LinesDropped, LinesSkipped         int64
 	Links                                                    Links
 }
@@ -158,6 +161,7 @@
 	page.gauge(SiteTargets, func(c *CoreState) int64 { return c.Targets })
 	page.gauge(SiteEntries, func(c *CoreState) int64 { return c.Entries })
 	page.gauge(SiteEntriesBehind, func(c *CoreState) int64 { return c.EntriesBehind })
+	page.gauge(SiteInvalidCapacities, func(c *CoreState) int64 { return c.CapacitiesInvalid })
 	page.gauge(SiteCores, func(c *CoreState) int64 { return c.Cores })
 	page.gauge(LogSyncs, func(c *CoreState) int64 { return c.Syncs })
 	page.gauge(LogSyncedEntries, func(c *CoreState) int64 { return c.SyncedEntries })
--- a/settings/site.go
+++ b/settings/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -44,6 +45,8 @@
 	// LimitTolerance is what all instances together may pass beyond a workspace's limit;
 	// default nothing.
 	LimitTolerance SiteTolerance `json:"limit_tolerance"`
+	// Capacity is what the machine gives this process; default unknown.
+	Capacity SiteCapacity `json:"capacity"`
 	// HardLoad switches on how the instance behaves under more load than it can serve.
 	HardLoad HardLoad `json:"hard_load"`
 	// Contracts are the platform's names of what it holds the site to. Package platform says which
@@ -93,6 +96,27 @@
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
+// SiteCapacity is what the machine gives a process; 0 means unknown.
+type SiteCapacity struct {
+	// Processor is its share of the processor, in cores.
+	Processor float64 `json:"processor"`
+	// LinkMbps is the throughput of its network link in each direction, in Mbit/s. It is checked
+	// and not used yet.
+	LinkMbps float64 `json:"link_mbps"`
+}
+
+// milliPerCore is the number of thousandths of a core in a core.
+const milliPerCore = 1000
+
+// ProcessorMilli returns the share of the processor in thousandths of a core.
+func (c SiteCapacity) ProcessorMilli() float64 { return c.Processor * milliPerCore }
+
+// Bounds of a processor share, in cores: feed.ValidCapacity ignores what is outside them.
+const (
+	minProcessor = 0.001
+	maxProcessor = 1e6
+)
+
 // HardLoad has the switches of the behaviour under hard load, all off by default. Unlike elsewhere in a
 // Site, an unknown name is a fault: a misspelled switch would be off without a sign of it.
 type HardLoad struct {
@@ -208,6 +232,10 @@
 	for _, name := range s.HardLoad.unknown {
 		p.Add(strict.Field("hard_load", name), "is not known")
 	}
+	cores := s.Capacity.Processor
+	require(cores == 0 || cores >= minProcessor && cores <= maxProcessor, "capacity.processor",
+		"is %v, but must be 0 or from %v to %v cores", cores, minProcessor, maxProcessor)
+	require(s.Capacity.LinkMbps >= 0 && !math.IsInf(s.Capacity.LinkMbps, 1), "capacity.link_mbps", "is %v, but must be finite and not negative", s.Capacity.LinkMbps)
 	require(s.GraceSeconds > 0, "grace_seconds", "is %v, but must be above 0", s.GraceSeconds)
 	return p
 }
