exchange: a silent stream is ended only once another place goes on with it

Cause: relayStream ended a resumable stream after 1.5 s without an event, before it was known whether another target could go on. If none could (tries or retry budget used up, no other target of the software version, no region), the caller lost an answer that its target would have finished. The instance of another region, which has one run only, did so too.

Change: after 1.5 s of silence, and then every 0.5 s, a place is chosen and reserved beside the reading (silence.go). The connection is closed only once the place is secured: the target has sent nothing meanwhile, also nothing unread (Answer.Silent), and the retry budget allows it. A place expected to begin after the deadline, or a region that has just refused, is none. A forwarded stream is never ended for silence where it is forwarded to. Other time-outs looked at: the request's deadline and the 80 ms less of a forwarded one, the call to a group's owner, the waits before a run, the time to connect, the kernel's time-out, whole answers. The same cause remains in Choice.OnUnreachable: a failed connection of another request ends streams in progress that have no other place (docs/design/hard-load.md, Part 4).

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -77,6 +77,9 @@
 	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
 	finalRefusal *refusal
+	// secured is the place that goes on with a stream whose target is silent, until it is tried. It is
+	// reserved, and counted as a retry.
+	secured *destination
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
--- a/pipeline/exchange/export_test.go
+++ b/pipeline/exchange/export_test.go
@@ -8,8 +8,15 @@
 // SetStartWait sets how long requests wait for the first view.
 func (g *Gateway) SetStartWait(d time.Duration) { g.startWait = d }
 
+// SetStreamIdle sets how long a stream may be silent before another place is looked for, at once and
+// then again.
+func (g *Gateway) SetStreamIdle(d time.Duration) { g.streamIdle, g.placeSearch = d, d }
+
 // ForwardAfterRefusals makes a region that has refused count like any other at once.
 func (g *Gateway) ForwardAfterRefusals() { g.refusalPause = 0 }
 
+// KeepRefusals makes the refusals of regions count for d.
+func (g *Gateway) KeepRefusals(d time.Duration) { g.refusalPause = d }
+
 // SetUptime makes the process appear to have run for d.
 func (g *Gateway) SetUptime(d time.Duration) { g.retries.startedAt = time.Now().Add(-d) }
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -55,7 +55,9 @@
 	viewSetOnce sync.Once
 	// startWait is place.StartWait, except in tests.
 	startWait time.Duration
-	draining  atomic.Bool
+	// streamIdle is streamIdleTimeout and placeSearch is placeSearchInterval, except in tests.
+	streamIdle, placeSearch time.Duration
+	draining                atomic.Bool
 	// endsAt is when this instance will shut down, by the monotonic clock; nil while it
 	// accepts all requests.
 	endsAt   atomic.Pointer[time.Time]
@@ -85,7 +87,8 @@
 // New returns a Gateway that refuses all requests until SetView is called.
 func New(o Options) *Gateway {
 	return &Gateway{
-		o: o, viewSet: make(chan struct{}), startWait: place.StartWait, refusalPause: place.RefusedFor, retries: newRetryBudget(o.Retries, time.Now()),
+		o: o, viewSet: make(chan struct{}), startWait: place.StartWait, refusalPause: place.RefusedFor,
+		streamIdle: streamIdleTimeout, placeSearch: placeSearchInterval, retries: newRetryBudget(o.Retries, time.Now()),
 	}
 }
 
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -24,10 +25,6 @@
 	eventBufferBytes = 2 << 10
 	// maxEventBytes bounds one event.
 	maxEventBytes = 256 << 10
-	// streamIdleTimeout is how long a resumable stream may pause before it is resumed at
-	// another target: well over the pauses of a loaded engine, and under the 2 s after
-	// which callers leave.
-	streamIdleTimeout = 1500 * time.Millisecond
 )
 
 // errTruncated is returned for a stream that ends in the middle of an event.
@@ -104,11 +101,11 @@
 	}()
 	first := true
 	lastEventAt := time.Now()
+	var silence *silenceWatch
 	for {
-		if q.route.Resumable && !first {
-			a.SetReadTimeout(streamIdleTimeout)
-		}
+		silence.wait()
 		event, err := e.next()
+		silence.endWait()
 		now := time.Now()
 		if !first {
 			q.recordGap(now.Sub(lastEventAt))
@@ -119,12 +116,16 @@
 			q.writeHead(a)
 		}
 		if err == io.EOF {
+			silence.take().release(now)
 			a.Close(true)
 			q.reportAnswerEnd(a, p)
 			q.recordRun(verdict.Ran)
 			return true, pick.Good
 		}
 		if err != nil {
+			if q.secured = silence.take(); q.secured != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+				err = errSilent
+			}
 			return false, q.streamBroken(a, p, err)
 		}
 		if first && p != nil {
@@ -133,9 +134,11 @@
 		}
 		if first {
 			q.recordOrigin(a, p)
+			silence = q.watchSilence(a)
 		}
 		first = false
 		if !q.relayEvent(a, e, event) {
+			silence.take().release(now)
 			a.Close(false)
 			q.recordRun(verdict.Ran)
 			q.reportCrash(p, errCallerLeft)
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -26,16 +26,21 @@
 		q.g.retries.recordRequest(q.acceptedAt, q.service, q.view.EntryInstances)
 	}
 	q.g.countRoute(q.route.Name)
+	defer func() { q.takeSecured().release(time.Now()) }()
 	for {
 		if q.callerLeft() {
 			q.abort()
 		}
 		now := time.Now()
-		to, code := q.choose(now)
-		q.g.o.Metrics.ChooseTime.Update(time.Since(now))
+		to := q.takeSecured()
 		if to == nil {
-			q.giveUp(code)
-			return
+			var code verdict.Code
+			to, code = q.choose(now)
+			q.g.o.Metrics.ChooseTime.Update(time.Since(now))
+			if to == nil {
+				q.giveUp(code)
+				return
+			}
 		}
 		if q.attempt(to, now) {
 			q.recordAnswer()
@@ -79,6 +84,19 @@
 // refusal code.
 func (q *request) mayRetry() (verdict.Code, bool) {
 	now := time.Now()
+	if code, ok := q.mayRunAgain(now); !ok {
+		return code, false
+	}
+	// The place of a silent stream was counted when it was secured.
+	if q.secured == nil && q.reachedTarget() && !q.tryRetry(now) {
+		return CodeNoTarget, false
+	}
+	q.g.o.Metrics.Retries.Inc(1)
+	return "", true
+}
+
+// mayRunAgain is mayRetry without the retry budget.
+func (q *request) mayRunAgain(now time.Time) (verdict.Code, bool) {
 	switch {
 	case q.ctx.Err() != nil || !now.Before(q.deadline):
 		return CodeTimeout, false
@@ -90,10 +108,7 @@
 		return CodeNoTarget, false
 	case q.g.o.PoisonRequests != nil && q.runs > 0 && !q.g.o.PoisonRequests.MayRetry(q.content()):
 		return CodePoison, false
-	case q.reachedTarget() && !q.tryRetry(now):
-		return CodeNoTarget, false
 	}
-	q.g.o.Metrics.Retries.Inc(1)
 	return "", true
 }
 
--- /dev/null
+++ b/pipeline/exchange/silence_test.go
@@ -0,0 +1,234 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// searches is a group owner that has choose decide, with the number of the choice. The first is that of
+// the request, later ones are for its silent stream.
+type searches struct {
+	exchange.GroupOwner
+	n      atomic.Int64
+	choose func(n int64) exchange.Decision
+	ended  chan pick.Result
+}
+
+func newSearches(choose func(n int64) exchange.Decision) *searches {
+	return &searches{choose: choose, ended: make(chan pick.Result, 100)}
+}
+
+func (s *searches) Choose(context.Context, pick.Call, string, time.Duration) (exchange.Decision, bool) {
+	d := s.choose(s.n.Add(1))
+	return d, d.Target != ""
+}
+
+func (s *searches) ReportFirstEvent(exchange.Decision) {}
+
+func (s *searches) ReportEnd(_ exchange.Decision, r pick.Result) { s.ended <- r }
+
+// silentTarget is a target that streams two events, and two more at a value or the end of goOn each. conns
+// gets its connection, and ended is closed when the other end has closed that.
+func silentTarget(t *testing.T, id string) (x *target, goOn, ended chan struct{}, conns chan net.Conn) {
+	goOn, ended, conns = make(chan struct{}), make(chan struct{}), make(chan net.Conn, 1)
+	return newTarget(t, id, func(c net.Conn, r receivedRequest) bool {
+		conns <- c
+		text := fmt.Sprintf("HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", r.header.Get("Id"), len(eventText(1, 4)), eventText(1, 2))
+		_, _ = io.WriteString(c, text)
+		go func() { _, _ = io.Copy(io.Discard, c); close(ended) }()
+		for id := int64(3); id <= 4; id++ {
+			select {
+			case <-goOn:
+				_, _ = io.WriteString(c, eventText(id, id))
+			case <-ended:
+			}
+		}
+		return false
+	}), goOn, ended, conns
+}
+
+// late is the choice of a target that would begin after the deadline.
+var late = exchange.Decision{Target: "t2", Wait: float64(time.Hour.Milliseconds())}
+
+// searchSilent sets the owner of the rig's groups, and has it look for a place after a millisecond.
+func (r *rig) searchSilent(owner exchange.GroupOwner) {
+	view := r.gateway.View()
+	r.options.GroupOwner = owner
+	r.rebuild()
+	r.gateway.SetView(view)
+	r.gateway.SetStreamIdle(time.Millisecond)
+	r.peers.Config.Handler = r.gateway.ForwardedHandler()
+}
+
+// Guards against cutting a stream that its silent target would have finished, while nothing else can go
+// on with it.
+func TestSilentStreamIsReadOnWithoutAnotherPlace(t *testing.T) {
+	Convey("another region that has just refused", t, func() {
+		x, goOn, _, _ := silentTarget(t, "t1")
+		y := newTarget(t, "t2", notRun)
+		r, _ := newRegionPair(t, nil, []*target{y})
+		r.searchSilent(newSearches(func(n int64) exchange.Decision {
+			if n == 4 {
+				close(goOn)
+			}
+			return exchange.Decision{}
+		}))
+		r.gateway.KeepRefusals(time.Hour)
+		So(r.call("/safe/x", "").status, ShouldEqual, 503)
+		r.setTargets(x)
+		So(r.call("/resume/x", "b").body, ShouldEqual, eventText(1, 4))
+		So(requestCount(y), ShouldEqual, 1)
+	})
+	for _, c := range []struct {
+		name, software string
+		retries        float64
+		later          exchange.Decision
+	}{
+		{name: "another software version", software: "v2", retries: 100},
+		{name: "no retry budget", software: "v1"},
+		{name: "a target that would begin after the deadline", software: "v1", retries: 100, later: late},
+	} {
+		Convey(c.name, t, func() {
+			x, goOn, _, _ := silentTarget(t, "t1")
+			y := newTarget(t, "t2", streamEvents(4, true))
+			y.software = c.software
+			r := newRig(t, "r", x, y)
+			r.options.Retries.Allowance, r.options.Retries.Share = c.retries, 0
+			r.searchSilent(newSearches(func(n int64) exchange.Decision {
+				if n == 1 {
+					return exchange.Decision{Target: "t1"}
+				}
+				if n == 4 {
+					close(goOn)
+				}
+				return c.later
+			}))
+			got := r.call("/resume/x", "b")
+			So(got.truncated, ShouldBeFalse)
+			So(got.body, ShouldEqual, eventText(1, 4))
+			So(requestCount(y), ShouldEqual, 0)
+		})
+	}
+}
+
+// Guards against two runs of one stream at a time, and against events that are lost or repeated when
+// another place goes on with a silent stream.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	for name, elsewhere := range map[string]string{"a target of the region": "r", "another region": "other"} {
+		Convey(name, t, func() {
+			x, _, ended, conns := silentTarget(t, "t1")
+			var silentEnded bool
+			y := newTarget(t, "t2", func(c net.Conn, r receivedRequest) bool {
+				silentEnded = rawhttp.HasEnded(<-conns)
+				select {
+				case <-ended:
+					silentEnded = true
+				default:
+				}
+				return streamEvents(4, true)(c, r)
+			})
+			r, _ := newRegionPair(t, []*target{x}, []*target{y})
+			if elsewhere == "r" {
+				r = newRig(t, "r", x, y)
+			}
+			// One retry: the share of a process that has just started is 1.25.
+			r.options.Retries.Share, r.options.Retries.Allowance = 0, 60
+			r.searchSilent(newSearches(func(n int64) exchange.Decision {
+				if n == 1 {
+					return exchange.Decision{Target: "t1"}
+				}
+				return exchange.Decision{}
+			}))
+			got := r.call("/resume/x", "b")
+			So(got.truncated, ShouldBeFalse)
+			So(got.body, ShouldEqual, eventText(1, 4))
+			So(y.requests()[0].header.Get("After"), ShouldEqual, "2")
+			So(silentEnded, ShouldBeTrue)
+			So(requestCount(x, y), ShouldEqual, 2)
+			So(r.metrics.Retries.Count(), ShouldEqual, 1)
+		})
+	}
+}
+
+// Guards against holding back or dropping the next event of a silent target while a place is looked for,
+// and against keeping the place that is not needed then.
+func TestEventOfASilentTargetWins(t *testing.T) {
+	Convey("the target goes on while the owner of the group chooses another", t, func() {
+		x, goOn, _, _ := silentTarget(t, "t1")
+		y := newTarget(t, "t2", streamEvents(4, true))
+		r := newRig(t, "r", x, y)
+		relayed := make(chan struct{})
+		owner := newSearches(func(n int64) exchange.Decision {
+			switch n {
+			case 1:
+				return exchange.Decision{Target: "t1"}
+			case 2:
+				goOn <- struct{}{}
+				<-relayed
+				return exchange.Decision{Target: "t2"}
+			}
+			return late
+		})
+		r.searchSilent(owner)
+		res, err := http.DefaultTransport.RoundTrip(r.request("/resume/x", "b"))
+		So(err, ShouldBeNil)
+		defer func() { _ = res.Body.Close() }()
+		var body strings.Builder
+		in := bufio.NewReader(res.Body)
+		for !strings.Contains(body.String(), eventText(3, 3)) && err == nil {
+			var line string
+			line, err = in.ReadString('\n')
+			body.WriteString(line)
+		}
+		close(relayed)
+		So(<-owner.ended, ShouldEqual, pick.Neutral)
+		close(goOn)
+		_, err = io.Copy(&body, in)
+		So(err, ShouldBeNil)
+		So(body.String(), ShouldEqual, eventText(1, 4))
+		So(requestCount(y), ShouldEqual, 0)
+	})
+}
+
+// Guards against an instance that cuts a forwarded stream, though only the one before it knows whether
+// another place can go on with it.
+func TestForwardedStreamIsCutByItsFirstInstanceOnly(t *testing.T) {
+	for name, moves := range map[string]bool{"no other place": false, "a target returns to the own region": true} {
+		Convey(name, t, func() {
+			x, goOn, ended, _ := silentTarget(t, "far1")
+			far := newTarget(t, "far2", streamEvents(4, true))
+			near := newTarget(t, "near", func(c net.Conn, r receivedRequest) bool { <-ended; return streamEvents(4, true)(c, r) })
+			a, b := newRegionPair(t, nil, []*target{x, far})
+			remote := newSearches(func(int64) exchange.Decision { return exchange.Decision{Target: "far1"} })
+			b.searchSilent(remote)
+			a.searchSilent(newSearches(func(n int64) exchange.Decision {
+				if n == 4 && moves {
+					a.setTargets(near)
+				} else if n == 4 {
+					close(goOn)
+				}
+				return exchange.Decision{}
+			}))
+			got := a.call("/resume/x", "b")
+			So(got.truncated, ShouldBeFalse)
+			So(got.body, ShouldEqual, eventText(1, 4))
+			So(remote.n.Load(), ShouldEqual, 1)
+			So(requestCount(x), ShouldEqual, 1)
+			So(requestCount(near) == 1, ShouldEqual, moves)
+		})
+	}
+}
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -250,6 +250,10 @@
 	}
 }
 
+// Silent reports whether nothing has arrived that was not read yet: neither bytes nor the end of the
+// connection. It may be called while the body is read.
+func (a *Answer) Silent() bool { return CheckIdle(a.c.Conn) == nil }
+
 // pastDeadline is a deadline that ends all pending reads and writes.
 var pastDeadline = time.Unix(1, 0)
 
--- a/ports/rawhttp/client_test.go
+++ b/ports/rawhttp/client_test.go
@@ -254,6 +254,36 @@
 	})
 }
 
+// Guards against giving up a peer whose answer has arrived but was not read yet.
+func TestSilentUntilBytesArrive(t *testing.T) {
+	Convey("an answer of which a part is missing, then its rest, then the end of its connection", t, func() {
+		goOn, sent := make(chan struct{}), make(chan struct{})
+		s := serve(t, func(c net.Conn, r *http.Request) bool {
+			answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+			<-goOn
+			answer(c, "k")
+			sent <- struct{}{}
+			<-goOn
+			_ = c.Close()
+			sent <- struct{}{}
+			return false
+		})
+		a, err := rawhttp.NewClient(rawhttp.Options{}).Do(context.Background(), s.addr(), get())
+		So(err, ShouldBeNil)
+		defer a.Close(false)
+		So(a.Silent(), ShouldBeTrue)
+		goOn <- struct{}{}
+		<-sent
+		So(a.Silent(), ShouldBeFalse)
+		_, err = io.ReadAll(a.Body)
+		So(err, ShouldBeNil)
+		So(a.Silent(), ShouldBeTrue)
+		goOn <- struct{}{}
+		<-sent
+		So(a.Silent(), ShouldBeFalse)
+	})
+}
+
 func TestIdleConnectionsEndWithTheClient(t *testing.T) {
 	Convey("Run ends", t, func() {
 		closed := make(chan struct{})
