--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -145,7 +145,8 @@
 	})
 	began := streams.New(streams.Options{Self: streams.Instance{ID: o.Self.ID, Region: o.Self.Region}, Hub: hub, Instances: i.otherInstances, Log: o.Log})
 	options := exchange.Options{
-		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Streams: began, Limits: i.limits, Targets: i.targets, Peers: i.peers,
+		UrgentFirst: o.UrgentFirst,
+		Self:        o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Streams: began, Limits: i.limits, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
 		AccessLog: o.AccessLog, Metrics: i.metrics, Overloaded: i.refusesCallers,
 	}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -31,6 +31,8 @@
 	// target, and GroupOwner is asked to decide for the others. Without it, a request is refused if the
 	// work queued ahead takes longer than the route's Aim.
 	Admission AdmissionControl
+	// UrgentFirst ranks the requests of a workspace by the priorities of their routes as well.
+	UrgentFirst bool
 	// PoisonRequests, if set, refuses requests that crash their targets.
 	PoisonRequests PoisonRequests
 	// Streams, if set, knows what began the streams that callers take up. Without it, those that a
@@ -62,7 +64,9 @@
 	viewSetOnce sync.Once
 	// startWait is place.StartWait, except in tests.
 	startWait time.Duration
-	draining  atomic.Bool
+	// streamIdle is streamIdleTimeout and placeSearch is placeSearchInterval, except in tests.
+	streamIdle, placeSearch time.Duration
+	draining                atomic.Bool
 	// endsAt is when this instance will shut down, by the monotonic clock; nil while it
 	// accepts all requests.
 	endsAt   atomic.Pointer[time.Time]
@@ -93,7 +97,8 @@
 // New returns a Gateway that refuses all requests until SetView is called.
 func New(o Options) *Gateway {
 	return &Gateway{
-		o: o, viewSet: make(chan struct{}), startWait: place.StartWait, refusalPause: place.RefusedFor, retries: newRetryBudget(o.Retries, time.Now()),
+		o: o, viewSet: make(chan struct{}), startWait: place.StartWait, refusalPause: place.RefusedFor,
+		streamIdle: streamIdleTimeout, placeSearch: placeSearchInterval, retries: newRetryBudget(o.Retries, time.Now()),
 	}
 }
 
--- a/pipeline/exchange/identify.go
+++ b/pipeline/exchange/identify.go
@@ -53,8 +53,13 @@
 	return q.route.Allows(region) && q.workspace.Allows(region)
 }
 
-// rank returns the priority of the request; 0 is the highest.
-func (q *request) rank() int { return q.workspace.Rank(q.route) }
+// rank returns the rank of the request; 0 is the most urgent.
+func (q *request) rank() int {
+	if q.g.o.UrgentFirst {
+		return q.view.Index.Rank(q.workspace, q.route)
+	}
+	return q.workspace.Rank(q.route)
+}
 
 // workspaceName is empty for a caller without a workspace.
 func (q *request) workspaceName() string {
