routes: requests of a workspace are ranked by their routes as well

Cause: a workspace's priority took the place of its routes'.

Change: Index.Rank orders by workspace, then route, for engines' queues and admission, where urgent_first is on and a workspace has a priority.

--- a/bundle/routes/index.go
+++ b/bundle/routes/index.go
@@ -14,6 +14,8 @@
 	routes []Route
 	// gapAims maps each service to the shortest GapAim of its routes in the group.
 	gapAims map[string]time.Duration
+	// priorities are those of its routes, sorted.
+	priorities []int
 	// longestPrefix is the length of the longest prefix, in bytes.
 	longestPrefix int
 }
@@ -31,6 +33,9 @@
 	for i := range list {
 		r := &list[i]
 		g.longestPrefix = max(g.longestPrefix, len(r.Prefix))
+		if at, known := slices.BinarySearch(g.priorities, r.Priority); !known {
+			g.priorities = slices.Insert(g.priorities, at, r.Priority)
+		}
 		if r.GapAim <= 0 {
 			continue
 		}
@@ -69,6 +74,7 @@
 	routeCount    int
 	// workspaces is nil if callers need no key.
 	workspaces *workspaces
+	ranks      ranks
 }
 
 // NewIndex makes the index of a table. The caller must not change the table afterwards.
@@ -84,6 +90,7 @@
 	}
 	if t.Keyed {
 		next.workspaces = indexWorkspaces(t.Workspaces, x.workspaces)
+		next.ranks = newRanks(t.Workspaces, groups)
 	}
 	for i := range t.Services {
 		next.services[t.Services[i].Name] = &t.Services[i]
