newest, control: an order is refused if its zone got a newer one since

Cause: a process that was paused while it proposed the withdrawal of an evacuation carried it out when it continued, although its sender had left and had a newer evacuation acknowledged elsewhere. Only orders whose sender had left before the proposal were refused.

It refuses an order that was decided before that, unless the zone is already as asked.

Measured: TestOrdersOfAPausedProcessAreFenced fails with the Evacuate before (the zone is withdrawn; not decided again; no error) and passes now.

--- a/bundle/newest/machine.go
+++ b/bundle/newest/machine.go
@@ -8,6 +8,9 @@
 // each would keep its own for ever. Here the first one in the log wins everywhere.
 // A later one of the same or a lower version is acknowledged and changes nothing,
 // as it may be a retry whose first acknowledgement was lost.
+//
+// An order to evacuate a zone, or to end that, carries the log index on which it was decided.
+// It is refused if another order of the zone was acknowledged since.
 package newest
 
 import (
@@ -52,12 +55,20 @@
 	// Missing are the pieces that an offer names and the machine doesn't hold. The offer
 	// changed nothing and may be proposed again after them.
 	Missing []pieces.Digest `cbor:"1,keyasint,omitempty"`
+	// RefusedAt is the log index of an evacuation order that changed nothing, as another order
+	// of its zone was acknowledged since it was decided; 0 if it was not refused. A new decision
+	// may be made on this index.
+	RefusedAt uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Evacuation orders or cancels the evacuation of an availability zone.
 type Evacuation struct {
 	Zone     string `cbor:"1,keyasint"`
 	Evacuate bool   `cbor:"2,keyasint"`
+	// Decided is the log index up to which the deciding instance knew the orders of the zone
+	// when it received this one, see Machine.OrderIndex. It is nil in orders of older releases,
+	// which are not fenced.
+	Decided *uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // State is the configuration and the evacuations. It is immutable.
@@ -99,6 +110,7 @@
 	state    *State
 	staged   staged
 	holders  map[string]bool
+	fences   fences
 	onChange func(*State)
 }
 
@@ -171,7 +183,7 @@
 }
 
 func (r *Result) encode() []byte {
-	if len(r.Missing) == 0 {
+	if len(r.Missing) == 0 && r.RefusedAt == 0 {
 		return nil
 	}
 	data, err := cbor.Marshal(r)
@@ -192,8 +204,8 @@
 		m.holders = c.Holders.applyTo(m.holders)
 	case c.Offer != nil && c.Offer.Version > s.Version:
 		return m.offer(index, c.Offer)
-	case c.Evacuation != nil && c.Evacuation.Evacuate != (s.Evacuated[c.Evacuation.Zone] != 0):
-		return s.evacuate(index, c.Evacuation), Result{}
+	case c.Evacuation != nil:
+		return m.order(index, c.Evacuation)
 	}
 	return s, Result{}
 }
@@ -258,12 +270,14 @@
 	Staged         [][]byte `cbor:"7,keyasint,omitempty"`
 	// Holders are sorted.
 	Holders []string `cbor:"8,keyasint,omitempty"`
+	// Fences are empty in snapshots of releases without them.
+	Fences fences `cbor:"9,keyasint"`
 }
 
-// Snapshot encodes the whole state, staged pieces and holders included.
+// Snapshot encodes the whole state, staged pieces, holders and fences included.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
-	s := snapshot{State: *m.state, Staged: m.staged.packed(), Holders: slices.Sorted(maps.Keys(m.holders))}
+	s := snapshot{State: *m.state, Staged: m.staged.packed(), Holders: slices.Sorted(maps.Keys(m.holders)), Fences: m.fences.clone()}
 	m.mu.Unlock()
 	return cbor.Marshal(s)
 }
@@ -279,6 +293,7 @@
 	m.state, m.staged = &s.State, staged{}
 	m.staged.add(s.Staged)
 	m.setHolders(s.Holders)
+	m.fences = s.Fences
 	m.mu.Unlock()
 	m.onChange(&s.State)
 	return nil
--- a/node/control/operators.go
+++ b/node/control/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
 )
 
 // InvalidError says which rule a configuration breaks. The configuration was not accepted.
@@ -50,11 +52,44 @@
 	return i.offer(ctx, table.Version, source)
 }
 
+// OvertakenError says that other orders of the zone were acknowledged while each decision about
+// this one was on its way. The order was not carried out.
+type OvertakenError struct{ Zone string }
+
+// Error returns the zone of the order.
+func (e *OvertakenError) Error() string {
+	return fmt.Sprintf("other orders of zone %q were acknowledged meanwhile", e.Zone)
+}
+
+// errSenderLeft refuses an order whose sender has left: it may have asked another core instance
+// since, and for the opposite.
+var errSenderLeft = errors.New("the sender of the order has left")
+
+// maxNewDecisions is how often an order that the group refused is decided again.
+const maxNewDecisions = 3
+
 // Evacuate orders that the targets of a zone get no further work, or withdraws that order. nil
-// acknowledges it.
+// acknowledges it. The order is decided on what this instance knows when it is called: if another
+// order of the zone is acknowledged afterwards, this one is decided again, but only while its
+// sender waits. Otherwise a process that was paused would undo a newer order of the same sender.
 func (i *Instance) Evacuate(ctx context.Context, zone string, on bool) error {
-	_, err := i.propose(ctx, newest.Command{Evacuation: &newest.Evacuation{Zone: zone, Evacuate: on}})
-	return err
+	decided := max(i.machine.OrderIndex(), i.accepted().Index)
+	for range 1 + maxNewDecisions {
+		// Checked after the decision: what the sender orders elsewhere from now on has a
+		// higher index.
+		if exchange.CallerLeft(ctx) {
+			return errSenderLeft
+		}
+		order := newest.Evacuation{Zone: zone, Evacuate: on, Decided: &decided}
+		result, err := i.propose(ctx, newest.Command{Evacuation: &order})
+		if err != nil || result.RefusedAt == 0 {
+			return err
+		}
+		i.log.Info("an order was overtaken by another one", zap.String("zone", zone), zap.Bool("evacuate", on),
+			zap.Uint64("decided", decided), zap.Uint64("refused_at", result.RefusedAt))
+		decided = result.RefusedAt
+	}
+	return &OvertakenError{zone}
 }
 
 // Current returns the newest accepted configuration. An error says that this instance cannot be
