control: a former leader's change of limit holders is not forwarded

Cause: a leader that was paused after it had found an instance silent proposed its removal from the holders of shares when it continued. As it led no more, the change was forwarded to the next leader, which may have granted shares to that instance since.

Change: such changes are proposed only at the instance that decided them, as changes of the group are, so the leader's term fences them.

--- a/node/control/limits.go
+++ b/node/control/limits.go
@@ -129,7 +129,7 @@
 		if len(change.Add) == 0 {
 			return
 		}
-		if _, err := i.propose(context.Background(), newest.Command{Holders: change}); err != nil {
+		if err := i.proposeHolders(change); err != nil {
 			i.log.Info("adding holders of limits failed", zap.Int("holders", len(change.Add)), zap.Error(err))
 			d.mu.Lock()
 			d.proposing = false
@@ -138,3 +138,16 @@
 		}
 	}
 }
+
+// proposeHolders proposes a change as the leader. It is not forwarded to another leader: that
+// one may have granted shares to an instance that this one, after a pause, takes for silent.
+func (i *Instance) proposeHolders(change *newest.Holders) error {
+	data, err := newest.Encode(newest.Command{Holders: change})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err = i.node.Propose(ctx, data)
+	return err
+}
--- a/node/control/operators_test.go
+++ b/node/control/operators_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 
 	"github.com/gullhaven/gullhaven/coord/replog"
 	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/node/quota"
 )
 
 // pausedSender is the context of an order whose process is paused at each proposal: meanwhile is
@@ -36,37 +40,52 @@
 	return nil
 }
 
-// newLoneMember starts a core instance that is the only member of its group, and waits until it
-// leads.
-func newLoneMember(t *testing.T) *Instance {
-	const id = "lone"
-	i, err := New(Options{
-		Self: feed.Core{ID: id, Region: "r", Zone: "z"}, Regions: []string{"r"}, Seeds: []string{id}, FirstStart: true, Dir: t.TempDir(), Log: zap.NewNop(),
-		ReadList: func(context.Context, Throttle) ([]feed.Target, int, error) { return nil, 1, nil },
-	})
-	if err != nil {
-		t.Fatal(err)
+// newMembers starts core instances that form a group, and waits until one of them leads.
+func newMembers(t *testing.T, n int) []*Instance {
+	var listeners []net.Listener
+	var ids []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners, ids = append(listeners, l), append(ids, l.Addr().String())
 	}
-	i.Start()
-	t.Cleanup(func() {
-		if err := i.Stop(); err != nil {
-			t.Error(err)
+	var members []*Instance
+	for k, id := range ids {
+		i, err := New(Options{
+			Self: feed.Core{ID: id, Region: "r", Zone: "z"}, Regions: []string{"r"}, Seeds: ids, FirstStart: true, Dir: t.TempDir(), Log: zap.NewNop(),
+			ReadList: func(context.Context, Throttle) ([]feed.Target, int, error) { return nil, 1, nil },
+		})
+		if err != nil {
+			t.Fatal(err)
 		}
-	})
-	for changed := i.store.Changed(); i.node.Status().Core.Role != replog.Leader; changed = i.store.Changed() {
+		server := &http.Server{Handler: i.PeerHandler(), ReadHeaderTimeout: callTimeout}
+		go func() { _ = server.Serve(listeners[k]) }()
+		i.Start()
+		t.Cleanup(func() {
+			_ = server.Close()
+			if err := i.Stop(); err != nil {
+				t.Error(err)
+			}
+		})
+		members = append(members, i)
+	}
+	first := members[0]
+	for changed := first.store.Changed(); first.node.Status().Core.Leader.ID == ""; changed = first.store.Changed() {
 		select {
 		case <-changed:
-		case <-i.Done():
+		case <-first.Done():
 			t.Fatal("the log has ended")
 		}
 	}
-	return i
+	return members
 }
 
 // Guards against a withdrawal that a process carries out when it continues after a pause,
 // although its sender has meanwhile left and had a newer evacuation acknowledged.
 func TestOrdersOfAPausedProcessAreFenced(t *testing.T) {
-	i := newLoneMember(t)
+	i := newMembers(t, 1)[0]
 	order := func(on bool) {
 		if err := i.Evacuate(context.Background(), "a", on); err != nil {
 			t.Fatal(err)
@@ -118,3 +137,33 @@
 		})
 	})
 }
+
+// Guards against a former leader that, after a pause, has the next leader forget an instance to
+// which that one has granted shares of limits.
+func TestHoldersOfAFormerLeaderAreNotForwarded(t *testing.T) {
+	members := newMembers(t, 3)
+	holder := ""
+	for {
+		k := slices.IndexFunc(members, func(i *Instance) bool {
+			s := i.node.Status().Core
+			return s.Role != replog.Leader && s.Leader.ID != ""
+		})
+		if k < 0 {
+			continue
+		}
+		former, term := members[k], members[k].node.Status().Core.Term
+		holder = fmt.Sprint("holder of term ", term)
+		former.division.pending = map[string]bool{holder: true}
+		former.division.divider = quota.NewDivider(former.clock(), term, []string{"r"}, nil)
+		former.addHolders()
+		if s := former.node.Status().Core; s.Term == term && s.Role != replog.Leader {
+			break
+		}
+		// It has been elected meanwhile.
+	}
+	for _, i := range members {
+		if i.machine.IsHolder(holder) {
+			t.Errorf("%s knows the %s", i.o.Self.ID, holder)
+		}
+	}
+}
