--- /dev/null
+++ b/node/control/operators_test.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/node/quota"
+)
+
+// pausedSender is the context of an order whose process is paused at each proposal: meanwhile is
+// called after the order was received and before it is proposed. Its sender leaves once left is
+// set.
+type pausedSender struct {
+	context.Context
+	meanwhile func()
+	left      bool
+}
+
+// Deadline is the first thing that a proposal reads of its context.
+func (s *pausedSender) Deadline() (time.Time, bool) {
+	s.meanwhile()
+	return time.Time{}, false
+}
+
+func (s *pausedSender) Err() error {
+	if s.left {
+		return context.Canceled
+	}
+	return nil
+}
+
+// newMembers starts core instances that form a group, and waits until one of them leads.
+func newMembers(t *testing.T, n int) []*Instance {
+	var listeners []net.Listener
+	var ids []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners, ids = append(listeners, l), append(ids, l.Addr().String())
+	}
+	var members []*Instance
+	for k, id := range ids {
+		i, err := New(Options{
+			Self: feed.Core{ID: id, Region: "r", Zone: "z"}, Regions: []string{"r"}, Seeds: ids, FirstStart: true, Dir: t.TempDir(), Log: zap.NewNop(),
+			ReadList: func(context.Context, Throttle) ([]feed.Target, int, error) { return nil, 1, nil },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: i.PeerHandler(), ReadHeaderTimeout: callTimeout}
+		go func() { _ = server.Serve(listeners[k]) }()
+		i.Start()
+		t.Cleanup(func() {
+			_ = server.Close()
+			if err := i.Stop(); err != nil {
+				t.Error(err)
+			}
+		})
+		members = append(members, i)
+	}
+	first := members[0]
+	for changed := first.store.Changed(); first.node.Status().Core.Leader.ID == ""; changed = first.store.Changed() {
+		select {
+		case <-changed:
+		case <-first.Done():
+			t.Fatal("the log has ended")
+		}
+	}
+	return members
+}
+
+// Guards against a withdrawal that a process carries out when it continues after a pause,
+// although its sender has meanwhile left and had a newer evacuation acknowledged.
+func TestOrdersOfAPausedProcessAreFenced(t *testing.T) {
+	i := newMembers(t, 1)[0]
+	order := func(on bool) {
+		if err := i.Evacuate(context.Background(), "a", on); err != nil {
+			t.Fatal(err)
+		}
+	}
+	evacuated := func() bool { return slices.Contains(i.machine.State().Zones(), "a") }
+	Convey("a withdrawal that is being proposed while the zone is withdrawn and evacuated again", t, func() {
+		order(true)
+		pauses := 0
+		sender := &pausedSender{Context: context.Background()}
+		Convey("is not carried out once its sender has left", func() {
+			sender.meanwhile = func() {
+				pauses++
+				order(false)
+				order(true)
+				sender.left = true
+			}
+			So(errors.Is(i.Evacuate(sender, "a", false), errSenderLeft), ShouldBeTrue)
+			So(evacuated(), ShouldBeTrue)
+		})
+		Convey("is decided again for a sender that waits", func() {
+			sender.meanwhile = func() {
+				if pauses++; pauses == 1 {
+					order(false)
+					order(true)
+				}
+			}
+			So(i.Evacuate(sender, "a", false), ShouldBeNil)
+			So(pauses, ShouldEqual, 2)
+			So(evacuated(), ShouldBeFalse)
+		})
+		Convey("ends without success if it is overtaken again and again", func() {
+			sender.meanwhile = func() {
+				pauses++
+				order(true)
+			}
+			var overtaken *OvertakenError
+			So(errors.As(i.Evacuate(sender, "a", false), &overtaken), ShouldBeTrue)
+			So(pauses, ShouldEqual, 1+maxNewDecisions)
+			So(evacuated(), ShouldBeTrue)
+		})
+		Convey("is acknowledged if the zone is withdrawn by then", func() {
+			sender.meanwhile = func() {
+				pauses++
+				order(false)
+			}
+			So(i.Evacuate(sender, "a", false), ShouldBeNil)
+			So(pauses, ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against a former leader that, after a pause, has the next leader forget an instance to
+// which that one has granted shares of limits.
+func TestHoldersOfAFormerLeaderAreNotForwarded(t *testing.T) {
+	members := newMembers(t, 3)
+	holder := ""
+	for {
+		k := slices.IndexFunc(members, func(i *Instance) bool {
+			s := i.node.Status().Core
+			return s.Role != replog.Leader && s.Leader.ID != ""
+		})
+		if k < 0 {
+			continue
+		}
+		former, term := members[k], members[k].node.Status().Core.Term
+		holder = fmt.Sprint("holder of term ", term)
+		former.division.pending = map[string]bool{holder: true}
+		former.division.divider = quota.NewDivider(former.clock(), term, []string{"r"}, nil)
+		former.addHolders()
+		if s := former.node.Status().Core; s.Term == term && s.Role != replog.Leader {
+			break
+		}
+		// It has been elected meanwhile.
+	}
+	for _, i := range members {
+		if i.machine.IsHolder(holder) {
+			t.Errorf("%s knows the %s", i.o.Self.ID, holder)
+		}
+	}
+}
