--- /dev/null
+++ b/route/promise/fixedseed_test.go
@@ -0,0 +1,3 @@
+package promise_test
+
+import _ "github.com/gullhaven/gullhaven/coord/fixedseed" // Draws the same cases in every run.
