promise: the decider of a group promises places to refused callers

Cause: the instance that refuses a request because of the queue tells its caller a fixed time, knows nothing of those whom it told before, and does not recognize them when they return.

Change: deciding.PromisedReturns holds a book per group, behind hard_load.promised_returns. A refusal carries the retry time and whether a place is promised; a caller with a promise is admitted, also when another target or region has rejected it in between; a request that goes to another region withdraws its promise (update, key 6). Metrics, the fields retry_after and promised of the line refused, and pages for operators. fair_admission may be off: the length of the queue alone decides then, as before. The book counts the longest aim of those only that may have a place, and a promise that cannot be kept is counted when the request is refused.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -152,8 +152,8 @@
 		Tolerance: quota.Tolerance{
 			Window: s.LimitTolerance.Window(), Share: s.LimitTolerance.Share, Units: s.LimitTolerance.Units,
 		},
-		FairAdmission: s.HardLoad.FairAdmission,
-		Log:           r.log, AccessLog: r.accessLog, Lines: r,
+		FairAdmission: s.HardLoad.FairAdmission, PromisedReturns: s.HardLoad.PromisedReturns,
+		Log: r.log, AccessLog: r.accessLog, Lines: r,
 	})
 	if err != nil {
 		return err
--- a/metrics/site.go
+++ b/metrics/site.go
@@ -20,6 +20,13 @@
 	SiteOverloaded        = Metric{"gullhaven_site_refused_overloaded_total", Counter, "requests", "Requests refused as what waits in front of the best target takes longer than the route's aim."}
 	SiteOverShare         = Metric{"gullhaven_site_refused_over_share_total", Counter, "requests", "Requests refused as their workspace had had more than its share, and what waits in front of the best target takes longer than half the route's aim."}
 	SitePastDeadline      = Metric{"gullhaven_site_refused_past_deadline_total", Counter, "requests", "Requests refused as their first event was expected after their deadline."}
+	SitePromisesGiven     = Metric{"gullhaven_site_promises_given_total", Counter, "promises", "Places promised to the callers of refused requests by this instance, where it decides on admissions."}
+	SitePromisesKept      = Metric{"gullhaven_site_promises_kept_total", Counter, "promises", "Of these, how many callers returned and were admitted."}
+	SitePromisesMissed    = Metric{"gullhaven_site_promises_missed_total", Counter, "promises", "Of these, how many callers returned and were refused, as their first event was expected after their deadline."}
+	SitePromisesExpired   = Metric{"gullhaven_site_promises_expired_total", Counter, "promises", "Of these, how many callers did not return in time."}
+	SitePromisesWithdrawn = Metric{"gullhaven_site_promises_withdrawn_total", Counter, "promises", "Of these, how many were withdrawn as the request went to another region."}
+	SitePromisesDropped   = Metric{"gullhaven_site_promises_dropped_total", Counter, "promises", "Of these, how many were dropped as targets had become unusable."}
+	SitePromisedWork      = Metric{"gullhaven_site_promised_work_milliseconds", Gauge, "milliseconds", "Work promised now, summed over all targets."}
 	SiteUnknownKeys       = Metric{"gullhaven_site_refused_key_total", Counter, "requests", "Requests refused as they carried no key that a workspace holds."}
 	SiteNoHomeRegion      = Metric{"gullhaven_site_refused_no_home_total", Counter, "requests", "Requests refused as the homes of their route and workspace have no region in common."}
 	SiteOverLimit         = Metric{"gullhaven_site_refused_over_limit_total", Counter, "requests", "Requests refused as their workspace was over its limit."}
@@ -66,7 +73,9 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SitePastDeadline, SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SitePastDeadline,
+	SitePromisesGiven, SitePromisesKept, SitePromisesMissed, SitePromisesExpired, SitePromisesWithdrawn, SitePromisesDropped, SitePromisedWork,
+	SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
 	SiteTargetsLeaving, SiteVersion, SiteReceivedVersion, SiteReportsFailed, SitePiecesLeft, SitePieceBytes, SitePiecesFailed, SiteListAge, SiteEntries, SiteEntriesBehind, SiteCores, SiteLogRole, SiteLogTerm, SiteLogApplied,
 	SiteLogBehind, SiteLogVoters, SiteLinesDropped, SiteLinesSkipped,
@@ -89,6 +98,7 @@
 	InFlight, Dials, Targets, BackingOff, Cold, Limited, Resting, Draining, Version, ReceivedVersion, ListAge, Entries, Cores int64
 	LinesDropped, LinesSkipped, PiecesLeft, PieceBytes, PiecesFailed                                                          int64
 	Suspects, SuspectsEvicted                                                                                                 int64
+	PromisesGiven, PromisesKept, PromisesMissed, PromisesExpired, PromisesWithdrawn, PromisesDropped, PromisedWork            int64
 	Links                                                                                                                     Links
 }
 
@@ -111,6 +121,13 @@
 	page.gauge(SitePiecesFailed, func(e *EntryState) int64 { return e.PiecesFailed })
 	page.gauge(SiteSuspects, func(e *EntryState) int64 { return e.Suspects })
 	page.gauge(SiteSuspectsEvicted, func(e *EntryState) int64 { return e.SuspectsEvicted })
+	page.gauge(SitePromisesGiven, func(e *EntryState) int64 { return e.PromisesGiven })
+	page.gauge(SitePromisesKept, func(e *EntryState) int64 { return e.PromisesKept })
+	page.gauge(SitePromisesMissed, func(e *EntryState) int64 { return e.PromisesMissed })
+	page.gauge(SitePromisesExpired, func(e *EntryState) int64 { return e.PromisesExpired })
+	page.gauge(SitePromisesWithdrawn, func(e *EntryState) int64 { return e.PromisesWithdrawn })
+	page.gauge(SitePromisesDropped, func(e *EntryState) int64 { return e.PromisesDropped })
+	page.gauge(SitePromisedWork, func(e *EntryState) int64 { return e.PromisedWork })
 	page.gauge(SiteListAge, func(e *EntryState) int64 { return e.ListAge })
 	page.gauge(SiteEntries, func(e *EntryState) int64 { return e.Entries })
 	page.gauge(SiteCores, func(e *EntryState) int64 { return e.Cores })
--- a/node/deciding/admission.go
+++ b/node/deciding/admission.go
@@ -8,6 +8,7 @@
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/admit"
 	"github.com/gullhaven/gullhaven/route/pick"
+	"github.com/gullhaven/gullhaven/route/place"
 )
 
 // Arrival is a request that the admission is to decide on.
@@ -16,6 +17,7 @@
 	Group pick.Group
 	// ContentKey is as in exchange.AdmissionRequest.
 	ContentKey uint64
+	// Request has the queue at the target, without work that is promised to others.
 	admit.Request
 }
 
@@ -26,9 +28,11 @@
 	// to others, in milliseconds, that counts as queued ahead of the request, and whether the request
 	// takes a place that it was promised: then it is not refused for the length of the queue.
 	Arrived(now time.Time, a Arrival) (aheadMillis float64, promised bool)
+	// Admitted is called for an admitted request that has not taken a promised place.
+	Admitted(now time.Time, a Arrival)
 	// Refused is called for a refused request and returns when its caller is to return and whether it
 	// then has a place. A time of 0 leaves it to the caller's instance.
-	Refused(now time.Time, a Arrival, why admit.Reason) (after time.Duration, promised bool)
+	Refused(now time.Time, a Arrival, d admit.Decision) (after time.Duration, promised bool)
 	// Withdrawn is called for a refused request that has gone to another region instead.
 	Withdrawn(now time.Time, g pick.Group, contentKey uint64)
 	// Sweep is called once a sweepInterval to drop what has expired.
@@ -39,6 +43,8 @@
 type AdmissionOptions struct {
 	// Returns, if set, says when refused callers are to return.
 	Returns Returns
+	// QueueOnly refuses requests by the length of the queue alone, without shares of workspaces.
+	QueueOnly bool
 }
 
 // Admission decides whether requests are admitted, by the shares of their workspaces in the work of a
@@ -78,23 +84,49 @@
 		t.grant = shares.Count(now, arrival.Request)
 		return exchange.AdmissionDecision{QueueMillis: c.QueueWait}, t
 	}
+	request := arrival.Request
 	if a.o.Returns != nil {
 		ahead, promised := a.o.Returns.Arrived(now, arrival)
-		arrival.QueueMillis += ahead
-		arrival.Promised = promised
+		request.QueueMillis += ahead
+		request.Promised = promised
 	}
-	d, grant := shares.Decide(now, arrival.Request)
+	d, grant := a.judge(now, shares, request)
 	t.grant, t.refused = grant, d.Refused()
 	out := exchange.AdmissionDecision{
-		Refused: d.Refused(), Reason: verdict.Code(d.Reason), QueueMillis: arrival.QueueMillis, ShareMillis: d.ShareMillis, UsedMillis: d.UsedMillis,
+		Refused: d.Refused(), Reason: verdict.Code(d.Reason), QueueMillis: request.QueueMillis, ShareMillis: d.ShareMillis, UsedMillis: d.UsedMillis,
+		Promised: request.Promised,
 	}
-	if d.Refused() && a.o.Returns != nil {
-		after, promised := a.o.Returns.Refused(now, arrival, d.Reason)
+	switch {
+	case a.o.Returns == nil:
+	case d.Refused():
+		after, promised := a.o.Returns.Refused(now, arrival, d)
 		out.RetryMillis, out.Promised = after.Milliseconds(), promised
+	case !request.Promised:
+		a.o.Returns.Admitted(now, arrival)
 	}
 	return out, t
 }
 
+// judge decides on a request, by its workspace's share unless the queue alone decides.
+func (a *Admission) judge(now time.Time, s *admit.Shares, r admit.Request) (admit.Decision, *admit.Grant) {
+	switch {
+	case !a.o.QueueOnly:
+		return s.Decide(now, r)
+	case !r.Promised && place.Overloaded(r.QueueMillis, r.Aim):
+		return admit.Decision{Reason: admit.Overloaded}, nil
+	}
+	return admit.Decision{}, nil
+}
+
+// withdraw gives up the promise to a refused request that has gone to another region instead.
+func (a *Admission) withdraw(now time.Time, g pick.Group, contentKey uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.o.Returns != nil {
+		a.o.Returns.Withdrawn(now, g, contentKey)
+	}
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // sweep drops the shares of groups that this instance has long decided nothing for.
@@ -116,9 +148,10 @@
 	a          *Admission
 	group      pick.Group
 	contentKey uint64
-	refused    bool
-	// a.mu guards the fields below. grant is nil once the request has begun or ended.
-	grant *admit.Grant
+	// a.mu guards the fields below. grant is nil once the request has begun or ended. refused says that
+	// the request was refused and is not known to have gone elsewhere.
+	grant   *admit.Grant
+	refused bool
 }
 
 // FirstEvent implements exchange.AdmissionTicket.
@@ -132,15 +165,15 @@
 func (t *ticket) End(now time.Time, r pick.Result) {
 	t.a.mu.Lock()
 	defer t.a.mu.Unlock()
-	grant := t.grant
-	t.grant = nil
-	if grant == nil || !notRun(r) {
+	grant, refused := t.grant, t.refused
+	t.grant, t.refused = nil, false
+	if !notRun(r) {
 		return
 	}
-	if shares := t.a.groups[t.group]; shares != nil {
+	if shares := t.a.groups[t.group]; shares != nil && grant != nil {
 		shares.Return(grant)
 	}
-	if t.refused && t.a.o.Returns != nil {
+	if refused && t.a.o.Returns != nil {
 		t.a.o.Returns.Withdrawn(now, t.group, t.contentKey)
 	}
 }
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -84,6 +84,9 @@
 	Result  pick.Result       `cbor:"3,keyasint,omitempty"`
 	Limit   *pick.TargetLimit `cbor:"4,keyasint,omitempty"`
 	Leaving bool              `cbor:"5,keyasint,omitempty"`
+	// Withdrawn is the content key of a request that was refused with a promise and has ended here, as it
+	// was forwarded to another region; 0 for none.
+	Withdrawn uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Service calls group owners, and serves the calls of other instances as an owner.
@@ -198,6 +201,9 @@
 		Target: d.Target, Source: d.Source, Cost: d.Cost, Wait: d.Wait, QueueWait: d.QueueWait, Tokens: d.Tokens, Ticket: ticket, Owner: owner,
 		Admission: d.Admission,
 	}
+	if a != nil {
+		out.ContentKey = a.ContentKey
+	}
 	if d.Limit != nil {
 		out.Limit = *d.Limit
 	}
@@ -221,7 +227,11 @@
 
 // ReportEnd implements exchange.GroupOwner.
 func (s *Service) ReportEnd(d exchange.Decision, r pick.Result) {
-	s.sendUpdate(d.Owner, update{Ticket: d.Ticket, Ended: true, Result: r})
+	u := update{Ticket: d.Ticket, Ended: true, Result: r}
+	if d.Admission != nil && d.Admission.Refused && d.Admission.Promised {
+		u.Withdrawn = d.ContentKey
+	}
+	s.sendUpdate(d.Owner, u)
 }
 
 func (s *Service) sendUpdate(owner string, u update) {
@@ -295,6 +305,9 @@
 	switch {
 	case !ok:
 	case u.Ended:
+		if u.Withdrawn != 0 && a.admission != nil {
+			s.admission.withdraw(time.Now(), a.admission.group, u.Withdrawn)
+		}
 		a.done(time.Now(), u.Result)
 	case a.choice == nil:
 		// A refused request has no target to report on.
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -48,6 +48,8 @@
 	// FairAdmission has requests refused by the shares of their workspaces in the work of the targets,
 	// instead of by the length of the queue alone.
 	FairAdmission bool
+	// PromisedReturns reserves places for the callers of refused requests.
+	PromisedReturns bool
 	// Log is for failures and changes, AccessLog for each answered request.
 	Log, AccessLog *zap.Logger
 	// Lines counts missing log lines; nil if they are not counted.
@@ -66,9 +68,11 @@
 	// deciding has targets chosen by group owners, and chooses those of the groups that it owns.
 	deciding       *deciding.Service
 	poisonRequests *poisonRequests
-	limits         *quota.Service
-	fetcher        *fetcher
-	metrics        *metrics.SiteEntry
+	// returns holds the promises to refused callers; nil if none are made.
+	returns *deciding.PromisedReturns
+	limits  *quota.Service
+	fetcher *fetcher
+	metrics *metrics.SiteEntry
 
 	// startupProbeTime is the constant except in tests.
 	startupProbeTime time.Duration
@@ -122,10 +126,7 @@
 	i.poisonRequests.probe = i.probeTarget
 	newTrials(o.Self.ID, hub, o.Log, i.acceptingInstances, i.poisonRequests)
 	i.fetcher = newFetcher()
-	var admission *deciding.Admission
-	if o.FairAdmission {
-		admission = deciding.NewAdmission(deciding.AdmissionOptions{})
-	}
+	admission := i.newAdmission()
 	i.deciding = deciding.NewWithAdmission(o.Self.ID, hub, i.pool, o.Log, admission)
 	i.limits = quota.New(quota.Options{
 		Self: o.Self.ID, Region: o.Self.Region, Regions: len(o.Regions), Tolerance: o.Tolerance, Hub: hub, Core: i.followed, Log: o.Log,
@@ -137,12 +138,25 @@
 		AccessLog: o.AccessLog, Metrics: i.metrics,
 	}
 	if admission != nil {
-		options.Admission = admission
+		options.Admission, options.PromisedReturns = admission, o.PromisedReturns
 	}
 	i.gateway = exchange.New(options)
 	return i, nil
 }
 
+// newAdmission returns what decides on admissions; nil if the length of the queue alone decides.
+func (i *Instance) newAdmission() *deciding.Admission {
+	if !i.o.FairAdmission && !i.o.PromisedReturns {
+		return nil
+	}
+	o := deciding.AdmissionOptions{QueueOnly: !i.o.FairAdmission}
+	if i.o.PromisedReturns {
+		i.returns = deciding.NewPromisedReturns(i.pool)
+		o.Returns = i.returns
+	}
+	return deciding.NewAdmission(o)
+}
+
 // CallerHandler serves callers.
 func (i *Instance) CallerHandler() http.Handler { return i.gateway }
 
@@ -192,6 +206,11 @@
 	s.Targets, s.BackingOff, s.Cold, s.Limited = int64(c.Targets), int64(c.BackingOff), int64(c.Cold), int64(c.Limited)
 	s.Resting, s.Draining = int64(c.Resting), int64(c.Draining)
 	s.Suspects, s.SuspectsEvicted = i.poisonRequests.count()
+	if i.returns != nil {
+		promises, work := i.returns.Stats()
+		s.PromisesGiven, s.PromisesKept, s.PromisesMissed, s.PromisesExpired = promises.Given, promises.Kept, promises.Missed, promises.Expired
+		s.PromisesWithdrawn, s.PromisesDropped, s.PromisedWork = promises.Withdrawn, promises.Dropped, work
+	}
 	if i.o.Lines != nil {
 		dropped, leftOut := i.o.Lines.Missing()
 		s.LinesDropped, s.LinesSkipped = int64(dropped), int64(leftOut)
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -81,6 +81,8 @@
 	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
 	finalRefusal *refusal
+	// hadPlace says that an attempt has taken a promised place.
+	hadPlace bool
 	// refusedAdmission is the decision that refused the last attempt before it was sent; nil for none.
 	refusedAdmission *refusedAdmission
 	// failedAnswer is a target's failure, kept while other targets are tried.
--- a/pipeline/exchange/admission.go
+++ b/pipeline/exchange/admission.go
@@ -65,6 +65,10 @@
 	e.AddDuration("share", durationOf(a.ShareMillis))
 	e.AddDuration("used", durationOf(a.UsedMillis))
 	e.AddString("by", a.by)
+	if a.RetryMillis > 0 {
+		e.AddDuration("retry_after", a.retryAfter())
+		e.AddBool("promised", a.Promised)
+	}
 	return nil
 }
 
@@ -78,8 +82,13 @@
 	return time.Duration(a.RetryMillis) * time.Millisecond
 }
 
-// contentKey returns a hash of what stays the same when the caller sends the request again.
+// contentKey returns a hash of what stays the same when the caller sends the request again; 0 if no place
+// can be promised to it. A forwarded request does not return to this region by itself, and one of a route
+// without an aim is not refused.
 func (q *request) contentKey() uint64 {
+	if !q.g.o.PromisedReturns || q.forwarded != nil || q.route.Aim == 0 {
+		return 0
+	}
 	if q.hasContentKey {
 		return q.contentHash
 	}
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -55,12 +55,27 @@
 	}
 }
 
+// hasPlace reports whether the request has taken a promised place.
+func (p *destination) hasPlace() bool {
+	return p.admission != nil && !p.admission.Refused && p.admission.Promised
+}
+
 // pickCall returns the request as the pool needs it.
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
 		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.triedTargets, Software: q.origin.Software, SpreadKey: xxhash.Sum64String(q.call.ID),
+		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.triedTargets, Software: q.origin.Software, SpreadKey: q.spreadKey(),
+	}
+}
+
+// spreadKey returns the key by which a request without shared prompt parts is assigned to a group of
+// targets. If its caller may be promised a place there, the key is the same when it returns under another
+// ID.
+func (q *request) spreadKey() uint64 {
+	if key := q.contentKey(); key != 0 && q.call.PromptTokens > 0 {
+		return key
 	}
+	return xxhash.Sum64String(q.call.ID)
 }
 
 // choose returns the next destination, or a refusal code if there is none.
@@ -76,6 +91,7 @@
 	local := place.NoTargetCost
 	if p != nil {
 		local = p.choice.Wait
+		q.hadPlace = q.hadPlace || p.hasPlace()
 	}
 	if remote := q.choosePeer(now, c, local); remote != nil {
 		if p != nil {
@@ -101,8 +117,11 @@
 	return q.route.Aim
 }
 
-// mayRefuse reports whether the request may still be refused: not after an attempt that may have run it.
-func (q *request) mayRefuse() bool { return q.verdict == verdict.NotRun && !q.headWritten }
+// mayRefuse reports whether the request may still be refused because of the load: not after an attempt
+// that may have run it, nor if it had a promised place that came to nothing here or in another region.
+func (q *request) mayRefuse() bool {
+	return q.verdict == verdict.NotRun && !q.headWritten && !q.hadPlace
+}
 
 // chooseTarget chooses among the targets of this region, or has their group owner choose. It
 // returns nil if there is none.
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -31,6 +31,9 @@
 	// target, and GroupOwner is asked to decide for the others. Without it, a request is refused if the
 	// work queued ahead takes longer than the route's Aim.
 	Admission AdmissionControl
+	// PromisedReturns asks the instances that decide on admissions for places to which the callers of
+	// refused requests may return.
+	PromisedReturns bool
 	// PoisonRequests, if set, refuses requests that crash their targets.
 	PoisonRequests PoisonRequests
 	// Streams, if set, knows what began the streams that callers take up. Without it, those that a
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -148,9 +148,11 @@
 	// the deadline, both in milliseconds.
 	AimMillis  int64 `cbor:"2,keyasint,omitempty"`
 	LeftMillis int64 `cbor:"3,keyasint,omitempty"`
-	// ContentKey is a hash of what stays the same when the caller sends the request again.
+	// ContentKey is a hash of what stays the same when the caller sends the request again; 0 if no
+	// place is to be promised to it.
 	ContentKey uint64 `cbor:"4,keyasint,omitempty"`
-	// NotRun says that no earlier attempt may have run the request: only then may it be refused.
+	// NotRun says that no earlier attempt may have run the request or had a promised place: only then may
+	// it be refused.
 	NotRun bool `cbor:"5,keyasint,omitempty"`
 }
 
@@ -160,7 +162,8 @@
 	Refused bool         `cbor:"1,keyasint,omitempty"`
 	Reason  verdict.Code `cbor:"2,keyasint,omitempty"`
 	// RetryMillis is the time in milliseconds after which the caller of a refused request is to return;
-	// 0 leaves it to the instance of the caller. Promised says that it then has a place.
+	// 0 leaves it to the instance of the caller. Promised says that it then has a place, or that an
+	// admitted request has taken a place that it was promised.
 	RetryMillis int64 `cbor:"3,keyasint,omitempty"`
 	Promised    bool  `cbor:"4,keyasint,omitempty"`
 	// QueueMillis is the work queued ahead that the decision is based on, ShareMillis the fair level of
@@ -281,8 +284,9 @@
 	Limit pick.TargetLimit
 	// Ticket identifies the request at the instance Owner.
 	Ticket, Owner string
-	// Admission is nil if the owner decides on none.
-	Admission *AdmissionDecision
+	// Admission is nil if the owner decides on none. ContentKey is that of the admission request.
+	Admission  *AdmissionDecision
+	ContentKey uint64
 }
 
 // View is a snapshot of the configuration and of the other regions. It is replaced, and must
--- a/route/admit/admit.go
+++ b/route/admit/admit.go
@@ -71,5 +71,9 @@
 	UsedMillis, ShareMillis float64
 }
 
+// OverShare reports whether the workspace has had more than its share, whatever the request was refused
+// for.
+func (d Decision) OverShare() bool { return d.UsedMillis > d.ShareMillis*(1+tolerance) }
+
 // Refused reports whether the request is refused.
 func (d Decision) Refused() bool { return d.Reason != "" }
--- a/route/promise/book.go
+++ b/route/promise/book.go
@@ -32,9 +32,10 @@
 
 // Request is a request as the instance that decides on it knows it.
 type Request struct {
-	// Key identifies the content, the same when the caller returns. 0 stands for a request to which no
-	// place may be promised.
+	// Key identifies the content, the same when the caller returns.
 	Key uint64
+	// NoPlace says that the request gets no new promise if it is refused.
+	NoPlace bool
 	// Rank is the priority; 0 is the most urgent.
 	Rank int
 	// QueueMillis is the work queued ahead at the chosen target, WaitMillis the expected time to the
@@ -46,18 +47,6 @@
 	Targets int
 }
 
-// Outcome says what became of the promise of a request that arrives.
-type Outcome uint8
-
-const (
-	// None: there is no promise, or it is not due yet.
-	None Outcome = iota
-	// Kept: the promise was used, and the request must be admitted.
-	Kept
-	// Missed: the promise was used, but the first event is expected after the deadline.
-	Missed
-)
-
 // Announcement is what a refused caller is told.
 type Announcement struct {
 	RetryAfter time.Duration
@@ -75,6 +64,16 @@
 	Withdrawn, Dropped int64
 }
 
+// Add adds other counts.
+func (c *Counts) Add(more Counts) {
+	c.Given += more.Given
+	c.Kept += more.Kept
+	c.Missed += more.Missed
+	c.Expired += more.Expired
+	c.Withdrawn += more.Withdrawn
+	c.Dropped += more.Dropped
+}
+
 // promise is capacity reserved for a key.
 type promise struct {
 	key  uint64
@@ -96,8 +95,8 @@
 	// announced is, by rank, until when the targets are taken by returns that were announced without
 	// a promise. Without it, all callers beyond the bound return at the same time.
 	announced [pick.Ranks]time.Time
-	// longestAim is the longest aim of requests that asked for a place, and targets the last number of
-	// usable targets.
+	// longestAim is the longest aim of refused requests that may have a place in time, and targets the
+	// last number of usable targets.
 	longestAim time.Duration
 	targets    int
 	counts     Counts
@@ -106,20 +105,21 @@
 // New returns an empty book.
 func New() *Book { return &Book{byKey: map[uint64]time.Time{}} }
 
-// Redeem uses the promise of a request that has arrived, if it is due.
-func (b *Book) Redeem(now time.Time, r Request) Outcome {
+// Redeem uses the promise of a request that has arrived, and reports whether the request must be
+// admitted: it is not if the promise is not due yet, or the first event is expected after the deadline.
+func (b *Book) Redeem(now time.Time, r Request) bool {
 	b.update(now, r)
-	at, ok := b.byKey[r.Key]
-	if !ok || now.Before(at.Add(-earlyMargin)) {
-		return None
-	}
-	b.remove(r.Key)
-	if millis(r.WaitMillis) >= r.Left {
-		b.counts.Missed++
-		return Missed
+	if !b.due(now, r.Key) || millis(r.WaitMillis) >= r.Left {
+		return false
 	}
-	b.counts.Kept++
-	return Kept
+	b.Admitted(r.Key)
+	return true
+}
+
+// due reports whether a promise of the key may be used.
+func (b *Book) due(now time.Time, key uint64) bool {
+	at, ok := b.byKey[key]
+	return ok && !now.Before(at.Add(-earlyMargin))
 }
 
 // AheadMillis returns the work per target, in milliseconds, that is promised to others within the
@@ -144,14 +144,24 @@
 	return sum.Seconds() * 1000 / float64(b.targets)
 }
 
-// Admitted drops the promise of a request that returned before its time and was admitted like any
-// other: its work is queued now, and would count twice.
+// Admitted drops the promise of a request that was admitted, also one that returned before its time:
+// its work is queued now, and would count twice.
 func (b *Book) Admitted(key uint64) {
 	if b.remove(key) {
 		b.counts.Kept++
 	}
 }
 
+// Miss drops the promise of a request that is refused although the promise is due, and reports whether
+// there was one. A request that returned before its time keeps its promise.
+func (b *Book) Miss(now time.Time, key uint64) bool {
+	if !b.due(now, key) {
+		return false
+	}
+	b.counts.Missed++
+	return b.remove(key)
+}
+
 // Withdraw drops the promise of a request that is served elsewhere.
 func (b *Book) Withdraw(key uint64) {
 	if b.remove(key) {
@@ -163,11 +173,12 @@
 // and reserves its place if there is one within a third of the time left. The caller is never told a
 // later time. A promise that is not due yet is announced again.
 func (b *Book) Refuse(now time.Time, r Request) Announcement {
-	if r.Key != 0 {
-		b.longestAim = max(b.longestAim, r.Aim)
-	}
 	b.update(now, r)
 	latest := max(0, r.Left/patience)
+	if b.Miss(now, r.Key) {
+		// It is late in any case.
+		r.NoPlace = true
+	}
 	if at, ok := b.byKey[r.Key]; ok {
 		if after := max(at.Sub(now), MinRetryAfter); after <= latest {
 			return Announcement{RetryAfter: after, Promised: true}
@@ -179,8 +190,9 @@
 	if after > latest {
 		return Announcement{RetryAfter: latest}
 	}
+	b.longestAim = max(b.longestAim, r.Aim)
 	work := max(minWork, millis(r.WorkMillis))
-	if r.Key != 0 && b.total+work <= b.bound() && len(b.order) < maxPromises {
+	if !r.NoPlace && b.total+work <= b.bound() && len(b.order) < maxPromises {
 		b.insert(promise{key: r.Key, rank: rank, work: work, at: now.Add(after)})
 		b.counts.Given++
 		return Announcement{RetryAfter: after, Promised: true}
--- a/route/promise/replay_test.go
+++ b/route/promise/replay_test.go
@@ -9,109 +9,78 @@
 	"github.com/gullhaven/gullhaven/route/promise"
 )
 
-const targets = 20
-
-// kind is a kind of request: work at a target, aim and time to the deadline are in milliseconds.
-type kind struct{ rank, work, aim, deadline int }
-
-// kinds are short urgent and long less urgent requests.
-var kinds = []kind{{rank: 0, work: 25, aim: 800, deadline: 15000}, {rank: 2, work: 110, aim: 2000, deadline: 5000}}
-
-// arrival is a request at a time in milliseconds, the second time if refused before.
+// arrival is a request, the second time if again is set.
 type arrival struct {
-	kind
-	key, start int
-	again      bool
+	promise.Request
+	deadline time.Duration
+	again    bool
 }
 
-// outcome counts requests. inTime are those admitted whose first event is within their deadline.
-type outcome struct{ all, refused, refusedTwice, inTime int }
-
-// replay runs a group of targets in steps of a millisecond. Without a book refused callers return
-// after the fixed delay.
-func replay(arrivals map[int][]arrival, millis int, b *promise.Book) (out outcome) {
-	var queues [targets][3]float64
-	begin := time.Unix(0, 0)
-	for ms := range millis {
-		now := begin.Add(time.Duration(ms) * time.Millisecond)
-		for _, a := range arrivals[ms] {
-			best, queue := 0, 1e9
+// replay runs a group of targets in steps of a millisecond and returns how many requests were refused
+// twice, and how many are served in time. Without a book, refused callers return after the fixed delay.
+func replay(arrivals map[time.Duration][]arrival, b *promise.Book) (twice, inTime int) {
+	var queues [targets][2]float64
+	for at := time.Duration(0); at < 20*time.Second; at += time.Millisecond {
+		now := time.Unix(0, 0).Add(at)
+		for _, a := range arrivals[at] {
+			best := 0
+			ahead := func(t int) float64 { return queues[t][0] + float64(a.Rank)*queues[t][1] }
 			for t := range queues {
-				ahead := 0.0
-				for _, work := range queues[t][:a.rank+1] {
-					ahead += work
-				}
-				if ahead < queue {
-					best, queue = t, ahead
+				if ahead(t) < ahead(best) {
+					best = t
 				}
 			}
-			left := time.Duration(a.start+a.deadline-ms) * time.Millisecond
-			r := promise.Request{
-				Key: uint64(a.key), Rank: a.rank, QueueMillis: queue, WaitMillis: queue + float64(a.work), WorkMillis: float64(a.work),
-				Aim: time.Duration(a.aim) * time.Millisecond, Left: left, Targets: targets,
-			}
-			admitted, after := false, place.RetryAfter(place.Busy, left)
-			if b == nil {
-				admitted = !place.Overloaded(queue, r.Aim)
-			} else if b.Redeem(now, r) == promise.Kept {
-				admitted = true
-			} else if admitted = !place.Overloaded(queue+b.AheadMillis(now, r), r.Aim); admitted {
-				b.Admitted(r.Key)
-			} else {
-				after = b.Refuse(now, r).RetryAfter
+			a.QueueMillis, a.WaitMillis, a.Left = ahead(best), ahead(best)+a.WorkMillis, a.deadline-at
+			after, refused := place.RetryAfter(place.Busy, a.Left), place.Overloaded(a.QueueMillis, a.Aim)
+			if b != nil {
+				if refused = !b.Redeem(now, a.Request) && place.Overloaded(a.QueueMillis+b.AheadMillis(now, a.Request), a.Aim); refused {
+					after = b.Refuse(now, a.Request).RetryAfter
+				} else {
+					b.Admitted(a.Key)
+				}
 			}
 			switch {
-			case admitted:
-				queues[best][a.rank] += float64(a.work)
-				if r.WaitMillis < float64(left.Milliseconds()) {
-					out.inTime++
-				}
-			case a.again:
-				out.refusedTwice++
-			default:
-				out.refused++
+			case refused && a.again:
+				twice++
+			case refused:
 				a.again = true
-				at := ms + max(1, int(after.Milliseconds()))
-				arrivals[at] = append(arrivals[at], a)
-			}
-			if !a.again {
-				out.all++
+				back := (at + after).Truncate(time.Millisecond)
+				arrivals[back] = append(arrivals[back], a)
+			default:
+				queues[best][a.Rank] += a.WorkMillis
+				if a.WaitMillis < a.Left.Seconds()*1000 {
+					inTime++
+				}
 			}
 		}
 		for t := range queues {
-			for rank := range queues[t] {
-				if queues[t][rank] > 0 {
-					queues[t][rank] = max(0, queues[t][rank]-1)
-					break
-				}
+			if q := &queues[t]; q[0] > 0 {
+				q[0]--
+			} else if q[1] > 0 {
+				q[1]--
 			}
 		}
 	}
-	out.all += out.refused
-	return out
+	return twice, inTime
 }
 
+const targets = 20
+
 // powerLoss returns the requests of callers that all return within 300 ms, and of others that arrive
-// meanwhile at 70% of what the targets can do.
-func powerLoss(seed uint64, returning int) map[int][]arrival {
-	const load, arrivingMillis = 0.7, 6000
-	rng, out, key := rand.New(rand.NewPCG(seed, 1)), map[int][]arrival{}, 0
-	add := func(ms int) {
-		key++
-		k := kinds[0]
-		if rng.IntN(3) == 0 {
-			k = kinds[1]
+// meanwhile at 70% of what the targets can do: short urgent ones and half as many long ones.
+func powerLoss(seed uint64, returning int) map[time.Duration][]arrival {
+	const load, meanWork = 0.7, (2*25 + 110) / 3.0
+	rng, out := rand.New(rand.NewPCG(seed, 1)), map[time.Duration][]arrival{}
+	for key := range returning + int(6000*load*targets/meanWork) {
+		at := time.Duration(rng.IntN(6000)) * time.Millisecond
+		if key < returning {
+			at = at.Truncate(20*time.Millisecond) / 20
 		}
-		out[ms] = append(out[ms], arrival{kind: k, key: key, start: ms})
-	}
-	for range returning {
-		add(rng.IntN(300))
-	}
-	meanWork := float64(2*kinds[0].work+kinds[1].work) / 3
-	for ms := range arrivingMillis {
-		for n := load * targets / meanWork; n > rng.Float64(); n-- {
-			add(ms)
+		a := arrival{promise.Request{Key: uint64(key), WorkMillis: 25, Aim: 800 * time.Millisecond, Targets: targets}, at + 15*time.Second, false}
+		if rng.IntN(3) == 0 {
+			a.Rank, a.WorkMillis, a.Aim, a.deadline = 1, 110, 2*time.Second, at+5*time.Second
 		}
+		out[at] = append(out[at], a)
 	}
 	return out
 }
@@ -121,13 +90,11 @@
 func TestReplayOfReturnsAfterAPowerLoss(t *testing.T) {
 	for seed := range uint64(5) {
 		for _, returning := range []int{1500, 2000, 3000} {
-			const millis = 20000
-			fixed := replay(powerLoss(seed, returning), millis, nil)
-			book := promise.New()
-			promised := replay(powerLoss(seed, returning), millis, book)
-			t.Logf("%d return: fixed %+v, promised %+v, %+v", returning, fixed, promised, book.TakeCounts())
-			if promised.refusedTwice >= fixed.refusedTwice || promised.inTime < fixed.inTime {
-				t.Errorf("seed %d, %d return: %+v with a fixed delay, %+v with promises", seed, returning, fixed, promised)
+			fixedTwice, fixedInTime := replay(powerLoss(seed, returning), nil)
+			twice, inTime := replay(powerLoss(seed, returning), promise.New())
+			t.Logf("%d return: refused twice %d, %d with promises; in time %d, %d with promises", returning, fixedTwice, twice, fixedInTime, inTime)
+			if twice >= fixedTwice || inTime < fixedInTime {
+				t.Errorf("seed %d, %d return: the promises are no gain", seed, returning)
 			}
 		}
 	}
