--- a/node/deciding/admission.go
+++ b/node/deciding/admission.go
@@ -118,12 +118,15 @@
 	return admit.Decision{}, nil
 }
 
-// withdraw gives up the promise to a refused request that has gone to another region instead.
-func (a *Admission) withdraw(now time.Time, g pick.Group, contentKey uint64) {
+// withdraw gives up the promise to a refused request that is served elsewhere, in whichever group it is.
+func (a *Admission) withdraw(now time.Time, contentKey uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.o.Returns != nil {
-		a.o.Returns.Withdrawn(now, g, contentKey)
+	if a.o.Returns == nil {
+		return
+	}
+	for group := range a.groups {
+		a.o.Returns.Withdrawn(now, group, contentKey)
 	}
 }
 
--- a/node/deciding/returns_test.go
+++ b/node/deciding/returns_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/gullhaven/gullhaven/node/deciding"
@@ -86,3 +87,24 @@
 		})
 	})
 }
+
+// Guards against a place that the group owner keeps for a request which another region serves.
+func TestGroupOwnerWithdrawsAPromise(t *testing.T) {
+	Convey("the owner has refused a request of another instance, and its ticket has expired", t, func() {
+		pool := pick.New("")
+		pool.Update(time.Now(), snapshot(nil))
+		returns := deciding.NewPromisedReturns(pool)
+		owner, other := split(startWith(t, 2, func() *deciding.Admission {
+			return deciding.NewAdmission(deciding.AdmissionOptions{Returns: returns, QueueOnly: true})
+		}))
+		for range 30 {
+			other.admission(t, "", 0)
+		}
+		d := other.admission(t, "", 0.9)
+		So(d.Admission.Refused && d.Admission.Promised, ShouldBeTrue)
+		update, err := cbor.Marshal(map[int]any{1: "expired", 2: true, 6: d.ContentKey})
+		So(err, ShouldBeNil)
+		other.hub.Send(owner.id, "decided", update)
+		So(eventually(func() bool { counts, _ := returns.Stats(); return counts.Withdrawn == 1 }), ShouldBeTrue)
+	})
+}
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -84,8 +84,8 @@
 	Result  pick.Result       `cbor:"3,keyasint,omitempty"`
 	Limit   *pick.TargetLimit `cbor:"4,keyasint,omitempty"`
 	Leaving bool              `cbor:"5,keyasint,omitempty"`
-	// Withdrawn is the content key of a request that was refused with a promise and has ended here, as it
-	// was forwarded to another region; 0 for none.
+	// Withdrawn is the content key of a request that was refused with a promise and is served elsewhere,
+	// as a rule in another region; 0 for none. It holds even if the ticket is not known any more.
 	Withdrawn uint64 `cbor:"6,keyasint,omitempty"`
 }
 
@@ -143,7 +143,8 @@
 	return s
 }
 
-// Run drops idle shares, and expires tickets whose end was not reported by the request's deadline, until ctx ends.
+// Run expires tickets whose end was not reported by the request's deadline, and drops idle shares, until
+// ctx ends.
 func (s *Service) Run(ctx context.Context) { duty.Every(ctx, sweepInterval, s.sweep) }
 
 func (s *Service) sweep(now time.Time) {
@@ -296,6 +297,9 @@
 		s.log.Warn("news of a request cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
+	if u.Withdrawn != 0 && s.admission != nil {
+		s.admission.withdraw(time.Now(), u.Withdrawn)
+	}
 	s.mu.Lock()
 	a, ok := s.tickets[u.Ticket]
 	if ok && u.Ended {
@@ -305,9 +309,6 @@
 	switch {
 	case !ok:
 	case u.Ended:
-		if u.Withdrawn != 0 && a.admission != nil {
-			s.admission.withdraw(time.Now(), a.admission.group, u.Withdrawn)
-		}
 		a.done(time.Now(), u.Result)
 	case a.choice == nil:
 		// A refused request has no target to report on.
--- a/pipeline/exchange/admission.go
+++ b/pipeline/exchange/admission.go
@@ -65,10 +65,7 @@
 	e.AddDuration("share", durationOf(a.ShareMillis))
 	e.AddDuration("used", durationOf(a.UsedMillis))
 	e.AddString("by", a.by)
-	if a.RetryMillis > 0 {
-		e.AddDuration("retry_after", a.retryAfter())
-		e.AddBool("promised", a.Promised)
-	}
+	e.AddBool("promised", a.Promised)
 	return nil
 }
 
@@ -86,7 +83,7 @@
 // can be promised to it. A forwarded request does not return to this region by itself, and one of a route
 // without an aim is not refused.
 func (q *request) contentKey() uint64 {
-	if !q.g.o.PromisedReturns || q.forwarded != nil || q.route.Aim == 0 {
+	if q.forwarded != nil || q.route.Aim == 0 {
 		return 0
 	}
 	if q.hasContentKey {
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -72,8 +72,10 @@
 // targets. If its caller may be promised a place there, the key is the same when it returns under another
 // ID.
 func (q *request) spreadKey() uint64 {
-	if key := q.contentKey(); key != 0 && q.call.PromptTokens > 0 {
-		return key
+	if q.g.o.PromisedReturns && q.call.PromptTokens > 0 {
+		if key := q.contentKey(); key != 0 {
+			return key
+		}
 	}
 	return xxhash.Sum64String(q.call.ID)
 }
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -31,8 +31,8 @@
 	// target, and GroupOwner is asked to decide for the others. Without it, a request is refused if the
 	// work queued ahead takes longer than the route's Aim.
 	Admission AdmissionControl
-	// PromisedReturns asks the instances that decide on admissions for places to which the callers of
-	// refused requests may return.
+	// PromisedReturns says that callers of refused requests may be promised a place, and that they must
+	// come to the same group of targets again.
 	PromisedReturns bool
 	// PoisonRequests, if set, refuses requests that crash their targets.
 	PoisonRequests PoisonRequests
