exchange: a promised place counts where the owner's target cannot be used

Cause: an owner may admit a request by its promise and choose a target that this instance knows it must not use. The instance then decides by itself, and could refuse the request, although its promise is used.

Change: the place is recorded as soon as a decision says so, and the instance decides with that known.

Measured: the tests of pipeline/exchange and node/deciding pass.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -55,11 +55,6 @@
 	}
 }
 
-// hasPlace reports whether the request has taken a promised place.
-func (p *destination) hasPlace() bool {
-	return p.admission != nil && !p.admission.Refused && p.admission.Promised
-}
-
 // pickCall returns the request as the pool needs it.
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
@@ -93,7 +88,6 @@
 	local := place.NoTargetCost
 	if p != nil {
 		local = p.choice.Wait
-		q.hadPlace = q.hadPlace || p.hasPlace()
 	}
 	if remote := q.choosePeer(now, c, local); remote != nil {
 		if p != nil {
@@ -131,12 +125,14 @@
 	admission := q.admissionRequest(now)
 	if q.g.o.GroupOwner != nil {
 		if d, ok := q.g.o.GroupOwner.Choose(q.ctx, c, q.call.ID, q.deadline.Sub(now), admission); ok {
+			q.recordPlace(d.Admission)
 			if choice := q.g.o.Pool.PickAt(now, c, d.Target); choice != nil {
 				q.g.o.Metrics.OwnedElsewhere.Inc(1)
 				choice.Source, choice.Cost, choice.Wait, choice.QueueWait, choice.Tokens = d.Source, d.Cost, d.Wait, d.QueueWait, d.Tokens
 				return &destination{choice: choice, decision: d, owner: q.g.o.GroupOwner, admission: d.Admission}
 			}
 			q.g.o.GroupOwner.ReportEnd(d, pick.Neutral)
+			admission = q.admissionRequest(now)
 		}
 	}
 	if choice, _ := q.g.o.Pool.Pick(now, c); choice != nil {
@@ -147,12 +143,18 @@
 		if admission != nil {
 			decision, ticket := q.g.o.Admission.Decide(now, choice, *admission)
 			p.admission, p.ticket = &decision, ticket
+			q.recordPlace(p.admission)
 		}
 		return p
 	}
 	return nil
 }
 
+// recordPlace records whether the request has taken a promised place.
+func (q *request) recordPlace(d *AdmissionDecision) {
+	q.hadPlace = q.hadPlace || d != nil && !d.Refused && d.Promised
+}
+
 // choosePeer returns an instance of another region where the request costs less than local,
 // in milliseconds; nil for none. A request is forwarded at most once. A resumable stream that has
 // begun may continue there, after the last event that the caller has and under the head of its first
