--- a/daemon/site.go
+++ b/daemon/site.go
@@ -157,7 +157,7 @@
 		Tolerance: quota.Tolerance{
 			Window: s.LimitTolerance.Window(), Share: s.LimitTolerance.Share, Units: s.LimitTolerance.Units,
 		},
-		FairAdmission: hardLoad.FairAdmission, UrgentFirst: hardLoad.UrgentFirst,
+		FairAdmission: hardLoad.FairAdmission, UrgentFirst: hardLoad.UrgentFirst, PromisedReturns: hardLoad.PromisedReturns,
 		Log: r.log, AccessLog: r.accessLog, Lines: r,
 	})
 	if err != nil {
--- a/node/deciding/admission_test.go
+++ b/node/deciding/admission_test.go
@@ -16,7 +16,7 @@
 )
 
 func fair() *deciding.Admission {
-	return deciding.NewAdmission(deciding.AdmissionOptions{FairShares: true})
+	return deciding.NewAdmission(deciding.AdmissionOptions{})
 }
 
 // ownPart is the last part of the prompts so far, which no two of them share.
@@ -126,7 +126,8 @@
 func (r *returns) Arrived(time.Time, deciding.Arrival) (float64, bool) { return 5000, false }
 func (r *returns) Withdrawn(_ time.Time, _ pick.Group, key uint64)     { r.withdrawn += key }
 func (r *returns) Sweep(time.Time)                                     {}
-func (r *returns) Refused(time.Time, deciding.Arrival, admit.Reason) (time.Duration, bool) {
+func (r *returns) Admitted(time.Time, deciding.Arrival)                {}
+func (r *returns) Refused(time.Time, deciding.Arrival, admit.Decision) (time.Duration, bool) {
 	return 700 * time.Millisecond, true
 }
 
@@ -135,7 +136,7 @@
 func TestRefusedRequestsAreToldWhenToReturn(t *testing.T) {
 	Convey("a request that is refused for the work promised to others", t, func() {
 		book := &returns{}
-		a := deciding.NewAdmission(deciding.AdmissionOptions{FairShares: true, Returns: book})
+		a := deciding.NewAdmission(deciding.AdmissionOptions{Returns: book})
 		d, ticket := a.Decide(time.Now(), &pick.Choice{QueueWait: 300}, exchange.AdmissionRequest{AimMillis: 1000, LeftMillis: 5000, ContentKey: 7, NotRun: true})
 		So(d, ShouldResemble, exchange.AdmissionDecision{Refused: true, Reason: exchange.CodeOverloaded, RetryMillis: 700, Promised: true, QueueMillis: 5300})
 		ticket.End(time.Now(), pick.Neutral)
--- a/node/deciding/service.go
+++ b/node/deciding/service.go
@@ -84,6 +84,9 @@
 	Result  pick.Result       `cbor:"3,keyasint,omitempty"`
 	Limit   *pick.TargetLimit `cbor:"4,keyasint,omitempty"`
 	Leaving bool              `cbor:"5,keyasint,omitempty"`
+	// Withdrawn is the content key of a request that was refused with a promise and is served elsewhere,
+	// as a rule in another region; 0 for none. It holds even if the ticket is not known any more.
+	Withdrawn uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Service calls group owners, and serves the calls of other instances as an owner.
@@ -199,6 +202,9 @@
 		Target: d.Target, Source: d.Source, Cost: d.Cost, Wait: d.Wait, QueueWait: d.QueueWait, Tokens: d.Tokens, Ticket: ticket, Owner: owner,
 		Admission: d.Admission,
 	}
+	if a != nil {
+		out.ContentKey = a.ContentKey
+	}
 	if d.Limit != nil {
 		out.Limit = *d.Limit
 	}
@@ -222,7 +228,11 @@
 
 // ReportEnd implements exchange.GroupOwner.
 func (s *Service) ReportEnd(d exchange.Decision, r pick.Result) {
-	s.sendUpdate(d.Owner, update{Ticket: d.Ticket, Ended: true, Result: r})
+	u := update{Ticket: d.Ticket, Ended: true, Result: r}
+	if d.Admission != nil && d.Admission.Refused && d.Admission.Promised {
+		u.Withdrawn = d.ContentKey
+	}
+	s.sendUpdate(d.Owner, u)
 }
 
 func (s *Service) sendUpdate(owner string, u update) {
@@ -287,6 +297,9 @@
 		s.log.Warn("news of a request cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
+	if u.Withdrawn != 0 && s.admission != nil {
+		s.admission.withdraw(time.Now(), u.Withdrawn)
+	}
 	s.mu.Lock()
 	a, ok := s.tickets[u.Ticket]
 	if ok && u.Ended {
--- a/pipeline/exchange/admission.go
+++ b/pipeline/exchange/admission.go
@@ -80,8 +80,13 @@
 	return time.Duration(a.RetryMillis) * time.Millisecond
 }
 
-// contentKey returns a hash of what stays the same when the caller sends the request again.
+// contentKey returns a hash of what stays the same when the caller sends the request again; 0 if no place
+// can be promised to it. A forwarded request does not return to this region by itself, and one of a route
+// without an aim is not refused.
 func (q *request) contentKey() uint64 {
+	if q.forwarded != nil || q.route.Aim == 0 {
+		return 0
+	}
 	if q.hasContentKey {
 		return q.contentHash
 	}
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -83,10 +83,22 @@
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
 		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.triedTargets, Software: q.origin.Software, SpreadKey: xxhash.Sum64String(q.call.ID),
+		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.triedTargets, Software: q.origin.Software, SpreadKey: q.spreadKey(),
 	}
 }
 
+// spreadKey returns the key by which a request without shared prompt parts is assigned to a group of
+// targets. If its caller may be promised a place there, the key is the same when it returns under another
+// ID.
+func (q *request) spreadKey() uint64 {
+	if q.g.o.PromisedReturns && q.call.PromptTokens > 0 {
+		if key := q.contentKey(); key != 0 {
+			return key
+		}
+	}
+	return xxhash.Sum64String(q.call.ID)
+}
+
 // choose returns the next destination, or a refusal code if there is none.
 func (q *request) choose(now time.Time) (*destination, verdict.Code) {
 	c := q.pickCall()
@@ -164,8 +176,11 @@
 	return q.route.Aim
 }
 
-// mayRefuse reports whether the request may still be refused: not after an attempt that may have run it.
-func (q *request) mayRefuse() bool { return q.verdict == verdict.NotRun && !q.headWritten }
+// mayRefuse reports whether the request may still be refused because of the load: not after an attempt
+// that may have run it, nor if it had a promised place that came to nothing here or in another region.
+func (q *request) mayRefuse() bool {
+	return q.verdict == verdict.NotRun && !q.headWritten && !q.hadPlace
+}
 
 // chooseTarget chooses among the targets of this region, or has their group owner choose. It
 // returns nil if there is none.
@@ -173,12 +188,14 @@
 	admission := q.admissionRequest(now)
 	if q.g.o.GroupOwner != nil {
 		if d, ok := q.g.o.GroupOwner.Choose(q.ctx, c, q.call.ID, q.deadline.Sub(now), admission); ok {
+			q.recordPlace(d.Admission)
 			if choice := q.g.o.Pool.PickAt(now, c, d.Target); choice != nil {
 				q.g.o.Metrics.OwnedElsewhere.Inc(1)
 				choice.Source, choice.Cost, choice.Wait, choice.QueueWait, choice.Tokens = d.Source, d.Cost, d.Wait, d.QueueWait, d.Tokens
 				return &destination{choice: choice, decision: d, owner: q.g.o.GroupOwner, admission: d.Admission}
 			}
 			q.g.o.GroupOwner.ReportEnd(d, pick.Neutral)
+			admission = q.admissionRequest(now)
 		}
 	}
 	if choice, _ := q.g.o.Pool.Pick(now, c); choice != nil {
@@ -189,12 +206,18 @@
 		if admission != nil {
 			decision, ticket := q.g.o.Admission.Decide(now, choice, *admission)
 			p.admission, p.ticket = &decision, ticket
+			q.recordPlace(p.admission)
 		}
 		return p
 	}
 	return nil
 }
 
+// recordPlace records whether the request has taken a promised place.
+func (q *request) recordPlace(d *AdmissionDecision) {
+	q.hadPlace = q.hadPlace || d != nil && !d.Refused && d.Promised
+}
+
 // choosePeer returns an instance of another region where the request costs less than local,
 // in milliseconds; nil for none. A request is forwarded at most once. A resumable stream that has
 // begun may continue there, after the last event that the caller has and under the head of its first
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -102,10 +102,14 @@
 	if q.route != nil {
 		route, rank = q.route.Name, q.rank()
 	}
+	told := zap.Skip()
+	if f.admission != nil && f.admission.RetryMillis > 0 {
+		told = zap.Duration("retry_after", f.retryAfter)
+	}
 	q.g.o.Log.Info("refused", zap.String("id", q.call.ID), zap.Int("status", f.status), zap.String("code", string(f.code)),
 		zap.Stringer("verdict", q.verdict), zap.Int("sends", q.attemptCount), zap.Duration("after", time.Since(q.acceptedAt)),
 		zap.String("service", q.service), zap.String("workspace", q.workspaceName()),
-		zap.String("route", route), zap.Int("rank", rank), zap.Bool("passed", q.forwarded != nil), more)
+		zap.String("route", route), zap.Int("rank", rank), zap.Bool("passed", q.forwarded != nil), more, told)
 }
 
 // countRefusal counts a refusal by verdict and code.
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -33,6 +33,9 @@
 	Admission AdmissionControl
 	// UrgentFirst ranks the requests of a workspace by the priorities of their routes as well.
 	UrgentFirst bool
+	// PromisedReturns says that callers of refused requests may be promised a place, and that they must
+	// come to the same group of targets again.
+	PromisedReturns bool
 	// PoisonRequests, if set, refuses requests that crash their targets.
 	PoisonRequests PoisonRequests
 	// Streams, if set, knows what began the streams that callers take up. Without it, those that a
