entry: the refusal by processor load is taken out

Cause: it compares the processor time that the kernel reports with the share of the machine.

Change: reverts. Lists by capacity stay.

Measured: go test ./node/... ./pipeline/exchange ./route/place passes.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -13,7 +13,6 @@
 	SiteResting           = Metric{"gullhaven_site_refused_resting_total", Counter, "requests", "Requests refused as all targets had asked for rest."}
 	SiteNoConfiguration   = Metric{"gullhaven_site_refused_no_configuration_total", Counter, "requests", "Requests refused before a configuration was known."}
 	SiteLeaving           = Metric{"gullhaven_site_refused_leaving_total", Counter, "requests", "Streams refused as the instance is about to end."}
-	SiteRefusedForLoad    = Metric{"gullhaven_site_refused_instance_overloaded_total", Counter, "requests", "Requests refused as the instance had used up its share of the processor and most others of the region had not."}
 	SitePoisonRequests    = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
 	SiteSuspects          = Metric{"gullhaven_site_suspects", Gauge, "entries", "Requests and prompt parts that were in flight at a crash of a target, one entry for each crash."}
 	SiteSuspectsEvicted   = Metric{"gullhaven_site_suspects_evicted_total", Counter, "entries", "Of these, how many made room for others before they expired."}
@@ -76,7 +75,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SiteRefusedForLoad, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SiteOutranked, SitePastDeadline,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SiteOutranked, SitePastDeadline,
 	SitePromisesGiven, SitePromisesKept, SitePromisesMissed, SitePromisesExpired, SitePromisesWithdrawn, SitePromisesDropped, SitePromisedWork,
 	SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
@@ -91,7 +90,6 @@
 	RefusedOverShare, RefusedOutranked, RefusedPastDeadline, RefusedUnknownKey, RefusedNoHome, RefusedOverLimit          gometrics.Counter
 	RetriesDenied, OwnedElsewhere, SummariesInvalid, SummariesUnknown, RegionsUnreached, ReportsFailed                   gometrics.Counter
 	RefusedResting, RefusedUnknownStream, RestsAsked, LeavingAnswers, MalformedHeaders, Pauses                           gometrics.Counter
-	RefusedForLoad                                                                                                       gometrics.Counter
 	// WaitRatio is the actual wait over the expected wait, which shows the quality of choices.
 	WaitRatio                                       *Ratios
 	ChooseTime, SendTime, EventGapTime, RequestTime *Times
@@ -140,7 +138,7 @@
 	registerLinks(page, func(e *EntryState) *Links { return &e.Links })
 	return &SiteEntry{
 		Set: s, ForwardedIn: s.Counter(SiteForwardedIn), RefusedNoTarget: s.Counter(SiteNoTarget), RefusedResting: s.Counter(SiteResting), RefusedNoConfiguration: s.Counter(SiteNoConfiguration),
-		RefusedLeaving: s.Counter(SiteLeaving), RefusedForLoad: s.Counter(SiteRefusedForLoad), RefusedPoison: s.Counter(SitePoisonRequests), RefusedUnknownStream: s.Counter(SiteUnknownStreams),
+		RefusedLeaving: s.Counter(SiteLeaving), RefusedPoison: s.Counter(SitePoisonRequests), RefusedUnknownStream: s.Counter(SiteUnknownStreams),
 		RefusedOverloaded: s.Counter(SiteOverloaded), RefusedOverShare: s.Counter(SiteOverShare), RefusedOutranked: s.Counter(SiteOutranked), RefusedPastDeadline: s.Counter(SitePastDeadline), RefusedOther: s.Counter(SiteOtherRefusals),
 		RefusedUnknownKey: s.Counter(SiteUnknownKeys), RefusedNoHome: s.Counter(SiteNoHomeRegion), RefusedOverLimit: s.Counter(SiteOverLimit),
 		RetriesDenied: s.Counter(SiteRetriesDenied), Pauses: s.Counter(SitePauses), OwnedElsewhere: s.Counter(SiteOwnedElsewhere),
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -289,7 +289,7 @@
 // instance only, as they would otherwise count twice.
 func (i *Instance) newReport(wait time.Duration) feed.Report {
 	self := i.o.Self
-	self.Ready, self.Leaving, self.Overloaded = i.Ready(), i.leaving(), i.overloaded.Load()
+	self.Ready, self.Leaving = i.Ready(), i.leaving()
 	r := feed.Report{WaitMillis: wait.Milliseconds(), Suspects: i.poisonRequests.takePending()}
 	if wait > 0 {
 		for id, l := range i.pool.Loads(time.Now()) {
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -36,8 +36,7 @@
 	// Self is what it reports of itself; Ready, Leaving and Loads are filled in.
 	Self feed.Entry
 	// WeightedDirectory reports the capacity in Self, and gives callers and other regions' requests to
-	// entry instances in proportion to their capacities. While it has used up its own and most
-	// instances of its region have not, it refuses new requests. Without it capacities are ignored.
+	// entry instances in proportion to their capacities. Without it capacities are ignored.
 	WeightedDirectory bool
 	// Seeds are the IDs of core instances.
 	Seeds []string
@@ -84,10 +83,6 @@
 	startupProbeTime time.Duration
 
 	draining atomic.Bool
-	// overloaded says that the process has used up its share of the processor; until refuseUntil, by
-	// the monotonic clock, it refuses new requests of callers for that.
-	overloaded  atomic.Bool
-	refuseUntil atomic.Pointer[time.Time]
 	// mu guards the fields of this group.
 	mu       sync.Mutex
 	known    knownState
@@ -149,7 +144,7 @@
 		UrgentFirst: o.UrgentFirst,
 		Self:        o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Streams: began, Limits: i.limits, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
-		AccessLog: o.AccessLog, Metrics: i.metrics, Overloaded: i.refusesCallers,
+		AccessLog: o.AccessLog, Metrics: i.metrics,
 	}
 	if admission != nil {
 		options.Admission, options.PromisedReturns = admission, o.PromisedReturns
@@ -261,7 +256,7 @@
 func (i *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, run := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.limits.Run, i.gateway.Run, i.expireUnused, i.publishSuspects, i.watchProcessor} {
+	for _, run := range []func(context.Context){i.follow, i.compare, i.fetch, i.targets.Run, i.peers.Run, i.deciding.Run, i.limits.Run, i.gateway.Run, i.expireUnused, i.publishSuspects} {
 		i.wg.Go(func() { run(ctx) })
 	}
 }
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -43,7 +43,7 @@
 	}
 	if u.Entries != nil && !i.o.WeightedDirectory {
 		for n := range u.Entries.Entries {
-			u.Entries.Entries[n].Capacity, u.Entries.Entries[n].Overloaded = 0, false
+			u.Entries.Entries[n].Capacity = 0
 		}
 	}
 	if u.Entries != nil && !k.entries.Apply(u.Entries) {
--- a/node/feed/entries.go
+++ b/node/feed/entries.go
@@ -144,7 +144,7 @@
 
 // samePublished compares what is published of an entry: all but loads, prefill sums and age.
 func (e *Entry) samePublished(o *Entry) bool {
-	return e.ID == o.ID && e.Region == o.Region && e.Zone == o.Zone && e.CallerAddress == o.CallerAddress && e.Ready == o.Ready && e.Leaving == o.Leaving && e.Capacity == o.Capacity && e.Overloaded == o.Overloaded
+	return e.ID == o.ID && e.Region == o.Region && e.Zone == o.Zone && e.CallerAddress == o.CallerAddress && e.Ready == o.Ready && e.Leaving == o.Leaving && e.Capacity == o.Capacity
 }
 
 // update returns what an instance at a given epoch and number misses, possibly with its own entry;
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -41,8 +41,6 @@
 	// Capacity is its share of the processor in thousandths of a core; 0 if unknown. It is a
 	// floating-point number so that a value that is none makes no report unreadable.
 	Capacity float64 `cbor:"10,keyasint,omitempty"`
-	// Overloaded says that it has used up its share of the processor over the last second.
-	Overloaded bool `cbor:"11,keyasint,omitempty"`
 }
 
 // PrefillSums are, for the engines of a service, the prompt tokens prefilled until recent first
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -160,10 +160,6 @@
 		return &refusal{status: http.StatusBadRequest, code: CodeMalformed, close: true}
 	}
 	q.call = call
-	if q.g.refusesForLoad(q) {
-		// On a new connection the caller chooses another instance.
-		return &refusal{status: http.StatusServiceUnavailable, code: CodeInstanceOverloaded, retryAfter: place.RetryAfter(place.InstanceOverloaded, 0), close: true}
-	}
 	if refusal := q.identify(); refusal != nil {
 		return refusal
 	}
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -138,8 +138,6 @@
 		return m.RefusedNoConfiguration
 	case CodeLeaving:
 		return m.RefusedLeaving
-	case CodeInstanceOverloaded:
-		return m.RefusedForLoad
 	case CodePoison:
 		return m.RefusedPoison
 	case CodeUnknownStream:
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -43,9 +43,6 @@
 	Streams Streams
 	// Limits, if set, refuses requests that exceed their workspace's limit.
 	Limits Limits
-	// Overloaded, if set, reports whether this instance has no processor time for new requests of
-	// callers, and others have.
-	Overloaded func(now time.Time) bool
 	// Targets and Peers send to targets and to instances of other regions.
 	Targets, Peers *rawhttp.Client
 	// Retries bounds the retries of all instances together.
@@ -173,12 +170,6 @@
 	return ends.Sub(q.acceptedAt) < q.route.Timeout
 }
 
-// refusesForLoad reports whether the request is refused so that another instance serves it. One that
-// another instance has forwarded or that goes on with a stream is not: it has begun already.
-func (g *Gateway) refusesForLoad(q *request) bool {
-	return g.o.Overloaded != nil && q.forwarded == nil && !q.call.HasLastEventID && g.o.Overloaded(q.acceptedAt)
-}
-
 // InFlight is the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -344,9 +344,7 @@
 	CodeUnknownStream verdict.Code = "unknown_stream"
 	CodePoison        verdict.Code = "request_crashes_targets"
 	CodeLeaving       verdict.Code = "instance_leaving"
-	// CodeInstanceOverloaded: this instance has used up its processor time, and most others have not.
-	CodeInstanceOverloaded verdict.Code = "instance_overloaded"
-	CodeBehind             verdict.Code = "configuration_behind"
+	CodeBehind        verdict.Code = "configuration_behind"
 	// CodeUnknownKey: no key, or a key that no workspace holds.
 	CodeUnknownKey verdict.Code = "unknown_key"
 	// CodeNoHomeRegion: the route and the workspace have no home region in common.
--- a/route/place/retryafter.go
+++ b/route/place/retryafter.go
@@ -17,9 +17,6 @@
 	Draining
 	// PoisonRequest: the request has crashed several targets and is refused until its next trial.
 	PoisonRequest
-	// InstanceOverloaded: the instance has used up its share of the processor, and most others of the
-	// region have not.
-	InstanceOverloaded
 )
 
 // retryDelays are the delays before a retry by a caller without a deadline.
@@ -31,8 +28,6 @@
 	Leaving:       20 * time.Millisecond,
 	Draining:      time.Second,
 	PoisonRequest: time.Second,
-	// Callers return to another instance.
-	InstanceOverloaded: 50 * time.Millisecond,
 }
 
 // StartWait is how long a request waits for the first view of an instance that has started: 227
