--- a/operate/cli/cli_test.go
+++ b/operate/cli/cli_test.go
@@ -300,3 +300,30 @@
 		convey.So(b.run("explain", "abc"), convey.ShouldEqual, cli.ExitUsage)
 	})
 }
+
+func TestExplainCauses(t *testing.T) {
+	convey.Convey("logs of two instances with an unreadable line", t, func() {
+		b := newHarness(t)
+		line := `{"ts":"2026-03-01T10:00:03Z","msg":"refused","instance":"e%d","id":"%d","code":"%s","verdict":"not_run","route":"chat","workspace":"","passed":false}` + "\n"
+		one := b.write("one.log", fmt.Appendf(nil, line+"panic: other\n"+line, 1, 1, "overloaded", 1, 2, "outranked"), nil)
+		two := b.write("two.log", fmt.Appendf(nil, "10:00 e2 "+line, 2, 3, "overloaded"), nil)
+		convey.So(b.run("explain", "--causes", "--region", "north=e1", one, two), convey.ShouldEqual, cli.ExitOK)
+		for _, row := range []string{
+			"3 lines read, 1 unreadable", "3 not served", "overloaded         2  66.7%",
+			"north    2           1          1", "unknown    1           1          0", "none    3           2          1",
+			"2026-03-01 10:00:03    3           2          1",
+		} {
+			convey.So(b.out.String(), convey.ShouldContainSubstring, row)
+		}
+		convey.So(b.run("explain", "--causes", "--json", one), convey.ShouldEqual, cli.ExitOK)
+		var report map[string]any
+		convey.So(json.Unmarshal(b.out.Bytes(), &report), convey.ShouldBeNil)
+		convey.So(report["causes"], convey.ShouldResemble, map[string]any{"overloaded": 1.0, "outranked": 1.0})
+
+		convey.So(b.run("explain", "--causes", b.write("other.log", []byte("panic: other\n"), nil)), convey.ShouldEqual, cli.ExitRefused)
+		convey.So(b.run("explain", "--causes", b.path("missing.log")), convey.ShouldEqual, cli.ExitRefused)
+		for _, args := range [][]string{{"--causes"}, {"--json", "abc", one}, {"--causes", "--region", "north", one}, {"--causes", "--region", "north=[", one}} {
+			convey.So(b.run(append([]string{"explain"}, args...)...), convey.ShouldEqual, cli.ExitUsage)
+		}
+	})
+}
