soak: many runners crash at once at sites with the parts for hard load

Cause: the soak knew none of the parts for hard load.

Change: runMass switches all of them on, at instances of two sizes.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,9 +97,10 @@
 // another region refuses as poison, after runners have ended together under them.
 func TestMassCrashesUnderStreams(t *testing.T) { runMass(t, 7, massSpan) }
 
-// runMass plays the mass crashes of a seed with two runners of each service in each region.
+// runMass plays the mass crashes of a seed with two runners of each service in each region, and with all parts
+// for hard load switched on.
 func runMass(t *testing.T, seed uint64, span time.Duration) {
-	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 12}, Callers: 40, Budget: siteBudget, Poison: true}
+	o := Options{Shape: Shape{Cores: 4, Entries: 4, Runners: 12}, Callers: 40, Budget: siteBudget, Poison: true, HardLoad: true}
 	runFaults(t, seed, o, DrawMassCrashes(seed, o.Shape, span))
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -28,6 +28,8 @@
 	// Poison adds a caller whose request crashes each runner that runs it, one whose unlike requests share
 	// a part that does, and one of sound requests beside them.
 	Poison bool
+	// HardLoad switches all parts for hard load on, at instances of two sizes.
+	HardLoad bool
 	// Calm is how long callers go on after the last fault.
 	Calm time.Duration
 	Log  func(format string, args ...any)
@@ -210,6 +212,11 @@
 		"instance_list": l.list, "data_dir": disk, "grace_seconds": graceSeconds, "log_level": "debug",
 		"retries": map[string]any{"share": w.o.Budget.Share, "allowance": w.o.Budget.Allowance, "span_seconds": w.o.Budget.Span.Seconds()},
 	}
+	if w.o.HardLoad {
+		p.settings["hard_load"] = map[string]any{"fair_admission": true, "urgent_first": true, "promised_returns": true, "weighted_directory": true}
+		// Instances of two sizes.
+		p.settings["capacity"] = map[string]any{"processor": 0.5 * float64(1+number%2)}
+	}
 	b.forwarder, err = Forward(l.instance(at), bind)
 	return addresses, err
 }
