exchange: a region that refuses a rank as outranked still gets more urgent requests

Cause: any refusal that names no workspace marked the region as refusing the service for half a second, so urgent requests were kept from the region that had made room for them.

Change: a refusal as outranked counts for its rank and less urgent ones.

Measured: the new test fails without the rule (the request of rank 0 goes to the third region), passes now.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -158,7 +158,7 @@
 	if to.choice != nil {
 		waitMs = to.choice.Wait
 	} else {
-		refused = q.g.hasRefused(now, RegionService{Region: to.peer.Region, Service: q.service}, q.workspaceName())
+		refused = q.g.hasRefused(now, RegionService{Region: to.peer.Region, Service: q.service}, q.workspaceName(), q.rank())
 	}
 	if refused || waitMs >= float64(q.deadline.Sub(now).Milliseconds()) {
 		to.release(now)
@@ -247,7 +247,7 @@
 		}
 		out = append(out, place.RegionCandidate{
 			Region: key.Region, RoundTrip: q.g.trips.To(key.Region), Cost: q.g.o.Pool.RegionCost(key.Region, load, c),
-			Refused: q.g.hasRefused(now, key, q.workspaceName()), LoadUnknown: load.LoadUnknown,
+			Refused: q.g.hasRefused(now, key, q.workspaceName(), q.rank()), LoadUnknown: load.LoadUnknown,
 		})
 	}
 	return out
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -79,7 +79,7 @@
 	// peerService. Such a peer is skipped.
 	peerRests sync.Map
 	// refusedUntil holds until when a region counts as having refused, by RegionService, or by
-	// workspaceRefusal for one workspace.
+	// workspaceRefusal or rankRefusal for a part of its requests.
 	// refusalPause is for how long: place.RefusedFor, except in tests.
 	refusedUntil sync.Map
 	refusalPause time.Duration
@@ -233,22 +233,39 @@
 	workspace string
 }
 
+// rankRefusal identifies the requests of a rank, outranked there, at a region's service.
+type rankRefusal struct {
+	RegionService
+	rank int
+}
+
 // recordRefusal records that a region has refused a request for a service, or of a workspace for it.
 func (g *Gateway) recordRefusal(now time.Time, by any) {
 	g.refusedUntil.Store(by, now.Add(g.refusalPause))
 }
 
-// hasRefused reports whether a region has recently refused a request for a service, or of the
-// workspace for it.
-func (g *Gateway) hasRefused(now time.Time, by RegionService, workspace string) bool {
-	for _, key := range []any{by, workspaceRefusal{by, workspace}} {
-		if until, ok := g.refusedUntil.Load(key); ok && now.Before(until.(time.Time)) {
+// hasRefused reports whether a region has recently refused a request for a service, of the workspace for
+// it, or of this or a more urgent rank.
+func (g *Gateway) hasRefused(now time.Time, by RegionService, workspace string, rank int) bool {
+	if g.refusedNow(now, by) || g.refusedNow(now, workspaceRefusal{by, workspace}) {
+		return true
+	}
+	for r := range clampRank(rank) + 1 {
+		if g.refusedNow(now, rankRefusal{by, r}) {
 			return true
 		}
 	}
 	return false
 }
 
+// clampRank returns the rank that counts where ranks are listed one by one.
+func clampRank(rank int) int { return min(max(0, rank), pick.Ranks-1) }
+
+func (g *Gateway) refusedNow(now time.Time, key any) bool {
+	until, ok := g.refusedUntil.Load(key)
+	return ok && now.Before(until.(time.Time))
+}
+
 // uniform returns a uniformly distributed random number.
 func (g *Gateway) uniform() uint64 {
 	g.mu.Lock()
--- a/pipeline/exchange/outranked_test.go
+++ b/pipeline/exchange/outranked_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
@@ -44,3 +45,32 @@
 		})
 	}
 }
+
+// Guards against a region that gets no urgent requests for half a second as it has refused less urgent ones.
+func TestRegionThatRefusesARankServesMoreUrgentOnes(t *testing.T) {
+	Convey("the other region refuses requests of rank 2 as outranked", t, func() {
+		far := newTarget(t, "far", respond(200, "far"))
+		a, b := newRegionPair(t, nil, []*target{far})
+		for _, r := range []*rig{a, b} {
+			for i := range r.table.Routes {
+				if r.table.Routes[i].Name == "unsafe" {
+					r.table.Routes[i].Priority = 2
+				}
+			}
+		}
+		there := &fakeAdmission{answer: exchange.AdmissionDecision{Refused: true, Reason: exchange.CodeOutranked}}
+		b.options.Admission = there
+		b.rebuild()
+		b.peers.Config.Handler = b.gateway.ForwardedHandler()
+		view := *a.gateway.View()
+		view.Index = routes.NewIndex(a.table)
+		view.Regions[exchange.RegionService{Region: "third", Service: "s"}] = pick.RegionLoad{Targets: 1, Slots: 4, Load: pick.Load{Running: 100}}
+		third := newTarget(t, "third", respond(200, "third"))
+		view.Peers = append(view.Peers, exchange.Peer{Address: third.addr, Region: "third"})
+		a.gateway.SetView(&view)
+		So(a.call("/unsafe/x", "b").body, ShouldEqual, "third")
+		there.answer = exchange.AdmissionDecision{}
+		So(a.call("/unsafe/x", "b").body, ShouldEqual, "third")
+		So(a.call("/safe/x", "b").body, ShouldEqual, "far")
+	})
+}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -254,6 +254,9 @@
 	case CodeOverShare:
 		// It may serve other workspaces.
 		q.g.recordRefusal(now, workspaceRefusal{at, q.workspaceName()})
+	case CodeOutranked:
+		// It may serve more urgent requests.
+		q.g.recordRefusal(now, rankRefusal{at, clampRank(q.rank())})
 	case CodePastDeadline:
 		// It may serve requests with more time left.
 	default:
