--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -49,24 +49,10 @@
 	if e.RetryAfter > 0 {
 		h.Set(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
-	w.WriteHeader(statusOf(e))
+	w.WriteHeader(StatusOf(e.Code))
 	_, _ = w.Write(body)
 }
 
-// statusOf returns the status of an error. 421, 429 and 503 promise that nothing has run, so a request whose
-// earlier attempt may have run gets 502 in their place.
-func statusOf(e *verdict.Error) int {
-	status := StatusOf(e.Code)
-	if e.Verdict == verdict.NotRun {
-		return status
-	}
-	switch status {
-	case http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return http.StatusBadGateway
-	}
-	return status
-}
-
 // errorEvent returns the last event of a stream that ends early. No end mark
 // may follow it, so that the answer can't be taken for a whole one.
 func errorEvent(e *verdict.Error) []byte {
