--- a/node/deciding/admission.go
+++ b/node/deciding/admission.go
@@ -63,8 +63,14 @@
 type groupState struct {
 	*admit.Shares
 	precedence admit.Precedence
+	// decidedAt is when the last request of the group was decided on.
+	decidedAt time.Time
 }
 
+// groupIdleTime is how long a group is kept that nothing is decided for: well over the time that the
+// pressure of its ranks is averaged over.
+const groupIdleTime = 10 * time.Second
+
 // NewAdmission returns an Admission that knows of no requests.
 func NewAdmission(o AdmissionOptions) *Admission {
 	return &Admission{o: o, groups: map[pick.Group]*groupState{}}
@@ -88,6 +94,7 @@
 		group = &groupState{Shares: admit.NewShares()}
 		a.groups[c.Group] = group
 	}
+	group.decidedAt = now
 	if !r.NotRun {
 		t.grant = group.Count(now, arrival.Request)
 		return exchange.AdmissionDecision{QueueMillis: c.QueueWait}, t
@@ -149,7 +156,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for g, state := range a.groups {
-		if state.Idle(now) {
+		if state.Idle(now) && now.Sub(state.decidedAt) > groupIdleTime {
 			delete(a.groups, g)
 		}
 	}
--- a/node/deciding/admission_test.go
+++ b/node/deciding/admission_test.go
@@ -172,3 +172,22 @@
 		t.Errorf("refused when no urgent requests come any more: %+v", d)
 	}
 }
+
+// Guards against a precedence that is forgotten each second where no shares are kept, and so lets less urgent
+// requests in at every sweep.
+func TestPrecedenceOutlivesASweep(t *testing.T) {
+	a := deciding.NewAdmission(deciding.AdmissionOptions{UrgentFirst: true, QueueOnly: true})
+	now := time.Unix(100, 0)
+	decide := func(rank int, queue float64, aim int64) exchange.AdmissionDecision {
+		d, _ := a.Decide(now, &pick.Choice{Rank: rank, QueueWait: queue}, exchange.AdmissionRequest{AimMillis: aim, LeftMillis: 15_000, NotRun: true})
+		return d
+	}
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		decide(0, 760, 800)
+	}
+	a.Sweep(now)
+	if d := decide(2, 900, 2000); d.Reason != exchange.CodeOutranked {
+		t.Errorf("after a sweep: %+v", d)
+	}
+}
