--- a/route/admit/precedence.go
+++ b/route/admit/precedence.go
@@ -8,8 +8,8 @@
 // A long prompt of a less urgent rank takes an engine several times the time of a short urgent one, and slows
 // all answers that run beside it. An engine's queue puts it behind urgent requests, but it is admitted by its
 // own, longer aim. So when more comes than the engines can do, urgent requests are refused for want of slots
-// while less urgent ones are let in: on one day 30% of the most urgent requests were refused, and 10% of
-// the least urgent.
+// while less urgent ones are let in: on one day the most urgent kind was refused three times as often as the
+// least urgent one, refusals for limits of workspaces included.
 
 const (
 	// ranks is the number of ranks that are told apart, as in pick.Ranks.
