exchange, explain: the log says what ended a stream

Cause: an end from outside was logged with the code "timeout" whatever it was: the deadline, the caller, the instance that had forwarded the request, or this instance at the end of its grace period. A stream that another region had cut could not be told from one whose sender had left, so the logs of a lost stream fit several hypotheses.

Change: four codes for four ends (timeout, caller_left, sender_left, instance_leaving). explain counts callers that left as such, and leaves the end of a forwarded request to the instance that forwarded it. No decision depends on the codes.

--- a/operate/explain/causes.go
+++ b/operate/explain/causes.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
 )
 
 // Messages of the lines that are counted.
@@ -175,6 +176,14 @@
 		q.firstRun.earliest(t)
 	}
 	e := &end{at: line.At, message: c.name(line.Message), instance: c.name(line.Instance), code: verdict.Code(c.name(line.text("code")))}
+	switch e.code {
+	case exchange.CodeCallerLeft:
+		q.callerLeft = true
+		return
+	case exchange.CodeSenderLeft:
+		// The instance that had forwarded the request states its end.
+		return
+	}
 	switch line.Message {
 	case msgBroken:
 		q.lastBreak = latest(q.lastBreak, e)
--- a/operate/explain/causes_test.go
+++ b/operate/explain/causes_test.go
@@ -106,6 +106,11 @@
 		So(r.NoEndServed, ShouldEqual, 1)
 		So(r.CallersLeft, ShouldEqual, 1)
 	})
+	Convey("streams whose caller or forwarding instance left", t, func() {
+		r := count(10, logLine(1, "x-1", "broke off", `"id":"a","code":"caller_left"`), logLine(1, "y-1", "broke off", `"id":"b","code":"sender_left"`))
+		So(r.CallersLeft, ShouldEqual, 1)
+		So(r.NotServed, ShouldEqual, 0)
+	})
 }
 
 // Guards against a refusal code that is added and silently counted as other.
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -95,11 +95,29 @@
 	return "", true
 }
 
+// endCode returns the code of what has ended the request from outside; empty if nothing has.
+func (q *request) endCode(now time.Time) verdict.Code {
+	ends := q.g.endsAt.Load()
+	switch {
+	case q.r.Context().Err() != nil && ends != nil && !now.Before(*ends):
+		// The server closes the connections that are left.
+		return CodeLeaving
+	case q.r.Context().Err() != nil && q.forwarded != nil:
+		return CodeSenderLeft
+	case q.r.Context().Err() != nil:
+		return CodeCallerLeft
+	case q.ctx.Err() != nil || !now.Before(q.deadline):
+		return CodeTimeout
+	}
+	return ""
+}
+
 // mayRunAgain is mayRetry without the retry budget.
 func (q *request) mayRunAgain(now time.Time) (verdict.Code, bool) {
+	if code := q.endCode(now); code != "" {
+		return code, false
+	}
 	switch {
-	case q.ctx.Err() != nil || !now.Before(q.deadline):
-		return CodeTimeout, false
 	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns):
 		return CodeTargetLost, false
 	case q.begun && q.origin.Software == "":
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -339,7 +339,11 @@
 	CodeOutranked    verdict.Code = "outranked"
 	CodePastDeadline verdict.Code = "past_deadline"
 	CodeTimeout      verdict.Code = "timeout"
-	CodeTargetLost   verdict.Code = "target_lost"
+	// CodeCallerLeft: the caller has closed its connection, CodeSenderLeft: the instance that forwarded the
+	// request has.
+	CodeCallerLeft verdict.Code = "caller_left"
+	CodeSenderLeft verdict.Code = "sender_left"
+	CodeTargetLost verdict.Code = "target_lost"
 	// CodeUnknownStream: what began the stream that the caller takes up is not known.
 	CodeUnknownStream verdict.Code = "unknown_stream"
 	CodePoison        verdict.Code = "request_crashes_targets"
