exchange: a silent stream is ended only once another target has brought an event

Cause: after 1.5 s of silence a place was chosen and reserved, the silent run was ended, and only then was the request sent there. If the place rejected it, closed, broke off or never answered, callers lost a stream that the silent target would have finished.

Change: the request is sent to the place as a hedge while the silent target is read on; the first event decides, and the other run is ended. Two runs overlap for 0.25 s at most, less the way to other regions (targets allow 400 ms); a hedge without an event is ended then. A stream that breaks off while its hedge is under way waits for that. A hedge counts against tries and the retry budget when it is sent, and is logged with its outcome.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -85,9 +85,8 @@
 	hadPlace bool
 	// refusedAdmission is the decision that refused the last attempt before it was sent; nil for none.
 	refusedAdmission *refusedAdmission
-	// secured is the place that goes on with a stream whose target is silent, until it is tried. It is
-	// reserved, and counted as a retry.
-	secured *destination
+	// hedge goes on with a stream whose target was silent, until that is tried.
+	hedge *hedge
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -65,20 +65,13 @@
 	}
 }
 
-// release gives back a place that will not be used. p may be nil.
-func (p *destination) release(now time.Time) {
-	if p != nil && p.choice != nil {
-		p.reportEnd(now, pick.Neutral)
+// end is reportEnd for a place that may be in another region, which reports by itself.
+func (p *destination) end(now time.Time, r pick.Result) {
+	if p.choice != nil {
+		p.reportEnd(now, r)
 	}
 }
 
-// takeSecured returns the place secured for the next attempt, if any, which is the caller's from then on.
-func (q *request) takeSecured() *destination {
-	to := q.secured
-	q.secured = nil
-	return to
-}
-
 // pickCall returns the request as the pool needs it.
 func (q *request) pickCall() pick.Call {
 	return pick.Call{
@@ -143,30 +136,6 @@
 	return q.choosePeer(now, c, float64(q.route.Aim.Milliseconds()))
 }
 
-// chooseForSilent returns a place for a stream whose target is silent, reserved if it is a target of this
-// region; nil if there is none. A place that is expected to begin after the deadline, or a region that has
-// just refused, is none: the silent target is more likely to finish the answer.
-func (q *request) chooseForSilent(now time.Time) *destination {
-	if _, ok := q.mayRunAgain(now); !ok {
-		return nil
-	}
-	to, _ := q.choose(now)
-	if to == nil {
-		return nil
-	}
-	waitMs, refused := to.waitMs, false
-	if to.choice != nil {
-		waitMs = to.choice.Wait
-	} else {
-		refused = q.g.hasRefused(now, RegionService{Region: to.peer.Region, Service: q.service}, q.workspaceName(), q.rank())
-	}
-	if refused || waitMs >= float64(q.deadline.Sub(now).Milliseconds()) {
-		to.release(now)
-		return nil
-	}
-	return to
-}
-
 // queueAim returns how long the request may wait in a queue: as long as its caller waits if that has
 // events of the stream, which only targets of one software version can go on with.
 func (q *request) queueAim(now time.Time) time.Duration {
--- a/pipeline/exchange/export_test.go
+++ b/pipeline/exchange/export_test.go
@@ -12,6 +12,9 @@
 // then again.
 func (g *Gateway) SetStreamIdle(d time.Duration) { g.streamIdle, g.placeSearch = d, d }
 
+// SetMaxOverlap sets how long two targets may run one stream.
+func (g *Gateway) SetMaxOverlap(d time.Duration) { g.maxOverlap = d }
+
 // ForwardAfterRefusals makes a region that has refused count like any other at once.
 func (g *Gateway) ForwardAfterRefusals() { g.refusalPause = 0 }
 
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -66,7 +66,9 @@
 	startWait time.Duration
 	// streamIdle is streamIdleTimeout and placeSearch is placeSearchInterval, except in tests.
 	streamIdle, placeSearch time.Duration
-	draining                atomic.Bool
+	// maxOverlap is maxOverlap, except in tests.
+	maxOverlap time.Duration
+	draining   atomic.Bool
 	// endsAt is when this instance will shut down, by the monotonic clock; nil while it
 	// accepts all requests.
 	endsAt   atomic.Pointer[time.Time]
@@ -98,7 +100,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		o: o, viewSet: make(chan struct{}), startWait: place.StartWait, refusalPause: place.RefusedFor,
-		streamIdle: streamIdleTimeout, placeSearch: placeSearchInterval, retries: newRetryBudget(o.Retries, time.Now()),
+		streamIdle: streamIdleTimeout, placeSearch: placeSearchInterval, maxOverlap: maxOverlap, retries: newRetryBudget(o.Retries, time.Now()),
 	}
 }
 
--- /dev/null
+++ b/pipeline/exchange/hedge.go
@@ -0,0 +1,146 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/route/pick"
+)
+
+// maxOverlap is how long two targets may run one stream: targets allow 400 ms, and this leaves time for
+// the end of a run to reach its target.
+const maxOverlap = 250 * time.Millisecond
+
+var (
+	// errSilent ends the reading of a stream that a hedge goes on with.
+	errSilent = errors.New("the target is silent, and another one goes on with the stream")
+	// errTargetGoesOn ends a hedge because the silent target has sent an event, errOverlap because the
+	// hedge has brought no event in time.
+	errTargetGoesOn = errors.New("the silent target goes on")
+	errOverlap      = errors.New("no event in the time that two targets may run a stream")
+)
+
+// hedge is an attempt beside the run of a stream whose target is silent, with its first event in hand.
+type hedge struct {
+	s      *stream
+	cancel context.CancelCauseFunc
+	// The others are as in request.
+	lastTried, source, decidedBy string
+	sentAt                       time.Time
+	expectedWaitMs, costMs       float64
+}
+
+// takeHedge returns the hedge that goes on with the stream, if any, which is the caller's from then on.
+func (q *request) takeHedge() *hedge {
+	h := q.hedge
+	q.hedge = nil
+	return h
+}
+
+// withdraw ends a hedge that is not needed. h may be nil.
+func (h *hedge) withdraw() {
+	if h == nil {
+		return
+	}
+	h.s.a.Close(false)
+	h.s.free()
+	h.s.p.end(time.Now(), pick.Neutral)
+	h.cancel(nil)
+}
+
+// goOn relays the hedge and reports whether the caller has got the whole answer.
+func (q *request) goOn(h *hedge) bool {
+	defer h.cancel(nil)
+	defer h.s.free()
+	q.lastTried, q.source, q.decidedBy = h.lastTried, h.source, h.decidedBy
+	q.sentAt, q.expectedWaitMs, q.costMs = h.sentAt, h.expectedWaitMs, h.costMs
+	done, result := q.relayStream(h.s)
+	h.s.p.end(time.Now(), result)
+	return done
+}
+
+// chooseForHedge returns a place that can go on with the stream of a silent target, reserved if it is a
+// target of this region; nil if there is none. The place must be expected to begin while both may run, and
+// a region that has just refused is none: the silent target is more likely to finish the answer.
+func (q *request) chooseForHedge(now time.Time, from *destination) *destination {
+	if _, ok := q.mayRunAgain(now); !ok || q.finalRefusal != nil {
+		return nil
+	}
+	to, _ := q.choose(now)
+	if to == nil {
+		return nil
+	}
+	waitMs, refused := to.waitMs, false
+	if to.choice != nil {
+		waitMs = to.choice.Wait
+	} else {
+		refused = q.g.hasRefused(now, RegionService{Region: to.peer.Region, Service: q.service}, q.workspaceName(), q.rank())
+	}
+	if refused || waitMs >= float64(q.overlap(from, to).Milliseconds()) {
+		to.end(now, pick.Neutral)
+		return nil
+	}
+	return to
+}
+
+// overlap returns for how long a hedge at a place may be without an event. It begins there later, and ends
+// the silent run later, by the time to their regions.
+func (q *request) overlap(from, to *destination) time.Duration {
+	return q.g.maxOverlap + q.timeTo(to) - q.timeTo(from)
+}
+
+// timeTo returns how long a message takes to the region of a place.
+func (q *request) timeTo(p *destination) time.Duration {
+	if p.choice != nil {
+		return 0
+	}
+	const ways = 2 // there and back
+	return time.Duration(q.g.trips.To(p.peer.Region) / ways * float64(time.Millisecond))
+}
+
+// sendHedge sends the request and returns the hedge once its first event is read; nil if there is none.
+// Then the end of the attempt is recorded.
+func (q *request) sendHedge(ctx context.Context, cancel context.CancelCauseFunc, to *destination) *hedge {
+	q.g.o.Metrics.Hedges.Inc(1)
+	a := q.send(ctx, cancel, to, time.Now())
+	if a == nil {
+		return nil
+	}
+	result, ok := q.checkHead(a, to)
+	if !ok {
+		to.end(time.Now(), result)
+		return nil
+	}
+	if q.route.Kind != routes.Stream || a.StatusCode != http.StatusOK {
+		// A stream that has begun cannot go on with another answer.
+		a.Close(false)
+		q.recordRun(verdict.Ran)
+		to.end(time.Now(), pick.Failed)
+		return nil
+	}
+	s := newStream(a, to)
+	if err := s.readAhead(); err != nil {
+		s.free()
+		to.end(time.Now(), q.endRun(a, to, err))
+		return nil
+	}
+	return &hedge{
+		s: s, cancel: cancel, lastTried: q.lastTried, source: q.source, decidedBy: q.decidedBy,
+		sentAt: q.sentAt, expectedWaitMs: q.expectedWaitMs, costMs: q.costMs,
+	}
+}
+
+// logHedge logs how a hedge has ended. answered says that it has brought an event, goesOn that it goes on
+// with the stream.
+func (q *request) logHedge(sentAt time.Time, answered, goesOn bool) {
+	now := time.Now()
+	q.g.o.Log.Info("hedge", zap.String("id", q.call.ID), zap.String("place", q.lastTried), zap.Bool("answered", answered), zap.Bool("goes_on", goesOn),
+		zap.NamedError("ended", context.Cause(q.ctx)), zap.Float64("wait_ms", q.expectedWaitMs), zap.Duration("took", now.Sub(sentAt)), zap.Int64("last", q.lastEventID),
+		zap.Duration("left", q.deadline.Sub(now)), zap.Duration("after", now.Sub(q.acceptedAt)))
+}
--- a/pipeline/exchange/origin.go
+++ b/pipeline/exchange/origin.go
@@ -72,14 +72,13 @@
 	return Origin{}
 }
 
-// recordOrigin records what begins the stream, before its first event is passed on. p is nil for an
-// answer of another instance.
+// recordOrigin records what begins the stream, before its first event is passed on.
 func (q *request) recordOrigin(a *rawhttp.Answer, p *destination) {
 	if q.begun {
 		return
 	}
 	q.begun, q.origin = true, Origin{Service: q.service}
-	if p != nil {
+	if p.choice != nil {
 		q.origin.Software = p.choice.Software
 	} else if software, err := url.QueryUnescape(a.Header.Get(headerSoftware)); err == nil {
 		q.origin.Software = software
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -57,7 +57,7 @@
 // reportAnswerEnd reports an answer of a target that was read to its end. A failure proves nothing, as the
 // target may not have begun; the end of an unframed answer may be a crash.
 func (q *request) reportAnswerEnd(a *rawhttp.Answer, p *destination) {
-	if p == nil || a.StatusCode >= http.StatusBadRequest {
+	if p.choice == nil || a.StatusCode >= http.StatusBadRequest {
 		return
 	}
 	q.finished = a.Framed()
@@ -83,7 +83,7 @@
 // reportCrash reports the target of the last attempt if err says that it broke off. How much of an
 // answer it had sent by then does not matter. An instance of another region reports its own targets.
 func (q *request) reportCrash(p *destination, err error) {
-	if p == nil || q.g.o.PoisonRequests == nil {
+	if p.choice == nil || q.g.o.PoisonRequests == nil {
 		return
 	}
 	var f *rawhttp.Failure
@@ -102,7 +102,7 @@
 
 // reportAlive reports that a target has begun to answer the request.
 func (q *request) reportAlive(p *destination) {
-	if p != nil && q.g.o.PoisonRequests != nil {
+	if p.choice != nil && q.g.o.PoisonRequests != nil {
 		q.g.o.PoisonRequests.ReportAlive(p.choice.ID)
 	}
 }
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -90,22 +90,63 @@
 	}
 }
 
-// relayStream relays an event stream and reports whether it reached its end. p is nil for an
-// answer of another instance.
-func (q *request) relayStream(a *rawhttp.Answer, p *destination) (bool, pick.Result) {
+// stream is an event stream that is being read.
+type stream struct {
+	a *rawhttp.Answer
+	p *destination
+	e *eventReader
+	// ahead is what was read last, if it was not relayed yet.
+	ahead *readEvent
+}
+
+// readEvent is the result of eventReader.next.
+type readEvent struct {
+	event []byte
+	err   error
+}
+
+// newStream returns the stream of an answer. Call free when it is not read any more.
+func newStream(a *rawhttp.Answer, p *destination) *stream {
 	e := eventReaderPool.Get().(*eventReader)
 	e.r.Reset(a.Body)
-	defer func() {
-		e.r.Reset(nil)
-		eventReaderPool.Put(e)
-	}()
+	return &stream{a: a, p: p, e: e}
+}
+
+func (s *stream) free() {
+	s.e.r.Reset(nil)
+	eventReaderPool.Put(s.e)
+}
+
+// next is eventReader.next.
+func (s *stream) next() ([]byte, error) {
+	if read := s.ahead; read != nil {
+		s.ahead = nil
+		return read.event, read.err
+	}
+	return s.e.next()
+}
+
+// readAhead reads the first event, which next then returns, and reports why there is none. A stream that
+// ends without an event has ended only if its end can be distinguished from a lost connection.
+func (s *stream) readAhead() error {
+	event, err := s.e.next()
+	if err != nil && (err != io.EOF || !s.a.Framed()) {
+		return err
+	}
+	s.ahead = &readEvent{event, err}
+	return nil
+}
+
+// relayStream relays an event stream and reports whether it reached its end.
+func (q *request) relayStream(s *stream) (bool, pick.Result) {
+	a, p := s.a, s.p
 	first := true
 	lastEventAt := time.Now()
 	var silence *silenceWatch
 	for {
-		silence.wait()
-		event, err := e.next()
-		silence.endWait()
+		silence.wait(q)
+		event, err := s.next()
+		silence.endWait(err)
 		now := time.Now()
 		if !first {
 			q.recordGap(now.Sub(lastEventAt))
@@ -116,29 +157,29 @@
 			q.writeHead(a)
 		}
 		if err == io.EOF {
-			silence.take().release(now)
+			silence.stop()
 			a.Close(true)
 			q.reportAnswerEnd(a, p)
 			q.recordRun(verdict.Ran)
 			return true, pick.Good
 		}
 		if err != nil {
-			if q.secured = silence.take(); q.secured != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			if q.hedge = silence.lost(q); q.hedge != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 				err = errSilent
 			}
 			return false, q.streamBroken(a, p, err)
 		}
-		if first && p != nil {
+		if first && p.choice != nil {
 			p.reportFirstEvent(now)
 			q.recordWaitRatio(now)
 		}
 		if first {
 			q.recordOrigin(a, p)
-			silence = q.watchSilence(a)
+			silence = q.watchSilence(a, p)
 		}
 		first = false
-		if !q.relayEvent(a, e, event) {
-			silence.take().release(now)
+		if !q.relayEvent(a, s.e, event) {
+			silence.stop()
 			a.Close(false)
 			q.recordRun(verdict.Ran)
 			q.reportCrash(p, errCallerLeft)
@@ -155,17 +196,26 @@
 
 // streamBroken records a stream that ended early and returns the result for the target.
 func (q *request) streamBroken(a *rawhttp.Answer, p *destination, err error) pick.Result {
-	a.Close(false)
-	q.recordRun(verdict.MayHaveRun)
-	q.reportCrash(p, err)
-	if q.ctx.Err() != nil {
-		return pick.Neutral
+	result := q.endRun(a, p, err)
+	if result == pick.Neutral {
+		return result
 	}
 	if q.headWritten {
 		q.g.o.Metrics.Resumes.Inc(1)
 	}
 	q.g.o.Log.Info("stream broken", zap.String("id", q.call.ID), zap.Int64("last", q.lastEventID), zap.Error(err), q.partsField(),
 		zap.Bool("resumable", q.route.Resumable), zap.Duration("after", time.Since(q.acceptedAt)))
+	return result
+}
+
+// endRun closes an answer that ended early, and returns the result for the target.
+func (q *request) endRun(a *rawhttp.Answer, p *destination, err error) pick.Result {
+	a.Close(false)
+	q.recordRun(verdict.MayHaveRun)
+	q.reportCrash(p, err)
+	if q.ctx.Err() != nil {
+		return pick.Neutral
+	}
 	return pick.Lost
 }
 
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -26,23 +26,17 @@
 		q.g.retries.recordRequest(q.acceptedAt, q.service, q.view.EntryInstances)
 	}
 	q.g.countRoute(q.route.Name)
-	defer func() { q.takeSecured().release(time.Now()) }()
+	defer func() { q.takeHedge().withdraw() }()
 	for {
 		if q.callerLeft() {
 			q.abort()
 		}
-		now := time.Now()
-		to := q.takeSecured()
-		if to == nil {
-			var code verdict.Code
-			to, code = q.choose(now)
-			q.g.o.Metrics.ChooseTime.Update(time.Since(now))
-			if to == nil {
-				q.giveUp(code)
-				return
-			}
+		done, code := q.next()
+		if code != "" {
+			q.giveUp(code)
+			return
 		}
-		if q.attempt(to, now) {
+		if done {
 			q.recordAnswer()
 			return
 		}
@@ -60,6 +54,21 @@
 	}
 }
 
+// next goes on with the hedge that has answered, or sends the request once more. It reports whether the
+// caller has got the final answer, and returns a refusal code if there is nowhere to send it.
+func (q *request) next() (done bool, code verdict.Code) {
+	if h := q.takeHedge(); h != nil {
+		return q.goOn(h), ""
+	}
+	now := time.Now()
+	to, code := q.choose(now)
+	q.g.o.Metrics.ChooseTime.Update(time.Since(now))
+	if to == nil {
+		return false, code
+	}
+	return q.attempt(to, now), ""
+}
+
 // recordAnswer counts and logs an answer.
 func (q *request) recordAnswer() {
 	m, now := q.g.o.Metrics, time.Now()
@@ -84,11 +93,14 @@
 // refusal code.
 func (q *request) mayRetry() (verdict.Code, bool) {
 	now := time.Now()
+	if q.hedge != nil && q.endCode(now) == "" {
+		// It was counted when it was sent.
+		return "", true
+	}
 	if code, ok := q.mayRunAgain(now); !ok {
 		return code, false
 	}
-	// The place of a silent stream was counted when it was secured.
-	if q.secured == nil && q.reachedTarget() && !q.tryRetry(now) {
+	if q.reachedTarget() && !q.tryRetry(now) {
 		return CodeNoTarget, false
 	}
 	q.g.o.Metrics.Retries.Inc(1)
@@ -154,16 +166,31 @@
 
 // attempt sends the request to p and reports whether the caller has got the final answer.
 func (q *request) attempt(p *destination, now time.Time) bool {
+	ctx, cancel := context.WithCancelCause(q.ctx)
+	defer cancel(nil)
+	a := q.send(ctx, cancel, p, now)
+	if a == nil {
+		return false
+	}
+	done, result := q.handleAnswer(a, p)
+	p.end(time.Now(), result)
+	if !done && p.choice != nil {
+		q.logAttempt(p.choice.ID, a, result)
+	}
+	return done
+}
+
+// send sends the request to p and returns the answer. If there is none, it records how the attempt ended
+// and returns nil. The end of ctx, which cancel ends, also ends the reading of the answer.
+func (q *request) send(ctx context.Context, cancel context.CancelCauseFunc, p *destination, now time.Time) *rawhttp.Answer {
 	q.attemptCount++
 	q.g.o.Metrics.Attempts.Inc(1)
 	if p.choice == nil {
-		return q.attemptPeer(p, now)
+		return q.sendToPeer(ctx, p, now)
 	}
 	q.triedTargets = append(q.triedTargets, p.choice.ID)
 	q.lastTried, q.source, q.decidedBy = p.choice.ID, p.choice.Source, p.decision.Owner
 	q.sentAt, q.expectedWaitMs, q.costMs, q.rest = now, p.choice.Wait, p.choice.Cost, 0
-	ctx, cancel := context.WithCancelCause(q.ctx)
-	defer cancel(nil)
 	if q.route.Repeatable() {
 		p.choice.OnUnreachable(func() { cancel(errUnreachable) })
 	}
@@ -172,14 +199,9 @@
 	if err != nil {
 		q.reportCrash(p, err)
 		p.reportEnd(time.Now(), q.attemptLost(p.choice.ID, err))
-		return false
-	}
-	done, result := q.handleAnswer(a, p)
-	p.reportEnd(time.Now(), result)
-	if !done {
-		q.logAttempt(p.choice.ID, a, result)
+		return nil
 	}
-	return done
+	return a
 }
 
 func (q *request) logAttempt(target string, a *rawhttp.Answer, result pick.Result) {
@@ -187,9 +209,8 @@
 		zap.Uint8("result", uint8(result)), zap.Stringer("verdict", q.verdict), zap.Duration("rest", q.rest), zap.String("decided_by", q.decidedBy), zap.Duration("after", time.Since(q.acceptedAt)))
 }
 
-// attemptPeer forwards the request to another region and reports whether the caller has got the
-// final answer.
-func (q *request) attemptPeer(p *destination, now time.Time) bool {
+// sendToPeer is send for an instance of another region. It returns nil for a refusal too.
+func (q *request) sendToPeer(ctx context.Context, p *destination, now time.Time) *rawhttp.Answer {
 	peer := p.peer
 	if q.triedRegions == nil {
 		q.triedRegions = map[string]bool{}
@@ -199,11 +220,11 @@
 	q.sentAt, q.expectedWaitMs, q.costMs = now, p.waitMs, p.waitMs
 	q.g.o.Metrics.Spilled.Inc(1)
 	q.g.reach.Begin(now, peer.Region)
-	a, err := q.g.o.Peers.Do(q.ctx, peer.Address, q.peerRequest(now))
+	a, err := q.g.o.Peers.Do(ctx, peer.Address, q.peerRequest(now))
 	if err != nil {
 		// A reused connection that closes says nothing about the peer, but one that times
 		// out does.
-		silent := q.ctx.Err() == nil && errors.Is(err, syscall.ETIMEDOUT)
+		silent := ctx.Err() == nil && errors.Is(err, syscall.ETIMEDOUT)
 		if q.attemptLost(peer.Address, err) != pick.Neutral || silent {
 			// Another instance of the region may be reachable.
 			q.g.markUnreachable(time.Now(), peer.Address)
@@ -213,7 +234,7 @@
 			}
 			delete(q.triedRegions, peer.Region)
 		}
-		return false
+		return nil
 	}
 	if q.g.reach.RecordAnswer(peer.Region) {
 		q.g.o.Log.Info("region reachable again", zap.String("region", peer.Region))
@@ -222,11 +243,10 @@
 		q.rejected = q.rejected || a.Header.Get(headerReachedTarget) != ""
 		q.peerRefused(peer, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)), ports.RetryAfter(a.Header))
 		discard(a)
-		return false
+		return nil
 	}
 	q.learnRoundTrip(peer.Region, a)
-	done, _ := q.handleAnswer(a, nil)
-	return done
+	return a
 }
 
 // learnRoundTrip records the round trip to another region. An answer without headerTook gives
@@ -316,40 +336,51 @@
 }
 
 // handleAnswer relays an answer and reports whether the caller has got it whole; if not,
-// another attempt is needed. p is nil for an answer of another instance.
+// another attempt is needed.
 func (q *request) handleAnswer(a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
+	if result, ok := q.checkHead(a, p); !ok {
+		return false, result
+	}
+	if q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK {
+		s := newStream(a, p)
+		defer s.free()
+		return q.relayStream(s)
+	}
+	return q.relayWhole(a, p)
+}
+
+// checkHead reports whether an answer is that of a target which runs the request. If not, it closes it and
+// returns the result of the attempt.
+func (q *request) checkHead(a *rawhttp.Answer, p *destination) (result pick.Result, ok bool) {
 	reply := q.g.o.Dialect.Reply(a.StatusCode, a.Header)
 	belongs := q.belongs(a, &reply)
-	if p != nil && !reply.Replaced {
+	if p.choice != nil && !reply.Replaced {
 		q.recordAnnouncements(p, &reply, belongs)
 	}
 	switch {
 	case !belongs:
 		a.Close(false)
 		q.recordRun(verdict.MayHaveRun)
-		return false, pick.Failed
+		return pick.Failed, false
 	case reply.Replaced:
 		q.rejected = true
 		discard(a)
-		return false, pick.Replaced
+		return pick.Replaced, false
 	case reply.NotRun:
 		q.rejected = true
 		discard(a)
 		if reply.Rest > 0 || reply.BusyFor > 0 {
-			return false, pick.Rested
+			return pick.Rested, false
 		}
-		return false, pick.Rejected
+		return pick.Rejected, false
 	case a.Header.Get("Content-Encoding") != "":
 		// It is not the target's body.
 		a.Close(false)
 		q.recordRun(verdict.MayHaveRun)
-		return false, pick.Failed
+		return pick.Failed, false
 	}
 	q.reportAlive(p)
-	if q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK {
-		return q.relayStream(a, p)
-	}
-	return q.relayWhole(a, p)
+	return pick.Good, true
 }
 
 // reportLimit records the limit that a target reports in its own answer, and passes it to the
@@ -445,8 +476,7 @@
 }
 
 // relayWhole relays an answer that is not an event stream. It buffers the whole answer first,
-// so that a truncated answer can be retried and never looks complete. p is nil for an answer of
-// another instance.
+// so that a truncated answer can be retried and never looks complete.
 func (q *request) relayWhole(a *rawhttp.Answer, p *destination) (bool, pick.Result) {
 	body, err := readAnswer(a)
 	a.Close(err == nil)
