exchange: a hedge that has answered is kept until it is known what arrived beside it

Cause: if bytes or the end of the connection of the silent run had arrived and were not read yet when the hedge brought its event, the hedge was withdrawn. If it was the end, the stream had lost both its runs.

Change: the hedge is kept until the silent run has been read on; an event ends the hedge, the end of the run lets it go on with the stream.

--- a/pipeline/exchange/silence.go
+++ b/pipeline/exchange/silence.go
@@ -60,6 +60,8 @@
 	limit *time.Timer
 	// ended is closed when it has ended, or goes on with the stream.
 	ended chan struct{}
+	// read is closed when the silent run has been read on.
+	read chan struct{}
 }
 
 // watchSilence returns the watch of a stream whose first event was read; nil if it must not be ended for
@@ -109,8 +111,13 @@
 	defer w.mu.Unlock()
 	w.waiting, w.broken = false, err != nil && err != io.EOF
 	w.timer.Stop()
-	if w.hedge != nil && !w.broken {
+	if w.hedge == nil {
+		return
+	}
+	close(w.hedge.read)
+	if !w.broken {
 		w.hedge.cancel(errTargetGoesOn)
+		w.hedge = nil
 	}
 }
 
@@ -219,19 +226,34 @@
 	}
 	c.g.o.Metrics.Retries.Inc(1)
 	limit := time.AfterFunc(c.overlap(w.from, to), func() { cancel(errOverlap) })
-	w.hedge = &sentHedge{sentAt: time.Now(), cancel: cancel, limit: limit, ended: make(chan struct{})}
+	w.hedge = &sentHedge{sentAt: time.Now(), cancel: cancel, limit: limit, ended: make(chan struct{}), read: make(chan struct{})}
 	return w.hedge
 }
 
+// arrivalPollInterval is the time between two looks at what has arrived from the silent target and makes no
+// whole event yet.
+const arrivalPollInterval = 5 * time.Millisecond
+
 // endHedge records how the hedge has ended; h is nil if it has brought no event. It goes on with the stream
 // if that is still silent, or was lost.
 func (w *silenceWatch) endHedge(c *request, h *hedge, under *sentHedge, waits uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(under.ended)
-	w.hedge = nil
 	under.limit.Stop()
-	if h != nil && (w.broken || w.silentStill(waits)) {
+	for h != nil && w.waiting && w.waits == waits && !w.a.Silent() {
+		// What has arrived may be an event or the end of the connection.
+		w.mu.Unlock()
+		select {
+		case <-under.read:
+		case <-time.After(arrivalPollInterval):
+		}
+		w.mu.Lock()
+	}
+	if w.hedge == under {
+		w.hedge = nil
+	}
+	if h != nil && w.waits == waits && (w.waiting || w.broken) {
 		w.found = h
 		w.a.SetReadTimeout(0)
 	} else if h != nil {
