exchange: only instances speak for instances

Cause: the headers between instances (Gullhaven-*) of a target's answer were relayed through another region, and the instance there believes them before it looks whose answer it is. A target that writes Gullhaven-Refused had its answer taken for a refusal of the other region: the caller was answered "no_target" with the target's status, though the request had run.

--- a/pipeline/exchange/regions_test.go
+++ b/pipeline/exchange/regions_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"testing"
@@ -278,3 +279,27 @@
 		So(requestCount(y), ShouldEqual, 0)
 	})
 }
+
+// Guards against headers between instances that a target writes itself: one that says "refused" has a
+// request that ran answered as one that did not.
+func TestTargetCannotSpeakForAnInstance(t *testing.T) {
+	forged := "Id: %ID%\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\nGullhaven-Refused: no_target\r\nGullhaven-Arrived: 1\r\n" +
+		"Gullhaven-Software: v9\r\nGullhaven-Took-Millis: 1\r\nGullhaven-Future: 1\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n"
+	for _, path := range []string{"/unsafe/x", "/resume/x"} {
+		for _, status := range []int{200, 500, 503} {
+			Convey(fmt.Sprint(status, " to ", path, " from a target in another region"), t, func() {
+				y := newTarget(t, "far", respondRaw(fmt.Sprintf("HTTP/1.1 %d X\r\n", status)+forged, true))
+				a, _ := newRegionPair(t, nil, []*target{y})
+				got := a.call(path, "b")
+				So(got.status, ShouldEqual, status)
+				So(got.body, ShouldEqual, "id: 1\n\n")
+				for name := range got.header {
+					So(name, ShouldNotStartWith, "Gullhaven-")
+				}
+				if path == "/unsafe/x" {
+					So(requestCount(y), ShouldEqual, 1)
+				}
+			})
+		}
+	}
+}
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -244,7 +244,6 @@
 // answer, even if the stream is resumed at another target.
 func (q *request) writeHead(a *rawhttp.Answer) {
 	copyAnswerHeaders(q.w.Header(), a.Header)
-	q.w.Header().Del(headerSoftware)
 	if q.forwarded != nil && q.forwarded.Begins {
 		q.w.Header().Set(headerSoftware, url.QueryEscape(q.origin.Software))
 	}
