ports: an answer of another attempt tells nothing, whatever its status

Cause: the gateway of bundles looked at the attempt that an answer names only where the status was 200, and for plain targets not at all. A late second copy of an earlier answer on a kept connection counted for the next request: its 429 or 4xx as proof that the request had not run, its 4xx and its body as the caller's answer.

Change: the attempt is checked before anything else of the answer is read (ports.CheckAttempt). Requests that may run once have had a connection of their own and were not affected.

--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -93,15 +93,15 @@
 		return nil, err
 	}
 	sent.release()
+	if err := ports.CheckAttempt(m.Attempt, resp.Header); err != nil {
+		cancel()
+		resp.Body.Close()
+		return nil, err
+	}
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
 		return nil, statusError(resp)
 	}
-	if got := resp.Header.Get(ports.HeaderAttempt); got != "" && got != string(m.Attempt) {
-		cancel()
-		resp.Body.Close()
-		return nil, verdict.New(verdict.MayHaveRun, ports.CodeWrongAnswer, "answer of another attempt")
-	}
 	if m.Stream {
 		return answer.NewStream(m.Attempt, uint64(max(0, after)), resp.Body, cancel), nil
 	}
--- a/ports/plainhttp/client.go
+++ b/ports/plainhttp/client.go
@@ -22,7 +22,8 @@
 	return &Client{address: address, transports: t}
 }
 
-// Do sends a request. It takes over r.Header. An answer of any status is no error.
+// Do sends a request. It takes over r.Header. An answer of any status is no error, unless it names another
+// attempt.
 func (c *Client) Do(ctx context.Context, r ports.PlainRequest) (*ports.PlainAnswer, error) {
 	u, err := url.Parse("http://" + c.address + r.Path)
 	if err != nil {
@@ -44,6 +45,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ports.CheckAttempt(r.Attempt, resp.Header); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
 	return &ports.PlainAnswer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 }
 
