exchange: a failed connection ends no request beside it

Cause: when one request could not connect to a target, all others in flight there that may be repeated were ended at once and sent elsewhere, streams in the middle of their events included. A lost packet or a target at its limit of connections is enough for that. If the next place rejected them, broke off, failed or never answered, or there was none, callers lost answers that were on their way.

Change: the watch of silent streams covers all runs that may be repeated (runWatch). It searches at once when the target is found unreachable; the request is hedged, with all the time left, and the first answer counts, be it an event or a whole answer. A hedge that was ended before it was sent leaves its place untried.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -85,8 +85,11 @@
 	hadPlace bool
 	// refusedAdmission is the decision that refused the last attempt before it was sent; nil for none.
 	refusedAdmission *refusedAdmission
-	// hedge goes on with a stream whose target was silent, until that is tried.
-	hedge *hedge
+	// watch is that of the run in progress; nil if there is none. hedge goes on with the request after
+	// that run. hedging says that this is the copy of the request with which a hedge is sent.
+	watch   *runWatch
+	hedge   *hedge
+	hedging bool
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -10,6 +10,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/verdict"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
@@ -18,17 +19,23 @@
 const maxOverlap = 250 * time.Millisecond
 
 var (
-	// errSilent ends the reading of a stream that a hedge goes on with.
+	// errSilent ends a run that a hedge goes on with.
 	errSilent = errors.New("the target is silent, and another one goes on with the stream")
+	// errRunLost ends the watch of a run that has no whole answer.
+	errRunLost = errors.New("the run has no whole answer")
 	// errTargetGoesOn ends a hedge because the silent target has sent an event, errOverlap because the
 	// hedge has brought no event in time.
 	errTargetGoesOn = errors.New("the silent target goes on")
 	errOverlap      = errors.New("no event in the time that two targets may run a stream")
 )
 
-// hedge is an attempt beside the run of a stream whose target is silent, with its first event in hand.
+// hedge is an attempt beside a run, with the first event of its stream or its whole answer in hand.
 type hedge struct {
+	to *destination
+	// s is the stream, or nil, and whole and raw the answer then.
 	s      *stream
+	whole  *bufferedAnswer
+	raw    *rawhttp.Answer
 	cancel context.CancelCauseFunc
 	// The others are as in request.
 	lastTried, source, decidedBy string
@@ -48,27 +55,38 @@
 	if h == nil {
 		return
 	}
-	h.s.a.Close(false)
-	h.s.free()
-	h.s.p.end(time.Now(), pick.Neutral)
+	if h.s != nil {
+		h.s.a.Close(false)
+		h.s.free()
+	}
+	h.to.end(time.Now(), pick.Neutral)
 	h.cancel(nil)
 }
 
 // goOn relays the hedge and reports whether the caller has got the whole answer.
 func (q *request) goOn(h *hedge) bool {
 	defer h.cancel(nil)
-	defer h.s.free()
 	q.lastTried, q.source, q.decidedBy = h.lastTried, h.source, h.decidedBy
 	q.sentAt, q.expectedWaitMs, q.costMs = h.sentAt, h.expectedWaitMs, h.costMs
-	done, result := q.relayStream(h.s)
-	h.s.p.end(time.Now(), result)
+	done, result := true, pick.Good
+	if h.s != nil {
+		done, result = q.relayStream(h.s)
+		h.s.free()
+	} else {
+		q.recordRun(verdict.Ran)
+		q.reportAnswerEnd(h.raw, h.to)
+		q.writeAnswer(h.whole)
+	}
+	h.to.end(time.Now(), result)
+	q.endWatch(done)
 	return done
 }
 
-// chooseForHedge returns a place that can go on with the stream of a silent target, reserved if it is a
-// target of this region; nil if there is none. The place must be expected to begin while both may run, and
-// a region that has just refused is none: the silent target is more likely to finish the answer.
-func (q *request) chooseForHedge(now time.Time, from *destination) *destination {
+// chooseForHedge returns a place for a hedge, reserved if it is a target of this region; nil if there is
+// none. The place must be expected to begin in the time that both may run, or before the deadline if that is
+// unlimited, and a region that has just refused is none: the target of the run is more likely to finish the
+// answer.
+func (q *request) chooseForHedge(now time.Time, from *destination, unlimited bool) *destination {
 	if _, ok := q.mayRunAgain(now); !ok || q.finalRefusal != nil {
 		return nil
 	}
@@ -82,7 +100,11 @@
 	} else {
 		refused = q.g.hasRefused(now, RegionService{Region: to.peer.Region, Service: q.service}, q.workspaceName(), q.rank())
 	}
-	if refused || waitMs >= float64(q.overlap(from, to).Milliseconds()) {
+	limit := q.overlap(from, to)
+	if unlimited {
+		limit = q.deadline.Sub(now)
+	}
+	if refused || waitMs >= float64(limit.Milliseconds()) {
 		to.end(now, pick.Neutral)
 		return nil
 	}
@@ -104,36 +126,52 @@
 	return time.Duration(q.g.trips.To(p.peer.Region) / ways * float64(time.Millisecond))
 }
 
-// sendHedge sends the request and returns the hedge once its first event is read; nil if there is none.
-// Then the end of the attempt is recorded.
+// sendHedge sends the request and returns the hedge once its first event or its whole answer is read; nil
+// if there is none. Then the end of the attempt is recorded.
 func (q *request) sendHedge(ctx context.Context, cancel context.CancelCauseFunc, to *destination) *hedge {
 	q.g.o.Metrics.Hedges.Inc(1)
+	q.hedging = true
 	a := q.send(ctx, cancel, to, time.Now())
 	if a == nil {
 		return nil
 	}
+	h := &hedge{
+		to: to, raw: a, cancel: cancel, lastTried: q.lastTried, source: q.source, decidedBy: q.decidedBy,
+		sentAt: q.sentAt, expectedWaitMs: q.expectedWaitMs, costMs: q.costMs,
+	}
 	result, ok := q.checkHead(a, to)
+	switch {
+	case !ok:
+	case q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK:
+		h.s = newStream(ctx, cancel, a, to)
+		if err := h.s.readAhead(); err != nil {
+			h.s.free()
+			result, ok = q.endRun(a, to, err), false
+		}
+	default:
+		result, ok = q.readWhole(h)
+	}
 	if !ok {
 		to.end(time.Now(), result)
 		return nil
 	}
-	if q.route.Kind != routes.Stream || a.StatusCode != http.StatusOK {
-		// A stream that has begun cannot go on with another answer.
-		a.Close(false)
-		q.recordRun(verdict.Ran)
-		to.end(time.Now(), pick.Failed)
-		return nil
-	}
-	s := newStream(a, to)
-	if err := s.readAhead(); err != nil {
-		s.free()
-		to.end(time.Now(), q.endRun(a, to, err))
-		return nil
+	return h
+}
+
+// readWhole reads the whole answer of a hedge and reports whether it may go on with it; if not, it returns
+// the result for the target. A failure, and an answer that is no stream to a stream that has begun, is none.
+func (q *request) readWhole(h *hedge) (pick.Result, bool) {
+	body, err := readAnswer(h.raw)
+	if err != nil {
+		return q.endRun(h.raw, h.to, err), false
 	}
-	return &hedge{
-		s: s, cancel: cancel, lastTried: q.lastTried, source: q.source, decidedBy: q.decidedBy,
-		sentAt: q.sentAt, expectedWaitMs: q.expectedWaitMs, costMs: q.costMs,
+	h.raw.Close(true)
+	if q.headWritten || h.raw.StatusCode >= http.StatusInternalServerError {
+		q.recordRun(verdict.Ran)
+		return pick.Failed, false
 	}
+	h.whole = &bufferedAnswer{status: h.raw.StatusCode, header: h.raw.Header, body: body}
+	return pick.Good, true
 }
 
 // logHedge logs how a hedge has ended. answered says that it has brought an event, goesOn that it goes on
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -3,11 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -95,6 +95,9 @@
 	a *rawhttp.Answer
 	p *destination
 	e *eventReader
+	// interrupt ends the reading; cause returns why it has ended.
+	interrupt context.CancelCauseFunc
+	cause     func() error
 	// ahead is what was read last, if it was not relayed yet.
 	ahead *readEvent
 }
@@ -105,11 +108,12 @@
 	err   error
 }
 
-// newStream returns the stream of an answer. Call free when it is not read any more.
-func newStream(a *rawhttp.Answer, p *destination) *stream {
+// newStream returns the stream of an answer, whose reading ctx ends and interrupt with it. Call free when it
+// is not read any more.
+func newStream(ctx context.Context, interrupt context.CancelCauseFunc, a *rawhttp.Answer, p *destination) *stream {
 	e := eventReaderPool.Get().(*eventReader)
 	e.r.Reset(a.Body)
-	return &stream{a: a, p: p, e: e}
+	return &stream{a: a, p: p, e: e, interrupt: interrupt, cause: func() error { return context.Cause(ctx) }}
 }
 
 func (s *stream) free() {
@@ -142,11 +146,12 @@
 	a, p := s.a, s.p
 	first := true
 	lastEventAt := time.Now()
-	var silence *silenceWatch
 	for {
-		silence.wait(q)
+		if !first {
+			q.watch.awaitEvent(q, a)
+		}
 		event, err := s.next()
-		silence.endWait(err)
+		q.watch.endWait(err)
 		now := time.Now()
 		if !first {
 			q.recordGap(now.Sub(lastEventAt))
@@ -157,14 +162,13 @@
 			q.writeHead(a)
 		}
 		if err == io.EOF {
-			silence.stop()
 			a.Close(true)
 			q.reportAnswerEnd(a, p)
 			q.recordRun(verdict.Ran)
 			return true, pick.Good
 		}
 		if err != nil {
-			if q.hedge = silence.lost(q); q.hedge != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			if s.cause() == errSilent {
 				err = errSilent
 			}
 			return false, q.streamBroken(a, p, err)
@@ -175,11 +179,12 @@
 		}
 		if first {
 			q.recordOrigin(a, p)
-			silence = q.watchSilence(a, p)
+			if q.watch == nil {
+				q.watch = q.watchRun(p, s.interrupt)
+			}
 		}
 		first = false
 		if !q.relayEvent(a, s.e, event) {
-			silence.stop()
 			a.Close(false)
 			q.recordRun(verdict.Ran)
 			q.reportCrash(p, errCallerLeft)
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -161,7 +161,7 @@
 // reachedTarget reports whether an attempt has reached a target, even if the target rejected it.
 func (q *request) reachedTarget() bool { return q.rejected || q.runs > 0 }
 
-// errUnreachable ends an attempt at a target that other requests can no longer reach.
+// errUnreachable ends a hedge at a target that other requests can no longer reach.
 var errUnreachable = errors.New("the target became unreachable")
 
 // attempt sends the request to p and reports whether the caller has got the final answer.
@@ -170,13 +170,15 @@
 	defer cancel(nil)
 	a := q.send(ctx, cancel, p, now)
 	if a == nil {
+		q.endWatch(false)
 		return false
 	}
-	done, result := q.handleAnswer(a, p)
+	done, result := q.handleAnswer(ctx, cancel, a, p)
 	p.end(time.Now(), result)
 	if !done && p.choice != nil {
 		q.logAttempt(p.choice.ID, a, result)
 	}
+	q.endWatch(done)
 	return done
 }
 
@@ -191,8 +193,11 @@
 	q.triedTargets = append(q.triedTargets, p.choice.ID)
 	q.lastTried, q.source, q.decidedBy = p.choice.ID, p.choice.Source, p.decision.Owner
 	q.sentAt, q.expectedWaitMs, q.costMs, q.rest = now, p.choice.Wait, p.choice.Cost, 0
-	if q.route.Repeatable() {
+	if q.hedging {
 		p.choice.OnUnreachable(func() { cancel(errUnreachable) })
+	} else if q.watch = q.watchRun(p, cancel); q.watch != nil {
+		q.watch.awaitAnswer()
+		p.choice.OnUnreachable(q.watch.targetUnreachable)
 	}
 	a, err := q.g.o.Targets.Do(ctx, p.choice.Address, q.targetRequest(p.choice, now))
 	q.g.o.Metrics.SendTime.Update(time.Since(now))
@@ -337,12 +342,12 @@
 
 // handleAnswer relays an answer and reports whether the caller has got it whole; if not,
 // another attempt is needed.
-func (q *request) handleAnswer(a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
+func (q *request) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, a *rawhttp.Answer, p *destination) (done bool, result pick.Result) {
 	if result, ok := q.checkHead(a, p); !ok {
 		return false, result
 	}
 	if q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK {
-		s := newStream(a, p)
+		s := newStream(ctx, cancel, a, p)
 		defer s.free()
 		return q.relayStream(s)
 	}
--- a/pipeline/exchange/silence.go
+++ b/pipeline/exchange/silence.go
@@ -22,32 +22,40 @@
 	placeSearchInterval = 500 * time.Millisecond
 )
 
-// silenceWatch looks for another place while the target of a resumable stream is silent, and sends the
-// request there as a hedge. The silent target is read on until the hedge has brought an event: silence
-// alone ends no answer, as the target may be the only one that can finish it, and a place that was found
-// may still reject the request, break off or never answer. All this runs beside the reading, so that an
-// event that arrives is not held back.
-type silenceWatch struct {
-	// ctx is that of the request, and from the place whose stream is read.
-	ctx  context.Context
-	from *destination
-	a    *rawhttp.Answer
+// runWatch watches a run that may be repeated elsewhere. It looks for another place while the target of a
+// resumable stream is silent, or if other requests find the target of any request unreachable, and sends
+// the request there as a hedge. The run goes on until the hedge has brought an answer: neither silence nor a
+// connection that failed beside it ends a run, as its target may be the only one that can finish it, and a
+// place that was found may still reject the request, break off or never answer. All this runs beside the
+// reading, so that what arrives is not held back.
+type runWatch struct {
+	// ctx is that of the request, from the place of the run, and interrupt ends the run.
+	ctx       context.Context
+	from      *destination
+	interrupt context.CancelCauseFunc
 
 	mu sync.Mutex
+	// a is the answer of a stream that has begun; nil before.
+	a *rawhttp.Answer
 	// q is a copy of the request as if this run were lost, with what its hedges have used up. Searches
 	// work on copies of it, as they may outlast the run.
-	q     request
+	q request
+	// runsBefore is q.runs without hedges.
+	runsBefore int
+	// timer starts a search; nil until it is needed.
 	timer *time.Timer
 	// waiting says that the next event is being read. waits numbers the times of waiting, so that a
 	// search that was overtaken by an event is recognized.
 	waiting bool
 	waits   uint64
-	// broken says that the stream was lost: a hedge is its only run then.
+	// unreachable says that other requests have found the target unreachable since it was last heard.
+	unreachable bool
+	// broken says that the run was lost: a hedge is the only run then.
 	broken bool
 	// searching says that a search is running; there is at most one.
 	searching bool
-	// hedge is under way; nil if none is. found is the one that goes on with the stream; reading has ended
-	// once it is set.
+	// hedge is under way; nil if none is. found is the one that goes on with the request; the run is
+	// interrupted once it is set.
 	hedge *sentHedge
 	found *hedge
 }
@@ -56,7 +64,7 @@
 type sentHedge struct {
 	sentAt time.Time
 	cancel context.CancelCauseFunc
-	// limit ends it if it has brought no event in time.
+	// limit ends it if it has brought no event in time; nil if it may take all the time left.
 	limit *time.Timer
 	// ended is closed when it has ended, or goes on with the stream.
 	ended chan struct{}
@@ -64,14 +72,17 @@
 	read chan struct{}
 }
 
-// watchSilence returns the watch of a stream whose first event was read; nil if it must not be ended for
-// silence. A forwarded request has one run here, so only the instance that forwarded it can go on with it.
-func (q *request) watchSilence(a *rawhttp.Answer, from *destination) *silenceWatch {
-	if !q.route.Resumable || q.forwarded != nil {
+// watchRun returns the watch of a run at a place, which interrupt ends; nil if the request may not have
+// another one beside it. A forwarded request has one run here, so only the instance that forwarded it can
+// have a hedge.
+func (q *request) watchRun(from *destination, interrupt context.CancelCauseFunc) *runWatch {
+	if !q.route.Repeatable() || q.forwarded != nil {
 		return nil
 	}
-	w := &silenceWatch{ctx: q.ctx, from: from, a: a, q: q.copy()}
+	w := &runWatch{ctx: q.ctx, from: from, interrupt: interrupt, q: q.copy()}
+	w.q.watch = nil
 	w.q.recordRun(verdict.MayHaveRun)
+	w.runsBefore = w.q.runs
 	// A choice that the end of the request cancelled would count against the owner of the group.
 	w.q.ctx = context.WithoutCancel(q.ctx)
 	return w
@@ -84,33 +95,74 @@
 	return c
 }
 
-// wait begins the wait for an event after those that the caller of q has. w may be nil.
-func (w *silenceWatch) wait(q *request) {
+// awaitAnswer begins the wait for the answer, or for the first event of a stream. w may be nil.
+func (w *runWatch) awaitAnswer() {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.beginWait()
+}
+
+// awaitEvent begins the wait for an event of answer a after those that the caller of q has. w may be nil.
+func (w *runWatch) awaitEvent(q *request, a *rawhttp.Answer) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.a, w.q.begun, w.q.origin = a, q.begun, q.origin
 	w.q.headWritten, w.q.lastEventID, w.q.hasLastEventID = q.headWritten, q.lastEventID, q.hasLastEventID
+	w.beginWait()
+	w.searchAfter(w.q.g.streamIdle)
+}
+
+func (w *runWatch) beginWait() {
 	w.waiting = true
 	w.waits++
+}
+
+func (w *runWatch) searchAfter(d time.Duration) {
 	if w.timer == nil {
-		w.timer = time.AfterFunc(w.q.g.streamIdle, w.search)
+		w.timer = time.AfterFunc(d, w.search)
 		return
 	}
-	w.timer.Reset(w.q.g.streamIdle)
+	w.timer.Reset(d)
+}
+
+// targetUnreachable has the watch search for another place: other requests cannot connect to the target.
+func (w *runWatch) targetUnreachable() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.waiting || w.found != nil {
+		return
+	}
+	w.unreachable = true
+	if w.a == nil {
+		w.searchAfter(0)
+		return
+	}
+	// Its events are not overdue yet.
+	w.searchAfter(w.q.g.placeSearch)
 }
 
 // endWait ends the wait with the result of reading. If that is an event or the end of the answer, it ends
 // the hedge under way. w may be nil.
-func (w *silenceWatch) endWait(err error) {
+func (w *runWatch) endWait(err error) {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.waiting {
+		return
+	}
 	w.waiting, w.broken = false, err != nil && err != io.EOF
-	w.timer.Stop()
+	w.unreachable = w.unreachable && w.broken
+	if w.timer != nil {
+		w.timer.Stop()
+	}
 	if w.hedge == nil {
 		return
 	}
@@ -121,67 +173,74 @@
 	}
 }
 
-// stop ends the watch of a stream that needs no hedge any more. It must follow endWait. w may be nil.
-func (w *silenceWatch) stop() {
+// endWatch ends the watch of a run that has ended. done says that the caller has the whole answer; if not,
+// the hedge that goes on with the request is kept in q, with what all have used up. One under way is waited
+// for then: nothing else runs now.
+func (q *request) endWatch(done bool) {
+	w := q.watch
+	q.watch = nil
 	if w == nil {
 		return
 	}
-	w.mu.Lock()
-	h := w.found
-	w.found = nil
-	w.mu.Unlock()
-	h.withdraw()
-}
-
-// lost ends the watch of a stream whose reading has ended early, and returns the hedge that goes on with
-// it, if any. One under way is waited for: nothing else runs now. q gets what the hedges have used up. It
-// must follow endWait. w may be nil.
-func (w *silenceWatch) lost(q *request) *hedge {
-	if w == nil {
-		return nil
+	if done {
+		w.endWait(nil)
+		w.mu.Lock()
+		h := w.found
+		w.found = nil
+		w.mu.Unlock()
+		h.withdraw()
+		return
 	}
+	w.endWait(errRunLost)
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if under := w.hedge; under != nil {
-		under.limit.Stop()
+		under.stopLimit()
 		w.mu.Unlock()
 		<-under.ended
 		w.mu.Lock()
 	}
-	defer w.mu.Unlock()
-	q.takeAttempts(&w.q)
-	// The copy counts this run already.
-	q.runs--
-	h := w.found
-	w.found = nil
-	return h
+	q.takeAttempts(&w.q, w.runsBefore)
+	q.hedge, w.found = w.found, nil
+}
+
+func (h *sentHedge) stopLimit() {
+	if h.limit != nil {
+		h.limit.Stop()
+	}
 }
 
-// takeAttempts takes over what attempts with a copy of the request have changed.
-func (q *request) takeAttempts(from *request) {
-	q.attemptCount, q.runs, q.verdict = from.attemptCount, from.runs, from.verdict
+// takeAttempts takes over what attempts with a copy of the request have changed, which had runsBefore runs.
+func (q *request) takeAttempts(from *request, runsBefore int) {
+	q.attemptCount = from.attemptCount
+	if from.runs > runsBefore {
+		q.runs, q.verdict = q.runs+from.runs-runsBefore, q.verdict.Join(from.verdict)
+	}
 	q.triedTargets, q.triedRegions = from.triedTargets, from.triedRegions
-	q.rejected, q.refusedElsewhere, q.hadPlace = from.rejected, from.refusedElsewhere, from.hadPlace
-	q.finalRefusal = from.finalRefusal
+	q.rejected, q.refusedElsewhere, q.hadPlace = q.rejected || from.rejected, q.refusedElsewhere || from.refusedElsewhere, from.hadPlace
+	if from.finalRefusal != nil {
+		q.finalRefusal = from.finalRefusal
+	}
 }
 
 // search looks for a place once, and sends a hedge there. If that comes to nothing, it searches again
 // after placeSearchInterval.
-func (w *silenceWatch) search() {
+func (w *runWatch) search() {
 	w.mu.Lock()
 	if !w.waiting || w.found != nil {
 		w.mu.Unlock()
 		return
 	}
 	if w.searching {
-		w.timer.Reset(w.q.g.placeSearch)
+		w.searchAfter(w.q.g.placeSearch)
 		w.mu.Unlock()
 		return
 	}
 	w.searching = true
-	waits, c := w.waits, w.q.copy()
+	waits, c, unlimited := w.waits, w.q.copy(), w.unreachable
 	w.mu.Unlock()
 
-	if to := c.chooseForHedge(time.Now(), w.from); to != nil {
+	if to := c.chooseForHedge(time.Now(), w.from, unlimited); to != nil {
 		w.tryHedge(&c, to, waits)
 	}
 
@@ -189,13 +248,13 @@
 	defer w.mu.Unlock()
 	w.searching = false
 	if w.waiting && w.waits == waits && w.found == nil {
-		w.timer.Reset(w.q.g.placeSearch)
+		w.searchAfter(w.q.g.placeSearch)
 	}
 }
 
 // tryHedge sends the request to a place, unless the silent target has sent something meanwhile or the
 // retry budget does not allow it. c is a copy of the request.
-func (w *silenceWatch) tryHedge(c *request, to *destination, waits uint64) {
+func (w *runWatch) tryHedge(c *request, to *destination, waits uint64) {
 	ctx, cancel := context.WithCancelCause(w.ctx)
 	c.ctx = ctx
 	under := w.beginHedge(c, to, cancel, waits)
@@ -213,20 +272,22 @@
 
 // silentStill reports whether the target has sent nothing since the wait began, also nothing that this
 // process was too busy to read. w.mu must be held.
-func (w *silenceWatch) silentStill(waits uint64) bool {
-	return w.waiting && w.waits == waits && w.a.Silent()
+func (w *runWatch) silentStill(waits uint64) bool {
+	return w.waiting && w.waits == waits && (w.a == nil || w.a.Silent())
 }
 
 // beginHedge returns nil if the hedge must not be sent.
-func (w *silenceWatch) beginHedge(c *request, to *destination, cancel context.CancelCauseFunc, waits uint64) *sentHedge {
+func (w *runWatch) beginHedge(c *request, to *destination, cancel context.CancelCauseFunc, waits uint64) *sentHedge {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.silentStill(waits) || !c.tryRetry(time.Now()) {
 		return nil
 	}
 	c.g.o.Metrics.Retries.Inc(1)
-	limit := time.AfterFunc(c.overlap(w.from, to), func() { cancel(errOverlap) })
-	w.hedge = &sentHedge{sentAt: time.Now(), cancel: cancel, limit: limit, ended: make(chan struct{}), read: make(chan struct{})}
+	w.hedge = &sentHedge{sentAt: time.Now(), cancel: cancel, ended: make(chan struct{}), read: make(chan struct{})}
+	if !w.unreachable {
+		w.hedge.limit = time.AfterFunc(c.overlap(w.from, to), func() { cancel(errOverlap) })
+	}
 	return w.hedge
 }
 
@@ -236,12 +297,12 @@
 
 // endHedge records how the hedge has ended; h is nil if it has brought no event. It goes on with the stream
 // if that is still silent, or was lost.
-func (w *silenceWatch) endHedge(c *request, h *hedge, under *sentHedge, waits uint64) {
+func (w *runWatch) endHedge(c *request, h *hedge, under *sentHedge, waits uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(under.ended)
-	under.limit.Stop()
-	for h != nil && w.waiting && w.waits == waits && !w.a.Silent() {
+	under.stopLimit()
+	for h != nil && w.waiting && w.waits == waits && !w.silentStill(waits) {
 		// What has arrived may be an event or the end of the connection.
 		w.mu.Unlock()
 		select {
@@ -255,11 +316,15 @@
 	}
 	if h != nil && w.waits == waits && (w.waiting || w.broken) {
 		w.found = h
-		w.a.SetReadTimeout(0)
+		w.interrupt(errSilent)
 	} else if h != nil {
 		h.withdraw()
 		c.recordRun(verdict.MayHaveRun)
 	}
 	c.logHedge(under.sentAt, h != nil, w.found != nil)
-	w.q.takeAttempts(c)
+	if c.runs == w.q.runs && context.Cause(c.ctx) == errTargetGoesOn {
+		// It was ended before it was sent, so its place was not tried.
+		return
+	}
+	w.q.takeAttempts(c, w.q.runs)
 }
