exchange: a stream returns to its silent target if the hedge that went on with it breaks off

Cause: the tries of a route bound the targets that may run a request, but runs were counted. With two tries, a stream whose hedge had brought an event and then broke off was lost, though its first target, which had been ended for the hedge, could still run it.

Change: such a stream goes back to that target once, after the events that its caller has, if the retry budget allows it and the target is neither draining, resting nor cold (pick.PickAgain).

Measured: TestStreamReturnsToItsSilentTarget; without the return the stream was truncated.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// targetID returns the id of the target; empty for a place in another region.
+func (p *destination) targetID() string {
+	if p.choice == nil {
+		return ""
+	}
+	return p.choice.ID
+}
+
 // end is reportEnd for a place that may be in another region, which reports by itself.
 func (p *destination) end(now time.Time, r pick.Result) {
 	if p.choice != nil {
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -82,12 +82,24 @@
 	return done
 }
 
+// chooseAgain returns the target whose silent run was ended for a hedge that has broken off since; nil if it
+// must not get the request. All tries are used up, but they bound the targets that run the request, and this
+// one has run it.
+func (q *request) chooseAgain(now time.Time) *destination {
+	id := q.returnTo
+	q.returnTo = ""
+	if choice := q.g.o.Pool.PickAgain(now, q.pickCall(), id); choice != nil {
+		return &destination{choice: choice}
+	}
+	return nil
+}
+
 // chooseForHedge returns a place for a hedge, reserved if it is a target of this region; nil if there is
 // none. The place must be expected to begin in the time that both may run, or before the deadline if that is
 // unlimited, and a region that has just refused is none: the target of the run is more likely to finish the
 // answer.
 func (q *request) chooseForHedge(now time.Time, from *destination, unlimited bool) *destination {
-	if _, ok := q.mayRunAgain(now); !ok || q.finalRefusal != nil {
+	if _, ok := q.mayRunAgain(now); !ok || q.runs >= q.maxRuns || q.finalRefusal != nil {
 		return nil
 	}
 	to, _ := q.choose(now)
--- a/pipeline/exchange/rig_test.go
+++ b/pipeline/exchange/rig_test.go
@@ -292,6 +292,7 @@
 		"safe":   {Kind: routes.Safe, Attempts: 2},
 		"stream": {Kind: routes.Stream, Attempts: 1},
 		"resume": {Kind: routes.Stream, Attempts: 3, Resumable: true},
+		"twice":  {Kind: routes.Stream, Attempts: 2, Resumable: true},
 		"taken":  {Kind: routes.Stream, Attempts: 1, Aim: time.Second, Resumable: true},
 		"aimed":  {Kind: routes.Stream, Attempts: 1, Aim: time.Second},
 		"quick":  {Kind: routes.Unsafe, Attempts: 1, Timeout: 50 * time.Millisecond},
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -61,6 +61,12 @@
 		return q.goOn(h), ""
 	}
 	now := time.Now()
+	if q.runs >= q.maxRuns {
+		if to := q.chooseAgain(now); to != nil {
+			return q.attempt(to, now), ""
+		}
+		return false, CodeTargetLost
+	}
 	to, code := q.choose(now)
 	q.g.o.Metrics.ChooseTime.Update(time.Since(now))
 	if to == nil {
@@ -130,7 +136,7 @@
 		return code, false
 	}
 	switch {
-	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns):
+	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns && q.returnTo == ""):
 		return CodeTargetLost, false
 	case q.begun && q.origin.Software == "":
 		return CodeUnknownStream, false
--- a/pipeline/exchange/silence_test.go
+++ b/pipeline/exchange/silence_test.go
@@ -233,6 +233,38 @@
 	})
 }
 
+// Guards against losing a stream that its silent target can still finish, because the place that went on with
+// it broke off and no further target may run it.
+func TestStreamReturnsToItsSilentTarget(t *testing.T) {
+	Convey("a hedge breaks off after its first event, with all tries used up", t, func() {
+		silent := func(c net.Conn, r receivedRequest) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, 2))
+			return untilEnded(c, r)
+		}
+		x, y := newTarget(t, "t1", silent, streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
+		r := newRig(t, "r", x, y)
+		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+		r.searchSilent(newSearches(func(n int64) exchange.Decision {
+			if n == 1 {
+				return exchange.Decision{Target: "t1"}
+			}
+			return exchange.Decision{}
+		}))
+		got := r.call("/twice/x", "b")
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+		So(requestCount(x), ShouldEqual, 2)
+		So(requestCount(y), ShouldEqual, 1)
+		So(x.requests()[1].header.Get("After"), ShouldEqual, "3")
+	})
+	Convey("the silent target has broken off by itself", t, func() {
+		x, y := newTarget(t, "t1", streamEvents(2, false)), newTarget(t, "t2", streamEvents(3, false))
+		r := newRig(t, "r", x, y)
+		So(r.call("/twice/x", "b").truncated, ShouldBeTrue)
+		So(requestCount(x, y), ShouldEqual, 2)
+	})
+}
+
 // Guards against losing a stream whose silent target breaks off while another place has been asked.
 func TestPlaceThatWasAskedGoesOnWithALostStream(t *testing.T) {
 	Convey("the silent target ends before the other one answers", t, func() {
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -272,14 +272,31 @@
 	if t == nil || !p.available(now, t, c) {
 		return nil
 	}
-	w := p.newScorer(now, c)
-	e := w.estimateAt(t)
-	ch := p.reserve(w, t, &e)
+	ch := p.reserveAt(now, t, c)
 	ch.byOwner = true
 	t.byOwner.add(ch.counted)
 	return ch
 }
 
+// PickAgain counts a request at a target that has run it before, also in a backoff. It returns nil if the
+// target must not get it.
+func (p *Pool) PickAgain(now time.Time, c Call, id string) *Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[id]
+	if t == nil || p.draining(t) || t.resting(now) || p.cold(now, t) || c.Software != "" && t.Software != c.Software {
+		return nil
+	}
+	return p.reserveAt(now, t, c)
+}
+
+// reserveAt counts a request at a target. p.mu must be held.
+func (p *Pool) reserveAt(now time.Time, t *target, c Call) *Choice {
+	w := p.newScorer(now, c)
+	e := w.estimateAt(t)
+	return p.reserve(w, t, &e)
+}
+
 // backOff starts the target's backoff and forgets which prefixes it has cached. Requests that fail
 // during the backoff don't extend it, so those that fail together count once.
 func (t *target) backOff(now time.Time) {
