exchange: a forwarded request has all the time that is left

Cause: 80 ms were taken off the time of a forwarded request for the way back. Where that is shorter, what ends in the last 80 ms before the deadline was cut by the other region, streams in the middle.

Change: nothing is taken off. The instance that forwarded it ends the request at the deadline and closes the connection.

Measured: TestForwardedRequestHasAllTheTimeLeft failed before (-30 for 50 ms left).

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -258,7 +258,7 @@
 	raw := q.raw
 	raw.Header = forwardable(q.r.Header)
 	p := forwardedRequest{
-		SenderRegion: q.g.o.Region, Version: q.view.Index.Table.Version, Timeout: q.deadline.Sub(now) - regionReturnTrip,
+		SenderRegion: q.g.o.Region, Version: q.view.Index.Table.Version, Timeout: q.deadline.Sub(now),
 		// Only 1, because this instance cannot count the retries of the other one.
 		MaxRuns: 1, Trial: q.trial,
 	}
@@ -274,9 +274,6 @@
 	return &raw
 }
 
-// regionReturnTrip is how long an answer takes from another region.
-const regionReturnTrip = 80 * time.Millisecond
-
 // readLastEventID reads the last event id that another instance gives, and removes the header.
 func readLastEventID(h http.Header) (id int64, ok bool, err error) {
 	text := h.Get(headerLastEventID)
--- a/pipeline/exchange/export_test.go
+++ b/pipeline/exchange/export_test.go
@@ -1,6 +1,16 @@
 package exchange
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
+
+// ForwardedTimeout returns what a request that is forwarded with so much time left says of it.
+func (g *Gateway) ForwardedTimeout(left time.Duration) string {
+	now := time.Now()
+	q := &request{g: g, view: g.View(), r: &http.Request{Header: http.Header{}}, deadline: now.Add(left)}
+	return q.peerRequest(now).Header.Get(headerTimeout)
+}
 
 // TripMillis returns the estimated round trip to another region, in milliseconds.
 func (g *Gateway) TripMillis(region string) float64 { return g.trips.To(region) }
--- a/pipeline/exchange/regions_test.go
+++ b/pipeline/exchange/regions_test.go
@@ -280,6 +280,14 @@
 	})
 }
 
+// Guards against another region that ends an answer before its caller stops waiting for it.
+func TestForwardedRequestHasAllTheTimeLeft(t *testing.T) {
+	Convey("a request with 50 ms left", t, func() {
+		a, _ := newRegionPair(t, nil, nil)
+		So(a.gateway.ForwardedTimeout(50*time.Millisecond), ShouldEqual, "50")
+	})
+}
+
 // Guards against headers between instances that a target writes itself: one that says "refused" has a
 // request that ran answered as one that did not.
 func TestTargetCannotSpeakForAnInstance(t *testing.T) {
