soak: silent runners, spoiled hedges, refused connections and doubled answers beside planned work

Cause: the soak had no runner that is silent and goes on, none that spoils a stream that the site sends on, none that refuses connections beside those that it serves, and none that sends an answer a second time.

Change: -soak.strain draws these with planned work only, several runners at once; whatever is lost, doubled or refused though it ran is a violation.

--- a/soak/forwarder.go
+++ b/soak/forwarder.go
@@ -39,12 +39,16 @@
 		return nil, err
 	}
 	f := &Forwarder{to: to, l: l, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	f.wg.Go(f.accept)
+	f.wg.Go(func() { f.accept(l) })
 	return f, nil
 }
 
 // Address returns the address at which it listens.
-func (f *Forwarder) Address() string { return f.l.Addr().String() }
+func (f *Forwarder) Address() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.l.Addr().String()
+}
 
 // SetImpairment replaces the impairment, also for existing connections.
 func (f *Forwarder) SetImpairment(t Impairment) {
@@ -55,6 +59,30 @@
 	f.changed = make(chan struct{})
 }
 
+// RefuseConns refuses new connections for a time. Those that are open go on.
+func (f *Forwarder) RefuseConns(during time.Duration) error {
+	f.mu.Lock()
+	address, closed := f.l.Addr().String(), f.closed
+	f.mu.Unlock()
+	if closed {
+		return nil
+	}
+	_ = f.l.Close()
+	time.Sleep(during)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return l.Close()
+	}
+	f.l = l
+	f.wg.Go(func() { f.accept(l) })
+	return nil
+}
+
 // Reset resets all connections.
 func (f *Forwarder) Reset() {
 	f.mu.Lock()
@@ -72,8 +100,8 @@
 	}
 	f.mu.Lock()
 	f.closed = true
-	f.mu.Unlock()
 	_ = f.l.Close()
+	f.mu.Unlock()
 	f.SetImpairment(Impairment{})
 	f.Reset()
 	f.wg.Wait()
@@ -86,9 +114,9 @@
 	_ = c.Close()
 }
 
-func (f *Forwarder) accept() {
+func (f *Forwarder) accept(l net.Listener) {
 	for {
-		in, err := f.l.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -49,11 +49,20 @@
 	Reject Kind = "reject"
 	// Leave is Drain, with answers that say that the runner is leaving. The list says so later.
 	Leave Kind = "leave"
+	// Silence has a runner be silent in the middle of its streams, which it finishes.
+	Silence Kind = "silence"
+	// SpoilResumed has a runner reject, break off or never answer streams that the site sends on to it.
+	SpoilResumed Kind = "spoil"
+	// RefuseConns has a runner refuse new connections and serve those that it has.
+	RefuseConns Kind = "refuse_conns"
+	// Double has a runner turn a share of requests away, and send each answer a second time, where the
+	// next one is expected.
+	Double Kind = "double"
 )
 
 // Planned reports whether the fault is planned work, which must disturb no request.
 func (k Kind) Planned() bool {
-	return slices.Contains([]Kind{Restart, Reload, Drain, ForeignEntries, TurnAway, Reject, Leave}, k)
+	return slices.Contains([]Kind{Restart, Reload, Drain, ForeignEntries, TurnAway, Reject, Leave, Silence, SpoilResumed, RefuseConns, Double}, k)
 }
 
 // network reports whether the fault is injected by a Forwarder.
@@ -202,6 +211,36 @@
 	return out
 }
 
+// strainKinds are the faults that DrawStrain draws for each role: planned work, and what runners may do
+// without that a request is lost.
+var strainKinds = map[Role][]Kind{
+	RoleEntry:  {Restart, Restart, Reload},
+	RoleRunner: {Silence, Silence, Silence, SpoilResumed, SpoilResumed, RefuseConns, RefuseConns, Double, Reject, Drain},
+}
+
+// DrawStrain returns planned work and faults of runners that must disturb no request, sorted by At. Silence
+// and spoiled streams come at several runners at once.
+func DrawStrain(seed uint64, s Shape, span time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 6))
+	count := map[Role]int{RoleEntry: s.Entries, RoleRunner: s.Runners}
+	roles := []Role{RoleEntry, RoleRunner, RoleRunner, RoleRunner}
+	var out []Fault
+	for at := gap(rng); at < span; at += gap(rng) {
+		role := roles[rng.IntN(len(roles))]
+		f := Fault{Kind: strainKinds[role][rng.IntN(len(strainKinds[role]))], Role: role, Number: rng.IntN(count[role]), At: at, For: faultTime(rng)}
+		out = append(out, f)
+		if f.Kind != Silence && f.Kind != SpoilResumed {
+			continue
+		}
+		for n := range s.Runners {
+			if n != f.Number && rng.IntN(2) == 0 {
+				out = append(out, Fault{Kind: f.Kind, Role: role, Number: n, At: at, For: f.For})
+			}
+		}
+	}
+	return out
+}
+
 // massCrashGap is the mean time between the crashes of DrawMassCrashes: long enough that streams run again.
 const massCrashGap = 1500 * time.Millisecond
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,12 +18,13 @@
 )
 
 var (
-	seeds = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
-	wide  = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
-	span  = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
-	mixed = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
-	mass  = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
-	keep  = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
+	seeds  = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
+	wide   = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
+	span   = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
+	mixed  = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
+	strain = flag.Bool("soak.strain", false, "play soak.seeds with planned work beside silent runners, spoiled hedges, refused connections and doubled answers")
+	mass   = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
+	keep   = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
 
 // binary is the daemon under test.
@@ -104,6 +105,19 @@
 	runFaults(t, seed, o, DrawMassCrashes(seed, o.Shape, span))
 }
 
+// strainSpan is the time within which the faults of TestStrainLosesNoRequest begin.
+const strainSpan = 6 * time.Second
+
+// Guards against streams that are ended for their runner's silence or for a connection that fails beside
+// them, though it would finish them, and against doubled answers that count for the next request.
+func TestStrainLosesNoRequest(t *testing.T) { runStrain(t, 1, strainSpan) }
+
+// runStrain plays planned work beside what runners may do without that a request is lost.
+func runStrain(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 3, Entries: 4, Runners: 9}, Callers: 24, Budget: siteBudget}
+	runFaults(t, seed, o, DrawStrain(seed, o.Shape, span))
+}
+
 // formerFailures are seeds that failed before, each with its cause.
 var formerFailures = []struct {
 	seed  uint64
@@ -145,6 +159,9 @@
 			case *mass:
 				runMass(t, seed, *span)
 				return
+			case *strain:
+				runStrain(t, seed, *span)
+				return
 			}
 			runSeed(t, seed, *span, true)
 		})
--- a/soak/subnet.go
+++ b/soak/subnet.go
@@ -67,6 +67,8 @@
 type server struct {
 	http http.Server
 	l    net.Listener
+	// doubling has the answers sent twice.
+	doubling *doubling
 }
 
 func serve(address string, h http.Handler) (*server, error) {
@@ -74,8 +76,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{http: http.Server{Handler: h, ReadHeaderTimeout: effectTime}, l: l}
-	go func() { _ = s.http.Serve(l) }()
+	s := &server{http: http.Server{Handler: h, ReadHeaderTimeout: effectTime}, l: l, doubling: &doubling{Listener: l}}
+	go func() { _ = s.http.Serve(s.doubling) }()
 	return s, nil
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -371,6 +371,8 @@
 		case Reject:
 			w.turnAway(w.runners[f.Number], f.For, "")
 			return nil
+		case Silence, SpoilResumed, RefuseConns, Double:
+			return w.strain(w.runners[f.Number], f)
 		}
 		return w.replace(w.runners[f.Number], f)
 	case RoleCore:
@@ -466,6 +468,36 @@
 	handler.TurnAway(false, "")
 }
 
+// silentTime is how long a silent runner pauses in the middle of a stream: longer than the site waits before
+// it looks for another place, and short enough to finish before the callers' deadline.
+const silentTime = 2300 * time.Millisecond
+
+// strain has a runner do for a time what must lose no request.
+func (w *World) strain(r *runner, f Fault) error {
+	w.mu.Lock()
+	handler, server := r.handler, r.server
+	w.mu.Unlock()
+	switch f.Kind {
+	case RefuseConns:
+		return r.forwarder.RefuseConns(f.For)
+	case Silence:
+		handler.SetSilence(silentTime)
+		time.Sleep(f.For)
+		handler.SetSilence(0)
+	case SpoilResumed:
+		handler.SpoilResumed(true)
+		time.Sleep(f.For)
+		handler.SpoilResumed(false)
+	case Double:
+		handler.Shed(true)
+		server.doubling.on.Store(true)
+		time.Sleep(f.For)
+		server.doubling.on.Store(false)
+		handler.Shed(false)
+	}
+	return nil
+}
+
 // listLag is how much later the list says that a runner drains than the runner itself.
 const listLag = 2 * time.Second
 
