--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -43,7 +43,7 @@
 	expectedWaitMs, costMs       float64
 }
 
-// takeHedge returns the hedge that goes on with the stream, if any, which is the caller's from then on.
+// takeHedge returns the hedge that goes on with the request, if any, which is the caller's from then on.
 func (q *request) takeHedge() *hedge {
 	h := q.hedge
 	q.hedge = nil
--- a/pipeline/exchange/silence.go
+++ b/pipeline/exchange/runwatch.go
@@ -66,9 +66,9 @@
 	cancel context.CancelCauseFunc
 	// limit ends it if it has brought no event in time; nil if it may take all the time left.
 	limit *time.Timer
-	// ended is closed when it has ended, or goes on with the stream.
+	// ended is closed when it has ended, or goes on with the request.
 	ended chan struct{}
-	// read is closed when the silent run has been read on.
+	// read is closed when the run beside it has been read on.
 	read chan struct{}
 }
 
@@ -295,14 +295,14 @@
 // whole event yet.
 const arrivalPollInterval = 5 * time.Millisecond
 
-// endHedge records how the hedge has ended; h is nil if it has brought no event. It goes on with the stream
-// if that is still silent, or was lost.
+// endHedge records how the hedge has ended; h is nil if it has brought no answer. It goes on with the request
+// if the run is still silent, or was lost.
 func (w *runWatch) endHedge(c *request, h *hedge, under *sentHedge, waits uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(under.ended)
 	under.stopLimit()
-	for h != nil && w.waiting && w.waits == waits && !w.silentStill(waits) {
+	for h != nil && w.waiting && w.waits == waits && w.a != nil && !w.a.Silent() {
 		// What has arrived may be an event or the end of the connection.
 		w.mu.Unlock()
 		select {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -520,6 +520,8 @@
 
 // writeAnswer writes a target's answer to the caller unchanged.
 func (q *request) writeAnswer(answer *bufferedAnswer) {
+	// A caller that reads slowly needs no hedge.
+	q.watch.endWait(nil)
 	q.firstByteAt = time.Now()
 	h := q.w.Header()
 	copyAnswerHeaders(h, answer.header)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -3,8 +3,9 @@
 //
 // Each step has its own file: accept (find the route, read the whole request), choose
 // (own region or another), send (one attempt and its verdict), relay (whole answers and
-// event streams), finish (the final answer). A Dialect maps the header names of the
-// platform to the types of this package.
+// event streams), runwatch and hedge (a second attempt beside one that has no answer), finish
+// (the final answer). A Dialect maps the header names of the platform to the types of this
+// package.
 package exchange
 
 import (
