exchange: the time left of a forwarded request is rounded up

Cause: it was sent in whole milliseconds, rounded down, so the other region could end a stream up to a millisecond before the caller's instance.

Change: rounded up.

Measured: TestForwardedRequestHasAllTheTimeLeft failed with 50.5 ms (50 sent), passes.

--- a/pipeline/exchange/forwarded.go
+++ b/pipeline/exchange/forwarded.go
@@ -64,7 +64,8 @@
 func (p *forwardedRequest) write(h http.Header) {
 	h.Set(headerFrom, p.SenderRegion)
 	h.Set(headerVersion, strconv.FormatUint(p.Version, 10))
-	h.Set(headerTimeout, strconv.FormatInt(p.Timeout.Milliseconds(), 10))
+	// Rounded up: the receiver must not end the request before the sender does.
+	h.Set(headerTimeout, strconv.FormatInt((p.Timeout+time.Millisecond-1).Milliseconds(), 10))
 	h.Set(headerAttempts, strconv.Itoa(p.MaxRuns))
 	h.Del(headerTrial)
 	if p.Trial {
--- a/pipeline/exchange/regions_test.go
+++ b/pipeline/exchange/regions_test.go
@@ -282,9 +282,10 @@
 
 // Guards against another region that ends an answer before its caller stops waiting for it.
 func TestForwardedRequestHasAllTheTimeLeft(t *testing.T) {
-	Convey("a request with 50 ms left", t, func() {
+	Convey("requests with 50 and 50.5 ms left", t, func() {
 		a, _ := newRegionPair(t, nil, nil)
 		So(a.gateway.ForwardedTimeout(50*time.Millisecond), ShouldEqual, "50")
+		So(a.gateway.ForwardedTimeout(50*time.Millisecond+500*time.Microsecond), ShouldEqual, "51")
 	})
 }
 
