--- a/metrics/names.go
+++ b/metrics/names.go
@@ -36,7 +36,7 @@
 	CutAnswers       = Metric{"gullhaven_cut_answers_total", Counter, "requests", "Answers that ended with an error event after they had begun."}
 	CallersGone      = Metric{"gullhaven_callers_gone_total", Counter, "requests", "Requests whose caller left before the end."}
 	Attempts         = Metric{"gullhaven_attempts_total", Counter, "attempts", "Sendings to targets."}
-	Retries          = Metric{"gullhaven_retries_total", Counter, "attempts", "Sendings after a failed one."}
+	Retries          = Metric{"gullhaven_retries_total", Counter, "attempts", "Sendings after a failed one, or beside one that has no answer yet."}
 	Hedges           = Metric{"gullhaven_hedges_total", Counter, "attempts", "Second sendings beside a first one: before the first token, or while a stream is silent."}
 	Resumes          = Metric{"gullhaven_resumes_total", Counter, "streams", "Cut streams taken up again."}
 	MovedStreams     = Metric{"gullhaven_moved_streams_total", Counter, "streams", "Streams moved from a leaving target to another one."}
--- a/pipeline/exchange/silence_test.go
+++ b/pipeline/exchange/silence_test.go
@@ -62,6 +62,16 @@
 	}), goOn, ended, conns
 }
 
+// firstAt has the request sent to a target first, and leaves later choices to the instance.
+func firstAt(target string) func(n int64) exchange.Decision {
+	return func(n int64) exchange.Decision {
+		if n == 1 {
+			return exchange.Decision{Target: target}
+		}
+		return exchange.Decision{}
+	}
+}
+
 // late is the choice of a target that would begin after the deadline.
 var late = exchange.Decision{Target: "t2", Wait: float64(time.Hour.Milliseconds())}
 
@@ -152,12 +162,7 @@
 			}
 			// One retry: the share of a process that has just started is 1.25.
 			r.options.Retries.Share, r.options.Retries.Allowance = 0, 60
-			r.searchSilent(newSearches(func(n int64) exchange.Decision {
-				if n == 1 {
-					return exchange.Decision{Target: "t1"}
-				}
-				return exchange.Decision{}
-			}))
+			r.searchSilent(newSearches(firstAt("t1")))
 			got := r.call("/resume/x", "b")
 			So(got.truncated, ShouldBeFalse)
 			So(got.body, ShouldEqual, eventText(1, 4))
@@ -200,12 +205,7 @@
 				if elsewhere == "r" {
 					r = newRig(t, "r", x, y)
 				}
-				r.searchSilent(newSearches(func(n int64) exchange.Decision {
-					if n == 1 {
-						return exchange.Decision{Target: "t1"}
-					}
-					return exchange.Decision{}
-				}))
+				r.searchSilent(newSearches(firstAt("t1")))
 				got := r.call("/resume/x", "b")
 				So(got.truncated, ShouldBeFalse)
 				So(got.body, ShouldEqual, eventText(1, 4))
@@ -244,12 +244,7 @@
 		x, y := newTarget(t, "t1", silent, streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
 		r := newRig(t, "r", x, y)
 		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
-		r.searchSilent(newSearches(func(n int64) exchange.Decision {
-			if n == 1 {
-				return exchange.Decision{Target: "t1"}
-			}
-			return exchange.Decision{}
-		}))
+		r.searchSilent(newSearches(firstAt("t1")))
 		got := r.call("/twice/x", "b")
 		So(got.truncated, ShouldBeFalse)
 		So(got.body, ShouldEqual, eventText(1, 5))
@@ -282,12 +277,7 @@
 		})
 		r := newRig(t, "r", x, y)
 		r.options.Retries.Share, r.options.Retries.Allowance = 0, 60
-		r.searchSilent(newSearches(func(n int64) exchange.Decision {
-			if n == 1 {
-				return exchange.Decision{Target: "t1"}
-			}
-			return exchange.Decision{}
-		}))
+		r.searchSilent(newSearches(firstAt("t1")))
 		r.gateway.SetMaxOverlap(time.Minute)
 		got := r.call("/resume/x", "b")
 		So(got.truncated, ShouldBeFalse)
