exchange: a hedge that goes on is a run like any other

Cause: a hedge is ended if connections to its target fail, as it has brought nothing yet. That stayed so after it had brought an event and gone on with the stream: a connection that failed beside it ended the stream, and its silent run was gone by then. The time that two runs may overlap could end it in the same moment.

Change: nothing but the request ends a hedge that has answered, decided under one lock. A stream that a hedge goes on with is watched like others: it gets a hedge if its target is found unreachable.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -86,10 +86,10 @@
 	// refusedAdmission is the decision that refused the last attempt before it was sent; nil for none.
 	refusedAdmission *refusedAdmission
 	// watch is that of the run in progress; nil if there is none. hedge goes on with the request after
-	// that run. hedging says that this is the copy of the request with which a hedge is sent.
+	// that run. hedging is set in the copy of the request with which a hedge is sent.
 	watch   *runWatch
 	hedge   *hedge
-	hedging bool
+	hedging *sentHedge
 	// returnTo is the target whose silent run was ended for a hedge, until the request returns to it.
 	returnTo string
 	// failedAnswer is a target's failure, kept while other targets are tried.
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -140,22 +140,22 @@
 
 // sendHedge sends the request and returns the hedge once its first event or its whole answer is read; nil
 // if there is none. Then the end of the attempt is recorded.
-func (q *request) sendHedge(ctx context.Context, cancel context.CancelCauseFunc, to *destination) *hedge {
+func (q *request) sendHedge(under *sentHedge, to *destination) *hedge {
 	q.g.o.Metrics.Hedges.Inc(1)
-	q.hedging = true
-	a := q.send(ctx, cancel, to, time.Now())
+	q.hedging = under
+	a := q.send(under.ctx, under.cancel, to, time.Now())
 	if a == nil {
 		return nil
 	}
 	h := &hedge{
-		to: to, raw: a, cancel: cancel, lastTried: q.lastTried, source: q.source, decidedBy: q.decidedBy,
+		to: to, raw: a, cancel: under.cancel, lastTried: q.lastTried, source: q.source, decidedBy: q.decidedBy,
 		sentAt: q.sentAt, expectedWaitMs: q.expectedWaitMs, costMs: q.costMs,
 	}
 	result, ok := q.checkHead(a, to)
 	switch {
 	case !ok:
 	case q.route.Kind == routes.Stream && a.StatusCode == http.StatusOK:
-		h.s = newStream(ctx, cancel, a, to)
+		h.s = newStream(under.ctx, under.cancel, a, to)
 		if err := h.s.readAhead(); err != nil {
 			h.s.free()
 			result, ok = q.endRun(a, to, err), false
@@ -167,6 +167,11 @@
 		to.end(time.Now(), result)
 		return nil
 	}
+	if !under.keep() {
+		h.withdraw()
+		q.recordRun(verdict.MayHaveRun)
+		return nil
+	}
 	return h
 }
 
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -180,9 +180,7 @@
 		}
 		if first {
 			q.recordOrigin(a, p)
-			if q.watch == nil {
-				q.watch = q.watchRun(p, s.interrupt)
-			}
+			q.watchStream(s)
 		}
 		first = false
 		if !q.relayEvent(a, s.e, event) {
@@ -194,6 +192,17 @@
 	}
 }
 
+// watchStream watches a stream that has begun in another region or as a hedge; others are watched already.
+func (q *request) watchStream(s *stream) {
+	if q.watch != nil {
+		return
+	}
+	q.watch = q.watchRun(s.p, s.interrupt)
+	if q.watch != nil && s.p.choice != nil {
+		s.p.choice.OnUnreachable(q.watch.targetUnreachable)
+	}
+}
+
 // recordGap records the time between two events.
 func (q *request) recordGap(gap time.Duration) {
 	q.longestGap = max(q.longestGap, gap)
--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -63,7 +63,11 @@
 // sentHedge is a hedge under way.
 type sentHedge struct {
 	sentAt time.Time
+	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// mu guards answered, which says that nothing but its request ends the hedge any more.
+	mu       sync.Mutex
+	answered bool
 	// limit ends it if it has brought no event in time; nil if it may take all the time left.
 	limit *time.Timer
 	// ended is closed when it has ended, or goes on with the request.
@@ -72,6 +76,23 @@
 	read chan struct{}
 }
 
+// end ends the hedge unless it has brought an answer.
+func (h *sentHedge) end(cause error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.answered {
+		h.cancel(cause)
+	}
+}
+
+// keep records that the hedge has brought an answer, and reports whether it was not ended before.
+func (h *sentHedge) keep() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answered = h.ctx.Err() == nil
+	return h.answered
+}
+
 // watchRun returns the watch of a run at a place, which interrupt ends; nil if the request may not have
 // another one beside it. A forwarded request has one run here, so only the instance that forwarded it can
 // have a hedge.
@@ -168,7 +189,7 @@
 	}
 	close(w.hedge.read)
 	if !w.broken {
-		w.hedge.cancel(errTargetGoesOn)
+		w.hedge.end(errTargetGoesOn)
 		w.hedge = nil
 	}
 }
@@ -263,7 +284,7 @@
 		to.end(time.Now(), pick.Neutral)
 		return
 	}
-	h := c.sendHedge(ctx, cancel, to)
+	h := c.sendHedge(under, to)
 	w.endHedge(c, h, under, waits)
 	if h == nil {
 		cancel(nil)
@@ -284,9 +305,10 @@
 		return nil
 	}
 	c.g.o.Metrics.Retries.Inc(1)
-	w.hedge = &sentHedge{sentAt: time.Now(), cancel: cancel, ended: make(chan struct{}), read: make(chan struct{})}
+	w.hedge = &sentHedge{sentAt: time.Now(), ctx: c.ctx, cancel: cancel, ended: make(chan struct{}), read: make(chan struct{})}
 	if !w.unreachable {
-		w.hedge.limit = time.AfterFunc(c.overlap(w.from, to), func() { cancel(errOverlap) })
+		under := w.hedge
+		under.limit = time.AfterFunc(c.overlap(w.from, to), func() { under.end(errOverlap) })
 	}
 	return w.hedge
 }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -199,8 +199,8 @@
 	q.triedTargets = append(q.triedTargets, p.choice.ID)
 	q.lastTried, q.source, q.decidedBy = p.choice.ID, p.choice.Source, p.decision.Owner
 	q.sentAt, q.expectedWaitMs, q.costMs, q.rest = now, p.choice.Wait, p.choice.Cost, 0
-	if q.hedging {
-		p.choice.OnUnreachable(func() { cancel(errUnreachable) })
+	if under := q.hedging; under != nil {
+		p.choice.OnUnreachable(func() { under.end(errUnreachable) })
 	} else if q.watch = q.watchRun(p, cancel); q.watch != nil {
 		q.watch.awaitAnswer()
 		p.choice.OnUnreachable(q.watch.targetUnreachable)
--- a/pipeline/exchange/unreachable_test.go
+++ b/pipeline/exchange/unreachable_test.go
@@ -87,3 +87,24 @@
 		So(got.body, ShouldEqual, eventText(1, 4))
 	})
 }
+
+// Guards against ending a stream that a hedge goes on with, because another request could not connect to the
+// target of the hedge.
+func TestFailedConnectionEndsNoHedgeThatGoesOn(t *testing.T) {
+	Convey("the target of the hedge refuses connections after its first event", t, func() {
+		x, _, ended, _ := silentTarget(t, "t1")
+		goOn := make(chan struct{})
+		y := newTarget(t, "t2", streamOnceEnded(4, goOn))
+		r := newRig(t, "r", x, y)
+		r.searchSilent(newSearches(firstAt("t1")))
+		got := make(chan reply, 1)
+		go func() { got <- r.call("/resume/x", "b") }()
+		<-ended
+		r.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "t2").Done(time.Now(), pick.Unreachable)
+		close(goOn)
+		answer := <-got
+		So(answer.truncated, ShouldBeFalse)
+		So(answer.body, ShouldEqual, eventText(1, 4))
+		So(requestCount(x, y), ShouldEqual, 2)
+	})
+}
