ports/transport: a request whose answer has begun may have run

What callers saw: in the gateway of bundles, "not_run" (target_unreached) for a request that its target had read and begun to answer before it ended. A request that may run once was then sent to another target, and ran twice.

Cause: a connection counts the bytes written since the last byte read. A byte of an answer set that count to zero, and at the end of the stream "no fewer bytes are unacknowledged than were written" then held for zero bytes. Found by reading, while the flaky TestRequestsAfterATargetEndedHaveNotRun was traced.

Change: the bytes of the current request are counted from its beginning, and a connection that has given a byte of an answer was read.

--- a/ports/transport/conn.go
+++ b/ports/transport/conn.go
@@ -23,16 +23,25 @@
 	// mu is held while a request is written, so that the end of the stream is found before or
 	// after a write.
 	mu sync.Mutex
-	// unanswered counts the bytes written since the last byte read.
-	unanswered int
+	// written counts the bytes of the current request that were written. answered says that a byte
+	// was read since it began.
+	written  int
+	answered bool
 	// ended says that the target has closed the connection, unread that it had done so before any
-	// of the unanswered bytes came.
+	// byte of the current request came.
 	ended, unread bool
 	// failed says that a read or a write has failed otherwise. The kernel reports a reset once;
 	// after that it looks like the end of the stream.
 	failed bool
 }
 
+// begin must be called before each request.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written, c.answered = 0, false
+}
+
 // Write writes a part of a request, unless the target has closed the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -44,7 +53,7 @@
 		return 0, errTargetEnded
 	}
 	n, err := c.Conn.Write(p)
-	c.unanswered += n
+	c.written += n
 	c.failed = c.failed || err != nil
 	return n, err
 }
@@ -59,7 +68,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case n > 0:
-		c.unanswered = 0
+		c.answered = true
 	case errors.Is(err, io.EOF):
 		c.end()
 	default:
@@ -72,13 +81,13 @@
 func (c *conn) end() {
 	if !c.ended {
 		c.ended = true
-		c.unread = !c.failed && unacknowledged(c.Conn) >= c.unanswered
+		c.unread = !c.failed && unacknowledged(c.Conn) >= c.written
 	}
 }
 
-// targetRead reports whether the target may have read a byte of the last request.
+// targetRead reports whether the target may have read a byte of the current request.
 func (c *conn) targetRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.unread
+	return c.answered || !c.unread
 }
--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -105,6 +105,7 @@
 	var used atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok && !dropStale(info) {
+			c.begin()
 			used.Store(c)
 		}
 	}}
--- a/ports/transport/transport_test.go
+++ b/ports/transport/transport_test.go
@@ -101,6 +101,13 @@
 				_ = c.Close()
 			}()
 		}, verdict.MayHaveRun},
+		"it reads the request, begins an answer and closes": {func(c net.Conn) {
+			go func() {
+				_, _ = c.Read(make([]byte, 4096))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 O")
+				_ = c.(*net.TCPConn).CloseWrite()
+			}()
+		}, verdict.MayHaveRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			transports := transport.NewTransports(transport.Options{})
@@ -135,3 +142,36 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice: its target reads it, begins an answer and ends, and the
+// caller is told that it has not run.
+func TestRequestWithABegunAnswerMayHaveRun(t *testing.T) {
+	for _, answer := range []string{"H", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Le"} {
+		transports := transport.NewTransports(transport.Options{})
+		defer transports.Close()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			defer l.Close()
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, answer)
+			}
+		}()
+		req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var failed *verdict.Error
+		if _, err := transports.Do(req, true); !errors.As(err, &failed) || failed.Verdict != verdict.MayHaveRun {
+			t.Errorf("%q: %v, want %v", answer, err, verdict.MayHaveRun)
+		}
+	}
+}
