ports/transport: what the kernel tells of a connection is recorded in its order

What callers saw, in the gateway of bundles: "may_have_run" for a request of which no byte was written or none can have been read, so that an unsafe request failed at its caller instead of going to another target; and no answer at all, until the deadline, from a target that refuses a large request before it has read it.

Cause: reads were recorded after the fact and writes under a lock, so the order of an end, a reset and a write was not known. From the traces of failed runs of TestRequestsAfterATargetEndedHaveNotRun: (1) a write is taken (1024 bytes), the target's close and then a reset come before the next look at the connection (state 7, 1024 bytes unacknowledged), and the next write fails with "broken pipe", which the kernel says only if the close came before the reset; (2) a reset before the first byte counted as "may have run" although nothing was written; a write that waits held the lock that a read needs.

Change: each read and write by the kernel is made and recorded under the lock, and nothing is waited for under it. A broken pipe that no other error comes before is the end of the stream. A request of which nothing was written has not run, and nothing is written after it was said so. If net/http has used several connections for a request, each of them counts.

--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -58,7 +58,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return newConn(c)
 		},
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost,
@@ -102,11 +102,18 @@
 // run only once would then run twice, and none of our counters would show it. On a new
 // connection net/http never retries. A target sees one connection for each such request.
 func (t *Transports) Do(req *http.Request, once bool) (*http.Response, error) {
-	var used atomic.Pointer[conn]
+	// net/http may use several connections in turn. last is the newest, and mayBeRead says that an
+	// earlier one may have brought a byte of the request to the target.
+	var last atomic.Pointer[conn]
+	var mayBeRead atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok && !dropStale(info) {
-			c.begin()
-			used.Store(c)
+		c, ok := info.Conn.(*conn)
+		if !ok || dropStale(info) {
+			return
+		}
+		c.begin()
+		if earlier := last.Swap(c); earlier != nil && earlier.abandon() {
+			mayBeRead.Store(true)
 		}
 	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
@@ -122,10 +129,15 @@
 		// errors.Is must not find io.EOF, which means the end of an answer.
 		err = io.ErrUnexpectedEOF
 	}
-	switch c := used.Load(); {
+	c := last.Load()
+	if c != nil && c.abandon() {
+		mayBeRead.Store(true)
+	}
+	switch {
+	case mayBeRead.Load():
 	case c == nil:
 		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "no connection to the target", Err: err}
-	case !c.targetRead():
+	default:
 		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "the target had closed the connection", Err: err}
 	}
 	return nil, &verdict.Error{
--- a/ports/transport/transport_test.go
+++ b/ports/transport/transport_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -88,6 +90,10 @@
 		want verdict.Verdict
 	}{
 		"it closes before the request is written": {func(c net.Conn) { _ = c.Close() }, verdict.NotRun},
+		"it resets before the request is written": {func(c net.Conn) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}, verdict.NotRun},
 		"it reads the request and closes": {func(c net.Conn) {
 			go func() {
 				_, _ = c.Read(make([]byte, 1))
@@ -175,3 +181,76 @@
 		}
 	}
 }
+
+// readParts reads a number of parts of a request, each shorter than the request, or the whole request
+// with readAll. It returns the number of bytes read, for a whole request 1.
+func readParts(c net.Conn, parts int, random *rand.Rand) (total int) {
+	if parts == readAll {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		return 1
+	}
+	for range parts {
+		n, _ := c.Read(make([]byte, 1+random.IntN(1000)))
+		total += n
+	}
+	return total
+}
+
+// readAll is the number of parts of a whole request.
+const readAll = 3
+
+// Guards against "not run" for a request of which its target has read a byte, at an end at any point
+// of the request: the target then runs it, and another target runs it again.
+func TestNotRunMeansThatNothingWasRead(t *testing.T) {
+	const seeds = 300
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		transports := transport.NewTransports(transport.Options{})
+		address, conns := rawTarget(t)
+		send := func(gotConn func(httptrace.GotConnInfo)) error {
+			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: gotConn})
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", io.NopCloser(strings.NewReader(strings.Repeat("x", 3000))))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := transports.Do(req, false)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			return err
+		}
+		if err := send(nil); err != nil {
+			t.Fatal(err)
+		}
+		target := <-conns
+		pauses, parts, reset, answer := random.IntN(200), random.IntN(readAll+1), random.IntN(3) == 0, random.IntN(2) == 0
+		read := make(chan int, 1)
+		err := send(func(httptrace.GotConnInfo) {
+			go func() {
+				for range pauses {
+					runtime.Gosched()
+				}
+				total := readParts(target, parts, random)
+				if answer && total > 0 {
+					_, _ = io.WriteString(target, "HTTP/1.1 2")
+				}
+				if reset {
+					_ = target.(*net.TCPConn).SetLinger(0)
+				}
+				_ = target.Close()
+				read <- total
+			}()
+		})
+		total := <-read
+		transports.Close()
+		var failed *verdict.Error
+		if !errors.As(err, &failed) {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if failed.Verdict == verdict.NotRun && total > 0 {
+			t.Errorf("seed %d: told %v, and %d bytes were read", seed, failed, total)
+		}
+	}
+}
