ports/transport: a test of ended targets waits until its target has ended

In the traces that are left the kernel takes 4096 bytes on an established connection, none is acknowledged, and a reset comes with no close before it (state 1, 4096 unacknowledged, then "connection reset by peer"). So the target's socket was still open when the request came: http.Server.Close returns before the kernel has closed a socket that a goroutine reads. A sender cannot tell such a reset from that of a target that has read the request, so "may have run" is right there, and the test's premise, a target that has ended, did not hold.

Change: each round waits until the listener and the connection are closed (Serve has returned, the connection is in StateClosed). All else is as it was: 200 rounds, each of which must have not run. Ends at any point of a request are drawn by TestNotRunMeansThatNothingWasRead.

--- a/ports/transport/transport_test.go
+++ b/ports/transport/transport_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
@@ -38,8 +39,21 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
-		go func() { _ = server.Serve(l) }()
+		// Close returns before the kernel has closed sockets that a goroutine still reads.
+		var closed sync.WaitGroup
+		closed.Add(2)
+		server := &http.Server{
+			Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+			ConnState: func(_ net.Conn, s http.ConnState) {
+				if s == http.StateClosed {
+					closed.Done()
+				}
+			},
+		}
+		go func() {
+			_ = server.Serve(l)
+			closed.Done()
+		}()
 		address := l.Addr().String()
 		if err := post(address); err != nil {
 			t.Fatal(err)
@@ -47,6 +61,7 @@
 		if err := server.Close(); err != nil {
 			t.Fatal(err)
 		}
+		closed.Wait()
 		var failed *verdict.Error
 		if err := post(address); !errors.As(err, &failed) || failed.Verdict != verdict.NotRun {
 			t.Fatalf("round %d: %v, %v; want one that has not run", round, err, failed)
