pipeline: a decision that its target's state has overtaken is no attempt

Cause: reserved targets were left out as they stood at the request's arrival. One that was reserved for a lone run later, between the decision and the start of the request or before a second decision, was chosen, and its refusal counted as an attempt and as a retry of the service's budget, though nothing was sent. The same held for a target that leaves by a bundle of which routing had not heard.

Change: each decision leaves out the targets that are reserved then, and those of earlier attempts. A decision that is overtaken before anything is sent is made again and counts neither as an attempt nor as a retry; its target is left out, which bounds their number.

--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -72,7 +72,6 @@
 	x.Ctx = ctx
 	q := x.routeRequest()
 	q.Forwarded = q.Forwarded || f.deps.Forwarder == nil
-	q.Tried = f.routing.Reserved()
 	f.budgets.countFirstAttempt(x.Service.ID)
 	for {
 		switch f.suspicion(x) {
@@ -105,10 +104,13 @@
 		return false, x.Ctx.Err()
 	}
 	a := f.newAttempt(q)
-	a.decision = f.routing.Decide(a.route, q)
+	f.decide(x, a)
 	switch a.decision.Action {
 	case route.Send:
 		err = f.attempt(x, a, s)
+		if errors.Is(err, errOvertaken) {
+			return true, nil
+		}
 	case route.Spill:
 		err = f.forward.send(x, a.decision.Region)
 		q.Forwarded = true
@@ -128,10 +130,21 @@
 	return retry, err
 }
 
+// decide sets the decision of an attempt. Targets of earlier attempts and those that are reserved now
+// are left out.
+func (f *Attempts) decide(x *Exchange, a *attempt) {
+	a.query.Tried = append(f.routing.Reserved(), x.tried...)
+	a.decision = f.routing.Decide(a.route, a.query)
+}
+
+// errOvertaken is the cause of a refusal to carry out a decision that the state of its target has
+// overtaken. Nothing was sent, so another decision is no retry. The target is left out of it, which
+// bounds their number.
+var errOvertaken = errors.New("the target's state has changed since the decision")
+
 // attempt carries out a Send decision.
 func (f *Attempts) attempt(x *Exchange, a *attempt, s sendFunc) error {
-	q := a.query
-	q.Tried = append(q.Tried, a.decision.Target)
+	x.tried = append(x.tried, a.decision.Target)
 	if err := f.mayStart(x, a); err != nil {
 		f.routing.Ended(route.End{Attempt: a.route, Outcome: route.Unreached, CachedTokens: -1})
 		return err
@@ -152,10 +165,10 @@
 	view := f.view()
 	t := view.Target(a.decision.Target)
 	if !a.alone && slices.Contains(f.routing.Reserved(), a.decision.Target) {
-		return refuse(CodeNoTarget, "the target is reserved")
+		return &verdict.Error{Code: CodeNoTarget, Message: "the target is reserved", Err: errOvertaken}
 	}
 	if t == nil || t.State == bundle.TargetLeaving || t.Region != view.Region {
-		return refuse(CodeNoTarget, "the target takes no new work")
+		return &verdict.Error{Code: CodeNoTarget, Message: "the target takes no new work", Err: errOvertaken}
 	}
 	if x.claim != nil && !x.claim.beginSend() {
 		return &verdict.Error{Code: CodeNoTarget, Message: "the claim came too late for sending", RetryAfter: defaultRetryAfter}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -71,6 +71,8 @@
 
 	// claim is held by a request that runs at most once.
 	claim *claimed
+	// tried are the targets that attempts were decided for.
+	tried []route.TargetID
 
 	// bodyStream is the caller's body where it is streamed to the target.
 	bodyStream *trackedBody
--- a/pipeline/hedge.go
+++ b/pipeline/hedge.go
@@ -50,7 +50,7 @@
 func (h *hedging) launchHedge(a *attempt) {
 	f := h.f
 	b := f.newAttempt(a.query)
-	b.decision = f.routing.Decide(b.route, a.query)
+	f.decide(h.x, b)
 	if b.decision.Action != route.Send {
 		return
 	}
@@ -58,7 +58,7 @@
 		f.routing.Ended(route.End{Attempt: b.route, Outcome: route.Unreached, CachedTokens: -1})
 		return
 	}
-	a.query.Tried = append(a.query.Tried, b.decision.Target)
+	h.x.tried = append(h.x.tried, b.decision.Target)
 	f.deps.Metrics.Hedges.Inc(1)
 	f.start(h.x, b)
 	// The attempt that is cancelled later may have run.
--- a/pipeline/input_test.go
+++ b/pipeline/input_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -315,6 +316,51 @@
 	}
 }
 
+// overtakenDecider calls overtake after the first decision, before the request is sent.
+type overtakenDecider struct {
+	route.Decider
+	once     sync.Once
+	overtake func(route.TargetID)
+}
+
+func (o *overtakenDecider) Decide(now time.Time, q *route.Request) route.Decision {
+	d := o.Decider.Decide(now, q)
+	o.once.Do(func() { o.overtake(d.Target) })
+	return d
+}
+
+// Guards against a refusal while other targets are free: the chosen target is reserved for a lone run,
+// or leaves, between the decision and the start of the request, which uses up its only attempt.
+func TestDecisionThatIsOvertakenIsNoAttempt(t *testing.T) {
+	for name, overtake := range map[string]func(*rig, route.TargetID){
+		"reserved": func(r *rig, id route.TargetID) { r.p.Routing().SetReserved([]route.TargetID{id}) },
+		"leaving": func(r *rig, id route.TargetID) {
+			b := *r.b
+			b.Targets = slices.Clone(b.Targets)
+			for n := range b.Targets {
+				if b.Targets[n].ID == string(id) {
+					b.Targets[n].State = bundle.TargetLeaving
+				}
+			}
+			// Routing has not heard of it.
+			r.p.view.Store(NewView(&b, "", r.deps.Region))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := &overtakenDecider{}
+			r := newRig(t, withEngines(2, standin.EngineConfig{}), withDeps(func(d *Deps) { o.Decider, d.Decider = d.Decider, o }),
+				withBundle(func(b *bundle.Bundle) { b.Rules.MaxAttempts = 1 }))
+			o.overtake = func(id route.TargetID) { overtake(r, id) }
+			if got := readStream(t, r.do(call{body: chat("hello", true, 3)}).Body); !got.ended {
+				t.Fatalf("%+v", got)
+			}
+			if n := r.deps.Metrics.Retries.Count(); n != 0 {
+				t.Fatalf("%d retries", n)
+			}
+		})
+	}
+}
+
 // Guards against held requests that take any amount of memory: more requests are
 // to be held than the bound allows.
 func TestHoldIsBounded(t *testing.T) {
