pipeline/exchange: a hedge in a far region is withdrawn in the time that targets allow

What targets see: one stream at two targets for more than the 400 ms that they allow (TWICE).

Cause: a hedge may be without an event for 250 ms and the estimated time to its region, and is withdrawn then; its end comes as late as its beginning, so both targets run for just that time. The estimate is learned from forwarded requests and holds time that loaded instances take, so with 80 ms between regions it can pass 150 ms too.

Change: of the estimated time at most 100 ms counts. Nothing changes for regions that are 80 ms away and are estimated so.

Measured: the case "two targets may run a stream for 400 ms at most" fails before at a round trip of 320 ms (410 ms) and passes for 0 to 4000 ms now; ./pipeline/exchange passes.

--- a/pipeline/exchange/export_test.go
+++ b/pipeline/exchange/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
 // ForwardedTimeout returns what a request that is forwarded with so much time left says of it.
@@ -15,6 +17,17 @@
 // TripMillis returns the estimated round trip to another region, in milliseconds.
 func (g *Gateway) TripMillis(region string) float64 { return g.trips.To(region) }
 
+// OverlapWith returns for how long a hedge in another region may be without an event beside a run in this
+// one, when a round trip to it has taken so long many times.
+func (g *Gateway) OverlapWith(region string, trip time.Duration) time.Duration {
+	const trips = 100
+	for range trips {
+		g.trips.Learn(region, float64(trip.Milliseconds()), 0)
+	}
+	here, there := &destination{choice: &pick.Choice{}}, &destination{peer: Peer{Region: region}}
+	return (&request{g: g}).overlap(here, there)
+}
+
 // SetStartWait sets how long requests wait for the first view.
 func (g *Gateway) SetStartWait(d time.Duration) { g.startWait = d }
 
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -18,6 +18,11 @@
 // the end of a run to reach its target.
 const maxOverlap = 250 * time.Millisecond
 
+// maxWay bounds the time to a region by which a hedge there may be without an event for longer than
+// maxOverlap. The time is an estimate that grows with load, and a hedge that is withdrawn runs beside the
+// silent run for as long as it may be without an event.
+const maxWay = 100 * time.Millisecond
+
 var (
 	// errSilent ends a run that a hedge goes on with.
 	errSilent = errors.New("the target is silent, and another one goes on with the stream")
@@ -126,7 +131,7 @@
 // overlap returns for how long a hedge at a place may be without an event. It begins there later, and ends
 // the silent run later, by the time to their regions.
 func (q *request) overlap(from, to *destination) time.Duration {
-	return q.g.maxOverlap + q.timeTo(to) - q.timeTo(from)
+	return q.g.maxOverlap + min(q.timeTo(to), maxWay) - q.timeTo(from)
 }
 
 // timeTo returns how long a message takes to the region of a place.
--- a/pipeline/exchange/regions_test.go
+++ b/pipeline/exchange/regions_test.go
@@ -192,6 +192,15 @@
 		So(a.gateway.TripMillis("other"), ShouldBeLessThan, before)
 		So(a.gateway.TripMillis("elsewhere"), ShouldEqual, before)
 	})
+	// Guards against a stream that runs twice for longer than targets allow: a hedge in a region that is
+	// far away, or only slow, is withdrawn late.
+	Convey("two targets may run a stream for 400 ms at most, however long the way to the second is", t, func() {
+		const allowed = 400 * time.Millisecond
+		for _, trip := range []time.Duration{0, 20, 160, 320, 1000, 4000} {
+			a, _ := newRegionPair(t, nil, nil)
+			So(a.gateway.OverlapWith("other", trip*time.Millisecond), ShouldBeLessThanOrEqualTo, allowed)
+		}
+	})
 	// Guards against waiting for connections to one instance after another of a region that is
 	// partitioned, while its summary still says that it is idle.
 	Convey("an unreachable region is skipped for a while", t, func() {
