ports/transport: a connection without a socket is closed

Cause: found in the last reading: when the socket of a new connection cannot be had, the connection stayed open, and a typed nil was returned beside the error.

Change: it is closed, and nil is returned.

Measured: ./ports/... passes. No test: a TCP connection always has a socket.

--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -58,7 +58,12 @@
 			if err != nil {
 				return nil, err
 			}
-			return newConn(c)
+			watched, err := newConn(c)
+			if err != nil {
+				_ = c.Close()
+				return nil, err
+			}
+			return watched, nil
 		},
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost,
