--- a/ports/transport/transport_test.go
+++ b/ports/transport/transport_test.go
@@ -96,6 +96,22 @@
 	return l.Addr().String(), conns
 }
 
+// send sends a request whose body cannot be read again, over a kept connection if there is one.
+// gotConn is called when it has its connection.
+func send(t *testing.T, transports *transport.Transports, address, body string, gotConn func(httptrace.GotConnInfo)) error {
+	t.Helper()
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: gotConn})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", io.NopCloser(strings.NewReader(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := transports.Do(req, false)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return err
+}
+
 // Guards against a wrong verdict on a request that is written just before or after its target ends:
 // what the check of the idle connection cannot see is found after the write.
 func TestVerdictOfARequestThatMeetsTheEndOfItsTarget(t *testing.T) {
@@ -135,16 +151,7 @@
 			defer transports.Close()
 			address, conns := rawTarget(t)
 			post := func(gotConn func(httptrace.GotConnInfo)) error {
-				ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: gotConn})
-				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", io.NopCloser(strings.NewReader("body")))
-				if err != nil {
-					t.Fatal(err)
-				}
-				resp, err := transports.Do(req, false)
-				if err == nil {
-					_ = resp.Body.Close()
-				}
-				return err
+				return send(t, transports, address, "body", gotConn)
 			}
 			if err := post(nil); err != nil {
 				t.Fatal(err)
@@ -197,8 +204,8 @@
 	}
 }
 
-// readParts reads a number of parts of a request, each shorter than the request, or the whole request
-// with readAll. It returns the number of bytes read, for a whole request 1.
+// readParts reads a number of parts of a request, which together are shorter than the request, or the
+// whole request with readAll. It returns the number of bytes read; 1 stands for the whole request.
 func readParts(c net.Conn, parts int, random *rand.Rand) (total int) {
 	if parts == readAll {
 		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
@@ -224,25 +231,16 @@
 		random := rand.New(rand.NewPCG(seed, 0))
 		transports := transport.NewTransports(transport.Options{})
 		address, conns := rawTarget(t)
-		send := func(gotConn func(httptrace.GotConnInfo)) error {
-			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: gotConn})
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", io.NopCloser(strings.NewReader(strings.Repeat("x", 3000))))
-			if err != nil {
-				t.Fatal(err)
-			}
-			resp, err := transports.Do(req, false)
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			return err
+		post := func(gotConn func(httptrace.GotConnInfo)) error {
+			return send(t, transports, address, strings.Repeat("x", 3000), gotConn)
 		}
-		if err := send(nil); err != nil {
+		if err := post(nil); err != nil {
 			t.Fatal(err)
 		}
 		target := <-conns
 		pauses, parts, reset, answer := random.IntN(200), random.IntN(readAll+1), random.IntN(3) == 0, random.IntN(2) == 0
 		read := make(chan int, 1)
-		err := send(func(httptrace.GotConnInfo) {
+		err := post(func(httptrace.GotConnInfo) {
 			go func() {
 				for range pauses {
 					runtime.Gosched()
