node/feed, node/control: suspects are spread in bounded messages, at the usual pace of reports

What callers saw: after some targets crashed, versions were acknowledged late or not at all and came into force late; routes that exist got 404 at the entry instances that lagged.

Cause: spreading the requests that are suspected of a crash took all processor time of the core instances. A report was answered at once while suspects were outstanding, and the next one followed at once; each change was sent to all core instances with all entries of three seconds; an expiry that was a few milliseconds later (each instance clears a popular part by itself) counted as a change; each answer sorted all records; pairs of core instances whose suspects differed exchanged all of them every two seconds.

Change: suspects come with the usual answers, 256 at most, and are found by number; each is in two rounds of gossip, which wait 100 ms for others; an expiry counts if it extends the entry by a quarter; core instances that differ fetch the differing of 256 buckets. Store.HasSuspectsFor, which only hastened reports, is gone, and with it its line in TestInstancesThatStartOrReturnLaterGetSuspects.

--- a/coord/suspect/trial.go
+++ b/coord/suspect/trial.go
@@ -115,6 +115,12 @@
 
 func (t *Table) renewAfter() time.Duration { return t.cfg.Lifetime / renewFraction }
 
+// Renews reports whether an expiry extends another one by so much that it has to be told. Instances that
+// record the same at about the same time differ by less.
+func Renews(now, before, after time.Time) bool {
+	return after.Sub(before)*renewFraction >= after.Sub(now)
+}
+
 // withStatus returns the entry as instances exchange it, with another status and expiry.
 func (e *entry) withStatus(d Digest, c Crash, s Status, until time.Time) Entry {
 	return Entry{Digest: d, Crash: c, Status: s, Until: until, SentAt: e.sentAt, CrashedAt: e.crashedAt, Round: e.round, Trial: e.trial}
--- a/node/control/gossip.go
+++ b/node/control/gossip.go
@@ -16,6 +16,9 @@
 // instances, the four messages come to 2 KB/s in all.
 const GossipInterval = 500 * time.Millisecond
 
+// suspectsGossipDelay is how long new suspects wait for others before they are sent.
+const suspectsGossipDelay = 100 * time.Millisecond
+
 // clock is the log's clock.
 func (i *Instance) clock() time.Time { return replhost.BootClock{}.Now() }
 
@@ -50,6 +53,8 @@
 			return
 		case <-tick.C:
 		case <-i.suspectsNow:
+			// More of them come at the same time: they are sent together.
+			_ = duty.Pause(ctx, suspectsGossipDelay)
 		case <-i.gossipNow:
 			listChanged = true
 		}
@@ -63,6 +68,10 @@
 // sendGossip sends one round of gossip; listChanged says that the list has just changed.
 func (i *Instance) sendGossip(listChanged bool) {
 	now := time.Now()
+	suspects, more := i.store.NextSuspectsRound(now)
+	if more {
+		trigger(i.suspectsNow)
+	}
 	regions := map[string]string{}
 	for _, c := range i.store.Cores(now) {
 		regions[c.ID] = c.Region
@@ -72,7 +81,9 @@
 	for _, id := range i.others() {
 		sameRegion := regions[id] == i.o.Self.Region
 		if payloads[sameRegion] == nil {
-			payload, err := cbor.Marshal(i.store.Gossip(now, sameRegion, listChanged))
+			g := i.store.Gossip(now, sameRegion, listChanged)
+			g.Suspects = suspects
+			payload, err := cbor.Marshal(g)
 			if err != nil {
 				i.log.Error("gossip cannot be encoded", zap.Error(err))
 				return
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -219,7 +219,7 @@
 	hub.Handle(channelGroup, i.node.Receive)
 	hub.Handle(channelGossip, i.handleGossip)
 	hub.Handle(ChannelSuspects, i.handleSuspects)
-	hub.Serve(channelAllSuspects, 1, i.serveAllSuspects)
+	hub.Serve(channelDifferingSuspects, 1, i.serveDifferingSuspects)
 	hub.Serve(channelPropose, maxConcurrentCalls, i.servePropose)
 	hub.Serve(channelJoin, maxConcurrentCalls, i.serveJoin)
 	hub.Serve(channelList, maxConcurrentCalls, i.serveList)
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -61,7 +61,7 @@
 	if r.Probe {
 		return !i.hasLeader()
 	}
-	return !i.store.HasListFor(time.Now(), r) && !i.store.HasSuspectsFor(r)
+	return !i.store.HasListFor(time.Now(), r)
 }
 
 // confirmFirst tries to confirm the accepted state for an instance that has just started. This
--- a/node/control/suspects.go
+++ b/node/control/suspects.go
@@ -15,14 +15,14 @@
 // them again.
 const ChannelSuspects = "suspects"
 
-// channelAllSuspects exchanges all suspects with another core instance.
-const channelAllSuspects = "all-suspects"
+// channelDifferingSuspects returns the suspects of a core instance that may differ from those of another.
+const channelDifferingSuspects = "differing-suspects"
 
-// suspectsInterval is the least time between two exchanges of all suspects with the same core
-// instance: until then gossip may bring what is missing.
+// suspectsInterval is the least time between two requests for the suspects of the same core instance:
+// until then gossip may bring what is missing.
 const suspectsInterval = 2 * time.Second
 
-// suspectExchanges remembers when all suspects were last exchanged, or first found to differ, by core
+// suspectExchanges remembers when suspects were last requested, or first found to differ, by core
 // instance.
 type suspectExchanges struct {
 	mu   sync.Mutex
@@ -73,40 +73,30 @@
 	}
 }
 
-// compareSuspects exchanges all suspects with another core instance if it holds others for a while:
-// one of the two has started, or they were partitioned.
+// compareSuspects requests suspects of another core instance if it holds others for a while: one of the
+// two has started, or they were partitioned.
 func (i *Instance) compareSuspects(now time.Time, from string, digest uint64) {
 	if !i.suspectExchanges.due(now, from, i.store.SuspectsDiffer(now, digest)) {
 		return
 	}
-	i.wg.Go(func() { i.exchangeSuspects(from) })
+	i.wg.Go(func() { i.fetchSuspects(from) })
 }
 
-func (i *Instance) exchangeSuspects(with string) {
+func (i *Instance) fetchSuspects(from string) {
 	ctx, cancel := context.WithTimeout(context.Background(), listCallTimeout)
 	defer cancel()
-	payload, err := cbor.Marshal(i.store.Suspects(time.Now()))
+	payload, err := cbor.Marshal(i.store.SuspectDigests(time.Now()))
 	if err != nil {
-		i.log.Error("suspects cannot be encoded", zap.Error(err))
+		i.log.Error("digests of suspects cannot be encoded", zap.Error(err))
 		return
 	}
-	answer, err := i.hub.Call(ctx, with, channelAllSuspects, payload)
+	answer, err := i.hub.Call(ctx, from, channelDifferingSuspects, payload)
 	if err != nil {
 		// The next gossip message shows again that they differ.
 		return
 	}
-	i.takeAllSuspects(with, answer)
-}
-
-// serveAllSuspects takes all suspects of another core instance and answers with all of this one.
-func (i *Instance) serveAllSuspects(_ context.Context, from string, payload []byte) ([]byte, error) {
-	i.takeAllSuspects(from, payload)
-	return cbor.Marshal(i.store.Suspects(time.Now()))
-}
-
-func (i *Instance) takeAllSuspects(from string, payload []byte) {
 	var entries []suspect.Entry
-	if err := cbor.Unmarshal(payload, &entries); err != nil {
+	if err := cbor.Unmarshal(answer, &entries); err != nil {
 		i.log.Warn("suspects cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
@@ -114,3 +104,13 @@
 		i.suspectsFile.markChanged()
 	}
 }
+
+// serveDifferingSuspects answers the digests of another core instance with the suspects of this one that
+// it may lack.
+func (i *Instance) serveDifferingSuspects(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	var digests []uint64
+	if err := cbor.Unmarshal(payload, &digests); err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(i.store.SuspectsBeside(time.Now(), digests))
+}
--- a/node/feed/aggregate.go
+++ b/node/feed/aggregate.go
@@ -320,7 +320,7 @@
 	defer st.mu.Unlock()
 	agg := st.currentAggregate(now)
 	st.suspects.expire(now)
-	g := Gossip{From: st.self, Regions: st.summarizeOwn(agg), Suspects: st.recentSuspects(now, true), SuspectsDigest: st.suspects.digest}
+	g := Gossip{From: st.self, Regions: st.summarizeOwn(agg), SuspectsDigest: st.suspects.digest()}
 	for _, h := range st.liveEntries(now) {
 		if !h.direct {
 			continue
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	// suspectGossipTime is for how long a suspect that an entry instance reported here is sent to
-	// other core instances: several gossip messages, so that a lost one has no effect. One that was
-	// partitioned for longer gets it by SuspectsDigest.
-	suspectGossipTime = 3 * time.Second
+	// recentSuspectTime is how old suspects may be that an entry instance of an older version gets.
+	recentSuspectTime = 3 * time.Second
+	// maxSuspectsPerMessage bounds the suspects in one message, to about 28 KB: the end of a target makes
+	// hundreds, and a message that is too long for its deadline would be sent again as a whole.
+	maxSuspectsPerMessage = 256
+	// maxSuspectsPerExchange is that of a message that repairs a difference between two core instances.
+	maxSuspectsPerExchange = 1024
 	// maxSuspects bounds the number of suspects that are kept; each takes 80 bytes.
 	maxSuspects = 8192
 	// evictedSuspects is how many of a full store are evicted at once, so that it is not searched for
@@ -49,20 +52,49 @@
 	hash uint64
 }
 
+// SuspectBuckets is the number of parts that the suspects are compared in.
+const SuspectBuckets = 256
+
 // suspectLog holds the requests that may crash their targets, and those that were cleared.
 type suspectLog struct {
 	records map[suspectKey]suspectRecord
 	last    uint64
-	// digest identifies the set of records, whatever their order: it is the sum of their hashes, 0 for
-	// none.
-	digest uint64
+	// order has the records by number. One that has changed since is skipped; there are at most as many
+	// of these as records.
+	order []numberedSuspect
+	// firstExpiry is before or when the first record expires; zero if there is none.
+	firstExpiry time.Time
+	// digests identify the sets of records in each bucket, whatever their order: each is the sum of their
+	// hashes, 0 for none.
+	digests [SuspectBuckets]uint64
+	// gossiped is the number of the last record that was in a gossip round, and lastRound are the new
+	// entries of the last one: each is in two rounds, so that a lost message has no effect.
+	gossiped  uint64
+	lastRound []suspect.Entry
+}
+
+type numberedSuspect struct {
+	number uint64
+	key    suspectKey
+}
+
+// bucket returns the part that a digest is compared in. The first bytes of digests are those of a hash or
+// of an ID, the others may be 0.
+func bucket(d suspect.Digest) int { return int(xxhash.Sum64(d[:]) % SuspectBuckets) }
+
+// digest identifies the set of all records; 0 for none.
+func (l *suspectLog) digest() (sum uint64) {
+	for _, d := range l.digests {
+		sum += d
+	}
+	return sum
 }
 
 // add stores an entry and reports whether it changed anything.
 func (l *suspectLog) add(now time.Time, e suspect.Entry, direct bool) bool {
 	key := suspectKey{e.Digest, e.Crash}
 	old, known := l.records[key]
-	if !now.Before(e.Until) || known && e.Status <= old.entry.Status && !e.Until.After(old.entry.Until) && e.Round <= old.entry.Round {
+	if !now.Before(e.Until) || known && e.Status <= old.entry.Status && !suspect.Renews(now, old.entry.Until, e.Until) && e.Round <= old.entry.Round {
 		return false
 	}
 	if known {
@@ -78,11 +110,21 @@
 	}
 	l.last++
 	r := suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct, hash: hashOf(&e)}
-	l.digest += r.hash - old.hash
+	l.digests[bucket(e.Digest)] += r.hash - old.hash
 	l.records[key] = r
+	l.order = append(l.order, numberedSuspect{l.last, key})
+	if len(l.order) > 2*len(l.records) {
+		l.order = slices.DeleteFunc(l.order, l.outdated)
+	}
+	if l.firstExpiry.IsZero() || e.Until.Before(l.firstExpiry) {
+		l.firstExpiry = e.Until
+	}
 	return true
 }
 
+// outdated reports whether a record was removed or has changed since it got the number.
+func (l *suspectLog) outdated(n numberedSuspect) bool { return l.records[n.key].number != n.number }
+
 func hashOf(e *suspect.Entry) uint64 {
 	// A struct of fixed types cannot fail to be encoded.
 	data, _ := cbor.Marshal(suspect.Entry{Digest: e.Digest, Crash: e.Crash, Status: e.Status})
@@ -90,7 +132,7 @@
 }
 
 func (l *suspectLog) remove(key suspectKey) {
-	l.digest -= l.records[key].hash
+	l.digests[bucket(key.digest)] -= l.records[key].hash
 	delete(l.records, key)
 }
 
@@ -131,27 +173,48 @@
 }
 
 func (l *suspectLog) expire(now time.Time) {
+	if now.Before(l.firstExpiry) {
+		return
+	}
+	l.firstExpiry = time.Time{}
 	for key, r := range l.records {
-		if !now.Before(r.entry.Until) {
+		switch until := r.entry.Until; {
+		case !now.Before(until):
 			l.remove(key)
+		case l.firstExpiry.IsZero() || until.Before(l.firstExpiry):
+			l.firstExpiry = until
 		}
 	}
 }
 
 // entries returns those that are included, in the order of their last changes.
 func (l *suspectLog) entries(include func(r *suspectRecord) bool) []suspect.Entry {
-	var found []suspectRecord
-	for _, r := range l.records {
-		if include(&r) {
-			found = append(found, r)
+	out, _ := l.entriesAfter(0, len(l.records), include)
+	return out
+}
+
+// entriesAfter returns up to limit entries that are included and have a number above after, in the order of
+// their numbers, and the number up to which these are all.
+func (l *suspectLog) entriesAfter(after uint64, limit int, include func(r *suspectRecord) bool) (out []suspect.Entry, upTo uint64) {
+	from, _ := slices.BinarySearchFunc(l.order, after+1, func(n numberedSuspect, number uint64) int { return cmp.Compare(n.number, number) })
+	for _, n := range l.order[from:] {
+		r := l.records[n.key]
+		if r.number != n.number || !include(&r) {
+			continue
 		}
+		if len(out) == limit {
+			return out, upTo
+		}
+		out, upTo = append(out, r.entry), n.number
 	}
-	slices.SortFunc(found, func(a, b suspectRecord) int { return cmp.Compare(a.number, b.number) })
-	var out []suspect.Entry
-	for _, r := range found {
-		out = append(out, r.entry)
-	}
-	return out
+	return out, l.last
+}
+
+// nextRound returns the entries of entry instances that report here for a round of gossip.
+func (l *suspectLog) nextRound() []suspect.Entry {
+	again := l.lastRound
+	l.lastRound, l.gossiped = l.entriesAfter(l.gossiped, maxSuspectsPerMessage, func(r *suspectRecord) bool { return r.direct })
+	return slices.Concat(again, l.lastRound)
 }
 
 // AddSuspects stores requests that may crash their targets. direct says that an entry instance
@@ -166,10 +229,6 @@
 	for _, e := range entries {
 		changed = st.suspects.add(now, e, direct) || changed
 	}
-	if changed {
-		st.wakePending = true
-		st.wakeIfPending(now)
-	}
 	return changed
 }
 
@@ -190,44 +249,61 @@
 	return st.suspects.entries(func(r *suspectRecord) bool { return crashes[r.entry.Digest] >= suspect.QuarantineAfter })
 }
 
-// HasSuspectsFor reports whether the sender of a report misses suspects.
-func (st *Store) HasSuspectsFor(r *Report) bool {
+// suspectsFor returns the suspects that the sender of a report misses, as far as they fit a message, and its
+// next mark. One of an older version, without a mark, gets the recent ones.
+//
+// Reports are not answered sooner for them. If they were, each instance would report again at once, with
+// what follows from them, and after the end of some targets core instances would do nothing else.
+func (st *Store) suspectsFor(now time.Time, r *Report) ([]suspect.Entry, *SuspectsMark) {
+	st.suspects.expire(now)
+	if r.Suspected == nil {
+		recent, _ := st.suspects.entriesAfter(0, maxSuspectsPerMessage, func(r *suspectRecord) bool { return now.Sub(r.receivedAt) <= recentSuspectTime })
+		return recent, nil
+	}
+	after := r.Suspected.At
+	if r.Suspected.Epoch != st.changes.epoch {
+		after = 0
+	}
+	out, upTo := st.suspects.entriesAfter(after, maxSuspectsPerMessage, func(*suspectRecord) bool { return true })
+	return out, &SuspectsMark{Epoch: st.changes.epoch, At: upTo}
+}
+
+// NextSuspectsRound returns the suspects for a round of gossip, and reports whether another round is needed
+// for those that did not fit.
+func (st *Store) NextSuspectsRound(now time.Time) (entries []suspect.Entry, more bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	m := r.Suspected
-	return m != nil && len(st.suspects.records) > 0 && (m.Epoch != st.changes.epoch || m.At < st.suspects.last)
+	st.suspects.expire(now)
+	entries = st.suspects.nextRound()
+	return entries, st.suspects.gossiped < st.suspects.last
 }
 
-// suspectsFor returns the suspects that the sender of a report misses, and its next mark. One of an
-// older version, without a mark, gets the recent ones.
-func (st *Store) suspectsFor(now time.Time, r *Report) ([]suspect.Entry, *SuspectsMark) {
-	m := r.Suspected
-	if m == nil {
-		return st.recentSuspects(now, false), nil
-	}
-	next := &SuspectsMark{Epoch: st.changes.epoch, At: st.suspects.last}
-	if *m == *next {
-		return nil, next
-	}
+// SuspectsDiffer reports whether another core instance holds other suspects than this one. A full store
+// is not compared, as its neighbours evict others.
+func (st *Store) SuspectsDiffer(now time.Time, digest uint64) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	st.suspects.expire(now)
-	return st.suspects.entries(func(r *suspectRecord) bool { return m.Epoch != next.Epoch || r.number > m.At }), next
+	return len(st.suspects.records) < maxSuspects && digest != st.suspects.digest()
 }
 
-// recentSuspects returns those received within suspectGossipTime, with directOnly only direct ones.
-func (st *Store) recentSuspects(now time.Time, directOnly bool) []suspect.Entry {
-	if len(st.suspects.records) == 0 {
-		return nil
-	}
-	return st.suspects.entries(func(r *suspectRecord) bool {
-		return now.Sub(r.receivedAt) <= suspectGossipTime && (r.direct || !directOnly)
-	})
+// SuspectDigests returns the digests of the suspects in each bucket.
+func (st *Store) SuspectDigests(now time.Time) []uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.suspects.expire(now)
+	return slices.Clone(st.suspects.digests[:])
 }
 
-// SuspectsDiffer reports whether another core instance holds other suspects than this one, so that
-// the two must exchange all. A full store exchanges none, as its neighbours evict others.
-func (st *Store) SuspectsDiffer(now time.Time, digest uint64) bool {
+// SuspectsBeside returns the suspects in the buckets that differ from those of another core instance, as far
+// as they fit a message.
+func (st *Store) SuspectsBeside(now time.Time, digests []uint64) []suspect.Entry {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.suspects.expire(now)
-	return len(st.suspects.records) < maxSuspects && digest != st.suspects.digest
+	out, _ := st.suspects.entriesAfter(0, maxSuspectsPerExchange, func(r *suspectRecord) bool {
+		n := bucket(r.entry.Digest)
+		return n < len(digests) && st.suspects.digests[n] != digests[n]
+	})
+	return out
 }
