node/control, coord/replhost: new pieces and the offer of a configuration are committed together

What operators saw: a valid configuration without an acknowledgement for seconds of calm, while each call took 0.7 to 1 s.

Cause: an instance proposed the pieces that the group lacks, waited for their commit and then proposed the offer. From a region other than the leader's that is four round trips of 160 ms between regions, 0.64 s of the second that an operator waits, so little delay at any of the members made a call fail.

Change: replhost.Node.ProposeAll appends several entries in a row, and its result is that of the last one; the offer follows the last batch of pieces in one call. A leader of an older release, which does not serve the call, gets them one by one.

--- a/coord/replhost/cluster_test.go
+++ b/coord/replhost/cluster_test.go
@@ -235,27 +235,37 @@
 	return b.String()
 }
 
-// propose sends one proposal to a node and records the verdict.
+// propose proposes one or two entries to a node and records the verdict.
 func (c *cluster) propose(n *replhost.Node) error {
 	c.mu.Lock()
 	c.nextItem++
 	data := fmt.Sprintf("item %d", c.nextItem)
+	proposed := []string{data}
+	if c.nextItem%2 == 0 {
+		proposed = []string{data + ", first half", data}
+	}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	result, err := n.Propose(ctx, []byte(data))
+	var encoded [][]byte
+	for _, p := range proposed {
+		encoded = append(encoded, []byte(p))
+	}
+	result, err := n.ProposeAll(ctx, encoded...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var v *verdict.Error
 	switch {
 	case err == nil && string(result) == data:
-		c.acked = append(c.acked, data)
+		c.acked = append(c.acked, proposed...)
 	case err == nil:
 		c.failures = append(c.failures, fmt.Sprintf("%s got the result %q", data, result))
 	case !errors.As(err, &v):
 		c.failures = append(c.failures, fmt.Sprintf("%s got no verdict: %v", data, err))
 	case v.Verdict == verdict.NotRun:
-		c.notRun[data] = true
+		for _, p := range proposed {
+			c.notRun[p] = true
+		}
 	}
 	return err
 }
--- a/coord/replhost/requests.go
+++ b/coord/replhost/requests.go
@@ -17,7 +17,8 @@
 
 type proposal struct {
 	call *call
-	data []byte
+	// data are proposed one after the other; call ends with the last one.
+	data [][]byte
 }
 
 type readBarrier struct{ call *call }
@@ -43,12 +44,25 @@
 // *verdict.Error: with NotRun the proposal takes no effect anywhere, with MayHaveRun it
 // may have taken effect or may still do so.
 func (n *Node) Propose(ctx context.Context, data []byte) ([]byte, error) {
-	if len(data) == 0 || len(data) > n.opts.MaxProposalBytes {
-		return nil, newError(verdict.NotRun, CodeInvalidSize,
-			fmt.Sprintf("%d bytes; from 1 to %d can be proposed", len(data), n.opts.MaxProposalBytes), nil)
+	return n.ProposeAll(ctx, data)
+}
+
+// ProposeAll is Propose for several entries that follow each other in the log: it takes no longer than
+// for one. The result is that of the last one, and if that is applied, all are. After an error with the
+// verdict MayHaveRun any number of them, from the first on, may have taken effect or still do so.
+func (n *Node) ProposeAll(ctx context.Context, data ...[]byte) ([]byte, error) {
+	if len(data) == 0 {
+		return nil, newError(verdict.NotRun, CodeInvalidSize, "nothing to propose", nil)
 	}
-	c := newCall()
-	return n.await(ctx, c, proposal{call: c, data: slices.Clone(data)})
+	p := proposal{call: newCall()}
+	for _, d := range data {
+		if len(d) == 0 || len(d) > n.opts.MaxProposalBytes {
+			return nil, newError(verdict.NotRun, CodeInvalidSize,
+				fmt.Sprintf("%d bytes; from 1 to %d can be proposed", len(d), n.opts.MaxProposalBytes), nil)
+		}
+		p.data = append(p.data, slices.Clone(d))
+	}
+	return n.await(ctx, p.call, p)
 }
 
 // Read returns nil once the state machine holds everything that was answered to any
@@ -161,8 +175,18 @@
 	if !p.call.accept() {
 		return
 	}
-	position, err := l.core.Propose(now, p.data)
-	l.trackProposal(p.call, position, err)
+	for k, data := range p.data {
+		position, err := l.core.Propose(now, data)
+		switch {
+		case err != nil && k > 0:
+			// The entries before it are in the log.
+			p.call.end(outcome{err: newError(verdict.MayHaveRun, CodeRefused, err.Error(), err)})
+			return
+		case err != nil || k == len(p.data)-1:
+			l.trackProposal(p.call, position, err)
+			return
+		}
+	}
 }
 
 func (c change) serve(l *loop, now time.Time) {
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -69,10 +69,12 @@
 const (
 	channelGroup   = "group"
 	channelPropose = "propose"
-	channelJoin    = "join"
-	channelGossip  = "gossip"
-	channelList    = "list"
-	channelRead    = "read"
+	// channelProposeAll is channelPropose for several commands.
+	channelProposeAll = "propose-all"
+	channelJoin       = "join"
+	channelGossip     = "gossip"
+	channelList       = "list"
+	channelRead       = "read"
 	// channelMemberReport is ChannelReport at a member, which does not forward it again.
 	channelMemberReport = "member-report"
 	// ChannelReport takes the reports of entry instances.
@@ -221,6 +223,7 @@
 	hub.Handle(ChannelSuspects, i.handleSuspects)
 	hub.Serve(channelDifferingSuspects, 1, i.serveDifferingSuspects)
 	hub.Serve(channelPropose, maxConcurrentCalls, i.servePropose)
+	hub.Serve(channelProposeAll, maxConcurrentCalls, i.serveProposeAll)
 	hub.Serve(channelJoin, maxConcurrentCalls, i.serveJoin)
 	hub.Serve(channelList, maxConcurrentCalls, i.serveList)
 	hub.Serve(channelRead, maxConcurrentCalls, i.serveRead)
--- a/node/control/operators.go
+++ b/node/control/operators.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/verdict"
@@ -131,10 +132,15 @@
 
 func (i *Instance) offerMissing(ctx context.Context, version uint64, source *pieces.Source, missing []pieces.Digest) error {
 	for range maxOfferRounds {
-		if err := i.proposeParts(ctx, source.PackPieces(missing)); err != nil {
-			return err
+		batches := batchPieces(source.PackPieces(missing))
+		commands := []newest.Command{{Offer: &newest.Offer{Version: version, Manifest: &source.Manifest}}}
+		if n := len(batches); n > 0 {
+			if err := i.proposeBatches(ctx, batches[:n-1]); err != nil {
+				return err
+			}
+			commands = []newest.Command{{Pieces: &newest.Pieces{Packed: batches[n-1]}}, commands[0]}
 		}
-		result, err := i.propose(ctx, newest.Command{Offer: &newest.Offer{Version: version, Manifest: &source.Manifest}})
+		result, err := i.propose(ctx, commands...)
 		if err != nil || len(result.Missing) == 0 {
 			return err
 		}
@@ -152,9 +158,8 @@
 	maxPartsInFlight = 64
 )
 
-// proposeParts proposes pieces, up to maxPartsInFlight proposals at once.
-func (i *Instance) proposeParts(ctx context.Context, packed [][]byte) error {
-	var batches [][][]byte
+// batchPieces distributes packed pieces over proposals.
+func batchPieces(packed [][]byte) (batches [][][]byte) {
 	size := maxPartsBytes
 	for _, p := range packed {
 		if size += len(p); size > maxPartsBytes {
@@ -163,6 +168,11 @@
 		last := &batches[len(batches)-1]
 		*last = append(*last, p)
 	}
+	return batches
+}
+
+// proposeBatches proposes pieces, up to maxPartsInFlight proposals at once.
+func (i *Instance) proposeBatches(ctx context.Context, batches [][][]byte) error {
 	errs := make([]error, len(batches))
 	slots := make(chan struct{}, maxPartsInFlight)
 	var wg sync.WaitGroup
@@ -177,39 +187,83 @@
 	return errors.Join(errs...)
 }
 
-// propose has a command committed, here or at the leader, and returns its result.
-func (i *Instance) propose(ctx context.Context, c newest.Command) (newest.Result, error) {
-	data, err := newest.Encode(c)
-	if err != nil {
-		return newest.Result{}, err
+// propose has commands committed one after the other, here or at the leader, and returns the result of
+// the last one. Together they take one round trip to the leader and from there to a majority, as one
+// command does: of the second that operators wait, two regions far apart leave room for little more.
+func (i *Instance) propose(ctx context.Context, commands ...newest.Command) (newest.Result, error) {
+	var encoded [][]byte
+	for _, c := range commands {
+		data, err := newest.Encode(c)
+		if err != nil {
+			return newest.Result{}, err
+		}
+		encoded = append(encoded, data)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	result, err := i.commit(ctx, data)
+	result, err := i.commit(ctx, encoded)
 	if err != nil {
 		return newest.Result{}, err
 	}
 	return newest.DecodeResult(result)
 }
 
-func (i *Instance) commit(ctx context.Context, data []byte) ([]byte, error) {
+func (i *Instance) commit(ctx context.Context, encoded [][]byte) ([]byte, error) {
 	if i.isStandby() {
-		return i.callMember(ctx, i.standby.leaderID(), channelPropose, data)
+		return i.commitAt(ctx, i.standby.leaderID(), encoded, i.callMember)
 	}
-	result, err := i.node.Propose(ctx, data)
+	result, err := i.node.ProposeAll(ctx, encoded...)
 	var other *replhost.NotLeaderError
 	if !errors.As(err, &other) || other.Leader == "" || other.Leader == i.o.Self.ID {
 		return result, err
 	}
 	// A command may be committed twice: the second time changes nothing.
-	return i.hub.Call(ctx, other.Leader, channelPropose, data)
+	return i.commitAt(ctx, other.Leader, encoded, i.hub.Call)
+}
+
+// commitAt has the leader commit commands. A leader of an older release takes one at a time.
+func (i *Instance) commitAt(ctx context.Context, leader string, encoded [][]byte,
+	call func(ctx context.Context, to, channel string, payload []byte) ([]byte, error),
+) (result []byte, err error) {
+	if len(encoded) > 1 {
+		payload, err := cbor.Marshal(encoded)
+		if err != nil {
+			return nil, err
+		}
+		result, err := call(ctx, leader, channelProposeAll, payload)
+		var refused *verdict.Error
+		if !errors.As(err, &refused) || refused.Code != link.CodeNoHandler {
+			return result, err
+		}
+	}
+	for _, data := range encoded {
+		if result, err = call(ctx, leader, channelPropose, data); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
 }
 
 // servePropose proposes a command of another member. It does not forward it again.
 func (i *Instance) servePropose(ctx context.Context, _ string, data []byte) ([]byte, error) {
-	var c newest.Command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	return i.proposeHere(ctx, data)
+}
+
+// serveProposeAll is servePropose for several commands.
+func (i *Instance) serveProposeAll(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var encoded [][]byte
+	if err := cbor.Unmarshal(payload, &encoded); err != nil {
 		return nil, verdict.New(verdict.NotRun, "malformed_command", err.Error())
 	}
-	return i.node.Propose(ctx, data)
+	return i.proposeHere(ctx, encoded...)
+}
+
+func (i *Instance) proposeHere(ctx context.Context, encoded ...[]byte) ([]byte, error) {
+	for _, data := range encoded {
+		var c newest.Command
+		if err := cbor.Unmarshal(data, &c); err != nil {
+			return nil, verdict.New(verdict.NotRun, "malformed_command", err.Error())
+		}
+	}
+	return i.node.ProposeAll(ctx, encoded...)
 }
--- a/node/control/operators_test.go
+++ b/node/control/operators_test.go
@@ -13,7 +13,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
+	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/coord/replog"
+	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/node/feed"
 	"github.com/gullhaven/gullhaven/node/quota"
 )
@@ -167,3 +170,58 @@
 		}
 	}
 }
+
+// Guards against acknowledgements of configurations that come too late for their operators, as new
+// pieces and the offer wait for a majority one after the other.
+func TestOfferWithNewPiecesIsOneCallToTheLeader(t *testing.T) {
+	members := newMembers(t, 3)
+	source, err := pieces.Cut([]byte("a configuration"), pieces.Layout{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for version := uint64(1); ; version++ {
+		k := slices.IndexFunc(members, func(i *Instance) bool {
+			s := i.node.Status().Core
+			return s.Role != replog.Leader && s.Leader.ID != ""
+		})
+		if k < 0 {
+			continue
+		}
+		at := slices.IndexFunc(members, func(i *Instance) bool { return i.o.Self.ID == members[k].Leader() })
+		if at < 0 {
+			continue
+		}
+		leader := members[at]
+		calls := func() uint64 {
+			channels := leader.hub.Stats().Channels
+			return channels[channelPropose].Received + channels[channelProposeAll].Received
+		}
+		before := calls()
+		if members[k].offer(context.Background(), version, source) != nil || members[k].Leader() != leader.o.Self.ID {
+			// Another leader was elected meanwhile.
+			continue
+		}
+		if got := calls() - before; got != 1 {
+			t.Errorf("%d calls at the leader, 1 expected", got)
+		}
+		return
+	}
+}
+
+// Guards against configurations that are never acknowledged during an update, while the leader is of a
+// release that takes one command at a time.
+func TestLeaderOfAnOlderReleaseTakesCommandsOneByOne(t *testing.T) {
+	i := newMembers(t, 1)[0]
+	var taken []string
+	old := func(_ context.Context, _, channel string, payload []byte) ([]byte, error) {
+		if channel != channelPropose {
+			return nil, verdict.New(verdict.NotRun, link.CodeNoHandler, "the channel is not served")
+		}
+		taken = append(taken, string(payload))
+		return payload, nil
+	}
+	result, err := i.commitAt(context.Background(), "leader", [][]byte{[]byte("pieces"), []byte("offer")}, old)
+	if err != nil || string(result) != "offer" || !slices.Equal(taken, []string{"pieces", "offer"}) {
+		t.Errorf("taken %q, result %q, error %v", taken, result, err)
+	}
+}
