coord/suspect: a change weighs its own digest, not the whole table

Only digests that were alone in a crash clear others, so Merge looks for these alone. The times of crashes are kept as they come in, the digests whose entries may be enough for a quarantine are known, and what one weighs by itself is kept until its entries or the times of crashes change.

--- a/coord/suspect/bounds.go
+++ b/coord/suspect/bounds.go
@@ -46,9 +46,11 @@
 
 func (t *Table) removeEntry(d Digest, c Crash) {
 	entries := t.digests[d]
+	e := entries[c]
 	delete(entries, c)
 	t.entryCount--
-	t.suspicions = nil
+	t.countAlone(d, e.status, Cleared)
+	t.markChanged(d)
 	if len(entries) == 0 {
 		delete(t.digests, d)
 	}
@@ -57,4 +59,5 @@
 	if len(left) == 0 {
 		delete(t.crashes, c)
 	}
+	t.forgetFound(c, e.crashedAt)
 }
--- a/coord/suspect/judge.go
+++ b/coord/suspect/judge.go
@@ -24,17 +24,60 @@
 
 // suspicion returns the suspicion of a digest.
 func (t *Table) suspicion(d Digest) suspicion {
-	entries := t.digests[d]
-	if len(entries) == 0 {
+	if len(t.digests[d]) == 0 {
 		return suspicion{}
 	}
+	v := t.weighAlone(d)
+	if !v.quarantined() {
+		return v
+	}
 	if t.suspicions == nil {
 		t.judge()
 	}
-	if v, ok := t.suspicions[d]; ok {
-		return v
+	return t.suspicions[d]
+}
+
+// weighAlone returns the suspicion of a digest that no other digest explains.
+func (t *Table) weighAlone(d Digest) suspicion {
+	t.updateFound()
+	known, candidate := t.candidates[d]
+	if known != nil {
+		return *known
+	}
+	v := t.weigh(d, nil)
+	if candidate {
+		t.candidates[d] = &v
+	}
+	return v
+}
+
+// markChanged records that an entry of a digest has changed.
+func (t *Table) markChanged(d Digest) {
+	t.suspicions = nil
+	if mayBeQuarantined(t.digests[d]) {
+		t.candidates[d] = nil
+	} else {
+		delete(t.candidates, d)
+	}
+}
+
+// mayBeQuarantined reports whether entries are enough for a quarantine if nothing excuses or explains them.
+func mayBeQuarantined(entries map[Crash]*entry) bool {
+	rounds, first := 0, uint32(0)
+	for _, e := range entries {
+		switch {
+		case e.status == Alone:
+			return true
+		case e.status == Cleared, e.round != 0 && e.round == first:
+			continue
+		case e.round != 0 && first == 0:
+			first = e.round
+		}
+		if rounds++; rounds >= QuarantineAfter {
+			return true
+		}
 	}
-	return weigh(entries, nil, t.found)
+	return false
 }
 
 // Quarantined returns those digests of a request that are quarantined.
@@ -51,10 +94,10 @@
 // judge weighs the digests that may be quarantined, those of most rounds first: the crashes of one that
 // is quarantined are explained for those of fewer rounds.
 func (t *Table) judge() {
-	t.suspicions, t.found = make(map[Digest]suspicion), t.findCrashes()
+	t.suspicions = make(map[Digest]suspicion)
 	byRounds := make(map[int][]Digest)
-	for d, entries := range t.digests {
-		if v := weigh(entries, nil, t.found); v.quarantined() {
+	for d := range t.candidates {
+		if v := t.weighAlone(d); v.quarantined() {
 			// A trial of one digest says nothing of the crashes before it.
 			untried := v.rounds - v.trials
 			byRounds[untried] = append(byRounds[untried], d)
@@ -68,7 +111,7 @@
 	explained := make(map[Crash]bool)
 	for _, rounds := range order {
 		for _, d := range byRounds[rounds] {
-			t.suspicions[d] = weigh(t.digests[d], explained, t.found)
+			t.suspicions[d] = t.weigh(d, explained)
 		}
 		for _, d := range byRounds[rounds] {
 			if !t.suspicions[d].quarantined() {
@@ -83,11 +126,14 @@
 	}
 }
 
-// weigh counts the rounds of entries that are neither cleared nor explained, nor of one of many crashes of a
-// moment that mostly lack the digest. Entries without rounds count one each, and are explained only by Cleared.
-func weigh(entries map[Crash]*entry, explained map[Crash]bool, found foundCrashes) suspicion {
+// weigh counts the rounds of a digest's entries that are neither cleared nor explained, nor of one of many crashes
+// of a moment that mostly lack the digest. Entries without rounds count one each, and are explained only by Cleared.
+func (t *Table) weigh(d Digest, explained map[Crash]bool) suspicion {
 	var v suspicion
 	var rounds, trials []uint32
+	entries := t.digests[d]
+	own := t.foundOf(entries)
+	t.weighed += len(entries)
 	for c, e := range entries {
 		if e.status == Cleared {
 			continue
@@ -100,7 +146,7 @@
 		case e.round == 0:
 			v.rounds++
 			continue
-		case explained[c], found.excuses(e, entries):
+		case explained[c], t.found.excuses(e, own):
 			continue
 		case !slices.Contains(rounds, e.round):
 			rounds = append(rounds, e.round)
--- a/coord/suspect/mass.go
+++ b/coord/suspect/mass.go
@@ -1,7 +1,6 @@
 package suspect
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -21,58 +20,73 @@
 	massShare = 4
 )
 
-// foundCrashes are the crashes of a table, sorted by when they were found.
-type foundCrashes []crashFound
+// foundTimes are the times when crashes were first found, sorted.
+type foundTimes []Instant
 
-type crashFound struct {
-	crash Crash
-	at    Instant
+// recordFound records that a crash was found at a time; 0 if the host does not report it.
+func (t *Table) recordFound(c Crash, at Instant) {
+	if first := t.firstFound[c]; at != 0 && (first == 0 || at < first) {
+		t.firstFound[c], t.foundChanged = at, true
+	}
 }
 
-// findCrashes returns when each crash was first found. Crashes of hosts that do not report it are left out.
-func (t *Table) findCrashes() foundCrashes {
-	out := make(foundCrashes, 0, len(t.crashes))
-	for c, digests := range t.crashes {
-		first := Instant(0)
-		for _, d := range digests {
-			if at := t.digests[d][c].crashedAt; at != 0 && (first == 0 || at < first) {
-				first = at
-			}
-		}
-		if first != 0 {
-			out = append(out, crashFound{c, first})
+// forgetFound takes back that an entry's crash was found at a time.
+func (t *Table) forgetFound(c Crash, at Instant) {
+	if at == 0 || at != t.firstFound[c] {
+		return
+	}
+	delete(t.firstFound, c)
+	t.foundChanged = true
+	for _, d := range t.crashes[c] {
+		t.recordFound(c, t.digests[d][c].crashedAt)
+	}
+}
+
+// updateFound sorts the times of the crashes after a change, and has all digests weighed again.
+func (t *Table) updateFound() {
+	if !t.foundChanged {
+		return
+	}
+	t.foundChanged, t.found = false, t.found[:0]
+	for _, at := range t.firstFound {
+		t.found = append(t.found, at)
+	}
+	slices.Sort(t.found)
+	for d := range t.candidates {
+		t.candidates[d] = nil
+	}
+}
+
+// foundOf returns when the crashes of entries that are not cleared were first found; nothing if no moment
+// has enough crashes to excuse any.
+func (t *Table) foundOf(entries map[Crash]*entry) foundTimes {
+	if len(t.found) < massTargets {
+		return nil
+	}
+	out := make(foundTimes, 0, len(entries))
+	for c, e := range entries {
+		if at := t.firstFound[c]; at != 0 && e.status != Cleared {
+			out = append(out, at)
 		}
 	}
-	slices.SortFunc(out, func(a, b crashFound) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.crash.Target, b.crash.Target), cmp.Compare(a.crash.Incarnation, b.crash.Incarnation))
-	})
+	slices.Sort(out)
 	return out
 }
 
-// around returns the crashes found within massSpan of a time.
-func (f foundCrashes) around(at Instant) foundCrashes {
+// around returns the number of crashes found within massSpan of a time.
+func (f foundTimes) around(at Instant) int {
 	span := Instant(massSpan.Microseconds())
-	byTime := func(c crashFound, at Instant) int { return cmp.Compare(c.at, at) }
-	from, _ := slices.BinarySearchFunc(f, at-span, byTime)
-	to, _ := slices.BinarySearchFunc(f, at+span+1, byTime)
-	return f[from:to]
+	from, _ := slices.BinarySearch(f, at-span)
+	to, _ := slices.BinarySearch(f, at+span+1)
+	return to - from
 }
 
-// excuses reports whether a crash with these entries of a digest is one of many of the same moment that
-// mostly lack the digest.
-func (f foundCrashes) excuses(e *entry, entries map[Crash]*entry) bool {
+// excuses reports whether a crash of a digest is one of many of the same moment that mostly lack the digest.
+// own are the crashes of the digest.
+func (f foundTimes) excuses(e *entry, own foundTimes) bool {
 	if e.crashedAt == 0 {
 		return false
 	}
 	moment := f.around(e.crashedAt)
-	if len(moment) < massTargets {
-		return false
-	}
-	with := 0
-	for _, c := range moment {
-		if own := entries[c.crash]; own != nil && own.status != Cleared {
-			with++
-		}
-	}
-	return with*massShare < len(moment)
+	return moment >= massTargets && own.around(e.crashedAt)*massShare < moment
 }
--- a/coord/suspect/table.go
+++ b/coord/suspect/table.go
@@ -197,10 +197,20 @@
 	// granted has the trials that this table has granted, of digests that were not cleared since.
 	granted  map[Digest]grant
 	finished finished
-	// suspicions are those of all digests that may be quarantined; nil after a change.
+	// alone is the number of entries of status Alone, of each digest that has any.
+	alone map[Digest]int
+	// candidates are the digests whose entries may be enough for a quarantine, with their suspicions as
+	// long as no other digest explains any; nil after a change.
+	candidates map[Digest]*suspicion
+	// suspicions are those of the candidates that are quarantined unless others explain them; nil after
+	// a change.
 	suspicions map[Digest]suspicion
-	// found are the crashes by time, as of suspicions.
-	found foundCrashes
+	// firstFound is when each crash was first found. found are these times as of the last updateFound.
+	firstFound   map[Crash]Instant
+	found        foundTimes
+	foundChanged bool
+	// weighed is the number of entries weighed so far.
+	weighed int
 	// entryCount is the number of entries in digests.
 	entryCount int
 	evicted    uint64
@@ -227,6 +237,7 @@
 	return &Table{
 		cfg: cfg, inFlight: make(map[Attempt]sentAttempt), digests: make(map[Digest]map[Crash]*entry),
 		crashes: make(map[Crash][]Digest), reserved: make(map[Digest]*reservation), granted: make(map[Digest]grant),
+		alone: make(map[Digest]int), candidates: make(map[Digest]*suspicion), firstFound: make(map[Crash]Instant),
 	}
 }
 
@@ -334,12 +345,8 @@
 			updates = append(updates, innocent)
 		}
 	}
-	for _, e := range slices.Clone(updates) {
-		updates = append(updates, t.clearInnocents(now, e.Digest)...)
-		// The crash may have been explained before this suspect of it was received.
-		for _, other := range slices.Clone(t.crashes[e.Crash]) {
-			updates = append(updates, t.clearInnocents(now, other)...)
-		}
+	for _, d := range t.causes(updates) {
+		updates = append(updates, t.clearInnocents(now, d)...)
 	}
 	t.evictExcess()
 	return updates
@@ -357,7 +364,9 @@
 		entries[e.Crash] = &entry{status: e.Status, until: e.Until, sentAt: e.SentAt, crashedAt: e.CrashedAt, round: e.Round, trial: e.Trial, learnedAt: now}
 		t.crashes[e.Crash] = append(t.crashes[e.Crash], e.Digest)
 		t.entryCount++
-		t.suspicions = nil
+		t.countAlone(e.Digest, Cleared, e.Status)
+		t.recordFound(e.Crash, e.CrashedAt)
+		t.markChanged(e.Digest)
 		return true
 	}
 	renewed := e.Status == old.status && e.Until.Sub(old.until) >= t.renewAfter()
@@ -366,28 +375,66 @@
 		return false
 	}
 	if e.Round > old.round {
+		before := old.crashedAt
 		old.round, old.learnedAt, old.crashedAt = e.Round, now, e.CrashedAt
+		t.forgetFound(e.Crash, before)
+		t.recordFound(e.Crash, e.CrashedAt)
+	}
+	if e.Status > old.status {
+		t.countAlone(e.Digest, old.status, e.Status)
 	}
 	old.status, old.trial = max(old.status, e.Status), old.trial || e.Trial
 	if e.Until.After(old.until) {
 		old.until = e.Until
 	}
-	t.suspicions = nil
+	t.markChanged(e.Digest)
 	return true
 }
 
-// clearInnocents clears the other suspects of the crashes of a digest that was alone in one.
-func (t *Table) clearInnocents(now time.Time, d Digest) []Entry {
-	if !t.suspicion(d).alone {
+// countAlone counts the change of an entry's status.
+func (t *Table) countAlone(d Digest, before, after Status) {
+	if before == Alone {
+		t.alone[d]--
+	}
+	if after == Alone {
+		t.alone[d]++
+	}
+	if t.alone[d] == 0 {
+		delete(t.alone, d)
+	}
+}
+
+// causes returns the digests that were alone in a crash, among those of changed entries and the other
+// suspects of their crashes: a crash may have been explained before a suspect of it was received.
+func (t *Table) causes(changed []Entry) []Digest {
+	if len(t.alone) == 0 {
 		return nil
 	}
+	var out []Digest
+	crashes := map[Crash]bool{}
+	for _, e := range changed {
+		if crashes[e.Crash] {
+			continue
+		}
+		crashes[e.Crash] = true
+		for _, d := range t.crashes[e.Crash] {
+			if t.alone[d] > 0 && !slices.Contains(out, d) {
+				out = append(out, d)
+			}
+		}
+	}
+	return out
+}
+
+// clearInnocents clears the other suspects of the crashes of a digest that was alone in one.
+func (t *Table) clearInnocents(now time.Time, d Digest) []Entry {
 	var updates []Entry
 	for c, e := range t.digests[d] {
 		if e.status == Cleared {
 			continue
 		}
 		for _, other := range t.crashes[c] {
-			if other == d || t.suspicion(other).alone {
+			if other == d || t.alone[other] > 0 {
 				continue
 			}
 			cleared := t.digests[other][c].withStatus(other, c, Cleared, now.Add(t.cfg.Lifetime))
