node/entry: reports of suspects are bounded

What waits is one entry for each digest and crash. A report has 256 of them at most, suspects before those that are cleared; what is sent ahead of a report is what is new; and what a core instance has told meanwhile is not reported to it.

--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -39,9 +39,8 @@
 	// unsettled are attempts whose end did not tell whether their target crashed.
 	unsettled suspect.Unsettled
 	// probes is the number of probes under way.
-	probes int
-	// pending are entries that were not reported yet.
-	pending []suspect.Entry
+	probes  int
+	pending pendingSuspects
 	// crashes gets a value after a crash, whose entries must reach the other instances soon.
 	crashes chan struct{}
 }
@@ -64,9 +63,6 @@
 	maxFinished = 8192
 )
 
-// maxPending bounds the entries that wait for the next report; the oldest are dropped.
-const maxPending = 8192
-
 func newPoisonRequests(log *zap.Logger) *poisonRequests {
 	cfg := suspect.DefaultConfig()
 	cfg.Lifetime, cfg.TrialAfter, cfg.MaxTrials, cfg.MaxFinished = poisonTTL, trialAfter, 1, maxFinished
@@ -185,15 +181,10 @@
 	}
 }
 
-func (p *poisonRequests) add(entries []suspect.Entry) {
-	p.pending = append(p.pending, entries...)
-	if over := len(p.pending) - maxPending; over > 0 {
-		p.pending = p.pending[over:]
-	}
-}
+func (p *poisonRequests) add(entries []suspect.Entry) { p.pending.add(entries) }
 
-// takePending returns and removes the entries that were not reported yet. It also expires old
-// entries of the table.
+// takePending returns and removes the entries for the next report. It also expires old entries of the
+// table.
 func (p *poisonRequests) takePending() []suspect.Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -202,9 +193,7 @@
 	p.table.Expire(now)
 	maps.DeleteFunc(p.trials, func(_ suspect.Digest, t trial) bool { return now.Sub(t.admittedAt) > maxTrialTime })
 	maps.DeleteFunc(p.crashed, func(_ string, c foundCrash) bool { return now.Sub(c.at) > poisonTTL })
-	entries := p.pending
-	p.pending = nil
-	return entries
+	return p.pending.take()
 }
 
 // count returns the number of entries, and of those that were evicted since the start.
@@ -214,11 +203,11 @@
 	return int64(p.table.Len()), int64(p.table.Evicted())
 }
 
-// pendingEntries returns the entries that were not reported yet, and keeps them for the next report.
-func (p *poisonRequests) pendingEntries() []suspect.Entry {
+// takeUnpublished returns the entries that are to be sent ahead of their report.
+func (p *poisonRequests) takeUnpublished() []suspect.Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.pending)
+	return p.pending.takeUnpublished()
 }
 
 // reportAll reports all entries again, as a core instance has started without them.
@@ -232,7 +221,15 @@
 func (p *poisonRequests) restorePending(entries []suspect.Entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.add(entries)
+	p.pending.restore(entries)
+}
+
+// mergeTold merges the entries that a core instance has told.
+func (p *poisonRequests) mergeTold(entries []suspect.Entry) {
+	p.merge(entries)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending.removeTold(entries)
 }
 
 // merge merges the entries that other instances reported.
--- a/node/entry/suspects.go
+++ b/node/entry/suspects.go
@@ -48,7 +48,11 @@
 			return
 		case <-i.poisonRequests.crashes:
 		}
-		payload, err := cbor.Marshal(i.poisonRequests.pendingEntries())
+		entries := i.poisonRequests.takeUnpublished()
+		if len(entries) == 0 {
+			continue
+		}
+		payload, err := cbor.Marshal(entries)
 		if err != nil {
 			i.log.Error("suspects cannot be encoded", zap.Error(err))
 			continue
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -20,7 +20,7 @@
 // the list is replaced by an older one: the core instance may lag.
 func (i *Instance) applyUpdate(from string, u *feed.Update, r feed.Report) {
 	now := time.Now()
-	i.poisonRequests.merge(u.Suspects)
+	i.poisonRequests.mergeTold(u.Suspects)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.suspects.update(from, u.Suspected) {
