node/feed, node/control: suspects that are refused from now on come within 50 ms, the others within 150

Change: the first suspects after a pause are sent and answered at once, further ones 150 ms after the last round, or 50 ms if one of them has crashed targets in two rounds. When a round is due is decided in the store, without a clock.

--- a/node/control/gossip.go
+++ b/node/control/gossip.go
@@ -16,9 +16,6 @@
 // instances, the four messages come to 2 KB/s in all.
 const GossipInterval = 500 * time.Millisecond
 
-// suspectsGossipDelay is how long new suspects wait for others before they are sent.
-const suspectsGossipDelay = 100 * time.Millisecond
-
 // clock is the log's clock.
 func (i *Instance) clock() time.Time { return replhost.BootClock{}.Now() }
 
@@ -46,6 +43,8 @@
 	if !i.isStandby() {
 		i.sendGossip(false)
 	}
+	suspectsDue := time.NewTimer(0)
+	defer suspectsDue.Stop()
 	for {
 		listChanged := false
 		select {
@@ -53,8 +52,11 @@
 			return
 		case <-tick.C:
 		case <-i.suspectsNow:
-			// More of them come at the same time: they are sent together.
-			_ = duty.Pause(ctx, suspectsGossipDelay)
+			if at, due := i.store.SuspectsRoundAt(); due {
+				suspectsDue.Reset(time.Until(at))
+			}
+			continue
+		case <-suspectsDue.C:
 		case <-i.gossipNow:
 			listChanged = true
 		}
@@ -62,16 +64,16 @@
 			continue
 		}
 		i.sendGossip(listChanged)
+		if _, due := i.store.SuspectsRoundAt(); due {
+			trigger(i.suspectsNow)
+		}
 	}
 }
 
 // sendGossip sends one round of gossip; listChanged says that the list has just changed.
 func (i *Instance) sendGossip(listChanged bool) {
 	now := time.Now()
-	suspects, more := i.store.NextSuspectsRound(now)
-	if more {
-		trigger(i.suspectsNow)
-	}
+	suspects := i.store.NextSuspectsRound(now)
 	regions := map[string]string{}
 	for _, c := range i.store.Cores(now) {
 		regions[c.ID] = c.Region
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -24,7 +24,7 @@
 	if r.WantConfirmed {
 		i.confirmFirst(ctx)
 	}
-	wait := time.NewTimer(time.Duration(r.WaitMillis) * time.Millisecond)
+	wait := time.NewTimer(i.reportWait(&r))
 	defer wait.Stop()
 	changed := i.store.Changed()
 	if i.upToDate(&r) {
@@ -39,6 +39,16 @@
 	return cbor.Marshal(i.updateFor(r))
 }
 
+// reportWait returns how long a report may be held back. One whose sender misses suspects is not answered at
+// once: another one follows, and there may be new ones for seconds.
+func (i *Instance) reportWait(r *feed.Report) time.Duration {
+	wait := time.Duration(r.WaitMillis) * time.Millisecond
+	if atMost, misses := i.store.SuspectsWait(r); misses {
+		return min(wait, atMost)
+	}
+	return wait
+}
+
 // recordReport records what a report says about the reporting instance.
 func (i *Instance) recordReport(now time.Time, r *feed.Report) {
 	switch {
--- a/node/feed/store.go
+++ b/node/feed/store.go
@@ -63,6 +63,10 @@
 	// one has left or begun to leave, and that no waiting report was woken for it yet.
 	lastWake    time.Time
 	wakePending bool
+	// suspectsWokenAt is when suspects last caused a wake-up, and wokenSuspect the number of the last one by
+	// then.
+	suspectsWokenAt time.Time
+	wokenSuspect    uint64
 	// reporters is the number of entry instances that recently reported here.
 	reporters int
 	// invalidCapacities is the number of reports whose capacity was ignored.
@@ -137,7 +141,7 @@
 	st.changed, st.aggregate, st.wakePending = make(chan struct{}), nil, false
 }
 
-// WakeIfDue wakes waiting reports if an entry instance has left and the last wake-up is long enough
+// WakeIfDue wakes waiting reports if an entry instance has left, or there are new suspects, and the last wake-up is long enough
 // ago for all answers to it to be sent. Call it every few milliseconds.
 //
 // If each departure woke them at once, when a sixth of a thousand instances restart within seconds
@@ -153,6 +157,10 @@
 		st.lastWake = now
 		st.wake()
 	}
+	if l := &st.suspects; st.wokenSuspect < l.last && now.Sub(st.suspectsWokenAt) >= max(l.interval(st.wokenSuspect), st.answerTime()) {
+		st.suspectsWokenAt, st.wokenSuspect = now, l.last
+		st.wake()
+	}
 }
 
 // answerTime is how long answers to all entry instances that report here take.
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -21,6 +21,10 @@
 	maxSuspectsPerExchange = 1024
 	// maxSuspects bounds the number of suspects that are kept; each takes 80 bytes.
 	maxSuspects = 8192
+	// suspectsInterval is the least time between two rounds of gossip, or wake-ups, for suspects: the ends of
+	// some targets make new ones for seconds, and each wake-up is an answer to each instance, with what
+	// follows from it. urgentSuspectsInterval is that for those that are refused from now on.
+	suspectsInterval, urgentSuspectsInterval = 150 * time.Millisecond, 50 * time.Millisecond
 	// evictedSuspects is how many of a full store are evicted at once, so that it is not searched for
 	// each new one.
 	evictedSuspects = maxSuspects / 16
@@ -71,6 +75,23 @@
 	// entries of the last one: each is in two rounds, so that a lost message has no effect.
 	gossiped  uint64
 	lastRound []suspect.Entry
+	// roundAt is when that round was.
+	roundAt time.Time
+	// lastUrgent is the number of the last record that is urgent.
+	lastUrgent uint64
+}
+
+// urgent reports whether an entry of a digest means that requests with it are refused from now on.
+func urgent(e *suspect.Entry) bool {
+	return e.Status == suspect.Alone || e.Status == suspect.Suspected && e.Round >= suspect.QuarantineAfter
+}
+
+// interval is the least time between two rounds, or wake-ups, for the records with a number above after.
+func (l *suspectLog) interval(after uint64) time.Duration {
+	if after < l.lastUrgent {
+		return urgentSuspectsInterval
+	}
+	return suspectsInterval
 }
 
 type numberedSuspect struct {
@@ -112,6 +133,9 @@
 	r := suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct, hash: hashOf(&e)}
 	l.digests[bucket(e.Digest)] += r.hash - old.hash
 	l.records[key] = r
+	if urgent(&e) {
+		l.lastUrgent = l.last
+	}
 	l.order = append(l.order, numberedSuspect{l.last, key})
 	if len(l.order) > 2*len(l.records) {
 		l.order = slices.DeleteFunc(l.order, l.outdated)
@@ -211,8 +235,9 @@
 }
 
 // nextRound returns the entries of entry instances that report here for a round of gossip.
-func (l *suspectLog) nextRound() []suspect.Entry {
+func (l *suspectLog) nextRound(now time.Time) []suspect.Entry {
 	again := l.lastRound
+	l.roundAt = now
 	l.lastRound, l.gossiped = l.entriesAfter(l.gossiped, maxSuspectsPerMessage, func(r *suspectRecord) bool { return r.direct })
 	return slices.Concat(again, l.lastRound)
 }
@@ -229,9 +254,51 @@
 	for _, e := range entries {
 		changed = st.suspects.add(now, e, direct) || changed
 	}
+	if changed {
+		st.wakeIfPending(now)
+	}
 	return changed
 }
 
+// HasSuspectsFor reports whether the sender of a report misses suspects.
+func (st *Store) HasSuspectsFor(r *Report) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.misses(r.Suspected)
+}
+
+func (st *Store) misses(m *SuspectsMark) bool {
+	return m != nil && len(st.suspects.records) > 0 && (m.Epoch != st.changes.epoch || m.At < st.suspects.last)
+}
+
+// SuspectsWait returns for how long at most a report may be held back for the suspects that its sender misses;
+// false if it misses none.
+func (st *Store) SuspectsWait(r *Report) (time.Duration, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.misses(r.Suspected) {
+		return 0, false
+	}
+	return st.suspects.interval(st.firstMissed(r.Suspected)), true
+}
+
+// firstMissed returns the number from which on the sender of a mark misses suspects.
+func (st *Store) firstMissed(m *SuspectsMark) uint64 {
+	if m.Epoch != st.changes.epoch {
+		return 0
+	}
+	return m.At
+}
+
+// SuspectsRoundAt returns when the next round of gossip for suspects is due; false if there are none that
+// were in no round.
+func (st *Store) SuspectsRoundAt() (time.Time, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	l := &st.suspects
+	return l.roundAt.Add(l.interval(l.gossiped)), l.gossiped < l.last
+}
+
 // Suspects returns all that are stored, for another core instance.
 func (st *Store) Suspects(now time.Time) []suspect.Entry {
 	st.mu.Lock()
@@ -251,31 +318,22 @@
 
 // suspectsFor returns the suspects that the sender of a report misses, as far as they fit a message, and its
 // next mark. One of an older version, without a mark, gets the recent ones.
-//
-// Reports are not answered sooner for them. If they were, each instance would report again at once, with
-// what follows from them, and after the end of some targets core instances would do nothing else.
 func (st *Store) suspectsFor(now time.Time, r *Report) ([]suspect.Entry, *SuspectsMark) {
 	st.suspects.expire(now)
 	if r.Suspected == nil {
 		recent, _ := st.suspects.entriesAfter(0, maxSuspectsPerMessage, func(r *suspectRecord) bool { return now.Sub(r.receivedAt) <= recentSuspectTime })
 		return recent, nil
 	}
-	after := r.Suspected.At
-	if r.Suspected.Epoch != st.changes.epoch {
-		after = 0
-	}
-	out, upTo := st.suspects.entriesAfter(after, maxSuspectsPerMessage, func(*suspectRecord) bool { return true })
+	out, upTo := st.suspects.entriesAfter(st.firstMissed(r.Suspected), maxSuspectsPerMessage, func(*suspectRecord) bool { return true })
 	return out, &SuspectsMark{Epoch: st.changes.epoch, At: upTo}
 }
 
-// NextSuspectsRound returns the suspects for a round of gossip, and reports whether another round is needed
-// for those that did not fit.
-func (st *Store) NextSuspectsRound(now time.Time) (entries []suspect.Entry, more bool) {
+// NextSuspectsRound returns the suspects for a round of gossip.
+func (st *Store) NextSuspectsRound(now time.Time) []suspect.Entry {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.suspects.expire(now)
-	entries = st.suspects.nextRound()
-	return entries, st.suspects.gossiped < st.suspects.last
+	return st.suspects.nextRound(now)
 }
 
 // SuspectsDiffer reports whether another core instance holds other suspects than this one. A full store
