pipeline/exchange, node/entry: an instance that may lack the newest configuration refuses nothing as wrong

What callers saw: 404 on routes that exist, at single entry instances. A caller does not return after 404, 401 or 413.

Cause: an entry instance refused by the configuration that it held, although it knew of a newer one whose document was still in transfer, or had not heard from a core instance with a leader for seconds.

Change: a view says from when on its configuration may be outdated. From then on an unknown route, an unknown key and a body that is too long are refused with 503 and when to come back; what the configuration allows is served as before. Lines of refusals name the version.

--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -52,10 +52,16 @@
 	silentAfterFailures = 3
 )
 
+// confirmedFor is for how long an answer of a core instance with a leader confirms the newest configuration:
+// longer than two reports are apart and one of them may take.
+const confirmedFor = maxReportWait + reportTimeout + 800*time.Millisecond
+
 // knownState is what the core instances have reported.
 type knownState struct {
-	// head is the newest known state; its document may still be in transfer.
-	head *newest.Head
+	// head is the newest known state, and headAt when it was received; its document may still be in
+	// transfer.
+	head   *newest.Head
+	headAt time.Time
 	// held is the newest state whose document is held, and index is built from that.
 	held  *newest.Head
 	index *routes.Index
@@ -65,6 +71,8 @@
 	coresDigest uint64
 	// entries are the other entry instances.
 	entries feed.Known
+	// confirmedAt is when a core instance with a leader last answered that it holds no newer state than head.
+	confirmedAt time.Time
 	// joined says that a core instance has answered a report in which this instance was ready.
 	joined bool
 	// loads are the sums of the others of the region; partialLoads says that they cover only some
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -30,6 +30,9 @@
 	if u.Head != nil {
 		i.applyHead(now, from, u.Head)
 	}
+	if u.HasLeader {
+		k.confirmedAt = now
+	}
 	readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond)
 	switch {
 	case u.ListAgeMillis < 0 || !readAt.After(k.list.ReadAt):
@@ -85,7 +88,7 @@
 	if k.head != nil && h.Index < k.head.Index {
 		return
 	}
-	k.head = h
+	k.head, k.headAt = h, now
 	if k.held != nil && k.held.Root == h.Root {
 		k.held = h
 		return
@@ -103,6 +106,7 @@
 	next := &exchange.View{
 		Index: k.index, Regions: map[exchange.RegionService]pick.RegionLoad{}, EntryInstances: len(k.entries.Entries) + 1, TargetsReadAt: k.list.ReadAt,
 	}
+	next.OutdatedAt = k.outdatedAt()
 	i.addRegions(next)
 	for _, l := range k.listedVersions() {
 		k.versions.record(now, l.service, l.version)
@@ -120,6 +124,15 @@
 	i.gateway.SetView(next)
 }
 
+// outdatedAt returns from when on a newer configuration may be in force at others: at once if its head is
+// known, else when the last confirmation is too old.
+func (k *knownState) outdatedAt() time.Time {
+	if k.held.Root != k.head.Root {
+		return k.headAt
+	}
+	return k.confirmedAt.Add(confirmedFor)
+}
+
 // serviceVersion is a software version of a service's targets.
 type serviceVersion struct{ service, version string }
 
--- a/node/entry/update_test.go
+++ b/node/entry/update_test.go
@@ -260,3 +260,22 @@
 		t.Errorf("loads %v", loads)
 	}
 }
+
+// Guards against an instance that tells callers that a route does not exist, while it knows of a newer
+// configuration or no longer hears from a core instance with a leader.
+func TestConfigurationIsOutdatedUntilConfirmed(t *testing.T) {
+	Convey("an instance with a configuration", t, func() {
+		i := newInstance(t)
+		list := encode(t, feed.ListUpdate{Digest: 1})
+		outdated := func(at time.Time) bool { return !at.Before(i.gateway.View().OutdatedAt) }
+		applyWhole(t, i, state(1, 1), &feed.Update{List: list}, feed.Report{})
+		So(outdated(time.Now()), ShouldBeTrue)
+		i.applyUpdate("core", &feed.Update{HasLeader: true, ListAgeMillis: -1}, feed.Report{})
+		So(outdated(time.Now()), ShouldBeFalse)
+		So(outdated(time.Now().Add(confirmedFor)), ShouldBeTrue)
+		i.applyUpdate("core", &feed.Update{HasLeader: true, ListAgeMillis: -1, Head: state(2, 2).Head()}, feed.Report{})
+		So(outdated(time.Now()), ShouldBeTrue)
+		applyWhole(t, i, state(2, 2), &feed.Update{HasLeader: true, ListAgeMillis: -1}, feed.Report{})
+		So(outdated(time.Now()), ShouldBeFalse)
+	})
+}
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -149,11 +149,11 @@
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeNoConfiguration, retryAfter: place.RetryAfter(place.Starting, 0)}
 	}
 	if q.forwarded != nil && q.forwarded.Version > q.view.Index.Table.Version {
-		return &refusal{status: http.StatusServiceUnavailable, code: CodeBehind, retryAfter: place.RetryAfter(place.Busy, 0)}
+		return refuseBehind()
 	}
 	q.route = q.view.Index.Match(q.r.Host, q.r.URL.Path)
 	if q.route == nil {
-		return &refusal{status: http.StatusNotFound, code: CodeNoRoute}
+		return q.refuseAsWrong(&refusal{status: http.StatusNotFound, code: CodeNoRoute})
 	}
 	if q.g.mayCutOff(q) {
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeLeaving, retryAfter: place.RetryAfter(place.Leaving, 0)}
@@ -186,6 +186,22 @@
 	return q.readBody()
 }
 
+// refuseAsWrong refuses a request that the configuration does not allow: with f, after which its caller does
+// not return, or, while a newer configuration may allow it, for now.
+func (q *request) refuseAsWrong(f *refusal) *refusal {
+	if !q.view.outdated(q.acceptedAt) {
+		return f
+	}
+	behind := refuseBehind()
+	behind.close = f.close
+	return behind
+}
+
+// refuseBehind refuses a request that a configuration may allow which this instance does not have yet.
+func refuseBehind() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: CodeBehind, retryAfter: place.RetryAfter(place.Busy, 0)}
+}
+
 // readBody reads the whole body, so that it can be sent to another target, and so that a
 // caller's disconnect is noticed while a target works.
 func (q *request) readBody() *refusal {
@@ -200,8 +216,9 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	tooLarge := &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
 	if q.r.ContentLength > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
+		return q.refuseAsWrong(tooLarge)
 	}
 	body, err := readAll(q.r.Body, q.r.ContentLength, maxBytes)
 	if err != nil {
@@ -209,7 +226,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(body)) > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
+		return q.refuseAsWrong(tooLarge)
 	}
 	q.raw.Body = body
 	return nil
--- a/pipeline/exchange/finish.go
+++ b/pipeline/exchange/finish.go
@@ -109,7 +109,15 @@
 	q.g.o.Log.Info("refused", zap.String("id", q.call.ID), zap.Int("status", f.status), zap.String("code", string(f.code)),
 		zap.Stringer("verdict", q.verdict), zap.Int("sends", q.attemptCount), zap.Duration("after", time.Since(q.acceptedAt)),
 		zap.String("service", q.service), zap.String("workspace", q.workspaceName()),
-		zap.String("route", route), zap.Int("rank", rank), zap.Bool("passed", q.forwarded != nil), more, told)
+		zap.String("route", route), zap.Int("rank", rank), zap.Bool("passed", q.forwarded != nil), zap.Uint64("version", q.configurationVersion()), more, told)
+}
+
+// configurationVersion is 0 before the first configuration.
+func (q *request) configurationVersion() uint64 {
+	if q.view == nil || q.view.Index == nil {
+		return 0
+	}
+	return q.view.Index.Table.Version
 }
 
 // countRefusal counts a refusal by verdict and code.
--- a/pipeline/exchange/identify.go
+++ b/pipeline/exchange/identify.go
@@ -10,7 +10,7 @@
 func (q *request) identify() *refusal {
 	w, ok := q.lookupWorkspace(q.view)
 	if !ok {
-		return refuseKey()
+		return q.refuseAsWrong(refuseKey())
 	}
 	q.workspace = w
 	if w.HasNoHomeRegion(q.route) {
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -307,6 +307,14 @@
 	TargetsReadAt time.Time
 	// EntryInstances is the number of entry instances in all regions.
 	EntryInstances int
+	// OutdatedAt is from when on a newer configuration may be in force at others; zero for a configuration
+	// that does not become outdated.
+	OutdatedAt time.Time
+}
+
+// outdated reports whether a newer configuration may be in force at others.
+func (v *View) outdated(now time.Time) bool {
+	return !v.OutdatedAt.IsZero() && !now.Before(v.OutdatedAt)
 }
 
 // Peer is an entry instance of another region.
