ports/rawhttp: the head of an answer is bounded

Cause: Client.readHead had net/http parse the head from a reader without a limit. A target whose status line, header line, header lines or interim answers never end filled the memory and kept its caller waiting until the deadline, or for ever without one.

Change: while a head is read, interim answers included, the connection gives no more than http.DefaultMaxHeaderBytes (1 MiB), as for the head of a request, whose id the answer repeats.

A head of 512 KiB is read.

--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -45,8 +45,14 @@
 	// read: the peer may answer before it has read the body, and with small TCP windows
 	// both ends would wait for each other.
 	asyncBodyBytes = 8 << 10
+	// maxHeadBytes bounds the head of an answer with all interim answers before it. An answer names its
+	// request, so its head may have what that of a request may have.
+	maxHeadBytes = http.DefaultMaxHeaderBytes
 )
 
+// ErrHeadTooLong is the cause of a Failure whose answer has a head of more than maxHeadBytes.
+var ErrHeadTooLong = errors.New("the head of the answer is longer than " + strconv.Itoa(maxHeadBytes) + " bytes")
+
 // Options of a Client. Zero values mean the defaults.
 type Options struct {
 	DialTimeout, IdleTimeout, AckTimeout time.Duration
@@ -110,6 +116,22 @@
 	addr      string
 	idleUntil time.Time
 	reused    bool
+	// inHead says that a head is being read, of which headLeft bytes may still come.
+	inHead   bool
+	headLeft int
+}
+
+// Read reads from the connection, within the bound of a head.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // Answer is the head of an answer; its body is read from Body. Close must be called
@@ -213,8 +235,13 @@
 
 // readHead reads the head of the final answer; interim answers (1xx) are skipped.
 func (a *Answer) readHead(req *Request) error {
+	a.c.inHead, a.c.headLeft = true, maxHeadBytes
+	defer func() { a.c.inHead = false }()
 	for {
 		res, err := http.ReadResponse(a.c.r, &http.Request{Method: req.Method})
+		if err != nil && a.c.headLeft <= 0 {
+			return ErrHeadTooLong
+		}
 		if err != nil {
 			return err
 		}
@@ -360,7 +387,9 @@
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferBytes), addr: addr}, nil
+	cn := &conn{Conn: raw, addr: addr}
+	cn.r = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, nil
 }
 
 // HasIdle reports whether there is an idle connection to an address.
