ports/rawhttp: the error of a malformed head is short

Cause: net/http quotes a malformed line of a head in its error, which the request path logs for each lost attempt.

Change: of such an error the first 256 bytes of its text are kept.

--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -48,6 +48,8 @@
 	// maxHeadBytes bounds the head of an answer with all interim answers before it. An answer names its
 	// request, so its head may have what that of a request may have.
 	maxHeadBytes = http.DefaultMaxHeaderBytes
+	// maxErrorBytes bounds the text of an error that quotes an answer.
+	maxErrorBytes = 256
 )
 
 // ErrHeadTooLong is the cause of a Failure whose answer has a head of more than maxHeadBytes.
@@ -243,7 +245,7 @@
 			return ErrHeadTooLong
 		}
 		if err != nil {
-			return err
+			return shorten(err)
 		}
 		if res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
 			a.Response = res
@@ -252,6 +254,14 @@
 	}
 }
 
+// shorten returns err, or the start of its text if net/http quotes a long malformed line in it.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes])
+	}
+	return err
+}
+
 // Reused reports whether the connection had carried requests before.
 func (a *Answer) Reused() bool { return a.c.reused }
 
--- a/ports/rawhttp/endless_test.go
+++ b/ports/rawhttp/endless_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	var f *rawhttp.Failure
 	if !errors.As(err, &f) || f.Verdict != verdict.MayHaveRun || f.DialFailed {
-		t.Errorf("%v", err)
+		t.Errorf("%.200v", err)
 	}
 }
 
@@ -64,6 +64,19 @@
 	}
 }
 
+// Guards against a line of the log as long as what a target sends: the error quotes a malformed head.
+func TestErrorOfAMalformedHeadIsShort(t *testing.T) {
+	long := strings.Repeat("\x01", 512<<10) + "\r\n\r\n"
+	for _, head := range []string{long, "HTTP/1.1 " + long, "HTTP/1.1 200 OK\r\n" + long, "HTTP/1.1 200 OK\r\nContent-Length: " + long} {
+		s := serve(t, func(c net.Conn, _ *http.Request) bool { answer(c, head); return true })
+		_, err := exchange(rawhttp.NewClient(rawhttp.Options{}), s.addr(), get())
+		checkLost(t, err)
+		if n := len(err.Error()); n > 1<<10 {
+			t.Errorf("%.20q: an error of %d bytes", head, n)
+		}
+	}
+}
+
 // Guards against a target that extends the time of a request: each byte or interim answer of a head that
 // never ends begins a time-out anew.
 func TestSlowEndlessHeadEndsWithTheRequest(t *testing.T) {
