pipeline/exchange: the body of a refusal is not waited for

Cause: discard read the body of a refusal as readAnswer reads an answer: up to 16 MiB, and until the deadline of the request. A target or another region that says that it has not run a request, in a head that is followed by a body without end, kept the request from going on elsewhere; one that trickles kept it until its deadline.

Change: discard reads 64 KiB at most and waits 50 ms; then it closes the connection.

--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -480,10 +480,23 @@
 	return body, err
 }
 
-// discard reads and drops an answer, so that its connection can be reused.
+const (
+	// maxDiscardBytes bounds what is read of the body of a refusal. Those of targets are usually shorter.
+	maxDiscardBytes = 64 << 10
+	// discardTimeout bounds the wait for it, as the request goes on elsewhere only then.
+	discardTimeout = 50 * time.Millisecond
+)
+
+// discard reads and drops the body of a refusal, so that its connection can be reused. One that is long or
+// does not come at once costs the connection.
 func discard(a *rawhttp.Answer) {
-	_, err := readAnswer(a)
-	a.Close(err == nil)
+	if a.ContentLength == 0 {
+		a.Close(true)
+		return
+	}
+	a.SetReadTimeout(discardTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscardBytes))
+	a.Close(err == nil && n < maxDiscardBytes)
 }
 
 // relayWhole relays an answer that is not an event stream. It buffers the whole answer first,
