ports/transport: heads of answers have the bound of rawhttp

Cause: net/http's transport, through which engines, plain targets, the weight store and the list of instances are read, takes heads of up to 10 MiB.

Change: rawhttp.MaxHeadBytes (1 MiB) bounds them here too.

--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -34,6 +34,10 @@
 	DefaultAckTimeout = 1500 * time.Millisecond
 )
 
+// MaxHeadBytes bounds the head of an answer with all interim answers before it. An answer names its request,
+// so its head may be as long as that of a request.
+const MaxHeadBytes = http.DefaultMaxHeaderBytes
+
 const (
 	// idleTimeoutMargin is subtracted from an idle timeout that the peer announces, so
 	// that a request does not race with its close.
@@ -45,15 +49,12 @@
 	// read: the peer may answer before it has read the body, and with small TCP windows
 	// both ends would wait for each other.
 	asyncBodyBytes = 8 << 10
-	// maxHeadBytes bounds the head of an answer with all interim answers before it. An answer names its
-	// request, so its head may have what that of a request may have.
-	maxHeadBytes = http.DefaultMaxHeaderBytes
 	// maxErrorBytes bounds the text of an error that quotes an answer.
 	maxErrorBytes = 256
 )
 
-// ErrHeadTooLong is the cause of a Failure whose answer has a head of more than maxHeadBytes.
-var ErrHeadTooLong = errors.New("the head of the answer is longer than " + strconv.Itoa(maxHeadBytes) + " bytes")
+// ErrHeadTooLong is the cause of a Failure whose answer has a head of more than MaxHeadBytes.
+var ErrHeadTooLong = errors.New("the head of the answer is longer than " + strconv.Itoa(MaxHeadBytes) + " bytes")
 
 // Options of a Client. Zero values mean the defaults.
 type Options struct {
@@ -237,7 +238,7 @@
 
 // readHead reads the head of the final answer; interim answers (1xx) are skipped.
 func (a *Answer) readHead(req *Request) error {
-	a.c.inHead, a.c.headLeft = true, maxHeadBytes
+	a.c.inHead, a.c.headLeft = true, MaxHeadBytes
 	defer func() { a.c.inHead = false }()
 	for {
 		res, err := http.ReadResponse(a.c.r, &http.Request{Method: req.Method})
--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -65,12 +65,13 @@
 			}
 			return watched, nil
 		},
-		MaxIdleConns:        0,
-		MaxIdleConnsPerHost: o.MaxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      readBufferBytes,
-		WriteBufferSize:     writeBufferBytes,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    o.MaxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		ReadBufferSize:         readBufferBytes,
+		WriteBufferSize:        writeBufferBytes,
+		MaxResponseHeaderBytes: rawhttp.MaxHeadBytes,
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
