ports/enginehttp: the body of a rejection is not waited for

Cause: an error answer's first 512 bytes were waited for until the context ended. A target that rejects a request with a body that comes bit by bit, or not at all, kept it from going on elsewhere until its deadline.

Change: the wait ends after 50 ms, with the connection.

Measured: before, 7 of the 16 cases of TestEndlessRejectionsAreNotReadOn ended with their context, after 5 s; all pass now, with -race.

--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -36,6 +36,8 @@
 	maxReportBytes = 4 << 20
 	// maxErrorBytes bounds the part of an error's body that is kept as the cause.
 	maxErrorBytes = 512
+	// errorTimeout bounds the wait for that part: after a rejection the request goes on elsewhere.
+	errorTimeout = 50 * time.Millisecond
 )
 
 // Client is the client of one engine. It is safe for concurrent use.
@@ -136,6 +138,8 @@
 // and other 4xx mean that the engine did not start; a 5xx can come from a failed run.
 func statusError(resp *http.Response) error {
 	defer resp.Body.Close()
+	t := time.AfterFunc(errorTimeout, func() { resp.Body.Close() })
+	defer t.Stop()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	e := &verdict.Error{
 		Verdict: verdict.MayHaveRun,
--- a/ports/enginehttp/endless_test.go
+++ b/ports/enginehttp/endless_test.go
@@ -139,6 +139,24 @@
 	}
 }
 
+// Guards against a rejection that keeps a request from going on elsewhere, as its body never ends.
+func TestEndlessRejectionsAreNotReadOn(t *testing.T) {
+	for _, a := range slices.Concat(endless.Framings, endless.Bodies("x")) {
+		for _, every := range []time.Duration{0, 20 * time.Millisecond} {
+			t.Run(a.Name, func(t *testing.T) {
+				a.Every = every
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				err := run(t, ctx, exchanges["stream"].run, a.With(http.StatusTooManyRequests, ""), 1<<20)
+				var failed *verdict.Error
+				if !errors.As(err, &failed) || failed.Verdict != verdict.NotRun || ctx.Err() != nil {
+					t.Errorf("%v, %v", err, ctx.Err())
+				}
+			})
+		}
+	}
+}
+
 // Guards against an answer that comes bit by bit and so keeps a request beyond its deadline.
 func TestSlowEndlessAnswersEndWithTheirContext(t *testing.T) {
 	for _, a := range slices.Concat(endless.Heads, endless.Framings, endless.Bodies(" ")) {
