node: heads of answers of other instances have the bound of rawhttp

Cause: requests that instances forward to each other go over net/http's transport, which takes heads of up to 10 MiB.

Change: rawhttp.MaxHeadBytes (1 MiB), as for targets.

--- a/node/forwarder.go
+++ b/node/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/pipeline"
 	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 )
 
 const (
@@ -93,10 +94,11 @@
 	t := f.transports[id]
 	if t == nil {
 		t = &http.Transport{
-			DialTLSContext:      dialer(f.key.ClientConfig(id)),
-			MaxIdleConnsPerHost: maxIdleForwardConns,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
+			DialTLSContext:         dialer(f.key.ClientConfig(id)),
+			MaxIdleConnsPerHost:    maxIdleForwardConns,
+			IdleConnTimeout:        time.Minute,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: rawhttp.MaxHeadBytes,
 		}
 		f.transports[id] = t
 	}
