--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -34,6 +34,10 @@
 	DefaultAckTimeout = 1500 * time.Millisecond
 )
 
+// MaxHeadBytes bounds the head of an answer with all interim answers before it. An answer names its request,
+// so its head may be as long as that of a request.
+const MaxHeadBytes = http.DefaultMaxHeaderBytes
+
 const (
 	// idleTimeoutMargin is subtracted from an idle timeout that the peer announces, so
 	// that a request does not race with its close.
@@ -45,8 +49,13 @@
 	// read: the peer may answer before it has read the body, and with small TCP windows
 	// both ends would wait for each other.
 	asyncBodyBytes = 8 << 10
+	// maxErrorBytes bounds the text of an error that quotes an answer.
+	maxErrorBytes = 256
 )
 
+// ErrHeadTooLong is the cause of a Failure whose answer has a head of more than MaxHeadBytes.
+var ErrHeadTooLong = errors.New("the head of the answer is longer than " + strconv.Itoa(MaxHeadBytes) + " bytes")
+
 // Options of a Client. Zero values mean the defaults.
 type Options struct {
 	DialTimeout, IdleTimeout, AckTimeout time.Duration
@@ -110,6 +119,22 @@
 	addr      string
 	idleUntil time.Time
 	reused    bool
+	// inHead says that a head is being read, of which headLeft bytes may still come.
+	inHead   bool
+	headLeft int
+}
+
+// Read reads from the connection, within the bound of a head.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // Answer is the head of an answer; its body is read from Body. Close must be called
@@ -213,10 +238,15 @@
 
 // readHead reads the head of the final answer; interim answers (1xx) are skipped.
 func (a *Answer) readHead(req *Request) error {
+	a.c.inHead, a.c.headLeft = true, MaxHeadBytes
+	defer func() { a.c.inHead = false }()
 	for {
 		res, err := http.ReadResponse(a.c.r, &http.Request{Method: req.Method})
+		if err != nil && a.c.headLeft <= 0 {
+			return ErrHeadTooLong
+		}
 		if err != nil {
-			return err
+			return shorten(err)
 		}
 		if res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
 			a.Response = res
@@ -225,6 +255,14 @@
 	}
 }
 
+// shorten returns err, or the start of its text if net/http quotes a long malformed line in it.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes])
+	}
+	return err
+}
+
 // Reused reports whether the connection had carried requests before.
 func (a *Answer) Reused() bool { return a.c.reused }
 
@@ -360,7 +398,9 @@
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferBytes), addr: addr}, nil
+	cn := &conn{Conn: raw, addr: addr}
+	cn.r = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, nil
 }
 
 // HasIdle reports whether there is an idle connection to an address.
