exchange: a stream returns to its silent target if no other place has it

What callers saw: a resumable stream whose silent target was ended for a hedge broke off after the hedge did, though its route had an attempt left.

Cause: with attempts left, request.next only looked for a place that had not been tried; with two targets both had been. The return to the silent target was reached with all attempts used up only. The order: t1 sends events 1 and 2 and falls silent; the hedge at t2 brings event 3, t1 is ended; t2 breaks off; runs 2 of 3, t1 and t2 tried, no_target, connection closed.

Change: the return is tried whenever no other place is found. It needs no attempt that is left, as that target has run the stream before. It is counted against the retry budget like any repeat, at the same software version, and not at a target that is leaving.

--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -88,9 +88,12 @@
 }
 
 // chooseAgain returns the target whose silent run was ended for a hedge that has broken off since; nil if it
-// must not get the request. All tries are used up, but they bound the targets that run the request, and this
-// one has run it.
+// must not get the request. It needs no try that is left: they bound the targets that run the request, and
+// this one has run it.
 func (q *request) chooseAgain(now time.Time) *destination {
+	if q.returnTo == "" {
+		return nil
+	}
 	id := q.returnTo
 	q.returnTo = ""
 	if choice := q.g.o.Pool.PickAgain(now, q.pickCall(), id); choice != nil {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -61,13 +61,7 @@
 		return q.goOn(h), ""
 	}
 	now := time.Now()
-	if q.runs >= q.maxRuns {
-		if to := q.chooseAgain(now); to != nil {
-			return q.attempt(to, now), ""
-		}
-		return false, CodeTargetLost
-	}
-	to, code := q.choose(now)
+	to, code := q.choosePlace(now)
 	q.g.o.Metrics.ChooseTime.Update(time.Since(now))
 	if to == nil {
 		return false, code
@@ -75,6 +69,22 @@
 	return q.attempt(to, now), ""
 }
 
+// choosePlace returns where the request goes next, or a refusal code if there is no such place. A stream
+// returns to the target that it was taken from only if no other place may run it.
+func (q *request) choosePlace(now time.Time) (*destination, verdict.Code) {
+	code := CodeTargetLost
+	if q.runs < q.maxRuns {
+		var to *destination
+		if to, code = q.choose(now); to != nil {
+			return to, ""
+		}
+	}
+	if to := q.chooseAgain(now); to != nil {
+		return to, ""
+	}
+	return nil, code
+}
+
 // recordAnswer counts and logs an answer.
 func (q *request) recordAnswer() {
 	m, now := q.g.o.Metrics, time.Now()
--- a/pipeline/exchange/silence_test.go
+++ b/pipeline/exchange/silence_test.go
@@ -233,15 +233,20 @@
 	})
 }
 
+// silentAfter returns a script that streams the events up to last and then nothing until the other end has
+// closed the connection.
+func silentAfter(last int64) script {
+	return func(c net.Conn, r receivedRequest) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, last))
+		return untilEnded(c, r)
+	}
+}
+
 // Guards against losing a stream that its silent target can still finish, because the place that went on with
 // it broke off and no further target may run it.
 func TestStreamReturnsToItsSilentTarget(t *testing.T) {
 	Convey("a hedge breaks off after its first event, with all tries used up", t, func() {
-		silent := func(c net.Conn, r receivedRequest) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, 2))
-			return untilEnded(c, r)
-		}
-		x, y := newTarget(t, "t1", silent, streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
+		x, y := newTarget(t, "t1", silentAfter(2), streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
 		r := newRig(t, "r", x, y)
 		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
 		r.searchSilent(newSearches(firstAt("t1")))
@@ -252,6 +257,33 @@
 		So(requestCount(y), ShouldEqual, 1)
 		So(x.requests()[1].header.Get("After"), ShouldEqual, "3")
 	})
+	Convey("a hedge breaks off after its first event, with a try left and no third target", t, func() {
+		x, y := newTarget(t, "t1", silentAfter(2), streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
+		r := newRig(t, "r", x, y)
+		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+		r.searchSilent(newSearches(firstAt("t1")))
+		got := r.call("/resume/x", "b")
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+		So(requestCount(x), ShouldEqual, 2)
+		So(requestCount(y), ShouldEqual, 1)
+		So(x.requests()[1].header.Get("After"), ShouldEqual, "3")
+	})
+	Convey("a silent target that is leaving is not returned to", t, func() {
+		x := newTarget(t, "t1", silentAfter(2), streamEvents(5, true))
+		r := newRig(t, "r", x)
+		y := newTarget(t, "t2", afterChange(func() {
+			leaving := pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 4, Software: x.software, Draining: true}
+			r.pool.Update(time.Now(), pick.Snapshot{Targets: []pick.Target{leaving}, Entries: []string{"self"}})
+		}, streamEvents(3, false)))
+		r.setTargets(x, y)
+		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+		r.searchSilent(newSearches(firstAt("t1")))
+		got := r.call("/resume/x", "b")
+		So(got.truncated, ShouldBeTrue)
+		So(got.body, ShouldEqual, eventText(1, 3))
+		So(requestCount(x), ShouldEqual, 1)
+	})
 	Convey("the silent target has broken off by itself", t, func() {
 		x, y := newTarget(t, "t1", streamEvents(2, false)), newTarget(t, "t2", streamEvents(3, false))
 		r := newRig(t, "r", x, y)
