exchange: a stream returns to any target that it was taken from

What callers saw: a resumable stream broke off with all attempts used up, though one of the targets that they counted was sound.

Cause: only a silent run that a hedge had gone on with was remembered, and only if it had brought an event. A hedge that is withdrawn, as the silent target goes on or the time for two runs is over, used up an attempt for good: when the first target then broke off, nothing was left. The same for a run that is ended for a hedge before its first event.

Change: the watch records each target whose run this instance has ended, and a stream may return to each of them once. Regions are not remembered: another target would be chosen there.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -90,8 +90,9 @@
 	watch   *runWatch
 	hedge   *hedge
 	hedging *sentHedge
-	// returnTo is the target whose silent run was ended for a hedge, until the request returns to it.
-	returnTo string
+	// returnTo are the targets whose runs were ended by this instance, for a hedge or as a hedge, until the
+	// request returns to them.
+	returnTo []string
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -87,21 +88,26 @@
 	return done
 }
 
-// chooseAgain returns the target whose silent run was ended for a hedge that has broken off since; nil if it
-// must not get the request. It needs no try that is left: they bound the targets that run the request, and
-// this one has run it.
+// chooseAgain returns the last target that the stream was taken from and that may get it again; nil if there is
+// none. It needs no try that is left: they bound the targets that run the request, and this one has run it.
 func (q *request) chooseAgain(now time.Time) *destination {
-	if q.returnTo == "" {
-		return nil
-	}
-	id := q.returnTo
-	q.returnTo = ""
-	if choice := q.g.o.Pool.PickAgain(now, q.pickCall(), id); choice != nil {
-		return &destination{choice: choice}
+	for k, id := range slices.Backward(q.returnTo) {
+		if choice := q.g.o.Pool.PickAgain(now, q.pickCall(), id); choice != nil {
+			q.returnTo = slices.Delete(q.returnTo, k, k+1)
+			return &destination{choice: choice}
+		}
 	}
 	return nil
 }
 
+// mayReturnTo records that this instance has ended a run at a place, which may be in another region: that
+// one would choose another target.
+func (q *request) mayReturnTo(p *destination) {
+	if id := p.targetID(); id != "" {
+		q.returnTo = append(q.returnTo, id)
+	}
+}
+
 // chooseForHedge returns a place for a hedge, reserved if it is a target of this region; nil if there is
 // none. The place must be expected to begin in the time that both may run, or before the deadline if that is
 // unlimited, and a region that has just refused is none: the target of the run is more likely to finish the
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -170,7 +170,6 @@
 		if err != nil {
 			if s.cause() == errSilent {
 				err = errSilent
-				q.returnTo = p.targetID()
 			}
 			return false, q.streamBroken(a, p, err)
 		}
--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -112,7 +112,7 @@
 // copy returns a copy that shares nothing that attempts change.
 func (q *request) copy() request {
 	c := *q
-	c.triedTargets, c.triedRegions = slices.Clone(q.triedTargets), maps.Clone(q.triedRegions)
+	c.triedTargets, c.triedRegions, c.returnTo = slices.Clone(q.triedTargets), maps.Clone(q.triedRegions), slices.Clone(q.returnTo)
 	return c
 }
 
@@ -222,6 +222,7 @@
 		w.mu.Lock()
 	}
 	q.takeAttempts(&w.q, w.runsBefore)
+	q.returnTo = w.q.returnTo
 	q.hedge, w.found = w.found, nil
 }
 
@@ -285,7 +286,7 @@
 		return
 	}
 	h := c.sendHedge(under, to)
-	w.endHedge(c, h, under, waits)
+	w.endHedge(c, to, h, under, waits)
 	if h == nil {
 		cancel(nil)
 	}
@@ -317,9 +318,9 @@
 // whole event yet.
 const arrivalPollInterval = 5 * time.Millisecond
 
-// endHedge records how the hedge has ended; h is nil if it has brought no answer. It goes on with the request
-// if the run is still silent, or was lost.
-func (w *runWatch) endHedge(c *request, h *hedge, under *sentHedge, waits uint64) {
+// endHedge records how the hedge at a place has ended; h is nil if it has brought no answer. It goes on with
+// the request if the run is still silent, or was lost.
+func (w *runWatch) endHedge(c *request, to *destination, h *hedge, under *sentHedge, waits uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(under.ended)
@@ -336,17 +337,27 @@
 	if w.hedge == under {
 		w.hedge = nil
 	}
+	cause := context.Cause(c.ctx)
+	withdrawn := cause == errTargetGoesOn || cause == errOverlap
 	if h != nil && w.waits == waits && (w.waiting || w.broken) {
+		if w.waiting {
+			w.q.mayReturnTo(w.from)
+		}
 		w.found = h
 		w.interrupt(errSilent)
 	} else if h != nil {
 		h.withdraw()
 		c.recordRun(verdict.MayHaveRun)
+		withdrawn = true
 	}
 	c.logHedge(under.sentAt, h != nil, w.found != nil)
-	if c.runs == w.q.runs && context.Cause(c.ctx) == errTargetGoesOn {
+	ran := c.runs > w.q.runs
+	if !ran && cause == errTargetGoesOn {
 		// It was ended before it was sent, so its place was not tried.
 		return
 	}
+	if ran && withdrawn {
+		w.q.mayReturnTo(to)
+	}
 	w.q.takeAttempts(c, w.q.runs)
 }
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -70,7 +70,7 @@
 }
 
 // choosePlace returns where the request goes next, or a refusal code if there is no such place. A stream
-// returns to the target that it was taken from only if no other place may run it.
+// returns to a target that it was taken from only if no other place may run it.
 func (q *request) choosePlace(now time.Time) (*destination, verdict.Code) {
 	code := CodeTargetLost
 	if q.runs < q.maxRuns {
@@ -146,7 +146,7 @@
 		return code, false
 	}
 	switch {
-	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns && q.returnTo == ""):
+	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns && len(q.returnTo) == 0):
 		return CodeTargetLost, false
 	case q.begun && q.origin.Software == "":
 		return CodeUnknownStream, false
--- a/pipeline/exchange/silence_test.go
+++ b/pipeline/exchange/silence_test.go
@@ -292,6 +292,59 @@
 	})
 }
 
+// Guards against losing a stream because the target that it was taken from, for another one that then broke
+// off, counts as used up.
+func TestStreamReturnsToTheTargetItWasTakenFrom(t *testing.T) {
+	for name, goesOnFirst := range map[string]bool{"the silent target goes on": true, "the hedge brings no event in time": false} {
+		Convey("a hedge is ended because "+name+", and then the silent target breaks off", t, func() {
+			asked := make(chan struct{})
+			y := newTarget(t, "t2", func(c net.Conn, r receivedRequest) bool {
+				close(asked)
+				return untilEnded(c, r)
+			}, streamEvents(5, true))
+			x := newTarget(t, "t1", func(c net.Conn, r receivedRequest) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, 2))
+				if goesOnFirst {
+					<-asked
+					_, _ = io.WriteString(c, eventText(3, 3))
+				}
+				<-y.closed
+				return false
+			})
+			r := newRig(t, "r", x, y)
+			r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+			r.searchSilent(newSearches(firstAt("t1")))
+			if goesOnFirst {
+				r.gateway.SetMaxOverlap(time.Minute)
+			}
+			got := r.call("/twice/x", "b")
+			So(got.truncated, ShouldBeFalse)
+			So(got.body, ShouldEqual, eventText(1, 5))
+			So(requestCount(x), ShouldEqual, 1)
+			So(requestCount(y), ShouldEqual, 2)
+		})
+	}
+	Convey("a stream is taken from a target before its first event", t, func() {
+		began := make(chan struct{})
+		x := newTarget(t, "t1", func(c net.Conn, r receivedRequest) bool {
+			close(began)
+			return untilEnded(c, r)
+		}, streamEvents(5, true))
+		y := newTarget(t, "t2", streamEvents(3, false))
+		r := newRig(t, "r", x)
+		got := make(chan reply, 1)
+		go func() { got <- r.call("/twice/x", "b") }()
+		<-began
+		r.setTargets(x, y)
+		r.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "t1").Done(time.Now(), pick.Unreachable)
+		answer := <-got
+		So(answer.truncated, ShouldBeFalse)
+		So(answer.body, ShouldEqual, eventText(1, 5))
+		So(requestCount(x), ShouldEqual, 2)
+		So(requestCount(y), ShouldEqual, 1)
+	})
+}
+
 // Guards against losing a stream whose silent target breaks off while another place has been asked.
 func TestPlaceThatWasAskedGoesOnWithALostStream(t *testing.T) {
 	Convey("the silent target ends before the other one answers", t, func() {
