exchange: a hedge that was ended counts before the request goes on

What was seen: a stream with two attempts ran at three targets (rule BUDGET), or went back to the target of its hedge as if that were an untried one.

Cause: when the silent target goes on, the hedge is ended and forgotten at once, but what it has used up was only recorded when its goroutine had ended. A run that broke off in between was followed by another attempt without that count.

Change: the end of the watch waits for the last hedge that was sent, under way or not. It has been cancelled by then.

--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -54,10 +54,10 @@
 	broken bool
 	// searching says that a search is running; there is at most one.
 	searching bool
-	// hedge is under way; nil if none is. found is the one that goes on with the request; the run is
-	// interrupted once it is set.
-	hedge *sentHedge
-	found *hedge
+	// hedge is under way; nil if none is. sent is the last one that was sent, under way or not. found is the
+	// one that goes on with the request; the run is interrupted once it is set.
+	hedge, sent *sentHedge
+	found       *hedge
 }
 
 // sentHedge is a hedge under way.
@@ -195,8 +195,8 @@
 }
 
 // endWatch ends the watch of a run that has ended. done says that the caller has the whole answer; if not,
-// the hedge that goes on with the request is kept in q, with what all have used up. One under way is waited
-// for then: nothing else runs now.
+// the hedge that goes on with the request is kept in q, with what all have used up. The last one is waited
+// for then: nothing else runs now, and what an ended hedge has used up must count.
 func (q *request) endWatch(done bool) {
 	w := q.watch
 	q.watch = nil
@@ -215,10 +215,10 @@
 	w.endWait(errRunLost)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if under := w.hedge; under != nil {
-		under.stopLimit()
+	if last := w.sent; last != nil {
+		last.stopLimit()
 		w.mu.Unlock()
-		<-under.ended
+		<-last.ended
 		w.mu.Lock()
 	}
 	q.takeAttempts(&w.q, w.runsBefore)
@@ -311,6 +311,7 @@
 		under := w.hedge
 		under.limit = time.AfterFunc(c.overlap(w.from, to), func() { under.end(errOverlap) })
 	}
+	w.sent = w.hedge
 	return w.hedge
 }
 
--- a/pipeline/exchange/silence_test.go
+++ b/pipeline/exchange/silence_test.go
@@ -345,6 +345,62 @@
 	})
 }
 
+// slowEnds is a group owner that takes the end of the request at a target only once asked has a value, or after
+// a while.
+type slowEnds struct {
+	*searches
+	target string
+	asked  chan struct{}
+}
+
+func (s *slowEnds) ReportEnd(d exchange.Decision, _ pick.Result) {
+	if d.Target != s.target {
+		return
+	}
+	const while = 100 * time.Millisecond
+	select {
+	case <-s.asked:
+	case <-time.After(while):
+	}
+}
+
+// Guards against a request that runs at more targets than its route allows, as a hedge that was ended a moment
+// before counts only once its end is recorded.
+func TestEndedHedgeCountsAgainstTheAttempts(t *testing.T) {
+	Convey("the silent target goes on, and breaks off while the hedge ends", t, func() {
+		hedged, asked := make(chan struct{}), make(chan struct{}, 1)
+		y := newTarget(t, "t2", func(c net.Conn, r receivedRequest) bool {
+			close(hedged)
+			return untilEnded(c, r)
+		}, streamEvents(5, true))
+		x := newTarget(t, "t1", func(c net.Conn, r receivedRequest) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, 2))
+			<-hedged
+			_, _ = io.WriteString(c, eventText(3, 3))
+			<-y.closed
+			return false
+		})
+		z := newTarget(t, "t3", func(c net.Conn, r receivedRequest) bool {
+			asked <- struct{}{}
+			return streamEvents(5, true)(c, r)
+		})
+		r := newRig(t, "r", x, y, z)
+		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+		first := newSearches(func(n int64) exchange.Decision {
+			if n > 3 {
+				return exchange.Decision{}
+			}
+			return exchange.Decision{Target: fmt.Sprint("t", n)}
+		})
+		r.searchSilent(&slowEnds{searches: first, target: "t2", asked: asked})
+		r.gateway.SetMaxOverlap(time.Minute)
+		got := r.call("/twice/x", "b")
+		So(requestCount(z), ShouldEqual, 0)
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+	})
+}
+
 // Guards against losing a stream whose silent target breaks off while another place has been asked.
 func TestPlaceThatWasAskedGoesOnWithALostStream(t *testing.T) {
 	Convey("the silent target ends before the other one answers", t, func() {
