pick: a request that returns to a target keeps the target's limit

What was seen: a target that names a limit got each stream that returned to it, from any instance (rule LIMIT).

Cause: PickAgain checked draining, rests, cold targets and the software version, but not the rate of a limited target, which its group owner alone gives it.

Change: PickAgain asks for the rate like Pick does.

--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -287,6 +287,9 @@
 	if t == nil || p.draining(t) || t.resting(now) || p.cold(now, t) || c.Software != "" && t.Software != c.Software {
 		return nil
 	}
+	if p.allowedPerSecond(now, t) > 0 && !p.rateAllows(now, t) {
+		return nil
+	}
 	return p.reserveAt(now, t, c)
 }
 
