exchange: a request with an attempt left goes on at a place that was tried

What callers saw: a 502, or a stream that broke off, with attempts left and a sound place at hand: the only target of the service, which had closed a kept connection or sent what belongs to another request; or the only region that the route may be served in, all of whose other targets were free.

Cause: every place that was tried was excluded for good, whatever came of it.

Change: the outcome is kept with each place that was tried. If no other place may run the request, those that have given no whole answer are considered again, with all other conditions as for any choice: backoffs, rests, limits, software version, attempts, retry budget. One that has rejected the request or answered it gets it no more. A hedge never goes to a tried place.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -58,7 +58,7 @@
 	// runs counts the targets that may have run the request.
 	runs         int
 	attemptCount int
-	triedTargets []string
+	tried        triedPlaces
 	// lastTried is the last target id or peer address; source and decidedBy belong to it.
 	lastTried, source, decidedBy string
 	// sentAt is when the request was sent to lastTried. expectedWaitMs is the expected time
@@ -77,8 +77,6 @@
 	// refusedElsewhere says that another region has refused the request though it has targets that
 	// don't rest.
 	refusedElsewhere bool
-	// triedRegions are the regions that the request was forwarded to.
-	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
 	finalRefusal *refusal
 	// hadPlace says that an attempt has taken a promised place.
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -80,11 +80,12 @@
 	}
 }
 
-// pickCall returns the request as the pool needs it.
-func (q *request) pickCall() pick.Call {
+// pickCall returns the request as the pool needs it, with the targets to exclude: those that were tried with
+// an outcome from the given one on.
+func (q *request) pickCall(excluded outcome) pick.Call {
 	return pick.Call{
 		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.triedTargets, Software: q.origin.Software, SpreadKey: q.spreadKey(),
+		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.tried.targets(excluded), Software: q.origin.Software, SpreadKey: q.spreadKey(),
 	}
 }
 
@@ -100,11 +101,12 @@
 	return xxhash.Sum64String(q.call.ID)
 }
 
-// choose returns the next destination, or a refusal code if there is none.
-func (q *request) choose(now time.Time) (*destination, verdict.Code) {
-	c := q.pickCall()
+// choose returns the next destination, or a refusal code if there is none. Places that were tried with an
+// outcome from the given one on are excluded.
+func (q *request) choose(now time.Time, excluded outcome) (*destination, verdict.Code) {
+	c := q.pickCall(excluded)
 	if !q.allows(q.g.o.Region) {
-		if remote := q.choosePeer(now, c, place.NoTargetCost); remote != nil {
+		if remote := q.choosePeer(now, c, place.NoTargetCost, excluded); remote != nil {
 			return remote, ""
 		}
 		return nil, CodeNoTarget
@@ -114,7 +116,7 @@
 	if p != nil {
 		local = p.choice.Wait
 	}
-	if remote := q.choosePeer(now, c, local); remote != nil {
+	if remote := q.choosePeer(now, c, local, excluded); remote != nil {
 		if p != nil {
 			p.reportEnd(now, pick.Neutral)
 		}
@@ -127,7 +129,7 @@
 	if code == "" {
 		return p, ""
 	}
-	if remote := q.choosePeerInstead(now, c, code); remote != nil {
+	if remote := q.choosePeerInstead(now, c, code, excluded); remote != nil {
 		p.withdraw(now)
 		return remote, ""
 	}
@@ -137,11 +139,11 @@
 // choosePeerInstead returns an instance of another region for a request that the own region refuses: one
 // whose targets are expected to begin within the aim, though the own ones would sooner if others did not
 // need the room. A workspace over its share finds no more of it elsewhere.
-func (q *request) choosePeerInstead(now time.Time, c pick.Call, code verdict.Code) *destination {
+func (q *request) choosePeerInstead(now time.Time, c pick.Call, code verdict.Code, excluded outcome) *destination {
 	if q.g.o.Admission == nil || code != CodeOutranked && code != CodeOverloaded {
 		return nil
 	}
-	return q.choosePeer(now, c, float64(q.route.Aim.Milliseconds()))
+	return q.choosePeer(now, c, float64(q.route.Aim.Milliseconds()), excluded)
 }
 
 // queueAim returns how long the request may wait in a queue: as long as its caller waits if that has
@@ -199,11 +201,11 @@
 // in milliseconds; nil for none. A request is forwarded at most once. A resumable stream that has
 // begun may continue there, after the last event that the caller has and under the head of its first
 // answer, if the route's and the workspace's home regions allow it.
-func (q *request) choosePeer(now time.Time, c pick.Call, local float64) *destination {
+func (q *request) choosePeer(now time.Time, c pick.Call, local float64, excluded outcome) *destination {
 	if q.forwarded != nil {
 		return nil
 	}
-	candidate := place.ChooseRegion(local, q.regionCandidates(now, c))
+	candidate := place.ChooseRegion(local, q.regionCandidates(now, c, excluded))
 	if candidate == nil {
 		return nil
 	}
@@ -213,10 +215,10 @@
 
 // regionCandidates returns the regions that may serve the request and can be reached. A region
 // without a reachable entry instance is excluded, even if its targets are idle.
-func (q *request) regionCandidates(now time.Time, c pick.Call) []place.RegionCandidate {
+func (q *request) regionCandidates(now time.Time, c pick.Call, excluded outcome) []place.RegionCandidate {
 	var out []place.RegionCandidate
 	for key, load := range q.view.Regions {
-		if key.Service != q.service || load.Targets == 0 || !q.allows(key.Region) || q.triedRegions[key.Region] || !load.Has(q.origin.Software) {
+		if key.Service != q.service || load.Targets == 0 || !q.allows(key.Region) || q.tried.hasRegion(key.Region, excluded) || !load.Has(q.origin.Software) {
 			continue
 		}
 		if !q.g.reach.Available(now, key.Region) || len(q.reachablePeers(now, key.Region)) == 0 {
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -92,7 +92,7 @@
 // none. It needs no try that is left: they bound the targets that run the request, and this one has run it.
 func (q *request) chooseAgain(now time.Time) *destination {
 	for k, id := range slices.Backward(q.returnTo) {
-		if choice := q.g.o.Pool.PickAgain(now, q.pickCall(), id); choice != nil {
+		if choice := q.g.o.Pool.PickAgain(now, q.pickCall(noAnswer), id); choice != nil {
 			q.returnTo = slices.Delete(q.returnTo, k, k+1)
 			return &destination{choice: choice}
 		}
@@ -116,7 +116,7 @@
 	if _, ok := q.mayRunAgain(now); !ok || q.runs >= q.maxRuns || q.finalRefusal != nil {
 		return nil
 	}
-	to, _ := q.choose(now)
+	to, _ := q.choose(now, noAnswer)
 	if to == nil {
 		return nil
 	}
@@ -199,6 +199,7 @@
 	h.raw.Close(true)
 	if q.headWritten || h.raw.StatusCode >= http.StatusInternalServerError {
 		q.recordRun(verdict.Ran)
+		q.tried.record(h.to, answered)
 		return pick.Failed, false
 	}
 	h.whole = &bufferedAnswer{status: h.raw.StatusCode, header: h.raw.Header, body: body}
--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -112,7 +111,7 @@
 // copy returns a copy that shares nothing that attempts change.
 func (q *request) copy() request {
 	c := *q
-	c.triedTargets, c.triedRegions, c.returnTo = slices.Clone(q.triedTargets), maps.Clone(q.triedRegions), slices.Clone(q.returnTo)
+	c.tried, c.returnTo = slices.Clone(q.tried), slices.Clone(q.returnTo)
 	return c
 }
 
@@ -238,7 +237,7 @@
 	if from.runs > runsBefore {
 		q.runs, q.verdict = q.runs+from.runs-runsBefore, q.verdict.Join(from.verdict)
 	}
-	q.triedTargets, q.triedRegions = from.triedTargets, from.triedRegions
+	q.tried.merge(from.tried)
 	q.rejected, q.refusedElsewhere, q.hadPlace = q.rejected || from.rejected, q.refusedElsewhere || from.refusedElsewhere, from.hadPlace
 	if from.finalRefusal != nil {
 		q.finalRefusal = from.finalRefusal
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -69,19 +69,23 @@
 	return q.attempt(to, now), ""
 }
 
-// choosePlace returns where the request goes next, or a refusal code if there is no such place. A stream
-// returns to a target that it was taken from only if no other place may run it.
+// choosePlace returns where the request goes next, or a refusal code if there is no such place. A place that
+// was tried gets it again only if no other may run it: first a target that the stream was taken from, then
+// any that has not answered.
 func (q *request) choosePlace(now time.Time) (*destination, verdict.Code) {
 	code := CodeTargetLost
 	if q.runs < q.maxRuns {
 		var to *destination
-		if to, code = q.choose(now); to != nil {
+		if to, code = q.choose(now, noAnswer); to != nil {
 			return to, ""
 		}
 	}
 	if to := q.chooseAgain(now); to != nil {
 		return to, ""
 	}
+	if q.runs < q.maxRuns && code == CodeNoTarget && q.tried.has(noAnswer) {
+		return q.choose(now, rejected)
+	}
 	return nil, code
 }
 
@@ -206,7 +210,7 @@
 	if p.choice == nil {
 		return q.sendToPeer(ctx, p, now)
 	}
-	q.triedTargets = append(q.triedTargets, p.choice.ID)
+	q.tried.record(p, noAnswer)
 	q.lastTried, q.source, q.decidedBy = p.choice.ID, p.choice.Source, p.decision.Owner
 	q.sentAt, q.expectedWaitMs, q.costMs, q.rest = now, p.choice.Wait, p.choice.Cost, 0
 	if under := q.hedging; under != nil {
@@ -233,10 +237,7 @@
 // sendToPeer is send for an instance of another region. It returns nil for a refusal too.
 func (q *request) sendToPeer(ctx context.Context, p *destination, now time.Time) *rawhttp.Answer {
 	peer := p.peer
-	if q.triedRegions == nil {
-		q.triedRegions = map[string]bool{}
-	}
-	q.triedRegions[peer.Region] = true
+	q.tried.record(p, noAnswer)
 	q.lastTried, q.source, q.decidedBy = peer.Address, "", ""
 	q.sentAt, q.expectedWaitMs, q.costMs = now, p.waitMs, p.waitMs
 	q.g.o.Metrics.Spilled.Inc(1)
@@ -253,7 +254,7 @@
 				q.g.o.Metrics.RegionsUnreached.Inc(1)
 				q.g.o.Log.Warn("region unreachable", zap.String("region", peer.Region), zap.Error(err))
 			}
-			delete(q.triedRegions, peer.Region)
+			q.tried.forget(p)
 		}
 		return nil
 	}
@@ -262,7 +263,7 @@
 	}
 	if a.Header.Get(headerRefused) != "" {
 		q.rejected = q.rejected || a.Header.Get(headerReachedTarget) != ""
-		q.peerRefused(peer, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)), ports.RetryAfter(a.Header))
+		q.peerRefused(p, a.StatusCode, verdict.Code(a.Header.Get(headerRefused)), ports.RetryAfter(a.Header))
 		discard(a)
 		return nil
 	}
@@ -285,8 +286,9 @@
 // instance is leaving, that says nothing about its region. If all targets have asked it for rest,
 // it is skipped for this service until then. If its newer configuration does not allow the request,
 // the refusal is final for all regions.
-func (q *request) peerRefused(peer Peer, status int, code verdict.Code, retryAfter time.Duration) {
-	now := time.Now()
+func (q *request) peerRefused(p *destination, status int, code verdict.Code, retryAfter time.Duration) {
+	now, peer := time.Now(), p.peer
+	q.tried.record(p, rejected)
 	if status != http.StatusServiceUnavailable {
 		if q.verdict == verdict.NotRun {
 			q.finalRefusal = &refusal{status: status, code: code}
@@ -300,7 +302,7 @@
 	}
 	if code == CodeLeaving {
 		q.g.markUnreachable(now, peer.Address)
-		delete(q.triedRegions, peer.Region)
+		q.tried.forget(p)
 		return
 	}
 	if code == CodeResting && retryAfter > 0 {
@@ -385,10 +387,12 @@
 		return pick.Failed, false
 	case reply.Replaced:
 		q.rejected = true
+		q.tried.record(p, rejected)
 		discard(a)
 		return pick.Replaced, false
 	case reply.NotRun:
 		q.rejected = true
+		q.tried.record(p, rejected)
 		discard(a)
 		if reply.Rest > 0 || reply.BusyFor > 0 {
 			return pick.Rested, false
@@ -397,6 +401,7 @@
 	case a.Header.Get("Content-Encoding") != "":
 		// It is not the target's body.
 		a.Close(false)
+		q.tried.record(p, answered)
 		q.recordRun(verdict.MayHaveRun)
 		return pick.Failed, false
 	}
@@ -510,6 +515,7 @@
 		return false, pick.Failed
 	}
 	q.recordRun(verdict.Ran)
+	q.tried.record(p, answered)
 	answer := &bufferedAnswer{status: a.StatusCode, header: a.Header, body: body}
 	if q.headWritten {
 		// A stream that has begun cannot go on with another answer.
