exchange: a stream that has begun waits a second for a place

What callers saw: a resumable stream that broke off with attempts left and time left, because at that moment its targets were in a backoff of 0.3 s, or full.

Cause: no place at the first look ended the request. That is right for one that can be answered, whose caller comes back. A stream that has begun can only be broken off.

Change: it looks again every 100 ms for 1 s, also at places that have rejected it, as long as it may run again. A region whose refusal is no 503 is not asked again.

--- a/pipeline/exchange/again_test.go
+++ b/pipeline/exchange/again_test.go
@@ -6,6 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
 )
 
 // sendHome makes the other region the only home of a route.
@@ -100,3 +101,56 @@
 		So(requestCount(x), ShouldEqual, 1)
 	})
 }
+
+// Guards against breaking off a stream at once, because no place is free for a moment.
+func TestStreamThatHasBegunWaitsForAPlace(t *testing.T) {
+	Convey("the only target is in a backoff", t, func() {
+		x := newTarget(t, "t1", streamEvents(3, false), streamEvents(5, true))
+		got := newRig(t, "r", x).call("/twice/x", "b")
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+		So(x.requests()[1].header.Get("After"), ShouldEqual, "3")
+	})
+	Convey("both targets break off", t, func() {
+		first := sequence(streamEvents(3, false), streamEvents(4, false), streamEvents(6, true))
+		x, y := newTarget(t, "t1", first), newTarget(t, "t2", first)
+		got := newRig(t, "r", x, y).call("/resume/x", "b")
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 6))
+	})
+	Convey("the other target is full", t, func() {
+		x, y := newTarget(t, "t1", streamEvents(3, false)), newTarget(t, "t2", notRun, streamEvents(5, true))
+		r := newRig(t, "r", x, y)
+		r.options.GroupOwner = newSearches(firstAt("t1"))
+		r.rebuild()
+		got := r.call("/resume/x", "b")
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+	})
+	Convey("a target of the same software version appears", t, func() {
+		x, y := newTarget(t, "t1", streamEvents(3, false)), newTarget(t, "t2", streamEvents(5, true))
+		r := newRig(t, "r", x)
+		r.options.GroupOwner = newSearches(func(n int64) exchange.Decision {
+			if n == 5 {
+				r.setTargets(y)
+			}
+			return exchange.Decision{}
+		})
+		r.rebuild()
+		got := r.call("/resume/x", "b")
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+	})
+	Convey("until its deadline", t, func() {
+		x := newTarget(t, "t1", streamEvents(3, false), streamEvents(5, true))
+		req := newRig(t, "r", x).request("/twice/x", "b")
+		req.Header.Set("Deadline", "50ms")
+		So(do(req).truncated, ShouldBeTrue)
+		So(requestCount(x), ShouldEqual, 1)
+	})
+	Convey("not one that has not begun", t, func() {
+		x := newTarget(t, "t1", closes, streamEvents(5, true))
+		So(newRig(t, "r", x).call("/twice/x", "b").status, ShouldEqual, 502)
+		So(requestCount(x), ShouldEqual, 1)
+	})
+}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -63,7 +63,14 @@
 	now := time.Now()
 	to, code := q.choosePlace(now)
 	q.g.o.Metrics.ChooseTime.Update(time.Since(now))
+	if to == nil && q.headWritten {
+		to = q.awaitPlace()
+		now = time.Now()
+	}
 	if to == nil {
+		if end := q.endCode(now); end != "" {
+			code = end
+		}
 		return false, code
 	}
 	return q.attempt(to, now), ""
@@ -89,6 +96,43 @@
 	return nil, code
 }
 
+const (
+	// placeWait is how long a stream that has begun waits for a place: longer than the first backoff of a
+	// target, and well under the 2 s after which callers leave.
+	placeWait = time.Second
+	// placeWaitInterval is the time between two choices meanwhile.
+	placeWaitInterval = 100 * time.Millisecond
+)
+
+// awaitPlace waits for a place that goes on with a stream that has begun, which can get no other answer; nil if
+// none becomes free in placeWait. Targets that have rejected the stream may have room by then.
+func (q *request) awaitPlace() *destination {
+	ctx, cancel := context.WithTimeout(q.ctx, placeWait)
+	defer cancel()
+	tick := time.NewTicker(placeWaitInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		now := time.Now()
+		if _, ok := q.mayRunAgain(now); !ok || q.callerLeft() {
+			return nil
+		}
+		if to := q.chooseAgain(now); to != nil {
+			return to
+		}
+		if q.runs >= q.maxRuns {
+			continue
+		}
+		if to, _ := q.choose(now, answered); to != nil {
+			return to
+		}
+	}
+}
+
 // recordAnswer counts and logs an answer.
 func (q *request) recordAnswer() {
 	m, now := q.g.o.Metrics, time.Now()
@@ -290,6 +334,7 @@
 	now, peer := time.Now(), p.peer
 	q.tried.record(p, rejected)
 	if status != http.StatusServiceUnavailable {
+		q.tried.record(p, answered)
 		if q.verdict == verdict.NotRun {
 			q.finalRefusal = &refusal{status: status, code: code}
 		}
