exchange: an instance that lags says nothing of its region

What callers saw: 503 from an instance outside the home regions while an instance of the only home region had not got the newest configuration, though others there had; for 0.5 s the whole region counted as having refused.

Cause: the refusals configuration_behind and no_configuration, which say something of one instance, were taken for the region's, and the region for tried.

Change: the instance counts as lagging for 0.5 s, and is asked then only if all instances of its region lag. The request goes to another instance of the region if there is one.

--- a/pipeline/exchange/again_test.go
+++ b/pipeline/exchange/again_test.go
@@ -154,3 +154,38 @@
 		So(requestCount(x), ShouldEqual, 1)
 	})
 }
+
+// Guards against refusing requests that a region would serve, because one of its instances does not have the
+// sender's configuration yet.
+func TestInstanceThatLagsSaysNothingOfItsRegion(t *testing.T) {
+	const calls = 20
+	for name, lags := range map[string]func(r *rig){
+		"an older configuration":  func(r *rig) { r.table.Version = 2 },
+		"no configuration at all": func(r *rig) { r.gateway.SetView(&exchange.View{}) },
+	} {
+		Convey(name, t, func() {
+			x := newTarget(t, "far", respond(200, "done"))
+			a, _ := newRegionPair(t, nil, []*target{x})
+			second := newRig(t, "other", x)
+			lags(second)
+			view := *a.gateway.View()
+			view.Peers[0].Capacity = 1
+			view.Peers = append(view.Peers, exchange.Peer{Address: second.peers.Listener.Addr().String(), Region: "other", Capacity: 1000})
+			a.gateway.SetView(&view)
+			for range calls {
+				So(a.call("/safe/x", "b").status, ShouldEqual, 200)
+			}
+			So(requestCount(x), ShouldEqual, calls)
+			So(second.metrics.ForwardedIn.Count(), ShouldBeGreaterThan, 0)
+		})
+	}
+	Convey("all instances of the region lag", t, func() {
+		x := newTarget(t, "far", respond(200, "done"))
+		a, b := newRegionPair(t, nil, []*target{x})
+		b.table.Version = 2
+		for range 3 {
+			So(a.call("/safe/x", "b").status, ShouldEqual, 503)
+		}
+		So(b.metrics.ForwardedIn.Count(), ShouldEqual, 3)
+	})
+}
--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -233,15 +233,29 @@
 }
 
 // reachablePeers returns a region's entry instances that are not known to
-// be unreachable, or to have only targets that rest.
+// be unreachable, or to have only targets that rest. Those that lag count only if all do.
 func (q *request) reachablePeers(now time.Time, region string) []place.Instance {
-	var peers []place.Instance
+	current, lagging := q.peersOf(now, region)
+	if len(current) > 0 {
+		return current
+	}
+	return lagging
+}
+
+// peersOf is reachablePeers in two parts.
+func (q *request) peersOf(now time.Time, region string) (current, lagging []place.Instance) {
 	for _, p := range q.view.Peers {
-		if p.Region == region && !q.g.isUnreachable(now, p.Address) && q.g.restLeft(now, peerService{p.Address, q.service}).Left == 0 {
-			peers = append(peers, place.Instance{Address: p.Address, Capacity: p.Capacity})
+		if p.Region != region || q.g.isUnreachable(now, p.Address) || q.g.restLeft(now, peerService{p.Address, q.service}).Left > 0 {
+			continue
+		}
+		peer := place.Instance{Address: p.Address, Capacity: p.Capacity}
+		if q.g.refusedNow(now, laggingPeer{p.Address}) {
+			lagging = append(lagging, peer)
+		} else {
+			current = append(current, peer)
 		}
 	}
-	return peers
+	return current, lagging
 }
 
 // targetRequest returns the request as it is sent to a target.
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -241,6 +241,10 @@
 	rank int
 }
 
+// laggingPeer identifies an instance of another region that does not have the configuration that a request
+// was judged by yet.
+type laggingPeer struct{ address string }
+
 // recordRefusal records that a region has refused a request for a service, or of a workspace for it.
 func (g *Gateway) recordRefusal(now time.Time, by any) {
 	g.refusedUntil.Store(by, now.Add(g.refusalPause))
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -327,7 +327,7 @@
 }
 
 // peerRefused records that an instance of another region has refused the request. If the
-// instance is leaving, that says nothing about its region. If all targets have asked it for rest,
+// instance is leaving or lags, that says nothing about its region. If all targets have asked it for rest,
 // it is skipped for this service until then. If its newer configuration does not allow the request,
 // the refusal is final for all regions.
 func (q *request) peerRefused(p *destination, status int, code verdict.Code, retryAfter time.Duration) {
@@ -350,6 +350,14 @@
 		q.tried.forget(p)
 		return
 	}
+	if code == CodeBehind || code == CodeNoConfiguration {
+		q.refusedElsewhere = true
+		q.g.recordRefusal(now, laggingPeer{peer.Address})
+		if current, _ := q.peersOf(now, peer.Region); len(current) > 0 {
+			q.tried.forget(p)
+		}
+		return
+	}
 	if code == CodeResting && retryAfter > 0 {
 		q.g.markResting(now, peerService{peer.Address, q.service}, retryAfter)
 	} else {
