--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -66,11 +66,11 @@
 	if to == nil && q.headWritten {
 		to = q.awaitPlace()
 		now = time.Now()
-	}
-	if to == nil {
 		if end := q.endCode(now); end != "" {
 			code = end
 		}
+	}
+	if to == nil {
 		return false, code
 	}
 	return q.attempt(to, now), ""
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -2,10 +2,10 @@
 // chooses a target, sends the request as received and relays the answer unchanged.
 //
 // Each step has its own file: accept (find the route, read the whole request), choose
-// (own region or another), send (one attempt and its verdict), relay (whole answers and
-// event streams), runwatch and hedge (a second attempt beside one that has no answer), finish
-// (the final answer). A Dialect maps the header names of the platform to the types of this
-// package.
+// (own region or another), tried (the places so far), send (one attempt and its verdict), relay
+// (whole answers and event streams), runwatch and hedge (a second attempt beside one that has no
+// answer), finish (the final answer). A Dialect maps the header names of the platform to the types
+// of this package.
 package exchange
 
 import (
