--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -58,7 +58,7 @@
 	// runs counts the targets that may have run the request.
 	runs         int
 	attemptCount int
-	triedTargets []string
+	tried        triedPlaces
 	// lastTried is the last target id or peer address; source and decidedBy belong to it.
 	lastTried, source, decidedBy string
 	// sentAt is when the request was sent to lastTried. expectedWaitMs is the expected time
@@ -77,8 +77,6 @@
 	// refusedElsewhere says that another region has refused the request though it has targets that
 	// don't rest.
 	refusedElsewhere bool
-	// triedRegions are the regions that the request was forwarded to.
-	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
 	finalRefusal *refusal
 	// hadPlace says that an attempt has taken a promised place.
@@ -90,8 +88,9 @@
 	watch   *runWatch
 	hedge   *hedge
 	hedging *sentHedge
-	// returnTo is the target whose silent run was ended for a hedge, until the request returns to it.
-	returnTo string
+	// returnTo are the targets whose runs were ended by this instance, for a hedge or as a hedge, until the
+	// request returns to them.
+	returnTo []string
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
--- a/pipeline/exchange/silence_test.go
+++ b/pipeline/exchange/silence_test.go
@@ -233,15 +233,20 @@
 	})
 }
 
+// silentAfter returns a script that streams the events up to last and then nothing until the other end has
+// closed the connection.
+func silentAfter(last int64) script {
+	return func(c net.Conn, r receivedRequest) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, last))
+		return untilEnded(c, r)
+	}
+}
+
 // Guards against losing a stream that its silent target can still finish, because the place that went on with
 // it broke off and no further target may run it.
 func TestStreamReturnsToItsSilentTarget(t *testing.T) {
 	Convey("a hedge breaks off after its first event, with all tries used up", t, func() {
-		silent := func(c net.Conn, r receivedRequest) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, 2))
-			return untilEnded(c, r)
-		}
-		x, y := newTarget(t, "t1", silent, streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
+		x, y := newTarget(t, "t1", silentAfter(2), streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
 		r := newRig(t, "r", x, y)
 		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
 		r.searchSilent(newSearches(firstAt("t1")))
@@ -252,6 +257,33 @@
 		So(requestCount(y), ShouldEqual, 1)
 		So(x.requests()[1].header.Get("After"), ShouldEqual, "3")
 	})
+	Convey("a hedge breaks off after its first event, with a try left and no third target", t, func() {
+		x, y := newTarget(t, "t1", silentAfter(2), streamEvents(5, true)), newTarget(t, "t2", streamEvents(3, false))
+		r := newRig(t, "r", x, y)
+		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+		r.searchSilent(newSearches(firstAt("t1")))
+		got := r.call("/resume/x", "b")
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+		So(requestCount(x), ShouldEqual, 2)
+		So(requestCount(y), ShouldEqual, 1)
+		So(x.requests()[1].header.Get("After"), ShouldEqual, "3")
+	})
+	Convey("a silent target that is leaving is not returned to", t, func() {
+		x := newTarget(t, "t1", silentAfter(2), streamEvents(5, true))
+		r := newRig(t, "r", x)
+		y := newTarget(t, "t2", afterChange(func() {
+			leaving := pick.Target{ID: x.id, Service: "s", Address: x.addr, Zone: "z", Slots: 4, Software: x.software, Draining: true}
+			r.pool.Update(time.Now(), pick.Snapshot{Targets: []pick.Target{leaving}, Entries: []string{"self"}})
+		}, streamEvents(3, false)))
+		r.setTargets(x, y)
+		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+		r.searchSilent(newSearches(firstAt("t1")))
+		got := r.call("/resume/x", "b")
+		So(got.truncated, ShouldBeTrue)
+		So(got.body, ShouldEqual, eventText(1, 3))
+		So(requestCount(x), ShouldEqual, 1)
+	})
 	Convey("the silent target has broken off by itself", t, func() {
 		x, y := newTarget(t, "t1", streamEvents(2, false)), newTarget(t, "t2", streamEvents(3, false))
 		r := newRig(t, "r", x, y)
@@ -260,6 +292,115 @@
 	})
 }
 
+// Guards against losing a stream because the target that it was taken from, for another one that then broke
+// off, counts as used up.
+func TestStreamReturnsToTheTargetItWasTakenFrom(t *testing.T) {
+	for name, goesOnFirst := range map[string]bool{"the silent target goes on": true, "the hedge brings no event in time": false} {
+		Convey("a hedge is ended because "+name+", and then the silent target breaks off", t, func() {
+			asked := make(chan struct{})
+			y := newTarget(t, "t2", func(c net.Conn, r receivedRequest) bool {
+				close(asked)
+				return untilEnded(c, r)
+			}, streamEvents(5, true))
+			x := newTarget(t, "t1", func(c net.Conn, r receivedRequest) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, 2))
+				if goesOnFirst {
+					<-asked
+					_, _ = io.WriteString(c, eventText(3, 3))
+				}
+				<-y.closed
+				return false
+			})
+			r := newRig(t, "r", x, y)
+			r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+			r.searchSilent(newSearches(firstAt("t1")))
+			if goesOnFirst {
+				r.gateway.SetMaxOverlap(time.Minute)
+			}
+			got := r.call("/twice/x", "b")
+			So(got.truncated, ShouldBeFalse)
+			So(got.body, ShouldEqual, eventText(1, 5))
+			So(requestCount(x), ShouldEqual, 1)
+			So(requestCount(y), ShouldEqual, 2)
+		})
+	}
+	Convey("a stream is taken from a target before its first event", t, func() {
+		began := make(chan struct{})
+		x := newTarget(t, "t1", func(c net.Conn, r receivedRequest) bool {
+			close(began)
+			return untilEnded(c, r)
+		}, streamEvents(5, true))
+		y := newTarget(t, "t2", streamEvents(3, false))
+		r := newRig(t, "r", x)
+		got := make(chan reply, 1)
+		go func() { got <- r.call("/twice/x", "b") }()
+		<-began
+		r.setTargets(x, y)
+		r.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "t1").Done(time.Now(), pick.Unreachable)
+		answer := <-got
+		So(answer.truncated, ShouldBeFalse)
+		So(answer.body, ShouldEqual, eventText(1, 5))
+		So(requestCount(x), ShouldEqual, 2)
+		So(requestCount(y), ShouldEqual, 1)
+	})
+}
+
+// slowEnds is a group owner that takes the end of the request at a target only once asked has a value, or after
+// a while.
+type slowEnds struct {
+	*searches
+	target string
+	asked  chan struct{}
+}
+
+func (s *slowEnds) ReportEnd(d exchange.Decision, _ pick.Result) {
+	if d.Target != s.target {
+		return
+	}
+	const while = 100 * time.Millisecond
+	select {
+	case <-s.asked:
+	case <-time.After(while):
+	}
+}
+
+// Guards against a request that runs at more targets than its route allows, as a hedge that was ended a moment
+// before counts only once its end is recorded.
+func TestEndedHedgeCountsAgainstTheAttempts(t *testing.T) {
+	Convey("the silent target goes on, and breaks off while the hedge ends", t, func() {
+		hedged, asked := make(chan struct{}), make(chan struct{}, 1)
+		y := newTarget(t, "t2", func(c net.Conn, r receivedRequest) bool {
+			close(hedged)
+			return untilEnded(c, r)
+		}, streamEvents(5, true))
+		x := newTarget(t, "t1", func(c net.Conn, r receivedRequest) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n%s", r.header.Get("Id"), eventText(1, 2))
+			<-hedged
+			_, _ = io.WriteString(c, eventText(3, 3))
+			<-y.closed
+			return false
+		})
+		z := newTarget(t, "t3", func(c net.Conn, r receivedRequest) bool {
+			asked <- struct{}{}
+			return streamEvents(5, true)(c, r)
+		})
+		r := newRig(t, "r", x, y, z)
+		r.options.Retries.Share, r.options.Retries.Allowance = 0, 600
+		first := newSearches(func(n int64) exchange.Decision {
+			if n > 3 {
+				return exchange.Decision{}
+			}
+			return exchange.Decision{Target: fmt.Sprint("t", n)}
+		})
+		r.searchSilent(&slowEnds{searches: first, target: "t2", asked: asked})
+		r.gateway.SetMaxOverlap(time.Minute)
+		got := r.call("/twice/x", "b")
+		So(requestCount(z), ShouldEqual, 0)
+		So(got.truncated, ShouldBeFalse)
+		So(got.body, ShouldEqual, eventText(1, 5))
+	})
+}
+
 // Guards against losing a stream whose silent target breaks off while another place has been asked.
 func TestPlaceThatWasAskedGoesOnWithALostStream(t *testing.T) {
 	Convey("the silent target ends before the other one answers", t, func() {
