--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -58,7 +58,7 @@
 	// runs counts the targets that may have run the request.
 	runs         int
 	attemptCount int
-	triedTargets []string
+	tried        triedPlaces
 	// lastTried is the last target id or peer address; source and decidedBy belong to it.
 	lastTried, source, decidedBy string
 	// sentAt is when the request was sent to lastTried. expectedWaitMs is the expected time
@@ -77,8 +77,6 @@
 	// refusedElsewhere says that another region has refused the request though it has targets that
 	// don't rest.
 	refusedElsewhere bool
-	// triedRegions are the regions that the request was forwarded to.
-	triedRegions map[string]bool
 	// finalRefusal is a refusal by another region that no further attempt can change.
 	finalRefusal *refusal
 	// hadPlace says that an attempt has taken a promised place.
@@ -90,8 +88,9 @@
 	watch   *runWatch
 	hedge   *hedge
 	hedging *sentHedge
-	// returnTo is the target whose silent run was ended for a hedge, until the request returns to it.
-	returnTo string
+	// returnTo are the targets whose runs were ended by this instance, for a hedge or as a hedge, until the
+	// request returns to them.
+	returnTo []string
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
@@ -149,11 +148,11 @@
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeNoConfiguration, retryAfter: place.RetryAfter(place.Starting, 0)}
 	}
 	if q.forwarded != nil && q.forwarded.Version > q.view.Index.Table.Version {
-		return &refusal{status: http.StatusServiceUnavailable, code: CodeBehind, retryAfter: place.RetryAfter(place.Busy, 0)}
+		return refuseBehind()
 	}
 	q.route = q.view.Index.Match(q.r.Host, q.r.URL.Path)
 	if q.route == nil {
-		return &refusal{status: http.StatusNotFound, code: CodeNoRoute}
+		return q.refuseAsWrong(&refusal{status: http.StatusNotFound, code: CodeNoRoute})
 	}
 	if q.g.mayCutOff(q) {
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeLeaving, retryAfter: place.RetryAfter(place.Leaving, 0)}
@@ -186,6 +185,22 @@
 	return q.readBody()
 }
 
+// refuseAsWrong refuses a request that the configuration does not allow: with f, after which its caller does
+// not return, or, while a newer configuration may allow it, for now.
+func (q *request) refuseAsWrong(f *refusal) *refusal {
+	if !q.view.outdated(q.acceptedAt) {
+		return f
+	}
+	behind := refuseBehind()
+	behind.close = f.close
+	return behind
+}
+
+// refuseBehind refuses a request that a configuration may allow which this instance does not have yet.
+func refuseBehind() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: CodeBehind, retryAfter: place.RetryAfter(place.Busy, 0)}
+}
+
 // readBody reads the whole body, so that it can be sent to another target, and so that a
 // caller's disconnect is noticed while a target works.
 func (q *request) readBody() *refusal {
@@ -200,8 +215,9 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	tooLarge := &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
 	if q.r.ContentLength > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
+		return q.refuseAsWrong(tooLarge)
 	}
 	body, err := readAll(q.r.Body, q.r.ContentLength, maxBytes)
 	if err != nil {
@@ -209,7 +225,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(body)) > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
+		return q.refuseAsWrong(tooLarge)
 	}
 	q.raw.Body = body
 	return nil
--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -54,10 +53,10 @@
 	broken bool
 	// searching says that a search is running; there is at most one.
 	searching bool
-	// hedge is under way; nil if none is. found is the one that goes on with the request; the run is
-	// interrupted once it is set.
-	hedge *sentHedge
-	found *hedge
+	// hedge is under way; nil if none is. sent is the last one that was sent, under way or not. found is the
+	// one that goes on with the request; the run is interrupted once it is set.
+	hedge, sent *sentHedge
+	found       *hedge
 }
 
 // sentHedge is a hedge under way.
@@ -112,7 +111,7 @@
 // copy returns a copy that shares nothing that attempts change.
 func (q *request) copy() request {
 	c := *q
-	c.triedTargets, c.triedRegions = slices.Clone(q.triedTargets), maps.Clone(q.triedRegions)
+	c.tried, c.returnTo = slices.Clone(q.tried), slices.Clone(q.returnTo)
 	return c
 }
 
@@ -195,8 +194,8 @@
 }
 
 // endWatch ends the watch of a run that has ended. done says that the caller has the whole answer; if not,
-// the hedge that goes on with the request is kept in q, with what all have used up. One under way is waited
-// for then: nothing else runs now.
+// the hedge that goes on with the request is kept in q, with what all have used up. The last one is waited
+// for then: nothing else runs now, and what an ended hedge has used up must count.
 func (q *request) endWatch(done bool) {
 	w := q.watch
 	q.watch = nil
@@ -215,13 +214,14 @@
 	w.endWait(errRunLost)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if under := w.hedge; under != nil {
-		under.stopLimit()
+	if last := w.sent; last != nil {
+		last.stopLimit()
 		w.mu.Unlock()
-		<-under.ended
+		<-last.ended
 		w.mu.Lock()
 	}
 	q.takeAttempts(&w.q, w.runsBefore)
+	q.returnTo = w.q.returnTo
 	q.hedge, w.found = w.found, nil
 }
 
@@ -237,7 +237,7 @@
 	if from.runs > runsBefore {
 		q.runs, q.verdict = q.runs+from.runs-runsBefore, q.verdict.Join(from.verdict)
 	}
-	q.triedTargets, q.triedRegions = from.triedTargets, from.triedRegions
+	q.tried.merge(from.tried)
 	q.rejected, q.refusedElsewhere, q.hadPlace = q.rejected || from.rejected, q.refusedElsewhere || from.refusedElsewhere, from.hadPlace
 	if from.finalRefusal != nil {
 		q.finalRefusal = from.finalRefusal
@@ -285,7 +285,7 @@
 		return
 	}
 	h := c.sendHedge(under, to)
-	w.endHedge(c, h, under, waits)
+	w.endHedge(c, to, h, under, waits)
 	if h == nil {
 		cancel(nil)
 	}
@@ -310,6 +310,7 @@
 		under := w.hedge
 		under.limit = time.AfterFunc(c.overlap(w.from, to), func() { under.end(errOverlap) })
 	}
+	w.sent = w.hedge
 	return w.hedge
 }
 
@@ -317,9 +318,9 @@
 // whole event yet.
 const arrivalPollInterval = 5 * time.Millisecond
 
-// endHedge records how the hedge has ended; h is nil if it has brought no answer. It goes on with the request
-// if the run is still silent, or was lost.
-func (w *runWatch) endHedge(c *request, h *hedge, under *sentHedge, waits uint64) {
+// endHedge records how the hedge at a place has ended; h is nil if it has brought no answer. It goes on with
+// the request if the run is still silent, or was lost.
+func (w *runWatch) endHedge(c *request, to *destination, h *hedge, under *sentHedge, waits uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(under.ended)
@@ -336,17 +337,27 @@
 	if w.hedge == under {
 		w.hedge = nil
 	}
+	cause := context.Cause(c.ctx)
+	withdrawn := cause == errTargetGoesOn || cause == errOverlap
 	if h != nil && w.waits == waits && (w.waiting || w.broken) {
+		if w.waiting {
+			w.q.mayReturnTo(w.from)
+		}
 		w.found = h
 		w.interrupt(errSilent)
 	} else if h != nil {
 		h.withdraw()
 		c.recordRun(verdict.MayHaveRun)
+		withdrawn = true
 	}
 	c.logHedge(under.sentAt, h != nil, w.found != nil)
-	if c.runs == w.q.runs && context.Cause(c.ctx) == errTargetGoesOn {
+	ran := c.runs > w.q.runs
+	if !ran && cause == errTargetGoesOn {
 		// It was ended before it was sent, so its place was not tried.
 		return
 	}
+	if ran && withdrawn {
+		w.q.mayReturnTo(to)
+	}
 	w.q.takeAttempts(c, w.q.runs)
 }
