metrics, node: entries about suspects that wait, come in and tell something new are counted

Core instances now show how many they hold, how many came in and how many told something new; entry instances, how many wait for a report.

--- a/metrics/site.go
+++ b/metrics/site.go
@@ -16,6 +16,9 @@
 	SitePoisonRequests    = Metric{"gullhaven_site_refused_killer_total", Counter, "requests", "Requests refused that crash their targets."}
 	SiteSuspects          = Metric{"gullhaven_site_suspects", Gauge, "entries", "Requests and prompt parts that were in flight at a crash of a target, one entry for each crash."}
 	SiteSuspectsEvicted   = Metric{"gullhaven_site_suspects_evicted_total", Counter, "entries", "Of these, how many made room for others before they expired."}
+	SiteSuspectsPending   = Metric{"gullhaven_site_suspects_pending", Gauge, "entries", "Entries about suspects that this entry instance has yet to report to a core instance."}
+	SiteSuspectsReceived  = Metric{"gullhaven_site_suspects_received_total", Counter, "entries", "Entries about suspects that came in at this core instance, from entry instances and from other core instances."}
+	SiteSuspectsChanged   = Metric{"gullhaven_site_suspects_changed_total", Counter, "entries", "Of these, how many told something new, which is sent on to all."}
 	SiteUnknownStreams    = Metric{"gullhaven_site_refused_unknown_stream_total", Counter, "requests", "Requests refused as no instance knows what began the stream that they take up."}
 	SiteOverloaded        = Metric{"gullhaven_site_refused_overloaded_total", Counter, "requests", "Requests refused as what waits in front of the best target takes longer than the route's aim."}
 	SiteOverShare         = Metric{"gullhaven_site_refused_over_share_total", Counter, "requests", "Requests refused as their workspace had had more than its share, and what waits in front of the best target takes longer than half the route's aim."}
@@ -75,7 +78,7 @@
 
 // Site has the metrics that only instances of a site have, each once.
 var Site = []Metric{
-	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SiteOutranked, SitePastDeadline,
+	SiteForwardedIn, SiteNoTarget, SiteResting, SiteNoConfiguration, SiteLeaving, SitePoisonRequests, SiteSuspects, SiteSuspectsEvicted, SiteSuspectsPending, SiteSuspectsReceived, SiteSuspectsChanged, SiteUnknownStreams, SiteOverloaded, SiteOverShare, SiteOutranked, SitePastDeadline,
 	SitePromisesGiven, SitePromisesKept, SitePromisesMissed, SitePromisesExpired, SitePromisesWithdrawn, SitePromisesDropped, SitePromisedWork,
 	SiteUnknownKeys, SiteNoHomeRegion, SiteOverLimit, SiteOtherRefusals, SiteRetriesDenied, SitePauses, SiteOwnedElsewhere, SiteRestsAsked, SiteLeavingAnswers, SiteMalformedHeaders, SiteInvalidSummaries, SiteUnknownSummaries, SiteRegionsUnreached,
 	SiteChooseTime, SiteSendTime, SiteWaitRatio, SiteEventGapTime, SiteRequestTime, SiteDials, SiteTargets, SiteTargetsBackingOff, SiteTargetsCold, SiteTargetsLimited, SiteTargetsResting,
@@ -99,7 +102,7 @@
 type EntryState struct {
 	InFlight, Dials, Targets, BackingOff, Cold, Limited, Resting, Draining, Version, ReceivedVersion, ListAge, Entries, Cores int64
 	LinesDropped, LinesSkipped, PiecesLeft, PieceBytes, PiecesFailed                                                          int64
-	Suspects, SuspectsEvicted                                                                                                 int64
+	Suspects, SuspectsEvicted, SuspectsPending                                                                                int64
 	PromisesGiven, PromisesKept, PromisesMissed, PromisesExpired, PromisesWithdrawn, PromisesDropped, PromisedWork            int64
 	Links                                                                                                                     Links
 }
@@ -123,6 +126,7 @@
 	page.gauge(SitePiecesFailed, func(e *EntryState) int64 { return e.PiecesFailed })
 	page.gauge(SiteSuspects, func(e *EntryState) int64 { return e.Suspects })
 	page.gauge(SiteSuspectsEvicted, func(e *EntryState) int64 { return e.SuspectsEvicted })
+	page.gauge(SiteSuspectsPending, func(e *EntryState) int64 { return e.SuspectsPending })
 	page.gauge(SitePromisesGiven, func(e *EntryState) int64 { return e.PromisesGiven })
 	page.gauge(SitePromisesKept, func(e *EntryState) int64 { return e.PromisesKept })
 	page.gauge(SitePromisesMissed, func(e *EntryState) int64 { return e.PromisesMissed })
@@ -154,6 +158,7 @@
 	Term, Applied, Behind, Voters, Version, ListAge, Targets int64
 	Entries, EntriesBehind, CapacitiesInvalid, Cores         int64
 	Syncs, SyncedEntries, LinesDropped, LinesSkipped         int64
+	Suspects, SuspectsReceived, SuspectsChanged              int64
 	Links                                                    Links
 }
 
@@ -178,6 +183,9 @@
 	page.gauge(SiteEntriesBehind, func(c *CoreState) int64 { return c.EntriesBehind })
 	page.gauge(SiteInvalidCapacities, func(c *CoreState) int64 { return c.CapacitiesInvalid })
 	page.gauge(SiteCores, func(c *CoreState) int64 { return c.Cores })
+	page.gauge(SiteSuspects, func(c *CoreState) int64 { return c.Suspects })
+	page.gauge(SiteSuspectsReceived, func(c *CoreState) int64 { return c.SuspectsReceived })
+	page.gauge(SiteSuspectsChanged, func(c *CoreState) int64 { return c.SuspectsChanged })
 	page.gauge(LogSyncs, func(c *CoreState) int64 { return c.Syncs })
 	page.gauge(LogSyncedEntries, func(c *CoreState) int64 { return c.SyncedEntries })
 	page.gauge(SiteLinesDropped, func(c *CoreState) int64 { return c.LinesDropped })
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -275,6 +275,8 @@
 		Cores: int64(len(i.store.Cores(now))), Syncs: int64(s.Counters.Syncs), SyncedEntries: int64(s.Counters.SyncedEntries),
 	}
 	c.CapacitiesInvalid = int64(i.store.InvalidCapacities())
+	suspects := i.store.SuspectStats()
+	c.Suspects, c.SuspectsReceived, c.SuspectsChanged = int64(suspects.Held), int64(suspects.Received), int64(suspects.Changed)
 	c.Links, c.EntriesBehind = metrics.SumLinks(i.hub.Stats()), int64(i.lagging.count(now))
 	if l := i.store.List(); !l.ReadAt.IsZero() {
 		c.ListAge, c.Targets = now.Sub(l.ReadAt).Milliseconds(), int64(len(l.Targets))
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -214,7 +214,7 @@
 	s.Links = metrics.SumLinks(i.hub.Stats())
 	s.Targets, s.BackingOff, s.Cold, s.Limited = int64(c.Targets), int64(c.BackingOff), int64(c.Cold), int64(c.Limited)
 	s.Resting, s.Draining = int64(c.Resting), int64(c.Draining)
-	s.Suspects, s.SuspectsEvicted = i.poisonRequests.count()
+	s.Suspects, s.SuspectsEvicted, s.SuspectsPending = i.poisonRequests.count()
 	if i.returns != nil {
 		promises, work := i.returns.Stats()
 		s.PromisesGiven, s.PromisesKept, s.PromisesMissed, s.PromisesExpired = promises.Given, promises.Kept, promises.Missed, promises.Expired
--- a/node/entry/poison.go
+++ b/node/entry/poison.go
@@ -196,11 +196,12 @@
 	return p.pending.take()
 }
 
-// count returns the number of entries, and of those that were evicted since the start.
-func (p *poisonRequests) count() (held, evicted int64) {
+// count returns the number of entries, of those that were evicted since the start, and of those that wait for
+// a report.
+func (p *poisonRequests) count() (held, evicted, pending int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return int64(p.table.Len()), int64(p.table.Evicted())
+	return int64(p.table.Len()), int64(p.table.Evicted()), int64(len(p.pending.entries))
 }
 
 // takeUnpublished returns the entries that are to be sent ahead of their report.
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -63,6 +63,8 @@
 type suspectLog struct {
 	records map[suspectKey]suspectRecord
 	last    uint64
+	// received is the number of entries that came in.
+	received uint64
 	// order has the records by number. One that has changed since is skipped; there are at most as many
 	// of these as records.
 	order []numberedSuspect
@@ -252,6 +254,7 @@
 	defer st.mu.Unlock()
 	st.suspects.expire(now)
 	for _, e := range entries {
+		st.suspects.received++
 		changed = st.suspects.add(now, e, direct) || changed
 	}
 	if changed {
@@ -260,6 +263,20 @@
 	return changed
 }
 
+// SuspectStats are the number of entries about suspects that a Store holds, and counters since its start.
+type SuspectStats struct {
+	// Received counts the entries that came in, and Changed those that told something new.
+	Held, Received, Changed uint64
+}
+
+// SuspectStats returns the current numbers.
+func (st *Store) SuspectStats() SuspectStats {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	l := &st.suspects
+	return SuspectStats{Held: uint64(len(l.records)), Received: l.received, Changed: l.last}
+}
+
 // HasSuspectsFor reports whether the sender of a report misses suspects.
 func (st *Store) HasSuspectsFor(r *Report) bool {
 	st.mu.Lock()
