node/feed, node/control: the exchange of suspects that differ comes to an end

An instance that lacks suspects of another one asked for those in the buckets that differ, and got the 1024 oldest of these. Once the buckets that differ held more, it got the same ones every 2 s, had them already, and never the others: for as long as suspects live, 10 minutes, all pairs of core instances repeated this. One that started after many crashes got the same 1024 of all eight others.

The answer now has whole buckets, from the one on where the last answer ended, and the first query to each instance begins elsewhere. Buckets are by digest and crash, as a common digest is a suspect of most crashes.

--- a/node/control/suspects.go
+++ b/node/control/suspects.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/suspect"
+	"github.com/gullhaven/gullhaven/node/feed"
 )
 
 // ChannelSuspects takes the suspects of entry instances before their next report; the report has
@@ -27,6 +29,29 @@
 type suspectExchanges struct {
 	mu   sync.Mutex
 	last map[string]time.Time
+	next map[string]feed.SuspectsQuery
+}
+
+// query returns the next query to a core instance. The first one to each begins elsewhere, so that all of them
+// together soon give an instance that has started what it lacks.
+func (x *suspectExchanges) query(id string) feed.SuspectsQuery {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if q, asked := x.next[id]; asked {
+		return q
+	}
+	return feed.SuspectsQuery{First: xxhash.Sum64String(id)}
+}
+
+// answered records the answer of a core instance to a query.
+func (x *suspectExchanges) answered(id string, q feed.SuspectsQuery, answer []suspect.Entry) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.next == nil {
+		x.next = map[string]feed.SuspectsQuery{}
+	}
+	q.Digests = nil
+	x.next[id] = q.NextQuery(answer)
 }
 
 // due reports whether an exchange with a core instance is due whose suspects differ or not.
@@ -85,9 +110,10 @@
 func (i *Instance) fetchSuspects(from string) {
 	ctx, cancel := context.WithTimeout(context.Background(), listCallTimeout)
 	defer cancel()
-	payload, err := cbor.Marshal(i.store.SuspectDigests(time.Now()))
+	query := i.suspectExchanges.query(from).WithDigests(time.Now(), i.store)
+	payload, err := cbor.Marshal(query)
 	if err != nil {
-		i.log.Error("digests of suspects cannot be encoded", zap.Error(err))
+		i.log.Error("a query for suspects cannot be encoded", zap.Error(err))
 		return
 	}
 	answer, err := i.hub.Call(ctx, from, channelDifferingSuspects, payload)
@@ -100,17 +126,18 @@
 		i.log.Warn("suspects cannot be read", zap.String("from", from), zap.Error(err))
 		return
 	}
+	i.suspectExchanges.answered(from, query, entries)
 	if i.store.AddSuspects(time.Now(), entries, false) {
 		i.suspectsFile.markChanged()
 	}
 }
 
-// serveDifferingSuspects answers the digests of another core instance with the suspects of this one that
-// it may lack.
+// serveDifferingSuspects answers the query of another core instance with the suspects of this one that it
+// may lack.
 func (i *Instance) serveDifferingSuspects(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	var digests []uint64
-	if err := cbor.Unmarshal(payload, &digests); err != nil {
+	var q feed.SuspectsQuery
+	if err := cbor.Unmarshal(payload, &q); err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(i.store.SuspectsBeside(time.Now(), digests))
+	return cbor.Marshal(i.store.SuspectsBeside(time.Now(), q))
 }
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -99,9 +100,12 @@
 	key    suspectKey
 }
 
-// bucket returns the part that a digest is compared in. The first bytes of digests are those of a hash or
-// of an ID, the others may be 0.
-func bucket(d suspect.Digest) int { return int(xxhash.Sum64(d[:]) % SuspectBuckets) }
+// bucket returns the part that a record is compared in. Records of one digest are in many: a common one is a
+// suspect of most crashes.
+func bucket(key suspectKey) int {
+	data := binary.BigEndian.AppendUint64(key.digest[:], key.crash.Incarnation)
+	return int(xxhash.Sum64(append(data, key.crash.Target...)) % SuspectBuckets)
+}
 
 // digest identifies the set of all records; 0 for none.
 func (l *suspectLog) digest() (sum uint64) {
@@ -131,7 +135,7 @@
 	}
 	l.last++
 	r := suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct, hash: hashOf(&e)}
-	l.digests[bucket(e.Digest)] += r.hash - old.hash
+	l.digests[bucket(key)] += r.hash - old.hash
 	l.records[key] = r
 	if urgent(&e) {
 		l.lastUrgent = l.last
@@ -156,7 +160,7 @@
 }
 
 func (l *suspectLog) remove(key suspectKey) {
-	l.digests[bucket(key.digest)] -= l.records[key].hash
+	l.digests[bucket(key)] -= l.records[key].hash
 	delete(l.records, key)
 }
 
@@ -345,23 +349,52 @@
 	return len(st.suspects.records) < maxSuspects && digest != st.suspects.digest()
 }
 
-// SuspectDigests returns the digests of the suspects in each bucket.
-func (st *Store) SuspectDigests(now time.Time) []uint64 {
+// SuspectsQuery asks another core instance for the suspects in the buckets that differ.
+type SuspectsQuery struct {
+	// Digests are those of the asker's buckets.
+	Digests []uint64 `cbor:"1,keyasint"`
+	// First is the bucket from which on the answer has them.
+	First uint64 `cbor:"2,keyasint"`
+}
+
+// NextQuery returns the query after one whose answer had these entries: from the bucket on where it ended, as
+// one that the asker already has all of may still differ.
+func (q SuspectsQuery) NextQuery(answer []suspect.Entry) SuspectsQuery {
+	if len(answer) > 0 {
+		last := answer[len(answer)-1]
+		q.First = uint64(bucket(suspectKey{last.Digest, last.Crash})) + 1
+	}
+	return q
+}
+
+// WithDigests returns the query with the digests of the suspects that this instance holds now.
+func (q SuspectsQuery) WithDigests(now time.Time, st *Store) SuspectsQuery {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.suspects.expire(now)
-	return slices.Clone(st.suspects.digests[:])
+	q.Digests = slices.Clone(st.suspects.digests[:])
+	return q
 }
 
-// SuspectsBeside returns the suspects in the buckets that differ from those of another core instance, as far
-// as they fit a message.
-func (st *Store) SuspectsBeside(now time.Time, digests []uint64) []suspect.Entry {
+// SuspectsBeside answers the query of another core instance, with as many whole buckets as fit a message.
+func (st *Store) SuspectsBeside(now time.Time, q SuspectsQuery) []suspect.Entry {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.suspects.expire(now)
-	out, _ := st.suspects.entriesAfter(0, maxSuspectsPerExchange, func(r *suspectRecord) bool {
-		n := bucket(r.entry.Digest)
-		return n < len(digests) && st.suspects.digests[n] != digests[n]
-	})
+	l := &st.suspects
+	l.expire(now)
+	var buckets [SuspectBuckets][]suspect.Entry
+	for key, r := range l.records {
+		if n := bucket(key); n < len(q.Digests) && l.digests[n] != q.Digests[n] {
+			buckets[n] = append(buckets[n], r.entry)
+		}
+	}
+	var out []suspect.Entry
+	for k := range uint64(SuspectBuckets) {
+		next := buckets[(q.First%SuspectBuckets+k)%SuspectBuckets]
+		if len(out) > 0 && len(out)+len(next) > maxSuspectsPerExchange {
+			break
+		}
+		out = append(out, next...)
+	}
 	return out
 }
--- a/node/feed/suspects_test.go
+++ b/node/feed/suspects_test.go
@@ -53,8 +53,8 @@
 			g := a.Gossip(later, false, false)
 			So(g.Suspects, ShouldBeEmpty)
 			So(b.SuspectsDiffer(later, g.SuspectsDigest), ShouldBeTrue)
-			b.AddSuspects(later, a.SuspectsBeside(later, b.SuspectDigests(later)), false)
-			a.AddSuspects(later, b.SuspectsBeside(later, a.SuspectDigests(later)), false)
+			b.AddSuspects(later, a.SuspectsBeside(later, feed.SuspectsQuery{}.WithDigests(later, b)), false)
+			a.AddSuspects(later, b.SuspectsBeside(later, feed.SuspectsQuery{}.WithDigests(later, a)), false)
 			So(b.SuspectsDiffer(later, a.Gossip(later, false, false).SuspectsDigest), ShouldBeFalse)
 			So(len(update(b, later, feed.SuspectsMark{}).Suspects), ShouldEqual, 2)
 		})
@@ -151,7 +151,7 @@
 		Convey("repairs a small difference with few entries", func() {
 			b := feed.NewStore(feed.Core{ID: "2", Region: "q", Zone: "y"}, 8)
 			b.AddSuspects(t0, wave[10:], false)
-			repair := a.SuspectsBeside(t0, b.SuspectDigests(t0))
+			repair := a.SuspectsBeside(t0, feed.SuspectsQuery{}.WithDigests(t0, b))
 			So(len(repair), ShouldBeLessThan, len(wave)/4)
 			b.AddSuspects(t0, repair, false)
 			So(b.SuspectsDiffer(t0, a.Gossip(t0, false, false).SuspectsDigest), ShouldBeFalse)
@@ -159,6 +159,46 @@
 	})
 }
 
+// Guards against core instances that differ for as long as their suspects live, and exchange the same ones again
+// and again, because what one of them lacks does not fit the first message.
+func TestManySuspectsThatDifferAreExchangedToTheEnd(t *testing.T) {
+	const common, own, rounds, messageLimit = 4000, 1500, 16, 1024
+	some := func(first, n int) (out []suspect.Entry) {
+		for k := range n {
+			out = append(out, suspectOf(first+k, suspect.Suspected))
+		}
+		return out
+	}
+	Convey("two core instances that were partitioned while many targets crashed", t, func() {
+		a := feed.NewStore(feed.Core{ID: "1", Region: "r", Zone: "z"}, 7)
+		b := feed.NewStore(feed.Core{ID: "2", Region: "q", Zone: "y"}, 8)
+		a.AddSuspects(t0, some(0, common+own), true)
+		b.AddSuspects(t0, some(0, common), true)
+		b.AddSuspects(t0, some(common+own, own), true)
+		repair := func(to, from *feed.Store, q *feed.SuspectsQuery) {
+			answer := from.SuspectsBeside(t0, q.WithDigests(t0, to))
+			So(len(answer), ShouldBeLessThanOrEqualTo, messageLimit)
+			to.AddSuspects(t0, answer, false)
+			*q = q.NextQuery(answer)
+		}
+		var ofA, ofB feed.SuspectsQuery
+		differ := func() bool { return a.SuspectsDiffer(t0, b.Gossip(t0, false, false).SuspectsDigest) }
+		Convey("hold the same after some exchanges", func() {
+			for range rounds {
+				repair(a, b, &ofA)
+				repair(b, a, &ofB)
+			}
+			So(differ(), ShouldBeFalse)
+		})
+		Convey("and one of them gets all if the other one gets none", func() {
+			for range rounds {
+				repair(a, b, &ofA)
+			}
+			So(len(a.Suspects(t0)), ShouldEqual, common+2*own)
+		})
+	})
+}
+
 // Guards against memory that grows with crashes, and suspects that make room for cleared ones.
 func TestSuspectsAreBoundedClearedOnesFirst(t *testing.T) {
 	const many = 10_000
