node/feed: what an entry instance reported of a crash is gossiped though another core instance told of it first

A record that an entry instance reported was gossiped only if no other core instance told of the same digest and crash before the next round, 50 to 150 ms later: then the record counted as told by that one, and a clearance or the status alone stayed here until the exchange of what differs, 2 to 4 s later; a later round, which digests of buckets leave out, stayed for good.

The record still counts as reported here while it was in no round. The test fails on the code before in both cases.

--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -123,6 +123,8 @@
 		return false
 	}
 	if known {
+		// What other core instances tell may lack what was reported here.
+		direct = direct || old.direct && old.number > l.gossiped
 		e.Status, e.Round, e.Trial = max(e.Status, old.entry.Status), max(e.Round, old.entry.Round), e.Trial || old.entry.Trial
 		if e.Until.Before(old.entry.Until) {
 			e.Until = old.entry.Until
--- a/node/feed/suspects_test.go
+++ b/node/feed/suspects_test.go
@@ -159,6 +159,26 @@
 	})
 }
 
+// Guards against a clearance, or a crash of a later round, that stays with the core instance to which it was
+// reported, as another one told of the same crash before the next gossip.
+func TestSuspectReportedBeforeGossipOfItsCrashIsGossiped(t *testing.T) {
+	for name, reported := range map[string]suspect.Entry{"cleared": suspectOf(1, suspect.Cleared), "alone": suspectOf(1, suspect.Alone)} {
+		t.Run(name, func(t *testing.T) {
+			a := feed.NewStore(feed.Core{ID: "1", Region: "r", Zone: "z"}, 7)
+			a.AddSuspects(t0, []suspect.Entry{reported}, true)
+			told := suspectOf(1, suspect.Suspected)
+			told.Round = 2
+			a.AddSuspects(t0, []suspect.Entry{told}, false)
+			for _, e := range a.NextSuspectsRound(t0) {
+				if e.Status == reported.Status && e.Round == told.Round {
+					return
+				}
+			}
+			t.Error("it is in no gossip")
+		})
+	}
+}
+
 // Guards against core instances that differ for as long as their suspects live, and exchange the same ones again
 // and again, because what one of them lacks does not fit the first message.
 func TestManySuspectsThatDifferAreExchangedToTheEnd(t *testing.T) {
