node/entry: only the instances that follow a started core instance tell it all suspects, without those it has told

Each entry instance reported its whole table at its first contact with each start of each core instance, also where it only compares with that, in reports to whichever core instance came next. With hundreds of entry instances and thousands of suspects, a start of one core instance after many crashes made all others read the table once for each of them, 256 entries a report: traffic of instances x entries, as that which took all processor time of the core instances. New evidence waited behind it.

Core instances exchange what they hold by themselves. So only an instance that follows the one that has started reports its table, and what comes with the same answer is left out.

An entry instance that holds 200 suspects, follows one of nine core instances and compares with the others reported 9 x 200 entries at first contact with all, and 200 for each start of any; now 0 where the core instance tells them itself.

--- a/node/entry/suspects.go
+++ b/node/entry/suspects.go
@@ -10,11 +10,11 @@
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
-// suspectMarks are the marks of suspects by core instance, and the epochs that this instance has
-// reported all its suspects to. Instance.mu guards it.
+// suspectMarks are the marks of suspects by core instance. Instance.mu guards it.
 type suspectMarks struct {
-	marks  map[string]feed.SuspectsMark
-	epochs map[uint64]bool
+	marks map[string]feed.SuspectsMark
+	// started are the core instances that may lack suspects of this instance, as they have started.
+	started map[string]bool
 }
 
 // markFor returns the mark for a report to a core instance.
@@ -23,19 +23,28 @@
 	return &m
 }
 
-// update records the mark of an answer, and reports whether its core instance has not been reported
-// to since it started.
-func (s *suspectMarks) update(from string, m *feed.SuspectsMark) (started bool) {
+// update records the mark of an answer, and reports whether its core instance has started since this instance
+// last reported to it, so that it must be told all suspects.
+//
+// Core instances exchange what they hold. If all entry instances told one that has started, and not only those
+// that follow it, it would get all suspects from each of them.
+func (s *suspectMarks) update(from string, m *feed.SuspectsMark, brief bool) (tellAll bool) {
 	if m == nil {
 		return false
 	}
 	if s.marks == nil {
-		s.marks, s.epochs = map[string]feed.SuspectsMark{}, map[uint64]bool{}
+		s.marks, s.started = map[string]feed.SuspectsMark{}, map[string]bool{}
 	}
+	last, known := s.marks[from]
 	s.marks[from] = *m
-	started = !s.epochs[m.Epoch]
-	s.epochs[m.Epoch] = true
-	return started
+	if known && last.Epoch != m.Epoch || !known && !brief {
+		s.started[from] = true
+	}
+	if brief || !s.started[from] {
+		return false
+	}
+	delete(s.started, from)
+	return true
 }
 
 // publishSuspects sends the suspects of a crash to the followed core instance at once: until the next
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -20,12 +20,16 @@
 // the list is replaced by an older one: the core instance may lag.
 func (i *Instance) applyUpdate(from string, u *feed.Update, r feed.Report) {
 	now := time.Now()
-	i.poisonRequests.mergeTold(u.Suspects)
 	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.suspects.update(from, u.Suspected) {
+	tellAll := i.suspects.update(from, u.Suspected, r.Brief)
+	i.mu.Unlock()
+	if tellAll {
 		i.poisonRequests.reportAll()
 	}
+	// Removes from the reports what it has told itself.
+	i.poisonRequests.mergeTold(u.Suspects)
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	k := &i.known
 	if u.Head != nil {
 		i.applyHead(now, from, u.Head)
