e2e: each long answer begins before the next one is sent

TestLeavingTargetFinishesAndGetsNothingNew sent a long answer each 50 ms until two ran at both engines. If the instances stall meanwhile, more are sent than the 16 slots hold. The rest waits, at an engine or at an instance, and begins while the test counts the 40 requests that it sends next: "the other engine ran 42 of 40". The former suspicion, answers sent on from the leaving engine, is ruled out: the count leaves out resumed runs, and drain_s is 30 s.

Trace: with the three instances stopped for 0.9 s at that point 18 answers are sent, 16 run; the next check finds 42 of 40 at the other engine and nothing new at the leaving one. Stopped for 0.8 to 1.5 s, 13 of 14 runs fail in this way, with 41 to 49 of 40.

The test now awaits the beginning of each long answer, so that none waits; the checks are as they were. Stopped for 0.9 and 1.5 s, 7 of 7 runs pass.

--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -71,20 +71,25 @@
 
 // longAnswers are running answers of some seconds.
 type longAnswers struct {
+	name    string
 	results chan error
 	started int
 }
 
-// startLong starts long answers until both engines of a region run at least two. The
-// choice of engines is random, so the number of answers varies.
+// startLong starts long answers, one after the other has begun, until both engines of a
+// region run at least two. The choice of engines is random, so the number of answers
+// varies. An answer that waits for a slot would begin later, as if it were new work.
 func (c *cluster) startLong(name string, s *regionTargets) *longAnswers {
 	c.t.Helper()
-	l := &longAnswers{results: make(chan error, maxLongAnswers)}
+	l := &longAnswers{name: name, results: make(chan error, maxLongAnswers)}
 	before := []int64{s.engines[0].Counts().Runs, s.engines[1].Counts().Runs}
 	c.eventually("both engines run long answers", func() error {
+		if l.started > 0 && s.runsOf(l.prompt(l.started-1)) == 0 {
+			return errorString(l.prompt(l.started-1) + " has not begun")
+		}
 		for k, e := range s.engines {
 			if e.Counts().Runs-before[k] < 2 {
-				l.startOne(c, name)
+				l.startOne(c)
 				return errorString(fmt.Sprintf("one idles, %d begun", l.started))
 			}
 		}
@@ -94,16 +99,17 @@
 }
 
 // startOne starts another long answer, up to maxLongAnswers.
-func (l *longAnswers) startOne(c *cluster, name string) {
+func (l *longAnswers) startOne(c *cluster) {
 	if l.started == maxLongAnswers {
 		return
 	}
-	n := l.started
+	i, prompt := c.inRegion("jatim")[l.started%3], l.prompt(l.started)
 	l.started++
-	i := c.inRegion("jatim")[n%3]
-	go func() { l.results <- c.longBriefing(i, fmt.Sprint(name, " ", n)) }()
+	go func() { l.results <- c.longBriefing(i, prompt) }()
 }
 
+func (l *longAnswers) prompt(n int) string { return fmt.Sprint(l.name, " ", n) }
+
 // longBriefing requests and checks an answer of about five seconds.
 func (c *cluster) longBriefing(i *instance, prompt string) error {
 	const tokens = 2500
