ports/transport: clients of the list and of operators have the bound of rawhttp

Cause: the client of the platform's list, the operators' commands and the load generator use net/http's default bound of 10 MiB for heads.

Change: transport.NewHTTPClient, with rawhttp.MaxHeadBytes (1 MiB), for the list and the commands; the load generator's transport has the bound too (no test of its own).

Measured: before, the 7 cases with endless heads of operate/cli had 12 to 16 MB written, 10.5 allowed; after, all 15 pass. The 8 with endless chunks, trailers and bodies passed before. ./operate/..., ./daemon and ./ports/transport pass.

--- a/coord/endless/endless.go
+++ b/coord/endless/endless.go
@@ -15,7 +15,7 @@
 
 const (
 	// MaxBytes is how much of an answer is written to a client that never closes.
-	MaxBytes = 96 << 20
+	MaxBytes = 160 << 20
 	// socketBytes bounds what the sockets of both ends hold at first of an answer that isn't read. The
 	// kernel grows a receive buffer with what is read.
 	socketBytes = 8 << 20
--- a/daemon/site.go
+++ b/daemon/site.go
@@ -25,6 +25,7 @@
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/platform"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/ports/transport"
 	"github.com/gullhaven/gullhaven/settings"
 )
 
@@ -209,7 +210,7 @@
 
 func (r *site) runCore(ctx context.Context) error {
 	s := r.s
-	list := &platform.List{Address: s.InstanceList, Regions: s.Regions, Client: &http.Client{Timeout: platformTimeout}, Log: r.log}
+	list := &platform.List{Address: s.InstanceList, Regions: s.Regions, Client: transport.NewHTTPClient(platformTimeout), Log: r.log}
 	i, err := control.New(control.Options{
 		Self:       feed.Core{ID: s.Listen.Instances, Region: s.Region, Zone: s.Zone},
 		Regions:    s.RegionNames(),
--- a/operate/cli/connect.go
+++ b/operate/cli/connect.go
@@ -1,11 +1,11 @@
 package cli
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/gullhaven/gullhaven/bundle/strict"
 	"github.com/gullhaven/gullhaven/operate"
+	"github.com/gullhaven/gullhaven/ports/transport"
 )
 
 // connection has the options of commands that call instances.
@@ -23,7 +23,7 @@
 	}
 	return &operate.Client{
 		Addresses: c.To,
-		HTTP:      &http.Client{Timeout: time.Duration(c.Timeout * float64(time.Second))},
+		HTTP:      transport.NewHTTPClient(time.Duration(c.Timeout * float64(time.Second))),
 		Rounds:    rounds,
 		Pause:     roundInterval,
 		Sleep:     env.Sleep,
--- a/operate/load/send.go
+++ b/operate/load/send.go
@@ -17,6 +17,7 @@
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/pipeline/openai"
 	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/standin"
 )
 
@@ -64,9 +65,10 @@
 	}}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: c.Concurrency,
-			DisableCompression:  true,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    c.Concurrency,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: rawhttp.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/ports/transport/clients.go
+++ b/ports/transport/clients.go
@@ -1,6 +1,12 @@
 package transport
 
-import "sync"
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
+)
 
 // Clients has one client for each address. It is safe for concurrent use.
 type Clients[T any] struct {
@@ -22,3 +28,11 @@
 	client, _ := c.byAddress.LoadOrStore(address, c.make(address, c.transports))
 	return client.(T)
 }
+
+// NewHTTPClient returns a client for calls to servers other than targets: timeout bounds a whole call, and
+// rawhttp.MaxHeadBytes the head of its answer.
+func NewHTTPClient(timeout time.Duration) *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = rawhttp.MaxHeadBytes
+	return &http.Client{Transport: t, Timeout: timeout}
+}
