pipeline/exchange: the body of a caller is read until its deadline

Cause: nothing bounded the time for a request's body, as the deadline applied from its end on. A caller that sends its body bit by bit held the request, its memory and its connection for ever.

Change: the connection has the deadline of the request as its read deadline until the body is read. Then it is closed without an answer, as for a caller that has left; nothing was sent to a target.

Measured: before, both cases of TestSlowBodyOfACallerEndsAtTheDeadline were still open after 5 s with a deadline of 50 ms; after, they pass 5 of 5 times with -race, and ./pipeline/exchange passes with -race.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -186,7 +186,7 @@
 	return q.readBody()
 }
 
-// readBody reads the whole body, so that it can be sent to another target, and so that a
+// readBody reads the whole body until the deadline, so that it can be sent to another target, and so that a
 // caller's disconnect is noticed while a target works.
 func (q *request) readBody() *refusal {
 	q.raw = rawhttp.Request{
@@ -203,14 +203,19 @@
 	if q.r.ContentLength > maxBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
 	}
+	c := http.NewResponseController(q.w)
+	// It fails only if there is no connection.
+	_ = c.SetReadDeadline(q.deadline)
 	body, err := readAll(q.r.Body, q.r.ContentLength, maxBytes)
 	if err != nil {
-		// The caller disconnected: there is nobody to answer.
+		// The caller disconnected, or its deadline has passed: there is nobody to answer. The server reads on
+		// when it closes the connection, so the read deadline stays.
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(body)) > maxBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, close: true}
 	}
+	_ = c.SetReadDeadline(time.Time{})
 	q.raw.Body = body
 	return nil
 }
--- a/pipeline/exchange/endless_test.go
+++ b/pipeline/exchange/endless_test.go
@@ -1,6 +1,9 @@
 package exchange_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -135,3 +138,25 @@
 		}
 	}
 }
+
+// Guards against a caller that holds a request and its connection for ever, with a body that comes bit by bit.
+func TestSlowBodyOfACallerEndsAtTheDeadline(t *testing.T) {
+	for head, part := range map[string]string{"Content-Length: 1000": "x", "Transfer-Encoding: chunked": "1\r\nx\r\n"} {
+		t.Run(head, func(t *testing.T) {
+			x := newTarget(t, "t1", respond(200, "done"))
+			c, err := net.Dial("tcp", newRig(t, "r", x).server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if _, err := fmt.Fprintf(c, "POST /quick/x HTTP/1.1\r\nHost: %s\r\nId: id-1\r\n%s\r\n\r\n%s", host, head, part); err != nil {
+				t.Fatal(err)
+			}
+			answer, err := io.ReadAll(c)
+			if err != nil || len(answer) > 0 || requestCount(x) > 0 {
+				t.Errorf("%q, %v, %d requests sent", answer, err, requestCount(x))
+			}
+		})
+	}
+}
