--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -39,11 +39,11 @@
 	return cbor.Marshal(i.updateFor(r))
 }
 
-// reportWait returns how long a report may be held back. One whose sender misses suspects is not answered at
-// once: another one follows, and there may be new ones for seconds.
+// reportWait returns how long a report may be held back. Those whose senders miss suspects are not all answered
+// at once: others follow, and there may be new ones for seconds.
 func (i *Instance) reportWait(r *feed.Report) time.Duration {
 	wait := time.Duration(r.WaitMillis) * time.Millisecond
-	if atMost, misses := i.store.SuspectsWait(r); misses {
+	if atMost, misses := i.store.SuspectsWait(time.Now(), r); misses {
 		return min(wait, atMost)
 	}
 	return wait
--- a/node/feed/store.go
+++ b/node/feed/store.go
@@ -63,10 +63,10 @@
 	// one has left or begun to leave, and that no waiting report was woken for it yet.
 	lastWake    time.Time
 	wakePending bool
-	// suspectsWokenAt is when suspects last caused a wake-up, and wokenSuspect the number of the last one by
-	// then.
-	suspectsWokenAt time.Time
-	wokenSuspect    uint64
+	// suspectWakes bounds the wake-ups for suspects, and wokenSuspect is the number of the last one at the
+	// last wake-up. hastened bounds the reports that are answered at once for suspects.
+	suspectWakes, hastened budget
+	wokenSuspect           uint64
 	// reporters is the number of entry instances that recently reported here.
 	reporters int
 	// invalidCapacities is the number of reports whose capacity was ignored.
@@ -157,8 +157,10 @@
 		st.lastWake = now
 		st.wake()
 	}
-	if l := &st.suspects; st.wokenSuspect < l.last && now.Sub(st.suspectsWokenAt) >= max(l.interval(st.wokenSuspect), st.answerTime()) {
-		st.suspectsWokenAt, st.wokenSuspect = now, l.last
+	l := &st.suspects
+	if interval := max(l.interval(st.wokenSuspect), st.answerTime()); st.wokenSuspect < l.last && !now.Before(st.suspectWakes.dueAt(interval)) {
+		st.suspectWakes.take(now, interval)
+		st.wokenSuspect = l.last
 		st.wake()
 	}
 }
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -22,10 +22,12 @@
 	maxSuspectsPerExchange = 1024
 	// maxSuspects bounds the number of suspects that are kept; each takes 80 bytes.
 	maxSuspects = 8192
-	// suspectsInterval is the least time between two rounds of gossip, or wake-ups, for suspects: the ends of
-	// some targets make new ones for seconds, and each wake-up is an answer to each instance, with what
-	// follows from it. urgentSuspectsInterval is that for those that are refused from now on.
+	// suspectsInterval is the time between two rounds of gossip, or wake-ups, for suspects, after suspectsBurst
+	// of them in a row: the ends of some targets make new ones for seconds, and each wake-up is an answer to
+	// each instance, with what follows from it. urgentSuspectsInterval is that for those that are refused from
+	// now on.
 	suspectsInterval, urgentSuspectsInterval = 150 * time.Millisecond, 50 * time.Millisecond
+	suspectsBurst                            = 8
 	// evictedSuspects is how many of a full store are evicted at once, so that it is not searched for
 	// each new one.
 	evictedSuspects = maxSuspects / 16
@@ -78,8 +80,8 @@
 	// entries of the last one: each is in two rounds, so that a lost message has no effect.
 	gossiped  uint64
 	lastRound []suspect.Entry
-	// roundAt is when that round was.
-	roundAt time.Time
+	// rounds bounds the rounds.
+	rounds budget
 	// lastUrgent is the number of the last record that is urgent.
 	lastUrgent uint64
 }
@@ -97,6 +99,21 @@
 	return suspectsInterval
 }
 
+// budget allows suspectsBurst events in a row, and after that one in each interval.
+type budget struct {
+	// spentUntil is when all events so far would have ended, one interval each.
+	spentUntil time.Time
+}
+
+// dueAt returns when the next event is allowed.
+func (b *budget) dueAt(interval time.Duration) time.Time {
+	return b.spentUntil.Add(-(suspectsBurst - 1) * interval)
+}
+
+func (b *budget) take(now time.Time, interval time.Duration) {
+	b.spentUntil = later(b.spentUntil, now).Add(interval)
+}
+
 type numberedSuspect struct {
 	number uint64
 	key    suspectKey
@@ -245,7 +262,9 @@
 // nextRound returns the entries of entry instances that report here for a round of gossip.
 func (l *suspectLog) nextRound(now time.Time) []suspect.Entry {
 	again := l.lastRound
-	l.roundAt = now
+	if l.gossiped < l.last {
+		l.rounds.take(now, l.interval(l.gossiped))
+	}
 	l.lastRound, l.gossiped = l.entriesAfter(l.gossiped, maxSuspectsPerMessage, func(r *suspectRecord) bool { return r.direct })
 	return slices.Concat(again, l.lastRound)
 }
@@ -296,13 +315,20 @@
 
 // SuspectsWait returns for how long at most a report may be held back for the suspects that its sender misses;
 // false if it misses none.
-func (st *Store) SuspectsWait(r *Report) (time.Duration, bool) {
+func (st *Store) SuspectsWait(now time.Time, r *Report) (time.Duration, bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if !st.misses(r.Suspected) {
 		return 0, false
 	}
-	return st.suspects.interval(st.firstMissed(r.Suspected)), true
+	interval := st.suspects.interval(st.firstMissed(r.Suspected))
+	// All that report here share the bursts.
+	each := interval / time.Duration(max(1, st.reporters))
+	if now.Before(st.hastened.dueAt(each)) {
+		return interval, true
+	}
+	st.hastened.take(now, each)
+	return 0, true
 }
 
 // firstMissed returns the number from which on the sender of a mark misses suspects.
@@ -319,7 +345,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	l := &st.suspects
-	return l.roundAt.Add(l.interval(l.gossiped)), l.gossiped < l.last
+	return l.rounds.dueAt(l.interval(l.gossiped)), l.gossiped < l.last
 }
 
 // Suspects returns all that are stored, for another core instance.
