node/feed: the first crashes of a request are told at once, further ones of a round at the usual pace

The pace of suspects missed both ends. And each further crash by a request that is refused already counted as urgent, though crashes of one round say no more than the first: while many targets end, waiting reports were woken 20 times a second.

Urgent is now what adds a round to a digest, or says that it was alone in a crash; four such rounds of gossip, or wake-ups, may follow each other at once, and then one every 50 ms.

--- a/node/feed/store.go
+++ b/node/feed/store.go
@@ -63,10 +63,6 @@
 	// one has left or begun to leave, and that no waiting report was woken for it yet.
 	lastWake    time.Time
 	wakePending bool
-	// suspectsWokenAt is when suspects last caused a wake-up, and wokenSuspect the number of the last one by
-	// then.
-	suspectsWokenAt time.Time
-	wokenSuspect    uint64
 	// reporters is the number of entry instances that recently reported here.
 	reporters int
 	// invalidCapacities is the number of reports whose capacity was ignored.
@@ -157,8 +153,7 @@
 		st.lastWake = now
 		st.wake()
 	}
-	if l := &st.suspects; st.wokenSuspect < l.last && now.Sub(st.suspectsWokenAt) >= max(l.interval(st.wokenSuspect), st.answerTime()) {
-		st.suspectsWokenAt, st.wokenSuspect = now, l.last
+	if st.suspects.wakeDue(now, st.answerTime()) {
 		st.wake()
 	}
 }
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,9 @@
 	// some targets make new ones for seconds, and each wake-up is an answer to each instance, with what
 	// follows from it. urgentSuspectsInterval is that for those that are refused from now on.
 	suspectsInterval, urgentSuspectsInterval = 150 * time.Millisecond, 50 * time.Millisecond
+	// urgentBurst is how many urgent ones may follow each other at once: the first crashes by a request are told of
+	// before its caller has sent it on.
+	urgentBurst = 4
 	// evictedSuspects is how many of a full store are evicted at once, so that it is not searched for
 	// each new one.
 	evictedSuspects = maxSuspects / 16
@@ -76,25 +80,84 @@
 	// entries of the last one: each is in two rounds, so that a lost message has no effect.
 	gossiped  uint64
 	lastRound []suspect.Entry
-	// roundAt is when that round was.
-	roundAt time.Time
-	// lastUrgent is the number of the last record that is urgent.
+	// rounds paces the rounds of gossip, and wakes the wake-ups of waiting reports.
+	rounds, wakes pace
+	// woken is the number of the last record at the last wake-up.
+	woken uint64
+	// lastUrgent is the number of the last record that was urgent.
 	lastUrgent uint64
+	// lastRounds are the last rounds of digests whose records were urgent; lastRoundAlone for one that was
+	// alone in a crash.
+	lastRounds map[suspect.Digest]uint32
+}
+
+// lastRoundAlone counts as later than any round.
+const lastRoundAlone = math.MaxUint32
+
+// urgent reports whether an entry may mean that requests with its digest are refused from now on. Further crashes
+// of a round add nothing to the first one.
+func (l *suspectLog) urgent(e *suspect.Entry) bool {
+	round := e.Round
+	switch {
+	case e.Status == suspect.Alone:
+		round = lastRoundAlone
+	case e.Status == suspect.Cleared || round < suspect.QuarantineAfter:
+		return false
+	}
+	if round <= l.lastRounds[e.Digest] {
+		return false
+	}
+	if l.lastRounds == nil || len(l.lastRounds) >= maxSuspects {
+		l.lastRounds = map[suspect.Digest]uint32{}
+	}
+	l.lastRounds[e.Digest] = round
+	return true
 }
 
-// urgent reports whether an entry of a digest means that requests with it are refused from now on.
-func urgent(e *suspect.Entry) bool {
-	return e.Status == suspect.Alone || e.Status == suspect.Suspected && e.Round >= suspect.QuarantineAfter
-}
+// hasUrgent reports whether a record with a number above after was urgent.
+func (l *suspectLog) hasUrgent(after uint64) bool { return after < l.lastUrgent }
 
-// interval is the least time between two rounds, or wake-ups, for the records with a number above after.
+// interval is for how long a report may wait for the records with a number above after.
 func (l *suspectLog) interval(after uint64) time.Duration {
-	if after < l.lastUrgent {
+	if l.hasUrgent(after) {
 		return urgentSuspectsInterval
 	}
 	return suspectsInterval
 }
 
+// wakeDue reports whether waiting reports are to be woken for new suspects, and records that they are.
+func (l *suspectLog) wakeDue(now time.Time, answerTime time.Duration) bool {
+	if l.woken >= l.last || now.Before(l.wakes.next(l.hasUrgent(l.woken))) || now.Sub(l.wakes.last) < answerTime {
+		return false
+	}
+	l.wakes.record(now)
+	l.woken = l.last
+	return true
+}
+
+// pace bounds how often something is sent: at suspectsInterval, or, if it is urgent, urgentBurst times at once and
+// then at urgentSuspectsInterval.
+type pace struct {
+	last time.Time
+	// urgentAt is when the last one would have been sent at urgentSuspectsInterval, and one more such interval.
+	urgentAt time.Time
+}
+
+func (p *pace) next(urgent bool) time.Time {
+	if urgent {
+		return p.urgentAt.Add(-urgentBurst * urgentSuspectsInterval)
+	}
+	return p.last.Add(suspectsInterval)
+}
+
+func (p *pace) record(now time.Time) {
+	p.last = now
+	if p.urgentAt.Before(now) {
+		p.urgentAt = now
+	}
+	p.urgentAt = p.urgentAt.Add(urgentSuspectsInterval)
+}
+
 type numberedSuspect struct {
 	number uint64
 	key    suspectKey
@@ -139,7 +202,7 @@
 	r := suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct, hash: hashOf(&e)}
 	l.digests[bucket(key)] += r.hash - old.hash
 	l.records[key] = r
-	if urgent(&e) {
+	if l.urgent(&e) {
 		l.lastUrgent = l.last
 	}
 	l.order = append(l.order, numberedSuspect{l.last, key})
@@ -206,7 +269,7 @@
 	if now.Before(l.firstExpiry) {
 		return
 	}
-	l.firstExpiry = time.Time{}
+	l.firstExpiry, l.lastRounds = time.Time{}, nil
 	for key, r := range l.records {
 		switch until := r.entry.Until; {
 		case !now.Before(until):
@@ -243,7 +306,7 @@
 // nextRound returns the entries of entry instances that report here for a round of gossip.
 func (l *suspectLog) nextRound(now time.Time) []suspect.Entry {
 	again := l.lastRound
-	l.roundAt = now
+	l.rounds.record(now)
 	l.lastRound, l.gossiped = l.entriesAfter(l.gossiped, maxSuspectsPerMessage, func(r *suspectRecord) bool { return r.direct })
 	return slices.Concat(again, l.lastRound)
 }
@@ -302,7 +365,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	l := &st.suspects
-	return l.roundAt.Add(l.interval(l.gossiped)), l.gossiped < l.last
+	return l.rounds.next(l.hasUrgent(l.gossiped)), l.gossiped < l.last
 }
 
 // Suspects returns all that are stored, for another core instance.
--- a/node/feed/suspects_test.go
+++ b/node/feed/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -91,9 +92,8 @@
 	}
 	Convey("a core instance that hears of many crashes", t, func() {
 		a := feed.NewStore(feed.Core{ID: "1", Region: "r", Zone: "z"}, 7)
-		Convey("wakes waiting reports a few times a second", func() {
+		wakesInASecond := func(wave []suspect.Entry) (wakes int) {
 			const second, step = 100, 10 * time.Millisecond
-			wakes := 0
 			for n := range second {
 				now, changed := t0.Add(time.Duration(n)*step), a.Changed()
 				a.AddSuspects(now, wave[n*len(wave)/second:(n+1)*len(wave)/second], true)
@@ -104,7 +104,44 @@
 				default:
 				}
 			}
-			So(wakes, ShouldBeBetweenOrEqual, 1, 7)
+			return wakes
+		}
+		Convey("wakes waiting reports a few times a second", func() {
+			So(wakesInASecond(wave), ShouldBeBetweenOrEqual, 1, 7)
+		})
+		Convey("also if the same requests crash one target after the other", func() {
+			again := slices.Clone(wave)
+			for n := range again {
+				again[n].Round = suspect.QuarantineAfter
+			}
+			So(wakesInASecond(again), ShouldBeBetweenOrEqual, 1, 13)
+		})
+		Convey("but at once for a request that is refused after its second crash within a moment", func() {
+			one := suspectOf(1, suspect.Suspected)
+			for n := range 2 {
+				one.Crash.Target, one.Round = fmt.Sprint("u", n), uint32(n+1)
+				a.AddSuspects(t0, []suspect.Entry{one}, true)
+				at, due := a.SuspectsRoundAt()
+				So(due, ShouldBeTrue)
+				So(at, ShouldHappenOnOrBefore, t0)
+				So(a.NextSuspectsRound(t0), ShouldNotBeEmpty)
+			}
+		})
+		Convey("and within 50 ms for each request that is refused from now on", func() {
+			refused := suspectOf(1, suspect.Suspected)
+			for n := range 4 {
+				now, changed := t0.Add(time.Duration(n)*50*time.Millisecond), a.Changed()
+				refused.Crash.Target, refused.Round = fmt.Sprint(n), suspect.QuarantineAfter+uint32(n)
+				a.AddSuspects(now, []suspect.Entry{refused}, true)
+				So(func() bool {
+					select {
+					case <-changed:
+						return true
+					default:
+						return false
+					}
+				}(), ShouldBeTrue)
+			}
 		})
 		a.AddSuspects(t0, wave, true)
 		Convey("sends them in pages, each entry once", func() {
