node/entry: a later round of a crash that waits for its report is sent ahead too

An entry that had been sent ahead of its report stayed marked as sent when a later round, or a status that says more, joined it, so that the other instances heard of that by the next report, up to a second later, or longer while reports fail. The test fails on the code before.

--- a/node/entry/pending.go
+++ b/node/entry/pending.go
@@ -54,7 +54,11 @@
 	for _, e := range entries {
 		key := suspectKey{e.Digest, e.Crash}
 		if known, ok := p.entries[key]; ok {
-			known.Entry = joinEntries(known.Entry, e)
+			joined := joinEntries(known.Entry, e)
+			if !published && (joined.Status != known.Status || joined.Round != known.Round) {
+				known.published = false
+			}
+			known.Entry = joined
 			p.entries[key] = known
 			continue
 		}
--- a/node/entry/pending_test.go
+++ b/node/entry/pending_test.go
@@ -81,6 +81,26 @@
 	})
 }
 
+// Guards against a request that is refused here only until the next report, as what was sent ahead of it was an
+// earlier round of the same crash.
+func TestLaterRoundOfAnUnreportedCrashIsSentAheadToo(t *testing.T) {
+	var p pendingSuspects
+	first := suspectsOf("t", 1)[0]
+	p.add([]suspect.Entry{first})
+	p.takeUnpublished()
+	later := first
+	later.Round++
+	p.add([]suspect.Entry{later})
+	if got := p.takeUnpublished(); len(got) != 1 || got[0] != later {
+		t.Errorf("sent ahead: %v", got)
+	}
+	p.restore([]suspect.Entry{first})
+	p.add([]suspect.Entry{first})
+	if got := p.takeUnpublished(); len(got) != 0 {
+		t.Errorf("sent ahead again: %v", got)
+	}
+}
+
 // Guards against a renewal or a further crash that nobody else hears of, as an older entry was told.
 func TestOlderEntriesKeepNewOnesPending(t *testing.T) {
 	Convey("entries that wait for a report, and what a core instance tells of them", t, func() {
