--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -22,12 +23,13 @@
 	maxSuspectsPerExchange = 1024
 	// maxSuspects bounds the number of suspects that are kept; each takes 80 bytes.
 	maxSuspects = 8192
-	// suspectsInterval is the time between two rounds of gossip, or wake-ups, for suspects, after suspectsBurst
-	// of them in a row: the ends of some targets make new ones for seconds, and each wake-up is an answer to
-	// each instance, with what follows from it. urgentSuspectsInterval is that for those that are refused from
-	// now on.
+	// suspectsInterval is the least time between two rounds of gossip, or wake-ups, for suspects: the ends of
+	// some targets make new ones for seconds, and each wake-up is an answer to each instance, with what
+	// follows from it. urgentSuspectsInterval is that for those that are refused from now on.
 	suspectsInterval, urgentSuspectsInterval = 150 * time.Millisecond, 50 * time.Millisecond
-	suspectsBurst                            = 8
+	// urgentBurst is how many urgent ones may follow each other at once: the first crashes by a request are told of
+	// before its caller has sent it on.
+	urgentBurst = 4
 	// evictedSuspects is how many of a full store are evicted at once, so that it is not searched for
 	// each new one.
 	evictedSuspects = maxSuspects / 16
@@ -80,38 +82,82 @@
 	// entries of the last one: each is in two rounds, so that a lost message has no effect.
 	gossiped  uint64
 	lastRound []suspect.Entry
-	// rounds bounds the rounds.
-	rounds budget
-	// lastUrgent is the number of the last record that is urgent.
+	// rounds paces the rounds of gossip, and wakes the wake-ups of waiting reports.
+	rounds, wakes pace
+	// woken is the number of the last record at the last wake-up.
+	woken uint64
+	// lastUrgent is the number of the last record that was urgent.
 	lastUrgent uint64
+	// lastRounds are the last rounds of digests whose records were urgent; lastRoundAlone for one that was
+	// alone in a crash.
+	lastRounds map[suspect.Digest]uint32
+}
+
+// lastRoundAlone counts as later than any round.
+const lastRoundAlone = math.MaxUint32
+
+// urgent reports whether an entry may mean that requests with its digest are refused from now on. Further crashes
+// of a round add nothing to the first one.
+func (l *suspectLog) urgent(e *suspect.Entry) bool {
+	round := e.Round
+	switch {
+	case e.Status == suspect.Alone:
+		round = lastRoundAlone
+	case e.Status == suspect.Cleared || round < suspect.QuarantineAfter:
+		return false
+	}
+	if round <= l.lastRounds[e.Digest] {
+		return false
+	}
+	if l.lastRounds == nil || len(l.lastRounds) >= maxSuspects {
+		l.lastRounds = map[suspect.Digest]uint32{}
+	}
+	l.lastRounds[e.Digest] = round
+	return true
 }
 
-// urgent reports whether an entry of a digest means that requests with it are refused from now on.
-func urgent(e *suspect.Entry) bool {
-	return e.Status == suspect.Alone || e.Status == suspect.Suspected && e.Round >= suspect.QuarantineAfter
-}
+// hasUrgent reports whether a record with a number above after was urgent.
+func (l *suspectLog) hasUrgent(after uint64) bool { return after < l.lastUrgent }
 
-// interval is the least time between two rounds, or wake-ups, for the records with a number above after.
+// interval is for how long a report may wait for the records with a number above after.
 func (l *suspectLog) interval(after uint64) time.Duration {
-	if after < l.lastUrgent {
+	if l.hasUrgent(after) {
 		return urgentSuspectsInterval
 	}
 	return suspectsInterval
 }
 
-// budget allows suspectsBurst events in a row, and after that one in each interval.
-type budget struct {
-	// spentUntil is when all events so far would have ended, one interval each.
-	spentUntil time.Time
+// wakeDue reports whether waiting reports are to be woken for new suspects, and records that they are.
+func (l *suspectLog) wakeDue(now time.Time, answerTime time.Duration) bool {
+	if l.woken >= l.last || now.Before(l.wakes.next(l.hasUrgent(l.woken))) || now.Sub(l.wakes.last) < answerTime {
+		return false
+	}
+	l.wakes.record(now)
+	l.woken = l.last
+	return true
+}
+
+// pace bounds how often something is sent: at suspectsInterval, or, if it is urgent, urgentBurst times at once and
+// then at urgentSuspectsInterval.
+type pace struct {
+	last time.Time
+	// urgentAt is when the last one would have been sent at urgentSuspectsInterval, and one more such interval.
+	urgentAt time.Time
 }
 
-// dueAt returns when the next event is allowed.
-func (b *budget) dueAt(interval time.Duration) time.Time {
-	return b.spentUntil.Add(-(suspectsBurst - 1) * interval)
+func (p *pace) next(urgent bool) time.Time {
+	if urgent {
+		return p.urgentAt.Add(-urgentBurst * urgentSuspectsInterval)
+	}
+	return p.last.Add(suspectsInterval)
 }
 
-func (b *budget) take(now time.Time, interval time.Duration) {
-	b.spentUntil = later(b.spentUntil, now).Add(interval)
+func (p *pace) record(now time.Time) {
+	p.last = now
+	if p.urgentAt.Before(now) {
+		p.urgentAt = now
+	}
+	p.urgentAt = p.urgentAt.Add(urgentSuspectsInterval)
 }
 
 type numberedSuspect struct {
@@ -158,7 +204,7 @@
 	r := suspectRecord{entry: e, receivedAt: now, number: l.last, direct: direct, hash: hashOf(&e)}
 	l.digests[bucket(key)] += r.hash - old.hash
 	l.records[key] = r
-	if urgent(&e) {
+	if l.urgent(&e) {
 		l.lastUrgent = l.last
 	}
 	l.order = append(l.order, numberedSuspect{l.last, key})
@@ -225,7 +271,7 @@
 	if now.Before(l.firstExpiry) {
 		return
 	}
-	l.firstExpiry = time.Time{}
+	l.firstExpiry, l.lastRounds = time.Time{}, nil
 	for key, r := range l.records {
 		switch until := r.entry.Until; {
 		case !now.Before(until):
@@ -262,9 +308,7 @@
 // nextRound returns the entries of entry instances that report here for a round of gossip.
 func (l *suspectLog) nextRound(now time.Time) []suspect.Entry {
 	again := l.lastRound
-	if l.gossiped < l.last {
-		l.rounds.take(now, l.interval(l.gossiped))
-	}
+	l.rounds.record(now)
 	l.lastRound, l.gossiped = l.entriesAfter(l.gossiped, maxSuspectsPerMessage, func(r *suspectRecord) bool { return r.direct })
 	return slices.Concat(again, l.lastRound)
 }
@@ -315,20 +359,13 @@
 
 // SuspectsWait returns for how long at most a report may be held back for the suspects that its sender misses;
 // false if it misses none.
-func (st *Store) SuspectsWait(now time.Time, r *Report) (time.Duration, bool) {
+func (st *Store) SuspectsWait(r *Report) (time.Duration, bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if !st.misses(r.Suspected) {
 		return 0, false
 	}
-	interval := st.suspects.interval(st.firstMissed(r.Suspected))
-	// All that report here share the bursts.
-	each := interval / time.Duration(max(1, st.reporters))
-	if now.Before(st.hastened.dueAt(each)) {
-		return interval, true
-	}
-	st.hastened.take(now, each)
-	return 0, true
+	return st.suspects.interval(st.firstMissed(r.Suspected)), true
 }
 
 // firstMissed returns the number from which on the sender of a mark misses suspects.
@@ -345,7 +382,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	l := &st.suspects
-	return l.rounds.dueAt(l.interval(l.gossiped)), l.gossiped < l.last
+	return l.rounds.next(l.hasUrgent(l.gossiped)), l.gossiped < l.last
 }
 
 // Suspects returns all that are stored, for another core instance.
