node/control: a core instance outside the group keeps a leader that does not serve a channel

Since pieces and offer go to the leader in one call, a leader of an older release answers the first one that it does not serve the channel. An instance outside the group took this for no answer, forgot the leader, and refused all orders until its next join request, up to 1.5 s later; again after each offer. The test fails on the code before.

--- a/node/control/operators_test.go
+++ b/node/control/operators_test.go
@@ -225,3 +225,21 @@
 		t.Errorf("taken %q, result %q, error %v", taken, result, err)
 	}
 }
+
+// Guards against a core instance outside the group that refuses orders after each offer during an update, as it
+// forgets a leader of a release that takes one command at a time.
+func TestStandbyKeepsALeaderThatDoesNotServeAChannel(t *testing.T) {
+	members := newMembers(t, 2)
+	i, leader := members[0], members[1].o.Self.ID
+	i.standby.leader = leader
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := i.callMember(ctx, leader, "a channel of a later release", nil)
+	var refused *verdict.Error
+	if !errors.As(err, &refused) || refused.Code != link.CodeNoHandler {
+		t.Fatalf("error %v", err)
+	}
+	if got := i.standby.leaderID(); got != leader {
+		t.Errorf("leader %q", got)
+	}
+}
--- a/node/control/standby.go
+++ b/node/control/standby.go
@@ -11,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
+	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/coord/pieces"
+	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/node/feed"
 )
 
@@ -100,13 +102,14 @@
 	return !i.firstStart || !slices.Contains(i.o.Seeds, i.o.Self.ID)
 }
 
-// callMember calls a member, and demotes it after an error.
+// callMember calls a member, and demotes it after an error, unless it is of a release that does not serve the channel.
 func (i *Instance) callMember(ctx context.Context, to, channel string, payload []byte) ([]byte, error) {
 	if to == "" || to == i.o.Self.ID {
 		return nil, errNoMember
 	}
 	answer, err := i.hub.Call(ctx, to, channel, payload)
-	if err != nil {
+	var refused *verdict.Error
+	if err != nil && !(errors.As(err, &refused) && refused.Code == link.CodeNoHandler) {
 		i.standby.demote(to)
 	}
 	return answer, err
