--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -201,7 +201,7 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: CodeBehind, retryAfter: place.RetryAfter(place.Busy, 0)}
 }
 
-// readBody reads the whole body, so that it can be sent to another target, and so that a
+// readBody reads the whole body until the deadline, so that it can be sent to another target, and so that a
 // caller's disconnect is noticed while a target works.
 func (q *request) readBody() *refusal {
 	q.raw = rawhttp.Request{
@@ -219,14 +219,19 @@
 	if q.r.ContentLength > maxBytes {
 		return q.refuseAsWrong(tooLarge)
 	}
+	c := http.NewResponseController(q.w)
+	// It fails only if there is no connection.
+	_ = c.SetReadDeadline(q.deadline)
 	body, err := readAll(q.r.Body, q.r.ContentLength, maxBytes)
 	if err != nil {
-		// The caller disconnected: there is nobody to answer.
+		// The caller disconnected, or its deadline has passed: there is nobody to answer. The server reads on
+		// when it closes the connection, so the read deadline stays.
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(body)) > maxBytes {
 		return q.refuseAsWrong(tooLarge)
 	}
+	_ = c.SetReadDeadline(time.Time{})
 	q.raw.Body = body
 	return nil
 }
