node/feed: gossip without new suspects leaves their pace alone

Each round of gossip counted for the pace of suspects, also those that have none, twice a second and at each change of the list: after some of these, the second crash of a request waited up to 50 ms for each one too many. The test fails on the code before.

--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -308,7 +308,9 @@
 // nextRound returns the entries of entry instances that report here for a round of gossip.
 func (l *suspectLog) nextRound(now time.Time) []suspect.Entry {
 	again := l.lastRound
-	l.rounds.record(now)
+	if l.gossiped < l.last {
+		l.rounds.record(now)
+	}
 	l.lastRound, l.gossiped = l.entriesAfter(l.gossiped, maxSuspectsPerMessage, func(r *suspectRecord) bool { return r.direct })
 	return slices.Concat(again, l.lastRound)
 }
--- a/node/feed/suspects_test.go
+++ b/node/feed/suspects_test.go
@@ -127,6 +127,17 @@
 				So(a.NextSuspectsRound(t0), ShouldNotBeEmpty)
 			}
 		})
+		Convey("also after gossip that had no new suspects", func() {
+			for range 10 {
+				a.NextSuspectsRound(t0)
+			}
+			one := suspectOf(1, suspect.Suspected)
+			one.Round = suspect.QuarantineAfter
+			a.AddSuspects(t0, []suspect.Entry{one}, true)
+			at, due := a.SuspectsRoundAt()
+			So(due, ShouldBeTrue)
+			So(at, ShouldHappenOnOrBefore, t0)
+		})
 		Convey("and within 50 ms for each request that is refused from now on", func() {
 			refused := suspectOf(1, suspect.Suspected)
 			for n := range 4 {
