--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -52,9 +52,9 @@
 	silentAfterFailures = 3
 )
 
-// confirmedFor is for how long an answer of a core instance with a leader confirms the newest configuration:
-// longer than two reports are apart and one of them may take.
-const confirmedFor = maxReportWait + reportTimeout + 800*time.Millisecond
+// confirmedFor is for how long an answer of a core instance with a leader confirms the newest configuration: one
+// is due within maxReportWait, and after a lost one another within compareInterval.
+const confirmedFor = maxReportWait + compareInterval
 
 // knownState is what the core instances have reported.
 type knownState struct {
@@ -71,7 +71,7 @@
 	coresDigest uint64
 	// entries are the other entry instances.
 	entries feed.Known
-	// confirmedAt is when a core instance with a leader last answered that it holds no newer state than head.
+	// confirmedAt is when a core instance with a leader last answered a report.
 	confirmedAt time.Time
 	// joined says that a core instance has answered a report in which this instance was ready.
 	joined bool
--- a/node/feed/suspects.go
+++ b/node/feed/suspects.go
@@ -348,13 +348,7 @@
 	return SuspectStats{Held: uint64(len(l.records)), Received: l.received, Changed: l.last}
 }
 
-// HasSuspectsFor reports whether the sender of a report misses suspects.
-func (st *Store) HasSuspectsFor(r *Report) bool {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.misses(r.Suspected)
-}
-
+// misses reports whether the sender of a mark misses suspects.
 func (st *Store) misses(m *SuspectsMark) bool {
 	return m != nil && len(st.suspects.records) > 0 && (m.Epoch != st.changes.epoch || m.At < st.suspects.last)
 }
@@ -387,7 +381,7 @@
 	return l.rounds.next(l.hasUrgent(l.gossiped)), l.gossiped < l.last
 }
 
-// Suspects returns all that are stored, for another core instance.
+// Suspects returns all that are stored.
 func (st *Store) Suspects(now time.Time) []suspect.Entry {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/node/feed/suspects_test.go
+++ b/node/feed/suspects_test.go
@@ -22,7 +22,8 @@
 	update := func(st *feed.Store, now time.Time, m feed.SuspectsMark) *feed.Update {
 		u := &feed.Update{}
 		r := feed.Report{Self: feed.Entry{ID: "e", Region: "r"}, Brief: true, Suspected: &m}
-		So(st.HasSuspectsFor(&r), ShouldEqual, len(st.Suspects(now)) > 0 && m.At < uint64(len(st.Suspects(now))))
+		_, misses := st.SuspectsWait(&r)
+		So(misses, ShouldEqual, len(st.Suspects(now)) > 0 && m.At < uint64(len(st.Suspects(now))))
 		st.FillUpdate(now, r, nil, u)
 		return u
 	}
