pipeline, node: an instance that stops waits until the ends of its bookings are recorded

What callers saw: a booking whose instance had been stopped gracefully was told "running at jatim-1" for over a minute after that one had ended.

Cause: ends are recorded after the request is in flight, by a queue; Stop waited for requests in flight alone and then ended the queue.

Change: the queue counts what it has not recorded yet, and Stop waits for that too, within its time to drain.

--- a/node/node.go
+++ b/node/node.go
@@ -291,11 +291,11 @@
 }
 
 // drainDetached waits for requests that outlive their callers: one that runs at most once is
-// not cancelled when its caller leaves, and its end must be recorded.
+// not cancelled when its caller leaves, and its end must be recorded. That comes after it is in flight.
 func (n *Node) drainDetached(ctx context.Context) {
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
-	for n.pipeline.InFlight() > 0 {
+	for n.pipeline.InFlight() > 0 || n.pipeline.Unrecorded() > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/pipeline/once_test.go
+++ b/pipeline/once_test.go
@@ -262,6 +262,37 @@
 	return l.memClaims.Propose(ctx, home, c)
 }
 
+// heldRecords grants claims and holds the record of an end until release is closed.
+type heldRecords struct {
+	*memClaims
+	release chan struct{}
+}
+
+func (h heldRecords) Propose(ctx context.Context, home string, c claim.Command) (claim.Result, error) {
+	if c.Finish != nil {
+		<-h.release
+	}
+	return h.memClaims.Propose(ctx, home, c)
+}
+
+// Guards against an instance that stops once nothing is in flight and leaves a claim whose request has ended: a
+// resend at another instance is told that it still runs.
+func TestEndsThatAreNotRecordedYetAreCounted(t *testing.T) {
+	held := heldRecords{newMemClaims(), make(chan struct{})}
+	r := newRig(t, withDeps(func(d *Deps) { d.Claims = held }))
+	r.checkVerdict(confirm("k", ""), verdict.Ran)
+	for r.p.InFlight() > 0 {
+		runtime.Gosched()
+	}
+	if n := r.p.Unrecorded(); n != 1 {
+		t.Errorf("%d ends to be recorded, 1 expected", n)
+	}
+	close(held.release)
+	for r.p.Unrecorded() > 0 {
+		runtime.Gosched()
+	}
+}
+
 // Guards against telling a caller whose answer was cut off that its request still runs: it
 // sends the request again at once, and the region that keeps the claim has not recorded the
 // end yet, as ends are recorded after they are sent to the caller.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -183,6 +183,10 @@
 // InFlight returns the number of requests in flight.
 func (p *Pipeline) InFlight() int64 { return p.flight.n.Load() }
 
+// Unrecorded returns the number of requests that have ended and whose claims say that they run: an instance that
+// stops before these are recorded leaves them so until they expire.
+func (p *Pipeline) Unrecorded() int64 { return p.claims.recorder.pending.Load() }
+
 // Run records how claimed requests ended, until ctx ends. It must run while
 // requests are served.
 func (p *Pipeline) Run(ctx context.Context) { p.claims.Run(ctx) }
--- a/pipeline/recorder.go
+++ b/pipeline/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gullhaven/gullhaven/coord/claim"
@@ -34,6 +35,8 @@
 type recorder struct {
 	claims  ports.Claims
 	metrics *metrics.Set
+	// pending is the number of commands that wait or are being recorded.
+	pending atomic.Int64
 	mu      sync.Mutex
 	queues  map[string]*ring.Ring[claim.Command]
 	// newRegions are those without workers yet; wake is signalled when there are any.
@@ -51,7 +54,9 @@
 	if c == nil {
 		return
 	}
+	r.pending.Add(1)
 	if !r.queue(region).TryPush(*c) {
+		r.pending.Add(-1)
 		r.metrics.ClaimsUnrecorded.Inc(1)
 	}
 }
@@ -112,6 +117,7 @@
 		} else {
 			r.metrics.ClaimsUnrecorded.Inc(1)
 		}
+		r.pending.Add(-1)
 	}
 }
 
