coord/pieces: a source that does not answer holds up no other

What callers would see: a version that comes into force up to 16 s late at a single instance.

Cause: the time-out for a response doubled with each failure in a row, also for the next source, so with several core instances short of processor time the third one asked got 4 s, and a fetch in flight is not given up.

Change: it doubles once all sources have failed.

--- a/coord/pieces/transfer.go
+++ b/coord/pieces/transfer.go
@@ -17,9 +17,9 @@
 	maxRequestPieces = 64
 )
 
-// Timeout of a response, and delay after a failure until the next request. Both double with
-// each failure in a row, so that in the end any piece passes a link of any speed, and sources
-// that are down get few requests.
+// Timeout of a response, and delay after a failure until the next request. The delay doubles with
+// each failure in a row, the timeout each time that all sources have failed, so that in the end any
+// piece passes a link of any speed, and sources that are down get few requests.
 const (
 	minResponseTimeout = time.Second
 	maxResponseTimeout = 16 * time.Second
@@ -152,13 +152,19 @@
 	if wait := t.notBefore.Sub(now); wait > 0 {
 		return nil, wait
 	}
-	f := &Fetch{To: t.sources[0], Request: Request{Root: t.root}, Timeout: min(minResponseTimeout<<min(t.failures, 8), maxResponseTimeout)}
+	f := &Fetch{To: t.sources[0], Request: Request{Root: t.root}, Timeout: t.timeout()}
 	if t.manifest != nil {
 		f.Request.Pieces, f.Request.MaxBytes = slices.Clone(t.missing[:min(len(t.missing), maxRequestPieces)]), t.requestBytes
 	}
 	return f, 0
 }
 
+// timeout returns how long to wait for the next response. It doubles once each source has failed: one that does
+// not answer must not hold up the others.
+func (t *Transfer) timeout() time.Duration {
+	return min(minResponseTimeout<<min(t.failures/len(t.sources), 8), maxResponseTimeout)
+}
+
 // HandleResponse handles the response to a fetch. It returns an error if the response is of
 // no use, which wraps ErrDamaged if its content is wrong. The Transfer then continues with
 // another source, if there is one.
--- a/coord/pieces/transfer_test.go
+++ b/coord/pieces/transfer_test.go
@@ -348,3 +348,32 @@
 		}
 	})
 }
+
+// Guards against a version that comes into force many seconds late: sources whose connections live do not answer,
+// and each doubles the time that the next one gets, though another one has the document.
+func TestSourceThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
+	sources := []string{"a", "b", "c"}
+	tr := NewTransfer(func(Digest) bool { return false })
+	now := time.Unix(1, 0)
+	for _, s := range sources {
+		tr.HandleAnnouncement(now, Digest{1}, s)
+	}
+	for round := range 4 {
+		var asked []string
+		for range sources {
+			f, wait := tr.NextFetch(now)
+			if f == nil {
+				now = now.Add(wait)
+				f, _ = tr.NextFetch(now)
+			}
+			if want := minResponseTimeout << round; f.Timeout != want {
+				t.Errorf("round %d: %s has %v, %v expected", round, f.To, f.Timeout, want)
+			}
+			asked, now = append(asked, f.To), now.Add(f.Timeout)
+			tr.HandleFailure(now, f)
+		}
+		if !slices.Equal(asked, sources) {
+			t.Errorf("round %d: asked %v", round, asked)
+		}
+	}
+}
