node/control, node/entry: a core instance that is behind confirms no configuration

Cause: found in the review: any answer of a core instance with a leader was taken for a confirmation of the newest configuration.

Change: the answer says that it is behind, and does not count then.

Measured: TestConfigurationIsOutdatedUntilConfirmed has the case; ./node/feed, ./node/control, ./node/entry, ./docs and ./platform (GOMAXPROCS=2) pass.

--- a/node/control/position.go
+++ b/node/control/position.go
@@ -28,6 +28,8 @@
 	hasLeader bool
 	// member says that the log names this instance.
 	member bool
+	// behind says that entries are committed which this instance has not applied.
+	behind bool
 }
 
 // position returns the place of this instance in the group, at most positionTTL old.
@@ -46,7 +48,7 @@
 func (i *Instance) readPosition() position {
 	s := i.node.Status()
 	_, member := s.Core.Config.Lookup(i.o.Self.ID)
-	p := position{leader: s.Core.Leader.ID, member: member}
+	p := position{leader: s.Core.Leader.ID, member: member, behind: s.Applied < s.Core.Commit}
 	if s.State == replhost.Running && p.leader != "" {
 		p.hasLeader = p.leader != i.o.Self.ID || !i.node.LeaseUntil().IsZero()
 	}
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -99,7 +99,8 @@
 }
 
 func (i *Instance) updateFor(r feed.Report) feed.Update {
-	u := feed.Update{HasLeader: i.hasLeader()}
+	at := i.position()
+	u := feed.Update{HasLeader: at.hasLeader, Behind: at.behind}
 	s := i.accepted()
 	if s.Index > r.DocumentIndex {
 		u.Head = s.Head()
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -71,7 +71,7 @@
 	coresDigest uint64
 	// entries are the other entry instances.
 	entries feed.Known
-	// confirmedAt is when a core instance with a leader last answered a report.
+	// confirmedAt is when a core instance with a leader, and that was not behind, last answered a report.
 	confirmedAt time.Time
 	// joined says that a core instance has answered a report in which this instance was ready.
 	joined bool
--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -34,7 +34,7 @@
 	if u.Head != nil {
 		i.applyHead(now, from, u.Head)
 	}
-	if u.HasLeader {
+	if u.HasLeader && !u.Behind {
 		k.confirmedAt = now
 	}
 	readAt := now.Add(-time.Duration(u.ListAgeMillis) * time.Millisecond)
--- a/node/entry/update_test.go
+++ b/node/entry/update_test.go
@@ -270,6 +270,8 @@
 		outdated := func(at time.Time) bool { return !at.Before(i.gateway.View().OutdatedAt) }
 		applyWhole(t, i, state(1, 1), &feed.Update{List: list}, feed.Report{})
 		So(outdated(time.Now()), ShouldBeTrue)
+		i.applyUpdate("core", &feed.Update{HasLeader: true, Behind: true, ListAgeMillis: -1}, feed.Report{})
+		So(outdated(time.Now()), ShouldBeTrue)
 		i.applyUpdate("core", &feed.Update{HasLeader: true, ListAgeMillis: -1}, feed.Report{})
 		So(outdated(time.Now()), ShouldBeFalse)
 		So(outdated(time.Now().Add(confirmedFor)), ShouldBeTrue)
--- a/node/feed/types.go
+++ b/node/feed/types.go
@@ -173,6 +173,8 @@
 	// the sender's next report.
 	Suspects  []suspect.Entry `cbor:"9,keyasint,omitempty"`
 	Suspected *SuspectsMark   `cbor:"17,keyasint,omitempty"`
+	// Behind says that the core instance has not applied all that it knows to be committed.
+	Behind bool `cbor:"19,keyasint,omitempty"`
 	// WaitMillis is how long the next report may wait, if longer than the sender asked for: the
 	// core instance has more reports to answer than it can that often.
 	WaitMillis int64 `cbor:"16,keyasint,omitempty"`
