pipeline/exchange: a stream that has begun is not ended by an answer without events and length

What callers saw: a stream that ended as if it were complete, two of four events long.

Cause: a target that went on with it sent a head without a length and closed the connection; an end without an event was taken for the end of the stream.

Change: such an end is one that breaks off, if the caller has events already.

--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -157,6 +157,10 @@
 			q.recordGap(now.Sub(lastEventAt))
 		}
 		lastEventAt = now
+		if err == io.EOF && first && q.headWritten && !a.Framed() {
+			// Nothing tells a stream that has no further event from one that was broken off.
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF && first && !q.headWritten {
 			// The stream has no events, so only the head is relayed.
 			q.writeHead(a)
