--- a/pipeline/exchange/silence_test.go
+++ b/pipeline/exchange/silence_test.go
@@ -500,10 +500,14 @@
 // the connection after a head without a length.
 func TestStreamIsNotEndedByAnAnswerWithoutEventsAndLength(t *testing.T) {
 	Convey("three targets, the second of which sends a head only", t, func() {
-		inTurn := sequence(streamEvents(2, false), respondRaw("HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n\r\n", false), streamEvents(4, true))
-		r := newRig(t, "r", newTarget(t, "t1", inTurn), newTarget(t, "t2", inTurn), newTarget(t, "t3", inTurn))
-		got := r.call("/resume/x", "b")
-		So(got.truncated, ShouldBeFalse)
+		headOnly := respondRaw("HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n\r\n", false)
+		var got reply
+		for got.body == "" {
+			// The reset of the first connection may overtake its events; then no stream has begun.
+			inTurn := sequence(streamEvents(2, false), headOnly, streamEvents(4, true))
+			got = newRig(t, "r", newTarget(t, "t1", inTurn), newTarget(t, "t2", inTurn), newTarget(t, "t3", inTurn)).call("/resume/x", "b")
+			So(got.truncated, ShouldBeFalse)
+		}
 		So(got.body, ShouldEqual, eventText(1, 4))
 	})
 }
