--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -288,7 +288,7 @@
 	return res.StatusCode, string(answer), err
 }
 
-// AwaitServing waits until a machine answers on its ready address.
+// AwaitReady waits until a machine answers on its ready address.
 func (s *Site) AwaitReady(host int, within time.Duration) error {
 	end := time.Now().Add(within)
 	for time.Now().Before(end) {
