--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(r *Record, program string, trouble bool) (broken bool, err error){
 	"endless": runEndless,
 	"upgrade": runUpgrade,
+	"overlap": runOverlap,
 }
 
 // main plays a case: review2 CASE FOLDER. It exits with 1 if the rule was broken, 0 if it held and 2 if
