--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -12,6 +12,7 @@
 	"endless": runEndless,
 	"upgrade": runUpgrade,
 	"overlap": runOverlap,
+	"joined":  runJoined,
 }
 
 // main plays a case: review2 CASE FOLDER. It exits with 1 if the rule was broken, 0 if it held and 2 if
--- a/review/standin2/overlap.go
+++ b/review/standin2/overlap.go
@@ -166,10 +166,10 @@
 	overlapAllowed = 400 * time.Millisecond
 )
 
-// fillQueue keeps the queue of new connections full for overlapFull, if there is to be trouble.
-func fillQueue(r *Record, q *queueListener, trouble bool) error {
+// fillQueue keeps the queue of new connections full for a time, if there is to be trouble.
+func fillQueue(r *Record, q *queueListener, full time.Duration, trouble bool) error {
 	if !trouble {
-		time.Sleep(overlapFull)
+		time.Sleep(full)
 		return nil
 	}
 	if err := q.setFull(true); err != nil {
@@ -182,7 +182,7 @@
 		}
 	}
 	r.Printf("the queue of new connections of %s is full", q.Addr())
-	time.Sleep(overlapFull)
+	time.Sleep(full)
 	for _, c := range fill {
 		_ = c.Close()
 	}
@@ -271,7 +271,7 @@
 	})
 	time.Sleep(5 * time.Second)
 	for range overlapRounds {
-		if err := fillQueue(r, victim, trouble); err != nil {
+		if err := fillQueue(r, victim, overlapFull, trouble); err != nil {
 			return false, err
 		}
 		time.Sleep(overlapPause)
