--- a/daemon/site.go
+++ b/daemon/site.go
@@ -184,6 +184,7 @@
 	i.Drain()
 	r.awaitDrained(i.Gateway())
 	cut := i.Gateway().InFlight()
+	r.log.Info("closing", zap.Int64("in_progress", cut))
 	r.close(shutdownMargin / 3)
 	i.Stop()
 	r.log.Info("ended", zap.Int64("cut", cut))
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -55,6 +55,12 @@
 		w.wg.Go(func() { w.runOperator(ctx, author, rng) })
 	}
 	w.wg.Go(func() { w.runReader(ctx, rand.New(rand.NewPCG(seed, 200))) })
+	for n, e := range w.entries {
+		for k := range w.o.LateSenders {
+			rng := rand.New(rand.NewPCG(seed, uint64(1000+n*w.o.LateSenders+k)))
+			w.wg.Go(func() { w.runLateSender(ctx, e, fmt.Sprintf("l%d-%d", n, k), rng) })
+		}
+	}
 	if w.o.Poison {
 		w.wg.Go(func() { w.runPoison(ctx, rand.New(rand.NewPCG(seed, 300))) })
 		w.wg.Go(func() { w.runPrompts(ctx, deadlyPrefix, poisonPause, rand.New(rand.NewPCG(seed, 301))) })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	span   = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
 	mixed  = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
 	strain = flag.Bool("soak.strain", false, "play soak.seeds with planned work beside silent runners, spoiled hedges, refused connections and doubled answers")
+	stops  = flag.Bool("soak.stops", false, "play soak.seeds with graceful restarts of entry instances under slow answers and late senders")
 	mass   = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
 	keep   = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
@@ -118,6 +119,18 @@
 	runFaults(t, seed, o, DrawStrain(seed, o.Shape, span))
 }
 
+// stopsSpan is the time within which the faults of TestStopsLoseNoRequest begin.
+const stopsSpan = 5 * time.Second
+
+// Guards against requests that an entry instance passes on and then cuts by its own graceful end.
+func TestStopsLoseNoRequest(t *testing.T) { runStops(t, 3, stopsSpan) }
+
+// runStops plays graceful restarts of entry instances under slow answers and callers that send until the end.
+func runStops(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 3, Entries: 4, Runners: 9}, Callers: 12, Budget: siteBudget, LateSenders: 20, SlowAnswers: true}
+	runFaults(t, seed, o, DrawStops(seed, o.Shape, span))
+}
+
 // formerFailures are seeds that failed before, each with its cause.
 var formerFailures = []struct {
 	seed  uint64
@@ -159,6 +172,9 @@
 			case *mass:
 				runMass(t, seed, *span)
 				return
+			case *stops:
+				runStops(t, seed, *span)
+				return
 			case *strain:
 				runStrain(t, seed, *span)
 				return
--- a/soak/world.go
+++ b/soak/world.go
@@ -30,6 +30,10 @@
 	Poison bool
 	// HardLoad switches all parts for hard load on, at instances of two sizes.
 	HardLoad bool
+	// LateSenders is the number of callers of each entry instance that ask no directory.
+	LateSenders int
+	// SlowAnswers has runners take up to slowAnswers for answers that are no streams.
+	SlowAnswers bool
 	// Calm is how long callers go on after the last fault.
 	Calm time.Duration
 	Log  func(format string, args ...any)
@@ -307,6 +311,9 @@
 	software := softwareOf(r.number, r.successors)
 	w.mu.Unlock()
 	runner := &platformtest.Runner{ID: id, RunLog: w.runLog, WorkTime: workTime, Events: streamEvents, Software: software, Crash: w.crashUnder(r), Unframed: unframed}
+	if w.o.SlowAnswers {
+		runner.AnswerTime = answerTime
+	}
 	target := w.Ledger.AddTarget(r.number, r.service, regionOfZone(r.zone), software, time.Now())
 	runner.Arrived = func(a platformtest.Arrival) { w.Ledger.AddArrival(target, a) }
 	server, err := serve(r.forwarder.to, runner)
