pipeline/exchange: an event that was read before its hedge was taken is dropped

Cause: the reader of a run reads an event and then ends the wait. If the hedge's first event is taken between the two steps, the hedge goes on with the request, but the reader passed its own event on as well; the hedge then left out its first one. Change: the end of the wait reports that a hedge goes on since before, and the event is dropped. The same order of steps after the first event is covered too. A whole answer in hand is written as before, and its hedge withdrawn.

--- a/pipeline/exchange/export_test.go
+++ b/pipeline/exchange/export_test.go
@@ -46,3 +46,13 @@
 
 // SetUptime makes the process appear to have run for d.
 func (g *Gateway) SetUptime(d time.Duration) { g.retries.startedAt = time.Now().Add(-d) }
+
+// PassesOn reports whether a run passes on an event that it has read, if a hedge goes on with the request since
+// before.
+func PassesOn(hedged bool) bool {
+	w := &runWatch{waiting: true}
+	if hedged {
+		w.found = &hedge{}
+	}
+	return !w.endWait(nil)
+}
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -151,7 +151,9 @@
 			q.watch.awaitEvent(q, a)
 		}
 		event, err := s.next()
-		q.watch.endWait(err)
+		if q.watch.endWait(err) && err == nil {
+			err = errSilent
+		}
 		now := time.Now()
 		if !first {
 			q.recordGap(now.Sub(lastEventAt))
--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -168,15 +168,17 @@
 }
 
 // endWait ends the wait with the result of reading. If that is an event or the end of the answer, it ends
-// the hedge under way. w may be nil.
-func (w *runWatch) endWait(err error) {
+// the hedge under way. It reports whether a hedge goes on with the request since before: then an event that was
+// read must not be passed on, as the hedge brings its own. w may be nil.
+func (w *runWatch) endWait(err error) (overtaken bool) {
 	if w == nil {
-		return
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	overtaken = w.found != nil
 	if !w.waiting {
-		return
+		return overtaken
 	}
 	w.waiting, w.broken = false, err != nil && err != io.EOF
 	w.unreachable = w.unreachable && w.broken
@@ -184,13 +186,14 @@
 		w.timer.Stop()
 	}
 	if w.hedge == nil {
-		return
+		return overtaken
 	}
 	close(w.hedge.read)
 	if !w.broken {
 		w.hedge.end(errTargetGoesOn)
 		w.hedge = nil
 	}
+	return overtaken
 }
 
 // endWatch ends the watch of a run that has ended. done says that the caller has the whole answer; if not,
