pipeline/exchange: a hedge for an unreachable target is bounded like any other

Cause: a connection that failed beside a run was taken for the loss of its target, and the hedge had all the time that was left. A target that is lost is still found by its connection. The class, a run or a connection that tells something of others, was sought in the gateway: only OnUnreachable acts on other requests. TestHedgeOfAnUnreachableTargetIsBounded: fails before (time limit of 20 s), passes now. go test ./pipeline/exchange passed.

--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -109,10 +109,10 @@
 }
 
 // chooseForHedge returns a place for a hedge, reserved if it is a target of this region; nil if there is
-// none. The place must be expected to begin in the time that both may run, or before the deadline if that is
-// unlimited, and a region that has just refused is none: the target of the run is more likely to finish the
-// answer.
-func (q *request) chooseForHedge(now time.Time, from *destination, unlimited bool) *destination {
+// none. The place must be expected to begin in the time that both may run, and a region that has just refused is
+// none: the target of the run is more likely to finish the answer. That other requests cannot connect to it does
+// not show that it is lost.
+func (q *request) chooseForHedge(now time.Time, from *destination) *destination {
 	if _, ok := q.mayRunAgain(now); !ok || q.runs >= q.maxRuns || q.finalRefusal != nil {
 		return nil
 	}
@@ -126,11 +126,7 @@
 	} else {
 		refused = q.g.hasRefused(now, RegionService{Region: to.peer.Region, Service: q.service}, q.workspaceName(), q.rank())
 	}
-	limit := q.overlap(from, to)
-	if unlimited {
-		limit = q.deadline.Sub(now)
-	}
-	if refused || waitMs >= float64(limit.Milliseconds()) {
+	if refused || waitMs >= float64(q.overlap(from, to).Milliseconds()) {
 		to.end(now, pick.Neutral)
 		return nil
 	}
--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -47,8 +47,6 @@
 	// search that was overtaken by an event is recognized.
 	waiting bool
 	waits   uint64
-	// unreachable says that other requests have found the target unreachable since it was last heard.
-	unreachable bool
 	// broken says that the run was lost: a hedge is the only run then.
 	broken bool
 	// searching says that a search is running; there is at most one.
@@ -67,7 +65,7 @@
 	// mu guards answered, which says that nothing but its request ends the hedge any more.
 	mu       sync.Mutex
 	answered bool
-	// limit ends it if it has brought no event in time; nil if it may take all the time left.
+	// limit ends it if it has brought no event in time.
 	limit *time.Timer
 	// ended is closed when it has ended, or goes on with the request.
 	ended chan struct{}
@@ -158,7 +156,6 @@
 	if !w.waiting || w.found != nil {
 		return
 	}
-	w.unreachable = true
 	if w.a == nil {
 		w.searchAfter(0)
 		return
@@ -181,7 +178,6 @@
 		return overtaken
 	}
 	w.waiting, w.broken = false, err != nil && err != io.EOF
-	w.unreachable = w.unreachable && w.broken
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -218,7 +214,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if last := w.sent; last != nil {
-		last.stopLimit()
+		last.limit.Stop()
 		w.mu.Unlock()
 		<-last.ended
 		w.mu.Lock()
@@ -228,12 +224,6 @@
 	q.hedge, w.found = w.found, nil
 }
 
-func (h *sentHedge) stopLimit() {
-	if h.limit != nil {
-		h.limit.Stop()
-	}
-}
-
 // takeAttempts takes over what attempts with a copy of the request have changed, which had runsBefore runs.
 func (q *request) takeAttempts(from *request, runsBefore int) {
 	q.attemptCount = from.attemptCount
@@ -261,10 +251,10 @@
 		return
 	}
 	w.searching = true
-	waits, c, unlimited := w.waits, w.q.copy(), w.unreachable
+	waits, c := w.waits, w.q.copy()
 	w.mu.Unlock()
 
-	if to := c.chooseForHedge(time.Now(), w.from, unlimited); to != nil {
+	if to := c.chooseForHedge(time.Now(), w.from); to != nil {
 		w.tryHedge(&c, to, waits)
 	}
 
@@ -309,10 +299,8 @@
 	}
 	c.g.o.Metrics.Retries.Inc(1)
 	w.hedge = &sentHedge{sentAt: time.Now(), ctx: c.ctx, cancel: cancel, ended: make(chan struct{}), read: make(chan struct{})}
-	if !w.unreachable {
-		under := w.hedge
-		under.limit = time.AfterFunc(c.overlap(w.from, to), func() { under.end(errOverlap) })
-	}
+	under := w.hedge
+	under.limit = time.AfterFunc(c.overlap(w.from, to), func() { under.end(errOverlap) })
 	w.sent = w.hedge
 	return w.hedge
 }
@@ -327,7 +315,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(under.ended)
-	under.stopLimit()
+	under.limit.Stop()
 	for h != nil && w.waiting && w.waits == waits && w.a != nil && !w.a.Silent() {
 		// What has arrived may be an event or the end of the connection.
 		w.mu.Unlock()
--- a/pipeline/exchange/unreachable_test.go
+++ b/pipeline/exchange/unreachable_test.go
@@ -108,3 +108,31 @@
 		So(requestCount(x, y), ShouldEqual, 2)
 	})
 }
+
+// Guards against a request that runs at two targets for longer than both may, while other requests cannot connect
+// to the first one.
+func TestHedgeOfAnUnreachableTargetIsBounded(t *testing.T) {
+	for path, body := range map[string]string{"/safe/x": "done", "/resume/x": eventText(1, 2)} {
+		Convey(path, t, func() {
+			began, goOn := make(chan struct{}), make(chan struct{})
+			x := newTarget(t, "t1", func(c net.Conn, r receivedRequest) bool {
+				close(began)
+				<-goOn
+				return respond(200, body)(c, r)
+			})
+			y := newTarget(t, "t2", untilEnded)
+			r := newRig(t, "r", x)
+			r.gateway.SetMaxOverlap(20 * time.Millisecond)
+			ended := make(chan reply, 1)
+			go func() { ended <- r.call(path, "b") }()
+			<-began
+			r.setTargets(x, y)
+			r.pool.PickAt(time.Now(), pick.Call{Service: "s"}, "t1").Done(time.Now(), pick.Unreachable)
+			<-y.closed
+			close(goOn)
+			got := <-ended
+			So(got.status, ShouldEqual, 200)
+			So(got.body, ShouldEqual, body)
+		})
+	}
+}
