route/pick: a target that may have started again gets no stream that another version may have begun

Cause: what the list tells of a target is taken for true of what runs there now, but the list lags by 0.8 s and its way here. Change: once contact to a target was lost it is in doubt: no begun stream goes on there, and what begins there has no known origin, until it goes on with an answer of before, or the list of a later time shows it as the same. This holds while targets of a service have had several versions of late. What remains: an instance that had no connection to the target when it crashed has no doubt until the list comes.

--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -124,6 +124,7 @@
 	} else {
 		i.pool.UpdateLoads(now, k.poolLoads())
 	}
+	i.pool.Listed(k.list.ReadAt, next.Versions)
 	next.Peers = i.lastView.peers
 	i.gateway.SetView(next)
 }
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -187,6 +187,10 @@
 			q.recordOrigin(a, p)
 			q.watchStream(s)
 		}
+		if !first && p.choice != nil {
+			p.choice.Heard(now)
+			q.learnOrigin()
+		}
 		first = false
 		if !q.relayEvent(a, s.e, event) {
 			a.Close(false)
@@ -233,6 +237,7 @@
 	a.Close(false)
 	q.recordRun(verdict.MayHaveRun)
 	q.reportCrash(p, err)
+	q.recordContactLost(p, err)
 	if q.ctx.Err() != nil {
 		return pick.Neutral
 	}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -195,6 +195,7 @@
 	if code := q.endCode(now); code != "" {
 		return code, false
 	}
+	q.learnOrigin()
 	switch {
 	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns && len(q.returnTo) == 0):
 		return CodeTargetLost, false
@@ -269,6 +270,7 @@
 	q.g.o.Metrics.SendTime.Update(time.Since(now))
 	if err != nil {
 		q.reportCrash(p, err)
+		q.recordContactLost(p, err)
 		p.reportEnd(time.Now(), q.attemptLost(p.choice.ID, err))
 		return nil
 	}
@@ -402,6 +404,14 @@
 	return pick.Lost
 }
 
+// recordContactLost records that the connection to a target has ended with err, unless this instance or the
+// caller ended it.
+func (q *request) recordContactLost(p *destination, err error) {
+	if p.choice != nil && q.ctx.Err() == nil && !errors.Is(err, errSilent) {
+		p.choice.LostContact(time.Now())
+	}
+}
+
 // belongs reports whether an answer is that of the request: a second copy of an earlier answer on the
 // connection may come instead, and tells nothing of this one. An answer that names no request is its own only
 // if the target has not run any.
@@ -577,6 +587,7 @@
 	if err != nil {
 		q.recordRun(verdict.MayHaveRun)
 		q.reportCrash(p, err)
+		q.recordContactLost(p, err)
 		if q.ctx.Err() != nil {
 			return false, pick.Neutral
 		}
--- a/route/pick/filter.go
+++ b/route/pick/filter.go
@@ -19,7 +19,7 @@
 // available reports whether the target may get this request as far as its own state, and the
 // request's tried targets and software version allow. Rate limits and probes of targets are checked separately.
 func (p *Pool) available(now time.Time, t *target, c Call) bool {
-	if c.Software != "" && t.Software != c.Software {
+	if !p.hasSoftware(t, c.Software) {
 		return false
 	}
 	return !p.draining(t) && !slices.Contains(c.Tried, t.ID) && !now.Before(t.backoffUntil) && !t.resting(now)
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,8 @@
 	snapshot Snapshot
 	// versions is the number of software versions of each service's targets.
 	versions map[string]int
+	// software are the versions listed recently in any region, by service.
+	software map[string][]string
 	// watched are the groups of WatchedGroups for the snapshot; nil until computed.
 	watched []Group
 	// absent are targets that were on the list recently.
@@ -74,6 +77,9 @@
 	leaving bool
 	// unreached says that no connection could be established since its last answer.
 	unreached bool
+	// doubt is whether it may have started again, inDoubt that there is one.
+	doubt   doubt
+	inDoubt atomic.Bool
 	// order is its sort key among the targets of the service, the same at all instances.
 	order uint64
 	// group is the number of its group.
@@ -247,6 +253,10 @@
 	if t.failures > 0 || t.rest.untested {
 		t.probing, ch.probe = true, true
 	}
+	ch.doubtsEnded = -1
+	if !t.doubt.lostAt.IsZero() {
+		ch.doubtsEnded = t.doubt.ended
+	}
 	ch.Cold, ch.EntryInstances = p.cold(w.now, t), len(p.snapshot.Entries)
 	if perSecond := p.allowedPerSecond(w.now, t); perSecond > 0 {
 		t.nextAllowed = w.now.Add(time.Duration(float64(time.Second) / perSecond))
@@ -284,7 +294,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || p.draining(t) || t.resting(now) || p.cold(now, t) || c.Software != "" && t.Software != c.Software {
+	if t == nil || p.draining(t) || t.resting(now) || p.cold(now, t) || !p.hasSoftware(t, c.Software) {
 		return nil
 	}
 	if p.allowedPerSecond(now, t) > 0 && !p.rateAllows(now, t) {
