pipeline/exchange: a stream that its caller does not name is not taken for one of the only version known, after a start

Cause: a caller that names its stream in Resumes is refused here if nobody knows what began it. One that does not name it got the only version listed of late, also at an instance that had listened for a moment: the targets of the version that began it may have left. Change: the instance must have had the list without a gap for as long as a stream may last. Measured: tests of origins in ./pipeline/exchange and ./node/entry passed.

--- a/node/entry/update.go
+++ b/node/entry/update.go
@@ -115,7 +115,8 @@
 	for _, l := range k.listedVersions() {
 		k.versions.record(now, l.service, l.version)
 	}
-	next.Versions = k.versions.recent(now)
+	k.versions.observe(now, k.list.ReadAt)
+	next.Versions, next.VersionsSince = k.versions.recent(now), k.versions.since
 	if current := i.currentInputs(); i.lastView.inputs != current {
 		i.lastView = lastView{inputs: current, peers: i.currentPeers()}
 		snapshot := i.poolSnapshot(next.Index)
--- a/node/entry/versions.go
+++ b/node/entry/versions.go
@@ -15,6 +15,19 @@
 type versionHistory struct {
 	// lastListed is when each version was last listed, by service.
 	lastListed map[string]map[string]time.Time
+	// since is since when the list was never older than maxListGap.
+	since time.Time
+}
+
+// maxListGap is the age of a list from which on versions may have come and gone unseen: several times the usual
+// age.
+const maxListGap = 5 * time.Second
+
+// observe records the age of the list.
+func (v *versionHistory) observe(now, readAt time.Time) {
+	if v.since.IsZero() || now.Sub(readAt) >= maxListGap {
+		v.since = now
+	}
 }
 
 // record records the versions that are listed now.
--- a/node/entry/versions_test.go
+++ b/node/entry/versions_test.go
@@ -23,3 +23,20 @@
 		}
 	}
 }
+
+// Guards against a stream that is taken for one of the only version known, by an instance that has started or was
+// without a list since the stream began.
+func TestVersionsAreRecordedSinceTheLastGap(t *testing.T) {
+	var v versionHistory
+	start := time.Unix(1_800_000_000, 0)
+	v.observe(start, start)
+	v.observe(start.Add(4*time.Second), start.Add(3*time.Second))
+	if v.since != start {
+		t.Errorf("since %v", v.since.Sub(start))
+	}
+	v.observe(start.Add(9*time.Second), start.Add(3*time.Second))
+	v.observe(start.Add(10*time.Second), start.Add(10*time.Second))
+	if got := v.since.Sub(start); got != 9*time.Second {
+		t.Errorf("since %v after a gap", got)
+	}
+}
--- a/pipeline/exchange/origin.go
+++ b/pipeline/exchange/origin.go
@@ -64,8 +64,11 @@
 }
 
 // onlyOrigin returns what began the stream of a caller that does not name it, if its service has had
-// targets of one software version only.
+// targets of one software version only for as long as a stream may last.
 func (q *request) onlyOrigin() Origin {
+	if since := q.view.VersionsSince; since.IsZero() || q.acceptedAt.Sub(since) < q.route.Timeout {
+		return Origin{}
+	}
 	if versions := q.view.Versions[q.service]; len(versions) == 1 {
 		return Origin{Service: q.service, Software: versions[0]}
 	}
--- a/pipeline/exchange/origin_test.go
+++ b/pipeline/exchange/origin_test.go
@@ -107,12 +107,23 @@
 			x := newTarget(t, "t1", streamEvents(5, true))
 			r := newRig(t, "r", x)
 			view := *r.view
-			view.Versions = map[string][]string{"s": versions}
+			view.Versions, view.VersionsSince = map[string][]string{"s": versions}, time.Now().Add(-time.Hour)
 			r.gateway.SetView(&view)
 			So(r.takeUp("").status == 200, ShouldEqual, len(versions) == 1)
 			So(r.takeUp("unknown").status, ShouldEqual, 503)
 		}
 	})
+	Convey("so is one that its caller does not name, at an instance that has just started", t, func() {
+		x := newTarget(t, "t1", streamEvents(5, true))
+		r := newRig(t, "r", x)
+		for _, since := range []time.Duration{0, 59 * time.Second} {
+			view := *r.view
+			view.Versions, view.VersionsSince = map[string][]string{"s": {"v1"}}, time.Now().Add(-since)
+			r.gateway.SetView(&view)
+			So(r.takeUp("").status, ShouldEqual, 503)
+		}
+		So(requestCount(x), ShouldEqual, 0)
+	})
 	Convey("so is one of another caller", t, func() {
 		x := newTarget(t, "t1", streamEvents(5, true))
 		r := newRig(t, "r", x)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -303,6 +303,8 @@
 	// Versions are the software versions of each service's targets, in any region, that were listed as
 	// long as a stream may be taken up.
 	Versions map[string][]string
+	// VersionsSince is since when they have been recorded without a gap. Before that, others may have been listed.
+	VersionsSince time.Time
 	// TargetsReadAt is when the list of targets was read.
 	TargetsReadAt time.Time
 	// EntryInstances is the number of entry instances in all regions.
