ports/rawhttp, pipeline/exchange: what all answers together hold is bounded

Cause: the bound of 1 MiB holds for one head, and of 16 MiB for one buffered answer; nothing bounded the sum, and a head of short lines takes up to 26 times its bytes while it is parsed.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -93,6 +93,8 @@
 	// returnTo are the targets whose runs were ended by this instance, for a hedge or as a hedge, until the
 	// request returns to them.
 	returnTo []string
+	// held is what the request holds of the answers of targets.
+	held *rawhttp.Share
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
@@ -147,6 +149,8 @@
 		return
 	}
 	defer q.refundLimit()
+	q.held = g.answers.NewShare(freeAnswerBytes)
+	defer q.held.Close()
 	q.run()
 }
 
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -69,6 +69,8 @@
 	// maxOverlap is maxOverlap, except in tests.
 	maxOverlap time.Duration
 	gate       drain.Gate
+	// answers bounds what all requests hold of answers that are buffered whole.
+	answers *rawhttp.Budget
 	// ended ends when endRequests is called, which ends all requests in progress.
 	ended       context.Context
 	endRequests context.CancelFunc
@@ -99,7 +101,7 @@
 func New(o Options) *Gateway {
 	ended, endRequests := context.WithCancel(context.Background())
 	return &Gateway{
-		ended: ended, endRequests: endRequests,
+		ended: ended, endRequests: endRequests, answers: rawhttp.NewBudget(maxAnswersBytes),
 		o: o, viewSet: make(chan struct{}), startWait: place.StartWait, refusalPause: place.RefusedFor,
 		streamIdle: streamIdleTimeout, placeSearch: placeSearchInterval, maxOverlap: maxOverlap, retries: newRetryBudget(o.Retries, time.Now()),
 	}
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -188,7 +188,7 @@
 // readWhole reads the whole answer of a hedge and reports whether it may go on with it; if not, it returns
 // the result for the target. A failure, and an answer that is no stream to a stream that has begun, is none.
 func (q *request) readWhole(h *hedge) (pick.Result, bool) {
-	body, err := readAnswer(h.raw)
+	body, err := q.readAnswer(h.raw)
 	if err != nil {
 		return q.endRun(h.raw, h.to, err), false
 	}
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -534,32 +535,52 @@
 	body   []byte
 }
 
-// maxAnswerBytes bounds an answer that is buffered whole.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds an answer that is buffered whole, and maxAnswersBytes all of them together.
+	maxAnswerBytes  = 16 << 20
+	maxAnswersBytes = 32 << 20
+	// freeAnswerBytes of the answers to each request do not count in that.
+	freeAnswerBytes = 64 << 10
+)
 
-// errAnswerTooLong is returned for an answer of over maxAnswerBytes.
-var errAnswerTooLong = errors.New("answer is too long to be buffered")
+var (
+	// errAnswerTooLong is returned for an answer of over maxAnswerBytes.
+	errAnswerTooLong = errors.New("answer is too long to be buffered")
+	// errAnswersTooLong is returned for a long answer while others take up the memory for them.
+	errAnswersTooLong = errors.New("answers are too long to be buffered together")
+)
 
-// readAnswer reads a body. The error says why it is not complete.
-func readAnswer(a *rawhttp.Answer) ([]byte, error) {
+// readAnswer reads a body, which the request holds to its end. The error says why it is not complete.
+func (q *request) readAnswer(a *rawhttp.Answer) ([]byte, error) {
 	if a.ContentLength == 0 {
 		return nil, nil
 	}
-	if n := a.ContentLength; n > 0 && n <= maxAnswerBytes && a.Request == nil {
-		body := make([]byte, n)
-		_, err := io.ReadFull(a.Body, body)
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		return body, err
+	body := make([]byte, 0, initialAnswerBytes)
+	if n := a.ContentLength; n > initialAnswerBytes && n <= freeAnswerBytes {
+		body = make([]byte, 0, n)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
+	for {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, max(1, cap(body)))
+		}
+		n, err := a.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxAnswerBytes:
+			return nil, errAnswerTooLong
+		case !q.held.Take(int64(n)):
+			return nil, errAnswersTooLong
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return body, err
+		}
 	}
-	return body, err
 }
 
+// initialAnswerBytes is the initial buffer size for an answer of unknown length.
+const initialAnswerBytes = 1 << 10
+
 const (
 	// maxDiscardBytes bounds what is read of the body of a refusal. Those of targets are usually shorter.
 	maxDiscardBytes = 64 << 10
@@ -582,7 +603,7 @@
 // relayWhole relays an answer that is not an event stream. It buffers the whole answer first,
 // so that a truncated answer can be retried and never looks complete.
 func (q *request) relayWhole(a *rawhttp.Answer, p *destination) (bool, pick.Result) {
-	body, err := readAnswer(a)
+	body, err := q.readAnswer(a)
 	a.Close(err == nil)
 	if err != nil {
 		q.recordRun(verdict.MayHaveRun)
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -39,6 +39,10 @@
 const MaxHeadBytes = http.DefaultMaxHeaderBytes
 
 const (
+	// maxHeadsBytes bounds the heads of all answers together. Parsed they take up to 26 times as much.
+	maxHeadsBytes = 2 << 20
+	// freeHeadBytes of each head do not count in that.
+	freeHeadBytes = 4 << 10
 	// idleTimeoutMargin is subtracted from an idle timeout that the peer announces, so
 	// that a request does not race with its close.
 	idleTimeoutMargin = 600 * time.Millisecond
@@ -56,6 +60,10 @@
 // ErrHeadTooLong is the cause of a Failure whose answer has a head of more than MaxHeadBytes.
 var ErrHeadTooLong = errors.New("the head of the answer is longer than " + strconv.Itoa(MaxHeadBytes) + " bytes")
 
+// ErrHeadsTooLong is the cause of a Failure whose answer has a long head while the heads of other answers take up
+// the memory for them.
+var ErrHeadsTooLong = errors.New("the heads of all answers together are longer than " + strconv.Itoa(maxHeadsBytes) + " bytes")
+
 // Options of a Client. Zero values mean the defaults.
 type Options struct {
 	DialTimeout, IdleTimeout, AckTimeout time.Duration
@@ -65,6 +73,8 @@
 // use.
 type Client struct {
 	o Options
+	// heads bounds the heads of all answers.
+	heads *Budget
 
 	mu   sync.Mutex
 	idle map[string][]*conn // newest last
@@ -83,7 +93,7 @@
 	if o.AckTimeout <= 0 {
 		o.AckTimeout = DefaultAckTimeout
 	}
-	return &Client{o: o, idle: map[string][]*conn{}}
+	return &Client{o: o, heads: NewBudget(maxHeadsBytes), idle: map[string][]*conn{}}
 }
 
 // Request is one request, ready to be written.
@@ -122,6 +132,9 @@
 	// inHead says that a head is being read, of which headLeft bytes may still come.
 	inHead   bool
 	headLeft int
+	// head is the share of the answer's head in those of all, and headErr why it must not be read on.
+	head    *Share
+	headErr error
 }
 
 // Read reads from the connection, within the bound of a head.
@@ -129,11 +142,19 @@
 	if !c.inHead {
 		return c.Conn.Read(p)
 	}
-	if c.headLeft <= 0 {
-		return 0, ErrHeadTooLong
+	if c.headErr == nil && c.headLeft <= 0 {
+		c.headErr = ErrHeadTooLong
+	}
+	if c.headErr != nil {
+		// net/http reads on after an error between two lines.
+		return 0, c.headErr
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	if !c.head.Take(int64(n)) {
+		c.headErr = ErrHeadsTooLong
+		return 0, c.headErr
+	}
 	return n, err
 }
 
@@ -238,12 +259,13 @@
 
 // readHead reads the head of the final answer; interim answers (1xx) are skipped.
 func (a *Answer) readHead(req *Request) error {
-	a.c.inHead, a.c.headLeft = true, MaxHeadBytes
+	a.c.inHead, a.c.headLeft, a.c.headErr = true, MaxHeadBytes, nil
+	a.c.head = a.client.heads.NewShare(freeHeadBytes)
 	defer func() { a.c.inHead = false }()
 	for {
 		res, err := http.ReadResponse(a.c.r, &http.Request{Method: req.Method})
-		if err != nil && a.c.headLeft <= 0 {
-			return ErrHeadTooLong
+		if err != nil && a.c.headErr != nil {
+			return a.c.headErr
 		}
 		if err != nil {
 			return shorten(err)
@@ -294,6 +316,7 @@
 // Close ends the exchange. complete must be true only if the body was read to its end; the
 // connection is then reused if it is in a clean state.
 func (a *Answer) Close(complete bool) {
+	a.c.head.Close()
 	if !complete || !a.reusable() || !a.stop() {
 		a.abandon()
 		return
@@ -326,6 +349,9 @@
 
 func (a *Answer) abandon() {
 	a.stop()
+	if a.c.head != nil {
+		a.c.head.Close()
+	}
 	// The only error is that the connection is closed already.
 	_ = a.c.Close()
 }
