--- a/ports/rawhttp/endless_test.go
+++ b/ports/rawhttp/endless_test.go
@@ -102,8 +102,12 @@
 	for _, a := range slices.Concat(endless.Framings, []endless.Answer{endless.After}) {
 		t.Run(a.Name, func(t *testing.T) {
 			s := endless.Serve(t, nil, a)
-			c := rawhttp.NewClient(rawhttp.Options{})
-			answer, err := c.Do(context.Background(), s.Addr, get())
+			// If the answer is read before more bytes come, the connection is kept, and Run closes it.
+			c := rawhttp.NewClient(rawhttp.Options{IdleTimeout: time.Millisecond})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go c.Run(ctx)
+			answer, err := c.Do(ctx, s.Addr, get())
 			if err != nil {
 				t.Fatal(err)
 			}
