node: callers' and operators' interfaces of the gateway of bundles close without leaving a request that was read unanswered

Change: ports/serve serves the interfaces without TLS. Measured: go test ./e2e -run 'Stop|Leav|Graceful|Restart': passed.

--- a/node/listen.go
+++ b/node/listen.go
@@ -12,6 +12,7 @@
 	"github.com/gullhaven/gullhaven/api"
 	"github.com/gullhaven/gullhaven/coord/keys"
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/ports/serve"
 )
 
 // headerTimeout bounds how long a connection may take to send its headers, so that slow
@@ -19,10 +20,20 @@
 const headerTimeout = 10 * time.Second
 
 // server is one listening interface.
-type server struct{ http *http.Server }
+type server struct {
+	http *http.Server
+	// plain serves it without TLS; nil with TLS.
+	plain *serve.Server
+}
 
 // shutdown accepts no new connections and waits for those in use, until ctx ends.
-func (s *server) shutdown(ctx context.Context) { _ = s.http.Shutdown(ctx) }
+func (s *server) shutdown(ctx context.Context) {
+	if s.plain != nil {
+		s.plain.Close(ctx)
+		return
+	}
+	_ = s.http.Shutdown(ctx)
+}
 
 // listen opens the three interfaces: for callers, for operators and, with mutual TLS, for
 // instances.
@@ -64,18 +75,18 @@
 	if err != nil {
 		return err
 	}
-	if config != nil {
-		l = tls.NewListener(l, config)
-	}
 	s := &server{http: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          zap.NewStdLog(n.log.Named(name).WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}}
-	if config != nil {
-		s.http.ConnState = link.TuneConn
-	}
 	n.servers = append(n.servers, s)
-	n.wg.Go(func() { _ = s.http.Serve(l) })
+	if config == nil {
+		s.plain = serve.New(l, s.http)
+		n.wg.Go(func() { _ = s.plain.Serve() })
+		return nil
+	}
+	s.http.ConnState = link.TuneConn
+	n.wg.Go(func() { _ = s.http.Serve(tls.NewListener(l, config)) })
 	return nil
 }
