--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -213,6 +213,9 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: CodeBehind, retryAfter: place.RetryAfter(place.Busy, 0)}
 }
 
+// pastDeadline is a deadline that ends a read in progress.
+var pastDeadline = time.Unix(1, 0)
+
 // readBody reads the whole body until the deadline, so that it can be sent to another target, and so that a
 // caller's disconnect is noticed while a target works.
 func (q *request) readBody() *refusal {
@@ -234,7 +237,7 @@
 	c := http.NewResponseController(q.w)
 	// It fails only if there is no connection.
 	_ = c.SetReadDeadline(q.deadline)
-	stop := context.AfterFunc(q.g.ended, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(q.g.ended, func() { _ = c.SetReadDeadline(pastDeadline) })
 	body, err := readAll(q.r.Body, q.r.ContentLength, maxBytes)
 	stop()
 	if err != nil && q.g.ended.Err() != nil {
