route/pick: a doubt ends by a later list alone, and streams that begin in it keep their origin

Cause: a target that breaks off streams came into doubt with each, what began there had no known origin, and a doubt waited for an answer to a later request, which nobody sent as begun streams were not sent there. The origin is what the list says, as it was before.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -14,7 +14,6 @@
 	"github.com/gullhaven/gullhaven/coord/drain"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
-	"github.com/gullhaven/gullhaven/route/pick"
 	"github.com/gullhaven/gullhaven/route/place"
 )
 
@@ -101,8 +100,6 @@
 	// empty Software if that is not known.
 	begun  bool
 	origin Origin
-	// beganAt is the choice at which the stream began, until its software version is known.
-	beganAt *pick.Choice
 	// bodyCut says that the instance has ended the reading of the body, for which the server cancels the
 	// context of the request.
 	bodyCut bool
--- a/pipeline/exchange/origin.go
+++ b/pipeline/exchange/origin.go
@@ -82,29 +82,10 @@
 	}
 	q.begun, q.origin = true, Origin{Service: q.service}
 	if p.choice != nil {
-		q.beganAt = p.choice
-		q.learnOrigin()
-		return
-	}
-	if software, err := url.QueryUnescape(a.Header.Get(headerSoftware)); err == nil {
+		q.origin.Software = p.choice.Software
+	} else if software, err := url.QueryUnescape(a.Header.Get(headerSoftware)); err == nil {
 		q.origin.Software = software
 	}
-	q.reportOrigin()
-}
-
-// learnOrigin completes the origin of a stream that began at a target of this region, once the version of that is
-// known.
-func (q *request) learnOrigin() {
-	if q.beganAt == nil || !q.beganAt.SoftwareKnown() {
-		return
-	}
-	q.origin.Software = q.beganAt.Software
-	q.beganAt = nil
-	q.reportOrigin()
-}
-
-// reportOrigin reports the origin of the stream, for its caller may take it up elsewhere.
-func (q *request) reportOrigin() {
 	if q.forwarded == nil && q.route.Resumable && q.g.o.Streams != nil && q.origin.Software != "" {
 		q.g.o.Streams.Began(q.streamKey(q.call.ID), q.origin)
 	}
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -188,8 +188,7 @@
 			q.watchStream(s)
 		}
 		if !first && p.choice != nil {
-			p.choice.Heard(now)
-			q.learnOrigin()
+			p.choice.Heard()
 		}
 		first = false
 		if !q.relayEvent(a, s.e, event) {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -196,7 +196,6 @@
 	if code := q.endCode(now); code != "" {
 		return code, false
 	}
-	q.learnOrigin()
 	switch {
 	case q.verdict != verdict.NotRun && (!q.route.Repeatable() || q.runs >= q.maxRuns && len(q.returnTo) == 0):
 		return CodeTargetLost, false
--- a/route/pick/choice.go
+++ b/route/pick/choice.go
@@ -50,15 +50,12 @@
 	// counted is the request's remaining share of the target's load.
 	counted Load
 	probe   bool
-	// doubtsEnded is the number of the target's doubts that had ended when it was chosen in doubt, else -1.
-	doubtsEnded int
 }
 
 // FirstEvent records the first event of the answer: the prefill is complete.
 func (c *Choice) FirstEvent(now time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	c.t.heard(now, c.at)
 	c.learn(now, float64(now.Sub(c.at).Milliseconds()))
 	c.endRestTest()
 	c.endPrefill()
@@ -158,7 +155,6 @@
 		fallthrough
 	case Rejected, Rested:
 		c.pool.answered(now, t)
-		t.heard(now, c.at)
 	}
 	switch r {
 	case Good:
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -77,8 +77,8 @@
 	leaving bool
 	// unreached says that no connection could be established since its last answer.
 	unreached bool
-	// doubt is whether it may have started again, inDoubt that there is one.
-	doubt   doubt
+	// lostAt is when contact was last lost, if inDoubt is set: then it may have started again. p.mu guards both.
+	lostAt  time.Time
 	inDoubt atomic.Bool
 	// order is its sort key among the targets of the service, the same at all instances.
 	order uint64
@@ -253,10 +253,6 @@
 	if t.failures > 0 || t.rest.untested {
 		t.probing, ch.probe = true, true
 	}
-	ch.doubtsEnded = -1
-	if !t.doubt.lostAt.IsZero() {
-		ch.doubtsEnded = t.doubt.ended
-	}
 	ch.Cold, ch.EntryInstances = p.cold(w.now, t), len(p.snapshot.Entries)
 	if perSecond := p.allowedPerSecond(w.now, t); perSecond > 0 {
 		t.nextAllowed = w.now.Add(time.Duration(float64(time.Second) / perSecond))
