ports/serve: a connection that is accepted during the close is not served

Cause: Close ends the connections that it knows. One whose accept returned after that was served, and cut off with the rest when the server had no other connection left, even with a request read. Change: a server that closes takes no new connection; nothing was read from one that is closed at once.

--- a/ports/serve/serve.go
+++ b/ports/serve/serve.go
@@ -114,10 +114,15 @@
 	}
 }
 
-func (s *Server) add(c *conn) {
+// add reports false once the server closes, which would miss the connection. Nothing was read from it.
+func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
 	s.conns[c] = struct{}{}
+	return true
 }
 
 func (s *Server) remove(c *conn) {
@@ -152,7 +157,10 @@
 		return nil, err
 	}
 	c := &conn{Conn: accepted, server: l.server, waiting: true}
-	l.server.add(c)
+	if !l.server.add(c) {
+		_ = accepted.Close()
+		return nil, net.ErrClosed
+	}
 	return c, nil
 }
 
--- a/ports/serve/serve_test.go
+++ b/ports/serve/serve_test.go
@@ -249,3 +249,40 @@
 		So(fmt.Sprint(serve.New(l, &http.Server{ReadHeaderTimeout: time.Minute}).Serve()), ShouldContainSubstring, "use of closed")
 	})
 }
+
+// lateListener accepts a connection whose accept began before its close, and returns after it.
+type lateListener struct {
+	net.Listener
+	accepts           chan net.Conn
+	accepting, closed chan struct{}
+	accept, close     sync.Once
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	l.accept.Do(func() { close(l.accepting) })
+	return <-l.accepts, nil
+}
+
+func (l *lateListener) Close() error {
+	l.close.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Guards against a connection that is accepted while the server closes, which would be cut off with a request read.
+func TestConnectionAcceptedDuringTheCloseIsNotServed(t *testing.T) {
+	Convey("a connection that is accepted late", t, func() {
+		ours, callers := net.Pipe()
+		l := &lateListener{accepts: make(chan net.Conn), accepting: make(chan struct{}), closed: make(chan struct{})}
+		s := serve.New(l, &http.Server{Handler: http.HandlerFunc(ok), ReadHeaderTimeout: time.Minute})
+		served, cut := make(chan error, 1), make(chan int, 1)
+		go func() { served <- s.Serve() }()
+		<-l.accepting
+		go func() { cut <- closeWithin(s) }()
+		<-l.closed
+		l.accepts <- ours
+		_, err := io.WriteString(callers, get)
+		So(err, ShouldEqual, io.ErrClosedPipe)
+		So(<-served, ShouldBeNil)
+		So(<-cut, ShouldEqual, 0)
+	})
+}
