node/entry: a gap of the list counts even if nothing was observed in it

Cause: versionHistory.observe saw the age of the list only. If it was not called while the list was old, versions may have come and gone unseen, and a stream that its caller does not name got the only version listed (ORDER). Change: the time between two lists counts as well. The expected time of the test's first gap moves from 9 to 10 s, when the next list was read: later, so that less is taken for known.

--- a/node/entry/versions.go
+++ b/node/entry/versions.go
@@ -15,19 +15,20 @@
 type versionHistory struct {
 	// lastListed is when each version was last listed, by service.
 	lastListed map[string]map[string]time.Time
-	// since is since when the list was never older than maxListGap.
-	since time.Time
+	// since is since when the list was never older than maxListGap, and readAt when it was read last.
+	since, readAt time.Time
 }
 
 // maxListGap is the age of a list from which on versions may have come and gone unseen: several times the usual
 // age.
 const maxListGap = 5 * time.Second
 
-// observe records the age of the list.
+// observe records when the list was read. A gap counts also if nothing was observed in it.
 func (v *versionHistory) observe(now, readAt time.Time) {
-	if v.since.IsZero() || now.Sub(readAt) >= maxListGap {
+	if v.since.IsZero() || now.Sub(readAt) >= maxListGap || readAt.Sub(v.readAt) >= maxListGap {
 		v.since = now
 	}
+	v.readAt = readAt
 }
 
 // record records the versions that are listed now.
--- a/node/entry/versions_test.go
+++ b/node/entry/versions_test.go
@@ -36,7 +36,11 @@
 	}
 	v.observe(start.Add(9*time.Second), start.Add(3*time.Second))
 	v.observe(start.Add(10*time.Second), start.Add(10*time.Second))
-	if got := v.since.Sub(start); got != 9*time.Second {
+	if got := v.since.Sub(start); got != 10*time.Second {
 		t.Errorf("since %v after a gap", got)
 	}
+	v.observe(start.Add(40*time.Second), start.Add(40*time.Second))
+	if got := v.since.Sub(start); got != 40*time.Second {
+		t.Errorf("since %v after a gap without a list", got)
+	}
 }
