pipeline/exchange: an answer without a length or chunks that closes right after its head is lost

Cause: the end of the connection was taken for the end of the answer. A hedge's first event and a stream that had begun were judged otherwise, relayStream's first event and readAnswer were not. Change: stream.next returns errNoEvent for the end of a stream that had no event and no framing, on all paths; readAnswer returns errNoBody for a success of that kind. A failure, 204 and HEAD are as before. A plain body that has begun and ends with its connection stays whole and goes out with a Content-Length.

--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -27,8 +28,13 @@
 	maxEventBytes = 256 << 10
 )
 
-// errTruncated is returned for a stream that ends in the middle of an event.
-var errTruncated = errors.New("stream ended in the middle of an event")
+var (
+	// errTruncated is returned for a stream that ends in the middle of an event.
+	errTruncated = errors.New("stream ended in the middle of an event")
+	// errNoEvent is returned for a stream without a length or chunks whose connection is closed before its
+	// first event: it cannot be distinguished from one that was broken off.
+	errNoEvent = fmt.Errorf("connection closed before the first event: %w", io.ErrUnexpectedEOF)
+)
 
 // eventReader reads whole events from an event stream.
 type eventReader struct {
@@ -100,6 +106,8 @@
 	cause     func() error
 	// ahead is what was read last, if it was not relayed yet.
 	ahead *readEvent
+	// begun says that an event was read.
+	begun bool
 }
 
 // readEvent is the result of eventReader.next.
@@ -121,20 +129,26 @@
 	eventReaderPool.Put(s.e)
 }
 
-// next is eventReader.next.
+// next is eventReader.next, but returns errNoEvent for the end of a stream that had no event and may have been
+// broken off.
 func (s *stream) next() ([]byte, error) {
 	if read := s.ahead; read != nil {
 		s.ahead = nil
 		return read.event, read.err
 	}
-	return s.e.next()
+	event, err := s.e.next()
+	if err == io.EOF && !s.begun && !s.a.Framed() {
+		return nil, errNoEvent
+	}
+	s.begun = s.begun || err == nil
+	return event, err
 }
 
-// readAhead reads the first event, which next then returns, and reports why there is none. A stream that
-// ends without an event has ended only if its end can be distinguished from a lost connection.
+// readAhead reads the first event or the end of a stream that has none, which next then returns, and reports
+// why there is neither.
 func (s *stream) readAhead() error {
-	event, err := s.e.next()
-	if err != nil && (err != io.EOF || !s.a.Framed()) {
+	event, err := s.next()
+	if err != nil && err != io.EOF {
 		return err
 	}
 	s.ahead = &readEvent{event, err}
@@ -159,10 +173,6 @@
 			q.recordGap(now.Sub(lastEventAt))
 		}
 		lastEventAt = now
-		if err == io.EOF && first && q.headWritten && !a.Framed() {
-			// Nothing tells a stream that has no further event from one that was broken off.
-			err = io.ErrUnexpectedEOF
-		}
 		if err == io.EOF && first && !q.headWritten {
 			// The stream has no events, so only the head is relayed.
 			q.writeHead(a)
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -547,6 +548,9 @@
 	errAnswerTooLong = errors.New("answer is too long to be buffered")
 	// errAnswersTooLong is returned for a long answer while others take up the memory for them.
 	errAnswersTooLong = errors.New("answers are too long to be buffered together")
+	// errNoBody is returned for a success without a length or chunks whose connection is closed right after its
+	// head: it cannot be distinguished from one that was broken off.
+	errNoBody = fmt.Errorf("connection closed before the body: %w", io.ErrUnexpectedEOF)
 )
 
 // readAnswer reads a body, which the request holds to its end. The error says why it is not complete.
@@ -569,6 +573,8 @@
 			return nil, errAnswerTooLong
 		case !q.held.Take(int64(n)):
 			return nil, errAnswersTooLong
+		case err == io.EOF && len(body) == 0 && mayLackBody(a):
+			return nil, errNoBody
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
@@ -577,6 +583,12 @@
 	}
 }
 
+// mayLackBody reports whether an answer of which no byte of a body came may have been broken off. That of a
+// failure says all in its status.
+func mayLackBody(a *rawhttp.Answer) bool {
+	return a.StatusCode < http.StatusMultipleChoices && a.Body != http.NoBody && !a.Framed()
+}
+
 // initialAnswerBytes is the initial buffer size for an answer of unknown length.
 const initialAnswerBytes = 1 << 10
 
