ports: answers without a length or chunks that stop are not whole in the gateway of bundles either

Cause: plainhttp and answer.NewWhole took the end of the connection for that of the answer. Change: plainhttp waits for the first byte of such a success and reports a broken connection if none comes, so that it can be retried; an unframed whole answer of an engine must be valid JSON. Streams have an end mark.

--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -573,7 +573,7 @@
 			return nil, errAnswerTooLong
 		case !q.held.Take(int64(n)):
 			return nil, errAnswersTooLong
-		case err == io.EOF && len(body) == 0 && mayLackBody(a):
+		case err == io.EOF && len(body) == 0 && rawhttp.MayLackBody(a.Response):
 			return nil, errNoBody
 		case err == io.EOF:
 			return body, nil
@@ -583,12 +583,6 @@
 	}
 }
 
-// mayLackBody reports whether an answer of which no byte of a body came may have been broken off. That of a
-// failure says all in its status.
-func mayLackBody(a *rawhttp.Answer) bool {
-	return a.StatusCode < http.StatusMultipleChoices && a.Body != http.NoBody && !a.Framed()
-}
-
 // initialAnswerBytes is the initial buffer size for an answer of unknown length.
 const initialAnswerBytes = 1 << 10
 
--- a/ports/answer/stream.go
+++ b/ports/answer/stream.go
@@ -175,9 +175,10 @@
 	return n, true
 }
 
-// NewWhole returns a reader of a whole answer as one chunk. Close calls cancel.
-func NewWhole(body io.ReadCloser, cancel context.CancelFunc) ports.Stream {
-	return &whole{body: body, cancel: cancel}
+// NewWhole returns a reader of a whole answer in JSON as one chunk. framed says that the end of the body can be
+// distinguished from a lost connection. Close calls cancel.
+func NewWhole(body io.ReadCloser, framed bool, cancel context.CancelFunc) ports.Stream {
+	return &whole{body: body, framed: framed, cancel: cancel}
 }
 
 // maxWholeBytes bounds a whole answer.
@@ -186,6 +187,7 @@
 // whole is an answer that comes as one chunk.
 type whole struct {
 	body   io.ReadCloser
+	framed bool
 	cancel context.CancelFunc
 	done   bool
 }
@@ -199,6 +201,10 @@
 	if err == nil && len(data) > maxWholeBytes {
 		err = errors.New("answer above " + strconv.Itoa(maxWholeBytes) + " bytes")
 	}
+	if err == nil && !w.framed && !json.Valid(data) {
+		// The connection may have been closed anywhere.
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return ports.Chunk{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: ports.CodeStreamCut, Message: "the answer ended before its end", Err: err}
 	}
--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -18,6 +18,7 @@
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/ports/answer"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/ports/transport"
 )
 
@@ -107,7 +108,7 @@
 	if m.Stream {
 		return answer.NewStream(m.Attempt, uint64(max(0, after)), resp.Body, cancel), nil
 	}
-	return answer.NewWhole(resp.Body, cancel), nil
+	return answer.NewWhole(resp.Body, rawhttp.Framed(resp), cancel), nil
 }
 
 func (c *Client) completionRequest(ctx context.Context, m ports.Completion, path string, after int64) (*http.Request, *sentBody, error) {
--- a/ports/plainhttp/client.go
+++ b/ports/plainhttp/client.go
@@ -2,12 +2,15 @@
 package plainhttp
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"net/url"
 
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/ports/transport"
 )
 
@@ -49,7 +52,34 @@
 		resp.Body.Close()
 		return nil, err
 	}
-	return &ports.PlainAnswer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	body, err := begunBody(resp)
+	if err != nil {
+		resp.Body.Close()
+		return nil, &verdict.Error{
+			Verdict: verdict.MayHaveRun,
+			Code:    ports.CodeStreamCut,
+			Message: "connection to the target broke before the body of the answer",
+			Err:     err,
+		}
+	}
+	return &ports.PlainAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// begunBody returns the body of an answer. If the answer may lack it, begunBody waits for its first byte, and the
+// error says why there is none.
+func begunBody(resp *http.Response) (io.ReadCloser, error) {
+	if !rawhttp.MayLackBody(resp) {
+		return resp.Body, nil
+	}
+	r := bufio.NewReader(resp.Body)
+	_, err := r.Peek(1)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return struct {
+		io.Reader
+		io.Closer
+	}{r, resp.Body}, err
 }
 
 // Set has one client for each address.
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -293,8 +293,15 @@
 func (a *Answer) Unnamed() { a.unnamed = true }
 
 // Framed reports whether the end of the body can be distinguished from a lost connection.
-func (a *Answer) Framed() bool {
-	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
+func (a *Answer) Framed() bool { return Framed(a.Response) }
+
+// Framed is Answer.Framed for any answer.
+func Framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
+// MayLackBody reports whether an answer, if its connection is closed before the first byte of a body, may have been
+// broken off. That of a failure says all in its status.
+func MayLackBody(r *http.Response) bool {
+	return r.StatusCode < http.StatusMultipleChoices && r.Body != http.NoBody && !Framed(r)
 }
 
 // SetReadTimeout sets a deadline for reading the body, d from now.
