pipeline/exchange: two more orders of a run and its hedge, and a test that relays through both

Cause: asked for an event alone, and did not look at what the hedge had brought. Change: an end that may be a lost connection is dropped as an event is; a hedge that has brought an end is withdrawn, counted as a run, and the event passed on. TestRunThatItsHedgeOvertakesIsNotPassedOn relays a stream and has the hedge taken as the reading of an event or the end returns.

--- a/pipeline/exchange/export_test.go
+++ b/pipeline/exchange/export_test.go
@@ -1,9 +1,16 @@
 package exchange
 
 import (
+	"bytes"
+	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"time"
 
+	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
 	"github.com/gullhaven/gullhaven/route/pick"
 )
 
@@ -56,3 +63,83 @@
 	}
 	return !w.endWait(nil)
 }
+
+// Overtaken is what becomes of a run that a hedge overtakes.
+type Overtaken struct {
+	// Passed is what the caller got of the run, and Whole says that it was taken for the whole answer.
+	Passed string
+	Whole  bool
+	// GoesOn says that the hedge goes on with the request, and Runs is the number of runs until then.
+	GoesOn bool
+	Runs   int
+}
+
+// Overtake relays the stream of the target at one address, and has the stream of that at another one, as a hedge, go on
+// with the request after the n-th event was read, or the end after the last one, and before that is passed on.
+func (g *Gateway) Overtake(run, other string, n int) (Overtaken, error) {
+	w := httptest.NewRecorder()
+	q := &request{
+		g: g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), view: g.View(), ctx: context.Background(), maxRuns: 3,
+		route: &routes.Route{Kind: routes.Stream, Resumable: true}, deadline: time.Now().Add(time.Hour),
+	}
+	begin := func(address string) (*stream, error) {
+		ctx, cancel := context.WithCancelCause(q.ctx)
+		a, err := g.o.Targets.Do(ctx, address, &rawhttp.Request{Method: http.MethodPost, Target: "/", Header: http.Header{"Id": {"id-1"}}})
+		if err != nil {
+			cancel(nil)
+			return nil, err
+		}
+		return newStream(ctx, cancel, a, &destination{}), nil
+	}
+	s, err := begin(run)
+	if err != nil {
+		return Overtaken{}, err
+	}
+	h, err := begin(other)
+	if err != nil {
+		return Overtaken{}, err
+	}
+	if err := h.readAhead(); err != nil {
+		return Overtaken{}, err
+	}
+	text, err := io.ReadAll(s.a.Body)
+	if err != nil {
+		return Overtaken{}, err
+	}
+	q.watch = q.watchRun(s.p, s.interrupt)
+	q.watch.awaitAnswer()
+	s.e.r.Reset(&overtakenBody{events: bytes.SplitAfter(text, []byte("\n\n")), left: n, take: func() {
+		q.watch.mu.Lock()
+		defer q.watch.mu.Unlock()
+		q.watch.found = &hedge{to: h.p, s: h, cancel: h.interrupt}
+		q.watch.interrupt(errSilent)
+	}})
+	whole, _ := q.relayStream(s)
+	q.endWatch(whole)
+	o := Overtaken{Passed: w.Body.String(), Whole: whole, GoesOn: q.hedge != nil, Runs: q.runs}
+	q.takeHedge().withdraw()
+	return o, nil
+}
+
+// overtakenBody returns an event or the end with each read, and takes the hedge when left reads are done. Later ones
+// fail, as the run is interrupted.
+type overtakenBody struct {
+	events [][]byte
+	left   int
+	take   func()
+}
+
+func (b *overtakenBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if b.left--; b.left == 0 {
+		b.take()
+	}
+	event := b.events[0]
+	if len(event) == 0 {
+		return 0, io.EOF
+	}
+	b.events = b.events[1:]
+	return copy(p, event), nil
+}
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -56,6 +56,11 @@
 	return h
 }
 
+// ended reports whether the hedge has brought the end of a stream and no event. h may be nil.
+func (h *hedge) ended() bool {
+	return h != nil && h.s != nil && h.s.ahead != nil && h.s.ahead.err != nil
+}
+
 // withdraw ends a hedge that is not needed. h may be nil.
 func (h *hedge) withdraw() {
 	if h == nil {
--- a/pipeline/exchange/joined_test.go
+++ b/pipeline/exchange/joined_test.go
@@ -90,3 +90,31 @@
 		So(exchange.PassesOn(true), ShouldBeFalse)
 	})
 }
+
+// Guards against the same for whatever a run brings after its hedge was taken, and for a hedge that brings the end of
+// the stream in place of an event.
+func TestRunThatItsHedgeOvertakesIsNotPassedOn(t *testing.T) {
+	const unframed = "HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n\r\n"
+	framed, closed := respond(200, eventText(1, 3)), respondRaw(unframed+eventText(1, 3), false)
+	goesOn, ended := streamEvents(3, true), respond(200, "")
+	for _, c := range []struct {
+		name       string
+		run, hedge script
+		read       int
+		want       exchange.Overtaken
+	}{
+		{"the first event", framed, goesOn, 1, exchange.Overtaken{GoesOn: true, Runs: 1}},
+		{"a later event", framed, goesOn, 2, exchange.Overtaken{Passed: eventText(1, 1), GoesOn: true, Runs: 1}},
+		{"the end of the whole answer", framed, goesOn, 4, exchange.Overtaken{Passed: eventText(1, 3), Whole: true, Runs: 1}},
+		{"what may be its end", closed, goesOn, 4, exchange.Overtaken{Passed: eventText(1, 3), GoesOn: true, Runs: 1}},
+		{"the first event, the hedge an end", framed, ended, 1, exchange.Overtaken{Passed: eventText(1, 1), Runs: 2}},
+		{"a later event, the hedge an end", framed, ended, 2, exchange.Overtaken{Passed: eventText(1, 2), Runs: 2}},
+	} {
+		Convey(c.name, t, func() {
+			x, y := newTarget(t, "t1", c.run), newTarget(t, "t2", c.hedge)
+			got, err := newRig(t, "r", x, y).gateway.Overtake(x.addr, y.addr, c.read)
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, c.want)
+		})
+	}
+}
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -165,7 +165,7 @@
 			q.watch.awaitEvent(q, a)
 		}
 		event, err := s.next()
-		if q.watch.endWait(err) && err == nil {
+		if q.watch.endWait(err) && !(err == io.EOF && a.Framed()) {
 			err = errSilent
 		}
 		now := time.Now()
--- a/pipeline/exchange/runwatch.go
+++ b/pipeline/exchange/runwatch.go
@@ -166,13 +166,19 @@
 
 // endWait ends the wait with the result of reading. If that is an event or the end of the answer, it ends
 // the hedge under way. It reports whether a hedge goes on with the request since before: then an event that was
-// read must not be passed on, as the hedge brings its own. w may be nil.
+// read must not be passed on, as the hedge brings its own. One that brings the end of the stream instead is
+// withdrawn: the stream has not ended before that event. w may be nil.
 func (w *runWatch) endWait(err error) (overtaken bool) {
 	if w == nil {
 		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err == nil && w.found.ended() {
+		w.found.withdraw()
+		w.found = nil
+		w.q.recordRun(verdict.MayHaveRun)
+	}
 	overtaken = w.found != nil
 	if !w.waiting {
 		return overtaken
