ports/enginehttp: a KV cache whose end cannot be told is not taken over

Change: ExportKV returns an error for it, and the stream stays at its engine. The test cuts the export after each byte.

--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -206,12 +206,17 @@
 	return r, c.call(ctx, http.MethodPost, PathOrders, bytes.NewReader(body), &r)
 }
 
-// ExportKV returns the KV cache of an attempt. The caller must close it.
+// ExportKV returns the KV cache of an attempt. The caller must close it. An answer without a length or chunks is an
+// error, as a part of a cache would be taken for the whole.
 func (c *Client) ExportKV(ctx context.Context, a ports.AttemptID) (io.ReadCloser, error) {
 	resp, err := c.send(ctx, http.MethodGet, PathKV+url.PathEscape(string(a)), nil)
 	if err != nil {
 		return nil, err
 	}
+	if !rawhttp.Framed(resp) {
+		resp.Body.Close()
+		return nil, verdict.New(verdict.Ran, ports.CodeTargetError, "the end of the KV cache cannot be told")
+	}
 	return resp.Body, nil
 }
 
--- a/ports/enginehttp/endless_test.go
+++ b/ports/enginehttp/endless_test.go
@@ -53,6 +53,11 @@
 	}
 }
 
+// exportKV is the exchange of an export.
+func exportKV(ctx context.Context, address string, t *transport.Transports) error {
+	return discard(enginehttp.New(address, t).ExportKV(ctx, "own"))
+}
+
 // plain returns the exchange of a request to a plain target.
 func plain(r ports.PlainRequest) exchange {
 	return func(ctx context.Context, address string, t *transport.Transports) error {
@@ -94,9 +99,7 @@
 		_, err := enginehttp.New(address, t).Order(ctx, ports.Order{})
 		return err
 	}, 4 << 20},
-	"export": {func(ctx context.Context, address string, t *transport.Transports) error {
-		return discard(enginehttp.New(address, t).ExportKV(ctx, "own"))
-	}, 0},
+	"export": {exportKV, 0},
 	"import": {func(ctx context.Context, address string, t *transport.Transports) error {
 		return enginehttp.New(address, t).ImportKV(ctx, "own", strings.NewReader("kv"))
 	}, 4 << 20},
--- a/ports/enginehttp/heads_test.go
+++ b/ports/enginehttp/heads_test.go
@@ -46,11 +46,12 @@
 	for name, e := range map[string]struct {
 		run  exchange
 		body string
-		// least is how much of the body is whole if its framing does not say.
+		// least is how much of the body is whole if its framing does not say. A stream ends with its mark.
 		least int
 	}{
 		"stream": {completion(ports.Completion{Stream: true}), "data: x\n\n" + mark, len("data: x\n\n" + mark)},
 		"whole":  {completion(ports.Completion{}), `{"a":1}`, len(`{"a":1}`)},
+		"export": {exportKV, "cache", len("cache") + 1},
 		"plain":  {plain(ports.PlainRequest{Method: http.MethodPost}), "done", 1},
 	} {
 		const head = "HTTP/1.1 200 OK\r\nGullhaven-Attempt: own\r\n"
@@ -64,10 +65,10 @@
 		} {
 			t.Run(name+", "+framing, func(t *testing.T) {
 				text := a.head + a.body
-				for n := range text {
+				for n := range len(text) + 1 {
 					for _, reset := range []bool{true, false} {
-						if strings.Contains(text[:n], mark) || !a.framed && !reset && n >= len(a.head)+e.least {
-							// The mark is the end of a stream.
+						whole := a.framed && n == len(text) || !a.framed && !reset && n >= len(a.head)+e.least
+						if whole || strings.Contains(text[:n], mark) {
 							continue
 						}
 						transports := transport.NewTransports(transport.Options{})
