soak: a run and its hedge meet, and answers stop in their head

Change: -soak.overlaps, and a seed of it with all tests: runners of two software versions bring the first events of a run and of its hedge at once, refuse connections, and stop a part of their answers in the head or right after it.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/gullhaven/gullhaven/platform/platformtest"
 )
 
 // Kind is a kind of fault.
@@ -58,11 +60,13 @@
 	// Double has a runner turn a share of requests away, and send each answer a second time, where the
 	// next one is expected.
 	Double Kind = "double"
+	// StopHeads has a runner stop a part of its answers in their head or right after it, and close.
+	StopHeads Kind = "stop_heads"
 )
 
 // Planned reports whether the fault is planned work, which must disturb no request.
 func (k Kind) Planned() bool {
-	return slices.Contains([]Kind{Restart, Reload, Drain, ForeignEntries, TurnAway, Reject, Leave, Silence, SpoilResumed, RefuseConns, Double}, k)
+	return slices.Contains([]Kind{Restart, Reload, Drain, ForeignEntries, TurnAway, Reject, Leave, Silence, SpoilResumed, RefuseConns, Double, StopHeads}, k)
 }
 
 // network reports whether the fault is injected by a Forwarder.
@@ -241,6 +245,24 @@
 	return out
 }
 
+// overlapKinds are the faults that DrawOverlaps draws.
+var overlapKinds = []Kind{RefuseConns, RefuseConns, RefuseConns, StopHeads, StopHeads, Silence, SpoilResumed}
+
+// DrawOverlaps returns faults of runners that have runs overlap with their hedges and answers stop early, sorted by
+// At. Only runners of streams refuse connections.
+func DrawOverlaps(seed uint64, s Shape, span time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 8))
+	var out []Fault
+	for at := gap(rng); at < span; at += gap(rng) {
+		f := Fault{Kind: overlapKinds[rng.IntN(len(overlapKinds))], Role: RoleRunner, Number: rng.IntN(s.Runners), At: at, For: faultTime(rng)}
+		if f.Kind == RefuseConns && serviceOf(f.Number) != platformtest.ServiceEngine {
+			f.Number = (f.Number + zones) % s.Runners
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
 // massCrashGap is the mean time between the crashes of DrawMassCrashes: long enough that streams run again.
 const massCrashGap = 1500 * time.Millisecond
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,14 +18,15 @@
 )
 
 var (
-	seeds  = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
-	wide   = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
-	span   = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
-	mixed  = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
-	strain = flag.Bool("soak.strain", false, "play soak.seeds with planned work beside silent runners, spoiled hedges, refused connections and doubled answers")
-	stops  = flag.Bool("soak.stops", false, "play soak.seeds with graceful restarts of entry instances under slow answers and late senders")
-	mass   = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
-	keep   = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
+	seeds    = flag.String("soak.seeds", "", "seeds to play by hand, as 7 or 1-50; empty: none")
+	wide     = flag.Bool("soak.wide", false, "play the wide faults of soak.seeds instead of single ones")
+	span     = flag.Duration("soak.span", 15*time.Second, "how long faults are made for each seed of soak.seeds")
+	mixed    = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
+	strain   = flag.Bool("soak.strain", false, "play soak.seeds with planned work beside silent runners, spoiled hedges, refused connections and doubled answers")
+	stops    = flag.Bool("soak.stops", false, "play soak.seeds with graceful restarts of entry instances under slow answers and late senders")
+	overlaps = flag.Bool("soak.overlaps", false, "play soak.seeds with runs that meet their hedges, and answers that stop early")
+	mass     = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
+	keep     = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
 
 // binary is the daemon under test.
@@ -131,6 +132,19 @@
 	runFaults(t, seed, o, DrawStops(seed, o.Shape, span))
 }
 
+// overlapsSpan is the time within which the faults of TestOverlapsJoinNoStreams begin.
+const overlapsSpan = 8 * time.Second
+
+// Guards against streams that hold events of a run and of its hedge, and against answers that stop in their head
+// and are passed on as whole.
+func TestOverlapsJoinNoStreams(t *testing.T) { runOverlaps(t, 2, overlapsSpan) }
+
+// runOverlaps plays faults of runners with two runners of each service in each region, of two software versions.
+func runOverlaps(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 3, Entries: 4, Runners: 12}, Callers: 120, Budget: siteBudget, Meetings: true}
+	runFaults(t, seed, o, DrawOverlaps(seed, o.Shape, span))
+}
+
 // formerFailures are seeds that failed before, each with its cause.
 var formerFailures = []struct {
 	seed  uint64
@@ -175,6 +189,9 @@
 			case *stops:
 				runStops(t, seed, *span)
 				return
+			case *overlaps:
+				runOverlaps(t, seed, *span)
+				return
 			case *strain:
 				runStrain(t, seed, *span)
 				return
--- a/soak/world.go
+++ b/soak/world.go
@@ -34,6 +34,8 @@
 	LateSenders int
 	// SlowAnswers has runners take up to slowAnswers for answers that are no streams.
 	SlowAnswers bool
+	// Meetings has streams begin late, and a run and its hedge begin at the same moment.
+	Meetings bool
 	// Calm is how long callers go on after the last fault.
 	Calm time.Duration
 	Log  func(format string, args ...any)
@@ -43,6 +45,8 @@
 	// zones is the number of zones. Each is a region of its own, as the site must
 	// tolerate the loss of a zone.
 	zones = 3
+	// meetingFirst and meetingSecond are the times of platformtest.Meeting.
+	meetingFirst, meetingSecond = 500 * time.Millisecond, 50 * time.Millisecond
 	// workTime is the time that a runner takes for an answer and between two events.
 	workTime = 30 * time.Millisecond
 	// streamEvents is the number of events of a stream.
@@ -69,6 +73,7 @@
 	cores      []*coreInstance
 	runners    []*runner
 	listServer *http.Server
+	meeting    platformtest.Meeting
 	// nextID numbers the IDs of runners.
 	nextID int
 	mu     sync.Mutex
@@ -110,6 +115,7 @@
 // error is returned: then nothing is left behind.
 func NewWorld(o Options) (*World, error) {
 	w := &World{o: o, runLog: &platformtest.RunLog{}, list: &platformtest.List{}}
+	w.meeting.First, w.meeting.Second = meetingFirst, meetingSecond
 	w.Ledger = &Ledger{Events: streamEvents, Runs: w.runLog.Runs, WrongWorkspace: w.runLog.WrongWorkspace, Deadline: deadline, Slack: slack, Budget: o.Budget}
 	if err := w.build(); err != nil {
 		w.End()
@@ -262,14 +268,18 @@
 	return l.Addr().String(), nil
 }
 
+// serviceOf returns the service of a runner.
+func serviceOf(number int) string {
+	if number/zones%2 == 1 {
+		return platformtest.ServiceEngine
+	}
+	return platformtest.ServiceDesk
+}
+
 // addRunners adds runners of both services to all zones in turn.
 func (w *World) addRunners(net *subnet) error {
 	for n := range w.o.Shape.Runners {
-		service := platformtest.ServiceDesk
-		if n/zones%2 == 1 {
-			service = platformtest.ServiceEngine
-		}
-		r := &runner{service: service, zone: zone(n), number: n}
+		r := &runner{service: serviceOf(n), zone: zone(n), number: n}
 		to, err := net.address(net.host(firstRunner + n))
 		if err != nil {
 			return err
@@ -314,6 +324,9 @@
 	if w.o.SlowAnswers {
 		runner.AnswerTime = answerTime
 	}
+	if w.o.Meetings {
+		runner.Meeting = &w.meeting
+	}
 	target := w.Ledger.AddTarget(r.number, r.service, regionOfZone(r.zone), software, time.Now())
 	runner.Arrived = func(a platformtest.Arrival) { w.Ledger.AddArrival(target, a) }
 	server, err := serve(r.forwarder.to, runner)
@@ -378,7 +391,7 @@
 		case Reject:
 			w.turnAway(w.runners[f.Number], f.For, "")
 			return nil
-		case Silence, SpoilResumed, RefuseConns, Double:
+		case Silence, SpoilResumed, RefuseConns, Double, StopHeads:
 			return w.strain(w.runners[f.Number], f)
 		}
 		return w.replace(w.runners[f.Number], f)
@@ -495,6 +508,10 @@
 		handler.SpoilResumed(true)
 		time.Sleep(f.For)
 		handler.SpoilResumed(false)
+	case StopHeads:
+		handler.StopHeads(true)
+		time.Sleep(f.For)
+		handler.StopHeads(false)
 	case Double:
 		handler.Shed(true)
 		server.doubling.on.Store(true)
