ports/serve: idle connections of callers make room before descriptors run out

Cause: 2,300 to 2,700 idle connections of callers took up an instance's 4,100 descriptors. net/http then waits up to a second between two tries to accept, on every port: a request that was sent at 12.5 s was read at 16.1 s. Change: LimitConns ends those connections that have been idle for longest while there are more than a bound, as a graceful end does; servers of callers of both gateways have three eighths of the process's descriptors.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -276,6 +276,9 @@
 			server.ConnState = tuneLink
 		}
 		serving := serve.New(l, server)
+		if address == r.s.Listen.Callers {
+			serving.LimitConns(serve.MaxCallerConns())
+		}
 		r.servers[address] = serving
 		go func() {
 			if err := serving.Serve(); err != nil {
--- a/ports/serve/serve.go
+++ b/ports/serve/serve.go
@@ -7,12 +7,17 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,6 +32,10 @@
 	// closing says that connections end once they are idle. empty is closed when none is left then.
 	closing bool
 	empty   chan struct{}
+	// maxConns is the bound of LimitConns; 0 for none. With more connections than trimAt, idle ones are ended.
+	maxConns, trimAt int
+	// answers numbers the answers, to tell which connection has been idle for longest.
+	answers atomic.Uint64
 }
 
 // New returns a server for a listener. It sets the ConnState of s, and calls the former one with each new
@@ -45,6 +54,46 @@
 	return server
 }
 
+// callersShare is the part of a process's descriptors that the connections of callers take before idle ones are
+// ended. Each request in progress needs one more, and all other duties the rest.
+const callersShare = 3.0 / 8
+
+// MaxCallerConns returns the bound for LimitConns of a server of callers, by the descriptors of the process; 0 if
+// they are not limited.
+func MaxCallerConns() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(float64(limit.Cur)*callersShare, math.MaxInt32))
+}
+
+// trimmedShare is the part of LimitConns's bound by which connections are ended at once: finding the idle ones takes
+// a look at all.
+const trimmedShare = 16
+
+// LimitConns has the server end those connections that have been idle for longest while it has more than n. It must
+// be called before Serve. Connections with a request in progress stay, so there may be more.
+func (s *Server) LimitConns(n int) { s.maxConns, s.trimAt = n, n }
+
+// trim returns the connections to end, as there are too many. s.mu must be held.
+func (s *Server) trim() []*conn {
+	if s.maxConns <= 0 || len(s.conns) <= s.trimAt {
+		return nil
+	}
+	batch := max(1, s.maxConns/trimmedShare)
+	// Those that are ended still count until they are closed.
+	s.trimAt = len(s.conns) + batch
+	since := map[*conn]uint64{}
+	for c := range s.conns {
+		if n := c.idleSince(); n > 0 {
+			since[c] = n
+		}
+	}
+	idle := slices.SortedFunc(maps.Keys(since), func(a, b *conn) int { return cmp.Compare(since[a], since[b]) })
+	return idle[:min(len(idle), len(s.conns)-s.maxConns+batch)]
+}
+
 // Serve serves until Close. It returns nil then.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
@@ -117,11 +166,16 @@
 // add reports false once the server closes, which would miss the connection. Nothing was read from it.
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.closing {
+		s.mu.Unlock()
 		return false
 	}
 	s.conns[c] = struct{}{}
+	trimmed := s.trim()
+	s.mu.Unlock()
+	for _, old := range trimmed {
+		old.endIfIdle()
+	}
 	return true
 }
 
@@ -129,6 +183,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if len(s.conns) <= s.maxConns {
+		s.trimAt = s.maxConns
+	}
 	s.signalEmpty()
 }
 
@@ -174,6 +231,8 @@
 	waiting, served bool
 	// ended says that the read deadline ends the wait for a next request.
 	ended bool
+	// lastAnswer is the number of the last answer.
+	lastAnswer uint64
 }
 
 // NetConn returns the connection as it was accepted.
@@ -238,6 +297,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.served = true, true
+	c.lastAnswer = c.server.answers.Add(1)
+}
+
+// idleSince returns the number of the last answer if the connection has been idle since; 0 if it is not idle, has
+// served nothing or is being ended.
+func (c *conn) idleSince() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || c.ended {
+		return 0
+	}
+	return c.lastAnswer
 }
 
 // longPast is a deadline that has passed.
--- a/ports/serve/serve_test.go
+++ b/ports/serve/serve_test.go
@@ -286,3 +286,49 @@
 		So(<-cut, ShouldEqual, 0)
 	})
 }
+
+// Guards against idle connections that take up all descriptors, so that new ones wait for seconds to be accepted.
+func TestConnectionsThatAreIdleForLongestMakeRoom(t *testing.T) {
+	Convey("a server of 4 connections", t, func() {
+		reached, release := make(chan struct{}), make(chan struct{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := serve.New(l, &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				reached <- struct{}{}
+				<-release
+			}
+			ok(w, r)
+		})})
+		s.LimitConns(4)
+		go func() { _ = s.Serve() }()
+		// The first one is in progress, and the second one was used again after the others.
+		all := make([]*client, 4)
+		for n := range all {
+			all[n] = dial(t, l.Addr().String())
+			all[n].send(get)
+			_, err := all[n].answer()
+			So(err, ShouldBeNil)
+			s.AwaitIdle(n + 1)
+		}
+		all[0].send(strings.Replace(get, "GET /", "GET /slow", 1))
+		<-reached
+		all[1].send(get)
+		_, err = all[1].answer()
+		So(err, ShouldBeNil)
+		s.AwaitIdle(3)
+		added := dial(t, l.Addr().String())
+		added.send(get)
+		_, err = added.answer()
+		So(err, ShouldBeNil)
+		_, err = all[2].answer()
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		close(release)
+		for _, c := range []*client{all[0], all[1], added} {
+			c.send(get)
+			_, err := c.answer()
+			So(err, ShouldBeNil)
+		}
+		So(closeWithin(s), ShouldEqual, 0)
+	})
+}
