pipeline/exchange: an answer that may lack its body is no sign of a crash

Cause: found while the diff was read. errNoEvent and errNoBody counted as a crash of the target under the request, so that a target whose successes have no body and no length would have its requests refused as deadly. Change: such an end is unsettled, as that of a whole answer without a length is: the target's life tells.

--- a/pipeline/exchange/answer.go
+++ b/pipeline/exchange/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -99,7 +98,7 @@
 	errAnswersTooLong = errors.New("answers are too long to be buffered together")
 	// errNoBody is returned for a success without a length or chunks whose connection is closed right after its
 	// head: it cannot be distinguished from one that was broken off.
-	errNoBody = fmt.Errorf("connection closed before the body: %w", io.ErrUnexpectedEOF)
+	errNoBody = errors.New("connection closed before the body")
 )
 
 // readAnswer reads a body, which the request holds to its end. The error says why it is not complete.
--- a/pipeline/exchange/exchange_test.go
+++ b/pipeline/exchange/exchange_test.go
@@ -401,21 +401,27 @@
 		})
 	}
 	for name, c := range map[string]struct {
-		first script
-		want  int
+		first       script
+		path        string
+		want, whole int
 	}{
-		"answers":                        {respond(200, "done"), 1},
-		"answers in chunks":              {respondRaw(head+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", false), 1},
-		"fails":                          {respond(500, "failed"), 0},
-		"says that the request is wrong": {respond(400, "wrong"), 0},
-		"answers without a length":       {respondRaw(head+"\r\nx", false), 0},
+		"answers":                          {respond(200, "done"), "/unsafe/x", 1, 0},
+		"answers in chunks":                {respondRaw(head+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", false), "/unsafe/x", 1, 0},
+		"fails":                            {respond(500, "failed"), "/unsafe/x", 0, 0},
+		"says that the request is wrong":   {respond(400, "wrong"), "/unsafe/x", 0, 0},
+		"answers without a length":         {respondRaw(head+"\r\nx", false), "/unsafe/x", 0, 1},
+		"answers without a length or body": {respondRaw(head+"\r\n", false), "/unsafe/x", 0, 1},
+		"sends no event and no length":     {respondRaw(head+"\r\n", false), "/stream/x", 0, 1},
 	} {
 		Convey("a target that "+name+" proves nothing or that the request is innocent", t, func() {
 			k := &fakePoison{}
 			r := newRigWith(t, "r", k, newTarget(t, "t1", c.first))
-			r.call("/unsafe/x", "b")
+			r.call(c.path, "b")
+			// The handler has returned then.
+			r.server.Close()
 			So(len(k.finished), ShouldEqual, c.want)
-			So(len(k.whole) == 1, ShouldEqual, name == "answers without a length")
+			So(len(k.whole), ShouldEqual, c.whole)
+			So(k.crashed, ShouldBeEmpty)
 		})
 	}
 	Convey("a request whose crash makes it a poison request is not sent to another target", t, func() {
--- a/pipeline/exchange/poison.go
+++ b/pipeline/exchange/poison.go
@@ -95,6 +95,9 @@
 	case q.ctx.Err() != nil || errors.Is(err, errCallerLeft):
 		// The target may crash under it all the same, or has just done so.
 		q.g.o.PoisonRequests.ReportUnsettled(q.content(), q.sending(p), false)
+	case err == errNoEvent || err == errNoBody:
+		// The answer may be whole, as that of reportAnswerEnd.
+		q.g.o.PoisonRequests.ReportUnsettled(q.content(), q.sending(p), true)
 	case brokeOff(err):
 		q.g.o.PoisonRequests.ReportCrash(q.content(), q.sending(p))
 	}
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -33,7 +32,7 @@
 	errTruncated = errors.New("stream ended in the middle of an event")
 	// errNoEvent is returned for a stream without a length or chunks whose connection is closed before its
 	// first event: it cannot be distinguished from one that was broken off.
-	errNoEvent = fmt.Errorf("connection closed before the first event: %w", io.ErrUnexpectedEOF)
+	errNoEvent = errors.New("connection closed before the first event")
 )
 
 // eventReader reads whole events from an event stream.
