--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -164,7 +164,8 @@
 			q.watch.awaitEvent(q, a)
 		}
 		event, err := s.next()
-		if q.watch.endWait(err) && !(err == io.EOF && a.Framed()) {
+		if ended := err == io.EOF && a.Framed(); q.watch.endWait(err) && !ended {
+			// The hedge brings its own events, also if this run may have been broken off.
 			err = errSilent
 		}
 		now := time.Now()
