pipeline/exchange: bodies and answers are held within one bound

Callers saw: an entry instance that ran out of memory under 200 callers whose bodies stop short: peak 822 MiB of 284 announced, 1,716 to 1,756 in chunks; 870 and 365 with bodies forwarded to another region. Cause: a body's buffer was made for the announced length, or doubled without a bound of the sum; only answers of targets had one, in rawhttp.Budget. Change: buffers grow as bytes come and are taken from coord/memory, as are answers and the heads of answers: rawhttp.Budget and its own limits are gone. A body for which there is no memory is refused with 503 no_memory and Retry-After before anything ran; a region is not taken for full by it.

--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -20,6 +20,7 @@
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/drain"
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/metrics/lines"
 	"github.com/gullhaven/gullhaven/node/control"
@@ -56,6 +57,8 @@
 	UrgentFirst bool
 	// PromisedReturns reserves places for the callers of refused requests.
 	PromisedReturns bool
+	// Memory bounds what all requests hold together; default one of memory.DefaultLimit of its own.
+	Memory *memory.Budget
 	// Log is for failures and changes, AccessLog for each answered request.
 	Log, AccessLog *zap.Logger
 	// Lines counts missing log lines; nil if they are not counted.
@@ -123,11 +126,14 @@
 	if !o.WeightedDirectory {
 		o.Self.Capacity = 0
 	}
+	if o.Memory == nil {
+		o.Memory = memory.New(memory.DefaultLimit)
+	}
 	i := &Instance{
 		o: o, log: o.Log, hub: hub, chooser: feed.NewCoreChooser(), startupProbeTime: startupProbeTime,
 		pool:    pick.New(o.Self.ID),
-		targets: rawhttp.NewClient(rawhttp.Options{}),
-		peers:   rawhttp.NewClient(rawhttp.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, AckTimeout: PeerAckTimeout}),
+		targets: rawhttp.NewClient(rawhttp.Options{Memory: o.Memory}),
+		peers:   rawhttp.NewClient(rawhttp.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, AckTimeout: PeerAckTimeout, Memory: o.Memory}),
 	}
 	i.known.entries.Self = o.Self.ID
 	i.metrics = metrics.NewSiteEntry(i.metricsState)
@@ -142,8 +148,8 @@
 	})
 	began := streams.New(streams.Options{Self: streams.Instance{ID: o.Self.ID, Region: o.Self.Region}, Hub: hub, Instances: i.otherInstances, Log: o.Log})
 	options := exchange.Options{
-		UrgentFirst: o.UrgentFirst,
-		Self:        o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Streams: began, Limits: i.limits, Targets: i.targets, Peers: i.peers,
+		UrgentFirst: o.UrgentFirst, Memory: o.Memory,
+		Self: o.Self.ID, Region: o.Self.Region, Dialect: o.Dialect, Pool: i.pool, GroupOwner: i.deciding, PoisonRequests: i.poisonRequests, Streams: began, Limits: i.limits, Targets: i.targets, Peers: i.peers,
 		Retries: o.Retries, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: o.Log,
 		AccessLog: o.AccessLog, Metrics: i.metrics,
 	}
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -1,9 +1,8 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"time"
 
@@ -12,14 +11,14 @@
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/drain"
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
+	"github.com/gullhaven/gullhaven/ports/serve"
 	"github.com/gullhaven/gullhaven/route/place"
 )
 
 const (
-	// initialBodyBytes is the initial buffer size for a body of unknown length.
-	initialBodyBytes = 4 << 10
 	// defaultMaxBodyBytes bounds request bodies if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -92,8 +91,8 @@
 	// returnTo are the targets whose runs were ended by this instance, for a hedge or as a hedge, until the
 	// request returns to them.
 	returnTo []string
-	// held is what the request holds of the answers of targets.
-	held *rawhttp.Share
+	// held is what the request holds: its head, its body and the answers of targets.
+	held *memory.Share
 	// failedAnswer is a target's failure, kept while other targets are tried.
 	failedAnswer *bufferedAnswer
 	// begun says that the caller has events of a stream that goes on, and origin what began it, with an
@@ -118,6 +117,10 @@
 	g.gate.Enter()
 	defer g.gate.Leave()
 	q := &request{g: g, w: w, r: r, forwarded: forwarded, acceptedAt: time.Now(), view: g.firstView(r.Context())}
+	if q.held = memory.FromContext(r.Context()); q.held == nil {
+		q.held = g.o.Memory.Open(nil)
+		defer q.held.Close()
+	}
 	if g.gate.Phase(q.acceptedAt) != drain.Serving || len(r.TransferEncoding) > 0 {
 		// A chunked body may also have a Content-Length. The bytes between the two ends
 		// would be read as a request that no caller has sent, so nothing more is read from
@@ -146,8 +149,6 @@
 		return
 	}
 	defer q.refundLimit()
-	q.held = g.answers.NewShare(freeAnswerBytes)
-	defer q.held.Close()
 	q.run()
 }
 
@@ -235,33 +236,25 @@
 	// It fails only if there is no connection.
 	_ = c.SetReadDeadline(q.deadline)
 	stop := context.AfterFunc(q.g.ended, func() { _ = c.SetReadDeadline(pastDeadline) })
-	body, err := readAll(q.r.Body, q.r.ContentLength, maxBytes)
+	body, err := serve.ReadBody(q.r.Body, q.held, q.r.ContentLength, maxBytes)
 	stop()
-	if err != nil && q.g.ended.Err() != nil {
+	switch {
+	case errors.Is(err, serve.ErrBodyTooLarge):
+		return q.refuseAsWrong(tooLarge)
+	case errors.Is(err, serve.ErrNoMemory):
+		q.bodyCut = true
+		return &refusal{status: http.StatusServiceUnavailable, code: CodeNoMemory, retryAfter: place.RetryAfter(place.Busy, q.deadline.Sub(time.Now())), close: true}
+	case err != nil && q.g.ended.Err() != nil:
 		q.bodyCut = true
 		return refuseLeaving()
-	}
-	if err != nil {
+	case err != nil:
 		// The caller disconnected, or its deadline has passed: there is nobody to answer. The server reads on
 		// when it closes the connection, so the read deadline stays.
 		panic(http.ErrAbortHandler)
 	}
-	if int64(len(body)) > maxBytes {
-		return q.refuseAsWrong(tooLarge)
-	}
+	// Only the body is sent to targets.
+	q.r.Trailer = nil
 	_ = c.SetReadDeadline(time.Time{})
 	q.raw.Body = body
 	return nil
 }
-
-// readAll reads length bytes, or, if length is not above 0, up to maxBytes and one more.
-func readAll(r io.Reader, length, maxBytes int64) ([]byte, error) {
-	if length > 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	buf := bytes.NewBuffer(make([]byte, 0, initialBodyBytes))
-	_, err := buf.ReadFrom(io.LimitReader(r, maxBytes+1))
-	return buf.Bytes(), err
-}
--- a/pipeline/exchange/answer.go
+++ b/pipeline/exchange/answer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
@@ -84,18 +83,17 @@
 }
 
 const (
-	// maxAnswerBytes bounds an answer that is buffered whole, and maxAnswersBytes all of them together.
-	maxAnswerBytes  = 16 << 20
-	maxAnswersBytes = 32 << 20
-	// freeAnswerBytes of the answers to each request do not count in that.
-	freeAnswerBytes = 64 << 10
+	// maxAnswerBytes bounds an answer that is buffered whole.
+	maxAnswerBytes = 16 << 20
+	// maxPreparedBytes is up to which announced length an answer's buffer is made at once.
+	maxPreparedBytes = 64 << 10
 )
 
 var (
 	// errAnswerTooLong is returned for an answer of over maxAnswerBytes.
 	errAnswerTooLong = errors.New("answer is too long to be buffered")
-	// errAnswersTooLong is returned for a long answer while others take up the memory for them.
-	errAnswersTooLong = errors.New("answers are too long to be buffered together")
+	// errNoMemory is returned for an answer while other requests take up the memory for it.
+	errNoMemory = errors.New("other requests take up the memory for the answer")
 	// errNoBody is returned for a success without a length or chunks whose connection is closed right after its
 	// head: it cannot be distinguished from one that was broken off.
 	errNoBody = errors.New("connection closed before the body")
@@ -106,21 +104,26 @@
 	if a.ContentLength == 0 {
 		return nil, nil
 	}
-	body := make([]byte, 0, initialAnswerBytes)
-	if n := a.ContentLength; n > initialAnswerBytes && n <= freeAnswerBytes {
-		body = make([]byte, 0, n)
+	room := int64(initialAnswerBytes)
+	if n := a.ContentLength; n > room && n <= maxPreparedBytes {
+		room = n
 	}
+	if !q.held.Take(time.Now(), room) {
+		return nil, errNoMemory
+	}
+	body := make([]byte, 0, room)
 	for {
 		if len(body) == cap(body) {
-			body = slices.Grow(body, max(1, cap(body)))
+			var ok bool
+			if body, ok = q.held.Grow(time.Now(), body, 2*int64(cap(body))); !ok {
+				return nil, errNoMemory
+			}
 		}
 		n, err := a.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > maxAnswerBytes:
 			return nil, errAnswerTooLong
-		case !q.held.Take(int64(n)):
-			return nil, errAnswersTooLong
 		case err == io.EOF && len(body) == 0 && rawhttp.MayLackBody(a.Response):
 			return nil, errNoBody
 		case err == io.EOF:
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gullhaven/gullhaven/coord/drain"
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/retry"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
@@ -45,6 +46,8 @@
 	Limits Limits
 	// Targets and Peers send to targets and to instances of other regions.
 	Targets, Peers *rawhttp.Client
+	// Memory bounds what all requests hold together; default one of memory.DefaultLimit of its own.
+	Memory *memory.Budget
 	// Retries bounds the retries of all instances together.
 	Retries RetryLimits
 	// Rand must not be used elsewhere; the Gateway guards it with a mutex of its own.
@@ -69,8 +72,6 @@
 	// maxOverlap is maxOverlap, except in tests.
 	maxOverlap time.Duration
 	gate       drain.Gate
-	// answers bounds what all requests hold of answers that are buffered whole.
-	answers *rawhttp.Budget
 	// ended ends when endRequests is called, which ends all requests in progress.
 	ended       context.Context
 	endRequests context.CancelFunc
@@ -100,8 +101,11 @@
 // New returns a Gateway that refuses all requests until SetView is called.
 func New(o Options) *Gateway {
 	ended, endRequests := context.WithCancel(context.Background())
+	if o.Memory == nil {
+		o.Memory = memory.New(memory.DefaultLimit)
+	}
 	return &Gateway{
-		ended: ended, endRequests: endRequests, answers: rawhttp.NewBudget(maxAnswersBytes),
+		ended: ended, endRequests: endRequests,
 		o: o, viewSet: make(chan struct{}), startWait: place.StartWait, refusalPause: place.RefusedFor,
 		streamIdle: streamIdleTimeout, placeSearch: placeSearchInterval, maxOverlap: maxOverlap, retries: newRetryBudget(o.Retries, time.Now()),
 	}
@@ -153,6 +157,17 @@
 	return g.View()
 }
 
+// defaultMaxHeadBytes bounds the head of a request if the configuration sets no limit, or before the first one.
+const defaultMaxHeadBytes = 64 << 10
+
+// MaxHeadBytes returns the bound of the head of a request.
+func (g *Gateway) MaxHeadBytes() int {
+	if v := g.View(); v != nil && v.Index != nil && v.Index.Table.Limits.MaxHeaderBytes > 0 {
+		return v.Index.Table.Limits.MaxHeaderBytes
+	}
+	return defaultMaxHeadBytes
+}
+
 // View returns the current view; nil before the first SetView.
 func (g *Gateway) View() *View { return g.view.Load() }
 
--- a/pipeline/exchange/peer.go
+++ b/pipeline/exchange/peer.go
@@ -83,6 +83,10 @@
 		q.finalRefusal = &refusal{status: status, code: code, retryAfter: retryAfter}
 		return
 	}
+	if code == CodeNoMemory {
+		// Other instances of the region may have room.
+		return
+	}
 	if code == CodeLeaving {
 		q.g.markUnreachable(now, peer.Address)
 		q.tried.forget(p)
--- a/pipeline/exchange/types.go
+++ b/pipeline/exchange/types.go
@@ -336,7 +336,9 @@
 	CodeNoRoute         verdict.Code = "no_route"
 	CodeMalformed       verdict.Code = "malformed_request"
 	CodeTooLarge        verdict.Code = "body_too_large"
-	CodeNoTarget        verdict.Code = "no_target"
+	// CodeNoMemory: the requests in progress take up the memory for the body.
+	CodeNoMemory verdict.Code = "no_memory"
+	CodeNoTarget verdict.Code = "no_target"
 	// CodeResting: all targets that may serve the request have asked for rest, CodeDraining: all are
 	// about to end.
 	CodeResting  verdict.Code = "targets_resting"
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 )
 
@@ -39,10 +40,6 @@
 const MaxHeadBytes = http.DefaultMaxHeaderBytes
 
 const (
-	// maxHeadsBytes bounds the heads of all answers together. Parsed they take up to 26 times as much.
-	maxHeadsBytes = 2 << 20
-	// freeHeadBytes of each head do not count in that.
-	freeHeadBytes = 4 << 10
 	// idleTimeoutMargin is subtracted from an idle timeout that the peer announces, so
 	// that a request does not race with its close.
 	idleTimeoutMargin = 600 * time.Millisecond
@@ -62,19 +59,19 @@
 
 // ErrHeadsTooLong is the cause of a Failure whose answer has a long head while the heads of other answers take up
 // the memory for them.
-var ErrHeadsTooLong = errors.New("the heads of all answers together are longer than " + strconv.Itoa(maxHeadsBytes) + " bytes")
+var ErrHeadsTooLong = errors.New("the heads of all answers together take up too much memory")
 
 // Options of a Client. Zero values mean the defaults.
 type Options struct {
 	DialTimeout, IdleTimeout, AckTimeout time.Duration
+	// Memory bounds the heads of all answers; default one of memory.DefaultLimit of its own.
+	Memory *memory.Budget
 }
 
 // Client has a pool of connections to any number of addresses. It is safe for concurrent
 // use.
 type Client struct {
 	o Options
-	// heads bounds the heads of all answers.
-	heads *Budget
 
 	mu   sync.Mutex
 	idle map[string][]*conn // newest last
@@ -93,7 +90,10 @@
 	if o.AckTimeout <= 0 {
 		o.AckTimeout = DefaultAckTimeout
 	}
-	return &Client{o: o, heads: NewBudget(maxHeadsBytes), idle: map[string][]*conn{}}
+	if o.Memory == nil {
+		o.Memory = memory.New(memory.DefaultLimit)
+	}
+	return &Client{o: o, idle: map[string][]*conn{}}
 }
 
 // Request is one request, ready to be written.
@@ -133,7 +133,7 @@
 	inHead   bool
 	headLeft int
 	// head is the share of the answer's head in those of all, and headErr why it must not be read on.
-	head    *Share
+	head    *memory.Share
 	headErr error
 }
 
@@ -151,7 +151,7 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
-	if !c.head.Take(int64(n)) {
+	if !c.head.Take(time.Now(), memory.HeadBytes(p[:n])) {
 		c.headErr = ErrHeadsTooLong
 		return 0, c.headErr
 	}
@@ -260,7 +260,7 @@
 // readHead reads the head of the final answer; interim answers (1xx) are skipped.
 func (a *Answer) readHead(req *Request) error {
 	a.c.inHead, a.c.headLeft, a.c.headErr = true, MaxHeadBytes, nil
-	a.c.head = a.client.heads.NewShare(freeHeadBytes)
+	a.c.head = a.client.o.Memory.Open(nil)
 	defer func() { a.c.inHead = false }()
 	for {
 		res, err := http.ReadResponse(a.c.r, &http.Request{Method: req.Method})
