ports/serve: heads are bounded and count, callers that stop short yield

Callers saw: instances out of memory under 200 clients that send heads without an end: peaks of 397 to 861 MiB of 284 at the callers', directory's, ready and operators' ports; 2,437 with bodies and heads at once. Cause: net/http bounds a head by a megabyte, whatever maxHeaderBytes says; it takes up to 26 times as much when parsed, and nothing bounded the sum. Change: each connection has a share of the process's memory. A head counts by its bytes and lines as they are read. Beyond maxHeaderBytes (64 KiB before a configuration and at core instances) it is refused with 431, without memory with 503 and Retry-After; both before anything ran, and the connection stays until the client has read it. A connection that is told to yield gets 503 if its request is not whole, a reset if it does not read its answer. Ports for other instances are trusted: their heads do not count and do not yield.

--- a/daemon/site.go
+++ b/daemon/site.go
@@ -19,6 +19,7 @@
 
 	"github.com/gullhaven/gullhaven/coord/drain"
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/metrics/lines"
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/entry"
@@ -80,6 +81,8 @@
 	// servers are those of runEntry or runCore, by address.
 	servers  map[string]*serve.Server
 	serveErr chan error
+	// memory bounds what the requests at all servers hold together.
+	memory *memory.Budget
 }
 
 func (o *siteOptions) run(ctx context.Context, out io.Writer) error {
@@ -104,14 +107,13 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * gcMemoryShare))
-	}
+	limitHeap(s.MemoryMB)
 	instanceField := zap.String("instance", s.Instance)
 	budget := lines.NewBudget(core, accessLinesPerSecond)
 	r := &site{
 		s: s, log: zap.New(core).With(instanceField), accessLog: zap.New(budget).With(instanceField), sink: sink, budget: budget,
 		servers: map[string]*serve.Server{}, serveErr: make(chan error, 1),
+		memory: memory.New(memory.Limit(s.MemoryMB)),
 	}
 	logCtx, stopLog := context.WithCancel(context.Background())
 	defer stopLog()
@@ -126,6 +128,13 @@
 	return r.runCore(ctx)
 }
 
+// limitHeap has the garbage collector work harder near a part of the memory of the process, which is in MiB.
+func limitHeap(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(memoryMB<<20) * gcMemoryShare))
+	}
+}
+
 // Missing implements lines.Counts.
 func (r *site) Missing() (dropped, skipped uint64) { return r.sink.Dropped(), r.budget.Skipped() }
 
@@ -167,7 +176,7 @@
 			Window: s.LimitTolerance.Window(), Share: s.LimitTolerance.Share, Units: s.LimitTolerance.Units,
 		},
 		FairAdmission: hardLoad.FairAdmission, UrgentFirst: hardLoad.UrgentFirst, PromisedReturns: hardLoad.PromisedReturns,
-		Log: r.log, AccessLog: r.accessLog, Lines: r,
+		Memory: r.memory, Log: r.log, AccessLog: r.accessLog, Lines: r,
 	})
 	if err != nil {
 		return err
@@ -178,7 +187,7 @@
 		s.Listen.Callers:         i.CallerHandler(),
 		s.Listen.Ready:           platform.ReadyHandler(i.Ready),
 		s.Listen.Directory:       platform.DirectoryHandler(i.CallerAddresses),
-	}); err != nil {
+	}, i.Gateway().MaxHeadBytes); err != nil {
 		return err
 	}
 	i.Start()
@@ -217,6 +226,9 @@
 	}
 }
 
+// maxOperatorHeadBytes returns the bound of the head of a request at a core instance.
+func maxOperatorHeadBytes() int { return exchange.DefaultMaxHeadBytes }
+
 func (r *site) runCore(ctx context.Context) error {
 	s := r.s
 	list := &platform.List{Address: s.InstanceList, Regions: s.Regions, Client: transport.NewHTTPClient(platformTimeout), Log: r.log}
@@ -239,7 +251,7 @@
 		s.Listen.Metrics:         i.MetricsHandler(),
 		s.Listen.BindInstances(): i.PeerHandler(),
 		s.Listen.Operators:       platform.OperatorHandler(i),
-	}); err != nil {
+	}, maxOperatorHeadBytes); err != nil {
 		return err
 	}
 	i.Start()
@@ -257,8 +269,21 @@
 	return err
 }
 
-// listen serves each handler on its address; an empty address is skipped.
-func (r *site) listen(handlers map[string]http.Handler) error {
+// limit bounds what the clients of a server take up. Those of the address for instances are instances.
+func (r *site) limit(server *serve.Server, address string, maxHead func() int) {
+	switch address {
+	case r.s.Listen.BindInstances():
+		server.Limit(r.memory, serve.Bounds{}, nil)
+	case r.s.Listen.Callers:
+		server.Limit(r.memory, serve.CallerBounds(r.s.MemoryMB), maxHead)
+	default:
+		server.Limit(r.memory, serve.OtherBounds(), maxHead)
+	}
+}
+
+// listen serves each handler on its address; an empty address is skipped. maxHead returns the bound of a client's
+// head in bytes.
+func (r *site) listen(handlers map[string]http.Handler, maxHead func() int) error {
 	for address, h := range handlers {
 		if address == "" {
 			continue
@@ -276,9 +301,7 @@
 			server.ConnState = tuneLink
 		}
 		serving := serve.New(l, server)
-		if address == r.s.Listen.Callers {
-			serving.LimitConns(serve.MaxCallerConns())
-		}
+		r.limit(serving, address, maxHead)
 		r.servers[address] = serving
 		go func() {
 			if err := serving.Serve(); err != nil {
--- a/node/listen.go
+++ b/node/listen.go
@@ -83,7 +83,7 @@
 	n.servers = append(n.servers, s)
 	if config == nil {
 		s.plain = serve.New(l, s.http)
-		s.plain.LimitConns(serve.MaxCallerConns())
+		s.plain.LimitConns(serve.CallerBounds(0).Idle)
 		n.wg.Go(func() { _ = s.plain.Serve() })
 		return nil
 	}
--- a/pipeline/exchange/gateway.go
+++ b/pipeline/exchange/gateway.go
@@ -157,15 +157,15 @@
 	return g.View()
 }
 
-// defaultMaxHeadBytes bounds the head of a request if the configuration sets no limit, or before the first one.
-const defaultMaxHeadBytes = 64 << 10
+// DefaultMaxHeadBytes bounds the head of a request if the configuration sets no limit, or before the first one.
+const DefaultMaxHeadBytes = 64 << 10
 
 // MaxHeadBytes returns the bound of the head of a request.
 func (g *Gateway) MaxHeadBytes() int {
 	if v := g.View(); v != nil && v.Index != nil && v.Index.Table.Limits.MaxHeaderBytes > 0 {
 		return v.Index.Table.Limits.MaxHeaderBytes
 	}
-	return defaultMaxHeadBytes
+	return DefaultMaxHeadBytes
 }
 
 // View returns the current view; nil before the first SetView.
--- a/ports/serve/serve.go
+++ b/ports/serve/serve.go
@@ -12,7 +12,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -20,6 +19,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/gullhaven/gullhaven/coord/memory"
 )
 
 // Server serves HTTP on one listener.
@@ -36,6 +37,11 @@
 	maxConns, trimAt int
 	// answers numbers the answers, to tell which connection has been idle for longest.
 	answers atomic.Uint64
+	// memory, mostConns and maxHead are those of Limit; nil and 0 for none.
+	memory    *memory.Budget
+	mostConns int
+	maxHead   func() int
+	counters  connCounters
 }
 
 // New returns a server for a listener. It sets the ConnState of s, and calls the former one with each new
@@ -54,26 +60,12 @@
 	return server
 }
 
-// callersShare is the part of a process's descriptors that the connections of callers take before idle ones are
-// ended. Each request in progress needs one more, and all other duties the rest.
-const callersShare = 3.0 / 8
-
-// MaxCallerConns returns the bound for LimitConns of a server of callers, by the descriptors of the process; 0 if
-// they are not limited.
-func MaxCallerConns() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return 0
-	}
-	return int(min(float64(limit.Cur)*callersShare, math.MaxInt32))
-}
-
 // trimmedShare is the part of LimitConns's bound by which connections are ended at once: finding the idle ones takes
 // a look at all.
 const trimmedShare = 16
 
 // LimitConns has the server end those connections that have been idle for longest while it has more than n. It must
-// be called before Serve. Connections with a request in progress stay, so there may be more.
+// be called before Serve. Connections with a request in progress stay, so there may be more; see Limit.
 func (s *Server) LimitConns(n int) { s.maxConns, s.trimAt = n, n }
 
 // trim returns the connections to end, as there are too many. s.mu must be held.
@@ -158,8 +150,12 @@
 	case http.StateActive:
 		// The request may have been read before the connection was ended.
 		c.revive()
+		c.inHead = false
 	case http.StateHijacked:
 		s.remove(c)
+		if c.share != nil {
+			c.share.Close()
+		}
 	}
 }
 
@@ -209,16 +205,20 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: accepted, server: l.server, waiting: true}
-	if !l.server.add(c) {
-		_ = accepted.Close()
-		return nil, net.ErrClosed
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		c := &conn{Conn: accepted, server: l.server, waiting: true, inHead: true}
+		l.server.openShare(c, now)
+		if !l.server.add(c) {
+			_ = c.Close()
+			return nil, net.ErrClosed
+		}
+		return c, nil
 	}
-	return c, nil
 }
 
 // conn is a connection of which is known whether a part of a request was read.
@@ -233,6 +233,17 @@
 	ended bool
 	// lastAnswer is the number of the last answer.
 	lastAnswer uint64
+	// writing says that an answer is being written, and yielded that the request was told to end.
+	writing, yielded bool
+
+	// share is what the connection's requests hold; nil if that is not limited.
+	share *memory.Share
+	// The fields below are those of the goroutine that serves the connection. inHead says that a head is being read,
+	// of which headBytes have come, and headErr why it is not read on. refused says that this was answered.
+	inHead    bool
+	headBytes int
+	headErr   error
+	refused   bool
 }
 
 // NetConn returns the connection as it was accepted.
@@ -258,18 +269,40 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.headErr != nil {
+		// net/http reads on after an error between two lines.
+		return 0, c.headErr
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.revive()
 	}
+	if c.share == nil || !c.inHead {
+		return n, err
+	}
+	switch {
+	case n > 0:
+		c.headErr = c.readHead(p[:n])
+	case c.hasYielded() && c.headBytes > 0:
+		c.headErr = c.refuse(refuseNoRoom)
+	}
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
 	return n, err
 }
 
-// SetReadDeadline implements net.Conn. An ended connection keeps its deadline.
+func (c *conn) hasYielded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.yielded
+}
+
+// SetReadDeadline implements net.Conn. An ended connection keeps its deadline, as does one that was told to yield.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
+	if c.ended || c.yielded {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -282,6 +315,12 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.share != nil {
+		c.share.Close()
+	}
+	if c.refused {
+		c.linger()
+	}
 	c.server.remove(c)
 	return c.Conn.Close()
 }
@@ -298,6 +337,11 @@
 	defer c.mu.Unlock()
 	c.waiting, c.served = true, true
 	c.lastAnswer = c.server.answers.Add(1)
+	if c.share != nil {
+		c.inHead, c.headBytes = true, 0
+		c.share.Begin(memory.Idle, time.Now())
+		c.share.Reset()
+	}
 }
 
 // idleSince returns the number of the last answer if the connection has been idle since; 0 if it is not idle, has
@@ -330,8 +374,11 @@
 func (c *conn) revive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.waiting && c.lastAnswer > 0 && c.share != nil {
+		c.share.Begin(memory.Reading, time.Now())
+	}
 	c.waiting = false
-	if c.ended {
+	if c.ended && !c.yielded {
 		c.ended = false
 		// It fails only if the connection is closed.
 		_ = c.Conn.SetReadDeadline(time.Time{})
--- a/settings/site.go
+++ b/settings/site.go
@@ -54,8 +54,8 @@
 	Contracts []string `json:"contracts"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL; default 8.
 	GraceSeconds float64 `json:"grace_seconds"`
-	// MemoryMB is the memory limit of the process, from which the garbage collector's
-	// limit is derived. Default none.
+	// MemoryMB is the memory limit of the process in MiB, from which the garbage collector's limit is derived, and
+	// the bounds of what requests hold and of the connections of callers; 0, the default, means unknown.
 	MemoryMB int `json:"memory_mb"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level"`
@@ -236,6 +236,7 @@
 	require(cores == 0 || cores >= minProcessor && cores <= maxProcessor, "capacity.processor",
 		"is %v, but must be 0 or from %v to %v cores", cores, minProcessor, maxProcessor)
 	require(s.Capacity.LinkMbps >= 0 && !math.IsInf(s.Capacity.LinkMbps, 1), "capacity.link_mbps", "is %v, but must be finite and not negative", s.Capacity.LinkMbps)
+	require(s.MemoryMB >= 0, "memory_mb", "is %v, but must not be negative", s.MemoryMB)
 	require(s.GraceSeconds > 0, "grace_seconds", "is %v, but must be above 0", s.GraceSeconds)
 	return p
 }
