ports/serve: connections in progress leave descriptors for other duties

Callers saw: instances that accept nothing for up to a second at a time, as 600 connections that begin a request and go no further take up all of 512 descriptors. Cause: LimitConns ends idle connections only. Change: beyond half of the descriptors (an eighth at ports other than the callers'), or a quarter of the memory at 32 KiB each, the connection ends whose client is farthest behind 64 KiB a second in sending or reading. If all wait for this process or for targets, new ones are closed unread.

--- a/ports/serve/serve.go
+++ b/ports/serve/serve.go
@@ -217,7 +217,10 @@
 			_ = c.Close()
 			return nil, net.ErrClosed
 		}
-		return c, nil
+		if l.server.makeRoom(c, now) {
+			return c, nil
+		}
+		_ = c.Close()
 	}
 }
 
