ports/serve: what the kernel holds of a caller's connection is bounded

Cause: the kernel's buffers of a connection grow to megabytes; bytes beyond a request in progress and answers that callers don't read stay there. Change: 64 KiB each way at ports that clients reach; those for instances, 80 ms away, keep the kernel's own bounds.

--- a/ports/serve/limits.go
+++ b/ports/serve/limits.go
@@ -106,6 +106,9 @@
 		}
 		return ctx
 	}
+	if c.Most > 0 {
+		limitKernelBuffers(s.listener)
+	}
 }
 
 // openShare opens the share of a new connection, if that is limited. Without a bound of all connections the clients
