node, api, pipeline: the gateway of bundles is bounded like a site's

Cause: no bound of the sum, of heads, or of connections in progress. Change: bodies, heads and signed bundles are taken from coord/memory; heads are bounded by 64 KiB; connections as those of a site.

--- a/api/operators.go
+++ b/api/operators.go
@@ -6,10 +6,13 @@
 	"io"
 	"math"
 	"net/http"
+	"time"
 
 	"github.com/gullhaven/gullhaven/api/gen/operators"
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/pipeline"
+	"github.com/gullhaven/gullhaven/ports/serve"
 )
 
 // Codes of errors that an Operator returns.
@@ -35,6 +38,15 @@
 // MaxBundleBytes bounds the body with a signed bundle.
 const MaxBundleBytes = 64 << 20
 
+const (
+	// parsedFactor is how many times the bytes of a signed bundle its parsed form takes up.
+	parsedFactor = 4
+	// unknownLength is the length of a body in chunks.
+	unknownLength = -1
+	// noMemoryRetryAfter is when the operator may return for whose bundle there is no memory.
+	noMemoryRetryAfter = time.Second
+)
+
 // refusalNames maps codes to names of errors in api/design, which set the status.
 var refusalNames = map[verdict.Code]string{
 	CodeBundleMalformed: "bad_request",
@@ -43,6 +55,8 @@
 	CodeBundleConflict:  "conflict",
 	CodeBundleTooLarge:  "too_large",
 	CodeNoQuorum:        "unavailable",
+
+	pipeline.CodeNoMemory: "unavailable",
 }
 
 // operatorsService implements the operators service of api/design.
@@ -51,12 +65,20 @@
 // Roll reads the body, at most MaxBundleBytes, and passes it to the Operator.
 func (s *operatorsService) Roll(ctx context.Context, body io.ReadCloser) (*operators.RollResult, error) {
 	defer body.Close()
-	signed, err := io.ReadAll(io.LimitReader(body, MaxBundleBytes+1))
-	if err != nil {
-		return nil, refusalOf(verdict.New(verdict.NotRun, CodeBundleMalformed, "the body ended early"))
+	share := memory.Of(ctx)
+	signed, err := serve.ReadBody(body, share, unknownLength, MaxBundleBytes)
+	if err == nil && !share.Take(time.Now(), parsedFactor*int64(len(signed))) {
+		err = serve.ErrNoMemory
 	}
-	if len(signed) > MaxBundleBytes {
+	switch {
+	case errors.Is(err, serve.ErrBodyTooLarge):
 		return nil, refusalOf(verdict.New(verdict.NotRun, CodeBundleTooLarge, "the signed bundle is too large"))
+	case errors.Is(err, serve.ErrNoMemory):
+		refusal := verdict.New(verdict.NotRun, pipeline.CodeNoMemory, "the requests in progress take up the memory for the bundle")
+		refusal.RetryAfter = noMemoryRetryAfter
+		return nil, refusalOf(refusal)
+	case err != nil:
+		return nil, refusalOf(verdict.New(verdict.NotRun, CodeBundleMalformed, "the body ended early"))
 	}
 	res, err := s.d.Operator.Roll(ctx, signed)
 	return res, refusalOf(err)
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -38,6 +38,8 @@
 	devOperator    = "dev"
 	devValidity    = 30 * 24 * time.Hour
 	devRollTimeout = 20 * time.Second
+	// devMemoryMB is its memory in MiB.
+	devMemoryMB = 256
 )
 
 // devEngineConfig is the engine with the model of the embedded bundle loaded.
@@ -87,6 +89,7 @@
 		return err
 	}
 	operator := bundle.Operator{ID: devOperator, PublicKey: base64.StdEncoding.EncodeToString(public)}
+	limitHeap(devMemoryMB)
 	n, err := node.New(node.Options{Settings: devSettings(dir, operator), Key: key, Log: log})
 	if err != nil {
 		return err
@@ -126,7 +129,7 @@
 	s.Instance, s.Region, s.Zone = devInstance, devRegion, devZone
 	s.Listen = settings.Addresses{Callers: devCallers, Instances: devInstances, Operators: devOperators}
 	s.Advertise = s.Listen
-	s.DataDir, s.Voter = dir, true
+	s.DataDir, s.Voter, s.MemoryMB = dir, true, devMemoryMB
 	s.Voters = []settings.Peer{{ID: devInstance, Region: devRegion, Zone: devZone, Address: devInstances}}
 	s.Bootstrap = settings.Bootstrap{Operators: []bundle.Operator{operator}, SignOffs: 1}
 	return s
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -35,6 +35,7 @@
 		return err
 	}
 	log = log.With(zap.String("instance", s.Instance))
+	limitHeap(s.MemoryMB)
 	n, err := node.New(node.Options{Settings: s, Key: key, Log: log})
 	if err != nil {
 		return err
--- a/node/listen.go
+++ b/node/listen.go
@@ -19,6 +19,9 @@
 // connections don't hold resources.
 const headerTimeout = 10 * time.Second
 
+// maxHeadBytes bounds the head of a request.
+const maxHeadBytes = 64 << 10
+
 // server is one listening interface.
 type server struct {
 	http *http.Server
@@ -83,7 +86,11 @@
 	n.servers = append(n.servers, s)
 	if config == nil {
 		s.plain = serve.New(l, s.http)
-		s.plain.LimitConns(serve.CallerBounds(0).Idle)
+		bounds := serve.OtherBounds()
+		if address == n.s.Listen.Callers {
+			bounds = serve.CallerBounds(n.s.MemoryMB)
+		}
+		s.plain.Limit(n.memory, bounds, func() int { return maxHeadBytes })
 		n.wg.Go(func() { _ = s.plain.Serve() })
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/gullhaven/gullhaven/coord/claim"
 	"github.com/gullhaven/gullhaven/coord/keys"
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/roster"
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/metrics/served"
@@ -83,6 +84,8 @@
 	metrics *metrics.Set
 	served  *served.Table
 	history *history
+	// memory bounds what the requests of callers and operators hold together.
+	memory *memory.Budget
 
 	hub         *link.Hub
 	members     *members.Service
@@ -119,6 +122,7 @@
 	n := &Node{
 		o: o, s: o.Settings, log: o.Log, started: time.Now(),
 		metrics: metrics.NewSet(), served: served.NewTable(time.Now()), draining: make(chan struct{}),
+		memory: memory.New(memory.Limit(o.Settings.MemoryMB)),
 	}
 	hub, err := link.New(link.Options{
 		Key:            o.Key,
@@ -203,6 +207,7 @@
 		Directory: n.directory,
 		Metrics:   n.metrics,
 		Log:       n.log,
+		Bounds:    pipeline.Bounds{MaxAnswerBytes: memory.Limit(n.s.MemoryMB)},
 	}
 }
 
--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -3,17 +3,19 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"mime"
 	"net/http"
 	"os"
+	"time"
 
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/metrics"
+	"github.com/gullhaven/gullhaven/ports/serve"
 )
 
-// initialReadBytes is the first buffer size for a body of unknown length.
-const initialReadBytes = 4 << 10
+// noMemoryRetryAfter is when the caller of a request may return for whose body there is no memory.
+const noMemoryRetryAfter = time.Second
 
 // ReadBody reads the whole body, within the bounds of size and time.
 type ReadBody struct {
@@ -58,50 +60,30 @@
 	if c.SetReadDeadline(x.Arrival.Add(f.bounds.BodyTimeout)) == nil {
 		defer func() { _ = c.SetReadDeadline(noDeadline) }()
 	}
-	body, err := readBounded(x.R.Body, x.R.ContentLength, limit)
+	body, err := serve.ReadBody(x.R.Body, memory.Of(x.R.Context()), x.R.ContentLength, limit)
 	if err != nil {
 		x.W.Header().Set("Connection", "close")
 		return f.readError(err)
 	}
+	// Only the body is sent to targets.
+	x.R.Trailer = nil
 	x.Body = body
 	f.metrics.BodyBytes.Inc(int64(len(body)))
 	return nil
 }
 
-var errTooLarge = errors.New("body too large")
-
-func readBounded(r io.Reader, length, limit int64) ([]byte, error) {
-	room := int64(initialReadBytes)
-	if length >= 0 {
-		room = length + 1
-	}
-	body := make([]byte, 0, room)
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if int64(len(body)) > limit {
-			return nil, errTooLarge
-		}
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 func (f *ReadBody) tooLarge() *verdict.Error {
 	return refuse(CodeBodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", f.bounds.MaxBodyBytes))
 }
 
 func (f *ReadBody) readError(err error) *verdict.Error {
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, serve.ErrBodyTooLarge):
 		return f.tooLarge()
+	case errors.Is(err, serve.ErrNoMemory):
+		refusal := refuse(CodeNoMemory, "the requests in progress take up the memory for the body")
+		refusal.RetryAfter = noMemoryRetryAfter
+		return refusal
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuse(CodeBodyTruncated, fmt.Sprintf("the body did not come within %s", f.bounds.BodyTimeout))
 	}
--- a/pipeline/codes.go
+++ b/pipeline/codes.go
@@ -11,16 +11,18 @@
 
 // Codes of refusals and failures on the request path.
 const (
-	CodeOverloaded                          = verdict.Code(route.ReasonOverload)
-	CodeHopNotAllowed          verdict.Code = "hop_not_allowed"
-	CodeLoop                   verdict.Code = "loop"
-	CodeUnknownKey             verdict.Code = "wrong_key"
-	CodeWrongHeader            verdict.Code = "wrong_header"
-	CodePriorityNotAllowed     verdict.Code = "priority_not_allowed"
-	CodeWrongRegion            verdict.Code = "wrong_region"
-	CodeServiceHeader          verdict.Code = "service_header_required"
-	CodeOverLimit              verdict.Code = "workspace_limit"
-	CodeBodyTooLarge           verdict.Code = "body_too_large"
+	CodeOverloaded                      = verdict.Code(route.ReasonOverload)
+	CodeHopNotAllowed      verdict.Code = "hop_not_allowed"
+	CodeLoop               verdict.Code = "loop"
+	CodeUnknownKey         verdict.Code = "wrong_key"
+	CodeWrongHeader        verdict.Code = "wrong_header"
+	CodePriorityNotAllowed verdict.Code = "priority_not_allowed"
+	CodeWrongRegion        verdict.Code = "wrong_region"
+	CodeServiceHeader      verdict.Code = "service_header_required"
+	CodeOverLimit          verdict.Code = "workspace_limit"
+	CodeBodyTooLarge       verdict.Code = "body_too_large"
+	// CodeNoMemory: the requests in progress take up the memory for the body.
+	CodeNoMemory               verdict.Code = "no_memory"
 	CodeBodyTruncated          verdict.Code = "body_truncated"
 	CodeBodyMalformed          verdict.Code = "body_malformed"
 	CodeContentType            verdict.Code = "wrong_content_type"
@@ -51,6 +53,7 @@
 	CodeServiceHeader:          http.StatusPreconditionRequired,
 	CodeOverLimit:              http.StatusTooManyRequests,
 	CodeBodyTooLarge:           http.StatusRequestEntityTooLarge,
+	CodeNoMemory:               http.StatusServiceUnavailable,
 	CodeBodyTruncated:          http.StatusBadRequest,
 	CodeBodyMalformed:          http.StatusBadRequest,
 	CodeContentType:            http.StatusUnsupportedMediaType,
--- a/settings/check.go
+++ b/settings/check.go
@@ -24,6 +24,7 @@
 	c.keys()
 	c.bootstrap()
 	c.platform()
+	c.require(s.MemoryMB >= 0, "memory_mb", "is %d, but must not be negative", s.MemoryMB)
 	c.require(slices.Contains(logLevels, s.Log.Level), "log.level", "%q is none of %q", s.Log.Level, logLevels)
 	return c.problems
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,9 @@
 	Bootstrap Bootstrap `json:"bootstrap"`
 	// Platform has the platform's interfaces. Default none.
 	Platform Platform `json:"platform"`
+	// MemoryMB is the memory limit of the process in MiB, from which the bounds of what requests hold and of the
+	// connections of callers are derived, and the garbage collector's limit; 0, the default, means unknown.
+	MemoryMB int `json:"memory_mb,omitempty"`
 	// Log configures the log on standard error.
 	Log Log `json:"log"`
 }
