--- a/daemon/site.go
+++ b/daemon/site.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,10 +22,12 @@
 	"github.com/gullhaven/gullhaven/coord/drain"
 	"github.com/gullhaven/gullhaven/coord/link"
 	"github.com/gullhaven/gullhaven/coord/memory"
+	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/metrics/lines"
 	"github.com/gullhaven/gullhaven/node/control"
 	"github.com/gullhaven/gullhaven/node/entry"
 	"github.com/gullhaven/gullhaven/node/feed"
+	"github.com/gullhaven/gullhaven/node/intake"
 	"github.com/gullhaven/gullhaven/node/quota"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
 	"github.com/gullhaven/gullhaven/platform"
@@ -176,7 +180,7 @@
 			Window: s.LimitTolerance.Window(), Share: s.LimitTolerance.Share, Units: s.LimitTolerance.Units,
 		},
 		FairAdmission: hardLoad.FairAdmission, UrgentFirst: hardLoad.UrgentFirst, PromisedReturns: hardLoad.PromisedReturns,
-		Memory: r.memory, Log: r.log, AccessLog: r.accessLog, Lines: r,
+		Memory: r.memory, Log: r.log, AccessLog: r.accessLog, Lines: r, Intake: r.intake,
 	})
 	if err != nil {
 		return err
@@ -191,6 +195,7 @@
 		return err
 	}
 	i.Start()
+	go intake.Watch(ctx, r.log, r.intake)
 	r.log.Info("started", zap.String("callers", s.Listen.Callers))
 	select {
 	case <-ctx.Done():
@@ -243,6 +248,7 @@
 		ListRate:   s.InstanceListRate,
 		Log:        r.log,
 		Lines:      r,
+		Intake:     r.intake,
 	})
 	if err != nil {
 		return err
@@ -255,6 +261,7 @@
 		return err
 	}
 	i.Start()
+	go intake.Watch(ctx, r.log, r.intake)
 	r.log.Info("started", zap.String("operators", s.Listen.Operators), zap.Bool("first_start", s.FirstStart))
 	select {
 	case <-ctx.Done():
@@ -303,6 +310,8 @@
 		serving := serve.New(l, server)
 		r.limit(serving, address, maxHead)
 		r.servers[address] = serving
+	}
+	for _, serving := range r.servers {
 		go func() {
 			if err := serving.Serve(); err != nil {
 				select {
@@ -315,6 +324,11 @@
 	return nil
 }
 
+// intake returns what clients take up. It must be called after listen.
+func (r *site) intake() metrics.Intake {
+	return metrics.SumIntake(r.memory, slices.Collect(maps.Values(r.servers)))
+}
+
 // tuneLink makes the kernel close connections of other instances that are silent.
 func tuneLink(c net.Conn, s http.ConnState) {
 	link.TuneConn(c, s)
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -106,7 +106,7 @@
 )
 
 // All has all metrics, each once.
-var All = slices.Concat(Instance, Site)
+var All = slices.Concat(Instance, Site, intakeMetrics)
 
 // Instance has the metrics of an instance with the product's own interface, each once.
 var Instance = []Metric{
--- a/metrics/names_test.go
+++ b/metrics/names_test.go
@@ -8,6 +8,9 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"github.com/gullhaven/gullhaven/coord/memory"
+	"github.com/gullhaven/gullhaven/ports/serve"
 )
 
 // row matches a line of the tables in docs/METRICS.md.
@@ -105,3 +108,23 @@
 		}
 	}
 }
+
+// Guards against a metric of what clients take up that has the value of another.
+func TestIntakeIsWritten(t *testing.T) {
+	s := NewSet()
+	s.RegisterIntake(func() Intake {
+		return Intake{
+			Memory: memory.Stats{Limit: 1, Held: 2, Yielded: 3, Refused: 4},
+			Conns:  serve.ConnStats{Open: 5, Ended: 6, Refused: 7},
+		}
+	})
+	var page strings.Builder
+	if err := s.WritePage(&page); err != nil {
+		t.Fatal(err)
+	}
+	for k, m := range intakeMetrics {
+		if !strings.Contains(page.String(), fmt.Sprintf("\n%s %d\n", m.Name, k+1)) {
+			t.Errorf("%s is not %d", m.Name, k+1)
+		}
+	}
+}
--- a/node/control/instance.go
+++ b/node/control/instance.go
@@ -114,6 +114,8 @@
 	Log      *zap.Logger
 	// Lines counts missing log lines; nil where none are counted.
 	Lines lines.Counts
+	// Intake returns what clients take up, for the metrics; nil if that is not known.
+	Intake func() metrics.Intake
 	// Admission bounds the group; zero fields take the defaults.
 	Admission admit.Rules
 }
@@ -176,6 +178,9 @@
 		gossipNow: make(chan struct{}, 1), suspectsNow: make(chan struct{}, 1),
 	}
 	i.metrics = metrics.NewSiteCore(i.coreState)
+	if o.Intake != nil {
+		i.metrics.RegisterIntake(o.Intake)
+	}
 	i.acceptedFile = newAcceptedFile(wal.OS{}, o.Dir, o.Log)
 	i.suspectsFile = newSuspectsFile(wal.OS{}, o.Dir, o.Log)
 	i.machine = newest.NewMachine(i.onAccepted)
--- a/node/entry/instance.go
+++ b/node/entry/instance.go
@@ -63,6 +63,8 @@
 	Log, AccessLog *zap.Logger
 	// Lines counts missing log lines; nil if they are not counted.
 	Lines lines.Counts
+	// Intake returns what clients take up, for the metrics; nil if that is not known.
+	Intake func() metrics.Intake
 }
 
 // Instance is an entry instance.
@@ -137,6 +139,9 @@
 	}
 	i.known.entries.Self = o.Self.ID
 	i.metrics = metrics.NewSiteEntry(i.metricsState)
+	if o.Intake != nil {
+		i.metrics.RegisterIntake(o.Intake)
+	}
 	i.poisonRequests = newPoisonRequests(o.Log)
 	i.poisonRequests.probe = i.probeTarget
 	newTrials(o.Self.ID, hub, o.Log, i.acceptingInstances, i.poisonRequests)
--- a/node/listen.go
+++ b/node/listen.go
@@ -12,6 +12,7 @@
 	"github.com/gullhaven/gullhaven/api"
 	"github.com/gullhaven/gullhaven/coord/keys"
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/ports/serve"
 )
 
@@ -83,9 +84,13 @@
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          zap.NewStdLog(n.log.Named(name).WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}}
-	n.servers = append(n.servers, s)
 	if config == nil {
 		s.plain = serve.New(l, s.http)
+	}
+	n.serversMu.Lock()
+	n.servers = append(n.servers, s)
+	n.serversMu.Unlock()
+	if config == nil {
 		bounds := serve.OtherBounds()
 		if address == n.s.Listen.Callers {
 			bounds = serve.CallerBounds(n.s.MemoryMB)
@@ -98,3 +103,16 @@
 	n.wg.Go(func() { _ = s.http.Serve(tls.NewListener(l, config)) })
 	return nil
 }
+
+// intake returns what callers and operators take up.
+func (n *Node) intake() metrics.Intake {
+	n.serversMu.Lock()
+	defer n.serversMu.Unlock()
+	var plain []*serve.Server
+	for _, s := range n.servers {
+		if s.plain != nil {
+			plain = append(plain, s.plain)
+		}
+	}
+	return metrics.SumIntake(n.memory, plain)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/gullhaven/gullhaven/metrics"
 	"github.com/gullhaven/gullhaven/metrics/served"
 	"github.com/gullhaven/gullhaven/node/group"
+	"github.com/gullhaven/gullhaven/node/intake"
 	"github.com/gullhaven/gullhaven/node/limits"
 	"github.com/gullhaven/gullhaven/node/loads"
 	"github.com/gullhaven/gullhaven/node/members"
@@ -107,10 +108,12 @@
 	directory  *directory
 	platform   *platform
 
-	servers  []*server
-	draining chan struct{}
-	wg       sync.WaitGroup
-	cancel   context.CancelFunc
+	// serversMu guards appending to servers.
+	serversMu sync.Mutex
+	servers   []*server
+	draining  chan struct{}
+	wg        sync.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // New assembles an instance without starting it, except that its replicated groups recover
@@ -186,6 +189,7 @@
 	n.hub.Serve(channelRegions, maxStatusCalls, n.serveRegions)
 	n.hub.Serve(channelVoters, maxStatusCalls, n.serveVoters)
 	n.metrics.RegisterControl(n.control)
+	n.metrics.RegisterIntake(n.intake)
 	return n.openMembers()
 }
 
@@ -254,6 +258,7 @@
 	}
 	loops := []func(context.Context){
 		n.members.Run, n.spreader.Run, n.regions.Run, n.loads.Run, n.limits.Run, n.suspects.Run, n.history.run, n.pipeline.Run, n.publishPeers,
+		func(ctx context.Context) { intake.Watch(ctx, n.log, n.intake) },
 	}
 	if n.claimKeeper != nil {
 		loops = append(loops, n.claimKeeper.run)
