soak: crowds of clients that stop short, beside restarts

Change: a draw of crowds (bodies in chunks, small chunks or announced, heads, connections, configurations) that overlap at entry and core instances, and a check that no process uses more than the memory of its settings.

--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -243,7 +243,7 @@
 		return q.refuseAsWrong(tooLarge)
 	case errors.Is(err, serve.ErrNoMemory):
 		q.bodyCut = true
-		return &refusal{status: http.StatusServiceUnavailable, code: CodeNoMemory, retryAfter: place.RetryAfter(place.Busy, q.deadline.Sub(time.Now())), close: true}
+		return &refusal{status: http.StatusServiceUnavailable, code: CodeNoMemory, retryAfter: place.RetryAfter(place.Busy, time.Until(q.deadline)), close: true}
 	case err != nil && q.g.ended.Err() != nil:
 		q.bodyCut = true
 		return refuseLeaving()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 	strain   = flag.Bool("soak.strain", false, "play soak.seeds with planned work beside silent runners, spoiled hedges, refused connections and doubled answers")
 	stops    = flag.Bool("soak.stops", false, "play soak.seeds with graceful restarts of entry instances under slow answers and late senders")
 	overlaps = flag.Bool("soak.overlaps", false, "play soak.seeds with runs that meet their hedges, and answers that stop early")
+	crowds   = flag.Bool("soak.crowds", false, "play soak.seeds with crowds of clients that stop short")
 	mass     = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
 	keep     = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
 )
@@ -145,6 +146,24 @@
 	runFaults(t, seed, o, DrawOverlaps(seed, o.Shape, span))
 }
 
+const (
+	// crowdsSpan is the time within which the faults and crowds of TestCrowdsUseUpNoMemory begin.
+	crowdsSpan = 6 * time.Second
+	// crowdsMemoryMB is the memory of each process, in MiB: a fifth of what one crowd sends.
+	crowdsMemoryMB = 128
+)
+
+// Guards against processes that use up their memory or leave ordinary callers without an end, because of crowds of
+// clients that stop short while instances restart.
+func TestCrowdsUseUpNoMemory(t *testing.T) { runCrowds(t, 1, crowdsSpan) }
+
+// runCrowds plays crowds beside graceful restarts of entry instances.
+func runCrowds(t *testing.T, seed uint64, span time.Duration) {
+	o := Options{Shape: Shape{Cores: 3, Entries: 4, Runners: 9}, Callers: 12, Budget: siteBudget, MemoryMB: crowdsMemoryMB}
+	o.Crowds = DrawCrowds(seed, o.Shape, span)
+	runFaults(t, seed, o, DrawStops(seed, o.Shape, span))
+}
+
 // formerFailures are seeds that failed before, each with its cause.
 var formerFailures = []struct {
 	seed  uint64
@@ -183,6 +202,9 @@
 			case *mixed:
 				runMixed(t, seed, *span)
 				return
+			case *crowds:
+				runCrowds(t, seed, *span)
+				return
 			case *mass:
 				runMass(t, seed, *span)
 				return
@@ -260,6 +282,7 @@
 		return problems
 	}
 	stop := w.Start(ctx, seed)
+	defer w.beginCrowds(ctx)()
 	w.InjectFaults(ctx, faults)
 	record(w.AwaitServing(ctx, "after"))
 	_ = duty.Pause(ctx, w.o.Calm)
--- a/soak/world.go
+++ b/soak/world.go
@@ -36,6 +36,10 @@
 	SlowAnswers bool
 	// Meetings has streams begin late, and a run and its hedge begin at the same moment.
 	Meetings bool
+	// Crowds are played beside the faults.
+	Crowds []Crowd
+	// MemoryMB is the memory of each process in its settings, in MiB; 0 for none.
+	MemoryMB int
 	// Calm is how long callers go on after the last fault.
 	Calm time.Duration
 	Log  func(format string, args ...any)
@@ -222,6 +226,9 @@
 		"instance_list": l.list, "data_dir": disk, "grace_seconds": graceSeconds, "log_level": "debug",
 		"retries": map[string]any{"share": w.o.Budget.Share, "allowance": w.o.Budget.Allowance, "span_seconds": w.o.Budget.Span.Seconds()},
 	}
+	if w.o.MemoryMB > 0 {
+		p.settings["memory_mb"] = w.o.MemoryMB
+	}
 	if w.o.HardLoad {
 		p.settings["hard_load"] = map[string]any{"fair_admission": true, "urgent_first": true, "promised_returns": true, "weighted_directory": true}
 		// Instances of two sizes.
