node/control: reads of the configuration count in the memory

Operators saw: a core instance at 857 MiB of 280 under 200 clients that ask for a configuration of 4 MiB and don't read it. Cause: each read joins the pieces into a document of its own, without a bound of their sum. Change: the document is taken from the memory of the process before it is joined; without room the read is refused with 503 and Retry-After.

--- a/api/operators.go
+++ b/api/operators.go
@@ -68,12 +68,12 @@
 	share := memory.Of(ctx)
 	signed, err := serve.ReadBody(body, share, unknownLength, MaxBundleBytes)
 	if err == nil && !share.Take(time.Now(), parsedFactor*int64(len(signed))) {
-		err = serve.ErrNoMemory
+		err = memory.ErrNoMemory
 	}
 	switch {
 	case errors.Is(err, serve.ErrBodyTooLarge):
 		return nil, refusalOf(verdict.New(verdict.NotRun, CodeBundleTooLarge, "the signed bundle is too large"))
-	case errors.Is(err, serve.ErrNoMemory):
+	case errors.Is(err, memory.ErrNoMemory):
 		refusal := verdict.New(verdict.NotRun, pipeline.CodeNoMemory, "the requests in progress take up the memory for the bundle")
 		refusal.RetryAfter = noMemoryRetryAfter
 		return nil, refusalOf(refusal)
--- a/coord/memory/memory.go
+++ b/coord/memory/memory.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,9 @@
 	yieldShare = 1.0 / 4
 )
 
+// ErrNoMemory says that the requests in progress take up the memory for a request. It must not run.
+var ErrNoMemory = errors.New("the requests in progress take up the memory for this one")
+
 // Limit returns the limit of a Budget in bytes for a process with this much memory in MiB; 0 means unknown.
 func Limit(memoryMB int) int64 {
 	if memoryMB <= 0 {
--- a/node/control/operators.go
+++ b/node/control/operators.go
@@ -12,6 +12,7 @@
 
 	"github.com/gullhaven/gullhaven/bundle/newest"
 	"github.com/gullhaven/gullhaven/coord/link"
+	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/pieces"
 	"github.com/gullhaven/gullhaven/coord/replhost"
 	"github.com/gullhaven/gullhaven/coord/verdict"
@@ -96,10 +97,14 @@
 // Current returns the newest accepted configuration. An error says that this instance cannot be
 // sure which one that is.
 func (i *Instance) Current(ctx context.Context) ([]byte, error) {
-	if i.isStandby() {
-		return i.readAsStandby(ctx)
+	if !i.isStandby() {
+		return i.current(ctx)
+	}
+	document, err := i.readAsStandby(ctx)
+	if err == nil && !memory.Of(ctx).Take(time.Now(), int64(len(document))) {
+		return nil, memory.ErrNoMemory
 	}
-	return i.current(ctx)
+	return document, err
 }
 
 func (i *Instance) current(ctx context.Context) ([]byte, error) {
@@ -110,6 +115,9 @@
 	if s.Version == 0 {
 		return nil, errNoDocument
 	}
+	if !memory.Of(ctx).Take(time.Now(), int64(s.Document.Manifest.Bytes)) {
+		return nil, memory.ErrNoMemory
+	}
 	return s.Document.Join()
 }
 
--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -80,7 +80,7 @@
 	switch {
 	case errors.Is(err, serve.ErrBodyTooLarge):
 		return f.tooLarge()
-	case errors.Is(err, serve.ErrNoMemory):
+	case errors.Is(err, memory.ErrNoMemory):
 		refusal := refuse(CodeNoMemory, "the requests in progress take up the memory for the body")
 		refusal.RetryAfter = noMemoryRetryAfter
 		return refusal
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -241,7 +241,7 @@
 	switch {
 	case errors.Is(err, serve.ErrBodyTooLarge):
 		return q.refuseAsWrong(tooLarge)
-	case errors.Is(err, serve.ErrNoMemory):
+	case errors.Is(err, memory.ErrNoMemory):
 		q.bodyCut = true
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeNoMemory, retryAfter: place.RetryAfter(place.Busy, time.Until(q.deadline)), close: true}
 	case err != nil && q.g.ended.Err() != nil:
--- a/ports/serve/body.go
+++ b/ports/serve/body.go
@@ -12,15 +12,12 @@
 // announces takes up no memory.
 const initialBodyBytes = 4 << 10
 
-var (
-	// ErrBodyTooLarge is returned for a body of more than the limit.
-	ErrBodyTooLarge = errors.New("the body is too large")
-	// ErrNoMemory is returned for a body while other requests take up the memory for it. The request must not run.
-	ErrNoMemory = errors.New("the requests in progress take up the memory for the body")
-)
+// ErrBodyTooLarge is returned for a body of more than the limit.
+var ErrBodyTooLarge = errors.New("the body is too large")
 
 // ReadBody reads a whole body of length bytes, or one of unknown length if it is negative, of at most limit bytes,
-// and has the share hold it. Other errors are those of the reader. The request may run only if there is no error.
+// and has the share hold it. The error is ErrBodyTooLarge, memory.ErrNoMemory or that of the reader. The request may
+// run only if there is none.
 func ReadBody(r io.Reader, share *memory.Share, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, ErrBodyTooLarge
@@ -28,7 +25,7 @@
 	share.Begin(memory.Reading, time.Now())
 	body, err := readWhole(r, share, length, limit)
 	if share.Yielding() || err == nil && !share.Run(time.Now()) {
-		err = ErrNoMemory
+		err = memory.ErrNoMemory
 	}
 	if err != nil {
 		share.Give(int64(cap(body)))
@@ -45,14 +42,14 @@
 	}
 	room := min(initialBodyBytes, most)
 	if !share.Take(time.Now(), room) {
-		return nil, ErrNoMemory
+		return nil, memory.ErrNoMemory
 	}
 	body := make([]byte, 0, room)
 	for int64(len(body)) != length {
 		if len(body) == cap(body) {
 			var ok bool
 			if body, ok = share.Grow(time.Now(), body, min(2*int64(cap(body)), most)); !ok {
-				return body, ErrNoMemory
+				return body, memory.ErrNoMemory
 			}
 		}
 		n, err := r.Read(body[len(body):cap(body)])
--- a/ports/serve/limits_test.go
+++ b/ports/serve/limits_test.go
@@ -48,7 +48,7 @@
 
 func (x *limited) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := serve.ReadBody(r.Body, memory.Of(r.Context()), r.ContentLength, maxTestBody)
-	if errors.Is(err, serve.ErrNoMemory) {
+	if errors.Is(err, memory.ErrNoMemory) {
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
