route/pick: the prompt parts that are remembered are bounded

Callers saw: an entry instance that stands still: requests are answered after 18 s, and it does not end within 20 s of SIGTERM; peak 498 MiB of 284. Cause: 2,000 prompts of 1,200 parts, each head inside the limit, leave 2.4 million prefixes for 40 s; the heap stays above the collector's limit, half of memory_mb, so that it runs without a pause. Change: the first 64 parts of a prompt are looked at, and 65,536 prefixes remembered in all; what is beyond is served and may be read again.

--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -386,12 +386,16 @@
 	tokens int
 }
 
+// maxChain bounds the parts of one prompt that are looked at, the first ones.
+const maxChain = 64
+
 // chain returns the prefixes of the prompt from short to long. A part is cached for a request only
 // if all parts before it are the same.
 func (c *Call) chain() []prefix {
-	out := make([]prefix, 0, len(c.Parts))
+	parts := c.Parts[:min(len(c.Parts), maxChain)]
+	out := make([]prefix, 0, len(parts))
 	key, tokens := xxhash.Sum64String(c.Model), 0
-	for _, part := range c.Parts {
+	for _, part := range parts {
 		key = mix(key, part.ID)
 		tokens += part.Tokens
 		out = append(out, prefix{key, tokens})
--- a/route/pick/prefix.go
+++ b/route/pick/prefix.go
@@ -31,10 +31,17 @@
 	return 0
 }
 
+// maxPrefixes bounds the prefixes that a pool remembers, each of which takes up some 200 bytes. New ones are not
+// remembered beyond it until others expire.
+const maxPrefixes = 1 << 16
+
 // recordPrefixes records that a request with the prompt is sent to the target.
 func (p *Pool) recordPrefixes(now time.Time, t *target, chain []prefix) {
 	for _, l := range chain {
 		u, known := t.prefixes[l.key]
+		if !known && len(p.holders) >= maxPrefixes && len(p.holders[l.key]) == 0 {
+			continue
+		}
 		if !known {
 			p.holders[l.key] = append(p.holders[l.key], t)
 		}
--- a/route/pick/prefix_test.go
+++ b/route/pick/prefix_test.go
@@ -110,3 +110,29 @@
 	}
 	return out
 }
+
+// Guards against callers whose prompts of many parts, no two alike, use up the memory, and against prompts that are not
+// remembered any more once those are over.
+func TestPrefixesAreBounded(t *testing.T) {
+	const calls, parts, most = 3000, 1000, 1 << 16
+	p := newPool(3, pick.ServiceRules{Engine: true})
+	remembered := func(now time.Time, first uint64) int {
+		before := p.PrefixCount()
+		c := pick.Call{Service: "s", PromptTokens: parts}
+		for k := range uint64(parts) {
+			c.Parts = append(c.Parts, pick.Part{ID: first + k, Tokens: 1})
+		}
+		run(p, now, c)
+		return p.PrefixCount() - before
+	}
+	for n := range uint64(calls) {
+		remembered(t0, n*parts)
+	}
+	if n := p.PrefixCount(); n > most || n < most/2 {
+		t.Errorf("%d prefixes are remembered", n)
+	}
+	p.ExpirePrefixes(t0.Add(time.Minute))
+	if n := remembered(t0.Add(time.Minute), calls*parts); n == 0 {
+		t.Error("no prefix is remembered afterwards")
+	}
+}
