--- a/node/streams/streams_test.go
+++ b/node/streams/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,26 @@
 		t.Errorf("%d kept", n)
 	}
 }
+
+// Guards against callers whose long request IDs use up the memory, and against streams that are mixed up or forgotten
+// for it.
+func TestLongKeysAreKeptShort(t *testing.T) {
+	var table Table
+	now := time.Unix(1_000_000, 0)
+	long := strings.Repeat("x", 16<<10)
+	table.Put(now, long+"1", exchange.Origin{Service: "s", Software: "v1"})
+	table.Put(now, long+"2", exchange.Origin{Service: "s", Software: "v2"})
+	for n, software := range []string{"v1", "v2"} {
+		if o, ok := table.Get(fmt.Sprint(long, n+1)); !ok || o.Software != software {
+			t.Errorf("%+v, %v instead of %s", o, ok, software)
+		}
+	}
+	if _, ok := table.Get(long); ok {
+		t.Error("another key is known")
+	}
+	for key := range table.newer {
+		if len(key) > maxKeyBytes {
+			t.Errorf("a key of %d bytes is kept", len(key))
+		}
+	}
+}
