route/pick, exchange: group owners are asked with the parts that count

Cause: all parts of a prompt went to the owner of its group, over a thousand in a head inside the limit; 64 are looked at. Measured: tests of route and pipeline/exchange pass.

--- a/pipeline/exchange/choose.go
+++ b/pipeline/exchange/choose.go
@@ -84,7 +84,7 @@
 // an outcome from the given one on.
 func (q *request) pickCall(excluded outcome) pick.Call {
 	return pick.Call{
-		Service: q.service, Model: q.call.Model, Parts: q.call.Parts, PromptTokens: q.call.PromptTokens,
+		Service: q.service, Model: q.call.Model, Parts: q.call.Parts[:min(len(q.call.Parts), pick.MaxParts)], PromptTokens: q.call.PromptTokens,
 		OutputTokens: q.call.OutputTokens, Rank: q.rank(), Tried: q.tried.targets(excluded), Software: q.origin.Software, SpreadKey: q.spreadKey(),
 	}
 }
--- a/route/pick/pool.go
+++ b/route/pick/pool.go
@@ -386,13 +386,10 @@
 	tokens int
 }
 
-// maxChain bounds the parts of one prompt that are looked at, the first ones.
-const maxChain = 64
-
 // chain returns the prefixes of the prompt from short to long. A part is cached for a request only
 // if all parts before it are the same.
 func (c *Call) chain() []prefix {
-	parts := c.Parts[:min(len(c.Parts), maxChain)]
+	parts := c.Parts[:min(len(c.Parts), MaxParts)]
 	out := make([]prefix, 0, len(parts))
 	key, tokens := xxhash.Sum64String(c.Model), 0
 	for _, part := range parts {
--- a/route/pick/types.go
+++ b/route/pick/types.go
@@ -29,6 +29,9 @@
 	ColdEpoch uint8
 }
 
+// MaxParts bounds the parts of one prompt that are looked at, the first ones.
+const MaxParts = 64
+
 // Part is one part of a prompt. Parts are listed from the start of the prompt.
 type Part struct {
 	// ID identifies the content.
