route/pick, exchange: what was on its way when a target crashed ends no doubt

Cause: an event that a target sent before its crash, and that is read after the loss of another connection was recorded, was taken for a sign that the target lives; streams of its old version could go on at its successor. Change: an event ends the doubt only if nothing of its answer was left to be read 100 ms after the loss or later. Tests changed: calls of Heard say when nothing was left to be read.

--- a/pipeline/exchange/origin_test.go
+++ b/pipeline/exchange/origin_test.go
@@ -60,8 +60,8 @@
 				case <-ended:
 					return
 				case <-time.After(time.Millisecond):
-					before[0].Heard()
-					before[1].Heard()
+					before[0].Heard(time.Now().Add(time.Minute))
+					before[1].Heard(time.Now().Add(time.Minute))
 				}
 			}
 		}()
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -143,6 +143,14 @@
 	return event, err
 }
 
+// quietAt returns the time if nothing of the answer is left to be read and the target is in doubt; else zero.
+func (s *stream) quietAt() time.Time {
+	if s.p.choice == nil || !s.p.choice.InDoubt() || s.ahead != nil || s.e.r.Buffered() > 0 || !s.a.Quiet() {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
 // readAhead reads the first event or the end of a stream that has none, which next then returns, and reports
 // why there is neither.
 func (s *stream) readAhead() error {
@@ -163,6 +171,7 @@
 		if !first {
 			q.watch.awaitEvent(q, a)
 		}
+		quietAt := s.quietAt()
 		event, err := s.next()
 		if ended := err == io.EOF && a.Framed(); q.watch.endWait(err) && !ended {
 			// The hedge brings its own events, also if this run may have been broken off.
@@ -197,8 +206,8 @@
 			q.recordOrigin(a, p)
 			q.watchStream(s)
 		}
-		if !first && p.choice != nil {
-			p.choice.Heard()
+		if !first && !quietAt.IsZero() {
+			p.choice.Heard(quietAt)
 		}
 		first = false
 		if !q.relayEvent(a, s.e, event) {
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -317,6 +317,9 @@
 // connection. It may be called while the body is read.
 func (a *Answer) Silent() bool { return CheckIdle(a.c.Conn) == nil }
 
+// Quiet reports whether nothing of the answer is left to be read now. Only the reader of the body may call it.
+func (a *Answer) Quiet() bool { return a.c.r.Buffered() == 0 && a.Silent() }
+
 // pastDeadline is a deadline that ends all pending reads and writes.
 var pastDeadline = time.Unix(1, 0)
 
--- a/route/pick/doubt.go
+++ b/route/pick/doubt.go
@@ -16,14 +16,19 @@
 	c.t.inDoubt.Store(true)
 }
 
-// Heard records that the target goes on with its answer. Its cost is small while there is no doubt.
-func (c *Choice) Heard() {
-	if !c.t.inDoubt.Load() {
-		return
-	}
+// reorderTime is by how much bytes of one connection to a target may arrive later than the end of another one that was
+// sent after them. Both are in one region.
+const reorderTime = 100 * time.Millisecond
+
+// InDoubt reports whether the target is in doubt. Its cost is small.
+func (c *Choice) InDoubt() bool { return c.t.inDoubt.Load() }
+
+// Heard records that the target has gone on with its answer after nothing of it was left to be read at a time: what was
+// on its way as contact was lost tells nothing.
+func (c *Choice) Heard(quietAt time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if c.at.Before(c.t.lostAt) {
+	if c.t.inDoubt.Load() && c.at.Before(c.t.lostAt) && quietAt.After(c.t.lostAt.Add(reorderTime)) {
 		// It has not ended since.
 		c.t.endDoubt()
 	}
