ports/serve: a connection whose body nobody reads yields

Clients saw: no answer of the directory, of reads of the configuration, or of requests at all, while 600 clients hold connections with a body that is announced, not needed and not sent: they counted as busy, and new ones were closed. Cause: after its handler http.Server reads the rest of a body without a time limit, and a 100 Continue ended the phase of reading. Change: what the handler has left of a body is waited for, and a write in that phase does not end it, so that such connections yield.

--- a/coord/memory/memory.go
+++ b/coord/memory/memory.go
@@ -115,6 +115,9 @@
 	s.phase.Store(int32(p))
 }
 
+// Phase returns the phase.
+func (s *Share) Phase() Phase { return Phase(s.phase.Load()) }
+
 // Run begins Busy at the end of Reading. It reports false if the share was told to yield: the request must not run.
 func (s *Share) Run(now time.Time) bool {
 	s.of.mu.Lock()
@@ -138,7 +141,7 @@
 
 // claim needs of.mu.
 func (s *Share) claim(now time.Time) Claim {
-	phase := Phase(s.phase.Load())
+	phase := s.Phase()
 	return Claim{
 		Held: s.held, Lag: lag(time.Duration(now.UnixNano()-s.since.Load()), s.moved.Load()),
 		MayYield: (phase == Reading || phase == Writing) && s.yield != nil && !s.yielding && !s.closed,
--- a/ports/serve/limits.go
+++ b/ports/serve/limits.go
@@ -89,13 +89,20 @@
 	s.LimitConns(c.Idle)
 	handler, more := s.http.Handler, s.http.ConnContext
 	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if share := memory.FromContext(r.Context()); share != nil && !share.Run(time.Now()) {
+		share := memory.FromContext(r.Context())
+		if share == nil {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		if !share.Run(time.Now()) {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", retryAfterSeconds)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		handler.ServeHTTP(w, r)
+		// http.Server reads what the handler has left of the body.
+		share.Begin(memory.Reading, time.Now())
 	})
 	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if more != nil {
@@ -263,8 +270,7 @@
 	if c.share == nil {
 		return c.Conn.Write(p)
 	}
-	c.setWriting(true)
-	defer c.setWriting(false)
+	defer c.beginWriting()()
 	for {
 		m, err := c.Conn.Write(p[n:min(len(p), n+writeStep)])
 		n += m
@@ -275,13 +281,22 @@
 	}
 }
 
-func (c *conn) setWriting(on bool) {
+// beginWriting records that an answer is being written until end is called. While the rest of a request is still to
+// be read, that is what its share waits for: a 100 Continue does not change it.
+func (c *conn) beginWriting() (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = on
-	if on {
+	c.writing = true
+	reading := c.share.Phase() == memory.Reading
+	if !reading {
 		c.share.Begin(memory.Writing, time.Now())
-	} else {
-		c.share.Begin(memory.Busy, time.Now())
+	}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.writing = false
+		if !reading {
+			c.share.Begin(memory.Busy, time.Now())
+		}
 	}
 }
