--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/gullhaven/gullhaven/standin/loopback"
 )
 
 const (
@@ -67,18 +65,7 @@
 // startDev starts gullhavend --dev and waits until it is ready.
 func startDev(t *testing.T) *exec.Cmd {
 	t.Helper()
-	for _, address := range devAddresses {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			t.Skipf("--dev has fixed addresses, and %s is taken on this machine: %v", address, err)
-		}
-		must(t, l.Close())
-	}
-	cmd := exec.Command(binary, "--dev")
-	out, err := cmd.StdoutPipe()
-	must(t, err)
-	cmd.Stderr = os.Stderr
-	must(t, loopback.Start(cmd))
+	cmd, out := launchDev(t)
 	t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGTERM)
 		_ = cmd.Wait()
--- a/e2e/dev_test.go
+++ b/e2e/dev_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -18,19 +19,7 @@
 // gullhavend --dev must print that it is ready, and each command that it prints must
 // work as printed.
 func TestDevPrintsWhatWorks(t *testing.T) {
-	for _, address := range devAddresses {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			t.Skipf("--dev has fixed addresses, and %s is taken on this machine: %v", address, err)
-		}
-		must(t, l.Close())
-	}
-	cmd := exec.Command(binary, "--dev")
-	out, err := cmd.StdoutPipe()
-	must(t, err)
-	cmd.Stderr = os.Stderr
-	must(t, loopback.Start(cmd))
-	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	cmd, out := launchDev(t)
 	lines := bufio.NewScanner(out)
 	var said, tries []string
 	for lines.Scan() && len(tries) < 2 {
@@ -56,3 +45,22 @@
 		t.Errorf("it ended with %v", err)
 	}
 }
+
+// launchDev starts gullhavend --dev and returns its output. The process is killed after the test.
+func launchDev(t *testing.T) (*exec.Cmd, io.Reader) {
+	t.Helper()
+	for _, address := range devAddresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Skipf("--dev has fixed addresses, and %s is taken on this machine: %v", address, err)
+		}
+		must(t, l.Close())
+	}
+	cmd := exec.Command(binary, "--dev")
+	out, err := cmd.StdoutPipe()
+	must(t, err)
+	cmd.Stderr = os.Stderr
+	must(t, loopback.Start(cmd))
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	return cmd, out
+}
