--- a/operate/explain/cause.go
+++ b/operate/explain/cause.go
@@ -41,6 +41,8 @@
 	CauseNotReady Cause = "instance_not_ready"
 	// CauseUnknown: the key or the route is unknown.
 	CauseUnknown Cause = "unknown_key_or_route"
+	// CauseNoMemory: other requests took up the memory for its body.
+	CauseNoMemory Cause = "no_memory"
 	// CausePoison: the request crashes the targets that run it.
 	CausePoison Cause = "poison"
 	// CauseRejectedAgain: the caller sent a rejected request again, with the same request ID, and it was
@@ -53,7 +55,7 @@
 // Causes are all causes in the order in which they are shown.
 var Causes = []Cause{
 	CauseNoTarget, CauseResting, CauseOverloaded, CauseOutranked, CauseOverShare, CausePastDeadline, CauseOverLimit,
-	CauseLostBefore, CauseLostDuring, CauseTargetFailed, CauseDeadline, CauseNotReady, CauseUnknown, CausePoison,
+	CauseLostBefore, CauseLostDuring, CauseTargetFailed, CauseDeadline, CauseNotReady, CauseUnknown, CauseNoMemory, CausePoison,
 	CauseRejectedAgain, CauseOther,
 }
 
@@ -74,6 +76,7 @@
 	exchange.CodeLeaving:         CauseNotReady,
 	exchange.CodeUnknownKey:      CauseUnknown,
 	exchange.CodeNoRoute:         CauseUnknown,
+	exchange.CodeNoMemory:        CauseNoMemory,
 	exchange.CodePoison:          CausePoison,
 }
 
