--- a/metrics/intake.go
+++ b/metrics/intake.go
@@ -10,7 +10,7 @@
 	IntakeLimit        = Metric{"gullhaven_requests_limit_bytes", Gauge, "bytes", "What all requests in progress may hold together: their heads, bodies and answers."}
 	IntakeHeld         = Metric{"gullhaven_requests_held_bytes", Gauge, "bytes", "What all requests in progress hold together."}
 	IntakeYielded      = Metric{"gullhaven_requests_yielded_total", Counter, "requests", "Requests that were ended before they ran, or whose callers did not read their answers, to make room for others."}
-	IntakeRefused      = Metric{"gullhaven_requests_without_memory_total", Counter, "requests", "Bytes of requests and answers for which there was no memory; the request was refused, or its answer dropped."}
+	IntakeRefused      = Metric{"gullhaven_requests_without_memory_total", Counter, "requests", "Requests and answers for which there was no memory: the request was refused, or its answer dropped."}
 	IntakeConns        = Metric{"gullhaven_client_connections", Gauge, "connections", "Open connections at the ports that clients reach."}
 	IntakeConnsEnded   = Metric{"gullhaven_client_connections_ended_total", Counter, "connections", "Connections that were ended for others because their clients were the slowest to send or read."}
 	IntakeConnsRefused = Metric{"gullhaven_client_connections_refused_total", Counter, "connections", "Connections that were closed before a byte was read, as all others wait for this process, and heads that were refused as too long or for want of memory."}
--- a/ports/serve/limits.go
+++ b/ports/serve/limits.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -32,23 +30,11 @@
 	// kernelBufferBytes bounds what the kernel holds of a connection in each direction. It counts twice as much, for
 	// its own records.
 	kernelBufferBytes = 64 << 10
-	// headSlackBytes may be read beyond the bound of a head: net/http reads as much at once, of which a part may be
-	// the body's.
-	headSlackBytes = 4 << 10
-	// refusedLinger bounds how long a connection stays open after a refusal, and refusedLingerBytes what is read
-	// meanwhile: a client that still sends would lose the refusal to a reset.
-	refusedLinger      = 200 * time.Millisecond
-	refusedLingerBytes = 256 << 10
 )
 
 // retryAfterSeconds is when the caller of a request may return that was refused for want of memory or descriptors.
 const retryAfterSeconds = "1"
 
-const (
-	refuseHeadTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	refuseNoRoom       = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: " + retryAfterSeconds + "\r\nContent-Length: 0\r\n\r\n"
-)
-
 // Bounds are the bounds of a server's connections; 0 for none.
 type Bounds struct {
 	// Idle is how many there may be before idle ones are ended.
@@ -198,105 +184,3 @@
 	}
 	return true
 }
-
-// errRefused ends the reading of a head that was refused. net/http does not answer it.
-var errRefused = &net.OpError{Op: "read", Err: errors.New("the request was refused")}
-
-// readHead counts bytes that were read of a head, and refuses it if it is too long or there is no memory for it.
-func (c *conn) readHead(text []byte) error {
-	c.headBytes += len(text)
-	if c.server.mostConns <= 0 {
-		return nil
-	}
-	if most := c.maxHead(); most > 0 && c.headBytes > most+headSlackBytes {
-		return c.refuse(refuseHeadTooLarge)
-	}
-	c.share.Moved(len(text))
-	if !c.share.Take(time.Now(), memory.HeadBytes(text)) {
-		return c.refuse(refuseNoRoom)
-	}
-	return nil
-}
-
-func (c *conn) maxHead() int {
-	if c.server.maxHead == nil {
-		return 0
-	}
-	return c.server.maxHead()
-}
-
-// refuse answers a request whose head is being read, in place of net/http. Nothing else is being written then.
-func (c *conn) refuse(answer string) error {
-	c.refused = true
-	c.server.counters.refused.Add(1)
-	// The client may have left.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusedLinger))
-	_, _ = io.WriteString(c.Conn, answer)
-	return errRefused
-}
-
-// linger lets the client of a refused request read the refusal.
-func (c *conn) linger() {
-	if c.CloseWrite() != nil {
-		return
-	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(refusedLinger))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, refusedLingerBytes))
-}
-
-// yield ends the request: its caller gets a refusal, or, if it does not read its answer, a reset.
-func (c *conn) yield() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.yielded = true
-	if !c.writing {
-		// They fail only if the connection is closed.
-		_ = c.Conn.SetReadDeadline(longPast)
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusedLinger))
-		return
-	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		// The kernel would keep what the client does not read.
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Conn.Close()
-}
-
-// writeStep is how much of an answer is written at once, to notice whether the client reads.
-const writeStep = 64 << 10
-
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (n int, err error) {
-	if c.share == nil {
-		return c.Conn.Write(p)
-	}
-	defer c.beginWriting()()
-	for {
-		m, err := c.Conn.Write(p[n:min(len(p), n+writeStep)])
-		n += m
-		c.share.Moved(m)
-		if err != nil || n == len(p) {
-			return n, err
-		}
-	}
-}
-
-// beginWriting records that an answer is being written until end is called. While the rest of a request is still to
-// be read, that is what its share waits for: a 100 Continue does not change it.
-func (c *conn) beginWriting() (end func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writing = true
-	reading := c.share.Phase() == memory.Reading
-	if !reading {
-		c.share.Begin(memory.Writing, time.Now())
-	}
-	return func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.writing = false
-		if !reading {
-			c.share.Begin(memory.Busy, time.Now())
-		}
-	}
-}
