coord/memory: an answer that is being read is not ended for others

Cause: a share in the phase of writing could yield at once, so an answer that its client reads could be reset if no one else held as much. Change: it yields once its client is a second behind in reading.

--- a/coord/memory/choose.go
+++ b/coord/memory/choose.go
@@ -10,6 +10,9 @@
 	pace = 64 << 10
 	// minLag keeps what a share holds in the balance where nobody has fallen behind.
 	minLag = time.Second
+	// stallTime is how far a peer must have fallen behind in reading its answer for the request, which has run, to be
+	// ended.
+	stallTime = time.Second
 )
 
 // Claim is what decides whether a share yields.
@@ -18,7 +21,8 @@
 	Held int64
 	// Lag is how far its peer has fallen behind the pace; never negative.
 	Lag time.Duration
-	// MayYield says that its request waits for its peer.
+	// MayYield says that its request waits for its peer: for the rest of what it sends, or, for some time already,
+	// until it reads.
 	MayYield bool
 }
 
--- a/coord/memory/memory.go
+++ b/coord/memory/memory.go
@@ -141,11 +141,17 @@
 
 // claim needs of.mu.
 func (s *Share) claim(now time.Time) Claim {
-	phase := s.Phase()
-	return Claim{
-		Held: s.held, Lag: lag(time.Duration(now.UnixNano()-s.since.Load()), s.moved.Load()),
-		MayYield: (phase == Reading || phase == Writing) && s.yield != nil && !s.yielding && !s.closed,
+	c := Claim{Held: s.held, Lag: lag(time.Duration(now.UnixNano()-s.since.Load()), s.moved.Load())}
+	if s.yield == nil || s.yielding || s.closed {
+		return c
 	}
+	switch s.Phase() {
+	case Reading:
+		c.MayYield = true
+	case Writing:
+		c.MayYield = c.Lag >= stallTime
+	}
+	return c
 }
 
 // Take counts n more bytes and reports whether they may be held. Others may be told to yield for them.
