coord/memory: the property test fills its budget

Cause: TestSharesOfABudget drew some thirty steps a case, mostly too few to make any share yield, and did not ask for the part that is kept for small shares. Change: ten rounds a case, and a check of that part.

--- a/coord/memory/memory_test.go
+++ b/coord/memory/memory_test.go
@@ -123,7 +123,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const limit, most = 4 * memory.Small, 5 * memory.Small
 		w := &world{b: memory.New(limit), now: start}
-		const n = 6
+		const n, rounds = 6, 10
 		w.shares, w.held, w.phases, w.told = make([]*memory.Share, n), make([]int64, n), make([]memory.Phase, n), make([]bool, n)
 		w.moves, w.since = make([]int64, n), make([]time.Time, n)
 		for k := range n {
@@ -138,6 +138,9 @@
 			if ok {
 				w.held[k] += bytes
 			}
+			if used := w.used(); ok && w.held[k] > memory.Small && used > limit*3/4 {
+				t.Fatalf("a large share takes up the part of small ones: %d bytes are used", used)
+			}
 			for j := range n {
 				if w.told[j] && !before[j] && !w.mayYield(j) {
 					t.Fatalf("share %d is ended in phase %d", j, w.phases[j])
@@ -147,7 +150,7 @@
 				t.Fatalf("%d bytes of a small share are refused while larger ones hold %d", bytes, room)
 			}
 		}
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"take": take, "take more": take, "take again": take,
 			"phase": func(t *rapid.T) {
 				w.begin(draw(t), rapid.SampledFrom([]memory.Phase{memory.Busy, memory.Reading, memory.Writing, memory.Idle}).Draw(t, "phase"))
@@ -190,7 +193,10 @@
 					t.Fatalf("%d bytes are counted, %d are held", got, sum)
 				}
 			},
-		})
+		}
+		for range rounds {
+			t.Repeat(actions)
+		}
 	})
 }
 
@@ -204,6 +210,16 @@
 	return sum
 }
 
+// used returns what shares hold that were not told to yield.
+func (w *world) used() (sum int64) {
+	for j := range w.shares {
+		if !w.told[j] {
+			sum += w.held[j]
+		}
+	}
+	return sum
+}
+
 func (w *world) yieldingBytes() (sum int64) {
 	for j := range w.shares {
 		if w.told[j] {
