platform/platformtest: beginnings of requests of crowds, for soak and crowd

Cause: soak/crowds.go wrote the platform's header and path names itself, which platform/ alone may; platform/crowd wrote the same heads again. Change: WriteHead and WritePutHead, used by both. What is sent is the same.

--- a/soak/crowds.go
+++ b/soak/crowds.go
@@ -52,6 +52,8 @@
 const (
 	// crowdBody is the size of a body of a crowd in bytes: just inside the limit.
 	crowdBody = 4<<20 - 1
+	// crowdDeadline is the deadline of a request of a crowd.
+	crowdDeadline = 6 * time.Second
 	// crowdInterval is the mean time between two crowds.
 	crowdInterval = 700 * time.Millisecond
 	// minCrowd and maxCrowd bound the clients of a crowd, minCrowdStay and maxCrowdStay how long they stay.
@@ -132,34 +134,36 @@
 
 // send sends what client k of a crowd sends.
 func (k CrowdKind) send(to io.Writer, client int) error {
-	begin := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Request-Id: crowd-%d\r\nX-Deadline-Ms: 6000\r\n",
-		platformtest.PathUnsafe, platformtest.Host, platformtest.Key, client)
-	chunked := func(size int) error {
-		if _, err := io.WriteString(to, begin+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+	const largeChunk, smallChunk, headLines = 64 << 10, 16, 100_000
+	if k == Connections {
+		return nil
+	}
+	if k == Configurations {
+		if err := platformtest.WritePutHead(to, crowdBody); err != nil {
 			return err
 		}
-		return repeat(to, fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)), crowdBody/size)
+		return repeat(to, strings.Repeat("x", largeChunk), crowdBody/largeChunk)
 	}
-	const largeChunk, smallChunk, headLines = 64 << 10, 16, 100_000
+	if err := platformtest.WriteHead(to, fmt.Sprint("crowd-", client), platformtest.PathUnsafe+"x", crowdDeadline); err != nil {
+		return err
+	}
+	more, size := "Transfer-Encoding: chunked\r\n\r\n", largeChunk
 	switch k {
-	case ChunkedBodies:
-		return chunked(largeChunk)
-	case SmallChunks:
-		return chunked(smallChunk)
 	case EndlessHeads:
-		if _, err := io.WriteString(to, begin); err != nil {
-			return err
-		}
 		return repeat(to, "X-Filler: b\r\n", headLines)
-	case Connections:
-		return nil
-	case Configurations:
-		begin = "PUT /api/config HTTP/1.1\r\nHost: x\r\n"
+	case AnnouncedBodies:
+		more = fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBody)
+	case SmallChunks:
+		size = smallChunk
 	}
-	if _, err := io.WriteString(to, begin+fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBody)); err != nil {
+	if _, err := io.WriteString(to, more); err != nil {
 		return err
 	}
-	return repeat(to, strings.Repeat("x", largeChunk), crowdBody/largeChunk)
+	text := strings.Repeat("x", size)
+	if k != AnnouncedBodies {
+		text = fmt.Sprintf("%x\r\n%s\r\n", size, text)
+	}
+	return repeat(to, text, crowdBody/size)
 }
 
 // repeat writes a text n times, several at once.
