coord/memory: how far a client is behind does not follow the time of day

Cause: the start of a phase was kept as the time of day. A step forward makes all clients seem seconds behind, and an answer that is being read may yield. Seen in the code; a step is not played. Change: it is kept as a duration since the budget's first phase.

--- a/coord/memory/memory.go
+++ b/coord/memory/memory.go
@@ -42,6 +42,9 @@
 // Budget bounds what all its shares hold. It is safe for concurrent use.
 type Budget struct {
 	limit int64
+	// origin is the time of the first phase of a share. Times are kept as durations since it, which a step of the time of
+	// day does not change.
+	origin atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	shares map[*Share]struct{}
@@ -70,6 +73,15 @@
 	return s
 }
 
+// elapsed returns the time since the origin.
+func (b *Budget) elapsed(now time.Time) time.Duration {
+	if b.origin.Load() == nil {
+		first := now
+		b.origin.CompareAndSwap(nil, &first)
+	}
+	return now.Sub(*b.origin.Load())
+}
+
 // Phase says for whom a share's request waits.
 type Phase int32
 
@@ -90,8 +102,8 @@
 	// yield ends the request; nil if that is not possible.
 	yield func()
 	phase atomic.Int32
-	// since is when the phase began, in nanoseconds after the Unix epoch, and moved the bytes that the peer has
-	// sent or read in it.
+	// since is when the phase began, in nanoseconds after the budget's origin, and moved the bytes that the peer has sent
+	// or read in it.
 	since, moved atomic.Int64
 	// The fields below are guarded by of.mu.
 	held             int64
@@ -110,7 +122,7 @@
 
 // Begin begins a phase. Only Run ends Reading where a request may run afterwards.
 func (s *Share) Begin(p Phase, now time.Time) {
-	s.since.Store(now.UnixNano())
+	s.since.Store(int64(s.of.elapsed(now)))
 	s.moved.Store(0)
 	s.phase.Store(int32(p))
 }
@@ -141,7 +153,7 @@
 
 // claim needs of.mu.
 func (s *Share) claim(now time.Time) Claim {
-	c := Claim{Held: s.held, Lag: lag(time.Duration(now.UnixNano()-s.since.Load()), s.moved.Load())}
+	c := Claim{Held: s.held, Lag: lag(s.of.elapsed(now)-time.Duration(s.since.Load()), s.moved.Load())}
 	if s.yield == nil || s.yielding || s.closed {
 		return c
 	}
