daemon: gullhaven_client_connections leaves the instances out

Cause: its text and the page name the ports that clients reach; the port for other instances was in the sum of a site. The comment of parsedFactor says that the factor is counted, as no run measures what a parsed form takes up.

--- a/api/operators.go
+++ b/api/operators.go
@@ -39,7 +39,7 @@
 const MaxBundleBytes = 64 << 20
 
 const (
-	// parsedFactor is how many times the bytes of a signed bundle its parsed form takes up.
+	// parsedFactor is how many times the bytes of a signed bundle are counted for its parsed form.
 	parsedFactor = 4
 	// unknownLength is the length of a body in chunks.
 	unknownLength = -1
--- a/daemon/site.go
+++ b/daemon/site.go
@@ -5,13 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -326,7 +324,13 @@
 
 // intake returns what clients take up. It must be called after listen.
 func (r *site) intake() metrics.Intake {
-	return metrics.SumIntake(r.memory, slices.Collect(maps.Values(r.servers)))
+	var servers []*serve.Server
+	for address, server := range r.servers {
+		if address != r.s.Listen.BindInstances() {
+			servers = append(servers, server)
+		}
+	}
+	return metrics.SumIntake(r.memory, servers)
 }
 
 // tuneLink makes the kernel close connections of other instances that are silent.
