pipeline/exchange: the longest answer fits beside its copy

Cause: to read its end, the buffer was to grow to 32 MiB, beside 16 of before. Change: a buffer grows to one byte beyond the bound of an answer at most. Measured: TestLongestAnswerIsHeldInCalm failed before (502) and passes.

--- a/pipeline/exchange/answer.go
+++ b/pipeline/exchange/answer.go
@@ -115,7 +115,7 @@
 	for {
 		if len(body) == cap(body) {
 			var ok bool
-			if body, ok = q.held.Grow(time.Now(), body, 2*int64(cap(body))); !ok {
+			if body, ok = q.held.Grow(time.Now(), body, min(2*int64(cap(body)), maxAnswerBytes+1)); !ok {
 				return nil, errNoMemory
 			}
 		}
--- a/pipeline/exchange/memory_test.go
+++ b/pipeline/exchange/memory_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -42,3 +43,18 @@
 		So(requestCount(peer), ShouldEqual, 2)
 	})
 }
+
+// Guards against an answer of the greatest length that is lost, though there is nothing else to hold, as its buffer grows
+// beyond the bound of an answer.
+func TestLongestAnswerIsHeldInCalm(t *testing.T) {
+	Convey("an answer of 16 MiB at an instance of 284 MiB", t, func() {
+		body := strings.Repeat("x", maxWhole)
+		chunked := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		r := newRig(t, "r", newTarget(t, "t1", respondRaw("HTTP/1.1 200 X\r\nId: %ID%\r\nSigned: yes\r\n"+chunked, true)))
+		r.options.Memory = memory.New(memory.Limit(284))
+		r.rebuild()
+		got := r.call("/safe/x", "b")
+		So(got.status, ShouldEqual, 200)
+		So(len(got.body), ShouldEqual, len(body))
+	})
+}
