coord/httpconn: a socket keeps the error that a write or a peek has taken

Callers saw: a part of an answer as a whole one (200), when a target answered without a length while the request was still being written and reset the connection. Cause: the kernel reports the error of a socket once, to whichever call comes next. A write of the request, or a peek (Answer.Silent, Quiet), took the reset, and the reader found the end of the stream. An answer whose end is that of its connection is whole then. Change: Socket makes its calls one at a time and keeps the first error; a read never returns io.EOF after one. EPIPE is none: a write gets it after the other end has closed in order, and what came before is whole. Targets and instances of both gateways' paths are read through it; the evidence that a target cannot have read a request watches the same calls instead of making its own. TestReadDoesNotWaitForAWrite makes its connection by the new constructor.

--- /dev/null
+++ b/coord/httpconn/socket.go
@@ -0,0 +1,177 @@
+// Package httpconn has the client's side of connections, whose end is an error if the kernel has reported one.
+package httpconn
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Socket is a connection that keeps the first error that the kernel reports of it.
+//
+// The kernel reports the error of a socket once, to whichever call comes next. If that is a write or a peek, a read
+// finds the end of the stream after it, and a part of an answer that ends with its connection looks whole.
+type Socket struct {
+	net.Conn
+	raw     syscall.RawConn
+	watcher Watcher
+
+	// mu is held during each call of the kernel, never while one is waited for. So what the kernel tells is recorded
+	// in the order in which it tells it.
+	mu  sync.Mutex
+	err error
+}
+
+// Watcher is told of the calls of a Socket, one at a time and in their order.
+type Watcher interface {
+	// BeforeWrite returns the error of a write that must not be made.
+	BeforeWrite(fd int) error
+	// Wrote and Read are told the result of a call; no error is EAGAIN.
+	Wrote(fd, n int, err error)
+	Read(fd, n int, err error)
+}
+
+// NewSocket returns the Socket of a connection that has one. The watcher may be nil.
+func NewSocket(c net.Conn, w Watcher) (*Socket, error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("a %T has no socket", c)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &Socket{Conn: c, raw: raw, watcher: w}, nil
+}
+
+// Read reads what has arrived. It returns io.EOF only if no call has reported an error.
+func (s *Socket) Read(p []byte) (n int, err error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	waited := s.raw.Read(func(fd uintptr) bool {
+		n, err = s.readSome(int(fd), p)
+		return err != unix.EAGAIN
+	})
+	if waited != nil {
+		return 0, waited
+	}
+	return n, s.opError("read", err)
+}
+
+func (s *Socket) readSome(fd int, p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, err := uninterrupted(func() (int, error) { return unix.Read(fd, p) })
+	if err == unix.EAGAIN {
+		return 0, err
+	}
+	if s.watcher != nil {
+		s.watcher.Read(fd, n, err)
+	}
+	switch {
+	case err != nil:
+		s.record(err)
+	case n == 0 && s.err != nil:
+		err = s.err
+	case n == 0:
+		err = io.EOF
+	}
+	return n, err
+}
+
+// Write writes p.
+func (s *Socket) Write(p []byte) (n int, err error) {
+	waited := s.raw.Write(func(fd uintptr) bool {
+		for n < len(p) && err == nil {
+			var part int
+			part, err = s.writeSome(int(fd), p[n:])
+			n += part
+		}
+		if err == unix.EAGAIN {
+			err = nil
+			return false
+		}
+		return true
+	})
+	if err == nil && waited != nil {
+		err = waited
+	}
+	return n, s.opError("write", err)
+}
+
+func (s *Socket) writeSome(fd int, p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watcher != nil {
+		if err := s.watcher.BeforeWrite(fd); err != nil {
+			return 0, err
+		}
+	}
+	n, err := uninterrupted(func() (int, error) { return unix.Write(fd, p) })
+	if err == unix.EAGAIN {
+		return n, err
+	}
+	if s.watcher != nil {
+		s.watcher.Wrote(fd, n, err)
+	}
+	if err != nil {
+		s.record(err)
+	}
+	return n, err
+}
+
+// Watcher returns what NewSocket was given.
+func (s *Socket) Watcher() Watcher { return s.watcher }
+
+// Silent reports whether a read would block: nothing has arrived that was not read, neither bytes nor the end of the
+// connection. It may be called during a Read.
+func (s *Socket) Silent() bool {
+	silent := false
+	err := s.raw.Control(func(fd uintptr) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, err := uninterrupted(func() (int, error) {
+			var b [1]byte
+			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			return n, err
+		})
+		if silent = err == unix.EAGAIN; err != nil && !silent {
+			s.record(err)
+		}
+	})
+	return err == nil && silent
+}
+
+// record keeps the first error of the connection. EPIPE is none: the kernel reports it to a write after the other end
+// has closed the connection in order, and what was received before is whole.
+func (s *Socket) record(err error) {
+	if s.err == nil && err != unix.EPIPE {
+		s.err = err
+	}
+}
+
+// opError returns err in the form of package net.
+func (s *Socket) opError(op string, err error) error {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return err
+	}
+	return &net.OpError{Op: op, Net: s.LocalAddr().Network(), Source: s.LocalAddr(), Addr: s.RemoteAddr(), Err: os.NewSyscallError(op, errno)}
+}
+
+// uninterrupted calls the kernel until no signal interrupts it. It returns no negative number.
+func uninterrupted(call func() (int, error)) (int, error) {
+	for {
+		n, err := call()
+		if err != unix.EINTR {
+			return max(0, n), err
+		}
+	}
+}
--- /dev/null
+++ b/ports/rawhttp/broken_test.go
@@ -0,0 +1,47 @@
+package rawhttp_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/gullhaven/gullhaven/ports/rawhttp"
+)
+
+// Guards against a part of an answer that is read as whole: a look at the connection takes its reset, and the
+// reader finds the end of the stream.
+func TestLooksLeaveTheResetToTheReader(t *testing.T) {
+	for name, silent := range map[string]func(*rawhttp.Answer) bool{
+		"Silent": (*rawhttp.Answer).Silent, "Quiet": (*rawhttp.Answer).Quiet,
+	} {
+		t.Run(name, func(t *testing.T) {
+			reset := make(chan struct{})
+			s := serve(t, func(c net.Conn, r *http.Request) bool {
+				answer(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				<-reset
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false
+			})
+			a, err := rawhttp.NewClient(rawhttp.Options{}).Do(context.Background(), s.addr(), get())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close(false)
+			if _, err := io.ReadFull(a.Body, make([]byte, len("part"))); err != nil {
+				t.Fatal(err)
+			}
+			close(reset)
+			for deadline := time.Now().Add(5 * time.Second); silent(a); {
+				if time.Now().After(deadline) {
+					t.Fatal("the reset does not come")
+				}
+			}
+			if _, err := io.ReadAll(a.Body); err == nil {
+				t.Error("the part is read as whole")
+			}
+		})
+	}
+}
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 	"github.com/gullhaven/gullhaven/coord/memory"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 )
@@ -124,7 +125,7 @@
 func (f *Failure) Unwrap() error { return f.Err }
 
 type conn struct {
-	net.Conn
+	*httpconn.Socket
 	r         *bufio.Reader
 	addr      string
 	idleUntil time.Time
@@ -140,7 +141,7 @@
 // Read reads from the connection, within the bound of a head.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.inHead {
-		return c.Conn.Read(p)
+		return c.Socket.Read(p)
 	}
 	if c.headErr == nil && c.headLeft <= 0 {
 		c.headErr = ErrHeadTooLong
@@ -149,7 +150,7 @@
 		// net/http reads on after an error between two lines.
 		return 0, c.headErr
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	n, err := c.Socket.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
 	if !c.head.Take(time.Now(), memory.HeadBytes(p[:n])) {
 		c.headErr = ErrHeadsTooLong
@@ -315,7 +316,7 @@
 
 // Silent reports whether nothing has arrived that was not read yet: neither bytes nor the end of the
 // connection. It may be called while the body is read.
-func (a *Answer) Silent() bool { return CheckIdle(a.c.Conn) == nil }
+func (a *Answer) Silent() bool { return a.c.Silent() }
 
 // Quiet reports whether nothing of the answer is left to be read now. Only the reader of the body may call it.
 func (a *Answer) Quiet() bool { return a.c.r.Buffered() == 0 && a.Silent() }
@@ -431,10 +432,15 @@
 			return nil, err
 		}
 	}
+	s, err := httpconn.NewSocket(raw, nil)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	cn := &conn{Conn: raw, addr: addr}
+	cn := &conn{Socket: s, addr: addr}
 	cn.r = bufio.NewReaderSize(cn, readBufferBytes)
 	return cn, nil
 }
@@ -492,7 +498,3 @@
 		}
 	}
 }
-
-// errStale: the peer has closed an idle connection, or sent bytes on it that belong to no
-// request.
-var errStale = errors.New("kept connection is closed or holds stray bytes")
--- a/ports/rawhttp/socket_linux.go
+++ b/ports/rawhttp/socket_linux.go
@@ -41,10 +41,7 @@
 // too long, the peer has not closed it, and no bytes are pending on it, which would be
 // taken for the answer to the next request.
 func (c *conn) usable() bool {
-	if time.Now().After(c.idleUntil) {
-		return false
-	}
-	return CheckIdle(c.Conn) == nil
+	return !time.Now().After(c.idleUntil) && c.Silent()
 }
 
 // HasEnded reports whether the peer has closed or reset a connection and no byte is left to read.
@@ -65,28 +62,3 @@
 	})
 	return err == nil && ended
 }
-
-// CheckIdle returns nil if a read of the connection would block: the peer has neither
-// closed it nor sent anything.
-func CheckIdle(c net.Conn) error {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return err
-	}
-	state := errStale
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		if err == unix.EAGAIN {
-			state = nil
-		}
-	})
-	if err != nil {
-		return err
-	}
-	return state
-}
--- a/ports/transport/conn.go
+++ b/ports/transport/conn.go
@@ -2,14 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
-	"io"
 	"net"
-	"os"
 	"sync"
-	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 )
 
 var (
@@ -19,19 +17,14 @@
 	errAbandoned = errors.New("the request has been given up")
 )
 
-// conn is a connection to a target that finds out whether the target can have read a request.
+// evidence watches a connection to a target and finds out whether the target can have read a request.
 //
 // A target that closes a connection acknowledges with the close all that it had received by then.
 // So if the stream ends after a request was written, and no byte of the request is acknowledged,
 // the target had closed before the request came, and cannot have read it. A reset by itself proves
 // nothing: it is sent for a request that came after the close as well as for one that the target
 // read before it crashed.
-type conn struct {
-	net.Conn
-	raw syscall.RawConn
-
-	// mu is held during each read and write by the kernel, never while one is waited for. So what
-	// the kernel tells is recorded in the order in which it tells it.
+type evidence struct {
 	mu sync.Mutex
 	// written counts the bytes of the current request that were written. answered says that a byte
 	// was read since it began.
@@ -47,126 +40,80 @@
 	abandoned bool
 }
 
-// newConn returns the conn of a connection that has a socket.
-func newConn(c net.Conn) (*conn, error) {
-	sc, ok := c.(syscall.Conn)
+// evidenceOf returns the evidence of a connection to a target, nil for another one.
+func evidenceOf(c net.Conn) *evidence {
+	s, ok := c.(*httpconn.Socket)
 	if !ok {
-		return nil, fmt.Errorf("a %T has no socket", c)
+		return nil
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, raw: raw}, nil
+	e, _ := s.Watcher().(*evidence)
+	return e
 }
 
 // begin must be called before each request.
-func (c *conn) begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.written, c.answered, c.abandoned = 0, false, false
-}
-
-// Write writes a part of a request, unless the target has closed the connection.
-func (c *conn) Write(p []byte) (n int, err error) {
-	waited := c.raw.Write(func(fd uintptr) bool {
-		for n < len(p) && err == nil {
-			var part int
-			part, err = c.writeSome(int(fd), p[n:])
-			n += part
-		}
-		if errors.Is(err, unix.EAGAIN) {
-			err = nil
-			return false
-		}
-		return true
-	})
-	if err == nil {
-		err = waited
-	}
-	return n, err
+func (e *evidence) begin() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.written, e.answered, e.abandoned = 0, false, false
 }
 
-// writeSome writes what the kernel takes at once.
-func (c *conn) writeSome(fd int, p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.abandoned {
-		return 0, errAbandoned
+// BeforeWrite implements httpconn.Watcher.
+func (e *evidence) BeforeWrite(fd int) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.abandoned {
+		return errAbandoned
 	}
 	if closedByPeer(fd) {
-		c.end(fd)
+		e.end(fd)
 	}
-	if c.ended {
-		return 0, errTargetEnded
+	if e.ended {
+		return errTargetEnded
 	}
-	n, err := uninterrupted(func() (int, error) { return unix.Write(fd, p) })
-	c.written += n
-	switch {
-	case errors.Is(err, unix.EPIPE) && !c.failed:
-		// The kernel says so only if the stream had ended before the reset, else ECONNRESET.
-		c.end(fd)
-	case err != nil && !errors.Is(err, unix.EAGAIN):
-		c.failed = true
-	}
-	return n, os.NewSyscallError("write", err)
+	return nil
 }
 
-// Read reads a part of an answer.
-func (c *conn) Read(p []byte) (n int, err error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	waited := c.raw.Read(func(fd uintptr) bool {
-		n, err = c.readSome(int(fd), p)
-		return !errors.Is(err, unix.EAGAIN)
-	})
-	if waited != nil {
-		return 0, waited
+// Wrote implements httpconn.Watcher.
+func (e *evidence) Wrote(fd, n int, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.written += n
+	switch {
+	case errors.Is(err, unix.EPIPE) && !e.failed:
+		// The kernel says so only if the stream had ended before the reset, else ECONNRESET.
+		e.end(fd)
+	case err != nil:
+		e.failed = true
 	}
-	return n, err
 }
 
-// readSome reads what the kernel has.
-func (c *conn) readSome(fd int, p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n, err := uninterrupted(func() (int, error) { return unix.Read(fd, p) })
+// Read implements httpconn.Watcher.
+func (e *evidence) Read(fd, n int, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	switch {
 	case n > 0:
-		c.answered = true
+		e.answered = true
 	case err == nil:
-		c.end(fd)
-		return 0, io.EOF
-	case !errors.Is(err, unix.EAGAIN):
-		c.failed = true
-	}
-	return n, os.NewSyscallError("read", err)
-}
-
-// uninterrupted calls the kernel until no signal interrupts it. It returns no negative number.
-func uninterrupted(call func() (int, error)) (int, error) {
-	for {
-		n, err := call()
-		if !errors.Is(err, unix.EINTR) {
-			return max(0, n), err
-		}
+		e.end(fd)
+	default:
+		e.failed = true
 	}
 }
 
-// end records the end of the stream. c.mu must be held.
-func (c *conn) end(fd int) {
-	if !c.ended {
-		c.ended = true
-		c.unread = !c.failed && unacknowledged(fd) >= c.written
+// end records the end of the stream. e.mu must be held.
+func (e *evidence) end(fd int) {
+	if !e.ended {
+		e.ended = true
+		e.unread = !e.failed && unacknowledged(fd) >= e.written
 	}
 }
 
 // abandon ends the current request, of which nothing is written after this. It reports whether the
 // target may have read a byte of it.
-func (c *conn) abandon() (mayBeRead bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.abandoned = true
-	return c.written > 0 && (c.answered || !c.unread)
+func (e *evidence) abandon() (mayBeRead bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.abandoned = true
+	return e.written > 0 && (e.answered || !e.unread)
 }
--- a/ports/transport/conn_test.go
+++ b/ports/transport/conn_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 )
 
 // readTimeout is how long a test waits for a read before it fails.
@@ -22,7 +24,7 @@
 		t.Fatal(err)
 	}
 	defer raw.Close()
-	c, err := newConn(raw)
+	c, err := httpconn.NewSocket(raw, new(evidence))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
@@ -58,12 +59,12 @@
 			if err != nil {
 				return nil, err
 			}
-			watched, err := newConn(c)
+			s, err := httpconn.NewSocket(c, new(evidence))
 			if err != nil {
 				_ = c.Close()
 				return nil, err
 			}
-			return watched, nil
+			return s, nil
 		},
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    o.MaxIdlePerHost,
@@ -91,8 +92,8 @@
 // request written to such a connection fails with MayHaveRun, though it cannot have run and
 // could be retried at another target at once.
 func dropStale(info httptrace.GotConnInfo) bool {
-	c, ok := info.Conn.(*conn)
-	if !ok || !info.Reused || rawhttp.CheckIdle(c.Conn) == nil {
+	c, ok := info.Conn.(*httpconn.Socket)
+	if !ok || !info.Reused || c.Silent() {
 		return false
 	}
 	_ = info.Conn.Close()
@@ -110,15 +111,15 @@
 func (t *Transports) Do(req *http.Request, once bool) (*http.Response, error) {
 	// net/http may use several connections in turn. last is the newest, and mayBeRead says that an
 	// earlier one may have brought a byte of the request to the target.
-	var last atomic.Pointer[conn]
+	var last atomic.Pointer[evidence]
 	var mayBeRead atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c, ok := info.Conn.(*conn)
-		if !ok || dropStale(info) {
+		e := evidenceOf(info.Conn)
+		if e == nil || dropStale(info) {
 			return
 		}
-		c.begin()
-		if earlier := last.Swap(c); earlier != nil && earlier.abandon() {
+		e.begin()
+		if earlier := last.Swap(e); earlier != nil && earlier.abandon() {
 			mayBeRead.Store(true)
 		}
 	}}
@@ -135,13 +136,13 @@
 		// errors.Is must not find io.EOF, which means the end of an answer.
 		err = io.ErrUnexpectedEOF
 	}
-	c := last.Load()
-	if c != nil && c.abandon() {
+	e := last.Load()
+	if e != nil && e.abandon() {
 		mayBeRead.Store(true)
 	}
 	switch {
 	case mayBeRead.Load():
-	case c == nil:
+	case e == nil:
 		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "no connection to the target", Err: err}
 	default:
 		return nil, &verdict.Error{Code: ports.CodeUnreached, Message: "the target had closed the connection", Err: err}
