coord/httpconn: answers are checked before net/http reads them

Callers saw: an answer that stood in the body of another one whose status was 000, 001, 099 or +20; else, an answer of such a status waited for until the deadline. Also answers with a control byte in the reason, in HTTP/2.0, and the lines of chunks as a body in HTTP/1.0. Cause: http.ReadResponse takes any three characters that strconv.Atoi takes for a status, and what is below 200 was skipped as an interim answer. Change: a parser without I/O follows the bytes of a connection, with the framing of bodies, and cuts an answer off at its first wrong byte, with the reason. So net/http never has enough of a broken answer to take it for whole, nothing of it is read as the next one, and its connection takes no other request.

--- a/coord/httpconn/socket.go
+++ b/coord/httpconn/socket.go
@@ -1,4 +1,3 @@
-// Package httpconn has the client's side of connections, whose end is an error if the kernel has reported one.
 package httpconn
 
 import (
--- a/pipeline/exchange/broken_test.go
+++ b/pipeline/exchange/broken_test.go
@@ -2,15 +2,138 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gullhaven/gullhaven/bundle/routes"
+	"github.com/gullhaven/gullhaven/coord/broken"
+	"github.com/gullhaven/gullhaven/pipeline/exchange"
+	"github.com/gullhaven/gullhaven/route/pick"
 )
 
+// brokenAnswers are answers that are not valid HTTP/1.1, by what is wrong with them.
+var brokenAnswers = broken.Answers(signed, wrong)
+
+// wrong is a body that must reach no caller.
+const wrong = "wrong"
+
+// checkClosed fails the test unless the gateway has closed the connection of a target.
+func checkClosed(t *testing.T, x *target) {
+	t.Helper()
+	select {
+	case <-x.ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection is open")
+	}
+}
+
+// checkBroken fails the test unless a reply says that the request may have run, and nothing else.
+func checkBroken(t *testing.T, got reply) {
+	t.Helper()
+	if got.truncated || got.status != http.StatusBadGateway || got.header.Get("Retry-After") != "" || strings.Contains(got.body, wrong) {
+		t.Errorf("%d %q, truncated %v, Retry-After %q", got.status, got.body, got.truncated, got.header.Get("Retry-After"))
+	}
+}
+
+// Guards against an answer that is not valid HTTP and reaches a caller, or is read as the answer to the next
+// request on its connection.
+func TestBrokenAnswersReachNoCaller(t *testing.T) {
+	for name, text := range brokenAnswers {
+		for _, route := range routeAnswers {
+			t.Run(route.once+", "+name, func(t *testing.T) {
+				x := newTarget(t, "t1", respondRaw(text, true))
+				r := newRig(t, "r", x)
+				checkBroken(t, r.call(route.once, "b"))
+				if n := requestCount(x); n != 1 {
+					t.Errorf("sent %d times", n)
+				}
+				checkClosed(t, x)
+			})
+			t.Run(route.again+", "+name, func(t *testing.T) {
+				f := sequence(respondRaw(text, true), route.sound)
+				r := newRig(t, "r", newTarget(t, "t1", f), newTarget(t, "t2", f))
+				if got := r.call(route.again, "b"); !whole(got, route.body) {
+					t.Errorf("%d %q, truncated %v", got.status, got.body, got.truncated)
+				}
+			})
+			t.Run(route.once+", of an instance of another region, "+name, func(t *testing.T) {
+				r, x := newPeerRig(t, respondRaw(text, true))
+				checkBroken(t, r.call(route.once, "b"))
+				checkClosed(t, x)
+			})
+		}
+	}
+}
+
+// Guards against a stream that has begun and ends as whole though the rest of its answer is not valid.
+func TestBegunStreamsThatBreakAreNotWhole(t *testing.T) {
+	event := eventText(1, 1)
+	begun := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", signed, len(event), event)
+	for name, rest := range map[string]string{
+		"a size without digits": ";x\r\n\r\n", "a chunk longer than its size": "1\r\nxx\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newTarget(t, "t1", respondRaw(begun+rest, true))
+			if got := newRig(t, "r", x).call("/stream/x", "b"); got.status != 200 || !got.truncated || got.body != event {
+				t.Errorf("%d %q, truncated %v", got.status, got.body, got.truncated)
+			}
+			checkClosed(t, x)
+		})
+		t.Run(name+", resumed", func(t *testing.T) {
+			f := sequence(respondRaw(begun+rest, true), streamEvents(2, true))
+			r := newRig(t, "r", newTarget(t, "t1", f), newTarget(t, "t2", f))
+			if got := r.call("/resume/x", "b"); !whole(got, eventText(1, 2)) {
+				t.Errorf("%d %q, truncated %v", got.status, got.body, got.truncated)
+			}
+		})
+	}
+}
+
+// newPeerRig returns a gateway without targets and an instance of another region.
+func newPeerRig(t *testing.T, f script) (*rig, *target) {
+	x := newTarget(t, "peer", f)
+	r := newRig(t, "r")
+	view := *r.view
+	view.Peers = []exchange.Peer{{Address: x.addr, Region: "other"}}
+	view.Regions = map[exchange.RegionService]pick.RegionLoad{{Region: "other", Service: "s"}: {Targets: 1, Slots: 4}}
+	r.gateway.SetView(&view)
+	return r, x
+}
+
+// Guards against refusing an answer that is unusual and valid.
+func TestUnusualAnswersReachTheirCaller(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n" + signed
+	for name, text := range map[string]string{
+		"interim answers":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\nLink: b\r\n\r\n" + ok + "Content-Length: 4\r\n\r\ndone",
+		"a trailer":              ok + "Trailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n4;ext=\"a b\"\r\ndone\r\n0\r\nSum: 1\r\n\r\n",
+		"an unannounced trailer": ok + "Transfer-Encoding: chunked\r\n\r\n2\r\ndo\r\n02\r\nne\r\n000\r\nSum: 1\r\nSum: 2\r\n\r\n",
+		"a folded line":          ok + "X: 1\r\n 2\r\n\t3\r\nContent-Length:\r\n 4\r\n\r\ndone",
+		"an empty folded line":   ok + "Content-Length: 4\r\n \r\nX: 1\r\n\r\ndone",
+		"repeated fields":        ok + "X: 1\r\nX: 2\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone",
+		"an empty value":         ok + "X:\r\nContent-Length: 4\r\n\r\ndone",
+		"every name byte":        ok + "!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 4\r\n\r\ndone",
+		"bytes above ASCII":      ok + "X: \xc3\xa9\xff\r\nContent-Length: 4\r\n\r\ndone",
+		"no reason":              "HTTP/1.1 200\r\n" + signed + "Content-Length: 4\r\n\r\ndone",
+		"bare line feeds":        "HTTP/1.1 200 OK\n" + strings.ReplaceAll(signed, "\r", "") + "Content-Length: 4\n\ndone",
+		"both framings":          ok + "Content-Length: 40\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+		"HTTP/1.0":               "HTTP/1.0 200 OK\r\n" + signed + "\r\ndone",
+		"no length":              ok + "\r\ndone",
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The connection is closed in order.
+			r := newRig(t, "r", newTarget(t, "t1", cutAfter(text, false)))
+			if got := r.call("/unsafe/x", "b"); !whole(got, "done") {
+				t.Errorf("%d %q, truncated %v", got.status, got.body, got.truncated)
+			}
+		})
+	}
+}
+
 // uploadBytes is the length of a body that the sockets of both ends do not hold.
 const uploadBytes = 6 << 20
 
--- a/ports/rawhttp/broken_test.go
+++ b/ports/rawhttp/broken_test.go
@@ -45,3 +45,21 @@
 		})
 	}
 }
+
+// Guards against a request on a connection that brought a broken answer, whose rest would be read as the next one.
+func TestConnectionOfABrokenAnswerIsNotReused(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + ok2,
+	} {
+		s := serve(t, func(c net.Conn, r *http.Request) bool { answer(c, text); return true })
+		c := rawhttp.NewClient(rawhttp.Options{})
+		for range 3 {
+			if body, err := exchange(c, s.addr(), get()); !rawhttp.Broken(err) {
+				t.Errorf("%.30q: %q, %v", text, body, err)
+			}
+		}
+		if n := s.conns.Load(); n != 3 {
+			t.Errorf("%.30q: %d connections", text, n)
+		}
+	}
+}
--- a/ports/rawhttp/client.go
+++ b/ports/rawhttp/client.go
@@ -3,7 +3,7 @@
 //
 // http.Transport is not used: it retries some requests by itself when a reused
 // connection turns out to be closed, and it does not report whether a byte of a failed
-// request was sent. Answers are parsed by net/http.
+// request was sent. Answers are parsed by net/http, after httpconn has found them valid.
 package rawhttp
 
 import (
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -51,8 +52,6 @@
 	// read: the peer may answer before it has read the body, and with small TCP windows
 	// both ends would wait for each other.
 	asyncBodyBytes = 8 << 10
-	// maxErrorBytes bounds the text of an error that quotes an answer.
-	maxErrorBytes = 256
 )
 
 // ErrHeadTooLong is the cause of a Failure whose answer has a head of more than MaxHeadBytes.
@@ -62,6 +61,12 @@
 // the memory for them.
 var ErrHeadsTooLong = errors.New("the heads of all answers together take up too much memory")
 
+// Broken reports whether err says that an answer is not valid HTTP.
+func Broken(err error) bool {
+	var e *httpconn.Error
+	return errors.As(err, &e) || errors.Is(err, ErrHeadTooLong)
+}
+
 // Options of a Client. Zero values mean the defaults.
 type Options struct {
 	DialTimeout, IdleTimeout, AckTimeout time.Duration
@@ -125,7 +130,7 @@
 func (f *Failure) Unwrap() error { return f.Err }
 
 type conn struct {
-	*httpconn.Socket
+	*httpconn.Conn
 	r         *bufio.Reader
 	addr      string
 	idleUntil time.Time
@@ -141,7 +146,7 @@
 // Read reads from the connection, within the bound of a head.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.inHead {
-		return c.Socket.Read(p)
+		return c.Conn.Read(p)
 	}
 	if c.headErr == nil && c.headLeft <= 0 {
 		c.headErr = ErrHeadTooLong
@@ -150,7 +155,7 @@
 		// net/http reads on after an error between two lines.
 		return 0, c.headErr
 	}
-	n, err := c.Socket.Read(p[:min(len(p), c.headLeft)])
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
 	if !c.head.Take(time.Now(), memory.HeadBytes(p[:n])) {
 		c.headErr = ErrHeadsTooLong
@@ -177,7 +182,7 @@
 // Do sends a request and reads the head of the answer. The end of ctx also ends the
 // reading of the body. The error is a *Failure.
 func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Answer, error) {
-	cn, err := c.getConn(ctx, addr)
+	cn, err := c.getConn(ctx, addr, req.Method)
 	if err != nil {
 		return nil, &Failure{Verdict: verdict.NotRun, DialFailed: true, Err: err}
 	}
@@ -265,25 +270,30 @@
 	defer func() { a.c.inHead = false }()
 	for {
 		res, err := http.ReadResponse(a.c.r, &http.Request{Method: req.Method})
-		if err != nil && a.c.headErr != nil {
+		switch {
+		case err != nil && a.c.headErr != nil:
 			return a.c.headErr
-		}
-		if err != nil {
-			return shorten(err)
-		}
-		if res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
+		case err != nil:
+			return a.c.Cause(err)
+		case res.StatusCode >= http.StatusOK:
+			if res.Body != http.NoBody {
+				res.Body = &body{res.Body, a.c}
+			}
 			a.Response = res
 			return nil
 		}
 	}
 }
 
-// shorten returns err, or the start of its text if net/http quotes a long malformed line in it.
-func shorten(err error) error {
-	if text := err.Error(); len(text) > maxErrorBytes {
-		return errors.New(text[:maxErrorBytes])
-	}
-	return err
+// body is the body of an answer, whose errors say what is wrong with the answer.
+type body struct {
+	io.ReadCloser
+	c *conn
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	return n, b.c.Cause(err)
 }
 
 // Reused reports whether the connection had carried requests before.
@@ -344,7 +354,7 @@
 // request. Bytes after the end of an answer belong to no request, and the unsent rest of
 // a request would be mixed with the next one.
 func (a *Answer) reusable() bool {
-	if a.Response.Close || a.unnamed || !a.Framed() || a.c.r.Buffered() > 0 {
+	if a.Response.Close || a.unnamed || !a.Framed() || !a.c.Idle() || a.c.r.Buffered() > 0 {
 		return false
 	}
 	if a.written == nil {
@@ -380,14 +390,18 @@
 	return timeout
 }
 
-// getConn returns an idle connection or makes a new one.
-func (c *Client) getConn(ctx context.Context, addr string) (*conn, error) {
+// getConn returns an idle connection or makes a new one, for a request with a method.
+func (c *Client) getConn(ctx context.Context, addr, method string) (*conn, error) {
 	for {
 		cn := c.takeIdle(addr)
 		if cn == nil {
-			return c.dial(ctx, addr)
+			cn, err := c.dial(ctx, addr)
+			if err == nil {
+				cn.Begin(method, false)
+			}
+			return cn, err
 		}
-		if cn.usable() {
+		if cn.usable() && cn.Begin(method, false) {
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -432,15 +446,14 @@
 			return nil, err
 		}
 	}
-	s, err := httpconn.NewSocket(raw, nil)
+	checked, err := httpconn.Dialed(raw, nil)
 	if err != nil {
-		_ = raw.Close()
 		return nil, err
 	}
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	cn := &conn{Socket: s, addr: addr}
+	cn := &conn{Conn: checked, addr: addr}
 	cn.r = bufio.NewReaderSize(cn, readBufferBytes)
 	return cn, nil
 }
