coord/httpconn: a field name is a token

Callers saw: an answer without the line that named a field with a blank (X Y, or X before its colon), in heads, interim heads and trailers; with a blank before the colon of Content-Length or Transfer-Encoding, a short body as whole and the lines of chunks as body. Cause: net/http takes blanks in names, as a field of another name. Control bytes it refuses, and did before (the tests stay). Change: the parser refuses a name that is no token (RFC 9110, 5.6.2). TestUnusualAnswersReachTheirCaller (interim answers, trailers, folded lines, repeated fields, no length) passed before and after.

--- a/coord/broken/broken.go
+++ b/coord/broken/broken.go
@@ -30,6 +30,10 @@
 	answers := map[string]string{
 		"a control byte in the reason":    withLength("HTTP/1.1 200 O\x00K\r\n"+headers, body),
 		"another major version":           withLength("HTTP/2.0 200 OK\r\n"+headers, body),
+		"a blank in an interim head":      "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + whole,
+		"a blank in a trailer":            ok + chunked + chunk + "X Y: 1\r\n\r\n",
+		"a blank before a length":         fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", ok, 2*len(body), body),
+		"a blank before an encoding":      ok + "Transfer-Encoding : chunked\r\n\r\n" + chunk + "\r\n",
 		"chunks in HTTP/1.0":              "HTTP/1.0 200 OK\r\n" + headers + chunked + chunk + "\r\n",
 		"an encoding that is not chunked": ok + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunk + "\r\n",
 		"a chunk longer than its size":    fmt.Sprintf("%s%s%x\r\n%s\r\n0\r\n\r\n", ok, chunked, len(body)-1, body),
@@ -42,6 +46,9 @@
 		answers["status "+status] = withLength(head, whole)
 		answers["status "+status+", no answer in the body"] = withLength(head, body)
 	}
+	for _, name := range []string{"X Y", "X ", "X\t", "X\x01", "X\x7f", "X\r", "", "X(", "\xc3\xa9"} {
+		answers[fmt.Sprintf("name %q", name)] = withLength(ok+name+": 1\r\n", body)
+	}
 	return answers
 }
 
--- a/coord/httpconn/parser.go
+++ b/coord/httpconn/parser.go
@@ -268,6 +268,8 @@
 		return nil
 	case c == '\r' || c == '\n':
 		return invalid("the line %q has no colon", p.line)
+	case !isToken(c):
+		return invalid("field name %q holds a blank, a control byte or another byte that names do not have", append(p.line, c))
 	case len(p.line) < maxQuotedBytes:
 		p.line = append(p.line, c)
 	}
@@ -379,6 +381,11 @@
 // isControl reports whether c must not stand in a value, a reason or a chunk extension.
 func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
+// isToken reports whether c may stand in a field name.
+func isToken(c byte) bool {
+	return isDigit(c) || 'a' <= c|0x20 && c|0x20 <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
 // Error says why an answer is not valid HTTP/1.1.
 type Error struct{ Reason string }
 
--- a/pipeline/exchange/broken_test.go
+++ b/pipeline/exchange/broken_test.go
@@ -75,7 +75,7 @@
 	event := eventText(1, 1)
 	begun := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", signed, len(event), event)
 	for name, rest := range map[string]string{
-		"a size without digits": ";x\r\n\r\n", "a chunk longer than its size": "1\r\nxx\r\n0\r\n\r\n",
+		"a blank in a trailer": "0\r\nX Y: 1\r\n\r\n", "a size without digits": ";x\r\n\r\n", "a chunk longer than its size": "1\r\nxx\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := newTarget(t, "t1", respondRaw(begun+rest, true))
