coord/httpconn: 101 is refused where no other protocol was asked for

Callers saw: status 101 of a target whose request asked for no upgrade. Cause: 101 was taken for a final answer, of any request. Change: the parser knows whether the request asks for another protocol.

--- a/coord/broken/broken.go
+++ b/coord/broken/broken.go
@@ -28,6 +28,7 @@
 	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
 	answers := map[string]string{
+		"101 without an upgrade":          "HTTP/1.1 101 X\r\n" + headers + "Connection: upgrade\r\nUpgrade: x\r\n\r\n" + whole,
 		"a control byte in the reason":    withLength("HTTP/1.1 200 O\x00K\r\n"+headers, body),
 		"another major version":           withLength("HTTP/2.0 200 OK\r\n"+headers, body),
 		"a blank in an interim head":      "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + whole,
--- a/coord/httpconn/parser.go
+++ b/coord/httpconn/parser.go
@@ -334,6 +334,8 @@
 		return nil
 	}
 	switch {
+	case p.status == http.StatusSwitchingProtocols && !p.upgrade:
+		return invalid("status code 101 answers a request that asked for no other protocol")
 	case p.encodings > 0 && p.minor == '0':
 		return invalid("it has a transfer encoding in HTTP/1.0")
 	case p.encodings > 0 && (p.encodings > 1 || !p.chunked):
--- a/ports/rawhttp/broken_test.go
+++ b/ports/rawhttp/broken_test.go
@@ -50,6 +50,7 @@
 func TestConnectionOfABrokenAnswerIsNotReused(t *testing.T) {
 	for _, text := range []string{
 		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + ok2,
+		"HTTP/1.1 101 X\r\n\r\n" + ok2,
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX : 1\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX : 1\r\n\r\n",
 	} {
