ports/transport, node, coord/link, operate: all readers of answers check them

A list whose answer was not valid could remove targets. Cause: each has a client of net/http of its own. Change: httpconn.Transport is an http.RoundTripper over checked connections, and all use it. Above TLS the answers are checked, below it errors are kept. Connections that net/http had put back by the time it read a broken trailer, or that bring bytes after an answer, take no other request. JSON answers of engines and the list of instances are read to their end before they count.

--- a/coord/httpconn/socket.go
+++ b/coord/httpconn/socket.go
@@ -126,9 +126,6 @@
 	return n, err
 }
 
-// Watcher returns what NewSocket was given.
-func (s *Socket) Watcher() Watcher { return s.watcher }
-
 // Silent reports whether a read would block: nothing has arrived that was not read, neither bytes nor the end of the
 // connection. It may be called during a Read.
 func (s *Socket) Silent() bool {
--- a/coord/link/writer.go
+++ b/coord/link/writer.go
@@ -9,6 +9,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/juju/errors"
+
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 )
 
 // writer is the state of a peer's writing goroutine.
@@ -281,12 +283,13 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, o.DialTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: dialFunc(p.connectTimeout()), MaxResponseHeaderBytes: maxAnswerHeadBytes}
+	base := &http.Transport{DialContext: dialFunc(p.connectTimeout()), MaxResponseHeaderBytes: maxAnswerHeadBytes}
 	scheme, header := "ws", http.Header{plaintextHeader: {o.PlaintextID}}
 	if o.PlaintextID == "" {
-		transport.TLSClientConfig = o.Key.ClientConfig(p.id)
+		base.TLSClientConfig = o.Key.ClientConfig(p.id)
 		scheme, header = "wss", nil
 	}
+	transport := httpconn.NewTransport(base)
 	// Otherwise a refused upgrade would leave its connection open.
 	defer transport.CloseIdleConnections()
 	ws, _, err := websocket.Dial(ctx, scheme+"://"+addr+o.Path, &websocket.DialOptions{
--- a/node/forwarder.go
+++ b/node/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 	"github.com/gullhaven/gullhaven/coord/keys"
 	"github.com/gullhaven/gullhaven/coord/roster"
 	"github.com/gullhaven/gullhaven/coord/verdict"
@@ -33,11 +33,11 @@
 	entries func(region string) []roster.Contact
 
 	mu         sync.Mutex
-	transports map[string]*http.Transport
+	transports map[string]*httpconn.Transport
 }
 
 func newForwarder(key *keys.Key, entries func(string) []roster.Contact) *forwarder {
-	return &forwarder{key: key, entries: entries, transports: map[string]*http.Transport{}}
+	return &forwarder{key: key, entries: entries, transports: map[string]*httpconn.Transport{}}
 }
 
 // Forward sends the request to the named instance, or to any live one of the region. A second
@@ -88,28 +88,25 @@
 
 // transport returns the transport that keeps connections to one instance, whose identity each
 // handshake checks.
-func (f *forwarder) transport(id string) *http.Transport {
+func (f *forwarder) transport(id string) *httpconn.Transport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.transports[id]
 	if t == nil {
-		t = &http.Transport{
-			DialTLSContext:         dialer(f.key.ClientConfig(id)),
+		t = httpconn.NewTransport(&http.Transport{
+			DialContext:            (&net.Dialer{Timeout: forwardDialTimeout}).DialContext,
+			TLSClientConfig:        f.key.ClientConfig(id),
+			TLSHandshakeTimeout:    forwardDialTimeout,
 			MaxIdleConnsPerHost:    maxIdleForwardConns,
 			IdleConnTimeout:        time.Minute,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: rawhttp.MaxHeadBytes,
-		}
+		})
 		f.transports[id] = t
 	}
 	return t
 }
 
-func dialer(config *tls.Config) func(context.Context, string, string) (net.Conn, error) {
-	d := &tls.Dialer{NetDialer: &net.Dialer{Timeout: forwardDialTimeout}, Config: config}
-	return d.DialContext
-}
-
 // Close closes idle connections.
 func (f *forwarder) Close() {
 	f.mu.Lock()
--- a/operate/load/send.go
+++ b/operate/load/send.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/pipeline/openai"
 	"github.com/gullhaven/gullhaven/ports"
@@ -64,12 +65,12 @@
 		return CheckLoopback(address)
 	}}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpconn.NewTransport(&http.Transport{
 			DialContext:            dialer.DialContext,
 			MaxIdleConnsPerHost:    c.Concurrency,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: rawhttp.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/ports/enginehttp/client.go
+++ b/ports/enginehttp/client.go
@@ -237,7 +237,11 @@
 		_, err = io.Copy(io.Discard, limited)
 		return err
 	}
-	if err := json.NewDecoder(limited).Decode(out); err != nil {
+	data, err := io.ReadAll(limited)
+	if err == nil {
+		err = json.Unmarshal(data, out)
+	}
+	if err != nil {
 		return &verdict.Error{Verdict: verdict.Ran, Code: ports.CodeTargetError, Message: "malformed answer of " + path, Err: err}
 	}
 	return nil
--- a/ports/platformhttp/client.go
+++ b/ports/platformhttp/client.go
@@ -140,7 +140,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return out, verdict.New(verdict.Ran, ports.CodeTargetError, fmt.Sprintf("the list of instances answered %d", resp.StatusCode))
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&out); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &out)
+	}
+	if err != nil {
 		return out, &verdict.Error{Verdict: verdict.Ran, Code: ports.CodeTargetError, Message: "malformed list of instances", Err: err}
 	}
 	return out, nil
--- a/ports/transport/clients.go
+++ b/ports/transport/clients.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 	"github.com/gullhaven/gullhaven/ports/rawhttp"
 )
 
@@ -30,9 +31,9 @@
 }
 
 // NewHTTPClient returns a client for calls to servers other than targets: timeout bounds a whole call, and
-// rawhttp.MaxHeadBytes the head of its answer.
+// rawhttp.MaxHeadBytes the head of its answer, which must be valid.
 func NewHTTPClient(timeout time.Duration) *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxResponseHeaderBytes = rawhttp.MaxHeadBytes
-	return &http.Client{Transport: t, Timeout: timeout}
+	return &http.Client{Transport: httpconn.NewTransport(t), Timeout: timeout}
 }
--- a/ports/transport/conn.go
+++ b/ports/transport/conn.go
@@ -42,11 +42,11 @@
 
 // evidenceOf returns the evidence of a connection to a target, nil for another one.
 func evidenceOf(c net.Conn) *evidence {
-	s, ok := c.(*httpconn.Socket)
+	checked, ok := c.(*httpconn.Conn)
 	if !ok {
 		return nil
 	}
-	e, _ := s.Watcher().(*evidence)
+	e, _ := checked.Watcher().(*evidence)
 	return e
 }
 
--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -32,8 +32,8 @@
 // Transports sends requests to targets, over reused or new connections. It is safe
 // for concurrent use.
 type Transports struct {
-	kept  *http.Transport
-	fresh *http.Transport
+	kept  *httpconn.Transport
+	fresh *httpconn.Transport
 }
 
 // Options of Transports; zero values mean the defaults.
@@ -59,12 +59,7 @@
 			if err != nil {
 				return nil, err
 			}
-			s, err := httpconn.NewSocket(c, new(evidence))
-			if err != nil {
-				_ = c.Close()
-				return nil, err
-			}
-			return s, nil
+			return httpconn.Dialed(c, new(evidence))
 		},
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    o.MaxIdlePerHost,
@@ -76,7 +71,7 @@
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
-	return &Transports{kept: kept, fresh: fresh}
+	return &Transports{kept: httpconn.NewTransport(kept), fresh: httpconn.NewTransport(fresh)}
 }
 
 // Close closes idle connections.
@@ -92,7 +87,7 @@
 // request written to such a connection fails with MayHaveRun, though it cannot have run and
 // could be retried at another target at once.
 func dropStale(info httptrace.GotConnInfo) bool {
-	c, ok := info.Conn.(*httpconn.Socket)
+	c, ok := info.Conn.(*httpconn.Conn)
 	if !ok || !info.Reused || c.Silent() {
 		return false
 	}
