pipeline, pipeline/exchange: broken answers are counted, logged and told to routing

Operators saw: no reason for a whole answer that broke off ("attempt failed", status 200), no target at "stream broken", no count; the gateway of bundles logged nothing and took an answer that was no HTTP for the crash of its target. A target whose answers were all broken got requests as before. Cause: the error of a body was dropped; the end of a connection that had carried other requests says nothing of its target, but what is no HTTP does; a whole answer that broke off counted as a failure that was answered, which ends the back-off that it should begin. Change: gullhaven_broken_answers_total; "attempt failed" has the error, "stream broken" the target; new line "broken answer" in the gateway of bundles. A whole answer that breaks off ends like a stream that does (endRun): the target backs off. Want of our own memory for an answer says nothing of the target any more.

--- a/metrics/names.go
+++ b/metrics/names.go
@@ -46,6 +46,7 @@
 	Reordered        = Metric{"gullhaven_chunks_reordered_total", Counter, "chunks", "Chunks that came early and were put in order."}
 	Foreign          = Metric{"gullhaven_chunks_foreign_total", Counter, "chunks", "Chunks of another attempt, dropped."}
 	WrongAnswers     = Metric{"gullhaven_wrong_answers_total", Counter, "answers", "Answers of another attempt, dropped."}
+	BrokenAnswers    = Metric{"gullhaven_broken_answers_total", Counter, "answers", "Answers that were lost, as they broke off at any point or are not valid HTTP."}
 	Chunks           = Metric{"gullhaven_chunks_total", Counter, "chunks", "Chunks passed on to callers."}
 	BodyBytes        = Metric{"gullhaven_body_bytes_total", Counter, "bytes", "Bytes of bodies read."}
 	Spilled          = Metric{"gullhaven_spilled_total", Counter, "requests", "Requests passed on to another region."}
@@ -112,7 +113,7 @@
 var Instance = []Metric{
 	Requests, InFlight, Answered, Refused, FailedMayHaveRun, FailedRan, CutAnswers,
 	CallersGone, Attempts, Retries, Hedges, Resumes, MovedStreams, FailedMoves, LateAnswers, Duplicates, Reordered,
-	Foreign, WrongAnswers, Chunks, BodyBytes, Spilled, Replayed, ClaimsRecorded,
+	Foreign, WrongAnswers, BrokenAnswers, Chunks, BodyBytes, Spilled, Replayed, ClaimsRecorded,
 	ClaimsUnrecorded, FirstByteTime, AnswerTime, LinkConnections, LinkMessagesSent,
 	LinkBytesSent, LinkMessagesReceived, LinkBytesReceived, LinkRefused, LinkDropped,
 	LinkOverflow, LinkDials, LinkDialFailures, LinkAcceptRefusals, LinkPingTimeouts,
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -22,13 +22,13 @@
 	// onPage, if set, is called before each page.
 	onPage func()
 
-	Requests, Answered, Refused, FailedMayHaveRun, FailedRan       gometrics.Counter
-	CutAnswers, CallersGone                                        gometrics.Counter
-	Attempts, Retries, Hedges, Resumes, LateAnswers                gometrics.Counter
-	MovedStreams, FailedMoves                                      gometrics.Counter
-	Duplicates, Reordered, Foreign, WrongAnswers, Chunks           gometrics.Counter
-	BodyBytes, Spilled, Replayed, ClaimsRecorded, ClaimsUnrecorded gometrics.Counter
-	FirstByteTime, AnswerTime                                      *Times
+	Requests, Answered, Refused, FailedMayHaveRun, FailedRan            gometrics.Counter
+	CutAnswers, CallersGone                                             gometrics.Counter
+	Attempts, Retries, Hedges, Resumes, LateAnswers                     gometrics.Counter
+	MovedStreams, FailedMoves                                           gometrics.Counter
+	Duplicates, Reordered, Foreign, WrongAnswers, BrokenAnswers, Chunks gometrics.Counter
+	BodyBytes, Spilled, Replayed, ClaimsRecorded, ClaimsUnrecorded      gometrics.Counter
+	FirstByteTime, AnswerTime                                           *Times
 }
 
 // NewSet returns a Set with all metrics of the request path at zero.
@@ -52,6 +52,7 @@
 	s.Reordered = s.Counter(Reordered)
 	s.Foreign = s.Counter(Foreign)
 	s.WrongAnswers = s.Counter(WrongAnswers)
+	s.BrokenAnswers = s.Counter(BrokenAnswers)
 	s.Chunks = s.Counter(Chunks)
 	s.BodyBytes = s.Counter(BodyBytes)
 	s.Spilled = s.Counter(Spilled)
--- a/pipeline/attempts.go
+++ b/pipeline/attempts.go
@@ -7,7 +7,10 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gullhaven/gullhaven/bundle"
+	"github.com/gullhaven/gullhaven/coord/httpconn"
 	"github.com/gullhaven/gullhaven/coord/verdict"
 	"github.com/gullhaven/gullhaven/ports"
 	"github.com/gullhaven/gullhaven/route"
@@ -195,11 +198,31 @@
 	} else if e != nil && e.Code == ports.CodeRejected {
 		end.Busy = e.RetryAfter
 	}
+	f.deps.recordBroken(x, string(a.decision.Target), err)
 	f.routing.Ended(end)
 	f.budgets.ended(x.Service.ID, outcome)
 	f.leftTarget(x, a, suspectEnd(x, err))
 }
 
+// isInvalid reports whether err says that an answer is not valid HTTP.
+func isInvalid(err error) bool {
+	var e *httpconn.Error
+	return errors.As(err, &e)
+}
+
+// recordBroken counts and logs an answer that was lost on its way from a target or an instance.
+func (d *Deps) recordBroken(x *Exchange, from string, err error) {
+	if err == nil || x.Ctx.Err() != nil {
+		return
+	}
+	e := asError(err)
+	if e.Code != ports.CodeStreamCut && !isInvalid(err) {
+		return
+	}
+	d.Metrics.BrokenAnswers.Inc(1)
+	d.Log.Info("broken answer", zap.String("id", x.ID), zap.String("from", from), zap.Stringer("verdict", e.Verdict), zap.String("message", e.Message), zap.Error(e.Err))
+}
+
 // leftTarget records that an attempt no longer runs at its target.
 func (f *Attempts) leftTarget(x *Exchange, a *attempt, e ports.AttemptEnd) {
 	now := f.deps.Now()
@@ -210,11 +233,14 @@
 }
 
 // suspectEnd classifies an attempt's end. The target crashed if it broke the
-// answer off before the request's deadline and its caller's leaving.
+// answer off before the request's deadline and its caller's leaving. One that sent
+// what is not valid HTTP has not crashed.
 func suspectEnd(x *Exchange, err error) ports.AttemptEnd {
 	switch {
 	case err == nil:
 		return ports.AttemptFinished
+	case isInvalid(err):
+		return ports.AttemptOther
 	case x.Ctx.Err() == nil && asError(err).Code == ports.CodeStreamCut:
 		return ports.AttemptCrashed
 	}
--- a/pipeline/exchange/accept.go
+++ b/pipeline/exchange/accept.go
@@ -66,6 +66,8 @@
 	// delay to other requests and the cost of failures.
 	sentAt                 time.Time
 	expectedWaitMs, costMs float64
+	// answerErr is why the answer of the last attempt is not whole; nil if it is or this instance ended it.
+	answerErr error
 	// firstByteAt is when the answer began.
 	firstByteAt time.Time
 	// longestGap is the longest time between two events of the stream.
--- a/pipeline/exchange/answer.go
+++ b/pipeline/exchange/answer.go
@@ -35,7 +35,7 @@
 		defer s.free()
 		return q.relayStream(s)
 	}
-	return q.relayWhole(a, p)
+	return q.relayWhole(ctx, a, p)
 }
 
 // checkHead reports whether an answer is that of a target which runs the request. If not, it closes it and
@@ -158,18 +158,15 @@
 
 // relayWhole relays an answer that is not an event stream. It buffers the whole answer first,
 // so that a truncated answer can be retried and never looks complete.
-func (q *request) relayWhole(a *rawhttp.Answer, p *destination) (bool, pick.Result) {
+func (q *request) relayWhole(ctx context.Context, a *rawhttp.Answer, p *destination) (bool, pick.Result) {
 	body, err := q.readAnswer(a)
-	a.Close(err == nil)
+	if err != nil && context.Cause(ctx) == errSilent {
+		err = errSilent
+	}
 	if err != nil {
-		q.recordRun(verdict.MayHaveRun)
-		q.reportCrash(p, err)
-		q.recordContactLost(p, err)
-		if q.ctx.Err() != nil {
-			return false, pick.Neutral
-		}
-		return false, pick.Failed
+		return false, q.endRun(a, p, err)
 	}
+	a.Close(true)
 	q.recordRun(verdict.Ran)
 	q.tried.record(p, answered)
 	answer := &bufferedAnswer{status: a.StatusCode, header: a.Header, body: body}
--- a/pipeline/exchange/broken_test.go
+++ b/pipeline/exchange/broken_test.go
@@ -10,6 +10,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/gullhaven/gullhaven/bundle/routes"
 	"github.com/gullhaven/gullhaven/coord/broken"
 	"github.com/gullhaven/gullhaven/pipeline/exchange"
@@ -53,6 +57,9 @@
 					t.Errorf("sent %d times", n)
 				}
 				checkClosed(t, x)
+				if n := r.metrics.BrokenAnswers.Count(); n != 1 {
+					t.Errorf("%d broken answers counted", n)
+				}
 			})
 			t.Run(route.again+", "+name, func(t *testing.T) {
 				f := sequence(respondRaw(text, true), route.sound)
@@ -222,3 +229,49 @@
 		t.Errorf("%d %q, truncated %v", got.status, got.body, got.truncated)
 	}
 }
+
+// Guards against a target whose answers are all broken and that gets requests as before: one on a connection that
+// had carried others, like the end of such a connection, told nothing of its target.
+func TestTargetOfBrokenAnswersBacksOff(t *testing.T) {
+	for name, text := range map[string]string{
+		"a broken head":    brokenAnswers["status 000"],
+		"a broken trailer": brokenAnswers["a blank in a trailer"],
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newTarget(t, "t1", respond(200, "done"), respondRaw(text, true))
+			r := newRig(t, "r", x)
+			if got := r.call("/unsafe/x", "b"); !whole(got, "done") {
+				t.Fatalf("%d %q", got.status, got.body)
+			}
+			checkBroken(t, r.call("/unsafe/x", "b"))
+			if n := r.pool.Count(time.Now()).BackingOff; n != 1 {
+				t.Errorf("%d targets back off", n)
+			}
+		})
+	}
+}
+
+// Guards against an answer that was refused for a reason which its request's log lines do not name.
+func TestLogSaysWhyAnAnswerIsBroken(t *testing.T) {
+	for name, want := range map[string]string{
+		"status 000":             `status code "000"`,
+		`name "X Y"`:             `field name "X "`,
+		"a blank in a trailer":   `field name "X "`,
+		"101 without an upgrade": "101",
+	} {
+		t.Run(name, func(t *testing.T) {
+			core, logs := observer.New(zapcore.InfoLevel)
+			r := newRig(t, "r", newTarget(t, "t1", respondRaw(brokenAnswers[name], true)))
+			r.options.Log = zap.New(core)
+			r.rebuild()
+			r.call("/unsafe/x", "b")
+			for _, line := range logs.All() {
+				fields := line.ContextMap()
+				if fields["id"] == "id-1" && fields["target"] == "t1" && strings.Contains(fmt.Sprint(fields["error"]), want) {
+					return
+				}
+			}
+			t.Errorf("%v", logs.All())
+		})
+	}
+}
--- a/pipeline/exchange/hedge.go
+++ b/pipeline/exchange/hedge.go
@@ -180,6 +180,9 @@
 	}
 	if !ok {
 		to.end(time.Now(), result)
+		if q.answerErr != nil {
+			q.logAttempt(a, result)
+		}
 		return nil
 	}
 	if !under.keep() {
--- a/pipeline/exchange/relay.go
+++ b/pipeline/exchange/relay.go
@@ -245,7 +245,7 @@
 	if q.headWritten {
 		q.g.o.Metrics.Resumes.Inc(1)
 	}
-	q.g.o.Log.Info("stream broken", zap.String("id", q.call.ID), zap.Int64("last", q.lastEventID), zap.Error(err), q.partsField(),
+	q.g.o.Log.Info("stream broken", zap.String("id", q.call.ID), zap.String("target", q.lastTried), zap.Int64("last", q.lastEventID), zap.Error(err), q.partsField(),
 		zap.Bool("resumable", q.route.Resumable), zap.Duration("after", time.Since(q.acceptedAt)))
 	return result
 }
@@ -256,9 +256,13 @@
 	q.recordRun(verdict.MayHaveRun)
 	q.reportCrash(p, err)
 	q.recordContactLost(p, err)
-	if q.ctx.Err() != nil {
+	if q.ctx.Err() != nil || err == errNoMemory {
 		return pick.Neutral
 	}
+	if err != errSilent {
+		q.answerErr = err
+		q.g.o.Metrics.BrokenAnswers.Inc(1)
+	}
 	return pick.Lost
 }
 
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -165,8 +165,8 @@
 	}
 	done, result := q.handleAnswer(ctx, cancel, a, p)
 	p.end(time.Now(), result)
-	if !done && p.choice != nil {
-		q.logAttempt(p.choice.ID, a, result)
+	if !done && (p.choice != nil || q.answerErr != nil) {
+		q.logAttempt(a, result)
 	}
 	q.endWatch(done)
 	return done
@@ -176,6 +176,7 @@
 // and returns nil. The end of ctx, which cancel ends, also ends the reading of the answer.
 func (q *request) send(ctx context.Context, cancel context.CancelCauseFunc, p *destination, now time.Time) *rawhttp.Answer {
 	q.attemptCount++
+	q.answerErr = nil
 	q.g.o.Metrics.Attempts.Inc(1)
 	if p.choice == nil {
 		return q.sendToPeer(ctx, p, now)
@@ -200,9 +201,10 @@
 	return a
 }
 
-func (q *request) logAttempt(target string, a *rawhttp.Answer, result pick.Result) {
-	q.g.o.Log.Info("attempt failed", zap.String("id", q.call.ID), zap.String("target", target), zap.Int("status", a.StatusCode),
-		zap.Uint8("result", uint8(result)), zap.Stringer("verdict", q.verdict), zap.Duration("rest", q.rest), zap.String("decided_by", q.decidedBy), zap.Duration("after", time.Since(q.acceptedAt)))
+// logAttempt logs that another attempt is needed after an answer.
+func (q *request) logAttempt(a *rawhttp.Answer, result pick.Result) {
+	q.g.o.Log.Info("attempt failed", zap.String("id", q.call.ID), zap.String("target", q.lastTried), zap.Int("status", a.StatusCode),
+		zap.Error(q.answerErr), zap.Uint8("result", uint8(result)), zap.Stringer("verdict", q.verdict), zap.Duration("rest", q.rest), zap.String("decided_by", q.decidedBy), zap.Duration("after", time.Since(q.acceptedAt)))
 }
 
 // attemptLost records an attempt without an answer and returns its result for the target.
@@ -221,9 +223,10 @@
 		return pick.Neutral
 	case f.DialFailed:
 		return pick.Unreachable
-	case f.Reused:
+	case f.Reused && !rawhttp.Broken(f.Err):
 		return pick.Neutral
 	}
+	q.g.o.Metrics.BrokenAnswers.Inc(1)
 	return pick.Lost
 }
 
--- a/pipeline/forward.go
+++ b/pipeline/forward.go
@@ -34,6 +34,7 @@
 	x.spillRegion = region
 	got, err := f.deps.Forwarder.Forward(x.Ctx, f.request(x, region, ""))
 	if err != nil {
+		f.deps.recordBroken(x, region, err)
 		e := *asError(err)
 		e.Code = CodeRegionUnreached
 		x.joinVerdict(e.Verdict)
@@ -41,6 +42,7 @@
 	}
 	defer got.Body.Close()
 	err = f.relayAnswer(x, got)
+	f.deps.recordBroken(x, region, err)
 	x.joinVerdict(verdictOf(err))
 	return err
 }
@@ -109,10 +111,10 @@
 }
 
 func refusalFrom(got *ports.PlainAnswer) error {
-	body, _ := io.ReadAll(io.LimitReader(got.Body, maxRefusalBytes))
+	body, err := io.ReadAll(io.LimitReader(got.Body, maxRefusalBytes))
 	var r Refusal
-	if json.Unmarshal(body, &r) != nil || r.Error.Code == "" {
-		return verdict.New(verdict.MayHaveRun, CodeRegionUnreached, "the other region's answer is malformed")
+	if err != nil || json.Unmarshal(body, &r) != nil || r.Error.Code == "" {
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeRegionUnreached, Message: "the other region's answer is malformed", Err: err}
 	}
 	e := verdict.New(r.Error.Verdict, r.Error.Code, r.Error.Message)
 	e.RetryAfter = time.Duration(r.Error.RetryAfterMillis) * time.Millisecond
