coord/httpconn: cheaper reads, writes and values

Cause: each read and write made two closures, and each byte of a head went through a switch. Change: the closures are made once for each socket; values that the parser does not need are skipped; the classes of bytes are a table.

--- a/coord/httpconn/conn.go
+++ b/coord/httpconn/conn.go
@@ -48,8 +48,9 @@
 
 // Read reads a part of an answer.
 func (c *Conn) Read(p []byte) (int, error) {
-	if err := c.Broken(); err != nil {
-		return 0, err
+	// Only Read sets it.
+	if c.broken != nil {
+		return 0, c.broken
 	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
--- a/coord/httpconn/parser.go
+++ b/coord/httpconn/parser.go
@@ -114,6 +114,9 @@
 			}
 			continue
 		}
+		if i += p.skip(b[i:]); i == len(b) {
+			break
+		}
 		if err := p.step(b[i]); err != nil {
 			return i, err
 		}
@@ -122,6 +125,20 @@
 	return len(b), nil
 }
 
+// skip returns the number of bytes at the beginning of b that step would take without any effect: a part of a value
+// that is not needed.
+func (p *parser) skip(b []byte) int {
+	if p.state != fieldValue || p.name != otherField {
+		return 0
+	}
+	for i, c := range b {
+		if classes[c]&control != 0 {
+			return i
+		}
+	}
+	return len(b)
+}
+
 // endPart follows the last byte of a body with a length, or of a chunk.
 func (p *parser) endPart() {
 	if p.state == fixedBody {
@@ -175,7 +192,7 @@
 	case c == '\n':
 		p.afterLine = p.state
 		return p.lineEnded()
-	case isControl(c):
+	case classes[c]&control != 0:
 		return invalid("%s holds the control byte %q", of, c)
 	}
 	return nil
@@ -268,7 +285,7 @@
 		return nil
 	case c == '\r' || c == '\n':
 		return invalid("the line %q has no colon", p.line)
-	case !isToken(c):
+	case classes[c]&token == 0:
 		return invalid("field name %q holds a blank, a control byte or another byte that names do not have", append(p.line, c))
 	case len(p.line) < maxQuotedBytes:
 		p.line = append(p.line, c)
@@ -289,7 +306,7 @@
 }
 
 func (p *parser) valueByte(c byte) error {
-	if c != '\r' && c != '\n' && !isControl(c) {
+	if classes[c]&control == 0 {
 		return p.keepValue(c)
 	}
 	return p.endLine(c, "the value of a field")
@@ -380,13 +397,27 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
-// isControl reports whether c must not stand in a value, a reason or a chunk extension.
-func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+// class is a set of kinds of bytes.
+type class uint8
 
-// isToken reports whether c may stand in a field name.
-func isToken(c byte) bool {
-	return isDigit(c) || 'a' <= c|0x20 && c|0x20 <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
-}
+const (
+	// token: it may stand in a field name.
+	token class = 1 << iota
+	// control: it must not stand in a value, a reason or a chunk extension.
+	control
+)
+
+var classes = func() (classes [256]class) {
+	for c := range classes {
+		switch {
+		case c < ' ' && c != '\t' || c == 0x7f:
+			classes[c] |= control
+		case isDigit(byte(c)) || 'a' <= c|0x20 && c|0x20 <= 'z' && c < 0x80 || strings.IndexByte("!#$%&'*+-.^_`|~", byte(c)) >= 0:
+			classes[c] |= token
+		}
+	}
+	return classes
+}()
 
 // Error says why an answer is not valid HTTP/1.1.
 type Error struct{ Reason string }
--- a/coord/httpconn/socket.go
+++ b/coord/httpconn/socket.go
@@ -25,6 +25,8 @@
 	// in the order in which it tells it.
 	mu  sync.Mutex
 	err error
+
+	in, out transfer
 }
 
 // Watcher is told of the calls of a Socket, one at a time and in their order.
@@ -36,6 +38,29 @@
 	Read(fd, n int, err error)
 }
 
+// transfer is the read or the write in progress.
+type transfer struct {
+	mu  sync.Mutex
+	p   []byte
+	n   int
+	err error
+	// try does what can be done without waiting, and reports whether that is all.
+	try func(fd uintptr) bool
+}
+
+// run makes a call of which part is what wait calls when the socket is ready.
+func (t *transfer) run(p []byte, wait func(func(fd uintptr) bool) error) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.p, t.n, t.err = p, 0, nil
+	waited := wait(t.try)
+	t.p = nil
+	if waited != nil {
+		return t.n, waited
+	}
+	return t.n, t.err
+}
+
 // NewSocket returns the Socket of a connection that has one. The watcher may be nil.
 func NewSocket(c net.Conn, w Watcher) (*Socket, error) {
 	sc, ok := c.(syscall.Conn)
@@ -46,28 +71,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Socket{Conn: c, raw: raw, watcher: w}, nil
+	s := &Socket{Conn: c, raw: raw, watcher: w}
+	s.in.try, s.out.try = s.tryRead, s.tryWrite
+	return s, nil
 }
 
 // Read reads what has arrived. It returns io.EOF only if no call has reported an error.
-func (s *Socket) Read(p []byte) (n int, err error) {
+func (s *Socket) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
-	waited := s.raw.Read(func(fd uintptr) bool {
-		n, err = s.readSome(int(fd), p)
-		return err != unix.EAGAIN
-	})
-	if waited != nil {
-		return 0, waited
-	}
+	n, err := s.in.run(p, s.raw.Read)
 	return n, s.opError("read", err)
 }
 
+func (s *Socket) tryRead(fd uintptr) bool {
+	s.in.n, s.in.err = s.readSome(int(fd), s.in.p)
+	return s.in.err != unix.EAGAIN
+}
+
 func (s *Socket) readSome(fd int, p []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n, err := uninterrupted(func() (int, error) { return unix.Read(fd, p) })
+	n, err := uninterrupted(unix.Read, fd, p)
 	if err == unix.EAGAIN {
 		return 0, err
 	}
@@ -86,23 +112,23 @@
 }
 
 // Write writes p.
-func (s *Socket) Write(p []byte) (n int, err error) {
-	waited := s.raw.Write(func(fd uintptr) bool {
-		for n < len(p) && err == nil {
-			var part int
-			part, err = s.writeSome(int(fd), p[n:])
-			n += part
-		}
-		if err == unix.EAGAIN {
-			err = nil
+func (s *Socket) Write(p []byte) (int, error) {
+	n, err := s.out.run(p, s.raw.Write)
+	return n, s.opError("write", err)
+}
+
+func (s *Socket) tryWrite(fd uintptr) bool {
+	for s.out.n < len(s.out.p) {
+		n, err := s.writeSome(int(fd), s.out.p[s.out.n:])
+		if s.out.n += n; err == unix.EAGAIN {
 			return false
 		}
-		return true
-	})
-	if err == nil && waited != nil {
-		err = waited
+		if err != nil {
+			s.out.err = err
+			return true
+		}
 	}
-	return n, s.opError("write", err)
+	return true
 }
 
 func (s *Socket) writeSome(fd int, p []byte) (int, error) {
@@ -113,7 +139,7 @@
 			return 0, err
 		}
 	}
-	n, err := uninterrupted(func() (int, error) { return unix.Write(fd, p) })
+	n, err := uninterrupted(unix.Write, fd, p)
 	if err == unix.EAGAIN {
 		return n, err
 	}
@@ -133,11 +159,8 @@
 	err := s.raw.Control(func(fd uintptr) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		_, err := uninterrupted(func() (int, error) {
-			var b [1]byte
-			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-			return n, err
-		})
+		var b [1]byte
+		_, err := uninterrupted(peek, int(fd), b[:])
 		if silent = err == unix.EAGAIN; err != nil && !silent {
 			s.record(err)
 		}
@@ -155,6 +178,9 @@
 
 // opError returns err in the form of package net.
 func (s *Socket) opError(op string, err error) error {
+	if err == nil || err == io.EOF {
+		return err
+	}
 	var errno syscall.Errno
 	if !errors.As(err, &errno) {
 		return err
@@ -163,11 +189,17 @@
 }
 
 // uninterrupted calls the kernel until no signal interrupts it. It returns no negative number.
-func uninterrupted(call func() (int, error)) (int, error) {
+func uninterrupted(call func(int, []byte) (int, error), fd int, p []byte) (int, error) {
 	for {
-		n, err := call()
+		n, err := call(fd, p)
 		if err != unix.EINTR {
 			return max(0, n), err
 		}
 	}
 }
+
+// peek reads what has arrived and leaves it to be read.
+func peek(fd int, p []byte) (int, error) {
+	n, _, err := unix.Recvfrom(fd, p, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
