pipeline/exchange: a target whose answer is too long does not back off

Cause: since whole answers that break off let their target back off, so did one of over 16 MiB, of a sound target. A caller could take targets from others by asking for such answers. Found by reading; no caller has seen it. Measured: TestTargetOfATooLongAnswerDoesNotBackOff failed before (1 backs off) and passes.

--- a/pipeline/exchange/answer.go
+++ b/pipeline/exchange/answer.go
@@ -164,7 +164,12 @@
 		err = errSilent
 	}
 	if err != nil {
-		return false, q.endRun(a, p, err)
+		result := q.endRun(a, p, err)
+		if err == errAnswerTooLong && result == pick.Lost {
+			// The target need not back off: it answers, and other requests get shorter answers.
+			result = pick.Failed
+		}
+		return false, result
 	}
 	a.Close(true)
 	q.recordRun(verdict.Ran)
--- a/pipeline/exchange/broken_test.go
+++ b/pipeline/exchange/broken_test.go
@@ -251,6 +251,15 @@
 	}
 }
 
+// Guards against a target that gets no requests as an answer was longer than the gateway holds.
+func TestTargetOfATooLongAnswerDoesNotBackOff(t *testing.T) {
+	r := newRig(t, "r", newTarget(t, "t1", respond(200, strings.Repeat("x", maxWhole+1))))
+	checkBroken(t, r.call("/unsafe/x", "b"))
+	if n := r.pool.Count(time.Now()).BackingOff; n != 0 {
+		t.Errorf("%d targets back off", n)
+	}
+}
+
 // Guards against an answer that was refused for a reason which its request's log lines do not name.
 func TestLogSaysWhyAnAnswerIsBroken(t *testing.T) {
 	for name, want := range map[string]string{
