ports/transport: nothing is written after a request has been given up

Found by reading; no run showed it. Change: the evidence is kept under the lock of the calls, as before. A run that its hedge overtook before the head of its answer is no broken answer.

--- a/coord/httpconn/conn.go
+++ b/coord/httpconn/conn.go
@@ -93,18 +93,16 @@
 	return c.broken == nil && c.parser.state == idle
 }
 
-// Watcher returns what Dialed was given, nil for a connection of New.
-func (c *Conn) Watcher() Watcher {
-	if s, ok := c.Conn.(*Socket); ok {
-		return s.watcher
-	}
-	return nil
+// Socket returns the socket of a connection of Dialed, nil for one of New.
+func (c *Conn) Socket() *Socket {
+	s, _ := c.Conn.(*Socket)
+	return s
 }
 
 // Silent reports whether a read would block. It is false for a connection that has no Socket.
 func (c *Conn) Silent() bool {
-	s, ok := c.Conn.(*Socket)
-	return ok && c.Broken() == nil && s.Silent()
+	s := c.Socket()
+	return s != nil && c.Broken() == nil && s.Silent()
 }
 
 // maxReasonBytes bounds what an Error quotes of an error of net/http.
--- a/coord/httpconn/socket.go
+++ b/coord/httpconn/socket.go
@@ -29,7 +29,8 @@
 	in, out transfer
 }
 
-// Watcher is told of the calls of a Socket, one at a time and in their order.
+// Watcher is told of the calls of a Socket, in their order. Its methods are called with the lock of Socket.Calls held,
+// from before a write until after it.
 type Watcher interface {
 	// BeforeWrite returns the error of a write that must not be made.
 	BeforeWrite(fd int) error
@@ -76,6 +77,12 @@
 	return s, nil
 }
 
+// Watcher returns what NewSocket was given.
+func (s *Socket) Watcher() Watcher { return s.watcher }
+
+// Calls returns the lock that is held during each call of the kernel.
+func (s *Socket) Calls() sync.Locker { return &s.mu }
+
 // Read reads what has arrived. It returns io.EOF only if no call has reported an error.
 func (s *Socket) Read(p []byte) (int, error) {
 	if len(p) == 0 {
--- a/pipeline/exchange/send.go
+++ b/pipeline/exchange/send.go
@@ -226,7 +226,9 @@
 	case f.Reused && !rawhttp.Broken(f.Err):
 		return pick.Neutral
 	}
-	q.g.o.Metrics.BrokenAnswers.Inc(1)
+	if !errors.Is(err, errSilent) {
+		q.g.o.Metrics.BrokenAnswers.Inc(1)
+	}
 	return pick.Lost
 }
 
--- a/ports/transport/conn.go
+++ b/ports/transport/conn.go
@@ -25,7 +25,9 @@
 // nothing: it is sent for a request that came after the close as well as for one that the target
 // read before it crashed.
 type evidence struct {
-	mu sync.Mutex
+	// calls is the lock of the connection's calls, under which the watcher's methods are called. So nothing is written
+	// after abandon, and what the kernel tells is recorded in the order in which it tells it.
+	calls sync.Locker
 	// written counts the bytes of the current request that were written. answered says that a byte
 	// was read since it began.
 	written  int
@@ -40,27 +42,35 @@
 	abandoned bool
 }
 
-// evidenceOf returns the evidence of a connection to a target, nil for another one.
+// watch returns the connection to a target of a new connection, with its evidence. It closes one that has no socket.
+func watch(c net.Conn) (*httpconn.Conn, error) {
+	e := new(evidence)
+	checked, err := httpconn.Dialed(c, e)
+	if err == nil {
+		e.calls = checked.Socket().Calls()
+	}
+	return checked, err
+}
+
+// evidenceOf returns the evidence of a connection of watch, nil for another one.
 func evidenceOf(c net.Conn) *evidence {
 	checked, ok := c.(*httpconn.Conn)
-	if !ok {
+	if !ok || checked.Socket() == nil {
 		return nil
 	}
-	e, _ := checked.Watcher().(*evidence)
+	e, _ := checked.Socket().Watcher().(*evidence)
 	return e
 }
 
 // begin must be called before each request.
 func (e *evidence) begin() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.calls.Lock()
+	defer e.calls.Unlock()
 	e.written, e.answered, e.abandoned = 0, false, false
 }
 
 // BeforeWrite implements httpconn.Watcher.
 func (e *evidence) BeforeWrite(fd int) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	if e.abandoned {
 		return errAbandoned
 	}
@@ -75,8 +85,6 @@
 
 // Wrote implements httpconn.Watcher.
 func (e *evidence) Wrote(fd, n int, err error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.written += n
 	switch {
 	case errors.Is(err, unix.EPIPE) && !e.failed:
@@ -89,8 +97,6 @@
 
 // Read implements httpconn.Watcher.
 func (e *evidence) Read(fd, n int, err error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	switch {
 	case n > 0:
 		e.answered = true
@@ -101,7 +107,7 @@
 	}
 }
 
-// end records the end of the stream. e.mu must be held.
+// end records the end of the stream. e.calls must be held.
 func (e *evidence) end(fd int) {
 	if !e.ended {
 		e.ended = true
@@ -112,8 +118,8 @@
 // abandon ends the current request, of which nothing is written after this. It reports whether the
 // target may have read a byte of it.
 func (e *evidence) abandon() (mayBeRead bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.calls.Lock()
+	defer e.calls.Unlock()
 	e.abandoned = true
 	return e.written > 0 && (e.answered || !e.unread)
 }
--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -59,7 +59,11 @@
 			if err != nil {
 				return nil, err
 			}
-			return httpconn.Dialed(c, new(evidence))
+			watched, err := watch(c)
+			if err != nil {
+				return nil, err
+			}
+			return watched, nil
 		},
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    o.MaxIdlePerHost,
