--- a/soak/plan.go
+++ b/soak/plan.go
@@ -60,7 +60,8 @@
 	// Double has a runner turn a share of requests away, and send each answer a second time, where the
 	// next one is expected.
 	Double Kind = "double"
-	// StopHeads has a runner stop a part of its answers in their head or right after it, and close.
+	// StopHeads has a runner stop a part of its answers in their head or right after it, or send what is not valid HTTP,
+	// and close.
 	StopHeads Kind = "stop_heads"
 )
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,7 +24,7 @@
 	mixed    = flag.Bool("soak.mixed", false, "play soak.seeds with two software versions in each region, and a poison request")
 	strain   = flag.Bool("soak.strain", false, "play soak.seeds with planned work beside silent runners, spoiled hedges, refused connections and doubled answers")
 	stops    = flag.Bool("soak.stops", false, "play soak.seeds with graceful restarts of entry instances under slow answers and late senders")
-	overlaps = flag.Bool("soak.overlaps", false, "play soak.seeds with runs that meet their hedges, and answers that stop early")
+	overlaps = flag.Bool("soak.overlaps", false, "play soak.seeds with runs that meet their hedges, and answers that stop early or are not valid HTTP")
 	crowds   = flag.Bool("soak.crowds", false, "play soak.seeds with crowds of clients that stop short")
 	mass     = flag.Bool("soak.mass", false, "play soak.seeds with crashes of many runners at once")
 	keep     = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
